--- /dev/null
+++ b/src/finchshed/common/__init__.py
@@ -0,0 +1,1 @@
+"""Types shared by every program: errors, outcomes, importance, call context."""
--- /dev/null
+++ b/src/finchshed/common/outcomes.py
@@ -0,0 +1,72 @@
+"""Outcomes of a call, as values.
+
+``Refused`` is a statement that the request did not run. It may be made only by a party that
+knows: the request was never sent to a back end, or the back end itself refused before running.
+Anything less certain is ``Failed``.
+"""
+
+import enum
+from typing import TypeAlias
+
+import msgspec
+
+Headers: TypeAlias = tuple[tuple[str, str], ...]
+
+
+class RefusalReason(enum.StrEnum):
+    """Why a request was refused without having run."""
+
+    OVERLOAD = "overload"
+    QUEUE_FULL = "queue_full"
+    DEADLINE = "deadline"
+    DRAINING = "draining"
+    NO_BACKEND = "no_backend"
+    NO_CONFIGURATION = "no_configuration"
+    LEDGER_UNAVAILABLE = "ledger_unavailable"
+    KEY_EXPIRED = "key_expired"
+    KEY_MISSING = "key_missing"
+    SESSION_LIMIT = "session_limit"
+    UNKNOWN_ROUTE = "unknown_route"
+    REQUEST_TOO_LARGE = "request_too_large"
+    BACKEND_REFUSED = "backend_refused"
+    CANCELLED = "cancelled"
+    CONNECT_FAILED = "connect_failed"
+
+
+class FailureReason(enum.StrEnum):
+    """Why it is unknown whether a request ran to its end."""
+
+    LINK_BROKEN = "link_broken"
+    BACKEND_BROKEN = "backend_broken"
+    DEADLINE = "deadline"
+    ANSWER_TOO_LARGE = "answer_too_large"
+    ANSWER_CORRUPT = "answer_corrupt"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    ABORTED = "aborted"
+
+
+class Answered(msgspec.Struct, frozen=True, tag="answered"):
+    """The back end's whole answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class Refused(msgspec.Struct, frozen=True, tag="refused"):
+    """The request did not run. ``retry_after`` is in seconds."""
+
+    reason: RefusalReason
+    retry_after: float
+    detail: str = ""
+
+
+class Failed(msgspec.Struct, frozen=True, tag="failed"):
+    """The request may have run. ``retry_after`` is in seconds."""
+
+    reason: FailureReason
+    retry_after: float
+    detail: str = ""
+
+
+Outcome: TypeAlias = Answered | Refused | Failed
--- /dev/null
+++ b/src/finchshed/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Declared configuration: typed resources, changes, and the versioned store."""
--- /dev/null
+++ b/src/finchshed/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Distribution of accepted configuration from control nodes to daemons."""
--- /dev/null
+++ b/src/finchshed/distribution/messages.py
@@ -0,0 +1,125 @@
+"""Messages between a daemon and a control node (JSON lines), and between daemons for deltas.
+
+A daemon opens one connection to one control node and keeps it. Configuration flows down it;
+ledger requests and reports flow up it.
+"""
+
+from typing import TypeAlias
+
+import msgspec
+
+from finchshed.common.outcomes import Answered
+from finchshed.configuration.resources import Resource, ResourceKey
+
+
+class Subscribe(msgspec.Struct, frozen=True, tag="subscribe"):
+    """First line of a daemon: who it is and the highest revision it holds (0: none)."""
+
+    node: str
+    incarnation: str
+    service: str
+    zone: str
+    revision: int
+
+
+class Delta(msgspec.Struct, frozen=True, omit_defaults=True, tag="delta"):
+    """What changed from ``base`` to ``revision``.
+
+    ``base`` 0 means the whole configuration: the receiver drops what it held.
+    ``confirmed`` says that a quorum confirmed, after the subscription came in, that no higher
+    revision had been accepted.
+    """
+
+    base: int
+    revision: int
+    puts: tuple[Resource, ...] = ()
+    deletes: tuple[ResourceKey, ...] = ()
+    confirmed: bool = False
+
+
+class InForce(msgspec.Struct, frozen=True, tag="in_force"):
+    """The daemon acts on ``revision``. Also sent as a heartbeat."""
+
+    revision: int
+
+
+class Redirect(msgspec.Struct, frozen=True, tag="redirect"):
+    """The control node can't serve; try ``addresses`` (may be empty)."""
+
+    addresses: tuple[str, ...] = ()
+
+
+class Fetch(msgspec.Struct, frozen=True, tag="fetch"):
+    """Ask for a delta from ``revision``; answered by :class:`Delta`."""
+
+    revision: int
+
+
+class LedgerBegin(msgspec.Struct, frozen=True, tag="ledger_begin"):
+    """Ask leave to run the request under ``key``. ``key_age_seconds`` bounds the key's validity.
+
+    ``attempt`` is unique for each time a daemon wants to send the request to a back end.
+    """
+
+    request: int
+    key: str
+    attempt: str
+    node: str
+
+
+class LedgerCancel(msgspec.Struct, frozen=True, tag="ledger_cancel"):
+    """The attempt was granted and never sent: the key is free again."""
+
+    request: int
+    key: str
+    attempt: str
+
+
+class LedgerComplete(msgspec.Struct, frozen=True, tag="ledger_complete"):
+    """The attempt ran to its end with this whole answer."""
+
+    request: int
+    key: str
+    attempt: str
+    answer: Answered
+
+
+class LedgerGranted(msgspec.Struct, frozen=True, tag="ledger_granted"):
+    """Committed; the attempt may be sent once."""
+
+    request: int
+
+
+class LedgerCompleted(msgspec.Struct, frozen=True, tag="ledger_completed"):
+    """The request under this key ran before; here is its answer."""
+
+    request: int
+    answer: Answered
+
+
+class LedgerUnknown(msgspec.Struct, frozen=True, tag="ledger_unknown"):
+    """The request under this key was begun and not completed; it is not run again."""
+
+    request: int
+
+
+class LedgerRefused(msgspec.Struct, frozen=True, tag="ledger_refused"):
+    """Nothing was granted: the key is expired, or no quorum answered."""
+
+    request: int
+    expired: bool
+    detail: str = ""
+
+
+class LedgerNoted(msgspec.Struct, frozen=True, tag="ledger_noted"):
+    """A cancel or complete is committed."""
+
+    request: int
+
+
+DaemonToControl: TypeAlias = (
+    Subscribe | InForce | Fetch | LedgerBegin | LedgerCancel | LedgerComplete
+)
+ControlToDaemon: TypeAlias = (
+    Delta | Redirect | LedgerGranted | LedgerCompleted | LedgerUnknown | LedgerRefused | LedgerNoted
+)
--- /dev/null
+++ b/src/finchshed/link/__init__.py
@@ -0,0 +1,1 @@
+"""Links between processes: JSON lines over one TCP connection per peer."""
--- /dev/null
+++ b/src/finchshed/link/lines.py
@@ -0,0 +1,149 @@
+"""JSON lines over TCP: the one place where bytes of internal links are read and written.
+
+The codec is msgspec's; the framing is a line feed after each JSON value, which JSON never holds
+unescaped.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, Generic, TypeVar, cast
+
+import msgspec
+
+from finchshed.common.errors import ProtocolError
+
+ReceivedT = TypeVar("ReceivedT")
+
+DEFAULT_MAX_LINE_BYTES = 96 << 20
+"""Longest line taken: a body of 64 MiB in base64, and its headers."""
+
+LINE_FEED = b"\n"
+
+_encoder = msgspec.json.Encoder()
+
+
+def encode_line(message: msgspec.Struct) -> bytes:
+    """Return ``message`` as one line."""
+    buffer = bytearray()
+    _encoder.encode_into(message, buffer)
+    buffer += LINE_FEED
+    return bytes(buffer)
+
+
+class LineProtocol(asyncio.Protocol, Generic[ReceivedT]):
+    """One connection that sends and receives typed lines.
+
+    Parameters
+    ----------
+    received_type
+        Type, usually a tagged union, that each line must decode to.
+    on_message
+        Called with the connection and each message.
+    on_open, on_close
+        Called when the connection is made and lost. ``on_close`` gets the error, or None.
+    max_line_bytes
+        A longer line closes the connection.
+    """
+
+    def __init__(
+        self,
+        received_type: Any,
+        on_message: Callable[["LineProtocol[ReceivedT]", ReceivedT], None],
+        on_open: Callable[["LineProtocol[ReceivedT]"], None] | None = None,
+        on_close: Callable[["LineProtocol[ReceivedT]", Exception | None], None] | None = None,
+        max_line_bytes: int = DEFAULT_MAX_LINE_BYTES,
+    ) -> None:
+        self._decoder = msgspec.json.Decoder(received_type)
+        self._on_message = on_message
+        self._on_open = on_open
+        self._on_close = on_close
+        self._max_line_bytes = max_line_bytes
+        self._parts: list[bytes] = []
+        self._parts_size = 0
+        self._error: Exception | None = None
+        self.transport: asyncio.Transport | None = None
+        self.bytes_received = 0
+        self.bytes_sent = 0
+        self.peer_address = ""
+
+    @property
+    def is_open(self) -> bool:
+        """Whether lines can be sent."""
+        return self.transport is not None and not self.transport.is_closing()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport (asyncio callback)."""
+        self.transport = cast(asyncio.Transport, transport)
+        peer = transport.get_extra_info("peername")
+        self.peer_address = f"{peer[0]}:{peer[1]}" if peer else ""
+        if self._on_open is not None:
+            self._on_open(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Report the end of the connection (asyncio callback)."""
+        self.transport = None
+        if self._on_close is not None:
+            self._on_close(self, self._error or exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Split ``data`` into lines and hand each on (asyncio callback)."""
+        self.bytes_received += len(data)
+        *lines, rest = data.split(LINE_FEED)
+        for line in lines:
+            if self._parts:
+                self._parts.append(line)
+                whole = b"".join(self._parts)
+                self._parts.clear()
+                self._parts_size = 0
+            else:
+                whole = line
+            if not self._deliver(whole):
+                return
+        if rest:
+            self._parts.append(rest)
+            self._parts_size += len(rest)
+            if self._parts_size > self._max_line_bytes:
+                self._fail(ProtocolError(f"line longer than {self._max_line_bytes} bytes"))
+
+    def send(self, message: msgspec.Struct) -> int:
+        """Queue ``message`` for sending; return its size in bytes, or 0 if the link is closed."""
+        return self.send_encoded(encode_line(message))
+
+    def send_encoded(self, line: bytes) -> int:
+        """Queue a line made by :func:`encode_line`."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return 0
+        transport.write(line)
+        self.bytes_sent += len(line)
+        return len(line)
+
+    def unsent_bytes(self) -> int:
+        """Bytes queued and not yet taken by the operating system."""
+        return 0 if self.transport is None else self.transport.get_write_buffer_size()
+
+    def close(self) -> None:
+        """Close after what is queued has been sent."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self) -> None:
+        """Close at once."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _deliver(self, line: bytes) -> bool:
+        if len(line) > self._max_line_bytes:
+            self._fail(ProtocolError(f"line longer than {self._max_line_bytes} bytes"))
+            return False
+        try:
+            message = self._decoder.decode(line)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            self._fail(ProtocolError(f"malformed line: {error}"))
+            return False
+        self._on_message(self, message)
+        return self.transport is not None
+
+    def _fail(self, error: ProtocolError) -> None:
+        self._error = error
+        self.abort()
--- /dev/null
+++ b/src/finchshed/link/messages.py
@@ -0,0 +1,110 @@
+"""Messages between daemons.
+
+Call identities are never used twice on a link, and every message carries the link's epoch, so an
+answer to a call that was given up on finds nobody.
+"""
+
+from typing import TypeAlias
+
+import msgspec
+
+from finchshed.common.context import CallContext
+from finchshed.common.outcomes import Headers, Outcome
+from finchshed.distribution.messages import Delta, Fetch
+
+
+class LoadReport(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What the daemon beside a back end tells its callers on each answer.
+
+    Attributes
+    ----------
+    threshold
+        Admission threshold: requests of a lower admission rank are refused at present. See
+        :mod:`finchshed.admission`.
+    queue_delay
+        Recent queueing delay, seconds.
+    in_flight
+        Requests running or queued.
+    limit
+        Concurrency limit in force.
+    """
+
+    threshold: int = 0
+    queue_delay: float = 0.0
+    in_flight: int = 0
+    limit: int = 0
+    draining: bool = False
+
+
+class Hello(msgspec.Struct, frozen=True, tag="hello"):
+    """First line in each direction."""
+
+    node: str
+    incarnation: str
+    epoch: str
+    service: str
+    zone: str
+    revision: int
+    draining: bool = False
+
+
+class Call(msgspec.Struct, frozen=True, omit_defaults=True, tag="call"):
+    """A request. ``digest`` is xxh3-64 of the body, hexadecimal."""
+
+    epoch: str
+    call: int
+    service: str
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    digest: str
+    context: CallContext
+    revision: int = 0
+
+
+class Reply(msgspec.Struct, frozen=True, omit_defaults=True, tag="reply"):
+    """The outcome of a call.
+
+    ``spare_attempts`` is what the callee's side did not spend of the call's share of the retry
+    budget. ``digest`` is xxh3-64 of an answer's body, hexadecimal; empty for other outcomes.
+    """
+
+    epoch: str
+    call: int
+    outcome: Outcome
+    spare_attempts: int
+    load: LoadReport
+    digest: str = ""
+    revision: int = 0
+
+
+class Cancel(msgspec.Struct, frozen=True, tag="cancel"):
+    """The caller has given up on a call."""
+
+    epoch: str
+    call: int
+
+
+class Draining(msgspec.Struct, frozen=True, tag="draining"):
+    """The sender takes no new calls; calls in progress are finished."""
+
+    epoch: str
+
+
+class Ping(msgspec.Struct, frozen=True, tag="ping"):
+    """Heartbeat; answered by :class:`Pong`."""
+
+    epoch: str
+    revision: int = 0
+
+
+class Pong(msgspec.Struct, frozen=True, omit_defaults=True, tag="pong"):
+    """Answer to a heartbeat."""
+
+    epoch: str
+    load: LoadReport
+    revision: int = 0
+
+
+PeerMessage: TypeAlias = Hello | Call | Reply | Cancel | Draining | Ping | Pong | Fetch | Delta
