Control state: configuration store, at-most-once ledger, operators' schema, platform hints

Cause: the control nodes need one deterministic state that every voter applies alike, and operators a schema to drive it.

- Idempotency keys are UUIDs of version 7 (finchshed.ledger.keys.new_key): the time in the key lets the ledger refuse an old key without remembering it.
A key without a time was weighed and ruled out: once forgotten it could run again.
- Distribution messages gain Hints (the platform's list), ExplainRequest and ExplainReply.

--- /dev/null
+++ b/src/finchshed/configuration/validation.py
@@ -0,0 +1,105 @@
+"""Checks of a whole configuration: names that refer to each other, addresses, bounds."""
+
+import collections
+import ipaddress
+from collections.abc import Iterable, Mapping
+
+from finchshed.configuration.resources import (
+    Endpoint,
+    Operator,
+    Policy,
+    Resource,
+    ResourceKey,
+    Service,
+    key_of,
+)
+
+MAX_PORT = 65_535
+POLICY_NAME = "default"
+
+
+def problems_of(resources: Mapping[ResourceKey, Resource]) -> list[str]:
+    """Return what contradicts itself in ``resources``, one line each; empty when sound."""
+    services = {item.name for item in resources.values() if isinstance(item, Service)}
+    problems: list[str] = []
+    for resource in resources.values():
+        if isinstance(resource, Service):
+            problems += _problems_of_service(resource)
+        elif isinstance(resource, Endpoint):
+            problems += _problems_of_endpoint(resource, services)
+        elif isinstance(resource, Policy) and resource.name != POLICY_NAME:
+            problems.append(f"policy/{resource.name}: name: only '{POLICY_NAME}' is allowed")
+    problems += _shared_addresses(resources.values())
+    problems += _shared_tokens(resources.values())
+    return problems
+
+
+def duplicate_keys(resources: Iterable[Resource]) -> list[ResourceKey]:
+    """Return keys that occur more than once in ``resources``."""
+    counter = collections.Counter(key_of(resource) for resource in resources)
+    return [key for key, count in counter.items() if count > 1]
+
+
+def _problems_of_service(service: Service) -> list[str]:
+    counter = collections.Counter(route.prefix for route in service.routes)
+    where = f"service/{service.name}"
+    problems = [
+        f"{where}: routes.prefix = {prefix!r}: given {count} times, allowed once"
+        for prefix, count in counter.items()
+        if count > 1
+    ]
+    has_sessions = any(route.session for route in service.routes)
+    if has_sessions and service.max_sessions == 0:
+        problems.append(f"{where}: max_sessions = 0: allowed is 1 or more with a session route")
+    return problems
+
+
+def _problems_of_endpoint(endpoint: Endpoint, services: set[str]) -> list[str]:
+    where = f"endpoint/{endpoint.name}"
+    problems = []
+    if endpoint.service not in services:
+        allowed = ", ".join(sorted(services)) or "none declared"
+        problems.append(
+            f"{where}: service = {endpoint.service!r}: allowed are the declared services: {allowed}"
+        )
+    if not is_address(endpoint.address):
+        problems.append(
+            f"{where}: address = {endpoint.address!r}: allowed is an IPv4 address and a port "
+            f"from 1 to {MAX_PORT}"
+        )
+    return problems
+
+
+def is_address(text: str) -> bool:
+    """Return whether ``text`` is ``a.b.c.d:port`` with values in range."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return port.isdecimal() and 1 <= int(port) <= MAX_PORT
+
+
+def _shared_addresses(resources: Iterable[Resource]) -> list[str]:
+    owners: dict[str, list[str]] = collections.defaultdict(list)
+    for resource in resources:
+        if isinstance(resource, Endpoint):
+            owners[resource.address].append(resource.name)
+    return [
+        f"endpoint/{names[-1]}: address = {address!r}: used by {', '.join(sorted(names))}, "
+        "allowed once"
+        for address, names in owners.items()
+        if len(names) > 1
+    ]
+
+
+def _shared_tokens(resources: Iterable[Resource]) -> list[str]:
+    owners: dict[str, list[str]] = collections.defaultdict(list)
+    for resource in resources:
+        if isinstance(resource, Operator):
+            owners[resource.token_sha256].append(resource.name)
+    return [
+        f"operator/{names[-1]}: token_sha256: used by {', '.join(sorted(names))}, allowed once"
+        for names in owners.values()
+        if len(names) > 1
+    ]
--- /dev/null
+++ b/src/finchshed/control/replicated_log.py
@@ -0,0 +1,74 @@
+"""What the rest of a control node needs of the replicated log."""
+
+import enum
+from typing import Protocol
+
+import msgspec
+
+from finchshed.control.commands import Command, CommandResult
+
+
+class MemberRole(enum.StrEnum):
+    """What a member is to the log."""
+
+    LEADER = "leader"
+    VOTER = "voter"
+    LEARNER = "learner"
+
+
+class MemberStatus(msgspec.Struct, frozen=True):
+    """One member of the control group, as this node sees it.
+
+    Attributes
+    ----------
+    match_index
+        Highest entry known to be on the member's disk; 0 when this node doesn't know.
+    silent_seconds
+        Time since the last sign of it, or 0 for this node itself; negative when unknown.
+    """
+
+    name: str
+    address: str
+    role: MemberRole
+    incarnation: str = ""
+    match_index: int = 0
+    silent_seconds: float = -1.0
+
+
+class LogStatus(msgspec.Struct, frozen=True):
+    """State of the log at this node."""
+
+    node: str
+    leader: str
+    term: int
+    commit_index: int
+    applied_index: int
+    members: tuple[MemberStatus, ...]
+
+
+class ReplicatedLog(Protocol):
+    """A log that every control node applies in the same order."""
+
+    async def propose(self, command: Command) -> CommandResult:
+        """Commit ``command`` and return its result.
+
+        Raises
+        ------
+        ControlUnavailableError
+            No quorum confirmed it in time. The command may still be committed later.
+        """
+        ...
+
+    async def read_barrier(self) -> None:
+        """Return once this node has applied all that was committed before the call.
+
+        Raises
+        ------
+        ControlUnavailableError
+            No quorum answered in time.
+        """
+        ...
+
+    def status(self) -> LogStatus:
+        """Return the state of the log at this node."""
+        ...
--- a/src/finchshed/distribution/messages.py
+++ b/src/finchshed/distribution/messages.py
@@ -4,6 +4,7 @@
 ledger requests and reports flow up it.
 """
 
+import enum
 from typing import TypeAlias
 
 import msgspec
@@ -56,8 +57,10 @@
 
 
 class LedgerBegin(msgspec.Struct, frozen=True, tag="ledger_begin"):
-    """Ask leave to run the request under ``key``. ``key_age_seconds`` bounds the key's validity.
+    """Ask leave to run the request under ``key``.
 
+    The key is a UUID of version 7 (see :mod:`finchshed.ledger.keys`): the time in it bounds its
+    validity.
     ``attempt`` is unique for each time a daemon wants to send the request to a back end.
     """
 
@@ -117,9 +120,73 @@
     request: int
 
 
+class PlatformState(enum.StrEnum):
+    """What the platform says of a machine."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class PlatformInstance(msgspec.Struct, frozen=True):
+    """One machine of the platform's list.
+
+    ``incarnation`` changes when another machine takes the same name or address.
+    """
+
+    name: str
+    address: str
+    incarnation: str
+    state: PlatformState
+
+
+class Hints(msgspec.Struct, frozen=True, omit_defaults=True, tag="hints"):
+    """The platform's list as control last read it: whole, lagging, and only a hint.
+
+    An endpoint missing from the list keeps serving. ``age_seconds`` is the list's age when the
+    message was sent.
+    """
+
+    instances: tuple[PlatformInstance, ...]
+    age_seconds: float = 0.0
+
+
+class ExplainRequest(msgspec.Struct, frozen=True, omit_defaults=True, tag="explain_request"):
+    """An operator asks the daemon for its recent decisions; empty ``root`` asks for all."""
+
+    request: int
+    root: str = ""
+    limit: int = 100
+
+
+class Decision(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One decision of a daemon. ``age_seconds`` is its age when the message was sent."""
+
+    age_seconds: float
+    root: str
+    action: str
+    reason: str = ""
+    endpoint: str = ""
+    detail: str = ""
+
+
+class ExplainReply(msgspec.Struct, frozen=True, omit_defaults=True, tag="explain_reply"):
+    """The daemon's recent decisions, newest first."""
+
+    request: int
+    decisions: tuple[Decision, ...] = ()
+
+
 DaemonToControl: TypeAlias = (
-    Subscribe | InForce | Fetch | LedgerBegin | LedgerCancel | LedgerComplete
+    Subscribe | InForce | Fetch | LedgerBegin | LedgerCancel | LedgerComplete | ExplainReply
 )
 ControlToDaemon: TypeAlias = (
-    Delta | Redirect | LedgerGranted | LedgerCompleted | LedgerUnknown | LedgerRefused | LedgerNoted
+    Delta
+    | Redirect
+    | LedgerGranted
+    | LedgerCompleted
+    | LedgerUnknown
+    | LedgerRefused
+    | LedgerNoted
+    | Hints
+    | ExplainRequest
 )
--- /dev/null
+++ b/src/finchshed/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once ledger of requests that may not be repeated."""
