Declaration files, their difference from what is in force, and the schema's conversions

Cause: operators keep declarations in version control and need every mistake at once.

Each table is checked field by field rather than by one decode, which stops at the first error. An endpoint's state in force is kept unless its file gives one: an apply of files doesn't undo an operator's drain.

--- /dev/null
+++ b/src/finchshed/configuration/declarations.py
@@ -0,0 +1,162 @@
+"""Reads declaration files (TOML, under version control) into resources.
+
+A folder holds any number of ``*.toml`` files; together they are the whole configuration::
+
+    [policy]
+    retry_budget = 3
+
+    [[service]]
+    name = "officer-verification"
+      [[service.routes]]
+      prefix = "/"
+      importance = "critical"
+
+    [[endpoint]]
+    name = "officer-verification-1"
+    service = "officer-verification"
+    region = "texas"
+    zone = "a"
+    address = "127.0.1.1:7000"
+    slots = 10
+
+    [[operator]]
+    name = "ana"
+    token_sha256 = "..."
+"""
+
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from finchshed.common.errors import DeclarationError
+from finchshed.configuration.fields import convert_table, importance_from_name
+from finchshed.configuration.resources import (
+    Endpoint,
+    Operator,
+    Policy,
+    Resource,
+    ResourceKey,
+    Route,
+    Service,
+    key_of,
+)
+from finchshed.configuration.validation import problems_of
+
+TABLES: Mapping[str, type[Service] | type[Endpoint] | type[Policy] | type[Operator]] = {
+    "service": Service,
+    "endpoint": Endpoint,
+    "policy": Policy,
+    "operator": Operator,
+}
+
+
+class Declarations(msgspec.Struct, frozen=True):
+    """Resources read from files.
+
+    Attributes
+    ----------
+    explicit_states
+        Endpoints whose file gives their state; of the others the state in force is kept, so an
+        apply doesn't undo an operator's drain.
+    """
+
+    resources: dict[ResourceKey, Resource]
+    explicit_states: frozenset[ResourceKey] = frozenset()
+
+
+class _Reader:
+    """Collects resources and problems over all files."""
+
+    def __init__(self) -> None:
+        self.resources: dict[ResourceKey, Resource] = {}
+        self.origins: dict[ResourceKey, str] = {}
+        self.explicit_states: set[ResourceKey] = set()
+        self.problems: list[str] = []
+
+    def read_file(self, path: Path) -> None:
+        try:
+            document = tomllib.loads(path.read_text(encoding="utf-8"))
+        except (tomllib.TOMLDecodeError, UnicodeDecodeError, OSError) as error:
+            self.problems.append(f"{path.name}: {error}")
+            return
+        for table_name, content in document.items():
+            if table_name not in TABLES:
+                allowed = ", ".join(TABLES)
+                self.problems.append(
+                    f"{path.name}: {table_name}: no such table, allowed are: {allowed}"
+                )
+                continue
+            items = content if isinstance(content, list) else [content]
+            for position, item in enumerate(items, start=1):
+                self._read_item(path.name, table_name, position, item)
+
+    def _read_item(self, file: str, table_name: str, position: int, item: Any) -> None:
+        if not isinstance(item, dict):
+            self.problems.append(f"{file}: {table_name} = {item!r}: allowed is a table")
+            return
+        where = f"{file}: {table_name} {item.get('name', f'number {position}')}"
+        if table_name == "service":
+            item = self._with_routes(item, where)
+        resource = convert_table(item, TABLES[table_name], where, self.problems)
+        if resource is not None:
+            self._add(resource, file, explicit_state="state" in item)
+
+    def _with_routes(self, item: dict[str, Any], where: str) -> dict[str, Any]:
+        tables = item.get("routes")
+        if not isinstance(tables, list):
+            return item
+        routes = []
+        for position, table in enumerate(tables, start=1):
+            route_where = f"{where}: route {position}"
+            if not isinstance(table, dict):
+                self.problems.append(f"{route_where} = {table!r}: allowed is a table")
+                continue
+            named = importance_from_name(table, route_where, self.problems)
+            route = convert_table(named, Route, route_where, self.problems)
+            if route is not None:
+                routes.append(route)
+        return {**item, "routes": tuple(routes)}
+
+    def _add(self, resource: Resource, file: str, *, explicit_state: bool) -> None:
+        key = key_of(resource)
+        if key in self.origins:
+            self.problems.append(
+                f"{file}: {key.kind} {key.name}: declared in {self.origins[key]} too, allowed once"
+            )
+            return
+        self.resources[key] = resource
+        self.origins[key] = file
+        if explicit_state:
+            self.explicit_states.add(key)
+
+    def check_whole(self) -> None:
+        for problem in problems_of(self.resources):
+            kind, _, rest = problem.partition("/")
+            name, _, message = rest.partition(": ")
+            file = self.origins.get(ResourceKey(kind, name), "declarations")
+            self.problems.append(f"{file}: {kind} {name}: {message}")
+
+
+def read_declarations(folder: Path) -> Declarations:
+    """Read every ``*.toml`` file in ``folder``.
+
+    Raises
+    ------
+    DeclarationError
+        With one line for each problem: file, key, value and what is allowed.
+    """
+    if not folder.is_dir():
+        raise DeclarationError([f"{folder}: allowed is a folder with *.toml files"])
+    paths = sorted(folder.glob("*.toml"))
+    if not paths:
+        raise DeclarationError([f"{folder}: holds no *.toml file"])
+    reader = _Reader()
+    for path in paths:
+        reader.read_file(path)
+    reader.check_whole()
+    if reader.problems:
+        raise DeclarationError(reader.problems)
+    return Declarations(reader.resources, frozenset(reader.explicit_states))
--- /dev/null
+++ b/src/finchshed/configuration/difference.py
@@ -0,0 +1,55 @@
+"""Difference between a configuration in force and a declared one."""
+
+from collections.abc import Mapping
+
+import msgspec
+
+from finchshed.configuration.declarations import Declarations
+from finchshed.configuration.resources import Endpoint, Resource, ResourceKey
+
+
+class Difference(msgspec.Struct, frozen=True):
+    """What a change has to put and delete."""
+
+    puts: tuple[Resource, ...]
+    deletes: tuple[ResourceKey, ...]
+
+    def __bool__(self) -> bool:
+        return bool(self.puts or self.deletes)
+
+
+def difference(in_force: Mapping[ResourceKey, Resource], declared: Declarations) -> Difference:
+    """Return what makes ``in_force`` equal to ``declared``."""
+    puts = []
+    for key, resource in declared.resources.items():
+        current = in_force.get(key)
+        wanted = resource
+        if key not in declared.explicit_states:
+            wanted = _with_state_in_force(resource, current)
+        if wanted != current:
+            puts.append(wanted)
+    deletes = sorted(key for key in in_force if key not in declared.resources)
+    return Difference(tuple(puts), tuple(deletes))
+
+
+def describe_difference(in_force: Mapping[ResourceKey, Resource], changed: Difference) -> list[str]:
+    """Return one line for people for each resource and field that changes."""
+    lines = []
+    for resource in changed.puts:
+        kind = str(type(resource).__struct_config__.tag)
+        current = in_force.get(ResourceKey(kind, resource.name))
+        if current is None:
+            lines.append(f"+ {kind} {resource.name}")
+            continue
+        for field in resource.__struct_fields__:
+            before, after = getattr(current, field), getattr(resource, field)
+            if before != after:
+                lines.append(f"~ {kind} {resource.name}: {field}: {before!r} -> {after!r}")
+    lines += [f"- {key.kind} {key.name}" for key in changed.deletes]
+    return lines
+
+
+def _with_state_in_force(resource: Resource, current: Resource | None) -> Resource:
+    if isinstance(resource, Endpoint) and isinstance(current, Endpoint):
+        return msgspec.structs.replace(resource, state=current.state)
+    return resource
--- /dev/null
+++ b/src/finchshed/rpc/conversion.py
@@ -0,0 +1,204 @@
+"""Converts resources and results between the schema's messages and the typed values."""
+
+from collections.abc import Iterable
+
+from finchshed.common.importance import Importance
+from finchshed.configuration.changes import Accepted, ChangeResult, Conflict, Invalid
+from finchshed.configuration.fields import convert_table
+from finchshed.configuration.resources import (
+    Endpoint,
+    EndpointState,
+    Operator,
+    Policy,
+    Resource,
+    ResourceKey,
+    Route,
+    Service,
+    key_of,
+)
+from finchshed.rpc.generated import finchshed_pb2 as pb
+
+STATES = {
+    EndpointState.ACTIVE: pb.ENDPOINT_STATE_ACTIVE,
+    EndpointState.LEAVING: pb.ENDPOINT_STATE_LEAVING,
+}
+STATES_BACK = {number: state for state, number in STATES.items()}
+
+
+def resource_to_message(resource: Resource) -> pb.Resource:
+    """Return ``resource`` as a message of the schema."""
+    if isinstance(resource, Service):
+        return pb.Resource(service=_service_to_message(resource))
+    if isinstance(resource, Endpoint):
+        return pb.Resource(
+            endpoint=pb.Endpoint(
+                name=resource.name,
+                service=resource.service,
+                region=resource.region,
+                zone=resource.zone,
+                address=resource.address,
+                slots=resource.slots,
+                state=STATES[resource.state],
+            )
+        )
+    if isinstance(resource, Policy):
+        return pb.Resource(
+            policy=pb.Policy(
+                name=resource.name,
+                retry_budget=resource.retry_budget,
+                retry_ratio=resource.retry_ratio,
+                key_window_seconds=resource.key_window_seconds,
+            )
+        )
+    operator = pb.Operator(name=resource.name, token_sha256=resource.token_sha256)
+    return pb.Resource(operator=operator)
+
+
+def resource_from_message(message: pb.Resource, problems: list[str]) -> Resource | None:
+    """Return the checked resource in ``message``, or None after adding to ``problems``."""
+    kind = message.WhichOneof("kind")
+    if kind == "service":
+        return _service_from_message(message.service, problems)
+    if kind == "endpoint":
+        return _endpoint_from_message(message.endpoint, problems)
+    if kind == "policy":
+        return _policy_from_message(message.policy, problems)
+    if kind == "operator":
+        table = {"name": message.operator.name, "token_sha256": message.operator.token_sha256}
+        return convert_table(table, Operator, f"operator {message.operator.name}", problems)
+    problems.append("resource: no kind given, allowed are: service, endpoint, policy, operator")
+    return None
+
+
+def resources_from_messages(
+    messages: Iterable[pb.Resource], problems: list[str]
+) -> tuple[Resource, ...]:
+    """Return the checked resources; those with problems are left out and told."""
+    converted = (resource_from_message(message, problems) for message in messages)
+    return tuple(resource for resource in converted if resource is not None)
+
+
+def resources_by_key(messages: Iterable[pb.Resource]) -> dict[ResourceKey, Resource]:
+    """Return resources a server sent, by key."""
+    resources = resources_from_messages(messages, [])
+    return {key_of(resource): resource for resource in resources}
+
+
+def key_to_message(key: ResourceKey) -> pb.ResourceKey:
+    """Return ``key`` as a message of the schema."""
+    return pb.ResourceKey(kind=key.kind, name=key.name)
+
+
+def key_from_message(message: pb.ResourceKey) -> ResourceKey:
+    """Return the key in ``message``."""
+    return ResourceKey(kind=message.kind, name=message.name)
+
+
+def result_to_message(result: ChangeResult) -> pb.ApplyResponse:
+    """Return ``result`` as a message of the schema."""
+    if isinstance(result, Accepted):
+        return pb.ApplyResponse(accepted=pb.Accepted(revision=result.revision))
+    if isinstance(result, Conflict):
+        return pb.ApplyResponse(
+            conflict=pb.Conflict(
+                current_revision=result.current_revision,
+                winner_change_id=result.winner_change_id,
+                winner_operator=result.winner_operator,
+            )
+        )
+    return pb.ApplyResponse(invalid=pb.Invalid(problems=result.problems))
+
+
+def result_from_message(message: pb.ApplyResponse) -> ChangeResult:
+    """Return the result in ``message``."""
+    kind = message.WhichOneof("result")
+    if kind == "accepted":
+        return Accepted(message.accepted.revision)
+    if kind == "conflict":
+        conflict = message.conflict
+        return Conflict(
+            current_revision=conflict.current_revision,
+            winner_change_id=conflict.winner_change_id,
+            winner_operator=conflict.winner_operator,
+        )
+    return Invalid(tuple(message.invalid.problems))
+
+
+def _service_to_message(service: Service) -> pb.Service:
+    routes = [
+        pb.Route(
+            prefix=route.prefix,
+            importance=int(route.importance),
+            repeatable=route.repeatable,
+            session=route.session,
+        )
+        for route in service.routes
+    ]
+    return pb.Service(
+        name=service.name,
+        routes=routes,
+        deadline_seconds=service.deadline_seconds,
+        max_body_bytes=service.max_body_bytes,
+        max_sessions=service.max_sessions,
+        session_idle_seconds=service.session_idle_seconds,
+    )
+
+
+def _service_from_message(message: pb.Service, problems: list[str]) -> Service | None:
+    where = f"service {message.name}"
+    routes = []
+    for position, route in enumerate(message.routes, start=1):
+        table = {
+            "prefix": route.prefix,
+            "importance": _importance(route.importance, where, problems),
+            "repeatable": route.repeatable,
+            "session": route.session,
+        }
+        converted = convert_table(table, Route, f"{where}: route {position}", problems)
+        if converted is not None:
+            routes.append(converted)
+    table = {
+        "name": message.name,
+        "routes": tuple(routes),
+        "deadline_seconds": message.deadline_seconds,
+        "max_body_bytes": message.max_body_bytes,
+        "max_sessions": message.max_sessions,
+        "session_idle_seconds": message.session_idle_seconds,
+    }
+    return convert_table(table, Service, where, problems)
+
+
+def _importance(number: int, where: str, problems: list[str]) -> Importance:
+    try:
+        return Importance(number)
+    except ValueError:
+        allowed = ", ".join(str(int(importance)) for importance in Importance)
+        problems.append(f"{where}: importance = {number}: allowed are: {allowed}")
+        return Importance.NORMAL
+
+
+def _endpoint_from_message(message: pb.Endpoint, problems: list[str]) -> Endpoint | None:
+    where = f"endpoint {message.name}"
+    if message.state not in STATES_BACK:
+        allowed = ", ".join(str(number) for number in STATES_BACK)
+        problems.append(f"{where}: state = {message.state}: allowed are: {allowed}")
+    table = {
+        "name": message.name,
+        "service": message.service,
+        "region": message.region,
+        "zone": message.zone,
+        "address": message.address,
+        "slots": message.slots,
+        "state": STATES_BACK.get(message.state, EndpointState.ACTIVE),
+    }
+    return convert_table(table, Endpoint, where, problems)
+
+
+def _policy_from_message(message: pb.Policy, problems: list[str]) -> Policy | None:
+    table = {
+        "name": message.name,
+        "retry_budget": message.retry_budget,
+        "retry_ratio": message.retry_ratio,
+        "key_window_seconds": message.key_window_seconds,
+    }
+    return convert_table(table, Policy, f"policy {message.name}", problems)
