--- /dev/null
+++ b/src/finchshed/cli/help.py
@@ -0,0 +1,80 @@
+"""Help texts, written to standard output without a pager."""
+
+import inspect
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import msgspec
+
+from finchshed.cli.exit_codes import MEANINGS
+from finchshed.cli.table import COMMANDS, PROGRAMS, Program
+from finchshed.settings import describe
+
+_COLUMN = 22
+
+
+def overview() -> str:
+    """Return the help of ``finchshed`` itself."""
+    lines = ["usage: finchshed COMMAND [ARGUMENTS] [--FLAG=VALUE]", "", "programs:"]
+    lines += [f"  {name:<10} {program.summary}" for name, program in PROGRAMS.items()]
+    lines += ["", "commands:"]
+    lines += [f"  {name:<10} {command.summary}" for name, command in COMMANDS.items()]
+    lines += ["", "finchshed COMMAND --help tells more.", "", "exit codes:"]
+    lines += [f"  {code.value}  {meaning}" for code, meaning in MEANINGS.items()]
+    return "\n".join(lines)
+
+
+def of_program(name: str, program: Program) -> str:
+    """Return the help of a program, with every option of its settings."""
+    lines = [
+        f"usage: finchshed {name} --settings FILE [--OPTION=VALUE]",
+        "",
+        program.summary,
+        "",
+        "Options stand in the settings file; a flag of the same name goes over it.",
+        "",
+    ]
+    for field in msgspec.structs.fields(program.settings_type()):
+        lines.append(f"  --{field.name}{_default(field)}")
+        description = describe.description_of(field.type)
+        if description:
+            lines.append(f"      {description}")
+        lines.append(f"      allowed: {describe.allowed(field.name, field.type)}")
+    return "\n".join(lines)
+
+
+def of_group(name: str, summary: str, subcommands: Mapping[str, Callable[..., Any]]) -> str:
+    """Return the help of a command that has sub-commands."""
+    lines = [f"usage: finchshed {name} COMMAND [ARGUMENTS] [--FLAG=VALUE]", "", summary, ""]
+    for sub_name, function in subcommands.items():
+        first_line = (inspect.getdoc(function) or "").partition("\n")[0]
+        lines.append(f"  {sub_name:<{_COLUMN}} {first_line}")
+    return "\n".join(lines)
+
+
+def of_function(name: str, function: Callable[..., Any]) -> str:
+    """Return the help of one command, from its signature and docstring."""
+    parameters = inspect.signature(function).parameters.values()
+    usage = " ".join(_usage_of(parameter) for parameter in parameters)
+    return f"usage: finchshed {name} {usage}\n\n{inspect.getdoc(function) or ''}".rstrip()
+
+
+def _usage_of(parameter: inspect.Parameter) -> str:
+    upper = parameter.name.upper()
+    if parameter.kind is inspect.Parameter.VAR_KEYWORD:
+        return "[--FLAG=VALUE]..."
+    if parameter.kind is inspect.Parameter.VAR_POSITIONAL:
+        return f"[{upper}]..."
+    if parameter.default is not inspect.Parameter.empty:
+        return f"[--{parameter.name}={parameter.default}]"
+    if parameter.kind is inspect.Parameter.KEYWORD_ONLY:
+        return f"--{parameter.name}={upper}"
+    return upper
+
+
+def _default(field: msgspec.structs.FieldInfo) -> str:
+    if field.required:
+        return " (required)"
+    if field.default is msgspec.NODEFAULT:
+        return ""
+    return f" (default {msgspec.json.encode(field.default, enc_hook=str).decode()})"
--- /dev/null
+++ b/src/finchshed/cli/table.py
@@ -0,0 +1,81 @@
+"""The table of commands. Modules are imported only when their command is called."""
+
+import importlib
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+
+@dataclass(frozen=True, slots=True)
+class Program:
+    """A long-running program, run from a settings file with flags over it."""
+
+    summary: str
+    settings: str
+    """``module:struct`` of its settings."""
+    run: str
+    """``module:callable`` that takes the settings and returns an exit code."""
+
+    def settings_type(self) -> type[msgspec.Struct]:
+        """Import and return the settings struct."""
+        settings_type: type[msgspec.Struct] = resolve(self.settings)
+        return settings_type
+
+
+@dataclass(frozen=True, slots=True)
+class Command:
+    """A command that ends by itself.
+
+    ``target`` is ``module:name`` of a callable that returns an exit code or None, or of a
+    mapping from sub-command to such a callable.
+    """
+
+    summary: str
+    target: str
+
+
+PROGRAMS: Mapping[str, Program] = {
+    "daemon": Program(
+        summary="data path: beside a back end, or at the edge in front of callers",
+        settings="finchshed.daemon.settings:DaemonSettings",
+        run="finchshed.daemon.program:run",
+    ),
+    "control": Program(
+        summary="control node: replicated configuration and ledger, operators' RPC",
+        settings="finchshed.control.settings:ControlSettings",
+        run="finchshed.control.program:run",
+    ),
+}
+
+COMMANDS: Mapping[str, Command] = {
+    "ctl": Command("operate a deployment through its control nodes", "finchshed.ctl.command:ctl"),
+    "config": Command("check, show or sample settings", "finchshed.settings.command:COMMANDS"),
+    "emulate": Command("run a scenario in simulated time", "finchshed.emulator.command:emulate"),
+    "prove": Command("check the stated properties over seeds", "finchshed.proof.command:prove"),
+    "replay": Command("replay a trace against stated outcomes", "finchshed.replay.command:replay"),
+    "record": Command("record a trace", "finchshed.replay.command:record"),
+    "fleet": Command("run a deployment of real processes", "finchshed.fleet.command:fleet"),
+    "bench": Command("measure what a call costs", "finchshed.bench.command:bench"),
+    "report": Command("make reports and plots of results", "finchshed.report.command:report"),
+    "scale": Command("run many hollow daemons beside real ones", "finchshed.scale.command:scale"),
+    "standin": Command("stand-ins for back ends and callers", "finchshed.standins.command:standin"),
+}
+
+
+def resolve(target: str) -> Any:
+    """Import ``module:name``."""
+    module_name, _, name = target.partition(":")
+    return getattr(importlib.import_module(module_name), name)
+
+
+def subcommands_of(target: Any) -> Mapping[str, Callable[..., Any]] | None:
+    """Return the sub-commands of a resolved target, or None where it is one callable."""
+    if isinstance(target, Mapping):
+        return target
+    if isinstance(target, type):
+        instance = target()
+        names = [name for name in vars(target) if not name.startswith("_")]
+        return {name.replace("_", "-"): getattr(instance, name) for name in names}
+    return None
--- /dev/null
+++ b/src/finchshed/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Log ring, metrics and the admin endpoint of each process."""
--- /dev/null
+++ b/src/finchshed/settings/fields.py
@@ -0,0 +1,101 @@
+"""Types shared by the settings of all programs.
+
+Each type carries its bounds, and a title that says in words what is allowed; the title is what a
+person reads when a value is wrong. A field's unit stands in its name (``_seconds``, ``_bytes``).
+"""
+
+from typing import Annotated, TypeAlias
+
+import msgspec
+
+LISTEN = "listen"
+"""Key in ``Meta.extra`` of an address the process binds; two of them may not be equal."""
+
+_OCTET = r"(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
+_IPV4 = rf"{_OCTET}(\.{_OCTET}){{3}}"
+_PORT = r"(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5][0-9]{4}|[1-9][0-9]{0,3})"
+_NAME = r"[a-z0-9][a-z0-9._-]{0,62}"
+
+ADDRESS_PATTERN = rf"^{_IPV4}:{_PORT}$"
+"""An IPv4 address with octets to 255 and a port from 1 to 65535."""
+
+_ADDRESS_WORDS = "an address a.b.c.d:port, parts 0 to 255, port 1 to 65535"
+
+Name: TypeAlias = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=rf"^{_NAME}$",
+        title="1 to 63 of a-z, 0-9, '.', '_' and '-', a letter or digit first",
+    ),
+]
+"""Name of a node, service, zone or region."""
+
+OptionalName: TypeAlias = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=rf"^({_NAME})?$",
+        title="empty, or 1 to 63 of a-z, 0-9, '.', '_' and '-', a letter or digit first",
+    ),
+]
+"""A name, or empty for none."""
+
+Address: TypeAlias = Annotated[str, msgspec.Meta(pattern=ADDRESS_PATTERN, title=_ADDRESS_WORDS)]
+"""Address of another process."""
+
+OptionalAddress: TypeAlias = Annotated[
+    str,
+    msgspec.Meta(pattern=rf"^({_IPV4}:{_PORT})?$", title=f"empty, or {_ADDRESS_WORDS}"),
+]
+"""Address of another process, or empty for none."""
+
+ListenAddress: TypeAlias = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=rf"^{_IPV4}:(0|{_PORT})$",
+        title=f"{_ADDRESS_WORDS} (0: any free port)",
+        extra={LISTEN: True},
+    ),
+]
+"""Address this process binds."""
+
+OptionalListenAddress: TypeAlias = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=rf"^({_IPV4}:(0|{_PORT}))?$",
+        title=f"empty, or {_ADDRESS_WORDS} (0: any free port)",
+        extra={LISTEN: True},
+    ),
+]
+"""Address this process binds, or empty for none."""
+
+NamedAddress: TypeAlias = Annotated[
+    str,
+    msgspec.Meta(pattern=rf"^{_NAME}={_IPV4}:{_PORT}$", title=f"name={_ADDRESS_WORDS}"),
+]
+"""A node's name and its address, ``name=a.b.c.d:port``."""
+
+OptionalUrl: TypeAlias = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=rf"^(http://{_IPV4}:{_PORT}(/[^\s]*)?)?$",
+        title="empty, or http://a.b.c.d:port/path",
+    ),
+]
+"""An HTTP URL by IP address, or empty for none."""
+
+FolderPath: TypeAlias = Annotated[str, msgspec.Meta(title="path of a folder")]
+
+PositiveSeconds: TypeAlias = Annotated[float, msgspec.Meta(gt=0.0, le=86_400.0)]
+"""A time span in seconds, above 0 and up to a day."""
+
+Seconds: TypeAlias = Annotated[float, msgspec.Meta(ge=0.0, le=86_400.0)]
+"""A time span in seconds, 0 to a day."""
+
+ByteCount: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=1 << 40)]
+"""A size in bytes."""
+
+Count: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=10_000_000)]
+"""A number of things."""
+
+Share: TypeAlias = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+"""A share, 0 to 1."""
--- /dev/null
+++ b/src/finchshed/settings/hints.py
@@ -0,0 +1,18 @@
+"""Guesses which field a mistyped key meant."""
+
+import difflib
+from collections.abc import Iterable
+
+from finchshed.settings.describe import stem_of, unit_of
+
+
+def hint_for(key: str, names: Iterable[str]) -> str:
+    """Return a hint such as ``; did you mean drain_seconds (in seconds)?``, or nothing."""
+    names = list(names)
+    for name in names:
+        if unit_of(name) and unit_of(name) != unit_of(key) and stem_of(name) == stem_of(key):
+            return f"; the unit is part of the name: use {name}, in {unit_of(name)}"
+    close = difflib.get_close_matches(key, names, n=1)
+    if not close:
+        return ""
+    return f"; did you mean {close[0]}?"
--- /dev/null
+++ b/src/finchshed/settings/toml_file.py
@@ -0,0 +1,50 @@
+"""Reads a TOML file so that one problem in it does not hide the next."""
+
+import re
+import tomllib
+from pathlib import Path
+from typing import Any
+
+_DUPLICATE_MESSAGE = "Cannot overwrite a value"
+_LINE_NUMBER = re.compile(r"at line (\d+)")
+
+
+def read_toml(path: Path) -> tuple[dict[str, Any], list[str]]:
+    """Return the top-level table of ``path`` and one line for each problem.
+
+    A key given twice is reported and the reading goes on without its later line; any other
+    syntax error ends the reading with an empty table.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except OSError as error:
+        return {}, [f"{path}: can't be read: {error.strerror}"]
+    except UnicodeDecodeError:
+        return {}, [f"{path}: isn't UTF-8 text"]
+    problems: list[str] = []
+    lines = text.splitlines()
+    for _ in range(len(lines) + 1):
+        try:
+            return tomllib.loads("\n".join(lines)), problems
+        except tomllib.TOMLDecodeError as error:
+            problem = _duplicate_problem(path, lines, str(error))
+            if problem is None:
+                return {}, [*problems, f"{path}: isn't valid TOML: {error}"]
+            problems.append(problem)
+    return {}, problems
+
+
+def _duplicate_problem(path: Path, lines: list[str], message: str) -> str | None:
+    """Blank the line that gives a key a second time and describe it; None for other errors."""
+    found = _LINE_NUMBER.search(message)
+    if _DUPLICATE_MESSAGE not in message or found is None:
+        return None
+    index = int(found.group(1)) - 1
+    key, separator, value = lines[index].partition("=")
+    if not separator:
+        return None
+    lines[index] = ""
+    return (
+        f"{path}: {key.strip()} = {value.strip()}: key given twice (line {index + 1}): "
+        "allowed is once"
+    )
