Follower: a daemon's configuration, which never goes back

Need: daemons must hold accepted configuration, act on it within seconds, and after a restart take no call on an older revision than one that was in force where they serve.

Weighed: (1) apply a delta only when its base equals the held revision; (2) accept any base up to the held one. A delta states each changed resource as it is at the end, so (2) is equally right and makes overlaps and duplicates harmless; (2) taken. Recording only the revision number on disk against recording the whole configuration: with the number alone a zone that comes back from a power cut while cut from control has nothing to serve with, so the whole is kept. A revision is synced before it is in force; otherwise a restarted daemon could confirm, with its disk and peers, less than it acted on. A daemon without a disk waits for a quorum: its peers can't know what it acted on last.

--- /dev/null
+++ b/src/finchshed/distribution/follower.py
@@ -0,0 +1,317 @@
+"""The daemon's side of configuration: hold it, never go back, and know when calls may be taken.
+
+Pure decisions: no I/O and no clock. The same class runs in a daemon, in a hollow daemon of the
+scale run and in simulation.
+
+A revision comes into force in three steps. It is *held* once a delta that fits has been applied;
+it is *recorded* once the data folder has it synced (skipped without a data folder); then it is
+*in force*. Recording first means that a daemon with a disk never comes back to less than it has
+acted on.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from finchshed.configuration.resources import Endpoint
+from finchshed.distribution.effects import (
+    FetchFromControl,
+    FetchFromPeer,
+    FollowerEffect,
+    FollowerRecord,
+    GreetPeers,
+    Persist,
+    ReportInForce,
+    ServingGround,
+    StartServing,
+    TakeEffect,
+)
+from finchshed.distribution.messages import Delta
+from finchshed.distribution.snapshot import (
+    Configuration,
+    apply_delta,
+    is_applicable,
+    unchanged,
+    whole,
+)
+
+FETCH_RETRY_SECONDS = 1.0
+"""An unanswered fetch is repeated, from another source if there is one, after this long."""
+
+NO_EFFECTS: tuple[FollowerEffect, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class FollowerIdentity:
+    """Where the daemon stands. ``endpoint`` is empty on an edge."""
+
+    zone: str
+    endpoint: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class FollowerStatus:
+    """State of a follower, for metrics and explanations."""
+
+    in_force: int
+    held: int
+    highest_seen: int
+    ground: ServingGround
+    control_connected: bool
+    disk_failed: bool
+
+
+class Follower:
+    """Follows the accepted configuration.
+
+    Parameters
+    ----------
+    identity
+        Zone and endpoint of the daemon; peers are the other endpoints of the zone.
+    has_disk
+        Whether revisions are recorded in a data folder before they come into force.
+    record
+        What the data folder held at start, if anything.
+    """
+
+    def __init__(
+        self,
+        identity: FollowerIdentity,
+        has_disk: bool = False,
+        record: FollowerRecord | None = None,
+    ) -> None:
+        self._identity = identity
+        self._has_disk = has_disk
+        self._disk_failed = False
+        self._in_force = Configuration()
+        self._held = self._in_force
+        self._holds_any = False
+        self._started_from_disk = False
+        self._highest_seen = 0
+        self._confirmed_revision: int | None = None
+        self._ground = ServingGround.NONE
+        self._control_connected = False
+        self._peers: dict[str, int] = {}
+        self._fetch_due = 0.0
+        self._fetch_from_peer_next = False
+        self._recording: Configuration | None = None
+        self._recorded_highest = -1
+        if record is not None:
+            self._load(record)
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force."""
+        return self._in_force
+
+    @property
+    def revision(self) -> int:
+        """Revision in force, as told to control nodes and peers."""
+        return self._in_force.revision
+
+    @property
+    def held_revision(self) -> int:
+        """Revision held; at least the one in force. Subscriptions start from it."""
+        return self._held.revision
+
+    @property
+    def highest_seen(self) -> int:
+        """Highest revision heard of from anyone, in this life or an earlier one on the disk."""
+        return self._highest_seen
+
+    @property
+    def may_serve(self) -> bool:
+        """Whether calls may be taken. Once true it stays true until the process ends."""
+        return self._ground is not ServingGround.NONE
+
+    def status(self) -> FollowerStatus:
+        """Return the state for metrics and explanations."""
+        return FollowerStatus(
+            in_force=self._in_force.revision,
+            held=self._held.revision,
+            highest_seen=self._highest_seen,
+            ground=self._ground,
+            control_connected=self._control_connected,
+            disk_failed=self._disk_failed,
+        )
+
+    def start(self, now: float) -> Sequence[FollowerEffect]:
+        """Begin; with a record, act on it at once and ask the peers of the zone."""
+        if not self._started_from_disk:
+            return NO_EFFECTS
+        effects: list[FollowerEffect] = [TakeEffect(Configuration(), self._in_force)]
+        peers = self._zone_peers()
+        if peers:
+            effects.append(GreetPeers(peers))
+        effects.extend(self._settle(now))
+        return effects
+
+    def on_control_connected(self, now: float) -> Sequence[FollowerEffect]:
+        """Note that a control node took the subscription."""
+        self._control_connected = True
+        self._fetch_due = now + FETCH_RETRY_SECONDS
+        return NO_EFFECTS
+
+    def on_control_lost(self, now: float) -> Sequence[FollowerEffect]:
+        """Note that no control node is in reach."""
+        self._control_connected = False
+        self._fetch_due = now
+        return self._settle(now)
+
+    def on_control_delta(self, delta: Delta, now: float) -> Sequence[FollowerEffect]:
+        """Take a delta from the control node in use, after the subscription."""
+        if delta.confirmed:
+            self._confirmed_revision = max(self._confirmed_revision or 0, delta.revision)
+        return self._take(delta, now)
+
+    def on_peer_delta(self, peer: str, delta: Delta, now: float) -> Sequence[FollowerEffect]:
+        """Take a delta from another daemon. It can't confirm anything for a quorum."""
+        self._note_peer(peer, delta.revision)
+        return self._take(delta, now)
+
+    def on_peer_revision(self, peer: str, revision: int, now: float) -> Sequence[FollowerEffect]:
+        """Note the revision that came with a call, an answer or a heartbeat of ``peer``."""
+        if revision <= self._held.revision and self.may_serve:
+            return NO_EFFECTS
+        self._note_peer(peer, revision)
+        if revision > self._highest_seen:
+            self._highest_seen = revision
+            self._fetch_due = now
+        return self._settle(now)
+
+    def on_persisted(self, now: float) -> Sequence[FollowerEffect]:
+        """Act on what has been recorded, and record what came in meanwhile."""
+        recorded = self._recording
+        self._recording = None
+        if recorded is None:
+            return NO_EFFECTS
+        return [*self._take_effect(recorded), *self._settle(now)]
+
+    def on_persist_failed(self, now: float) -> Sequence[FollowerEffect]:
+        """Go on without the disk: calls matter more than the next restart, which needs a quorum."""
+        self._disk_failed = True
+        self._recording = None
+        return self._settle(now)
+
+    def tick(self, now: float) -> Sequence[FollowerEffect]:
+        """Repeat an unanswered fetch. Call about every half second."""
+        return self._settle(now)
+
+    def answer_fetch(self, revision: int) -> Delta:
+        """Return what a peer that holds ``revision`` needs to hold what is in force here."""
+        if revision >= self._in_force.revision:
+            return unchanged(self._in_force.revision)
+        return whole(self._in_force)
+
+    def _load(self, record: FollowerRecord) -> None:
+        self._highest_seen = record.highest_seen
+        self._recorded_highest = record.highest_seen
+        if record.configuration is None:
+            return
+        self._held = apply_delta(Configuration(), record.configuration)
+        self._in_force = self._held
+        self._holds_any = True
+        self._started_from_disk = True
+        self._highest_seen = max(self._highest_seen, self._held.revision)
+
+    def _take(self, delta: Delta, now: float) -> Sequence[FollowerEffect]:
+        if delta.revision > self._highest_seen:
+            self._highest_seen = delta.revision
+            self._fetch_due = now
+        first = not self._holds_any and delta.base == 0
+        newer = delta.revision > self._held.revision
+        if (first or newer) and is_applicable(delta, self._held.revision):
+            self._held = apply_delta(self._held, delta)
+            self._holds_any = True
+        return self._settle(now)
+
+    def _settle(self, now: float) -> list[FollowerEffect]:
+        """Return what the present state asks for."""
+        effects: list[FollowerEffect] = []
+        effects.extend(self._record_or_take_effect())
+        effects.extend(self._start_serving())
+        effects.extend(self._fetch(now))
+        return effects
+
+    def _record_or_take_effect(self) -> list[FollowerEffect]:
+        advanced = self._held is not self._in_force and self._holds_any
+        if not self._has_disk or self._disk_failed:
+            return self._take_effect(self._held) if advanced else []
+        if self._recording is not None:
+            return []
+        if not advanced and self._recorded_highest >= self._highest_seen:
+            return []
+        self._recording = self._held
+        self._recorded_highest = self._highest_seen
+        configuration = whole(self._held) if self._holds_any else None
+        return [Persist(FollowerRecord(self._highest_seen, configuration))]
+
+    def _take_effect(self, configuration: Configuration) -> list[FollowerEffect]:
+        previous = self._in_force
+        if configuration is previous:
+            return []
+        self._in_force = configuration
+        return [TakeEffect(previous, configuration), ReportInForce(configuration.revision)]
+
+    def _start_serving(self) -> list[FollowerEffect]:
+        if self.may_serve:
+            return []
+        ground = self._find_ground()
+        if ground is ServingGround.NONE:
+            return []
+        self._ground = ground
+        self._peers.clear()
+        return [StartServing(ground)]
+
+    def _find_ground(self) -> ServingGround:
+        in_force = self._in_force.revision
+        if not self._holds_any or self._in_force is not self._held:
+            return ServingGround.NONE
+        if in_force < self._highest_seen:
+            return ServingGround.NONE
+        if self._confirmed_revision is not None and in_force >= self._confirmed_revision:
+            return ServingGround.QUORUM
+        if self._started_from_disk and self._most_peers_answered():
+            return ServingGround.DISK_AND_PEERS
+        return ServingGround.NONE
+
+    def _most_peers_answered(self) -> bool:
+        names = [endpoint.name for endpoint in self._zone_peers()]
+        answered = sum(1 for name in names if name in self._peers)
+        return 2 * answered > len(names) or not names
+
+    def _zone_peers(self) -> tuple[Endpoint, ...]:
+        zone, own = self._identity.zone, self._identity.endpoint
+        return tuple(
+            endpoint
+            for endpoint in self._in_force.endpoints()
+            if endpoint.zone == zone and endpoint.name != own
+        )
+
+    def _note_peer(self, peer: str, revision: int) -> None:
+        self._peers[peer] = max(revision, self._peers.get(peer, 0))
+
+    def _fetch(self, now: float) -> list[FollowerEffect]:
+        if self._held.revision >= self._highest_seen:
+            self._fetch_from_peer_next = False
+            if self.may_serve and self._peers:
+                self._peers.clear()
+            return []
+        if now < self._fetch_due:
+            return []
+        self._fetch_due = now + FETCH_RETRY_SECONDS
+        return self._choose_source()
+
+    def _choose_source(self) -> list[FollowerEffect]:
+        """Ask control first; if that brought nothing, or there is none, the furthest peer."""
+        peer = max(self._peers, key=self._peers.__getitem__, default="")
+        ahead = bool(peer) and self._peers[peer] > self._held.revision
+        if ahead and (self._fetch_from_peer_next or not self._control_connected):
+            self._fetch_from_peer_next = False
+            # A peer that doesn't answer must not be the only one asked.
+            if self.may_serve:
+                del self._peers[peer]
+            return [FetchFromPeer(peer, self._held.revision)]
+        if self._control_connected:
+            self._fetch_from_peer_next = True
+            return [FetchFromControl(self._held.revision)]
+        return []
--- /dev/null
+++ b/tests/distribution/test_follower.py
@@ -0,0 +1,200 @@
+"""The follower's rules: start, deltas, peers, disk."""
+
+from finchshed.configuration.resources import Endpoint, Resource, ResourceKey, Service
+from finchshed.distribution.effects import (
+    FetchFromControl,
+    FetchFromPeer,
+    FollowerRecord,
+    GreetPeers,
+    Persist,
+    ReportInForce,
+    ServingGround,
+    StartServing,
+    TakeEffect,
+)
+from finchshed.distribution.follower import FETCH_RETRY_SECONDS, Follower, FollowerIdentity
+from finchshed.distribution.messages import Delta
+
+HERE = FollowerIdentity(zone="z1", endpoint="own")
+
+
+def service(name: str) -> Service:
+    return Service(name=name)
+
+
+def endpoint(name: str, zone: str = "z1") -> Endpoint:
+    return Endpoint(
+        name=name, service="licence", region="r1", zone=zone, address="127.0.0.1:9", slots=4
+    )
+
+
+def full(revision: int, *resources: Resource, confirmed: bool = False) -> Delta:
+    return Delta(base=0, revision=revision, puts=resources, confirmed=confirmed)
+
+
+def record(revision: int, *peers: str, highest: int | None = None) -> FollowerRecord:
+    resources = tuple(endpoint(name) for name in ("own", *peers))
+    return FollowerRecord(highest or revision, full(revision, *resources))
+
+
+def kinds(effects: object) -> list[type]:
+    return [type(effect) for effect in effects]  # type: ignore[attr-defined]
+
+
+def test_takes_no_call_before_a_quorum_confirmed() -> None:
+    follower = Follower(HERE)
+    follower.start(0.0)
+    effects = follower.on_control_delta(full(5, service("a")), 0.0)
+    assert kinds(effects) == [TakeEffect, ReportInForce]
+    assert not follower.may_serve
+    effects = follower.on_control_delta(Delta(base=5, revision=5, confirmed=True), 0.1)
+    assert effects == [StartServing(ServingGround.QUORUM)]
+    assert follower.may_serve
+
+
+def test_an_empty_configuration_can_be_confirmed() -> None:
+    follower = Follower(HERE)
+    follower.on_control_delta(Delta(base=0, revision=0, confirmed=True), 0.0)
+    assert follower.may_serve
+
+
+def test_a_confirmation_of_a_revision_not_yet_held_waits_for_it() -> None:
+    follower = Follower(HERE)
+    follower.on_control_connected(0.0)
+    follower.on_control_delta(full(5, service("a")), 0.0)
+    effects = follower.on_control_delta(Delta(base=7, revision=7, confirmed=True), 0.1)
+    assert effects == [FetchFromControl(5)]
+    assert not follower.may_serve
+    effects = follower.on_control_delta(Delta(base=5, revision=7, puts=(service("b"),)), 0.2)
+    assert StartServing(ServingGround.QUORUM) in effects
+
+
+def test_a_delta_with_a_gap_is_fetched_and_not_applied() -> None:
+    follower = Follower(HERE)
+    follower.on_control_connected(0.0)
+    follower.on_control_delta(full(3, service("a"), confirmed=True), 0.0)
+    effects = follower.on_control_delta(Delta(base=4, revision=5, puts=(service("b"),)), 1.0)
+    assert effects == [FetchFromControl(3)]
+    assert follower.revision == 3
+
+
+def test_an_overlapping_delta_is_applied_and_a_late_one_is_not() -> None:
+    follower = Follower(HERE)
+    follower.on_control_delta(full(3, service("a"), service("b"), confirmed=True), 0.0)
+    key = ResourceKey(kind="service", name="b")
+    follower.on_control_delta(Delta(base=1, revision=4, deletes=(key,)), 1.0)
+    assert follower.revision == 4
+    assert key not in follower.configuration.resources
+    assert follower.on_control_delta(full(3, service("b")), 2.0) == []
+    assert follower.revision == 4
+    assert key not in follower.configuration.resources
+
+
+def test_a_peer_ahead_is_asked_when_control_is_out_of_reach() -> None:
+    follower = Follower(HERE)
+    follower.on_control_delta(full(3, service("a"), confirmed=True), 0.0)
+    follower.on_control_lost(1.0)
+    assert follower.on_peer_revision("p", 6, 2.0) == [FetchFromPeer("p", 3)]
+    effects = follower.on_peer_delta("p", full(6, service("a")), 2.1)
+    assert kinds(effects) == [TakeEffect, ReportInForce]
+    assert follower.revision == 6
+
+
+def test_a_peer_that_does_not_answer_is_not_the_only_one_asked() -> None:
+    follower = Follower(HERE)
+    follower.on_control_delta(full(3, service("a"), confirmed=True), 0.0)
+    follower.on_control_lost(1.0)
+    assert follower.on_peer_revision("dead", 6, 2.0) == [FetchFromPeer("dead", 3)]
+    assert follower.on_peer_revision("alive", 6, 2.1) == []
+    later = 2.0 + FETCH_RETRY_SECONDS
+    assert follower.tick(later) == [FetchFromPeer("alive", 3)]
+
+
+def test_control_that_does_not_answer_gives_way_to_a_peer() -> None:
+    follower = Follower(HERE)
+    follower.on_control_connected(0.0)
+    follower.on_control_delta(full(3, service("a"), confirmed=True), 0.0)
+    assert follower.on_peer_revision("p", 4, 5.0) == [FetchFromControl(3)]
+    assert follower.on_peer_revision("p", 4, 5.1) == []
+    assert follower.tick(5.0 + FETCH_RETRY_SECONDS) == [FetchFromPeer("p", 3)]
+
+
+def test_a_peer_cannot_confirm_for_a_quorum() -> None:
+    follower = Follower(HERE)
+    follower.start(0.0)
+    follower.on_peer_delta("p", full(6, service("a"), confirmed=True), 0.0)
+    assert follower.revision == 6
+    assert not follower.may_serve
+
+
+def test_a_daemon_without_a_disk_takes_no_call_during_a_cut() -> None:
+    follower = Follower(HERE)
+    follower.start(0.0)
+    for peer in ("p", "q", "r"):
+        follower.on_peer_delta(peer, full(6, endpoint("p"), endpoint("own")), 0.0)
+    follower.tick(1000.0)
+    assert not follower.may_serve
+
+
+def test_a_daemon_with_a_disk_serves_once_most_peers_of_its_zone_answered() -> None:
+    follower = Follower(HERE, has_disk=True, record=record(4, "p", "q", "r"))
+    assert kinds(follower.start(0.0)) == [TakeEffect, GreetPeers]
+    follower.on_peer_revision("p", 4, 1.0)
+    follower.on_peer_revision("stranger", 4, 1.0)
+    assert not follower.may_serve
+    effects = follower.on_peer_revision("q", 3, 1.1)
+    assert effects == [StartServing(ServingGround.DISK_AND_PEERS)]
+
+
+def test_a_daemon_with_a_disk_fetches_what_a_peer_has_before_it_serves() -> None:
+    follower = Follower(HERE, has_disk=True, record=record(4, "p"))
+    follower.start(0.0)
+    assert follower.on_peer_revision("p", 5, 1.0)[-1] == FetchFromPeer("p", 4)
+    assert not follower.may_serve
+    follower.on_persisted(1.1)
+    effects = follower.on_peer_delta("p", full(5, endpoint("own"), endpoint("p")), 1.2)
+    assert kinds(effects) == [Persist]
+    assert not follower.may_serve
+    effects = follower.on_persisted(1.3)
+    assert StartServing(ServingGround.DISK_AND_PEERS) in effects
+    assert follower.revision == 5
+
+
+def test_a_higher_revision_on_disk_than_held_must_be_reached_first() -> None:
+    follower = Follower(HERE, has_disk=True, record=record(4, highest=9))
+    follower.start(0.0)
+    assert not follower.may_serve
+    follower.on_control_connected(0.0)
+    follower.on_control_delta(Delta(base=4, revision=8, confirmed=True), 1.0)
+    follower.on_persisted(1.1)
+    assert not follower.may_serve
+
+
+def test_a_revision_is_recorded_before_it_is_in_force() -> None:
+    follower = Follower(HERE, has_disk=True)
+    effects = follower.on_control_delta(full(2, service("a"), confirmed=True), 0.0)
+    assert effects == [Persist(FollowerRecord(2, full(2, service("a"))))]
+    assert follower.revision == 0
+    assert not follower.may_serve
+    assert follower.on_control_delta(Delta(base=2, revision=3), 0.1) == []
+    effects = follower.on_persisted(0.2)
+    assert kinds(effects) == [TakeEffect, ReportInForce, Persist]
+    assert follower.revision == 2
+    effects = follower.on_persisted(0.3)
+    assert follower.revision == 3
+    assert follower.may_serve
+
+
+def test_a_failing_disk_does_not_hold_configuration_up() -> None:
+    follower = Follower(HERE, has_disk=True)
+    follower.on_control_delta(full(2, service("a"), confirmed=True), 0.0)
+    effects = follower.on_persist_failed(0.1)
+    assert kinds(effects) == [TakeEffect, ReportInForce, StartServing]
+    assert follower.status().disk_failed
+
+
+def test_a_peer_is_answered_with_what_is_in_force() -> None:
+    follower = Follower(HERE)
+    follower.on_control_delta(full(3, service("a"), confirmed=True), 0.0)
+    assert follower.answer_fetch(3) == Delta(base=3, revision=3)
+    assert follower.answer_fetch(1) == full(3, service("a"))
