--- a/src/finchshed/configuration/store.py
+++ b/src/finchshed/configuration/store.py
@@ -96,6 +96,11 @@
         found = (item for item in self.resources.values() if isinstance(item, Operator))
         return {operator.token_sha256: operator for operator in found}
 
+    def result_of(self, change_id: str) -> ChangeResult | None:
+        """Return the first result of ``change_id``, when still retained."""
+        retained = self._results.get(change_id)
+        return None if retained is None else retained.result
+
     def winner_of(self, revision: int) -> Winner | None:
         """Return who made ``revision``, when still retained."""
         return self._winners.get(revision)
--- /dev/null
+++ b/src/finchshed/control/ledger_service.py
@@ -0,0 +1,112 @@
+"""Carries a daemon's ledger requests to the replicated log and the results back."""
+
+import asyncio
+from typing import TypeAlias
+
+from loguru import logger
+from prometheus_client import Counter
+
+from finchshed.common.errors import ControlUnavailableError
+from finchshed.control.commands import (
+    BeginRequest,
+    CancelRequest,
+    CommandResult,
+    CompleteRequest,
+)
+from finchshed.control.replicated_log import ReplicatedLog
+from finchshed.distribution.messages import (
+    LedgerBegin,
+    LedgerCancel,
+    LedgerComplete,
+    LedgerCompleted,
+    LedgerGranted,
+    LedgerNoted,
+    LedgerRefused,
+    LedgerUnknown,
+)
+from finchshed.ledger.results import (
+    Completed,
+    Granted,
+    LedgerRefusal,
+    LedgerRefusalReason,
+    NotHolder,
+    OutcomeUnknown,
+)
+
+LedgerRequest: TypeAlias = LedgerBegin | LedgerCancel | LedgerComplete
+LedgerReply: TypeAlias = (
+    LedgerGranted | LedgerCompleted | LedgerUnknown | LedgerRefused | LedgerNoted
+)
+
+NO_QUORUM = "no quorum answered in time"
+NOT_HOLDER = "the attempt doesn't hold the key"
+
+REQUESTS = Counter(
+    "finchshed_ledger_requests", "Ledger requests of daemons by kind and result", ["kind", "result"]
+)
+
+
+class LedgerService:
+    """Answers ledger requests of daemons.
+
+    Parameters
+    ----------
+    log
+        The replicated log.
+    """
+
+    def __init__(self, log: ReplicatedLog) -> None:
+        self._log = log
+        self._cancellations: set[asyncio.Task[None]] = set()
+
+    async def answer(self, request: LedgerRequest) -> LedgerReply:
+        """Return the answer to ``request``; never raises for a missing quorum."""
+        reply = await self._answer(request)
+        kind = type(request).__name__.removeprefix("Ledger").lower()
+        result = type(reply).__name__.removeprefix("Ledger").lower()
+        REQUESTS.labels(kind, result).inc()
+        return reply
+
+    async def _answer(self, request: LedgerRequest) -> LedgerReply:
+        try:
+            result = await self._log.propose(_command_of(request))
+        except ControlUnavailableError:
+            if isinstance(request, LedgerBegin):
+                self._cancel_later(request)
+            return LedgerRefused(request.request, expired=False, detail=NO_QUORUM)
+        return _reply_of(request.request, result)
+
+    def _cancel_later(self, request: LedgerBegin) -> None:
+        """Free the key of a begin that may yet be committed though its daemon was refused."""
+        task = asyncio.get_running_loop().create_task(self._cancel(request))
+        self._cancellations.add(task)
+        task.add_done_callback(self._cancellations.discard)
+
+    async def _cancel(self, request: LedgerBegin) -> None:
+        try:
+            await self._log.propose(CancelRequest(request.key, request.attempt))
+        except ControlUnavailableError:
+            logger.info("begin of attempt {} stays undecided: no quorum", request.attempt)
+
+
+def _command_of(request: LedgerRequest) -> BeginRequest | CancelRequest | CompleteRequest:
+    if isinstance(request, LedgerBegin):
+        return BeginRequest(request.key, request.attempt)
+    if isinstance(request, LedgerCancel):
+        return CancelRequest(request.key, request.attempt)
+    return CompleteRequest(request.key, request.attempt, request.answer)
+
+
+def _reply_of(request: int, result: CommandResult) -> LedgerReply:
+    if isinstance(result, Granted):
+        return LedgerGranted(request)
+    if isinstance(result, Completed):
+        return LedgerCompleted(request, result.answer)
+    if isinstance(result, OutcomeUnknown):
+        return LedgerUnknown(request)
+    if isinstance(result, LedgerRefusal):
+        expired = result.reason is LedgerRefusalReason.EXPIRED
+        return LedgerRefused(request, expired=expired, detail=result.reason.value)
+    if isinstance(result, NotHolder):
+        return LedgerRefused(request, expired=False, detail=NOT_HOLDER)
+    return LedgerNoted(request)
--- /dev/null
+++ b/src/finchshed/control/operator_service.py
@@ -0,0 +1,299 @@
+"""The operators' RPC service on a control node."""
+
+import asyncio
+import hashlib
+import time
+from collections.abc import AsyncIterator
+from typing import NoReturn, Protocol
+
+import grpc
+from loguru import logger
+
+from finchshed.common.errors import ControlUnavailableError
+from finchshed.configuration.changes import Accepted, Change, Conflict, Invalid
+from finchshed.configuration.store import BOOTSTRAP_OPERATOR
+from finchshed.control.commands import ApplyChange
+from finchshed.control.distribution_server import DistributionServer
+from finchshed.control.replicated_log import ReplicatedLog
+from finchshed.control.revisions import RevisionFeed
+from finchshed.control.state_machine import ControlStateMachine
+from finchshed.observability import ring
+from finchshed.rpc.conversion import (
+    key_from_message,
+    key_to_message,
+    resource_to_message,
+    resources_from_messages,
+    result_to_message,
+)
+from finchshed.rpc.generated import finchshed_pb2 as pb
+from finchshed.rpc.generated import finchshed_pb2_grpc as pb_grpc
+
+AUTHORIZATION = "authorization"
+BEARER = "Bearer "
+MAX_CHANGE_ID_CHARACTERS = 200
+MAX_EXPLAINED_DECISIONS = 1_000
+BACKUP_PIECE_BYTES = 1 << 20
+
+
+class Membership(Protocol):
+    """Changes the members of the control group."""
+
+    async def replace_member(self, remove: str, add: str, add_address: str) -> tuple[bool, str]:
+        """Go on with a replacement; return whether it is finished, and the step."""
+        ...
+
+
+class OperatorService(pb_grpc.OperatorsServicer):  # type: ignore[misc] # generated, untyped
+    """Answers operators' calls from the replicated state.
+
+    Parameters
+    ----------
+    bootstrap_token_sha256
+        Digest of the token that may change a configuration without operators; empty: none.
+    """
+
+    def __init__(
+        self,
+        machine: ControlStateMachine,
+        log: ReplicatedLog,
+        *,
+        distribution: DistributionServer,
+        feed: RevisionFeed,
+        bootstrap_token_sha256: str,
+        membership: Membership | None = None,
+    ) -> None:
+        self._machine = machine
+        self._log = log
+        self._distribution = distribution
+        self._feed = feed
+        self._bootstrap_digest = bootstrap_token_sha256
+        self._membership = membership
+
+    async def Apply(  # noqa: N802 - named by the schema
+        self, request: pb.ApplyRequest, context: grpc.aio.ServicerContext
+    ) -> pb.ApplyResponse:
+        """Apply a change."""
+        await self._barrier(context)
+        operator = await self._authenticate(context)
+        if not 0 < len(request.change_id) <= MAX_CHANGE_ID_CHARACTERS:
+            problem = f"change_id: allowed are 1 to {MAX_CHANGE_ID_CHARACTERS} characters"
+            await _abort(context, grpc.StatusCode.INVALID_ARGUMENT, problem)
+        problems: list[str] = []
+        puts = resources_from_messages(request.puts, problems)
+        if problems:
+            return result_to_message(Invalid(tuple(problems)))
+        change = Change(
+            change_id=request.change_id,
+            operator=operator,
+            expected_revision=request.expected_revision,
+            puts=puts,
+            deletes=tuple(key_from_message(key) for key in request.deletes),
+        )
+        try:
+            result = await self._log.propose(ApplyChange(change))
+        except ControlUnavailableError as error:
+            await _abort(context, grpc.StatusCode.UNAVAILABLE, str(error))
+        if not isinstance(result, Accepted | Conflict | Invalid):
+            await _abort(context, grpc.StatusCode.INTERNAL, "unexpected result of a change")
+        logger.info("change {} of {}: {}", change.change_id, operator, result)
+        return result_to_message(result)
+
+    async def GetResult(  # noqa: N802
+        self, request: pb.GetResultRequest, context: grpc.aio.ServicerContext
+    ) -> pb.ApplyResponse:
+        """Read the first result of an earlier change."""
+        await self._barrier(context)
+        await self._authenticate(context)
+        result = self._machine.store.result_of(request.change_id)
+        if result is None:
+            detail = f"no result of change {request.change_id!r} is retained"
+            await _abort(context, grpc.StatusCode.NOT_FOUND, detail)
+        return result_to_message(result)
+
+    async def Get(  # noqa: N802
+        self, request: pb.GetRequest, context: grpc.aio.ServicerContext
+    ) -> pb.GetResponse:
+        """Read the configuration."""
+        await self._barrier(context)
+        await self._authenticate(context)
+        store = self._machine.store
+        wanted = [key_from_message(key) for key in request.keys] or list(store.resources)
+        found = [store.resources[key] for key in wanted if key in store.resources]
+        return pb.GetResponse(
+            revision=store.revision,
+            resources=[resource_to_message(resource) for resource in found],
+        )
+
+    async def Watch(  # noqa: N802
+        self, request: pb.WatchRequest, context: grpc.aio.ServicerContext
+    ) -> AsyncIterator[pb.WatchEvent]:
+        """Follow accepted changes."""
+        await self._barrier(context)
+        await self._authenticate(context)
+        async for delta in self._feed.follow(request.after_revision):
+            yield pb.WatchEvent(
+                base=delta.base,
+                revision=delta.revision,
+                puts=[resource_to_message(resource) for resource in delta.puts],
+                deletes=[key_to_message(key) for key in delta.deletes],
+            )
+
+    async def Status(  # noqa: N802
+        self, request: pb.StatusRequest, context: grpc.aio.ServicerContext
+    ) -> pb.StatusResponse:
+        """Read which daemons act on which revision."""
+        await self._authenticate(context)
+        confirmed = await self._is_confirmed()
+        now = asyncio.get_running_loop().time()
+        daemons = [
+            pb.DaemonStatus(
+                node=daemon.node,
+                service=daemon.service,
+                zone=daemon.zone,
+                revision=daemon.revision,
+                silent_seconds=now - daemon.last_heard,
+                connected=daemon.connected,
+            )
+            for daemon in self._distribution.daemons.values()
+        ]
+        status = self._log.status()
+        return pb.StatusResponse(
+            node=status.node,
+            revision=self._machine.store.revision,
+            daemons=daemons,
+            ledger=self._ledger_status(),
+            leader=status.leader,
+            confirmed=confirmed,
+        )
+
+    async def Members(  # noqa: N802
+        self, request: pb.MembersRequest, context: grpc.aio.ServicerContext
+    ) -> pb.MembersResponse:
+        """Read the members of the control group."""
+        await self._authenticate(context)
+        status = self._log.status()
+        members = [
+            pb.Member(
+                name=member.name,
+                address=member.address,
+                role=member.role.value,
+                incarnation=member.incarnation,
+                match_index=member.match_index,
+                silent_seconds=member.silent_seconds,
+            )
+            for member in status.members
+        ]
+        return pb.MembersResponse(
+            node=status.node,
+            leader=status.leader,
+            term=status.term,
+            commit_index=status.commit_index,
+            applied_index=status.applied_index,
+            members=members,
+        )
+
+    async def ReplaceMember(  # noqa: N802
+        self, request: pb.ReplaceMemberRequest, context: grpc.aio.ServicerContext
+    ) -> pb.ReplaceMemberResponse:
+        """Change the members of the control group."""
+        await self._barrier(context)
+        operator = await self._authenticate(context)
+        if self._membership is None:
+            await _abort(context, grpc.StatusCode.UNIMPLEMENTED, "this node has no group")
+        logger.info("{} replaces member {} by {}", operator, request.remove, request.add)
+        try:
+            done, step = await self._membership.replace_member(
+                request.remove, request.add, request.add_address
+            )
+        except ControlUnavailableError as error:
+            await _abort(context, grpc.StatusCode.UNAVAILABLE, str(error))
+        return pb.ReplaceMemberResponse(done=done, step=step)
+
+    async def Explain(  # noqa: N802
+        self, request: pb.ExplainRequest, context: grpc.aio.ServicerContext
+    ) -> pb.ExplainResponse:
+        """Read recent decisions of a daemon."""
+        await self._authenticate(context)
+        limit = min(request.limit or MAX_EXPLAINED_DECISIONS, MAX_EXPLAINED_DECISIONS)
+        decisions = await self._distribution.explain(request.node, request.root, limit)
+        if decisions is None:
+            detail = f"daemon {request.node} isn't connected here or didn't answer"
+            await _abort(context, grpc.StatusCode.NOT_FOUND, detail)
+        return pb.ExplainResponse(
+            decisions=[
+                pb.Decision(
+                    age_seconds=decision.age_seconds,
+                    root=decision.root,
+                    action=decision.action,
+                    reason=decision.reason,
+                    endpoint=decision.endpoint,
+                    detail=decision.detail,
+                )
+                for decision in decisions
+            ]
+        )
+
+    async def Dump(  # noqa: N802
+        self, request: pb.DumpRequest, context: grpc.aio.ServicerContext
+    ) -> pb.DumpResponse:
+        """Write out the ring of log records."""
+        operator = await self._authenticate(context)
+        path = ring.dump(f"asked for by operator {operator}")
+        return pb.DumpResponse(destination=str(path) if path is not None else "stderr")
+
+    async def Backup(  # noqa: N802
+        self, request: pb.BackupRequest, context: grpc.aio.ServicerContext
+    ) -> AsyncIterator[pb.BackupPiece]:
+        """Read a snapshot of the whole state."""
+        await self._barrier(context)
+        await self._authenticate(context)
+        data = self._machine.snapshot()
+        for start in range(0, len(data), BACKUP_PIECE_BYTES):
+            yield pb.BackupPiece(data=data[start : start + BACKUP_PIECE_BYTES])
+
+    async def _barrier(self, context: grpc.aio.ServicerContext) -> None:
+        try:
+            await self._log.read_barrier()
+        except ControlUnavailableError as error:
+            await _abort(context, grpc.StatusCode.UNAVAILABLE, str(error))
+
+    async def _is_confirmed(self) -> bool:
+        try:
+            await self._log.read_barrier()
+        except ControlUnavailableError:
+            return False
+        return True
+
+    async def _authenticate(self, context: grpc.aio.ServicerContext) -> str:
+        """Return the operator's name; end the call when the token is none of an operator."""
+        metadata = dict(context.invocation_metadata() or ())
+        value = str(metadata.get(AUTHORIZATION, ""))
+        if not value.startswith(BEARER):
+            detail = "give an operator's token in the metadata key 'authorization'"
+            await _abort(context, grpc.StatusCode.UNAUTHENTICATED, detail)
+        digest = hashlib.sha256(value.removeprefix(BEARER).encode()).hexdigest()
+        operators = self._machine.store.operators()
+        if not operators and self._bootstrap_digest and digest == self._bootstrap_digest:
+            return BOOTSTRAP_OPERATOR
+        operator = operators.get(digest)
+        if operator is None:
+            logger.warning("call with an unknown token from {}", context.peer())
+            detail = "the token is none of a declared operator"
+            await _abort(context, grpc.StatusCode.PERMISSION_DENIED, detail)
+        return operator.name
+
+    def _ledger_status(self) -> pb.LedgerStatus:
+        ledger = self._machine.ledger
+        counts = ledger.counts()
+        return pb.LedgerStatus(
+            free=counts["free"],
+            begun=counts["begun"],
+            completed=counts["completed"],
+            answer_bytes=ledger.total_answer_bytes,
+            log_time=ledger.time or time.time(),
+        )
+
+
+async def _abort(context: grpc.aio.ServicerContext, code: grpc.StatusCode, detail: str) -> NoReturn:
+    await context.abort(code, detail)
+    raise AssertionError("abort returns")  # pragma: no cover - abort always raises
--- /dev/null
+++ b/src/finchshed/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' command line: a client of the control nodes' RPC service."""
--- /dev/null
+++ b/src/finchshed/ctl/changes.py
@@ -0,0 +1,218 @@
+"""Sub-commands that change the configuration: diff, apply, drain."""
+
+import uuid
+from pathlib import Path
+from typing import cast
+
+import msgspec
+
+from finchshed.cli.exit_codes import ExitCode
+from finchshed.common.errors import ControlUnavailableError, SettingsError
+from finchshed.configuration.changes import Accepted, ChangeResult, Conflict
+from finchshed.configuration.declarations import read_declarations
+from finchshed.configuration.difference import Difference, describe_difference, difference
+from finchshed.configuration.resources import Endpoint, EndpointState, Resource, ResourceKey
+from finchshed.ctl.client import NotFoundError, OperatorClient
+from finchshed.ctl.connection import DEFAULT_TIMEOUT_SECONDS, connect
+from finchshed.ctl.exit_codes import CtlExitCode
+from finchshed.ctl.output import show
+from finchshed.ctl.values import ApplyView, DifferenceView
+from finchshed.rpc.conversion import (
+    key_to_message,
+    resource_to_message,
+    resources_by_key,
+    result_from_message,
+)
+from finchshed.rpc.generated import finchshed_pb2 as pb
+
+DRAIN_ATTEMPTS = 10
+"""Times a drain is made again after another change was accepted first."""
+
+
+class InForce(msgspec.Struct, frozen=True):
+    """The configuration as read from a quorum."""
+
+    revision: int
+    resources: dict[ResourceKey, Resource]
+
+
+def diff(
+    folder: str,
+    *,
+    control: str = "",
+    token_file: str = "",
+    timeout: float = DEFAULT_TIMEOUT_SECONDS,
+    json: bool = False,
+) -> int:
+    """Show what an apply of the declarations in FOLDER would change.
+
+    Exit code 0 when nothing would change, 10 when something would.
+
+    Parameters
+    ----------
+    folder
+        Folder with declaration files (*.toml).
+    control
+        Addresses of control nodes for operators, a.b.c.d:port,...; or FINCHSHED_CONTROL.
+    token_file
+        File with the operator's token; or FINCHSHED_TOKEN, FINCHSHED_TOKEN_FILE.
+    timeout
+        Longest time for the request over all control nodes, seconds.
+    json
+        Print one JSON line.
+    """
+    declared = read_declarations(Path(folder))
+    client = connect(control, token_file, timeout)
+    current = read_in_force(client)
+    changed = difference(current.resources, declared)
+    view = DifferenceView(current.revision, changed.puts, changed.deletes)
+    lines = describe_difference(current.resources, changed) or ["nothing to change"]
+    show(view, lines, as_json=json)
+    return CtlExitCode.DIFFERENT if changed else ExitCode.OK
+
+
+def apply(
+    folder: str,
+    *,
+    change_id: str = "",
+    expected_revision: int = -1,
+    control: str = "",
+    token_file: str = "",
+    timeout: float = DEFAULT_TIMEOUT_SECONDS,
+    json: bool = False,
+) -> int:
+    """Make the declarations in FOLDER the configuration, as one change.
+
+    The change is accepted whole or not at all. Exit code 11: another change was accepted first
+    (it is named; look at the difference again). 12: the control node found problems. 3: no
+    quorum confirmed it in time; run the printed command again to learn the outcome.
+
+    Parameters
+    ----------
+    folder
+        Folder with declaration files (*.toml).
+    change_id
+        Identity of the change; give the one printed before to resend it. Empty: a new one.
+    expected_revision
+        Revision the change is meant for; -1: the one in force now.
+    control
+        Addresses of control nodes for operators, a.b.c.d:port,...; or FINCHSHED_CONTROL.
+    token_file
+        File with the operator's token; or FINCHSHED_TOKEN, FINCHSHED_TOKEN_FILE.
+    timeout
+        Longest time for the request over all control nodes, seconds.
+    json
+        Print one JSON line.
+    """
+    declared = read_declarations(Path(folder))
+    client = connect(control, token_file, timeout)
+    first_result = first_result_of(client, change_id) if change_id else None
+    if first_result is not None:
+        return report(change_id, first_result, as_json=json)
+    current = read_in_force(client)
+    changed = difference(current.resources, declared)
+    if not changed:
+        lines = [f"nothing to change at revision {current.revision}"]
+        show(ApplyView("", None), lines, as_json=json)
+        return ExitCode.OK
+    expected = current.revision if expected_revision < 0 else expected_revision
+    identity = change_id or str(uuid.uuid4())
+    try:
+        result = submit(client, identity, expected, changed)
+    except ControlUnavailableError as error:
+        raise ControlUnavailableError(
+            f"{error}\nthe change may have been accepted; to learn its outcome: "
+            f"finchshed ctl apply {folder} --change_id={identity} --expected_revision={expected}"
+        ) from error
+    return report(identity, result, as_json=json)
+
+
+def drain(
+    endpoint: str,
+    *,
+    undo: bool = False,
+    control: str = "",
+    token_file: str = "",
+    timeout: float = DEFAULT_TIMEOUT_SECONDS,
+    json: bool = False,
+) -> int:
+    """Mark ENDPOINT as leaving, so that it gets no new work; --undo takes the mark back.
+
+    Parameters
+    ----------
+    endpoint
+        Name of a declared endpoint.
+    undo
+        Make the endpoint active again.
+    control
+        Addresses of control nodes for operators, a.b.c.d:port,...; or FINCHSHED_CONTROL.
+    token_file
+        File with the operator's token; or FINCHSHED_TOKEN, FINCHSHED_TOKEN_FILE.
+    timeout
+        Longest time for the request over all control nodes, seconds.
+    json
+        Print one JSON line.
+    """
+    client = connect(control, token_file, timeout)
+    state = EndpointState.ACTIVE if undo else EndpointState.LEAVING
+    for _ in range(DRAIN_ATTEMPTS):
+        current = read_in_force(client)
+        resource = current.resources.get(ResourceKey("endpoint", endpoint))
+        if not isinstance(resource, Endpoint):
+            raise SettingsError([f"endpoint = {endpoint!r}: allowed are declared endpoints"])
+        if resource.state is state:
+            lines = [f"{endpoint} is {state.value} at revision {current.revision}"]
+            show(ApplyView("", None), lines, as_json=json)
+            return ExitCode.OK
+        changed = Difference((msgspec.structs.replace(resource, state=state),), ())
+        identity = str(uuid.uuid4())
+        result = submit(client, identity, current.revision, changed)
+        if not isinstance(result, Conflict):
+            break
+    return report(identity, result, as_json=json)
+
+
+def read_in_force(client: OperatorClient) -> InForce:
+    """Return the configuration in force."""
+    answer = cast(pb.GetResponse, client.call("Get", pb.GetRequest()))
+    return InForce(answer.revision, resources_by_key(answer.resources))
+
+
+def first_result_of(client: OperatorClient, change_id: str) -> ChangeResult | None:
+    """Return the first result of an earlier change, or None when there is none."""
+    try:
+        answer = client.call("GetResult", pb.GetResultRequest(change_id=change_id))
+    except NotFoundError:
+        return None
+    return result_from_message(cast(pb.ApplyResponse, answer))
+
+
+def submit(
+    client: OperatorClient, change_id: str, expected_revision: int, changed: Difference
+) -> ChangeResult:
+    """Send a change, with the same identity to other nodes where an answer is lost."""
+    request = pb.ApplyRequest(
+        change_id=change_id,
+        expected_revision=expected_revision,
+        puts=[resource_to_message(resource) for resource in changed.puts],
+        deletes=[key_to_message(key) for key in changed.deletes],
+    )
+    return result_from_message(cast(pb.ApplyResponse, client.call("Apply", request)))
+
+
+def report(change_id: str, result: ChangeResult, *, as_json: bool) -> int:
+    """Print ``result`` and return its exit code."""
+    if isinstance(result, Accepted):
+        lines = [f"accepted as revision {result.revision} (change {change_id})"]
+        code: int = ExitCode.OK
+    elif isinstance(result, Conflict):
+        lines = [
+            f"conflict: change {result.winner_change_id} of {result.winner_operator} was accepted "
+            f"first; the revision is {result.current_revision}; nothing was changed"
+        ]
+        code = CtlExitCode.CONFLICT
+    else:
+        lines = ["invalid; nothing was changed:", *(f"  {item}" for item in result.problems)]
+        code = CtlExitCode.INVALID
+    show(ApplyView(change_id, result), lines, as_json=as_json)
+    return code
--- /dev/null
+++ b/src/finchshed/ctl/client.py
@@ -0,0 +1,149 @@
+"""Client of the operators' service that goes from control node to control node.
+
+A call that found no quorum, or whose answer was lost, is sent again to the next node. That is
+safe: reads change nothing, and a change keeps its change identity, so it is applied once.
+"""
+
+import time
+from collections.abc import Callable, Iterator
+from typing import TypeVar
+
+import grpc
+
+from finchshed.common.errors import ControlUnavailableError, FinchshedError
+from finchshed.rpc.generated import finchshed_pb2_grpc as pb_grpc
+
+ResponseT = TypeVar("ResponseT")
+
+CALL_TIMEOUT_SECONDS = 6.0
+RETRY_PAUSE_SECONDS = 0.2
+MAX_MESSAGE_BYTES = 64 << 20
+
+_RETRIED = frozenset(
+    {
+        grpc.StatusCode.UNAVAILABLE,
+        grpc.StatusCode.DEADLINE_EXCEEDED,
+        grpc.StatusCode.CANCELLED,
+        grpc.StatusCode.UNKNOWN,
+    }
+)
+_DENIED = frozenset({grpc.StatusCode.UNAUTHENTICATED, grpc.StatusCode.PERMISSION_DENIED})
+
+
+class AccessDeniedError(FinchshedError):
+    """The token is none of a declared operator."""
+
+
+class NotFoundError(FinchshedError):
+    """No control node knows what was asked for."""
+
+
+class OperatorClient:
+    """Calls the operators' service on one of several control nodes.
+
+    Parameters
+    ----------
+    addresses
+        RPC addresses of control nodes, ``a.b.c.d:port``; asked in this order.
+    token
+        The operator's token.
+    timeout_seconds
+        Longest time for one request over all of its retries.
+    """
+
+    def __init__(self, addresses: tuple[str, ...], token: str, timeout_seconds: float) -> None:
+        options = [
+            ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+            ("grpc.enable_http_proxy", 0),
+            ("grpc.initial_reconnect_backoff_ms", 100),
+            ("grpc.max_reconnect_backoff_ms", 1000),
+        ]
+        self._metadata = (("authorization", f"Bearer {token}"),)
+        self._timeout = timeout_seconds
+        self._channels = [grpc.insecure_channel(address, options) for address in addresses]
+        self._stubs = [pb_grpc.OperatorsStub(channel) for channel in self._channels]
+        self._preferred = 0
+        self.addresses = addresses
+
+    def close(self) -> None:
+        """Close the connections."""
+        for channel in self._channels:
+            channel.close()
+
+    def call(self, method: str, request: object) -> object:
+        """Call ``method`` on the first node that can answer.
+
+        Raises
+        ------
+        ControlUnavailableError
+            No node answered with a quorum's agreement in time.
+        AccessDeniedError
+            The token was refused.
+        FinchshedError
+            The request itself was refused.
+        """
+        deadline = time.monotonic() + self._timeout
+        while True:
+            last = "no control node given"
+            for _ in range(len(self._stubs)):
+                try:
+                    return self._call_one(self._preferred, method, request, deadline)
+                except grpc.RpcError as error:
+                    last = f"{self.addresses[self._preferred]}: {_describe(error)}"
+                    if error.code() not in _RETRIED:
+                        raise _translated(error) from error
+                    self._preferred = (self._preferred + 1) % len(self._stubs)
+            if time.monotonic() + RETRY_PAUSE_SECONDS >= deadline:
+                raise ControlUnavailableError(last)
+            time.sleep(RETRY_PAUSE_SECONDS)
+
+    def call_each(self, method: str, request: object) -> list[tuple[str, object | None, str]]:
+        """Call ``method`` once on every node; return address, answer or None, and the error."""
+        answers: list[tuple[str, object | None, str]] = []
+        for position, address in enumerate(self.addresses):
+            deadline = time.monotonic() + CALL_TIMEOUT_SECONDS
+            try:
+                answer = self._call_one(position, method, request, deadline)
+            except grpc.RpcError as error:
+                if error.code() in _DENIED:
+                    raise _translated(error) from error
+                answers.append((address, None, _describe(error)))
+            else:
+                answers.append((address, answer, ""))
+        return answers
+
+    def stream(self, method: str, request: object) -> Iterator[object]:
+        """Yield the answers of a streaming ``method`` of the first node that can answer.
+
+        Raises
+        ------
+        ControlUnavailableError
+            The stream ended early; start again from what was received.
+        """
+        call: Callable[..., Iterator[object]] = getattr(self._stubs[self._preferred], method)
+        try:
+            yield from call(request, metadata=self._metadata)
+        except grpc.RpcError as error:
+            self._preferred = (self._preferred + 1) % len(self._stubs)
+            raise _translated(error) from error
+
+    def _call_one(self, position: int, method: str, request: object, deadline: float) -> object:
+        remaining = deadline - time.monotonic()
+        timeout = max(0.1, min(CALL_TIMEOUT_SECONDS, remaining))
+        call: Callable[..., object] = getattr(self._stubs[position], method)
+        return call(request, metadata=self._metadata, timeout=timeout)
+
+
+def _describe(error: grpc.RpcError) -> str:
+    return f"{error.code().name}: {error.details()}"
+
+
+def _translated(error: grpc.RpcError) -> FinchshedError:
+    text = _describe(error)
+    if error.code() in _DENIED:
+        return AccessDeniedError(text)
+    if error.code() is grpc.StatusCode.NOT_FOUND:
+        return NotFoundError(text)
+    if error.code() in _RETRIED:
+        return ControlUnavailableError(text)
+    return FinchshedError(text)
--- /dev/null
+++ b/src/finchshed/ctl/command.py
@@ -0,0 +1,39 @@
+"""The sub-commands of ``finchshed ctl``."""
+
+from collections.abc import Callable, Mapping
+from functools import wraps
+
+from finchshed.ctl import changes, maintenance, reading
+from finchshed.ctl.client import AccessDeniedError
+from finchshed.ctl.exit_codes import CtlExitCode
+from finchshed.ctl.output import complain
+
+CtlFunction = Callable[..., int]
+
+
+def _denial_as_exit_code(function: CtlFunction) -> CtlFunction:
+    @wraps(function)
+    def run(*arguments: object, **flags: object) -> int:
+        try:
+            return function(*arguments, **flags)
+        except AccessDeniedError as error:
+            complain(f"denied: {error}")
+            return CtlExitCode.DENIED
+
+    return run
+
+
+ctl: Mapping[str, CtlFunction] = {
+    "diff": _denial_as_exit_code(changes.diff),
+    "apply": _denial_as_exit_code(changes.apply),
+    "drain": _denial_as_exit_code(changes.drain),
+    "get": _denial_as_exit_code(reading.get),
+    "watch": _denial_as_exit_code(reading.watch),
+    "status": _denial_as_exit_code(reading.status),
+    "members": _denial_as_exit_code(reading.members),
+    "explain": _denial_as_exit_code(reading.explain),
+    "replace-member": _denial_as_exit_code(maintenance.replace_member),
+    "backup": _denial_as_exit_code(maintenance.backup),
+    "dump": _denial_as_exit_code(maintenance.dump),
+}
+"""Sub-command to function; each function's keyword parameters are its flags."""
--- /dev/null
+++ b/src/finchshed/ctl/connection.py
@@ -0,0 +1,63 @@
+"""Where ``finchshed ctl`` finds the control nodes and the operator's token."""
+
+import os
+from pathlib import Path
+
+from finchshed.common.errors import SettingsError
+from finchshed.configuration.validation import is_address
+from finchshed.ctl.client import OperatorClient
+
+CONTROL_VARIABLE = "FINCHSHED_CONTROL"
+"""RPC addresses of control nodes, separated by commas."""
+
+TOKEN_VARIABLE = "FINCHSHED_TOKEN"
+TOKEN_FILE_VARIABLE = "FINCHSHED_TOKEN_FILE"
+DEFAULT_TIMEOUT_SECONDS = 20.0
+
+
+def connect(
+    control: str = "", token_file: str = "", timeout: float = DEFAULT_TIMEOUT_SECONDS
+) -> OperatorClient:
+    """Return a client for the given or configured control nodes.
+
+    Parameters
+    ----------
+    control
+        Addresses separated by commas; empty: from FINCHSHED_CONTROL.
+    token_file
+        File with the token; empty: FINCHSHED_TOKEN, or the file named by FINCHSHED_TOKEN_FILE.
+        A token is never taken from a flag: command lines are seen by others.
+
+    Raises
+    ------
+    SettingsError
+        Addresses or token are missing or wrong.
+    """
+    problems: list[str] = []
+    text = control or os.environ.get(CONTROL_VARIABLE, "")
+    addresses = tuple(part.strip() for part in text.split(",") if part.strip())
+    if not addresses:
+        problems.append(f"flag --control: missing; or set {CONTROL_VARIABLE} (a.b.c.d:port,...)")
+    problems += [
+        f"flag --control = {address!r}: allowed is a.b.c.d:port"
+        for address in addresses
+        if not is_address(address)
+    ]
+    token = _token(token_file, problems)
+    if problems:
+        raise SettingsError(problems)
+    return OperatorClient(addresses, token, timeout)
+
+
+def _token(token_file: str, problems: list[str]) -> str:
+    path = token_file or os.environ.get(TOKEN_FILE_VARIABLE, "")
+    if not path:
+        token = os.environ.get(TOKEN_VARIABLE, "")
+        if not token:
+            problems.append(f"flag --token_file: missing; or set {TOKEN_VARIABLE}")
+        return token
+    try:
+        return Path(path).read_text(encoding="utf-8").strip()
+    except (OSError, UnicodeDecodeError) as error:
+        problems.append(f"flag --token_file = {path!r}: {error}")
+        return ""
--- /dev/null
+++ b/src/finchshed/ctl/exit_codes.py
@@ -0,0 +1,22 @@
+"""Exit codes of ``finchshed ctl`` beyond those of every command."""
+
+import enum
+
+
+class CtlExitCode(enum.IntEnum):
+    """What the exit code of a ``ctl`` command says beyond :class:`finchshed.cli.exit_codes`."""
+
+    DIFFERENT = 10
+    """``diff``: the declarations differ from what is in force."""
+
+    CONFLICT = 11
+    """``apply``: another change was accepted first; nothing was changed."""
+
+    INVALID = 12
+    """``apply``: the control node found problems; nothing was changed."""
+
+    DENIED = 13
+    """The token is none of a declared operator."""
+
+    NOT_IN_FORCE = 14
+    """``status``: some daemons are behind or silent."""
--- /dev/null
+++ b/src/finchshed/ctl/maintenance.py
@@ -0,0 +1,179 @@
+"""Sub-commands for the control group itself: replace-member, backup, restore, dump."""
+
+import hashlib
+import os
+import time
+from pathlib import Path
+from typing import cast
+
+import msgspec
+
+from finchshed.cli.exit_codes import ExitCode
+from finchshed.common.errors import ControlUnavailableError, SettingsError
+from finchshed.configuration.validation import is_address
+from finchshed.control.state_machine import StateSnapshot
+from finchshed.ctl.connection import DEFAULT_TIMEOUT_SECONDS, connect
+from finchshed.ctl.output import complain, show
+from finchshed.rpc.generated import finchshed_pb2 as pb
+
+STEP_PAUSE_SECONDS = 0.5
+
+
+class BackupView(msgspec.Struct, frozen=True):
+    """Answer of ``backup``."""
+
+    file: str
+    revision: int
+    index: int
+    size_bytes: int
+    sha256: str
+
+
+class StepView(msgspec.Struct, frozen=True):
+    """Answer of ``replace-member``."""
+
+    done: bool
+    step: str
+
+
+class DumpView(msgspec.Struct, frozen=True):
+    """Answer of ``dump``."""
+
+    destinations: tuple[str, ...]
+
+
+def replace_member(
+    *,
+    remove: str = "",
+    add: str = "",
+    address: str = "",
+    control: str = "",
+    token_file: str = "",
+    timeout: float = 120.0,
+    json: bool = False,
+) -> int:
+    """Put a control node in the place of another, and wait until it is done.
+
+    The new node joins as a learner, is made a voter once it has caught up, and only then the old
+    one is taken out. Safe to run again at any time: it goes on where it stopped.
+
+    Parameters
+    ----------
+    remove
+        Member to take out; empty: none.
+    add
+        Member to put in; empty: none. It may have the name of a member whose disk was lost.
+    address
+        Address of the member to put in for other control nodes (its raft_address).
+    control
+        Addresses of control nodes for operators, a.b.c.d:port,...; or FINCHSHED_CONTROL.
+    token_file
+        File with the operator's token; or FINCHSHED_TOKEN, FINCHSHED_TOKEN_FILE.
+    timeout
+        Longest time to wait, seconds.
+    json
+        Print one JSON line.
+    """
+    problems = []
+    if not remove and not add:
+        problems.append("flag --add, --remove: missing, one of them is needed")
+    if add and not is_address(address):
+        problems.append(f"flag --address = {address!r}: allowed is a.b.c.d:port")
+    if problems:
+        raise SettingsError(problems)
+    client = connect(control, token_file, min(timeout, DEFAULT_TIMEOUT_SECONDS))
+    request = pb.ReplaceMemberRequest(remove=remove, add=add, add_address=address)
+    deadline = time.monotonic() + timeout
+    step = ""
+    while True:
+        answer = cast(pb.ReplaceMemberResponse, client.call("ReplaceMember", request))
+        if answer.step != step and not json:
+            complain(answer.step)
+        step = answer.step
+        if answer.done:
+            show(StepView(done=True, step=step), ["done"], as_json=json)
+            return ExitCode.OK
+        if time.monotonic() >= deadline:
+            raise ControlUnavailableError(f"not finished yet: {step}; run the command again")
+        time.sleep(STEP_PAUSE_SECONDS)
+
+
+def backup(
+    file: str,
+    *,
+    control: str = "",
+    token_file: str = "",
+    timeout: float = DEFAULT_TIMEOUT_SECONDS,
+    json: bool = False,
+) -> int:
+    """Write a snapshot of the whole state to FILE, synced, not over an existing file.
+
+    Parameters
+    ----------
+    file
+        File to write.
+    control
+        Addresses of control nodes for operators, a.b.c.d:port,...; or FINCHSHED_CONTROL.
+    token_file
+        File with the operator's token; or FINCHSHED_TOKEN, FINCHSHED_TOKEN_FILE.
+    timeout
+        Longest time for the request over all control nodes, seconds.
+    json
+        Print one JSON line.
+    """
+    path = Path(file)
+    if path.exists():
+        raise SettingsError([f"file = {file!r}: exists already, allowed is a new file"])
+    client = connect(control, token_file, timeout)
+    pieces = client.stream("Backup", pb.BackupRequest())
+    data = b"".join(cast(pb.BackupPiece, piece).data for piece in pieces)
+    state = msgspec.json.decode(data, type=StateSnapshot)
+    _write_synced(path, data)
+    digest = hashlib.sha256(data).hexdigest()
+    view = BackupView(str(path), state.store.revision, state.index, len(data), digest)
+    text = f"revision {view.revision}, {view.size_bytes} bytes, sha256 {digest}"
+    show(view, [text], as_json=json)
+    return ExitCode.OK
+
+
+def dump(
+    *,
+    control: str = "",
+    token_file: str = "",
+    timeout: float = DEFAULT_TIMEOUT_SECONDS,
+    json: bool = False,
+) -> int:
+    """Have every control node write out its ring of log records.
+
+    Parameters
+    ----------
+    control
+        Addresses of control nodes for operators, a.b.c.d:port,...; or FINCHSHED_CONTROL.
+    token_file
+        File with the operator's token; or FINCHSHED_TOKEN, FINCHSHED_TOKEN_FILE.
+    timeout
+        Longest time for the request over all control nodes, seconds.
+    json
+        Print one JSON line.
+    """
+    client = connect(control, token_file, timeout)
+    destinations = []
+    for address, answer, error in client.call_each("Dump", pb.DumpRequest()):
+        if answer is None:
+            complain(f"{address}: {error}")
+        else:
+            destinations.append(f"{address}: {cast(pb.DumpResponse, answer).destination}")
+    show(DumpView(tuple(destinations)), destinations, as_json=json)
+    return ExitCode.OK if destinations else ExitCode.UNAVAILABLE
+
+
+def _write_synced(path: Path, data: bytes) -> None:
+    with path.open("xb") as stream:
+        stream.write(data)
+        stream.flush()
+        os.fsync(stream.fileno())
+    folder = os.open(path.parent, os.O_RDONLY)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
--- /dev/null
+++ b/src/finchshed/ctl/output.py
@@ -0,0 +1,31 @@
+"""Prints answers for people, or as JSON lines for programs."""
+
+import sys
+from collections.abc import Iterable
+
+import msgspec
+
+
+def show(value: msgspec.Struct, lines: Iterable[str], *, as_json: bool) -> None:
+    """Print ``value`` as one JSON line, or ``lines`` for people."""
+    if as_json:
+        sys.stdout.write(msgspec.json.encode(value).decode() + "\n")
+    else:
+        for line in lines:
+            sys.stdout.write(line + "\n")
+    sys.stdout.flush()
+
+
+def complain(line: str) -> None:
+    """Print ``line`` on standard error."""
+    sys.stderr.write(line + "\n")
+
+
+def table(header: tuple[str, ...], rows: Iterable[tuple[str, ...]]) -> list[str]:
+    """Return aligned lines of a table."""
+    all_rows = [header, *rows]
+    widths = [max(len(row[column]) for row in all_rows) for column in range(len(header))]
+    return [
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
+        for row in all_rows
+    ]
--- /dev/null
+++ b/src/finchshed/ctl/reading.py
@@ -0,0 +1,358 @@
+"""Sub-commands that read: get, watch, status, members, explain."""
+
+from collections.abc import Iterable
+from typing import cast
+
+import msgspec
+
+from finchshed.cli.exit_codes import ExitCode
+from finchshed.common.errors import ControlUnavailableError, SettingsError
+from finchshed.configuration.resources import Resource, ResourceKey, key_of
+from finchshed.ctl.client import OperatorClient
+from finchshed.ctl.connection import DEFAULT_TIMEOUT_SECONDS, connect
+from finchshed.ctl.exit_codes import CtlExitCode
+from finchshed.ctl.output import complain, show, table
+from finchshed.ctl.values import (
+    ConfigurationView,
+    DaemonView,
+    DecisionView,
+    ExplainView,
+    MembersView,
+    MemberView,
+    StatusView,
+)
+from finchshed.rpc.conversion import (
+    key_from_message,
+    key_to_message,
+    resources_from_messages,
+)
+from finchshed.rpc.generated import finchshed_pb2 as pb
+
+SILENT_AFTER_SECONDS = 6.0
+"""A daemon that a control node has not heard of for this long is silent."""
+
+IN_FORCE = "in force"
+BEHIND = "behind"
+SILENT = "silent"
+
+
+def get(
+    *resources: str,
+    control: str = "",
+    token_file: str = "",
+    timeout: float = DEFAULT_TIMEOUT_SECONDS,
+    json: bool = False,
+) -> int:
+    """Print the configuration in force, or the given RESOURCES (kind/name).
+
+    Parameters
+    ----------
+    resources
+        Such as service/tide-prediction; none: all.
+    control
+        Addresses of control nodes for operators, a.b.c.d:port,...; or FINCHSHED_CONTROL.
+    token_file
+        File with the operator's token; or FINCHSHED_TOKEN, FINCHSHED_TOKEN_FILE.
+    timeout
+        Longest time for the request over all control nodes, seconds.
+    json
+        Print one JSON line.
+    """
+    keys = _keys(resources)
+    client = connect(control, token_file, timeout)
+    request = pb.GetRequest(keys=[key_to_message(key) for key in keys])
+    answer = cast(pb.GetResponse, client.call("Get", request))
+    found = resources_from_messages(answer.resources, [])
+    lines = [f"revision {answer.revision}", *(_describe(item) for item in _sorted(found))]
+    show(ConfigurationView(answer.revision, found), lines, as_json=json)
+    missing = set(keys) - {key_of(item) for item in found}
+    for key in sorted(missing):
+        complain(f"{key.kind}/{key.name}: not declared")
+    return ExitCode.FAILED if missing else ExitCode.OK
+
+
+def watch(
+    *,
+    after: int = 0,
+    count: int = 0,
+    control: str = "",
+    token_file: str = "",
+    timeout: float = DEFAULT_TIMEOUT_SECONDS,
+    json: bool = False,
+) -> int:
+    """Follow accepted changes until interrupted, going on through another node where one ends.
+
+    Parameters
+    ----------
+    after
+        Revision to go on from; 0: print the whole configuration first.
+    count
+        End after this many events; 0: never.
+    control
+        Addresses of control nodes for operators, a.b.c.d:port,...; or FINCHSHED_CONTROL.
+    token_file
+        File with the operator's token; or FINCHSHED_TOKEN, FINCHSHED_TOKEN_FILE.
+    timeout
+        Longest time without any node, seconds.
+    json
+        Print one JSON line for each event.
+    """
+    client = connect(control, token_file, timeout)
+    position = after
+    seen = 0
+    while True:
+        try:
+            for event in client.stream("Watch", pb.WatchRequest(after_revision=position)):
+                position = _print_event(cast(pb.WatchEvent, event), as_json=json)
+                seen += 1
+                if seen == count:
+                    return ExitCode.OK
+        except ControlUnavailableError as error:
+            complain(f"stream ended ({error}); going on after revision {position}")
+            client.call("Members", pb.MembersRequest())
+
+
+def status(
+    *,
+    control: str = "",
+    token_file: str = "",
+    timeout: float = DEFAULT_TIMEOUT_SECONDS,
+    json: bool = False,
+) -> int:
+    """Show the revision in force, and the daemons that are behind or silent.
+
+    Asks every control node given and puts their answers together. Exit code 14 when some daemon
+    is behind or silent.
+
+    Parameters
+    ----------
+    control
+        Addresses of control nodes for operators, a.b.c.d:port,...; or FINCHSHED_CONTROL.
+    token_file
+        File with the operator's token; or FINCHSHED_TOKEN, FINCHSHED_TOKEN_FILE.
+    timeout
+        Longest time for the request over all control nodes, seconds.
+    json
+        Print one JSON line.
+    """
+    view = read_status(connect(control, token_file, timeout))
+    show(view, _status_lines(view), as_json=json)
+    return ExitCode.OK if view.in_force == view.known else CtlExitCode.NOT_IN_FORCE
+
+
+def read_status(client: OperatorClient) -> StatusView:
+    """Return the state of all daemons, from every control node that answers."""
+    answers: list[pb.StatusResponse] = []
+    unreachable = []
+    for address, answer, error in client.call_each("Status", pb.StatusRequest()):
+        if answer is None:
+            unreachable.append(f"{address}: {error}")
+        else:
+            answers.append(cast(pb.StatusResponse, answer))
+    if not answers:
+        raise ControlUnavailableError("; ".join(unreachable))
+    revision = max(answer.revision for answer in answers)
+    daemons = _merge_daemons(answers, revision)
+    return StatusView(
+        revision=revision,
+        leader=next((answer.leader for answer in answers if answer.leader), ""),
+        confirmed=any(answer.confirmed for answer in answers),
+        in_force=sum(1 for daemon in daemons if daemon.state == IN_FORCE),
+        known=len(daemons),
+        daemons=daemons,
+        unreachable=tuple(unreachable),
+    )
+
+
+def members(
+    *,
+    control: str = "",
+    token_file: str = "",
+    timeout: float = DEFAULT_TIMEOUT_SECONDS,
+    json: bool = False,
+) -> int:
+    """Show the members of the control group, as its leader sees them.
+
+    Parameters
+    ----------
+    control
+        Addresses of control nodes for operators, a.b.c.d:port,...; or FINCHSHED_CONTROL.
+    token_file
+        File with the operator's token; or FINCHSHED_TOKEN, FINCHSHED_TOKEN_FILE.
+    timeout
+        Longest time for the request over all control nodes, seconds.
+    json
+        Print one JSON line.
+    """
+    client = connect(control, token_file, timeout)
+    answers = [
+        cast(pb.MembersResponse, answer)
+        for _, answer, _ in client.call_each("Members", pb.MembersRequest())
+        if answer is not None
+    ]
+    if not answers:
+        raise ControlUnavailableError("no control node answered")
+    best = max(answers, key=lambda answer: (answer.node == answer.leader, answer.term))
+    view = MembersView(
+        leader=best.leader,
+        term=best.term,
+        commit_index=best.commit_index,
+        members=tuple(
+            MemberView(
+                member.name,
+                member.address,
+                member.role,
+                member.match_index,
+                member.silent_seconds,
+            )
+            for member in best.members
+        ),
+    )
+    show(view, _member_lines(view), as_json=json)
+    return ExitCode.OK if view.leader else ExitCode.UNAVAILABLE
+
+
+def explain(
+    node: str,
+    *,
+    root: str = "",
+    limit: int = 50,
+    control: str = "",
+    token_file: str = "",
+    timeout: float = DEFAULT_TIMEOUT_SECONDS,
+    json: bool = False,
+) -> int:
+    """Show recent decisions of the daemon NODE: what it admitted, refused, retried, and why.
+
+    Parameters
+    ----------
+    node
+        Node name of a daemon, as in ``status``.
+    root
+        Identity of one root request; empty: all.
+    limit
+        Decisions shown at most, newest first.
+    control
+        Addresses of control nodes for operators, a.b.c.d:port,...; or FINCHSHED_CONTROL.
+    token_file
+        File with the operator's token; or FINCHSHED_TOKEN, FINCHSHED_TOKEN_FILE.
+    timeout
+        Longest time for the request over all control nodes, seconds.
+    json
+        Print one JSON line.
+    """
+    client = connect(control, token_file, timeout)
+    request = pb.ExplainRequest(node=node, root=root, limit=limit)
+    answers = client.call_each("Explain", request)
+    found = [cast(pb.ExplainResponse, answer) for _, answer, _ in answers if answer is not None]
+    if not found:
+        for address, _, error in answers:
+            complain(f"{address}: {error}")
+        return ExitCode.UNAVAILABLE
+    decisions = tuple(
+        DecisionView(
+            item.age_seconds, item.root, item.action, item.reason, item.endpoint, item.detail
+        )
+        for item in found[0].decisions
+    )
+    rows = [
+        (f"{d.age_seconds:.3f}", d.action, d.reason, d.endpoint, d.root, d.detail)
+        for d in decisions
+    ]
+    header = ("seconds ago", "action", "reason", "endpoint", "root request", "detail")
+    show(ExplainView(node, decisions), table(header, rows), as_json=json)
+    return ExitCode.OK
+
+
+def _keys(texts: Iterable[str]) -> list[ResourceKey]:
+    keys = []
+    problems = []
+    for text in texts:
+        kind, separator, name = text.partition("/")
+        if not separator or kind not in {"service", "endpoint", "policy", "operator"}:
+            problems.append(f"resource = {text!r}: allowed is kind/name, such as service/tides")
+        keys.append(ResourceKey(kind, name))
+    if problems:
+        raise SettingsError(problems)
+    return keys
+
+
+def _sorted(resources: Iterable[Resource]) -> list[Resource]:
+    return sorted(resources, key=key_of)
+
+
+def _describe(resource: Resource) -> str:
+    key = key_of(resource)
+    fields = {
+        field: getattr(resource, field) for field in resource.__struct_fields__ if field != "name"
+    }
+    return f"{key.kind}/{key.name} {msgspec.json.encode(fields).decode()}"
+
+
+def _print_event(event: pb.WatchEvent, *, as_json: bool) -> int:
+    puts = resources_from_messages(event.puts, [])
+    deletes = tuple(key_from_message(key) for key in event.deletes)
+    title = f"revision {event.revision}" + (" (whole configuration)" if event.base == 0 else "")
+    lines = [title, *(f"  = {_describe(item)}" for item in _sorted(puts))]
+    lines += [f"  - {key.kind}/{key.name}" for key in deletes]
+    view = ConfigurationView(event.revision, puts, base=event.base, deletes=deletes)
+    show(view, lines, as_json=as_json)
+    return int(event.revision)
+
+
+def _merge_daemons(answers: Iterable[pb.StatusResponse], revision: int) -> tuple[DaemonView, ...]:
+    best: dict[str, pb.DaemonStatus] = {}
+    for answer in answers:
+        for daemon in answer.daemons:
+            known = best.get(daemon.node)
+            if known is None or daemon.silent_seconds < known.silent_seconds:
+                best[daemon.node] = daemon
+    return tuple(_daemon_view(best[node], revision) for node in sorted(best))
+
+
+def _daemon_view(daemon: pb.DaemonStatus, revision: int) -> DaemonView:
+    state = IN_FORCE
+    if not daemon.connected or daemon.silent_seconds > SILENT_AFTER_SECONDS:
+        state = SILENT
+    elif daemon.revision < revision:
+        state = BEHIND
+    return DaemonView(
+        node=daemon.node,
+        service=daemon.service,
+        zone=daemon.zone,
+        revision=daemon.revision,
+        state=state,
+        silent_seconds=round(daemon.silent_seconds, 3),
+    )
+
+
+def _status_lines(view: StatusView) -> list[str]:
+    confirmation = "confirmed by a quorum" if view.confirmed else "NOT confirmed by a quorum"
+    lines = [
+        f"revision {view.revision}, {confirmation}, leader {view.leader or 'unknown'}",
+        f"in force at {view.in_force} of {view.known} daemons",
+    ]
+    rows = [
+        (daemon.node, daemon.state, str(daemon.revision), f"{daemon.silent_seconds:.1f}")
+        for daemon in view.daemons
+        if daemon.state != IN_FORCE
+    ]
+    if rows:
+        lines += table(("daemon", "state", "revision", "seconds silent"), rows)
+    lines += [f"control node unreachable: {text}" for text in view.unreachable]
+    return lines
+
+
+def _member_lines(view: MembersView) -> list[str]:
+    rows = [
+        (
+            member.name,
+            member.role,
+            member.address,
+            str(member.match_index),
+            "-" if member.silent_seconds < 0 else f"{member.silent_seconds:.1f}",
+        )
+        for member in view.members
+    ]
+    title = f"leader {view.leader or 'unknown'}, term {view.term}, committed {view.commit_index}"
+    return [title, *table(("member", "role", "address", "on disk", "seconds silent"), rows)]
--- /dev/null
+++ b/src/finchshed/ctl/values.py
@@ -0,0 +1,90 @@
+"""What ``finchshed ctl`` prints with ``--json``."""
+
+import msgspec
+
+from finchshed.configuration.changes import ChangeResult
+from finchshed.configuration.resources import Resource, ResourceKey
+
+
+class DifferenceView(msgspec.Struct, frozen=True):
+    """Answer of ``diff``."""
+
+    revision: int
+    puts: tuple[Resource, ...]
+    deletes: tuple[ResourceKey, ...]
+
+
+class ApplyView(msgspec.Struct, frozen=True):
+    """Answer of ``apply`` and ``drain``. ``result`` is None when nothing had to change."""
+
+    change_id: str
+    result: ChangeResult | None
+
+
+class ConfigurationView(msgspec.Struct, frozen=True):
+    """Answer of ``get``; also one line of ``watch``, where ``base`` 0 means the whole."""
+
+    revision: int
+    resources: tuple[Resource, ...]
+    base: int = 0
+    deletes: tuple[ResourceKey, ...] = ()
+
+
+class DaemonView(msgspec.Struct, frozen=True):
+    """One daemon in ``status``."""
+
+    node: str
+    service: str
+    zone: str
+    revision: int
+    state: str
+    silent_seconds: float
+
+
+class StatusView(msgspec.Struct, frozen=True):
+    """Answer of ``status``."""
+
+    revision: int
+    leader: str
+    confirmed: bool
+    in_force: int
+    known: int
+    daemons: tuple[DaemonView, ...]
+    unreachable: tuple[str, ...]
+
+
+class MemberView(msgspec.Struct, frozen=True):
+    """One member in ``members``."""
+
+    name: str
+    address: str
+    role: str
+    match_index: int
+    silent_seconds: float
+
+
+class MembersView(msgspec.Struct, frozen=True):
+    """Answer of ``members``."""
+
+    leader: str
+    term: int
+    commit_index: int
+    members: tuple[MemberView, ...]
+
+
+class DecisionView(msgspec.Struct, frozen=True):
+    """One decision in ``explain``."""
+
+    age_seconds: float
+    root: str
+    action: str
+    reason: str
+    endpoint: str
+    detail: str
+
+
+class ExplainView(msgspec.Struct, frozen=True):
+    """Answer of ``explain``."""
+
+    node: str
+    decisions: tuple[DecisionView, ...]
