Hub, hub server, control client and driver: accepted changes reach daemons and reports come back

Need: a change has to be in force at 1,100 daemons within 4 s, from six control nodes, with slow, silent and restarted daemons and with control nodes that are cut off without a sign.

Weighed: daemons polling (at 4 s and 1,100 daemons 275 requests a second for nothing, and still seconds late), a stream of deltas from one node each (taken: one encoding, one write a daemon), a tree of daemons (less fan-out for control, but a lost inner daemon delays its branch). Heartbeats are deltas that change nothing, so no further message is needed. A node without a quorum sends its daemons elsewhere: else they would hang on a node that is alive and learns nothing. A slow daemon is skipped and gets one merged delta later, so its buffer bounds the memory it costs.

Ledger requests travel on the same connection with identities, and are sent again on the next one.

--- /dev/null
+++ b/src/finchshed/distribution/addresses.py
@@ -0,0 +1,97 @@
+"""Which control node a daemon tries next. Pure; randomness is passed in.
+
+Nodes of the own zone come first, the others in an order of the daemon's own, so that the daemons
+of a lost control node spread over the rest. A node that failed is tried again after a delay that
+doubles, with jitter over its whole length ("full jitter", Brooker, AWS Architecture Blog, 2015).
+"""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+FIRST_BACKOFF_SECONDS = 0.2
+LONGEST_BACKOFF_SECONDS = 5.0
+STABLE_SECONDS = 10.0
+"""A connection that lived this long counts as a success, and the delay starts anew."""
+
+
+@dataclass(frozen=True, slots=True)
+class ControlAddress:
+    """Distribution address ``host:port`` of a control node; ``zone`` is empty if not known."""
+
+    address: str
+    zone: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """Try ``address`` after ``wait_seconds``."""
+
+    address: ControlAddress
+    wait_seconds: float
+
+
+@dataclass(slots=True)
+class _Record:
+    failures: int
+    ready_at: float
+    rank: float
+
+
+def parse_control_address(text: str) -> ControlAddress:
+    """Read ``zone=host:port`` or ``host:port``."""
+    zone, separator, address = text.partition("=")
+    return ControlAddress(address, zone) if separator else ControlAddress(text)
+
+
+class AddressBook:
+    """Control nodes as one daemon knows them.
+
+    Parameters
+    ----------
+    addresses
+        Control nodes of the settings; at least one.
+    zone
+        Zone of the daemon.
+    rng
+        Source of the order and of the jitter.
+    """
+
+    def __init__(self, addresses: Iterable[ControlAddress], zone: str, rng: random.Random) -> None:
+        self._zone = zone
+        self._rng = rng
+        self._records: dict[ControlAddress, _Record] = {}
+        for address in addresses:
+            self._add(address)
+
+    def add(self, addresses: Iterable[str]) -> None:
+        """Take in nodes named by a redirect."""
+        known = {entry.address for entry in self._records}
+        for text in addresses:
+            if text not in known:
+                self._add(ControlAddress(text))
+
+    def next_attempt(self, now: float) -> Attempt:
+        """Return the most preferred node that is ready, or else the first to be ready."""
+        ready = [entry for entry, record in self._records.items() if record.ready_at <= now]
+        if ready:
+            return Attempt(min(ready, key=self._preference), 0.0)
+        first = min(self._records, key=lambda entry: self._records[entry].ready_at)
+        return Attempt(first, self._records[first].ready_at - now)
+
+    def on_ended(self, address: ControlAddress, lived_seconds: float, now: float) -> None:
+        """Note that an attempt or a connection has ended; ``lived_seconds`` 0: never opened."""
+        record = self._records[address]
+        if lived_seconds >= STABLE_SECONDS:
+            record.failures = 0
+        bound = min(FIRST_BACKOFF_SECONDS * 2.0**record.failures, LONGEST_BACKOFF_SECONDS)
+        record.failures += 1
+        record.rank = self._rng.random()
+        record.ready_at = now + bound * (0.5 + 0.5 * self._rng.random())
+
+    def _add(self, address: ControlAddress) -> None:
+        self._records[address] = _Record(0, 0.0, self._rng.random())
+
+    def _preference(self, address: ControlAddress) -> tuple[int, bool, float]:
+        record = self._records[address]
+        return (min(record.failures, 1), address.zone != self._zone, record.rank)
--- /dev/null
+++ b/src/finchshed/distribution/client.py
@@ -0,0 +1,304 @@
+"""A daemon's connection to control: one at a time, to whichever control node serves.
+
+Real daemons and hollow ones of the scale run use this class alike. It opens the connection,
+subscribes, notices a control node that is cut off in silence by its missing heartbeats, moves to
+another, and carries ledger requests, which are sent again on the next connection until they are
+answered or their time is up.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from finchshed.common.outcomes import Answered
+from finchshed.distribution.addresses import AddressBook, ControlAddress
+from finchshed.distribution.messages import (
+    ControlToDaemon,
+    Delta,
+    Fetch,
+    InForce,
+    LedgerBegin,
+    LedgerCancel,
+    LedgerComplete,
+    LedgerCompleted,
+    LedgerGranted,
+    LedgerNoted,
+    LedgerRefused,
+    LedgerUnknown,
+    Redirect,
+    Subscribe,
+)
+from finchshed.link.lines import LineProtocol
+
+LedgerAnswer: TypeAlias = (
+    LedgerGranted | LedgerCompleted | LedgerUnknown | LedgerRefused | LedgerNoted
+)
+LedgerRequest: TypeAlias = LedgerBegin | LedgerCancel | LedgerComplete
+Connection: TypeAlias = LineProtocol[ControlToDaemon]
+
+CONNECT_SECONDS = 1.0
+SILENCE_SECONDS = 2.0
+"""A control node that sent nothing for this long is left; it sends each half second."""
+
+ABANDON_SECONDS = 30.0
+"""How long the cancel of an attempt whose grant did not come in time is tried."""
+
+HEARTBEAT_SECONDS = 1.0
+CHECK_SECONDS = 0.5
+MAX_PENDING_REQUESTS = 8192
+MAX_LINE_BYTES = 96 << 20
+
+
+@dataclass(frozen=True, slots=True)
+class ClientIdentity:
+    """Who the daemon is, as told to control nodes."""
+
+    node: str
+    incarnation: str
+    service: str
+    zone: str
+    endpoint: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ClientHandlers:
+    """What the client tells its owner.
+
+    ``revision_held`` and ``revision_in_force`` are read for subscriptions and heartbeats.
+    """
+
+    on_delta: Callable[[Delta], None]
+    on_connected: Callable[[], None]
+    on_lost: Callable[[], None]
+    revision_held: Callable[[], int]
+    revision_in_force: Callable[[], int]
+
+
+@dataclass(slots=True)
+class _Pending:
+    message: LedgerRequest
+    answer: asyncio.Future[LedgerAnswer]
+    sent: bool = False
+
+
+class ControlClient:
+    """Keeps a connection to one control node.
+
+    Parameters
+    ----------
+    identity
+        Who subscribes.
+    addresses
+        Control nodes of the settings; at least one.
+    handlers
+        Callbacks, all called on the event loop.
+    rng
+        Source of order and jitter.
+    """
+
+    def __init__(
+        self,
+        identity: ClientIdentity,
+        addresses: Iterable[ControlAddress],
+        handlers: ClientHandlers,
+        rng: random.Random,
+    ) -> None:
+        self._identity = identity
+        self._handlers = handlers
+        self._book = AddressBook(addresses, identity.zone, rng)
+        self._connection: Connection | None = None
+        self._ended: asyncio.Event = asyncio.Event()
+        self._is_subscribed = False
+        self._heard_at = 0.0
+        self._heartbeat_due = 0.0
+        self._pending: dict[int, _Pending] = {}
+        self._last_request = 0
+        self._abandoning: set[asyncio.Task[bool]] = set()
+        self._bytes_before = (0, 0)
+        self.connections_made = 0
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether a control node has answered the subscription and still serves."""
+        return self._is_subscribed
+
+    @property
+    def peer_address(self) -> str:
+        """Address of the control node in use, or empty."""
+        return "" if self._connection is None else self._connection.peer_address
+
+    def bytes_moved(self) -> tuple[int, int]:
+        """Return bytes received and sent since the start."""
+        received, sent = self._bytes_before
+        if self._connection is None:
+            return received, sent
+        return received + self._connection.bytes_received, sent + self._connection.bytes_sent
+
+    async def run(self) -> None:
+        """Stay connected until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            attempt = self._book.next_attempt(loop.time())
+            if attempt.wait_seconds > 0.0:
+                await asyncio.sleep(attempt.wait_seconds)
+                continue
+            lived = await self._connect_and_serve(attempt.address)
+            self._book.on_ended(attempt.address, lived, loop.time())
+
+    def report_in_force(self, revision: int) -> None:
+        """Tell the control node which revision is in force here."""
+        if self._connection is not None and self._is_subscribed:
+            self._connection.send(InForce(revision))
+            self._heartbeat_due = asyncio.get_running_loop().time() + HEARTBEAT_SECONDS
+
+    def fetch(self, revision: int) -> None:
+        """Ask the control node for what follows ``revision``."""
+        if self._connection is not None:
+            self._connection.send(Fetch(revision))
+
+    async def begin(self, key: str, attempt: str, timeout_seconds: float) -> LedgerAnswer:
+        """Ask leave to run the request under ``key``; once granted, the attempt may be sent once.
+
+        When no answer comes in time the attempt must not be sent: it is cancelled in the
+        background, and the answer is :class:`LedgerRefused`.
+        """
+        number = self._next_request()
+        pending = _Pending(LedgerBegin(number, key, attempt, self._identity.node), _future())
+        answer = await self._request(pending, timeout_seconds)
+        if answer is not None:
+            return answer
+        if pending.sent:
+            self._abandon(key, attempt)
+        return LedgerRefused(number, expired=False, detail="no answer from control")
+
+    async def cancel(self, key: str, attempt: str, timeout_seconds: float) -> bool:
+        """Free the key of an attempt that was granted and not sent; True once committed."""
+        pending = _Pending(LedgerCancel(self._next_request(), key, attempt), _future())
+        return isinstance(await self._request(pending, timeout_seconds), LedgerNoted)
+
+    async def complete(
+        self, key: str, attempt: str, answer: Answered, timeout_seconds: float
+    ) -> bool:
+        """Record the answer of an attempt that ran; True once committed."""
+        message = LedgerComplete(self._next_request(), key, attempt, answer)
+        pending = _Pending(message, _future())
+        return isinstance(await self._request(pending, timeout_seconds), LedgerNoted)
+
+    def _next_request(self) -> int:
+        self._last_request += 1
+        return self._last_request
+
+    def _abandon(self, key: str, attempt: str) -> None:
+        task = asyncio.create_task(self.cancel(key, attempt, ABANDON_SECONDS))
+        self._abandoning.add(task)
+        task.add_done_callback(self._abandoning.discard)
+
+    async def _request(self, pending: _Pending, timeout_seconds: float) -> LedgerAnswer | None:
+        if len(self._pending) >= MAX_PENDING_REQUESTS:
+            return None
+        number = pending.message.request
+        self._pending[number] = pending
+        if self._connection is not None:
+            self._send_pending(self._connection, pending)
+        try:
+            return await asyncio.wait_for(pending.answer, timeout_seconds)
+        except TimeoutError:
+            return None
+        finally:
+            del self._pending[number]
+
+    @staticmethod
+    def _send_pending(connection: Connection, pending: _Pending) -> None:
+        if connection.send(pending.message):
+            pending.sent = True
+
+    async def _connect_and_serve(self, address: ControlAddress) -> float:
+        """Return for how many seconds the connection served."""
+        loop = asyncio.get_running_loop()
+        host, _, port = address.address.rpartition(":")
+        self._ended.clear()
+        try:
+            _, connection = await asyncio.wait_for(
+                loop.create_connection(self._make_protocol, host, int(port)), CONNECT_SECONDS
+            )
+        except (OSError, TimeoutError):
+            return 0.0
+        opened_at = self._heard_at = loop.time()
+        self._connection = connection
+        self.connections_made += 1
+        self._subscribe(connection)
+        try:
+            await self._watch(connection)
+        finally:
+            self._leave(connection)
+        return loop.time() - opened_at
+
+    def _make_protocol(self) -> Connection:
+        return LineProtocol(ControlToDaemon, self._on_message, None, self._on_close, MAX_LINE_BYTES)
+
+    def _subscribe(self, connection: Connection) -> None:
+        identity = self._identity
+        connection.send(
+            Subscribe(
+                node=identity.node,
+                incarnation=identity.incarnation,
+                service=identity.service,
+                zone=identity.zone,
+                revision=self._handlers.revision_held(),
+                endpoint=identity.endpoint,
+            )
+        )
+        for pending in self._pending.values():
+            self._send_pending(connection, pending)
+
+    async def _watch(self, connection: Connection) -> None:
+        """Return once the connection has ended or its control node has gone silent."""
+        loop = asyncio.get_running_loop()
+        while connection.is_open and not self._ended.is_set():
+            try:
+                await asyncio.wait_for(self._ended.wait(), CHECK_SECONDS)
+            except TimeoutError:
+                now = loop.time()
+                if now - self._heard_at > SILENCE_SECONDS:
+                    return
+                if self._is_subscribed and now >= self._heartbeat_due:
+                    self.report_in_force(self._handlers.revision_in_force())
+
+    def _leave(self, connection: Connection) -> None:
+        received, sent = self._bytes_before
+        self._bytes_before = (received + connection.bytes_received, sent + connection.bytes_sent)
+        self._connection = None
+        connection.abort()
+        if self._is_subscribed:
+            self._is_subscribed = False
+            self._handlers.on_lost()
+
+    def _on_message(self, connection: Connection, message: ControlToDaemon) -> None:
+        if connection is not self._connection:
+            return
+        self._heard_at = asyncio.get_running_loop().time()
+        if isinstance(message, Delta):
+            if not self._is_subscribed:
+                self._is_subscribed = True
+                self._handlers.on_connected()
+            self._handlers.on_delta(message)
+        elif isinstance(message, Redirect):
+            self._book.add(message.addresses)
+            self._ended.set()
+        else:
+            self._on_ledger_answer(message)
+
+    def _on_ledger_answer(self, message: LedgerAnswer) -> None:
+        pending = self._pending.get(message.request)
+        if pending is not None and not pending.answer.done():
+            pending.answer.set_result(message)
+
+    def _on_close(self, connection: Connection, error: Exception | None) -> None:
+        if connection is self._connection:
+            self._ended.set()
+
+
+def _future() -> asyncio.Future[LedgerAnswer]:
+    return asyncio.get_running_loop().create_future()
--- a/src/finchshed/distribution/messages.py
+++ b/src/finchshed/distribution/messages.py
@@ -12,14 +12,18 @@
 from finchshed.configuration.resources import Resource, ResourceKey
 
 
-class Subscribe(msgspec.Struct, frozen=True, tag="subscribe"):
-    """First line of a daemon: who it is and the highest revision it holds (0: none)."""
+class Subscribe(msgspec.Struct, frozen=True, omit_defaults=True, tag="subscribe"):
+    """First line of a daemon: who it is and the highest revision it holds (0: none).
+
+    ``endpoint`` names the declared endpoint the daemon stands beside; empty on an edge.
+    """
 
     node: str
     incarnation: str
     service: str
     zone: str
     revision: int
+    endpoint: str = ""
 
 
 class Delta(msgspec.Struct, frozen=True, omit_defaults=True, tag="delta"):
--- /dev/null
+++ b/src/finchshed/distribution/server.py
@@ -0,0 +1,187 @@
+"""Shell of the hub: accepts daemons' connections and carries the hub's effects out.
+
+Ledger requests come up the same connections and are handed to the control program.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+from typing import TypeAlias
+
+from loguru import logger
+
+from finchshed.common.errors import FinchshedError
+from finchshed.distribution.hub import Hub
+from finchshed.distribution.hub_effects import Close, HubEffect, RequestConfirmation, Send
+from finchshed.distribution.messages import (
+    ControlToDaemon,
+    DaemonToControl,
+    Delta,
+    Fetch,
+    InForce,
+    LedgerBegin,
+    LedgerCancel,
+    LedgerComplete,
+    Subscribe,
+)
+from finchshed.distribution.snapshot import Configuration
+from finchshed.link.lines import LineProtocol
+
+LedgerRequest: TypeAlias = LedgerBegin | LedgerCancel | LedgerComplete
+Answer: TypeAlias = Callable[[ControlToDaemon], None]
+Connection: TypeAlias = LineProtocol[DaemonToControl]
+
+TICK_SECONDS = 0.25
+BUFFER_LIMIT_BYTES = 4 << 20
+"""A subscriber with more than this unsent is skipped until half of it has been sent."""
+
+MAX_REQUEST_BYTES = 96 << 20
+"""Longest line taken from a daemon; a completed call's whole answer is in it."""
+
+
+class HubServer:
+    """Serves daemons on one address.
+
+    Parameters
+    ----------
+    hub
+        The decisions; only this server calls it once it is started.
+    confirm
+        Reads the latest revision from a quorum and returns True once it is applied to the hub;
+        False or a :class:`FinchshedError` if no quorum answered.
+    on_ledger
+        Called with each ledger request and the function that sends its answer.
+    """
+
+    def __init__(
+        self,
+        hub: Hub,
+        confirm: Callable[[], Awaitable[bool]],
+        on_ledger: Callable[[LedgerRequest, Answer], None],
+    ) -> None:
+        self._hub = hub
+        self._confirm = confirm
+        self._on_ledger = on_ledger
+        self._connections: dict[int, Connection] = {}
+        self._numbers: dict[Connection, int] = {}
+        self._last_number = 0
+        self._ticket: int | None = None
+        self._confirming: asyncio.Task[None] | None = None
+        self._ticking: asyncio.Task[None] | None = None
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen and return the port, which is chosen by the system if ``port`` is 0."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._make_protocol, host, port, backlog=2048)
+        self._ticking = asyncio.create_task(self._tick_forever())
+        return int(self._server.sockets[0].getsockname()[1])
+
+    async def close(self) -> None:
+        """Stop listening and close all connections."""
+        for task in (self._ticking, self._confirming):
+            if task is not None:
+                task.cancel()
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections.values()):
+            connection.abort()
+
+    def commit(self, delta: Delta) -> None:
+        """Send a committed change to all subscribers."""
+        self._perform(self._hub.on_committed(delta, self._now()))
+
+    def restore(self, configuration: Configuration) -> None:
+        """Take a whole configuration from a snapshot."""
+        self._perform(self._hub.restore(configuration, self._now()))
+
+    def note_contact(self, in_contact: bool) -> None:
+        """Note whether this node is in contact with a quorum; call at least every half second."""
+        self._hub.on_contact(in_contact, self._now())
+
+    def _make_protocol(self) -> Connection:
+        return LineProtocol(
+            DaemonToControl, self._on_message, None, self._on_close, MAX_REQUEST_BYTES
+        )
+
+    def _on_message(self, connection: Connection, message: DaemonToControl) -> None:
+        if isinstance(message, Subscribe):
+            self._subscribe(connection, message)
+            return
+        number = self._numbers.get(connection)
+        if number is None:
+            connection.abort()
+        elif isinstance(message, InForce):
+            self._hub.on_in_force(number, message.revision, self._now())
+        elif isinstance(message, Fetch):
+            self._perform(self._hub.on_fetch(number, message.revision, self._now()))
+        else:
+            self._on_ledger(message, lambda answer: _send(connection, answer))
+
+    def _subscribe(self, connection: Connection, message: Subscribe) -> None:
+        if connection in self._numbers:
+            connection.abort()
+            return
+        self._last_number += 1
+        self._numbers[connection] = self._last_number
+        self._connections[self._last_number] = connection
+        self._perform(self._hub.subscribe(self._last_number, message, self._now()))
+
+    def _on_close(self, connection: Connection, error: Exception | None) -> None:
+        number = self._numbers.pop(connection, None)
+        if number is not None:
+            del self._connections[number]
+            self._hub.unsubscribe(number)
+
+    def _perform(self, effects: Sequence[HubEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._send(effect)
+            elif isinstance(effect, RequestConfirmation):
+                self._ticket = effect.ticket
+                self._start_confirming()
+            elif isinstance(effect, Close):
+                connection = self._connections.get(effect.subscriber)
+                if connection is not None:
+                    connection.abort()
+
+    def _send(self, effect: Send) -> None:
+        line = effect.line.line
+        for number in effect.subscribers:
+            connection = self._connections.get(number)
+            if connection is None:
+                continue
+            connection.send_encoded(line)
+            if connection.unsent_bytes() > BUFFER_LIMIT_BYTES:
+                self._hub.on_buffer(number, True, self._now())
+
+    def _start_confirming(self) -> None:
+        if self._confirming is None or self._confirming.done():
+            self._confirming = asyncio.create_task(self._confirm_tickets())
+
+    async def _confirm_tickets(self) -> None:
+        while self._ticket is not None:
+            ticket, self._ticket = self._ticket, None
+            try:
+                confirmed = await self._confirm()
+            except FinchshedError as error:
+                logger.debug("no confirmation by a quorum: {}", error)
+                confirmed = False
+            if confirmed:
+                self._perform(self._hub.on_confirmed(ticket, self._now()))
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            for number in self._hub.full_subscribers():
+                connection = self._connections.get(number)
+                if connection is None or connection.unsent_bytes() <= BUFFER_LIMIT_BYTES // 2:
+                    self._perform(self._hub.on_buffer(number, False, self._now()))
+            self._perform(self._hub.tick(self._now()))
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
+
+
+def _send(connection: Connection, answer: ControlToDaemon) -> None:
+    connection.send(answer)
--- /dev/null
+++ b/tests/distribution/test_addresses.py
@@ -0,0 +1,54 @@
+"""Order and backoff of control nodes."""
+
+import random
+
+from finchshed.distribution.addresses import (
+    LONGEST_BACKOFF_SECONDS,
+    STABLE_SECONDS,
+    AddressBook,
+    ControlAddress,
+    parse_control_address,
+)
+
+NODES = [ControlAddress(f"10.0.0.{number}:1", f"z{number}") for number in range(1, 7)]
+
+
+def test_reads_addresses_with_and_without_a_zone() -> None:
+    assert parse_control_address("z1=10.0.0.1:9") == ControlAddress("10.0.0.1:9", "z1")
+    assert parse_control_address("10.0.0.1:9") == ControlAddress("10.0.0.1:9")
+
+
+def test_the_own_zone_comes_first() -> None:
+    for seed in range(20):
+        book = AddressBook(NODES, "z4", random.Random(seed))
+        assert book.next_attempt(0.0).address == NODES[3]
+
+
+def test_daemons_of_a_lost_node_spread_over_the_others() -> None:
+    second = set()
+    for seed in range(60):
+        book = AddressBook(NODES, "z4", random.Random(seed))
+        book.on_ended(NODES[3], 0.0, 0.0)
+        second.add(book.next_attempt(0.0).address)
+    assert second == set(NODES) - {NODES[3]}
+
+
+def test_delays_grow_to_a_bound_and_start_anew_after_a_stable_connection() -> None:
+    book = AddressBook(NODES[:1], "z1", random.Random(1))
+    waits = []
+    now = 0.0
+    for _ in range(12):
+        book.on_ended(NODES[0], 0.0, now)
+        waits.append(book.next_attempt(now).wait_seconds)
+        now += waits[-1]
+    assert waits[-1] > 10 * waits[0]
+    assert max(waits) <= LONGEST_BACKOFF_SECONDS
+    book.on_ended(NODES[0], STABLE_SECONDS, now)
+    assert book.next_attempt(now).wait_seconds < 0.5
+
+
+def test_a_redirect_adds_unknown_nodes_only() -> None:
+    book = AddressBook(NODES[:1], "z1", random.Random(1))
+    book.add((NODES[0].address, "10.0.0.9:1"))
+    book.on_ended(NODES[0], 0.0, 0.0)
+    assert book.next_attempt(0.0).address == ControlAddress("10.0.0.9:1")
--- /dev/null
+++ b/tests/distribution/test_client.py
@@ -0,0 +1,211 @@
+"""Hub server, client and driver over loopback."""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable
+from pathlib import Path
+
+import pytest
+import pytest_asyncio
+
+from finchshed.configuration.resources import Endpoint, Service
+from finchshed.distribution import client as client_module
+from finchshed.distribution.addresses import ControlAddress
+from finchshed.distribution.client import ClientIdentity
+from finchshed.distribution.driver import FollowerDriver
+from finchshed.distribution.effects import ServingGround
+from finchshed.distribution.hub import Hub
+from finchshed.distribution.messages import (
+    Delta,
+    LedgerBegin,
+    LedgerCancel,
+    LedgerGranted,
+    LedgerNoted,
+    LedgerRefused,
+)
+from finchshed.distribution.server import Answer, HubServer, LedgerRequest
+from finchshed.distribution.snapshot import Configuration
+
+GIVE_UP_SECONDS = 20.0
+
+
+def change(revision: int) -> Delta:
+    return Delta(revision - 1, revision, puts=(Service(name=f"s{revision}"),))
+
+
+async def eventually(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(GIVE_UP_SECONDS):
+        while not condition():  # noqa: ASYNC110 - conditions of other tasks have no event
+            await asyncio.sleep(0.01)
+
+
+class ControlNode:
+    """A hub server with a quorum that can be taken away."""
+
+    def __init__(self) -> None:
+        self.hub = Hub("c")
+        self.has_quorum = True
+        self.requests: list[LedgerRequest] = []
+        self.answers_ledger = True
+        self.server = HubServer(self.hub, self.confirm, self.on_ledger)
+        self.port = 0
+
+    async def confirm(self) -> bool:
+        return self.has_quorum
+
+    def on_ledger(self, request: LedgerRequest, answer: Answer) -> None:
+        self.requests.append(request)
+        if not self.answers_ledger:
+            return
+        if isinstance(request, LedgerBegin):
+            answer(LedgerGranted(request.request))
+        else:
+            answer(LedgerNoted(request.request))
+
+    async def start(self) -> ControlAddress:
+        self.port = await self.server.start("127.0.0.1", 0)
+        self.server.note_contact(True)
+        return ControlAddress(f"127.0.0.1:{self.port}")
+
+
+class Daemon:
+    """A listener that notes what it is told."""
+
+    def __init__(self, addresses: list[ControlAddress], folder: Path | None = None) -> None:
+        identity = ClientIdentity("n1", "1", "licence", "z1")
+        self.grounds: list[ServingGround] = []
+        self.revisions: list[int] = []
+        self.driver = FollowerDriver(identity, addresses, self, random.Random(1), folder)
+        self.task = asyncio.create_task(self.driver.run())
+
+    def take_effect(self, previous: Configuration, current: Configuration) -> None:
+        self.revisions.append(current.revision)
+
+    def start_serving(self, ground: ServingGround) -> None:
+        self.grounds.append(ground)
+
+    def fetch_from_peer(self, peer: str, revision: int) -> None:
+        pass
+
+    def greet_peers(self, endpoints: tuple[Endpoint, ...]) -> None:
+        pass
+
+
+Starter = Callable[[], Awaitable[tuple[ControlNode, ControlAddress]]]
+
+
+@pytest_asyncio.fixture
+async def start_node() -> AsyncIterator[Starter]:
+    nodes: list[ControlNode] = []
+
+    async def start() -> tuple[ControlNode, ControlAddress]:
+        node = ControlNode()
+        nodes.append(node)
+        return node, await node.start()
+
+    yield start
+    for node in nodes:
+        await node.server.close()
+
+
+async def test_changes_reach_a_daemon_and_its_report_comes_back(start_node: Starter) -> None:
+    node, address = await start_node()
+    node.server.commit(change(1))
+    daemon = Daemon([address])
+    await eventually(lambda: daemon.grounds == [ServingGround.QUORUM])
+    node.server.commit(change(2))
+    await eventually(lambda: daemon.revisions[-1] == 2)
+    await eventually(lambda: [s.revision for s in node.hub.collect_report(True).daemons] == [2])
+    assert daemon.revisions == sorted(set(daemon.revisions))
+    daemon.task.cancel()
+
+
+async def test_without_a_quorum_the_daemon_holds_the_configuration_and_takes_no_call(
+    start_node: Starter,
+) -> None:
+    node, address = await start_node()
+    node.has_quorum = False
+    node.server.commit(change(1))
+    daemon = Daemon([address])
+    await eventually(lambda: daemon.revisions == [1])
+    await asyncio.sleep(1.0)
+    assert not daemon.driver.follower.may_serve
+    node.has_quorum = True
+    await eventually(lambda: daemon.driver.follower.may_serve)
+    daemon.task.cancel()
+
+
+async def test_a_daemon_moves_away_from_a_lost_node_and_from_one_without_quorum(
+    start_node: Starter,
+) -> None:
+    first, first_address = await start_node()
+    second, second_address = await start_node()
+    daemon = Daemon([first_address, second_address])
+    await eventually(lambda: daemon.driver.client.is_connected)
+    at_first = first.hub.subscriber_count() == 1
+    here, there = (first, second) if at_first else (second, first)
+    here.server.note_contact(False)
+    await eventually(lambda: there.hub.subscriber_count() == 1)
+    here.server.note_contact(True)
+    await there.server.close()
+    await eventually(lambda: here.hub.subscriber_count() == 1)
+    daemon.task.cancel()
+
+
+async def test_a_node_cut_off_in_silence_is_left(
+    start_node: Starter, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(client_module, "SILENCE_SECONDS", 0.6)
+    silent = await asyncio.get_running_loop().create_server(asyncio.Protocol, "127.0.0.1", 0)
+    port = silent.sockets[0].getsockname()[1]
+    node, address = await start_node()
+    daemon = Daemon([ControlAddress(f"127.0.0.1:{port}", "z1"), address])
+    await eventually(lambda: node.hub.subscriber_count() == 1)
+    daemon.task.cancel()
+    silent.close()
+
+
+async def test_a_restart_from_disk_subscribes_from_what_it_held(
+    start_node: Starter, tmp_path: Path
+) -> None:
+    node, address = await start_node()
+    node.server.commit(change(1))
+    node.server.commit(change(2))
+    daemon = Daemon([address], tmp_path)
+    await eventually(lambda: daemon.driver.follower.may_serve)
+    daemon.task.cancel()
+    node.server.commit(change(3))
+    again = Daemon([address], tmp_path)
+    assert again.driver.follower.held_revision == 2
+    await eventually(lambda: again.driver.follower.may_serve)
+    assert again.revisions == [2, 3]
+    again.task.cancel()
+
+
+async def test_ledger_requests_are_answered_and_sent_again_on_the_next_connection(
+    start_node: Starter,
+) -> None:
+    node, address = await start_node()
+    daemon = Daemon([address])
+    client = daemon.driver.client
+    await eventually(lambda: client.is_connected)
+    assert isinstance(await client.begin("k1", "a1", 10.0), LedgerGranted)
+    node.answers_ledger = False
+    asking = asyncio.create_task(client.begin("k2", "a2", 10.0))
+    await eventually(lambda: len(node.requests) == 2)
+    node.answers_ledger = True
+    await node.server.close()
+    await node.server.start("127.0.0.1", node.port)
+    assert isinstance(await asking, LedgerGranted)
+    daemon.task.cancel()
+
+
+async def test_an_attempt_without_a_timely_grant_is_cancelled(start_node: Starter) -> None:
+    node, address = await start_node()
+    node.answers_ledger = False
+    daemon = Daemon([address])
+    client = daemon.driver.client
+    await eventually(lambda: client.is_connected)
+    assert isinstance(await client.begin("k", "a", 0.1), LedgerRefused)
+    await eventually(lambda: isinstance(node.requests[-1], LedgerCancel))
+    daemon.task.cancel()
--- /dev/null
+++ b/tests/distribution/test_hub.py
@@ -0,0 +1,167 @@
+"""The hub: one encoding for many, merged catch-up, bounded buffers, confirmations, silence."""
+
+import pytest
+
+from finchshed.common.errors import InvariantError
+from finchshed.configuration.resources import ResourceKey, Service
+from finchshed.distribution.hub import Hub
+from finchshed.distribution.hub_effects import Close, HubLimits, RequestConfirmation, Send
+from finchshed.distribution.messages import Delta, Redirect, Subscribe
+from finchshed.distribution.snapshot import Configuration
+
+
+def change(revision: int, name: str = "") -> Delta:
+    name = name or f"s{revision}"
+    return Delta(revision - 1, revision, puts=(Service(name=name, deadline_seconds=revision),))
+
+
+def filled(revision: int, limits: HubLimits | None = None) -> Hub:
+    hub = Hub("c1", limits)
+    hub.on_contact(True, 0.0)
+    for number in range(1, revision + 1):
+        hub.on_committed(change(number), 0.0)
+    return hub
+
+
+def subscription(node: str, revision: int = 0) -> Subscribe:
+    return Subscribe(node, "1", "licence", "z1", revision)
+
+
+def sent(effects: object) -> list[tuple[tuple[int, ...], object]]:
+    return [
+        (effect.subscribers, effect.line.message)
+        for effect in effects  # type: ignore[attr-defined]
+        if isinstance(effect, Send)
+    ]
+
+
+def join(hub: Hub, number: int, revision: int = 0) -> None:
+    hub.subscribe(number, subscription(f"n{number}", revision), 0.0)
+
+
+def test_a_change_is_encoded_once_for_all_subscribers() -> None:
+    hub = filled(2)
+    join(hub, 1)
+    join(hub, 2)
+    effects = hub.on_committed(change(3), 1.0)
+    assert sent(effects) == [((1, 2), change(3))]
+    assert isinstance(effects[0], Send)
+    assert effects[0].line.line is effects[0].line.line
+
+
+def test_who_is_behind_gets_one_merged_delta() -> None:
+    hub = filled(3)
+    hub.on_committed(Delta(3, 4, deletes=(ResourceKey("service", "s3"),)), 0.0)
+    hub.on_committed(change(5, "s1"), 0.0)
+    ((numbers, message),) = sent(hub.subscribe(1, subscription("n1", 4), 0.0))
+    assert numbers == (1,)
+    assert message == change(5, "s1")
+    ((_, message),) = sent(hub.subscribe(2, subscription("n2", 3), 0.0))
+    assert isinstance(message, Delta)
+    assert (message.base, message.revision) == (3, 5)
+    assert message.deletes == (ResourceKey("service", "s3"),)
+
+
+def test_who_is_behind_the_history_gets_the_whole() -> None:
+    hub = filled(10, HubLimits(history_changes=4))
+    ((_, message),) = sent(hub.subscribe(1, subscription("n1", 3), 0.0))
+    assert isinstance(message, Delta)
+    assert (message.base, message.revision, len(message.puts)) == (0, 10, 10)
+
+
+def test_who_is_ahead_of_this_node_is_sent_nothing_until_it_has_caught_up() -> None:
+    hub = filled(3)
+    effects = hub.subscribe(1, subscription("n1", 5), 0.0)
+    assert sent(effects) == []
+    assert sent(hub.on_confirmed(1, 0.1)) == []
+    hub.on_committed(change(4), 0.2)
+    hub.on_committed(change(5), 0.2)
+    assert sent(hub.on_committed(change(6), 0.3)) == [((1,), change(6))]
+
+
+def test_a_confirmation_covers_subscriptions_made_before_it_was_asked_for() -> None:
+    hub = filled(2)
+    first = hub.subscribe(1, subscription("n1", 2), 0.0)
+    assert first == [RequestConfirmation(1)]
+    assert RequestConfirmation not in map(type, hub.subscribe(2, subscription("n2", 2), 0.0))
+    effects = hub.on_confirmed(1, 0.1)
+    assert sent(effects) == [((1,), Delta(2, 2, confirmed=True))]
+    assert RequestConfirmation(2) in effects
+    assert sent(hub.on_confirmed(2, 0.2)) == [((2,), Delta(2, 2, confirmed=True))]
+
+
+def test_an_empty_configuration_is_sent_whole_and_confirmed() -> None:
+    hub = Hub("c1")
+    effects = hub.subscribe(1, subscription("n1"), 0.0)
+    assert sent(effects) == [((1,), Delta(0, 0))]
+
+
+def test_an_unanswered_confirmation_is_asked_for_again() -> None:
+    hub = filled(1)
+    join(hub, 1)
+    assert any(isinstance(effect, RequestConfirmation) for effect in hub.tick(1.0))
+
+
+def test_a_full_subscriber_is_skipped_and_caught_up_once_it_has_drained() -> None:
+    hub = filled(3)
+    join(hub, 1)
+    join(hub, 2)
+    hub.on_buffer(1, True, 0.5)
+    assert hub.full_subscribers() == (1,)
+    for number in range(4, 40):
+        assert [numbers for numbers, _ in sent(hub.on_committed(change(number), 1.0))] == [(2,)]
+    ((numbers, message),) = sent(hub.on_buffer(1, False, 2.0))
+    assert numbers == (1,)
+    assert isinstance(message, Delta)
+    assert message.revision == 39
+
+
+def test_a_fetch_that_crossed_a_delta_is_answered_only_when_repeated() -> None:
+    hub = filled(3)
+    join(hub, 1)
+    hub.on_committed(change(4), 1.0)
+    assert hub.on_fetch(1, 3, 1.1) == ()
+    assert sent(hub.on_fetch(1, 3, 2.1)) == [((1,), change(4))]
+
+
+def test_a_silent_subscriber_is_dropped() -> None:
+    hub = filled(1)
+    join(hub, 1)
+    join(hub, 2)
+    hub.on_in_force(2, 1, 4.0)
+    effects = hub.tick(hub.limits.silence_seconds + 1.0)
+    assert Close(1) in effects
+    assert Close(2) not in effects
+    assert hub.subscriber_count() == 1
+
+
+def test_a_node_without_a_quorum_sends_its_subscribers_elsewhere() -> None:
+    hub = filled(1)
+    hub.set_alternatives(("10.0.0.2:1",))
+    join(hub, 1)
+    hub.on_contact(False, 1.0)
+    assert Redirect(("10.0.0.2:1",)) not in [message for _, message in sent(hub.tick(1.1))]
+    hub.on_in_force(1, 1, 3.0)
+    assert ((1,), Redirect(("10.0.0.2:1",))) in sent(hub.tick(3.0))
+    assert sent(hub.tick(4.0)) == []
+
+
+def test_the_committed_configuration_never_goes_back() -> None:
+    hub = filled(3)
+    with pytest.raises(InvariantError):
+        hub.on_committed(change(3), 0.0)
+    with pytest.raises(InvariantError):
+        hub.on_committed(change(5), 0.0)
+    with pytest.raises(InvariantError):
+        hub.restore(Configuration(2), 0.0)
+
+
+def test_reports_list_changes_once() -> None:
+    hub = filled(2)
+    join(hub, 1)
+    hub.on_in_force(1, 2, 0.1)
+    assert [(item.node, item.revision) for item in hub.collect_report().daemons] == [("n1", 2)]
+    assert hub.collect_report().daemons == ()
+    assert len(hub.collect_report(everything=True).daemons) == 1
+    hub.unsubscribe(1)
+    assert [item.connected for item in hub.collect_report().daemons] == [False]
