--- /dev/null
+++ b/src/finchshed/control/distribution_service.py
@@ -0,0 +1,134 @@
+"""What control does for its daemons: configuration down, ledger requests and reports up."""
+
+import asyncio
+
+from finchshed.common.addresses import split_address
+from finchshed.configuration.store import CommittedRevision
+from finchshed.control.background import Background
+from finchshed.control.explanations import Explanations
+from finchshed.control.ledger_service import LedgerRequest, LedgerService
+from finchshed.control.replicated_log import ReplicatedLog
+from finchshed.control.state_machine import ControlStateMachine
+from finchshed.distribution.hub import Hub
+from finchshed.distribution.messages import Decision, Delta, Hints
+from finchshed.distribution.server import Answer, HubServer
+from finchshed.distribution.snapshot import Configuration
+from finchshed.distribution.status import DistributionStatus, InForceReport, StatusTable
+
+CONTACT_SECONDS = 0.4
+"""Time between looks at whether this node is in contact with a quorum."""
+
+REPORT_SECONDS = 1.0
+FULL_REPORT_EVERY = 10
+"""Each so many reports one lists every daemon, in case one was lost."""
+
+
+class DistributionService:
+    """Joins the hub to the replicated log.
+
+    Parameters
+    ----------
+    node
+        Name of this control node.
+    """
+
+    def __init__(
+        self, node: str, machine: ControlStateMachine, log: ReplicatedLog, background: Background
+    ) -> None:
+        self._machine = machine
+        self._log = log
+        self._background = background
+        self._ledger = LedgerService(log, background)
+        self._hub = Hub(node)
+        self._explanations = Explanations()
+        self._server = HubServer(
+            self._hub, self._confirm, self._on_ledger, self._explanations.on_reply
+        )
+        self._requests: set[asyncio.Task[None]] = set()
+        self._status: StatusTable | None = None
+        self._is_serving = False
+
+    async def start(self, address: str) -> None:
+        """Listen for daemons at ``address``."""
+        loop = asyncio.get_running_loop()
+        self._status = StatusTable(loop.time())
+        host, port = split_address(address)
+        await self._server.start(host, port)
+        self._is_serving = True
+        self._server.restore(self._configuration())
+        self._background.spawn(self._watch_contact())
+        self._background.spawn(self._report())
+
+    async def stop(self, timeout_seconds: float) -> None:
+        """Answer the requests in progress and close the links."""
+        self._is_serving = False
+        if self._requests:
+            await asyncio.wait(self._requests, timeout=timeout_seconds)
+        await self._server.close()
+
+    def set_alternatives(self, addresses: tuple[str, ...]) -> None:
+        """Name other control nodes' distribution addresses, for daemons that have to move."""
+        self._hub.set_alternatives(addresses)
+
+    def on_committed(self, committed: CommittedRevision) -> None:
+        """Send an accepted change on."""
+        if self._is_serving:
+            self._server.commit(
+                Delta(
+                    committed.revision - 1, committed.revision, committed.puts, committed.deletes
+                )
+            )
+
+    def on_restored(self) -> None:
+        """Send the whole configuration on: the state was replaced by a snapshot."""
+        if self._is_serving:
+            self._server.restore(self._configuration())
+
+    def on_report(self, report: InForceReport) -> None:
+        """Take another control node's report of its daemons."""
+        if self._status is not None:
+            self._status.merge(report, asyncio.get_running_loop().time())
+
+    def send_hints(self, hints: Hints) -> None:
+        """Pass the platform's list on to every daemon."""
+        self._server.broadcast(hints)
+
+    def status(self) -> DistributionStatus:
+        """Return where which revision is in force, over all control nodes."""
+        assert self._status is not None, "status is asked for before start"
+        endpoints = (endpoint.name for endpoint in self._hub.configuration.endpoints())
+        return self._status.summary(asyncio.get_running_loop().time(), endpoints)
+
+    async def explain(self, node: str, root: str, limit: int) -> tuple[Decision, ...] | None:
+        """Return recent decisions of a daemon, or None when it can't be asked here."""
+        return await self._explanations.ask(self._server, node, root, limit)
+
+    def _configuration(self) -> Configuration:
+        store = self._machine.store
+        return Configuration(store.revision, dict(store.resources))
+
+    async def _confirm(self) -> bool:
+        await self._log.read_barrier()
+        return True
+
+    def _on_ledger(self, request: LedgerRequest, answer: Answer) -> None:
+        task = self._background.spawn(self._answer_ledger(request, answer))
+        self._requests.add(task)
+        task.add_done_callback(self._requests.discard)
+
+    async def _answer_ledger(self, request: LedgerRequest, answer: Answer) -> None:
+        answer(await self._ledger.answer(request))
+
+    async def _watch_contact(self) -> None:
+        while True:
+            self._server.note_contact(self._log.in_contact())
+            await asyncio.sleep(CONTACT_SECONDS)
+
+    async def _report(self) -> None:
+        number = 0
+        while True:
+            report = self._hub.collect_report(everything=number % FULL_REPORT_EVERY == 0)
+            number += 1
+            self.on_report(report)
+            self._log.send_report(report)
+            await asyncio.sleep(REPORT_SECONDS)
--- /dev/null
+++ b/src/finchshed/control/group_log.py
@@ -0,0 +1,237 @@
+"""The replicated log as seen from any control node: the leader is found, and asked again.
+
+Commands name themselves (a change its identity, a ledger request its attempt), so sending one
+again after a lost answer or a change of leader has no second effect.
+"""
+
+import asyncio
+import random
+
+from finchshed.common.errors import ControlUnavailableError
+from finchshed.consensus.membership import AddMember, MembershipChange, RemoveMember
+from finchshed.consensus.membership import MemberRole as GroupRole
+from finchshed.control.background import Background
+from finchshed.control.commands import Command, CommandResult
+from finchshed.control.peer_links import PeerLink, PeerLinks
+from finchshed.control.peer_messages import (
+    ForwardedChange,
+    ForwardedCommand,
+    ForwardOutcome,
+    ForwardReply,
+    PeerMessage,
+    RaftLine,
+)
+from finchshed.control.raft_host import NotTakenError, RaftHost, UndecidedError
+from finchshed.control.replicated_log import LogStatus, MemberRole, MemberStatus
+from finchshed.control.state_machine import ControlStateMachine
+from finchshed.distribution.status import InForceReport
+
+FIRST_PAUSE_SECONDS = 0.02
+LONGEST_PAUSE_SECONDS = 0.5
+FORWARD_SECONDS = 1.5
+"""A forwarded request unanswered for this long is sent again, perhaps to another leader."""
+
+
+class GroupLog:
+    """Implements :class:`finchshed.control.replicated_log.ReplicatedLog` over a group.
+
+    Parameters
+    ----------
+    timeout_seconds
+        Longest time for one request over all of its tries.
+    """
+
+    def __init__(
+        self,
+        host: RaftHost,
+        machine: ControlStateMachine,
+        background: Background,
+        timeout_seconds: float,
+    ) -> None:
+        self._host = host
+        self._machine = machine
+        self._background = background
+        self._timeout = timeout_seconds
+        self._links: PeerLinks | None = None
+        self._rng = random.Random()  # noqa: S311 - jitter
+        self._last_request = 0
+        self._forwarded: dict[int, asyncio.Future[ForwardReply]] = {}
+        self.on_report = _ignore_report
+
+    def start(self, links: PeerLinks) -> None:
+        """Take part in the group over ``links``."""
+        self._links = links
+        self._host.start(links)
+
+    async def propose(self, command: Command) -> CommandResult:
+        """Commit ``command`` through the leader; see :class:`ReplicatedLog`."""
+        retries = _Retries(self._host, self._timeout, self._rng)
+        while True:
+            try:
+                return await asyncio.wait_for(self._propose_once(command), retries.remaining())
+            except (NotTakenError, UndecidedError, TimeoutError) as error:
+                await retries.pause(error)
+
+    async def change_membership(self, change: MembershipChange) -> None:
+        """Commit a change of members through the leader.
+
+        Raises
+        ------
+        ControlUnavailableError
+            No leader took it in time; the text says why.
+        """
+        retries = _Retries(self._host, self._timeout, self._rng)
+        while True:
+            try:
+                await asyncio.wait_for(self._change_once(change), retries.remaining())
+            except (NotTakenError, UndecidedError, TimeoutError) as error:
+                await retries.pause(error)
+            else:
+                return
+
+    async def read_barrier(self) -> None:
+        """Return once all that was committed before the call is applied here."""
+        retries = _Retries(self._host, self._timeout, self._rng)
+        while True:
+            try:
+                await asyncio.wait_for(self._host.read(), retries.remaining())
+            except (NotTakenError, UndecidedError, TimeoutError) as error:
+                await retries.pause(error)
+            else:
+                return
+
+    def in_contact(self) -> bool:
+        """Return whether a leader is known, which has heard of a quorum not long ago."""
+        return self._host.node.leader is not None
+
+    def send_report(self, report: InForceReport) -> None:
+        """Send a report of daemons to every other member."""
+        if self._links is None:
+            return
+        for member in self._host.node.membership.members:
+            if member.identity.name != self._host.node.identity.name:
+                self._links.send(member.address, report)
+
+    def status(self) -> LogStatus:
+        """Return the state of the log at this node."""
+        node = self._host.node
+        known = {status.member.identity: status for status in node.member_statuses()}
+        members = []
+        for member in node.membership.members:
+            role = MemberRole.VOTER if member.role is GroupRole.VOTER else MemberRole.LEARNER
+            if member.identity == node.leader:
+                role = MemberRole.LEADER
+            status = known.get(member.identity)
+            members.append(
+                MemberStatus(
+                    name=member.identity.name,
+                    address=member.address,
+                    role=role,
+                    incarnation=member.identity.incarnation,
+                    match_index=status.match_index if status else 0,
+                    silent_seconds=status.silent_seconds if status else -1.0,
+                )
+            )
+        return LogStatus(
+            node=node.identity.name,
+            leader=node.leader.name if node.leader else "",
+            term=node.term,
+            commit_index=node.commit_index,
+            applied_index=self._machine.applied_index,
+            members=tuple(members),
+        )
+
+    def on_message(self, link: PeerLink, message: PeerMessage) -> None:
+        """Take a message of another control node."""
+        if isinstance(message, RaftLine):
+            self._host.receive(message.envelope)
+        elif isinstance(message, ForwardedCommand | ForwardedChange):
+            self._background.spawn(self._answer(link, message))
+        elif isinstance(message, ForwardReply):
+            future = self._forwarded.get(message.request)
+            if future is not None and not future.done():
+                future.set_result(message)
+        elif isinstance(message, InForceReport):
+            self.on_report(message)
+
+    async def _propose_once(self, command: Command) -> CommandResult:
+        if self._host.is_leader:
+            return await self._host.propose(command)
+        reply = await self._forward(ForwardedCommand(self._new_request(), command))
+        if reply.result is None:
+            raise UndecidedError("the leader answered without a result")
+        return reply.result
+
+    async def _change_once(self, change: MembershipChange) -> None:
+        if self._host.is_leader:
+            await self._host.change_membership(change)
+        else:
+            await self._forward(ForwardedChange(self._new_request(), change))
+
+    def _new_request(self) -> int:
+        self._last_request += 1
+        return self._last_request
+
+    async def _forward(self, message: ForwardedCommand | ForwardedChange) -> ForwardReply:
+        address = self._host.node.leader_address
+        if not address or self._links is None:
+            raise NotTakenError.no_leader()
+        future: asyncio.Future[ForwardReply] = asyncio.get_running_loop().create_future()
+        self._forwarded[message.request] = future
+        try:
+            if not self._links.send(address, message):
+                raise NotTakenError.no_leader()
+            reply = await asyncio.wait_for(future, FORWARD_SECONDS)
+        finally:
+            del self._forwarded[message.request]
+        if reply.outcome is ForwardOutcome.NOT_TAKEN:
+            raise NotTakenError.by_leader(reply.detail)
+        if reply.outcome is ForwardOutcome.UNKNOWN:
+            raise UndecidedError(reply.detail)
+        return reply
+
+    async def _answer(self, link: PeerLink, message: ForwardedCommand | ForwardedChange) -> None:
+        request = message.request
+        try:
+            result = None
+            if isinstance(message, ForwardedCommand):
+                result = await self._host.propose(message.command)
+            else:
+                await self._host.change_membership(message.change)
+        except NotTakenError as error:
+            link.send(ForwardReply(request, ForwardOutcome.NOT_TAKEN, detail=str(error)))
+        except UndecidedError as error:
+            link.send(ForwardReply(request, ForwardOutcome.UNKNOWN, detail=str(error)))
+        else:
+            link.send(ForwardReply(request, ForwardOutcome.DONE, result))
+
+    async def replace_member(self, remove: str, add: str) -> tuple[bool, str]:
+        """Make the next step of a replacement; see :mod:`finchshed.control.replacement`."""
+        raise NotImplementedError((remove, add, AddMember, RemoveMember))
+
+
+class _Retries:
+    """Pauses between the tries of one request, until its time is up."""
+
+    def __init__(self, host: RaftHost, timeout_seconds: float, rng: random.Random) -> None:
+        self._host = host
+        self._rng = rng
+        self._deadline = asyncio.get_running_loop().time() + timeout_seconds
+        self._pause = FIRST_PAUSE_SECONDS
+
+    def remaining(self) -> float:
+        """Return the seconds left."""
+        return max(0.0, self._deadline - asyncio.get_running_loop().time())
+
+    async def pause(self, error: Exception) -> None:
+        """Wait for a new leader or a while; raise when the time is up."""
+        if self.remaining() <= 0.0:
+            text = str(error) or "no quorum answered in time"
+            raise ControlUnavailableError(text) from error
+        pause = min(self._pause * (0.5 + self._rng.random()), self.remaining())
+        self._pause = min(2 * self._pause, LONGEST_PAUSE_SECONDS)
+        await self._host.wait_for_role_change(pause)
+
+
+def _ignore_report(_report: InForceReport) -> None:
+    """Stand in until the distribution service is connected."""
--- /dev/null
+++ b/src/finchshed/control/peer_links.py
@@ -0,0 +1,181 @@
+"""Connections between control nodes: each node dials every other and sends on its own link.
+
+Answers to forwarded requests return on the link they came by. Everything else may be lost: the
+replicated log sends again, reports are repeated. So a peer that doesn't read is never waited for;
+what its buffer can't take is dropped.
+"""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import TypeAlias
+
+from loguru import logger
+from prometheus_client import Counter
+
+from finchshed.common.addresses import split_address
+from finchshed.control.background import Background
+from finchshed.control.peer_messages import PeerHello, PeerMessage
+from finchshed.link.lines import LineProtocol
+
+PeerLink: TypeAlias = LineProtocol[PeerMessage]
+OnMessage: TypeAlias = Callable[[PeerLink, PeerMessage], None]
+
+MAX_LINE_BYTES = 96 << 20
+MAX_UNSENT_BYTES = 32 << 20
+"""A peer with more than this unsent gets nothing more until it reads."""
+
+CONNECT_SECONDS = 1.0
+FIRST_PAUSE_SECONDS = 0.05
+LONGEST_PAUSE_SECONDS = 1.0
+WAITING_MESSAGES = 64
+"""Messages kept while a connection is being made; the newest are kept."""
+
+UNACKNOWLEDGED_MILLISECONDS = 3_000
+"""A connection whose data the other side doesn't acknowledge for this long is closed, so that a
+healed cut is used at once instead of after the kernel's backed-off retransmission."""
+
+DROPPED = Counter(
+    "finchshed_control_peer_dropped", "Messages to control nodes dropped: buffer full or no link"
+)
+
+
+class _Outbound:
+    """The link to one address, made when needed and again after it ended."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.link: PeerLink | None = None
+        self.waiting: list[PeerMessage] = []
+        self.is_connecting = False
+        self.pause = FIRST_PAUSE_SECONDS
+
+
+class PeerLinks:
+    """All connections of one control node to others.
+
+    Parameters
+    ----------
+    hello
+        First line of each connection made here.
+    on_message
+        Called with each message and the link it came by.
+    """
+
+    def __init__(self, hello: PeerHello, on_message: OnMessage, background: Background) -> None:
+        self._hello = hello
+        self._on_message = on_message
+        self._background = background
+        self._outbound: dict[str, _Outbound] = {}
+        self._greeted: dict[PeerLink, PeerHello] = {}
+        self._inbound: set[PeerLink] = set()
+        self._server: asyncio.Server | None = None
+        self._is_closed = False
+        self.distribution_addresses: dict[str, str] = {}
+
+    async def start(self, address: str) -> None:
+        """Listen at ``address``."""
+        host, port = split_address(address)
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._make_inbound, host, port)
+
+    def stop(self) -> None:
+        """Close every connection."""
+        self._is_closed = True
+        if self._server is not None:
+            self._server.close()
+        for link in list(self._inbound):
+            link.close()
+        for outbound in self._outbound.values():
+            if outbound.link is not None:
+                outbound.link.close()
+
+    def send(self, address: str, message: PeerMessage) -> bool:
+        """Send to the node at ``address``; return False when it is dropped."""
+        if self._is_closed:
+            return False
+        outbound = self._outbound.get(address)
+        if outbound is None:
+            outbound = self._outbound[address] = _Outbound(address)
+        if outbound.link is not None and outbound.link.is_open:
+            return self._send_on(outbound.link, message)
+        outbound.waiting.append(message)
+        del outbound.waiting[:-WAITING_MESSAGES]
+        if not outbound.is_connecting:
+            outbound.is_connecting = True
+            self._background.spawn(self._connect(outbound))
+        return True
+
+    def name_of(self, link: PeerLink) -> str:
+        """Return the name of the node that dialled ``link``, or empty."""
+        hello = self._greeted.get(link)
+        return "" if hello is None else hello.node
+
+    @staticmethod
+    def _send_on(link: PeerLink, message: PeerMessage) -> bool:
+        if link.unsent_bytes() > MAX_UNSENT_BYTES or link.send(message) == 0:
+            DROPPED.inc()
+            return False
+        return True
+
+    async def _connect(self, outbound: _Outbound) -> None:
+        loop = asyncio.get_running_loop()
+        host, port = split_address(outbound.address)
+        try:
+            _, link = await asyncio.wait_for(
+                loop.create_connection(self._make_outbound, host, port), CONNECT_SECONDS
+            )
+        except (OSError, TimeoutError):
+            DROPPED.inc(len(outbound.waiting))
+            outbound.waiting.clear()
+            await asyncio.sleep(outbound.pause)
+            outbound.pause = min(2 * outbound.pause, LONGEST_PAUSE_SECONDS)
+            outbound.is_connecting = False
+            return
+        outbound.pause = FIRST_PAUSE_SECONDS
+        outbound.is_connecting = False
+        outbound.link = link
+        _set_user_timeout(link)
+        link.send(self._hello)
+        waiting, outbound.waiting = outbound.waiting, []
+        for message in waiting:
+            self._send_on(link, message)
+
+    def _make_outbound(self) -> PeerLink:
+        return LineProtocol(PeerMessage, self._on_message, max_line_bytes=MAX_LINE_BYTES)
+
+    def _make_inbound(self) -> PeerLink:
+        return LineProtocol(
+            PeerMessage,
+            self._on_inbound_message,
+            on_open=self._on_inbound_open,
+            on_close=self._on_inbound_close,
+            max_line_bytes=MAX_LINE_BYTES,
+        )
+
+    def _on_inbound_open(self, link: PeerLink) -> None:
+        self._inbound.add(link)
+        _set_user_timeout(link)
+
+    def _on_inbound_close(self, link: PeerLink, error: Exception | None) -> None:
+        self._inbound.discard(link)
+        self._greeted.pop(link, None)
+        if error is not None:
+            logger.info("link of {} ended: {}", link.peer_address, error)
+
+    def _on_inbound_message(self, link: PeerLink, message: PeerMessage) -> None:
+        if isinstance(message, PeerHello):
+            self._greeted[link] = message
+            self.distribution_addresses[message.node] = message.distribution_address
+        elif link not in self._greeted:
+            logger.warning("{} sent a message before its hello", link.peer_address)
+            link.abort()
+        else:
+            self._on_message(link, message)
+
+
+def _set_user_timeout(link: PeerLink) -> None:
+    if link.transport is None:
+        return
+    peer = link.transport.get_extra_info("socket")
+    peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS)
--- /dev/null
+++ b/src/finchshed/control/raft_host.py
@@ -0,0 +1,313 @@
+"""Runs a node of the replicated log on the event loop, with real disk, clock and links.
+
+Events that come in during one turn of the loop are handled together, so that their entries share
+one message and one sync (group commit). Writes run in a thread, one at a time; what comes in
+meanwhile gathers for the next.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import TypeAlias
+
+from loguru import logger
+
+from finchshed.common.errors import InvariantError, StorageError
+from finchshed.consensus.driver import Driver
+from finchshed.consensus.effects import (
+    Committed,
+    Effect,
+    Lost,
+    MembershipChanged,
+    ReadFailed,
+    ReadReady,
+    RefusalCause,
+    Refused,
+    Role,
+    RoleChanged,
+)
+from finchshed.consensus.events import (
+    ChangeMembership,
+    Event,
+    Propose,
+    Read,
+    Received,
+    Tick,
+    TransferLeadership,
+)
+from finchshed.consensus.membership import InitialMember, MembershipChange
+from finchshed.consensus.messages import Envelope
+from finchshed.consensus.node import RaftNode
+from finchshed.consensus.options import RaftOptions
+from finchshed.control import raft_metrics as metrics
+from finchshed.control.background import Background
+from finchshed.control.commands import Command, CommandResult, LogEntry, encode_entry
+from finchshed.control.peer_links import PeerLinks
+from finchshed.control.peer_messages import RaftLine
+from finchshed.control.raft_storage import open_durable_state, open_log_folder
+from finchshed.control.state_machine import ControlStateMachine
+
+DISK_RETRY_SECONDS = 0.5
+
+
+class NotTakenError(Exception):
+    """A proposal, read or change had no effect. ``leader`` may be asked instead."""
+
+    def __init__(self, cause: RefusalCause, leader: str = "") -> None:
+        super().__init__(cause.value)
+        self.cause = cause
+        self.leader = leader
+
+
+class UndecidedError(Exception):
+    """Leadership ended before it was known whether the proposal commits."""
+
+
+Outcome: TypeAlias = asyncio.Future[CommandResult | None]
+MakeEvent: TypeAlias = Callable[[int], Event]
+
+
+class RaftHost:
+    """One node of the replicated log.
+
+    Parameters
+    ----------
+    name, address
+        This node's name, and the address where others reach it.
+    voters
+        Address by name of the voters the group is formed of.
+    data_folder
+        Where the log is kept.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        voters: dict[str, str],
+        data_folder: str,
+        *,
+        options: RaftOptions,
+        machine: ControlStateMachine,
+        background: Background,
+    ) -> None:
+        rng = random.Random()  # noqa: S311 - timeouts and identities, no secrets
+        self._machine = machine
+        self._background = background
+        self._folder = open_log_folder(data_folder)
+        opened = open_durable_state(self._folder, rng)
+        self._store = opened.store
+        initial = tuple(InitialMember(voter, where) for voter, where in voters.items())
+        self.node = RaftNode(name, address, opened.stored, rng, initial, _now(), options)
+        self._driver = Driver(self.node, self)
+        self._links: PeerLinks | None = None
+        self._events: list[Event] = []
+        self._flush_scheduled = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._writer = ThreadPoolExecutor(max_workers=1, thread_name_prefix="journal")
+        self._waiting: dict[int, Outcome] = {}
+        self._last_applied: tuple[int, CommandResult | None] = (0, None)
+        self._last_token = 0
+        self._role_changed = asyncio.Event()
+        self._is_stopped = False
+
+    def start(self, links: PeerLinks) -> None:
+        """Bring the state machine to what the disk holds, and take part in the group."""
+        self._links = links
+        started = time.monotonic()
+        self._driver.start(_now())
+        self._after_step()
+        elapsed = time.monotonic() - started
+        logger.info("state at entry {} after {:.3f} s", self._machine.applied_index, elapsed)
+
+    async def stop(self) -> None:
+        """Write what is still to be written and close the folder."""
+        self._is_stopped = True
+        if self._timer is not None:
+            self._timer.cancel()
+        await asyncio.get_running_loop().run_in_executor(None, self._writer.shutdown)
+        self._folder.close()
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this node leads."""
+        return self.node.role is Role.LEADER
+
+    @property
+    def journal_bytes(self) -> int:
+        """Size of the journal file."""
+        return self._store.journal_bytes
+
+    async def propose(self, command: Command) -> CommandResult:
+        """Commit ``command`` as the leader and return its result.
+
+        Raises
+        ------
+        NotTakenError
+            It had no effect.
+        UndecidedError
+            It may yet be committed.
+        """
+        data = encode_entry(LogEntry(time.time(), command))
+        result = await self._submit(lambda token: Propose(token, data))
+        if result is None:
+            raise InvariantError("a committed command has no result")
+        return result
+
+    async def change_membership(self, change: MembershipChange) -> None:
+        """Commit a change of the members as the leader; raises as :meth:`propose`."""
+        await self._submit(lambda token: ChangeMembership(token, change))
+
+    async def read(self) -> None:
+        """Return once the state here holds all that was committed before the call.
+
+        Raises
+        ------
+        NotTakenError
+            No quorum confirmed it in time.
+        """
+        await self._submit(Read)
+
+    def transfer_leadership(self) -> None:
+        """Hand leadership over to the best voter."""
+        self._post(TransferLeadership())
+
+    def receive(self, envelope: Envelope) -> None:
+        """Take a message of another node."""
+        self._post(Received(envelope))
+
+    async def wait_for_role_change(self, timeout_seconds: float) -> None:
+        """Return after the role or known leader changed, or after the time."""
+        changed = self._role_changed
+        try:
+            await asyncio.wait_for(changed.wait(), timeout_seconds)
+        except TimeoutError:
+            return
+
+    # What the driver asks of its host.
+
+    def send(self, address: str, envelope: Envelope) -> None:
+        """Send a message to another node."""
+        if self._links is not None:
+            self._links.send(address, RaftLine(envelope))
+
+    def apply(self, index: int, data: bytes) -> None:
+        """Apply a committed entry."""
+        self._last_applied = (index, self._machine.apply(index, data))
+        metrics.APPLIED.inc()
+
+    def restore(self, index: int, data: bytes) -> None:
+        """Replace the state by a snapshot."""
+        self._machine.restore(data)
+        logger.info("state replaced by the snapshot of entry {}", index)
+
+    def snapshot(self) -> bytes:
+        """Return the state."""
+        started = time.monotonic()
+        data = self._machine.snapshot()
+        metrics.SNAPSHOT_SECONDS.observe(time.monotonic() - started)
+        return data
+
+    def report(self, effect: Effect) -> None:
+        """Take the outcome of a proposal, read or change, or a change of role."""
+        match effect:
+            case Committed():
+                self._resolve(effect.token, self._result_of(effect.index))
+            case ReadReady():
+                self._resolve(effect.token, None)
+            case Lost():
+                self._fail(effect.token, UndecidedError("leadership ended"))
+            case Refused():
+                self._fail(effect.token, NotTakenError(effect.cause, effect.leader_address))
+            case ReadFailed():
+                self._fail(effect.token, NotTakenError(RefusalCause.NOT_READY))
+            case RoleChanged():
+                logger.info("{} in term {}, leader {}", effect.role, effect.term, effect.leader)
+                metrics.ROLE_CHANGES.labels(effect.role.value).inc()
+                self._role_changed.set()
+                self._role_changed = asyncio.Event()
+            case MembershipChanged():
+                logger.info("members at entry {}: {}", effect.index, effect.membership)
+
+    def _submit(self, make_event: MakeEvent) -> Outcome:
+        self._last_token += 1
+        future: Outcome = asyncio.get_running_loop().create_future()
+        self._waiting[self._last_token] = future
+        self._post(make_event(self._last_token))
+        return future
+
+    def _result_of(self, index: int) -> CommandResult | None:
+        """Return the result of the entry applied last, if it is the one at ``index``."""
+        applied_index, result = self._last_applied
+        return result if applied_index == index else None
+
+    def _resolve(self, token: int, result: CommandResult | None) -> None:
+        future = self._waiting.pop(token, None)
+        if future is not None and not future.done():
+            future.set_result(result)
+
+    def _fail(self, token: int, error: Exception) -> None:
+        future = self._waiting.pop(token, None)
+        if future is not None and not future.done():
+            future.set_exception(error)
+
+    def _post(self, event: Event) -> None:
+        if self._is_stopped:
+            return
+        self._events.append(event)
+        if not self._flush_scheduled:
+            self._flush_scheduled = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self._flush_scheduled = False
+        events, self._events = self._events, []
+        if not self._is_stopped:
+            self._step(events)
+
+    def _on_timer(self) -> None:
+        self._step([Tick()])
+
+    def _step(self, events: list[Event]) -> None:
+        try:
+            self._driver.handle(events, _now())
+        except InvariantError as error:
+            self._background.broken(error)
+            return
+        self._after_step()
+
+    def _after_step(self) -> None:
+        if self._driver.has_writes:
+            self._background.spawn(self._write())
+        if self._timer is not None:
+            self._timer.cancel()
+        delay = self.node.next_delay()
+        self._timer = asyncio.get_running_loop().call_later(delay, self._on_timer)
+        metrics.observe(self.node, self.journal_bytes)
+
+    async def _write(self) -> None:
+        loop = asyncio.get_running_loop()
+        writes = self._driver.next_writes()
+        started = time.monotonic()
+        try:
+            outcome = await loop.run_in_executor(self._writer, self._store.write, writes)
+        except StorageError as error:
+            raise InvariantError(f"the disk failed: {error}") from error
+        metrics.WRITE_SECONDS.observe(time.monotonic() - started)
+        if outcome is not outcome.DURABLE:
+            logger.error("the disk is full; trying again")
+            await asyncio.sleep(DISK_RETRY_SECONDS)
+        if self._is_stopped:
+            return
+        try:
+            self._driver.written(outcome, _now())
+        except InvariantError as error:
+            self._background.broken(error)
+            return
+        self._after_step()
+
+
+def _now() -> float:
+    return time.monotonic()
--- a/src/finchshed/control/settings.py
+++ b/src/finchshed/control/settings.py
@@ -40,19 +40,14 @@
     voters: Annotated[
         tuple[MemberAddress, ...],
         msgspec.Meta(
+            min_length=1,
             description=(
-                "Voters of a new control group, name=a.b.c.d:port of their raft_address. Used "
-                "only when no node of the group holds a log yet; empty: this node joins as a "
-                "learner."
-            )
-        ),
-    ] = ()
-    peers: Annotated[
-        tuple[MemberAddress, ...],
-        msgspec.Meta(
-            description="Other control nodes, so that a node with an empty disk is found."
+                "Voters a new control group is formed of, name=a.b.c.d:port of their "
+                "raft_address; the same list on every node. A node that isn't in it joins when "
+                "an operator adds it."
+            ),
         ),
-    ] = ()
+    ]
     bootstrap_token_sha256: Annotated[
         Sha256,
         msgspec.Meta(
@@ -72,10 +67,6 @@
     platform_poll_seconds: Annotated[
         float, msgspec.Meta(ge=0.1, le=300.0, description="Time between reads of that list.")
     ] = 2.0
-    daemon_silence_seconds: Annotated[
-        float,
-        msgspec.Meta(ge=1.0, le=600.0, description="A daemon unheard of this long is silent."),
-    ] = 6.0
     election_timeout_seconds: Annotated[
         float,
         msgspec.Meta(
@@ -84,7 +75,7 @@
     ] = 1.0
     heartbeat_seconds: Annotated[
         float, msgspec.Meta(ge=0.02, le=10.0, description="Time between the leader's heartbeats.")
-    ] = 0.2
+    ] = 0.1
     request_timeout_seconds: Annotated[
         float,
         msgspec.Meta(ge=0.1, le=60.0, description="Longest wait for a quorum's agreement."),
@@ -92,12 +83,6 @@
     snapshot_entries: Annotated[
         int, msgspec.Meta(ge=16, le=10_000_000, description="Log entries between snapshots.")
     ] = 20_000
-    max_link_line_bytes: Annotated[
-        int,
-        msgspec.Meta(
-            ge=1 << 16, le=256 << 20, description="Longest line taken from a daemon or peer."
-        ),
-    ] = 16 << 20
     stop_seconds: Annotated[
         float,
         msgspec.Meta(ge=0.0, le=60.0, description="Longest wait for requests in progress at stop."),
--- a/src/finchshed/distribution/client.py
+++ b/src/finchshed/distribution/client.py
@@ -16,8 +16,12 @@
 from finchshed.distribution.addresses import AddressBook, ControlAddress
 from finchshed.distribution.messages import (
     ControlToDaemon,
+    Decision,
     Delta,
+    ExplainReply,
+    ExplainRequest,
     Fetch,
+    Hints,
     InForce,
     LedgerBegin,
     LedgerCancel,
@@ -96,6 +100,13 @@
         Callbacks, all called on the event loop.
     rng
         Source of order and jitter.
+
+    Attributes
+    ----------
+    on_hints
+        Called with the platform's list as control read it; set by the daemon.
+    on_explain
+        Called when an operator asks for recent decisions; set by the daemon.
     """
 
     def __init__(
@@ -118,6 +129,8 @@
         self._abandoning: set[asyncio.Task[bool]] = set()
         self._bytes_before = (0, 0)
         self.connections_made = 0
+        self.on_hints: Callable[[Hints], None] | None = None
+        self.on_explain: Callable[[ExplainRequest], tuple[Decision, ...]] | None = None
 
     @property
     def is_connected(self) -> bool:
@@ -287,6 +300,12 @@
         elif isinstance(message, Redirect):
             self._book.add(message.addresses)
             self._ended.set()
+        elif isinstance(message, Hints):
+            if self.on_hints is not None:
+                self.on_hints(message)
+        elif isinstance(message, ExplainRequest):
+            decisions = self.on_explain(message) if self.on_explain is not None else ()
+            connection.send(ExplainReply(message.request, decisions))
         else:
             self._on_ledger_answer(message)
 
--- a/src/finchshed/distribution/server.py
+++ b/src/finchshed/distribution/server.py
@@ -16,6 +16,7 @@
     ControlToDaemon,
     DaemonToControl,
     Delta,
+    ExplainReply,
     Fetch,
     InForce,
     LedgerBegin,
@@ -24,7 +25,7 @@
     Subscribe,
 )
 from finchshed.distribution.snapshot import Configuration
-from finchshed.link.lines import LineProtocol
+from finchshed.link.lines import LineProtocol, encode_line
 
 LedgerRequest: TypeAlias = LedgerBegin | LedgerCancel | LedgerComplete
 Answer: TypeAlias = Callable[[ControlToDaemon], None]
@@ -50,6 +51,8 @@
         False or a :class:`FinchshedError` if no quorum answered.
     on_ledger
         Called with each ledger request and the function that sends its answer.
+    on_explanation
+        Called with each daemon's answer to an :class:`ExplainRequest`.
     """
 
     def __init__(
@@ -57,11 +60,14 @@
         hub: Hub,
         confirm: Callable[[], Awaitable[bool]],
         on_ledger: Callable[[LedgerRequest, Answer], None],
+        on_explanation: Callable[[ExplainReply], None] | None = None,
     ) -> None:
         self._hub = hub
         self._confirm = confirm
         self._on_ledger = on_ledger
+        self._on_explanation = on_explanation
         self._connections: dict[int, Connection] = {}
+        self._by_node: dict[str, Connection] = {}
         self._numbers: dict[Connection, int] = {}
         self._last_number = 0
         self._ticket: int | None = None
@@ -98,6 +104,18 @@
         """Note whether this node is in contact with a quorum; call at least every half second."""
         self._hub.on_contact(in_contact, self._now())
 
+    def send_to(self, node: str, message: ControlToDaemon) -> bool:
+        """Send to one daemon; False when it isn't connected here."""
+        connection = self._by_node.get(node)
+        return connection is not None and connection.send(message) > 0
+
+    def broadcast(self, message: ControlToDaemon) -> None:
+        """Send to every daemon connected here whose buffer has room."""
+        line = encode_line(message)
+        for connection in self._connections.values():
+            if connection.unsent_bytes() <= BUFFER_LIMIT_BYTES:
+                connection.send_encoded(line)
+
     def _make_protocol(self) -> Connection:
         return LineProtocol(
             DaemonToControl, self._on_message, None, self._on_close, MAX_REQUEST_BYTES
@@ -114,6 +132,9 @@
             self._hub.on_in_force(number, message.revision, self._now())
         elif isinstance(message, Fetch):
             self._perform(self._hub.on_fetch(number, message.revision, self._now()))
+        elif isinstance(message, ExplainReply):
+            if self._on_explanation is not None:
+                self._on_explanation(message)
         else:
             self._on_ledger(message, lambda answer: _send(connection, answer))
 
@@ -124,9 +145,13 @@
         self._last_number += 1
         self._numbers[connection] = self._last_number
         self._connections[self._last_number] = connection
+        self._by_node[message.node] = connection
         self._perform(self._hub.subscribe(self._last_number, message, self._now()))
 
     def _on_close(self, connection: Connection, error: Exception | None) -> None:
+        for node, last in list(self._by_node.items()):
+            if last is connection:
+                del self._by_node[node]
         number = self._numbers.pop(connection, None)
         if number is not None:
             del self._connections[number]
