--- a/src/finchshed/common/errors.py
+++ b/src/finchshed/common/errors.py
@@ -41,5 +41,13 @@
     """A record in the middle of a journal fails its checksum: the disk lost synced data."""
 
 
+class DiskFullError(StorageError):
+    """The disk has no room for a write. What was stored before is unharmed."""
+
+
+class FolderLockedError(StorageError):
+    """Another process uses the data folder."""
+
+
 class ControlUnavailableError(FinchshedError):
     """No control node could answer with the agreement of a quorum."""
--- /dev/null
+++ b/src/finchshed/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Durable state of a control node: journal, snapshots, disk incarnation."""
