Replicated log: the node as a state machine, and its driver

Accepted configuration and the ledger need a log that survives crashes, cuts and lost disks. Raft as published, split into small modules around one state: elections with pre-vote, check-quorum, pipelined replication within a window,

learners, repair of a lost disk, leadership transfer, formation of the group.

Weighed: identity by name only (an empty disk would vote as if it had promised nothing, ruled out); forming the group from a majority of first voters (a lost disk could form a second group, so all must greet from empty disks); leases for reads (trust in clocks, ruled out); a write per event (one write per step, and the driver groups writes that wait for the disk).

Interface: events in (Propose, Read, Received, Tick, Persisted, ...), effects out (Send, Persist, Apply, Committed, Lost, Refused, ReadReady, ...). The driver carries the effects out alike in production and simulation.

--- /dev/null
+++ b/src/finchshed/consensus/following.py
@@ -0,0 +1,149 @@
+"""The follower's side of replication: entries, heartbeats, snapshots in pieces."""
+
+from finchshed.common.errors import InvariantError
+from finchshed.consensus.effects import MembershipChanged, RestoreSnapshot, Role
+from finchshed.consensus.identity import NodeIdentity
+from finchshed.consensus.messages import (
+    Append,
+    AppendAccepted,
+    AppendRejected,
+    Heartbeat,
+    HeartbeatReply,
+    SnapshotPiece,
+    SnapshotPieceReply,
+)
+from finchshed.consensus.roles import advance_commit, become_follower, reset_election_timer
+from finchshed.consensus.state import IncomingSnapshot, NodeState
+from finchshed.storage.records import Entry, Snapshot
+
+
+def hear_leader(state: NodeState, sender: NodeIdentity, term: int) -> bool:
+    """Take ``sender`` for the leader of ``term``; False if it is not any more."""
+    if term < state.term:
+        return False
+    if term > state.term or state.role is not Role.FOLLOWER or state.leader != sender:
+        become_follower(state, term, sender)
+    state.leader_heard = state.now
+    reset_election_timer(state)
+    return True
+
+
+def on_append(state: NodeState, sender: NodeIdentity, message: Append) -> None:
+    """Take entries from the leader."""
+    if not hear_leader(state, sender, message.term):
+        _reject(state, sender, message, state.log.last_index + 1)
+        return
+    if state.disk_full and message.entries:
+        return
+    previous = message.previous_index
+    if previous < state.log.base_index:
+        # Everything up to the base is committed, so it equals the leader's.
+        message = _without_prefix(state, message)
+        previous = message.previous_index
+    if state.log.term_at(previous) != message.previous_term:
+        _reject(state, sender, message, _next_to_try(state, previous))
+        return
+    for entry in message.entries:
+        _take(state, entry)
+    match_index = previous + len(message.entries)
+    state.send_when_durable(sender, AppendAccepted(state.term, match_index))
+    advance_commit(state, max(state.commit_index, min(message.commit, match_index)))
+
+
+def on_heartbeat(state: NodeState, sender: NodeIdentity, message: Heartbeat) -> None:
+    """Answer the leader, and learn how far the log is committed."""
+    if not hear_leader(state, sender, message.term):
+        state.send_when_durable(sender, HeartbeatReply(state.term, message.round))
+        return
+    if message.commit > state.log.last_index:
+        raise InvariantError(
+            f"the leader counts on entry {message.commit}, this disk ends at {state.log.last_index}"
+        )
+    state.send_when_durable(sender, HeartbeatReply(state.term, message.round))
+    advance_commit(state, max(state.commit_index, message.commit))
+
+
+def on_snapshot_piece(state: NodeState, sender: NodeIdentity, message: SnapshotPiece) -> None:
+    """Gather a snapshot, and take it once it is whole."""
+    if not hear_leader(state, sender, message.term):
+        rejected = AppendRejected(state.term, message.snapshot_index, state.log.last_index + 1)
+        state.send_when_durable(sender, rejected)
+        return
+    if message.snapshot_index <= state.commit_index:
+        state.incoming = None
+        state.send_when_durable(sender, AppendAccepted(state.term, state.commit_index))
+        return
+    incoming = _incoming_for(state, message)
+    if message.offset == len(incoming.buffer):
+        incoming.buffer += message.data
+    if len(incoming.buffer) < message.total_bytes:
+        reply = SnapshotPieceReply(state.term, message.snapshot_index, len(incoming.buffer))
+        state.send(sender, reply)
+        return
+    state.incoming = None
+    data = bytes(incoming.buffer)
+    snapshot = Snapshot(message.snapshot_index, message.snapshot_term, message.membership, data)
+    _install(state, snapshot)
+    state.send_when_durable(sender, AppendAccepted(state.term, snapshot.index))
+
+
+def _incoming_for(state: NodeState, message: SnapshotPiece) -> IncomingSnapshot:
+    incoming = state.incoming
+    same = (
+        incoming is not None
+        and incoming.index == message.snapshot_index
+        and incoming.term == message.snapshot_term
+    )
+    if incoming is None or not same:
+        incoming = IncomingSnapshot(message.snapshot_index, message.snapshot_term)
+        state.incoming = incoming
+    return incoming
+
+
+def _install(state: NodeState, snapshot: Snapshot) -> None:
+    kept: tuple[Entry, ...] = ()
+    if state.log.term_at(snapshot.index) == snapshot.term:
+        kept = state.log.entries_after(snapshot.index)
+    state.log.reset(snapshot)
+    for entry in kept:
+        state.log.append(entry)
+    state.commit_index = snapshot.index
+    state.limit_persisted(state.log.last_index)
+    state.replace_stored(snapshot, kept)
+    state.effects.append(RestoreSnapshot(snapshot.index, snapshot.data))
+    membership = state.log.membership_at(snapshot.index)
+    state.effects.append(MembershipChanged(snapshot.index, membership))
+    advance_commit(state, snapshot.index)
+
+
+def _take(state: NodeState, entry: Entry) -> None:
+    """Add an entry unless it is there; one of another term there is replaced."""
+    held_term = state.log.term_at(entry.index)
+    if held_term == entry.term:
+        return
+    if held_term is not None:
+        state.truncate_from(entry.index)
+    state.append(entry)
+
+
+def _without_prefix(state: NodeState, message: Append) -> Append:
+    base = state.log.base_index
+    entries = tuple(entry for entry in message.entries if entry.index > base)
+    base_term = state.log.term_at(base) or 0
+    return Append(message.term, base, base_term, entries, message.commit)
+
+
+def _next_to_try(state: NodeState, previous: int) -> int:
+    """Return where the leader should look next: before the whole term that disagrees."""
+    if previous > state.log.last_index:
+        return state.log.last_index + 1
+    index = previous
+    term = state.log.term_at(previous)
+    while index > state.commit_index + 1 and state.log.term_at(index - 1) == term:
+        index -= 1
+    return index
+
+
+def _reject(state: NodeState, sender: NodeIdentity, message: Append, next_index: int) -> None:
+    rejected = AppendRejected(state.term, message.previous_index, next_index)
+    state.send_when_durable(sender, rejected)
--- /dev/null
+++ b/src/finchshed/consensus/formation.py
@@ -0,0 +1,105 @@
+"""How a group is formed, and how a node that is no member makes itself known.
+
+At the first start the disk incarnations of the initial voters are not known to anybody. The voter
+of the lowest name forms the group once *every* initial voter has greeted it from an empty disk. A
+node that lost its disk later can therefore not form a second group: the others never greet as
+unformed again. A node whose identity is in no membership it knows of keeps greeting.
+"""
+
+from finchshed.consensus.election import start_election
+from finchshed.consensus.identity import NodeIdentity
+from finchshed.consensus.membership import (
+    InitialMember,
+    Member,
+    MemberRole,
+    Membership,
+    encode_membership,
+)
+from finchshed.consensus.messages import Hello
+from finchshed.consensus.state import Greeting, NodeState
+from finchshed.storage.records import Entry, EntryKind, Vote
+
+FORMATION_TERM = 1
+
+_MAX_GREETINGS = 64
+_GREETING_KEPT_SECONDS = 10.0
+_FRESH_INTERVALS = 4
+
+
+def is_member(state: NodeState) -> bool:
+    """Whether the membership known here holds this node."""
+    return state.membership.find(state.identity) is not None
+
+
+def greet(state: NodeState) -> None:
+    """Send a greeting to all nodes known, if this node is no member and one is due."""
+    if is_member(state) or state.now < state.hello_due:
+        return
+    state.hello_due = state.now + state.options.hello_interval_seconds
+    hello = Hello(state.identity, state.address, state.is_formed)
+    names = {member.name for member in state.initial_members}
+    names |= {member.identity.name for member in state.membership.members}
+    for name in sorted(names - {state.identity.name}):
+        state.send(NodeIdentity(name, ""), hello)
+
+
+def on_hello(state: NodeState, sender: NodeIdentity, message: Hello) -> None:
+    """Note a greeting, and pass it on to the leader."""
+    if state.membership.find(message.identity) is not None:
+        return
+    _forget_old_greetings(state)
+    if len(state.greetings) < _MAX_GREETINGS or message.identity in state.greetings:
+        greeting = Greeting(message.identity, message.address, message.formed, state.now)
+        state.greetings[message.identity] = greeting
+    leader = state.leader
+    if sender == message.identity and leader is not None and leader != state.identity:
+        state.send(leader, message)
+
+
+def form_group(state: NodeState) -> None:
+    """Form the group if this node is the one to do it and all initial voters have greeted it."""
+    if state.is_formed or not _is_founder(state):
+        return
+    members = [_greeted(state, initial) for initial in state.initial_members]
+    present = [member for member in members if member is not None]
+    if len(present) < len(members):
+        return
+    membership = Membership()
+    for member in present:
+        membership = membership.with_member(member)
+    state.set_vote(Vote(FORMATION_TERM))
+    data = encode_membership(membership)
+    state.append(Entry(1, FORMATION_TERM, EntryKind.MEMBERSHIP, data))
+    start_election(state)
+
+
+def _is_founder(state: NodeState) -> bool:
+    names = [member.name for member in state.initial_members]
+    return bool(names) and state.identity.name == min(names)
+
+
+def _greeted(state: NodeState, initial: InitialMember) -> Member | None:
+    """Return an initial voter under the identity of its latest greeting."""
+    if initial.name == state.identity.name:
+        return Member(state.identity, initial.address, MemberRole.VOTER)
+    since = state.now - _FRESH_INTERVALS * state.options.hello_interval_seconds
+    fresh = [
+        greeting
+        for greeting in state.greetings.values()
+        if greeting.identity.name == initial.name
+        and greeting.heard >= since
+        and not greeting.formed
+    ]
+    if not fresh:
+        return None
+    latest = max(fresh, key=lambda greeting: greeting.heard)
+    return Member(latest.identity, initial.address, MemberRole.VOTER)
+
+
+def _forget_old_greetings(state: NodeState) -> None:
+    since = state.now - _GREETING_KEPT_SECONDS
+    state.greetings = {
+        identity: greeting
+        for identity, greeting in state.greetings.items()
+        if greeting.heard >= since
+    }
--- /dev/null
+++ b/src/finchshed/consensus/log.py
@@ -0,0 +1,126 @@
+"""The part of the replicated log held in memory."""
+
+from finchshed.common.errors import InvariantError
+from finchshed.consensus.membership import Membership, decode_membership
+from finchshed.storage.records import Entry, EntryKind, Snapshot
+
+
+class RaftLog:
+    """Entries after a base, and the memberships they set.
+
+    Parameters
+    ----------
+    snapshot
+        What the entries build on; None for an empty log that starts at index 1.
+    entries
+        Entries that follow it.
+    """
+
+    def __init__(self, snapshot: Snapshot | None, entries: list[Entry]) -> None:
+        self._base_index = 0
+        self._base_term = 0
+        self._entries: list[Entry] = []
+        self._memberships: list[tuple[int, Membership]] = [(0, Membership())]
+        if snapshot is not None:
+            self.reset(snapshot)
+        for entry in entries:
+            self.append(entry)
+
+    @property
+    def base_index(self) -> int:
+        """Index of the last entry that is no longer held."""
+        return self._base_index
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self._base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self._entries[-1].term if self._entries else self._base_term
+
+    @property
+    def membership(self) -> Membership:
+        """The latest membership, committed or not: a change counts once it is in the log."""
+        return self._memberships[-1][1]
+
+    @property
+    def membership_index(self) -> int:
+        """Index of the entry that set the latest membership."""
+        return self._memberships[-1][0]
+
+    def membership_at(self, index: int) -> Membership:
+        """Return the membership after an entry."""
+        return next(m for at, m in reversed(self._memberships) if at <= index)
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or None if it isn't held."""
+        if index == self._base_index:
+            return self._base_term
+        position = index - self._base_index - 1
+        if 0 <= position < len(self._entries):
+            return self._entries[position].term
+        return None
+
+    def entry(self, index: int) -> Entry:
+        """Return a held entry."""
+        return self._entries[index - self._base_index - 1]
+
+    def slice(self, first: int, max_entries: int, max_bytes: int) -> tuple[Entry, ...]:
+        """Return entries from ``first`` on within both limits, but at least one if there is one."""
+        start = first - self._base_index - 1
+        chosen: list[Entry] = []
+        size = 0
+        for entry in self._entries[start : start + max_entries]:
+            size += len(entry.data)
+            if chosen and size > max_bytes:
+                break
+            chosen.append(entry)
+        return tuple(chosen)
+
+    def entries_after(self, index: int) -> tuple[Entry, ...]:
+        """Return all entries after ``index``."""
+        return tuple(self._entries[max(0, index - self._base_index) :])
+
+    def append(self, entry: Entry) -> None:
+        """Add the next entry.
+
+        Raises
+        ------
+        InvariantError
+            The entry doesn't follow the last one.
+        """
+        if entry.index != self.last_index + 1:
+            raise InvariantError(f"entry {entry.index} can't follow {self.last_index}")
+        self._entries.append(entry)
+        if entry.kind is EntryKind.MEMBERSHIP:
+            self._memberships.append((entry.index, decode_membership(entry.data)))
+
+    def truncate_from(self, index: int) -> None:
+        """Drop entries from ``index`` on, and the memberships they set."""
+        del self._entries[index - self._base_index - 1 :]
+        self._memberships = [item for item in self._memberships if item[0] < index]
+
+    def compact(self, index: int) -> None:
+        """Let go of entries up to ``index``."""
+        if index <= self._base_index:
+            return
+        term = self.term_at(index)
+        if term is None:
+            raise InvariantError(f"can't compact to {index}: entry not held")
+        membership = self.membership_at(index)
+        del self._entries[: index - self._base_index]
+        self._base_index = index
+        self._base_term = term
+        later = [item for item in self._memberships if item[0] > index]
+        at = max(item[0] for item in self._memberships if item[0] <= index)
+        self._memberships = [(at, membership), *later]
+
+    def reset(self, snapshot: Snapshot) -> None:
+        """Drop everything and start after a snapshot."""
+        self._entries = []
+        self._base_index = snapshot.index
+        self._base_term = snapshot.term
+        self._memberships = [(snapshot.index, decode_membership(snapshot.membership))]
--- /dev/null
+++ b/src/finchshed/consensus/receiving.py
@@ -0,0 +1,95 @@
+"""Messages from other nodes, each handed to the module that deals with it."""
+
+from typing import TypeAlias
+
+from finchshed.consensus import election, following, formation, read_index, replication, roles
+from finchshed.consensus.identity import NodeIdentity
+from finchshed.consensus.messages import (
+    Append,
+    AppendAccepted,
+    AppendRejected,
+    Envelope,
+    Heartbeat,
+    HeartbeatReply,
+    Hello,
+    PreVote,
+    PreVoteReply,
+    ReadIndex,
+    ReadIndexReply,
+    SnapshotPiece,
+    SnapshotPieceReply,
+    TimeoutNow,
+    Vote,
+    VoteReply,
+)
+from finchshed.consensus.state import NodeState
+
+FromLeader: TypeAlias = Append | Heartbeat | SnapshotPiece | TimeoutNow
+ToLeader: TypeAlias = AppendAccepted | AppendRejected | HeartbeatReply | SnapshotPieceReply
+OfElection: TypeAlias = PreVote | PreVoteReply | Vote | VoteReply
+
+
+def receive(state: NodeState, envelope: Envelope) -> None:
+    """Take a message, unless it is for somebody else."""
+    receiver = envelope.receiver
+    if receiver.name != state.identity.name:
+        return
+    if receiver.incarnation not in ("", state.identity.incarnation):
+        return
+    sender = envelope.sender
+    match envelope.message:
+        case Append() | Heartbeat() | SnapshotPiece() | TimeoutNow() as message:
+            _receive_from_leader(state, sender, message)
+        case AppendAccepted() | AppendRejected() | HeartbeatReply() | SnapshotPieceReply() as reply:
+            _receive_answer(state, sender, reply)
+        case PreVote() | PreVoteReply() | Vote() | VoteReply() as message:
+            _receive_of_election(state, sender, message)
+        case ReadIndex() as message:
+            read_index.on_read_index(state, sender, message)
+        case ReadIndexReply() as message:
+            read_index.on_read_index_reply(state, message)
+        case Hello() as message:
+            formation.on_hello(state, sender, message)
+
+
+def _receive_from_leader(state: NodeState, sender: NodeIdentity, message: FromLeader) -> None:
+    match message:
+        case Append():
+            following.on_append(state, sender, message)
+        case Heartbeat():
+            following.on_heartbeat(state, sender, message)
+        case SnapshotPiece():
+            following.on_snapshot_piece(state, sender, message)
+        case TimeoutNow():
+            election.on_timeout_now(state, message)
+
+
+def _receive_of_election(state: NodeState, sender: NodeIdentity, message: OfElection) -> None:
+    match message:
+        case PreVote():
+            election.on_pre_vote(state, sender, message)
+        case PreVoteReply():
+            election.on_pre_vote_reply(state, sender, message)
+        case Vote():
+            election.on_vote(state, sender, message)
+        case VoteReply():
+            election.on_vote_reply(state, sender, message)
+
+
+def _receive_answer(state: NodeState, sender: NodeIdentity, message: ToLeader) -> None:
+    """Take an answer to the leader; one of a later term ends the leadership."""
+    if message.term > state.term:
+        roles.become_follower(state, message.term, None)
+        return
+    leading = state.leading
+    if leading is None or message.term < state.term:
+        return
+    match message:
+        case AppendAccepted():
+            replication.on_accepted(state, leading, sender, message)
+        case AppendRejected():
+            replication.on_rejected(state, leading, sender, message)
+        case HeartbeatReply():
+            replication.on_heartbeat_reply(state, leading, sender, message)
+        case SnapshotPieceReply():
+            replication.on_snapshot_reply(state, leading, sender, message)
--- /dev/null
+++ b/src/finchshed/consensus/repair.py
@@ -0,0 +1,105 @@
+"""Repair by the leader: a node that lost its disk comes back as a learner and is promoted.
+
+The steps, each one change of the membership: the new incarnation joins as a learner beside the
+old one; once it has caught up the old incarnation is removed; then the new one becomes a voter.
+While the learner catches up, the old incarnation still counts as a voter that never answers, so
+the quorum is that of the whole group and no acknowledgement is taken from the empty disk.
+"""
+
+from finchshed.consensus.identity import NodeIdentity
+from finchshed.consensus.membership import Member, MemberRole, Membership
+from finchshed.consensus.membership_changes import (
+    GREETING_LIFETIME_SECONDS,
+    append_membership,
+    blocked_by,
+    keeps_whole_majority,
+)
+from finchshed.consensus.state import Greeting, LeaderState, NodeState
+
+ABANDONED_SECONDS = 30.0
+"""A learner silent for so long makes room if another incarnation of its name answers."""
+
+
+def repair(state: NodeState, leading: LeaderState) -> None:
+    """Make the next step of a repair, if one is due."""
+    if blocked_by(state, leading) is not None:
+        return
+    wanted = _next_step(state, leading)
+    if wanted is not None and keeps_whole_majority(state, leading, wanted):
+        append_membership(state, wanted)
+
+
+def _next_step(state: NodeState, leading: LeaderState) -> Membership | None:
+    for greeting in state.greetings.values():
+        wanted = _taken_in(state, leading, greeting)
+        if wanted is not None:
+            return wanted
+    for member in state.membership.members:
+        if member.role is MemberRole.LEARNER:
+            wanted = _promoted(state, leading, member)
+            if wanted is not None:
+                return wanted
+    return None
+
+
+def _taken_in(state: NodeState, leading: LeaderState, greeting: Greeting) -> Membership | None:
+    """Add a new incarnation of a member that no longer answers."""
+    identity = greeting.identity
+    fresh = greeting.heard >= state.now - GREETING_LIFETIME_SECONDS
+    earlier = state.membership.named(identity.name)
+    known = any(member.identity == identity for member in earlier)
+    if not fresh or known or not earlier:
+        return None
+    if any(_answers(state, leading, member.identity) for member in earlier):
+        return None
+    voter = any(member.role is MemberRole.VOTER or member.promote for member in earlier)
+    membership = state.membership
+    for member in earlier:
+        if member.role is MemberRole.LEARNER:
+            membership = membership.without(member.identity)
+    learner = Member(identity, greeting.address, MemberRole.LEARNER, promote=voter)
+    return membership.with_member(learner)
+
+
+def _promoted(state: NodeState, leading: LeaderState, learner: Member) -> Membership | None:
+    """Return the next step towards the promotion of a learner that has caught up."""
+    identity = learner.identity
+    earlier = [
+        member
+        for member in state.membership.named(identity.name)
+        if member.identity != identity and member.role is MemberRole.VOTER
+    ]
+    if any(_answers(state, leading, member.identity) for member in earlier):
+        return _without_abandoned(state, leading, identity)
+    if not learner.promote or not _has_caught_up(state, leading, identity):
+        return None
+    if earlier:
+        return state.membership.without(earlier[0].identity)
+    return state.membership.with_member(Member(identity, learner.address, MemberRole.VOTER))
+
+
+def _without_abandoned(
+    state: NodeState, leading: LeaderState, identity: NodeIdentity
+) -> Membership | None:
+    progress = leading.progress.get(identity)
+    if progress is None or progress.last_heard >= state.now - ABANDONED_SECONDS:
+        return None
+    return state.membership.without(identity)
+
+
+def _answers(state: NodeState, leading: LeaderState, identity: NodeIdentity) -> bool:
+    if identity == state.identity:
+        return True
+    progress = leading.progress.get(identity)
+    since = state.now - state.options.election_timeout_min_seconds
+    return progress is not None and progress.last_heard >= since
+
+
+def _has_caught_up(state: NodeState, leading: LeaderState, identity: NodeIdentity) -> bool:
+    progress = leading.progress.get(identity)
+    lag = state.options.promotion_lag_entries
+    return (
+        progress is not None
+        and _answers(state, leading, identity)
+        and progress.match_index >= state.log.last_index - lag
+    )
