Control group over real processes: Raft host, peer links, forwarding, replacement of members

Cause: accepted changes and ledger grants must outlive any one machine.

Commands name themselves (change identity, attempt), so a forwarded command whose answer is lost is sent again without a second effect. Ruled out: redirecting operators and daemons to the leader; every daemon would then hold its link to one node.

--- a/src/finchshed/control/distribution_service.py
+++ b/src/finchshed/control/distribution_service.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from finchshed.common.addresses import split_address
 from finchshed.configuration.store import CommittedRevision
+from finchshed.control.addresses import split_address
 from finchshed.control.background import Background
 from finchshed.control.explanations import Explanations
 from finchshed.control.ledger_service import LedgerRequest, LedgerService
@@ -74,9 +74,7 @@
         """Send an accepted change on."""
         if self._is_serving:
             self._server.commit(
-                Delta(
-                    committed.revision - 1, committed.revision, committed.puts, committed.deletes
-                )
+                Delta(committed.revision - 1, committed.revision, committed.puts, committed.deletes)
             )
 
     def on_restored(self) -> None:
--- a/src/finchshed/control/group_log.py
+++ b/src/finchshed/control/group_log.py
@@ -6,10 +6,12 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from finchshed.common.errors import ControlUnavailableError
-from finchshed.consensus.membership import AddMember, MembershipChange, RemoveMember
+from finchshed.consensus.effects import RefusalCause
 from finchshed.consensus.membership import MemberRole as GroupRole
+from finchshed.consensus.membership import MembershipChange
 from finchshed.control.background import Background
 from finchshed.control.commands import Command, CommandResult
 from finchshed.control.peer_links import PeerLink, PeerLinks
@@ -22,6 +24,7 @@
     RaftLine,
 )
 from finchshed.control.raft_host import NotTakenError, RaftHost, UndecidedError
+from finchshed.control.replacement import Replacement, explain_refusal, next_step
 from finchshed.control.replicated_log import LogStatus, MemberRole, MemberStatus
 from finchshed.control.state_machine import ControlStateMachine
 from finchshed.distribution.status import InForceReport
@@ -32,6 +35,9 @@
 """A forwarded request unanswered for this long is sent again, perhaps to another leader."""
 
 
+FINAL_CAUSES = frozenset({RefusalCause.UNKNOWN_NODE, RefusalCause.WOULD_LOSE_QUORUM})
+
+
 class GroupLog:
     """Implements :class:`finchshed.control.replicated_log.ReplicatedLog` over a group.
 
@@ -53,10 +59,10 @@
         self._background = background
         self._timeout = timeout_seconds
         self._links: PeerLinks | None = None
-        self._rng = random.Random()  # noqa: S311 - jitter
+        self._rng = random.Random()
         self._last_request = 0
         self._forwarded: dict[int, asyncio.Future[ForwardReply]] = {}
-        self.on_report = _ignore_report
+        self.on_report: Callable[[InForceReport], None] = _ignore_report
 
     def start(self, links: PeerLinks) -> None:
         """Take part in the group over ``links``."""
@@ -77,14 +83,20 @@
 
         Raises
         ------
+        NotTakenError
+            The leader refused it, for a cause that trying again doesn't cure.
         ControlUnavailableError
-            No leader took it in time; the text says why.
+            No leader took it in time.
         """
         retries = _Retries(self._host, self._timeout, self._rng)
         while True:
             try:
                 await asyncio.wait_for(self._change_once(change), retries.remaining())
-            except (NotTakenError, UndecidedError, TimeoutError) as error:
+            except NotTakenError as error:
+                if error.cause in FINAL_CAUSES:
+                    raise
+                await retries.pause(error)
+            except (UndecidedError, TimeoutError) as error:
                 await retries.pause(error)
             else:
                 return
@@ -175,17 +187,17 @@
     async def _forward(self, message: ForwardedCommand | ForwardedChange) -> ForwardReply:
         address = self._host.node.leader_address
         if not address or self._links is None:
-            raise NotTakenError.no_leader()
+            raise NotTakenError(RefusalCause.NOT_LEADER)
         future: asyncio.Future[ForwardReply] = asyncio.get_running_loop().create_future()
         self._forwarded[message.request] = future
         try:
             if not self._links.send(address, message):
-                raise NotTakenError.no_leader()
+                raise NotTakenError(RefusalCause.NOT_LEADER)
             reply = await asyncio.wait_for(future, FORWARD_SECONDS)
         finally:
             del self._forwarded[message.request]
         if reply.outcome is ForwardOutcome.NOT_TAKEN:
-            raise NotTakenError.by_leader(reply.detail)
+            raise NotTakenError(RefusalCause(reply.detail))
         if reply.outcome is ForwardOutcome.UNKNOWN:
             raise UndecidedError(reply.detail)
         return reply
@@ -205,9 +217,17 @@
         else:
             link.send(ForwardReply(request, ForwardOutcome.DONE, result))
 
-    async def replace_member(self, remove: str, add: str) -> tuple[bool, str]:
-        """Make the next step of a replacement; see :mod:`finchshed.control.replacement`."""
-        raise NotImplementedError((remove, add, AddMember, RemoveMember))
+    async def replace_member(self, replacement: Replacement) -> tuple[bool, str]:
+        """Make the next step of a replacement; return whether it is finished, and the step."""
+        await self.read_barrier()
+        step = next_step(self.status().members, replacement)
+        if step.change is None:
+            return step.is_done, step.text
+        try:
+            await self.change_membership(step.change)
+        except NotTakenError as error:
+            return False, f"{step.text}: {explain_refusal(error.cause, replacement)}"
+        return False, step.text
 
 
 class _Retries:
--- a/src/finchshed/control/ledger_service.py
+++ b/src/finchshed/control/ledger_service.py
@@ -1,12 +1,12 @@
 """Carries a daemon's ledger requests to the replicated log and the results back."""
 
-import asyncio
 from typing import TypeAlias
 
 from loguru import logger
 from prometheus_client import Counter
 
 from finchshed.common.errors import ControlUnavailableError
+from finchshed.control.background import Background
 from finchshed.control.commands import (
     BeginRequest,
     CancelRequest,
@@ -55,9 +55,9 @@
         The replicated log.
     """
 
-    def __init__(self, log: ReplicatedLog) -> None:
+    def __init__(self, log: ReplicatedLog, background: Background) -> None:
         self._log = log
-        self._cancellations: set[asyncio.Task[None]] = set()
+        self._background = background
 
     async def answer(self, request: LedgerRequest) -> LedgerReply:
         """Return the answer to ``request``; never raises for a missing quorum."""
@@ -72,17 +72,12 @@
             result = await self._log.propose(_command_of(request))
         except ControlUnavailableError:
             if isinstance(request, LedgerBegin):
-                self._cancel_later(request)
+                self._background.spawn(self._cancel(request))
             return LedgerRefused(request.request, expired=False, detail=NO_QUORUM)
         return _reply_of(request.request, result)
 
-    def _cancel_later(self, request: LedgerBegin) -> None:
-        """Free the key of a begin that may yet be committed though its daemon was refused."""
-        task = asyncio.get_running_loop().create_task(self._cancel(request))
-        self._cancellations.add(task)
-        task.add_done_callback(self._cancellations.discard)
-
     async def _cancel(self, request: LedgerBegin) -> None:
+        """Free the key of a begin that may yet be committed though its daemon was refused."""
         try:
             await self._log.propose(CancelRequest(request.key, request.attempt))
         except ControlUnavailableError:
--- a/src/finchshed/control/node.py
+++ b/src/finchshed/control/node.py
@@ -1,44 +1,101 @@
 """One control node: its parts, started and stopped in order."""
 
+import asyncio
+import time
+
 from finchshed.configuration.store import CommittedRevision
-from finchshed.control.distribution_server import DistributionServer
+from finchshed.consensus.options import RaftOptions
+from finchshed.control.addresses import member_addresses
+from finchshed.control.background import Background
+from finchshed.control.distribution_service import DistributionService
+from finchshed.control.group_log import GroupLog
 from finchshed.control.operator_service import OperatorService
+from finchshed.control.peer_links import PeerLinks
+from finchshed.control.peer_messages import PeerHello
+from finchshed.control.raft_host import RaftHost
 from finchshed.control.revisions import RevisionFeed
 from finchshed.control.rpc_server import RpcServer
 from finchshed.control.settings import ControlSettings
-from finchshed.control.single_node_log import SingleNodeLog
 from finchshed.control.state_machine import ControlStateMachine
 
+ELECTION_SPREAD = 2.0
+"""The longest election timeout, as a multiple of the shortest."""
+
+TRANSFER_SECONDS = 2.0
+ALTERNATIVES_SECONDS = 2.0
+
 
 class ControlNode:
-    """The parts of one control node."""
+    """The parts of one control node.
 
-    def __init__(self, settings: ControlSettings) -> None:
+    Parameters
+    ----------
+    background
+        Runs the node's tasks; told of broken invariants.
+    """
+
+    def __init__(self, settings: ControlSettings, background: Background) -> None:
         self._settings = settings
+        self._background = background
         self._machine = ControlStateMachine(self._on_committed, self._on_restored)
-        self._log = SingleNodeLog(settings.node, self._machine)
         self._feed = RevisionFeed(self._machine.store)
-        self._distribution = DistributionServer(
-            self._machine, self._log, settings.max_link_line_bytes
+        self._host = RaftHost(
+            settings.node,
+            settings.raft_address,
+            member_addresses(settings.voters),
+            settings.data_folder,
+            options=_options(settings),
+            machine=self._machine,
+            background=background,
+        )
+        self._log = GroupLog(
+            self._host, self._machine, background, settings.request_timeout_seconds
         )
+        hello = PeerHello(settings.node, settings.distribution_address)
+        self._links = PeerLinks(hello, self._log.on_message, background)
+        self._distribution = DistributionService(
+            settings.node, self._machine, self._log, background
+        )
+        self._log.on_report = self._distribution.on_report
         service = OperatorService(
             self._machine,
             self._log,
             distribution=self._distribution,
             feed=self._feed,
             bootstrap_token_sha256=settings.bootstrap_token_sha256,
+            membership=self._log,
         )
         self._rpc = RpcServer(service)
 
     async def start(self) -> None:
-        """Start serving."""
+        """Take part in the group, then serve daemons and operators."""
+        await self._links.start(self._settings.raft_address)
+        self._log.start(self._links)
         await self._distribution.start(self._settings.distribution_address)
         await self._rpc.start(self._settings.rpc_address)
+        self._background.spawn(self._name_alternatives())
 
     async def stop(self) -> None:
-        """Finish requests in progress and stop."""
+        """Finish requests in progress, hand leadership over and stop."""
         await self._rpc.stop(self._settings.stop_seconds)
         await self._distribution.stop(self._settings.stop_seconds)
+        await self._hand_over()
+        self._background.cancel()
+        self._links.stop()
+        await self._host.stop()
+
+    async def _hand_over(self) -> None:
+        """Transfer leadership, so that the group needs no election timeout."""
+        deadline = time.monotonic() + TRANSFER_SECONDS
+        self._host.transfer_leadership()
+        while self._host.is_leader and time.monotonic() < deadline:
+            await self._host.wait_for_role_change(deadline - time.monotonic())
+
+    async def _name_alternatives(self) -> None:
+        while True:
+            known = self._links.distribution_addresses
+            self._distribution.set_alternatives(tuple(sorted(known.values())))
+            await asyncio.sleep(ALTERNATIVES_SECONDS)
 
     def _on_committed(self, committed: CommittedRevision) -> None:
         self._feed.on_committed(committed)
@@ -47,3 +104,13 @@
     def _on_restored(self) -> None:
         self._feed.on_restored()
         self._distribution.on_restored()
+
+
+def _options(settings: ControlSettings) -> RaftOptions:
+    return RaftOptions(
+        heartbeat_interval_seconds=settings.heartbeat_seconds,
+        election_timeout_min_seconds=settings.election_timeout_seconds,
+        election_timeout_max_seconds=ELECTION_SPREAD * settings.election_timeout_seconds,
+        snapshot_every_entries=settings.snapshot_entries,
+        read_timeout_seconds=settings.request_timeout_seconds / 2,
+    )
--- a/src/finchshed/control/operator_service.py
+++ b/src/finchshed/control/operator_service.py
@@ -1,6 +1,5 @@
 """The operators' RPC service on a control node."""
 
-import asyncio
 import hashlib
 import time
 from collections.abc import AsyncIterator
@@ -13,10 +12,12 @@
 from finchshed.configuration.changes import Accepted, Change, Conflict, Invalid
 from finchshed.configuration.store import BOOTSTRAP_OPERATOR
 from finchshed.control.commands import ApplyChange
-from finchshed.control.distribution_server import DistributionServer
+from finchshed.control.distribution_service import DistributionService
+from finchshed.control.replacement import Replacement
 from finchshed.control.replicated_log import ReplicatedLog
 from finchshed.control.revisions import RevisionFeed
 from finchshed.control.state_machine import ControlStateMachine
+from finchshed.distribution.status import DaemonState
 from finchshed.observability import ring
 from finchshed.rpc.conversion import (
     key_from_message,
@@ -38,7 +39,7 @@
 class Membership(Protocol):
     """Changes the members of the control group."""
 
-    async def replace_member(self, remove: str, add: str, add_address: str) -> tuple[bool, str]:
+    async def replace_member(self, replacement: Replacement) -> tuple[bool, str]:
         """Go on with a replacement; return whether it is finished, and the step."""
         ...
 
@@ -57,10 +58,10 @@
         machine: ControlStateMachine,
         log: ReplicatedLog,
         *,
-        distribution: DistributionServer,
+        distribution: DistributionService,
         feed: RevisionFeed,
         bootstrap_token_sha256: str,
-        membership: Membership | None = None,
+        membership: Membership,
     ) -> None:
         self._machine = machine
         self._log = log
@@ -144,26 +145,18 @@
         """Read which daemons act on which revision."""
         await self._authenticate(context)
         confirmed = await self._is_confirmed()
-        now = asyncio.get_running_loop().time()
-        daemons = [
-            pb.DaemonStatus(
-                node=daemon.node,
-                service=daemon.service,
-                zone=daemon.zone,
-                revision=daemon.revision,
-                silent_seconds=now - daemon.last_heard,
-                connected=daemon.connected,
-            )
-            for daemon in self._distribution.daemons.values()
-        ]
         status = self._log.status()
+        distribution = self._distribution.status()
         return pb.StatusResponse(
             node=status.node,
-            revision=self._machine.store.revision,
-            daemons=daemons,
-            ledger=self._ledger_status(),
             leader=status.leader,
+            revision=self._machine.store.revision,
             confirmed=confirmed,
+            known=distribution.known,
+            in_force=distribution.in_force,
+            behind=[_daemon_status(daemon) for daemon in distribution.behind],
+            silent=[_daemon_status(daemon) for daemon in distribution.silent],
+            ledger=self._ledger_status(),
         )
 
     async def Members(  # noqa: N802
@@ -198,13 +191,10 @@
         """Change the members of the control group."""
         await self._barrier(context)
         operator = await self._authenticate(context)
-        if self._membership is None:
-            await _abort(context, grpc.StatusCode.UNIMPLEMENTED, "this node has no group")
         logger.info("{} replaces member {} by {}", operator, request.remove, request.add)
         try:
-            done, step = await self._membership.replace_member(
-                request.remove, request.add, request.add_address
-            )
+            replacement = Replacement(request.remove, request.add, request.standby)
+            done, step = await self._membership.replace_member(replacement)
         except ControlUnavailableError as error:
             await _abort(context, grpc.StatusCode.UNAVAILABLE, str(error))
         return pb.ReplaceMemberResponse(done=done, step=step)
@@ -294,6 +284,17 @@
         )
 
 
+def _daemon_status(daemon: DaemonState) -> pb.DaemonStatus:
+    return pb.DaemonStatus(
+        node=daemon.node,
+        endpoint=daemon.endpoint,
+        service=daemon.service,
+        zone=daemon.zone,
+        revision=daemon.revision,
+        seconds=daemon.seconds,
+    )
+
+
 async def _abort(context: grpc.aio.ServicerContext, code: grpc.StatusCode, detail: str) -> NoReturn:
     await context.abort(code, detail)
     raise AssertionError("abort returns")  # pragma: no cover - abort always raises
--- a/src/finchshed/control/peer_links.py
+++ b/src/finchshed/control/peer_links.py
@@ -13,7 +13,7 @@
 from loguru import logger
 from prometheus_client import Counter
 
-from finchshed.common.addresses import split_address
+from finchshed.control.addresses import split_address
 from finchshed.control.background import Background
 from finchshed.control.peer_messages import PeerHello, PeerMessage
 from finchshed.link.lines import LineProtocol
--- a/src/finchshed/control/program.py
+++ b/src/finchshed/control/program.py
@@ -5,7 +5,9 @@
 
 import uvloop
 
+from finchshed.cli.exit_codes import ExitCode
 from finchshed.common.errors import InvariantError
+from finchshed.control.background import Background
 from finchshed.control.node import ControlNode
 from finchshed.control.settings import ControlSettings
 from finchshed.observability import ring
@@ -24,11 +26,15 @@
 async def _serve(settings: ControlSettings) -> int:
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
+    broken: list[InvariantError] = []
+
+    def on_broken(error: InvariantError) -> None:
+        broken.append(error)
+        stopping.set()
+
     for number in STOP_SIGNALS:
         loop.add_signal_handler(number, stopping.set)
-    broken: list[InvariantError] = []
-    loop.set_exception_handler(_exception_handler(broken, stopping))
-    node = ControlNode(settings)
+    node = ControlNode(settings, Background(on_broken))
     await node.start()
     ring.announce(f"control {settings.node} started, operators at {settings.rpc_address}")
     await stopping.wait()
@@ -36,16 +42,4 @@
         raise broken[0]
     await node.stop()
     ring.announce(f"control {settings.node} stopped")
-    return 0
-
-
-def _exception_handler(broken: list[InvariantError], stopping: asyncio.Event):  # type: ignore[no-untyped-def]
-    def handle(loop: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
-        error = context.get("exception")
-        if isinstance(error, InvariantError):
-            broken.append(error)
-            stopping.set()
-            return
-        loop.default_exception_handler(context)
-
-    return handle
+    return ExitCode.OK
--- a/src/finchshed/control/raft_host.py
+++ b/src/finchshed/control/raft_host.py
@@ -53,12 +53,11 @@
 
 
 class NotTakenError(Exception):
-    """A proposal, read or change had no effect. ``leader`` may be asked instead."""
+    """A proposal, read or change had no effect."""
 
-    def __init__(self, cause: RefusalCause, leader: str = "") -> None:
+    def __init__(self, cause: RefusalCause) -> None:
         super().__init__(cause.value)
         self.cause = cause
-        self.leader = leader
 
 
 class UndecidedError(Exception):
@@ -93,14 +92,22 @@
         machine: ControlStateMachine,
         background: Background,
     ) -> None:
-        rng = random.Random()  # noqa: S311 - timeouts and identities, no secrets
+        rng = random.Random()
         self._machine = machine
         self._background = background
         self._folder = open_log_folder(data_folder)
         opened = open_durable_state(self._folder, rng)
         self._store = opened.store
         initial = tuple(InitialMember(voter, where) for voter, where in voters.items())
-        self.node = RaftNode(name, address, opened.stored, rng, initial, _now(), options)
+        self.node = RaftNode(
+            name,
+            address,
+            opened.stored,
+            rng=rng,
+            initial_members=initial,
+            now=_now(),
+            options=options,
+        )
         self._driver = Driver(self.node, self)
         self._links: PeerLinks | None = None
         self._events: list[Event] = []
@@ -220,7 +227,7 @@
             case Lost():
                 self._fail(effect.token, UndecidedError("leadership ended"))
             case Refused():
-                self._fail(effect.token, NotTakenError(effect.cause, effect.leader_address))
+                self._fail(effect.token, NotTakenError(effect.cause))
             case ReadFailed():
                 self._fail(effect.token, NotTakenError(RefusalCause.NOT_READY))
             case RoleChanged():
--- /dev/null
+++ b/src/finchshed/control/replacement.py
@@ -0,0 +1,74 @@
+"""Replacement of a control node as a sequence of small steps. Pure.
+
+Each step follows from the members as they are, so the operator's command may stop anywhere and be
+run again: it goes on where the group is.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from finchshed.consensus.effects import RefusalCause
+from finchshed.consensus.membership import AddMember, MembershipChange, RemoveMember
+from finchshed.control.replicated_log import MemberRole, MemberStatus
+
+
+@dataclass(frozen=True, slots=True)
+class Replacement:
+    """Take ``remove`` out and put ``add`` in; either may be empty.
+
+    ``standby``: the node put in stays a learner and doesn't vote.
+    """
+
+    remove: str = ""
+    add: str = ""
+    standby: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """What is to be done next: a change, waiting (no change), or nothing more."""
+
+    text: str
+    change: MembershipChange | None = None
+    is_done: bool = False
+
+
+def next_step(members: Sequence[MemberStatus], replacement: Replacement) -> Step:
+    """Return the next step that brings ``members`` to what ``replacement`` asks for."""
+    if replacement.add:
+        step = _step_of_adding(members, replacement)
+        if step is not None:
+            return step
+    remove = replacement.remove
+    if remove and remove != replacement.add and _named(members, remove):
+        return Step(f"taking {remove} out", RemoveMember(remove))
+    return Step("done", is_done=True)
+
+
+def explain_refusal(cause: RefusalCause, replacement: Replacement) -> str:
+    """Return what an operator can do about a refused step."""
+    if cause is RefusalCause.UNKNOWN_NODE:
+        return f"{replacement.add} hasn't made itself known; start it, or wait"
+    if cause is RefusalCause.WOULD_LOSE_QUORUM:
+        return "waiting: without it too few voters would hold the whole log on a disk that answers"
+    return cause.value
+
+
+def _step_of_adding(members: Sequence[MemberStatus], replacement: Replacement) -> Step | None:
+    name = replacement.add
+    present = _named(members, name)
+    if not present:
+        return Step(f"putting {name} in as a learner", AddMember(name, not replacement.standby))
+    votes = [member for member in present if member.role is not MemberRole.LEARNER]
+    if replacement.standby:
+        return None if not votes else Step(f"{name} is a voter already", is_done=True)
+    if len(present) > 1:
+        return Step(f"{name} comes back on another disk and catches up")
+    if not votes:
+        entry = present[0].match_index
+        return Step(f"{name} catches up, at entry {entry}", AddMember(name, voter=True))
+    return None
+
+
+def _named(members: Sequence[MemberStatus], name: str) -> list[MemberStatus]:
+    return [member for member in members if member.name == name]
--- a/src/finchshed/control/replicated_log.py
+++ b/src/finchshed/control/replicated_log.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from finchshed.control.commands import Command, CommandResult
+from finchshed.distribution.status import InForceReport
 
 
 class MemberRole(enum.StrEnum):
@@ -72,3 +73,11 @@
     def status(self) -> LogStatus:
         """Return the state of the log at this node."""
         ...
+
+    def in_contact(self) -> bool:
+        """Return whether this node is in contact with a quorum, as far as it knows."""
+        ...
+
+    def send_report(self, report: InForceReport) -> None:
+        """Send a report of daemons to every other member; it may be lost."""
+        ...
--- a/src/finchshed/ctl/maintenance.py
+++ b/src/finchshed/ctl/maintenance.py
@@ -10,7 +10,6 @@
 
 from finchshed.cli.exit_codes import ExitCode
 from finchshed.common.errors import ControlUnavailableError, SettingsError
-from finchshed.configuration.validation import is_address
 from finchshed.control.state_machine import StateSnapshot
 from finchshed.ctl.connection import DEFAULT_TIMEOUT_SECONDS, connect
 from finchshed.ctl.output import complain, show
@@ -46,7 +45,7 @@
     *,
     remove: str = "",
     add: str = "",
-    address: str = "",
+    standby: bool = False,
     control: str = "",
     token_file: str = "",
     timeout: float = 120.0,
@@ -62,9 +61,10 @@
     remove
         Member to take out; empty: none.
     add
-        Member to put in; empty: none. It may have the name of a member whose disk was lost.
-    address
-        Address of the member to put in for other control nodes (its raft_address).
+        Member to put in, running already; empty: none. It may have the name of a member whose
+        disk was lost.
+    standby
+        Keep the member put in as a standby that doesn't vote.
     control
         Addresses of control nodes for operators, a.b.c.d:port,...; or FINCHSHED_CONTROL.
     token_file
@@ -74,15 +74,10 @@
     json
         Print one JSON line.
     """
-    problems = []
     if not remove and not add:
-        problems.append("flag --add, --remove: missing, one of them is needed")
-    if add and not is_address(address):
-        problems.append(f"flag --address = {address!r}: allowed is a.b.c.d:port")
-    if problems:
-        raise SettingsError(problems)
+        raise SettingsError(["flag --add, --remove: missing, one of them is needed"])
     client = connect(control, token_file, min(timeout, DEFAULT_TIMEOUT_SECONDS))
-    request = pb.ReplaceMemberRequest(remove=remove, add=add, add_address=address)
+    request = pb.ReplaceMemberRequest(remove=remove, add=add, standby=standby)
     deadline = time.monotonic() + timeout
     step = ""
     while True:
--- a/src/finchshed/ctl/reading.py
+++ b/src/finchshed/ctl/reading.py
@@ -28,10 +28,6 @@
 )
 from finchshed.rpc.generated import finchshed_pb2 as pb
 
-SILENT_AFTER_SECONDS = 6.0
-"""A daemon that a control node has not heard of for this long is silent."""
-
-IN_FORCE = "in force"
 BEHIND = "behind"
 SILENT = "silent"
 
@@ -121,8 +117,8 @@
 ) -> int:
     """Show the revision in force, and the daemons that are behind or silent.
 
-    Asks every control node given and puts their answers together. Exit code 14 when some daemon
-    is behind or silent.
+    Each control node knows the daemons of all; of those that answer the best informed is shown.
+    Exit code 14 when some daemon is behind or silent.
 
     Parameters
     ----------
@@ -141,7 +137,7 @@
 
 
 def read_status(client: OperatorClient) -> StatusView:
-    """Return the state of all daemons, from every control node that answers."""
+    """Return the state of all daemons, from the best informed control node that answers."""
     answers: list[pb.StatusResponse] = []
     unreachable = []
     for address, answer, error in client.call_each("Status", pb.StatusRequest()):
@@ -151,15 +147,16 @@
             answers.append(cast(pb.StatusResponse, answer))
     if not answers:
         raise ControlUnavailableError("; ".join(unreachable))
-    revision = max(answer.revision for answer in answers)
-    daemons = _merge_daemons(answers, revision)
+    best = max(answers, key=lambda answer: (answer.confirmed, answer.revision, answer.in_force))
+    daemons = [_daemon_view(daemon, BEHIND) for daemon in best.behind]
+    daemons += [_daemon_view(daemon, SILENT) for daemon in best.silent]
     return StatusView(
-        revision=revision,
-        leader=next((answer.leader for answer in answers if answer.leader), ""),
-        confirmed=any(answer.confirmed for answer in answers),
-        in_force=sum(1 for daemon in daemons if daemon.state == IN_FORCE),
-        known=len(daemons),
-        daemons=daemons,
+        revision=best.revision,
+        leader=best.leader,
+        confirmed=best.confirmed,
+        in_force=best.in_force,
+        known=best.known,
+        daemons=tuple(daemons),
         unreachable=tuple(unreachable),
     )
 
@@ -300,29 +297,15 @@
     return int(event.revision)
 
 
-def _merge_daemons(answers: Iterable[pb.StatusResponse], revision: int) -> tuple[DaemonView, ...]:
-    best: dict[str, pb.DaemonStatus] = {}
-    for answer in answers:
-        for daemon in answer.daemons:
-            known = best.get(daemon.node)
-            if known is None or daemon.silent_seconds < known.silent_seconds:
-                best[daemon.node] = daemon
-    return tuple(_daemon_view(best[node], revision) for node in sorted(best))
-
-
-def _daemon_view(daemon: pb.DaemonStatus, revision: int) -> DaemonView:
-    state = IN_FORCE
-    if not daemon.connected or daemon.silent_seconds > SILENT_AFTER_SECONDS:
-        state = SILENT
-    elif daemon.revision < revision:
-        state = BEHIND
+def _daemon_view(daemon: pb.DaemonStatus, state: str) -> DaemonView:
     return DaemonView(
         node=daemon.node,
+        endpoint=daemon.endpoint,
         service=daemon.service,
         zone=daemon.zone,
-        revision=daemon.revision,
         state=state,
-        silent_seconds=round(daemon.silent_seconds, 3),
+        revision=daemon.revision,
+        seconds=round(daemon.seconds, 3),
     )
 
 
@@ -333,12 +316,17 @@
         f"in force at {view.in_force} of {view.known} daemons",
     ]
     rows = [
-        (daemon.node, daemon.state, str(daemon.revision), f"{daemon.silent_seconds:.1f}")
+        (
+            daemon.node or "-",
+            daemon.endpoint or "-",
+            daemon.state,
+            str(daemon.revision),
+            f"{daemon.seconds:.1f}",
+        )
         for daemon in view.daemons
-        if daemon.state != IN_FORCE
     ]
     if rows:
-        lines += table(("daemon", "state", "revision", "seconds silent"), rows)
+        lines += table(("daemon", "endpoint", "state", "revision", "for seconds"), rows)
     lines += [f"control node unreachable: {text}" for text in view.unreachable]
     return lines
 
--- a/src/finchshed/ctl/values.py
+++ b/src/finchshed/ctl/values.py
@@ -31,14 +31,15 @@
 
 
 class DaemonView(msgspec.Struct, frozen=True):
-    """One daemon in ``status``."""
+    """One daemon in ``status`` that is behind or silent, and for how many seconds."""
 
     node: str
+    endpoint: str
     service: str
     zone: str
-    revision: int
     state: str
-    silent_seconds: float
+    revision: int
+    seconds: float
 
 
 class StatusView(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/tests/control/test_real_group.py
@@ -0,0 +1,156 @@
+"""Control groups of real processes with real disks."""
+
+import threading
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from finchshed.configuration.changes import Accepted, Conflict
+from finchshed.configuration.difference import Difference
+from finchshed.configuration.resources import ResourceKey, Service
+from finchshed.ctl.changes import read_in_force, submit
+from tests.control.group import Group, apply_one
+
+
+@pytest.fixture
+def group(tmp_path: Path) -> Iterator[Group]:
+    made = Group(tmp_path)
+    made.start_all()
+    yield made
+    made.close()
+
+
+def names(group: Group) -> set[str]:
+    client = group.client()
+    resources = read_in_force(client).resources
+    client.close()
+    return {key.name for key in resources if key.kind == "service"}
+
+
+def test_accepted_changes_survive_kill_of_the_leader_amid_applies(group: Group) -> None:
+    group.bootstrap()
+    accepted: list[str] = []
+
+    def apply_many() -> None:
+        client = group.client()
+        for number in range(60):
+            result = apply_one(client, f"change-{number}", Service(name=f"s{number}"))
+            assert isinstance(result, Accepted)
+            accepted.append(f"s{number}")
+        client.close()
+
+    thread = threading.Thread(target=apply_many)
+    thread.start()
+    while len(accepted) < 20 and thread.is_alive():
+        time.sleep(0.01)
+    leader = group.leader()
+    group.kill(leader)
+    thread.join(timeout=60)
+    group.start(leader)
+    assert len(accepted) == 60
+    assert set(accepted) == names(group)
+
+
+def test_a_frozen_leader_is_replaced_and_reverts_nothing_when_it_wakes(group: Group) -> None:
+    group.bootstrap()
+    leader = group.leader()
+    group.freeze(leader)
+    others = [node for node in group.nodes if node is not leader]
+    client = group.client(others)
+    assert isinstance(apply_one(client, "while-frozen", Service(name="new")), Accepted)
+    revision = read_in_force(client).revision
+    group.thaw(leader)
+    woken = group.client([leader])
+    state = read_in_force(woken)
+    assert state.revision >= revision
+    assert ResourceKey("service", "new") in state.resources
+
+
+def test_of_changes_racing_through_different_nodes_exactly_one_wins(group: Group) -> None:
+    revision = group.bootstrap()
+    group.leader()
+    results: dict[str, object] = {}
+
+    def race(number: int) -> None:
+        client = group.client([group.nodes[number % 3]])
+        change = Difference((Service(name=f"racer-{number}"),), ())
+        results[f"race-{number}"] = submit(client, f"race-{number}", revision, change)
+        client.close()
+
+    threads = [threading.Thread(target=race, args=(number,)) for number in range(6)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(timeout=30)
+    winners = [name for name, result in results.items() if isinstance(result, Accepted)]
+    losers = [result for result in results.values() if isinstance(result, Conflict)]
+    assert len(winners) == 1
+    assert len(losers) == 5
+    assert {loser.winner_change_id for loser in losers} == set(winners)
+
+
+def test_restart_of_all_at_once_after_600_changes_keeps_state_and_first_results(
+    group: Group,
+) -> None:
+    group.bootstrap()
+    client = group.client()
+    revision = read_in_force(client).revision
+    for number in range(600):
+        change = Difference((Service(name=f"s{number % 50}", max_sessions=number),), ())
+        assert submit(client, f"change-{number}", revision, change) == Accepted(revision + 1)
+        revision += 1
+    before = read_in_force(client)
+    for node in group.nodes:
+        group.kill(node)
+    group.start_all()
+    after = read_in_force(client)
+    assert after == before
+    change = Difference((Service(name="s49", max_sessions=599),), ())
+    assert submit(client, "change-599", revision - 1, change) == Accepted(revision)
+
+
+def test_a_node_that_lost_its_disk_comes_back_as_a_voter(group: Group) -> None:
+    group.bootstrap(Service(name="before"))
+    leader = group.leader()
+    lost = next(node for node in group.nodes if node is not leader)
+    group.kill(lost)
+    group.lose_disk(lost)
+    group.start(lost)
+    wait_until_voter(group, lost.name)
+    kept = next(node for node in group.nodes if node not in (leader, lost))
+    group.kill(kept)
+    client = group.client([leader, lost])
+    assert isinstance(apply_one(client, "after-repair", Service(name="after")), Accepted)
+    assert names(group) == {"before", "after"}
+
+
+def wait_until_voter(group: Group, name: str) -> None:
+    from finchshed.rpc.generated import finchshed_pb2 as pb
+
+    client = group.client()
+    deadline = time.monotonic() + 30.0
+    while time.monotonic() < deadline:
+        answer = client.call("Members", pb.MembersRequest())
+        roles = [member.role for member in answer.members if member.name == name]
+        if roles in (["voter"], ["leader"]) and len(answer.members) == 3:
+            client.close()
+            return
+        time.sleep(0.2)
+    raise AssertionError(f"{name} isn't a voter again")
+
+
+def test_a_planned_stop_of_the_leader_loses_no_change(group: Group) -> None:
+    group.bootstrap()
+    client = group.client()
+    accepted = []
+    for number in range(30):
+        if number in (10, 20):
+            leader = group.leader()
+            assert group.stop(leader) == 0
+            group.start(leader)
+        result = apply_one(client, f"change-{number}", Service(name=f"s{number}"))
+        assert isinstance(result, Accepted)
+        accepted.append(f"s{number}")
+    assert names(group) == set(accepted)
