Data path decisions: rank, gate, concurrency limit, routing, retry budget, sessions

The daemon and the emulator need one set of pure state machines for a call's way. Each takes the time and its randomness from outside, so that it runs alike under an event loop and a simulator.

The choices still have to be weighed by measurement.

--- /dev/null
+++ b/src/finchshed/admission/gate.py
@@ -0,0 +1,212 @@
+"""The gate beside one back end: what starts, what waits, what is refused.
+
+Requests wait in a bounded queue ordered by rank. A request whose predicted finish lies past its
+deadline is refused at once, as is the lowest rank when the queue is full. The gate never leaves a
+slot idle while a request waits, whatever the threshold says. All methods take the time as ``now``,
+monotonic seconds, and return the effects in order.
+"""
+
+import random
+from bisect import bisect_left, insort
+
+import msgspec
+
+from finchshed.admission.effects import GateEffect, Refuse, Start
+from finchshed.admission.rank import rank_of
+from finchshed.admission.threshold import AdmissionThreshold
+from finchshed.common.context import CallContext
+from finchshed.common.outcomes import RefusalReason
+from finchshed.common.results import CallResult
+from finchshed.limit.concurrency import ConcurrencyLimit
+from finchshed.link.messages import LoadReport
+from finchshed.retry.policy import retry_after
+
+QUEUE_PER_SLOT = 8
+"""Longest queue, as a multiple of the declared slots."""
+
+MIN_TARGET_DELAY_SECONDS = 0.005
+"""Standing queueing delay that is always tolerated."""
+
+OVERLOAD_WEIGHT = 0.02
+"""Weight of one arrival in the measured share of refusals."""
+
+
+class _Waiting(msgspec.Struct, gc=False):
+    rank: int
+    order: int
+    token: int
+    deadline: float
+    arrived: float
+
+
+class _Running(msgspec.Struct, gc=False):
+    started: float
+
+
+class Gate:
+    """Admission to one back end.
+
+    Parameters
+    ----------
+    slots
+        Declared number of requests the back end runs at a time.
+    rng
+        Spreads the times at which refused callers are told to come back.
+    now
+        Time of creation, seconds.
+    """
+
+    def __init__(self, slots: int, rng: random.Random, now: float) -> None:
+        self._slots = slots
+        self._rng = rng
+        self._concurrency = ConcurrencyLimit(slots)
+        self._threshold = AdmissionThreshold(now)
+        self._queue: list[tuple[int, int, _Waiting]] = []
+        self._waiting: dict[int, _Waiting] = {}
+        self._running: dict[int, _Running] = {}
+        self._order = 0
+        self._refused_share = 0.0
+        self.draining = False
+
+    @property
+    def running(self) -> int:
+        """Requests at the back end."""
+        return len(self._running)
+
+    @property
+    def queued(self) -> int:
+        """Requests waiting."""
+        return len(self._queue)
+
+    def set_slots(self, slots: int) -> None:
+        """Take a changed declaration."""
+        self._slots = slots
+        self._concurrency.set_slots(slots)
+
+    def arrive(self, token: int, context: CallContext, now: float) -> list[GateEffect]:
+        """Take a new request. ``token`` is unique among those not finished."""
+        if self.draining:
+            return [self._refusal(token, RefusalReason.DRAINING)]
+        rank = rank_of(context)
+        self._threshold.on_arrival(rank)
+        if not self._queue and len(self._running) < self._concurrency.limit:
+            self._begin(token, now)
+            return [Start(token)]
+        if rank < self._threshold.value:
+            return [self._refusal(token, RefusalReason.OVERLOAD)]
+        return self._enqueue(token, rank, now + context.remaining_seconds, now)
+
+    def finish(self, token: int, result: CallResult, now: float) -> list[GateEffect]:
+        """Take the end of a started request."""
+        running = self._running.pop(token, None)
+        if running is not None:
+            self._concurrency.on_result(result, now - running.started, now)
+        return self._fill(now)
+
+    def cancel(self, token: int, now: float) -> list[GateEffect]:
+        """Drop a request the caller gave up: one that waits is forgotten and gets no effect.
+
+        One that was started stays counted until :meth:`finish` says that the back end ended it.
+        """
+        waiting = self._waiting.pop(token, None)
+        if waiting is not None:
+            self._remove(waiting)
+            self._threshold.on_queue(len(self._queue))
+        return self._fill(now)
+
+    def tick(self, now: float) -> list[GateEffect]:
+        """Refuse what can no longer finish in time, and update the threshold."""
+        effects = self._expire(now)
+        effects.extend(self._fill(now))
+        self._update_threshold(now)
+        return effects
+
+    def load_report(self, now: float) -> LoadReport:
+        """Return what callers are told."""
+        self._update_threshold(now)
+        queued = len(self._queue)
+        return LoadReport(
+            threshold=self._threshold.value,
+            queue_delay=queued * self._seconds_per_finish(),
+            in_flight=len(self._running) + queued,
+            limit=self._concurrency.limit,
+            draining=self.draining,
+        )
+
+    def _begin(self, token: int, now: float) -> None:
+        self._refused_share -= OVERLOAD_WEIGHT * self._refused_share
+        self._running[token] = _Running(now)
+
+    def _enqueue(self, token: int, rank: int, deadline: float, now: float) -> list[GateEffect]:
+        self._order += 1
+        waiting = _Waiting(rank, self._order, token, deadline, now)
+        key = (rank, -self._order, waiting)
+        ahead = len(self._queue) - bisect_left(self._queue, key)
+        wait = (ahead + 1) * self._seconds_per_finish()
+        if now + wait + self._concurrency.mean_latency > deadline:
+            return [self._refusal(token, RefusalReason.DEADLINE)]
+        effects: list[GateEffect] = []
+        if len(self._queue) >= self._slots * QUEUE_PER_SLOT:
+            lowest = self._queue[0][2]
+            if lowest.rank >= rank:
+                return [self._refusal(token, RefusalReason.QUEUE_FULL)]
+            self._queue.pop(0)
+            del self._waiting[lowest.token]
+            effects.append(self._refusal(lowest.token, RefusalReason.QUEUE_FULL))
+        insort(self._queue, key)
+        self._waiting[token] = waiting
+        effects.extend(self._fill(now))
+        return effects
+
+    def _fill(self, now: float) -> list[GateEffect]:
+        effects: list[GateEffect] = []
+        queue = self._queue
+        limit = self._concurrency.limit
+        while queue and len(self._running) < limit:
+            waiting = queue.pop()[2]
+            del self._waiting[waiting.token]
+            if now + self._concurrency.mean_latency > waiting.deadline:
+                effects.append(self._refusal(waiting.token, RefusalReason.DEADLINE))
+                continue
+            self._begin(waiting.token, now)
+            effects.append(Start(waiting.token))
+        self._threshold.on_queue(len(queue))
+        return effects
+
+    def _expire(self, now: float) -> list[GateEffect]:
+        per_finish = self._seconds_per_finish()
+        finish = now + self._concurrency.mean_latency
+        kept: list[tuple[int, int, _Waiting]] = []
+        effects: list[GateEffect] = []
+        for key in reversed(self._queue):
+            waiting = key[2]
+            if finish + (len(kept) + 1) * per_finish > waiting.deadline:
+                del self._waiting[waiting.token]
+                effects.append(self._refusal(waiting.token, RefusalReason.DEADLINE))
+            else:
+                kept.append(key)
+        if effects:
+            kept.reverse()
+            self._queue = kept
+            self._threshold.on_queue(len(kept))
+        return effects
+
+    def _remove(self, waiting: _Waiting) -> None:
+        index = bisect_left(self._queue, (waiting.rank, -waiting.order))
+        self._queue.pop(index)
+
+    def _seconds_per_finish(self) -> float:
+        return self._concurrency.mean_latency / self._concurrency.limit
+
+    def _update_threshold(self, now: float) -> None:
+        per_finish = self._seconds_per_finish()
+        if per_finish <= 0.0:
+            return
+        target_delay = max(MIN_TARGET_DELAY_SECONDS, self._concurrency.mean_latency / 2)
+        self._threshold.update(now, len(self._queue), 1.0 / per_finish, target_delay / per_finish)
+
+    def _refusal(self, token: int, reason: RefusalReason) -> Refuse:
+        self._refused_share += OVERLOAD_WEIGHT * (1.0 - self._refused_share)
+        admitted_share = max(0.02, 1.0 - self._refused_share)
+        overload = self._refused_share / admitted_share
+        return Refuse(token, reason, retry_after(overload, self._rng))
--- /dev/null
+++ b/src/finchshed/admission/rank.py
@@ -0,0 +1,45 @@
+"""Admission rank of a request: one integer that orders requests by how late they are shed.
+
+The rank holds, from its highest bits down, the importance class, whether the request belongs to a
+running session, and a position that is the same on every hop of one root request. The position
+follows DAGOR (Zhou et al., *Overload Control for Scaling WeChat Microservices*, SoCC 2018), where
+a hash keeps the hops of one request from deciding differently.
+"""
+
+import xxhash
+
+from finchshed.common.context import CallContext
+from finchshed.common.importance import Importance
+
+POSITION_BITS = 16
+"""Bits of the position within a class."""
+
+POSITIONS = 1 << POSITION_BITS
+"""Number of positions within a class."""
+
+RANKS = len(Importance) * 2 * POSITIONS
+"""Number of ranks; a threshold of ``RANKS`` would admit nothing."""
+
+_SESSION_BIT = 1 << POSITION_BITS
+_IMPORTANCE_SHIFT = POSITION_BITS + 1
+
+
+def position_of(root: str) -> int:
+    """Return the position of a root request among ``POSITIONS``, from its identity."""
+    return xxhash.xxh32_intdigest(root.encode()) & (POSITIONS - 1)
+
+
+def rank_of(context: CallContext) -> int:
+    """Return the rank of a request, 0 to ``RANKS - 1``; lower ranks are shed first."""
+    rank = (context.importance << _IMPORTANCE_SHIFT) | position_of(context.root)
+    return rank | _SESSION_BIT if context.session else rank
+
+
+def class_floor(importance: Importance) -> int:
+    """Return the lowest rank of an importance class."""
+    return int(importance) << _IMPORTANCE_SHIFT
+
+
+def importance_of(rank: int) -> Importance:
+    """Return the importance class a rank belongs to."""
+    return Importance(min(rank >> _IMPORTANCE_SHIFT, max(Importance)))
--- /dev/null
+++ b/src/finchshed/admission/threshold.py
@@ -0,0 +1,98 @@
+"""Admission threshold of one back end, from its standing queue and the ranks of its arrivals.
+
+The gate's priority queue decides exactly; the threshold tells callers which requests have no chance
+so that they are shed before they cost a hop. While the queue does not empty for a whole window, the
+threshold is set to the rank at which the arrivals above it match the measured capacity (the
+histogram of DAGOR, SoCC 2018). Once the queue has emptied, the threshold falls in steps that
+double, because callers no longer send what lies below it and the histogram can't show it.
+"""
+
+from finchshed.admission.rank import RANKS
+
+WINDOW_SECONDS = 0.05
+"""Time over which arrivals and the standing queue are judged."""
+
+BUCKET_BITS = 11
+"""Ranks within one bucket of the histogram, as a power of two."""
+
+BUCKETS = RANKS >> BUCKET_BITS
+"""Buckets of the histogram: 32 for each class of rank and session."""
+
+MARGIN = 1.1
+"""Arrivals let through, as a multiple of the capacity, so that the queue never runs dry."""
+
+
+class AdmissionThreshold:
+    """Computes the threshold window by window.
+
+    Parameters
+    ----------
+    now
+        Time of creation, seconds.
+    window
+        Length of a window, seconds.
+    """
+
+    def __init__(self, now: float, window: float = WINDOW_SECONDS) -> None:
+        self._window = window
+        self._window_start = now
+        self._arrivals = [0] * BUCKETS
+        self._arrived = 0
+        self._shortest_queue = 0
+        self._bucket = 0
+        self._release_step = 1
+
+    @property
+    def value(self) -> int:
+        """Ranks below this one are refused at present."""
+        return self._bucket << BUCKET_BITS
+
+    def on_arrival(self, rank: int) -> None:
+        """Count a request that reached the gate."""
+        self._arrivals[rank >> BUCKET_BITS] += 1
+        self._arrived += 1
+
+    def on_queue(self, queued: int) -> None:
+        """Take the length of the queue after a change."""
+        self._shortest_queue = min(self._shortest_queue, queued)
+
+    def update(self, now: float, queued: int, rate: float, target_queue: float) -> None:
+        """Close the window if it is over and compute the threshold.
+
+        Parameters
+        ----------
+        queued
+            Requests queued now.
+        rate
+            Requests the back end finishes each second when it is kept busy.
+        target_queue
+            Standing queue that is tolerated, requests.
+        """
+        elapsed = now - self._window_start
+        if elapsed < self._window:
+            return
+        if self._shortest_queue > target_queue:
+            self._raise(rate * elapsed, self._shortest_queue - target_queue)
+        elif self._shortest_queue == 0:
+            self._release()
+        self._window_start = now
+        self._shortest_queue = queued
+        if self._arrived:
+            self._arrivals = [0] * BUCKETS
+            self._arrived = 0
+
+    def _raise(self, capacity: float, excess: float) -> None:
+        self._release_step = 1
+        room = max(1.0, capacity * MARGIN - excess)
+        admitted = 0
+        bucket = BUCKETS
+        while bucket > 0 and admitted + self._arrivals[bucket - 1] <= room:
+            bucket -= 1
+            admitted += self._arrivals[bucket]
+        self._bucket = min(bucket, BUCKETS - 1)
+
+    def _release(self) -> None:
+        if self._bucket == 0:
+            return
+        self._bucket = max(0, self._bucket - self._release_step)
+        self._release_step *= 2
--- /dev/null
+++ b/src/finchshed/limit/__init__.py
@@ -0,0 +1,1 @@
+"""Concurrency limit learnt from measured latency."""
--- /dev/null
+++ b/src/finchshed/limit/concurrency.py
@@ -0,0 +1,55 @@
+"""Concurrency limit of one back end, bounded by its declared slots.
+
+The back end's own reports are never read. A refusal by the back end itself shows that the limit is
+above what it takes, so the limit falls (multiplicative decrease, once per measured latency) and
+climbs again with successes (additive increase), as in TCP congestion avoidance (RFC 5681).
+"""
+
+from finchshed.common.results import CallResult
+
+DECREASE_FACTOR = 0.8
+"""Limit after a back end refused, as a share of the limit before."""
+
+LATENCY_WEIGHT = 0.05
+"""Weight of one sample in the mean latency."""
+
+
+class ConcurrencyLimit:
+    """Learns how many requests a back end runs at a time.
+
+    Parameters
+    ----------
+    slots
+        Declared number of requests the back end runs at a time; the limit never exceeds it.
+    """
+
+    def __init__(self, slots: int) -> None:
+        self._slots = slots
+        self._limit = float(slots)
+        self._last_decrease = float("-inf")
+        self.mean_latency = 0.0
+
+    @property
+    def limit(self) -> int:
+        """Requests that may run at a time, at least 1."""
+        return int(self._limit)
+
+    def set_slots(self, slots: int) -> None:
+        """Take a changed declaration."""
+        if slots != self._slots:
+            self._slots = slots
+            self._limit = float(slots)
+
+    def on_result(self, result: CallResult, latency: float, now: float) -> None:
+        """Take one finished request; ``latency`` in seconds, from its start."""
+        if result is CallResult.OK or result is CallResult.ERROR:
+            self._on_answer(latency)
+        elif result is CallResult.REFUSED and now - self._last_decrease > self.mean_latency:
+            self._last_decrease = now
+            self._limit = max(1.0, self._limit * DECREASE_FACTOR)
+
+    def _on_answer(self, latency: float) -> None:
+        if self.mean_latency == 0.0:
+            self.mean_latency = latency
+        self.mean_latency += LATENCY_WEIGHT * (latency - self.mean_latency)
+        self._limit = min(float(self._slots), self._limit + 1.0 / self._limit)
--- /dev/null
+++ b/src/finchshed/retry/account.py
@@ -0,0 +1,80 @@
+"""Retry budget of a root request as a conserved quantity.
+
+A root request is given a number of spare attempts once. Each hop lends part of what it holds to a
+call and takes back what the answer returns; nothing is ever made. What a crashed process held is
+lost. So the spare attempts spent for one root request never exceed the number first given, however
+deep or wide the graph is and whatever fails.
+"""
+
+from collections import OrderedDict
+
+import msgspec
+
+DEFAULT_MAX_ACCOUNTS = 100_000
+"""Accounts kept at a time; the oldest is dropped first, which loses spare attempts, never adds."""
+
+
+class _Account(msgspec.Struct, gc=False):
+    balance: int
+    lent: int = 0
+
+
+def lent_share(balance: int) -> int:
+    """Return how many of ``balance`` spare attempts one call gets: half, rounded up.
+
+    The other half stays for calls made at the same time, and for the hop itself should the
+    callee crash with what it was lent.
+    """
+    return (balance + 1) // 2
+
+
+class RetryAccounts:
+    """Accounts of the requests a daemon's back end is serving.
+
+    Parameters
+    ----------
+    max_accounts
+        Accounts kept at a time.
+    """
+
+    def __init__(self, max_accounts: int = DEFAULT_MAX_ACCOUNTS) -> None:
+        self._accounts: OrderedDict[str, _Account] = OrderedDict()
+        self._max_accounts = max_accounts
+
+    def __len__(self) -> int:
+        """Return the number of open accounts."""
+        return len(self._accounts)
+
+    def open(self, account: str, spare_attempts: int) -> None:
+        """Open an account with the share a call brought. An identity is used once."""
+        if len(self._accounts) >= self._max_accounts:
+            self._accounts.popitem(last=False)
+        self._accounts[account] = _Account(balance=spare_attempts)
+
+    def lend(self, account: str) -> int:
+        """Lend part of the balance to one call; 0 for an account that is not open."""
+        held = self._accounts.get(account)
+        if held is None:
+            return 0
+        share = lent_share(held.balance)
+        held.balance -= share
+        held.lent += share
+        return share
+
+    def give_back(self, account: str, lent: int, spare_attempts: int) -> None:
+        """Take back what a call did not spend of ``lent``.
+
+        An answer that claims to return more than was lent returns only what was lent. An account
+        closed meanwhile takes nothing back.
+        """
+        held = self._accounts.get(account)
+        if held is None:
+            return
+        lent = min(lent, held.lent)
+        held.lent -= lent
+        held.balance += max(0, min(spare_attempts, lent))
+
+    def close(self, account: str) -> int:
+        """Close an account and return its balance; what is lent out at this time is lost."""
+        held = self._accounts.pop(account, None)
+        return 0 if held is None else held.balance
--- /dev/null
+++ b/src/finchshed/retry/bucket.py
@@ -0,0 +1,55 @@
+"""Service-wide bound on retries: a token bucket filled by successes.
+
+Each success adds ``ratio`` tokens and each retry takes one, so in sum retries stay below a share of
+recent successes (*Site Reliability Engineering*, Beyer et al., 2016, chapter 21: retry budgets). A
+small steady inflow lets services with little traffic retry at all.
+"""
+
+DEFAULT_CAPACITY = 20.0
+"""Tokens kept at most: the burst of retries allowed after a quiet time."""
+
+DEFAULT_INFLOW_PER_SECOND = 0.5
+"""Tokens added each second regardless of successes."""
+
+
+class RetryBucket:
+    """Bounds the retries of all calls from one daemon to one service.
+
+    Parameters
+    ----------
+    ratio
+        Tokens added by one success.
+    now
+        Time of creation, seconds.
+    capacity
+        Tokens kept at most.
+    inflow_per_second
+        Tokens added each second.
+    """
+
+    def __init__(
+        self,
+        ratio: float,
+        now: float,
+        capacity: float = DEFAULT_CAPACITY,
+        inflow_per_second: float = DEFAULT_INFLOW_PER_SECOND,
+    ) -> None:
+        self.ratio = ratio
+        self._capacity = capacity
+        self._inflow = inflow_per_second
+        self._tokens = capacity / 2
+        self._updated = now
+
+    def on_success(self) -> None:
+        """Count a success."""
+        self._tokens = min(self._capacity, self._tokens + self.ratio)
+
+    def take(self, now: float) -> bool:
+        """Take one token for a retry; return whether there was one."""
+        elapsed = max(0.0, now - self._updated)
+        self._updated = now
+        self._tokens = min(self._capacity, self._tokens + elapsed * self._inflow)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
--- /dev/null
+++ b/src/finchshed/retry/policy.py
@@ -0,0 +1,78 @@
+"""When to retry, how long to wait before it, and when to tell a client to come back."""
+
+import random
+
+from finchshed.common.outcomes import Failed, FailureReason, Outcome, RefusalReason, Refused
+
+BACKOFF_BASE_SECONDS = 0.005
+"""Upper bound of the first wait before a retry; it doubles with each retry."""
+
+BACKOFF_MAX_SECONDS = 0.1
+"""Upper bound of any wait before a retry."""
+
+RETRY_AFTER_BASE_SECONDS = 0.25
+"""Mean time until a client is told to come back when nothing is overloaded."""
+
+RETRY_AFTER_MAX_SECONDS = 30.0
+"""Longest time a client is told to stay away."""
+
+RETRY_AFTER_SPREAD = 0.5
+"""The time told is spread evenly over this share below and above its mean."""
+
+REDIRECT_REASONS = frozenset({RefusalReason.DRAINING, RefusalReason.CONNECT_FAILED})
+"""Refusals that say the request should go elsewhere; nothing was done for it there."""
+
+RETRIED_REFUSALS = frozenset(
+    {
+        RefusalReason.OVERLOAD,
+        RefusalReason.QUEUE_FULL,
+        RefusalReason.BACKEND_REFUSED,
+        RefusalReason.NO_CONFIGURATION,
+        RefusalReason.SESSION_LIMIT,
+    }
+)
+"""Refusals that another endpoint may not give."""
+
+RETRIED_FAILURES = frozenset(
+    {FailureReason.LINK_BROKEN, FailureReason.BACKEND_BROKEN, FailureReason.ANSWER_CORRUPT}
+)
+"""Failures after which a repeatable request may be sent again."""
+
+
+def may_retry(outcome: Outcome, repeatable: bool) -> bool:
+    """Return whether another attempt at another endpoint makes sense after ``outcome``.
+
+    A request that did not run may always be sent again; one that may have run only where it is
+    declared repeatable.
+    """
+    if isinstance(outcome, Refused):
+        return outcome.reason in RETRIED_REFUSALS or outcome.reason in REDIRECT_REASONS
+    if isinstance(outcome, Failed):
+        return repeatable and outcome.reason in RETRIED_FAILURES
+    return False
+
+
+def is_redirect(outcome: Outcome) -> bool:
+    """Return whether ``outcome`` only says to go elsewhere."""
+    return isinstance(outcome, Refused) and outcome.reason in REDIRECT_REASONS
+
+
+def backoff(retry: int, rng: random.Random) -> float:
+    """Return the wait before retry number ``retry`` (from 0), seconds, with full jitter."""
+    bound = min(BACKOFF_MAX_SECONDS, BACKOFF_BASE_SECONDS * 2.0 ** min(retry, 16))
+    return rng.random() * bound
+
+
+def retry_after(overload: float, rng: random.Random) -> float:
+    """Return when a client should come back, seconds.
+
+    Parameters
+    ----------
+    overload
+        Demand that is refused, as a multiple of what is admitted; 0 when nothing is refused.
+    rng
+        Spreads the clients evenly, so that they don't return together.
+    """
+    mean = min(RETRY_AFTER_MAX_SECONDS, RETRY_AFTER_BASE_SECONDS * (1.0 + max(0.0, overload)))
+    spread = 1.0 - RETRY_AFTER_SPREAD + 2.0 * RETRY_AFTER_SPREAD * rng.random()
+    return mean * spread
--- /dev/null
+++ b/src/finchshed/routing/caller.py
@@ -0,0 +1,226 @@
+"""One call at the caller's side: choice, retries within the budget, and the final outcome.
+
+The shell sends what it is told to send and reports outcomes by attempt number; each method returns
+effects. The last effect of a call is always one :class:`Finish`, at once when the call is given
+up on.
+"""
+
+import random
+from typing import TypeAlias
+
+import msgspec
+
+from finchshed.common.context import CallContext
+from finchshed.common.outcomes import (
+    Answered,
+    Failed,
+    FailureReason,
+    Outcome,
+    RefusalReason,
+    Refused,
+)
+from finchshed.common.results import CallResult, result_of
+from finchshed.configuration.resources import Endpoint
+from finchshed.link.messages import LoadReport
+from finchshed.retry.account import lent_share
+from finchshed.retry.bucket import RetryBucket
+from finchshed.retry.policy import backoff, is_redirect, may_retry, retry_after
+from finchshed.routing.table import RoutingTable
+
+MAX_REDIRECTS = 2
+"""Times a call is sent elsewhere, free of the budget, because an endpoint took no work at all."""
+
+
+class Send(msgspec.Struct, frozen=True, gc=False):
+    """Send attempt number ``attempt`` with ``share`` spare attempts in its context."""
+
+    attempt: int
+    endpoint: Endpoint
+    share: int
+
+
+class Withdraw(msgspec.Struct, frozen=True, gc=False):
+    """Cancel the attempt at its endpoint; its outcome is no longer wanted."""
+
+    attempt: int
+    endpoint: Endpoint
+
+
+class SetTimer(msgspec.Struct, frozen=True, gc=False):
+    """Call :meth:`CallerLogic.on_timer` at ``at`` (monotonic seconds), replacing a timer set."""
+
+    at: float
+
+
+class Finish(msgspec.Struct, frozen=True, gc=False):
+    """The call is over. ``spare_returned`` of what the call was lent is left."""
+
+    outcome: Outcome
+    spare_returned: int
+
+
+CallerEffect: TypeAlias = Send | Withdraw | SetTimer | Finish
+
+
+class CallerLogic:
+    """State machine of one call.
+
+    Parameters
+    ----------
+    table
+        Endpoints to choose from.
+    bucket
+        Service-wide bound on retries.
+    service
+        Service that is called.
+    context
+        Context of the call; its ``spare_attempts`` are what the call was lent.
+    repeatable
+        Whether the request may run more than once.
+    rng
+        Source of jitter.
+    pinned
+        Name of the only endpoint to use, or empty: a session's.
+    """
+
+    def __init__(
+        self,
+        table: RoutingTable,
+        bucket: RetryBucket,
+        service: str,
+        context: CallContext,
+        *,
+        repeatable: bool,
+        rng: random.Random,
+        pinned: str = "",
+    ) -> None:
+        self._table = table
+        self._bucket = bucket
+        self._service = service
+        self._context = context
+        self._repeatable = repeatable
+        self._rng = rng
+        self._pinned = pinned
+        self._spare = context.spare_attempts
+        self._deadline = 0.0
+        self._attempt = 0
+        self._redirects = 0
+        self._lent = 0
+        self._sent_at = 0.0
+        self._current: Endpoint | None = None
+        self._tried: set[str] = set()
+        self._last: Outcome | None = None
+        self.finished = False
+
+    def begin(self, now: float) -> list[CallerEffect]:
+        """Start the call; its deadline is ``remaining_seconds`` of the context from ``now``."""
+        self._deadline = now + self._context.remaining_seconds
+        if self._context.remaining_seconds <= 0.0:
+            return self._refuse(RefusalReason.DEADLINE)
+        return self._send(now)
+
+    def on_outcome(
+        self,
+        attempt: int,
+        outcome: Outcome,
+        spare_returned: int,
+        load: LoadReport | None,
+        now: float,
+    ) -> list[CallerEffect]:
+        """Take the outcome of an attempt.
+
+        Parameters
+        ----------
+        spare_returned
+            Spare attempts the answer returns; 0 where no answer came.
+        load
+            Report that came with the answer, or None.
+        """
+        if self.finished or attempt != self._attempt or self._current is None:
+            return []
+        result = result_of(outcome)
+        self._table.on_reply(self._current.name, load, result, now - self._sent_at, now)
+        self._current = None
+        self._spare += max(0, min(spare_returned, self._lent))
+        self._lent = 0
+        self._last = outcome
+        if isinstance(outcome, Answered):
+            self._bucket.on_success()
+            return self._finish(outcome)
+        if not may_retry(outcome, self._repeatable) or not self._pay(outcome, now):
+            return self._finish(outcome)
+        if is_redirect(outcome):
+            return self._send(now)
+        wait = backoff(self._attempt - 1, self._rng)
+        if now + wait >= self._deadline:
+            return self._finish(outcome)
+        return [SetTimer(now + wait)]
+
+    def on_timer(self, now: float) -> list[CallerEffect]:
+        """Take the timer: time for a retry, or the deadline."""
+        if self.finished:
+            return []
+        if now < self._deadline:
+            return [] if self._current is not None else self._send(now)
+        if self._current is None:
+            return self._finish(self._last or self._refused(RefusalReason.DEADLINE))
+        effects = self._withdraw(CallResult.FAILED, now)
+        failed = Failed(FailureReason.DEADLINE, retry_after(1.0, self._rng))
+        return effects + self._finish(failed)
+
+    def cancel(self, now: float) -> list[CallerEffect]:
+        """Give up on behalf of the caller."""
+        if self.finished:
+            return []
+        effects: list[CallerEffect] = []
+        outcome: Outcome
+        if self._current is None and isinstance(self._last, Refused | None):
+            outcome = self._refused(RefusalReason.CANCELLED)
+        else:
+            outcome = Failed(FailureReason.ABORTED, retry_after(0.0, self._rng))
+        if self._current is not None:
+            effects = self._withdraw(CallResult.CANCELLED, now)
+        return effects + self._finish(outcome)
+
+    def _send(self, now: float) -> list[CallerEffect]:
+        if self._pinned:
+            chosen = self._table.choose_pinned(self._pinned, self._tried, now)
+        else:
+            chosen = self._table.choose(self._service, self._context, self._tried, now)
+        if isinstance(chosen, Refused):
+            return self._finish(self._last or chosen)
+        self._attempt += 1
+        self._current = chosen
+        self._tried.add(chosen.name)
+        self._lent = lent_share(self._spare)
+        self._spare -= self._lent
+        self._sent_at = now
+        self._table.on_sent(chosen.name, now)
+        return [Send(self._attempt, chosen, self._lent), SetTimer(self._deadline)]
+
+    def _pay(self, outcome: Outcome, now: float) -> bool:
+        if is_redirect(outcome) and self._redirects < MAX_REDIRECTS:
+            self._redirects += 1
+            return True
+        if self._spare < 1 or not self._bucket.take(now):
+            return False
+        self._spare -= 1
+        return True
+
+    def _withdraw(self, result: CallResult, now: float) -> list[CallerEffect]:
+        endpoint = self._current
+        assert endpoint is not None
+        self._table.on_reply(endpoint.name, None, result, now - self._sent_at, now)
+        self._current = None
+        self._lent = 0
+        return [Withdraw(self._attempt, endpoint)]
+
+    def _refused(self, reason: RefusalReason) -> Refused:
+        return Refused(reason, retry_after(0.0, self._rng))
+
+    def _refuse(self, reason: RefusalReason) -> list[CallerEffect]:
+        return self._finish(self._refused(reason))
+
+    def _finish(self, outcome: Outcome) -> list[CallerEffect]:
+        self.finished = True
+        return [Finish(outcome, self._spare)]
--- /dev/null
+++ b/src/finchshed/session/__init__.py
@@ -0,0 +1,1 @@
+"""Long-lived sessions, admitted once and pinned to an endpoint."""
--- /dev/null
+++ b/src/finchshed/session/table.py
@@ -0,0 +1,132 @@
+"""Sessions of one daemon: admitted once, pinned to an endpoint, ended by idleness or by request."""
+
+import enum
+from typing import TypeAlias
+
+import msgspec
+
+from finchshed.common.outcomes import RefusalReason
+
+
+class MoveReason(enum.StrEnum):
+    """Why a session was moved to another endpoint."""
+
+    ENDPOINT_LOST = "endpoint_lost"
+    ENDPOINT_LEAVING = "endpoint_leaving"
+    OPERATOR = "operator"
+
+
+class Session(msgspec.Struct):
+    """A running session. Times are monotonic seconds."""
+
+    identity: str
+    service: str
+    endpoint: str
+    opened_at: float
+    used_at: float
+    idle_seconds: float
+    in_progress: int = 0
+    moves: int = 0
+
+
+class Opened(msgspec.Struct, frozen=True, gc=False):
+    """The session runs; requests of it go to its endpoint."""
+
+    session: Session
+    is_new: bool
+
+
+class NotOpened(msgspec.Struct, frozen=True, gc=False):
+    """No session was opened."""
+
+    reason: RefusalReason
+
+
+OpenResult: TypeAlias = Opened | NotOpened
+
+
+class SessionTable:
+    """Sessions a daemon knows of."""
+
+    def __init__(self) -> None:
+        self._sessions: dict[str, Session] = {}
+        self._by_endpoint: dict[str, set[str]] = {}
+
+    def __len__(self) -> int:
+        """Return the number of sessions running."""
+        return len(self._sessions)
+
+    def get(self, identity: str) -> Session | None:
+        """Return a running session."""
+        return self._sessions.get(identity)
+
+    def count(self, endpoint: str) -> int:
+        """Return the number of sessions pinned to an endpoint."""
+        return len(self._by_endpoint.get(endpoint, ()))
+
+    def open(
+        self,
+        identity: str,
+        service: str,
+        endpoint: str,
+        *,
+        max_sessions: int,
+        idle_seconds: float,
+        now: float,
+    ) -> OpenResult:
+        """Admit a session as a whole, or return the running one of this identity."""
+        held = self._sessions.get(identity)
+        if held is not None:
+            held.used_at = now
+            return Opened(held, is_new=False)
+        pinned = self._by_endpoint.setdefault(endpoint, set())
+        if len(pinned) >= max_sessions:
+            return NotOpened(RefusalReason.SESSION_LIMIT)
+        session = Session(identity, service, endpoint, now, now, idle_seconds)
+        self._sessions[identity] = session
+        pinned.add(identity)
+        return Opened(session, is_new=True)
+
+    def on_request(self, identity: str, now: float) -> None:
+        """Count a request of a session as begun."""
+        held = self._sessions.get(identity)
+        if held is not None:
+            held.used_at = now
+            held.in_progress += 1
+
+    def on_answer(self, identity: str, now: float) -> None:
+        """Count a request of a session as ended."""
+        held = self._sessions.get(identity)
+        if held is not None:
+            held.used_at = now
+            held.in_progress = max(0, held.in_progress - 1)
+
+    def move(self, identity: str, endpoint: str, reason: MoveReason, now: float) -> Session | None:
+        """Pin a session to another endpoint; return it, or None if it is not running."""
+        held = self._sessions.get(identity)
+        if held is None:
+            return None
+        self._by_endpoint[held.endpoint].discard(identity)
+        self._by_endpoint.setdefault(endpoint, set()).add(identity)
+        held.endpoint = endpoint
+        held.moves += 1
+        held.used_at = now
+        return held
+
+    def close(self, identity: str) -> Session | None:
+        """End a session."""
+        held = self._sessions.pop(identity, None)
+        if held is not None:
+            self._by_endpoint[held.endpoint].discard(identity)
+        return held
+
+    def expire(self, now: float) -> list[Session]:
+        """End the sessions idle for longer than their service allows and return them."""
+        ended = [
+            session
+            for session in self._sessions.values()
+            if session.in_progress == 0 and now - session.used_at > session.idle_seconds
+        ]
+        for session in ended:
+            self.close(session.identity)
+        return ended
--- /dev/null
+++ b/tests/admission/test_gate.py
@@ -0,0 +1,58 @@
+"""The gate: order of the queue, refusals and the threshold."""
+
+import random
+
+from finchshed.admission.effects import Refuse, Start
+from finchshed.admission.gate import Gate
+from finchshed.common.context import CallContext
+from finchshed.common.importance import Importance
+from finchshed.common.outcomes import RefusalReason
+from finchshed.common.results import CallResult
+
+
+def context(importance: Importance, root: str = "r", seconds: float = 10.0) -> CallContext:
+    return CallContext(root=root, importance=importance, remaining_seconds=seconds)
+
+
+def gate(slots: int = 1) -> Gate:
+    return Gate(slots, random.Random(1), 0.0)
+
+
+def test_higher_importance_starts_first() -> None:
+    held = gate()
+    assert held.arrive(1, context(Importance.NORMAL), 0.0) == [Start(1)]
+    assert held.arrive(2, context(Importance.SHEDDABLE), 0.0) == []
+    assert held.arrive(3, context(Importance.CRITICAL), 0.0) == []
+    assert held.finish(1, CallResult.OK, 0.1) == [Start(3)]
+    assert held.finish(3, CallResult.OK, 0.2) == [Start(2)]
+
+
+def test_request_that_cannot_finish_in_time_is_refused_at_once() -> None:
+    held = gate()
+    held.arrive(1, context(Importance.NORMAL), 0.0)
+    held.finish(1, CallResult.OK, 1.0)
+    held.arrive(2, context(Importance.NORMAL), 1.0)
+    effects = held.arrive(3, context(Importance.NORMAL, seconds=1.5), 1.0)
+    assert isinstance(effects[0], Refuse)
+    assert effects[0].reason is RefusalReason.DEADLINE
+    assert effects[0].retry_after > 0.0
+
+
+def test_full_queue_gives_up_its_lowest_rank() -> None:
+    held = gate()
+    held.arrive(0, context(Importance.NORMAL), 0.0)
+    for token in range(1, 9):
+        assert held.arrive(token, context(Importance.SHEDDABLE, f"r{token}"), 0.0) == []
+    effects = held.arrive(9, context(Importance.CRITICAL), 0.0)
+    assert [type(effect) for effect in effects] == [Refuse]
+    assert effects[0].token != 9
+    assert held.finish(0, CallResult.OK, 0.1) == [Start(9)]
+
+
+def test_cancelled_request_never_starts() -> None:
+    held = gate()
+    held.arrive(1, context(Importance.NORMAL), 0.0)
+    held.arrive(2, context(Importance.NORMAL), 0.0)
+    assert held.cancel(2, 0.05) == []
+    assert held.finish(1, CallResult.OK, 0.1) == []
+    assert held.load_report(0.1).in_flight == 0
--- /dev/null
+++ b/tests/routing/test_caller.py
@@ -0,0 +1,86 @@
+"""One call at the caller's side."""
+
+import random
+
+from finchshed.common.context import CallContext
+from finchshed.common.importance import Importance
+from finchshed.common.outcomes import (
+    Answered,
+    Failed,
+    FailureReason,
+    RefusalReason,
+    Refused,
+)
+from finchshed.configuration.resources import Endpoint
+from finchshed.retry.bucket import RetryBucket
+from finchshed.routing.caller import CallerLogic, Finish, Send, SetTimer
+from finchshed.routing.table import RoutingTable
+
+
+def endpoint(number: int) -> Endpoint:
+    return Endpoint(
+        name=f"e{number}",
+        service="s",
+        region="r",
+        zone="z",
+        address=f"127.0.0.1:{9000 + number}",
+        slots=4,
+    )
+
+
+def caller(endpoints: int, spare: int, repeatable: bool = True) -> CallerLogic:
+    rng = random.Random(3)
+    table = RoutingTable("z", "r", rng)
+    table.replace([endpoint(number) for number in range(endpoints)])
+    context = CallContext("root", Importance.NORMAL, 1.0, spare_attempts=spare)
+    bucket = RetryBucket(0.1, 0.0)
+    return CallerLogic(table, bucket, "s", context, repeatable=repeatable, rng=rng)
+
+
+def test_answer_returns_what_was_not_spent() -> None:
+    logic = caller(2, 3)
+    send = logic.begin(0.0)[0]
+    assert isinstance(send, Send)
+    answer = Answered(200, (), b"")
+    assert logic.on_outcome(send.attempt, answer, send.share, None, 0.1) == [Finish(answer, 3)]
+
+
+def test_refused_attempt_is_sent_elsewhere_and_paid() -> None:
+    logic = caller(2, 3)
+    first = logic.begin(0.0)[0]
+    assert isinstance(first, Send)
+    refused = Refused(RefusalReason.QUEUE_FULL, 1.0)
+    timer = logic.on_outcome(first.attempt, refused, first.share, None, 0.1)[0]
+    assert isinstance(timer, SetTimer)
+    second = logic.on_timer(timer.at)[0]
+    assert isinstance(second, Send)
+    assert second.endpoint != first.endpoint
+    answer = Answered(200, (), b"")
+    assert logic.on_outcome(second.attempt, answer, second.share, None, 0.2) == [Finish(answer, 2)]
+
+
+def test_lost_share_is_not_returned() -> None:
+    logic = caller(1, 3)
+    send = logic.begin(0.0)[0]
+    assert isinstance(send, Send)
+    failed = Failed(FailureReason.OUTCOME_UNKNOWN, 1.0)
+    finish = logic.on_outcome(send.attempt, failed, 0, None, 0.1)
+    assert finish == [Finish(failed, 3 - send.share)]
+
+
+def test_request_that_may_have_run_is_not_repeated_unless_declared() -> None:
+    logic = caller(2, 3, repeatable=False)
+    send = logic.begin(0.0)[0]
+    assert isinstance(send, Send)
+    failed = Failed(FailureReason.LINK_BROKEN, 1.0)
+    assert isinstance(logic.on_outcome(send.attempt, failed, 0, None, 0.1)[0], Finish)
+
+
+def test_deadline_ends_the_call_at_once_and_late_outcomes_are_ignored() -> None:
+    logic = caller(2, 3)
+    send = logic.begin(0.0)[0]
+    assert isinstance(send, Send)
+    finish = logic.on_timer(1.0)[-1]
+    assert isinstance(finish, Finish)
+    assert isinstance(finish.outcome, Failed)
+    assert logic.on_outcome(send.attempt, Answered(200, (), b""), 0, None, 1.1) == []
--- /dev/null
+++ b/tests/session/test_table.py
@@ -0,0 +1,33 @@
+"""Sessions are admitted once and stay pinned."""
+
+from finchshed.session.table import MoveReason, NotOpened, Opened, SessionTable
+
+
+def open_session(table: SessionTable, identity: str, now: float = 0.0) -> Opened | NotOpened:
+    return table.open(identity, "s", "e1", max_sessions=2, idle_seconds=10.0, now=now)
+
+
+def test_session_is_admitted_once_and_up_to_the_limit() -> None:
+    table = SessionTable()
+    assert isinstance(open_session(table, "a"), Opened)
+    assert isinstance(open_session(table, "b"), Opened)
+    assert isinstance(open_session(table, "c"), NotOpened)
+    again = open_session(table, "a")
+    assert isinstance(again, Opened)
+    assert not again.is_new
+
+
+def test_moved_session_frees_its_place() -> None:
+    table = SessionTable()
+    open_session(table, "a")
+    assert table.move("a", "e2", MoveReason.ENDPOINT_LOST, 1.0) is not None
+    assert (table.count("e1"), table.count("e2")) == (0, 1)
+
+
+def test_session_with_a_request_in_progress_does_not_expire() -> None:
+    table = SessionTable()
+    open_session(table, "a")
+    table.on_request("a", 1.0)
+    assert table.expire(100.0) == []
+    table.on_answer("a", 100.0)
+    assert [ended.identity for ended in table.expire(111.0)] == ["a"]
