Stand-ins: back end, outside caller and platform list

Weighed: Sanic for the back end; aiohttp was taken because it cancels a handler when its client goes away, which is how daemons cancel.

--- /dev/null
+++ b/src/finchshed/standins/arrivals.py
@@ -0,0 +1,48 @@
+"""Seeded open-loop arrivals: requests come whether or not earlier ones were answered."""
+
+import heapq
+from collections.abc import Iterator, Sequence
+
+import msgspec
+import numpy
+
+from finchshed.standins.settings import Load, Phase
+
+
+class Arrival(msgspec.Struct, frozen=True, order=True):
+    """One request to send at ``at`` seconds after the start."""
+
+    at: float
+    number: int
+    load: int
+    phase: str
+    caller: int
+
+
+def schedule(
+    loads: Sequence[Load], phases: Sequence[Phase], generator: numpy.random.Generator
+) -> list[Arrival]:
+    """Return all arrivals of a run in order of time."""
+    streams = [
+        list(_arrivals_of(index, load, phases, generator)) for index, load in enumerate(loads)
+    ]
+    merged = heapq.merge(*streams)
+    return [msgspec.structs.replace(item, number=number) for number, item in enumerate(merged)]
+
+
+def _arrivals_of(
+    index: int, load: Load, phases: Sequence[Phase], generator: numpy.random.Generator
+) -> Iterator[Arrival]:
+    start = 0.0
+    for phase in phases:
+        factor = phase.factor if load.surges else 1.0
+        rate = load.rate_per_second * factor
+        end = start + phase.duration_seconds
+        at = start
+        while rate > 0.0:
+            at += float(generator.exponential(1.0 / rate))
+            if at >= end:
+                break
+            caller = int(generator.integers(load.identities))
+            yield Arrival(at=at, number=0, load=index, phase=phase.name, caller=caller)
+        start = end
--- /dev/null
+++ b/src/finchshed/standins/load_reports.py
@@ -0,0 +1,26 @@
+"""What a stand-in back end tells of its load: the truth, an old truth, or nothing true."""
+
+import collections
+
+from finchshed.standins.settings import LoadReporting
+
+
+class LoadReports:
+    """Turns the true load into the reported one."""
+
+    def __init__(self, reporting: LoadReporting, lag_seconds: float) -> None:
+        self.reporting = reporting
+        self._lag_seconds = lag_seconds
+        self._history: collections.deque[tuple[float, int]] = collections.deque()
+        self._lagged = 0
+
+    def report(self, in_flight: int, now: float) -> int:
+        """Return the load to tell at ``now`` when it truly is ``in_flight``."""
+        self._history.append((now, in_flight))
+        while self._history and self._history[0][0] <= now - self._lag_seconds:
+            _, self._lagged = self._history.popleft()
+        if self.reporting is LoadReporting.ZERO:
+            return 0
+        if self.reporting is LoadReporting.LAGGING:
+            return self._lagged
+        return in_flight
--- /dev/null
+++ b/src/finchshed/standins/serving.py
@@ -0,0 +1,40 @@
+"""Serving a stand-in's HTTP application until a stop signal."""
+
+import asyncio
+import signal
+
+from aiohttp import web
+
+SHUTDOWN_SECONDS = 1.0
+
+
+def stop_event() -> asyncio.Event:
+    """Return an event that SIGTERM or SIGINT sets."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    return stopped
+
+
+async def start_site(app: web.Application, address: str) -> web.AppRunner:
+    """Listen at ``address``; a handler is cancelled when its client goes away."""
+    host, _, port = address.rpartition(":")
+    runner = web.AppRunner(
+        app,
+        access_log=None,
+        handler_cancellation=True,
+        shutdown_timeout=SHUTDOWN_SECONDS,
+    )
+    await runner.setup()
+    site = web.TCPSite(runner, host, int(port), reuse_address=True)
+    await site.start()
+    return runner
+
+
+async def serve_until_stopped(app: web.Application, address: str) -> None:
+    """Serve ``app`` until a stop signal."""
+    stopped = stop_event()
+    runner = await start_site(app, address)
+    await stopped.wait()
+    await runner.cleanup()
