--- /dev/null
+++ b/tests/control/test_replacement.py
@@ -0,0 +1,48 @@
+from finchshed.consensus.membership import AddMember, RemoveMember
+from finchshed.control.replacement import Replacement, next_step
+from finchshed.control.replicated_log import MemberRole, MemberStatus
+
+
+def members(*texts: str) -> list[MemberStatus]:
+    """Return members given as ``name:role``."""
+    pairs = (text.split(":") for text in texts)
+    return [MemberStatus(name, "", MemberRole(role)) for name, role in pairs]
+
+
+GROUP = ("c1:leader", "c2:voter", "c3:voter")
+REPLACE = Replacement(remove="c3", add="c4")
+
+
+def test_the_new_node_joins_before_the_old_one_leaves() -> None:
+    step = next_step(members(*GROUP), REPLACE)
+    assert step.change == AddMember("c4", voter=True)
+
+
+def test_while_the_new_node_catches_up_nothing_is_taken_out() -> None:
+    step = next_step(members(*GROUP, "c4:learner"), REPLACE)
+    assert step.change == AddMember("c4", voter=True)
+    assert not step.is_done
+
+
+def test_the_old_node_leaves_once_the_new_one_votes() -> None:
+    step = next_step(members(*GROUP, "c4:voter"), REPLACE)
+    assert step.change == RemoveMember("c3")
+
+
+def test_running_it_again_after_the_end_changes_nothing() -> None:
+    step = next_step(members("c1:leader", "c2:voter", "c4:voter"), REPLACE)
+    assert step.is_done
+    assert step.change is None
+
+
+def test_a_member_back_on_another_disk_is_waited_for() -> None:
+    step = next_step(members(*GROUP, "c3:learner"), Replacement(remove="c3", add="c3"))
+    assert step.change is None
+    assert not step.is_done
+    assert next_step(members(*GROUP), Replacement(remove="c3", add="c3")).is_done
+
+
+def test_a_standby_stays_a_learner() -> None:
+    standby = Replacement(add="c4", standby=True)
+    assert next_step(members(*GROUP), standby).change == AddMember("c4", voter=False)
+    assert next_step(members(*GROUP, "c4:learner"), standby).is_done
--- /dev/null
+++ b/tests/rpc/test_conversion.py
@@ -0,0 +1,82 @@
+import pytest
+from google.protobuf.message import DecodeError
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from finchshed.common.importance import Importance
+from finchshed.configuration.changes import Accepted, ChangeResult, Conflict, Invalid
+from finchshed.configuration.resources import (
+    Endpoint,
+    EndpointState,
+    Operator,
+    Policy,
+    Resource,
+    Route,
+    Service,
+)
+from finchshed.rpc.conversion import (
+    resource_from_message,
+    resource_to_message,
+    resources_from_messages,
+    result_from_message,
+    result_to_message,
+)
+from finchshed.rpc.generated import finchshed_pb2 as pb
+
+RESOURCES: list[Resource] = [
+    Service(
+        name="sales",
+        routes=(Route("/buy", Importance.HIGH, repeatable=False), Route("/", session=True)),
+        deadline_seconds=1.5,
+        max_body_bytes=77,
+        max_sessions=3,
+        session_idle_seconds=9.0,
+    ),
+    Endpoint(
+        name="sales-1",
+        service="sales",
+        region="texas",
+        zone="a",
+        address="10.0.0.1:7000",
+        slots=8,
+        state=EndpointState.LEAVING,
+    ),
+    Policy(retry_budget=0, retry_ratio=0.0, key_window_seconds=5.0),
+    Operator(name="ana", token_sha256="a" * 64),
+]
+
+
+@pytest.mark.parametrize("resource", RESOURCES, ids=lambda item: type(item).__name__)
+def test_a_resource_comes_back_as_it_was(resource: Resource) -> None:
+    problems: list[str] = []
+    wire = resource_to_message(resource).SerializeToString()
+    assert resource_from_message(pb.Resource.FromString(wire), problems) == resource
+    assert problems == []
+
+
+@pytest.mark.parametrize("result", [Accepted(3), Conflict(4, "w", "ana"), Invalid(("a", "b"))])
+def test_a_result_comes_back_as_it_was(result: ChangeResult) -> None:
+    assert result_from_message(result_to_message(result)) == result
+
+
+def test_every_problem_of_a_message_is_told() -> None:
+    problems: list[str] = []
+    route = pb.Route(prefix="no-slash", importance=9)
+    service = pb.Service(name="BAD", routes=[route], deadline_seconds=-1.0)
+    messages = [pb.Resource(service=service), pb.Resource()]
+    assert resources_from_messages(messages, problems) == ()
+    text = "\n".join(problems)
+    for part in ("prefix", "importance = 9", "name = 'BAD'", "deadline_seconds", "no kind given"):
+        assert part in text
+
+
+@settings(max_examples=500, deadline=None, derandomize=True)
+@given(st.binary(max_size=300))
+def test_any_bytes_are_either_refused_or_checked(data: bytes) -> None:
+    try:
+        request = pb.ApplyRequest.FromString(data)
+    except DecodeError:
+        return
+    problems: list[str] = []
+    resources = resources_from_messages(request.puts, problems)
+    assert len(resources) == len(request.puts) or problems
