--- /dev/null
+++ b/src/finchshed/daemon/backend.py
@@ -0,0 +1,76 @@
+"""The HTTP client of the daemon to the back end beside it.
+
+Each request ends in exactly one value: a whole answer, or the reason there is none. Only a
+connection that could not be opened is known not to have run anything.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol, TypeAlias
+
+from finchshed.common.outcomes import Headers
+
+
+@dataclass(frozen=True, slots=True)
+class BackendAnswer:
+    """A whole answer. ``ran`` is False where the back end says that it refused before running.
+
+    ``headers`` are those passed on; ``draining`` tells that the back end announced its leaving.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+    ran: bool
+    draining: bool
+
+
+@dataclass(frozen=True, slots=True)
+class BackendUnreached:
+    """Nothing was sent."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class BackendBroken:
+    """The request was sent, and the connection ended before the whole answer."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class BackendTimedOut:
+    """The request was sent, and its time was up before the whole answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class BackendAnswerTooLarge:
+    """The answer is larger than may be spooled."""
+
+
+BackendResult: TypeAlias = (
+    BackendAnswer | BackendUnreached | BackendBroken | BackendTimedOut | BackendAnswerTooLarge
+)
+
+
+class Backend(Protocol):
+    """A client to the back end."""
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        headers: Headers,
+        body: bytes,
+        timeout_seconds: float,
+        max_answer_bytes: int,
+        on_result: Callable[[BackendResult], None],
+    ) -> Callable[[], None]:
+        """Send a request; ``on_result`` is called at most once. Return what cancels it.
+
+        Cancelling closes the connection the request was sent on; ``on_result`` is then not called.
+        """
+
+    async def close(self) -> None:
+        """Close the connections."""
--- /dev/null
+++ b/src/finchshed/daemon/request.py
@@ -0,0 +1,73 @@
+"""A request as the data path sees it, and the headers that are passed on."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from finchshed.common.context import CallContext
+from finchshed.common.outcomes import Headers
+
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "host",
+        "expect",
+    }
+)
+"""Headers that belong to one connection (RFC 9110, 7.6.1) or are set anew on each hop."""
+
+INTERNAL_PREFIX = "finchshed-"
+"""Headers of this prefix are set by daemons; what a caller sent is not passed on."""
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One request on its way to a service.
+
+    Attributes
+    ----------
+    repeatable
+        Whether it may run more than once.
+    in_session
+        Whether its route belongs to sessions.
+    max_body_bytes
+        Largest body of the request or its answer.
+    """
+
+    service: str
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    context: CallContext
+    repeatable: bool = True
+    in_session: bool = False
+    max_body_bytes: int = 1 << 20
+
+
+def end_to_end_headers(raw: Iterable[tuple[bytes, bytes]]) -> Headers:
+    """Return the headers that are passed on, names in lower case.
+
+    Names in ``Connection`` are dropped with it (RFC 9110, 7.6.1).
+    """
+    kept: list[tuple[str, str]] = []
+    nominated: set[str] = set()
+    for name_bytes, value_bytes in raw:
+        name = name_bytes.decode("latin-1").lower()
+        if name == "connection":
+            value = value_bytes.decode("latin-1").lower()
+            nominated.update(token.strip() for token in value.split(","))
+        if name in HOP_BY_HOP_HEADERS or name.startswith(INTERNAL_PREFIX):
+            continue
+        kept.append((name, value_bytes.decode("latin-1")))
+    if nominated - {"keep-alive", "close", ""}:
+        kept = [item for item in kept if item[0] not in nominated]
+    return tuple(kept)
--- /dev/null
+++ b/src/finchshed/daemon/responses.py
@@ -0,0 +1,75 @@
+"""Outcomes of calls as HTTP responses to the local back end and outside callers."""
+
+import math
+
+import msgspec
+from aiohttp import web
+
+from finchshed.common.context import HEADER_RAN, HEADER_REASON, HEADER_RETRY_AFTER_MS
+from finchshed.common.outcomes import (
+    Answered,
+    Failed,
+    FailureReason,
+    Outcome,
+    Refused,
+    RefusalReason,
+)
+
+STATUS_BAD_REQUEST = 400
+STATUS_NOT_FOUND = 404
+STATUS_CONFLICT = 409
+STATUS_CONTENT_TOO_LARGE = 413
+STATUS_TOO_MANY_REQUESTS = 429
+STATUS_BAD_GATEWAY = 502
+STATUS_SERVICE_UNAVAILABLE = 503
+STATUS_GATEWAY_TIMEOUT = 504
+
+RAN_NO = "no"
+RAN_UNKNOWN = "unknown"
+
+_REFUSAL_STATUS = {
+    RefusalReason.SESSION_LIMIT: STATUS_TOO_MANY_REQUESTS,
+    RefusalReason.UNKNOWN_ROUTE: STATUS_NOT_FOUND,
+    RefusalReason.REQUEST_TOO_LARGE: STATUS_CONTENT_TOO_LARGE,
+    RefusalReason.KEY_MISSING: STATUS_BAD_REQUEST,
+    RefusalReason.KEY_EXPIRED: STATUS_CONFLICT,
+}
+_FAILURE_STATUS = {
+    FailureReason.DEADLINE: STATUS_GATEWAY_TIMEOUT,
+    FailureReason.OUTCOME_UNKNOWN: STATUS_GATEWAY_TIMEOUT,
+}
+
+
+class OutcomeBody(msgspec.Struct, frozen=True):
+    """Body of a response that is not the back end's answer."""
+
+    outcome: str
+    reason: str
+    detail: str
+
+
+def response_of(outcome: Outcome) -> web.Response:
+    """Return the HTTP response that tells ``outcome``."""
+    if isinstance(outcome, Answered):
+        return web.Response(status=outcome.status, headers=outcome.headers, body=outcome.body)
+    if isinstance(outcome, Refused):
+        status = _REFUSAL_STATUS.get(outcome.reason, STATUS_SERVICE_UNAVAILABLE)
+        return _without_answer("refused", outcome, status, RAN_NO)
+    status = _FAILURE_STATUS.get(outcome.reason, STATUS_BAD_GATEWAY)
+    return _without_answer("failed", outcome, status, RAN_UNKNOWN)
+
+
+def _without_answer(name: str, outcome: Refused | Failed, status: int, ran: str) -> web.Response:
+    body = OutcomeBody(outcome=name, reason=outcome.reason, detail=outcome.detail)
+    headers = {
+        HEADER_RAN: ran,
+        HEADER_REASON: str(outcome.reason),
+        HEADER_RETRY_AFTER_MS: str(round(outcome.retry_after * 1000)),
+        "Retry-After": str(math.ceil(outcome.retry_after)),
+    }
+    return web.Response(
+        status=status,
+        headers=headers,
+        body=msgspec.json.encode(body),
+        content_type="application/json",
+    )
--- /dev/null
+++ b/src/finchshed/daemon/settings.py
@@ -0,0 +1,86 @@
+"""Settings of a daemon process: one flat table of a TOML file, flags over it.
+
+Sizes are in bytes and durations in seconds, as the field names say.
+"""
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from finchshed.configuration.resources import Address, Name
+
+OptionalAddress = Annotated[str, Meta(pattern=r"^([0-9.]+:[0-9]{1,5})?$")]
+"""An IPv4 address and port, or empty for none."""
+
+OptionalName = Annotated[str, Meta(pattern=r"^([a-z0-9][a-z0-9._-]{0,62})?$")]
+"""A name as in the configuration, or empty for none."""
+
+
+class DaemonSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What a daemon process is told at its start."""
+
+    node: Annotated[Name, Meta(description="Name of this daemon, unique in the deployment.")]
+    region: Annotated[Name, Meta(description="Region the machine is in.")]
+    zone: Annotated[Name, Meta(description="Zone the machine is in.")]
+    service: Annotated[
+        OptionalName, Meta(description="Service of the back end beside it; empty on an edge.")
+    ] = ""
+    endpoint: Annotated[
+        OptionalName, Meta(description="Name of its endpoint resource; empty on an edge.")
+    ] = ""
+    backend_address: Annotated[
+        OptionalAddress, Meta(description="HTTP address of the back end; empty on an edge.")
+    ] = ""
+    http_address: Annotated[
+        Address, Meta(description="HTTP listener for the local back end and outside callers.")
+    ]
+    link_address: Annotated[
+        Address, Meta(description="Listener for other daemons; the address in its endpoint.")
+    ]
+    admin_address: Annotated[
+        OptionalAddress, Meta(description="Metrics, health and ring; empty for none.")
+    ] = ""
+    control_addresses: Annotated[
+        tuple[Address, ...], Meta(description="Distribution addresses of the control nodes.")
+    ] = ()
+    data_folder: Annotated[
+        str, Meta(description="Folder for the highest revision seen; empty for none.")
+    ] = ""
+    peer_networks: Annotated[
+        tuple[str, ...],
+        Meta(description="Networks (CIDR) links from other daemons are taken from."),
+    ] = ("127.0.0.0/8", "10.0.0.0/8", "172.16.0.0/12", "192.168.0.0/16")
+    heartbeat_seconds: Annotated[
+        float, Meta(gt=0, le=60, description="A link silent for this long is sent a heartbeat.")
+    ] = 0.25
+    silence_seconds: Annotated[
+        float, Meta(gt=0, le=600, description="A link silent for this long is taken for broken.")
+    ] = 1.0
+    connect_timeout_seconds: Annotated[
+        float, Meta(gt=0, le=60, description="Time to open a link or a back-end connection.")
+    ] = 0.5
+    link_idle_seconds: Annotated[
+        float, Meta(gt=0, le=86_400, description="A link unused for this long is closed.")
+    ] = 120.0
+    max_unsent_bytes: Annotated[
+        int, Meta(ge=65_536, le=1 << 30, description="Unsent bytes of a link past which it is full.")
+    ] = 16 << 20
+    max_spooled_bytes: Annotated[
+        int, Meta(ge=1 << 20, le=1 << 34, description="Bodies held at a time, in sum.")
+    ] = 128 << 20
+    max_connections: Annotated[
+        int, Meta(ge=1, le=65_536, description="Connections kept to the back end.")
+    ] = 128
+    ledger_timeout_seconds: Annotated[
+        float, Meta(gt=0, le=60, description="Longest wait for the ledger before a refusal.")
+    ] = 1.0
+    grant_lease_seconds: Annotated[
+        float, Meta(gt=0, le=60, description="A ledger grant older than this is not used.")
+    ] = 2.0
+    drain_seconds: Annotated[
+        float, Meta(gt=0, le=86_400, description="Longest wait for work in progress at a stop.")
+    ] = 300.0
+    drain_notice_seconds: Annotated[
+        float, Meta(ge=0, le=60, description="Time a stop leaves for late arrivals to come in.")
+    ] = 0.5
--- /dev/null
+++ b/src/finchshed/link/listener.py
@@ -0,0 +1,248 @@
+"""The serving end of links: connections that other daemons opened to this one.
+
+A connection must say Hello first, from an allowed network. A malformed, oversized or untimely
+line closes just that connection. Calls in progress on a lost connection are reported to the owner
+as given up.
+"""
+
+import asyncio
+import ipaddress
+from collections.abc import Sequence
+from typing import Protocol
+
+from loguru import logger
+from prometheus_client import Counter, Gauge
+
+from finchshed.common.errors import ProtocolError
+from finchshed.distribution.messages import Delta, Fetch
+from finchshed.link.digests import digest_of
+from finchshed.link.lines import LineProtocol
+from finchshed.link.messages import (
+    Call,
+    Cancel,
+    Draining,
+    Hello,
+    LoadReport,
+    PeerMessage,
+    Ping,
+    Pong,
+    Reply,
+)
+
+LINKS_REFUSED = Counter(
+    "finchshed_links_refused_total", "Connections of peers closed for a fault", ["cause"]
+)
+LINKS_ACCEPTED = Gauge("finchshed_links_accepted", "Links other daemons hold to this one")
+
+
+class ListenerOwner(Protocol):
+    """What the holder of the listener is told and asked."""
+
+    def hello(self, epoch: str) -> Hello:
+        """Return the answer to a peer's Hello."""
+
+    def call_received(self, link: "AcceptedLink", call: Call) -> None:
+        """A call came in. It is answered by :meth:`AcceptedLink.reply`."""
+
+    def call_cancelled(self, link: "AcceptedLink", call: int) -> None:
+        """The caller has given up on a call in progress, or is gone."""
+
+    def load_report(self) -> LoadReport:
+        """Return the load to tell with a heartbeat."""
+
+    def revision(self) -> int:
+        """Return the revision in force."""
+
+    def accepted_revision_seen(self, link: "AcceptedLink", revision: int) -> None:
+        """The peer holds this revision of the configuration."""
+
+    def delta_received(self, delta: Delta) -> None:
+        """The peer answered a fetch."""
+
+    def delta_for(self, revision: int) -> Delta | None:
+        """Return the configuration for a peer that holds ``revision``."""
+
+
+class AcceptedLink:
+    """One connection a peer opened."""
+
+    def __init__(self, lines: LineProtocol[PeerMessage], owner: ListenerOwner) -> None:
+        self.lines = lines
+        self.peer: Hello | None = None
+        self.calls: set[int] = set()
+        self.last_received_at = 0.0
+        self._owner = owner
+        self._highest_call = 0
+        self._seen_revision = 0
+
+    def reply(self, reply: Reply) -> bool:
+        """Send the reply, unless the call was given up on or the link is gone."""
+        if reply.call not in self.calls:
+            return False
+        self.calls.discard(reply.call)
+        return self.lines.send(reply) > 0
+
+    @property
+    def epoch(self) -> str:
+        """Epoch the peer chose, empty before its Hello."""
+        return "" if self.peer is None else self.peer.epoch
+
+    def tell_draining(self) -> None:
+        """Tell the peer that no new calls are taken."""
+        if self.peer is not None:
+            self.lines.send(Draining(epoch=self.peer.epoch))
+
+    def fetch(self, revision: int) -> None:
+        """Ask the peer for the configuration past ``revision``."""
+        self.lines.send(Fetch(revision=revision))
+
+    def take(self, message: PeerMessage) -> None:
+        """Act on one line; raise ProtocolError where it has no place."""
+        if self.peer is None:
+            self._take_hello(message)
+        elif isinstance(message, Call):
+            self._take_call(message)
+        elif isinstance(message, Cancel):
+            self._take_cancel(message)
+        elif isinstance(message, Ping):
+            self._take_ping(message)
+        elif isinstance(message, Fetch):
+            self._take_fetch(message)
+        elif isinstance(message, Delta):
+            self._owner.delta_received(message)
+        else:
+            raise ProtocolError(f"{type(message).__name__} has no place on a calling peer's link")
+
+    def lost(self) -> None:
+        """Report the calls in progress as given up."""
+        calls = self.calls
+        self.calls = set()
+        for call in calls:
+            self._owner.call_cancelled(self, call)
+
+    def _take_hello(self, message: PeerMessage) -> None:
+        if not isinstance(message, Hello) or not message.epoch or not message.node:
+            raise ProtocolError("the first line is no Hello")
+        self.peer = message
+        self.lines.send(self._owner.hello(message.epoch))
+        self._note_revision(message.revision)
+
+    def _take_call(self, call: Call) -> None:
+        if call.epoch != self.epoch:
+            raise ProtocolError("a call carries another epoch than its link")
+        if call.call <= self._highest_call:
+            raise ProtocolError("a call identity was used twice")
+        if digest_of(call.body) != call.digest:
+            raise ProtocolError("the body of a call differs from its digest")
+        self._highest_call = call.call
+        self.calls.add(call.call)
+        self._note_revision(call.revision)
+        self._owner.call_received(self, call)
+
+    def _take_cancel(self, cancel: Cancel) -> None:
+        if cancel.epoch == self.epoch and cancel.call in self.calls:
+            self.calls.discard(cancel.call)
+            self._owner.call_cancelled(self, cancel.call)
+
+    def _take_ping(self, ping: Ping) -> None:
+        self._note_revision(ping.revision)
+        self.lines.send(
+            Pong(
+                epoch=self.epoch, load=self._owner.load_report(), revision=self._owner.revision()
+            )
+        )
+
+    def _take_fetch(self, fetch: Fetch) -> None:
+        delta = self._owner.delta_for(fetch.revision)
+        if delta is not None:
+            self.lines.send(delta)
+
+    def _note_revision(self, revision: int) -> None:
+        if revision > self._seen_revision:
+            self._seen_revision = revision
+            self._owner.accepted_revision_seen(self, revision)
+
+
+class LinkListener:
+    """Takes connections of other daemons.
+
+    Parameters
+    ----------
+    owner
+        Who answers calls.
+    networks
+        Networks (CIDR) connections are taken from.
+    silence_seconds
+        A link that carries nothing for this long is closed: callers send heartbeats.
+    """
+
+    def __init__(
+        self, owner: ListenerOwner, networks: Sequence[str], silence_seconds: float
+    ) -> None:
+        self._owner = owner
+        self._networks = [ipaddress.ip_network(network) for network in networks]
+        self._silence_seconds = silence_seconds
+        self._links: dict[LineProtocol[PeerMessage], AcceptedLink] = {}
+
+    def make_protocol(self) -> asyncio.Protocol:
+        """Return the protocol of one accepted connection."""
+        return LineProtocol(PeerMessage, self._on_message, self._on_open, self._on_close)
+
+    def links(self) -> list[AcceptedLink]:
+        """Return the links that are open."""
+        return list(self._links.values())
+
+    def close_silent(self, now: float) -> None:
+        """Close links that carried nothing for too long (frozen or cut off peers)."""
+        for link in self.links():
+            if now - link.last_received_at >= self._silence_seconds:
+                self._refuse(link.lines, "silent")
+
+    def close(self) -> None:
+        """Close every link after what is queued has been sent."""
+        for lines in list(self._links):
+            lines.close()
+
+    def _on_open(self, lines: LineProtocol[PeerMessage]) -> None:
+        if not self._is_allowed(lines.peer_address):
+            self._refuse(lines, "network")
+            return
+        link = AcceptedLink(lines, self._owner)
+        link.last_received_at = asyncio.get_running_loop().time()
+        self._links[lines] = link
+        LINKS_ACCEPTED.inc()
+
+    def _is_allowed(self, address: str) -> bool:
+        host = address.rsplit(":", 1)[0]
+        try:
+            peer = ipaddress.ip_address(host)
+        except ValueError:
+            return False
+        return any(peer in network for network in self._networks)
+
+    def _on_message(self, lines: LineProtocol[PeerMessage], message: PeerMessage) -> None:
+        link = self._links.get(lines)
+        if link is None:
+            return
+        link.last_received_at = asyncio.get_running_loop().time()
+        try:
+            link.take(message)
+        except ProtocolError as error:
+            logger.warning("link from {} closed: {}", lines.peer_address, error)
+            self._refuse(lines, "protocol")
+
+    def _on_close(self, lines: LineProtocol[PeerMessage], error: Exception | None) -> None:
+        link = self._links.pop(lines, None)
+        if link is None:
+            return
+        LINKS_ACCEPTED.dec()
+        if isinstance(error, ProtocolError):
+            logger.warning("link from {} closed: {}", lines.peer_address, error)
+            LINKS_REFUSED.labels("protocol").inc()
+        link.lost()
+
+    def _refuse(self, lines: LineProtocol[PeerMessage], cause: str) -> None:
+        LINKS_REFUSED.labels(cause).inc()
+        lines.abort()
+
+
--- /dev/null
+++ b/src/finchshed/link/peer.py
@@ -0,0 +1,300 @@
+"""The calling end of a link: one connection to the daemon beside a back end.
+
+Calls are pipelined by call identity. A call ends in exactly one way: a reply on the connection
+it was sent on, or the end of that connection. Replies that carry another epoch, or an identity
+nobody waits for, are counted and dropped.
+"""
+
+import asyncio
+import enum
+import secrets
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+from loguru import logger
+from prometheus_client import Counter
+
+from finchshed.common.context import CallContext
+from finchshed.common.errors import ProtocolError
+from finchshed.common.outcomes import Headers
+from finchshed.distribution.messages import Delta, Fetch
+from finchshed.link.digests import digest_of
+from finchshed.link.lines import LineProtocol, encode_line
+from finchshed.link.messages import (
+    Call,
+    Cancel,
+    Draining,
+    Hello,
+    LoadReport,
+    PeerMessage,
+    Ping,
+    Pong,
+    Reply,
+)
+
+EPOCH_BYTES = 8
+
+LATE_REPLIES = Counter(
+    "finchshed_link_late_replies_total", "Replies to calls nobody waits for any more"
+)
+LINKS_BROKEN = Counter("finchshed_links_broken_total", "Links lost or given up on", ["cause"])
+
+
+class LinkState(enum.Enum):
+    """State of the calling end."""
+
+    CONNECTING = "connecting"
+    OPEN = "open"
+    CLOSED = "closed"
+
+
+class SendResult(enum.Enum):
+    """What became of handing a call to a link."""
+
+    SENT = "sent"
+    FULL = "full"
+    CLOSED = "closed"
+
+
+class LinkOwner(Protocol):
+    """What the holder of links is told."""
+
+    def hello(self, epoch: str) -> Hello:
+        """Return the first line to send."""
+
+    def link_opened(self, link: "PeerLink", hello: Hello) -> None:
+        """The peer said who it is; calls may be sent."""
+
+    def link_closed(self, link: "PeerLink", cause: str) -> None:
+        """The link is gone. Calls in progress were told before."""
+
+    def peer_draining(self, link: "PeerLink") -> None:
+        """The peer takes no new calls."""
+
+    def load_reported(self, link: "PeerLink", load: LoadReport) -> None:
+        """The peer told its load outside of a reply."""
+
+    def revision_seen(self, link: "PeerLink", revision: int) -> None:
+        """The peer holds this revision of the configuration."""
+
+    def delta_received(self, delta: Delta) -> None:
+        """The peer answered a fetch."""
+
+    def delta_for(self, revision: int) -> Delta | None:
+        """Return the configuration for a peer that holds ``revision``."""
+
+
+ReplyCallback = Callable[[Reply | None], None]
+"""Called once with the reply, or with None when the link broke after the call was sent."""
+
+
+class PeerLink:
+    """One link to the daemon at ``address``.
+
+    Parameters
+    ----------
+    address
+        ``a.b.c.d:port`` of the peer's link listener.
+    owner
+        Who is told of what happens on the link.
+    max_unsent_bytes
+        With more bytes than this waiting to be sent, calls are turned away.
+    silence_seconds
+        A link that carries nothing for this long is broken.
+    heartbeat_seconds
+        A link that carries nothing for this long is sent a heartbeat.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        owner: LinkOwner,
+        max_unsent_bytes: int,
+        silence_seconds: float,
+        heartbeat_seconds: float,
+        connect_timeout_seconds: float,
+    ) -> None:
+        self.address = address
+        self.state = LinkState.CONNECTING
+        self.epoch = secrets.token_hex(EPOCH_BYTES)
+        self.peer: Hello | None = None
+        self.last_call_at = 0.0
+        self._owner = owner
+        self._max_unsent_bytes = max_unsent_bytes
+        self._silence_seconds = silence_seconds
+        self._heartbeat_seconds = heartbeat_seconds
+        self._connect_timeout_seconds = connect_timeout_seconds
+        self._pending: dict[int, ReplyCallback] = {}
+        self._next_call = 1
+        self._last_received_at = 0.0
+        self._loop = asyncio.get_running_loop()
+        self._lines: LineProtocol[PeerMessage] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._seen_revision = 0
+
+    @property
+    def calls_in_progress(self) -> int:
+        """Calls sent and not answered."""
+        return len(self._pending)
+
+    async def connect(self) -> None:
+        """Open the connection; the owner is told how it went."""
+        host, port = self.address.rsplit(":", 1)
+        try:
+            async with asyncio.timeout(self._connect_timeout_seconds):
+                await self._loop.create_connection(self._make_protocol, host, int(port))
+        except (OSError, TimeoutError) as error:
+            self._end(f"connect: {error}")
+
+    def send_call(
+        self,
+        service: str,
+        method: str,
+        path: str,
+        headers: Headers,
+        body: bytes,
+        context: CallContext,
+        revision: int,
+        on_reply: ReplyCallback,
+    ) -> tuple[SendResult, int]:
+        """Send a call; return the result and the call's identity.
+
+        ``on_reply`` is called only if the result is ``SENT``.
+        """
+        lines = self._lines
+        if self.state is not LinkState.OPEN or lines is None or not lines.is_open:
+            return SendResult.CLOSED, 0
+        if lines.unsent_bytes() > self._max_unsent_bytes:
+            return SendResult.FULL, 0
+        identity = self._next_call
+        self._next_call += 1
+        message = Call(
+            epoch=self.epoch,
+            call=identity,
+            service=service,
+            method=method,
+            path=path,
+            headers=headers,
+            body=body,
+            digest=digest_of(body),
+            context=context,
+            revision=revision,
+        )
+        self._pending[identity] = on_reply
+        self.last_call_at = self._loop.time()
+        lines.send(message)
+        return SendResult.SENT, identity
+
+    def cancel_call(self, identity: int) -> None:
+        """Forget the call and tell the peer. Its reply, if one comes, finds nobody."""
+        if self._pending.pop(identity, None) is None:
+            return
+        self._send(Cancel(epoch=self.epoch, call=identity))
+
+    def fetch(self, revision: int) -> None:
+        """Ask the peer for the configuration past ``revision``."""
+        self._send(Fetch(revision=revision))
+
+    def close(self, cause: str) -> None:
+        """End the link; calls in progress are told that it broke."""
+        self._end(cause)
+
+    def _make_protocol(self) -> LineProtocol[PeerMessage]:
+        return LineProtocol(PeerMessage, self._on_message, self._on_open, self._on_close)
+
+    def _on_open(self, lines: LineProtocol[PeerMessage]) -> None:
+        if self.state is LinkState.CLOSED:
+            lines.abort()
+            return
+        self._lines = lines
+        self._last_received_at = self._loop.time()
+        lines.send(self._owner.hello(self.epoch))
+        self._schedule_check()
+
+    def _on_close(self, lines: LineProtocol[PeerMessage], error: Exception | None) -> None:
+        if isinstance(error, ProtocolError):
+            logger.warning("link to {} closed: {}", self.address, error)
+        self._end("protocol" if isinstance(error, ProtocolError) else "closed by peer")
+
+    def _on_message(self, lines: LineProtocol[PeerMessage], message: PeerMessage) -> None:
+        self._last_received_at = self._loop.time()
+        if isinstance(message, Reply):
+            self._on_reply(message)
+        elif isinstance(message, Hello):
+            self._on_hello(message)
+        elif isinstance(message, Pong):
+            if message.epoch == self.epoch:
+                self._owner.load_reported(self, message.load)
+                self._note_revision(message.revision)
+        elif isinstance(message, Draining):
+            if message.epoch == self.epoch:
+                self._owner.peer_draining(self)
+        elif isinstance(message, Fetch):
+            self._answer_fetch(message)
+        elif isinstance(message, Delta):
+            self._owner.delta_received(message)
+        else:
+            self._end("protocol")
+
+    def _on_hello(self, hello: Hello) -> None:
+        if self.state is not LinkState.CONNECTING or hello.epoch != self.epoch:
+            self._end("protocol")
+            return
+        self.state = LinkState.OPEN
+        self.peer = hello
+        self._owner.link_opened(self, hello)
+        if hello.draining:
+            self._owner.peer_draining(self)
+        self._note_revision(hello.revision)
+
+    def _on_reply(self, reply: Reply) -> None:
+        callback = None
+        if reply.epoch == self.epoch:
+            callback = self._pending.pop(reply.call, None)
+        if callback is None:
+            LATE_REPLIES.inc()
+            return
+        callback(reply)
+        self._note_revision(reply.revision)
+
+    def _answer_fetch(self, fetch: Fetch) -> None:
+        delta = self._owner.delta_for(fetch.revision)
+        if delta is not None:
+            self._send(delta)
+
+    def _note_revision(self, revision: int) -> None:
+        if revision > self._seen_revision:
+            self._seen_revision = revision
+            self._owner.revision_seen(self, revision)
+
+    def _send(self, message: msgspec.Struct) -> None:
+        if self._lines is not None:
+            self._lines.send_encoded(encode_line(message))
+
+    def _schedule_check(self) -> None:
+        self._timer = self._loop.call_later(self._heartbeat_seconds, self._check_silence)
+
+    def _check_silence(self) -> None:
+        silent_for = self._loop.time() - self._last_received_at
+        if silent_for >= self._silence_seconds:
+            self._end("silent")
+            return
+        if silent_for >= self._heartbeat_seconds * 0.5 and self.state is LinkState.OPEN:
+            self._send(Ping(epoch=self.epoch))
+        self._schedule_check()
+
+    def _end(self, cause: str) -> None:
+        if self.state is LinkState.CLOSED:
+            return
+        self.state = LinkState.CLOSED
+        LINKS_BROKEN.labels(cause.split(":", 1)[0]).inc()
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._lines is not None:
+            self._lines.abort()
+        pending = self._pending
+        self._pending = {}
+        for callback in pending.values():
+            callback(None)
+        self._owner.link_closed(self, cause)
