--- a/src/finchshed/common/context.py
+++ b/src/finchshed/common/context.py
@@ -74,3 +74,16 @@
     caller: str = ""
     session: str = ""
     key: str = ""
+
+    def for_attempt(self, remaining_seconds: float, spare_attempts: int) -> "CallContext":
+        """Return the context as one attempt carries it to the next hop."""
+        return CallContext(
+            self.root,
+            self.importance,
+            remaining_seconds,
+            spare_attempts,
+            self.depth,
+            self.caller,
+            self.session,
+            self.key,
+        )
--- /dev/null
+++ b/src/finchshed/daemon/catalogue.py
@@ -0,0 +1,47 @@
+"""Services and routes of the configuration in force, arranged for look-up by each call."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from finchshed.configuration.resources import Endpoint, Policy, Resource, Route, Service
+
+
+@dataclass(frozen=True, slots=True)
+class Matched:
+    """The declaration a request falls under."""
+
+    service: Service
+    route: Route
+
+
+class Catalogue:
+    """Declared services, endpoints and policy at one revision."""
+
+    def __init__(self, resources: Iterable[Resource] = ()) -> None:
+        self.policy = Policy()
+        self.endpoints: dict[str, Endpoint] = {}
+        self._services: dict[str, Service] = {}
+        self._routes: dict[str, tuple[Route, ...]] = {}
+        for resource in resources:
+            self._add(resource)
+
+    def service(self, name: str) -> Service | None:
+        """Return a declared service."""
+        return self._services.get(name)
+
+    def match(self, service_name: str, path: str) -> Matched | None:
+        """Return the route of the longest prefix of ``path``, or None where none is declared."""
+        for route in self._routes.get(service_name, ()):
+            if path.startswith(route.prefix):
+                return Matched(self._services[service_name], route)
+        return None
+
+    def _add(self, resource: Resource) -> None:
+        if isinstance(resource, Service):
+            self._services[resource.name] = resource
+            longest_first = sorted(resource.routes, key=lambda route: -len(route.prefix))
+            self._routes[resource.name] = tuple(longest_first)
+        elif isinstance(resource, Endpoint):
+            self.endpoints[resource.name] = resource
+        elif isinstance(resource, Policy):
+            self.policy = resource
--- /dev/null
+++ b/src/finchshed/daemon/peers.py
@@ -0,0 +1,277 @@
+"""The links this daemon holds to other daemons: opened on demand, reopened with jittered backoff.
+
+A call for an endpoint whose link is being opened waits for it; if the link can't be opened, the
+call was never sent.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from finchshed.common.outcomes import RefusalReason
+from finchshed.configuration.resources import Endpoint
+from finchshed.daemon.request import Request
+from finchshed.daemon.settings import DaemonSettings
+from finchshed.distribution.messages import Delta
+from finchshed.link.messages import Hello, LoadReport, Reply
+from finchshed.link.peer import LinkState, PeerLink, SendResult
+
+BACKOFF_FIRST_SECONDS = 0.05
+BACKOFF_MAX_SECONDS = 2.0
+
+
+class PeersOwner(Protocol):
+    """What the holder of the links is told and asked."""
+
+    def hello(self, epoch: str) -> Hello:
+        """Return the first line of a link."""
+
+    def peer_up(self, endpoint: str, incarnation: str) -> None:
+        """The link to an endpoint is open, or the back end behind it was restarted."""
+
+    def peer_down(self, endpoint: str) -> None:
+        """The link to an endpoint broke or could not be opened."""
+
+    def peer_draining(self, endpoint: str) -> None:
+        """An endpoint takes no new calls."""
+
+    def peer_load(self, endpoint: str, load: LoadReport) -> None:
+        """An endpoint told its load with a heartbeat."""
+
+    def peer_revision(self, peer: str, revision: int) -> None:
+        """A peer holds this revision."""
+
+    def peer_delta(self, peer: str, delta: Delta) -> None:
+        """A peer sent configuration."""
+
+    def delta_for(self, revision: int) -> Delta | None:
+        """Return the configuration for a peer that holds ``revision``."""
+
+    def revision(self) -> int:
+        """Return the revision in force."""
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One attempt of a call on its way to an endpoint.
+
+    ``on_reply`` is called with the reply, or None if the link broke after the send;
+    ``on_unsent`` if it was never sent. Exactly one of them is called, unless it is withdrawn.
+    """
+
+    request: Request
+    share: int
+    deadline: float
+    on_reply: Callable[[Reply | None], None]
+    on_unsent: Callable[[RefusalReason, str], None]
+    withdrawn: bool = False
+    link: PeerLink | None = None
+    identity: int = 0
+
+
+@dataclass(slots=True)
+class _Peer:
+    endpoint: Endpoint
+    link: PeerLink | None = None
+    waiting: list[Attempt] = field(default_factory=list)
+    failures: int = 0
+    not_before: float = 0.0
+
+
+class PeerLinks:
+    """Links to the daemons of endpoints, by endpoint name."""
+
+    def __init__(self, settings: DaemonSettings, owner: PeersOwner, rng: random.Random) -> None:
+        self._settings = settings
+        self._owner = owner
+        self._rng = rng
+        self._peers: dict[str, _Peer] = {}
+        self._by_link: dict[PeerLink, _Peer] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._closing = False
+
+    def replace(self, endpoints: dict[str, Endpoint]) -> None:
+        """Take the endpoints of a configuration; links to those gone or moved are closed."""
+        for name, peer in list(self._peers.items()):
+            declared = endpoints.get(name)
+            if declared is not None and declared.address == peer.endpoint.address:
+                peer.endpoint = declared
+                continue
+            del self._peers[name]
+            self._retire(peer)
+
+    def send(self, endpoint: Endpoint, attempt: Attempt) -> None:
+        """Send an attempt, opening the link first where needed."""
+        peer = self._peer(endpoint)
+        link = peer.link
+        if link is None:
+            if time.monotonic() < peer.not_before or self._closing:
+                attempt.on_unsent(RefusalReason.CONNECT_FAILED, "the link is down")
+                return
+            self._open(peer)
+        elif link.state is LinkState.OPEN:
+            self._send_on(link, attempt)
+            return
+        peer.waiting.append(attempt)
+
+    def withdraw(self, attempt: Attempt) -> None:
+        """Give an attempt up; neither of its callbacks is called any more."""
+        attempt.withdrawn = True
+        if attempt.link is not None:
+            attempt.link.cancel_call(attempt.identity)
+
+    def greet(self, endpoints: tuple[Endpoint, ...]) -> None:
+        """Open links to endpoints, to learn their revisions."""
+        for endpoint in endpoints:
+            peer = self._peer(endpoint)
+            if peer.link is None and not self._closing:
+                self._open(peer)
+
+    def fetch(self, endpoint_name: str, revision: int) -> bool:
+        """Ask a peer for its configuration; return whether a link was open."""
+        peer = self._peers.get(endpoint_name)
+        if peer is None or peer.link is None or peer.link.state is not LinkState.OPEN:
+            return False
+        peer.link.fetch(revision)
+        return True
+
+    def close_idle(self) -> None:
+        """Close links that carried no call for a long time."""
+        now = asyncio.get_running_loop().time()
+        for link in list(self._by_link):
+            idle = now - link.last_call_at > self._settings.link_idle_seconds
+            if idle and link.calls_in_progress == 0 and link.state is LinkState.OPEN:
+                link.close("idle")
+
+    def close(self) -> None:
+        """Close every link."""
+        self._closing = True
+        for link in list(self._by_link):
+            link.close("stopped")
+
+    def hello(self, epoch: str) -> Hello:
+        """Return the first line of a link (link owner's part)."""
+        return self._owner.hello(epoch)
+
+    def link_opened(self, link: PeerLink, hello: Hello) -> None:
+        """Send what waited for the link (link owner's part)."""
+        peer = self._by_link.get(link)
+        if peer is None:
+            return
+        if hello.service != peer.endpoint.service or hello.node != peer.endpoint.name:
+            link.close("wrong peer")
+            return
+        peer.failures = 0
+        self._owner.peer_up(peer.endpoint.name, hello.incarnation)
+        waiting = peer.waiting
+        peer.waiting = []
+        for attempt in waiting:
+            if not attempt.withdrawn:
+                self._send_on(link, attempt)
+
+    def link_closed(self, link: PeerLink, cause: str) -> None:
+        """Fail what waited for the link (link owner's part)."""
+        peer = self._by_link.pop(link, None)
+        if peer is None:
+            return
+        peer.link = None
+        if cause != "idle":
+            self._back_off(peer)
+            self._owner.peer_down(peer.endpoint.name)
+        waiting = peer.waiting
+        peer.waiting = []
+        for attempt in waiting:
+            if not attempt.withdrawn:
+                attempt.on_unsent(RefusalReason.CONNECT_FAILED, cause)
+
+    def peer_draining(self, link: PeerLink) -> None:
+        """Pass the sign on (link owner's part)."""
+        peer = self._by_link.get(link)
+        if peer is not None:
+            self._owner.peer_draining(peer.endpoint.name)
+
+    def load_reported(self, link: PeerLink, load: LoadReport) -> None:
+        """Pass the report on (link owner's part)."""
+        peer = self._by_link.get(link)
+        if peer is not None:
+            self._owner.peer_load(peer.endpoint.name, load)
+
+    def revision_seen(self, link: PeerLink, revision: int) -> None:
+        """Pass the revision on (link owner's part)."""
+        peer = self._by_link.get(link)
+        if peer is not None:
+            self._owner.peer_revision(peer.endpoint.name, revision)
+
+    def delta_received(self, link: PeerLink, delta: Delta) -> None:
+        """Pass configuration on (link owner's part)."""
+        peer = self._by_link.get(link)
+        if peer is not None:
+            self._owner.peer_delta(peer.endpoint.name, delta)
+
+    def delta_for(self, revision: int) -> Delta | None:
+        """Return configuration for a peer (link owner's part)."""
+        return self._owner.delta_for(revision)
+
+    def _peer(self, endpoint: Endpoint) -> _Peer:
+        peer = self._peers.get(endpoint.name)
+        if peer is not None and peer.endpoint.address != endpoint.address:
+            self._retire(peer)
+            peer = None
+        if peer is None:
+            peer = _Peer(endpoint)
+            self._peers[endpoint.name] = peer
+        return peer
+
+    def _retire(self, peer: _Peer) -> None:
+        """Let calls in progress end, then close."""
+        if peer.link is not None and peer.link.calls_in_progress == 0:
+            peer.link.close("idle")
+
+    def _open(self, peer: _Peer) -> None:
+        settings = self._settings
+        link = PeerLink(
+            peer.endpoint.address,
+            self,
+            settings.max_unsent_bytes,
+            settings.silence_seconds,
+            settings.heartbeat_seconds,
+            settings.connect_timeout_seconds,
+        )
+        peer.link = link
+        self._by_link[link] = peer
+        task = asyncio.get_running_loop().create_task(link.connect())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _back_off(self, peer: _Peer) -> None:
+        bound = min(BACKOFF_MAX_SECONDS, BACKOFF_FIRST_SECONDS * 2.0 ** min(peer.failures, 16))
+        peer.failures += 1
+        peer.not_before = time.monotonic() + bound * (0.5 + 0.5 * self._rng.random())
+
+    def _send_on(self, link: PeerLink, attempt: Attempt) -> None:
+        remaining = attempt.deadline - time.monotonic()
+        if remaining <= 0.0:
+            attempt.on_unsent(RefusalReason.DEADLINE, "no time left to send")
+            return
+        request = attempt.request
+        context = request.context.for_attempt(remaining, attempt.share)
+        result, identity = link.send_call(
+            request.service,
+            request.method,
+            request.path,
+            request.headers,
+            request.body,
+            context,
+            self._owner.revision(),
+            attempt.on_reply,
+        )
+        if result is SendResult.SENT:
+            attempt.link = link
+            attempt.identity = identity
+        elif result is SendResult.FULL:
+            attempt.on_unsent(RefusalReason.QUEUE_FULL, "the link is full")
+        else:
+            attempt.on_unsent(RefusalReason.CONNECT_FAILED, "the link is closed")
--- a/src/finchshed/link/listener.py
+++ b/src/finchshed/link/listener.py
@@ -56,7 +56,7 @@
     def accepted_revision_seen(self, link: "AcceptedLink", revision: int) -> None:
         """The peer holds this revision of the configuration."""
 
-    def delta_received(self, delta: Delta) -> None:
+    def accepted_delta_received(self, link: "AcceptedLink", delta: Delta) -> None:
         """The peer answered a fetch."""
 
     def delta_for(self, revision: int) -> Delta | None:
@@ -87,6 +87,11 @@
         """Epoch the peer chose, empty before its Hello."""
         return "" if self.peer is None else self.peer.epoch
 
+    def tell_hello(self) -> None:
+        """Tell the peer anew who this is: the back end was restarted."""
+        if self.peer is not None:
+            self.lines.send(self._owner.hello(self.peer.epoch))
+
     def tell_draining(self) -> None:
         """Tell the peer that no new calls are taken."""
         if self.peer is not None:
@@ -109,7 +114,7 @@
         elif isinstance(message, Fetch):
             self._take_fetch(message)
         elif isinstance(message, Delta):
-            self._owner.delta_received(message)
+            self._owner.accepted_delta_received(self, message)
         else:
             raise ProtocolError(f"{type(message).__name__} has no place on a calling peer's link")
 
--- a/src/finchshed/link/peer.py
+++ b/src/finchshed/link/peer.py
@@ -78,7 +78,7 @@
     def revision_seen(self, link: "PeerLink", revision: int) -> None:
         """The peer holds this revision of the configuration."""
 
-    def delta_received(self, delta: Delta) -> None:
+    def delta_received(self, link: "PeerLink", delta: Delta) -> None:
         """The peer answered a fetch."""
 
     def delta_for(self, revision: int) -> Delta | None:
@@ -233,12 +233,13 @@
         elif isinstance(message, Fetch):
             self._answer_fetch(message)
         elif isinstance(message, Delta):
-            self._owner.delta_received(message)
+            self._owner.delta_received(self, message)
         else:
             self._end("protocol")
 
     def _on_hello(self, hello: Hello) -> None:
-        if self.state is not LinkState.CONNECTING or hello.epoch != self.epoch:
+        """Take the peer's Hello: its first one, or one more after its back end was restarted."""
+        if hello.epoch != self.epoch:
             self._end("protocol")
             return
         self.state = LinkState.OPEN
