--- a/src/finchshed/common/outcomes.py
+++ b/src/finchshed/common/outcomes.py
@@ -31,6 +31,7 @@
     BACKEND_REFUSED = "backend_refused"
     CANCELLED = "cancelled"
     CONNECT_FAILED = "connect_failed"
+    KEY_REUSED = "key_reused"
 
 
 class FailureReason(enum.StrEnum):
--- /dev/null
+++ b/src/finchshed/daemon/callee.py
@@ -0,0 +1,316 @@
+"""The daemon beside a back end: takes calls from links, admits them, runs them, answers them.
+
+Decisions are the gate's; what runs at most once is the ledger's. This module moves each call
+from one step to the next and answers it exactly once.
+"""
+
+import random
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from finchshed.admission.effects import GateEffect, Start
+from finchshed.admission.gate import Gate
+from finchshed.common.context import (
+    HEADER_ACCOUNT,
+    HEADER_CALLER,
+    HEADER_DEADLINE,
+    HEADER_IDEMPOTENCY_KEY,
+    HEADER_IMPORTANCE,
+    HEADER_ROOT,
+    HEADER_SESSION,
+)
+from finchshed.common.outcomes import (
+    Answered,
+    Failed,
+    FailureReason,
+    Headers,
+    Outcome,
+    RefusalReason,
+    Refused,
+)
+from finchshed.common.results import CallResult, result_of
+from finchshed.daemon import metrics
+from finchshed.daemon.accounts import ServedRequests
+from finchshed.daemon.backend import (
+    Backend,
+    BackendAnswer,
+    BackendAnswerTooLarge,
+    BackendResult,
+    BackendTimedOut,
+    BackendUnreached,
+)
+from finchshed.daemon.catalogue import Catalogue
+from finchshed.daemon.guarded import GuardedRuns
+from finchshed.daemon.ledger_port import scoped_key
+from finchshed.daemon.settings import DaemonSettings
+from finchshed.daemon.work import Work, WorkState
+from finchshed.link.digests import digest_of
+from finchshed.link.listener import AcceptedLink
+from finchshed.link.messages import Call, LoadReport, Reply
+from finchshed.retry.policy import retry_after
+from finchshed.session.table import NotOpened, SessionTable
+
+
+class Callee:
+    """Serves calls of other daemons with the local back end.
+
+    Parameters
+    ----------
+    backend
+        Client to the back end.
+    guarded
+        Runs what may not be repeated.
+    on_backend_leaving
+        Called when the back end says that it is leaving.
+    """
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        backend: Backend,
+        guarded: GuardedRuns,
+        served: ServedRequests,
+        rng: random.Random,
+        on_backend_leaving: Callable[[], None],
+        revision: Callable[[], int],
+    ) -> None:
+        self._settings = settings
+        self._backend = backend
+        self._guarded = guarded
+        self._served = served
+        self._rng = rng
+        self._on_backend_leaving = on_backend_leaving
+        self._revision = revision
+        self._gate = Gate(1, rng, time.monotonic())
+        self._sessions = SessionTable()
+        self._catalogue = Catalogue()
+        self._works: dict[int, Work] = {}
+        self._by_call: dict[tuple[str, int], Work] = {}
+        self._next_token = 1
+        self.may_serve = False
+        self.draining = False
+
+    @property
+    def in_progress(self) -> int:
+        """Calls not answered yet."""
+        return len(self._works)
+
+    @property
+    def sessions(self) -> int:
+        """Sessions pinned to this back end."""
+        return len(self._sessions)
+
+    def configure(self, catalogue: Catalogue) -> None:
+        """Act on a new configuration."""
+        self._catalogue = catalogue
+        endpoint = catalogue.endpoints.get(self._settings.endpoint)
+        if endpoint is not None:
+            self._gate.set_slots(endpoint.slots)
+
+    def load_report(self) -> LoadReport:
+        """Return the load as callers are told."""
+        report = self._gate.load_report(time.monotonic())
+        if self.draining and not report.draining:
+            return msgspec.structs.replace(report, draining=True)
+        return report
+
+    def tick(self) -> None:
+        """Let time pass: deadlines in the queue, idle sessions."""
+        now = time.monotonic()
+        self._apply(self._gate.tick(now))
+        self._sessions.expire(now)
+
+    def take(self, link: AcceptedLink, call: Call) -> None:
+        """Take a call that came in."""
+        now = time.monotonic()
+        work = self._admit(link, call, now)
+        if isinstance(work, Refused):
+            self._send_reply(link, call, work, call.context.spare_attempts)
+            return
+        self._works[work.token] = work
+        self._by_call[call.epoch, call.call] = work
+        self._apply(self._gate.arrive(work.token, call.context, now))
+
+    def give_up(self, link: AcceptedLink, call_identity: int) -> None:
+        """Drop a call whose caller has given up or is gone."""
+        work = self._by_call.get((link.epoch, call_identity))
+        if work is None:
+            return
+        work.abandoned = True
+        if work.state is WorkState.QUEUED:
+            effects = self._gate.cancel(work.token, time.monotonic())
+            self._forget(work)
+            self._apply(effects)
+        elif work.state is WorkState.AT_BACKEND and work.repeatable:
+            if work.cancel_backend is not None:
+                work.cancel_backend()
+            self._end(work, CallResult.CANCELLED)
+
+    def _admit(self, link: AcceptedLink, call: Call, now: float) -> Work | Refused:
+        if not self.may_serve:
+            return self._refused(RefusalReason.NO_CONFIGURATION)
+        matched = self._catalogue.match(call.service, call.path)
+        if matched is None or call.service != self._settings.service:
+            return self._refused(RefusalReason.UNKNOWN_ROUTE)
+        route, service = matched.route, matched.service
+        if len(call.body) > service.max_body_bytes:
+            return self._refused(RefusalReason.REQUEST_TOO_LARGE)
+        ledger_key = "" if route.repeatable else scoped_key(call.context.key, service.name)
+        if ledger_key is None:
+            return self._refused(RefusalReason.KEY_MISSING, "a UUID of version 7 is needed")
+        session = call.context.session if route.session else ""
+        if self.draining and not (session and self._sessions.get(session)):
+            return self._refused(RefusalReason.DRAINING)
+        if session:
+            opened = self._sessions.open(
+                session,
+                service.name,
+                self._settings.endpoint,
+                service.max_sessions,
+                service.session_idle_seconds,
+                now,
+            )
+            if isinstance(opened, NotOpened):
+                return self._refused(opened.reason)
+            self._sessions.on_request(session, now)
+        token = self._next_token
+        self._next_token += 1
+        return Work(
+            token=token,
+            link=link,
+            call=call,
+            arrived=now,
+            deadline=now + call.context.remaining_seconds,
+            repeatable=route.repeatable,
+            in_session=bool(session),
+            max_body_bytes=service.max_body_bytes,
+            ledger_key=ledger_key,
+        )
+
+    def _apply(self, effects: list[GateEffect]) -> None:
+        for effect in effects:
+            work = self._works.get(effect.token)
+            if work is None:
+                continue
+            if isinstance(effect, Start):
+                self._start(work)
+            else:
+                refused = Refused(effect.reason, effect.retry_after)
+                self._answer(work, refused)
+
+    def _start(self, work: Work) -> None:
+        metrics.QUEUE_DELAY.observe(time.monotonic() - work.arrived)
+        if work.repeatable:
+            self._send_to_backend(work)
+        else:
+            work.state = WorkState.ASKING_LEDGER
+            self._guarded.begin(work, self._send_to_backend, self._finish)
+
+    def _send_to_backend(self, work: Work) -> None:
+        call = work.call
+        work.state = WorkState.AT_BACKEND
+        work.served = self._served.open(call.context, work.deadline)
+        remaining = work.deadline - time.monotonic()
+        work.cancel_backend = self._backend.send(
+            call.method,
+            call.path,
+            self._backend_headers(work, remaining),
+            call.body,
+            remaining,
+            work.max_body_bytes,
+            lambda result: self._on_backend_result(work, result),
+        )
+
+    def _backend_headers(self, work: Work, remaining: float) -> Headers:
+        context = work.call.context
+        account = work.served.account if work.served is not None else ""
+        headers = [
+            *work.call.headers,
+            (HEADER_ROOT, context.root),
+            (HEADER_ACCOUNT, account),
+            (HEADER_DEADLINE, str(max(0, int(remaining * 1000)))),
+            (HEADER_IMPORTANCE, str(int(context.importance))),
+        ]
+        if context.caller:
+            headers.append((HEADER_CALLER, context.caller))
+        if context.session:
+            headers.append((HEADER_SESSION, context.session))
+        if context.key:
+            headers.append((HEADER_IDEMPOTENCY_KEY, context.key))
+        return tuple(headers)
+
+    def _on_backend_result(self, work: Work, result: BackendResult) -> None:
+        if work.state is not WorkState.AT_BACKEND:
+            return
+        if isinstance(result, BackendAnswer) and result.draining:
+            self._on_backend_leaving()
+        outcome = self._outcome_of(result)
+        if work.repeatable:
+            self._finish(work, outcome)
+            return
+        work.state = WorkState.RECORDING
+        # The back end is done with the request; waiting for the ledger must not hold its slot.
+        self._apply(self._gate.finish(work.token, result_of(outcome), time.monotonic()))
+        self._guarded.settle(work, outcome, self._finish)
+
+    def _outcome_of(self, result: BackendResult) -> Outcome:
+        if isinstance(result, BackendAnswer):
+            if result.ran:
+                return Answered(result.status, result.headers, result.body)
+            return self._refused(RefusalReason.BACKEND_REFUSED)
+        if isinstance(result, BackendUnreached):
+            return self._refused(RefusalReason.CONNECT_FAILED, result.detail)
+        wait = retry_after(0.0, self._rng)
+        if isinstance(result, BackendTimedOut):
+            return Failed(FailureReason.DEADLINE, wait)
+        if isinstance(result, BackendAnswerTooLarge):
+            return Failed(FailureReason.ANSWER_TOO_LARGE, wait)
+        return Failed(FailureReason.BACKEND_BROKEN, wait, result.detail)
+
+    def _finish(self, work: Work, outcome: Outcome) -> None:
+        """Answer a call that was started, and free its slot."""
+        if work.state is WorkState.DONE:
+            return
+        spare = self._end(work, result_of(outcome))
+        self._send_reply(work.link, work.call, outcome, spare)
+
+    def _answer(self, work: Work, outcome: Refused) -> None:
+        """Answer a call that was never started."""
+        self._forget(work)
+        self._send_reply(work.link, work.call, outcome, work.call.context.spare_attempts)
+
+    def _end(self, work: Work, result: CallResult) -> int:
+        """Forget a started call and free its slot; return the spare attempts left."""
+        spare = work.call.context.spare_attempts
+        if work.served is not None:
+            spare = self._served.close(work.served.account)
+        self._forget(work)
+        self._apply(self._gate.finish(work.token, result, time.monotonic()))
+        return spare
+
+    def _forget(self, work: Work) -> None:
+        work.state = WorkState.DONE
+        self._works.pop(work.token, None)
+        self._by_call.pop((work.call.epoch, work.call.call), None)
+        if work.in_session:
+            self._sessions.on_answer(work.call.context.session, time.monotonic())
+
+    def _send_reply(self, link: AcceptedLink, call: Call, outcome: Outcome, spare: int) -> None:
+        digest = digest_of(outcome.body) if isinstance(outcome, Answered) else ""
+        link.reply(
+            Reply(
+                epoch=call.epoch,
+                call=call.call,
+                outcome=outcome,
+                spare_attempts=spare,
+                load=self.load_report(),
+                digest=digest,
+                revision=self._revision(),
+            )
+        )
+        metrics.count_served(call.service, call.context.importance, outcome)
+
+    def _refused(self, reason: RefusalReason, detail: str = "") -> Refused:
+        return Refused(reason, retry_after(0.0, self._rng), detail)
--- /dev/null
+++ b/src/finchshed/daemon/caller.py
@@ -0,0 +1,122 @@
+"""The caller's side of the daemon: takes requests from HTTP and has them answered by endpoints."""
+
+import random
+import time
+from dataclasses import dataclass
+
+from finchshed.common.outcomes import Outcome, RefusalReason, Refused
+from finchshed.daemon import metrics
+from finchshed.daemon.accounts import ServedRequests
+from finchshed.daemon.catalogue import Catalogue
+from finchshed.daemon.ledger_port import fingerprint_of
+from finchshed.daemon.outgoing import OutgoingCall
+from finchshed.daemon.peers import PeerLinks
+from finchshed.daemon.request import Request
+from finchshed.retry.bucket import RetryBucket
+from finchshed.retry.policy import retry_after
+from finchshed.routing.caller import CallerLogic
+from finchshed.routing.table import RoutingTable
+
+
+@dataclass(frozen=True, slots=True)
+class JoinKey:
+    """What makes two requests of a caller the same one."""
+
+    service: str
+    caller: str
+    identity: str
+
+
+class Caller:
+    """Starts calls and joins repeats.
+
+    Parameters
+    ----------
+    table
+        Endpoints as this daemon sees them.
+    served
+        Retry accounts of requests the local back end is serving.
+    """
+
+    def __init__(
+        self, table: RoutingTable, links: PeerLinks, served: ServedRequests, rng: random.Random
+    ) -> None:
+        self._table = table
+        self._links = links
+        self._served = served
+        self._rng = rng
+        self._buckets: dict[str, RetryBucket] = {}
+        self._retry_ratio = Catalogue().policy.retry_ratio
+        self._joinable: dict[JoinKey, tuple[OutgoingCall, str]] = {}
+        self.in_progress = 0
+
+    def configure(self, catalogue: Catalogue) -> None:
+        """Act on a new configuration."""
+        if catalogue.policy.retry_ratio != self._retry_ratio:
+            self._retry_ratio = catalogue.policy.retry_ratio
+            self._buckets.clear()
+
+    async def call(self, request: Request, account: str, join_identity: str) -> Outcome:
+        """Have ``request`` answered.
+
+        Parameters
+        ----------
+        account
+            Account of the request being served that calls on, or empty for a root request.
+        join_identity
+            Identity under which a repeat joins the request in progress, or empty.
+        """
+        if not join_identity:
+            return await self._start(request, account, None).wait()
+        key = JoinKey(request.service, request.context.caller, join_identity)
+        fingerprint = fingerprint_of(request.method, request.path, request.body)
+        held = self._joinable.get(key)
+        if held is not None:
+            lent = request.context.spare_attempts
+            self._served.give_back(account, lent, lent)
+            return await self._join(*held, fingerprint)
+        call = self._start(request, account, key)
+        if not call.is_over:
+            self._joinable[key] = (call, fingerprint)
+        return await call.wait()
+
+    async def _join(self, call: OutgoingCall, held_fingerprint: str, fingerprint: str) -> Outcome:
+        if held_fingerprint != fingerprint:
+            detail = "another request of this identity is in progress"
+            return Refused(RefusalReason.KEY_REUSED, self._retry_after(), detail)
+        metrics.JOINED.inc()
+        return await call.wait()
+
+    def _start(self, request: Request, account: str, key: JoinKey | None) -> OutgoingCall:
+        lent = request.context.spare_attempts
+        logic = CallerLogic(
+            self._table,
+            self._bucket(request.service),
+            request.service,
+            request.context,
+            request.repeatable,
+            self._rng,
+        )
+
+        def finished(call: OutgoingCall, outcome: Outcome, spare: int) -> None:
+            self.in_progress -= 1
+            if key is not None:
+                self._joinable.pop(key, None)
+            metrics.count_call(request.service, request.context.importance, outcome)
+            if account:
+                self._served.give_back(account, lent, spare)
+
+        call = OutgoingCall(request, logic, self._links, finished, self._retry_after)
+        self.in_progress += 1
+        call.begin()
+        return call
+
+    def _bucket(self, service: str) -> RetryBucket:
+        bucket = self._buckets.get(service)
+        if bucket is None:
+            bucket = RetryBucket(self._retry_ratio, time.monotonic())
+            self._buckets[service] = bucket
+        return bucket
+
+    def _retry_after(self) -> float:
+        return retry_after(0.0, self._rng)
--- /dev/null
+++ b/src/finchshed/daemon/daemon.py
@@ -0,0 +1,309 @@
+"""The daemon: its parts, and what each tells the others."""
+
+import asyncio
+import random
+import secrets
+import time
+from collections.abc import Coroutine
+from typing import Any
+
+from aiohttp import web
+from loguru import logger
+
+from finchshed.common.outcomes import RefusalReason
+from finchshed.daemon import metrics
+from finchshed.daemon.accounts import ServedRequest, ServedRequests
+from finchshed.daemon.backend_aiohttp import AiohttpBackend
+from finchshed.daemon.callee import Callee
+from finchshed.daemon.caller import Caller
+from finchshed.daemon.catalogue import Catalogue
+from finchshed.daemon.configuration_following import ConfigurationFollowing
+from finchshed.daemon.control_ledger import ControlLedger
+from finchshed.daemon.front import Front, SpoolBudget
+from finchshed.daemon.guarded import GuardedRuns
+from finchshed.daemon.peers import PeerLinks
+from finchshed.daemon.settings import DaemonSettings
+from finchshed.daemon.sockets import listening_socket
+from finchshed.distribution.addresses import parse_control_address
+from finchshed.distribution.client import ClientHandlers, ClientIdentity, ControlClient
+from finchshed.distribution.follower import FollowerIdentity
+from finchshed.distribution.messages import Delta
+from finchshed.link.listener import AcceptedLink, LinkListener
+from finchshed.link.messages import Call, Hello, LoadReport
+from finchshed.routing.table import RoutingTable
+
+TICK_SECONDS = 0.02
+SLOW_TICK_SECONDS = 0.5
+INCARNATION_BYTES = 8
+DRAIN_POLL_SECONDS = 0.02
+KEEP_ALIVE_SECONDS = 75.0
+
+
+class Daemon:
+    """One daemon process: data path beside a back end, or an edge."""
+
+    def __init__(self, settings: DaemonSettings) -> None:
+        self._settings = settings
+        self._rng = random.Random(secrets.randbits(64))
+        self._incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self._catalogue = Catalogue()
+        self._is_serving = False
+        self._is_draining = False
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._served = ServedRequests()
+        self._table = RoutingTable(settings.zone, settings.region, self._rng)
+        self._links = PeerLinks(settings, self, self._rng)
+        self._caller = Caller(self._table, self._links, self._served, self._rng)
+        spool = SpoolBudget(settings.max_spooled_bytes)
+        self._front = Front(self._caller, self._served, spool, self._rng, self._why_not)
+        self._listener = LinkListener(self, settings.peer_networks, 2 * settings.silence_seconds)
+        identity = FollowerIdentity(zone=settings.zone, endpoint=settings.endpoint)
+        self._following = ConfigurationFollowing(identity, settings.data_folder, self)
+        self._following.links = self._links
+        self._client = self._make_client()
+        self._following.client = self._client
+        self._backend: AiohttpBackend | None = None
+        self._callee = self._make_callee()
+        self._servers: list[asyncio.Server] = []
+        self._http: web.Server | None = None
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether new work is taken."""
+        return self._is_serving and not self._is_draining
+
+    @property
+    def state_detail(self) -> str:
+        """What a daemon that takes no new work waits for."""
+        if self._is_draining:
+            return "draining"
+        return "" if self._is_serving else "waiting for a confirmed configuration"
+
+    async def start(self) -> None:
+        """Follow the configuration and listen."""
+        loop = asyncio.get_running_loop()
+        settings = self._settings
+        self._following.start()
+        if self._client is not None:
+            self._spawn(self._client.run())
+        self._spawn(self._tick_often())
+        self._spawn(self._tick_seldom())
+        link_socket = listening_socket(settings.link_address)
+        self._servers.append(
+            await loop.create_server(self._listener.make_protocol, sock=link_socket)
+        )
+        self._http = web.Server(
+            self._front.handle,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=KEEP_ALIVE_SECONDS,
+        )
+        http_socket = listening_socket(settings.http_address)
+        self._servers.append(await loop.create_server(self._http, sock=http_socket))
+
+    async def stop(self) -> None:
+        """Take no new work, finish what is in progress, and close."""
+        self._is_draining = True
+        metrics.DRAINING.set(1)
+        logger.info("draining")
+        if self._callee is not None:
+            self._callee.draining = True
+        self._front.close_connections = True
+        for link in self._listener.links():
+            link.tell_draining()
+        started = time.monotonic()
+        while time.monotonic() - started < self._settings.drain_seconds:
+            is_noticed = time.monotonic() - started >= self._settings.drain_notice_seconds
+            if is_noticed and not self._is_busy():
+                break
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        await self._close()
+
+    # What the configuration tells.
+
+    def configuration_in_force(self, catalogue: Catalogue) -> None:
+        """Act on a new configuration."""
+        self._catalogue = catalogue
+        self._table.replace(catalogue.endpoints.values(), time.monotonic())
+        self._links.replace(catalogue.endpoints)
+        self._caller.configure(catalogue)
+        self._front.catalogue = catalogue
+        if self._callee is not None:
+            self._callee.configure(catalogue)
+
+    def start_serving(self) -> None:
+        """Take calls from now on."""
+        self._is_serving = True
+        if self._callee is not None:
+            self._callee.may_serve = True
+
+    # What links tell and ask, on both ends.
+
+    def hello(self, epoch: str) -> Hello:
+        """Return this daemon's first line."""
+        return Hello(
+            node=self._settings.endpoint or self._settings.node,
+            incarnation=self._incarnation,
+            epoch=epoch,
+            service=self._settings.service,
+            zone=self._settings.zone,
+            revision=self.revision(),
+            draining=self._is_draining,
+        )
+
+    def revision(self) -> int:
+        """Return the revision in force."""
+        return self._following.follower.revision
+
+    def delta_for(self, revision: int) -> Delta | None:
+        """Return the configuration for a peer that holds ``revision``."""
+        return self._following.follower.answer_fetch(revision)
+
+    def load_report(self) -> LoadReport:
+        """Return the load to tell with a heartbeat."""
+        if self._callee is None:
+            return LoadReport(draining=self._is_draining)
+        return self._callee.load_report()
+
+    def call_received(self, link: AcceptedLink, call: Call) -> None:
+        """Take a call of another daemon."""
+        if self._callee is not None:
+            self._callee.take(link, call)
+
+    def call_cancelled(self, link: AcceptedLink, call: int) -> None:
+        """Drop a call of another daemon."""
+        if self._callee is not None:
+            self._callee.give_up(link, call)
+
+    def accepted_revision_seen(self, link: AcceptedLink, revision: int) -> None:
+        """Note the revision a calling daemon holds; fetch it if it is higher."""
+        if revision > self._following.follower.highest_seen:
+            link.fetch(self.revision())
+        if link.peer is not None:
+            self._following.on_peer_revision(link.peer.node, revision)
+
+    def accepted_delta_received(self, link: AcceptedLink, delta: Delta) -> None:
+        """Take configuration from a calling daemon."""
+        if link.peer is not None:
+            self._following.on_peer_delta(link.peer.node, delta)
+
+    def peer_up(self, endpoint: str, incarnation: str) -> None:
+        """Note that an endpoint can be called."""
+        self._table.on_link_up(endpoint, incarnation, time.monotonic())
+
+    def peer_down(self, endpoint: str) -> None:
+        """Note that an endpoint can't be called."""
+        self._table.on_link_down(endpoint, time.monotonic())
+
+    def peer_draining(self, endpoint: str) -> None:
+        """Note that an endpoint takes no new calls."""
+        self._table.mark_draining(endpoint, time.monotonic())
+
+    def peer_load(self, endpoint: str, load: LoadReport) -> None:
+        """Note the load an endpoint told with a heartbeat."""
+        self._table.on_report(endpoint, load, time.monotonic())
+
+    def peer_revision(self, peer: str, revision: int) -> None:
+        """Note the revision an endpoint's daemon holds."""
+        self._following.on_peer_revision(peer, revision)
+
+    def peer_delta(self, peer: str, delta: Delta) -> None:
+        """Take configuration from an endpoint's daemon."""
+        self._following.on_peer_delta(peer, delta)
+
+    # Construction and upkeep.
+
+    def _make_client(self) -> ControlClient | None:
+        settings = self._settings
+        if not settings.control_addresses:
+            return None
+        identity = ClientIdentity(
+            node=settings.node,
+            incarnation=self._incarnation,
+            service=settings.service,
+            zone=settings.zone,
+            endpoint=settings.endpoint,
+        )
+        follower = self._following.follower
+        handlers = ClientHandlers(
+            on_delta=self._following.on_control_delta,
+            on_connected=self._following.on_control_connected,
+            on_lost=self._following.on_control_lost,
+            revision_held=lambda: follower.held_revision,
+            revision_in_force=lambda: follower.revision,
+        )
+        addresses = [parse_control_address(text) for text in settings.control_addresses]
+        return ControlClient(identity, addresses, handlers, self._rng)
+
+    def _make_callee(self) -> Callee | None:
+        settings = self._settings
+        if not settings.backend_address:
+            return None
+        self._backend = AiohttpBackend(
+            settings.backend_address, settings.max_connections, settings.connect_timeout_seconds
+        )
+        guarded = GuardedRuns(settings, ControlLedger(self._client), self._rng)
+        return Callee(
+            settings,
+            self._backend,
+            guarded,
+            self._served,
+            self._rng,
+            self._on_backend_leaving,
+            self.revision,
+        )
+
+    def _on_backend_leaving(self) -> None:
+        if self._callee is None or self._callee.draining:
+            return
+        logger.info("the back end says that it is leaving")
+        self._callee.draining = True
+        for link in self._listener.links():
+            link.tell_draining()
+
+    def _why_not(self, served: ServedRequest | None, session: str) -> RefusalReason | None:
+        if not self._is_serving:
+            return RefusalReason.NO_CONFIGURATION
+        if self._is_draining and served is None and not session:
+            return RefusalReason.DRAINING
+        return None
+
+    def _is_busy(self) -> bool:
+        if self._front.in_progress or self._caller.in_progress:
+            return True
+        return self._callee is not None and (
+            self._callee.in_progress > 0 or self._callee.sessions > 0
+        )
+
+    async def _tick_often(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            if self._callee is not None:
+                self._callee.tick()
+
+    async def _tick_seldom(self) -> None:
+        while True:
+            await asyncio.sleep(SLOW_TICK_SECONDS)
+            self._following.tick()
+            self._links.close_idle()
+            self._listener.close_silent(asyncio.get_running_loop().time())
+            metrics.IN_PROGRESS.labels("caller").set(self._caller.in_progress)
+            if self._callee is not None:
+                metrics.IN_PROGRESS.labels("callee").set(self._callee.in_progress)
+
+    async def _close(self) -> None:
+        for server in self._servers:
+            server.close()
+        if self._http is not None:
+            await self._http.shutdown(timeout=1.0)
+        self._links.close()
+        self._listener.close()
+        if self._backend is not None:
+            await self._backend.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/src/finchshed/daemon/guarded.py
@@ -0,0 +1,144 @@
+"""Requests that may not be repeated: leave from the ledger before the send, a record after it.
+
+The order of steps is what makes "at most once" and "did not run" true:
+
+1. ``begin`` is committed by a quorum for this attempt alone, before any byte goes to the back end.
+2. After the grant the deadline, the grant's age and the caller are looked at again: a process that
+   was frozen in between doesn't send late. An attempt not sent is cancelled.
+3. ``complete`` is recorded with the whole answer; a resend gets that answer.
+
+An attempt that was sent and has no whole answer stays begun: a resend is told that the outcome is
+unknown and nothing runs again.
+"""
+
+import random
+import secrets
+import time
+from collections.abc import Callable
+from typing import TypeAlias
+
+from finchshed.common.outcomes import (
+    Answered,
+    Failed,
+    FailureReason,
+    Outcome,
+    RefusalReason,
+    Refused,
+)
+from finchshed.daemon import metrics
+from finchshed.daemon.ledger_port import (
+    LedgerAnswer,
+    LedgerPort,
+    fingerprint_of,
+    stored_answer,
+    with_fingerprint,
+)
+from finchshed.daemon.settings import DaemonSettings
+from finchshed.daemon.work import Work
+from finchshed.distribution.messages import (
+    LedgerCompleted,
+    LedgerGranted,
+    LedgerRefused,
+    LedgerUnknown,
+)
+from finchshed.retry.policy import retry_after
+
+ATTEMPT_BYTES = 12
+CANCEL_TIMEOUT_SECONDS = 30.0
+"""How long the cancel of an attempt that was not sent is tried."""
+
+SendCallback: TypeAlias = Callable[[Work], None]
+FinishCallback: TypeAlias = Callable[[Work, Outcome], None]
+
+
+class GuardedRuns:
+    """Asks the ledger on behalf of calls that may not be repeated."""
+
+    def __init__(self, settings: DaemonSettings, ledger: LedgerPort, rng: random.Random) -> None:
+        self._settings = settings
+        self._ledger = ledger
+        self._rng = rng
+
+    def begin(self, work: Work, send: SendCallback, finish: FinishCallback) -> None:
+        """Ask leave to run ``work``; call ``send`` if granted, ``finish`` if not."""
+        work.attempt = secrets.token_hex(ATTEMPT_BYTES)
+        asked_at = time.monotonic()
+        timeout = min(self._settings.ledger_timeout_seconds, max(0.0, work.deadline - asked_at))
+
+        def answered(answer: LedgerAnswer | None) -> None:
+            metrics.LEDGER_DELAY.observe(time.monotonic() - asked_at)
+            self._on_answer(work, answer, asked_at, send, finish)
+
+        self._ledger.begin(work.ledger_key, work.attempt, timeout, answered)
+
+    def settle(self, work: Work, outcome: Outcome, finish: FinishCallback) -> None:
+        """Record what became of a sent attempt, then call ``finish``.
+
+        The answer waits for the record, so that a resend made after it gets the same answer; it
+        waits no longer than the ledger's timeout.
+        """
+        if isinstance(outcome, Answered):
+            stored = with_fingerprint(outcome, self._fingerprint(work))
+            self._ledger.complete(
+                work.ledger_key,
+                work.attempt,
+                stored,
+                self._settings.ledger_timeout_seconds,
+                lambda _answer: finish(work, outcome),
+            )
+            return
+        if isinstance(outcome, Refused):
+            self._cancel(work)
+        finish(work, outcome)
+
+    def _on_answer(
+        self,
+        work: Work,
+        answer: LedgerAnswer | None,
+        asked_at: float,
+        send: SendCallback,
+        finish: FinishCallback,
+    ) -> None:
+        if isinstance(answer, LedgerGranted):
+            self._on_granted(work, asked_at, send, finish)
+        elif isinstance(answer, LedgerCompleted):
+            finish(work, self._replayed(work, answer.answer))
+        elif isinstance(answer, LedgerUnknown):
+            finish(work, Failed(FailureReason.OUTCOME_UNKNOWN, retry_after(1.0, self._rng)))
+        elif isinstance(answer, LedgerRefused) and answer.expired:
+            finish(work, self._refused(RefusalReason.KEY_EXPIRED, answer.detail))
+        else:
+            # Nothing was granted in time: the attempt is never sent, and the port frees its key.
+            detail = answer.detail if isinstance(answer, LedgerRefused) else "no answer in time"
+            finish(work, self._refused(RefusalReason.LEDGER_UNAVAILABLE, detail))
+
+    def _on_granted(
+        self, work: Work, asked_at: float, send: SendCallback, finish: FinishCallback
+    ) -> None:
+        now = time.monotonic()
+        if work.abandoned:
+            reason = RefusalReason.CANCELLED
+        elif now >= work.deadline:
+            reason = RefusalReason.DEADLINE
+        elif now - asked_at > self._settings.grant_lease_seconds:
+            reason = RefusalReason.LEDGER_UNAVAILABLE
+        else:
+            send(work)
+            return
+        self._cancel(work)
+        finish(work, self._refused(reason, "the grant was not used"))
+
+    def _replayed(self, work: Work, answer: Answered) -> Outcome:
+        replayed = stored_answer(answer, self._fingerprint(work))
+        if replayed is not None:
+            return replayed
+        return self._refused(RefusalReason.KEY_REUSED, "the key was used for another request")
+
+    def _cancel(self, work: Work) -> None:
+        self._ledger.cancel(work.ledger_key, work.attempt, CANCEL_TIMEOUT_SECONDS)
+
+    def _fingerprint(self, work: Work) -> str:
+        return fingerprint_of(work.call.method, work.call.path, work.call.body)
+
+    def _refused(self, reason: RefusalReason, detail: str) -> Refused:
+        return Refused(reason, retry_after(0.0, self._rng), detail)
--- /dev/null
+++ b/src/finchshed/daemon/metrics.py
@@ -0,0 +1,70 @@
+"""Metrics of the data path."""
+
+from prometheus_client import Counter, Gauge, Histogram
+
+from finchshed.common.importance import Importance
+from finchshed.common.outcomes import Answered, Outcome, Refused
+
+CALLS = Counter(
+    "finchshed_calls_total",
+    "Calls ended at the caller's daemon",
+    ["service", "importance", "outcome", "reason"],
+)
+SERVED = Counter(
+    "finchshed_served_total",
+    "Calls ended at the daemon beside the back end",
+    ["service", "importance", "outcome", "reason"],
+)
+QUEUE_DELAY = Histogram(
+    "finchshed_queue_delay_seconds",
+    "Time from arrival beside the back end to the start",
+    buckets=(0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5),
+)
+LEDGER_DELAY = Histogram(
+    "finchshed_ledger_begin_seconds",
+    "Time the ledger took to grant or refuse a begin",
+    buckets=(0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2),
+)
+RETRIES = Counter("finchshed_retries_total", "Attempts past the first of a call", ["service"])
+IN_PROGRESS = Gauge("finchshed_calls_in_progress", "Calls in progress", ["side"])
+REVISION = Gauge("finchshed_configuration_revision", "Revision of the configuration in force")
+SERVING = Gauge("finchshed_serving", "1 once the daemon may take calls")
+DRAINING = Gauge("finchshed_draining", "1 while the daemon takes no new work")
+JOINED = Counter("finchshed_joined_total", "Repeats that joined a request in progress")
+
+_served: dict[tuple[str, int, str, str], Counter] = {}
+_calls: dict[tuple[str, int, str, str], Counter] = {}
+
+
+def count_served(service: str, importance: Importance, outcome: Outcome) -> None:
+    """Count a call ended beside the back end."""
+    _count(SERVED, _served, service, importance, outcome)
+
+
+def count_call(service: str, importance: Importance, outcome: Outcome) -> None:
+    """Count a call ended at the caller's daemon."""
+    _count(CALLS, _calls, service, importance, outcome)
+
+
+def _count(
+    counter: Counter,
+    children: dict[tuple[str, int, str, str], Counter],
+    service: str,
+    importance: Importance,
+    outcome: Outcome,
+) -> None:
+    name, reason = _labels_of(outcome)
+    key = (service, importance, name, reason)
+    child = children.get(key)
+    if child is None:
+        child = counter.labels(service, importance.name.lower(), name, reason)
+        children[key] = child
+    child.inc()
+
+
+def _labels_of(outcome: Outcome) -> tuple[str, str]:
+    if isinstance(outcome, Answered):
+        return "answered", ""
+    if isinstance(outcome, Refused):
+        return "refused", outcome.reason
+    return "failed", outcome.reason
--- /dev/null
+++ b/src/finchshed/daemon/outgoing.py
@@ -0,0 +1,148 @@
+"""One call at the caller's side: performs the effects of the call's state machine.
+
+Several requests may wait for one call: a repeat of a request in progress joins it. The call is
+given up once nobody waits for it any more.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from finchshed.common.outcomes import (
+    Answered,
+    Failed,
+    FailureReason,
+    Outcome,
+    RefusalReason,
+    Refused,
+)
+from finchshed.daemon import metrics
+from finchshed.daemon.peers import Attempt, PeerLinks
+from finchshed.daemon.request import Request
+from finchshed.link.digests import digest_of
+from finchshed.link.messages import Reply
+from finchshed.routing.caller import CallerEffect, CallerLogic, Finish, Send, SetTimer, Withdraw
+
+
+class OutgoingCall:
+    """A call in progress.
+
+    Parameters
+    ----------
+    logic
+        Decides about choice, retries and the end.
+    on_finish
+        Called once with the outcome and the spare attempts left.
+    retry_after
+        Draws when a client is told to come back, seconds.
+    """
+
+    def __init__(
+        self,
+        request: Request,
+        logic: CallerLogic,
+        links: PeerLinks,
+        on_finish: Callable[["OutgoingCall", Outcome, int], None],
+        retry_after: Callable[[], float],
+    ) -> None:
+        self.request = request
+        self.endpoint = ""
+        self._logic = logic
+        self._links = links
+        self._on_finish = on_finish
+        self._retry_after = retry_after
+        self._waiters: list[asyncio.Future[Outcome]] = []
+        self._attempt: Attempt | None = None
+        self._deadline = 0.0
+        self._loop = asyncio.get_running_loop()
+        self._timer: asyncio.TimerHandle | None = None
+        self._outcome: Outcome | None = None
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the outcome is known."""
+        return self._outcome is not None
+
+    def begin(self) -> None:
+        """Start the call."""
+        now = time.monotonic()
+        self._deadline = now + self.request.context.remaining_seconds
+        self._perform(self._logic.begin(now))
+
+    async def wait(self) -> Outcome:
+        """Return the outcome. A cancelled wait gives the call up if it was the last one."""
+        if self._outcome is not None:
+            return self._outcome
+        waiter: asyncio.Future[Outcome] = self._loop.create_future()
+        self._waiters.append(waiter)
+        try:
+            return await waiter
+        finally:
+            self._waiters.remove(waiter)
+            if not self._waiters and self._outcome is None:
+                self._perform(self._logic.cancel(time.monotonic()))
+
+    def _perform(self, effects: list[CallerEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._send(effect)
+            elif isinstance(effect, SetTimer):
+                self._set_timer(effect.at)
+            elif isinstance(effect, Finish):
+                self._finish(effect)
+            elif isinstance(effect, Withdraw) and self._attempt is not None:
+                self._links.withdraw(self._attempt)
+
+    def _send(self, effect: Send) -> None:
+        number = effect.attempt
+        if number > 1:
+            metrics.RETRIES.labels(self.request.service).inc()
+        attempt = Attempt(
+            request=self.request,
+            share=effect.share,
+            deadline=self._deadline,
+            on_reply=lambda reply: self._on_reply(number, reply),
+            on_unsent=lambda reason, detail: self._on_unsent(number, effect.share, reason, detail),
+        )
+        self._attempt = attempt
+        self.endpoint = effect.endpoint.name
+        self._links.send(effect.endpoint, attempt)
+
+    def _on_reply(self, number: int, reply: Reply | None) -> None:
+        if reply is None:
+            broken = Failed(FailureReason.LINK_BROKEN, self._retry_after())
+            self._report(number, broken, 0, None)
+            return
+        outcome = reply.outcome
+        if isinstance(outcome, Answered) and digest_of(outcome.body) != reply.digest:
+            outcome = Failed(FailureReason.ANSWER_CORRUPT, self._retry_after())
+        self._report(number, outcome, reply.spare_attempts, reply)
+
+    def _on_unsent(self, number: int, share: int, reason: RefusalReason, detail: str) -> None:
+        refused = Refused(reason, self._retry_after(), detail)
+        # The state machine may still be performing the effects of the send.
+        self._loop.call_soon(self._report, number, refused, share, None)
+
+    def _report(self, number: int, outcome: Outcome, spare: int, reply: Reply | None) -> None:
+        load = None if reply is None else reply.load
+        now = time.monotonic()
+        self._perform(self._logic.on_outcome(number, outcome, spare, load, now))
+
+    def _set_timer(self, at: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._loop.call_later(max(0.0, at - time.monotonic()), self._on_timer, at)
+
+    def _on_timer(self, due: float) -> None:
+        # The loop's clock is coarser than the one decisions are made by.
+        now = max(due, time.monotonic())
+        self._perform(self._logic.on_timer(now))
+
+    def _finish(self, effect: Finish) -> None:
+        self._outcome = effect.outcome
+        if self._timer is not None:
+            self._timer.cancel()
+        for waiter in self._waiters:
+            if not waiter.done():
+                waiter.set_result(effect.outcome)
+        self._on_finish(self, effect.outcome, effect.spare_returned)
--- /dev/null
+++ b/src/finchshed/daemon/work.py
@@ -0,0 +1,43 @@
+"""One call from another daemon, on its way through the daemon beside the back end."""
+
+import enum
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from finchshed.daemon.accounts import ServedRequest
+from finchshed.link.listener import AcceptedLink
+from finchshed.link.messages import Call
+
+
+class WorkState(enum.Enum):
+    """How far a call has come."""
+
+    QUEUED = "queued"
+    ASKING_LEDGER = "asking_ledger"
+    AT_BACKEND = "at_backend"
+    RECORDING = "recording"
+    DONE = "done"
+
+
+@dataclass(slots=True)
+class Work:
+    """A call in progress. Times are monotonic seconds.
+
+    ``abandoned`` tells that the caller has given up; what may not be repeated and was sent is
+    nevertheless run to its end, so that a resend gets its answer.
+    """
+
+    token: int
+    link: AcceptedLink
+    call: Call
+    arrived: float
+    deadline: float
+    repeatable: bool
+    in_session: bool
+    max_body_bytes: int
+    state: WorkState = WorkState.QUEUED
+    abandoned: bool = False
+    served: ServedRequest | None = None
+    cancel_backend: Callable[[], None] | None = None
+    ledger_key: str = ""
+    attempt: str = ""
