--- a/src/finchshed/daemon/backend.py
+++ b/src/finchshed/daemon/backend.py
@@ -49,6 +49,18 @@
     """The answer is larger than may be spooled."""
 
 
+@dataclass(frozen=True, slots=True)
+class BackendRequest:
+    """A request to the back end, and the bounds of its answer."""
+
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    timeout_seconds: float
+    max_answer_bytes: int
+
+
 BackendResult: TypeAlias = (
     BackendAnswer | BackendUnreached | BackendBroken | BackendTimedOut | BackendAnswerTooLarge
 )
@@ -58,16 +70,9 @@
     """A client to the back end."""
 
     def send(
-        self,
-        method: str,
-        path: str,
-        headers: Headers,
-        body: bytes,
-        timeout_seconds: float,
-        max_answer_bytes: int,
-        on_result: Callable[[BackendResult], None],
-    ) -> Callable[[], None]:
-        """Send a request; ``on_result`` is called at most once. Return what cancels it.
+        self, request: BackendRequest, on_result: Callable[[BackendResult], None]
+    ) -> Callable[[], object]:
+        """Send a request; ``on_result`` is called at most once, later. Return what cancels it.
 
         Cancelling closes the connection the request was sent on; ``on_result`` is then not called.
         """
--- a/src/finchshed/daemon/backend_aiohttp.py
+++ b/src/finchshed/daemon/backend_aiohttp.py
@@ -7,11 +7,11 @@
 import yarl
 
 from finchshed.common.context import HEADER_RAN
-from finchshed.common.outcomes import Headers
 from finchshed.daemon.backend import (
     BackendAnswer,
     BackendAnswerTooLarge,
     BackendBroken,
+    BackendRequest,
     BackendResult,
     BackendTimedOut,
     BackendUnreached,
@@ -49,20 +49,12 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     def send(
-        self,
-        method: str,
-        path: str,
-        headers: Headers,
-        body: bytes,
-        timeout_seconds: float,
-        max_answer_bytes: int,
-        on_result: Callable[[BackendResult], None],
-    ) -> Callable[[], None]:
+        self, request: BackendRequest, on_result: Callable[[BackendResult], None]
+    ) -> Callable[[], object]:
         """Send a request; ``on_result`` is called once. Return what cancels it."""
 
         async def run() -> None:
-            result = await self._run(method, path, headers, body, timeout_seconds, max_answer_bytes)
-            on_result(result)
+            on_result(await self._run(request))
 
         task = asyncio.get_running_loop().create_task(run())
         self._tasks.add(task)
@@ -73,27 +65,19 @@
         """Close the connections."""
         await self._session.close()
 
-    async def _run(
-        self,
-        method: str,
-        path: str,
-        headers: Headers,
-        body: bytes,
-        timeout_seconds: float,
-        max_answer_bytes: int,
-    ) -> BackendResult:
-        url = yarl.URL(self._base + path, encoded=True)
+    async def _run(self, request: BackendRequest) -> BackendResult:
+        url = yarl.URL(self._base + request.path, encoded=True)
         try:
-            async with asyncio.timeout(timeout_seconds):
+            async with asyncio.timeout(request.timeout_seconds):
                 async with self._session.request(
-                    method,
+                    request.method,
                     url,
-                    headers=headers,
-                    data=body or None,
+                    headers=request.headers,
+                    data=request.body or None,
                     allow_redirects=False,
                     timeout=self._timeout,
                 ) as response:
-                    return await self._take(response, max_answer_bytes)
+                    return await self._take(response, request.max_answer_bytes)
         except aiohttp.ClientConnectorError as error:
             return BackendUnreached(str(error))
         except aiohttp.ConnectionTimeoutError:
@@ -103,9 +87,7 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return BackendBroken(f"{type(error).__name__}: {error}")
 
-    async def _take(
-        self, response: aiohttp.ClientResponse, max_answer_bytes: int
-    ) -> BackendResult:
+    async def _take(self, response: aiohttp.ClientResponse, max_answer_bytes: int) -> BackendResult:
         if (response.content_length or 0) > max_answer_bytes:
             response.close()
             return BackendAnswerTooLarge()
--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -37,6 +37,7 @@
     Backend,
     BackendAnswer,
     BackendAnswerTooLarge,
+    BackendRequest,
     BackendResult,
     BackendTimedOut,
     BackendUnreached,
@@ -69,6 +70,7 @@
     def __init__(
         self,
         settings: DaemonSettings,
+        *,
         backend: Backend,
         guarded: GuardedRuns,
         served: ServedRequests,
@@ -168,9 +170,9 @@
                 session,
                 service.name,
                 self._settings.endpoint,
-                service.max_sessions,
-                service.session_idle_seconds,
-                now,
+                max_sessions=service.max_sessions,
+                idle_seconds=service.session_idle_seconds,
+                now=now,
             )
             if isinstance(opened, NotOpened):
                 return self._refused(opened.reason)
@@ -213,14 +215,16 @@
         work.state = WorkState.AT_BACKEND
         work.served = self._served.open(call.context, work.deadline)
         remaining = work.deadline - time.monotonic()
+        request = BackendRequest(
+            method=call.method,
+            path=call.path,
+            headers=self._backend_headers(work, remaining),
+            body=call.body,
+            timeout_seconds=remaining,
+            max_answer_bytes=work.max_body_bytes,
+        )
         work.cancel_backend = self._backend.send(
-            call.method,
-            call.path,
-            self._backend_headers(work, remaining),
-            call.body,
-            remaining,
-            work.max_body_bytes,
-            lambda result: self._on_backend_result(work, result),
+            request, lambda result: self._on_backend_result(work, result)
         )
 
     def _backend_headers(self, work: Work, remaining: float) -> Headers:
--- a/src/finchshed/daemon/caller.py
+++ b/src/finchshed/daemon/caller.py
@@ -94,8 +94,8 @@
             self._bucket(request.service),
             request.service,
             request.context,
-            request.repeatable,
-            self._rng,
+            repeatable=request.repeatable,
+            rng=self._rng,
         )
 
         def finished(call: OutgoingCall, outcome: Outcome, spare: int) -> None:
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -5,19 +5,20 @@
 import secrets
 import time
 from collections.abc import Coroutine
+from pathlib import Path
 from typing import Any
 
 from aiohttp import web
 from loguru import logger
 
 from finchshed.common.outcomes import RefusalReason
+from finchshed.configuration.resources import Endpoint
 from finchshed.daemon import metrics
 from finchshed.daemon.accounts import ServedRequest, ServedRequests
 from finchshed.daemon.backend_aiohttp import AiohttpBackend
 from finchshed.daemon.callee import Callee
 from finchshed.daemon.caller import Caller
 from finchshed.daemon.catalogue import Catalogue
-from finchshed.daemon.configuration_following import ConfigurationFollowing
 from finchshed.daemon.control_ledger import ControlLedger
 from finchshed.daemon.front import Front, SpoolBudget
 from finchshed.daemon.guarded import GuardedRuns
@@ -25,9 +26,11 @@
 from finchshed.daemon.settings import DaemonSettings
 from finchshed.daemon.sockets import listening_socket
 from finchshed.distribution.addresses import parse_control_address
-from finchshed.distribution.client import ClientHandlers, ClientIdentity, ControlClient
-from finchshed.distribution.follower import FollowerIdentity
+from finchshed.distribution.client import ClientIdentity
+from finchshed.distribution.driver import FollowerDriver
+from finchshed.distribution.effects import ServingGround
 from finchshed.distribution.messages import Delta
+from finchshed.distribution.snapshot import Configuration
 from finchshed.link.listener import AcceptedLink, LinkListener
 from finchshed.link.messages import Call, Hello, LoadReport
 from finchshed.routing.table import RoutingTable
@@ -46,7 +49,6 @@
         self._settings = settings
         self._rng = random.Random(secrets.randbits(64))
         self._incarnation = secrets.token_hex(INCARNATION_BYTES)
-        self._catalogue = Catalogue()
         self._is_serving = False
         self._is_draining = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -57,11 +59,7 @@
         spool = SpoolBudget(settings.max_spooled_bytes)
         self._front = Front(self._caller, self._served, spool, self._rng, self._why_not)
         self._listener = LinkListener(self, settings.peer_networks, 2 * settings.silence_seconds)
-        identity = FollowerIdentity(zone=settings.zone, endpoint=settings.endpoint)
-        self._following = ConfigurationFollowing(identity, settings.data_folder, self)
-        self._following.links = self._links
-        self._client = self._make_client()
-        self._following.client = self._client
+        self._driver = self._make_driver()
         self._backend: AiohttpBackend | None = None
         self._callee = self._make_callee()
         self._servers: list[asyncio.Server] = []
@@ -83,9 +81,7 @@
         """Follow the configuration and listen."""
         loop = asyncio.get_running_loop()
         settings = self._settings
-        self._following.start()
-        if self._client is not None:
-            self._spawn(self._client.run())
+        self._spawn(self._driver.run())
         self._spawn(self._tick_often())
         self._spawn(self._tick_seldom())
         link_socket = listening_socket(settings.link_address)
@@ -121,9 +117,10 @@
 
     # What the configuration tells.
 
-    def configuration_in_force(self, catalogue: Catalogue) -> None:
-        """Act on a new configuration."""
-        self._catalogue = catalogue
+    def take_effect(self, previous: Configuration, current: Configuration) -> None:
+        """Act on ``current`` from now on."""
+        metrics.REVISION.set(current.revision)
+        catalogue = Catalogue(current.resources.values())
         self._table.replace(catalogue.endpoints.values(), time.monotonic())
         self._links.replace(catalogue.endpoints)
         self._caller.configure(catalogue)
@@ -131,8 +128,23 @@
         if self._callee is not None:
             self._callee.configure(catalogue)
 
-    def start_serving(self) -> None:
+    def fetch_from_peer(self, peer: str, revision: int) -> None:
+        """Ask a peer for its configuration."""
+        if self._links.fetch(peer, revision):
+            return
+        for link in self._listener.links():
+            if link.peer is not None and link.peer.node == peer:
+                link.fetch(revision)
+                return
+
+    def greet_peers(self, endpoints: tuple[Endpoint, ...]) -> None:
+        """Open links to peers, to learn their revisions."""
+        self._links.greet(endpoints)
+
+    def start_serving(self, ground: ServingGround) -> None:
         """Take calls from now on."""
+        logger.info("taking calls, on the ground of {}", ground)
+        metrics.SERVING.set(1)
         self._is_serving = True
         if self._callee is not None:
             self._callee.may_serve = True
@@ -153,11 +165,11 @@
 
     def revision(self) -> int:
         """Return the revision in force."""
-        return self._following.follower.revision
+        return self._driver.follower.revision
 
     def delta_for(self, revision: int) -> Delta | None:
         """Return the configuration for a peer that holds ``revision``."""
-        return self._following.follower.answer_fetch(revision)
+        return self._driver.follower.answer_fetch(revision)
 
     def load_report(self) -> LoadReport:
         """Return the load to tell with a heartbeat."""
@@ -177,15 +189,13 @@
 
     def accepted_revision_seen(self, link: AcceptedLink, revision: int) -> None:
         """Note the revision a calling daemon holds; fetch it if it is higher."""
-        if revision > self._following.follower.highest_seen:
-            link.fetch(self.revision())
         if link.peer is not None:
-            self._following.on_peer_revision(link.peer.node, revision)
+            self._driver.on_peer_revision(link.peer.node, revision)
 
     def accepted_delta_received(self, link: AcceptedLink, delta: Delta) -> None:
         """Take configuration from a calling daemon."""
         if link.peer is not None:
-            self._following.on_peer_delta(link.peer.node, delta)
+            self._driver.on_peer_delta(link.peer.node, delta)
 
     def peer_up(self, endpoint: str, incarnation: str) -> None:
         """Note that an endpoint can be called."""
@@ -205,18 +215,16 @@
 
     def peer_revision(self, peer: str, revision: int) -> None:
         """Note the revision an endpoint's daemon holds."""
-        self._following.on_peer_revision(peer, revision)
+        self._driver.on_peer_revision(peer, revision)
 
     def peer_delta(self, peer: str, delta: Delta) -> None:
         """Take configuration from an endpoint's daemon."""
-        self._following.on_peer_delta(peer, delta)
+        self._driver.on_peer_delta(peer, delta)
 
     # Construction and upkeep.
 
-    def _make_client(self) -> ControlClient | None:
+    def _make_driver(self) -> FollowerDriver:
         settings = self._settings
-        if not settings.control_addresses:
-            return None
         identity = ClientIdentity(
             node=settings.node,
             incarnation=self._incarnation,
@@ -224,16 +232,9 @@
             zone=settings.zone,
             endpoint=settings.endpoint,
         )
-        follower = self._following.follower
-        handlers = ClientHandlers(
-            on_delta=self._following.on_control_delta,
-            on_connected=self._following.on_control_connected,
-            on_lost=self._following.on_control_lost,
-            revision_held=lambda: follower.held_revision,
-            revision_in_force=lambda: follower.revision,
-        )
         addresses = [parse_control_address(text) for text in settings.control_addresses]
-        return ControlClient(identity, addresses, handlers, self._rng)
+        folder = Path(settings.data_folder) if settings.data_folder else None
+        return FollowerDriver(identity, addresses, self, self._rng, folder)
 
     def _make_callee(self) -> Callee | None:
         settings = self._settings
@@ -242,15 +243,15 @@
         self._backend = AiohttpBackend(
             settings.backend_address, settings.max_connections, settings.connect_timeout_seconds
         )
-        guarded = GuardedRuns(settings, ControlLedger(self._client), self._rng)
+        guarded = GuardedRuns(settings, ControlLedger(self._driver.client), self._rng)
         return Callee(
             settings,
-            self._backend,
-            guarded,
-            self._served,
-            self._rng,
-            self._on_backend_leaving,
-            self.revision,
+            backend=self._backend,
+            guarded=guarded,
+            served=self._served,
+            rng=self._rng,
+            on_backend_leaving=self._on_backend_leaving,
+            revision=self.revision,
         )
 
     def _on_backend_leaving(self) -> None:
@@ -284,7 +285,6 @@
     async def _tick_seldom(self) -> None:
         while True:
             await asyncio.sleep(SLOW_TICK_SECONDS)
-            self._following.tick()
             self._links.close_idle()
             self._listener.close_silent(asyncio.get_running_loop().time())
             metrics.IN_PROGRESS.labels("caller").set(self._caller.in_progress)
--- a/src/finchshed/daemon/guarded.py
+++ b/src/finchshed/daemon/guarded.py
@@ -83,8 +83,8 @@
                 work.ledger_key,
                 work.attempt,
                 stored,
-                self._settings.ledger_timeout_seconds,
-                lambda _answer: finish(work, outcome),
+                timeout=self._settings.ledger_timeout_seconds,
+                done=lambda _answer: finish(work, outcome),
             )
             return
         if isinstance(outcome, Refused):
--- a/src/finchshed/daemon/ledger_port.py
+++ b/src/finchshed/daemon/ledger_port.py
@@ -38,7 +38,7 @@
         """Say that the attempt was never sent."""
 
     def complete(
-        self, key: str, attempt: str, answer: Answered, timeout: float, done: LedgerCallback
+        self, key: str, attempt: str, answer: Answered, *, timeout: float, done: LedgerCallback
     ) -> None:
         """Record the whole answer of the attempt."""
 
@@ -54,13 +54,13 @@
         value = uuid.UUID(key).int
     except ValueError:
         return None
-    mixed = xxhash.xxh3_128_intdigest(f"{service}\0{value:x}")
+    mixed = xxhash.xxh3_128_intdigest(f"{service}\0{value:x}".encode())
     return str(uuid.UUID(int=(value & ~_RANDOM_MASK) | (mixed & _RANDOM_MASK)))
 
 
 def fingerprint_of(method: str, path: str, body: bytes) -> str:
     """Return what tells one request under a key from another."""
-    digest = xxhash.xxh3_128(f"{method}\0{path}\0")
+    digest = xxhash.xxh3_128(f"{method}\0{path}\0".encode())
     digest.update(body)
     return digest.hexdigest()
 
--- a/src/finchshed/daemon/peers.py
+++ b/src/finchshed/daemon/peers.py
@@ -30,22 +30,22 @@
         """Return the first line of a link."""
 
     def peer_up(self, endpoint: str, incarnation: str) -> None:
-        """The link to an endpoint is open, or the back end behind it was restarted."""
+        """Note that the link to an endpoint is open, or that its back end was restarted."""
 
     def peer_down(self, endpoint: str) -> None:
-        """The link to an endpoint broke or could not be opened."""
+        """Note that the link to an endpoint broke or could not be opened."""
 
     def peer_draining(self, endpoint: str) -> None:
-        """An endpoint takes no new calls."""
+        """Note that an endpoint takes no new calls."""
 
     def peer_load(self, endpoint: str, load: LoadReport) -> None:
-        """An endpoint told its load with a heartbeat."""
+        """Take the load that an endpoint told with a heartbeat."""
 
     def peer_revision(self, peer: str, revision: int) -> None:
-        """A peer holds this revision."""
+        """Note the revision a peer holds."""
 
     def peer_delta(self, peer: str, delta: Delta) -> None:
-        """A peer sent configuration."""
+        """Take configuration that a peer sent."""
 
     def delta_for(self, revision: int) -> Delta | None:
         """Return the configuration for a peer that holds ``revision``."""
@@ -235,10 +235,10 @@
         link = PeerLink(
             peer.endpoint.address,
             self,
-            settings.max_unsent_bytes,
-            settings.silence_seconds,
-            settings.heartbeat_seconds,
-            settings.connect_timeout_seconds,
+            max_unsent_bytes=settings.max_unsent_bytes,
+            silence_seconds=settings.silence_seconds,
+            heartbeat_seconds=settings.heartbeat_seconds,
+            connect_timeout_seconds=settings.connect_timeout_seconds,
         )
         peer.link = link
         self._by_link[link] = peer
@@ -259,14 +259,14 @@
         request = attempt.request
         context = request.context.for_attempt(remaining, attempt.share)
         result, identity = link.send_call(
-            request.service,
-            request.method,
-            request.path,
-            request.headers,
-            request.body,
-            context,
-            self._owner.revision(),
-            attempt.on_reply,
+            service=request.service,
+            method=request.method,
+            path=request.path,
+            headers=request.headers,
+            body=request.body,
+            context=context,
+            revision=self._owner.revision(),
+            on_reply=attempt.on_reply,
         )
         if result is SendResult.SENT:
             attempt.link = link
--- a/src/finchshed/daemon/responses.py
+++ b/src/finchshed/daemon/responses.py
@@ -11,8 +11,8 @@
     Failed,
     FailureReason,
     Outcome,
-    Refused,
     RefusalReason,
+    Refused,
 )
 
 STATUS_BAD_REQUEST = 400
--- a/src/finchshed/daemon/settings.py
+++ b/src/finchshed/daemon/settings.py
@@ -42,8 +42,9 @@
         OptionalAddress, Meta(description="Metrics, health and ring; empty for none.")
     ] = ""
     control_addresses: Annotated[
-        tuple[Address, ...], Meta(description="Distribution addresses of the control nodes.")
-    ] = ()
+        tuple[Address, ...],
+        Meta(min_length=1, description="Distribution addresses of the control nodes."),
+    ]
     data_folder: Annotated[
         str, Meta(description="Folder for the highest revision seen; empty for none.")
     ] = ""
@@ -64,7 +65,8 @@
         float, Meta(gt=0, le=86_400, description="A link unused for this long is closed.")
     ] = 120.0
     max_unsent_bytes: Annotated[
-        int, Meta(ge=65_536, le=1 << 30, description="Unsent bytes of a link past which it is full.")
+        int,
+        Meta(ge=65_536, le=1 << 30, description="Unsent bytes of a link past which it is full."),
     ] = 16 << 20
     max_spooled_bytes: Annotated[
         int, Meta(ge=1 << 20, le=1 << 34, description="Bodies held at a time, in sum.")
--- a/src/finchshed/daemon/work.py
+++ b/src/finchshed/daemon/work.py
@@ -38,6 +38,6 @@
     state: WorkState = WorkState.QUEUED
     abandoned: bool = False
     served: ServedRequest | None = None
-    cancel_backend: Callable[[], None] | None = None
+    cancel_backend: Callable[[], object] | None = None
     ledger_key: str = ""
     attempt: str = ""
--- a/src/finchshed/link/listener.py
+++ b/src/finchshed/link/listener.py
@@ -42,10 +42,10 @@
         """Return the answer to a peer's Hello."""
 
     def call_received(self, link: "AcceptedLink", call: Call) -> None:
-        """A call came in. It is answered by :meth:`AcceptedLink.reply`."""
+        """Take a call; it is answered by :meth:`AcceptedLink.reply`."""
 
     def call_cancelled(self, link: "AcceptedLink", call: int) -> None:
-        """The caller has given up on a call in progress, or is gone."""
+        """Drop a call in progress: its caller has given up or is gone."""
 
     def load_report(self) -> LoadReport:
         """Return the load to tell with a heartbeat."""
@@ -54,10 +54,10 @@
         """Return the revision in force."""
 
     def accepted_revision_seen(self, link: "AcceptedLink", revision: int) -> None:
-        """The peer holds this revision of the configuration."""
+        """Note the revision of the configuration the peer holds."""
 
     def accepted_delta_received(self, link: "AcceptedLink", delta: Delta) -> None:
-        """The peer answered a fetch."""
+        """Take the peer's answer to a fetch."""
 
     def delta_for(self, revision: int) -> Delta | None:
         """Return the configuration for a peer that holds ``revision``."""
@@ -152,9 +152,7 @@
     def _take_ping(self, ping: Ping) -> None:
         self._note_revision(ping.revision)
         self.lines.send(
-            Pong(
-                epoch=self.epoch, load=self._owner.load_report(), revision=self._owner.revision()
-            )
+            Pong(epoch=self.epoch, load=self._owner.load_report(), revision=self._owner.revision())
         )
 
     def _take_fetch(self, fetch: Fetch) -> None:
@@ -249,5 +247,3 @@
     def _refuse(self, lines: LineProtocol[PeerMessage], cause: str) -> None:
         LINKS_REFUSED.labels(cause).inc()
         lines.abort()
-
-
--- a/src/finchshed/link/peer.py
+++ b/src/finchshed/link/peer.py
@@ -64,22 +64,22 @@
         """Return the first line to send."""
 
     def link_opened(self, link: "PeerLink", hello: Hello) -> None:
-        """The peer said who it is; calls may be sent."""
+        """Send calls from now on: the peer said who it is."""
 
     def link_closed(self, link: "PeerLink", cause: str) -> None:
-        """The link is gone. Calls in progress were told before."""
+        """Forget the link. Calls in progress were told before."""
 
     def peer_draining(self, link: "PeerLink") -> None:
-        """The peer takes no new calls."""
+        """Note that the peer takes no new calls."""
 
     def load_reported(self, link: "PeerLink", load: LoadReport) -> None:
-        """The peer told its load outside of a reply."""
+        """Take the load the peer told outside of a reply."""
 
     def revision_seen(self, link: "PeerLink", revision: int) -> None:
-        """The peer holds this revision of the configuration."""
+        """Note the revision of the configuration the peer holds."""
 
     def delta_received(self, link: "PeerLink", delta: Delta) -> None:
-        """The peer answered a fetch."""
+        """Take the peer's answer to a fetch."""
 
     def delta_for(self, revision: int) -> Delta | None:
         """Return the configuration for a peer that holds ``revision``."""
@@ -110,6 +110,7 @@
         self,
         address: str,
         owner: LinkOwner,
+        *,
         max_unsent_bytes: int,
         silence_seconds: float,
         heartbeat_seconds: float,
@@ -149,6 +150,7 @@
 
     def send_call(
         self,
+        *,
         service: str,
         method: str,
         path: str,
