--- /dev/null
+++ b/tests/daemon/scripted_backend.py
@@ -0,0 +1,104 @@
+"""A back end for tests of daemons: it answers with the very bytes a test gives."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+Handler = Callable[["Received", asyncio.StreamWriter], Awaitable[None]]
+
+
+@dataclass
+class Received:
+    """A request as it came in."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass
+class ScriptedBackend:
+    """Records each request and lets ``handler`` write the answer."""
+
+    handler: Handler
+    received: list[Received] = field(default_factory=list)
+    closed_early: int = 0
+    address: str = ""
+    _server: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    async def __aenter__(self) -> "ScriptedBackend":
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Stop listening and cut every connection."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def paths(self) -> list[str]:
+        """Return the paths asked for, in order."""
+        return [received.path for received in self.received]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            while (received := await _read_request(reader)) is not None:
+                self.received.append(received)
+                answering = asyncio.ensure_future(self.handler(received, writer))
+                watching = asyncio.ensure_future(_closed(reader))
+                await asyncio.wait({answering, watching}, return_when=asyncio.FIRST_COMPLETED)
+                watching.cancel()
+                if not answering.done():
+                    self.closed_early += 1
+                    answering.cancel()
+                    return
+                await answering
+                if writer.is_closing():
+                    return
+        except (ConnectionError, asyncio.IncompleteReadError):
+            return
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+
+async def _closed(reader: asyncio.StreamReader) -> None:
+    """Return once the other side has closed; it sends nothing before its answer."""
+    assert await reader.read(1) == b""
+
+
+async def _read_request(reader: asyncio.StreamReader) -> Received | None:
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
+        return None
+    first, *lines = head.decode("latin-1").split("\r\n")
+    method, path, _ = first.split(" ", 2)
+    headers = {}
+    for line in lines:
+        if line:
+            name, _, value = line.partition(":")
+            headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Received(method, path, headers, body)
+
+
+def answer(body: bytes, status: int = 200, **headers: str) -> bytes:
+    """Return a whole HTTP answer; underscores in header names stand for hyphens."""
+    lines = [f"HTTP/1.1 {status} Text", f"Content-Length: {len(body)}"]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+async def echo(received: Received, writer: asyncio.StreamWriter) -> None:
+    """Answer with the method, path and body of the request."""
+    writer.write(answer(f"{received.method} {received.path} ".encode() + received.body))
