--- /dev/null
+++ b/src/finchshed/bench/measures.py
@@ -0,0 +1,207 @@
+"""Measures of one run, taken from its history alone."""
+
+import math
+from collections import defaultdict
+from collections.abc import Iterable
+from typing import Final
+
+import msgspec
+
+from finchshed.common.importance import Importance
+from finchshed.proof.history import CallBegan, CallEnded, CallResult, Event, RunBegan, RunEnded
+
+RECOVERY_WINDOW_SECONDS: Final = 0.5
+RECOVERY_STEP_SECONDS: Final = 0.05
+RECOVERED_SHARE: Final = 0.95
+STATUS_OK: Final = 200
+
+
+class Period(msgspec.Struct, frozen=True):
+    """A stretch of a run, seconds."""
+
+    start: float
+    end: float
+
+    @property
+    def seconds(self) -> float:
+        """Length of the period."""
+        return self.end - self.start
+
+
+class RootRecord(msgspec.Struct):
+    """What happened to one root request.
+
+    ``finished`` is the time of the first whole answer, or infinite.
+    """
+
+    kind: str
+    importance: Importance
+    arrived: float
+    finished: float = math.inf
+    client_attempts: int = 0
+    runs: int = 0
+    deep_runs: int = 0
+
+    @property
+    def good(self) -> bool:
+        """Whether the caller got a whole answer."""
+        return self.finished < math.inf
+
+
+class Measures(msgspec.Struct, kw_only=True):
+    """Figures of one run.
+
+    Attributes
+    ----------
+    goodput_by_kind, offered_by_kind
+        Whole requests answered, and root requests arrived, per second of the overload.
+    recovery_seconds
+        Time from the end of the trigger to 95% of the goodput before it; infinite if the run ends
+        sooner.
+    attempts_mean, attempts_max
+        Runs at the deepest service, per visit that the call graph asks for, over root requests
+        that reached it.
+    wasted_share
+        Part of the back ends' running time that went into requests not answered whole.
+    """
+
+    offered_by_kind: dict[str, float]
+    goodput_by_kind: dict[str, float]
+    goodput_before: float
+    recovery_seconds: float
+    attempts_mean: float
+    attempts_max: float
+    wasted_share: float
+    client_attempts_mean: float
+    latency_p50: float
+    latency_p99: float
+
+
+def roots_of(events: Iterable[Event], deep_service: str) -> dict[str, RootRecord]:
+    """Gather what happened to each root request."""
+    roots: dict[str, RootRecord] = {}
+    for event in events:
+        if isinstance(event, CallBegan):
+            if not event.parent:
+                _note_arrival(roots, event)
+        elif isinstance(event, CallEnded):
+            _note_answer(roots, event)
+        elif isinstance(event, RunBegan):
+            root = roots.get(event.root)
+            if root is not None:
+                root.runs += 1
+                root.deep_runs += event.service == deep_service
+    return roots
+
+
+def _note_arrival(roots: dict[str, RootRecord], event: CallBegan) -> None:
+    root = roots.get(event.root)
+    if root is None:
+        root = roots[event.root] = RootRecord(event.kind, event.importance, event.time)
+    root.client_attempts += 1
+
+
+def _note_answer(roots: dict[str, RootRecord], event: CallEnded) -> None:
+    if event.result is not CallResult.ANSWERED or event.status != STATUS_OK or not event.whole:
+        return
+    name, _, _ = event.call.rpartition("/")
+    root = roots.get(name)
+    if root is not None and event.time < root.finished:
+        root.finished = event.time
+
+
+def measure(
+    events: list[Event],
+    deep_service: str,
+    deep_visits: dict[str, int],
+    before: Period,
+    overload: Period,
+    end: float,
+) -> Measures:
+    """Take the measures of one run.
+
+    Parameters
+    ----------
+    deep_visits
+        Calls of the deepest service that a request of each kind makes.
+    before, overload
+        Ordinary load ahead of the trigger, and the trigger.
+    end
+        Time of the last arrival.
+    """
+    roots = roots_of(events, deep_service)
+    finished = sorted(root.finished for root in roots.values() if root.good)
+    before_rate = _count(finished, before) / before.seconds
+    reached = [root for root in roots.values() if root.deep_runs]
+    attempts = [root.deep_runs / max(deep_visits[root.kind], 1) for root in reached]
+    latencies = sorted(root.finished - root.arrived for root in roots.values() if root.good)
+    return Measures(
+        offered_by_kind=_rate_by_kind(roots, overload, lambda root: root.arrived),
+        goodput_by_kind=_rate_by_kind(roots, overload, lambda root: root.finished),
+        goodput_before=before_rate,
+        recovery_seconds=recovery_seconds(finished, before_rate, overload.end, end),
+        attempts_mean=sum(attempts) / len(attempts) if attempts else 0.0,
+        attempts_max=max(attempts, default=0.0),
+        wasted_share=_wasted_share(events, roots),
+        client_attempts_mean=sum(r.client_attempts for r in roots.values()) / max(len(roots), 1),
+        latency_p50=_quantile(latencies, 0.5),
+        latency_p99=_quantile(latencies, 0.99),
+    )
+
+
+def recovery_seconds(finished: list[float], before: float, trigger_end: float, end: float) -> float:
+    """Return the time from ``trigger_end`` until goodput is 95% of ``before``, and infinity if never.
+
+    Goodput is counted in windows of half a second; the time counted is up to the window's end, so
+    the smallest figure is half a second.
+
+    Parameters
+    ----------
+    finished
+        Sorted times of whole answers.
+    before
+        Answers per second before the trigger.
+    """
+    needed = RECOVERED_SHARE * before * RECOVERY_WINDOW_SECONDS
+    start = trigger_end
+    while start + RECOVERY_WINDOW_SECONDS <= end:
+        if _count(finished, Period(start, start + RECOVERY_WINDOW_SECONDS)) >= needed:
+            return start + RECOVERY_WINDOW_SECONDS - trigger_end
+        start += RECOVERY_STEP_SECONDS
+    return math.inf
+
+
+def _count(times: list[float], period: Period) -> int:
+    from bisect import bisect_left
+
+    return bisect_left(times, period.end) - bisect_left(times, period.start)
+
+
+def _rate_by_kind(roots, period, time_of):  # type: ignore[no-untyped-def]
+    counts: dict[str, int] = defaultdict(int)
+    for root in roots.values():
+        counts[root.kind] += period.start <= time_of(root) < period.end
+    return {kind: count / period.seconds for kind, count in sorted(counts.items())}
+
+
+def _wasted_share(events: Iterable[Event], roots: dict[str, RootRecord]) -> float:
+    began: dict[str, RunBegan] = {}
+    total = 0.0
+    wasted = 0.0
+    for event in events:
+        if isinstance(event, RunBegan):
+            began[event.run] = event
+        elif isinstance(event, RunEnded):
+            start = began.pop(event.run)
+            seconds = event.time - start.time
+            total += seconds
+            root = roots.get(start.root)
+            if root is None or not root.good:
+                wasted += seconds
+    return wasted / total if total else 0.0
+
+
+def _quantile(ordered: list[float], share: float) -> float:
+    if not ordered:
+        return math.nan
+    return ordered[min(int(share * len(ordered)), len(ordered) - 1)]
--- /dev/null
+++ b/src/finchshed/emulator/callers.py
@@ -0,0 +1,210 @@
+"""Outside callers: an open loop of arrivals, and clients that repeat what failed.
+
+Arrivals don't wait for answers (an open loop): a slow system gets no relief from its callers.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import msgspec
+
+from finchshed.common.outcomes import Answered, Outcome
+from finchshed.emulator.clock import Timer
+from finchshed.emulator.deployment import Deployment, RequestKind
+from finchshed.emulator.network import OUTSIDE, Site
+from finchshed.emulator.request import Cancel, Path, Request
+from finchshed.emulator.simulation import Simulation
+from finchshed.emulator.streams import Streams
+
+
+class ClientPolicy(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """How outside clients repeat a request that was refused, failed or not answered in time.
+
+    Attributes
+    ----------
+    attempts
+        Attempts in all; each has the whole deadline.
+    backoff_seconds
+        Mean wait before a repeat, drawn evenly from half to one and a half of it.
+    heed_retry_after
+        Whether the client waits at least as long as it was told to.
+    """
+
+    attempts: int = 4
+    backoff_seconds: float = 0.1
+    heed_retry_after: bool = False
+
+
+class Surge(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Demand is ``factor`` times the ordinary from ``start`` for ``seconds``."""
+
+    start: float
+    seconds: float
+    factor: float
+
+
+class Arrival(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """One root request arriving from outside."""
+
+    time: float
+    root: str
+    kind: str
+    zone: str
+    caller: str = ""
+    key: str = ""
+    session: str = ""
+
+
+def generate_arrivals(
+    deployment: Deployment, streams: Streams, end: float, surges: tuple[Surge, ...]
+) -> Iterable[Arrival]:
+    """Yield arrivals of a Poisson process until ``end``, in order of time.
+
+    Drawn at the highest rate and thinned (Lewis and Shedler, 1979).
+    """
+    random = streams.python("arrivals")
+    highest = max((surge.factor for surge in surges), default=1.0)
+    highest = max(highest, 1.0)
+    time = 0.0
+    number = 0
+    kinds = deployment.kinds
+    shares = [kind.share for kind in kinds]
+    while True:
+        time += random.expovariate(deployment.arrivals_per_second * highest)
+        if time >= end:
+            return
+        if random.random() * highest > _factor_at(time, surges):
+            continue
+        number += 1
+        kind = random.choices(kinds, shares)[0]
+        caller = f"caller-{random.randrange(200)}"
+        root = f"r{number}"
+        yield Arrival(
+            time=time,
+            root=root,
+            kind=kind.name,
+            zone=random.choice(deployment.zones),
+            caller=caller,
+            key="" if kind.repeatable else f"key-{number}",
+            session=f"s-{caller}" if kind.session else "",
+        )
+
+
+def _factor_at(time: float, surges: tuple[Surge, ...]) -> float:
+    factor = 1.0
+    for surge in surges:
+        if surge.start <= time < surge.start + surge.seconds:
+            factor = max(factor, surge.factor)
+    return factor
+
+
+@dataclass(slots=True)
+class _Root:
+    """A root request at its client, over the client's attempts."""
+
+    arrival: Arrival
+    kind: RequestKind
+    attempt: int = 0
+    ended: bool = False
+    timer: Timer | None = None
+    cancel: Cancel | None = None
+
+
+class OutsideCallers:
+    """Sends arrivals through the edges and repeats what failed."""
+
+    def __init__(
+        self,
+        simulation: Simulation,
+        deployment: Deployment,
+        policy: ClientPolicy,
+        edge_of: Callable[[str], tuple[Site, Path]],
+    ) -> None:
+        self._deployment = deployment
+        self._policy = policy
+        self._edge_of = edge_of
+        self._clock = simulation.clock
+        self._network = simulation.network
+        self._random = simulation.streams.python("clients")
+        self._recorder = simulation.recorder
+        self._kinds = {kind.name: kind for kind in deployment.kinds}
+        self.roots = 0
+
+    def play(self, arrivals: Iterable[Arrival]) -> None:
+        """Let ``arrivals`` happen at their times."""
+        self._next(iter(arrivals))
+
+    def _next(self, arrivals: "Iterable[Arrival]") -> None:
+        arrival = next(iter(arrivals), None)
+        if arrival is not None:
+            self._clock.call_at(arrival.time, self._arrive, arrival, arrivals)
+
+    def _arrive(self, arrival: Arrival, rest: Iterable[Arrival]) -> None:
+        self._next(rest)
+        self.roots += 1
+        self._attempt(_Root(arrival, self._kinds[arrival.kind]))
+
+    def _attempt(self, root: _Root) -> None:
+        root.attempt += 1
+        attempt = root.attempt
+        arrival = root.arrival
+        site = Site(f"client-{arrival.zone}", OUTSIDE)
+        edge_site, path = self._edge_of(arrival.zone)
+        deadline = self._clock.now + self._deployment.deadline_seconds
+        request = Request(
+            call=f"{arrival.root}/{attempt}",
+            root=arrival.root,
+            hop=root.kind.hop,
+            kind=arrival.kind,
+            importance=root.kind.importance,
+            deadline=deadline,
+            caller=arrival.caller,
+            key=arrival.key,
+            session=arrival.session,
+            repeatable=root.kind.repeatable,
+        )
+        self._recorder.call_began(request)
+        root.timer = self._clock.call_at(deadline, self._timed_out, root, attempt)
+        root.cancel = None
+
+        def answered(outcome: Outcome) -> None:
+            self._network.send(edge_site, site, lambda: self._ended(root, attempt, outcome))
+
+        def arrive() -> None:
+            if not root.ended and root.attempt == attempt:
+                root.cancel = path.call(request, answered)
+
+        self._network.send(site, edge_site, arrive)
+
+    def _timed_out(self, root: _Root, attempt: int) -> None:
+        if root.ended or root.attempt != attempt:
+            return
+        self._recorder.call_abandoned(f"{root.arrival.root}/{attempt}")
+        edge_site, _ = self._edge_of(root.arrival.zone)
+        if root.cancel is not None:
+            site = Site(f"client-{root.arrival.zone}", OUTSIDE)
+            self._network.send(site, edge_site, root.cancel)
+        self._repeat(root, 0.0)
+
+    def _ended(self, root: _Root, attempt: int, outcome: Outcome) -> None:
+        if root.ended or root.attempt != attempt:
+            return
+        if root.timer is not None:
+            root.timer.cancel()
+        self._recorder.call_ended(f"{root.arrival.root}/{attempt}", outcome)
+        if isinstance(outcome, Answered):
+            if outcome.status == 200:
+                root.ended = True
+                return
+            self._repeat(root, 0.0)
+            return
+        self._repeat(root, outcome.retry_after)
+
+    def _repeat(self, root: _Root, retry_after: float) -> None:
+        if root.attempt >= self._policy.attempts:
+            root.ended = True
+            return
+        wait = self._policy.backoff_seconds * (0.5 + self._random.random())
+        if self._policy.heed_retry_after:
+            wait = max(wait, retry_after)
+        self._clock.call_later(wait, self._attempt, root)
--- /dev/null
+++ b/src/finchshed/emulator/faults.py
@@ -0,0 +1,231 @@
+"""Carries out acts on a running world."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from finchshed.common.errors import FinchshedError
+from finchshed.emulator import acts
+from finchshed.emulator.backend import BackEnd
+from finchshed.emulator.simulation import Simulation
+from finchshed.proof.history import EndpointReturned, Fault
+
+
+class UnknownTargetError(FinchshedError):
+    """An act names something the deployment doesn't have."""
+
+
+class Processes(Protocol):
+    """What acts on daemons, control nodes and operators need of the control scheme in the run.
+
+    Baselines have no daemons; there these acts do nothing.
+    """
+
+    def crash_daemon(self, node: str, seconds: float) -> None:
+        """Kill a daemon for ``seconds``."""
+
+    def freeze_daemon(self, node: str, seconds: float) -> None:
+        """Stop a daemon for ``seconds``."""
+
+    def crash_control(self, node: str, seconds: float, wipe_disk: bool) -> None:
+        """Kill a control node for ``seconds``."""
+
+    def freeze_control(self, node: str, seconds: float) -> None:
+        """Stop a control node for ``seconds``."""
+
+    def drain(self, endpoint: str, sign: str) -> None:
+        """Let ``endpoint`` begin to leave, known by ``sign``."""
+
+    def stop_planned(self, endpoint: str, seconds: float) -> None:
+        """Stop a back end and its daemon without cutting anything; start them again."""
+
+    def back_end_started(self, endpoint: str) -> None:
+        """Take note that a back end is up again after a crash."""
+
+    def submit(self, act: acts.Submit) -> None:
+        """Let operators change the configuration."""
+
+    def network_changed(self) -> None:
+        """Take note that links were cut or healed."""
+
+
+class FaultInjector:
+    """Applies acts to back ends, the network and processes, and records them."""
+
+    def __init__(
+        self, simulation: Simulation, back_ends: dict[str, BackEnd], processes: Processes
+    ) -> None:
+        self._clock = simulation.clock
+        self._network = simulation.network
+        self._recorder = simulation.recorder
+        self._back_ends = back_ends
+        self._processes = processes
+
+    def schedule(self, act: acts.Act) -> None:
+        """Let ``act`` happen at its time."""
+        self._clock.call_at(act.time, self.apply, act)
+
+    def apply(self, act: acts.Act) -> None:
+        """Carry out ``act`` now, and arrange its end."""
+        match act:
+            case acts.SlowService():
+                self._slow(act, self._of_service(act.service), act.factor, act.service)
+            case acts.SlowEndpoint():
+                self._slow(act, [self._back_end(act.endpoint)], act.factor, act.endpoint)
+            case acts.CrashBackEnd():
+                self._crash_back_end(act)
+            case acts.FreezeBackEnd():
+                back_end = self._back_end(act.endpoint)
+                self._during(act, act.seconds, back_end.freeze, back_end.thaw, act.endpoint)
+            case acts.Misreport():
+                self._misreport(act)
+            case acts.Drain():
+                self._note(act, act.endpoint)
+                self._processes.drain(act.endpoint, act.sign)
+            case acts.StopPlanned():
+                self._note(act, act.endpoint)
+                self._processes.stop_planned(act.endpoint, act.seconds)
+            case acts.Submit():
+                self._note(act, act.change_id)
+                self._processes.submit(act)
+            case acts.CrashDaemon() | acts.FreezeDaemon():
+                self._apply_to_daemon(act)
+            case acts.CrashControl() | acts.FreezeControl():
+                self._apply_to_control(act)
+            case _:
+                self._apply_to_network(act)
+
+    def _apply_to_daemon(self, act: acts.CrashDaemon | acts.FreezeDaemon) -> None:
+        self._note(act, act.node)
+        if isinstance(act, acts.CrashDaemon):
+            self._processes.crash_daemon(act.node, act.seconds)
+        else:
+            self._processes.freeze_daemon(act.node, act.seconds)
+
+    def _apply_to_control(self, act: acts.CrashControl | acts.FreezeControl) -> None:
+        self._note(act, act.node)
+        if isinstance(act, acts.CrashControl):
+            self._processes.crash_control(act.node, act.seconds, act.wipe_disk)
+        else:
+            self._processes.freeze_control(act.node, act.seconds)
+
+    def _apply_to_network(self, act: acts.Act) -> None:
+        network = self._network
+        match act:
+            case acts.CutNode():
+                pairs = [("*", act.node)] if act.one_way else [("*", act.node), (act.node, "*")]
+                self._cut(act, act.seconds, pairs, act.node)
+            case acts.CutZones():
+                pairs = [(act.source, act.target)]
+                if not act.one_way:
+                    pairs.append((act.target, act.source))
+                self._cut(act, act.seconds, pairs, act.source, act.target)
+            case acts.SlowLink():
+                self._during(
+                    act,
+                    act.seconds,
+                    lambda: self._slow_link(act, act.extra_seconds),
+                    lambda: self._slow_link(act, 0.0),
+                    act.source,
+                    act.target,
+                )
+            case acts.Duplicate():
+                self._during(
+                    act,
+                    act.seconds,
+                    lambda: setattr(network, "duplicate_probability", act.probability),
+                    lambda: setattr(network, "duplicate_probability", 0.0),
+                )
+            case acts.Reorder():
+                self._during(
+                    act,
+                    act.seconds,
+                    lambda: setattr(network, "reorder_probability", act.probability),
+                    lambda: setattr(network, "reorder_probability", 0.0),
+                )
+            case _:
+                raise UnknownTargetError(f"act {act} can't be carried out")
+
+    def _back_end(self, endpoint: str) -> BackEnd:
+        try:
+            return self._back_ends[endpoint]
+        except KeyError:
+            raise UnknownTargetError(f"no back end {endpoint!r}") from None
+
+    def _of_service(self, service: str) -> list[BackEnd]:
+        found = [back_end for back_end in self._back_ends.values() if back_end.service == service]
+        if not found:
+            raise UnknownTargetError(f"no service {service!r}")
+        return found
+
+    def _slow(self, act: acts.Act, back_ends: list[BackEnd], factor: float, target: str) -> None:
+        def scale(by: float) -> None:
+            for back_end in back_ends:
+                back_end.slow_factor *= by
+
+        seconds = getattr(act, "seconds", 0.0)
+        self._during(act, seconds, lambda: scale(factor), lambda: scale(1.0 / factor), target)
+
+    def _crash_back_end(self, act: acts.CrashBackEnd) -> None:
+        back_end = self._back_end(act.endpoint)
+
+        def restart() -> None:
+            if not back_end.up:
+                back_end.start()
+                self._recorder.note(EndpointReturned(self._clock.now, act.endpoint))
+                self._processes.back_end_started(act.endpoint)
+
+        self._during(act, act.seconds, back_end.crash, restart, act.endpoint)
+
+    def _misreport(self, act: acts.Misreport) -> None:
+        back_end = self._back_end(act.endpoint)
+
+        def misreport(begins: bool) -> None:
+            back_end.misreports_idle = begins
+            back_end.fails_fast = begins and act.fails_fast
+
+        self._during(
+            act, act.seconds, lambda: misreport(True), lambda: misreport(False), act.endpoint
+        )
+
+    def _cut(
+        self, act: acts.Act, seconds: float, pairs: list[tuple[str, str]], *targets: str
+    ) -> None:
+        def begin() -> None:
+            for source, target in pairs:
+                self._network.cut(source, target)
+            self._processes.network_changed()
+
+        def end() -> None:
+            for source, target in pairs:
+                self._network.heal(source, target)
+            self._processes.network_changed()
+
+        self._during(act, seconds, begin, end, *targets)
+
+    def _slow_link(self, act: acts.SlowLink, extra: float) -> None:
+        self._network.slow(act.source, act.target, extra)
+        self._network.slow(act.target, act.source, extra)
+
+    def _during(
+        self,
+        act: acts.Act,
+        seconds: float,
+        begin: Callable[[], None],
+        end: Callable[[], None],
+        *targets: str,
+    ) -> None:
+        self._note(act, *targets)
+        begin()
+
+        def finish() -> None:
+            self._recorder.note(Fault(self._clock.now, _name(act), targets, ended=True))
+            end()
+
+        self._clock.call_later(seconds, finish)
+
+    def _note(self, act: acts.Act, *targets: str) -> None:
+        self._recorder.note(Fault(self._clock.now, _name(act), targets))
+
+
+def _name(act: acts.Act) -> str:
+    return str(type(act).__struct_config__.tag)
--- /dev/null
+++ b/src/finchshed/emulator/recorder.py
@@ -0,0 +1,80 @@
+"""Records what happens in a run, in the schema of :mod:`finchshed.proof.history`."""
+
+from collections.abc import Callable
+
+from finchshed.common.outcomes import Answered, Outcome, Refused
+from finchshed.emulator.clock import Clock
+from finchshed.emulator.request import Request
+from finchshed.link.digests import digest_of
+from finchshed.proof.history import (
+    HEADER_ANSWER_DIGEST,
+    HEADER_ANSWER_ROOT,
+    CallBegan,
+    CallEnded,
+    CallResult,
+    Event,
+    Header,
+    History,
+)
+
+
+class Recorder:
+    """Collects the events of one run."""
+
+    def __init__(self, clock: Clock, header: Header) -> None:
+        self._clock = clock
+        self.history = History(header, [])
+        self.note: Callable[[Event], None] = self.history.events.append
+
+    @property
+    def now(self) -> float:
+        """Present time, for the events' ``time``."""
+        return self._clock.now
+
+    def call_began(self, request: Request) -> None:
+        """Record that a caller sends ``request``."""
+        self.note(
+            CallBegan(
+                self._clock.now,
+                request.call,
+                request.root,
+                request.hop.service,
+                request.importance,
+                request.kind,
+                request.caller,
+                request.parent,
+                request.key,
+                request.session,
+            )
+        )
+
+    def call_ended(self, call: str, outcome: Outcome) -> None:
+        """Record what a caller was told."""
+        now = self._clock.now
+        if isinstance(outcome, Answered):
+            self.note(_answered(now, call, outcome))
+            return
+        result = CallResult.REFUSED if isinstance(outcome, Refused) else CallResult.FAILED
+        self.note(
+            CallEnded(
+                now, call, result, outcome.reason.value, retry_after=round(outcome.retry_after, 6)
+            )
+        )
+
+    def call_abandoned(self, call: str) -> None:
+        """Record that a caller gave up."""
+        self.note(CallEnded(self._clock.now, call, CallResult.ABANDONED))
+
+
+def _answered(now: float, call: str, answer: Answered) -> CallEnded:
+    headers = dict(answer.headers)
+    digest = digest_of(answer.body)
+    return CallEnded(
+        now,
+        call,
+        CallResult.ANSWERED,
+        status=answer.status,
+        answer_root=headers.get(HEADER_ANSWER_ROOT, ""),
+        whole=headers.get(HEADER_ANSWER_DIGEST, "") == digest,
+        answer_digest=digest,
+    )
--- /dev/null
+++ b/src/finchshed/emulator/simulation.py
@@ -0,0 +1,23 @@
+"""What every part of a run shares."""
+
+from dataclasses import dataclass
+
+from finchshed.emulator.clock import Clock
+from finchshed.emulator.network import Network
+from finchshed.emulator.recorder import Recorder
+from finchshed.emulator.streams import Streams
+
+
+@dataclass(frozen=True, slots=True)
+class Simulation:
+    """The clock, network, random streams and recorder of one run."""
+
+    clock: Clock
+    network: Network
+    streams: Streams
+    recorder: Recorder
+
+    @property
+    def now(self) -> float:
+        """Present simulated time, seconds."""
+        return self.clock.now
