Emulator runs daemons with the production decision modules

Links, heartbeats, timers and back ends are modelled; admission, limits, routing, retry budget and ledger are the production classes.

--- a/src/finchshed/bench/measures.py
+++ b/src/finchshed/bench/measures.py
@@ -1,8 +1,9 @@
 """Measures of one run, taken from its history alone."""
 
 import math
+from bisect import bisect_left
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 import msgspec
@@ -110,36 +111,40 @@
         root.finished = event.time
 
 
-def measure(
-    events: list[Event],
-    deep_service: str,
-    deep_visits: dict[str, int],
-    before: Period,
-    overload: Period,
-    end: float,
-) -> Measures:
-    """Take the measures of one run.
+class Plan(msgspec.Struct, frozen=True, kw_only=True):
+    """When what happens in a run, and what is measured at the bottom of its call graphs.
 
-    Parameters
+    Attributes
     ----------
-    deep_visits
-        Calls of the deepest service that a request of each kind makes.
     before, overload
         Ordinary load ahead of the trigger, and the trigger.
     end
-        Time of the last arrival.
+        Time of the last arrival, seconds.
+    deep_visits
+        Calls of ``deep_service`` that a request of each kind makes.
     """
-    roots = roots_of(events, deep_service)
+
+    before: Period
+    overload: Period
+    end: float
+    deep_service: str
+    deep_visits: dict[str, int]
+
+
+def measure(events: list[Event], plan: Plan) -> Measures:
+    """Take the measures of one run."""
+    before, overload = plan.before, plan.overload
+    roots = roots_of(events, plan.deep_service)
     finished = sorted(root.finished for root in roots.values() if root.good)
     before_rate = _count(finished, before) / before.seconds
     reached = [root for root in roots.values() if root.deep_runs]
-    attempts = [root.deep_runs / max(deep_visits[root.kind], 1) for root in reached]
+    attempts = [root.deep_runs / max(plan.deep_visits[root.kind], 1) for root in reached]
     latencies = sorted(root.finished - root.arrived for root in roots.values() if root.good)
     return Measures(
         offered_by_kind=_rate_by_kind(roots, overload, lambda root: root.arrived),
         goodput_by_kind=_rate_by_kind(roots, overload, lambda root: root.finished),
         goodput_before=before_rate,
-        recovery_seconds=recovery_seconds(finished, before_rate, overload.end, end),
+        recovery_seconds=recovery_seconds(finished, before_rate, overload.end, plan.end),
         attempts_mean=sum(attempts) / len(attempts) if attempts else 0.0,
         attempts_max=max(attempts, default=0.0),
         wasted_share=_wasted_share(events, roots),
@@ -150,7 +155,7 @@
 
 
 def recovery_seconds(finished: list[float], before: float, trigger_end: float, end: float) -> float:
-    """Return the time from ``trigger_end`` until goodput is 95% of ``before``, and infinity if never.
+    """Return the time from ``trigger_end`` until goodput is 95% of ``before``, or infinity.
 
     Goodput is counted in windows of half a second; the time counted is up to the window's end, so
     the smallest figure is half a second.
@@ -172,12 +177,12 @@
 
 
 def _count(times: list[float], period: Period) -> int:
-    from bisect import bisect_left
-
     return bisect_left(times, period.end) - bisect_left(times, period.start)
 
 
-def _rate_by_kind(roots, period, time_of):  # type: ignore[no-untyped-def]
+def _rate_by_kind(
+    roots: dict[str, RootRecord], period: Period, time_of: Callable[[RootRecord], float]
+) -> dict[str, float]:
     counts: dict[str, int] = defaultdict(int)
     for root in roots.values():
         counts[root.kind] += period.start <= time_of(root) < period.end
--- a/src/finchshed/emulator/callers.py
+++ b/src/finchshed/emulator/callers.py
@@ -12,9 +12,11 @@
 from finchshed.emulator.clock import Timer
 from finchshed.emulator.deployment import Deployment, RequestKind
 from finchshed.emulator.network import OUTSIDE, Site
+from finchshed.emulator.plain_control import EPOCH_UNIX_SECONDS
 from finchshed.emulator.request import Cancel, Path, Request
 from finchshed.emulator.simulation import Simulation
 from finchshed.emulator.streams import Streams
+from finchshed.ledger.keys import new_key
 
 
 class ClientPolicy(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -85,7 +87,7 @@
             kind=kind.name,
             zone=random.choice(deployment.zones),
             caller=caller,
-            key="" if kind.repeatable else f"key-{number}",
+            key="" if kind.repeatable else new_key(EPOCH_UNIX_SECONDS + time, random),
             session=f"s-{caller}" if kind.session else "",
         )
 
--- a/src/finchshed/emulator/clock.py
+++ b/src/finchshed/emulator/clock.py
@@ -17,7 +17,7 @@
         self,
         environment: simpy.Environment,
         delay: float,
-        function: Callable[..., None],
+        function: Callable[..., object],
         arguments: tuple[Any, ...],
     ) -> None:
         self.env = environment
@@ -25,7 +25,7 @@
         self._ok = True
         self._value = None
         self._defused = False
-        self._function: Callable[..., None] | None = function
+        self._function: Callable[..., object] | None = function
         self._arguments = arguments
         environment.schedule(self, delay=delay)
 
@@ -51,11 +51,11 @@
         """Present simulated time."""
         return float(self._environment._now)
 
-    def call_later(self, delay: float, function: Callable[..., None], *arguments: Any) -> Timer:
+    def call_later(self, delay: float, function: Callable[..., object], *arguments: Any) -> Timer:
         """Call ``function`` after ``delay`` seconds (at once in this instant if negative)."""
         return Timer(self._environment, max(delay, 0.0), function, arguments)
 
-    def call_at(self, time: float, function: Callable[..., None], *arguments: Any) -> Timer:
+    def call_at(self, time: float, function: Callable[..., object], *arguments: Any) -> Timer:
         """Call ``function`` at ``time``."""
         return self.call_later(time - self.now, function, *arguments)
 
--- /dev/null
+++ b/src/finchshed/emulator/daemons/daemon.py
@@ -0,0 +1,301 @@
+"""One emulated daemon: beside a back end, or an edge in front of outside callers."""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Final, Protocol
+
+from finchshed.common.context import CallContext
+from finchshed.common.outcomes import Outcome, RefusalReason, Refused
+from finchshed.configuration.resources import Endpoint, EndpointState, Policy
+from finchshed.emulator.backend import BackEnd
+from finchshed.emulator.daemons.callee import Callee
+from finchshed.emulator.daemons.ledger_client import LedgerClient
+from finchshed.emulator.daemons.link import AcceptedLink, CallMessage, DaemonLink
+from finchshed.emulator.daemons.outgoing import CallingProcess, OnFinish, OutgoingCall
+from finchshed.emulator.network import Site
+from finchshed.emulator.request import Cancel, Done, Request
+from finchshed.emulator.simulation import Simulation
+from finchshed.link.messages import LoadReport
+from finchshed.retry.account import RetryAccounts
+from finchshed.retry.bucket import RetryBucket
+from finchshed.retry.policy import retry_after
+from finchshed.routing.caller import CallerLogic
+from finchshed.routing.table import RoutingTable
+
+REGION: Final = "region-1"
+LOCAL_DELAY_SECONDS: Final = 0.0002
+
+
+class Directory(Protocol):
+    """Where a daemon finds the processes of other daemons."""
+
+    def daemon_of(self, endpoint: str) -> "Daemon":
+        """Return the daemon beside an endpoint."""
+        ...
+
+
+@dataclass(slots=True, eq=False)
+class _Joined:
+    """A root request in progress, and the repeats that joined it."""
+
+    outgoing: OutgoingCall
+    waiting: dict[str, Done] = field(default_factory=dict)
+
+
+class Daemon(CallingProcess):
+    """One daemon process.
+
+    Parameters
+    ----------
+    back_end
+        The back end beside it, or None for an edge.
+    """
+
+    def __init__(
+        self,
+        simulation: Simulation,
+        site: Site,
+        directory: Directory,
+        ledger: LedgerClient,
+        back_end: BackEnd | None,
+    ) -> None:
+        super().__init__(simulation, site)
+        self._directory = directory
+        self._ledger = ledger
+        self.back_end = back_end
+        self.stopping = False
+        self.held_revision = 0
+        self._endpoints: tuple[Endpoint, ...] = ()
+        self._policy = Policy()
+        self._begin_life()
+
+    def _begin_life(self) -> None:
+        streams = self.simulation.streams
+        self.random: random.Random = streams.python(f"daemon/{self.name}/{self.life}")
+        self.table = RoutingTable(self.site.zone, REGION, self.random)
+        self.accounts = RetryAccounts()
+        self._links: dict[str, DaemonLink] = {}
+        self._accepted: list[AcceptedLink] = []
+        self._buckets: dict[str, RetryBucket] = {}
+        self._joined: dict[str, _Joined] = {}
+        self._in_progress = 0
+        self.stopping = False
+        self.callee: Callee | None = None
+        if self.back_end is not None:
+            self.callee = Callee(self, self.back_end, self._ledger, self.accounts, self.random)
+
+    def configure(self, endpoints: Iterable[Endpoint], policy: Policy, revision: int) -> None:
+        """Act on a configuration."""
+        self._endpoints = tuple(endpoints)
+        if policy.retry_ratio != self._policy.retry_ratio:
+            self._buckets.clear()
+        self._policy = policy
+        self.held_revision = revision
+        self.table.replace(self._endpoints, self.now)
+        for endpoint in self._endpoints:
+            if endpoint.state is EndpointState.LEAVING:
+                self.table.mark_draining(endpoint.name, self.now)
+                if endpoint.name == self.name and self.callee is not None:
+                    self.callee.drain()
+
+    def call(self, request: Request, done: Done) -> Cancel:
+        """Take a request over HTTP from an outside caller or the back end beside it."""
+        if not self.up:
+            done(Refused(RefusalReason.CONNECT_FAILED, 0.1, "connection refused"))
+            return _nothing
+        holder: list[Cancel] = []
+
+        def take() -> None:
+            holder.append(self._take(request, done))
+
+        self.call_later(LOCAL_DELAY_SECONDS, take)
+        return lambda: self.dispatch(self.life, holder[0]) if holder else None
+
+    def _take(self, request: Request, done: Done) -> Cancel:
+        life = self.life
+
+        def answer(outcome: Outcome) -> None:
+            self.simulation.clock.call_later(LOCAL_DELAY_SECONDS, self._answer, life, done, outcome)
+
+        if self.held_revision == 0:
+            answer(Refused(RefusalReason.NO_CONFIGURATION, retry_after(0.0, self.random)))
+            return _nothing
+        if request.parent:
+            return self._call_on(request, answer)
+        held = self._joined.get(request.root)
+        if held is not None:
+            held.waiting[request.call] = answer
+        else:
+            held = self._start_root(request, answer)
+        joined = held
+        return lambda: self._leave(joined, request.call)
+
+    def _answer(self, life: int, done: Done, outcome: Outcome) -> None:
+        if life == self.life:
+            done(outcome)
+
+    def _start_root(self, request: Request, answer: Done) -> _Joined:
+        context = CallContext(
+            request.root,
+            request.importance,
+            request.deadline - self.now,
+            self._policy.retry_budget,
+            0,
+            request.caller,
+            request.session,
+            request.key,
+        )
+
+        def finished(outcome: Outcome, _spare: int) -> None:
+            self._in_progress -= 1
+            self._joined.pop(request.root, None)
+            waiting = list(joined.waiting.values())
+            joined.waiting.clear()
+            for waiter in waiting:
+                waiter(outcome)
+
+        joined = _Joined(self._outgoing(request, context, finished))
+        joined.waiting[request.call] = answer
+        self._joined[request.root] = joined
+        self._in_progress += 1
+        joined.outgoing.begin()
+        return joined
+
+    def _leave(self, joined: _Joined, call: str) -> None:
+        if joined.waiting.pop(call, None) is not None and not joined.waiting:
+            joined.outgoing.cancel()
+
+    def _call_on(self, request: Request, answer: Done) -> Cancel:
+        deadline = None if self.callee is None else self.callee.deadline_of(request.account)
+        if deadline is None:
+            answer(Refused(RefusalReason.CANCELLED, retry_after(0.0, self.random)))
+            return _nothing
+        lent = self.accounts.lend(request.account)
+        context = CallContext(
+            request.root,
+            request.importance,
+            deadline - self.now,
+            lent,
+            1,
+            request.caller,
+            request.session,
+            request.key,
+        )
+
+        def finished(outcome: Outcome, spare: int) -> None:
+            self._in_progress -= 1
+            self.accounts.give_back(request.account, lent, spare)
+            answer(outcome)
+
+        outgoing = self._outgoing(request, context, finished)
+        self._in_progress += 1
+        outgoing.begin()
+        return outgoing.cancel
+
+    def _outgoing(self, request: Request, context: CallContext, finished: OnFinish) -> OutgoingCall:
+        service = request.hop.service
+        bucket = self._buckets.get(service)
+        if bucket is None:
+            bucket = self._buckets[service] = RetryBucket(self._policy.retry_ratio, self.now)
+        logic = CallerLogic(
+            self.table,
+            bucket,
+            service,
+            context,
+            repeatable=request.repeatable,
+            rng=self.random,
+        )
+        return OutgoingCall(self, logic, request, context, finished)
+
+    def link_to(self, endpoint: str) -> DaemonLink:
+        """Return the link to an endpoint, made if there is none."""
+        link = self._links.get(endpoint)
+        if link is None:
+            target = self._directory.daemon_of(endpoint)
+            link = DaemonLink(self, self, endpoint, target, target.accept)
+            self._links[endpoint] = link
+        return link
+
+    def link_opened(self, endpoint: str, incarnation: str) -> None:
+        """Take note that a link is open."""
+        self.table.on_link_up(endpoint, incarnation, self.now)
+
+    def link_broken(self, endpoint: str) -> None:
+        """Take note that a link broke or can't be opened."""
+        self.table.on_link_down(endpoint, self.now)
+
+    def load_reported(self, endpoint: str, load: LoadReport) -> None:
+        """Take a load report that came with a heartbeat."""
+        self.table.on_report(endpoint, load, self.now)
+
+    def accept(self, link: DaemonLink, epoch: str) -> None:
+        """Take a connection of another daemon."""
+        accepted = AcceptedLink(self, self, link, epoch)
+        self._accepted = [held for held in self._accepted if held.open]
+        self._accepted.append(accepted)
+        self.send(link.process, link.on_accepted, epoch, accepted, self.incarnation())
+
+    def take_call(self, link: AcceptedLink, message: CallMessage) -> None:
+        """Take a call."""
+        if self.callee is not None:
+            self.callee.take(link, message)
+
+    def give_up_call(self, link: AcceptedLink, call: int) -> None:
+        """Drop a call whose caller has given up."""
+        if self.callee is not None:
+            self.callee.give_up(link, call)
+
+    def load_report(self) -> LoadReport:
+        """Return the load as callers are told."""
+        return LoadReport() if self.callee is None else self.callee.load_report()
+
+    def incarnation(self) -> str:
+        """Return the identity of the back end's and the process's present life."""
+        started = 0.0 if self.back_end is None else self.back_end.started_at
+        return f"{self.life}/{started}"
+
+    def revision(self) -> int:
+        """Return the revision in force."""
+        return self.held_revision
+
+    def revision_seen(self, node: str, revision: int) -> None:
+        """Take note that a peer holds this revision."""
+
+    @property
+    def in_progress(self) -> int:
+        """Calls on their way through this daemon."""
+        serving = 0 if self.callee is None else self.callee.in_progress
+        return serving + self._in_progress
+
+    def announce_draining(self) -> None:
+        """Tell every caller that no new calls are taken."""
+        for link in self._accepted:
+            link.tell_draining()
+
+    def draining_seen(self, endpoint: str) -> None:
+        """Take note that an endpoint takes no new calls."""
+        self.table.mark_draining(endpoint, self.now)
+
+    def crash(self) -> None:
+        """Die at once: connections are reset, the back end sees its connections close."""
+        links = list(self._links.values())
+        accepted = [link for link in self._accepted if link.open]
+        callee = self.callee
+        self.stop()
+        for link in links:
+            link.peer_reset()
+        for accepted_link in accepted:
+            accepted_link.caller_reset()
+        if callee is not None:
+            callee.abort()
+
+    def restart(self) -> None:
+        """Begin a new life, with nothing but what is on disk."""
+        self.start()
+        self._begin_life()
+        self.held_revision = 0
+
+
+def _nothing() -> None:
+    """Cancel a call that has ended already."""
--- /dev/null
+++ b/src/finchshed/emulator/daemons/outgoing.py
@@ -0,0 +1,147 @@
+"""The calling side of a daemon: one state machine a call, and what it asks for.
+
+Counterpart of :mod:`finchshed.daemon.caller` and :mod:`finchshed.daemon.outgoing`.
+"""
+
+import random
+from collections.abc import Callable
+
+from finchshed.common.context import CallContext
+from finchshed.common.outcomes import (
+    Answered,
+    Failed,
+    FailureReason,
+    Outcome,
+    RefusalReason,
+    Refused,
+)
+from finchshed.emulator.clock import Timer
+from finchshed.emulator.daemons.link import Attempt, DaemonLink
+from finchshed.emulator.daemons.process import Process
+from finchshed.emulator.request import Request
+from finchshed.link.digests import digest_of
+from finchshed.link.messages import LoadReport, Reply
+from finchshed.retry.policy import retry_after
+from finchshed.routing.caller import CallerEffect, CallerLogic, Finish, Send, SetTimer, Withdraw
+
+OnFinish = Callable[[Outcome, int], None]
+
+
+class CallingProcess(Process):
+    """A process that calls endpoints over links."""
+
+    random: random.Random
+
+    def link_to(self, endpoint: str) -> DaemonLink:
+        """Return the link to an endpoint."""
+        raise NotImplementedError
+
+
+class OutgoingCall:
+    """Carries out the effects of one call's state machine."""
+
+    def __init__(
+        self,
+        daemon: CallingProcess,
+        logic: CallerLogic,
+        request: Request,
+        context: CallContext,
+        on_finish: OnFinish,
+    ) -> None:
+        self._process = daemon
+        self._logic = logic
+        self._request = request
+        self._context = context
+        self._deadline = daemon.now + context.remaining_seconds
+        self._on_finish = on_finish
+        self._timer: Timer | None = None
+        self._attempts: dict[int, tuple[Attempt, DaemonLink]] = {}
+
+    def begin(self) -> None:
+        """Start the call."""
+        self._apply(self._logic.begin(self._process.now))
+
+    def cancel(self) -> None:
+        """Give up on behalf of the caller."""
+        self._apply(self._logic.cancel(self._process.now))
+
+    def _apply(self, effects: list[CallerEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._send(effect)
+            elif isinstance(effect, SetTimer):
+                self._set_timer(effect.at)
+            elif isinstance(effect, Withdraw):
+                self._withdraw(effect)
+            else:
+                self._finish(effect)
+
+    def _send(self, effect: Send) -> None:
+        number = effect.attempt
+        remaining = self._deadline - self._process.now
+        context = CallContext(
+            self._context.root,
+            self._context.importance,
+            remaining,
+            effect.share,
+            self._context.depth,
+            self._context.caller,
+            self._context.session,
+            self._context.key,
+        )
+        attempt = Attempt(
+            self._request,
+            context,
+            self._deadline,
+            lambda reply: self._replied(number, reply),
+            lambda reason: self._unsent(number, effect.share, reason),
+        )
+        link = self._process.link_to(effect.endpoint.name)
+        self._attempts[number] = (attempt, link)
+        link.send(attempt)
+
+    def _withdraw(self, effect: Withdraw) -> None:
+        attempt, link = self._attempts.pop(effect.attempt)
+        link.withdraw(attempt)
+
+    def _replied(self, number: int, reply: Reply | None) -> None:
+        self._attempts.pop(number, None)
+        outcome: Outcome
+        spare = 0
+        load: LoadReport | None = None
+        if reply is None:
+            outcome = Failed(FailureReason.LINK_BROKEN, self._retry_after())
+        else:
+            outcome, spare, load = reply.outcome, reply.spare_attempts, reply.load
+            if isinstance(outcome, Answered) and digest_of(outcome.body) != reply.digest:
+                outcome = Failed(FailureReason.ANSWER_CORRUPT, self._retry_after())
+        self._apply(self._logic.on_outcome(number, outcome, spare, load, self._process.now))
+
+    def _unsent(self, number: int, share: int, reason: RefusalReason) -> None:
+        self._attempts.pop(number, None)
+        refused = Refused(reason, self._retry_after())
+        # The effects that made this attempt may still be being carried out.
+        self._process.call_later(
+            0.0,
+            lambda: self._apply(
+                self._logic.on_outcome(number, refused, share, None, self._process.now)
+            ),
+        )
+
+    def _set_timer(self, at: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._process.call_later(at - self._process.now, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self._apply(self._logic.on_timer(self._process.now))
+
+    def _finish(self, effect: Finish) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._on_finish(effect.outcome, effect.spare_returned)
+
+    def _retry_after(self) -> float:
+        return retry_after(0.0, self._process.random)
--- a/src/finchshed/emulator/physical_limit.py
+++ b/src/finchshed/emulator/physical_limit.py
@@ -38,7 +38,9 @@
     slow
         Factors by which services are slowed.
     """
-    free = {service.name: float(service.back_ends * service.slots) for service in deployment.services}
+    free = {
+        service.name: float(service.back_ends * service.slots) for service in deployment.services
+    }
     result: dict[str, float] = {}
     for importance in sorted(Importance, reverse=True):
         kinds = [kind for kind in deployment.kinds if kind.importance == importance]
--- /dev/null
+++ b/src/finchshed/emulator/plain_control.py
@@ -0,0 +1,81 @@
+"""Control without its failures: one state machine, reached over the network's usual delay.
+
+For experiments about overload, where the control nodes are not what is measured. It runs the
+production state machine of the control nodes, so ledger and configuration behave as they do there.
+"""
+
+from collections.abc import Callable
+from typing import Final, cast
+
+from finchshed.common.outcomes import Answered
+from finchshed.control.commands import (
+    BeginRequest,
+    CancelRequest,
+    Command,
+    CommandResult,
+    CompleteRequest,
+    LogEntry,
+    encode_entry,
+)
+from finchshed.control.state_machine import ControlStateMachine
+from finchshed.emulator.daemons.ledger_client import OnLedgerResult
+from finchshed.emulator.daemons.process import Process
+from finchshed.emulator.simulation import Simulation
+from finchshed.ledger.results import LedgerResult
+
+COMMIT_SECONDS: Final = 0.004
+"""Time of a commit: a round trip to the quorum and a sync of its disks."""
+
+EPOCH_UNIX_SECONDS: Final = 1_700_000_000.0
+"""Unix time at the start of a run."""
+
+
+class PlainControl:
+    """The control plane as one process that may be away for a while."""
+
+    def __init__(self, simulation: Simulation) -> None:
+        self._simulation = simulation
+        self._clock = simulation.clock
+        self._state = ControlStateMachine()
+        self._index = 0
+        self._away_until = 0.0
+
+    def crash(self, _node: str, seconds: float) -> None:
+        """Be away for ``seconds``: nothing is granted meanwhile."""
+        self._away_until = max(self._away_until, self._clock.now + seconds)
+
+    def begin(self, key: str, attempt: str, timeout: float, done: OnLedgerResult) -> None:
+        """Ask leave to run the request under ``key``."""
+        if self._clock.now < self._away_until:
+            self._clock.call_later(timeout, done, None)
+            return
+
+        def commit() -> None:
+            done(cast(LedgerResult, self._commit(BeginRequest(key, attempt))))
+
+        self._clock.call_later(COMMIT_SECONDS, commit)
+
+    def cancel(self, key: str, attempt: str) -> None:
+        """Say that a granted attempt was never sent."""
+        self._clock.call_later(COMMIT_SECONDS, self._commit, CancelRequest(key, attempt))
+
+    def complete(
+        self, key: str, attempt: str, answer: Answered, timeout: float, done: Callable[[], None]
+    ) -> None:
+        """Record the whole answer."""
+
+        def commit() -> None:
+            self._commit(CompleteRequest(key, attempt, answer))
+            done()
+
+        delay = COMMIT_SECONDS if self._clock.now >= self._away_until else timeout
+        self._clock.call_later(delay, commit)
+
+    def distribute(self, daemon: Process, apply: Callable[[], None]) -> None:
+        """Let ``daemon`` act on a change after the time a commit and its delivery take."""
+        daemon.call_later(COMMIT_SECONDS * 2, apply)
+
+    def _commit(self, command: Command) -> CommandResult:
+        self._index += 1
+        time = EPOCH_UNIX_SECONDS + self._clock.now
+        return self._state.apply(self._index, encode_entry(LogEntry(time, command)))
--- a/src/finchshed/emulator/world.py
+++ b/src/finchshed/emulator/world.py
@@ -14,6 +14,7 @@
 from finchshed.emulator.recorder import Recorder
 from finchshed.emulator.request import Path
 from finchshed.emulator.run import RunResult, RunSpecification
+from finchshed.emulator.scheme import FinchshedScheme
 from finchshed.emulator.simulation import Simulation
 from finchshed.emulator.streams import Streams
 from finchshed.proof.history import SCHEMA_VERSION, Header
@@ -84,7 +85,7 @@
     def _make_scheme(self) -> ControlScheme:
         if self.specification.control in POLICIES:
             return BaselineScheme(self)
-        raise ValueError(f"unknown control scheme {self.specification.control!r}")
+        return FinchshedScheme(self.simulation, self.specification, self.back_ends)
 
 
 class BaselineScheme:
