--- /dev/null
+++ b/src/finchshed/fleet/runner.py
@@ -0,0 +1,185 @@
+"""Starts a planned fleet, keeps it, and stops all of it, whatever happens."""
+
+import asyncio
+import pathlib
+import signal
+import time
+from collections.abc import Iterable
+
+import aiohttp
+
+from finchshed.common.errors import FinchshedError
+from finchshed.fleet.network import FleetNetwork
+from finchshed.fleet.plan import FleetPlan
+from finchshed.fleet.processes import FleetProcess, ProcessSpec, Role, wait_until_listening
+from finchshed.standins.platform import Instance, InstanceState
+
+READY_SECONDS = 60.0
+STOP_SECONDS = 15.0
+STARTING_ORDER = tuple(Role)
+STOPPING_ORDER = (
+    Role.CALLER,
+    Role.EDGE,
+    Role.DAEMON,
+    Role.BACKEND,
+    Role.CONTROL,
+    Role.PLATFORM,
+)
+LOG_TAIL_BYTES = 2000
+
+
+class FleetError(FinchshedError):
+    """A process of the fleet didn't start, or ended by itself."""
+
+
+class Fleet:
+    """All processes of one run. Use as an asynchronous context manager.
+
+    Leaving the context stops every process; what doesn't stop in time is killed.
+    """
+
+    def __init__(self, plan: FleetPlan, network: FleetNetwork) -> None:
+        self.plan = plan
+        self._network = network
+        self.processes = {
+            spec.name: FleetProcess(spec, self.log_path(spec.name)) for spec in plan.specs
+        }
+        self._leaving: set[str] = set()
+        self._incarnations = {endpoint.name: 1 for endpoint in plan.endpoints}
+        self.http: aiohttp.ClientSession
+
+    async def __aenter__(self) -> "Fleet":
+        self.http = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=10.0))
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        try:
+            await self.stop_all()
+        finally:
+            self.kill_all()
+            await self.http.close()
+            self._network.release()
+
+    def of_role(self, *roles: Role) -> list[FleetProcess]:
+        """Return the processes in one of ``roles``."""
+        return [process for process in self.processes.values() if process.spec.role in roles]
+
+    async def start(self, *roles: Role) -> None:
+        """Start all processes of ``roles`` and wait until they listen.
+
+        Raises
+        ------
+        FleetError
+            If one doesn't listen in time, with the end of its log.
+        """
+        for role in STARTING_ORDER:
+            if role in roles:
+                chosen = self.of_role(role)
+                for process in chosen:
+                    process.start()
+                await self.wait_ready(process.spec for process in chosen)
+
+    async def wait_ready(self, specs: Iterable[ProcessSpec]) -> None:
+        """Wait until the processes of ``specs`` take connections."""
+        deadline = time.monotonic() + READY_SECONDS
+        for spec in specs:
+            for address in spec.listens:
+                if not await wait_until_listening(address, deadline):
+                    raise FleetError(f"{spec.name} doesn't listen at {address}\n{self.tail(spec)}")
+
+    async def publish_instances(self) -> None:
+        """Tell the platform which machines are live or leaving."""
+        instances = [
+            Instance(
+                name=endpoint.name,
+                address=endpoint.address,
+                incarnation=str(self._incarnations[endpoint.name]),
+                state=(
+                    InstanceState.LEAVING if endpoint.name in self._leaving else InstanceState.LIVE
+                ),
+            )
+            for endpoint in self.plan.endpoints
+        ]
+        url = f"http://{self.plan.platform_address}/instances"
+        body = [
+            {
+                "name": item.name,
+                "address": item.address,
+                "incarnation": item.incarnation,
+                "state": item.state,
+            }
+            for item in instances
+        ]
+        async with self.http.put(url, json=body) as response:
+            response.raise_for_status()
+
+    async def mark_leaving(self, endpoint: str) -> None:
+        """Have the platform say, after its lag, that a machine leaves."""
+        self._leaving.add(endpoint)
+        await self.publish_instances()
+
+    async def mark_replaced(self, endpoint: str) -> None:
+        """Have the platform say that a new machine stands in an endpoint's place."""
+        self._leaving.discard(endpoint)
+        self._incarnations[endpoint] += 1
+        await self.publish_instances()
+
+    async def command_backend(self, endpoint: str, act: str, value: str = "") -> None:
+        """Have a stand-in back end change how it behaves."""
+        address = self.plan.backend_addresses[endpoint]
+        url = f"http://{address}/standin/{act}"
+        async with self.http.post(url, params={"value": value}) as response:
+            response.raise_for_status()
+
+    async def wait_callers(self, timeout_seconds: float) -> bool:
+        """Wait until every caller has sent its requests; return whether all ended well."""
+        callers = self.of_role(Role.CALLER)
+        ended = [await caller.wait(timeout_seconds) for caller in callers]
+        return all(ended) and all(caller.exit_code == 0 for caller in callers)
+
+    async def restart(self, name: str, stop_signal: signal.Signals = signal.SIGTERM) -> bool:
+        """Stop one process and start it anew; return whether it stopped by itself."""
+        process = self.processes[name]
+        stopped = await process.stop(stop_signal, STOP_SECONDS * 2)
+        process.start()
+        await self.wait_ready([process.spec])
+        return stopped
+
+    async def stop_all(self) -> None:
+        """Stop every process, role by role."""
+        for role in STOPPING_ORDER:
+            # A back end's own drain is for a deployment that goes on; here it ends with the rest.
+            number = signal.SIGINT if role is Role.BACKEND else signal.SIGTERM
+            chosen = self.of_role(role)
+            await asyncio.gather(*(process.stop(number, STOP_SECONDS) for process in chosen))
+
+    def kill_all(self) -> None:
+        """End at once whatever still runs."""
+        for process in self.processes.values():
+            process.kill_now()
+
+    def ended_unasked(self) -> list[str]:
+        """Return the names of processes that ended without being asked to."""
+        return [
+            process.spec.name
+            for process in self.processes.values()
+            if process.expected_to_run
+            and not process.is_running
+            and not (process.spec.role is Role.CALLER and process.exit_code == 0)
+        ]
+
+    def log_path(self, name: str) -> pathlib.Path:
+        """Return where a process writes its standard output and error."""
+        return self.plan.folder / "logs" / f"{name}.log"
+
+    def record_paths_of(self, role: Role) -> list[pathlib.Path]:
+        """Return the record files of the stand-ins in ``role``."""
+        folder = self.plan.folder / "records"
+        named = [process.spec.endpoint or process.spec.name for process in self.of_role(role)]
+        return [folder / f"{name}.jsonl" for name in named]
+
+    def tail(self, spec: ProcessSpec) -> str:
+        """Return the end of a process's log."""
+        path = self.log_path(spec.name)
+        content = path.read_bytes() if path.exists() else b""
+        return content[-LOG_TAIL_BYTES:].decode(errors="replace")
--- a/src/finchshed/standins/backend.py
+++ b/src/finchshed/standins/backend.py
@@ -5,10 +5,11 @@
 """
 
 import asyncio
-import contextlib
 import itertools
 import os
-from collections.abc import Mapping
+import signal
+from collections.abc import Coroutine, Mapping
+from typing import Any
 
 import aiohttp
 import msgspec
@@ -272,15 +273,23 @@
 
 
 async def run_backend(settings: BackendSettings) -> int:
-    """Serve until a stop signal, drain, and return the exit code."""
-    stopped = stop_event()
+    """Serve until SIGTERM, then drain; SIGINT ends at once. Returns the exit code."""
+    leaving = stop_event((signal.SIGTERM,))
+    ended = stop_event((signal.SIGINT,))
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector) as session:
         backend = Backend(settings, session)
         runner = await start_site(backend.application(), settings.address)
-        await stopped.wait()
-        backend.begin_drain()
-        with contextlib.suppress(asyncio.CancelledError):
-            await backend.drained()
+        await _first_of(leaving.wait(), ended.wait())
+        if leaving.is_set():
+            backend.begin_drain()
+            await _first_of(backend.drained(), ended.wait())
         await runner.cleanup()
     return 0
+
+
+async def _first_of(*waits: Coroutine[Any, Any, Any]) -> None:
+    tasks = [asyncio.create_task(wait) for wait in waits]
+    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    for task in tasks:
+        task.cancel()
--- a/src/finchshed/standins/command.py
+++ b/src/finchshed/standins/command.py
@@ -1,7 +1,7 @@
-"""Command line of the stand-ins."""
+"""Command line of the stand-ins, which the fleet runner starts."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
 import uvloop
@@ -12,20 +12,26 @@
 from finchshed.standins.settings import BackendSettings, CallerSettings, PlatformSettings, load
 
 
-class Standin:
-    """Run a stand-in back end, caller or platform list, as the fleet runner does."""
+def backend(settings: str) -> int:
+    """Run a stand-in back end until SIGTERM; SETTINGS is its TOML file."""
+    return _run(run_backend(load(BackendSettings, settings)))
 
-    def backend(self, settings: str) -> int:
-        """Run a stand-in back end until SIGTERM; SETTINGS is its TOML file."""
-        return _run(run_backend(load(BackendSettings, settings)))
 
-    def caller(self, settings: str) -> int:
-        """Send all requests of a stand-in caller; SETTINGS is its TOML file."""
-        return _run(run_caller(load(CallerSettings, settings)))
+def caller(settings: str) -> int:
+    """Send all requests of a stand-in caller; SETTINGS is its TOML file."""
+    return _run(run_caller(load(CallerSettings, settings)))
 
-    def platform(self, settings: str) -> int:
-        """Serve a lagging list of machines until SIGTERM; SETTINGS is its TOML file."""
-        return _run(run_platform(load(PlatformSettings, settings)))
+
+def platform(settings: str) -> int:
+    """Serve a lagging list of machines until SIGTERM; SETTINGS is its TOML file."""
+    return _run(run_platform(load(PlatformSettings, settings)))
+
+
+standin: Mapping[str, Callable[[str], int]] = {
+    "backend": backend,
+    "caller": caller,
+    "platform": platform,
+}
 
 
 def _run(program: Coroutine[Any, Any, int]) -> int:
--- a/src/finchshed/standins/serving.py
+++ b/src/finchshed/standins/serving.py
@@ -8,11 +8,13 @@
 SHUTDOWN_SECONDS = 1.0
 
 
-def stop_event() -> asyncio.Event:
-    """Return an event that SIGTERM or SIGINT sets."""
+def stop_event(
+    numbers: tuple[signal.Signals, ...] = (signal.SIGTERM, signal.SIGINT),
+) -> asyncio.Event:
+    """Return an event that any of the signals sets."""
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in numbers:
         loop.add_signal_handler(number, stopped.set)
     return stopped
 
