--- a/src/finchshed/fleet/plan.py
+++ b/src/finchshed/fleet/plan.py
@@ -172,7 +172,7 @@
             role=Role.CONTROL,
             zone=machine.zone,
             arguments=self._program("control", machine.name, settings),
-            listens=(settings.raft_address, settings.distribution_address, settings.rpc_address),
+            listens=(settings.distribution_address, settings.rpc_address),
             data_folder=data_folder,
         )
         self._specs.append(spec)
--- /dev/null
+++ b/src/finchshed/fleet/sockets.py
@@ -0,0 +1,73 @@
+"""Finds which process holds a TCP socket, from the kernel's tables under /proc."""
+
+import os
+import pathlib
+import socket
+import struct
+from collections.abc import Iterable
+
+PROC = pathlib.Path("/proc")
+SOCKET_PREFIX = "socket:["
+LOCAL_COLUMN = 1
+INODE_COLUMN = 9
+
+
+def inode_of(local_address: str) -> str:
+    """Return the inode of the socket bound to ``a.b.c.d:port``; empty if there is none."""
+    host, _, port = local_address.rpartition(":")
+    packed = struct.unpack("=I", socket.inet_aton(host))[0]
+    wanted = f"{packed:08X}:{int(port):04X}"
+    with (PROC / "net" / "tcp").open() as table:
+        next(table)
+        for line in table:
+            columns = line.split()
+            if columns[LOCAL_COLUMN] == wanted and columns[INODE_COLUMN] != "0":
+                return columns[INODE_COLUMN]
+    return ""
+
+
+def holder_of(inode: str, pids: Iterable[int]) -> int:
+    """Return which of ``pids`` holds the socket, or 0."""
+    wanted = f"{SOCKET_PREFIX}{inode}]"
+    for pid in pids:
+        if wanted in descriptors_of(pid):
+            return pid
+    return 0
+
+
+def descriptors_of(pid: int) -> list[str]:
+    """Return what each open descriptor of a process stands for; empty if it is gone."""
+    folder = PROC / str(pid) / "fd"
+    found = []
+    try:
+        names = os.listdir(folder)
+    except OSError:
+        return []
+    for name in names:
+        try:
+            found.append(os.readlink(folder / name))
+        except OSError:
+            continue
+    return found
+
+
+def children_of(pid: int) -> list[int]:
+    """Return the child processes of all threads of a process; empty if it is gone."""
+    children: list[int] = []
+    try:
+        threads = os.listdir(PROC / str(pid) / "task")
+        for thread in threads:
+            text = (PROC / str(pid) / "task" / thread / "children").read_text()
+            children += [int(word) for word in text.split()]
+    except OSError:
+        return children
+    return children
+
+
+def shared_memory_of(pid: int) -> list[str]:
+    """Return mappings of shared-memory segments of a process."""
+    try:
+        lines = (PROC / str(pid) / "maps").read_text().splitlines()
+    except OSError:
+        return []
+    return [line for line in lines if "/dev/shm" in line or "SYSV" in line]
