--- /dev/null
+++ b/src/finchshed/daemon/control_ledger.py
@@ -0,0 +1,51 @@
+"""The ledger as reached over the daemon's connection to control."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from finchshed.common.outcomes import Answered
+from finchshed.daemon.ledger_port import LedgerCallback
+from finchshed.distribution.client import ControlClient
+
+
+class ControlLedger:
+    """Turns the client's coroutines into callbacks of calls in progress."""
+
+    def __init__(self, client: ControlClient) -> None:
+        self._client = client
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def begin(self, key: str, attempt: str, timeout: float, done: LedgerCallback) -> None:
+        """Ask leave to run the request under ``key``."""
+        client = self._client
+
+        async def run() -> None:
+            done(await client.begin(key, attempt, timeout))
+
+        self._spawn(run())
+
+    def cancel(self, key: str, attempt: str, timeout: float) -> None:
+        """Say that the attempt was never sent."""
+        self._spawn(_ignore(self._client.cancel(key, attempt, timeout)))
+
+    def complete(
+        self, key: str, attempt: str, answer: Answered, *, timeout: float, done: LedgerCallback
+    ) -> None:
+        """Record the whole answer of the attempt."""
+        client = self._client
+
+        async def run() -> None:
+            await client.complete(key, attempt, answer, timeout)
+            done(None)
+
+        self._spawn(run())
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+async def _ignore(work: Coroutine[Any, Any, bool]) -> None:
+    await work
