Platform list polling: hints that can't be taken for another machine's

Cause: the platform's list lags up to half a minute and may be wrong. A machine replaced at the same address must not lose its work to a hint about the one before it.

Control passes on only what is listed as leaving, with the time since when; a daemon applies it only to an incarnation that was linked before that, less the lag. Ruled out: sending the whole list, 110 KB to each of 1,100 daemons against a budget of 10 KB/s; comparing incarnations, which the platform and the daemons' processes count differently.

--- a/src/finchshed/control/node.py
+++ b/src/finchshed/control/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
 from finchshed.configuration.store import CommittedRevision
 from finchshed.consensus.options import RaftOptions
@@ -12,11 +13,13 @@
 from finchshed.control.operator_service import OperatorService
 from finchshed.control.peer_links import PeerLinks
 from finchshed.control.peer_messages import PeerHello
+from finchshed.control.platform_poller import PlatformPoller
 from finchshed.control.raft_host import RaftHost
 from finchshed.control.revisions import RevisionFeed
 from finchshed.control.rpc_server import RpcServer
 from finchshed.control.settings import ControlSettings
 from finchshed.control.state_machine import ControlStateMachine
+from finchshed.observability.admin import AdminServer, Health
 
 ELECTION_SPREAD = 2.0
 """The longest election timeout, as a multiple of the shortest."""
@@ -66,6 +69,8 @@
             membership=self._log,
         )
         self._rpc = RpcServer(service)
+        self._poller = PlatformPoller(settings, self._machine, self._distribution.send_hints)
+        self._admin = _make_admin(settings, self._health)
 
     async def start(self) -> None:
         """Take part in the group, then serve daemons and operators."""
@@ -74,6 +79,9 @@
         await self._distribution.start(self._settings.distribution_address)
         await self._rpc.start(self._settings.rpc_address)
         self._background.spawn(self._name_alternatives())
+        self._background.spawn(self._poller.run())
+        if self._admin is not None:
+            await self._admin.start()
 
     async def stop(self) -> None:
         """Finish requests in progress, hand leadership over and stop."""
@@ -83,6 +91,8 @@
         self._background.cancel()
         self._links.stop()
         await self._host.stop()
+        if self._admin is not None:
+            await self._admin.stop()
 
     async def _hand_over(self) -> None:
         """Transfer leadership, so that the group needs no election timeout."""
@@ -97,6 +107,11 @@
             self._distribution.set_alternatives(tuple(sorted(known.values())))
             await asyncio.sleep(ALTERNATIVES_SECONDS)
 
+    def _health(self) -> Health:
+        if self._log.in_contact():
+            return Health(healthy=True)
+        return Health(healthy=False, detail="no leader with a quorum is known")
+
     def _on_committed(self, committed: CommittedRevision) -> None:
         self._feed.on_committed(committed)
         self._distribution.on_committed(committed)
@@ -106,6 +121,12 @@
         self._distribution.on_restored()
 
 
+def _make_admin(settings: ControlSettings, health: Callable[[], Health]) -> AdminServer | None:
+    if not settings.admin_address:
+        return None
+    return AdminServer(settings.admin_address, health)
+
+
 def _options(settings: ControlSettings) -> RaftOptions:
     return RaftOptions(
         heartbeat_interval_seconds=settings.heartbeat_seconds,
--- a/src/finchshed/distribution/messages.py
+++ b/src/finchshed/distribution/messages.py
@@ -4,7 +4,6 @@
 ledger requests and reports flow up it.
 """
 
-import enum
 from typing import TypeAlias
 
 import msgspec
@@ -124,34 +123,36 @@
     request: int
 
 
-class PlatformState(enum.StrEnum):
-    """What the platform says of a machine."""
+class LeavingHint(msgspec.Struct, frozen=True):
+    """The platform lists the machine of an endpoint as leaving.
 
-    LIVE = "live"
-    LEAVING = "leaving"
-
-
-class PlatformInstance(msgspec.Struct, frozen=True):
-    """One machine of the platform's list.
-
-    ``incarnation`` changes when another machine takes the same name or address.
+    Attributes
+    ----------
+    endpoint
+        Name of the declared endpoint.
+    listed_seconds
+        How long ago, when the message was sent, control first read it.
     """
 
-    name: str
-    address: str
-    incarnation: str
-    state: PlatformState
+    endpoint: str
+    listed_seconds: float
 
 
 class Hints(msgspec.Struct, frozen=True, omit_defaults=True, tag="hints"):
-    """The platform's list as control last read it: whole, lagging, and only a hint.
+    """Endpoints that the platform lists as leaving, all of them; only a hint.
 
-    An endpoint missing from the list keeps serving. ``age_seconds`` is the list's age when the
-    message was sent.
+    The list lags by up to ``lag_seconds``, so a hint may mean an earlier machine at the same
+    address: it applies to a daemon's incarnation only if that was linked before the hint was
+    first listed, less the lag (:func:`applies_to`). An endpoint the platform doesn't list keeps
+    serving. A hint that is no longer sent is withdrawn.
     """
 
-    instances: tuple[PlatformInstance, ...]
-    age_seconds: float = 0.0
+    leaving: tuple[LeavingHint, ...]
+    lag_seconds: float
+
+    def applies_to(self, hint: LeavingHint, linked_seconds: float) -> bool:
+        """Whether ``hint`` means the incarnation that was linked ``linked_seconds`` ago."""
+        return linked_seconds > hint.listed_seconds + self.lag_seconds
 
 
 class ExplainRequest(msgspec.Struct, frozen=True, omit_defaults=True, tag="explain_request"):
