--- a/src/finchshed/observability/redaction.py
+++ b/src/finchshed/observability/redaction.py
@@ -7,7 +7,7 @@
 _SECRET_NAMES = r"(?:token|secret|password|passphrase|authorization|private[-_]?key|api[-_]?key)"
 
 _NAMED_SECRET = re.compile(
-    rf"(?i)([\"']?[\w-]*{_SECRET_NAMES}[\w-]*[\"']?\s*[=:]\s*)"
+    rf"(?i)({_SECRET_NAMES}[\w-]{{0,32}}[\"']?\s{{0,8}}[=:]\s{{0,8}})"
     r"(?:(?:bearer|basic)\s+)?(\"[^\"]*\"|'[^']*'|[^\s,;)}\]]+)"
 )
 _BEARER = re.compile(r"(?i)\b(bearer|basic)\s+[A-Za-z0-9._~+/=-]{4,}")
--- a/src/finchshed/observability/ring.py
+++ b/src/finchshed/observability/ring.py
@@ -78,7 +78,7 @@
         header = DumpHeader(
             program=self.program,
             node=self.node,
-            reason=redact(reason),
+            reason=_cut(reason),
             time=time.time(),
             records=len(self._records),
             dropped=self._total - len(self._records),
@@ -151,17 +151,28 @@
     sys.stderr.flush()
 
 
+def _cut(text: str) -> str:
+    """Bound ``text`` first, so that the search for secrets takes bounded time too."""
+    return redact(text[:MAX_TEXT_CHARACTERS])[:MAX_TEXT_CHARACTERS]
+
+
+def _field(name: str, value: object) -> object:
+    if not isinstance(value, bool | int | float):
+        value = str(value)[:MAX_TEXT_CHARACTERS]
+    return redact_field(name, value)
+
+
 def _sink(message: "Message") -> None:
     record = message.record
     exception = record["exception"]
-    fields = {str(key): redact_field(str(key), value) for key, value in record["extra"].items()}
+    fields = {str(key): _field(str(key), value) for key, value in record["extra"].items()}
     _ring.add(
         LogRecord(
             time=record["time"].timestamp(),
             level=record["level"].name,
             module=record["name"] or "",
-            message=redact(record["message"])[:MAX_TEXT_CHARACTERS],
+            message=_cut(record["message"]),
             fields=fields,  # type: ignore[arg-type]
-            error=redact(repr(exception.value))[:MAX_TEXT_CHARACTERS] if exception else "",
+            error=_cut(repr(exception.value)) if exception else "",
         )
     )
--- a/src/finchshed/settings/toml_file.py
+++ b/src/finchshed/settings/toml_file.py
@@ -25,7 +25,7 @@
     lines = text.splitlines()
     for _ in range(len(lines) + 1):
         try:
-            return tomllib.loads("\n".join(lines)), problems
+            return tomllib.loads("\n".join([*lines, ""])), problems
         except tomllib.TOMLDecodeError as error:
             problem = _duplicate_problem(path, lines, str(error))
             if problem is None:
