--- /dev/null
+++ b/src/finchshed/standins/command.py
@@ -0,0 +1,39 @@
+"""Command line of the stand-ins, which the fleet runner starts."""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Mapping
+from typing import Any
+
+import uvloop
+
+from finchshed.standins.backend import run_backend
+from finchshed.standins.caller import run_caller
+from finchshed.standins.platform import run_platform
+from finchshed.standins.settings import BackendSettings, CallerSettings, PlatformSettings, load
+
+
+def backend(settings: str) -> int:
+    """Run a stand-in back end until SIGTERM; SETTINGS is its TOML file."""
+    return _run(run_backend(load(BackendSettings, settings)))
+
+
+def caller(settings: str) -> int:
+    """Send all requests of a stand-in caller; SETTINGS is its TOML file."""
+    return _run(run_caller(load(CallerSettings, settings)))
+
+
+def platform(settings: str) -> int:
+    """Serve a lagging list of machines until SIGTERM; SETTINGS is its TOML file."""
+    return _run(run_platform(load(PlatformSettings, settings)))
+
+
+standin: Mapping[str, Callable[[str], int]] = {
+    "backend": backend,
+    "caller": caller,
+    "platform": platform,
+}
+
+
+def _run(program: Coroutine[Any, Any, int]) -> int:
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(program)
