--- a/src/finchshed/control/distribution_service.py
+++ b/src/finchshed/control/distribution_service.py
@@ -91,6 +91,10 @@
         """Pass the platform's list on to every daemon."""
         self._server.broadcast(hints)
 
+    def connected_daemons(self) -> int:
+        """Return the number of daemons connected here."""
+        return self._hub.subscriber_count()
+
     def status(self) -> DistributionStatus:
         """Return where which revision is in force, over all control nodes."""
         assert self._status is not None, "status is asked for before start"
--- a/src/finchshed/control/node.py
+++ b/src/finchshed/control/node.py
@@ -19,6 +19,7 @@
 from finchshed.control.rpc_server import RpcServer
 from finchshed.control.settings import ControlSettings
 from finchshed.control.state_machine import ControlStateMachine
+from finchshed.control.state_metrics import observe_state
 from finchshed.observability.admin import AdminServer, Health
 
 ELECTION_SPREAD = 2.0
@@ -80,6 +81,7 @@
         await self._rpc.start(self._settings.rpc_address)
         self._background.spawn(self._name_alternatives())
         self._background.spawn(self._poller.run())
+        self._background.spawn(observe_state(self._machine, self._distribution.connected_daemons))
         if self._admin is not None:
             await self._admin.start()
 
--- a/src/finchshed/ledger/ledger.py
+++ b/src/finchshed/ledger/ledger.py
@@ -103,6 +103,7 @@
         self._entries: dict[str, LedgerEntry] = {}
         self._by_issue: list[tuple[float, str]] = []
         self._total_answer_bytes = 0
+        self._counts: collections.Counter[KeyState] = collections.Counter()
         self.time = 0.0
         self.floor = 0.0
 
@@ -116,8 +117,7 @@
 
     def counts(self) -> dict[str, int]:
         """Return the number of keys in each state."""
-        counter = collections.Counter(entry.state for entry in self._entries.values())
-        return {state.name.lower(): counter[state] for state in KeyState}
+        return {state.name.lower(): self._counts[state] for state in KeyState}
 
     def advance(self, time: float, window_seconds: float) -> None:
         """Move the log's time forward to ``time`` and forget keys older than the window."""
@@ -126,6 +126,7 @@
         while self._by_issue and self._by_issue[0][0] < self.floor:
             _, key = heapq.heappop(self._by_issue)
             entry = self._entries.pop(key)
+            self._counts[entry.state] -= 1
             self._total_answer_bytes -= answer_bytes(entry.answer)
 
     def begin(self, key: str, attempt: str) -> LedgerResult:
@@ -160,7 +161,7 @@
             self._remember_cancelled(entry, attempt)
             return Noted()
         self._remember_cancelled(entry, attempt)
-        entry.state = KeyState.FREE
+        self._set_state(entry, KeyState.FREE)
         entry.attempt = ""
         return Noted()
 
@@ -171,7 +172,7 @@
             return NotHolder()
         if entry.state is KeyState.COMPLETED:
             return Noted()
-        entry.state = KeyState.COMPLETED
+        self._set_state(entry, KeyState.COMPLETED)
         size = answer_bytes(answer)
         fits = size <= self._limits.max_answer_bytes
         if fits and self._total_answer_bytes + size <= self._limits.max_total_answer_bytes:
@@ -192,6 +193,7 @@
         heapq.heapify(self._by_issue)
         entries = snapshot.entries.values()
         self._total_answer_bytes = sum(answer_bytes(entry.answer) for entry in entries)
+        self._counts = collections.Counter(entry.state for entry in entries)
 
     def _refusal_of_time(self, issued: float | None) -> LedgerRefusalReason | None:
         if issued is None:
@@ -209,6 +211,7 @@
     def _insert(self, key: str, issued: float) -> LedgerEntry:
         entry = LedgerEntry(issued=issued, state=KeyState.FREE)
         self._entries[key] = entry
+        self._counts[KeyState.FREE] += 1
         heapq.heappush(self._by_issue, (issued, key))
         return entry
 
@@ -219,10 +222,15 @@
             return Granted() if entry.attempt == attempt else OutcomeUnknown()
         if attempt in entry.cancelled:
             return LedgerRefusal(LedgerRefusalReason.ATTEMPT_CANCELLED)
-        entry.state = KeyState.BEGUN
+        self._set_state(entry, KeyState.BEGUN)
         entry.attempt = attempt
         return Granted()
 
+    def _set_state(self, entry: LedgerEntry, state: KeyState) -> None:
+        self._counts[entry.state] -= 1
+        self._counts[state] += 1
+        entry.state = state
+
     def _remember_cancelled(self, entry: LedgerEntry, attempt: str) -> None:
         entry.cancelled.append(attempt)
         del entry.cancelled[:-CANCELLED_ATTEMPTS_KEPT]
