--- a/src/finchshed/rpc/generate.py
+++ b/src/finchshed/rpc/generate.py
@@ -1,10 +1,13 @@
 """Generate the Python code of the schema (developers only; needs grpcio-tools).
 
 Run ``python -m finchshed.rpc.generate`` after a change of ``finchshed.proto``; the result is
-committed, so that a build needs no generator.
+committed, so that a build needs no generator. With ``--check`` nothing is written, and the exit
+code is 1 where the committed code doesn't match the schema.
 """
 
 import importlib
+import sys
+import tempfile
 from pathlib import Path
 
 SCHEMA = "finchshed.proto"
@@ -39,5 +42,32 @@
     service.write_text(text)
 
 
+def outdated_files() -> list[str]:
+    """Return the names of committed modules that differ from what the schema gives."""
+    with tempfile.TemporaryDirectory() as name:
+        fresh_folder = Path(name)
+        generate(fresh_folder)
+        return [
+            fresh.name
+            for fresh in sorted(fresh_folder.iterdir())
+            if not _is_same(fresh, GENERATED_FOLDER / fresh.name)
+        ]
+
+
+def _is_same(fresh: Path, committed: Path) -> bool:
+    return committed.exists() and committed.read_bytes() == fresh.read_bytes()
+
+
+def main(arguments: list[str]) -> int:
+    """Generate, or check with ``--check``; return the exit code."""
+    if "--check" not in arguments:
+        generate(GENERATED_FOLDER)
+        return 0
+    outdated = outdated_files()
+    for name in outdated:
+        print(f"{name} doesn't match {SCHEMA}: run python -m finchshed.rpc.generate")
+    return 1 if outdated else 0
+
+
 if __name__ == "__main__":
-    generate(GENERATED_FOLDER)
+    sys.exit(main(sys.argv[1:]))
