--- a/src/finchshed/control/settings.py
+++ b/src/finchshed/control/settings.py
@@ -4,14 +4,14 @@
 
 import msgspec
 
-from finchshed.configuration.resources import Address, Name
+from finchshed.settings.fields import (
+    ListenAddress,
+    Name,
+    NamedAddress,
+    OptionalListenAddress,
+    OptionalUrl,
+)
 
-MemberAddress = Annotated[
-    str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}=[0-9.]+:[0-9]{1,5}$")
-]
-"""A member of the control group, ``name=a.b.c.d:port``."""
-
-OptionalAddress = Annotated[str, msgspec.Meta(pattern=r"^([0-9.]+:[0-9]{1,5})?$")]
 Sha256 = Annotated[str, msgspec.Meta(pattern=r"^([0-9a-f]{64})?$")]
 
 
@@ -25,20 +25,20 @@
         str, msgspec.Meta(min_length=1, description="Folder for the log, snapshots and dumps.")
     ]
     raft_address: Annotated[
-        Address, msgspec.Meta(description="Listens for other control nodes, a.b.c.d:port.")
+        ListenAddress, msgspec.Meta(description="Listens for other control nodes, a.b.c.d:port.")
     ]
     distribution_address: Annotated[
-        Address, msgspec.Meta(description="Listens for daemons, a.b.c.d:port.")
+        ListenAddress, msgspec.Meta(description="Listens for daemons, a.b.c.d:port.")
     ]
     rpc_address: Annotated[
-        Address, msgspec.Meta(description="Listens for operators (gRPC), a.b.c.d:port.")
+        ListenAddress, msgspec.Meta(description="Listens for operators (gRPC), a.b.c.d:port.")
     ]
     admin_address: Annotated[
-        OptionalAddress,
+        OptionalListenAddress,
         msgspec.Meta(description="Serves metrics, health and the log ring; empty: not served."),
     ] = ""
     voters: Annotated[
-        tuple[MemberAddress, ...],
+        tuple[NamedAddress, ...],
         msgspec.Meta(
             description=(
                 "Voters of a new control group, name=a.b.c.d:port of their raft_address. Used "
@@ -48,7 +48,7 @@
         ),
     ] = ()
     peers: Annotated[
-        tuple[MemberAddress, ...],
+        tuple[NamedAddress, ...],
         msgspec.Meta(
             description="Other control nodes, so that a node with an empty disk is found."
         ),
@@ -63,9 +63,8 @@
         ),
     ] = ""
     platform_list_url: Annotated[
-        str,
+        OptionalUrl,
         msgspec.Meta(
-            pattern=r"^(http://.+)?$",
             description="The platform's list of live and leaving machines; empty: not read.",
         ),
     ] = ""
--- a/src/finchshed/daemon/settings.py
+++ b/src/finchshed/daemon/settings.py
@@ -8,13 +8,14 @@
 import msgspec
 from msgspec import Meta
 
-from finchshed.configuration.resources import Address, Name
-
-OptionalAddress = Annotated[str, Meta(pattern=r"^([0-9.]+:[0-9]{1,5})?$")]
-"""An IPv4 address and port, or empty for none."""
-
-OptionalName = Annotated[str, Meta(pattern=r"^([a-z0-9][a-z0-9._-]{0,62})?$")]
-"""A name as in the configuration, or empty for none."""
+from finchshed.settings.fields import (
+    Address,
+    ListenAddress,
+    Name,
+    OptionalAddress,
+    OptionalListenAddress,
+    OptionalName,
+)
 
 
 class DaemonSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -33,13 +34,13 @@
         OptionalAddress, Meta(description="HTTP address of the back end; empty on an edge.")
     ] = ""
     http_address: Annotated[
-        Address, Meta(description="HTTP listener for the local back end and outside callers.")
+        ListenAddress, Meta(description="HTTP listener for the local back end and outside callers.")
     ]
     link_address: Annotated[
-        Address, Meta(description="Listener for other daemons; the address in its endpoint.")
+        ListenAddress, Meta(description="Listener for other daemons; the address in its endpoint.")
     ]
     admin_address: Annotated[
-        OptionalAddress, Meta(description="Metrics, health and ring; empty for none.")
+        OptionalListenAddress, Meta(description="Metrics, health and ring; empty for none.")
     ] = ""
     control_addresses: Annotated[
         tuple[Address, ...],
