Back-end client on httptools: a late second answer finds nobody

A back end, or something between, that sends an answer twice leaves the second one on a connection that is kept. aiohttp's client session hands such bytes to the next request on that connection: in the test of a late doubled answer 3 of 10 callers got the answer to another request. Its connector can't be told to drop a connection that receives bytes while idle without reaching into private parts, so the low-level connector was ruled out too.

The new client uses asyncio's transport and the parser library that sanic already brings. A connection is given up on any byte nobody asked for, on a second answer in the same bytes, on a cut or malformed answer, and on cancellation. Requests that may not be repeated only use connections idle for less than a second.

--- a/src/finchshed/daemon/backend.py
+++ b/src/finchshed/daemon/backend.py
@@ -59,6 +59,7 @@
     body: bytes
     timeout_seconds: float
     max_answer_bytes: int
+    is_repeatable: bool = True
 
 
 BackendResult: TypeAlias = (
--- /dev/null
+++ b/src/finchshed/daemon/backend_connection.py
@@ -0,0 +1,218 @@
+"""One HTTP/1.1 connection to the back end; parsing is httptools' (llhttp).
+
+A connection carries one request at a time and is given up on anything that leaves doubt about
+whose answer comes next: a byte that nobody asked for, an error of the parser, a cut answer, a
+request that was cancelled.
+"""
+
+import asyncio
+import enum
+from collections.abc import Callable
+from typing import cast
+
+import httptools
+
+from finchshed.common.context import HEADER_RAN
+from finchshed.common.outcomes import Headers
+from finchshed.daemon.backend import (
+    BackendAnswer,
+    BackendAnswerTooLarge,
+    BackendBroken,
+    BackendResult,
+)
+from finchshed.daemon.request import end_to_end_headers
+
+STATUS_OK = 200
+STATUS_SERVICE_UNAVAILABLE = 503
+HEADER_DRAINING = b"finchshed-draining"
+MAX_HEAD_BYTES = 65_536
+
+_RAN = HEADER_RAN.encode("ascii")
+
+
+class ConnectionState(enum.Enum):
+    """What a connection is doing."""
+
+    IDLE = "idle"
+    AWAITING_ANSWER = "awaiting_answer"
+    CLOSED = "closed"
+
+
+class BackendConnection(asyncio.Protocol):
+    """A connection that is used for one request after the other.
+
+    Parameters
+    ----------
+    on_idle
+        Called when the connection can carry another request.
+    on_closed
+        Called when it can't any more.
+    """
+
+    def __init__(
+        self,
+        on_idle: Callable[["BackendConnection"], None],
+        on_closed: Callable[["BackendConnection"], None],
+    ) -> None:
+        self.state = ConnectionState.IDLE
+        self.idle_since = 0.0
+        self._on_idle = on_idle
+        self._on_closed = on_closed
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._on_result: Callable[[BackendResult], None] | None = None
+        self._is_head = False
+        self._max_answer_bytes = 0
+        self._start_answer()
+
+    def send(
+        self,
+        message: bytes,
+        *,
+        is_head: bool,
+        max_answer_bytes: int,
+        on_result: Callable[[BackendResult], None],
+    ) -> None:
+        """Send a request; the connection must be idle."""
+        assert self._transport is not None
+        self.state = ConnectionState.AWAITING_ANSWER
+        self._is_head = is_head
+        self._max_answer_bytes = max_answer_bytes
+        self._on_result = on_result
+        self._start_answer()
+        self._transport.write(message)
+
+    def abort(self) -> None:
+        """Close at once. The result of a request in progress is not told."""
+        self._on_result = None
+        self._close()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport (asyncio callback)."""
+        self._transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came in (asyncio callback)."""
+        if self.state is not ConnectionState.AWAITING_ANSWER:
+            self._close()
+            return
+        self._received += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._fail(f"malformed answer: {error}")
+        if not self._is_past_head and self._received > MAX_HEAD_BYTES:
+            self._fail("head too large")
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell what the end of the connection means (asyncio callback)."""
+        is_whole = exc is None and self._is_past_head and self._ends_with_connection
+        if self.state is ConnectionState.AWAITING_ANSWER and is_whole:
+            self._finish(self._answer())
+        else:
+            self._fail(f"connection closed: {exc or 'by the back end'}")
+        self._transport = None
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Note a second answer to one request."""
+        if self._is_complete:
+            self._is_in_doubt = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header."""
+        name = name.lower()
+        self._raw_headers.append((name, value))
+        if name in {b"content-length", b"transfer-encoding"}:
+            self._has_length = True
+
+    def on_headers_complete(self) -> None:
+        """Take the status; an interim answer (1xx) is skipped."""
+        if self._is_complete:
+            return
+        self._status = self._parser.get_status_code()
+        if self._status < STATUS_OK:
+            return
+        self._is_past_head = True
+        self._ends_with_connection = not self._has_length
+        if self._is_head:
+            self._is_in_doubt = True
+            self._complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a part of the body within its limit."""
+        if self._is_complete:
+            return
+        self._body_size += len(body)
+        if self._body_size <= self._max_answer_bytes:
+            self._body.append(body)
+        elif self._on_result is not None:
+            self._finish(BackendAnswerTooLarge())
+            self._close()
+
+    def on_message_complete(self) -> None:
+        """End the answer, or skip an interim one."""
+        if self._status < STATUS_OK:
+            self._raw_headers.clear()
+            self._has_length = False
+            return
+        if not self._is_complete and self._is_past_head:
+            self._complete()
+
+    def _start_answer(self) -> None:
+        self._raw_headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._body_size = 0
+        self._received = 0
+        self._status = 0
+        self._has_length = False
+        self._is_past_head = False
+        self._ends_with_connection = False
+        self._is_complete: bool = False
+        self._is_in_doubt = False
+
+    def _complete(self) -> None:
+        self._is_complete = True
+        # What follows in the same bytes decides whether the connection can be used again.
+        asyncio.get_running_loop().call_soon(self._release)
+        self._finish(self._answer())
+
+    def _release(self) -> None:
+        if self.state is ConnectionState.CLOSED:
+            return
+        if self._is_in_doubt or not self._parser.should_keep_alive():
+            self._close()
+            return
+        self.state = ConnectionState.IDLE
+        self._on_idle(self)
+
+    def _answer(self) -> BackendAnswer:
+        told = dict(self._raw_headers)
+        refused = self._status == STATUS_SERVICE_UNAVAILABLE and told.get(_RAN) == b"no"
+        headers: Headers = end_to_end_headers(self._raw_headers)
+        return BackendAnswer(
+            status=self._status,
+            headers=headers,
+            body=self._body[0] if len(self._body) == 1 else b"".join(self._body),
+            ran=not refused,
+            draining=told.get(HEADER_DRAINING) == b"1",
+        )
+
+    def _fail(self, detail: str) -> None:
+        self._finish(BackendBroken(detail))
+        self._close()
+
+    def _finish(self, result: BackendResult) -> None:
+        on_result = self._on_result
+        self._on_result = None
+        if on_result is not None:
+            on_result(result)
+
+    def _close(self) -> None:
+        if self.state is ConnectionState.CLOSED:
+            return
+        self.state = ConnectionState.CLOSED
+        if self._transport is not None:
+            self._transport.abort()
+        self._on_closed(self)
--- /dev/null
+++ b/src/finchshed/daemon/backend_http.py
@@ -0,0 +1,205 @@
+"""The client to the back end: a pool of connections, one request on each at a time."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from finchshed.common.outcomes import Headers
+from finchshed.daemon.backend import (
+    BackendRequest,
+    BackendResult,
+    BackendTimedOut,
+    BackendUnreached,
+)
+from finchshed.daemon.backend_connection import BackendConnection, ConnectionState
+
+IDLE_SECONDS = 15.0
+"""A connection unused for this long is not used again: the back end may be closing it."""
+
+IDLE_SECONDS_UNREPEATABLE = 1.0
+"""The same for requests that may not be repeated, where such a race leaves the outcome unknown."""
+
+METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
+
+
+class HttpBackend:
+    """Sends requests to the back end at ``address``.
+
+    Parameters
+    ----------
+    address
+        ``a.b.c.d:port`` of the back end.
+    max_connections
+        Connections kept at a time; a request past them is not sent.
+    connect_timeout_seconds
+        Time to open a connection.
+    """
+
+    def __init__(self, address: str, max_connections: int, connect_timeout_seconds: float) -> None:
+        self._address = address
+        host, _, port = address.rpartition(":")
+        self._host = host
+        self._port = int(port)
+        self._max_connections = max_connections
+        self._connect_timeout_seconds = connect_timeout_seconds
+        self._idle: list[BackendConnection] = []
+        self._open: set[BackendConnection] = set()
+        self._connecting = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def connections(self) -> int:
+        """Connections open or being opened."""
+        return len(self._open) + self._connecting
+
+    def send(
+        self, request: BackendRequest, on_result: Callable[[BackendResult], None]
+    ) -> Callable[[], object]:
+        """Send a request; ``on_result`` is called at most once, later. Return what cancels it."""
+        exchange = Exchange(self, request, on_result)
+        connection = self._take_idle(request.is_repeatable)
+        if connection is not None:
+            exchange.send_on(connection)
+        elif self.connections >= self._max_connections:
+            exchange.fail_later(BackendUnreached("no connection is free"))
+        else:
+            self._connecting += 1
+            task = asyncio.get_running_loop().create_task(self._connect(exchange))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        return exchange.cancel
+
+    def encode(self, request: BackendRequest) -> bytes | None:
+        """Return the bytes of a request, or None where they would say something else."""
+        return encode_request(request, self._address)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        for connection in list(self._open):
+            connection.abort()
+
+    def _take_idle(self, is_repeatable: bool) -> BackendConnection | None:
+        allowed = IDLE_SECONDS if is_repeatable else IDLE_SECONDS_UNREPEATABLE
+        oldest = time.monotonic() - allowed
+        idle = self._idle
+        if not idle:
+            return None
+        connection = idle.pop()
+        if connection.idle_since >= oldest:
+            return connection
+        # It was used last, so every other one has been idle for longer still.
+        idle.append(connection)
+        if is_repeatable:
+            for old in list(idle):
+                old.abort()
+        return None
+
+    async def _connect(self, exchange: "Exchange") -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(self._connect_timeout_seconds):
+                _, connection = await loop.create_connection(
+                    lambda: BackendConnection(self._on_idle, self._on_closed),
+                    self._host,
+                    self._port,
+                )
+        except (OSError, TimeoutError) as error:
+            exchange.end(BackendUnreached(f"connect: {error or 'timed out'}"))
+            return
+        finally:
+            self._connecting -= 1
+        self._open.add(connection)
+        if exchange.is_over:
+            self._on_idle(connection)
+        else:
+            exchange.send_on(connection)
+
+    def _on_idle(self, connection: BackendConnection) -> None:
+        connection.idle_since = time.monotonic()
+        self._idle.append(connection)
+
+    def _on_closed(self, connection: BackendConnection) -> None:
+        self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+
+class Exchange:
+    """One request and its result."""
+
+    def __init__(
+        self,
+        backend: HttpBackend,
+        request: BackendRequest,
+        on_result: Callable[[BackendResult], None],
+    ) -> None:
+        self.is_over = False
+        self._backend = backend
+        self._request = request
+        self._on_result = on_result
+        self._connection: BackendConnection | None = None
+        self._timer = asyncio.get_running_loop().call_later(
+            max(0.0, request.timeout_seconds), self._on_timeout
+        )
+
+    def send_on(self, connection: BackendConnection) -> None:
+        """Send the request on an idle connection."""
+        message = self._backend.encode(self._request)
+        if message is None or connection.state is not ConnectionState.IDLE:
+            connection.abort()
+            detail = "malformed header" if message is None else "connection closed before the send"
+            self.fail_later(BackendUnreached(detail))
+            return
+        self._connection = connection
+        connection.send(
+            message,
+            is_head=self._request.method == "HEAD",
+            max_answer_bytes=self._request.max_answer_bytes,
+            on_result=self.end,
+        )
+
+    def fail_later(self, result: BackendResult) -> None:
+        """Tell ``result`` once the caller of :meth:`HttpBackend.send` has returned."""
+        asyncio.get_running_loop().call_soon(self.end, result)
+
+    def cancel(self) -> None:
+        """Give the request up; its connection is closed and no result is told."""
+        if not self._settle():
+            return
+        if self._connection is not None:
+            self._connection.abort()
+
+    def end(self, result: BackendResult) -> None:
+        """Tell the result."""
+        if self._settle():
+            self._on_result(result)
+
+    def _on_timeout(self) -> None:
+        connection = self._connection
+        if connection is None:
+            self.end(BackendUnreached("no time left to send"))
+            return
+        self.end(BackendTimedOut())
+        connection.abort()
+
+    def _settle(self) -> bool:
+        if self.is_over:
+            return False
+        self.is_over = True
+        self._timer.cancel()
+        return True
+
+
+def encode_request(request: BackendRequest, host: str) -> bytes | None:
+    """Return the bytes of ``request``, or None if a field holds a line break."""
+    lines = [f"{request.method} {request.path} HTTP/1.1\r\nhost: {host}"]
+    headers: Headers = request.headers
+    lines += [f"{name}: {value}" for name, value in headers]
+    if request.body or request.method in METHODS_WITH_BODY:
+        lines.append(f"content-length: {len(request.body)}")
+    lines.append("\r\n")
+    head = "\r\n".join(lines)
+    breaks = len(lines) + 1
+    if head.count("\n") != breaks or head.count("\r") != breaks or "\0" in head:
+        return None
+    return head.encode("latin-1") + request.body
--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -222,6 +222,7 @@
             body=call.body,
             timeout_seconds=remaining,
             max_answer_bytes=work.max_body_bytes,
+            is_repeatable=work.repeatable,
         )
         work.cancel_backend = self._backend.send(
             request, lambda result: self._on_backend_result(work, result)
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -11,11 +11,11 @@
 from aiohttp import web
 from loguru import logger
 
-from finchshed.common.outcomes import RefusalReason
+from finchshed.common.outcomes import RefusalReason, Refused
 from finchshed.configuration.resources import Endpoint
 from finchshed.daemon import metrics
 from finchshed.daemon.accounts import ServedRequest, ServedRequests
-from finchshed.daemon.backend_aiohttp import AiohttpBackend
+from finchshed.daemon.backend_http import HttpBackend
 from finchshed.daemon.callee import Callee
 from finchshed.daemon.caller import Caller
 from finchshed.daemon.catalogue import Catalogue
@@ -32,7 +32,8 @@
 from finchshed.distribution.messages import Delta
 from finchshed.distribution.snapshot import Configuration
 from finchshed.link.listener import AcceptedLink, LinkListener
-from finchshed.link.messages import Call, Hello, LoadReport
+from finchshed.link.messages import Call, Hello, LoadReport, Reply
+from finchshed.retry.policy import retry_after
 from finchshed.routing.table import RoutingTable
 
 TICK_SECONDS = 0.02
@@ -58,9 +59,14 @@
         self._caller = Caller(self._table, self._links, self._served, self._rng)
         spool = SpoolBudget(settings.max_spooled_bytes)
         self._front = Front(self._caller, self._served, spool, self._rng, self._why_not)
-        self._listener = LinkListener(self, settings.peer_networks, 2 * settings.silence_seconds)
+        self._listener = LinkListener(
+            self,
+            settings.peer_networks,
+            silence_seconds=2 * settings.silence_seconds,
+            max_unsent_bytes=settings.max_unsent_bytes,
+        )
         self._driver = self._make_driver()
-        self._backend: AiohttpBackend | None = None
+        self._backend: HttpBackend | None = None
         self._callee = self._make_callee()
         self._servers: list[asyncio.Server] = []
         self._http: web.Server | None = None
@@ -178,9 +184,13 @@
         return self._callee.load_report()
 
     def call_received(self, link: AcceptedLink, call: Call) -> None:
-        """Take a call of another daemon."""
+        """Take a call of another daemon; an edge has nothing to answer it with."""
         if self._callee is not None:
             self._callee.take(link, call)
+            return
+        refused = Refused(RefusalReason.UNKNOWN_ROUTE, retry_after(0.0, self._rng))
+        spare = call.context.spare_attempts
+        link.reply(Reply(call.epoch, call.call, refused, spare, self.load_report()))
 
     def call_cancelled(self, link: AcceptedLink, call: int) -> None:
         """Drop a call of another daemon."""
@@ -240,7 +250,7 @@
         settings = self._settings
         if not settings.backend_address:
             return None
-        self._backend = AiohttpBackend(
+        self._backend = HttpBackend(
             settings.backend_address, settings.max_connections, settings.connect_timeout_seconds
         )
         guarded = GuardedRuns(settings, ControlLedger(self._driver.client), self._rng)
@@ -306,4 +316,11 @@
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        """Surface the error of a task that was to run as long as the daemon."""
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            context = {"message": "a daemon's task ended", "exception": error}
+            asyncio.get_running_loop().call_exception_handler(context)
--- a/src/finchshed/link/listener.py
+++ b/src/finchshed/link/listener.py
@@ -66,8 +66,11 @@
 class AcceptedLink:
     """One connection a peer opened."""
 
-    def __init__(self, lines: LineProtocol[PeerMessage], owner: ListenerOwner) -> None:
+    def __init__(
+        self, lines: LineProtocol[PeerMessage], owner: ListenerOwner, max_unsent_bytes: int
+    ) -> None:
         self.lines = lines
+        self._max_unsent_bytes = max_unsent_bytes
         self.peer: Hello | None = None
         self.calls: set[int] = set()
         self.last_received_at = 0.0
@@ -76,10 +79,17 @@
         self._seen_revision = 0
 
     def reply(self, reply: Reply) -> bool:
-        """Send the reply, unless the call was given up on or the link is gone."""
+        """Send the reply, unless the call was given up on or the link is gone.
+
+        A peer that takes no replies loses its link rather than fill this process's memory.
+        """
         if reply.call not in self.calls:
             return False
         self.calls.discard(reply.call)
+        if self.lines.unsent_bytes() > self._max_unsent_bytes:
+            LINKS_REFUSED.labels("full").inc()
+            self.lines.abort()
+            return False
         return self.lines.send(reply) > 0
 
     @property
@@ -177,14 +187,22 @@
         Networks (CIDR) connections are taken from.
     silence_seconds
         A link that carries nothing for this long is closed: callers send heartbeats.
+    max_unsent_bytes
+        A link with more replies than this not taken by the peer is closed.
     """
 
     def __init__(
-        self, owner: ListenerOwner, networks: Sequence[str], silence_seconds: float
+        self,
+        owner: ListenerOwner,
+        networks: Sequence[str],
+        *,
+        silence_seconds: float,
+        max_unsent_bytes: int,
     ) -> None:
         self._owner = owner
         self._networks = [ipaddress.ip_network(network) for network in networks]
         self._silence_seconds = silence_seconds
+        self._max_unsent_bytes = max_unsent_bytes
         self._links: dict[LineProtocol[PeerMessage], AcceptedLink] = {}
 
     def make_protocol(self) -> asyncio.Protocol:
@@ -210,7 +228,7 @@
         if not self._is_allowed(lines.peer_address):
             self._refuse(lines, "network")
             return
-        link = AcceptedLink(lines, self._owner)
+        link = AcceptedLink(lines, self._owner, self._max_unsent_bytes)
         link.last_received_at = asyncio.get_running_loop().time()
         self._links[lines] = link
         LINKS_ACCEPTED.inc()
--- /dev/null
+++ b/src/finchshed/observability/admin.py
@@ -0,0 +1,118 @@
+"""The admin endpoint of a process: /metrics, /healthz, /ring, and what the program adds.
+
+It is served by aiohttp's low-level server inside the program's loop, so a process has one loop
+and starts no worker of any kind.
+"""
+
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any, TypeAlias
+
+import msgspec
+from aiohttp import web
+from loguru import logger
+from prometheus_client import REGISTRY, CollectorRegistry
+from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
+
+from finchshed.observability import ring
+from finchshed.observability.process_metrics import RING_RECORDS
+
+Handler: TypeAlias = Callable[[Mapping[str, str]], Awaitable[msgspec.Struct]]
+"""Answers a GET with a struct, from the query's parameters."""
+
+
+class Health(msgspec.Struct, frozen=True):
+    """Answer of /healthz. ``detail`` says what an unhealthy process waits for."""
+
+    healthy: bool
+    detail: str = ""
+
+
+class RingDumped(msgspec.Struct, frozen=True):
+    """Answer of POST /ring. ``path`` is empty where the ring went to standard error."""
+
+    path: str
+
+
+class Problem(msgspec.Struct, frozen=True):
+    """Answer to a request that can't be served."""
+
+    problem: str
+
+
+@dataclass(slots=True)
+class AdminServer:
+    """Serves a process's state to operators and to monitoring.
+
+    Parameters
+    ----------
+    address
+        ``a.b.c.d:port`` to bind; port 0 for any free one.
+    health
+        Tells whether the process does its work.
+    handlers
+        Further paths of the program, answered with JSON.
+    registry
+        Metrics served.
+    """
+
+    address: str
+    health: Callable[[], Health]
+    handlers: Mapping[str, Handler] = field(default_factory=dict)
+    registry: CollectorRegistry = REGISTRY
+    _runner: web.ServerRunner | None = None
+
+    async def start(self) -> str:
+        """Bind and serve; return the address bound."""
+        host, _, port = self.address.rpartition(":")
+        server = web.Server(self._serve, access_log=None)
+        self._runner = web.ServerRunner(server)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, host, int(port))
+        await site.start()
+        bound = self._runner.addresses[0]
+        return f"{bound[0]}:{bound[1]}"
+
+    async def stop(self) -> None:
+        """Stop serving."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        try:
+            return await self._route(request)
+        except Exception as error:
+            logger.opt(exception=error).error("admin request {} failed", request.path)
+            return _json(Problem(problem=repr(error)), status=500)
+
+    async def _route(self, request: web.BaseRequest) -> web.StreamResponse:
+        match request.method, request.path:
+            case "GET", "/metrics":
+                return self._metrics()
+            case "GET", "/healthz":
+                health = self.health()
+                return _json(health, status=200 if health.healthy else 503)
+            case "GET", "/ring":
+                return _lines(ring.current().encode("asked for over HTTP"))
+            case "POST", "/ring":
+                path = ring.dump("asked for by an operator")
+                return _json(RingDumped(path=str(path) if path else ""))
+            case "GET", path if path in self.handlers:
+                return _json(await self.handlers[path](dict(request.query)))
+            case _:
+                return _json(Problem(problem="no such path or method"), status=404)
+
+    def _metrics(self) -> web.Response:
+        RING_RECORDS.set(len(ring.current().records()))
+        body = generate_latest(self.registry)
+        return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
+
+
+def _json(message: Any, status: int = 200) -> web.Response:
+    body = msgspec.json.encode(message)
+    return web.Response(body=body, status=status, content_type="application/json")
+
+
+def _lines(body: bytes) -> web.Response:
+    return web.Response(body=body, content_type="application/x-ndjson")
--- /dev/null
+++ b/src/finchshed/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""The shell of a production process: event loop, signals, planned stop, faults."""
--- /dev/null
+++ b/src/finchshed/runtime/process.py
@@ -0,0 +1,122 @@
+"""Runs one program in a uvloop event loop until it is told to stop."""
+
+import asyncio
+import signal
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
+
+import uvloop
+from loguru import logger
+
+from finchshed.cli.exit_codes import ExitCode
+from finchshed.common.errors import FinchshedError, InvariantError
+from finchshed.observability import ring
+from finchshed.observability.invariants import FaultMonitor
+from finchshed.observability.process_checks import require_no_io_uring
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+"""Signals that ask for a planned stop; a second one stops without waiting."""
+
+DUMP_SIGNAL = signal.SIGUSR1
+
+
+class ProcessControl:
+    """What a program's main coroutine learns of its process.
+
+    Attributes
+    ----------
+    stop_requested
+        Set once on the first stop signal: begin the planned stop and return when it is done.
+    faults
+        Reports a broken invariant found outside of a loop callback.
+    """
+
+    def __init__(self, faults: FaultMonitor) -> None:
+        self.stop_requested = asyncio.Event()
+        self.faults = faults
+
+    def request_stop(self) -> None:
+        """Ask for a planned stop."""
+        self.stop_requested.set()
+
+
+class Main(Protocol):
+    """A program: serves until ``control.stop_requested`` is set, then stops as planned."""
+
+    def __call__(self, control: ProcessControl) -> Coroutine[Any, Any, None]:
+        """Run the program."""
+
+
+def run_process(main: Main, program: str, node: str, data_folder: str | None = None) -> int:
+    """Run ``main`` in a fresh uvloop loop and return the process's exit code.
+
+    The ring is set up, the loop checked for an io_uring, signals handled: SIGTERM and SIGINT ask
+    for a planned stop (a second one stops at once), SIGUSR1 writes the ring out.
+    """
+    ring.configure(program, node, data_folder)
+    loop = uvloop.new_event_loop()
+    try:
+        asyncio.set_event_loop(loop)
+        return _run(loop, main, f"{program} {node}")
+    finally:
+        _close(loop)
+
+
+def _run(loop: asyncio.AbstractEventLoop, main: Main, title: str) -> int:
+    broken: list[InvariantError] = []
+    task: asyncio.Task[None] | None = None
+
+    def stop_broken(error: InvariantError) -> None:
+        broken.append(error)
+        if task is not None:
+            task.cancel()
+
+    faults = FaultMonitor(stop_broken)
+    faults.install(loop)
+    control = ProcessControl(faults)
+    try:
+        require_no_io_uring()
+        task = loop.create_task(main(control))
+        _handle_signals(loop, control, task.cancel)
+        ring.announce(f"{title}: started")
+        loop.run_until_complete(task)
+    except InvariantError as error:
+        faults.report_broken(error)
+    except asyncio.CancelledError:
+        logger.warning("stopped without waiting")
+    except FinchshedError as error:
+        ring.announce(f"{title}: can't go on: {error}")
+        return ExitCode.FAILED
+    except Exception as error:
+        logger.opt(exception=error).critical("unexpected error: {!r}", error)
+        ring.dump(f"unexpected error: {error!r}")
+        ring.announce(f"{title}: stopped by an unexpected error: {error!r}")
+        return ExitCode.FAULT
+    if broken:
+        ring.announce(f"{title}: stopped by a broken invariant: {broken[0]}")
+        return ExitCode.FAULT
+    ring.announce(f"{title}: stopped")
+    return ExitCode.OK
+
+
+def _handle_signals(
+    loop: asyncio.AbstractEventLoop, control: ProcessControl, stop_now: Callable[[], object]
+) -> None:
+    def on_stop_signal() -> None:
+        if control.stop_requested.is_set():
+            stop_now()
+        control.request_stop()
+
+    for stop_signal in STOP_SIGNALS:
+        loop.add_signal_handler(stop_signal, on_stop_signal)
+    loop.add_signal_handler(DUMP_SIGNAL, lambda: ring.dump("asked for by signal"))
+
+
+def _close(loop: asyncio.AbstractEventLoop) -> None:
+    tasks = asyncio.all_tasks(loop)
+    for task in tasks:
+        task.cancel()
+    loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+    loop.run_until_complete(loop.shutdown_asyncgens())
+    asyncio.set_event_loop(None)
+    loop.close()
--- /dev/null
+++ b/tests/daemon/deployment.py
@@ -0,0 +1,149 @@
+"""A small deployment for tests: control, back ends with their daemons, and an edge."""
+
+import asyncio
+import random
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass
+
+import aiohttp
+
+from finchshed.common.context import HEADER_IDEMPOTENCY_KEY, HEADER_SERVICE
+from finchshed.configuration.resources import Endpoint, Policy, Resource, Route, Service
+from finchshed.ledger.keys import new_key
+from tests.daemon.processes import DaemonProcess
+from tests.daemon.scripted_backend import Handler, ScriptedBackend, echo
+from tests.daemon.scripted_control import ScriptedControl
+
+SERVICE = "licence"
+MAX_BODY_BYTES = 100_000
+POLL_SECONDS = 0.005
+
+SERVICE_DECLARATION = Service(
+    name=SERVICE,
+    routes=(
+        Route(prefix="/"),
+        Route(prefix="/buy", repeatable=False),
+        Route(prefix="/session", session=True),
+    ),
+    deadline_seconds=5.0,
+    max_body_bytes=MAX_BODY_BYTES,
+    max_sessions=4,
+    session_idle_seconds=1.0,
+)
+
+
+@dataclass(frozen=True)
+class Answer:
+    """What an outside caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def ran(self) -> str:
+        """Whether the request ran, as told; empty for an answer of the back end."""
+        return self.headers.get("finchshed-ran", "")
+
+    @property
+    def reason(self) -> str:
+        """The reason told, or empty."""
+        return self.headers.get("finchshed-reason", "")
+
+
+@dataclass
+class Deployment:
+    """Running parts."""
+
+    control: ScriptedControl
+    backends: list[ScriptedBackend]
+    daemons: list[DaemonProcess]
+    edge: DaemonProcess
+    session: aiohttp.ClientSession
+
+    async def ask(
+        self, path: str, method: str = "GET", body: bytes = b"", **headers: str
+    ) -> Answer:
+        """Send a request through the edge; underscores in header names stand for hyphens."""
+        sent = {HEADER_SERVICE: SERVICE}
+        sent.update({name.replace("_", "-"): value for name, value in headers.items()})
+        url = f"http://{self.edge.http_address}{path}"
+        async with self.session.request(method, url, data=body or None, headers=sent) as response:
+            told = {name.lower(): value for name, value in response.headers.items()}
+            return Answer(response.status, told, await response.read())
+
+    async def buy(self, key: str, path: str = "/buy/1") -> Answer:
+        """Send a request that may not be repeated."""
+        return await self.ask(path, "POST", b"order", **{HEADER_IDEMPOTENCY_KEY: key})
+
+    def runs(self, path: str) -> int:
+        """Return how often the back ends were sent ``path``."""
+        return sum(backend.paths().count(path) for backend in self.backends)
+
+
+async def eventually(condition: Callable[[], object], seconds: float = 5.0) -> None:
+    """Wait until ``condition`` holds; fail if it doesn't in time."""
+    for _ in range(int(seconds / POLL_SECONDS)):
+        if condition():
+            return
+        await asyncio.sleep(POLL_SECONDS)
+    raise AssertionError("the condition did not come to hold")
+
+
+_keys = random.Random(7)
+
+
+def make_key(age_seconds: float = 0.0) -> str:
+    """Return a new idempotency key."""
+    return new_key(time.time() - age_seconds, _keys)
+
+
+def resources_for(
+    daemons: list[DaemonProcess], service: Service = SERVICE_DECLARATION, retry_budget: int = 3
+) -> tuple[Resource, ...]:
+    """Return the configuration that declares ``daemons``."""
+    endpoints = [
+        Endpoint(
+            name=daemon.node,
+            service=SERVICE,
+            region=daemon.region,
+            zone=daemon.zone,
+            address=daemon.link_address,
+            slots=8,
+        )
+        for daemon in daemons
+    ]
+    return (service, Policy(retry_budget=retry_budget), *endpoints)
+
+
+@asynccontextmanager
+async def deployment(
+    *handlers: Handler,
+    flags: dict[str, str] | None = None,
+    retry_budget: int = 3,
+) -> AsyncIterator[Deployment]:
+    """Run one back end and daemon for each handler (by default one that echoes), and an edge."""
+    async with AsyncExitStack() as stack:
+        control = await stack.enter_async_context(ScriptedControl(()))
+        backends = []
+        daemons = []
+        for number, handler in enumerate(handlers or (echo,), start=1):
+            backend = await stack.enter_async_context(ScriptedBackend(handler))
+            backends.append(backend)
+            daemons.append(
+                DaemonProcess(
+                    node=f"licence-{number}",
+                    control_address=control.address,
+                    service=SERVICE,
+                    backend_address=backend.address,
+                    flags=flags or {},
+                )
+            )
+        control.resources = resources_for(daemons, retry_budget=retry_budget)
+        edge = DaemonProcess(node="edge", control_address=control.address, flags=flags or {})
+        for daemon in [*daemons, edge]:
+            await stack.enter_async_context(daemon)
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        yield Deployment(control, backends, daemons, edge, session)
--- a/tests/daemon/processes.py
+++ b/tests/daemon/processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import random
 import signal
 import socket
 import sys
@@ -13,13 +14,32 @@
 SOURCE = Path(__file__).parents[2] / "src"
 START_SECONDS = 20.0
 STOP_SECONDS = 20.0
+PORT_RANGE = (12_000, 32_000)
+
+_ports = random.SystemRandom()
+_holders: list[socket.socket] = []
 
 
 def free_address() -> str:
-    """Return an address nobody listens on at this time."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return an address that is kept for daemons of this test run.
+
+    The port lies below the range that outgoing connections draw from, and stays bound here with
+    SO_REUSEPORT, as daemons bind theirs, so that nobody else takes it before the daemon does.
+    """
+    while True:
+        holder = socket.socket()
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        address = ("127.0.0.1", _ports.randrange(*PORT_RANGE))
+        try:
+            with socket.socket() as probe:
+                probe.bind(address)
+            holder.bind(address)
+        except OSError:
+            holder.close()
+            continue
+        _holders.append(holder)
+        return f"{address[0]}:{address[1]}"
 
 
 @dataclass
--- a/tests/daemon/scripted_backend.py
+++ b/tests/daemon/scripted_backend.py
@@ -57,6 +57,7 @@
                 watching = asyncio.ensure_future(_closed(reader))
                 await asyncio.wait({answering, watching}, return_when=asyncio.FIRST_COMPLETED)
                 watching.cancel()
+                await asyncio.wait({watching})
                 if not answering.done():
                     self.closed_early += 1
                     answering.cancel()
