--- a/src/finchshed/bench/measures.py
+++ b/src/finchshed/bench/measures.py
@@ -13,6 +13,8 @@
 
 RECOVERY_WINDOW_SECONDS: Final = 0.5
 RECOVERY_STEP_SECONDS: Final = 0.05
+RECOVERY_SUSTAINED_SECONDS: Final = 2.0
+TIMELINE_STEP_SECONDS: Final = 0.25
 RECOVERED_SHARE: Final = 0.95
 STATUS_OK: Final = 200
 
@@ -57,11 +59,15 @@
     goodput_by_kind, offered_by_kind
         Whole requests answered, and root requests arrived, per second of the overload.
     recovery_seconds
-        Time from the end of the trigger to 95% of the goodput before it; infinite if the run ends
-        sooner.
+        Time from the end of the trigger to 95% of the goodput before it, from then on; None if the
+        run ends sooner.
     attempts_mean, attempts_max
         Runs at the deepest service, per visit that the call graph asks for, over root requests
         that reached it.
+    answered_share_by_kind
+        Of the root requests that arrived during the overload, the share answered in the end.
+    timeline
+        Whole answers in each quarter of a second, by kind.
     wasted_share
         Part of the back ends' running time that went into requests not answered whole.
     """
@@ -69,13 +75,15 @@
     offered_by_kind: dict[str, float]
     goodput_by_kind: dict[str, float]
     goodput_before: float
-    recovery_seconds: float
+    recovery_seconds: float | None
     attempts_mean: float
     attempts_max: float
     wasted_share: float
     client_attempts_mean: float
     latency_p50: float
     latency_p99: float
+    answered_share_by_kind: dict[str, float]
+    timeline: dict[str, list[int]]
 
 
 def roots_of(events: Iterable[Event], deep_service: str) -> dict[str, RootRecord]:
@@ -151,14 +159,19 @@
         client_attempts_mean=sum(r.client_attempts for r in roots.values()) / max(len(roots), 1),
         latency_p50=_quantile(latencies, 0.5),
         latency_p99=_quantile(latencies, 0.99),
+        answered_share_by_kind=_answered_share_by_kind(roots, overload),
+        timeline=_timeline(roots, plan.end),
     )
 
 
-def recovery_seconds(finished: list[float], before: float, trigger_end: float, end: float) -> float:
-    """Return the time from ``trigger_end`` until goodput is 95% of ``before``, or infinity.
+def recovery_seconds(
+    finished: list[float], before: float, trigger_end: float, end: float
+) -> float | None:
+    """Return the time from ``trigger_end`` until goodput is 95% of ``before`` and stays there.
 
-    Goodput is counted in windows of half a second; the time counted is up to the window's end, so
-    the smallest figure is half a second.
+    Goodput is counted in windows of half a second; the time is that of the first good window's
+    end, so the smallest figure is half a second. A burst of repeats that answers much for a moment
+    is no recovery: the mean over the sustained time from the window's start must be good as well.
 
     Parameters
     ----------
@@ -166,14 +179,21 @@
         Sorted times of whole answers.
     before
         Answers per second before the trigger.
+
+    Returns
+    -------
+    float or None
+        Seconds, or None if goodput doesn't recover until ``end``.
     """
-    needed = RECOVERED_SHARE * before * RECOVERY_WINDOW_SECONDS
+    needed = RECOVERED_SHARE * before
     start = trigger_end
-    while start + RECOVERY_WINDOW_SECONDS <= end:
-        if _count(finished, Period(start, start + RECOVERY_WINDOW_SECONDS)) >= needed:
-            return start + RECOVERY_WINDOW_SECONDS - trigger_end
+    while start + RECOVERY_SUSTAINED_SECONDS <= end:
+        window = Period(start, start + RECOVERY_WINDOW_SECONDS)
+        sustained = Period(start, start + RECOVERY_SUSTAINED_SECONDS)
+        if all(_count(finished, span) >= needed * span.seconds for span in (window, sustained)):
+            return window.end - trigger_end
         start += RECOVERY_STEP_SECONDS
-    return math.inf
+    return None
 
 
 def _count(times: list[float], period: Period) -> int:
@@ -189,6 +209,27 @@
     return {kind: count / period.seconds for kind, count in sorted(counts.items())}
 
 
+def _answered_share_by_kind(roots: dict[str, RootRecord], period: Period) -> dict[str, float]:
+    """Return, of the requests that arrived in ``period``, the share answered in the end."""
+    arrived: dict[str, int] = defaultdict(int)
+    answered: dict[str, int] = defaultdict(int)
+    for root in roots.values():
+        if period.start <= root.arrived < period.end:
+            arrived[root.kind] += 1
+            answered[root.kind] += root.good
+    return {kind: answered[kind] / count for kind, count in sorted(arrived.items())}
+
+
+def _timeline(roots: dict[str, RootRecord], end: float) -> dict[str, list[int]]:
+    steps = math.ceil(end / TIMELINE_STEP_SECONDS)
+    timeline: dict[str, list[int]] = {}
+    for root in roots.values():
+        counts = timeline.setdefault(root.kind, [0] * steps)
+        if root.finished < end:
+            counts[int(root.finished / TIMELINE_STEP_SECONDS)] += 1
+    return dict(sorted(timeline.items()))
+
+
 def _wasted_share(events: Iterable[Event], roots: dict[str, RootRecord]) -> float:
     began: dict[str, RunBegan] = {}
     total = 0.0
