--- a/src/finchshed/admission/rank.py
+++ b/src/finchshed/admission/rank.py
@@ -31,7 +31,10 @@
 
 def rank_of(context: CallContext) -> int:
     """Return the rank of a request, 0 to ``RANKS - 1``; lower ranks are shed first."""
-    rank = (context.importance << _IMPORTANCE_SHIFT) | position_of(context.root)
+    position = context.position
+    if position < 0:
+        position = position_of(context.root)
+    rank = (context.importance << _IMPORTANCE_SHIFT) | position
     return rank | _SESSION_BIT if context.session else rank
 
 
--- a/src/finchshed/common/context.py
+++ b/src/finchshed/common/context.py
@@ -20,6 +20,9 @@
 HEADER_IMPORTANCE = "finchshed-importance"
 """Importance of the root request, as a decimal number."""
 
+HEADER_POSITION = "finchshed-position"
+"""Position of the root request within its importance class, as a decimal number."""
+
 HEADER_SESSION = "finchshed-session"
 """Identity of the session the request belongs to, if any."""
 
@@ -29,6 +32,12 @@
 HEADER_CALLER = "finchshed-caller"
 """Identity of the outside caller, used for fairness within a class."""
 
+HEADER_DOWNSTREAM = "finchshed-downstream"
+"""On a server error: reason why a call the back end made for this request was not answered.
+
+Set by the daemon beside the back end, which saw that call end; the back end is not at fault.
+"""
+
 HEADER_RAN = "finchshed-ran"
 """On a refusal or failure: ``no`` or ``unknown``."""
 
@@ -64,6 +73,9 @@
         Identity of the session, or empty.
     key
         Idempotency key of a request that may not be repeated, or empty.
+    position
+        Position of the root request within its class, set where it enters so that callers of one
+        class get fair shares (see :mod:`finchshed.admission.fairness`); -1 if not set.
     """
 
     root: str
@@ -74,3 +86,4 @@
     caller: str = ""
     session: str = ""
     key: str = ""
+    position: int = -1
--- a/src/finchshed/common/results.py
+++ b/src/finchshed/common/results.py
@@ -2,6 +2,7 @@
 
 import enum
 
+from finchshed.common.context import HEADER_DOWNSTREAM
 from finchshed.common.outcomes import Answered, Outcome, Refused
 
 SERVER_ERROR = 500
@@ -26,11 +27,22 @@
     CANCELLED = 4
     """The caller gave up; this says nothing about the back end."""
 
+    DOWNSTREAM = 5
+    """A server error because a call the back end made was not answered; it is not at fault."""
+
 
 def result_of(outcome: Outcome) -> CallResult:
     """Return the result class of ``outcome``."""
     if isinstance(outcome, Answered):
-        return CallResult.ERROR if outcome.status >= SERVER_ERROR else CallResult.OK
+        return _result_of_status(outcome)
     if isinstance(outcome, Refused):
         return CallResult.REFUSED
     return CallResult.FAILED
+
+
+def _result_of_status(answer: Answered) -> CallResult:
+    if answer.status < SERVER_ERROR:
+        return CallResult.OK
+    if any(name == HEADER_DOWNSTREAM for name, _ in answer.headers):
+        return CallResult.DOWNSTREAM
+    return CallResult.ERROR
--- a/src/finchshed/routing/caller.py
+++ b/src/finchshed/routing/caller.py
@@ -96,7 +96,7 @@
     ) -> None:
         self._table = table
         self._bucket = bucket
-        self._service = service
+        self.service = service
         self._context = context
         self._repeatable = repeatable
         self._rng = rng
@@ -186,7 +186,7 @@
         if self._pinned:
             chosen = self._table.choose_pinned(self._pinned, self._tried, now)
         else:
-            chosen = self._table.choose(self._service, self._context, self._tried, now)
+            chosen = self._table.choose(self.service, self._context, self._tried, now)
         if isinstance(chosen, Refused):
             return self._finish(self._last or chosen)
         self._attempt += 1
