--- a/src/finchshed/emulator/daemons/callee.py
+++ b/src/finchshed/emulator/daemons/callee.py
@@ -10,6 +10,7 @@
 
 from finchshed.admission.effects import GateEffect, Start
 from finchshed.admission.gate import Gate
+from finchshed.common.context import HEADER_DOWNSTREAM
 from finchshed.common.outcomes import (
     Answered,
     Failed,
@@ -18,7 +19,7 @@
     RefusalReason,
     Refused,
 )
-from finchshed.common.results import CallResult, result_of
+from finchshed.common.results import SERVER_ERROR, CallResult, result_of
 from finchshed.emulator.backend import HEADER_DRAINING, BackEnd
 from finchshed.emulator.daemons.ledger_client import LedgerClient
 from finchshed.emulator.daemons.link import AcceptedLink, CallMessage
@@ -91,6 +92,7 @@
         self._works: dict[int, Work] = {}
         self._by_call: dict[tuple[str, int], Work] = {}
         self._deadlines: dict[str, float] = {}
+        self._failed_downstream: set[str] = set()
         self._next_token = 1
         self.draining = False
         self.may_serve = True
@@ -114,6 +116,11 @@
         """Return the deadline of a request being served, by its account."""
         return self._deadlines.get(account)
 
+    def call_on_failed(self, account: str) -> None:
+        """Take note that a call which the back end made for this request was not answered."""
+        if account in self._deadlines:
+            self._failed_downstream.add(account)
+
     def take(self, link: AcceptedLink, message: CallMessage) -> None:
         """Take a call."""
         now = self._process.now
@@ -257,6 +264,7 @@
             return
         if isinstance(outcome, Answered) and (HEADER_DRAINING, "1") in outcome.headers:
             self.drain()
+        outcome = self._blaming(work, outcome)
         if work.repeatable:
             self._finish(work, outcome)
             return
@@ -276,6 +284,15 @@
             self._ledger.cancel(key, work.ledger_attempt)
         self._finish(work, outcome)
 
+    def _blaming(self, work: Work, outcome: Outcome) -> Outcome:
+        """Mark a server error that is due to a call the back end made."""
+        if not isinstance(outcome, Answered) or outcome.status < SERVER_ERROR:
+            return outcome
+        if work.account not in self._failed_downstream:
+            return outcome
+        headers = (*outcome.headers, (HEADER_DOWNSTREAM, "1"))
+        return Answered(outcome.status, headers, outcome.body)
+
     def _finish(self, work: Work, outcome: Outcome) -> None:
         if work.state is WorkState.DONE:
             return
@@ -287,6 +304,7 @@
         if work.account:
             spare = self._accounts.close(work.account)
             self._deadlines.pop(work.account, None)
+            self._failed_downstream.discard(work.account)
         self._forget(work)
         self._apply(self._gate.finish(work.token, result, self._process.now))
         return spare
--- a/src/finchshed/emulator/daemons/daemon.py
+++ b/src/finchshed/emulator/daemons/daemon.py
@@ -7,6 +7,7 @@
 
 from finchshed.common.context import CallContext
 from finchshed.common.outcomes import Outcome, RefusalReason, Refused
+from finchshed.common.results import CallResult, result_of
 from finchshed.configuration.resources import Endpoint, EndpointState, Policy
 from finchshed.emulator.backend import BackEnd
 from finchshed.emulator.daemons.callee import Callee
@@ -186,6 +187,8 @@
         def finished(outcome: Outcome, spare: int) -> None:
             self._in_progress -= 1
             self.accounts.give_back(request.account, lent, spare)
+            if result_of(outcome) is not CallResult.OK and self.callee is not None:
+                self.callee.call_on_failed(request.account)
             answer(outcome)
 
         outgoing = self._outgoing(request, context, finished)
--- a/src/finchshed/emulator/daemons/outgoing.py
+++ b/src/finchshed/emulator/daemons/outgoing.py
@@ -79,16 +79,7 @@
     def _send(self, effect: Send) -> None:
         number = effect.attempt
         remaining = self._deadline - self._process.now
-        context = CallContext(
-            self._context.root,
-            self._context.importance,
-            remaining,
-            effect.share,
-            self._context.depth,
-            self._context.caller,
-            self._context.session,
-            self._context.key,
-        )
+        context = self._context.for_attempt(remaining, effect.share)
         attempt = Attempt(
             self._request,
             context,
