--- a/src/finchshed/standins/caller.py
+++ b/src/finchshed/standins/caller.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import itertools
+import random
+import time
 
 import aiohttp
 import msgspec
@@ -21,6 +23,7 @@
     HEADER_SERVICE,
     HEADER_SESSION,
 )
+from finchshed.ledger.keys import new_key
 from finchshed.proof.history import HEADER_ANSWER_DIGEST, HEADER_ANSWER_ROOT, HEADER_CALL
 from finchshed.standins import answers
 from finchshed.standins.arrivals import Arrival, schedule
@@ -86,7 +89,7 @@
         self.settings = settings
         self._session = session
         self._records = RecordWriter(settings.record_path)
-        self._generator = numpy.random.default_rng(settings.seed + 1)
+        self._key_entropy = random.Random(settings.seed)
 
     async def run(self, stopped: asyncio.Event) -> None:
         """Send all arrivals, then wait for those in progress."""
@@ -111,7 +114,7 @@
             load=load,
             phase=arrival.phase,
             caller=f"{self.settings.name}-{load.name}-{arrival.caller}",
-            key=unique if load.keyed else "",
+            key=new_key(time.time(), self._key_entropy) if load.keyed else "",
             session=unique if load.download_bytes else "",
         )
         begun = monotonic()
