Fleet: fault scripts as typed acts, stand-in operator

A full disk is brought about by the limit on the size of a process's files, which the runner may set on its own children: appends fail as on a full disk, without privileged tools.

Many changes are made by a stand-in operator in a process of its own: one command of ctl for each change would spend its time on starting interpreters.

--- /dev/null
+++ b/src/finchshed/fleet/faults.py
@@ -0,0 +1,265 @@
+"""Carries out the acts of a fault script on a running fleet."""
+
+import asyncio
+import itertools
+import pathlib
+import resource
+import shutil
+import signal
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from finchshed.fleet import acts
+from finchshed.fleet.journal import FaultJournal
+from finchshed.fleet.operator import Operator
+from finchshed.fleet.plan import backend_name, daemon_name
+from finchshed.fleet.processes import FleetProcess, Role
+from finchshed.fleet.relay import Condition, Conditions, Relay, Rule
+from finchshed.fleet.runner import Fleet
+from finchshed.proof.history import (
+    EndpointLeaving,
+    EndpointReturned,
+    Fault,
+    NodeStarted,
+    NodeStopped,
+    PlannedStop,
+)
+
+KILL_WAIT_SECONDS = 5.0
+RESTARTED_ROLES = (Role.CONTROL, Role.BACKEND, Role.DAEMON, Role.EDGE)
+FIRST_NUMBER_STEP = 1000
+"""Each stand-in operator numbers its changes from a multiple of this."""
+
+UNLIMITED = resource.RLIM_INFINITY
+
+
+class FaultInjector:
+    """Does acts to a fleet and notes them in the journal.
+
+    Parameters
+    ----------
+    relay
+        The fleet's relay, if its links go through one.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        operator: Operator,
+        journal: FaultJournal,
+        conditions: Conditions,
+        relay: Relay | None,
+    ) -> None:
+        self._fleet = fleet
+        self._operator = operator
+        self._journal = journal
+        self._conditions = conditions
+        self._relay = relay
+        self._numbers = itertools.count(1)
+        self._perform: dict[type[acts.Act], Callable[[Any], Awaitable[None]]] = {
+            acts.Kill: self._kill,
+            acts.Freeze: self._freeze,
+            acts.Restart: self._restart,
+            acts.RollingRestart: self._rolling_restart,
+            acts.Slow: self._slow,
+            acts.Misreport: self._misreport,
+            acts.Leave: self._leave,
+            acts.Edition: self._edition,
+            acts.Cut: self._cut,
+            acts.Delay: self._delay,
+            acts.Throttle: self._throttle,
+            acts.Reset: self._reset,
+            acts.FillDisk: self._fill_disk,
+            acts.Change: self._change,
+        }
+
+    async def run(self, script: tuple[acts.FaultAct, ...]) -> None:
+        """Do each act at its time, side by side; return when all are over."""
+        async with asyncio.TaskGroup() as group:
+            for act in script:
+                group.create_task(self._at(act))
+
+    async def _at(self, act: acts.FaultAct) -> None:
+        await asyncio.sleep(act.at)
+        await self._perform[type(act)](act)
+
+    async def _kill(self, act: acts.Kill) -> None:
+        process = await self._resolve(act.target)
+        name = process.spec.name
+        process.send_signal(signal.SIGKILL)
+        await process.wait(KILL_WAIT_SECONDS)
+        self._journal.add(Fault(self._journal.now(), "kill", (name,)))
+        self._journal.add(NodeStopped(self._journal.now(), name))
+        if act.wipe:
+            wipe_folder(process.spec.data_folder)
+        if act.restart_after_seconds >= 0.0:
+            await asyncio.sleep(act.restart_after_seconds)
+            await self._start(process)
+            self._journal.add(Fault(self._journal.now(), "kill", (name,), ended=True))
+
+    async def _freeze(self, act: acts.Freeze) -> None:
+        process = await self._resolve(act.target)
+        name = process.spec.name
+        process.send_signal(signal.SIGSTOP)
+        self._journal.add(Fault(self._journal.now(), "freeze", (name,)))
+        self._journal.add(NodeStopped(self._journal.now(), name))
+        await asyncio.sleep(act.duration_seconds)
+        process.send_signal(signal.SIGCONT)
+        self._journal.add(Fault(self._journal.now(), "freeze", (name,), ended=True))
+        self._journal.add(NodeStarted(self._journal.now(), name))
+
+    async def _restart(self, act: acts.Restart) -> None:
+        await self._planned_restart(await self._resolve(act.target))
+
+    async def _rolling_restart(self, act: acts.RollingRestart) -> None:
+        for process in self._fleet.of_role(*RESTARTED_ROLES):
+            await self._planned_restart(process)
+            await asyncio.sleep(act.pause_seconds)
+
+    async def _planned_restart(self, process: FleetProcess) -> None:
+        spec = process.spec
+        self._journal.add(PlannedStop(self._journal.now(), spec.name, spec.endpoint))
+        stopped = await self._fleet.restart(spec.name)
+        if not stopped:
+            self._journal.problem(f"{spec.name} didn't end by itself after SIGTERM")
+        self._journal.add(NodeStarted(self._journal.now(), spec.name))
+        if spec.endpoint:
+            self._journal.add(EndpointReturned(self._journal.now(), spec.endpoint))
+
+    async def _slow(self, act: acts.Slow) -> None:
+        endpoints = self._endpoints(act.target)
+        for endpoint in endpoints:
+            await self._fleet.command_backend(endpoint, "slow", str(act.factor))
+        self._journal.add(Fault(self._journal.now(), "slow", tuple(endpoints)))
+        await asyncio.sleep(act.duration_seconds)
+        for endpoint in endpoints:
+            await self._fleet.command_backend(endpoint, "slow", "1.0")
+        self._journal.add(Fault(self._journal.now(), "slow", tuple(endpoints), ended=True))
+
+    async def _misreport(self, act: acts.Misreport) -> None:
+        await self._fleet.command_backend(act.target, "report", "zero")
+        await self._fleet.command_backend(act.target, "fail", "1" if act.failing else "0")
+        self._journal.add(Fault(self._journal.now(), "misreport", (act.target,)))
+        await asyncio.sleep(act.duration_seconds)
+        await self._fleet.command_backend(act.target, "report", "honest")
+        await self._fleet.command_backend(act.target, "fail", "0")
+        self._journal.add(Fault(self._journal.now(), "misreport", (act.target,), ended=True))
+
+    async def _leave(self, act: acts.Leave) -> None:
+        self._journal.add(EndpointLeaving(self._journal.now(), act.target, act.sign.value))
+        if act.sign is acts.Sign.ANSWER:
+            await self._fleet.command_backend(act.target, "drain")
+        elif act.sign is acts.Sign.OPERATOR:
+            await self._operator.must("drain", act.target)
+        elif act.sign is acts.Sign.PLATFORM:
+            await self._fleet.mark_leaving(act.target)
+        else:
+            for name in (daemon_name(act.target), backend_name(act.target)):
+                process = self._fleet.processes[name]
+                process.send_signal(signal.SIGSTOP)
+                self._journal.add(NodeStopped(self._journal.now(), name))
+
+    async def _edition(self, act: acts.Edition) -> None:
+        for endpoint in self._endpoints(act.target):
+            await self._fleet.command_backend(endpoint, "edition", str(act.edition))
+
+    async def _cut(self, act: acts.Cut) -> None:
+        ways = [(act.source, act.target)]
+        if not act.one_way:
+            ways.append((act.target, act.source))
+        await self._suffer("cut", ways, Condition(cut=True), act.duration_seconds)
+
+    async def _delay(self, act: acts.Delay) -> None:
+        ways = [(act.source, act.target), (act.target, act.source)]
+        condition = Condition(delay_seconds=act.delay_seconds)
+        await self._suffer("delay", ways, condition, act.duration_seconds)
+
+    async def _throttle(self, act: acts.Throttle) -> None:
+        ways = [(act.source, act.target), (act.target, act.source)]
+        condition = Condition(bytes_per_second=act.bytes_per_second)
+        await self._suffer("throttle", ways, condition, act.duration_seconds)
+
+    async def _suffer(
+        self,
+        fault: str,
+        ways: list[tuple[str, str]],
+        condition: Condition,
+        duration_seconds: float,
+    ) -> None:
+        names = []
+        targets: list[str] = []
+        for source, target in ways:
+            name = f"{fault}-{next(self._numbers)}"
+            resolved = (await self._end_of(source), await self._end_of(target))
+            rule = Rule(source=resolved[0], target=resolved[1], condition=condition)
+            self._conditions.set(name, rule)
+            names.append(name)
+            targets += resolved
+        ends = tuple(dict.fromkeys(targets))
+        self._journal.add(Fault(self._journal.now(), fault, ends))
+        await asyncio.sleep(duration_seconds)
+        for name in names:
+            self._conditions.clear(name)
+        self._journal.add(Fault(self._journal.now(), fault, ends, ended=True))
+
+    async def _reset(self, act: acts.Reset) -> None:
+        ends = (await self._end_of(act.source), await self._end_of(act.target))
+        if self._relay is not None:
+            self._relay.reset(*ends)
+        self._journal.add(Fault(self._journal.now(), "reset", ends))
+
+    async def _fill_disk(self, act: acts.FillDisk) -> None:
+        process = await self._resolve(act.target)
+        name = process.spec.name
+        limit = largest_file_bytes(pathlib.Path(process.spec.data_folder))
+        resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (limit, UNLIMITED))
+        self._journal.add(Fault(self._journal.now(), "fill_disk", (name,)))
+        await asyncio.sleep(act.duration_seconds)
+        if process.pid:
+            resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (UNLIMITED, UNLIMITED))
+        self._journal.add(Fault(self._journal.now(), "fill_disk", (name,), ended=True))
+
+    async def _change(self, act: acts.Change) -> None:
+        number = next(self._numbers)
+        name = f"operator-{number}"
+        code = await self._fleet.run_operator(name, act.times, number * FIRST_NUMBER_STEP)
+        if code != 0:
+            self._journal.problem(f"{name}: a change was never accepted (exit code {code})")
+
+    async def _start(self, process: FleetProcess) -> None:
+        process.start()
+        await self._fleet.wait_ready([process.spec])
+        self._journal.add(NodeStarted(self._journal.now(), process.spec.name))
+
+    async def _resolve(self, selector: str) -> FleetProcess:
+        return self._fleet.processes[await self._end_of(selector)]
+
+    async def _end_of(self, selector: str) -> str:
+        """Return the process that a selector stands for now; other names as they are."""
+        if selector not in {"leader", "follower"}:
+            return selector
+        leader = await self._operator.leader()
+        if selector == "leader":
+            return leader
+        names = [process.spec.name for process in self._fleet.of_role(Role.CONTROL)]
+        return next(name for name in names if name != leader)
+
+    def _endpoints(self, target: str) -> list[str]:
+        return [
+            endpoint.name
+            for endpoint in self._fleet.plan.endpoints
+            if target in {endpoint.name, endpoint.service}
+        ]
+
+
+def wipe_folder(folder: str) -> None:
+    """Empty a data folder, as a replaced disk would be."""
+    if folder:
+        shutil.rmtree(folder, ignore_errors=True)
+        pathlib.Path(folder).mkdir(parents=True)
+
+
+def largest_file_bytes(folder: pathlib.Path) -> int:
+    """Return the size of the largest file under ``folder``."""
+    sizes = [path.stat().st_size for path in folder.rglob("*") if path.is_file()]
+    return max(sizes, default=0)
--- a/src/finchshed/fleet/plan.py
+++ b/src/finchshed/fleet/plan.py
@@ -24,6 +24,7 @@
 from finchshed.standins.settings import (
     BackendSettings,
     CallerSettings,
+    OperatorSettings,
     Phase,
     PlatformSettings,
 )
@@ -74,6 +75,25 @@
         """Return the process named ``name``."""
         return next(spec for spec in self.specs if spec.name == name)
 
+    def operator_spec(self, name: str, changes: int, first_number: int) -> ProcessSpec:
+        """Write the settings of a stand-in operator and return how to start it."""
+        settings = OperatorSettings(
+            name=name,
+            token=self.deployment.operator_token,
+            rpc_addresses=self.rpc_addresses,
+            record_path=str(self.folder / "records" / f"{name}.jsonl"),
+            changes=changes,
+            first_number=first_number,
+        )
+        path = self.folder / "settings" / f"{name}.toml"
+        path.write_text(to_toml(settings))
+        return ProcessSpec(
+            name=name,
+            role=Role.OPERATOR,
+            zone="",
+            arguments=("-m", "finchshed", "standin", "operator", str(path)),
+        )
+
 
 class Planner:
     """Builds a plan; writes settings files under the run folder."""
--- a/src/finchshed/fleet/processes.py
+++ b/src/finchshed/fleet/processes.py
@@ -27,6 +27,7 @@
     DAEMON = "daemon"
     EDGE = "edge"
     CALLER = "caller"
+    OPERATOR = "operator"
 
 
 PRODUCTION_ROLES = (Role.CONTROL, Role.DAEMON, Role.EDGE)
--- a/src/finchshed/fleet/runner.py
+++ b/src/finchshed/fleet/runner.py
@@ -16,8 +16,10 @@
 
 READY_SECONDS = 60.0
 STOP_SECONDS = 15.0
+OPERATOR_SECONDS = 300.0
 STARTING_ORDER = tuple(Role)
 STOPPING_ORDER = (
+    Role.OPERATOR,
     Role.CALLER,
     Role.EDGE,
     Role.DAEMON,
@@ -25,6 +27,9 @@
     Role.CONTROL,
     Role.PLATFORM,
 )
+ENDING_ROLES = (Role.CALLER, Role.OPERATOR)
+"""Processes that end by themselves when their work is done."""
+
 LOG_TAIL_BYTES = 2000
 
 
@@ -131,6 +136,15 @@
         async with self.http.post(url, params={"value": value}) as response:
             response.raise_for_status()
 
+    async def run_operator(self, name: str, changes: int, first_number: int) -> int:
+        """Run a stand-in operator that makes changes; return its exit code."""
+        spec = self.plan.operator_spec(name, changes, first_number)
+        process = FleetProcess(spec, self.log_path(spec.name))
+        self.processes[spec.name] = process
+        process.start()
+        await process.wait(OPERATOR_SECONDS)
+        return process.exit_code if process.exit_code is not None else -1
+
     async def wait_callers(self, timeout_seconds: float) -> bool:
         """Wait until every caller has sent its requests; return whether all ended well."""
         callers = self.of_role(Role.CALLER)
@@ -165,7 +179,7 @@
             for process in self.processes.values()
             if process.expected_to_run
             and not process.is_running
-            and not (process.spec.role is Role.CALLER and process.exit_code == 0)
+            and not (process.spec.role in ENDING_ROLES and process.exit_code == 0)
         ]
 
     def log_path(self, name: str) -> pathlib.Path:
--- a/src/finchshed/standins/command.py
+++ b/src/finchshed/standins/command.py
@@ -8,8 +8,15 @@
 
 from finchshed.standins.backend import run_backend
 from finchshed.standins.caller import run_caller
+from finchshed.standins.operator import run_operator
 from finchshed.standins.platform import run_platform
-from finchshed.standins.settings import BackendSettings, CallerSettings, PlatformSettings, load
+from finchshed.standins.settings import (
+    BackendSettings,
+    CallerSettings,
+    OperatorSettings,
+    PlatformSettings,
+    load,
+)
 
 
 def backend(settings: str) -> int:
@@ -27,10 +34,16 @@
     return _run(run_platform(load(PlatformSettings, settings)))
 
 
+def operator(settings: str) -> int:
+    """Make changes of the configuration one after another; SETTINGS is its TOML file."""
+    return run_operator(load(OperatorSettings, settings))
+
+
 standin: Mapping[str, Callable[[str], int]] = {
     "backend": backend,
     "caller": caller,
     "platform": platform,
+    "operator": operator,
 }
 
 
--- /dev/null
+++ b/src/finchshed/standins/operator.py
@@ -0,0 +1,139 @@
+"""Stand-in operator: makes changes one after another and records what it was told.
+
+Each change sets the policy's key window to a value of its own, so that the configuration in
+force tells which accepted change it came from. A change whose answer is lost is sent again under
+the same identity until it is answered.
+"""
+
+import enum
+import time
+from typing import cast
+
+import msgspec
+
+from finchshed.common.errors import ControlUnavailableError
+from finchshed.configuration.changes import Accepted, Conflict
+from finchshed.configuration.difference import Difference
+from finchshed.configuration.resources import Policy, ResourceKey
+from finchshed.ctl.changes import read_in_force, submit
+from finchshed.ctl.client import OperatorClient
+from finchshed.standins.records import RecordWriter, monotonic
+from finchshed.standins.settings import OperatorSettings
+
+POLICY = ResourceKey("policy", "default")
+REQUEST_SECONDS = 5.0
+
+
+class ChangeOutcome(enum.StrEnum):
+    """What a stand-in operator was told of a change."""
+
+    SUBMITTED = "submitted"
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    INVALID = "invalid"
+    UNKNOWN = "unknown"
+
+
+class OperatorRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One submission of a change, or its answer.
+
+    Attributes
+    ----------
+    value
+        The key window that the change sets, seconds.
+    """
+
+    at: float
+    operator: str
+    change_id: str
+    expected_revision: int
+    value: float
+    outcome: ChangeOutcome
+    revision: int = 0
+
+
+class StandinOperator:
+    """Makes the changes of one stand-in operator."""
+
+    def __init__(self, settings: OperatorSettings) -> None:
+        self._settings = settings
+        self._records = RecordWriter(settings.record_path)
+        self._client = OperatorClient(settings.rpc_addresses, settings.token, REQUEST_SECONDS)
+
+    def run(self) -> int:
+        """Make all changes; return the exit code: 1 if one was never answered."""
+        unanswered = 0
+        for number in range(self._settings.changes):
+            if self._settings.pause_seconds:
+                time.sleep(self._settings.pause_seconds)
+            unanswered += not self._change(self._settings.first_number + number)
+        self._client.close()
+        return 1 if unanswered else 0
+
+    def _change(self, number: int) -> bool:
+        """Make one change, anew after each conflict; return whether it was accepted."""
+        deadline = monotonic() + self._settings.patience_seconds
+        attempt = 0
+        while monotonic() < deadline:
+            attempt += 1
+            identity = f"{self._settings.name}-{number}-{attempt}"
+            outcome = self._submit(identity, number, deadline)
+            if outcome is not ChangeOutcome.CONFLICT:
+                return outcome is ChangeOutcome.ACCEPTED
+        return False
+
+    def _submit(self, identity: str, number: int, deadline: float) -> ChangeOutcome:
+        value = self._settings.base_value + number
+        revision = self._revision(deadline)
+        if revision is None:
+            return ChangeOutcome.UNKNOWN
+        expected, policy = revision
+        changed = Difference((msgspec.structs.replace(policy, key_window_seconds=value),), ())
+        self._note(identity, expected, value, ChangeOutcome.SUBMITTED, 0)
+        while monotonic() < deadline:
+            try:
+                result = submit(self._client, identity, expected, changed)
+            except ControlUnavailableError:
+                continue
+            outcome, accepted = _outcome_of(result)
+            self._note(identity, expected, value, outcome, accepted)
+            return outcome
+        self._note(identity, expected, value, ChangeOutcome.UNKNOWN, 0)
+        return ChangeOutcome.UNKNOWN
+
+    def _revision(self, deadline: float) -> tuple[int, Policy] | None:
+        while monotonic() < deadline:
+            try:
+                current = read_in_force(self._client)
+            except ControlUnavailableError:
+                continue
+            return current.revision, cast(Policy, current.resources[POLICY])
+        return None
+
+    def _note(
+        self, identity: str, expected: int, value: float, outcome: ChangeOutcome, revision: int
+    ) -> None:
+        self._records.write(
+            OperatorRecord(
+                at=monotonic(),
+                operator=self._settings.name,
+                change_id=identity,
+                expected_revision=expected,
+                value=value,
+                outcome=outcome,
+                revision=revision,
+            )
+        )
+
+
+def _outcome_of(result: object) -> tuple[ChangeOutcome, int]:
+    if isinstance(result, Accepted):
+        return ChangeOutcome.ACCEPTED, result.revision
+    if isinstance(result, Conflict):
+        return ChangeOutcome.CONFLICT, 0
+    return ChangeOutcome.INVALID, 0
+
+
+def run_operator(settings: OperatorSettings) -> int:
+    """Make the changes of ``settings``; return the exit code."""
+    return StandinOperator(settings).run()
--- a/src/finchshed/standins/settings.py
+++ b/src/finchshed/standins/settings.py
@@ -170,6 +170,30 @@
     lag_seconds: Seconds = 0.0
 
 
+class OperatorSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Settings of one stand-in operator.
+
+    Attributes
+    ----------
+    changes
+        Changes to make, numbered from ``first_number``.
+    base_value
+        A change's number is added to this to get the key window it sets, seconds.
+    patience_seconds
+        A change not answered for so long is given up.
+    """
+
+    name: Name
+    token: str
+    rpc_addresses: tuple[Address, ...]
+    record_path: str
+    changes: Count
+    first_number: Count = 0
+    base_value: Annotated[float, msgspec.Meta(gt=0.0, le=80_000.0)] = 600.0
+    pause_seconds: Seconds = 0.0
+    patience_seconds: Seconds = 60.0
+
+
 def load(struct_type: type[SettingsT], path: str | pathlib.Path) -> SettingsT:
     """Read settings of ``struct_type`` from a TOML file.
 
