--- a/src/finchshed/fleet/command.py
+++ b/src/finchshed/fleet/command.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
+from finchshed.common.errors import SettingsError
 from finchshed.fleet.demo import run_demo
 from finchshed.fleet.plan import PlanOptions
 
@@ -21,15 +22,23 @@
     Exit code 0 only if every answer was whole and its caller's own.
     """
     source = pathlib.Path(deployment)
-    target = pathlib.Path(folder) if folder else new_run_folder(source.name)
     options = PlanOptions(seed=seed, load_factor=load)
-    return run_interruptible(run_demo(source, target.absolute(), options))
+    return run_interruptible(run_demo(source, run_folder(folder, source.name), options))
 
 
-def new_run_folder(name: str) -> pathlib.Path:
-    """Return a folder for a new run; it isn't made yet."""
+def run_folder(folder: str, name: str) -> pathlib.Path:
+    """Return the folder for a new run: ``folder``, or one named by the time.
+
+    Raises
+    ------
+    SettingsError
+        If the folder holds files: records and data of another run would be taken for this one's.
+    """
     stamp = time.strftime("%Y%m%d-%H%M%S")
-    return pathlib.Path(DEFAULT_RUN_FOLDER) / f"{name}-{stamp}"
+    path = pathlib.Path(folder or f"{DEFAULT_RUN_FOLDER}/{name}-{stamp}").absolute()
+    if path.exists() and any(path.iterdir()):
+        raise SettingsError([f"flag --folder = {path}: allowed is a new or empty folder"])
+    return path
 
 
 def run_interruptible(work: Coroutine[Any, Any, int]) -> int:
