--- a/tests/simulation/load.py
+++ b/tests/simulation/load.py
@@ -81,9 +81,7 @@
                 self.good_of[importance].append(began)
             elif repeat < self.repeats:
                 pause = self.pause * (0.5 + self.system.rng.random())
-                self.system.after(
-                    pause, lambda: self.attempt(root, importance, began, repeat + 1)
-                )
+                self.system.after(pause, lambda: self.attempt(root, importance, began, repeat + 1))
 
         edge.call(self.service, context, True, done)
 
--- a/tests/simulation/system.py
+++ b/tests/simulation/system.py
@@ -249,9 +249,7 @@
                 self.back_end_queue.append(job)
                 self.run_back_end()
             else:
-                record.refused.append(
-                    (now, self.endpoint.name, importance, effect.reason.value)
-                )
+                record.refused.append((now, self.endpoint.name, importance, effect.reason.value))
                 del self.jobs[effect.token]
                 load = self.gate.load_report(now)
                 spare = job.context.spare_attempts
