Deterministic simulation of a control group under failure

The replicated log had no test of its own behaviour when things fail. The production RaftNode, Driver and LogStore now run in simulated time on disks that forget what was not synced and can crash after any operation, with links that lose, repeat, reorder and cut in one direction, clocks that step and drift, and processes that freeze. Fourteen scenarios; checked at every step are election safety, log matching, leader completeness and state machine safety, and at the end linearizability (Wing and Gong's search with Lowe's memory, itself checked against trying every order), no accepted change lost, one winner per revision, refused changes without effect, and recovery once all faults have ended. `finchshed prove-consensus` runs campaigns.

--- a/src/finchshed/cli/table.py
+++ b/src/finchshed/cli/table.py
@@ -54,6 +54,10 @@
     "config": Command("check, show or sample settings", "finchshed.settings.command:COMMANDS"),
     "emulate": Command("run a scenario in simulated time", "finchshed.emulator.command:emulate"),
     "prove": Command("check the stated properties over seeds", "finchshed.proof.command:prove"),
+    "prove-consensus": Command(
+        "check the replicated log under failure over seeds",
+        "finchshed.proof.consensus.command:prove_consensus",
+    ),
     "replay": Command("replay a trace against stated outcomes", "finchshed.replay.command:replay"),
     "record": Command("record a trace", "finchshed.replay.command:record"),
     "fleet": Command("run a deployment of real processes", "finchshed.fleet.command:fleet"),
--- /dev/null
+++ b/src/finchshed/proof/consensus/campaign.py
@@ -0,0 +1,71 @@
+"""Campaigns: every scenario under many seeds, and a summary of what was found."""
+
+from collections import Counter
+from collections.abc import Iterator, Sequence
+from concurrent.futures import ProcessPoolExecutor
+
+import msgspec
+
+from finchshed.proof.consensus.run import Verdict, simulate
+
+_SEEDS_PER_TASK = 20
+
+
+class Summary(msgspec.Struct, kw_only=True):
+    """What the seeds of one scenario gave.
+
+    Attributes
+    ----------
+    failures
+        Verdicts with a broken property.
+    recovery_seconds
+        Of every seed that recovered, in ascending order.
+    """
+
+    scenario: str
+    seeds: int = 0
+    operations: int = 0
+    accepted: int = 0
+    failures: list[Verdict] = msgspec.field(default_factory=list)
+    recovery_seconds: list[float] = msgspec.field(default_factory=list)
+    counts: Counter[str] = msgspec.field(default_factory=Counter)
+
+    def add(self, verdict: Verdict) -> None:
+        """Take in one verdict."""
+        self.seeds += 1
+        self.operations += verdict.operations
+        self.accepted += verdict.accepted
+        self.counts.update(verdict.counts)
+        if verdict.violations:
+            self.failures.append(verdict)
+        if verdict.recovery_seconds != float("inf"):
+            self.recovery_seconds.append(verdict.recovery_seconds)
+            self.recovery_seconds.sort()
+
+    def recovery_at(self, share: float) -> float:
+        """Return the recovery time that this share of the seeds stayed within."""
+        if not self.recovery_seconds:
+            return float("inf")
+        position = min(int(share * len(self.recovery_seconds)), len(self.recovery_seconds) - 1)
+        return self.recovery_seconds[position]
+
+
+def run_campaign(scenarios: Sequence[str], seeds: range, workers: int) -> Iterator[Summary]:
+    """Run every scenario under every seed; yield a summary of each scenario as it ends."""
+    with ProcessPoolExecutor(workers) as pool:
+        for scenario in scenarios:
+            summary = Summary(scenario=scenario)
+            names = [scenario] * len(seeds)
+            for verdict in pool.map(simulate, names, seeds, chunksize=_SEEDS_PER_TASK):
+                summary.add(verdict)
+            yield summary
+
+
+def run_here(scenario: str, seeds: range, stop_at_failure: bool = False) -> Summary:
+    """Run one scenario in this process."""
+    summary = Summary(scenario=scenario)
+    for seed in seeds:
+        summary.add(simulate(scenario, seed))
+        if stop_at_failure and summary.failures:
+            break
+    return summary
--- /dev/null
+++ b/src/finchshed/proof/consensus/group.py
@@ -0,0 +1,139 @@
+"""A simulated control group and what faults do to it."""
+
+import random
+from collections.abc import Callable
+
+from finchshed.consensus.membership import InitialMember, MemberRole
+from finchshed.consensus.options import RaftOptions
+from finchshed.proof.consensus.network import LinkQuality, SimulatedNetwork
+from finchshed.proof.consensus.node import SimulatedNode, address_of
+from finchshed.proof.consensus.observer import Observer
+from finchshed.proof.consensus.scheduler import Process, Scheduler
+from finchshed.storage.simulated import SimulatedDisk
+
+UNLIMITED_BYTES = 1 << 40
+
+_POLL_SECONDS = 0.05
+
+OPTIONS = RaftOptions(
+    max_append_entries=8,
+    max_in_flight_appends=4,
+    snapshot_piece_bytes=256,
+    snapshot_every_entries=24,
+    trailing_entries=6,
+    promotion_lag_entries=4,
+)
+"""Production times; sizes so small that windows, pieces and snapshots matter within seconds."""
+
+
+class Group:
+    """Nodes, their network and their observer, under one seed.
+
+    Parameters
+    ----------
+    seed
+        Decides everything.
+    voters
+        Number of initial voters.
+    spares
+        Number of nodes that run beside them and are no members.
+    """
+
+    def __init__(self, seed: str, voters: int, spares: int) -> None:
+        self.scheduler = Scheduler()
+        self.observer = Observer(self.scheduler)
+        self.rng = random.Random(f"{seed}/faults")
+        self.network = SimulatedNetwork(self.scheduler, random.Random(f"{seed}/network"))
+        names = [f"n{number}" for number in range(1, voters + spares + 1)]
+        self.voter_names = names[:voters]
+        initial = tuple(InitialMember(name, address_of(name)) for name in self.voter_names)
+        self.nodes = {
+            name: SimulatedNode(
+                name,
+                initial,
+                options=OPTIONS,
+                scheduler=self.scheduler,
+                network=self.network,
+                observer=self.observer,
+                rng=random.Random(f"{seed}/{name}"),
+            )
+            for name in names
+        }
+
+    @property
+    def running(self) -> list[SimulatedNode]:
+        """Nodes whose process runs, frozen or not."""
+        return [node for node in self.nodes.values() if node.is_running]
+
+    def start(self) -> None:
+        """Start all nodes that are down."""
+        for node in self.nodes.values():
+            node.start()
+
+    def leader(self) -> SimulatedNode | None:
+        """Return the leader of the highest term, if any node takes itself for one."""
+        leaders = [node for node in self.running if node.is_leader]
+        return max(leaders, key=lambda node: node.raft.term, default=None)
+
+    def some_node(self) -> SimulatedNode:
+        """Return any node; the leader twice as often as by chance."""
+        leader = self.leader()
+        if leader is not None and self.rng.random() < 0.4:
+            return leader
+        return self.rng.choice(list(self.nodes.values()))
+
+    def some_voter(self) -> SimulatedNode:
+        """Return any initial voter; the leader more often than by chance."""
+        leader = self.leader()
+        if leader is not None and leader.name in self.voter_names and self.rng.random() < 0.4:
+            return leader
+        return self.nodes[self.rng.choice(self.voter_names)]
+
+    def is_whole(self) -> bool:
+        """Whether every wanted voter is one, on the disk it has now, and has caught up."""
+        leader = self.leader()
+        if leader is None or leader.raft.log.membership_index > leader.raft.commit_index:
+            return False
+        statuses = {status.member.identity: status for status in leader.raft.member_statuses()}
+        for member in leader.raft.membership.members:
+            if member.role is MemberRole.LEARNER:
+                if member.promote:
+                    return False
+                continue
+            node = self.nodes[member.identity.name]
+            if not node.is_running or node.raft.identity != member.identity:
+                return False
+            if statuses[member.identity].match_index < leader.raft.commit_index:
+                return False
+        return True
+
+    def heal(self) -> None:
+        """End every fault: links, freezes, full disks, crashed nodes."""
+        self.network.heal()
+        self.network.quality = LinkQuality()
+        for node in self.nodes.values():
+            node.disk.capacity_bytes = UNLIMITED_BYTES
+            node.thaw()
+            node.start()
+
+    def wait_until(self, condition: Callable[[], bool], patience: float) -> Process:
+        """Wait for a condition up to ``patience`` seconds; the process returns whether it holds."""
+        deadline = self.scheduler.now + patience
+        while not condition():
+            if self.scheduler.now >= deadline:
+                return False
+            yield self.scheduler.sleep(_POLL_SECONDS)
+        return True
+
+    def pause(self, shortest: float, longest: float) -> Process:
+        """Wait for a random time, in seconds."""
+        yield self.scheduler.sleep(self.rng.uniform(shortest, longest))
+
+    def restart_later(self, node: SimulatedNode, shortest: float, longest: float) -> None:
+        """Start a node again after a random time, in seconds."""
+        self.scheduler.call_later(self.rng.uniform(shortest, longest), node.start)
+
+
+def fill_disk(disk: SimulatedDisk, room_bytes: int) -> None:
+    """Leave this much room on a disk."""
+    disk.capacity_bytes = disk.used_bytes + room_bytes
--- /dev/null
+++ b/src/finchshed/proof/consensus/node.py
@@ -0,0 +1,393 @@
+"""A simulated control node: production code on a simulated disk, clock and network."""
+
+import random
+from collections.abc import Callable
+from typing import TypeAlias
+
+import msgspec
+import simpy
+
+from finchshed.common.errors import CorruptRecordError, InvariantError, StorageError
+from finchshed.consensus.driver import Driver
+from finchshed.consensus.effects import (
+    Committed,
+    Effect,
+    Lost,
+    ReadFailed,
+    ReadReady,
+    RefusalCause,
+    Refused,
+    Role,
+    RoleChanged,
+)
+from finchshed.consensus.events import (
+    ChangeMembership,
+    Event,
+    Propose,
+    Read,
+    Received,
+    Tick,
+    TransferLeadership,
+)
+from finchshed.consensus.membership import InitialMember, MembershipChange
+from finchshed.consensus.messages import Envelope
+from finchshed.consensus.node import RaftNode
+from finchshed.consensus.options import RaftOptions
+from finchshed.proof.consensus.network import SimulatedNetwork
+from finchshed.proof.consensus.observer import Observer
+from finchshed.proof.consensus.register import Change, ChangeResult, Reading, Register
+from finchshed.proof.consensus.scheduler import Scheduler
+from finchshed.storage.log_store import (
+    LogStore,
+    OpenedStore,
+    WriteOutcome,
+    discard_damaged,
+    open_store,
+)
+from finchshed.storage.simulated import SimulatedDisk
+
+_DISK_RETRY_SECONDS = 0.5
+_START_RETRY_SECONDS = 1.0
+_BUSY_CHANCE = 0.15
+_BUSY_SECONDS = 0.005
+_WRITE_SECONDS = (0.0003, 0.004)
+_SLOW_WRITE_CHANCE = 0.01
+_SLOW_WRITE_SECONDS = (0.05, 0.4)
+_MOST_OPERATIONS_OF_A_WRITE = 12
+
+
+class NotTaken(msgspec.Struct, frozen=True):
+    """The node did nothing; ``leader`` names another to ask, if known."""
+
+    cause: RefusalCause
+    leader: str = ""
+
+
+class Undecided(msgspec.Struct, frozen=True):
+    """Leadership ended before the outcome was known."""
+
+
+Answer: TypeAlias = ChangeResult | Reading | NotTaken | Undecided | None
+
+
+class SimulatedNode:
+    """One node; implements :class:`~finchshed.consensus.driver.Host`.
+
+    Attributes
+    ----------
+    disk
+        Outlives crashes of the node.
+    clock_offset, clock_rate
+        The node's own clock shows ``offset + rate * simulated time``.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        initial_members: tuple[InitialMember, ...],
+        *,
+        options: RaftOptions,
+        scheduler: Scheduler,
+        network: SimulatedNetwork,
+        observer: Observer,
+        rng: random.Random,
+    ) -> None:
+        self.name = name
+        self.address = address_of(name)
+        self.disk = SimulatedDisk(random.Random(rng.getrandbits(64)))
+        self.clock_offset = rng.uniform(0.0, 1e6)
+        self.clock_rate = 1.0
+        self.register = Register()
+        self.is_running = False
+        self.is_frozen = False
+        self._doomed: bool | None = None
+        self._initial_members = initial_members
+        self._options = options
+        self._scheduler = scheduler
+        self._network = network
+        self._observer = observer
+        self._rng = rng
+        self._life = 0
+        self._timer = 0
+        self._inbox: list[Event] = []
+        self._flush_planned = False
+        self._last_token = 0
+        self._last_result: tuple[int, ChangeResult | None] = (0, None)
+        self._waiting: dict[int, simpy.Event] = {}
+        self._held_while_frozen: list[Callable[[], None]] = []
+        self._store: LogStore
+        self._driver: Driver
+        network.attach(name, self.address, self._deliver)
+
+    @property
+    def raft(self) -> RaftNode:
+        """The production node. Meaningful while running."""
+        return self._driver.node
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether the node runs and takes itself for the leader."""
+        return self.is_running and self.raft.role is Role.LEADER
+
+    def start(self) -> None:
+        """Start the process from what the disk holds."""
+        if self.is_running:
+            return
+        try:
+            opened = self._open()
+        except StorageError:
+            self._observer.count("start_failed")
+            self._scheduler.call_later(_START_RETRY_SECONDS, self.start)
+            return
+        self._life += 1
+        self._inbox = []
+        self._waiting = {}
+        self._flush_planned = False
+        self._store = opened.store
+        self.register = Register()
+        raft = RaftNode(
+            self.name,
+            self.address,
+            opened.stored,
+            rng=random.Random(self._rng.getrandbits(64)),
+            initial_members=self._initial_members,
+            now=self._host_now(),
+            options=self._options,
+        )
+        self._driver = Driver(raft, self)
+        self.is_running = True
+        self._observer.started(self)
+        self._guarded(lambda: self._driver.start(self._host_now()))
+
+    def crash(self, power_lost: bool) -> None:
+        """Stop at once, perhaps in the middle of a write.
+
+        Parameters
+        ----------
+        power_lost
+            Whether what was not synced is lost or torn; else the operating system keeps it.
+        """
+        self._doomed = None
+        if not self.is_running:
+            return
+        writes = self._driver.next_writes()
+        if writes:
+            self.disk.crash_after(self._rng.randrange(_MOST_OPERATIONS_OF_A_WRITE))
+            try:
+                self._store.write(writes)
+            except StorageError:
+                self._observer.count("write_cut_short")
+            self._observer.count("crash_in_write")
+        self._end_process()
+        if power_lost:
+            self.disk.lose_power()
+
+    def crash_in_next_write(self, power_lost: bool) -> None:
+        """Crash while the next write is under way."""
+        self._doomed = power_lost
+
+    def lose_disk(self) -> None:
+        """Stop at once, and find an empty disk at the next start."""
+        self._end_process()
+        self.disk.lose_data()
+
+    def freeze(self) -> None:
+        """Stop as by SIGSTOP: no timer, no message, no end of a write is noticed."""
+        self.is_frozen = self.is_running
+
+    def thaw(self) -> None:
+        """Go on as by SIGCONT: due timers and all that arrived are noticed, in any order."""
+        if not self.is_frozen:
+            return
+        self.is_frozen = False
+        held, self._held_while_frozen = self._held_while_frozen, []
+        if self._rng.random() < 0.5:
+            held.append(self._tick)
+        else:
+            held.insert(0, self._tick)
+        for action in held:
+            self._scheduler.call_later(0.0, self._in_this_life(action))
+
+    def propose(self, change: Change) -> simpy.Event:
+        """Ask for a change; the event gives an :data:`Answer` or never happens."""
+        data = msgspec.json.encode(change)
+        return self._submit(lambda token: Propose(token, data))
+
+    def read(self) -> simpy.Event:
+        """Ask for a linearizable read; the event gives an :data:`Answer` or never happens."""
+        return self._submit(Read)
+
+    def change_membership(self, change: MembershipChange) -> simpy.Event:
+        """Ask for a change of members; the event gives an :data:`Answer` or never happens."""
+        return self._submit(lambda token: ChangeMembership(token, change))
+
+    def transfer_leadership(self) -> None:
+        """Hand leadership over, if this node leads."""
+        if self.is_running:
+            self._take(TransferLeadership())
+
+    def send(self, address: str, envelope: Envelope) -> None:
+        """Send a line."""
+        self._network.send(self.name, address, envelope)
+
+    def apply(self, index: int, data: bytes) -> None:
+        """Apply a committed command."""
+        self._observer.applying(self, index, self.register.applied_index)
+        self._last_result = (index, self.register.apply(index, data))
+
+    def restore(self, index: int, data: bytes) -> None:
+        """Replace the state by a snapshot's."""
+        self._observer.applying(self, index, self.register.applied_index)
+        self.register.restore(index, data)
+
+    def snapshot(self) -> bytes:
+        """Return the state."""
+        self._observer.count("snapshot")
+        return self.register.snapshot()
+
+    def report(self, effect: Effect) -> None:
+        """Answer whoever waits, and tell the observer of changes of role."""
+        match effect:
+            case Committed():
+                index, result = self._last_result
+                self._answer(effect.token, result if index == effect.index else None)
+            case ReadReady():
+                self._answer(effect.token, self.register.read())
+            case Lost():
+                self._answer(effect.token, Undecided())
+            case Refused():
+                leader = effect.leader.name if effect.leader else ""
+                self._answer(effect.token, NotTaken(effect.cause, leader))
+            case ReadFailed():
+                self._answer(effect.token, NotTaken(RefusalCause.NOT_READY))
+            case RoleChanged() if effect.role is Role.LEADER:
+                self._observer.elected(self, effect.term)
+
+    def _open(self) -> OpenedStore:
+        """Open the disk as the production node does."""
+        try:
+            return open_store(self.disk, self._rng)
+        except CorruptRecordError:
+            self._observer.count("damage_found")
+            discard_damaged(self.disk)
+            return open_store(self.disk, self._rng)
+
+    def _end_process(self) -> None:
+        self._life += 1
+        self.is_running = False
+        self.is_frozen = False
+        self._held_while_frozen = []
+        self.disk.restart()
+
+    def _host_now(self) -> float:
+        return self.clock_offset + self.clock_rate * self._scheduler.now
+
+    def _submit(self, make_event: Callable[[int], Event]) -> simpy.Event:
+        answer = self._scheduler.event()
+        if self.is_running:
+            self._last_token += 1
+            token = self._last_token
+            self._waiting[token] = answer
+            self._take(make_event(token))
+        return answer
+
+    def _answer(self, token: int, answer: Answer) -> None:
+        waiting = self._waiting.pop(token, None)
+        if waiting is not None:
+            waiting.succeed(answer)
+
+    def _deliver(self, envelope: Envelope) -> None:
+        if self.is_running:
+            self._take(Received(envelope))
+
+    def _take(self, event: Event) -> None:
+        """Handle an event now, or with others that come while the process is busy."""
+        self._inbox.append(event)
+        if self._flush_planned:
+            return
+        if self._rng.random() < _BUSY_CHANCE:
+            self._flush_planned = True
+            delay = self._rng.uniform(0.0, _BUSY_SECONDS)
+            self._scheduler.call_later(delay, self._in_this_life(self._flush))
+        else:
+            self._unless_frozen(self._flush)
+
+    def _flush(self) -> None:
+        self._flush_planned = False
+        events, self._inbox = self._inbox, []
+        if events:
+            self._step(events)
+
+    def _tick(self) -> None:
+        self._step([Tick()])
+
+    def _step(self, events: list[Event]) -> None:
+        self._guarded(lambda: self._driver.handle(events, self._host_now()))
+
+    def _guarded(self, action: Callable[[], None]) -> None:
+        """Take a step of the driver; a broken invariant ends the process and the proof."""
+        try:
+            action()
+        except InvariantError as error:
+            self._observer.violated(f"{self.name}: broken invariant: {error}")
+            self._end_process()
+            return
+        self._observer.stepped(self)
+        self._plan_next()
+
+    def _plan_next(self) -> None:
+        if self._driver.has_writes:
+            self._driver.next_writes()
+            delay = self._write_seconds()
+            self._scheduler.call_later(delay, self._in_this_life(self._finish_write))
+            if self._doomed is not None:
+                power_lost = self._doomed
+                crash = self._in_this_life(lambda: self.crash(power_lost))
+                self._scheduler.call_later(self._rng.uniform(0.0, delay), crash)
+        self._timer += 1
+        timer = self._timer
+        delay = self.raft.next_delay() / self.clock_rate
+
+        def on_timer() -> None:
+            if timer == self._timer:
+                self._tick()
+
+        self._scheduler.call_later(delay, self._in_this_life(on_timer))
+
+    def _finish_write(self) -> None:
+        outcome = self._store.write(self._driver.next_writes())
+        if outcome is WriteOutcome.DURABLE:
+            self._guarded(lambda: self._driver.written(outcome, self._host_now()))
+            return
+        self._observer.count("disk_full")
+        self._scheduler.call_later(
+            _DISK_RETRY_SECONDS,
+            self._in_this_life(
+                lambda: self._guarded(lambda: self._driver.written(outcome, self._host_now()))
+            ),
+        )
+
+    def _write_seconds(self) -> float:
+        slow = self._rng.random() < _SLOW_WRITE_CHANCE
+        return self._rng.uniform(*(_SLOW_WRITE_SECONDS if slow else _WRITE_SECONDS))
+
+    def _in_this_life(self, action: Callable[[], None]) -> Callable[[], None]:
+        """Return ``action`` so that it is left out once the process has ended."""
+        life = self._life
+
+        def run() -> None:
+            if life == self._life:
+                self._unless_frozen(action)
+
+        return run
+
+    def _unless_frozen(self, action: Callable[[], None]) -> None:
+        if self.is_frozen:
+            self._held_while_frozen.append(action)
+        else:
+            action()
+
+
+def address_of(name: str) -> str:
+    """Return where a simulated node is reached."""
+    return f"{name}:1"
--- a/src/finchshed/storage/simulated.py
+++ b/src/finchshed/storage/simulated.py
@@ -41,6 +41,7 @@
         self._files: dict[str, _File] = {}
         self._durable_names: dict[str, _File] = {}
         self._failed = False
+        self._operations_left: int | None = None
         self.capacity_bytes = capacity_bytes
         self.syncs = 0
 
@@ -58,7 +59,7 @@
 
     def append(self, name: str, data: bytes) -> None:
         """Write at the end of a file; a full disk takes a part and raises."""
-        self._check()
+        self._check_append(name, data)
         room = self.capacity_bytes - self.used_bytes
         file = self._files.setdefault(name, _File())
         file.seen += data[: max(0, room)]
@@ -67,29 +68,29 @@
 
     def truncate(self, name: str, size: int) -> None:
         """Cut a file to ``size`` bytes."""
-        self._check()
+        self._check_change()
         self._files[name].seen = self._files[name].seen[:size]
 
     def sync(self, name: str) -> None:
         """Make the content of a file last."""
-        self._check()
+        self._check_change()
         self.syncs += 1
         file = self._files[name]
         file.durable = file.seen
 
     def rename(self, old: str, new: str) -> None:
         """Give a file another name."""
-        self._check()
+        self._check_change()
         self._files[new] = self._files.pop(old)
 
     def remove(self, name: str) -> None:
         """Remove a file; a missing one is no error."""
-        self._check()
+        self._check_change()
         self._files.pop(name, None)
 
     def sync_folder(self) -> None:
         """Make the names of the files last."""
-        self._check()
+        self._check_change()
         self._durable_names = dict(self._files)
 
     @property
@@ -121,6 +122,14 @@
         """Let every operation raise from now on, until the data is lost."""
         self._failed = True
 
+    def crash_after(self, operations: int) -> None:
+        """Let every change raise after this many more, the last one half done, until a restart."""
+        self._operations_left = operations
+
+    def restart(self) -> None:
+        """Serve the next process."""
+        self._operations_left = None
+
     def flip_bit(self) -> str:
         """Change one bit of a synced file; return the file's name, or nothing if all are empty."""
         names = [name for name, file in sorted(self._files.items()) if file.durable]
@@ -147,6 +156,24 @@
             kept += b"\0" * _SECTOR_BYTES
         return kept
 
+    def _check_append(self, name: str, data: bytes) -> None:
+        """Write a part of ``data`` and raise, if the process is to crash in this append."""
+        crashes_now = self._operations_left == 0 and not self._failed
+        if crashes_now:
+            file = self._files.setdefault(name, _File())
+            file.seen += data[: self._rng.randint(0, len(data))]
+            self._operations_left = -1
+        self._check_change()
+
+    def _check_change(self) -> None:
+        self._check()
+        if self._operations_left is None:
+            return
+        if self._operations_left <= 0:
+            self._operations_left = -1
+            raise StorageError("the simulated process has crashed")
+        self._operations_left -= 1
+
     def _check(self) -> None:
         if self._failed:
             raise StorageError("the simulated disk has failed")
