A repaired node takes its old incarnation's place in one change

Cause: the repair removed the lost incarnation first and promoted the new one in a second change. In between a group of three has two voters that must both answer; when one of them loses its disk then, two whole disks are left and no quorum, for ever.

Ruled out: promoting first and removing afterwards (four voters, quorum three, of which one is dead: the same window). Replacing without more (an old incarnation that was only cut off could still vote, and quorums before and after need not meet).

Change: a voter whose name has a learner under promotion is superseded: it counts towards the size of the group, its votes and acknowledgements don't count. The learner then takes its place in one change. Every quorum before a step meets every quorum after it; the argument stands in repair.py.

--- a/src/finchshed/consensus/election.py
+++ b/src/finchshed/consensus/election.py
@@ -2,7 +2,6 @@
 
 from finchshed.consensus.effects import Role
 from finchshed.consensus.identity import NodeIdentity
-from finchshed.consensus.membership import quorum_size
 from finchshed.consensus.messages import PreVote, PreVoteReply, TimeoutNow, Vote, VoteReply
 from finchshed.consensus.replication import send_heartbeats, track_members
 from finchshed.consensus.roles import become_follower, reset_election_timer
@@ -13,7 +12,7 @@
 
 def may_campaign(state: NodeState) -> bool:
     """Whether this node could lead: a voter whose disk takes writes."""
-    return state.is_voter and not state.disk_full
+    return state.identity in state.counted_voters and not state.disk_full
 
 
 def start_pre_vote(state: NodeState) -> None:
@@ -115,13 +114,12 @@
 
 
 def _other_voters(state: NodeState) -> list[NodeIdentity]:
-    return [voter for voter in state.voters if voter != state.identity]
+    return [voter for voter in state.counted_voters if voter != state.identity]
 
 
 def _has_majority(state: NodeState) -> bool:
-    voters = state.voters
-    granted = sum(voter in state.ballots for voter in voters)
-    return granted >= quorum_size(len(voters))
+    granted = sum(voter in state.ballots for voter in state.counted_voters)
+    return granted >= state.quorum
 
 
 def _hears_a_leader(state: NodeState) -> bool:
--- a/src/finchshed/consensus/membership.py
+++ b/src/finchshed/consensus/membership.py
@@ -46,9 +46,24 @@
 
     @property
     def voters(self) -> tuple[NodeIdentity, ...]:
-        """Identities whose agreement counts."""
+        """Identities that make up the size of the group, whether they answer or not."""
         return tuple(m.identity for m in self.members if m.role is MemberRole.VOTER)
 
+    @property
+    def counted_voters(self) -> tuple[NodeIdentity, ...]:
+        """Identities whose agreement counts: voters not superseded by a new incarnation.
+
+        A voter is superseded from the moment a learner of its name is to take its place. It still
+        counts towards the size of the group, so the quorum is as large as before.
+        """
+        promoted = {m.identity.name for m in self.members if m.promote}
+        return tuple(voter for voter in self.voters if voter.name not in promoted)
+
+    @property
+    def quorum(self) -> int:
+        """Number of counted voters that must agree: a majority of all voters."""
+        return quorum_size(len(self.voters))
+
     def find(self, identity: NodeIdentity) -> Member | None:
         """Return the member of this identity."""
         return next((m for m in self.members if m.identity == identity), None)
--- a/src/finchshed/consensus/membership_changes.py
+++ b/src/finchshed/consensus/membership_changes.py
@@ -71,7 +71,7 @@
     Always so if no voter is removed. A learner under promotion counts towards the size of the
     group unless it takes the place of a voter that is still counted.
     """
-    removed = set(state.voters) - set(wanted.voters)
+    removed = set(state.membership.voters) - set(wanted.voters)
     if not removed:
         return True
     voters = wanted.voters
@@ -82,7 +82,7 @@
         if member.role is MemberRole.LEARNER and member.promote
     }
     size = len(voters) + len(under_repair - names)
-    whole = sum(is_whole(state, leading, voter) for voter in voters)
+    whole = sum(is_whole(state, leading, voter) for voter in wanted.counted_voters)
     return bool(voters) and whole >= quorum_size(size)
 
 
--- a/src/finchshed/consensus/read_index.py
+++ b/src/finchshed/consensus/read_index.py
@@ -7,7 +7,6 @@
 
 from finchshed.consensus.effects import ReadFailed, ReadReady, RefusalCause, Refused, Role
 from finchshed.consensus.identity import NodeIdentity
-from finchshed.consensus.membership import quorum_size
 from finchshed.consensus.messages import ReadIndex, ReadIndexReply
 from finchshed.consensus.replication import send_heartbeats
 from finchshed.consensus.state import ForwardedRead, LeaderState, NodeState, PendingRead
@@ -105,9 +104,9 @@
 
 def _confirmed_round(state: NodeState, leading: LeaderState) -> int:
     """Return the highest round that a majority of voters has answered."""
-    voters = state.voters
+    voters = state.counted_voters
     rounds = sorted((_round_of(state, leading, voter) for voter in voters), reverse=True)
-    return rounds[quorum_size(len(voters)) - 1] if rounds else 0
+    return rounds[state.quorum - 1] if len(rounds) >= state.quorum else 0
 
 
 def _round_of(state: NodeState, leading: LeaderState, voter: NodeIdentity) -> int:
--- a/src/finchshed/consensus/repair.py
+++ b/src/finchshed/consensus/repair.py
@@ -1,9 +1,18 @@
 """Repair by the leader: a node that lost its disk comes back as a learner and is promoted.
 
-The steps, each one change of the membership: the new incarnation joins as a learner beside the
-old one; once it has caught up the old incarnation is removed; then the new one becomes a voter.
-While the learner catches up, the old incarnation still counts as a voter that never answers, so
-the quorum is that of the whole group and no acknowledgement is taken from the empty disk.
+The steps, each one change of the membership:
+
+1. The new incarnation joins as a learner beside the old one. From then on the old one is
+   superseded: it counts towards the size of the group, but no vote or acknowledgement of it does.
+   The quorum is that of the whole group, and nothing is taken from the empty disk either.
+2. Once the learner has caught up it takes the place of the old incarnation as a voter, in one
+   change. To remove first and promote then would leave a group of three for a moment with two
+   voters that must both answer; if one of them is lost just then the group stands for ever.
+
+Every quorum before a step shares a voter with every quorum after it, as Raft asks of a change.
+With ``n`` voters and ``q = n // 2 + 1``, step 1 goes from sets of ``q`` of the ``n`` to sets of
+``q`` among the ``n - 1`` others. Step 2 goes on to sets of ``q`` among those ``n - 1`` and the new
+voter; such a set has at least ``q - 1`` of the ``n - 1``, and ``q + q - 1 > n - 1``.
 """
 
 from finchshed.consensus.identity import NodeIdentity
@@ -73,9 +82,8 @@
         return _without_abandoned(state, leading, identity)
     if not learner.promote or not _has_caught_up(state, leading, identity):
         return None
-    if earlier:
-        return state.membership.without(earlier[0].identity)
-    return state.membership.with_member(Member(identity, learner.address, MemberRole.VOTER))
+    membership = state.membership.with_member(Member(identity, learner.address, MemberRole.VOTER))
+    return membership.without(earlier[0].identity) if earlier else membership
 
 
 def _without_abandoned(
--- a/src/finchshed/consensus/replication.py
+++ b/src/finchshed/consensus/replication.py
@@ -1,7 +1,6 @@
 """The leader's side of replication: sending, answers, the commit index."""
 
 from finchshed.consensus.identity import NodeIdentity
-from finchshed.consensus.membership import quorum_size
 from finchshed.consensus.messages import (
     Append,
     AppendAccepted,
@@ -109,11 +108,11 @@
     Entries of earlier terms are committed only through one of the own term (section 5.4.2 of the
     Raft paper).
     """
-    voters = state.voters
+    voters = state.counted_voters
     held = sorted((_match_of(state, leading, voter) for voter in voters), reverse=True)
-    if not held:
+    if len(held) < state.quorum:
         return
-    index = held[quorum_size(len(voters)) - 1]
+    index = held[state.quorum - 1]
     if index > state.commit_index and state.log.term_at(index) == state.term:
         advance_commit(state, index)
         _leave_if_removed(state, leading)
@@ -122,8 +121,8 @@
 def has_quorum_contact(state: NodeState, leading: LeaderState) -> bool:
     """Whether a majority of voters answered within the shortest election timeout."""
     since = state.now - state.options.election_timeout_min_seconds
-    heard = sum(_heard_since(state, leading, voter, since) for voter in state.voters)
-    return heard >= quorum_size(len(state.voters))
+    heard = sum(_heard_since(state, leading, voter, since) for voter in state.counted_voters)
+    return heard >= state.quorum
 
 
 def begin_transfer_when_caught_up(
@@ -141,7 +140,7 @@
     candidates = [
         (progress.match_index, identity)
         for identity, progress in leading.progress.items()
-        if identity in state.voters and progress.last_heard >= since
+        if identity in state.counted_voters and progress.last_heard >= since
     ]
     return max(candidates)[1] if candidates else None
 
--- a/src/finchshed/consensus/requests.py
+++ b/src/finchshed/consensus/requests.py
@@ -33,7 +33,7 @@
     if leading is None:
         return
     target = target or replication.best_successor(state, leading)
-    if target is None or target not in state.voters or target == state.identity:
+    if target is None or target not in state.counted_voters or target == state.identity:
         return
     deadline = state.now + state.options.transfer_timeout_seconds
     leading.transfer = Transfer(target, deadline)
--- a/src/finchshed/consensus/state.py
+++ b/src/finchshed/consensus/state.py
@@ -145,14 +145,19 @@
         return self.log.membership
 
     @property
-    def voters(self) -> tuple[NodeIdentity, ...]:
-        """Voters of the latest membership in the log."""
-        return self.log.membership.voters
+    def counted_voters(self) -> tuple[NodeIdentity, ...]:
+        """Voters of the latest membership in the log whose agreement counts."""
+        return self.log.membership.counted_voters
+
+    @property
+    def quorum(self) -> int:
+        """Number of counted voters that must agree."""
+        return self.log.membership.quorum
 
     @property
     def is_voter(self) -> bool:
         """Whether this node is a voter, as far as it knows."""
-        return self.identity in self.voters
+        return self.identity in self.log.membership.voters
 
     @property
     def is_formed(self) -> bool:
