A node whose own removal is uncommitted still stands for leader

Cause: a leader that appended its own removal and stepped down before anybody had the entry no longer campaigned, and nobody else's log was complete enough to win its vote.

Change: the committed membership counts for standing as well as the latest (Raft dissertation, 4.2.2). The node's own vote still doesn't count where it is no voter, and pre-vote keeps a node that was removed long ago from disturbing.

--- a/src/finchshed/consensus/election.py
+++ b/src/finchshed/consensus/election.py
@@ -11,8 +11,14 @@
 
 
 def may_campaign(state: NodeState) -> bool:
-    """Whether this node could lead: a voter whose disk takes writes."""
-    return state.identity in state.counted_voters and not state.disk_full
+    """Whether this node could lead: a voter whose disk takes writes.
+
+    A node whose own removal is not committed yet still stands: it may be the only one whose log
+    others can accept (section 4.2.2 of the Raft dissertation). It doesn't vote for itself.
+    """
+    committed = state.log.membership_at(state.commit_index)
+    is_candidate = state.identity in (*state.counted_voters, *committed.counted_voters)
+    return is_candidate and not state.disk_full
 
 
 def start_pre_vote(state: NodeState) -> None:
