A node answers a leader that no membership it holds names

Cause: answers went to the address of the membership, or of the initial voters. A newcomer holds no membership, so it never answered a leader that had joined later, and its repair or addition never ended; a voter that was away while members were replaced has the same gap and couldn't vote.

Change: each envelope says where its sender is reached; addresses of nodes outside the known membership are remembered, at most 64.

--- a/src/finchshed/consensus/messages.py
+++ b/src/finchshed/consensus/messages.py
@@ -158,8 +158,13 @@
 
 
 class Envelope(msgspec.Struct, frozen=True):
-    """One line between two nodes."""
+    """One line between two nodes.
+
+    ``address`` is where the sender is reached: a newcomer, or a node that was away while members
+    changed, knows no membership that names it.
+    """
 
     sender: NodeIdentity
     receiver: NodeIdentity
     message: Message
+    address: str = ""
--- a/src/finchshed/consensus/receiving.py
+++ b/src/finchshed/consensus/receiving.py
@@ -37,6 +37,7 @@
     if receiver.incarnation not in ("", state.identity.incarnation):
         return
     sender = envelope.sender
+    state.hear_address(sender, envelope.address)
     match envelope.message:
         case Append() | Heartbeat() | SnapshotPiece() | TimeoutNow() as message:
             _receive_from_leader(state, sender, message)
--- a/src/finchshed/consensus/state.py
+++ b/src/finchshed/consensus/state.py
@@ -19,6 +19,8 @@
 from finchshed.consensus.progress import Progress
 from finchshed.storage.records import Entry, Snapshot, Vote, Write
 
+_MAX_HEARD_ADDRESSES = 64
+
 
 @dataclass
 class PendingRead:
@@ -116,6 +118,7 @@
     forwarded_reads: dict[int, ForwardedRead] = field(default_factory=dict)
     next_request: int = 0
     greetings: dict[NodeIdentity, Greeting] = field(default_factory=dict)
+    heard_addresses: dict[NodeIdentity, str] = field(default_factory=dict)
     hello_due: float = 0.0
     disk_full: bool = False
     applied_since_snapshot: int = 0
@@ -169,23 +172,35 @@
         member = self.membership.find(identity)
         if member is not None:
             return member.address
+        heard = self.heard_addresses.get(identity)
+        if heard is not None:
+            return heard
         greeting = self.greetings.get(identity)
         if greeting is not None:
             return greeting.address
         named = (m.address for m in self.initial_members if m.name == identity.name)
         return next(named, "")
 
+    def hear_address(self, sender: NodeIdentity, address: str) -> None:
+        """Remember where a node is reached that the membership known here doesn't name."""
+        if not address or self.membership.find(sender) is not None:
+            return
+        self.heard_addresses.pop(sender, None)
+        self.heard_addresses[sender] = address
+        if len(self.heard_addresses) > _MAX_HEARD_ADDRESSES:
+            del self.heard_addresses[next(iter(self.heard_addresses))]
+
     def send(self, receiver: NodeIdentity, message: Message) -> None:
         """Send a message that promises nothing."""
         address = self.address_of(receiver)
         if address:
-            self.effects.append(Send(address, Envelope(self.identity, receiver, message)))
+            self.effects.append(Send(address, self._envelope(receiver, message)))
 
     def send_when_durable(self, receiver: NodeIdentity, message: Message) -> None:
         """Send a message once every write asked for so far is durable."""
         address = self.address_of(receiver)
         if address:
-            self._held_sends.append(Send(address, Envelope(self.identity, receiver, message)))
+            self._held_sends.append(Send(address, self._envelope(receiver, message)))
 
     def set_vote(self, vote: Vote) -> None:
         """Change the term or vote."""
@@ -259,6 +274,9 @@
             self.effects.extend(self._held_sends)
         self._held_sends = []
 
+    def _envelope(self, receiver: NodeIdentity, message: Message) -> Envelope:
+        return Envelope(self.identity, receiver, message, self.address)
+
     def _persist(self, write: Write) -> None:
         self._last_ticket += 1
         self._outstanding.append(_OutstandingWrite(self._last_ticket, self.log.last_index))
