A node that may not stand for leader no longer wakes up a thousand times a second

Cause: once its election timeout was over, a standby, learner, removed node or node with a full disk was never given a new one, so every tick was due after the shortest delay, 1 ms. Ruled out: clocks that jump (the scenario has none).

Change: the node takes a new time. Test: a lone standby for 60 s made 59,000 ticks, now fewer than 660.

--- a/src/finchshed/consensus/node.py
+++ b/src/finchshed/consensus/node.py
@@ -251,7 +251,8 @@
         elif state.now >= state.election_due:
             if election.may_campaign(state):
                 election.start_pre_vote(state)
-            elif state.leader is not None:
+            else:
+                # Also takes a new time for the next look, or every tick from now on would be due.
                 roles.become_follower(state, state.term, None)
 
     def _tick_leader(self, leading: LeaderState) -> None:
