--- /dev/null
+++ b/tests/control/test_ledger_service.py
@@ -0,0 +1,114 @@
+import asyncio
+import random
+
+import pytest
+
+from finchshed.common.errors import ControlUnavailableError
+from finchshed.common.outcomes import Answered
+from finchshed.control.background import Background
+from finchshed.control.commands import BeginRequest, CancelRequest, Command, CommandResult
+from finchshed.control.ledger_service import LedgerService
+from finchshed.control.replicated_log import LogStatus
+from finchshed.distribution.messages import (
+    LedgerBegin,
+    LedgerCancel,
+    LedgerComplete,
+    LedgerCompleted,
+    LedgerGranted,
+    LedgerNoted,
+    LedgerRefused,
+    LedgerUnknown,
+)
+from finchshed.distribution.status import InForceReport
+from finchshed.ledger.keys import new_key
+from finchshed.ledger.ledger import Ledger
+from finchshed.ledger.results import LedgerRefusalReason
+
+NOW = 1_800_000_000.0
+ANSWER = Answered(200, (), b"whole")
+KEY = new_key(NOW, random.Random(1))
+
+
+class OneNodeLog:
+    """Applies ledger commands at once; the first ``undecided`` commit, but are not answered."""
+
+    def __init__(self, undecided: int = 0) -> None:
+        self.ledger = Ledger()
+        self.ledger.advance(NOW, 600.0)
+        self.proposed: list[Command] = []
+        self.undecided = undecided
+
+    async def propose(self, command: Command) -> CommandResult:
+        self.proposed.append(command)
+        result: CommandResult
+        if isinstance(command, BeginRequest):
+            result = self.ledger.begin(command.key, command.attempt)
+        elif isinstance(command, CancelRequest):
+            result = self.ledger.cancel(command.key, command.attempt)
+        else:
+            result = self.ledger.complete(command.key, command.attempt, command.answer)
+        if self.undecided:
+            self.undecided -= 1
+            raise ControlUnavailableError("no quorum")
+        return result
+
+    async def read_barrier(self) -> None:
+        """Nothing is ever behind."""
+
+    def status(self) -> LogStatus:
+        return LogStatus("c1", "c1", 1, 0, 0, ())
+
+    def in_contact(self) -> bool:
+        return True
+
+    def send_report(self, report: InForceReport) -> None:
+        """There is nobody else."""
+
+
+@pytest.fixture
+def background() -> Background:
+    return Background(on_broken=lambda error: pytest.fail(str(error)))
+
+
+async def test_a_begin_that_commits_after_its_daemon_was_refused_is_cancelled(
+    background: Background,
+) -> None:
+    log = OneNodeLog(undecided=1)
+    service = LedgerService(log, background)
+    refused = await service.answer(LedgerBegin(1, KEY, "a", "edge"))
+    assert isinstance(refused, LedgerRefused)
+    await asyncio.sleep(0)
+    assert log.proposed[-1] == CancelRequest(KEY, "a")
+    assert isinstance(await service.answer(LedgerBegin(2, KEY, "b", "edge")), LedgerGranted)
+
+
+async def test_a_complete_that_may_have_committed_is_not_cancelled(background: Background) -> None:
+    log = OneNodeLog()
+    service = LedgerService(log, background)
+    await service.answer(LedgerBegin(1, KEY, "a", "edge"))
+    log.undecided = 1
+    refused = await service.answer(LedgerComplete(2, KEY, "a", ANSWER))
+    assert isinstance(refused, LedgerRefused)
+    await asyncio.sleep(0)
+    again = await service.answer(LedgerBegin(3, KEY, "b", "edge"))
+    assert again == LedgerCompleted(3, ANSWER)
+
+
+async def test_each_result_reaches_the_daemon_as_its_own_message(background: Background) -> None:
+    service = LedgerService(OneNodeLog(), background)
+    old = new_key(NOW - 601.0, random.Random(2))
+    timeless = "6ba7b810-9dad-41d1-80b4-00c04fd430c8"
+    asked = [
+        (LedgerBegin(1, KEY, "a", "edge"), LedgerGranted(1)),
+        (LedgerBegin(2, KEY, "b", "edge"), LedgerUnknown(2)),
+        (LedgerCancel(3, KEY, "a"), LedgerNoted(3)),
+        (LedgerBegin(4, KEY, "a", "edge"), LedgerRefused(4, False, "attempt_cancelled")),
+        (
+            LedgerComplete(5, KEY, "a", ANSWER),
+            LedgerRefused(5, False, "the attempt doesn't hold the key"),
+        ),
+        (LedgerBegin(6, old, "a", "edge"), LedgerRefused(6, True, LedgerRefusalReason.EXPIRED)),
+        (LedgerBegin(7, timeless, "a", "edge"), LedgerRefused(7, False, "no_time_in_key")),
+    ]
+    for request, answer in asked:
+        assert await service.answer(request) == answer
