--- a/src/finchshed/cli/exit_codes.py
+++ b/src/finchshed/cli/exit_codes.py
@@ -1,6 +1,7 @@
 """Exit codes of every finchshed command."""
 
 import enum
+from collections.abc import Mapping
 
 
 class ExitCode(enum.IntEnum):
@@ -22,7 +23,7 @@
     """A broken invariant or an unexpected error; the ring of log records was written out."""
 
 
-MEANINGS = {
+MEANINGS: Mapping[int, str] = {
     ExitCode.OK: "done",
     ExitCode.FAILED: "a check or change failed",
     ExitCode.USAGE: "wrong command, flag, settings or declarations",
--- a/src/finchshed/cli/help.py
+++ b/src/finchshed/cli/help.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from finchshed.cli.exit_codes import MEANINGS
-from finchshed.cli.table import COMMANDS, PROGRAMS, Program
+from finchshed.cli.table import COMMANDS, PROGRAMS, Command, Program, resolve
 from finchshed.settings import describe
 
 _COLUMN = 22
@@ -19,9 +19,8 @@
     lines += [f"  {name:<10} {program.summary}" for name, program in PROGRAMS.items()]
     lines += ["", "commands:"]
     lines += [f"  {name:<10} {command.summary}" for name, command in COMMANDS.items()]
-    lines += ["", "finchshed COMMAND --help tells more.", "", "exit codes:"]
-    lines += [f"  {code.value}  {meaning}" for code, meaning in MEANINGS.items()]
-    return "\n".join(lines)
+    lines += ["", "finchshed COMMAND --help tells more.", ""]
+    return "\n".join([*lines, *_exit_codes(MEANINGS)])
 
 
 def of_program(name: str, program: Program) -> str:
@@ -43,13 +42,15 @@
     return "\n".join(lines)
 
 
-def of_group(name: str, summary: str, subcommands: Mapping[str, Callable[..., Any]]) -> str:
-    """Return the help of a command that has sub-commands."""
-    lines = [f"usage: finchshed {name} COMMAND [ARGUMENTS] [--FLAG=VALUE]", "", summary, ""]
+def of_group(name: str, command: Command, subcommands: Mapping[str, Callable[..., Any]]) -> str:
+    """Return the help of a command that has sub-commands, with its exit codes."""
+    usage = f"usage: finchshed {name} COMMAND [ARGUMENTS] [--FLAG=VALUE]"
+    lines = [usage, "", command.summary, ""]
     for sub_name, function in subcommands.items():
         first_line = (inspect.getdoc(function) or "").partition("\n")[0]
         lines.append(f"  {sub_name:<{_COLUMN}} {first_line}")
-    return "\n".join(lines)
+    further = resolve(command.exit_codes) if command.exit_codes else {}
+    return "\n".join([*lines, "", *_exit_codes({**MEANINGS, **further})])
 
 
 def of_function(name: str, function: Callable[..., Any]) -> str:
@@ -59,6 +60,11 @@
     return f"usage: finchshed {name} {usage}\n\n{inspect.getdoc(function) or ''}".rstrip()
 
 
+def _exit_codes(meanings: Mapping[int, str]) -> list[str]:
+    rows = [f"  {int(code):<3} {meaning}" for code, meaning in meanings.items()]
+    return ["exit codes:", *rows]
+
+
 def _usage_of(parameter: inspect.Parameter) -> str:
     upper = parameter.name.upper()
     if parameter.kind is inspect.Parameter.VAR_KEYWORD:
--- a/src/finchshed/cli/main.py
+++ b/src/finchshed/cli/main.py
@@ -70,7 +70,7 @@
     if subcommands is None:
         return _call(name, target, arguments)
     if not arguments or arguments[0] in HELP_FLAGS:
-        text = help_texts.of_group(name, command.summary, subcommands)
+        text = help_texts.of_group(name, command, subcommands)
         return _show(text, ExitCode.OK if arguments else ExitCode.USAGE)
     sub_name, *rest = arguments
     if sub_name not in subcommands:
--- a/src/finchshed/cli/table.py
+++ b/src/finchshed/cli/table.py
@@ -29,11 +29,13 @@
     """A command that ends by itself.
 
     ``target`` is ``module:name`` of a callable that returns an exit code or None, or of a
-    mapping from sub-command to such a callable.
+    mapping from sub-command to such a callable. ``exit_codes`` is ``module:name`` of the meanings
+    of its exit codes beyond those of every command; empty for none.
     """
 
     summary: str
     target: str
+    exit_codes: str = ""
 
 
 PROGRAMS: Mapping[str, Program] = {
@@ -50,16 +52,14 @@
 }
 
 COMMANDS: Mapping[str, Command] = {
-    "ctl": Command("operate a deployment through its control nodes", "finchshed.ctl.command:ctl"),
+    "ctl": Command(
+        "operate a deployment through its control nodes",
+        "finchshed.ctl.command:ctl",
+        exit_codes="finchshed.ctl.exit_codes:MEANINGS",
+    ),
     "config": Command("check, show or sample settings", "finchshed.settings.command:COMMANDS"),
-    "emulate": Command("run a scenario in simulated time", "finchshed.emulator.command:emulate"),
-    "prove": Command("check the stated properties over seeds", "finchshed.proof.command:prove"),
-    "replay": Command("replay a trace against stated outcomes", "finchshed.replay.command:replay"),
-    "record": Command("record a trace", "finchshed.replay.command:record"),
     "fleet": Command("run a deployment of real processes", "finchshed.fleet.command:fleet"),
     "bench": Command("measure what a call costs", "finchshed.bench.command:bench"),
-    "report": Command("make reports and plots of results", "finchshed.report.command:report"),
-    "scale": Command("run many hollow daemons beside real ones", "finchshed.scale.command:scale"),
     "standin": Command("stand-ins for back ends and callers", "finchshed.standins.command:standin"),
 }
 
--- a/src/finchshed/ctl/exit_codes.py
+++ b/src/finchshed/ctl/exit_codes.py
@@ -1,6 +1,7 @@
 """Exit codes of ``finchshed ctl`` beyond those of every command."""
 
 import enum
+from collections.abc import Mapping
 
 
 class CtlExitCode(enum.IntEnum):
@@ -20,3 +21,12 @@
 
     NOT_IN_FORCE = 14
     """``status``: some daemons are behind or silent."""
+
+
+MEANINGS: Mapping[int, str] = {
+    CtlExitCode.DIFFERENT: "diff: the declarations differ from what is in force",
+    CtlExitCode.CONFLICT: "apply: another change was accepted first; nothing was changed",
+    CtlExitCode.INVALID: "apply: the control node found problems; nothing was changed",
+    CtlExitCode.DENIED: "the token is none of a declared operator",
+    CtlExitCode.NOT_IN_FORCE: "status: some daemons are behind or silent",
+}
--- a/src/finchshed/rpc/generate.py
+++ b/src/finchshed/rpc/generate.py
@@ -1,8 +1,9 @@
 """Generate the Python code of the schema (developers only; needs grpcio-tools).
 
 Run ``python -m finchshed.rpc.generate`` after a change of ``finchshed.proto``; the result is
-committed, so that a build needs no generator. With ``--check`` nothing is written, and the exit
-code is 1 where the committed code doesn't match the schema.
+committed, so that a build needs no generator. With ``--check`` nothing is written.
+
+Exit codes: 0 done, 1 the committed code doesn't match the schema (``--check``), 2 wrong usage.
 """
 
 import importlib
@@ -10,7 +11,10 @@
 import tempfile
 from pathlib import Path
 
+from finchshed.cli.exit_codes import ExitCode
+
 SCHEMA = "finchshed.proto"
+CHECK_FLAG = "--check"
 PACKAGE_FOLDER = Path(__file__).parent
 GENERATED_FOLDER = PACKAGE_FOLDER / "generated"
 RELATIVE_IMPORT = "from finchshed.rpc.generated import finchshed_pb2 as finchshed__pb2"
@@ -60,13 +64,16 @@
 
 def main(arguments: list[str]) -> int:
     """Generate, or check with ``--check``; return the exit code."""
-    if "--check" not in arguments:
+    if arguments not in ([], [CHECK_FLAG]):
+        print(f"usage: python -m finchshed.rpc.generate [{CHECK_FLAG}]", file=sys.stderr)
+        return ExitCode.USAGE
+    if not arguments:
         generate(GENERATED_FOLDER)
-        return 0
+        return ExitCode.OK
     outdated = outdated_files()
     for name in outdated:
         print(f"{name} doesn't match {SCHEMA}: run python -m finchshed.rpc.generate")
-    return 1 if outdated else 0
+    return ExitCode.FAILED if outdated else ExitCode.OK
 
 
 if __name__ == "__main__":
