Paired measure of the latency the path adds to a call

Cause: nothing measured what the edge, the JSON-lines link and the daemon beside the back end add to a call. Unpaired runs were ruled out: what else the machine does differs between them. 'bench' is a group now: run, summary, latency.

--- a/src/finchshed/bench/command.py
+++ b/src/finchshed/bench/command.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from finchshed.bench.experiment import cases_of, load
+from finchshed.bench.paired_latency import latency
 from finchshed.bench.results import RunRecord, read, run_case, summary_lines
 from finchshed.cli.exit_codes import ExitCode
 
@@ -52,4 +53,4 @@
     return ExitCode.OK
 
 
-COMMANDS = {"run": bench, "summary": summarize}
+COMMANDS = {"run": bench, "summary": summarize, "latency": latency}
--- /dev/null
+++ b/src/finchshed/bench/paired_latency.py
@@ -0,0 +1,328 @@
+"""Latency the whole path adds to a call, measured in pairs.
+
+One caller sends each request twice: directly to the back end, and through the path (edge daemon,
+JSON lines, daemon beside the back end, back end). The two calls of a pair follow one another at
+once, which of them goes first alternates, and pairs arrive as a Poisson process, so whatever else
+the machine does falls on both alike. Both p99 of each way and percentiles of the differences
+within pairs are told: the former is what a caller sees, the latter what the path does to a call.
+"""
+
+import asyncio
+import random
+import sys
+import time
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import TypeAlias
+
+import msgspec
+import uvloop
+from hdrh.histogram import HdrHistogram
+
+from finchshed.bench.daemon_system import SERVICE, DaemonSystem, MeasuredProcess, MeasurementError
+from finchshed.bench.process_usage import MachineLoad, MachineMeter, processor_seconds
+from finchshed.cli.exit_codes import ExitCode
+from finchshed.common.context import HEADER_SERVICE
+from finchshed.daemon.backend import BackendAnswer, BackendRequest, BackendResult
+from finchshed.daemon.backend_http import HttpBackend
+
+DEFAULT_RATES = (50.0, 100.0, 200.0, 400.0)
+DEFAULT_SECONDS = 15.0
+WARM_UP_SECONDS = 2.0
+BODY_BYTES = 100
+MAX_MICROSECONDS = 60_000_000
+SIGNIFICANT_DIGITS = 3
+PERCENTILES = (50.0, 99.0, 99.9)
+CALL_TIMEOUT_SECONDS = 10.0
+CALLER_CONNECTIONS = 64
+MICROSECONDS = 1e6
+
+_Start: TypeAlias = Callable[[], None]
+_Done: TypeAlias = Callable[[float | None], None]
+
+
+class Percentiles(msgspec.Struct, frozen=True):
+    """Milliseconds at three percentiles."""
+
+    p50: float
+    p99: float
+    p999: float
+
+    def minus(self, other: "Percentiles") -> "Percentiles":
+        """Return the differences, rounded to microseconds."""
+        return Percentiles(
+            round(self.p50 - other.p50, 3),
+            round(self.p99 - other.p99, 3),
+            round(self.p999 - other.p999, 3),
+        )
+
+
+class PairedResult(msgspec.Struct, frozen=True):
+    """Result of one rate.
+
+    Attributes
+    ----------
+    rate
+        Pairs sent each second.
+    pairs
+        Pairs of which both calls were answered whole.
+    failed
+        Pairs of which a call was not.
+    added
+        Difference of the percentiles: what a caller sees.
+    paired
+        Percentiles of the difference within each pair; a negative difference counts as 0.
+    edge_microseconds, daemon_microseconds
+        Processor time of each daemon for one call, idle cost included.
+    """
+
+    rate: float
+    seconds: float
+    seed: int
+    pairs: int
+    failed: int
+    direct: Percentiles
+    through: Percentiles
+    added: Percentiles
+    paired: Percentiles
+    edge_microseconds: float
+    daemon_microseconds: float
+    machine: MachineLoad
+
+
+class PairedRun:
+    """Sends pairs at one rate and keeps what they took."""
+
+    def __init__(self, direct: HttpBackend, through: HttpBackend, rng: random.Random) -> None:
+        self._ways = (direct, through)
+        self._rng = rng
+        self._loop = asyncio.get_running_loop()
+        self._histograms = (_histogram(), _histogram())
+        self._differences = _histogram()
+        self._open = 0
+        self._all_ended: asyncio.Event | None = None
+        self.pairs = 0
+        self.failed = 0
+
+    async def run(self, rate: float, seconds: float) -> None:
+        """Send pairs for ``seconds`` and wait for their answers."""
+        start = time.perf_counter()
+        due = start
+        number = 0
+        while due < start + seconds:
+            due += self._rng.expovariate(rate)
+            await asyncio.sleep(max(0.0, due - time.perf_counter()))
+            self._open += 1
+            self._send_first(number % 2)
+            number += 1
+        if self._open:
+            self._all_ended = asyncio.Event()
+            await self._all_ended.wait()
+
+    def percentiles(self) -> tuple[Percentiles, Percentiles, Percentiles]:
+        """Return those of direct calls, calls through the path, and the differences."""
+        direct, through = self._histograms
+        return _percentiles(direct), _percentiles(through), _percentiles(self._differences)
+
+    def _send_first(self, way: int) -> None:
+        def answered(first: float | None) -> None:
+            if first is None:
+                self._end_failed()
+                return
+            self._loop.call_soon(self._send(1 - way, lambda second: self._end(way, first, second)))
+
+        self._send(way, answered)()
+
+    def _send(self, way: int, done: _Done) -> _Start:
+        def start() -> None:
+            started = time.perf_counter()
+
+            def on_result(result: BackendResult) -> None:
+                took = time.perf_counter() - started
+                is_whole = isinstance(result, BackendAnswer) and _is_whole(result)
+                done(took if is_whole else None)
+
+            self._ways[way].send(_request(), on_result)
+
+        return start
+
+    def _end(self, first_way: int, first: float, second: float | None) -> None:
+        if second is None:
+            self._end_failed()
+            return
+        direct, through = (first, second) if first_way == 0 else (second, first)
+        self._histograms[0].record_value(round(direct * MICROSECONDS))
+        self._histograms[1].record_value(round(through * MICROSECONDS))
+        self._differences.record_value(max(0, round((through - direct) * MICROSECONDS)))
+        self.pairs += 1
+        self._close_pair()
+
+    def _end_failed(self) -> None:
+        self.failed += 1
+        self._close_pair()
+
+    def _close_pair(self) -> None:
+        self._open -= 1
+        if self._open == 0 and self._all_ended is not None:
+            self._all_ended.set()
+
+
+async def measure(
+    rates: Sequence[float], seconds: float, seed: int, profile: str = ""
+) -> list[PairedResult]:
+    """Measure each rate on one running system; write profiles of the daemons if told where."""
+    wrapper = None
+    if profile:
+
+        def wrapper(name: str, arguments: list[str]) -> list[str]:
+            out = str(Path(profile) / f"{name}.prof")
+            return [sys.executable, "-m", "cProfile", "-o", out, *arguments]
+
+    results = []
+    async with DaemonSystem(body_bytes=BODY_BYTES, wrapper=wrapper) as system:
+        edge, daemon = system.edge, system.daemons[0]
+        assert edge is not None
+        direct = _client(system.backend_processes[0])
+        through = _client(edge)
+        await _await_ready(through)
+        await PairedRun(direct, through, random.Random(seed)).run(rates[0], WARM_UP_SECONDS)
+        for rate in rates:
+            run = PairedRun(direct, through, random.Random(seed))
+            usage = await _run_measured(run, rate, seconds, (edge, daemon))
+            results.append(_result(run, rate, seconds, seed, usage))
+        await direct.close()
+        await through.close()
+    return results
+
+
+class _Usage(msgspec.Struct, frozen=True):
+    """Processor seconds of the edge and of the daemon beside the back end during a run."""
+
+    edge: float
+    daemon: float
+    machine: MachineLoad
+
+
+async def _run_measured(
+    run: PairedRun, rate: float, seconds: float, daemons: tuple[MeasuredProcess, MeasuredProcess]
+) -> _Usage:
+    meter = MachineMeter()
+    before = [processor_seconds(daemon.pid) for daemon in daemons]
+    await run.run(rate, seconds)
+    after = [processor_seconds(daemon.pid) for daemon in daemons]
+    return _Usage(after[0] - before[0], after[1] - before[1], meter.load())
+
+
+def _result(run: PairedRun, rate: float, seconds: float, seed: int, usage: _Usage) -> PairedResult:
+    direct, through, paired = run.percentiles()
+    calls = max(1, run.pairs + run.failed)
+    return PairedResult(
+        rate=rate,
+        seconds=seconds,
+        seed=seed,
+        pairs=run.pairs,
+        failed=run.failed,
+        direct=direct,
+        through=through,
+        added=through.minus(direct),
+        paired=paired,
+        edge_microseconds=round(usage.edge / calls * MICROSECONDS, 1),
+        daemon_microseconds=round(usage.daemon / calls * MICROSECONDS, 1),
+        machine=usage.machine,
+    )
+
+
+def latency(
+    rates: str = "",
+    seconds: float = DEFAULT_SECONDS,
+    seed: int = 1,
+    out: str = "",
+    profile: str = "",
+) -> int:
+    """Measure the latency that the path adds to a call, in pairs, at several rates.
+
+    Parameters
+    ----------
+    rates
+        Pairs a second, separated by commas.
+    seconds
+        Length of the run at each rate.
+    seed
+        Seed of the arrivals.
+    out
+        File that one JSON line for each rate is added to, or empty.
+    profile
+        Folder for cProfile's files of the daemons, or empty; profiled figures don't count.
+    """
+    chosen = [float(rate) for rate in str(rates).strip("()").split(",") if rate] or DEFAULT_RATES
+    results = uvloop.run(measure(chosen, float(seconds), int(seed), profile))
+    print("\n".join(table(results)))
+    if out:
+        with Path(out).open("ab") as file:
+            file.writelines(msgspec.json.encode(result) + b"\n" for result in results)
+    return ExitCode.OK
+
+
+def table(results: Sequence[PairedResult]) -> list[str]:
+    """Return the results as lines of a table; latencies in milliseconds at p50/p99/p99.9."""
+    lines = [
+        "pairs/s  pairs failed          direct         through           added"
+        "          paired  edge us  daemon us  busy cores"
+    ]
+    for result in results:
+        columns = [
+            f"{_text(percentiles):>15}"
+            for percentiles in (result.direct, result.through, result.added, result.paired)
+        ]
+        lines.append(
+            f"{result.rate:7.0f} {result.pairs:6d} {result.failed:6d} {' '.join(columns)}"
+            f" {result.edge_microseconds:8.0f} {result.daemon_microseconds:10.0f}"
+            f" {result.machine.busy_cores:8.1f}/{result.machine.cores}"
+        )
+    return lines
+
+
+def _text(percentiles: Percentiles) -> str:
+    return f"{percentiles.p50:.2f}/{percentiles.p99:.2f}/{percentiles.p999:.2f}"
+
+
+def _is_whole(answer: BackendAnswer) -> bool:
+    return answer.status == 200 and len(answer.body) == BODY_BYTES
+
+
+def _request() -> BackendRequest:
+    return BackendRequest(
+        method="GET",
+        path="/",
+        headers=((HEADER_SERVICE, SERVICE),),
+        body=b"",
+        timeout_seconds=CALL_TIMEOUT_SECONDS,
+        max_answer_bytes=1 << 20,
+    )
+
+
+def _client(measured: MeasuredProcess) -> HttpBackend:
+    return HttpBackend(measured.http_address, CALLER_CONNECTIONS, CALL_TIMEOUT_SECONDS)
+
+
+async def _await_ready(client: HttpBackend) -> None:
+    """Wait until calls are answered: every daemon holds the configuration."""
+    for _ in range(500):
+        waiter: asyncio.Future[BackendResult] = asyncio.get_running_loop().create_future()
+        client.send(_request(), waiter.set_result)
+        result = await waiter
+        if isinstance(result, BackendAnswer) and _is_whole(result):
+            return
+        await asyncio.sleep(0.02)
+    raise MeasurementError("calls through the daemons are not answered")
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(1, MAX_MICROSECONDS, SIGNIFICANT_DIGITS)
+
+
+def _percentiles(histogram: HdrHistogram) -> Percentiles:
+    values = [
+        round(histogram.get_value_at_percentile(percentile) / 1000, 3) for percentile in PERCENTILES
+    ]
+    return Percentiles(*values)
