Connections to the back end are used again

Cause: the profile showed one connection made for each request. Whether a connection stays alive was asked of the parser after its callback, when it no longer knows. Ruled out: the idle limit (a fresh connection was never given back at all). Change: asked in the callback. The new test failed before (30 connections for 30 requests, now 1).

--- a/src/finchshed/daemon/backend_connection.py
+++ b/src/finchshed/daemon/backend_connection.py
@@ -170,10 +170,13 @@
         self._is_past_head = False
         self._ends_with_connection = False
         self._is_complete: bool = False
+        self._keeps_alive = False
         self._is_in_doubt = False
 
     def _complete(self) -> None:
         self._is_complete = True
+        # Past the parser's callback this is no longer told of the answer that has just ended.
+        self._keeps_alive = self._parser.should_keep_alive()
         # What follows in the same bytes decides whether the connection can be used again.
         asyncio.get_running_loop().call_soon(self._release)
         self._finish(self._answer())
@@ -181,7 +184,7 @@
     def _release(self) -> None:
         if self.state is ConnectionState.CLOSED:
             return
-        if self._is_in_doubt or not self._parser.should_keep_alive():
+        if self._is_in_doubt or not self._keeps_alive:
             self._close()
             return
         self.state = ConnectionState.IDLE
--- a/tests/daemon/scripted_backend.py
+++ b/tests/daemon/scripted_backend.py
@@ -24,6 +24,7 @@
     handler: Handler
     received: list[Received] = field(default_factory=list)
     closed_early: int = 0
+    connections: int = 0
     address: str = ""
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
@@ -50,6 +51,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
+        self.connections += 1
         try:
             while (received := await _read_request(reader)) is not None:
                 self.received.append(received)
--- a/tests/daemon/test_whole_answers.py
+++ b/tests/daemon/test_whole_answers.py
@@ -142,3 +142,20 @@
             await asyncio.sleep(0.05)
     assert [body for body in bodies if body.startswith(b"doubled")] == []
     assert bodies[0] == b"/0"
+
+
+async def test_a_connection_to_the_backend_is_used_for_one_request_after_the_other() -> None:
+    async with deployment() as system:
+        bodies = [(await system.ask(f"/{number}")).body for number in range(30)]
+        assert system.backends[0].connections == 1
+    assert bodies == [f"GET /{number} ".encode() for number in range(30)]
+
+
+async def test_a_connection_the_backend_closes_is_not_used_again() -> None:
+    async def handler(received: Received, writer: asyncio.StreamWriter) -> None:
+        writer.write(answer(received.path.encode(), Connection="close"))
+
+    async with deployment(handler) as system:
+        bodies = [(await system.ask(f"/{number}")).body for number in range(5)]
+        assert system.backends[0].connections == 5
+    assert bodies == [f"/{number}".encode() for number in range(5)]
