HTTP listener on httptools, calls by callbacks, answers handed on outside the parser

Cause: in the profile the edge spent most of its time in aiohttp's server, and each call made a task and two coroutines. Change: the listener is one asyncio.Protocol over httptools; callers wait by callback. Requests are handed on after the parser has returned, because httptools turns an error of a callback into an error of the parser: a fault of the daemon would have been told as a malformed request. The same holds for answers of the back end. While a stop goes on the listener still answers, and each answer closes its connection. Routes are matched on the unescaped path: '/%62uy' was taken for repeatable (the new test failed before).

--- a/src/finchshed/daemon/backend_connection.py
+++ b/src/finchshed/daemon/backend_connection.py
@@ -63,6 +63,8 @@
         self._on_result: Callable[[BackendResult], None] | None = None
         self._is_head = False
         self._max_answer_bytes = 0
+        self._is_complete: bool = False
+        self._is_too_large: bool = False
         self._start_answer()
 
     def send(
@@ -99,9 +101,21 @@
         self._received += len(data)
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError:
+            raise
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._fail(f"malformed answer: {error}")
-        if not self._is_past_head and self._received > MAX_HEAD_BYTES:
+            if not self._is_complete:
+                self._fail(f"malformed answer: {error}")
+                return
+            self._is_in_doubt = True
+        if self._is_complete:
+            # What followed in the same bytes decides whether the connection can be used again.
+            self._release()
+            self._finish(self._answer())
+        elif self._is_too_large:
+            self._finish(BackendAnswerTooLarge())
+            self._close()
+        elif not self._is_past_head and self._received > MAX_HEAD_BYTES:
             self._fail("head too large")
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -122,6 +136,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header."""
+        if self._is_complete:
+            return
         name = name.lower()
         self._raw_headers.append((name, value))
         if name in {b"content-length", b"transfer-encoding"}:
@@ -142,14 +158,13 @@
 
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body within its limit."""
-        if self._is_complete:
+        if self._is_complete or self._is_too_large:
             return
         self._body_size += len(body)
         if self._body_size <= self._max_answer_bytes:
             self._body.append(body)
-        elif self._on_result is not None:
-            self._finish(BackendAnswerTooLarge())
-            self._close()
+        else:
+            self._is_too_large = True
 
     def on_message_complete(self) -> None:
         """End the answer, or skip an interim one."""
@@ -157,7 +172,7 @@
             self._raw_headers.clear()
             self._has_length = False
             return
-        if not self._is_complete and self._is_past_head:
+        if not self._is_complete and self._is_past_head and not self._is_too_large:
             self._complete()
 
     def _start_answer(self) -> None:
@@ -169,7 +184,8 @@
         self._has_length = False
         self._is_past_head = False
         self._ends_with_connection = False
-        self._is_complete: bool = False
+        self._is_complete = False
+        self._is_too_large = False
         self._keeps_alive = False
         self._is_in_doubt = False
 
@@ -177,12 +193,9 @@
         self._is_complete = True
         # Past the parser's callback this is no longer told of the answer that has just ended.
         self._keeps_alive = self._parser.should_keep_alive()
-        # What follows in the same bytes decides whether the connection can be used again.
-        asyncio.get_running_loop().call_soon(self._release)
-        self._finish(self._answer())
 
     def _release(self) -> None:
-        if self.state is ConnectionState.CLOSED:
+        if self.state is not ConnectionState.AWAITING_ANSWER:
             return
         if self._is_in_doubt or not self._keeps_alive:
             self._close()
--- a/src/finchshed/daemon/caller.py
+++ b/src/finchshed/daemon/caller.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from finchshed.common.outcomes import Outcome, RefusalReason, Refused
@@ -56,8 +57,14 @@
             self._retry_ratio = catalogue.policy.retry_ratio
             self._buckets.clear()
 
-    async def call(self, request: Request, account: str, join_identity: str) -> Outcome:
-        """Have ``request`` answered.
+    def call(
+        self,
+        request: Request,
+        account: str,
+        join_identity: str,
+        on_outcome: Callable[[Outcome], None],
+    ) -> Callable[[], None]:
+        """Have ``request`` answered; ``on_outcome`` is called once. Return what gives it up.
 
         Parameters
         ----------
@@ -67,25 +74,32 @@
             Identity under which a repeat joins the request in progress, or empty.
         """
         if not join_identity:
-            return await self._start(request, account, None).wait()
+            return self._start(request, account, None).wait(on_outcome)
         key = JoinKey(request.service, request.context.caller, join_identity)
         fingerprint = fingerprint_of(request.method, request.path, request.body)
         held = self._joinable.get(key)
         if held is not None:
             lent = request.context.spare_attempts
             self._served.give_back(account, lent, lent)
-            return await self._join(*held, fingerprint)
+            return self._join(held, fingerprint, on_outcome)
         call = self._start(request, account, key)
         if not call.is_over:
             self._joinable[key] = (call, fingerprint)
-        return await call.wait()
-
-    async def _join(self, call: OutgoingCall, held_fingerprint: str, fingerprint: str) -> Outcome:
+        return call.wait(on_outcome)
+
+    def _join(
+        self,
+        held: tuple[OutgoingCall, str],
+        fingerprint: str,
+        on_outcome: Callable[[Outcome], None],
+    ) -> Callable[[], None]:
+        call, held_fingerprint = held
         if held_fingerprint != fingerprint:
             detail = "another request of this identity is in progress"
-            return Refused(RefusalReason.KEY_REUSED, self._retry_after(), detail)
+            on_outcome(Refused(RefusalReason.KEY_REUSED, self._retry_after(), detail))
+            return _nothing
         metrics.JOINED.inc()
-        return await call.wait()
+        return call.wait(on_outcome)
 
     def _start(self, request: Request, account: str, key: JoinKey | None) -> OutgoingCall:
         lent = request.context.spare_attempts
@@ -120,3 +134,7 @@
 
     def _retry_after(self) -> float:
         return retry_after(0.0, self._rng)
+
+
+def _nothing() -> None:
+    """Give up a call that is over."""
--- a/src/finchshed/daemon/catalogue.py
+++ b/src/finchshed/daemon/catalogue.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from urllib.parse import unquote
 
 from finchshed.configuration.resources import Endpoint, Policy, Resource, Route, Service
 
@@ -30,7 +31,12 @@
         return self._services.get(name)
 
     def match(self, service_name: str, path: str) -> Matched | None:
-        """Return the route of the longest prefix of ``path``, or None where none is declared."""
+        """Return the route of the longest prefix of ``path``, or None where none is declared.
+
+        Escaped letters are compared as what they stand for, as a back end would read them.
+        """
+        if "%" in path:
+            path = unquote(path)
         for route in self._routes.get(service_name, ()):
             if path.startswith(route.prefix):
                 return Matched(self._services[service_name], route)
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -8,23 +8,24 @@
 from pathlib import Path
 from typing import Any
 
-from aiohttp import web
 from loguru import logger
 
 from finchshed.common.outcomes import RefusalReason, Refused
 from finchshed.configuration.resources import Endpoint
 from finchshed.daemon import metrics
-from finchshed.daemon.accounts import ServedRequest, ServedRequests
+from finchshed.daemon.accounts import ServedRequests
 from finchshed.daemon.backend_http import HttpBackend
 from finchshed.daemon.callee import Callee
 from finchshed.daemon.caller import Caller
 from finchshed.daemon.catalogue import Catalogue
 from finchshed.daemon.control_ledger import ControlLedger
-from finchshed.daemon.front import Front, SpoolBudget
+from finchshed.daemon.front import Admitted, Front
 from finchshed.daemon.guarded import GuardedRuns
+from finchshed.daemon.http_server import HttpServer
 from finchshed.daemon.peers import PeerLinks
 from finchshed.daemon.settings import DaemonSettings
 from finchshed.daemon.sockets import listening_socket
+from finchshed.daemon.spool import SpoolBudget
 from finchshed.distribution.addresses import parse_control_address
 from finchshed.distribution.client import ClientIdentity
 from finchshed.distribution.driver import FollowerDriver
@@ -40,7 +41,6 @@
 SLOW_TICK_SECONDS = 0.5
 INCARNATION_BYTES = 8
 DRAIN_POLL_SECONDS = 0.02
-KEEP_ALIVE_SECONDS = 75.0
 
 
 class Daemon:
@@ -57,8 +57,9 @@
         self._table = RoutingTable(settings.zone, settings.region, self._rng)
         self._links = PeerLinks(settings, self, self._rng)
         self._caller = Caller(self._table, self._links, self._served, self._rng)
+        self._front = Front(self._caller, self._served, self._rng, self._why_not)
         spool = SpoolBudget(settings.max_spooled_bytes)
-        self._front = Front(self._caller, self._served, spool, self._rng, self._why_not)
+        self._http: HttpServer[Admitted] = HttpServer(self._front, spool)
         self._listener = LinkListener(
             self,
             settings.peer_networks,
@@ -69,7 +70,6 @@
         self._backend: HttpBackend | None = None
         self._callee = self._make_callee()
         self._servers: list[asyncio.Server] = []
-        self._http: web.Server | None = None
 
     @property
     def is_serving(self) -> bool:
@@ -94,14 +94,8 @@
         self._servers.append(
             await loop.create_server(self._listener.make_protocol, sock=link_socket)
         )
-        self._http = web.Server(
-            self._front.handle,
-            handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=KEEP_ALIVE_SECONDS,
-        )
         http_socket = listening_socket(settings.http_address)
-        self._servers.append(await loop.create_server(self._http, sock=http_socket))
+        self._servers.append(await loop.create_server(self._http.make_protocol, sock=http_socket))
 
     async def stop(self) -> None:
         """Take no new work, finish what is in progress, and close."""
@@ -110,7 +104,7 @@
         logger.info("draining")
         if self._callee is not None:
             self._callee.draining = True
-        self._front.close_connections = True
+        self._http.closing = True
         for link in self._listener.links():
             link.tell_draining()
         started = time.monotonic()
@@ -272,15 +266,11 @@
         for link in self._listener.links():
             link.tell_draining()
 
-    def _why_not(self, served: ServedRequest | None, session: str) -> RefusalReason | None:
-        if not self._is_serving:
-            return RefusalReason.NO_CONFIGURATION
-        if self._is_draining and served is None and not session:
-            return RefusalReason.DRAINING
-        return None
+    def _why_not(self) -> RefusalReason | None:
+        return None if self._is_serving else RefusalReason.NO_CONFIGURATION
 
     def _is_busy(self) -> bool:
-        if self._front.in_progress or self._caller.in_progress:
+        if self._http.is_busy or self._caller.in_progress:
             return True
         return self._callee is not None and (
             self._callee.in_progress > 0 or self._callee.sessions > 0
@@ -295,6 +285,7 @@
     async def _tick_seldom(self) -> None:
         while True:
             await asyncio.sleep(SLOW_TICK_SECONDS)
+            self._http.sweep()
             self._links.close_idle()
             self._listener.close_silent(asyncio.get_running_loop().time())
             metrics.IN_PROGRESS.labels("caller").set(self._caller.in_progress)
@@ -304,8 +295,7 @@
     async def _close(self) -> None:
         for server in self._servers:
             server.close()
-        if self._http is not None:
-            await self._http.shutdown(timeout=1.0)
+        self._http.close()
         self._links.close()
         self._listener.close()
         if self._backend is not None:
--- a/src/finchshed/daemon/front.py
+++ b/src/finchshed/daemon/front.py
@@ -1,4 +1,4 @@
-"""The HTTP listener: requests of the local back end and of outside callers.
+"""The call path's HTTP listener: requests of the local back end and of outside callers.
 
 A request is spooled whole within its service's limit, given its context, and answered with the
 whole answer of a back end or with a refusal or failure that says whether it ran.
@@ -10,8 +10,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from aiohttp import web
-
 from finchshed.common.context import (
     HEADER_ACCOUNT,
     HEADER_CALLER,
@@ -26,39 +24,40 @@
 from finchshed.daemon.accounts import ServedRequest, ServedRequests
 from finchshed.daemon.caller import Caller
 from finchshed.daemon.catalogue import Catalogue, Matched
+from finchshed.daemon.http_message import InboundRequest, Response
 from finchshed.daemon.request import Request, end_to_end_headers
-from finchshed.daemon.responses import response_of
+from finchshed.daemon.responses import malformed_response, response_of
 from finchshed.retry.policy import retry_after
 
 ROOT_BYTES = 12
 MILLISECONDS = 1000.0
 
+_ACCOUNT = HEADER_ACCOUNT.encode("ascii")
+_CALLER = HEADER_CALLER.encode("ascii")
+_DEADLINE = HEADER_DEADLINE.encode("ascii")
+_IDEMPOTENCY_KEY = HEADER_IDEMPOTENCY_KEY.encode("ascii")
+_ROOT = HEADER_ROOT.encode("ascii")
+_SERVICE = HEADER_SERVICE.encode("ascii")
+_SESSION = HEADER_SESSION.encode("ascii")
 
-@dataclass(slots=True)
-class SpoolBudget:
-    """Bytes of bodies held at a time."""
 
-    limit: int
-    held: int = 0
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """What is known of a request from its head.
 
-    def take(self, size: int) -> bool:
-        """Count ``size`` bytes; return False, counting nothing, where they don't fit."""
-        if self.held + size > self.limit:
-            return False
-        self.held += size
-        return True
+    ``served`` is the request of the local back end that calls on, or None for a root request.
+    """
 
-    def give_back(self, size: int) -> None:
-        """Count ``size`` bytes as no longer held."""
-        self.held -= size
+    matched: Matched
+    served: ServedRequest | None
 
 
 class Front:
-    """Answers HTTP requests.
+    """Answers HTTP requests (the listener's handler).
 
     Parameters
     ----------
-    accepts
+    why_not
         Returns the reason why no request may be taken now, or None.
     """
 
@@ -66,75 +65,40 @@
         self,
         caller: Caller,
         served: ServedRequests,
-        spool: SpoolBudget,
         rng: random.Random,
-        accepts: Callable[[ServedRequest | None, str], RefusalReason | None],
+        why_not: Callable[[], RefusalReason | None],
     ) -> None:
         self._caller = caller
         self._served = served
-        self._spool = spool
         self._rng = rng
-        self._accepts = accepts
+        self._why_not = why_not
         self.catalogue = Catalogue()
-        self.close_connections = False
-        self.in_progress = 0
-
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Answer one request (handler of aiohttp's low-level server)."""
-        self.in_progress += 1
-        try:
-            response = response_of(await self._answer(request))
-            if self.close_connections:
-                response.force_close()
-            return response
-        finally:
-            self.in_progress -= 1
-
-    async def _answer(self, request: web.BaseRequest) -> Outcome:
-        headers = request.headers
-        service_name = headers.get(HEADER_SERVICE, "")
-        served = self._served.get(headers.get(HEADER_ACCOUNT, ""))
-        reason = self._accepts(served, headers.get(HEADER_SESSION, ""))
+
+    def admit(self, request: InboundRequest) -> Admitted | Refused:
+        """Judge a request by its head, before its body is read."""
+        reason = self._why_not()
         if reason is not None:
             return self._refused(reason)
-        matched = self.catalogue.match(service_name, request.path)
+        service_name = request.header(_SERVICE)
+        matched = self.catalogue.match(service_name, request.target)
         if matched is None:
             return self._refused(RefusalReason.UNKNOWN_ROUTE, f"service {service_name!r}")
-        if not matched.route.repeatable and not headers.get(HEADER_IDEMPOTENCY_KEY):
-            return self._refused(RefusalReason.KEY_MISSING)
-        limit = matched.service.max_body_bytes
-        body = await self._read(request, limit)
-        if body is None:
-            return self._refused(RefusalReason.REQUEST_TOO_LARGE, f"limit: {limit} bytes")
-        if not self._spool.take(len(body)):
-            return self._refused(RefusalReason.OVERLOAD, "bodies held reach their limit")
-        try:
-            return await self._call(request, matched, served, body)
-        finally:
-            self._spool.give_back(len(body))
-
-    async def _read(self, request: web.BaseRequest, limit: int) -> bytes | None:
-        """Return the whole body, or None where it is larger than ``limit``."""
-        if not request.body_exists:
-            return b""
-        if (request.content_length or 0) > limit:
-            return None
-        parts: list[bytes] = []
-        size = 0
-        async for part in request.content.iter_any():
-            size += len(part)
-            if size > limit:
-                return None
-            parts.append(part)
-        return b"".join(parts)
-
-    async def _call(
+        if not matched.route.repeatable and not request.first.get(_IDEMPOTENCY_KEY):
+            return self._refused(RefusalReason.KEY_MISSING, "an idempotency key is needed")
+        return Admitted(matched, self._served.get(request.header(_ACCOUNT)))
+
+    def max_body_bytes(self, admitted: Admitted) -> int:
+        """Return the largest body taken for an admitted request."""
+        return admitted.matched.service.max_body_bytes
+
+    def handle(
         self,
-        request: web.BaseRequest,
-        matched: Matched,
-        served: ServedRequest | None,
-        body: bytes,
-    ) -> Outcome:
+        request: InboundRequest,
+        admitted: Admitted,
+        respond: Callable[[Response], None],
+    ) -> Callable[[], None]:
+        """Answer a whole request; ``respond`` is called once. Return what gives it up."""
+        matched, served = admitted.matched, admitted.served
         if served is None:
             context = self._root_context(request, matched)
         else:
@@ -142,40 +106,51 @@
         message = Request(
             service=matched.service.name,
             method=request.method,
-            path=request.raw_path,
-            headers=end_to_end_headers(request.raw_headers),
-            body=body,
+            path=request.target,
+            headers=end_to_end_headers(request.headers),
+            body=request.body,
             context=context,
             repeatable=matched.route.repeatable,
             in_session=matched.route.session,
             max_body_bytes=matched.service.max_body_bytes,
         )
+
+        def answered(outcome: Outcome) -> None:
+            respond(response_of(outcome))
+
         account = "" if served is None else served.account
-        return await self._caller.call(message, account, self._join_identity(request, served))
-
-    def _join_identity(self, request: web.BaseRequest, served: ServedRequest | None) -> str:
-        key = request.headers.get(HEADER_IDEMPOTENCY_KEY, "")
-        if key:
-            return f"key {key}"
-        if served is None and HEADER_ROOT in request.headers:
-            return f"root {request.headers[HEADER_ROOT]} {request.method} {request.raw_path}"
-        return ""
-
-    def _root_context(self, request: web.BaseRequest, matched: Matched) -> CallContext:
-        headers = request.headers
+        return self._caller.call(message, account, _join_identity(request, served), answered)
+
+    def refused(self, refused: Refused) -> Response:
+        """Return the response that tells a refusal."""
+        return response_of(refused)
+
+    def too_large(self, limit: int) -> Refused:
+        """Return the refusal of a body larger than ``limit``."""
+        return self._refused(RefusalReason.REQUEST_TOO_LARGE, f"limit: {limit} bytes")
+
+    def spool_full(self) -> Refused:
+        """Return the refusal of a request whose body can't be held."""
+        return self._refused(RefusalReason.OVERLOAD, "bodies held reach their limit")
+
+    def malformed(self, detail: str) -> Response:
+        """Return the response to bytes that are no request."""
+        return malformed_response(detail)
+
+    def _root_context(self, request: InboundRequest, matched: Matched) -> CallContext:
         # The account of a request that is over has nothing left to lend.
-        is_late = HEADER_ACCOUNT in headers
+        is_late = _ACCOUNT in request.first
         return CallContext(
-            root=headers.get(HEADER_ROOT) or secrets.token_hex(ROOT_BYTES),
+            root=request.header(_ROOT) or secrets.token_hex(ROOT_BYTES),
             importance=matched.route.importance,
             remaining_seconds=_deadline_of(request, matched.service.deadline_seconds),
             spare_attempts=0 if is_late else self.catalogue.policy.retry_budget,
-            caller=headers.get(HEADER_CALLER) or request.remote or "",
-            session=headers.get(HEADER_SESSION, ""),
-            key=headers.get(HEADER_IDEMPOTENCY_KEY, ""),
+            caller=request.header(_CALLER) or request.remote,
+            session=request.header(_SESSION),
+            key=request.header(_IDEMPOTENCY_KEY),
         )
 
-    def _nested_context(self, request: web.BaseRequest, served: ServedRequest) -> CallContext:
+    def _nested_context(self, request: InboundRequest, served: ServedRequest) -> CallContext:
         inherited = served.context
         left = served.deadline - time.monotonic()
         return CallContext(
@@ -185,20 +160,29 @@
             spare_attempts=self._served.lend(served.account),
             depth=inherited.depth + 1,
             caller=inherited.caller,
-            session=request.headers.get(HEADER_SESSION, ""),
-            key=request.headers.get(HEADER_IDEMPOTENCY_KEY, ""),
+            session=request.header(_SESSION),
+            key=request.header(_IDEMPOTENCY_KEY),
         )
 
     def _refused(self, reason: RefusalReason, detail: str = "") -> Refused:
         return Refused(reason, retry_after(0.0, self._rng), detail)
 
 
-def _deadline_of(request: web.BaseRequest, default_seconds: float) -> float:
+def _join_identity(request: InboundRequest, served: ServedRequest | None) -> str:
+    key = request.header(_IDEMPOTENCY_KEY)
+    if key:
+        return f"key {key}"
+    if served is None and _ROOT in request.first:
+        return f"root {request.header(_ROOT)} {request.method} {request.target}"
+    return ""
+
+
+def _deadline_of(request: InboundRequest, default_seconds: float) -> float:
     """Return the seconds left as the caller told them, or ``default_seconds``."""
-    text = request.headers.get(HEADER_DEADLINE)
-    if text is None:
+    value = request.first.get(_DEADLINE)
+    if value is None:
         return default_seconds
     try:
-        return int(text) / MILLISECONDS
+        return int(value) / MILLISECONDS
     except ValueError:
         return default_seconds
--- /dev/null
+++ b/src/finchshed/daemon/http_connection.py
@@ -0,0 +1,366 @@
+"""One connection of the HTTP listener; parsing is httptools' (llhttp).
+
+Requests on a connection are answered in their order. A request is handed on only when it is whole,
+and its answer is written only when that is whole too.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Generic, Protocol, TypeVar, cast
+
+import httptools
+
+from finchshed.common.outcomes import Refused
+from finchshed.daemon.http_message import CONTINUE, InboundRequest, Response, encode_response
+from finchshed.daemon.spool import SpoolBudget
+
+MAX_HEAD_BYTES = 65_536
+"""Longest request line with headers."""
+
+MAX_DISCARDED_BYTES = 1 << 20
+"""A refused request's body is read and dropped up to here, so that its sender sees the answer."""
+
+RequestT = TypeVar("RequestT")
+
+
+class RequestHandler(Protocol[RequestT]):
+    """What answers requests.
+
+    ``RequestT`` is what it knows of a request from its head; it gets that back with the body.
+    """
+
+    def admit(self, request: InboundRequest) -> RequestT | Refused:
+        """Judge a request by its head, before its body is read."""
+
+    def max_body_bytes(self, admitted: RequestT) -> int:
+        """Return the largest body taken for an admitted request."""
+
+    def handle(
+        self,
+        request: InboundRequest,
+        admitted: RequestT,
+        respond: Callable[[Response], None],
+    ) -> Callable[[], None]:
+        """Answer a whole request; ``respond`` is called once. Return what gives it up."""
+
+    def refused(self, refused: Refused) -> Response:
+        """Return the response that tells a refusal."""
+
+    def too_large(self, limit: int) -> Refused:
+        """Return the refusal of a body larger than ``limit``."""
+
+    def spool_full(self) -> Refused:
+        """Return the refusal of a request whose body can't be held."""
+
+    def malformed(self, detail: str) -> Response:
+        """Return the response to bytes that are no request."""
+
+
+class ConnectionOwner(Protocol[RequestT]):
+    """The listener a connection belongs to."""
+
+    handler: RequestHandler[RequestT]
+    spool: SpoolBudget
+    now: float
+    closing: bool
+
+    def opened(self, connection: "InboundConnection[RequestT]") -> None:
+        """Count a connection."""
+
+    def closed(self, connection: "InboundConnection[RequestT]") -> None:
+        """Forget a connection."""
+
+
+@dataclass(slots=True)
+class _Exchange(Generic[RequestT]):
+    """One request being read or answered."""
+
+    request: InboundRequest
+    admitted: RequestT | None = None
+    refusal: Refused | None = None
+    limit: int = 0
+    size: int = 0
+    spooled: int = 0
+    closes: bool = False
+    is_whole: bool = False
+    give_up: Callable[[], None] | None = None
+
+
+class InboundConnection(asyncio.Protocol, Generic[RequestT]):
+    """A connection of a caller."""
+
+    def __init__(self, owner: ConnectionOwner[RequestT]) -> None:
+        self._owner = owner
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._remote = ""
+        self._target = b""
+        self._parts: list[bytes] = []
+        self._head_bytes = 0
+        self._reading: _Exchange[RequestT] | None = None
+        self._answering: _Exchange[RequestT] | None = None
+        self._queued: deque[_Exchange[RequestT]] = deque()
+        self._held: list[bytes] = []
+        self._is_advancing = False
+        self.is_lingering = False
+        self.active_at = owner.now
+        self.unsent_bytes = 0
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being read or answered, or an answer is on its way out."""
+        if self._answering is not None or self._reading is not None or self._queued:
+            return True
+        return self.write_buffer() > 0
+
+    @property
+    def is_answering(self) -> bool:
+        """Whether a whole request waits for its answer."""
+        return self._answering is not None
+
+    def write_buffer(self) -> int:
+        """Return the bytes that wait to be sent."""
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
+
+    def close(self) -> None:
+        """Close once what is queued has been sent."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport (asyncio callback)."""
+        self._transport = cast(asyncio.Transport, transport)
+        peer = transport.get_extra_info("peername")
+        self._remote = peer[0] if peer else ""
+        self._owner.opened(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Give up what is in progress (asyncio callback)."""
+        self._transport = None
+        self._owner.closed(self)
+        answering = self._answering
+        self._answering = None
+        for exchange in (self._reading, answering, *self._queued):
+            if exchange is not None:
+                self._release(exchange)
+        self._reading = None
+        self._queued.clear()
+        if answering is not None and answering.give_up is not None:
+            answering.give_up()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came in (asyncio callback)."""
+        if self.is_lingering:
+            return
+        self.active_at = self._owner.now
+        if self._answering is not None:
+            # The next request came before the answer to this one: it waits unparsed.
+            self._held.append(data)
+            if self._transport is not None:
+                self._transport.pause_reading()
+            return
+        self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
+        self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # No other protocol is offered: the request itself is answered as any other.
+            self._queued[-1].closes = True
+        except httptools.HttpParserCallbackError:
+            raise
+        except httptools.HttpParserError as error:
+            self._end_malformed(f"malformed request: {error}")
+            return
+        if self._reading is not None:
+            self._check_size(self._reading)
+        self._advance()
+
+    def _check_size(self, reading: _Exchange[RequestT]) -> None:
+        if reading.admitted is None and reading.refusal is None:
+            if self._head_bytes > MAX_HEAD_BYTES:
+                self._end_malformed("the head of the request is too large")
+        elif reading.size > reading.limit + MAX_DISCARDED_BYTES:
+            self._queue_unread(reading)
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._reading = _Exchange(InboundRequest(self._remote))
+        self._target = b""
+        self._parts = []
+
+    def on_url(self, url: bytes) -> None:
+        """Keep a part of the request's target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header."""
+        assert self._reading is not None
+        name = name.lower()
+        request = self._reading.request
+        request.headers.append((name, value))
+        request.first.setdefault(name, value)
+
+    def on_headers_complete(self) -> None:
+        """Judge the request by its head."""
+        exchange = self._reading
+        assert exchange is not None
+        request = exchange.request
+        request.method = self._parser.get_method().decode("latin-1")
+        request.target = _origin_form(self._target)
+        keeps_alive = self._parser.should_keep_alive()
+        exchange.closes = not keeps_alive or self._parser.get_http_version() != "1.1"
+        handler = self._owner.handler
+        admitted = handler.admit(request)
+        if isinstance(admitted, Refused):
+            exchange.refusal = admitted
+        else:
+            exchange.admitted = admitted
+            exchange.limit = handler.max_body_bytes(admitted)
+            self._check_declared_length(exchange)
+        if b"expect" in request.first:
+            self._on_expect(exchange)
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a part of the body within its limits."""
+        exchange = self._reading
+        if exchange is None:
+            return
+        exchange.size += len(body)
+        if exchange.refusal is not None:
+            return
+        if exchange.size > exchange.limit:
+            exchange.refusal = self._owner.handler.too_large(exchange.limit)
+        elif not self._owner.spool.take(len(body)):
+            exchange.refusal = self._owner.handler.spool_full()
+        else:
+            exchange.spooled += len(body)
+            self._parts.append(body)
+
+    def on_message_complete(self) -> None:
+        """Queue the whole request; it is handed on once the parser has returned."""
+        exchange = self._reading
+        if exchange is None:
+            return
+        self._reading = None
+        self._head_bytes = 0
+        parts = self._parts
+        if parts:
+            exchange.request.body = parts[0] if len(parts) == 1 else b"".join(parts)
+            self._parts = []
+        exchange.is_whole = True
+        self._queued.append(exchange)
+
+    # Answering.
+
+    def _advance(self) -> None:
+        """Answer the whole requests that wait, one after the other."""
+        if self._is_advancing:
+            return
+        self._is_advancing = True
+        while self._queued and self._answering is None and self._transport is not None:
+            self._begin(self._queued.popleft())
+        self._is_advancing = False
+
+    def _begin(self, exchange: _Exchange[RequestT]) -> None:
+        self._answering = exchange
+        handler = self._owner.handler
+        if exchange.refusal is not None or exchange.admitted is None:
+            assert exchange.refusal is not None
+            self._respond(exchange, handler.refused(exchange.refusal))
+            return
+        give_up = handler.handle(
+            exchange.request, exchange.admitted, lambda response: self._respond(exchange, response)
+        )
+        if self._answering is exchange:
+            exchange.give_up = give_up
+
+    def _respond(self, exchange: _Exchange[RequestT], response: Response) -> None:
+        if self._answering is not exchange or self._transport is None:
+            return
+        self._answering = None
+        self._release(exchange)
+        closes = exchange.closes or self._owner.closing
+        is_head = exchange.request.method == "HEAD"
+        self._transport.write(encode_response(response, is_head=is_head, closes=closes))
+        if closes:
+            self._queued.clear()
+            self._end_sending(is_lingering=not exchange.is_whole)
+            return
+        if not self._is_advancing:
+            self._advance()
+        if self._answering is None and self._held:
+            self._parse_held()
+
+    def _parse_held(self) -> None:
+        held = self._held
+        self._held = []
+        if self._transport is not None:
+            self._transport.resume_reading()
+        while held and self._answering is None and self._transport is not None:
+            self._parse(held.pop(0))
+        self._held = held + self._held
+
+    def _check_declared_length(self, exchange: _Exchange[RequestT]) -> None:
+        declared = exchange.request.first.get(b"content-length")
+        if declared is not None and int(declared) > exchange.limit:
+            exchange.refusal = self._owner.handler.too_large(exchange.limit)
+
+    def _on_expect(self, exchange: _Exchange[RequestT]) -> None:
+        if self._answering is not None or self._transport is None:
+            return
+        if exchange.refusal is None:
+            self._transport.write(CONTINUE)
+            return
+        # The sender waits for leave to send the body, and is not given it.
+        self._queue_unread(exchange)
+
+    def _queue_unread(self, exchange: _Exchange[RequestT]) -> None:
+        """Have a refused request answered though its body has not come in whole."""
+        exchange.closes = True
+        self._reading = None
+        self._queued.append(exchange)
+
+    def _end_malformed(self, detail: str) -> None:
+        if self._transport is None:
+            return
+        if self._answering is None:
+            response = self._owner.handler.malformed(detail)
+            self._transport.write(encode_response(response, is_head=False, closes=True))
+        self._end_sending(is_lingering=True)
+
+    def _end_sending(self, *, is_lingering: bool) -> None:
+        """Close, or leave it to the other side, so that it reads the answer before the end."""
+        self.is_lingering = True
+        if self._transport is None:
+            return
+        if is_lingering and self._transport.can_write_eof():
+            self._transport.write_eof()
+        else:
+            self._transport.close()
+
+    def _release(self, exchange: _Exchange[RequestT]) -> None:
+        self._owner.spool.give_back(exchange.spooled)
+        exchange.spooled = 0
+
+
+def _origin_form(target: bytes) -> str:
+    """Return path and query of a request's target (RFC 9112, 3.2)."""
+    if target.startswith(b"/"):
+        return target.decode("latin-1")
+    try:
+        url = httptools.parse_url(target)
+    except httptools.HttpParserInvalidURLError:
+        return target.decode("latin-1")
+    path = (url.path or b"/") + (b"?" + url.query if url.query else b"")
+    return path.decode("latin-1")
--- /dev/null
+++ b/src/finchshed/daemon/http_server.py
@@ -0,0 +1,109 @@
+"""The HTTP listener's connections: made, watched and closed.
+
+One look at all connections every half second takes the place of a timer for each.
+"""
+
+import asyncio
+import time
+from typing import Generic, TypeVar
+
+from finchshed.daemon.http_connection import InboundConnection, RequestHandler
+from finchshed.daemon.spool import SpoolBudget
+
+KEEP_ALIVE_SECONDS = 75.0
+"""A connection without a request for this long is closed."""
+
+READ_SECONDS = 30.0
+"""A request of which nothing has come in for this long is given up."""
+
+LINGER_SECONDS = 2.0
+"""A caller whose request was refused early has this long to close the connection itself."""
+
+WRITE_SECONDS = 60.0
+"""An answer of which nothing was taken for this long is given up."""
+
+RequestT = TypeVar("RequestT")
+
+
+class HttpServer(Generic[RequestT]):
+    """Connections of callers and of the local back end.
+
+    Parameters
+    ----------
+    handler
+        Answers requests.
+    spool
+        Bounds the bodies held.
+
+    Attributes
+    ----------
+    closing
+        Whether each answer is the last one on its connection.
+    now
+        Monotonic seconds at the last look at the connections.
+    """
+
+    def __init__(self, handler: RequestHandler[RequestT], spool: SpoolBudget) -> None:
+        self.handler = handler
+        self.spool = spool
+        self.now = time.monotonic()
+        self.closing = False
+        self._connections: set[InboundConnection[RequestT]] = set()
+
+    @property
+    def connections(self) -> int:
+        """Connections open."""
+        return len(self._connections)
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being read or answered."""
+        return any(connection.is_busy for connection in self._connections)
+
+    def make_protocol(self) -> asyncio.Protocol:
+        """Return the protocol of one accepted connection."""
+        return InboundConnection(self)
+
+    def opened(self, connection: InboundConnection[RequestT]) -> None:
+        """Count a connection (connection owner's part)."""
+        self._connections.add(connection)
+
+    def closed(self, connection: InboundConnection[RequestT]) -> None:
+        """Forget a connection (connection owner's part)."""
+        self._connections.discard(connection)
+
+    def sweep(self) -> None:
+        """Close connections that are idle or stuck."""
+        self.now = time.monotonic()
+        for connection in list(self._connections):
+            self._check(connection)
+
+    def close_idle(self) -> None:
+        """Close the connections that carry no request."""
+        for connection in list(self._connections):
+            if not connection.is_busy:
+                connection.close()
+
+    def close(self) -> None:
+        """Close every connection."""
+        for connection in list(self._connections):
+            connection.close()
+
+    def _check(self, connection: InboundConnection[RequestT]) -> None:
+        unsent = connection.write_buffer()
+        if unsent != connection.unsent_bytes:
+            connection.unsent_bytes = unsent
+            connection.active_at = self.now
+        idle = self.now - connection.active_at
+        if unsent:
+            if idle > WRITE_SECONDS:
+                connection.abort()
+        elif connection.is_answering:
+            connection.active_at = self.now
+        elif idle > self._longest_idle(connection):
+            connection.close()
+
+    def _longest_idle(self, connection: InboundConnection[RequestT]) -> float:
+        if connection.is_lingering:
+            return LINGER_SECONDS
+        return READ_SECONDS if connection.is_busy else KEEP_ALIVE_SECONDS
--- a/src/finchshed/daemon/outgoing.py
+++ b/src/finchshed/daemon/outgoing.py
@@ -51,7 +51,7 @@
         self._links = links
         self._on_finish = on_finish
         self._retry_after = retry_after
-        self._waiters: list[asyncio.Future[Outcome]] = []
+        self._waiters: list[Callable[[Outcome], None]] = []
         self._attempt: Attempt | None = None
         self._deadline = 0.0
         self._loop = asyncio.get_running_loop()
@@ -69,18 +69,23 @@
         self._deadline = now + self.request.context.remaining_seconds
         self._perform(self._logic.begin(now))
 
-    async def wait(self) -> Outcome:
-        """Return the outcome. A cancelled wait gives the call up if it was the last one."""
+    def wait(self, on_outcome: Callable[[Outcome], None]) -> Callable[[], None]:
+        """Have ``on_outcome`` called once, now if the call is over; return what leaves it.
+
+        The call is given up when the last one that waits for it leaves.
+        """
         if self._outcome is not None:
-            return self._outcome
-        waiter: asyncio.Future[Outcome] = self._loop.create_future()
-        self._waiters.append(waiter)
-        try:
-            return await waiter
-        finally:
-            self._waiters.remove(waiter)
-            if not self._waiters and self._outcome is None:
-                self._perform(self._logic.cancel(time.monotonic()))
+            on_outcome(self._outcome)
+        else:
+            self._waiters.append(on_outcome)
+        return lambda: self._leave(on_outcome)
+
+    def _leave(self, on_outcome: Callable[[Outcome], None]) -> None:
+        if on_outcome not in self._waiters:
+            return
+        self._waiters.remove(on_outcome)
+        if not self._waiters and self._outcome is None:
+            self._perform(self._logic.cancel(time.monotonic()))
 
     def _perform(self, effects: list[CallerEffect]) -> None:
         for effect in effects:
@@ -142,7 +147,8 @@
         self._outcome = effect.outcome
         if self._timer is not None:
             self._timer.cancel()
-        for waiter in self._waiters:
-            if not waiter.done():
-                waiter.set_result(effect.outcome)
         self._on_finish(self, effect.outcome, effect.spare_returned)
+        waiters = self._waiters
+        self._waiters = []
+        for on_outcome in waiters:
+            on_outcome(effect.outcome)
--- a/src/finchshed/daemon/responses.py
+++ b/src/finchshed/daemon/responses.py
@@ -3,7 +3,6 @@
 import math
 
 import msgspec
-from aiohttp import web
 
 from finchshed.common.context import HEADER_RAN, HEADER_REASON, HEADER_RETRY_AFTER_MS
 from finchshed.common.outcomes import (
@@ -14,6 +13,7 @@
     RefusalReason,
     Refused,
 )
+from finchshed.daemon.http_message import Response
 
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
@@ -26,6 +26,7 @@
 
 RAN_NO = "no"
 RAN_UNKNOWN = "unknown"
+REASON_MALFORMED = "malformed_request"
 
 _REFUSAL_STATUS = {
     RefusalReason.SESSION_LIMIT: STATUS_TOO_MANY_REQUESTS,
@@ -48,10 +49,10 @@
     detail: str
 
 
-def response_of(outcome: Outcome) -> web.Response:
+def response_of(outcome: Outcome) -> Response:
     """Return the HTTP response that tells ``outcome``."""
     if isinstance(outcome, Answered):
-        return web.Response(status=outcome.status, headers=outcome.headers, body=outcome.body)
+        return Response(outcome.status, outcome.headers, outcome.body)
     if isinstance(outcome, Refused):
         status = _REFUSAL_STATUS.get(outcome.reason, STATUS_SERVICE_UNAVAILABLE)
         return _without_answer("refused", outcome, status, RAN_NO)
@@ -59,17 +60,24 @@
     return _without_answer("failed", outcome, status, RAN_UNKNOWN)
 
 
-def _without_answer(name: str, outcome: Refused | Failed, status: int, ran: str) -> web.Response:
+def _without_answer(name: str, outcome: Refused | Failed, status: int, ran: str) -> Response:
     body = OutcomeBody(outcome=name, reason=outcome.reason, detail=outcome.detail)
-    headers = {
-        HEADER_RAN: ran,
-        HEADER_REASON: str(outcome.reason),
-        HEADER_RETRY_AFTER_MS: str(round(outcome.retry_after * 1000)),
-        "Retry-After": str(math.ceil(outcome.retry_after)),
-    }
-    return web.Response(
-        status=status,
-        headers=headers,
-        body=msgspec.json.encode(body),
-        content_type="application/json",
+    headers = (
+        ("content-type", "application/json"),
+        (HEADER_RAN, ran),
+        (HEADER_REASON, str(outcome.reason)),
+        (HEADER_RETRY_AFTER_MS, str(round(outcome.retry_after * 1000))),
+        ("retry-after", str(math.ceil(outcome.retry_after))),
     )
+    return Response(status, headers, msgspec.json.encode(body))
+
+
+def malformed_response(detail: str) -> Response:
+    """Return the response to bytes that are no request: nothing has run."""
+    body = OutcomeBody(outcome="refused", reason=REASON_MALFORMED, detail=detail)
+    headers = (
+        ("content-type", "application/json"),
+        (HEADER_RAN, RAN_NO),
+        (HEADER_REASON, REASON_MALFORMED),
+    )
+    return Response(STATUS_BAD_REQUEST, headers, msgspec.json.encode(body))
--- a/tests/daemon/deployment.py
+++ b/tests/daemon/deployment.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 import aiohttp
+from yarl import URL
 
 from finchshed.common.context import HEADER_IDEMPOTENCY_KEY, HEADER_SERVICE
 from finchshed.configuration.resources import Endpoint, Policy, Resource, Route, Service
@@ -69,7 +70,7 @@
         """Send a request through the edge; underscores in header names stand for hyphens."""
         sent = {HEADER_SERVICE: SERVICE}
         sent.update({name.replace("_", "-"): value for name, value in headers.items()})
-        url = f"http://{self.edge.http_address}{path}"
+        url = URL(f"http://{self.edge.http_address}{path}", encoded=True)
         async with self.session.request(method, url, data=body or None, headers=sent) as response:
             told = {name.lower(): value for name, value in response.headers.items()}
             return Answer(response.status, told, await response.read())
--- a/tests/daemon/test_at_most_once.py
+++ b/tests/daemon/test_at_most_once.py
@@ -151,3 +151,10 @@
         assert system.runs("/buy/1") == 1
         assert system.runs("/look") == 1
     assert {told.body for told in [*bought, *looked]} == {b"run 1"}
+
+
+async def test_an_escaped_path_needs_a_key_like_a_plain_one() -> None:
+    async with deployment() as system:
+        told = await system.ask("/%62uy/1", "POST", b"order")
+        assert system.runs("/%62uy/1") == 0
+    assert (told.status, told.ran, told.reason) == (400, "no", "key_missing")
