What the ledger says of a key is final and named in the HTTP answer

Cause: a key without a time, or made in the future, was told as 'ledger unavailable' with a time to come back, so callers sent the same request again and again. Change: key_invalid (400) beside key_missing (400), key_expired (409), key_reused (422); an unknown outcome is 409, since no gateway timed out. Refusals that the same request gets again carry no Retry-After, and stand-in callers don't repeat them. The scripted control of the tests told every refusal but 'full' as expired; it tells what the real one does now. Test changes: malformed keys are expected as key_invalid, a reused one also by its status: stricter.

--- a/src/finchshed/common/outcomes.py
+++ b/src/finchshed/common/outcomes.py
@@ -25,6 +25,7 @@
     LEDGER_UNAVAILABLE = "ledger_unavailable"
     KEY_EXPIRED = "key_expired"
     KEY_MISSING = "key_missing"
+    KEY_INVALID = "key_invalid"
     SESSION_LIMIT = "session_limit"
     UNKNOWN_ROUTE = "unknown_route"
     REQUEST_TOO_LARGE = "request_too_large"
@@ -34,6 +35,19 @@
     KEY_REUSED = "key_reused"
 
 
+FINAL_REFUSALS = frozenset(
+    {
+        RefusalReason.KEY_MISSING,
+        RefusalReason.KEY_INVALID,
+        RefusalReason.KEY_EXPIRED,
+        RefusalReason.KEY_REUSED,
+        RefusalReason.REQUEST_TOO_LARGE,
+        RefusalReason.UNKNOWN_ROUTE,
+    }
+)
+"""Refusals that the same request gets again, wherever and whenever it is sent."""
+
+
 class FailureReason(enum.StrEnum):
     """Why it is unknown whether a request ran to its end."""
 
--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -161,7 +161,7 @@
             return self._refused(RefusalReason.REQUEST_TOO_LARGE)
         ledger_key = "" if route.repeatable else scoped_key(call.context.key, service.name)
         if ledger_key is None:
-            return self._refused(RefusalReason.KEY_MISSING, "a UUID of version 7 is needed")
+            return self._refused(RefusalReason.KEY_INVALID, "a UUID of version 7 is needed")
         session = call.context.session if route.session else ""
         if self.draining and not (session and self._sessions.get(session)):
             return self._refused(RefusalReason.DRAINING)
--- a/src/finchshed/daemon/front.py
+++ b/src/finchshed/daemon/front.py
@@ -27,6 +27,7 @@
 from finchshed.daemon.http_message import InboundRequest, Response
 from finchshed.daemon.request import Request, end_to_end_headers
 from finchshed.daemon.responses import malformed_response, response_of
+from finchshed.ledger.keys import issued_at
 from finchshed.retry.policy import retry_after
 
 ROOT_BYTES = 12
@@ -83,8 +84,13 @@
         matched = self.catalogue.match(service_name, request.target)
         if matched is None:
             return self._refused(RefusalReason.UNKNOWN_ROUTE, f"service {service_name!r}")
-        if not matched.route.repeatable and not request.first.get(_IDEMPOTENCY_KEY):
-            return self._refused(RefusalReason.KEY_MISSING, "an idempotency key is needed")
+        if not matched.route.repeatable:
+            key = request.header(_IDEMPOTENCY_KEY)
+            if not key:
+                return self._refused(RefusalReason.KEY_MISSING, "an idempotency key is needed")
+            if issued_at(key) is None:
+                detail = "the idempotency key must be a UUID of version 7"
+                return self._refused(RefusalReason.KEY_INVALID, detail)
         return Admitted(matched, self._served.get(request.header(_ACCOUNT)))
 
     def max_body_bytes(self, admitted: Admitted) -> int:
--- a/src/finchshed/daemon/guarded.py
+++ b/src/finchshed/daemon/guarded.py
@@ -41,12 +41,17 @@
     LedgerRefused,
     LedgerUnknown,
 )
+from finchshed.ledger.results import LedgerRefusalReason
 from finchshed.retry.policy import retry_after
 
 ATTEMPT_BYTES = 12
 CANCEL_TIMEOUT_SECONDS = 30.0
 """How long the cancel of an attempt that was not sent is tried."""
 
+_INVALID_KEY = frozenset(
+    {LedgerRefusalReason.NO_TIME_IN_KEY.value, LedgerRefusalReason.MADE_IN_THE_FUTURE.value}
+)
+
 SendCallback: TypeAlias = Callable[[Work], None]
 FinishCallback: TypeAlias = Callable[[Work, Outcome], None]
 
@@ -105,12 +110,11 @@
             finish(work, self._replayed(work, answer.answer))
         elif isinstance(answer, LedgerUnknown):
             finish(work, Failed(FailureReason.OUTCOME_UNKNOWN, retry_after(1.0, self._rng)))
-        elif isinstance(answer, LedgerRefused) and answer.expired:
-            finish(work, self._refused(RefusalReason.KEY_EXPIRED, answer.detail))
+        elif isinstance(answer, LedgerRefused):
+            finish(work, self._refused(_reason_of(answer), answer.detail))
         else:
             # Nothing was granted in time: the attempt is never sent, and the port frees its key.
-            detail = answer.detail if isinstance(answer, LedgerRefused) else "no answer in time"
-            finish(work, self._refused(RefusalReason.LEDGER_UNAVAILABLE, detail))
+            finish(work, self._refused(RefusalReason.LEDGER_UNAVAILABLE, "no answer in time"))
 
     def _on_granted(
         self, work: Work, asked_at: float, send: SendCallback, finish: FinishCallback
@@ -142,3 +146,12 @@
 
     def _refused(self, reason: RefusalReason, detail: str) -> Refused:
         return Refused(reason, retry_after(0.0, self._rng), detail)
+
+
+def _reason_of(refused: LedgerRefused) -> RefusalReason:
+    """Return the reason told to the caller; what the ledger says of a key is final."""
+    if refused.detail in _INVALID_KEY:
+        return RefusalReason.KEY_INVALID
+    if refused.expired:
+        return RefusalReason.KEY_EXPIRED
+    return RefusalReason.LEDGER_UNAVAILABLE
--- a/src/finchshed/daemon/responses.py
+++ b/src/finchshed/daemon/responses.py
@@ -6,9 +6,11 @@
 
 from finchshed.common.context import HEADER_RAN, HEADER_REASON, HEADER_RETRY_AFTER_MS
 from finchshed.common.outcomes import (
+    FINAL_REFUSALS,
     Answered,
     Failed,
     FailureReason,
+    Headers,
     Outcome,
     RefusalReason,
     Refused,
@@ -19,6 +21,7 @@
 STATUS_NOT_FOUND = 404
 STATUS_CONFLICT = 409
 STATUS_CONTENT_TOO_LARGE = 413
+STATUS_UNPROCESSABLE_CONTENT = 422
 STATUS_TOO_MANY_REQUESTS = 429
 STATUS_BAD_GATEWAY = 502
 STATUS_SERVICE_UNAVAILABLE = 503
@@ -33,11 +36,13 @@
     RefusalReason.UNKNOWN_ROUTE: STATUS_NOT_FOUND,
     RefusalReason.REQUEST_TOO_LARGE: STATUS_CONTENT_TOO_LARGE,
     RefusalReason.KEY_MISSING: STATUS_BAD_REQUEST,
+    RefusalReason.KEY_INVALID: STATUS_BAD_REQUEST,
     RefusalReason.KEY_EXPIRED: STATUS_CONFLICT,
+    RefusalReason.KEY_REUSED: STATUS_UNPROCESSABLE_CONTENT,
 }
 _FAILURE_STATUS = {
     FailureReason.DEADLINE: STATUS_GATEWAY_TIMEOUT,
-    FailureReason.OUTCOME_UNKNOWN: STATUS_GATEWAY_TIMEOUT,
+    FailureReason.OUTCOME_UNKNOWN: STATUS_CONFLICT,
 }
 
 
@@ -62,13 +67,16 @@
 
 def _without_answer(name: str, outcome: Refused | Failed, status: int, ran: str) -> Response:
     body = OutcomeBody(outcome=name, reason=outcome.reason, detail=outcome.detail)
-    headers = (
+    headers: Headers = (
         ("content-type", "application/json"),
         (HEADER_RAN, ran),
         (HEADER_REASON, str(outcome.reason)),
-        (HEADER_RETRY_AFTER_MS, str(round(outcome.retry_after * 1000))),
-        ("retry-after", str(math.ceil(outcome.retry_after))),
     )
+    if outcome.reason not in FINAL_REFUSALS:
+        headers += (
+            (HEADER_RETRY_AFTER_MS, str(round(outcome.retry_after * 1000))),
+            ("retry-after", str(math.ceil(outcome.retry_after))),
+        )
     return Response(status, headers, msgspec.json.encode(body))
 
 
--- a/src/finchshed/standins/caller.py
+++ b/src/finchshed/standins/caller.py
@@ -39,6 +39,8 @@
 
 SUCCESS_BELOW = 400
 EDITION_CHANGED_STATUS = 412
+FINAL_STATUSES = frozenset({400, 404, 409, 413, 422})
+"""Statuses of refusals that a resend would get again (RFC 9110, 15.5)."""
 PATIENCE_SECONDS = 5.0
 """How much longer than its deadline a caller waits for an answer."""
 
@@ -163,7 +165,9 @@
             problem = _problem(outgoing, call, reply, body)
             record = _attempt_record(call, edge, begun, reply, problem)
             attempts.append(record)
-            if record.outcome is CallerOutcome.ANSWERED or not _may_repeat(load, number):
+            if record.outcome is CallerOutcome.ANSWERED or _is_final(record):
+                break
+            if not _may_repeat(load, number):
                 break
             await asyncio.sleep(self._pause(load, record))
         return attempts, reply
@@ -218,6 +222,11 @@
     return load.path
 
 
+def _is_final(record: AttemptRecord) -> bool:
+    """Whether the same request would get the same refusal again: none says when to come back."""
+    return record.outcome is CallerOutcome.REFUSED and record.status in FINAL_STATUSES
+
+
 def _may_repeat(load: Load, number: int) -> bool:
     return load.retry is not RetryHabit.NONE and number + 1 < load.max_attempts
 
--- a/tests/daemon/scripted_control.py
+++ b/tests/daemon/scripted_control.py
@@ -126,5 +126,5 @@
         if isinstance(result, results.OutcomeUnknown):
             return LedgerUnknown(message.request)
         assert isinstance(result, results.LedgerRefusal)
-        expired = result.reason is not results.LedgerRefusalReason.FULL
+        expired = result.reason is results.LedgerRefusalReason.EXPIRED
         return LedgerRefused(message.request, expired=expired, detail=result.reason)
--- a/tests/daemon/test_at_most_once.py
+++ b/tests/daemon/test_at_most_once.py
@@ -26,9 +26,9 @@
         other = await system.buy(key, "/buy/2")
         assert system.runs("/buy/2") == 0
     assert (without.status, without.ran, without.reason) == (400, "no", "key_missing")
-    assert (malformed.status, malformed.ran, malformed.reason) == (400, "no", "key_missing")
+    assert (malformed.status, malformed.ran, malformed.reason) == (400, "no", "key_invalid")
     assert first.status == 200
-    assert (other.ran, other.reason) == ("no", "key_reused")
+    assert (other.status, other.ran, other.reason) == (422, "no", "key_reused")
 
 
 async def test_an_expired_key_is_refused_as_not_run() -> None:
@@ -158,3 +158,25 @@
         told = await system.ask("/%62uy/1", "POST", b"order")
         assert system.runs("/%62uy/1") == 0
     assert (told.status, told.ran, told.reason) == (400, "no", "key_missing")
+
+
+async def test_what_the_ledger_says_of_a_key_is_final() -> None:
+    async def hang(_: Received, writer: asyncio.StreamWriter) -> None:
+        writer.transport.abort()
+
+    async with deployment(hang, hang, hang) as system:
+        future = make_key(age_seconds=-100_000.0)
+        expired = make_key(age_seconds=100_000.0)
+        unknown = make_key()
+        await system.buy(unknown)
+        system.control.begun.clear()
+        told = [await system.buy(key) for key in (future, expired, unknown)]
+        assert len(system.control.begun) == 3
+        assert system.runs("/buy/1") == 1
+    assert [(answered.status, answered.ran, answered.reason) for answered in told] == [
+        (400, "no", "key_invalid"),
+        (409, "no", "key_expired"),
+        (409, "unknown", "outcome_unknown"),
+    ]
+    assert ["retry-after" in answered.headers for answered in told] == [False, False, True]
+    assert "made_in_the_future" in told[0].body.decode()
