Links: nothing of a peer is taken after its breach, nor much before it says who it is

Cause: fuzzing the lines with hypothesis found that (1) a reader that gave a link up in the middle of a chunk still got the rest of it: calls sent in one piece behind a wrong epoch, a repeated call identity or a missing Hello were run; (2) a deeply nested line raised RecursionError out of the protocol instead of ending the link; (3) a peer that hadn't said who it is could have a line of 96 MiB kept, and a line sent byte by byte cost some forty times its size; (4) the calling end took a configuration (Delta) from a peer before its Hello.

Change: a link that was given up on hands nothing on; RecursionError is a malformed line; 16 KiB until the peer's Hello, in both directions, and a buffer instead of a list of pieces; before the Hello the calling end takes nothing else.

Ruled out: closing on a late reply of another epoch. It may come from a peer's queue in good faith; it finds nobody and is counted.

--- a/src/finchshed/link/lines.py
+++ b/src/finchshed/link/lines.py
@@ -18,6 +18,9 @@
 DEFAULT_MAX_LINE_BYTES = 96 << 20
 """Longest line taken: a body of 64 MiB in base64, and its headers."""
 
+FIRST_LINE_BYTES = 16 << 10
+"""Longest first line taken of a peer that hasn't said who it is."""
+
 
 class LineProtocol(asyncio.Protocol, Generic[ReceivedT]):
     """One connection that sends and receives typed lines.
@@ -31,7 +34,7 @@
     on_open, on_close
         Called when the connection is made and lost. ``on_close`` gets the error, or None.
     max_line_bytes
-        A longer line closes the connection.
+        A longer line closes the connection. May be changed while the connection is open.
     """
 
     def __init__(
@@ -46,10 +49,9 @@
         self._on_message = on_message
         self._on_open = on_open
         self._on_close = on_close
-        self._max_line_bytes = max_line_bytes
-        self._parts: list[bytes] = []
-        self._parts_size = 0
+        self._rest = bytearray()
         self._error: Exception | None = None
+        self.max_line_bytes = max_line_bytes
         self.transport: asyncio.Transport | None = None
         self.bytes_received = 0
         self.bytes_sent = 0
@@ -76,23 +78,16 @@
 
     def data_received(self, data: bytes) -> None:
         """Split ``data`` into lines and hand each on (asyncio callback)."""
+        if not self.is_open:
+            return  # given up on; what still comes has no reader
         self.bytes_received += len(data)
         *lines, rest = data.split(LINE_FEED)
         for line in lines:
-            if self._parts:
-                self._parts.append(line)
-                whole = b"".join(self._parts)
-                self._parts.clear()
-                self._parts_size = 0
-            else:
-                whole = line
-            if not self._deliver(whole):
+            if not self._deliver(self._whole(line)):
                 return
         if rest:
-            self._parts.append(rest)
-            self._parts_size += len(rest)
-            if self._parts_size > self._max_line_bytes:
-                self._fail(ProtocolError(f"line longer than {self._max_line_bytes} bytes"))
+            self._rest += rest
+            self._check_size(self._rest)
 
     def send(self, message: msgspec.Struct) -> int:
         """Queue ``message`` for sending; return its size in bytes, or 0 if the link is closed."""
@@ -121,17 +116,32 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def _deliver(self, line: bytes) -> bool:
-        if len(line) > self._max_line_bytes:
-            self._fail(ProtocolError(f"line longer than {self._max_line_bytes} bytes"))
+    def _whole(self, line: bytes) -> bytes | bytearray:
+        """Return ``line`` with what came of it before."""
+        if not self._rest:
+            return line
+        whole = self._rest
+        self._rest = bytearray()
+        whole += line
+        return whole
+
+    def _deliver(self, line: bytes | bytearray) -> bool:
+        """Hand a line on; return whether the connection is still to be read."""
+        if not self._check_size(line):
             return False
         try:
             message = self._decoder.decode(line)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
             self._fail(ProtocolError(f"malformed line: {error}"))
             return False
         self._on_message(self, message)
-        return self.transport is not None
+        return self.is_open
+
+    def _check_size(self, line: bytes | bytearray) -> bool:
+        if len(line) <= self.max_line_bytes:
+            return True
+        self._fail(ProtocolError(f"line longer than {self.max_line_bytes} bytes"))
+        return False
 
     def _fail(self, error: ProtocolError) -> None:
         self._error = error
--- a/src/finchshed/link/listener.py
+++ b/src/finchshed/link/listener.py
@@ -16,7 +16,7 @@
 from finchshed.common.errors import ProtocolError
 from finchshed.distribution.messages import Delta, Fetch
 from finchshed.link.digests import digest_of
-from finchshed.link.lines import LineProtocol
+from finchshed.link.lines import DEFAULT_MAX_LINE_BYTES, FIRST_LINE_BYTES, LineProtocol
 from finchshed.link.messages import (
     Call,
     Cancel,
@@ -139,6 +139,7 @@
         if not isinstance(message, Hello) or not message.epoch or not message.node:
             raise ProtocolError("the first line is no Hello")
         self.peer = message
+        self.lines.max_line_bytes = DEFAULT_MAX_LINE_BYTES
         self.lines.send(self._owner.hello(message.epoch))
         self._note_revision(message.revision)
 
@@ -207,7 +208,9 @@
 
     def make_protocol(self) -> asyncio.Protocol:
         """Return the protocol of one accepted connection."""
-        return LineProtocol(PeerMessage, self._on_message, self._on_open, self._on_close)
+        return LineProtocol(
+            PeerMessage, self._on_message, self._on_open, self._on_close, FIRST_LINE_BYTES
+        )
 
     def links(self) -> list[AcceptedLink]:
         """Return the links that are open."""
--- a/src/finchshed/link/peer.py
+++ b/src/finchshed/link/peer.py
@@ -21,7 +21,7 @@
 from finchshed.distribution.messages import Delta, Fetch
 from finchshed.link.digests import digest_of
 from finchshed.link.encoding import encode_line
-from finchshed.link.lines import LineProtocol
+from finchshed.link.lines import DEFAULT_MAX_LINE_BYTES, FIRST_LINE_BYTES, LineProtocol
 from finchshed.link.messages import (
     Call,
     Cancel,
@@ -204,7 +204,9 @@
         self._end(cause)
 
     def _make_protocol(self) -> LineProtocol[PeerMessage]:
-        return LineProtocol(PeerMessage, self._on_message, self._on_open, self._on_close)
+        return LineProtocol(
+            PeerMessage, self._on_message, self._on_open, self._on_close, FIRST_LINE_BYTES
+        )
 
     def _on_open(self, lines: LineProtocol[PeerMessage]) -> None:
         if self.state is LinkState.CLOSED:
@@ -222,10 +224,12 @@
 
     def _on_message(self, lines: LineProtocol[PeerMessage], message: PeerMessage) -> None:
         self._last_received_at = self._loop.time()
-        if isinstance(message, Reply):
+        if isinstance(message, Hello):
+            self._on_hello(lines, message)
+        elif self.state is not LinkState.OPEN:
+            self._end("protocol")
+        elif isinstance(message, Reply):
             self._on_reply(message)
-        elif isinstance(message, Hello):
-            self._on_hello(message)
         elif isinstance(message, Pong):
             if message.epoch == self.epoch:
                 self._owner.load_reported(self, message.load)
@@ -240,11 +244,12 @@
         else:
             self._end("protocol")
 
-    def _on_hello(self, hello: Hello) -> None:
+    def _on_hello(self, lines: LineProtocol[PeerMessage], hello: Hello) -> None:
         """Take the peer's Hello: its first one, or one more after its back end was restarted."""
         if hello.epoch != self.epoch:
             self._end("protocol")
             return
+        lines.max_line_bytes = DEFAULT_MAX_LINE_BYTES
         self.state = LinkState.OPEN
         self.peer = hello
         self._owner.link_opened(self, hello)
--- /dev/null
+++ b/tests/link/test_lines.py
@@ -0,0 +1,110 @@
+"""Lines: whole messages in order, and one clear end for everything else."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from finchshed.common.errors import ProtocolError
+from finchshed.link.encoding import encode_line
+from finchshed.link.lines import LineProtocol
+from finchshed.link.messages import PeerMessage, Ping
+from tests.link.strategies import NESTED, cut, garbage, messages
+from tests.link.transport import MemoryTransport
+
+MAX_LINE_BYTES = 400
+PING = encode_line(Ping(epoch="e1"))
+
+
+class Connection:
+    """A protocol on a transport in memory, and what it handed on."""
+
+    def __init__(self, max_line_bytes: int = MAX_LINE_BYTES) -> None:
+        self.received: list[PeerMessage] = []
+        self.ends: list[Exception | None] = []
+        self.transport = MemoryTransport()
+        self.lines: LineProtocol[PeerMessage] = LineProtocol(
+            PeerMessage,
+            lambda _, message: self.received.append(message),
+            on_close=lambda _, error: self.ends.append(error),
+            max_line_bytes=max_line_bytes,
+        )
+        self.transport.connect(self.lines)
+
+    def feed(self, *pieces: bytes) -> None:
+        for piece in pieces:
+            self.lines.data_received(piece)
+
+
+@given(st.data(), st.lists(messages, max_size=6))
+def test_messages_come_whole_and_in_order_however_they_are_cut(
+    data: st.DataObject, sent: list[PeerMessage]
+) -> None:
+    connection = Connection(max_line_bytes=100_000)
+    connection.feed(*data.draw(cut(b"".join(encode_line(message) for message in sent))))
+    assert connection.received == sent
+    assert not connection.transport.closed
+
+
+@given(st.data(), st.lists(garbage, min_size=1, max_size=4))
+def test_garbage_ends_the_connection_and_nothing_else(
+    data: st.DataObject, parts: list[bytes]
+) -> None:
+    connection = Connection(max_line_bytes=100_000)
+    before = encode_line(Ping(epoch="before"))
+    after = encode_line(Ping(epoch="after"))
+    connection.feed(*data.draw(cut(before + b"".join(parts) + b"\n!\n" + after)))
+    assert connection.received[0] == Ping(epoch="before")
+    assert Ping(epoch="after") not in connection.received
+    assert connection.transport.closed
+    connection.transport.finish()
+    (error,) = connection.ends
+    assert isinstance(error, ProtocolError)
+    assert "\n" not in str(error)
+
+
+def test_a_line_nested_too_deep_is_malformed() -> None:
+    connection = Connection(max_line_bytes=100_000)
+    connection.feed(NESTED, PING)
+    connection.transport.finish()
+    assert connection.received == []
+    assert "malformed line" in str(connection.ends[0])
+
+
+@given(st.data(), st.integers(-2, 2))
+def test_only_a_line_within_the_limit_is_taken(data: st.DataObject, beyond: int) -> None:
+    connection = Connection(max_line_bytes=len(PING) - 1 + beyond)
+    connection.feed(*data.draw(cut(PING)))
+    assert len(connection.received) == (beyond >= 0)
+    assert connection.transport.closed == (beyond < 0)
+
+
+def test_a_line_without_end_is_refused_within_its_limit() -> None:
+    connection = Connection()
+    for _ in range(10_000):
+        connection.feed(b"x")
+    assert connection.transport.closed
+    assert connection.lines.bytes_received == MAX_LINE_BYTES + 1
+
+
+def test_nothing_is_handed_on_once_the_reader_gave_up() -> None:
+    received = []
+
+    def give_up(lines: LineProtocol[PeerMessage], message: PeerMessage) -> None:
+        received.append(message)
+        lines.abort()
+
+    transport = MemoryTransport()
+    lines: LineProtocol[PeerMessage] = LineProtocol(PeerMessage, give_up)
+    transport.connect(lines)
+    lines.data_received(PING + PING)
+    assert len(received) == 1
+
+
+@pytest.mark.parametrize("closed", [True, False])
+def test_sending_tells_whether_the_line_was_taken(closed: bool) -> None:
+    connection = Connection()
+    if closed:
+        connection.transport.close()
+    size = connection.lines.send(Ping(epoch="e1"))
+    assert size == (0 if closed else len(PING))
+    assert connection.transport.written == (b"" if closed else PING)
--- /dev/null
+++ b/tests/link/test_listener.py
@@ -0,0 +1,185 @@
+"""The serving end: what a peer sends harms at most its own link."""
+
+import asyncio
+from collections.abc import Sequence
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from finchshed.common.context import CallContext
+from finchshed.common.importance import Importance
+from finchshed.common.outcomes import Answered
+from finchshed.distribution.messages import Delta
+from finchshed.link.digests import digest_of
+from finchshed.link.encoding import encode_line
+from finchshed.link.lines import FIRST_LINE_BYTES
+from finchshed.link.listener import AcceptedLink, LinkListener
+from finchshed.link.messages import Call, Hello, LoadReport, PeerMessage, Ping, Reply
+from tests.link.strategies import EPOCH, garbage, messages
+from tests.link.transport import MemoryTransport
+
+HELLO = Hello(node="n1", incarnation="1", epoch=EPOCH, service="s", zone="z", revision=1)
+CONTEXT = CallContext(root="r", importance=Importance.NORMAL, remaining_seconds=1.0)
+SILENCE_SECONDS = 1.0
+
+
+def call(number: int, epoch: str = EPOCH, body: bytes = b"order") -> Call:
+    return Call(
+        epoch=epoch,
+        call=number,
+        service="s",
+        method="GET",
+        path="/",
+        headers=(),
+        body=body,
+        digest=digest_of(body),
+        context=CONTEXT,
+    )
+
+
+class Owner:
+    """Notes what it is told."""
+
+    def __init__(self) -> None:
+        self.received: list[tuple[AcceptedLink, Call]] = []
+        self.cancelled: list[tuple[AcceptedLink, int]] = []
+
+    def hello(self, epoch: str) -> Hello:
+        return Hello(node="me", incarnation="1", epoch=epoch, service="s", zone="z", revision=1)
+
+    def call_received(self, link: AcceptedLink, call: Call) -> None:
+        self.received.append((link, call))
+
+    def call_cancelled(self, link: AcceptedLink, call: int) -> None:
+        self.cancelled.append((link, call))
+
+    def load_report(self) -> LoadReport:
+        return LoadReport()
+
+    def revision(self) -> int:
+        return 1
+
+    def accepted_revision_seen(self, link: AcceptedLink, revision: int) -> None: ...
+
+    def accepted_delta_received(self, link: AcceptedLink, delta: Delta) -> None: ...
+
+    def delta_for(self, revision: int) -> Delta | None:
+        return None
+
+
+class Peer:
+    """One connection to a listener."""
+
+    def __init__(self, listener: LinkListener, host: str = "127.0.0.1") -> None:
+        self.transport = MemoryTransport((host, 40_000))
+        self._protocol = listener.make_protocol()
+        self.transport.connect(self._protocol)
+
+    def send(self, *parts: PeerMessage | bytes) -> None:
+        encoded = (part if isinstance(part, bytes) else encode_line(part) for part in parts)
+        self._protocol.data_received(b"".join(encoded))
+
+
+def make_listener(owner: Owner, networks: Sequence[str] = ("127.0.0.0/8",)) -> LinkListener:
+    return LinkListener(
+        owner, networks, silence_seconds=SILENCE_SECONDS, max_unsent_bytes=1_000_000
+    )
+
+
+@given(st.lists(st.one_of(messages, garbage), max_size=8))
+def test_whatever_a_peer_sends_another_link_goes_on(parts: list[PeerMessage | bytes]) -> None:
+    async def scenario() -> None:
+        owner = Owner()
+        listener = make_listener(owner)
+        good, bad = Peer(listener), Peer(listener)
+        good.send(HELLO, call(1))
+        for part in parts:
+            bad.send(part)
+        bad.transport.finish()
+        good.send(call(2))
+        good_link = owner.received[0][0]
+        assert [taken.call for link, taken in owner.received if link is good_link] == [1, 2]
+        answer = Reply(EPOCH, 2, Answered(200, (), b""), spare_attempts=0, load=LoadReport())
+        assert good_link.reply(answer)
+        assert encode_line(answer) in good.transport.written
+        check_calls_of_bad_link(owner, good_link)
+
+    asyncio.run(scenario())
+
+
+def check_calls_of_bad_link(owner: Owner, good_link: AcceptedLink) -> None:
+    """Each call taken is whole, of the link's epoch, new, and given up on when the link ended."""
+    taken = [(link, made) for link, made in owner.received if link is not good_link]
+    numbers = [made.call for _, made in taken]
+    assert numbers == sorted(set(numbers))
+    for link, made in taken:
+        assert link.peer is not None
+        assert made.epoch == link.epoch != ""
+        assert digest_of(made.body) == made.digest
+    assert sorted(number for _, number in owner.cancelled) == numbers
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        (call(1), HELLO, call(2)),
+        (HELLO, call(1, epoch="other"), call(2)),
+        (HELLO, call(2), call(2), call(3)),
+        (HELLO, call(2), call(1), call(3)),
+        (HELLO, encode_line(call(1)).replace(b'"digest":"', b'"digest":"0'), call(2)),
+        (Ping(epoch=EPOCH), HELLO, call(1)),
+        (Hello("", "1", EPOCH, "s", "z", 1), call(1)),
+        (Hello("n1", "1", "", "s", "z", 1), call(1)),
+        (b"x" * (FIRST_LINE_BYTES + 1), HELLO, call(1)),
+        (b"{}\n", HELLO, call(1)),
+    ],
+)
+def test_nothing_after_a_breach_is_taken(parts: tuple[PeerMessage | bytes, ...]) -> None:
+    async def scenario() -> None:
+        owner = Owner()
+        peer = Peer(make_listener(owner))
+        peer.send(*parts)
+        assert peer.transport.closed
+        last = parts[-1]
+        assert isinstance(last, Call)
+        assert last.call not in [made.call for _, made in owner.received]
+
+    asyncio.run(scenario())
+
+
+def test_a_peer_that_said_who_it_is_may_send_long_lines() -> None:
+    async def scenario() -> None:
+        owner = Owner()
+        peer = Peer(make_listener(owner))
+        peer.send(HELLO, call(1, body=b"x" * 10 * FIRST_LINE_BYTES))
+        assert len(owner.received) == 1
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("host", ["10.0.0.1", "nonsense", "127.0.0.1x", ""])
+def test_a_peer_of_another_network_is_refused(host: str) -> None:
+    async def scenario() -> None:
+        owner = Owner()
+        peer = Peer(make_listener(owner), host)
+        assert peer.transport.closed
+        peer.send(HELLO, call(1))
+        assert owner.received == []
+        assert peer.transport.written == b""
+
+    asyncio.run(scenario())
+
+
+def test_a_peer_that_says_nothing_is_closed() -> None:
+    async def scenario() -> None:
+        listener = make_listener(Owner())
+        silent, talking = Peer(listener), Peer(listener)
+        talking.send(HELLO)
+        (link,) = [link for link in listener.links() if link.peer is not None]
+        now = asyncio.get_running_loop().time()
+        link.last_received_at = now + SILENCE_SECONDS
+        listener.close_silent(now + SILENCE_SECONDS)
+        assert (silent.transport.closed, talking.transport.closed) == (True, False)
+
+    asyncio.run(scenario())
