--- a/src/finchshed/emulator/callers.py
+++ b/src/finchshed/emulator/callers.py
@@ -107,7 +107,8 @@
     arrival: Arrival
     kind: RequestKind
     attempt: int = 0
-    ended: bool = False
+    waits: bool = False
+    """Whether an attempt was sent and neither answered nor given up yet."""
     timer: Timer | None = None
     cancel: Cancel | None = None
 
@@ -148,6 +149,7 @@
 
     def _attempt(self, root: _Root) -> None:
         root.attempt += 1
+        root.waits = True
         attempt = root.attempt
         arrival = root.arrival
         site = Site(f"client-{arrival.zone}", OUTSIDE)
@@ -173,14 +175,15 @@
             self._network.send(edge_site, site, lambda: self._ended(root, attempt, outcome))
 
         def arrive() -> None:
-            if not root.ended and root.attempt == attempt:
+            if root.waits and root.attempt == attempt:
                 root.cancel = path.call(request, answered)
 
         self._network.send(site, edge_site, arrive)
 
     def _timed_out(self, root: _Root, attempt: int) -> None:
-        if root.ended or root.attempt != attempt:
+        if not root.waits or root.attempt != attempt:
             return
+        root.waits = False
         self._recorder.call_abandoned(f"{root.arrival.root}/{attempt}")
         edge_site, _ = self._edge_of(root.arrival.zone)
         if root.cancel is not None:
@@ -189,22 +192,20 @@
         self._repeat(root, 0.0)
 
     def _ended(self, root: _Root, attempt: int, outcome: Outcome) -> None:
-        if root.ended or root.attempt != attempt:
+        if not root.waits or root.attempt != attempt:
             return
+        root.waits = False
         if root.timer is not None:
             root.timer.cancel()
         self._recorder.call_ended(f"{root.arrival.root}/{attempt}", outcome)
         if isinstance(outcome, Answered):
-            if outcome.status == 200:
-                root.ended = True
-                return
-            self._repeat(root, 0.0)
+            if outcome.status != 200:
+                self._repeat(root, 0.0)
             return
         self._repeat(root, outcome.retry_after)
 
     def _repeat(self, root: _Root, retry_after: float) -> None:
         if root.attempt >= self._policy.attempts:
-            root.ended = True
             return
         wait = self._policy.backoff_seconds * (0.5 + self._random.random())
         if self._policy.heed_retry_after:
--- a/src/finchshed/emulator/daemons/callee.py
+++ b/src/finchshed/emulator/daemons/callee.py
@@ -23,6 +23,7 @@
 from finchshed.emulator.backend import HEADER_DRAINING, BackEnd
 from finchshed.emulator.daemons.ledger_client import LedgerClient
 from finchshed.emulator.daemons.link import AcceptedLink, CallMessage
+from finchshed.emulator.daemons.outgoing import SHED_REASONS
 from finchshed.emulator.daemons.process import Process
 from finchshed.emulator.request import Cancel, Request
 from finchshed.ledger.results import Completed, Granted, LedgerResult, OutcomeUnknown
@@ -335,9 +336,3 @@
 
     def _retry_after(self) -> float:
         return retry_after(0.0, self._random)
-
-
-SHED_REASONS: Final = frozenset(
-    {RefusalReason.OVERLOAD, RefusalReason.QUEUE_FULL, RefusalReason.DEADLINE}
-)
-"""Refusals that say a request was shed for overload."""
--- a/src/finchshed/emulator/daemons/outgoing.py
+++ b/src/finchshed/emulator/daemons/outgoing.py
@@ -5,6 +5,7 @@
 
 import random
 from collections.abc import Callable
+from typing import Final
 
 from finchshed.common.context import CallContext
 from finchshed.common.outcomes import (
@@ -21,9 +22,15 @@
 from finchshed.emulator.request import Request
 from finchshed.link.digests import digest_of
 from finchshed.link.messages import LoadReport, Reply
+from finchshed.proof.history import Admission, AttemptSent
 from finchshed.retry.policy import retry_after
 from finchshed.routing.caller import CallerEffect, CallerLogic, Finish, Send, SetTimer, Withdraw
 
+SHED_REASONS: Final = frozenset(
+    {RefusalReason.OVERLOAD, RefusalReason.QUEUE_FULL, RefusalReason.DEADLINE}
+)
+"""Refusals that say a request was shed for overload."""
+
 OnFinish = Callable[[Outcome, int], None]
 
 
@@ -56,6 +63,8 @@
         self._on_finish = on_finish
         self._timer: Timer | None = None
         self._attempts: dict[int, tuple[Attempt, DaemonLink]] = {}
+        self._was_sent = False
+        self._recorder = daemon.simulation.recorder
 
     def begin(self) -> None:
         """Start the call."""
@@ -78,6 +87,7 @@
 
     def _send(self, effect: Send) -> None:
         number = effect.attempt
+        self._was_sent = True
         remaining = self._deadline - self._process.now
         context = self._context.for_attempt(remaining, effect.share)
         attempt = Attempt(
@@ -87,6 +97,11 @@
             lambda reply: self._replied(number, reply),
             lambda reason: self._unsent(number, effect.share, reason),
         )
+        self._recorder.note(
+            AttemptSent(
+                self._process.now, self._request.call, self._request.root, effect.endpoint.name
+            )
+        )
         link = self._process.link_to(effect.endpoint.name)
         self._attempts[number] = (attempt, link)
         link.send(attempt)
@@ -132,7 +147,22 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+        if not self._was_sent:
+            self._note_shed(effect.outcome)
         self._on_finish(effect.outcome, effect.spare_returned)
 
+    def _note_shed(self, outcome: Outcome) -> None:
+        """Record that this daemon refused the call early, on behalf of an overloaded service."""
+        if not isinstance(outcome, Refused) or outcome.reason not in SHED_REASONS:
+            return
+        context = self._context
+        service = self._request.hop.service
+        session = bool(context.session)
+        self._recorder.note(
+            Admission(
+                self._process.now, "", service, context.root, context.importance, False, session
+            )
+        )
+
     def _retry_after(self) -> float:
         return retry_after(0.0, self._process.random)
--- /dev/null
+++ b/src/finchshed/proof/checks/shedding.py
@@ -0,0 +1,83 @@
+"""Under overload, requests of low importance are shed first.
+
+Judged at each service in windows of :data:`WINDOW_SECONDS`. The unit is a root request at a service
+in a window: admitted if any of its attempts there was, and shed otherwise. Sheds by the daemons of
+callers count as well as those beside the back ends, since a caller's daemon refuses early on behalf
+of a service. In a window with at least :data:`LEAST_COUNT` units of two classes, the more important
+class must not be admitted to a smaller share than the other by more than
+:data:`TOLERANCE`. A window begins to count only once shedding has gone on for
+:data:`SETTLE_SECONDS` at the service: the threshold is learnt from measured queueing delay, so the
+first shed requests of a surge come from a full queue.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterator
+from typing import Final
+
+from finchshed.common.importance import Importance
+from finchshed.proof.checks.index import Index, Violation
+
+NAME: Final = "shed-order"
+WINDOW_SECONDS: Final = 1.0
+LEAST_COUNT: Final = 10
+TOLERANCE: Final = 0.15
+SETTLE_SECONDS: Final = 0.5
+
+Window = tuple[str, int]
+Units = dict[tuple[Importance, str], bool]
+
+
+def check(index: Index) -> Iterator[Violation]:
+    """Yield windows in which a more important class was shed more than a less important one."""
+    windows: dict[Window, Units] = defaultdict(dict)
+    shedding: dict[str, _SheddingSpan] = {}
+    for admission in index.admissions:
+        span = shedding.setdefault(admission.service, _SheddingSpan())
+        if not admission.admitted:
+            span.note(admission.time)
+        if not span.is_settled(admission.time):
+            continue
+        window = (admission.service, int(admission.time / WINDOW_SECONDS))
+        key = (admission.importance, admission.root)
+        units = windows[window]
+        units[key] = units.get(key, False) or admission.admitted
+    for (service, number), units in windows.items():
+        yield from _check_window(service, number * WINDOW_SECONDS, units)
+
+
+class _SheddingSpan:
+    """The present span of shedding at a service."""
+
+    def __init__(self) -> None:
+        self._began = float("inf")
+        self._last = float("-inf")
+
+    def note(self, time: float) -> None:
+        """Take note of a shed request."""
+        if time - self._last > WINDOW_SECONDS:
+            self._began = time
+        self._last = time
+
+    def is_settled(self, time: float) -> bool:
+        """Whether shedding has gone on for a while, and goes on."""
+        return time - self._last <= WINDOW_SECONDS and time - self._began >= SETTLE_SECONDS
+
+
+def _check_window(service: str, time: float, units: Units) -> Iterator[Violation]:
+    counts: dict[Importance, list[int]] = defaultdict(lambda: [0, 0])
+    for (importance, _), admitted in units.items():
+        counts[importance][0] += admitted
+        counts[importance][1] += 1
+    shares = {
+        importance: admitted / total
+        for importance, (admitted, total) in counts.items()
+        if total >= LEAST_COUNT
+    }
+    for high, share in shares.items():
+        for low, low_share in shares.items():
+            if low < high and low_share > share + TOLERANCE:
+                detail = (
+                    f"{high.name} admitted to {share:.0%} of {counts[high][1]}, "
+                    f"{low.name} to {low_share:.0%} of {counts[low][1]}"
+                )
+                yield Violation(NAME, time, service, detail)
--- a/src/finchshed/proof/history.py
+++ b/src/finchshed/proof/history.py
@@ -118,6 +118,15 @@
     retry_after: float = 0.0
 
 
+class AttemptSent(msgspec.Struct, frozen=True, tag="attempt_sent"):
+    """A daemon sent an attempt of a call to an endpoint."""
+
+    time: float
+    call: str
+    root: str
+    endpoint: str
+
+
 class RunBegan(msgspec.Struct, frozen=True, omit_defaults=True, tag="run_began"):
     """A back end began to run a request (its own record)."""
 
@@ -140,7 +149,10 @@
 
 
 class Admission(msgspec.Struct, frozen=True, omit_defaults=True, tag="admission"):
-    """A daemon decided on a request: admitted to run, or shed for overload."""
+    """A daemon decided on a request: admitted to run, or shed for overload.
+
+    ``endpoint`` is empty where a caller's daemon shed the request before sending it.
+    """
 
     time: float
     endpoint: str
@@ -239,6 +251,7 @@
 Event: TypeAlias = (
     CallBegan
     | CallEnded
+    | AttemptSent
     | RunBegan
     | RunEnded
     | Admission
