Emulated control group and campaigns over seeds (finchshed prove)

Cause: the emulator left the control nodes out, so nothing proved configuration, ledger and daemons together under faults.

The emulator now runs a group of control nodes with the production log, storage on a disk that forgets what was not synced, state machine and hub, and daemons with the production follower and address book. finchshed prove draws faults by seed for ten scenarios, judges each history with every checker, shrinks what fails and prints the command that repeats it.

Ruled out: modelling control as one process that is away for a while, which can't show a lagging control node or a lost disk.

--- a/src/finchshed/emulator/acts.py
+++ b/src/finchshed/emulator/acts.py
@@ -67,6 +67,9 @@
 class CrashControl(_Act, frozen=True, tag="crash_control"):
     """A control node is killed, loses what it had not synced, and starts after ``seconds``.
 
+    ``node`` of this and other acts on control nodes may be ``leader`` or ``follower``: whoever
+    that is when the act happens.
+
     With ``wipe_disk`` it comes back with an empty disk.
     """
 
@@ -82,8 +85,18 @@
     seconds: Seconds
 
 
+class StopControl(_Act, frozen=True, tag="stop_control"):
+    """A control node is asked to stop: it hands leadership over; it starts after ``seconds``."""
+
+    node: str
+    seconds: Seconds
+
+
 class CutNode(_Act, frozen=True, tag="cut_node"):
-    """No message reaches or leaves a node, in silence; one way only if ``one_way``."""
+    """No message reaches or leaves a node, in silence; with ``one_way`` it only can't be reached.
+
+    ``node`` is a daemon, an endpoint, an edge or a control node.
+    """
 
     node: str
     seconds: Seconds
@@ -165,6 +178,7 @@
     | FreezeDaemon
     | CrashControl
     | FreezeControl
+    | StopControl
     | CutNode
     | CutZones
     | SlowLink
--- a/src/finchshed/emulator/callers.py
+++ b/src/finchshed/emulator/callers.py
@@ -58,16 +58,20 @@
 
 
 def generate_arrivals(
-    deployment: Deployment, streams: Streams, end: float, surges: tuple[Surge, ...]
+    deployment: Deployment,
+    streams: Streams,
+    end: float,
+    surges: tuple[Surge, ...],
+    begin: float = 0.0,
 ) -> Iterable[Arrival]:
-    """Yield arrivals of a Poisson process until ``end``, in order of time.
+    """Yield arrivals of a Poisson process from ``begin`` until ``end``, in order of time.
 
     Drawn at the highest rate and thinned (Lewis and Shedler, 1979).
     """
     random = streams.python("arrivals")
     highest = max((surge.factor for surge in surges), default=1.0)
     highest = max(highest, 1.0)
-    time = 0.0
+    time = begin
     number = 0
     kinds = deployment.kinds
     shares = [kind.share for kind in kinds]
--- /dev/null
+++ b/src/finchshed/emulator/control/planes.py
@@ -0,0 +1,175 @@
+"""The two ways control is emulated: a whole group of nodes, or one process that never fails."""
+
+from collections.abc import Callable, Iterable
+from typing import Final
+
+import msgspec
+
+from finchshed.configuration.resources import Endpoint, EndpointState, Policy
+from finchshed.distribution.client import ClientIdentity
+from finchshed.emulator import acts
+from finchshed.emulator.control.group import PLATFORM_LAG_SECONDS, ControlGroup
+from finchshed.emulator.daemons.control_plane import ControlConnection
+from finchshed.emulator.daemons.daemon import Daemon
+from finchshed.emulator.daemons.follower_shell import FollowerDisk, FollowerShell
+from finchshed.emulator.plain_control import COMMIT_SECONDS, PlainControl
+from finchshed.emulator.simulation import Simulation
+from finchshed.proof.history import ControlReachable
+
+REACHABILITY_SECONDS: Final = 0.25
+"""Time between looks at which daemons can reach a majority."""
+
+
+class GroupPlane:
+    """A group of control nodes; daemons follow it as in production.
+
+    Every second daemon has a disk for the highest revision.
+    """
+
+    def __init__(self, simulation: Simulation, zones: tuple[str, ...], count: int) -> None:
+        self._simulation = simulation
+        self._group = ControlGroup(simulation, zones, count)
+        self._disks: dict[str, FollowerDisk] = {}
+        self._daemons: list[Daemon] = []
+        self._reachable: dict[str, bool] = {}
+        self.crash = self._group.crash
+        self.freeze = self._group.freeze
+        self.stop_planned = self._group.stop_planned
+        self.submit = self._group.submit
+        self.mark_leaving = self._group.mark_leaving
+        self.list_live = self._group.list_live
+        self.list_leaving = self._group.list_leaving
+
+    def connect(self, daemon: Daemon) -> ControlConnection:
+        """Return the daemon's follower and its connection to control."""
+        disk = self._disks.get(daemon.name)
+        if disk is None:
+            disk = FollowerDisk(has_disk=len(self._disks) % 2 == 0)
+            self._disks[daemon.name] = disk
+        back_end = daemon.back_end
+        identity = ClientIdentity(
+            node=daemon.name,
+            incarnation=str(daemon.life),
+            service=back_end.service if back_end is not None else "",
+            zone=daemon.site.zone,
+            endpoint=daemon.name if back_end is not None else "",
+        )
+        shell = FollowerShell(
+            daemon,
+            identity,
+            self._group.by_address,
+            listener=daemon,
+            disk=disk,
+            rng=daemon.random,
+        )
+        return ControlConnection(shell.client, shell)
+
+    def start(self, endpoints: Iterable[Endpoint], policy: Policy, daemons: list[Daemon]) -> None:
+        """Form the group, declare the first configuration and let daemons follow."""
+        self._daemons = daemons
+        self._group.start(endpoints, policy)
+        for daemon in daemons:
+            daemon.begin()
+        self._watch()
+
+    def node_name(self, node: str) -> str:
+        """Return the node meant by a name, ``leader`` or ``follower``."""
+        if node in ("leader", "follower"):
+            return self._group.node(node).name
+        return node
+
+    def note_reachability(self) -> None:
+        """Record which daemons can reach a majority, where that changed."""
+        for daemon in self._daemons:
+            reachable = self._group.in_reach_of(daemon)
+            if self._reachable.get(daemon.name) != reachable:
+                self._reachable[daemon.name] = reachable
+                self._simulation.recorder.note(
+                    ControlReachable(self._simulation.now, daemon.name, reachable)
+                )
+
+    def _watch(self) -> None:
+        self.note_reachability()
+        self._simulation.clock.call_later(REACHABILITY_SECONDS, self._watch)
+
+
+class PlainPlane:
+    """Control without its failures; daemons are configured at once."""
+
+    def __init__(self, simulation: Simulation) -> None:
+        self._clock = simulation.clock
+        self._control = PlainControl(simulation)
+        self._daemons: list[Daemon] = []
+        self._endpoints: dict[str, Endpoint] = {}
+        self._policy = Policy()
+        self._revision = 1
+
+    def connect(self, daemon: Daemon) -> ControlConnection:
+        """Return the one control process; a daemon that starts anew is configured soon."""
+        if self._daemons:
+            daemon.call_later(2 * COMMIT_SECONDS, self._configure, daemon)
+        return ControlConnection(self._control)
+
+    def start(self, endpoints: Iterable[Endpoint], policy: Policy, daemons: list[Daemon]) -> None:
+        """Configure every daemon."""
+        self._endpoints = {endpoint.name: endpoint for endpoint in endpoints}
+        self._policy = policy
+        self._daemons = daemons
+        for daemon in daemons:
+            self._configure(daemon)
+
+    def crash(self, node: str, seconds: float, wipe_disk: bool) -> None:
+        """Be away for ``seconds``."""
+        self._control.crash(node, seconds)
+
+    def freeze(self, node: str, seconds: float) -> None:
+        """Be away for ``seconds``."""
+        self._control.crash(node, seconds)
+
+    def stop_planned(self, node: str, seconds: float) -> None:
+        """Be away for ``seconds``."""
+        self._control.crash(node, seconds)
+
+    def submit(self, act: acts.Submit) -> None:
+        """Change the retry ratio."""
+        self._policy = msgspec.structs.replace(self._policy, retry_ratio=0.1)
+        self._distribute()
+
+    def mark_leaving(self, endpoint: str, accepted: Callable[[], None]) -> None:
+        """Declare that an endpoint leaves."""
+        held = self._endpoints[endpoint]
+        self._endpoints[endpoint] = msgspec.structs.replace(held, state=EndpointState.LEAVING)
+        accepted()
+        self._distribute()
+
+    def list_leaving(self, endpoint: str) -> None:
+        """Let the platform's list say that an endpoint leaves."""
+        self._clock.call_later(PLATFORM_LAG_SECONDS, self._say_leaving, endpoint)
+
+    def list_live(self, endpoint: str) -> None:
+        """Do nothing: what was said isn't repeated."""
+
+    def node_name(self, node: str) -> str:
+        """Return ``node``."""
+        return node
+
+    def note_reachability(self) -> None:
+        """Do nothing: control is always in reach."""
+
+    def _configure(self, daemon: Daemon) -> None:
+        daemon.configure(self._endpoints.values(), self._policy, self._revision)
+        if not daemon.is_serving:
+            daemon.start_serving()
+
+    def _distribute(self) -> None:
+        self._revision += 1
+        for daemon in self._daemons:
+            if daemon.up:
+                daemon.call_later(2 * COMMIT_SECONDS, self._configure, daemon)
+
+    def _say_leaving(self, endpoint: str) -> None:
+        for daemon in self._daemons:
+            if daemon.up:
+                daemon.table.mark_draining(endpoint, daemon.now)
+            if daemon.name == endpoint and daemon.callee is not None:
+                daemon.callee.drain()
--- a/src/finchshed/emulator/daemons/callee.py
+++ b/src/finchshed/emulator/daemons/callee.py
@@ -5,6 +5,7 @@
 
 import enum
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
 
@@ -34,6 +35,9 @@
 from finchshed.retry.policy import retry_after
 
 TICK_SECONDS: Final = 0.02
+IDLE_TICK_SECONDS: Final = 0.1
+"""Time between ticks of a gate without work, where production ticks as often as ever."""
+
 LOCAL_DELAY_SECONDS: Final = 0.0002
 """Time to the back end or back over the loopback."""
 
@@ -80,14 +84,17 @@
         process: Process,
         back_end: BackEnd,
         ledger: LedgerClient,
+        *,
         accounts: RetryAccounts,
         rng: random.Random,
+        revision: Callable[[], int],
     ) -> None:
         self._process = process
         self._back_end = back_end
         self._ledger = ledger
         self._accounts = accounts
         self._random = rng
+        self._revision = revision
         self._recorder = process.simulation.recorder
         self._gate = Gate(back_end.slots, rng, process.now)
         self._works: dict[int, Work] = {}
@@ -96,7 +103,7 @@
         self._failed_downstream: set[str] = set()
         self._next_token = 1
         self.draining = False
-        self.may_serve = True
+        self.may_serve = False
         process.call_later(TICK_SECONDS, self._tick)
 
     @property
@@ -159,7 +166,8 @@
 
     def _tick(self) -> None:
         self._apply(self._gate.tick(self._process.now))
-        self._process.call_later(TICK_SECONDS, self._tick)
+        delay = TICK_SECONDS if self._works else IDLE_TICK_SECONDS
+        self._process.call_later(delay, self._tick)
 
     def _apply(self, effects: list[GateEffect]) -> None:
         for effect in effects:
@@ -327,7 +335,7 @@
                 spare_attempts=spare,
                 load=self.load_report(),
                 digest=digest,
-                revision=0,
+                revision=self._revision(),
             )
         )
 
--- /dev/null
+++ b/src/finchshed/emulator/daemons/control_plane.py
@@ -0,0 +1,60 @@
+"""What the daemons and operators of a run need of control, however it is emulated."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+from finchshed.configuration.resources import Endpoint, Policy
+from finchshed.emulator import acts
+from finchshed.emulator.daemons.follower_shell import FollowerShell
+from finchshed.emulator.daemons.ledger_client import LedgerClient
+
+if TYPE_CHECKING:
+    from finchshed.emulator.daemons.daemon import Daemon
+
+
+@dataclass(slots=True)
+class ControlConnection:
+    """A daemon's way to control in one life; without a follower it is configured from outside."""
+
+    ledger: LedgerClient
+    follower: FollowerShell | None = None
+
+
+class ControlPlane(Protocol):
+    """The control nodes of a run."""
+
+    def connect(self, daemon: "Daemon") -> ControlConnection:
+        """Return the way to control for the present life of ``daemon``."""
+        ...
+
+    def start(self, endpoints: Iterable[Endpoint], policy: Policy, daemons: "list[Daemon]") -> None:
+        """Begin, with the first configuration."""
+
+    def crash(self, node: str, seconds: float, wipe_disk: bool) -> None:
+        """Kill a control node for ``seconds``."""
+
+    def freeze(self, node: str, seconds: float) -> None:
+        """Stop a control node for ``seconds``."""
+
+    def stop_planned(self, node: str, seconds: float) -> None:
+        """Restart a control node as an operator would."""
+
+    def submit(self, act: acts.Submit) -> None:
+        """Let operators change the configuration."""
+
+    def mark_leaving(self, endpoint: str, accepted: Callable[[], None]) -> None:
+        """Let an operator declare that an endpoint leaves."""
+
+    def list_leaving(self, endpoint: str) -> None:
+        """Let the platform's list name an endpoint as leaving."""
+
+    def list_live(self, endpoint: str) -> None:
+        """Let the platform's list name an endpoint as live."""
+
+    def node_name(self, node: str) -> str:
+        """Return the node meant by a name, ``leader`` or ``follower``, or the name itself."""
+        ...
+
+    def note_reachability(self) -> None:
+        """Record which daemons can reach a majority, where that changed."""
--- a/src/finchshed/emulator/daemons/daemon.py
+++ b/src/finchshed/emulator/daemons/daemon.py
@@ -1,23 +1,30 @@
 """One emulated daemon: beside a back end, or an edge in front of outside callers."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Final, Protocol
 
+import msgspec
+import xxhash
+
 from finchshed.common.context import CallContext
 from finchshed.common.outcomes import Outcome, RefusalReason, Refused
 from finchshed.common.results import CallResult, result_of
 from finchshed.configuration.resources import Endpoint, EndpointState, Policy
+from finchshed.control.state_machine import POLICY_KEY
+from finchshed.distribution.messages import Delta, Hints
+from finchshed.distribution.snapshot import Configuration
 from finchshed.emulator.backend import BackEnd
 from finchshed.emulator.daemons.callee import Callee
-from finchshed.emulator.daemons.ledger_client import LedgerClient
+from finchshed.emulator.daemons.control_plane import ControlPlane
 from finchshed.emulator.daemons.link import AcceptedLink, CallMessage, DaemonLink
 from finchshed.emulator.daemons.outgoing import CallingProcess, OnFinish, OutgoingCall
 from finchshed.emulator.network import Site
 from finchshed.emulator.request import Cancel, Done, Request
 from finchshed.emulator.simulation import Simulation
 from finchshed.link.messages import LoadReport
+from finchshed.proof.history import RevisionInForce
 from finchshed.retry.account import RetryAccounts
 from finchshed.retry.bucket import RetryBucket
 from finchshed.retry.policy import retry_after
@@ -35,6 +42,10 @@
         """Return the daemon beside an endpoint."""
         ...
 
+    def node_called(self, name: str) -> "Daemon | None":
+        """Return the daemon of this name: an endpoint's or an edge."""
+        ...
+
 
 @dataclass(slots=True, eq=False)
 class _Joined:
@@ -58,15 +69,14 @@
         simulation: Simulation,
         site: Site,
         directory: Directory,
-        ledger: LedgerClient,
+        control: ControlPlane,
         back_end: BackEnd | None,
     ) -> None:
         super().__init__(simulation, site)
         self._directory = directory
-        self._ledger = ledger
+        self._control = control
         self.back_end = back_end
         self.stopping = False
-        self.held_revision = 0
         self._endpoints: tuple[Endpoint, ...] = ()
         self._policy = Policy()
         self._begin_life()
@@ -80,11 +90,52 @@
         self._accepted: list[AcceptedLink] = []
         self._buckets: dict[str, RetryBucket] = {}
         self._joined: dict[str, _Joined] = {}
+        self._linked_at: dict[str, float] = {}
+        self._began_at = self.now
         self._in_progress = 0
         self.stopping = False
+        self.is_serving = False
+        self.held_revision = 0
+        self._digest = ""
+        self._connection = self._control.connect(self)
         self.callee: Callee | None = None
         if self.back_end is not None:
-            self.callee = Callee(self, self.back_end, self._ledger, self.accounts, self.random)
+            self.callee = Callee(
+                self,
+                self.back_end,
+                self._connection.ledger,
+                accounts=self.accounts,
+                rng=self.random,
+                revision=self.revision,
+            )
+
+    def begin(self) -> None:
+        """Follow the configuration, where this daemon does so itself."""
+        if self._connection.follower is not None:
+            self._connection.follower.start()
+
+    def take_effect(self, current: Configuration) -> None:
+        """Act on a configuration that the follower holds."""
+        policy = current.resources.get(POLICY_KEY)
+        self._digest = digest_of_configuration(current)
+        self.configure(
+            current.endpoints(),
+            policy if isinstance(policy, Policy) else Policy(),
+            current.revision,
+        )
+
+    def start_serving(self) -> None:
+        """Take calls from now on."""
+        self.is_serving = True
+        if self.callee is not None:
+            self.callee.may_serve = True
+        self._note_in_force()
+
+    def _note_in_force(self) -> None:
+        if self.is_serving:
+            self.simulation.recorder.note(
+                RevisionInForce(self.now, self.name, self.held_revision, self._digest)
+            )
 
     def configure(self, endpoints: Iterable[Endpoint], policy: Policy, revision: int) -> None:
         """Act on a configuration."""
@@ -93,6 +144,7 @@
             self._buckets.clear()
         self._policy = policy
         self.held_revision = revision
+        self._note_in_force()
         self.table.replace(self._endpoints, self.now)
         for endpoint in self._endpoints:
             if endpoint.state is EndpointState.LEAVING:
@@ -119,7 +171,7 @@
         def answer(outcome: Outcome) -> None:
             self.simulation.clock.call_later(LOCAL_DELAY_SECONDS, self._answer, life, done, outcome)
 
-        if self.held_revision == 0:
+        if not self.is_serving:
             answer(Refused(RefusalReason.NO_CONFIGURATION, retry_after(0.0, self.random)))
             return _nothing
         if request.parent:
@@ -222,6 +274,7 @@
 
     def link_opened(self, endpoint: str, incarnation: str) -> None:
         """Take note that a link is open."""
+        self._linked_at[endpoint] = self.now
         self.table.on_link_up(endpoint, incarnation, self.now)
 
     def link_broken(self, endpoint: str) -> None:
@@ -264,6 +317,38 @@
 
     def revision_seen(self, node: str, revision: int) -> None:
         """Take note that a peer holds this revision."""
+        if self._connection.follower is not None:
+            self._connection.follower.on_peer_revision(node, revision)
+
+    def fetch_from_peer(self, peer: str, revision: int, done: Callable[[Delta], None]) -> None:
+        """Ask a peer for what follows ``revision``."""
+        target = self._directory.node_called(peer)
+        if target is not None:
+            self.send(target, target.answer_fetch, self, self.life, revision, done)
+
+    def answer_fetch(
+        self, peer: "Daemon", life: int, revision: int, done: Callable[[Delta], None]
+    ) -> None:
+        """Send a peer what follows ``revision``."""
+        if self._connection.follower is not None:
+            delta = self._connection.follower.follower.answer_fetch(revision)
+            self.send(peer, done, delta, life=life)
+
+    def greet_peers(self, endpoints: tuple[Endpoint, ...]) -> None:
+        """Open links to peers, to learn their revisions."""
+        for endpoint in endpoints:
+            self.link_to(endpoint.name).open()
+
+    def hints(self, hints: Hints) -> None:
+        """Take the platform's list of leaving machines."""
+        for hint in hints.leaving:
+            if hint.endpoint == self.name:
+                if hints.applies_to(hint, self.now - self._began_at) and self.callee is not None:
+                    self.callee.drain()
+                continue
+            linked_at = self._linked_at.get(hint.endpoint)
+            if linked_at is not None and hints.applies_to(hint, self.now - linked_at):
+                self.table.mark_draining(hint.endpoint, self.now)
 
     @property
     def in_progress(self) -> int:
@@ -297,7 +382,12 @@
         """Begin a new life, with nothing but what is on disk."""
         self.start()
         self._begin_life()
-        self.held_revision = 0
+
+
+def digest_of_configuration(configuration: Configuration) -> str:
+    """Return xxh3-64 (hexadecimal) over all resources, in order of their keys."""
+    resources = [configuration.resources[key] for key in sorted(configuration.resources)]
+    return xxhash.xxh3_64_hexdigest(msgspec.json.encode(resources))
 
 
 def _nothing() -> None:
--- /dev/null
+++ b/src/finchshed/emulator/daemons/follower_shell.py
@@ -0,0 +1,157 @@
+"""Joins an emulated daemon, its follower of the configuration and its connection to control.
+
+Counterpart of :mod:`finchshed.distribution.driver`. Every decision is the production
+:class:`~finchshed.distribution.follower.Follower`'s.
+"""
+
+import random
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Final, Protocol
+
+from finchshed.configuration.resources import Endpoint
+from finchshed.distribution.client import ClientIdentity
+from finchshed.distribution.effects import (
+    FetchFromControl,
+    FetchFromPeer,
+    FollowerEffect,
+    FollowerRecord,
+    GreetPeers,
+    Persist,
+    ReportInForce,
+    StartServing,
+    TakeEffect,
+)
+from finchshed.distribution.follower import Follower, FollowerIdentity
+from finchshed.distribution.messages import Delta, Hints
+from finchshed.distribution.snapshot import Configuration
+from finchshed.emulator.control.node import ControlNode
+from finchshed.emulator.daemons.control_client import ControlClient
+from finchshed.emulator.daemons.process import Process
+
+TICK_SECONDS: Final = 0.5
+SYNC_SECONDS: Final = 0.002
+
+
+@dataclass(slots=True)
+class FollowerDisk:
+    """What a daemon's data folder keeps over its lives; ``has_disk`` False keeps nothing."""
+
+    has_disk: bool
+    record: FollowerRecord | None = None
+
+
+class FollowerListener(Protocol):
+    """What a daemon does when its follower asks for it."""
+
+    def take_effect(self, current: Configuration) -> None:
+        """Act on ``current`` from now on."""
+
+    def start_serving(self) -> None:
+        """Take calls from now on."""
+
+    def fetch_from_peer(self, peer: str, revision: int, done: Callable[[Delta], None]) -> None:
+        """Ask a peer for what follows ``revision``."""
+
+    def greet_peers(self, endpoints: tuple[Endpoint, ...]) -> None:
+        """Open links to these endpoints."""
+
+    def hints(self, hints: Hints) -> None:
+        """Take the platform's list."""
+
+
+class FollowerShell:
+    """Runs a follower for one life of a daemon."""
+
+    def __init__(
+        self,
+        process: Process,
+        identity: ClientIdentity,
+        nodes: Mapping[str, ControlNode],
+        *,
+        listener: FollowerListener,
+        disk: FollowerDisk,
+        rng: random.Random,
+    ) -> None:
+        self._process = process
+        self._listener = listener
+        self._disk = disk
+        self.follower = Follower(
+            FollowerIdentity(identity.zone, identity.endpoint),
+            has_disk=disk.has_disk,
+            record=disk.record,
+        )
+        self.client = ControlClient(process, identity, nodes, self, rng)
+
+    def start(self) -> None:
+        """Follow from now on."""
+        self._perform(self.follower.start(self._process.now))
+        self.client.start()
+        self._process.call_later(TICK_SECONDS, self._tick)
+
+    def on_peer_revision(self, peer: str, revision: int) -> None:
+        """Note the revision on a message of ``peer``."""
+        effects = self.follower.on_peer_revision(peer, revision, self._process.now)
+        if effects:
+            self._perform(effects)
+
+    # What the connection to control tells and asks.
+
+    def control_delta(self, delta: Delta) -> None:
+        """Take configuration from the control node."""
+        self._perform(self.follower.on_control_delta(delta, self._process.now))
+
+    def control_connected(self) -> None:
+        """Note that a control node took the subscription."""
+        self._perform(self.follower.on_control_connected(self._process.now))
+
+    def control_lost(self) -> None:
+        """Note that no control node is in reach."""
+        self._perform(self.follower.on_control_lost(self._process.now))
+
+    def hints(self, hints: Hints) -> None:
+        """Take the platform's list."""
+        self._listener.hints(hints)
+
+    def revision_held(self) -> int:
+        """Return the revision that the next subscription starts from."""
+        return self.follower.held_revision
+
+    def revision_in_force(self) -> int:
+        """Return the revision in force."""
+        return self.follower.revision
+
+    def _tick(self) -> None:
+        self._perform(self.follower.tick(self._process.now))
+        self._process.call_later(TICK_SECONDS, self._tick)
+
+    def _perform(self, effects: Sequence[FollowerEffect]) -> None:
+        for effect in effects:
+            self._perform_one(effect)
+
+    def _perform_one(self, effect: FollowerEffect) -> None:
+        match effect:
+            case TakeEffect():
+                self._listener.take_effect(effect.current)
+            case ReportInForce():
+                self.client.report_in_force(effect.revision)
+            case FetchFromControl():
+                self.client.fetch(effect.revision)
+            case FetchFromPeer():
+                peer = effect.peer
+                self._listener.fetch_from_peer(
+                    peer, effect.revision, lambda delta: self._peer_delta(peer, delta)
+                )
+            case GreetPeers():
+                self._listener.greet_peers(effect.endpoints)
+            case StartServing():
+                self._listener.start_serving()
+            case Persist():
+                self._process.call_later(SYNC_SECONDS, self._persisted, effect.record)
+
+    def _peer_delta(self, peer: str, delta: Delta) -> None:
+        self._perform(self.follower.on_peer_delta(peer, delta, self._process.now))
+
+    def _persisted(self, record: FollowerRecord) -> None:
+        self._disk.record = record
+        self._perform(self.follower.on_persisted(self._process.now))
--- a/src/finchshed/emulator/faults.py
+++ b/src/finchshed/emulator/faults.py
@@ -32,6 +32,13 @@
     def freeze_control(self, node: str, seconds: float) -> None:
         """Stop a control node for ``seconds``."""
 
+    def stop_control(self, node: str, seconds: float) -> None:
+        """Restart a control node as an operator would."""
+
+    def node_name(self, node: str) -> str:
+        """Return the node meant by ``leader`` or ``follower``, or the name itself."""
+        ...
+
     def drain(self, endpoint: str, sign: str) -> None:
         """Let ``endpoint`` begin to leave, known by ``sign``."""
 
@@ -89,7 +96,7 @@
                 self._processes.submit(act)
             case acts.CrashDaemon() | acts.FreezeDaemon():
                 self._apply_to_daemon(act)
-            case acts.CrashControl() | acts.FreezeControl():
+            case acts.CrashControl() | acts.FreezeControl() | acts.StopControl():
                 self._apply_to_control(act)
             case _:
                 self._apply_to_network(act)
@@ -101,19 +108,25 @@
         else:
             self._processes.freeze_daemon(act.node, act.seconds)
 
-    def _apply_to_control(self, act: acts.CrashControl | acts.FreezeControl) -> None:
-        self._note(act, act.node)
+    def _apply_to_control(
+        self, act: acts.CrashControl | acts.FreezeControl | acts.StopControl
+    ) -> None:
+        node = self._processes.node_name(act.node)
+        self._note(act, node)
         if isinstance(act, acts.CrashControl):
-            self._processes.crash_control(act.node, act.seconds, act.wipe_disk)
+            self._processes.crash_control(node, act.seconds, act.wipe_disk)
+        elif isinstance(act, acts.FreezeControl):
+            self._processes.freeze_control(node, act.seconds)
         else:
-            self._processes.freeze_control(act.node, act.seconds)
+            self._processes.stop_control(node, act.seconds)
 
     def _apply_to_network(self, act: acts.Act) -> None:
         network = self._network
         match act:
             case acts.CutNode():
-                pairs = [("*", act.node)] if act.one_way else [("*", act.node), (act.node, "*")]
-                self._cut(act, act.seconds, pairs, act.node)
+                node = self._processes.node_name(act.node)
+                pairs = [("*", node)] if act.one_way else [("*", node), (node, "*")]
+                self._cut(act, act.seconds, pairs, node)
             case acts.CutZones():
                 pairs = [(act.source, act.target)]
                 if not act.one_way:
--- a/src/finchshed/emulator/plain_control.py
+++ b/src/finchshed/emulator/plain_control.py
@@ -19,7 +19,6 @@
 )
 from finchshed.control.state_machine import ControlStateMachine
 from finchshed.emulator.daemons.ledger_client import OnLedgerResult
-from finchshed.emulator.daemons.process import Process
 from finchshed.emulator.simulation import Simulation
 from finchshed.ledger.results import LedgerResult
 
@@ -71,10 +70,6 @@
         delay = COMMIT_SECONDS if self._clock.now >= self._away_until else timeout
         self._clock.call_later(delay, commit)
 
-    def distribute(self, daemon: Process, apply: Callable[[], None]) -> None:
-        """Let ``daemon`` act on a change after the time a commit and its delivery take."""
-        daemon.call_later(COMMIT_SECONDS * 2, apply)
-
     def _commit(self, command: Command) -> CommandResult:
         self._index += 1
         time = EPOCH_UNIX_SECONDS + self._clock.now
--- a/src/finchshed/emulator/run.py
+++ b/src/finchshed/emulator/run.py
@@ -16,6 +16,9 @@
 
     Attributes
     ----------
+    begin_seconds, seconds
+        Times of the first and the last arrival; an emulated control group takes some two seconds
+        to form.
     arrivals
         Arrivals from a trace; None draws them from the seed.
     settle_seconds
@@ -28,6 +31,7 @@
     deployment: Deployment
     control: str = "finchshed"
     seed: int = 0
+    begin_seconds: float = 0.0
     seconds: float = 10.0
     settle_seconds: float = 3.0
     surges: tuple[Surge, ...] = ()
--- a/src/finchshed/emulator/scheme.py
+++ b/src/finchshed/emulator/scheme.py
@@ -1,14 +1,15 @@
 """finchshed as the control scheme of a run: daemons, edges, and what operators do."""
 
-from collections.abc import Callable
-
-from finchshed.configuration.resources import Endpoint, EndpointState, Policy
+from finchshed.configuration.resources import Endpoint, Policy
 from finchshed.emulator import acts
 from finchshed.emulator.backend import BackEnd
 from finchshed.emulator.clock import Clock
+from finchshed.emulator.control.group import PLATFORM_LAG_SECONDS
+from finchshed.emulator.control.planes import GroupPlane, PlainPlane
+from finchshed.emulator.daemons.control_plane import ControlPlane
 from finchshed.emulator.daemons.daemon import REGION, Daemon
+from finchshed.emulator.faults import UnknownTargetError
 from finchshed.emulator.network import Site
-from finchshed.emulator.plain_control import PlainControl
 from finchshed.emulator.request import Path
 from finchshed.emulator.run import RunSpecification
 from finchshed.emulator.simulation import Simulation
@@ -20,18 +21,13 @@
     PlannedStop,
 )
 
-PLATFORM_LAG_SECONDS = 1.0
-"""How late the platform's list of live and leaving machines is."""
-
 STOP_POLL_SECONDS = 0.05
 STOP_LINGER_SECONDS = 0.5
 """Time a stop leaves for late arrivals to come in."""
 
-DISK_RESTORE_SECONDS = 0.05
-
 
 class FinchshedScheme:
-    """Daemons beside every back end, an edge in each zone."""
+    """Daemons beside every back end, an edge in each zone, and control."""
 
     def __init__(
         self,
@@ -43,9 +39,7 @@
         self._clock: Clock = simulation.clock
         self._recorder = simulation.recorder
         self._back_ends = back_ends
-        self._control = PlainControl(simulation)
-        self._policy = Policy(retry_budget=specification.retry_budget)
-        self._revision = 1
+        self._control = _make_control(simulation, specification)
         self._endpoints: dict[str, Endpoint] = {}
         self._daemons: dict[str, Daemon] = {}
         self._edges: dict[str, Daemon] = {}
@@ -54,9 +48,11 @@
         for zone in specification.deployment.zones:
             edge = self._daemon(Site(f"edge-{zone}", zone), None)
             self._edges[zone] = edge
-        for daemon in self._every_daemon():
+        daemons = self._every_daemon()
+        for daemon in daemons:
             self._recorder.note(NodeStarted(0.0, daemon.name))
-            self._configure(daemon)
+        policy = Policy(retry_budget=specification.retry_budget)
+        self._control.start(self._endpoints.values(), policy, daemons)
 
     def edge_of(self, zone: str) -> tuple[Site, Path]:
         """Return the edge of ``zone``."""
@@ -67,6 +63,17 @@
         """Return the daemon beside an endpoint."""
         return self._daemons[endpoint]
 
+    def node_called(self, name: str) -> Daemon | None:
+        """Return the daemon of this name: an endpoint's or an edge."""
+        for daemon in self._every_daemon():
+            if daemon.name == name:
+                return daemon
+        return None
+
+    def node_name(self, node: str) -> str:
+        """Return the node meant by ``leader`` or ``follower``, or the name itself."""
+        return self._control.node_name(node)
+
     def crash_daemon(self, node: str, seconds: float) -> None:
         """Kill a daemon; start it again after ``seconds``."""
         daemon = self._node(node)
@@ -87,22 +94,34 @@
 
     def crash_control(self, node: str, seconds: float, wipe_disk: bool) -> None:
         """Kill a control node."""
-        self._control.crash(node, seconds)
+        self._control.crash(node, seconds, wipe_disk)
+        self._control.note_reachability()
 
     def freeze_control(self, node: str, seconds: float) -> None:
         """Stop a control node in silence."""
-        self._control.crash(node, seconds)
+        self._control.freeze(node, seconds)
+        self._control.note_reachability()
+
+    def stop_control(self, node: str, seconds: float) -> None:
+        """Restart a control node as an operator would."""
+        self._control.stop_planned(node, seconds)
 
     def drain(self, endpoint: str, sign: str) -> None:
         """Let ``endpoint`` begin to leave, known by ``sign``."""
         if sign == "answer":
             self._back_ends[endpoint].drain()
             return
-        self._recorder.note(EndpointLeaving(self._clock.now, endpoint, sign))
         if sign == "platform":
-            self._clock.call_later(PLATFORM_LAG_SECONDS, self._platform_says_leaving, endpoint)
+            self._clock.call_later(PLATFORM_LAG_SECONDS, self._list_leaving, endpoint)
             return
-        self._change_endpoint(endpoint, EndpointState.LEAVING)
+        self._control.mark_leaving(
+            endpoint,
+            lambda: self._recorder.note(EndpointLeaving(self._clock.now, endpoint, sign)),
+        )
+
+    def _list_leaving(self, endpoint: str) -> None:
+        self._recorder.note(EndpointLeaving(self._clock.now, endpoint, "platform"))
+        self._control.list_leaving(endpoint)
 
     def stop_planned(self, endpoint: str, seconds: float) -> None:
         """Stop a back end and its daemon once all work is done; start them after ``seconds``."""
@@ -122,17 +141,20 @@
 
     def back_end_started(self, endpoint: str) -> None:
         """Take note that a back end is up again after a crash."""
+        self._control.list_live(endpoint)
         daemon = self._daemons[endpoint]
         if daemon.up and daemon.callee is not None and daemon.callee.draining:
+            self._recorder.note(NodeStopped(self._clock.now, daemon.name))
             daemon.crash()
             self._restart(daemon)
 
     def submit(self, act: acts.Submit) -> None:
         """Let operators change the configuration."""
-        self._policy = Policy(retry_budget=self._policy.retry_budget, retry_ratio=0.1)
+        self._control.submit(act)
 
     def network_changed(self) -> None:
-        """Do nothing: links notice cuts by silence."""
+        """Record what daemons can reach; links notice cuts by silence."""
+        self._control.note_reachability()
 
     def _add_back_end(self, number: int, back_end: BackEnd) -> None:
         endpoint = Endpoint(
@@ -155,53 +177,23 @@
         return [*self._daemons.values(), *self._edges.values()]
 
     def _node(self, node: str) -> Daemon:
-        for daemon in self._every_daemon():
-            if daemon.name == node:
-                return daemon
-        raise KeyError(node)
-
-    def _configure(self, daemon: Daemon) -> None:
-        daemon.configure(self._endpoints.values(), self._policy, self._revision)
+        daemon = self.node_called(node)
+        if daemon is None:
+            raise UnknownTargetError(f"no daemon {node!r}")
+        return daemon
 
     def _restart(self, daemon: Daemon) -> None:
         if daemon.up:
             return
         daemon.restart()
         self._recorder.note(NodeStarted(self._clock.now, daemon.name))
-        daemon.call_later(DISK_RESTORE_SECONDS, self._configure, daemon)
+        daemon.begin()
 
     def _thaw(self, daemon: Daemon, life: int) -> None:
         if daemon.life == life:
             daemon.thaw()
             self._recorder.note(NodeStarted(self._clock.now, daemon.name))
 
-    def _platform_says_leaving(self, endpoint: str) -> None:
-        for daemon in self._every_daemon():
-            if daemon.up:
-                daemon.table.mark_draining(endpoint, daemon.now)
-        daemon = self._daemons[endpoint]
-        if daemon.callee is not None:
-            daemon.callee.drain()
-
-    def _change_endpoint(self, endpoint: str, state: EndpointState) -> None:
-        held = self._endpoints[endpoint]
-        self._endpoints[endpoint] = Endpoint(
-            name=held.name,
-            service=held.service,
-            region=held.region,
-            zone=held.zone,
-            address=held.address,
-            slots=held.slots,
-            state=state,
-        )
-        self._revision += 1
-        for daemon in self._every_daemon():
-            if daemon.up:
-                self._control.distribute(daemon, self._apply_later(daemon))
-
-    def _apply_later(self, daemon: Daemon) -> Callable[[], None]:
-        return lambda: self._configure(daemon)
-
     def _stop_when_idle(self, daemon: Daemon, life: int, stop_after: float, seconds: float) -> None:
         if daemon.life != life:
             return
@@ -218,5 +210,13 @@
 
     def _start_again(self, daemon: Daemon, back_end: BackEnd) -> None:
         back_end.start()
+        self._control.list_live(back_end.endpoint)
         self._recorder.note(EndpointReturned(self._clock.now, back_end.endpoint))
         self._restart(daemon)
+
+
+def _make_control(simulation: Simulation, specification: RunSpecification) -> ControlPlane:
+    if specification.control_nodes:
+        zones = specification.deployment.zones
+        return GroupPlane(simulation, zones, specification.control_nodes)
+    return PlainPlane(simulation)
--- a/src/finchshed/emulator/world.py
+++ b/src/finchshed/emulator/world.py
@@ -61,7 +61,11 @@
         arrivals = specification.arrivals
         callers.play(
             generate_arrivals(
-                self.deployment, simulation.streams, specification.seconds, specification.surges
+                self.deployment,
+                simulation.streams,
+                specification.seconds,
+                specification.surges,
+                specification.begin_seconds,
             )
             if arrivals is None
             else iter(arrivals)
@@ -123,11 +127,16 @@
     freeze_daemon = _ignore
     crash_control = _ignore
     freeze_control = _ignore
+    stop_control = _ignore
     back_end_started = _ignore
     submit = _ignore
     network_changed = _ignore
     stop_planned = _ignore
 
+    def node_name(self, node: str) -> str:
+        """Return ``node``."""
+        return node
+
     def drain(self, endpoint: str, sign: str) -> None:
         """Let the back end say that it leaves; nobody heeds it."""
         self._world.back_ends[endpoint].drain()
--- a/src/finchshed/proof/checks/configuration.py
+++ b/src/finchshed/proof/checks/configuration.py
@@ -9,6 +9,7 @@
 from finchshed.proof.checks.index import Index, Violation
 from finchshed.proof.history import (
     ChangeAnswered,
+    ChangeSubmitted,
     ControlReachable,
     NodeStarted,
     NodeStopped,
@@ -116,7 +117,12 @@
     """Of changes against one revision one wins, and a resend gets the first answer."""
     winners: dict[int, str] = {}
     first: dict[str, ChangeAnswered] = {}
+    expected: dict[str, int] = {}
+    accepted_against: dict[int, str] = {}
     for event in index.events:
+        if isinstance(event, ChangeSubmitted):
+            expected[event.change_id] = event.expected_revision
+            continue
         if not isinstance(event, ChangeAnswered) or event.result == UNKNOWN:
             continue
         before = first.setdefault(event.change_id, event)
@@ -128,6 +134,11 @@
             if winner != event.change_id:
                 detail = f"revision {event.revision} was also given to {winner}"
                 yield Violation(NAME, event.time, event.change_id, detail)
+            against = expected.get(event.change_id, event.revision - 1)
+            winner = accepted_against.setdefault(against, event.change_id)
+            if winner != event.change_id:
+                detail = f"accepted against revision {against}, as was {winner}"
+                yield Violation(NAME, event.time, event.change_id, detail)
 
 
 def _check_digests(index: Index) -> Iterator[Violation]:
--- a/src/finchshed/proof/checks/shedding.py
+++ b/src/finchshed/proof/checks/shedding.py
@@ -3,11 +3,13 @@
 Judged at each service in windows of :data:`WINDOW_SECONDS`. The unit is a root request at a service
 in a window: admitted if any of its attempts there was, and shed otherwise. Sheds by the daemons of
 callers count as well as those beside the back ends, since a caller's daemon refuses early on behalf
-of a service. In a window with at least :data:`LEAST_COUNT` units of two classes, the more important
-class must not be admitted to a smaller share than the other by more than
-:data:`TOLERANCE`. A window begins to count only once shedding has gone on for
-:data:`SETTLE_SECONDS` at the service: the threshold is learnt from measured queueing delay, so the
-first shed requests of a surge come from a full queue.
+of a service; so do refusals for overload that a caller was told, in histories where daemons record
+no decisions of their own.
+
+In a window with at least :data:`LEAST_COUNT` units of two classes, the more important class must
+not be admitted to a smaller share than the other by more than :data:`TOLERANCE`. A window counts
+only once shedding has gone on for :data:`SETTLE_SECONDS` at the service: the threshold is learnt
+from measured queueing delay, so the first shed requests of a surge come from a full queue.
 """
 
 from collections import defaultdict
@@ -15,7 +17,9 @@
 from typing import Final
 
 from finchshed.common.importance import Importance
+from finchshed.common.outcomes import RefusalReason
 from finchshed.proof.checks.index import Index, Violation
+from finchshed.proof.history import Admission, CallResult
 
 NAME: Final = "shed-order"
 WINDOW_SECONDS: Final = 1.0
@@ -23,6 +27,11 @@
 TOLERANCE: Final = 0.15
 SETTLE_SECONDS: Final = 0.5
 
+SHED_REASONS: Final = frozenset(
+    {RefusalReason.OVERLOAD, RefusalReason.QUEUE_FULL, RefusalReason.DEADLINE}
+)
+"""Refusals that say a request was shed for overload."""
+
 Window = tuple[str, int]
 Units = dict[tuple[Importance, str], bool]
 
@@ -31,7 +40,7 @@
     """Yield windows in which a more important class was shed more than a less important one."""
     windows: dict[Window, Units] = defaultdict(dict)
     shedding: dict[str, _SheddingSpan] = {}
-    for admission in index.admissions:
+    for admission in _decisions(index):
         span = shedding.setdefault(admission.service, _SheddingSpan())
         if not admission.admitted:
             span.note(admission.time)
@@ -45,6 +54,19 @@
         yield from _check_window(service, number * WINDOW_SECONDS, units)
 
 
+def _decisions(index: Index) -> list[Admission]:
+    """Return what daemons recorded and what callers were told, in order of time."""
+    decisions = list(index.admissions)
+    for ends in index.call_ends.values():
+        for end in ends:
+            call = index.calls.get(end.call)
+            if call is not None and end.result is CallResult.REFUSED and end.reason in SHED_REASONS:
+                shed = Admission(end.time, "", call.service, call.root, call.importance, False)
+                decisions.append(shed)
+    decisions.sort(key=lambda decision: decision.time)
+    return decisions
+
+
 class _SheddingSpan:
     """The present span of shedding at a service."""
 
--- /dev/null
+++ b/src/finchshed/proof/scenarios.py
@@ -0,0 +1,201 @@
+"""Scenarios of a campaign: which faults are drawn, on which deployment."""
+
+import random
+from collections.abc import Mapping
+from typing import Final
+
+import msgspec
+
+from finchshed.emulator.callers import ClientPolicy, Surge
+from finchshed.emulator.deployment import Deployment
+from finchshed.emulator.presets import BRAZOS_RIDGE, MANILA
+from finchshed.emulator.run import RunSpecification
+from finchshed.proof import disturbances as kinds
+from finchshed.proof.disturbances import Disturbance, Draw, Kind
+
+BEGIN_SECONDS: Final = 2.5
+"""Time of the first arrival: the control group has formed by then."""
+
+FAULTS_FROM_SECONDS: Final = 3.0
+FAULTS_UNTIL_SECONDS: Final = 6.0
+END_SECONDS: Final = 7.5
+SETTLE_SECONDS: Final = 6.0
+"""Time after the last arrival, in which every fault has ended and every bound has run out."""
+
+CONTROL_NODES: Final = 3
+
+_SCALE: Final = 4
+"""Slots and demand of a campaign's deployment are this part of the ordinary ones."""
+
+
+class Scenario(msgspec.Struct, frozen=True, kw_only=True):
+    """What is drawn for a run.
+
+    Attributes
+    ----------
+    kinds
+        Kinds of faults to draw from; a kind may be drawn twice.
+    always
+        Kinds drawn once in each run.
+    least, most
+        How many of ``kinds`` are drawn.
+    """
+
+    description: str
+    kinds: tuple[Kind, ...]
+    always: tuple[Kind, ...] = ()
+    least: int = 1
+    most: int = 3
+
+
+_OVERLOAD: Final = (kinds.surge, kinds.slow_deep_service, kinds.surge_with_slow_service)
+_PARTITION: Final = (kinds.zone_cut, kinds.pair_cut, kinds.node_cut, kinds.slow_link)
+_CONTROL: Final = (kinds.silent_leader, kinds.control_kill, kinds.control_freeze)
+_DISKS: Final = (kinds.disk_loss, kinds.second_loss_during_repair)
+_DAEMONS: Final = (kinds.daemon_kill, kinds.daemon_freeze)
+_BACK_ENDS: Final = (
+    kinds.back_end_kill,
+    kinds.back_end_freeze,
+    kinds.back_end_leaves,
+    kinds.misleading_load,
+    kinds.slow_back_end,
+)
+_PLANNED: Final = (kinds.planned_restart, kinds.rolling_restart)
+
+SCENARIOS: Final[Mapping[str, Scenario]] = {
+    "overload": Scenario(
+        description="the deep service slows and demand surges, clients repeat hard",
+        kinds=_OVERLOAD,
+        always=(kinds.surge_with_slow_service,),
+        least=0,
+        most=2,
+    ),
+    "partition": Scenario(
+        description="zones or machines are cut off, both ways or one, or links are slow",
+        kinds=_PARTITION,
+        always=(kinds.config_race,),
+    ),
+    "silent-leader": Scenario(
+        description="the control leader is cut off in silence while operators change things",
+        kinds=(*_CONTROL, kinds.config_race),
+        always=(kinds.silent_leader, kinds.config_race),
+        least=0,
+    ),
+    "disk-loss": Scenario(
+        description="a control machine loses its disk, a second one is lost during the repair",
+        kinds=(*_DISKS, kinds.control_kill, kinds.config_race),
+        always=(kinds.second_loss_during_repair, kinds.config_race),
+        least=0,
+        most=2,
+    ),
+    "daemon-loss": Scenario(
+        description="daemons and edges are killed or frozen",
+        kinds=_DAEMONS,
+        always=(kinds.config_race,),
+        most=4,
+    ),
+    "back-end-loss": Scenario(
+        description="back ends die, freeze, leave, slow or mislead",
+        kinds=_BACK_ENDS,
+        always=(kinds.back_end_leaves,),
+        most=4,
+    ),
+    "rolling-restart": Scenario(
+        description="back ends, daemons and control nodes are restarted as planned, under load",
+        kinds=(kinds.planned_restart, kinds.surge, kinds.config_race),
+        always=(kinds.rolling_restart,),
+        least=0,
+        most=2,
+    ),
+    "config-race": Scenario(
+        description="operators race and resend while control nodes and daemons fail",
+        kinds=(*_CONTROL, *_DAEMONS, kinds.pair_cut),
+        always=(kinds.config_race, kinds.config_race),
+        least=0,
+        most=2,
+    ),
+    "duplicates": Scenario(
+        description="messages come twice, and links break",
+        kinds=(kinds.node_cut, kinds.daemon_kill, kinds.slow_link),
+        always=(kinds.duplicated_messages, kinds.config_race),
+        most=2,
+    ),
+    "everything": Scenario(
+        description="any of all faults, together and twice",
+        kinds=(
+            *_OVERLOAD,
+            *_PARTITION,
+            *_CONTROL,
+            *_DISKS,
+            *_DAEMONS,
+            *_BACK_ENDS,
+            *_PLANNED,
+            kinds.config_race,
+        ),
+        least=2,
+        most=6,
+    ),
+}
+
+
+def scaled(deployment: Deployment, divisor: int) -> Deployment:
+    """Return ``deployment`` with as many back ends and a part of the slots and of the demand."""
+    services = tuple(
+        msgspec.structs.replace(service, slots=max(1, round(service.slots / divisor)))
+        for service in deployment.services
+    )
+    return msgspec.structs.replace(
+        deployment,
+        services=services,
+        arrivals_per_second=deployment.arrivals_per_second / divisor,
+    )
+
+
+DEPLOYMENTS: Final = (scaled(BRAZOS_RIDGE, _SCALE), scaled(MANILA, _SCALE))
+"""Even seeds run on the first, odd seeds on the second."""
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """What one seed of a scenario gives: a deployment and the disturbances."""
+
+    scenario: str
+    seed: int
+    deployment: Deployment
+    disturbances: tuple[Disturbance, ...]
+
+    def only(self, kept: tuple[int, ...]) -> "Plan":
+        """Return the plan with only the disturbances at these positions."""
+        return msgspec.structs.replace(
+            self, disturbances=tuple(self.disturbances[position] for position in kept)
+        )
+
+    def specification(self) -> RunSpecification:
+        """Return the run to do."""
+        surges = tuple(item for item in self.disturbances if isinstance(item, Surge))
+        acts = tuple(item for item in self.disturbances if not isinstance(item, Surge))
+        return RunSpecification(
+            deployment=self.deployment,
+            seed=self.seed,
+            begin_seconds=BEGIN_SECONDS,
+            seconds=END_SECONDS,
+            settle_seconds=SETTLE_SECONDS,
+            surges=surges,
+            acts=acts,
+            client=ClientPolicy(),
+            scenario=self.scenario,
+            control_nodes=CONTROL_NODES,
+        )
+
+
+def plan_of(name: str, seed: int) -> Plan:
+    """Return what ``seed`` gives in the scenario ``name``; KeyError if there is none."""
+    scenario = SCENARIOS[name]
+    rng = random.Random(f"{name}/{seed}")
+    deployment = DEPLOYMENTS[seed % len(DEPLOYMENTS)]
+    draw = Draw(rng, deployment, FAULTS_FROM_SECONDS, FAULTS_UNTIL_SECONDS)
+    drawn: list[Disturbance] = []
+    for kind in scenario.always:
+        drawn.extend(kind(draw))
+    for _ in range(draw.number(scenario.least, scenario.most)):
+        drawn.extend(draw.one_of(scenario.kinds)(draw))
+    return Plan(name, seed, deployment, tuple(drawn))
--- a/src/finchshed/routing/caller.py
+++ b/src/finchshed/routing/caller.py
@@ -110,6 +110,7 @@
         self._current: Endpoint | None = None
         self._tried: set[str] = set()
         self._last: Outcome | None = None
+        self._failed: Failed | None = None
         self.finished = False
 
     def begin(self, now: float) -> list[CallerEffect]:
@@ -144,6 +145,8 @@
         self._spare += max(0, min(spare_returned, self._lent))
         self._lent = 0
         self._last = outcome
+        if isinstance(outcome, Failed):
+            self._failed = outcome
         if isinstance(outcome, Answered):
             self._bucket.on_success()
             return self._finish(outcome)
@@ -222,5 +225,8 @@
         return self._finish(self._refused(reason))
 
     def _finish(self, outcome: Outcome) -> list[CallerEffect]:
+        """End the call. A refusal of its last attempt doesn't mean that no earlier one ran."""
+        if isinstance(outcome, Refused) and self._failed is not None:
+            outcome = Failed(self._failed.reason, outcome.retry_after, self._failed.detail)
         self.finished = True
         return [Finish(outcome, self._spare)]
--- a/tests/proof/test_checks.py
+++ b/tests/proof/test_checks.py
@@ -4,6 +4,7 @@
 from finchshed.proof.history import (
     AttemptSent,
     ChangeAnswered,
+    ChangeSubmitted,
     ControlReachable,
     EndpointLeaving,
     EndpointReturned,
@@ -172,6 +173,8 @@
     second = ChangeAnswered(1.1, "c2", "accepted", 5)
     assert found("configuration", ACCEPTED, second)
     assert not found("configuration", ACCEPTED, ChangeAnswered(1.1, "c2", "conflict"))
+    race = [ChangeSubmitted(0.5, name, "o", 4) for name in ("c1", "c2")]
+    assert found("configuration", *race, ACCEPTED, ChangeAnswered(1.1, "c2", "accepted", 6))
     assert found("configuration", ACCEPTED, ChangeAnswered(1.1, "c1", "conflict"))
     assert not found("configuration", ACCEPTED, ChangeAnswered(1.1, "c1", "unknown"))
 
--- a/tests/routing/test_caller.py
+++ b/tests/routing/test_caller.py
@@ -84,3 +84,19 @@
     assert isinstance(finish, Finish)
     assert isinstance(finish.outcome, Failed)
     assert logic.on_outcome(send.attempt, Answered(200, (), b""), 0, None, 1.1) == []
+
+
+def test_refusal_after_a_failed_attempt_is_not_told_as_not_run() -> None:
+    logic = caller(2, 3)
+    first = logic.begin(0.0)[0]
+    assert isinstance(first, Send)
+    failed = Failed(FailureReason.LINK_BROKEN, 0.1)
+    timer = logic.on_outcome(first.attempt, failed, 0, None, 0.1)[0]
+    assert isinstance(timer, SetTimer)
+    second = logic.on_timer(timer.at)[0]
+    assert isinstance(second, Send)
+    refused = Refused(RefusalReason.OVERLOAD, 1.0)
+    finish = logic.on_outcome(second.attempt, refused, second.share, None, 0.99)[-1]
+    assert isinstance(finish, Finish)
+    assert isinstance(finish.outcome, Failed)
+    assert finish.outcome.retry_after == 1.0
