Fault runs of real processes, judged from one history

Cause: the fault layer could act on a fleet, but nothing ran a script, collected what happened, or judged it. Change: 'finchshed fleet run' starts a deployment, runs a script's acts beside the callers' load, and writes one history of callers, back ends, operators, faults and the revisions seen in force. Judged here: answers whole and their caller's own, the configuration at the end against what operators were told, and the outcomes a script states. Who leads is read from the admin listeners, so an act can name the leader after its node was killed; asking through the operator's command needs a leader and was ruled out.

--- a/src/finchshed/fleet/command.py
+++ b/src/finchshed/fleet/command.py
@@ -9,7 +9,9 @@
 
 from finchshed.common.errors import SettingsError
 from finchshed.fleet.demo import run_demo
+from finchshed.fleet.fault_run import run_faults
 from finchshed.fleet.plan import PlanOptions
+from finchshed.fleet.scenario import read_scenario
 
 DEFAULT_RUN_FOLDER = "run"
 
@@ -26,6 +28,20 @@
     return run_interruptible(run_demo(source, run_folder(folder, source.name), options))
 
 
+def run(deployment: str, faults: str, out: str = "", seed: int = 1) -> int:
+    """Run a deployment of separate processes under a fault script and judge its history.
+
+    DEPLOYMENT is a folder such as examples/brazos, FAULTS a script such as
+    examples/brazos/faults/kill-daemon.toml. OUT keeps settings, logs, records, the history and
+    the verdict (default run/NAME-TIME). SEED fixes arrivals and service times.
+    Exit code 0 only if nothing that was checked failed.
+    """
+    source = pathlib.Path(deployment)
+    scenario = read_scenario(pathlib.Path(faults))
+    folder = run_folder(out, f"{source.name}-{scenario.name}")
+    return run_interruptible(run_faults(source, folder, scenario, seed))
+
+
 def run_folder(folder: str, name: str) -> pathlib.Path:
     """Return the folder for a new run: ``folder``, or one named by the time.
 
@@ -37,7 +53,7 @@
     stamp = time.strftime("%Y%m%d-%H%M%S")
     path = pathlib.Path(folder or f"{DEFAULT_RUN_FOLDER}/{name}-{stamp}").absolute()
     if path.exists() and any(path.iterdir()):
-        raise SettingsError([f"flag --folder = {path}: allowed is a new or empty folder"])
+        raise SettingsError([f"run folder {path}: allowed is a new or empty folder"])
     return path
 
 
@@ -58,4 +74,4 @@
         return 1
 
 
-fleet: Mapping[str, Callable[..., int]] = {"demo": demo}
+fleet: Mapping[str, Callable[..., int]] = {"demo": demo, "run": run}
--- /dev/null
+++ b/src/finchshed/fleet/fault_run.py
@@ -0,0 +1,181 @@
+"""A run of a deployment of real processes under a fault script, judged from its history."""
+
+import asyncio
+import pathlib
+import time
+from collections.abc import Iterable
+
+from finchshed.cli.exit_codes import ExitCode
+from finchshed.common.errors import SettingsError
+from finchshed.fleet import final_configuration
+from finchshed.fleet.demo import bring_up, plan_fleet
+from finchshed.fleet.expectations import unmet
+from finchshed.fleet.faults import FaultInjector
+from finchshed.fleet.histories import Records, build_history, read_all
+from finchshed.fleet.journal import FaultJournal
+from finchshed.fleet.links import FleetLinks
+from finchshed.fleet.operator import Operator
+from finchshed.fleet.plan import PlanOptions
+from finchshed.fleet.processes import Role
+from finchshed.fleet.scenario import Scenario, problems_of
+from finchshed.fleet.summary import rows_of, wrong_answers
+from finchshed.fleet.verdict import Check, Verdict, text_of
+from finchshed.fleet.watch import FleetWatch
+from finchshed.proof.history import NodeStarted
+from finchshed.standins.records import CallerOutcome
+
+CALLERS_MARGIN_SECONDS = 40.0
+SETTLE_SECONDS = 10.0
+"""How long daemons may take after the run to act on the last revision."""
+
+HISTORY_FILE = "history.jsonl"
+VERDICT_FILE = "verdict.json"
+PROBLEMS_FILE = "problems.txt"
+
+
+class FaultRun:
+    """One run: the fleet, what is done to it, and what is collected.
+
+    Parameters
+    ----------
+    seed
+        Seed of arrivals, service times and keys. Processes race, so a seed doesn't fix the run.
+    """
+
+    def __init__(
+        self, source: pathlib.Path, folder: pathlib.Path, scenario: Scenario, seed: int
+    ) -> None:
+        self._scenario = scenario
+        self._seed = seed
+        options = PlanOptions(
+            seed=seed,
+            relayed=scenario.needs_relay,
+            load_factor=scenario.load_factor,
+            phases=scenario.phase,
+            platform_lag_seconds=scenario.platform_lag_seconds,
+        )
+        self._deployment, self._fleet = plan_fleet(source, folder, options)
+        self._folder = folder
+        self._journal = FaultJournal(time.monotonic())
+        self._final: final_configuration.FinalConfiguration | None = None
+        self._first_revision = 0
+        self._behind: list[str] = []
+        self._callers_ended_well = False
+        self._fallen: list[str] = []
+
+    async def run(self) -> Verdict:
+        """Run it and return what it showed; prints what goes on."""
+        problems = problems_of(self._scenario, self._fleet.plan)
+        if problems:
+            raise SettingsError([f"scenario {self._scenario.name}: {line}" for line in problems])
+        links = FleetLinks(self._fleet, self._journal)
+        async with self._fleet:
+            await links.open()
+            try:
+                await self._run_with(links)
+            finally:
+                await self._fleet.stop_all()
+                await links.close()
+        return self._judge()
+
+    async def _run_with(self, links: FleetLinks) -> None:
+        fleet = self._fleet
+        _say(f"{self._deployment.name}, {self._scenario.name}: {len(fleet.processes)} processes")
+        operator = await bring_up(fleet)
+        self._note_started()
+        async with FleetWatch(fleet, self._journal) as watch:
+            self._first_revision = max(watch.revisions.values(), default=0)
+            _say(f"in force; {len(self._scenario.act)} acts, callers send")
+            await self._load_and_faults(links, operator, watch)
+            self._fallen = fleet.ended_unasked()
+            await self._read_final(watch)
+
+    async def _load_and_faults(
+        self, links: FleetLinks, operator: Operator, watch: FleetWatch
+    ) -> None:
+        injector = FaultInjector(self._fleet, operator, self._journal, links, watch)
+        await self._fleet.start(Role.CALLER)
+        total = sum(phase.duration_seconds for phase in self._scenario.phase)
+        async with asyncio.TaskGroup() as group:
+            faults = group.create_task(injector.run(self._scenario.act))
+            self._callers_ended_well = await self._fleet.wait_callers(
+                total + CALLERS_MARGIN_SECONDS
+            )
+            await faults
+
+    async def _read_final(self, watch: FleetWatch) -> None:
+        final = await asyncio.to_thread(final_configuration.read_final, self._fleet.plan)
+        self._final = final
+        if final is not None:
+            self._behind = await final_configuration.behind_after(
+                watch, final.revision, SETTLE_SECONDS
+            )
+
+    def _note_started(self) -> None:
+        for process in self._fleet.of_role(Role.DAEMON, Role.EDGE):
+            self._journal.add(NodeStarted(self._journal.now(), process.spec.name))
+
+    def _judge(self) -> Verdict:
+        operators = [process.spec.name for process in self._fleet.of_role(Role.OPERATOR)]
+        records = read_all(self._fleet.plan, operators)
+        history = build_history(
+            self._fleet.plan, records, self._journal, self._scenario.name, self._seed
+        )
+        history.write(self._folder / HISTORY_FILE)
+        self._journal.write(self._folder / PROBLEMS_FILE)
+        rows = rows_of(records.callers)
+        verdict = Verdict(
+            scenario=self._scenario.name,
+            deployment=self._deployment.name,
+            seed=self._seed,
+            processes=len(self._fleet.processes),
+            acts=len(self._scenario.act),
+            checks=[
+                *self._checks(records),
+                Check(
+                    "outcomes the scenario states",
+                    len(self._scenario.expect),
+                    unmet(self._scenario.expect, rows),
+                ),
+            ],
+        )
+        verdict.write(self._folder / VERDICT_FILE)
+        print(text_of(verdict, rows))
+        return verdict
+
+    def _checks(self, records: Records) -> Iterable[Check]:
+        answered = sum(
+            attempt.outcome is CallerOutcome.ANSWERED
+            for record in records.callers
+            for attempt in record.attempts
+        )
+        yield Check("answers whole and the caller's own", answered, wrong_answers(records.callers))
+        lost = [] if self._callers_ended_well else ["a caller process didn't end well"]
+        fallen = [f"ended unasked: {name}" for name in self._fallen]
+        yield Check(
+            "processes and acts",
+            len(self._fleet.processes),
+            [*lost, *fallen, *self._journal.problems],
+        )
+        yield Check(
+            "configuration at the end",
+            len(records.operators),
+            [
+                *final_configuration.problems_of(
+                    self._final, records.operators, self._first_revision
+                ),
+                *self._behind,
+            ],
+        )
+
+
+async def run_faults(
+    source: pathlib.Path, folder: pathlib.Path, scenario: Scenario, seed: int
+) -> int:
+    """Run ``scenario`` on the deployment in ``source``; return 0 only if nothing was wrong."""
+    verdict = await FaultRun(source, folder, scenario, seed).run()
+    return ExitCode.OK if verdict.passed else ExitCode.FAILED
+
+
+def _say(text: str) -> None:
+    print(text, flush=True)
--- a/src/finchshed/fleet/faults.py
+++ b/src/finchshed/fleet/faults.py
@@ -11,11 +11,13 @@
 
 from finchshed.fleet import acts
 from finchshed.fleet.journal import FaultJournal
+from finchshed.fleet.links import FleetLinks
 from finchshed.fleet.operator import Operator
 from finchshed.fleet.plan import backend_name, daemon_name
 from finchshed.fleet.processes import FleetProcess, Role
-from finchshed.fleet.relay import Condition, Conditions, Relay, Rule
-from finchshed.fleet.runner import Fleet
+from finchshed.fleet.relay import Condition, Rule
+from finchshed.fleet.runner import Fleet, FleetError
+from finchshed.fleet.watch import FleetWatch
 from finchshed.proof.history import (
     EndpointLeaving,
     EndpointReturned,
@@ -38,8 +40,8 @@
 
     Parameters
     ----------
-    relay
-        The fleet's relay, if its links go through one.
+    watch
+        Tells who leads the control group.
     """
 
     def __init__(
@@ -47,14 +49,14 @@
         fleet: Fleet,
         operator: Operator,
         journal: FaultJournal,
-        conditions: Conditions,
-        relay: Relay | None,
+        links: FleetLinks,
+        watch: FleetWatch,
     ) -> None:
         self._fleet = fleet
         self._operator = operator
         self._journal = journal
-        self._conditions = conditions
-        self._relay = relay
+        self._links = links
+        self._watch = watch
         self._numbers = itertools.count(1)
         self._perform: dict[type[acts.Act], Callable[[Any], Awaitable[None]]] = {
             acts.Kill: self._kill,
@@ -84,7 +86,7 @@
         await self._perform[type(act)](act)
 
     async def _kill(self, act: acts.Kill) -> None:
-        process = await self._resolve(act.target)
+        process = self._resolve(act.target)
         name = process.spec.name
         process.send_signal(signal.SIGKILL)
         await process.wait(KILL_WAIT_SECONDS)
@@ -98,7 +100,7 @@
             self._journal.add(Fault(self._journal.now(), "kill", (name,), ended=True))
 
     async def _freeze(self, act: acts.Freeze) -> None:
-        process = await self._resolve(act.target)
+        process = self._resolve(act.target)
         name = process.spec.name
         process.send_signal(signal.SIGSTOP)
         self._journal.add(Fault(self._journal.now(), "freeze", (name,)))
@@ -109,7 +111,7 @@
         self._journal.add(NodeStarted(self._journal.now(), name))
 
     async def _restart(self, act: acts.Restart) -> None:
-        await self._planned_restart(await self._resolve(act.target))
+        await self._planned_restart(self._resolve(act.target))
 
     async def _rolling_restart(self, act: acts.RollingRestart) -> None:
         for process in self._fleet.of_role(*RESTARTED_ROLES):
@@ -190,26 +192,25 @@
         targets: list[str] = []
         for source, target in ways:
             name = f"{fault}-{next(self._numbers)}"
-            resolved = (await self._end_of(source), await self._end_of(target))
+            resolved = (self._end_of(source), self._end_of(target))
             rule = Rule(source=resolved[0], target=resolved[1], condition=condition)
-            self._conditions.set(name, rule)
+            self._links.set(name, rule)
             names.append(name)
             targets += resolved
         ends = tuple(dict.fromkeys(targets))
         self._journal.add(Fault(self._journal.now(), fault, ends))
         await asyncio.sleep(duration_seconds)
         for name in names:
-            self._conditions.clear(name)
+            self._links.clear(name)
         self._journal.add(Fault(self._journal.now(), fault, ends, ended=True))
 
     async def _reset(self, act: acts.Reset) -> None:
-        ends = (await self._end_of(act.source), await self._end_of(act.target))
-        if self._relay is not None:
-            self._relay.reset(*ends)
+        ends = (self._end_of(act.source), self._end_of(act.target))
+        self._links.relay.reset(*ends)
         self._journal.add(Fault(self._journal.now(), "reset", ends))
 
     async def _fill_disk(self, act: acts.FillDisk) -> None:
-        process = await self._resolve(act.target)
+        process = self._resolve(act.target)
         name = process.spec.name
         limit = largest_file_bytes(pathlib.Path(process.spec.data_folder))
         resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (limit, UNLIMITED))
@@ -231,18 +232,18 @@
         await self._fleet.wait_ready([process.spec])
         self._journal.add(NodeStarted(self._journal.now(), process.spec.name))
 
-    async def _resolve(self, selector: str) -> FleetProcess:
-        return self._fleet.processes[await self._end_of(selector)]
+    def _resolve(self, selector: str) -> FleetProcess:
+        return self._fleet.processes[self._end_of(selector)]
 
-    async def _end_of(self, selector: str) -> str:
+    def _end_of(self, selector: str) -> str:
         """Return the process that a selector stands for now; other names as they are."""
-        if selector not in {"leader", "follower"}:
-            return selector
-        leader = await self._operator.leader()
         if selector == "leader":
-            return leader
-        names = [process.spec.name for process in self._fleet.of_role(Role.CONTROL)]
-        return next(name for name in names if name != leader)
+            if not self._watch.leader:
+                raise FleetError("no control node leads")
+            return self._watch.leader
+        if selector == "follower":
+            return self._watch.followers()[0]
+        return selector
 
     def _endpoints(self, target: str) -> list[str]:
         return [
--- a/src/finchshed/fleet/processes.py
+++ b/src/finchshed/fleet/processes.py
@@ -66,6 +66,12 @@
         self._log_path = log_path
         self._process: subprocess.Popen[bytes] | None = None
         self.expected_to_run = False
+        self.is_frozen = False
+
+    @property
+    def is_working(self) -> bool:
+        """Whether the process runs and isn't frozen."""
+        return self.is_running and not self.is_frozen
 
     @property
     def pid(self) -> int:
@@ -99,11 +105,14 @@
                 preexec_fn=_die_with_parent,  # noqa: PLW1509 - one call of C, no Python locks
             )
         self.expected_to_run = True
+        self.is_frozen = False
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal if the process exists."""
         if number in {signal.SIGTERM, signal.SIGINT, signal.SIGKILL}:
             self.expected_to_run = False
+        if number in {signal.SIGSTOP, signal.SIGCONT}:
+            self.is_frozen = number is signal.SIGSTOP
         if self.is_running and self._process is not None:
             self._process.send_signal(number)
 
--- a/src/finchshed/standins/backend.py
+++ b/src/finchshed/standins/backend.py
@@ -243,6 +243,7 @@
                 at=now,
                 backend=self.settings.name,
                 event=event,
+                service=self.settings.service,
                 call=incoming.call,
                 run=incoming.run,
                 root=incoming.root,
--- a/src/finchshed/standins/caller.py
+++ b/src/finchshed/standins/caller.py
@@ -205,6 +205,7 @@
                 ended=monotonic(),
                 outcome=attempts[-1].outcome,
                 attempts=tuple(attempts),
+                path=outgoing.load.path,
                 key=outgoing.key,
                 session=outgoing.session,
                 problem=problems[0] if problems else "",
--- a/src/finchshed/standins/calling.py
+++ b/src/finchshed/standins/calling.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from finchshed.common.context import HEADER_RAN, HEADER_REASON, HEADER_SERVICE
-from finchshed.proof.history import HEADER_CALL
+from finchshed.proof.history import HEADER_ANSWER_ROOT, HEADER_CALL
 from finchshed.standins import answers
 from finchshed.standins.records import BackendEvent, BackendRecord, RecordWriter, monotonic
 from finchshed.standins.settings import BackendSettings, CallOn
@@ -30,6 +30,7 @@
     status: int = 0
     ran: str = ""
     reason: str = ""
+    root: str = ""
     problem: str = ""
 
 
@@ -91,6 +92,7 @@
             status=response.status,
             ran=received.get(HEADER_RAN, "yes" if succeeded else "unknown"),
             reason=received.get(HEADER_REASON, ""),
+            root=received.get(HEADER_ANSWER_ROOT, ""),
             problem=answers.problem_of(name, body, received, b"") if succeeded else "",
         )
         self._note(BackendEvent.CALL_ENDED, call, run, name, ended)
@@ -109,6 +111,7 @@
                 event=event,
                 call=name,
                 run=run,
+                root=ended.root,
                 service=call.service,
                 status=ended.status,
                 ran=ended.ran,
--- a/src/finchshed/standins/records.py
+++ b/src/finchshed/standins/records.py
@@ -45,8 +45,10 @@
         Names one run of a request at this back end, or is empty.
     draining_seconds
         How long the back end had been leaving, or -1 when it wasn't.
-    service, status, ran, reason, problem
-        Of a call that a run makes on to another service: the service, and how it ended.
+    service
+        The back end's own, or the one called on.
+    status, ran, reason, problem
+        Of a call that a run makes on to another service: how it ended.
     """
 
     at: float
@@ -113,6 +115,7 @@
     ended: float
     outcome: CallerOutcome
     attempts: tuple[AttemptRecord, ...]
+    path: str = ""
     key: str = ""
     session: str = ""
     problem: str = ""
