--- a/src/finchshed/fleet/acts.py
+++ b/src/finchshed/fleet/acts.py
@@ -58,7 +58,11 @@
 
 
 class RollingRestart(Act, frozen=True, kw_only=True, tag="rolling_restart"):
-    """Planned restarts of every control node, daemon, edge and back end, one after another."""
+    """Planned restarts of every control node, back end, daemon and edge.
+
+    One control node after another, then one endpoint after another of each service (its back end,
+    then its daemon), the services side by side, then one edge after another.
+    """
 
     pause_seconds: Seconds = 0.5
 
--- /dev/null
+++ b/src/finchshed/fleet/bring_up.py
@@ -0,0 +1,38 @@
+"""Plans a fleet and starts everything but its callers."""
+
+import pathlib
+
+from finchshed.fleet.admin import wait_in_force
+from finchshed.fleet.deployment import Deployment, read_deployment
+from finchshed.fleet.network import FleetNetwork
+from finchshed.fleet.operator import Operator
+from finchshed.fleet.plan import Planner, PlanOptions
+from finchshed.fleet.processes import Role
+from finchshed.fleet.runner import Fleet
+
+IN_FORCE_SECONDS = 20.0
+
+
+def plan_fleet(
+    source: pathlib.Path, folder: pathlib.Path, options: PlanOptions
+) -> tuple[Deployment, Fleet]:
+    """Read a deployment and plan its fleet in ``folder``."""
+    deployment = read_deployment(source)
+    network = FleetNetwork()
+    try:
+        plan = Planner(source, deployment, folder, network, options).plan()
+    except BaseException:
+        network.release()
+        raise
+    return deployment, Fleet(plan, network)
+
+
+async def bring_up(fleet: Fleet) -> Operator:
+    """Start everything but the callers, apply the declarations, wait until they are in force."""
+    await fleet.start(Role.PLATFORM, Role.CONTROL)
+    await fleet.publish_instances()
+    operator = Operator(fleet.plan)
+    print(f"control nodes listen; {await operator.apply_declarations()}", flush=True)
+    await fleet.start(Role.BACKEND, Role.DAEMON, Role.EDGE)
+    await wait_in_force(fleet, IN_FORCE_SECONDS)
+    return operator
--- a/src/finchshed/fleet/command.py
+++ b/src/finchshed/fleet/command.py
@@ -7,10 +7,10 @@
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
+from finchshed.cli.exit_codes import ExitCode
 from finchshed.common.errors import SettingsError
-from finchshed.fleet.demo import run_demo
-from finchshed.fleet.fault_run import run_faults
-from finchshed.fleet.plan import PlanOptions
+from finchshed.fleet.demo import demo_run
+from finchshed.fleet.fault_run import FaultRun
 from finchshed.fleet.scenario import read_scenario
 
 DEFAULT_RUN_FOLDER = "run"
@@ -21,11 +21,12 @@
 
     DEPLOYMENT is a folder such as examples/brazos. FOLDER keeps settings, logs, data and records
     (default run/NAME-TIME). SEED fixes arrivals and service times. LOAD multiplies every rate.
-    Exit code 0 only if every answer was whole and its caller's own.
+    Exit code 0 only if every answer was whole and its caller's own, and nothing else that was
+    checked failed.
     """
     source = pathlib.Path(deployment)
-    options = PlanOptions(seed=seed, load_factor=load)
-    return run_interruptible(run_demo(source, run_folder(folder, source.name), options))
+    run = demo_run(source, run_folder(folder, source.name), seed, load)
+    return run_interruptible(_exit_code_of(run))
 
 
 def run(deployment: str, faults: str, out: str = "", seed: int = 1) -> int:
@@ -39,7 +40,12 @@
     source = pathlib.Path(deployment)
     scenario = read_scenario(pathlib.Path(faults))
     folder = run_folder(out, f"{source.name}-{scenario.name}")
-    return run_interruptible(run_faults(source, folder, scenario, seed))
+    return run_interruptible(_exit_code_of(FaultRun(source, folder, scenario, seed)))
+
+
+async def _exit_code_of(run: FaultRun) -> int:
+    verdict = await run.run()
+    return ExitCode.OK if verdict.passed else ExitCode.FAILED
 
 
 def run_folder(folder: str, name: str) -> pathlib.Path:
--- a/src/finchshed/fleet/fault_run.py
+++ b/src/finchshed/fleet/fault_run.py
@@ -5,23 +5,26 @@
 import time
 from collections.abc import Iterable
 
-from finchshed.cli.exit_codes import ExitCode
 from finchshed.common.errors import SettingsError
 from finchshed.fleet import final_configuration
-from finchshed.fleet.demo import bring_up, plan_fleet
+from finchshed.fleet.bring_up import bring_up, plan_fleet
+from finchshed.fleet.coverage import CASES
 from finchshed.fleet.expectations import unmet
 from finchshed.fleet.faults import FaultInjector
 from finchshed.fleet.histories import Records, build_history, read_all
 from finchshed.fleet.journal import FaultJournal
 from finchshed.fleet.links import FleetLinks
 from finchshed.fleet.operator import Operator
+from finchshed.fleet.path_times import path_times_of
 from finchshed.fleet.plan import PlanOptions
 from finchshed.fleet.processes import Role
 from finchshed.fleet.scenario import Scenario, problems_of
 from finchshed.fleet.summary import rows_of, wrong_answers
 from finchshed.fleet.verdict import Check, Verdict, text_of
 from finchshed.fleet.watch import FleetWatch
-from finchshed.proof.history import NodeStarted
+from finchshed.proof.checks import CHECKS, violations_of
+from finchshed.proof.checks.index import Index
+from finchshed.proof.history import History, NodeStarted
 from finchshed.standins.records import CallerOutcome
 
 CALLERS_MARGIN_SECONDS = 40.0
@@ -83,9 +86,15 @@
         _say(f"{self._deployment.name}, {self._scenario.name}: {len(fleet.processes)} processes")
         operator = await bring_up(fleet)
         self._note_started()
+        started = time.monotonic() - self._journal.began
         async with FleetWatch(fleet, self._journal) as watch:
             self._first_revision = max(watch.revisions.values(), default=0)
-            _say(f"in force; {len(self._scenario.act)} acts, callers send")
+            _say(f"in force at every daemon after {started:.1f} s")
+            phases = ", ".join(
+                f"{phase.name} {phase.duration_seconds:g} s x{phase.factor:g}"
+                for phase in self._scenario.phase
+            )
+            _say(f"callers send: {phases}; {len(self._scenario.act)} acts")
             await self._load_and_faults(links, operator, watch)
             self._fallen = fleet.ended_unasked()
             await self._read_final(watch)
@@ -94,7 +103,7 @@
         self, links: FleetLinks, operator: Operator, watch: FleetWatch
     ) -> None:
         injector = FaultInjector(self._fleet, operator, self._journal, links, watch)
-        await self._fleet.start(Role.CALLER)
+        await self._fleet.start_callers()
         total = sum(phase.duration_seconds for phase in self._scenario.phase)
         async with asyncio.TaskGroup() as group:
             faults = group.create_task(injector.run(self._scenario.act))
@@ -131,6 +140,7 @@
             processes=len(self._fleet.processes),
             acts=len(self._scenario.act),
             checks=[
+                *_invariants(history),
                 *self._checks(records),
                 Check(
                     "outcomes the scenario states",
@@ -140,7 +150,7 @@
             ],
         )
         verdict.write(self._folder / VERDICT_FILE)
-        print(text_of(verdict, rows))
+        print(text_of(verdict, rows, path_times_of(Index(history))))
         return verdict
 
     def _checks(self, records: Records) -> Iterable[Check]:
@@ -169,12 +179,11 @@
         )
 
 
-async def run_faults(
-    source: pathlib.Path, folder: pathlib.Path, scenario: Scenario, seed: int
-) -> int:
-    """Run ``scenario`` on the deployment in ``source``; return 0 only if nothing was wrong."""
-    verdict = await FaultRun(source, folder, scenario, seed).run()
-    return ExitCode.OK if verdict.passed else ExitCode.FAILED
+def _invariants(history: History) -> Iterable[Check]:
+    index = Index(history)
+    for name in CHECKS:
+        problems = [str(violation) for violation in violations_of(history, [name])]
+        yield Check(name, CASES[name](index), problems)
 
 
 def _say(text: str) -> None:
--- a/src/finchshed/fleet/faults.py
+++ b/src/finchshed/fleet/faults.py
@@ -1,6 +1,7 @@
 """Carries out the acts of a fault script on a running fleet."""
 
 import asyncio
+import collections
 import itertools
 import pathlib
 import resource
@@ -28,7 +29,12 @@
 )
 
 KILL_WAIT_SECONDS = 5.0
-RESTARTED_ROLES = (Role.CONTROL, Role.BACKEND, Role.DAEMON, Role.EDGE)
+FOLLOWING_ROLES = (Role.DAEMON, Role.EDGE)
+"""Processes that follow the configuration."""
+
+PLANNED_SIGN = "stop"
+"""Sign of an endpoint of which a process was asked to stop."""
+
 FIRST_NUMBER_STEP = 1000
 """Each stand-in operator numbers its changes from a multiple of this."""
 
@@ -87,44 +93,59 @@
 
     async def _kill(self, act: acts.Kill) -> None:
         process = self._resolve(act.target)
-        name = process.spec.name
         process.send_signal(signal.SIGKILL)
         await process.wait(KILL_WAIT_SECONDS)
-        self._journal.add(Fault(self._journal.now(), "kill", (name,)))
-        self._journal.add(NodeStopped(self._journal.now(), name))
+        self._note_fault("kill", process)
+        self._note_stopped(process)
         if act.wipe:
             wipe_folder(process.spec.data_folder)
         if act.restart_after_seconds >= 0.0:
             await asyncio.sleep(act.restart_after_seconds)
             await self._start(process)
-            self._journal.add(Fault(self._journal.now(), "kill", (name,), ended=True))
+            self._note_fault("kill", process, ended=True)
 
     async def _freeze(self, act: acts.Freeze) -> None:
         process = self._resolve(act.target)
-        name = process.spec.name
         process.send_signal(signal.SIGSTOP)
-        self._journal.add(Fault(self._journal.now(), "freeze", (name,)))
-        self._journal.add(NodeStopped(self._journal.now(), name))
+        self._note_fault("freeze", process)
+        self._note_stopped(process)
         await asyncio.sleep(act.duration_seconds)
         process.send_signal(signal.SIGCONT)
-        self._journal.add(Fault(self._journal.now(), "freeze", (name,), ended=True))
-        self._journal.add(NodeStarted(self._journal.now(), name))
+        self._note_fault("freeze", process, ended=True)
+        self._note_started(process)
 
     async def _restart(self, act: acts.Restart) -> None:
         await self._planned_restart(self._resolve(act.target))
 
     async def _rolling_restart(self, act: acts.RollingRestart) -> None:
-        for process in self._fleet.of_role(*RESTARTED_ROLES):
+        await self._restart_in_turn(self._fleet.of_role(Role.CONTROL), act.pause_seconds)
+        by_service: dict[str, list[FleetProcess]] = collections.defaultdict(list)
+        for endpoint in self._fleet.plan.endpoints:
+            by_service[endpoint.service] += [
+                self._fleet.processes[backend_name(endpoint.name)],
+                self._fleet.processes[daemon_name(endpoint.name)],
+            ]
+        async with asyncio.TaskGroup() as group:
+            for processes in by_service.values():
+                group.create_task(self._restart_in_turn(processes, act.pause_seconds))
+        await self._restart_in_turn(self._fleet.of_role(Role.EDGE), act.pause_seconds)
+
+    async def _restart_in_turn(self, processes: list[FleetProcess], pause_seconds: float) -> None:
+        for process in processes:
             await self._planned_restart(process)
-            await asyncio.sleep(act.pause_seconds)
+            await asyncio.sleep(pause_seconds)
 
     async def _planned_restart(self, process: FleetProcess) -> None:
         spec = process.spec
         self._journal.add(PlannedStop(self._journal.now(), spec.name, spec.endpoint))
+        if spec.endpoint:
+            self._journal.add(EndpointLeaving(self._journal.now(), spec.endpoint, PLANNED_SIGN))
+        if spec.role in FOLLOWING_ROLES:
+            self._journal.add(NodeStopped(self._journal.now(), spec.name))
         stopped = await self._fleet.restart(spec.name)
         if not stopped:
             self._journal.problem(f"{spec.name} didn't end by itself after SIGTERM")
-        self._journal.add(NodeStarted(self._journal.now(), spec.name))
+        self._note_started(process)
         if spec.endpoint:
             self._journal.add(EndpointReturned(self._journal.now(), spec.endpoint))
 
@@ -148,7 +169,9 @@
         self._journal.add(Fault(self._journal.now(), "misreport", (act.target,), ended=True))
 
     async def _leave(self, act: acts.Leave) -> None:
-        self._journal.add(EndpointLeaving(self._journal.now(), act.target, act.sign.value))
+        lag = self._fleet.platform_lag_seconds if act.sign is acts.Sign.PLATFORM else 0.0
+        first_sign = self._journal.now() + lag
+        self._journal.add(EndpointLeaving(first_sign, act.target, act.sign.value))
         if act.sign is acts.Sign.ANSWER:
             await self._fleet.command_backend(act.target, "drain")
         elif act.sign is acts.Sign.OPERATOR:
@@ -159,7 +182,7 @@
             for name in (daemon_name(act.target), backend_name(act.target)):
                 process = self._fleet.processes[name]
                 process.send_signal(signal.SIGSTOP)
-                self._journal.add(NodeStopped(self._journal.now(), name))
+                self._note_stopped(process)
 
     async def _edition(self, act: acts.Edition) -> None:
         for endpoint in self._endpoints(act.target):
@@ -230,7 +253,22 @@
     async def _start(self, process: FleetProcess) -> None:
         process.start()
         await self._fleet.wait_ready([process.spec])
-        self._journal.add(NodeStarted(self._journal.now(), process.spec.name))
+        self._note_started(process)
+
+    def _note_fault(self, fault: str, process: FleetProcess, *, ended: bool = False) -> None:
+        """Note a fault of a process under its own name and its endpoint's."""
+        targets = tuple(name for name in (process.spec.name, process.spec.endpoint) if name)
+        self._journal.add(Fault(self._journal.now(), fault, targets, ended))
+
+    def _note_stopped(self, process: FleetProcess) -> None:
+        if process.spec.role in FOLLOWING_ROLES:
+            self._journal.add(NodeStopped(self._journal.now(), process.spec.name))
+        self._links.note_reachability()
+
+    def _note_started(self, process: FleetProcess) -> None:
+        if process.spec.role in FOLLOWING_ROLES:
+            self._journal.add(NodeStarted(self._journal.now(), process.spec.name))
+        self._links.note_reachability()
 
     def _resolve(self, selector: str) -> FleetProcess:
         return self._fleet.processes[self._end_of(selector)]
--- a/src/finchshed/fleet/histories.py
+++ b/src/finchshed/fleet/histories.py
@@ -113,11 +113,12 @@
     Parameters
     ----------
     roots
-        Root identity by name of the call, as far as a back end got to see the call.
+        Root identity by name of the call, as far as a back end got to see the call. A request
+        that no back end saw is named by its caller's own name of it.
     """
     for record in records:
         for attempt in record.attempts:
-            root = roots.get(attempt.call) or attempt.root
+            root = roots.get(attempt.call) or attempt.root or record.request
             yield CallBegan(
                 time=attempt.begun - began,
                 call=attempt.call,
--- a/src/finchshed/fleet/plan.py
+++ b/src/finchshed/fleet/plan.py
@@ -61,6 +61,7 @@
     admin_addresses: dict[str, str]
     backend_addresses: dict[str, str]
     platform_address: str
+    platform_lag_seconds: float
     relayed: dict[str, str]
     """Addresses to listen on for others, by the address behind."""
     owners: dict[str, str]
@@ -142,10 +143,16 @@
             admin_addresses=self._admin_addresses(endpoints),
             backend_addresses={e.name: self._at(host_of(e), Port.BACKEND) for e in endpoints},
             platform_address=self._at(self._deployment.platform.host, Port.PLATFORM),
+            platform_lag_seconds=self._platform_lag_seconds,
             relayed=self._relayed,
             owners=self._owners,
         )
 
+    @property
+    def _platform_lag_seconds(self) -> float:
+        lag = self._options.platform_lag_seconds
+        return self._deployment.platform.lag_seconds if lag is None else lag
+
     def _copy_declarations(self) -> tuple[Endpoint, ...]:
         target = self._folder / DECLARATIONS_FOLDER
         if target.exists():
@@ -157,11 +164,10 @@
         return tuple(item for item in resources if isinstance(item, Endpoint))
 
     def _plan_platform(self) -> None:
-        lag = self._options.platform_lag_seconds
         address = self._at(self._deployment.platform.host, Port.PLATFORM)
         settings = PlatformSettings(
             address=address,
-            lag_seconds=self._deployment.platform.lag_seconds if lag is None else lag,
+            lag_seconds=self._platform_lag_seconds,
         )
         self._add_standin("platform", Role.PLATFORM, settings, address)
 
--- a/src/finchshed/fleet/processes.py
+++ b/src/finchshed/fleet/processes.py
@@ -88,7 +88,7 @@
         """Exit code of the last run; None while running or before the first."""
         return None if self._process is None else self._process.poll()
 
-    def start(self) -> None:
+    def start(self, *more_arguments: str) -> None:
         """Start the process; its standard output and error go to its log file."""
         environment = {
             **os.environ,
@@ -96,7 +96,7 @@
         }
         with self._log_path.open("ab") as log:
             self._process = subprocess.Popen(
-                (sys.executable, *self.spec.arguments),
+                (sys.executable, *self.spec.arguments, *more_arguments),
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
@@ -126,15 +126,16 @@
         return True
 
     async def stop(self, number: signal.Signals, timeout_seconds: float) -> bool:
-        """Ask the process to end; kill it if it doesn't in time.
+        """Ask the process to end; kill it if it doesn't in time, or is frozen.
+
+        A frozen process is not woken: it would go on with what reached it meanwhile.
 
         Returns
         -------
         bool
             Whether it ended by itself.
         """
-        self.send_signal(signal.SIGCONT)
-        self.send_signal(number)
+        self.send_signal(signal.SIGKILL if self.is_frozen else number)
         if await self.wait(timeout_seconds):
             return True
         self.send_signal(signal.SIGKILL)
--- a/src/finchshed/fleet/runner.py
+++ b/src/finchshed/fleet/runner.py
@@ -17,6 +17,7 @@
 READY_SECONDS = 60.0
 STOP_SECONDS = 15.0
 OPERATOR_SECONDS = 300.0
+CALLERS_START_SECONDS = 2.0
 STARTING_ORDER = tuple(Role)
 STOPPING_ORDER = (
     Role.OPERATOR,
@@ -65,6 +66,11 @@
             await self.http.close()
             self._network.release()
 
+    @property
+    def platform_lag_seconds(self) -> float:
+        """How late the platform's list shows a change."""
+        return self.plan.platform_lag_seconds
+
     def of_role(self, *roles: Role) -> list[FleetProcess]:
         """Return the processes in one of ``roles``."""
         return [process for process in self.processes.values() if process.spec.role in roles]
@@ -84,6 +90,18 @@
                     process.start()
                 await self.wait_ready(process.spec for process in chosen)
 
+    async def start_callers(self) -> float:
+        """Start all callers; return when they begin to send, on the monotonic clock.
+
+        They are given time to start in, so that all begin together and faults that are timed from
+        the same moment meet the phase they are meant for.
+        """
+        begin_at = time.monotonic() + CALLERS_START_SECONDS
+        for process in self.of_role(Role.CALLER):
+            process.start(f"--begin_at={begin_at}")
+        await asyncio.sleep(begin_at - time.monotonic())
+        return begin_at
+
     async def wait_ready(self, specs: Iterable[ProcessSpec]) -> None:
         """Wait until the processes of ``specs`` take connections."""
         deadline = time.monotonic() + READY_SECONDS
--- a/src/finchshed/fleet/verdict.py
+++ b/src/finchshed/fleet/verdict.py
@@ -1,9 +1,11 @@
 """What a fault run showed: counts, checks and whether it passed."""
 
 import pathlib
+from collections.abc import Mapping
 
 import msgspec
 
+from finchshed.fleet.path_times import PathTimes, lines_of
 from finchshed.fleet.summary import Row, table_of
 
 SHOWN_LINES = 12
@@ -37,9 +39,9 @@
         path.write_bytes(msgspec.json.format(msgspec.json.encode(self), indent=1) + b"\n")
 
 
-def text_of(verdict: Verdict, rows: list[Row]) -> str:
+def text_of(verdict: Verdict, rows: list[Row], times: Mapping[str, PathTimes]) -> str:
     """Return the verdict for people."""
-    lines = [table_of(rows), ""]
+    lines = [table_of(rows), "", *lines_of(times), ""]
     for check in verdict.checks:
         state = "FAILED" if check.problems else "ok"
         lines.append(f"{check.name}: {state}, {check.cases} cases, {len(check.problems)} wrong")
--- a/src/finchshed/standins/caller.py
+++ b/src/finchshed/standins/caller.py
@@ -91,11 +91,11 @@
         self._records = RecordWriter(settings.record_path)
         self._key_entropy = random.Random(settings.seed)
 
-    async def run(self, stopped: asyncio.Event) -> None:
-        """Send all arrivals, then wait for those in progress."""
+    async def run(self, stopped: asyncio.Event, begin_at: float) -> None:
+        """Send all arrivals, the first phase from ``begin_at`` on, then wait for the last."""
         generator = numpy.random.default_rng(self.settings.seed)
         arrivals = schedule(self.settings.loads, self.settings.phases, generator)
-        begun = monotonic()
+        begun = max(begin_at, monotonic())
         async with asyncio.TaskGroup() as group:
             for arrival in arrivals:
                 delay = begun + arrival.at - monotonic()
@@ -298,10 +298,10 @@
         return
 
 
-async def run_caller(settings: CallerSettings) -> int:
-    """Send all requests of ``settings``; return the exit code."""
+async def run_caller(settings: CallerSettings, begin_at: float = 0.0) -> int:
+    """Send all requests of ``settings`` from ``begin_at`` on; return the exit code."""
     stopped = stop_event()
     connector = aiohttp.TCPConnector(limit=settings.max_connections)
     async with aiohttp.ClientSession(connector=connector) as session:
-        await Caller(settings, session).run(stopped)
+        await Caller(settings, session).run(stopped, begin_at)
     return 0
--- a/src/finchshed/standins/command.py
+++ b/src/finchshed/standins/command.py
@@ -24,9 +24,12 @@
     return _run(run_backend(load(BackendSettings, settings)))
 
 
-def caller(settings: str) -> int:
-    """Send all requests of a stand-in caller; SETTINGS is its TOML file."""
-    return _run(run_caller(load(CallerSettings, settings)))
+def caller(settings: str, begin_at: float = 0.0) -> int:
+    """Send all requests of a stand-in caller; SETTINGS is its TOML file.
+
+    BEGIN_AT is when the first phase begins, on the machine's monotonic clock (default: now).
+    """
+    return _run(run_caller(load(CallerSettings, settings), begin_at))
 
 
 def platform(settings: str) -> int:
@@ -39,7 +42,7 @@
     return run_operator(load(OperatorSettings, settings))
 
 
-standin: Mapping[str, Callable[[str], int]] = {
+standin: Mapping[str, Callable[..., int]] = {
     "backend": backend,
     "caller": caller,
     "platform": platform,
--- a/tests/fleet/test_histories.py
+++ b/tests/fleet/test_histories.py
@@ -108,7 +108,7 @@
     catalogue = Catalogue([Service(name="officer-verification", routes=routes)])
     events = list(caller_events([record], {"officers-1.0": "r0"}, catalogue, BEGAN))
     began = of_type(events, CallBegan)
-    assert [event.root for event in began] == ["r0", "", "r2"]
+    assert [event.root for event in began] == ["r0", "officers-1", "r2"]
     assert {event.importance for event in began} == {Importance.CRITICAL}
     ended = of_type(events, CallEnded)
     assert [event.result for event in ended] == [
