--- a/src/finchshed/fleet/acts.py
+++ b/src/finchshed/fleet/acts.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from finchshed.configuration.resources import Name
+from finchshed.standins.settings import LoadReporting
 
 Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=3600.0)]
 PositiveSeconds = Annotated[float, msgspec.Meta(gt=0.0, le=3600.0)]
@@ -76,10 +77,11 @@
 
 
 class Misreport(Act, frozen=True, kw_only=True, tag="misreport"):
-    """Have an endpoint's back end report zero load and, if ``failing``, fail at once."""
+    """Have an endpoint's back end report zero or old load and, if ``failing``, fail at once."""
 
     target: Name
     duration_seconds: PositiveSeconds
+    report: LoadReporting = LoadReporting.ZERO
     failing: bool = True
 
 
--- a/src/finchshed/fleet/deployment.py
+++ b/src/finchshed/fleet/deployment.py
@@ -45,7 +45,7 @@
 
     name: Name
     service_time_seconds: Seconds
-    distribution: Distribution = Distribution.EXPONENTIAL
+    distribution: Distribution = Distribution.GAMMA
     answer_bytes: Count = 512
     queue_limit: Count = 64
     cold_start_seconds: Seconds = 0.0
--- a/src/finchshed/fleet/faults.py
+++ b/src/finchshed/fleet/faults.py
@@ -160,7 +160,7 @@
         self._journal.add(Fault(self._journal.now(), "slow", tuple(endpoints), ended=True))
 
     async def _misreport(self, act: acts.Misreport) -> None:
-        await self._fleet.command_backend(act.target, "report", "zero")
+        await self._fleet.command_backend(act.target, "report", act.report.value)
         await self._fleet.command_backend(act.target, "fail", "1" if act.failing else "0")
         self._journal.add(Fault(self._journal.now(), "misreport", (act.target,)))
         await asyncio.sleep(act.duration_seconds)
--- a/src/finchshed/standins/settings.py
+++ b/src/finchshed/standins/settings.py
@@ -19,6 +19,9 @@
     """Shape of the time a back end takes for one request."""
 
     CONSTANT = "constant"
+    GAMMA = "gamma"
+    """Of shape 8, as in the emulator: the coefficient of variation is 0.35."""
+
     EXPONENTIAL = "exponential"
     LOGNORMAL = "lognormal"
 
@@ -81,7 +84,7 @@
     record_path: str
     slots: Annotated[int, msgspec.Meta(ge=1, le=100_000)]
     service_time_seconds: Seconds
-    distribution: Distribution = Distribution.EXPONENTIAL
+    distribution: Distribution = Distribution.GAMMA
     answer_bytes: Count = 512
     queue_limit: Count = 64
     cold_start_seconds: Seconds = 0.0
--- a/src/finchshed/standins/work.py
+++ b/src/finchshed/standins/work.py
@@ -7,6 +7,7 @@
 from finchshed.standins.settings import Distribution
 
 LOGNORMAL_SIGMA = 0.5
+GAMMA_SHAPE = 8.0
 
 
 class ServiceTime:
@@ -49,6 +50,8 @@
     def _base(self) -> float:
         if self._distribution is Distribution.CONSTANT:
             return self._mean
+        if self._distribution is Distribution.GAMMA:
+            return float(self._generator.gamma(GAMMA_SHAPE, self._mean / GAMMA_SHAPE))
         if self._distribution is Distribution.EXPONENTIAL:
             return float(self._generator.exponential(self._mean))
         mu = math.log(self._mean) - LOGNORMAL_SIGMA**2 / 2
