Scale run: 1,100 hollow daemons beside six control nodes and real daemons

Cause: what control costs each daemon at the design size, and how long a change takes to come into force there, could not be measured.

Ruled out: a relay between the daemons and control (one process copying for 1,100 connections would itself be measured); cutting by freezing processes (a frozen process keeps nothing in motion, a cut one does).

Change: finchshed scale run. Hollow daemons are the real follower, client and links without back end or HTTP, up to 40 in a process; connections are cut in silence inside their processes, log links of control by the fleet's relay. Phases: start-up, steady, compressed, rolling restart of 110, a control node frozen, the leader killed, a zone lost and back, a zone cut off from control alone, a region cut, all regions cut. Control nodes take an advertised address apart from the one they bind, so that a relay can stand in front of them and a redirect does not lead around it.

Tests: 8 new ones of the scale package fail without it (there was none).

--- a/src/finchshed/control/node.py
+++ b/src/finchshed/control/node.py
@@ -45,7 +45,7 @@
         self._feed = RevisionFeed(self._machine.store)
         self._host = RaftHost(
             settings.node,
-            settings.raft_address,
+            settings.raft_advertised_address or settings.raft_address,
             member_addresses(settings.voters),
             settings.data_folder,
             options=_options(settings),
@@ -55,7 +55,9 @@
         self._log = GroupLog(
             self._host, self._machine, background, settings.request_timeout_seconds
         )
-        hello = PeerHello(settings.node, settings.distribution_address)
+        hello = PeerHello(
+            settings.node, settings.distribution_advertised_address or settings.distribution_address
+        )
         self._links = PeerLinks(hello, self._log.on_message, background)
         self._distribution = DistributionService(
             settings.node, self._machine, self._log, background
--- a/src/finchshed/control/settings.py
+++ b/src/finchshed/control/settings.py
@@ -8,6 +8,7 @@
     ListenAddress,
     Name,
     NamedAddress,
+    OptionalAddress,
     OptionalListenAddress,
     OptionalUrl,
 )
@@ -30,6 +31,24 @@
     distribution_address: Annotated[
         ListenAddress, msgspec.Meta(description="Listens for daemons, a.b.c.d:port.")
     ]
+    raft_advertised_address: Annotated[
+        OptionalAddress,
+        msgspec.Meta(
+            description=(
+                "Where other control nodes reach raft_address, when it isn't that address itself "
+                "(behind a relay); empty: raft_address."
+            )
+        ),
+    ] = ""
+    distribution_advertised_address: Annotated[
+        OptionalAddress,
+        msgspec.Meta(
+            description=(
+                "Where daemons reach distribution_address, when it isn't that address itself; "
+                "named to daemons that have to move. Empty: distribution_address."
+            )
+        ),
+    ] = ""
     rpc_address: Annotated[
         ListenAddress, msgspec.Meta(description="Listens for operators (gRPC), a.b.c.d:port.")
     ]
--- a/src/finchshed/daemon/peers.py
+++ b/src/finchshed/daemon/peers.py
@@ -17,7 +17,7 @@
 from finchshed.daemon.settings import DaemonSettings
 from finchshed.distribution.messages import Delta
 from finchshed.link.messages import Hello, LoadReport, Reply
-from finchshed.link.peer import LinkState, PeerLink, SendResult
+from finchshed.link.peer import Connect, LinkState, PeerLink, SendResult
 
 BACKOFF_FIRST_SECONDS = 0.05
 BACKOFF_MAX_SECONDS = 2.0
@@ -82,9 +82,19 @@
 
 
 class PeerLinks:
-    """Links to the daemons of endpoints, by endpoint name."""
+    """Links to the daemons of endpoints, by endpoint name.
 
-    def __init__(self, settings: DaemonSettings, owner: PeersOwner, rng: random.Random) -> None:
+    ``connect`` opens connections; None: the event loop does.
+    """
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        owner: PeersOwner,
+        rng: random.Random,
+        connect: Connect | None = None,
+    ) -> None:
+        self._connect = connect
         self._settings = settings
         self._owner = owner
         self._rng = rng
@@ -239,6 +249,7 @@
             silence_seconds=settings.silence_seconds,
             heartbeat_seconds=settings.heartbeat_seconds,
             connect_timeout_seconds=settings.connect_timeout_seconds,
+            connect=self._connect,
         )
         peer.link = link
         self._by_link[link] = peer
--- a/src/finchshed/distribution/client.py
+++ b/src/finchshed/distribution/client.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 from typing import TypeAlias
 
@@ -41,6 +41,8 @@
 )
 LedgerRequest: TypeAlias = LedgerBegin | LedgerCancel | LedgerComplete
 Connection: TypeAlias = LineProtocol[ControlToDaemon]
+Connect: TypeAlias = Callable[[Callable[[], Connection], str, int], Awaitable[object]]
+"""Opens a connection for the protocol made by the first argument to a host and port."""
 
 CONNECT_SECONDS = 1.0
 SILENCE_SECONDS = 2.0
@@ -100,6 +102,8 @@
         Callbacks, all called on the event loop.
     rng
         Source of order and jitter.
+    connect
+        Opens connections; None: the event loop does. Proof passes one that can be cut.
 
     Attributes
     ----------
@@ -115,8 +119,10 @@
         addresses: Iterable[ControlAddress],
         handlers: ClientHandlers,
         rng: random.Random,
+        connect: Connect | None = None,
     ) -> None:
         self._identity = identity
+        self._connect = connect or _connect_by_loop
         self._handlers = handlers
         self._book = AddressBook(addresses, identity.zone, rng)
         self._connection: Connection | None = None
@@ -232,10 +238,10 @@
         loop = asyncio.get_running_loop()
         host, _, port = address.address.rpartition(":")
         self._ended.clear()
+        connection = self._make_protocol()
         try:
-            _, connection = await asyncio.wait_for(
-                loop.create_connection(self._make_protocol, host, int(port)), CONNECT_SECONDS
-            )
+            opening = self._connect(lambda: connection, host, int(port))
+            await asyncio.wait_for(opening, CONNECT_SECONDS)
         except (OSError, TimeoutError):
             return 0.0
         opened_at = self._heard_at = loop.time()
@@ -319,5 +325,9 @@
             self._ended.set()
 
 
+async def _connect_by_loop(make_protocol: Callable[[], Connection], host: str, port: int) -> object:
+    return await asyncio.get_running_loop().create_connection(make_protocol, host, port)
+
+
 def _future() -> asyncio.Future[LedgerAnswer]:
     return asyncio.get_running_loop().create_future()
--- a/src/finchshed/distribution/driver.py
+++ b/src/finchshed/distribution/driver.py
@@ -14,7 +14,12 @@
 from finchshed.common.errors import StorageError
 from finchshed.configuration.resources import Endpoint
 from finchshed.distribution.addresses import ControlAddress
-from finchshed.distribution.client import ClientHandlers, ClientIdentity, ControlClient
+from finchshed.distribution.client import (
+    ClientHandlers,
+    ClientIdentity,
+    Connect,
+    ControlClient,
+)
 from finchshed.distribution.effects import (
     FetchFromControl,
     FetchFromPeer,
@@ -66,6 +71,8 @@
         Source of order and jitter.
     data_folder
         Where the highest revision is kept, or None without a disk.
+    connect
+        Opens connections to control nodes; None: the event loop does.
     """
 
     def __init__(
@@ -75,6 +82,8 @@
         listener: FollowerListener,
         rng: random.Random,
         data_folder: Path | None = None,
+        *,
+        connect: Connect | None = None,
     ) -> None:
         self._listener = listener
         self._file = None if data_folder is None else RecordFile(data_folder)
@@ -90,7 +99,7 @@
             revision_held=lambda: self.follower.held_revision,
             revision_in_force=lambda: self.follower.revision,
         )
-        self.client = ControlClient(identity, addresses, handlers, rng)
+        self.client = ControlClient(identity, addresses, handlers, rng, connect)
         self._writing: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
--- a/src/finchshed/link/peer.py
+++ b/src/finchshed/link/peer.py
@@ -8,7 +8,7 @@
 import asyncio
 import enum
 import secrets
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 import msgspec
@@ -85,6 +85,9 @@
         """Return the configuration for a peer that holds ``revision``."""
 
 
+Connect = Callable[[Callable[[], asyncio.Protocol], str, int], Awaitable[object]]
+"""Opens a connection for the protocol made by the first argument to a host and port."""
+
 ReplyCallback = Callable[[Reply | None], None]
 """Called once with the reply, or with None when the link broke after the call was sent."""
 
@@ -104,6 +107,8 @@
         A link that carries nothing for this long is broken.
     heartbeat_seconds
         A link that carries nothing for this long is sent a heartbeat.
+    connect
+        Opens the connection; None: the event loop does. Proof passes one that can be cut.
     """
 
     def __init__(
@@ -115,6 +120,7 @@
         silence_seconds: float,
         heartbeat_seconds: float,
         connect_timeout_seconds: float,
+        connect: Connect | None = None,
     ) -> None:
         self.address = address
         self.state = LinkState.CONNECTING
@@ -130,6 +136,7 @@
         self._next_call = 1
         self._last_received_at = 0.0
         self._loop = asyncio.get_running_loop()
+        self._connect: Connect = connect or self._loop.create_connection
         self._lines: LineProtocol[PeerMessage] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._seen_revision = 0
@@ -144,7 +151,7 @@
         host, port = self.address.rsplit(":", 1)
         try:
             async with asyncio.timeout(self._connect_timeout_seconds):
-                await self._loop.create_connection(self._make_protocol, host, int(port))
+                await self._connect(self._make_protocol, host, int(port))
         except (OSError, TimeoutError) as error:
             self._end(f"connect: {error}")
 
--- /dev/null
+++ b/src/finchshed/scale/command.py
@@ -0,0 +1,81 @@
+"""Command line of the scale run."""
+
+import pathlib
+from collections.abc import Callable, Mapping
+
+from finchshed.fleet.command import run_folder, run_interruptible
+from finchshed.scale.layout import ScaleSize
+from finchshed.scale.phases import PhaseOptions
+from finchshed.scale.run import RunOptions
+from finchshed.scale.run import run as run_scale
+from finchshed.scale.worker import run_worker
+
+
+def run(
+    *,
+    daemons: int = 1_100,
+    services: int = 52,
+    real: int = 6,
+    rate: float = 1.0,
+    compressed: int = 240,
+    compressed_rate: float = 4.0,
+    fault_seconds: float = 15.0,
+    steady_seconds: float = 20.0,
+    only: str = "",
+    folder: str = "",
+    out: str = "scale.jsonl",
+    seed: int = 1,
+) -> int:
+    """Run hollow daemons beside real control nodes and daemons through changes and faults.
+
+    Exit code 0 only if every accepted change was in force at every daemon in reach within 4 s,
+    and none went back.
+
+    Parameters
+    ----------
+    daemons
+        Hollow daemons.
+    services
+        Declared services.
+    real
+        Real daemons, each with a back end, beside one edge; 0 for none.
+    rate
+        Changes a second in all phases but the compressed one.
+    compressed, compressed_rate
+        Changes of the compressed phase, and how many a second.
+    fault_seconds
+        How long changes go on under each fault.
+    steady_seconds
+        Length of the phase without faults.
+    only
+        Phases to run after the start-up, by the names of their functions, with commas; empty: all.
+    folder
+        Settings, logs and data; empty: run/scale-TIME.
+    out
+        File of results, JSON lines; lines are added to it.
+    seed
+        Seed of the hollow daemons' choices.
+    """
+    options = RunOptions(
+        folder=run_folder(folder, "scale"),
+        out=pathlib.Path(out).absolute(),
+        size=ScaleSize(daemons=daemons, services=services, real_daemons=real),
+        phases=PhaseOptions(
+            steady_seconds=steady_seconds,
+            fault_seconds=fault_seconds,
+            rate_per_second=rate,
+            compressed_changes=compressed,
+            compressed_rate_per_second=compressed_rate,
+        ),
+        seed=seed,
+        only=("start_up", *only.split(",")) if only else (),
+    )
+    return run_interruptible(run_scale(options))
+
+
+def hollow(settings: str) -> int:
+    """Run a process with hollow daemons; SETTINGS is its file. Started by the other commands."""
+    return run_worker(pathlib.Path(settings))
+
+
+scale: Mapping[str, Callable[..., int]] = {"run": run, "hollow": hollow}
