Slopes of what control costs, fitted by least squares

finchshed scale measure varies daemons, changes a second, restarts a second, endpoints, services and subscribers of one control node, one at a time, on one running cluster, and fits processor time, memory and traffic of control nodes and daemons with standard errors and residuals.

--- a/src/finchshed/scale/command.py
+++ b/src/finchshed/scale/command.py
@@ -5,6 +5,7 @@
 
 from finchshed.fleet.command import run_folder, run_interruptible
 from finchshed.scale.layout import ScaleSize
+from finchshed.scale.measure import measure as measure_scale
 from finchshed.scale.phases import PhaseOptions
 from finchshed.scale.run import RunOptions
 from finchshed.scale.run import run as run_scale
@@ -73,9 +74,48 @@
     return run_interruptible(run_scale(options))
 
 
+def measure(
+    *,
+    daemons: int = 1_100,
+    services: int = 52,
+    real: int = 4,
+    seconds: float = 8.0,
+    folder: str = "",
+    out: str = "slopes.jsonl",
+    seed: int = 1,
+) -> int:
+    """Vary daemons, changes, restarts and declarations one at a time; fit what control costs.
+
+    Parameters
+    ----------
+    daemons
+        Most hollow daemons.
+    services
+        Declared services.
+    real
+        Real daemons beside them, at least 1; they get no calls.
+    seconds
+        Length of each point.
+    folder
+        Settings, logs and data; empty: run/scale-TIME.
+    out
+        File of points and fits, JSON lines; lines are added to it.
+    seed
+        Seed of the hollow daemons' choices.
+    """
+    options = RunOptions(
+        folder=run_folder(folder, "scale"),
+        out=pathlib.Path(out).absolute(),
+        size=ScaleSize(daemons=daemons, services=services, real_daemons=max(1, real)),
+        phases=PhaseOptions(),
+        seed=seed,
+    )
+    return run_interruptible(measure_scale(options, seconds))
+
+
 def hollow(settings: str) -> int:
     """Run a process with hollow daemons; SETTINGS is its file. Started by the other commands."""
     return run_worker(pathlib.Path(settings))
 
 
-scale: Mapping[str, Callable[..., int]] = {"run": run, "hollow": hollow}
+scale: Mapping[str, Callable[..., int]] = {"run": run, "measure": measure, "hollow": hollow}
