Simulation of distribution: hubs, followers and address books over many seeds

Cause: followers and hubs were tested one at a time; cuts, crashes, broken links, late peer messages and changes together were not.

That the checks can fail: four broken variants (serving unconfirmed, confirming without a quorum, never fetching, acting before the disk has it) are each caught.

--- /dev/null
+++ b/tests/simulation/test_distribution.py
@@ -0,0 +1,92 @@
+"""Followers and hubs under cuts, crashes, broken links and late messages, over many seeds."""
+
+import pytest
+
+from finchshed.distribution.effects import ServingGround
+from finchshed.distribution.follower import Follower
+from finchshed.distribution.hub import Hub
+from tests.simulation.distribution import ViolationError, World
+from tests.simulation.distribution_faults import Faults
+
+FAULT_SECONDS = 40.0
+CATCH_UP_SECONDS = 12.0
+"""Longest backoff, a refused attempt, and the fetch that follows."""
+
+SEEDS = range(60)
+MUTANT_SEEDS = range(60)
+
+
+def run(seed: int) -> World:
+    """Run faults, end them, and check that every daemon catches up and serves."""
+    world = World(seed)
+    faults = Faults(world)
+    world.env.run(until=FAULT_SECONDS)
+    faults.end()
+    world.env.run(until=FAULT_SECONDS + CATCH_UP_SECONDS)
+    latest = len(world.accepted)
+    for daemon in world.daemons:
+        if daemon.follower.revision != latest:
+            raise ViolationError(f"{daemon.name} is at {daemon.follower.revision} of {latest}")
+        if not daemon.follower.may_serve:
+            raise ViolationError(f"{daemon.name} takes no calls")
+    return world
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_configuration_goes_back_and_everyone_catches_up(seed: int) -> None:
+    world = run(seed)
+    assert len(world.accepted) > 10
+
+
+def test_both_grounds_for_serving_occur_over_the_seeds() -> None:
+    grounds = {ground for seed in range(20) for ground in run(seed).grounds}
+    assert grounds == {ServingGround.QUORUM, ServingGround.DISK_AND_PEERS}
+
+
+def test_the_same_seed_gives_the_same_history() -> None:
+    first, second = run(3), run(3)
+    assert [d.in_force_at for d in first.daemons] == [d.in_force_at for d in second.daemons]
+
+
+def serves_what_it_holds(self: Follower) -> ServingGround:
+    return ServingGround.QUORUM if self._holds_any else ServingGround.NONE
+
+
+def confirms_at_once(self: Hub, number: int, message: object, now: float) -> object:
+    """Confirm each subscription without asking a quorum."""
+    effects = [*ORIGINAL_SUBSCRIBE(self, number, message, now)]  # type: ignore[arg-type]
+    return [*effects, *self.on_confirmed(self._next_ticket, now)]
+
+
+def forgets_to_fetch(self: Follower, now: float) -> list[object]:
+    return []
+
+
+def records_late(self: Follower) -> list[object]:
+    """Act on a configuration before it is on the disk."""
+    return list(self._take_effect(self._held)) if self._holds_any else []
+
+
+ORIGINAL_SUBSCRIBE = Hub.subscribe
+
+
+@pytest.mark.parametrize(
+    ("owner", "name", "broken"),
+    [
+        (Follower, "_find_ground", serves_what_it_holds),
+        (Hub, "subscribe", confirms_at_once),
+        (Follower, "_fetch", forgets_to_fetch),
+        (Follower, "_record_or_take_effect", records_late),
+    ],
+    ids=["serves unconfirmed", "confirms without a quorum", "never fetches", "records late"],
+)
+def test_broken_logic_is_caught(
+    monkeypatch: pytest.MonkeyPatch, owner: type, name: str, broken: object
+) -> None:
+    monkeypatch.setattr(owner, name, broken)
+    for seed in MUTANT_SEEDS:
+        try:
+            run(seed)
+        except ViolationError:
+            return
+    pytest.fail(f"no seed of {len(MUTANT_SEEDS)} caught it")
