Peers are sent the changes they lack, not the whole configuration

Cause: a daemon that asked another one for configuration always got all of it, about 230 KB at 1,100 endpoints, for each change while control is out of reach. At one change a minute that is 3.8 KB/s of the 10 KB/s allowed for control, in a burst of one a second far more.

Ruled out: forwarding each delta to all peers unasked (traffic grows with links).

Two new follower tests failed before with the whole configuration as answer.

--- a/src/finchshed/distribution/follower.py
+++ b/src/finchshed/distribution/follower.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 
 from finchshed.configuration.resources import Endpoint
+from finchshed.distribution.delta_history import DeltaHistory
 from finchshed.distribution.effects import (
     FetchFromControl,
     FetchFromPeer,
@@ -37,6 +38,9 @@
 FETCH_RETRY_SECONDS = 1.0
 """An unanswered fetch is repeated, from another source if there is one, after this long."""
 
+HISTORY_CHANGES = 64
+"""Changes kept for peers; one that is further behind gets the whole configuration."""
+
 NO_EFFECTS: tuple[FollowerEffect, ...] = ()
 
 
@@ -84,6 +88,7 @@
         self._disk_failed = False
         self._in_force = Configuration()
         self._held = self._in_force
+        self._history = DeltaHistory(HISTORY_CHANGES)
         self._holds_any = False
         self._started_from_disk = False
         self._highest_seen = 0
@@ -200,7 +205,7 @@
         """Return what a peer that holds ``revision`` needs to hold what is in force here."""
         if revision >= self._in_force.revision:
             return unchanged(self._in_force.revision)
-        return whole(self._in_force)
+        return self._history.between(revision, self._in_force)
 
     def _load(self, record: FollowerRecord) -> None:
         self._highest_seen = record.highest_seen
@@ -221,6 +226,7 @@
         newer = delta.revision > self._held.revision
         if (first or newer) and is_applicable(delta, self._held.revision):
             self._held = apply_delta(self._held, delta)
+            self._history.append(delta)
             self._holds_any = True
         return self._settle(now)
 
--- a/src/finchshed/distribution/hub.py
+++ b/src/finchshed/distribution/hub.py
@@ -9,11 +9,11 @@
 subscriber takes is bounded by its buffer.
 """
 
-from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
 
 from finchshed.common.errors import InvariantError
+from finchshed.distribution.delta_history import DeltaHistory
 from finchshed.distribution.hub_effects import (
     Close,
     HubEffect,
@@ -26,9 +26,7 @@
 from finchshed.distribution.snapshot import (
     Configuration,
     apply_delta,
-    merge,
     unchanged,
-    whole,
 )
 from finchshed.distribution.status import InForceReport, SubscriberStatus
 
@@ -59,7 +57,7 @@
     def __init__(self, node: str, limits: HubLimits | None = None) -> None:
         self.limits = limits or HubLimits()
         self._configuration = Configuration()
-        self._history: deque[Delta] = deque(maxlen=self.limits.history_changes)
+        self._history = DeltaHistory(self.limits.history_changes)
         self._subscribers: dict[int, _Subscriber] = {}
         self._catch_up: dict[int, SharedLine] = {}
         self._unchanged: dict[bool, SharedLine] = {}
@@ -242,19 +240,10 @@
     def _catch_up_line(self, base: int) -> SharedLine:
         line = self._catch_up.get(base)
         if line is None:
-            line = SharedLine(self._delta_from(base))
+            line = SharedLine(self._history.between(base, self._configuration))
             self._catch_up[base] = line
         return line
 
-    def _delta_from(self, base: int) -> Delta:
-        reaches_back = bool(self._history) and self._history[0].base <= base
-        if base == 0 or not reaches_back:
-            return whole(self._configuration)
-        merged = merge(delta for delta in self._history if delta.revision > base)
-        if len(merged.puts) >= len(self._configuration.resources):
-            return whole(self._configuration)
-        return merged
-
     def _send_to(
         self, number: int, item: _Subscriber, now: float, fresh: bool = False
     ) -> Sequence[HubEffect]:
--- /dev/null
+++ b/tests/distribution/test_delta_history.py
@@ -0,0 +1,71 @@
+from finchshed.configuration.resources import ResourceKey, Service
+from finchshed.distribution.delta_history import DeltaHistory
+from finchshed.distribution.messages import Delta
+from finchshed.distribution.snapshot import Configuration, apply_delta, whole
+
+
+def change(revision: int, name: str) -> Delta:
+    return Delta(revision - 1, revision, puts=(Service(name=name, deadline_seconds=revision),))
+
+
+def state(*deltas: Delta) -> Configuration:
+    first = Delta(0, 1, puts=tuple(Service(name=f"s{number}") for number in range(10)))
+    configuration = apply_delta(Configuration(), first)
+    for delta in deltas:
+        configuration = apply_delta(configuration, delta)
+    return configuration
+
+
+def test_the_shorter_of_merged_changes_and_the_whole_is_taken() -> None:
+    history = DeltaHistory(100)
+    deltas = [change(revision, f"s{revision % 10}") for revision in range(2, 20)]
+    for delta in deltas:
+        history.append(delta)
+    now = state(*deltas)
+    assert history.between(18, now) == deltas[-1]
+    assert history.between(1, now) == whole(now)
+    assert history.between(0, now) == whole(now)
+
+
+def test_changes_no_longer_kept_are_sent_as_the_whole() -> None:
+    history = DeltaHistory(2)
+    deltas = [change(revision, "s1") for revision in range(2, 6)]
+    for delta in deltas:
+        history.append(delta)
+    now = state(*deltas)
+    assert history.between(3, now) == Delta(3, 5, puts=deltas[-1].puts)
+    assert history.between(2, now) == whole(now)
+
+
+def test_overlapping_deltas_follow_each_other() -> None:
+    history = DeltaHistory(10)
+    key = ResourceKey("service", "s3")
+    history.append(Delta(1, 4, deletes=(key,)))
+    history.append(Delta(2, 6, puts=(Service(name="s4", max_sessions=1),), deletes=(key,)))
+    now = state(Delta(1, 4, deletes=(key,)), Delta(2, 6, puts=(Service("s4", max_sessions=1),)))
+    found = history.between(1, now)
+    assert apply_delta(state(), found) == now
+    assert found.base == 1
+
+
+def test_a_whole_configuration_forgets_what_came_before() -> None:
+    history = DeltaHistory(10)
+    history.append(change(2, "s1"))
+    history.append(whole(state(change(2, "s1"))))
+    assert history.between(1, state(change(2, "s1"))) == whole(state(change(2, "s1")))
+
+
+def test_changes_past_the_revision_asked_for_are_left_out() -> None:
+    history = DeltaHistory(10)
+    first, second = change(2, "s1"), change(3, "s2")
+    history.append(first)
+    history.append(second)
+    assert history.between(1, state(first)) == first
+
+
+def test_large_changes_are_forgotten_sooner() -> None:
+    history = DeltaHistory(100, item_limit=25)
+    for revision in range(2, 12):
+        puts = tuple(Service(name=f"s{number}", max_sessions=revision) for number in range(10))
+        history.append(Delta(revision - 1, revision, puts=puts))
+    assert len(history) == 2
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -198,3 +198,32 @@
     follower.on_control_delta(full(3, service("a"), confirmed=True), 0.0)
     assert follower.answer_fetch(3) == Delta(base=3, revision=3)
     assert follower.answer_fetch(1) == full(3, service("a"))
+
+
+def test_a_peer_a_few_changes_behind_is_sent_only_these() -> None:
+    follower = Follower(HERE)
+    follower.on_control_delta(full(3, *(service(name) for name in "abcdef")), 0.0)
+    follower.on_control_delta(Delta(base=3, revision=4, puts=(service("g"),)), 1.0)
+    follower.on_control_delta(
+        Delta(base=4, revision=6, puts=(service("h"),), deletes=(ResourceKey("service", "g"),)),
+        2.0,
+    )
+    assert follower.answer_fetch(5) == Delta(
+        base=4, revision=6, puts=(service("h"),), deletes=(ResourceKey("service", "g"),)
+    )
+    assert follower.answer_fetch(3) == Delta(
+        base=3, revision=6, puts=(service("h"),), deletes=(ResourceKey("service", "g"),)
+    )
+    assert follower.answer_fetch(2).base == 0
+
+
+def test_a_peer_is_sent_no_more_than_what_is_in_force() -> None:
+    follower = Follower(HERE, has_disk=True)
+    follower.on_control_delta(full(3, *(service(name) for name in "abc")), 0.0)
+    follower.on_persisted(0.1)
+    follower.on_control_delta(Delta(base=3, revision=4, puts=(service("d"),)), 1.0)
+    assert follower.revision == 3
+    assert follower.answer_fetch(3) == Delta(base=3, revision=3)
+    follower.on_persisted(1.1)
+    follower.on_control_delta(Delta(base=4, revision=5, puts=(service("e"),)), 2.0)
+    assert follower.answer_fetch(3) == Delta(base=3, revision=4, puts=(service("d"),))
