Control addresses of a daemon may name their zone

Cause: the address book prefers control nodes of the own zone, but the settings refused zone=address, so every daemon took any of the six nodes: a zone cut off moved daemons of all zones.

--- a/src/finchshed/daemon/settings.py
+++ b/src/finchshed/daemon/settings.py
@@ -9,12 +9,12 @@
 from msgspec import Meta
 
 from finchshed.settings.fields import (
-    Address,
     ListenAddress,
     Name,
     OptionalAddress,
     OptionalListenAddress,
     OptionalName,
+    ZonedAddress,
 )
 
 
@@ -43,8 +43,14 @@
         OptionalListenAddress, Meta(description="Metrics, health and ring; empty for none.")
     ] = ""
     control_addresses: Annotated[
-        tuple[Address, ...],
-        Meta(min_length=1, description="Distribution addresses of the control nodes."),
+        tuple[ZonedAddress, ...],
+        Meta(
+            min_length=1,
+            description=(
+                "Distribution addresses of the control nodes; those of the own zone are tried "
+                "first, the others in an order of the daemon's own."
+            ),
+        ),
     ]
     data_folder: Annotated[
         str, Meta(description="Folder for the highest revision seen; empty for none.")
--- a/src/finchshed/scale/plan.py
+++ b/src/finchshed/scale/plan.py
@@ -94,7 +94,7 @@
                 region=place.region,
                 zone=place.zone,
                 runner_address=runner_address,
-                control_addresses=_named_control_addresses(plan.prefix),
+                control_addresses=_control_addresses(plan.prefix),
                 daemons=tuple(group),
                 peer_links=plan.size.peer_links,
                 seed=plan.seed,
@@ -226,10 +226,6 @@
 
 
 def _control_addresses(prefix: str) -> tuple[str, ...]:
-    return tuple(_control_at(prefix, zone, Port.DISTRIBUTION) for zone in CONTROL_ZONES)
-
-
-def _named_control_addresses(prefix: str) -> tuple[str, ...]:
     return tuple(f"{zone}={_control_at(prefix, zone, Port.DISTRIBUTION)}" for zone in CONTROL_ZONES)
 
 
--- a/src/finchshed/settings/fields.py
+++ b/src/finchshed/settings/fields.py
@@ -74,6 +74,15 @@
 ]
 """A node's name and its address, ``name=a.b.c.d:port``."""
 
+ZonedAddress: TypeAlias = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=rf"^({_NAME}=)?{_IPV4}:{_PORT}$",
+        title=f"{_ADDRESS_WORDS}, with zone= before it where the zone is known",
+    ),
+]
+"""Address of another process, with the zone it stands in: ``zone=a.b.c.d:port``."""
+
 OptionalUrl: TypeAlias = Annotated[
     str,
     msgspec.Meta(
