A peer whose answer was lost is asked again

Cause: with one zone's daemons cut off from control and other daemons in reach, changes took a median of 0.61 s and a worst of 15 s, the length of the cut, to come into force there (1,100 daemons, one change a second; 2,983 pairs). A follower forgot a peer once it had asked it, and a link tells a revision once, so after a lost answer nothing was asked until the peer's next revision.

Change: peers ahead are kept until what they hold is held, and asked in turn. The hollow daemons reopen lost links and a broken transport no longer ends the process when its cut is healed. The new follower test failed before.

--- a/src/finchshed/distribution/follower.py
+++ b/src/finchshed/distribution/follower.py
@@ -96,6 +96,7 @@
         self._ground = ServingGround.NONE
         self._control_connected = False
         self._peers: dict[str, int] = {}
+        self._asked: set[str] = set()
         self._fetch_due = 0.0
         self._fetch_from_peer_next = False
         self._recording: Configuration | None = None
@@ -299,6 +300,7 @@
     def _fetch(self, now: float) -> list[FollowerEffect]:
         if self._held.revision >= self._highest_seen:
             self._fetch_from_peer_next = False
+            self._asked.clear()
             if self.may_serve and self._peers:
                 self._peers.clear()
             return []
@@ -309,15 +311,22 @@
 
     def _choose_source(self) -> list[FollowerEffect]:
         """Ask control first; if that brought nothing, or there is none, the furthest peer."""
-        peer = max(self._peers, key=self._peers.__getitem__, default="")
-        ahead = bool(peer) and self._peers[peer] > self._held.revision
-        if ahead and (self._fetch_from_peer_next or not self._control_connected):
+        peer = self._next_peer()
+        if peer and (self._fetch_from_peer_next or not self._control_connected):
             self._fetch_from_peer_next = False
-            # A peer that doesn't answer must not be the only one asked.
-            if self.may_serve:
-                del self._peers[peer]
+            self._asked.add(peer)
             return [FetchFromPeer(peer, self._held.revision)]
         if self._control_connected:
             self._fetch_from_peer_next = True
             return [FetchFromControl(self._held.revision)]
         return []
+
+    def _next_peer(self) -> str:
+        """Return the furthest peer ahead that wasn't asked yet; once all were, begin again.
+
+        A link tells a revision once, so peers are kept until what they hold is held here too.
+        """
+        ahead = {name for name, held in self._peers.items() if held > self._held.revision}
+        if ahead and ahead <= self._asked:
+            self._asked.clear()
+        return max(ahead - self._asked, key=lambda name: (self._peers[name], name), default="")
--- a/src/finchshed/scale/hollow.py
+++ b/src/finchshed/scale/hollow.py
@@ -24,7 +24,7 @@
 from finchshed.scale.messages import DaemonReport, HollowSpec, WorkerSettings
 from finchshed.scale.network import Network
 
-PEER_HEARTBEAT_SECONDS = 1.0
+PEER_HEARTBEAT_SECONDS = 0.5
 PEER_SILENCE_SECONDS = 4.0
 INCARNATION_BYTES = 8
 RETRY_AFTER_SECONDS = 1.0
@@ -50,7 +50,7 @@
         self._serving_at = 0.0
         self._peer_fetches = 0
         self._incarnation = ""
-        self._greeted = False
+        self._peers: tuple[Endpoint, ...] = ()
         self._driver: FollowerDriver | None = None
         self._links: PeerLinks | None = None
         self._listener: LinkListener | None = None
@@ -70,7 +70,7 @@
         self._incarnation = secrets.token_hex(INCARNATION_BYTES)
         self._started_at = time.monotonic()
         self._serving_at = 0.0
-        self._greeted = False
+        self._peers = ()
         self._links = PeerLinks(settings, self, self._rng, self._network.connect)
         self._listener = LinkListener(
             self,
@@ -122,9 +122,9 @@
     def take_effect(self, previous: Configuration, current: Configuration) -> None:
         """Note that ``current`` is in force."""
         self._in_force.append((current.revision, time.monotonic()))
-        if not self._greeted:
-            self._greeted = True
-            self._open_links(current)
+        if not self._peers:
+            self._peers = self._choose_peers(current)
+            self.greet_peers(self._peers)
 
     def start_serving(self, ground: ServingGround) -> None:
         """Note that calls could be taken from now on."""
@@ -214,9 +214,11 @@
             self._driver.on_peer_delta(peer, delta)
 
     def tick(self) -> None:
-        """Close links whose far end went silent. Call about every second."""
+        """Close links whose far end went silent, reopen lost ones. Call about every second."""
         if self._listener is not None:
             self._listener.close_silent(asyncio.get_running_loop().time())
+        if self._links is not None and self.is_running:
+            self._links.greet(self._peers)
 
     def _make_driver(self) -> FollowerDriver:
         identity = ClientIdentity(
@@ -229,15 +231,15 @@
         addresses = [parse_control_address(text) for text in self._worker.control_addresses]
         return FollowerDriver(identity, addresses, self, self._rng, connect=self._network.connect)
 
-    def _open_links(self, configuration: Configuration) -> None:
-        """Open links to a few daemons of other services, as a caller of theirs would."""
+    def _choose_peers(self, configuration: Configuration) -> tuple[Endpoint, ...]:
+        """Return a few daemons of other services, as one would call."""
         others = [
             endpoint
             for endpoint in configuration.endpoints()
             if endpoint.service != self._spec.service and endpoint.name.startswith("hollow-")
         ]
         count = min(self._worker.peer_links, len(others))
-        self.greet_peers(tuple(self._rng.sample(others, count)))
+        return tuple(self._rng.sample(others, count))
 
 
 def _daemon_settings(spec: HollowSpec, worker: WorkerSettings) -> DaemonSettings:
--- a/src/finchshed/scale/network.py
+++ b/src/finchshed/scale/network.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -94,12 +95,14 @@
         if is_cut == self._is_cut or self._transport.is_closing():
             return
         self._is_cut = is_cut
-        if is_cut:
-            self._transport.pause_reading()
-            return
-        self._transport.resume_reading()
-        held, self._held = self._held, []
-        self._transport.writelines(held)
+        # A transport that broke isn't closing until its protocol is told, and refuses both.
+        with contextlib.suppress(RuntimeError):
+            if is_cut:
+                self._transport.pause_reading()
+                return
+            self._transport.resume_reading()
+            held, self._held = self._held, []
+            self._transport.writelines(held)
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
         """Send, or hold while cut."""
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -227,3 +227,15 @@
     follower.on_persisted(1.1)
     follower.on_control_delta(Delta(base=4, revision=5, puts=(service("e"),)), 2.0)
     assert follower.answer_fetch(3) == Delta(base=3, revision=4, puts=(service("d"),))
+
+
+def test_a_peer_whose_answer_was_lost_is_asked_again() -> None:
+    follower = Follower(HERE)
+    follower.on_control_delta(full(3, service("a"), confirmed=True), 0.0)
+    follower.on_control_lost(1.0)
+    assert follower.on_peer_revision("p", 6, 2.0) == [FetchFromPeer("p", 3)]
+    # A link tells a revision once, so the follower has to remember who holds it.
+    assert follower.tick(2.0 + FETCH_RETRY_SECONDS) == [FetchFromPeer("p", 3)]
+    assert follower.on_peer_revision("q", 5, 3.1) == []
+    assert follower.tick(2.0 + 2 * FETCH_RETRY_SECONDS) == [FetchFromPeer("q", 3)]
+    assert follower.tick(2.0 + 3 * FETCH_RETRY_SECONDS) == [FetchFromPeer("p", 3)]
