--- a/src/finchshed/standins/caller.py
+++ b/src/finchshed/standins/caller.py
@@ -39,6 +39,8 @@
 
 SUCCESS_BELOW = 400
 EDITION_CHANGED_STATUS = 412
+FINAL_STATUSES = frozenset({400, 404, 409, 413, 422})
+"""Statuses of refusals that a resend would get again (RFC 9110, 15.5)."""
 PATIENCE_SECONDS = 5.0
 """How much longer than its deadline a caller waits for an answer."""
 
@@ -91,11 +93,11 @@
         self._records = RecordWriter(settings.record_path)
         self._key_entropy = random.Random(settings.seed)
 
-    async def run(self, stopped: asyncio.Event) -> None:
-        """Send all arrivals, then wait for those in progress."""
+    async def run(self, stopped: asyncio.Event, begin_at: float) -> None:
+        """Send all arrivals, the first phase from ``begin_at`` on, then wait for the last."""
         generator = numpy.random.default_rng(self.settings.seed)
         arrivals = schedule(self.settings.loads, self.settings.phases, generator)
-        begun = monotonic()
+        begun = max(begin_at, monotonic())
         async with asyncio.TaskGroup() as group:
             for arrival in arrivals:
                 delay = begun + arrival.at - monotonic()
@@ -163,7 +165,9 @@
             problem = _problem(outgoing, call, reply, body)
             record = _attempt_record(call, edge, begun, reply, problem)
             attempts.append(record)
-            if record.outcome is CallerOutcome.ANSWERED or not _may_repeat(load, number):
+            if record.outcome is CallerOutcome.ANSWERED or _is_final(record):
+                break
+            if not _may_repeat(load, number):
                 break
             await asyncio.sleep(self._pause(load, record))
         return attempts, reply
@@ -205,6 +209,7 @@
                 ended=monotonic(),
                 outcome=attempts[-1].outcome,
                 attempts=tuple(attempts),
+                path=outgoing.load.path,
                 key=outgoing.key,
                 session=outgoing.session,
                 problem=problems[0] if problems else "",
@@ -218,6 +223,11 @@
     return load.path
 
 
+def _is_final(record: AttemptRecord) -> bool:
+    """Whether the same request would get the same refusal again: none says when to come back."""
+    return record.outcome is CallerOutcome.REFUSED and record.status in FINAL_STATUSES
+
+
 def _may_repeat(load: Load, number: int) -> bool:
     return load.retry is not RetryHabit.NONE and number + 1 < load.max_attempts
 
@@ -297,10 +307,10 @@
         return
 
 
-async def run_caller(settings: CallerSettings) -> int:
-    """Send all requests of ``settings``; return the exit code."""
+async def run_caller(settings: CallerSettings, begin_at: float = 0.0) -> int:
+    """Send all requests of ``settings`` from ``begin_at`` on; return the exit code."""
     stopped = stop_event()
     connector = aiohttp.TCPConnector(limit=settings.max_connections)
     async with aiohttp.ClientSession(connector=connector) as session:
-        await Caller(settings, session).run(stopped)
+        await Caller(settings, session).run(stopped, begin_at)
     return 0
