An old greeting of a dead incarnation supersedes nobody

Cause: greetings were remembered for 5 s whatever came after. A voter repaired a moment ago that was silent for a second (a freeze) was taken for gone, and the greeting of the incarnation before it was taken in as its replacement, a learner that could never answer. It made room only after 30 s, and meanwhile the live voter's agreement didn't count.

Change: a greeting counts only if the members of its name were last heard before it; a learner silent for 5 s makes room for another incarnation that answers.

--- a/src/finchshed/consensus/repair.py
+++ b/src/finchshed/consensus/repair.py
@@ -25,7 +25,7 @@
 )
 from finchshed.consensus.state import Greeting, LeaderState, NodeState
 
-ABANDONED_SECONDS = 30.0
+ABANDONED_SECONDS = 5.0
 """A learner silent for so long makes room if another incarnation of its name answers."""
 
 
@@ -59,7 +59,7 @@
     known = any(member.identity == identity for member in earlier)
     if not fresh or known or not earlier:
         return None
-    if any(_answers(state, leading, member.identity) for member in earlier):
+    if any(_was_heard_since(state, leading, member.identity, greeting) for member in earlier):
         return None
     voter = any(member.role is MemberRole.VOTER or member.promote for member in earlier)
     membership = state.membership
@@ -95,6 +95,19 @@
     return state.membership.without(identity)
 
 
+def _was_heard_since(
+    state: NodeState, leading: LeaderState, identity: NodeIdentity, greeting: Greeting
+) -> bool:
+    """Whether a member answers, or answered after the greeting of another incarnation of its name.
+
+    A greeting older than that came from an incarnation that has gone: it must not supersede.
+    """
+    if _answers(state, leading, identity):
+        return True
+    progress = leading.progress.get(identity)
+    return progress is not None and progress.last_heard >= greeting.heard
+
+
 def _answers(state: NodeState, leading: LeaderState, identity: NodeIdentity) -> bool:
     if identity == state.identity:
         return True
--- /dev/null
+++ b/tests/consensus/test_repair.py
@@ -0,0 +1,135 @@
+"""Repair of members, each failure brought about on purpose."""
+
+from collections.abc import Callable
+
+import pytest
+
+from finchshed.consensus.identity import NodeIdentity
+from finchshed.consensus.membership import AddMember, RemoveMember
+from finchshed.consensus.messages import Envelope, Hello
+from finchshed.proof.consensus.group import Group
+from finchshed.proof.consensus.node import SimulatedNode
+from finchshed.proof.consensus.scheduler import Process
+
+PATIENCE_SECONDS = 20.0
+
+
+def wait(group: Group, condition: Callable[[], bool], patience: float = PATIENCE_SECONDS) -> bool:
+    waiting = group.scheduler.start(group.wait_until(condition, patience))
+    group.scheduler.run_until(waiting)
+    return bool(waiting.value)
+
+
+def formed(voters: int = 3, spares: int = 0, seed: str = "repair") -> Group:
+    group = Group(seed, voters, spares)
+    group.start()
+    assert wait(group, group.is_whole)
+    return group
+
+
+def followers(group: Group) -> list[SimulatedNode]:
+    return [group.nodes[name] for name in group.voter_names if not group.nodes[name].is_leader]
+
+
+def change_until(group: Group, change: AddMember | RemoveMember, done: Callable[[], bool]) -> None:
+    def keep_asking() -> Process:
+        while not done():
+            leader = group.leader()
+            if leader is not None:
+                leader.change_membership(change)
+            yield group.scheduler.sleep(0.2)
+
+    group.scheduler.start(keep_asking())
+    assert wait(group, done)
+
+
+def voters(group: Group) -> set[str]:
+    leader = group.leader()
+    return {voter.name for voter in leader.raft.membership.voters} if leader else set()
+
+
+def members(group: Group) -> set[str]:
+    leader = group.leader()
+    return {m.identity.name for m in leader.raft.membership.members} if leader else set()
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_second_disk_lost_as_soon_as_the_first_has_caught_up(seed: int) -> None:
+    group = formed(seed=f"second/{seed}")
+    first, second = followers(group)
+    first.lose_disk()
+    first.start()
+
+    def has_caught_up() -> bool:
+        leader = group.leader()
+        return leader is not None and any(
+            status.member.identity == first.raft.identity
+            and status.match_index >= leader.raft.commit_index
+            for status in leader.raft.member_statuses()
+        )
+
+    assert wait(group, has_caught_up)
+    second.lose_disk()
+    second.start()
+    assert wait(group, group.is_whole)
+
+
+def test_newcomer_is_brought_up_by_a_leader_it_does_not_know() -> None:
+    group = formed(spares=2)
+    for name in ("n4", "n5"):
+        change_until(group, AddMember(name, voter=True), lambda name=name: name in members(group))
+    assert wait(group, group.is_whole)
+    for name in ("n1", "n2", "n3"):
+        change_until(group, RemoveMember(name), lambda name=name: name not in members(group))
+    assert wait(group, lambda: members(group) == {"n4", "n5"})
+    lost = group.nodes["n1"]
+    lost.lose_disk()
+    lost.start()
+    change_until(group, AddMember("n1", voter=True), lambda: "n1" in members(group))
+    assert wait(group, group.is_whole)
+
+
+def test_voter_that_was_away_while_members_changed_votes_for_one_it_does_not_know() -> None:
+    group = formed(spares=1)
+    away = followers(group)[0]
+    away.crash(power_lost=False)
+    change_until(group, AddMember("n4", voter=True), lambda: "n4" in members(group))
+    leader = group.leader()
+    assert leader is not None
+    assert wait(group, lambda: voters(group) == {"n1", "n2", "n3", "n4"})
+    gone = next(name for name in group.voter_names if name not in (away.name, leader.name))
+    change_until(group, RemoveMember(gone), lambda: gone not in members(group))
+    away.start()
+    leader.crash(power_lost=True)
+    assert wait(group, lambda: group.nodes["n4"].is_leader)
+
+
+def test_leader_can_remove_itself_from_a_group_of_two_across_a_cut() -> None:
+    group = formed()
+    leader = group.leader()
+    assert leader is not None
+    first, last = followers(group)
+    change_until(group, RemoveMember(first.name), lambda: first.name not in members(group))
+    assert wait(group, group.is_whole)
+    group.network.cut(leader.name, last.name)
+    leader.change_membership(RemoveMember(leader.name))
+    assert wait(group, lambda: group.leader() is None)
+    group.network.heal()
+    assert wait(group, lambda: members(group) == {last.name})
+
+
+def test_late_greeting_of_a_dead_incarnation_supersedes_nobody() -> None:
+    group = formed()
+    leader = group.leader()
+    assert leader is not None
+    node = followers(group)[0]
+    dead = NodeIdentity(node.name, "dead")
+    hello = Hello(dead, node.address, formed=False)
+    receiver = NodeIdentity(leader.name, "")
+    group.network.send(node.name, leader.address, Envelope(dead, receiver, hello))
+    wait(group, lambda: False, patience=0.5)
+    node.freeze()
+    wait(group, lambda: False, patience=3.0)
+    node.thaw()
+    assert dead not in {member.identity for member in leader.raft.membership.members}
+    assert wait(group, group.is_whole)
