A node greets again when the entry that took it in was dropped

Cause: a learner stops greeting once an entry that names it is in its log. When the leader that wrote the entry is cut off before it commits, the next leader replaces the entry in all logs but the learner's, to whom nobody speaks any more: it waits for ever.

Change: a node that hears no leader greets, member or not.

--- a/src/finchshed/consensus/formation.py
+++ b/src/finchshed/consensus/formation.py
@@ -3,7 +3,8 @@
 At the first start the disk incarnations of the initial voters are not known to anybody. The voter
 of the lowest name forms the group once *every* initial voter has greeted it from an empty disk. A
 node that lost its disk later can therefore not form a second group: the others never greet as
-unformed again. A node whose identity is in no membership it knows of keeps greeting.
+unformed again. A node that hears no leader keeps greeting, and so does one whose identity is in no
+membership it knows of: the entry that took it in may have been dropped again.
 """
 
 from finchshed.consensus.election import start_election
@@ -32,8 +33,8 @@
 
 
 def greet(state: NodeState) -> None:
-    """Send a greeting to all nodes known, if this node is no member and one is due."""
-    if is_member(state) or state.now < state.hello_due:
+    """Send a greeting to all nodes known, if nobody takes care of this node and one is due."""
+    if state.now < state.hello_due or (is_member(state) and state.leader is not None):
         return
     state.hello_due = state.now + state.options.hello_interval_seconds
     hello = Hello(state.identity, state.address, state.is_formed)
--- a/src/finchshed/proof/consensus/clients.py
+++ b/src/finchshed/proof/consensus/clients.py
@@ -109,8 +109,8 @@
         return self._rng.choice(list(self._group.nodes.values()))
 
     def _next_node(self, answer: Answer) -> SimulatedNode:
-        if isinstance(answer, NotTaken) and answer.leader and self._rng.random() < _CHANCE_OF_HINT:
-            return self._group.nodes[answer.leader]
+        if isinstance(answer, NotTaken) and self._rng.random() < _CHANCE_OF_HINT:
+            return self._group.nodes.get(answer.leader) or self._some_node()
         return self._some_node()
 
     def _revision_to_name(self) -> int:
--- a/src/finchshed/proof/consensus/faults.py
+++ b/src/finchshed/proof/consensus/faults.py
@@ -15,6 +15,8 @@
 
 _DAY_SECONDS = 86_400.0
 _WHOLE_PATIENCE_SECONDS = 20.0
+_NOTICE_SECONDS = 4.0
+"""A leader that nobody answers has stepped down by then."""
 
 
 class Scenario(msgspec.Struct, frozen=True):
@@ -68,12 +70,16 @@
     leader = group.leader()
     if leader is None:
         return
+    term = leader.raft.term
     for other in group.nodes:
-        if other == leader.name:
+        if other == leader.key:
             continue
-        group.network.cut(leader.name, other)
+        group.network.cut(leader.key, other)
         if group.rng.random() < 0.7:
-            group.network.cut(other, leader.name)
+            group.network.cut(other, leader.key)
+    yield from group.pause(_NOTICE_SECONDS, _NOTICE_SECONDS)
+    if leader.is_leader and leader.raft.term == term:
+        group.observer.violated(f"{leader.name} leads on, cut off for {_NOTICE_SECONDS} s")
     yield from group.pause(60.0, 180.0)
 
 
@@ -149,7 +155,7 @@
 def full_disks(group: Group) -> Process:
     """Let disks run full, of the leader and of others, for a while."""
     for _ in range(5):
-        full = {group.some_node().name for _ in range(group.rng.randint(1, 2))}
+        full = {group.some_node().key for _ in range(group.rng.randint(1, 2))}
         for name in sorted(full):
             fill_disk(group.nodes[name].disk, group.rng.randint(0, 2000))
         yield from group.pause(0.5, 6.0)
@@ -182,9 +188,9 @@
 def second_loss(group: Group) -> Process:
     """Lose a disk, and then a second machine while the first is under repair.
 
-    The second machine loses its power before the first has caught up, and its disk as well if the
-    first has caught up for long enough that the group can do without it. Messages are slow, so
-    that the repair takes time.
+    The second machine loses its power before the first has caught up, or its disk as soon as the
+    first has, or an operator tries to remove it meanwhile. Messages are slow, so that the repair
+    takes time.
     """
     yield from group.wait_until(group.is_whole, _WHOLE_PATIENCE_SECONDS)
     group.network.quality = LinkQuality(delay_min=0.005, delay_max=group.rng.choice((0.02, 0.1)))
@@ -193,7 +199,10 @@
     first.lose_disk()
     yield from group.pause(0.1, 2.0)
     first.start()
-    if group.rng.random() < 0.5:
+    choice = group.rng.random()
+    if choice < 0.2:
+        yield from _remove_another(group, first)
+    elif choice < 0.6:
         yield from group.pause(0.0, 3.0)
         crashed = _another_voter(group, first)
         crashed.crash(power_lost=True)
@@ -242,6 +251,27 @@
         yield from group.pause(0.1, 2.0)
 
 
+def replaced_while_cut(group: Group) -> Process:
+    """Start a new machine under the name of one that is alive and only cut off.
+
+    Links come and go between all of them afterwards, until the old machine is switched off.
+    """
+    yield from group.wait_until(group.is_whole, _WHOLE_PATIENCE_SECONDS)
+    yield from group.pause(0.0, 3.0)
+    old = group.some_voter()
+    group.network.isolate(old.key)
+    yield from group.pause(0.5, 3.0)
+    group.add_machine(f"{old.name}-new", old.name).start()
+    keys = list(group.nodes)
+    for _ in range(group.rng.randint(8, 20)):
+        yield from group.pause(0.05, 1.5)
+        group.network.heal()
+        if group.rng.random() < 0.8:
+            group.network.split(set(group.rng.sample(keys, group.rng.randint(1, len(keys) - 1))))
+    old.crash(power_lost=True)
+    del group.nodes[old.key]
+
+
 def storm(group: Group) -> Process:
     """Everything at once, apart from losing more disks than a group can do without."""
     rng = group.rng
@@ -256,7 +286,7 @@
     if group.rng.random() < 0.4:
         group.network.heal()
     elif group.rng.random() < 0.5:
-        group.network.isolate(group.some_node().name)
+        group.network.isolate(group.some_node().key)
     else:
         group.network.cut(*group.rng.sample(names, 2))
 
@@ -318,6 +348,16 @@
     return lambda: not node.is_running
 
 
+def _remove_another(group: Group, first: SimulatedNode) -> Process:
+    """Ask again and again to remove another voter, as an operator may who replaces machines."""
+    name = _another_voter(group, first).name
+    for _ in range(30):
+        leader = group.leader()
+        if leader is not None:
+            leader.change_membership(RemoveMember(name))
+        yield from group.pause(0.05, 0.2)
+
+
 def _another_voter(group: Group, first: SimulatedNode) -> SimulatedNode:
     names = [name for name in group.voter_names if name != first.name]
     return group.nodes[group.rng.choice(names)]
@@ -358,5 +398,6 @@
     "second-loss": Scenario("a second machine lost during a repair", second_loss),
     "clocks": Scenario("clocks that step and drift", clocks),
     "membership": Scenario("members added and removed during cuts", membership, spares=2),
+    "replaced-while-cut": Scenario("a name given to a new machine too soon", replaced_while_cut),
     "storm": Scenario("all of these together", storm, spares=1),
 }
--- a/src/finchshed/proof/consensus/group.py
+++ b/src/finchshed/proof/consensus/group.py
@@ -46,25 +46,32 @@
         self.network = SimulatedNetwork(self.scheduler, random.Random(f"{seed}/network"))
         names = [f"n{number}" for number in range(1, voters + spares + 1)]
         self.voter_names = names[:voters]
-        initial = tuple(InitialMember(name, address_of(name)) for name in self.voter_names)
-        self.nodes = {
-            name: SimulatedNode(
-                name,
-                initial,
-                options=OPTIONS,
-                scheduler=self.scheduler,
-                network=self.network,
-                observer=self.observer,
-                rng=random.Random(f"{seed}/{name}"),
-            )
-            for name in names
-        }
+        self._seed = seed
+        self._initial = tuple(InitialMember(name, address_of(name)) for name in self.voter_names)
+        self.nodes: dict[str, SimulatedNode] = {}
+        for name in names:
+            self.add_machine(name, name)
 
     @property
     def running(self) -> list[SimulatedNode]:
         """Nodes whose process runs, frozen or not."""
         return [node for node in self.nodes.values() if node.is_running]
 
+    def add_machine(self, key: str, name: str) -> SimulatedNode:
+        """Set up a machine with an empty disk for the node ``name``, not yet started."""
+        node = SimulatedNode(
+            key,
+            name,
+            self._initial,
+            options=OPTIONS,
+            scheduler=self.scheduler,
+            network=self.network,
+            observer=self.observer,
+            rng=random.Random(f"{self._seed}/{key}"),
+        )
+        self.nodes[key] = node
+        return node
+
     def start(self) -> None:
         """Start all nodes that are down."""
         for node in self.nodes.values():
@@ -100,8 +107,7 @@
                 if member.promote:
                     return False
                 continue
-            node = self.nodes[member.identity.name]
-            if not node.is_running or node.raft.identity != member.identity:
+            if not any(node.raft.identity == member.identity for node in self.running):
                 return False
             if statuses[member.identity].match_index < leader.raft.commit_index:
                 return False
--- a/src/finchshed/proof/consensus/node.py
+++ b/src/finchshed/proof/consensus/node.py
@@ -75,6 +75,8 @@
 
     Attributes
     ----------
+    key
+        Names the machine. Two machines may carry the same ``name``, when one replaces the other.
     disk
         Outlives crashes of the node.
     clock_offset, clock_rate
@@ -83,6 +85,7 @@
 
     def __init__(
         self,
+        key: str,
         name: str,
         initial_members: tuple[InitialMember, ...],
         *,
@@ -92,8 +95,9 @@
         observer: Observer,
         rng: random.Random,
     ) -> None:
+        self.key = key
         self.name = name
-        self.address = address_of(name)
+        self.address = address_of(key)
         self.disk = SimulatedDisk(random.Random(rng.getrandbits(64)))
         self.clock_offset = rng.uniform(0.0, 1e6)
         self.clock_rate = 1.0
@@ -117,7 +121,7 @@
         self._held_while_frozen: list[Callable[[], None]] = []
         self._store: LogStore
         self._driver: Driver
-        network.attach(name, self.address, self._deliver)
+        network.attach(key, self.address, self._deliver)
 
     @property
     def raft(self) -> RaftNode:
@@ -228,7 +232,7 @@
 
     def send(self, address: str, envelope: Envelope) -> None:
         """Send a line."""
-        self._network.send(self.name, address, envelope)
+        self._network.send(self.key, address, envelope)
 
     def apply(self, index: int, data: bytes) -> None:
         """Apply a committed command."""
@@ -329,7 +333,7 @@
         try:
             action()
         except InvariantError as error:
-            self._observer.violated(f"{self.name}: broken invariant: {error}")
+            self._observer.violated(f"{self.key}: broken invariant: {error}")
             self._end_process()
             return
         self._observer.stepped(self)
@@ -388,6 +392,6 @@
             action()
 
 
-def address_of(name: str) -> str:
-    """Return where a simulated node is reached."""
-    return f"{name}:1"
+def address_of(key: str) -> str:
+    """Return where a simulated machine is reached."""
+    return f"{key}:1"
--- a/src/finchshed/proof/consensus/observer.py
+++ b/src/finchshed/proof/consensus/observer.py
@@ -62,12 +62,12 @@
     def started(self, node: "SimulatedNode") -> None:
         """Take note of a start: what was committed in an earlier life is learnt anew."""
         self.note(f"start {node.raft.identity}")
-        self._seen_commit[node.name] = 0
+        self._seen_commit[node.key] = 0
 
     def applying(self, node: "SimulatedNode", index: int, applied_index: int) -> None:
         """Check that a node applies entries in their order."""
         if index <= applied_index:
-            self.violated(f"{node.name} applies entry {index} after {applied_index}")
+            self.violated(f"{node.key} applies entry {index} after {applied_index}")
 
     def elected(self, node: "SimulatedNode", term: int) -> None:
         """Check election safety and leader completeness."""
@@ -87,15 +87,15 @@
         """Check state machine safety: at each index all nodes commit the same entry."""
         log = node.raft.log
         commit = node.raft.commit_index
-        seen = self._seen_commit[node.name]
+        seen = self._seen_commit[node.key]
         for index in range(max(seen, log.base_index) + 1, commit + 1):
             entry = log.entry(index)
             earlier = self.committed.setdefault(index, entry)
             if earlier is entry:
-                self.note(f"commit {node.name} {index} {entry.term}")
+                self.note(f"commit {node.key} {index} {entry.term}")
             elif earlier != entry:
-                self.violated(f"{node.name} commits another entry {index} than others")
-        self._seen_commit[node.name] = max(seen, commit)
+                self.violated(f"{node.key} commits another entry {index} than others")
+        self._seen_commit[node.key] = max(seen, commit)
 
     def check_log_matching(self, nodes: list["SimulatedNode"]) -> None:
         """Check that logs which agree on the term of an entry agree on all up to it."""
@@ -104,7 +104,7 @@
             for other in running[position + 1 :]:
                 index = _first_mismatch(node.raft.log, other.raft.log)
                 if index:
-                    self.violated(f"logs of {node.name} and {other.name} differ at entry {index}")
+                    self.violated(f"logs of {node.key} and {other.key} differ at entry {index}")
 
 
 def _held(log: RaftLog, index: int) -> Entry | None:
