A voter is removed only after those that remain answered anew

Cause: a voter counted as answering for a second after its last answer. An operator's removal of a second voter within the second in which a first lost its disk was therefore taken, could never be committed, and blocked the group: the leader needs the lost disk, the other voter's log is shorter.

Ruled out: a shorter window (0.3 s); it makes the failure rarer and refuses more under loss.

Change: a removal waits for a round of heartbeats sent after it was asked for, as a read does, and is refused when those that would remain don't answer within the time of a read.

--- a/src/finchshed/consensus/membership_changes.py
+++ b/src/finchshed/consensus/membership_changes.py
@@ -6,7 +6,9 @@
 
 Rule of availability: no voter is removed if fewer than a majority of the voters that remain,
 counting those whose repair is unfinished, would hold the whole committed log on a disk that
-answers. Such a change could never be committed, and it would block the group.
+answers. Such a change could never be committed, and it would block the group. That a voter
+answered a moment ago is not enough, it may be the one that was just lost: an operator's removal
+waits for a round of heartbeats sent after it was asked for.
 """
 
 from finchshed.consensus.effects import Committed, RefusalCause, Refused
@@ -20,7 +22,7 @@
     encode_membership,
     quorum_size,
 )
-from finchshed.consensus.state import LeaderState, NodeState
+from finchshed.consensus.state import LeaderState, NodeState, PendingChange
 from finchshed.storage.records import Entry, EntryKind
 
 GREETING_LIFETIME_SECONDS = 5.0
@@ -43,16 +45,31 @@
         state.effects.append(Committed(token, state.log.membership_index))
     elif not keeps_whole_majority(state, leading, wanted):
         refuse(state, token, RefusalCause.WOULD_LOSE_QUORUM)
+    elif set(state.membership.voters) <= set(wanted.voters):
+        _append_change(state, leading, token, wanted)
     else:
-        index = append_membership(state, wanted)
-        leading.proposals[index] = token
+        deadline = state.now + state.options.read_timeout_seconds
+        leading.pending_change = PendingChange(token, wanted, leading.round + 1, deadline)
+
+
+def finish_pending_change(state: NodeState, leading: LeaderState) -> None:
+    """Make the removal that waits, once enough of those that remain have answered."""
+    pending = leading.pending_change
+    if pending is None:
+        return
+    if keeps_whole_majority(state, leading, pending.wanted, pending.round):
+        leading.pending_change = None
+        _append_change(state, leading, pending.token, pending.wanted)
+    elif state.now >= pending.deadline:
+        leading.pending_change = None
+        refuse(state, pending.token, RefusalCause.WOULD_LOSE_QUORUM)
 
 
 def blocked_by(state: NodeState, leading: LeaderState) -> RefusalCause | None:
     """Return why no change can be made now, if so."""
     if state.commit_index < leading.term_start_index:
         return RefusalCause.NOT_READY
-    if state.log.membership_index > state.commit_index:
+    if state.log.membership_index > state.commit_index or leading.pending_change is not None:
         return RefusalCause.CHANGE_IN_PROGRESS
     return None
 
@@ -65,11 +82,14 @@
     return index
 
 
-def keeps_whole_majority(state: NodeState, leading: LeaderState, wanted: Membership) -> bool:
-    """Whether a majority of ``wanted`` voters is sure to hold the committed log.
+def keeps_whole_majority(
+    state: NodeState, leading: LeaderState, wanted: Membership, answered_round: int = 0
+) -> bool:
+    """Whether a majority of ``wanted`` voters answers and holds the committed log.
 
     Always so if no voter is removed. A learner under promotion counts towards the size of the
-    group unless it takes the place of a voter that is still counted.
+    group unless it takes the place of a voter that is still counted. Only voters that have
+    answered the heartbeats of ``answered_round`` count.
     """
     removed = set(state.membership.voters) - set(wanted.voters)
     if not removed:
@@ -82,7 +102,11 @@
         if member.role is MemberRole.LEARNER and member.promote
     }
     size = len(voters) + len(under_repair - names)
-    whole = sum(is_whole(state, leading, voter) for voter in wanted.counted_voters)
+    whole = sum(
+        is_whole(state, leading, voter)
+        and round_answered_by(state, leading, voter) >= answered_round
+        for voter in wanted.counted_voters
+    )
     return bool(voters) and whole >= quorum_size(size)
 
 
@@ -99,12 +123,25 @@
     )
 
 
+def round_answered_by(state: NodeState, leading: LeaderState, identity: NodeIdentity) -> int:
+    """Return the highest round of heartbeats that a member has answered."""
+    if identity == state.identity:
+        return leading.round
+    progress = leading.progress.get(identity)
+    return progress.acknowledged_round if progress else 0
+
+
 def refuse(state: NodeState, token: int, cause: RefusalCause) -> None:
     """Answer that nothing was done, and who may be asked instead."""
     address = state.address_of(state.leader) if state.leader is not None else ""
     state.effects.append(Refused(token, cause, state.leader, address))
 
 
+def _append_change(state: NodeState, leading: LeaderState, token: int, wanted: Membership) -> None:
+    index = append_membership(state, wanted)
+    leading.proposals[index] = token
+
+
 def _membership_after(state: NodeState, change: MembershipChange) -> Membership | None:
     if isinstance(change, AddMember):
         return _after_adding(state, change)
--- a/src/finchshed/consensus/node.py
+++ b/src/finchshed/consensus/node.py
@@ -213,6 +213,7 @@
         read_index.finish_reads(state, leading)
         read_index.start_round(state, leading)
         read_index.finish_reads(state, leading)
+        membership_changes.finish_pending_change(state, leading)
         replication.send_entries(state, leading)
 
     def _dispatch(self, event: Event) -> None:
--- a/src/finchshed/consensus/read_index.py
+++ b/src/finchshed/consensus/read_index.py
@@ -7,6 +7,7 @@
 
 from finchshed.consensus.effects import ReadFailed, ReadReady, RefusalCause, Refused, Role
 from finchshed.consensus.identity import NodeIdentity
+from finchshed.consensus.membership_changes import round_answered_by
 from finchshed.consensus.messages import ReadIndex, ReadIndexReply
 from finchshed.consensus.replication import send_heartbeats
 from finchshed.consensus.state import ForwardedRead, LeaderState, NodeState, PendingRead
@@ -44,8 +45,10 @@
 
 
 def start_round(state: NodeState, leading: LeaderState) -> None:
-    """Start a round for reads that wait for one, once the round before it is confirmed."""
+    """Start a round for what waits for one, once the round before it is confirmed."""
     waiting = any(read.round > leading.round for read in leading.reads)
+    change = leading.pending_change
+    waiting = waiting or (change is not None and change.round > leading.round)
     if waiting and _confirmed_round(state, leading) >= leading.round:
         leading.round += 1
         send_heartbeats(state, leading)
@@ -105,12 +108,5 @@
 def _confirmed_round(state: NodeState, leading: LeaderState) -> int:
     """Return the highest round that a majority of voters has answered."""
     voters = state.counted_voters
-    rounds = sorted((_round_of(state, leading, voter) for voter in voters), reverse=True)
+    rounds = sorted((round_answered_by(state, leading, voter) for voter in voters), reverse=True)
     return rounds[state.quorum - 1] if len(rounds) >= state.quorum else 0
-
-
-def _round_of(state: NodeState, leading: LeaderState, voter: NodeIdentity) -> int:
-    if voter == state.identity:
-        return leading.round
-    progress = leading.progress.get(voter)
-    return progress.acknowledged_round if progress else 0
--- a/src/finchshed/consensus/roles.py
+++ b/src/finchshed/consensus/roles.py
@@ -7,6 +7,8 @@
     MembershipChanged,
     ReadFailed,
     ReadReady,
+    RefusalCause,
+    Refused,
     Role,
     SnapshotWanted,
 )
@@ -94,3 +96,6 @@
     for read in leading.reads:
         if read.requester is None:
             state.effects.append(ReadFailed(read.token))
+    if leading.pending_change is not None:
+        cause = RefusalCause.NOT_LEADER
+        state.effects.append(Refused(leading.pending_change.token, cause))
--- a/src/finchshed/consensus/state.py
+++ b/src/finchshed/consensus/state.py
@@ -42,6 +42,16 @@
     sent: bool = False
 
 
+@dataclass
+class PendingChange:
+    """A removal of a voter that waits until the voters that remain have answered ``round``."""
+
+    token: int
+    wanted: Membership
+    round: int
+    deadline: float
+
+
 @dataclass
 class Greeting:
     """A node that is no member and where it can be reached."""
@@ -64,6 +74,7 @@
     heartbeat_due: float = 0.0
     quorum_check_due: float = 0.0
     transfer: Transfer | None = None
+    pending_change: PendingChange | None = None
 
 
 @dataclass
--- a/tests/consensus/test_repair.py
+++ b/tests/consensus/test_repair.py
@@ -111,9 +111,17 @@
     first, last = followers(group)
     change_until(group, RemoveMember(first.name), lambda: first.name not in members(group))
     assert wait(group, group.is_whole)
-    group.network.cut(leader.name, last.name)
     leader.change_membership(RemoveMember(leader.name))
+
+    def cut_once_appended() -> Process:
+        while leader.name in members(group):
+            yield group.scheduler.sleep(0.0001)
+        group.network.cut(leader.name, last.name)
+
+    group.scheduler.run_until(group.scheduler.start(cut_once_appended()))
     assert wait(group, lambda: group.leader() is None)
+    assert last.name in {voter.name for voter in last.raft.membership.voters}
+    assert leader.name in {voter.name for voter in last.raft.membership.voters}
     group.network.heal()
     assert wait(group, lambda: members(group) == {last.name})
 
@@ -133,3 +141,16 @@
     node.thaw()
     assert dead not in {member.identity for member in leader.raft.membership.members}
     assert wait(group, group.is_whole)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_no_voter_is_removed_in_the_second_in_which_another_is_lost(seed: int) -> None:
+    group = formed(seed=f"remove/{seed}")
+    lost, other = followers(group)
+    leader = group.leader()
+    assert leader is not None
+    lost.lose_disk()
+    leader.change_membership(RemoveMember(other.name))
+    lost.start()
+    assert wait(group, group.is_whole)
+    assert voters(group) == {"n1", "n2", "n3"}
