--- a/src/finchshed/control/commands.py
+++ b/src/finchshed/control/commands.py
@@ -37,11 +37,15 @@
 
 
 class CompleteRequest(msgspec.Struct, frozen=True, tag="complete"):
-    """Tell the ledger the whole answer of an attempt."""
+    """Tell the ledger the whole answer of an attempt.
+
+    ``answer`` is None where it exceeds the ledger's byte limit: the log doesn't carry what the
+    ledger would not keep.
+    """
 
     key: str
     attempt: str
-    answer: Answered
+    answer: Answered | None
 
 
 Command: TypeAlias = ApplyChange | BeginRequest | CancelRequest | CompleteRequest
--- a/src/finchshed/control/ledger_service.py
+++ b/src/finchshed/control/ledger_service.py
@@ -24,6 +24,7 @@
     LedgerRefused,
     LedgerUnknown,
 )
+from finchshed.ledger.ledger import DEFAULT_MAX_ANSWER_BYTES, answer_bytes
 from finchshed.ledger.results import (
     Completed,
     Granted,
@@ -89,7 +90,8 @@
         return BeginRequest(request.key, request.attempt)
     if isinstance(request, LedgerCancel):
         return CancelRequest(request.key, request.attempt)
-    return CompleteRequest(request.key, request.attempt, request.answer)
+    fits = answer_bytes(request.answer) <= DEFAULT_MAX_ANSWER_BYTES
+    return CompleteRequest(request.key, request.attempt, request.answer if fits else None)
 
 
 def _reply_of(request: int, result: CommandResult) -> LedgerReply:
--- a/src/finchshed/distribution/messages.py
+++ b/src/finchshed/distribution/messages.py
@@ -4,13 +4,24 @@
 ledger requests and reports flow up it.
 """
 
-from typing import TypeAlias
+from typing import Annotated, TypeAlias
 
 import msgspec
 
 from finchshed.common.outcomes import Answered
 from finchshed.configuration.resources import Resource, ResourceKey
 
+Revision: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+"""Revision of the configuration; the operators' schema holds it in 64 bits."""
+
+RequestNumber: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+
+Text: TypeAlias = Annotated[str, msgspec.Meta(max_length=200)]
+"""Name of a node, service, zone or endpoint, and the like: kept and passed on by control."""
+
+LedgerName: TypeAlias = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+"""Key or attempt: the ledger keeps it for a whole window."""
+
 
 class Subscribe(msgspec.Struct, frozen=True, omit_defaults=True, tag="subscribe"):
     """First line of a daemon: who it is and the highest revision it holds (0: none).
@@ -18,12 +29,12 @@
     ``endpoint`` names the declared endpoint the daemon stands beside; empty on an edge.
     """
 
-    node: str
-    incarnation: str
-    service: str
-    zone: str
-    revision: int
-    endpoint: str = ""
+    node: Text
+    incarnation: Text
+    service: Text
+    zone: Text
+    revision: Revision
+    endpoint: Text = ""
 
 
 class Delta(msgspec.Struct, frozen=True, omit_defaults=True, tag="delta"):
@@ -34,8 +45,8 @@
     revision had been accepted.
     """
 
-    base: int
-    revision: int
+    base: Revision
+    revision: Revision
     puts: tuple[Resource, ...] = ()
     deletes: tuple[ResourceKey, ...] = ()
     confirmed: bool = False
@@ -44,7 +55,7 @@
 class InForce(msgspec.Struct, frozen=True, tag="in_force"):
     """The daemon acts on ``revision``. Also sent as a heartbeat."""
 
-    revision: int
+    revision: Revision
 
 
 class Redirect(msgspec.Struct, frozen=True, tag="redirect"):
@@ -56,7 +67,7 @@
 class Fetch(msgspec.Struct, frozen=True, tag="fetch"):
     """Ask for a delta from ``revision``; answered by :class:`Delta`."""
 
-    revision: int
+    revision: Revision
 
 
 class LedgerBegin(msgspec.Struct, frozen=True, tag="ledger_begin"):
@@ -67,26 +78,26 @@
     ``attempt`` is unique for each time a daemon wants to send the request to a back end.
     """
 
-    request: int
-    key: str
-    attempt: str
-    node: str
+    request: RequestNumber
+    key: LedgerName
+    attempt: LedgerName
+    node: Text
 
 
 class LedgerCancel(msgspec.Struct, frozen=True, tag="ledger_cancel"):
     """The attempt was granted and never sent: the key is free again."""
 
-    request: int
-    key: str
-    attempt: str
+    request: RequestNumber
+    key: LedgerName
+    attempt: LedgerName
 
 
 class LedgerComplete(msgspec.Struct, frozen=True, tag="ledger_complete"):
     """The attempt ran to its end with this whole answer."""
 
-    request: int
-    key: str
-    attempt: str
+    request: RequestNumber
+    key: LedgerName
+    attempt: LedgerName
     answer: Answered
 
 
@@ -177,7 +188,7 @@
 class ExplainReply(msgspec.Struct, frozen=True, omit_defaults=True, tag="explain_reply"):
     """The daemon's recent decisions, newest first."""
 
-    request: int
+    request: RequestNumber
     decisions: tuple[Decision, ...] = ()
 
 
--- a/src/finchshed/distribution/server.py
+++ b/src/finchshed/distribution/server.py
@@ -127,6 +127,7 @@
             return
         number = self._numbers.get(connection)
         if number is None:
+            logger.warning("{} sent a message before it subscribed", connection.peer_address)
             connection.abort()
         elif isinstance(message, InForce):
             self._hub.on_in_force(number, message.revision, self._now())
@@ -152,6 +153,8 @@
         for node, last in list(self._by_node.items()):
             if last is connection:
                 del self._by_node[node]
+        if isinstance(error, FinchshedError):
+            logger.warning("link of daemon {} refused: {}", connection.peer_address, error)
         number = self._numbers.pop(connection, None)
         if number is not None:
             del self._connections[number]
--- a/src/finchshed/ledger/keys.py
+++ b/src/finchshed/ledger/keys.py
@@ -27,11 +27,15 @@
 
 
 def issued_at(key: str) -> float | None:
-    """Return the Unix seconds ``key`` was made at, or None when it carries no time."""
+    """Return the Unix seconds ``key`` was made at, or None when it carries no time.
+
+    Only the canonical text of a UUID counts: in upper case, or without hyphens, the same UUID
+    would be another key, and its request could run twice.
+    """
     try:
         parsed = uuid.UUID(key)
     except ValueError:
         return None
-    if parsed.version != VERSION:
+    if parsed.version != VERSION or str(parsed) != key:
         return None
     return (parsed.int >> TIMESTAMP_SHIFT) / 1000.0
--- a/src/finchshed/ledger/ledger.py
+++ b/src/finchshed/ledger/ledger.py
@@ -145,7 +145,11 @@
     def cancel(self, key: str, attempt: str) -> LedgerResult:
         """Free ``key``: ``attempt`` was never sent. A begin that arrives later is refused."""
         issued = issued_at(key)
-        if issued is None or self._refusal_of_time(issued) is not None:
+        refusal = self._refusal_of_time(issued)
+        if refusal is LedgerRefusalReason.MADE_IN_THE_FUTURE:
+            # It can't be kept, and a begin that comes late enough would be granted.
+            return LedgerRefusal(refusal)
+        if refusal is not None or issued is None:
             return Noted()
         entry = self._entries.get(key)
         if entry is None:
@@ -165,16 +169,19 @@
         entry.attempt = ""
         return Noted()
 
-    def complete(self, key: str, attempt: str, answer: Answered) -> LedgerResult:
-        """Record the whole answer of ``attempt``; resends of the request get it from now on."""
+    def complete(self, key: str, attempt: str, answer: Answered | None) -> LedgerResult:
+        """Record the whole answer of ``attempt``; resends of the request get it from now on.
+
+        Without an answer, or with one past the byte limits, they get "outcome unknown".
+        """
         entry = self._entries.get(key)
-        if entry is None or entry.attempt != attempt:
+        if entry is None or entry.state is KeyState.FREE or entry.attempt != attempt:
             return NotHolder()
         if entry.state is KeyState.COMPLETED:
             return Noted()
         self._set_state(entry, KeyState.COMPLETED)
         size = answer_bytes(answer)
-        fits = size <= self._limits.max_answer_bytes
+        fits = answer is not None and size <= self._limits.max_answer_bytes
         if fits and self._total_answer_bytes + size <= self._limits.max_total_answer_bytes:
             entry.answer = answer
             self._total_answer_bytes += size
--- a/tests/control/test_ledger_faults.py
+++ b/tests/control/test_ledger_faults.py
@@ -89,7 +89,7 @@
     keys = [fresh_key(number) for number in range(KEYS)]
 
     async def race(daemon: HollowDaemon, key: str) -> None:
-        attempt = f"{key}-{daemon.client.peer_address}-{id(daemon)}"
+        attempt = str(daemons.index(daemon))
         if isinstance(await daemon.client.begin(key, attempt, SECONDS), LedgerGranted):
             granted[key].append(attempt)
 
--- a/tests/control/test_ledger_service.py
+++ b/tests/control/test_ledger_service.py
@@ -6,7 +6,13 @@
 from finchshed.common.errors import ControlUnavailableError
 from finchshed.common.outcomes import Answered
 from finchshed.control.background import Background
-from finchshed.control.commands import BeginRequest, CancelRequest, Command, CommandResult
+from finchshed.control.commands import (
+    BeginRequest,
+    CancelRequest,
+    Command,
+    CommandResult,
+    CompleteRequest,
+)
 from finchshed.control.ledger_service import LedgerService
 from finchshed.control.replicated_log import LogStatus
 from finchshed.distribution.messages import (
@@ -21,7 +27,7 @@
 )
 from finchshed.distribution.status import InForceReport
 from finchshed.ledger.keys import new_key
-from finchshed.ledger.ledger import Ledger
+from finchshed.ledger.ledger import DEFAULT_MAX_ANSWER_BYTES, Ledger
 from finchshed.ledger.results import LedgerRefusalReason
 
 NOW = 1_800_000_000.0
@@ -112,3 +118,15 @@
     ]
     for request, answer in asked:
         assert await service.answer(request) == answer
+
+
+async def test_the_log_does_not_carry_an_answer_the_ledger_would_not_keep(
+    background: Background,
+) -> None:
+    log = OneNodeLog()
+    service = LedgerService(log, background)
+    await service.answer(LedgerBegin(1, KEY, "a", "edge"))
+    large = Answered(200, (), bytes(DEFAULT_MAX_ANSWER_BYTES + 1))
+    assert await service.answer(LedgerComplete(2, KEY, "a", large)) == LedgerNoted(2)
+    assert log.proposed[-1] == CompleteRequest(KEY, "a", None)
+    assert await service.answer(LedgerBegin(3, KEY, "b", "edge")) == LedgerUnknown(3)
--- a/tests/ledger/test_ledger.py
+++ b/tests/ledger/test_ledger.py
@@ -50,6 +50,29 @@
     assert issued_at("9f0c1f9e-8a5e-4d55-9b3c-2f9f0f0f0f0f") is None
 
 
+def test_only_the_canonical_text_of_a_key_counts() -> None:
+    key = new_key(NOW, random.Random(1))
+    for other in (key.upper(), key.replace("-", ""), f"{{{key}}}", f"urn:uuid:{key}", f" {key}"):
+        assert issued_at(other) is None
+    assert issued_at(key) == NOW
+
+
+def test_a_cancel_that_cannot_be_kept_is_refused() -> None:
+    ledger = Ledger()
+    ledger.advance(NOW, 100.0)
+    future = new_key(NOW + 61.0, random.Random(1))
+    assert ledger.cancel(future, "a") == LedgerRefusal(LedgerRefusalReason.MADE_IN_THE_FUTURE)
+
+
+def test_a_key_held_by_nobody_cannot_be_completed() -> None:
+    ledger = Ledger()
+    ledger.advance(NOW, 100.0)
+    key = new_key(NOW, random.Random(1))
+    ledger.cancel(key, "a")
+    assert ledger.complete(key, "", Answered(200, (), b"")) == NotHolder()
+    assert ledger.begin(key, "b") == Granted()
+
+
 def test_one_attempt_is_granted_and_its_resend_again_but_no_other() -> None:
     ledger, key = ledger_at(), key_made()
     assert ledger.begin(key, "a") == Granted()
