--- a/src/finchshed/fleet/processes.py
+++ b/src/finchshed/fleet/processes.py
@@ -25,6 +25,7 @@
     CONTROL = "control"
     BACKEND = "backend"
     DAEMON = "daemon"
+    HOLLOW = "hollow"
     EDGE = "edge"
     CALLER = "caller"
     OPERATOR = "operator"
@@ -66,6 +67,12 @@
         self._log_path = log_path
         self._process: subprocess.Popen[bytes] | None = None
         self.expected_to_run = False
+        self.is_frozen = False
+
+    @property
+    def is_working(self) -> bool:
+        """Whether the process runs and isn't frozen."""
+        return self.is_running and not self.is_frozen
 
     @property
     def pid(self) -> int:
@@ -82,7 +89,7 @@
         """Exit code of the last run; None while running or before the first."""
         return None if self._process is None else self._process.poll()
 
-    def start(self) -> None:
+    def start(self, *more_arguments: str) -> None:
         """Start the process; its standard output and error go to its log file."""
         environment = {
             **os.environ,
@@ -90,7 +97,7 @@
         }
         with self._log_path.open("ab") as log:
             self._process = subprocess.Popen(
-                (sys.executable, *self.spec.arguments),
+                (sys.executable, *self.spec.arguments, *more_arguments),
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
@@ -99,11 +106,14 @@
                 preexec_fn=_die_with_parent,  # noqa: PLW1509 - one call of C, no Python locks
             )
         self.expected_to_run = True
+        self.is_frozen = False
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal if the process exists."""
         if number in {signal.SIGTERM, signal.SIGINT, signal.SIGKILL}:
             self.expected_to_run = False
+        if number in {signal.SIGSTOP, signal.SIGCONT}:
+            self.is_frozen = number is signal.SIGSTOP
         if self.is_running and self._process is not None:
             self._process.send_signal(number)
 
@@ -117,15 +127,16 @@
         return True
 
     async def stop(self, number: signal.Signals, timeout_seconds: float) -> bool:
-        """Ask the process to end; kill it if it doesn't in time.
+        """Ask the process to end; kill it if it doesn't in time, or is frozen.
+
+        A frozen process is not woken: it would go on with what reached it meanwhile.
 
         Returns
         -------
         bool
             Whether it ended by itself.
         """
-        self.send_signal(signal.SIGCONT)
-        self.send_signal(number)
+        self.send_signal(signal.SIGKILL if self.is_frozen else number)
         if await self.wait(timeout_seconds):
             return True
         self.send_signal(signal.SIGKILL)
--- a/src/finchshed/link/peer.py
+++ b/src/finchshed/link/peer.py
@@ -8,7 +8,7 @@
 import asyncio
 import enum
 import secrets
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 import msgspec
@@ -20,7 +20,8 @@
 from finchshed.common.outcomes import Headers
 from finchshed.distribution.messages import Delta, Fetch
 from finchshed.link.digests import digest_of
-from finchshed.link.lines import LineProtocol, encode_line
+from finchshed.link.encoding import encode_line
+from finchshed.link.lines import DEFAULT_MAX_LINE_BYTES, FIRST_LINE_BYTES, LineProtocol
 from finchshed.link.messages import (
     Call,
     Cancel,
@@ -85,6 +86,9 @@
         """Return the configuration for a peer that holds ``revision``."""
 
 
+Connect = Callable[[Callable[[], asyncio.Protocol], str, int], Awaitable[object]]
+"""Opens a connection for the protocol made by the first argument to a host and port."""
+
 ReplyCallback = Callable[[Reply | None], None]
 """Called once with the reply, or with None when the link broke after the call was sent."""
 
@@ -104,6 +108,8 @@
         A link that carries nothing for this long is broken.
     heartbeat_seconds
         A link that carries nothing for this long is sent a heartbeat.
+    connect
+        Opens the connection; None: the event loop does. Proof passes one that can be cut.
     """
 
     def __init__(
@@ -115,6 +121,7 @@
         silence_seconds: float,
         heartbeat_seconds: float,
         connect_timeout_seconds: float,
+        connect: Connect | None = None,
     ) -> None:
         self.address = address
         self.state = LinkState.CONNECTING
@@ -130,6 +137,7 @@
         self._next_call = 1
         self._last_received_at = 0.0
         self._loop = asyncio.get_running_loop()
+        self._connect: Connect = connect or self._loop.create_connection
         self._lines: LineProtocol[PeerMessage] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._seen_revision = 0
@@ -144,7 +152,7 @@
         host, port = self.address.rsplit(":", 1)
         try:
             async with asyncio.timeout(self._connect_timeout_seconds):
-                await self._loop.create_connection(self._make_protocol, host, int(port))
+                await self._connect(self._make_protocol, host, int(port))
         except (OSError, TimeoutError) as error:
             self._end(f"connect: {error}")
 
@@ -203,7 +211,9 @@
         self._end(cause)
 
     def _make_protocol(self) -> LineProtocol[PeerMessage]:
-        return LineProtocol(PeerMessage, self._on_message, self._on_open, self._on_close)
+        return LineProtocol(
+            PeerMessage, self._on_message, self._on_open, self._on_close, FIRST_LINE_BYTES
+        )
 
     def _on_open(self, lines: LineProtocol[PeerMessage]) -> None:
         if self.state is LinkState.CLOSED:
@@ -221,10 +231,12 @@
 
     def _on_message(self, lines: LineProtocol[PeerMessage], message: PeerMessage) -> None:
         self._last_received_at = self._loop.time()
-        if isinstance(message, Reply):
+        if isinstance(message, Hello):
+            self._on_hello(lines, message)
+        elif self.state is not LinkState.OPEN:
+            self._end("protocol")
+        elif isinstance(message, Reply):
             self._on_reply(message)
-        elif isinstance(message, Hello):
-            self._on_hello(message)
         elif isinstance(message, Pong):
             if message.epoch == self.epoch:
                 self._owner.load_reported(self, message.load)
@@ -239,11 +251,12 @@
         else:
             self._end("protocol")
 
-    def _on_hello(self, hello: Hello) -> None:
+    def _on_hello(self, lines: LineProtocol[PeerMessage], hello: Hello) -> None:
         """Take the peer's Hello: its first one, or one more after its back end was restarted."""
         if hello.epoch != self.epoch:
             self._end("protocol")
             return
+        lines.max_line_bytes = DEFAULT_MAX_LINE_BYTES
         self.state = LinkState.OPEN
         self.peer = hello
         self._owner.link_opened(self, hello)
