--- a/src/finchshed/control/commands.py
+++ b/src/finchshed/control/commands.py
@@ -48,7 +48,15 @@
     answer: Answered | None
 
 
-Command: TypeAlias = ApplyChange | BeginRequest | CancelRequest | CompleteRequest
+class NoteAction(msgspec.Struct, frozen=True, tag="note_action"):
+    """Keep in the audit trail what an operator does to the control group itself."""
+
+    operator: str
+    action: str
+    subject: str
+
+
+Command: TypeAlias = ApplyChange | BeginRequest | CancelRequest | CompleteRequest | NoteAction
 
 CommandResult: TypeAlias = (
     Accepted
--- a/src/finchshed/control/operator_service.py
+++ b/src/finchshed/control/operator_service.py
@@ -11,7 +11,7 @@
 from finchshed.common.errors import ControlUnavailableError
 from finchshed.configuration.changes import Accepted, Change, Conflict, Invalid
 from finchshed.configuration.store import BOOTSTRAP_OPERATOR
-from finchshed.control.commands import ApplyChange
+from finchshed.control.commands import ApplyChange, NoteAction
 from finchshed.control.distribution_service import DistributionService
 from finchshed.control.replacement import Replacement
 from finchshed.control.replicated_log import ReplicatedLog
@@ -33,6 +33,8 @@
 BEARER = "Bearer "
 MAX_CHANGE_ID_CHARACTERS = 200
 MAX_EXPLAINED_DECISIONS = 1_000
+MAX_HISTORY_ENTRIES = 1_000
+MAX_NAME_CHARACTERS = 63
 BACKUP_PIECE_BYTES = 1 << 20
 
 
@@ -191,9 +193,12 @@
         """Change the members of the control group."""
         await self._barrier(context)
         operator = await self._authenticate(context)
-        logger.info("{} replaces member {} by {}", operator, request.remove, request.add)
+        replacement = Replacement(request.remove, request.add, request.standby)
+        if max(len(request.remove), len(request.add)) > MAX_NAME_CHARACTERS:
+            detail = f"remove, add: allowed are up to {MAX_NAME_CHARACTERS} characters"
+            await _abort(context, grpc.StatusCode.INVALID_ARGUMENT, detail)
+        await self._note(context, operator, "replace-member", replacement.describe())
         try:
-            replacement = Replacement(request.remove, request.add, request.standby)
             done, step = await self._membership.replace_member(replacement)
         except ControlUnavailableError as error:
             await _abort(context, grpc.StatusCode.UNAVAILABLE, str(error))
@@ -231,16 +236,46 @@
         path = ring.dump(f"asked for by operator {operator}")
         return pb.DumpResponse(destination=str(path) if path is not None else "stderr")
 
+    async def History(  # noqa: N802
+        self, request: pb.HistoryRequest, context: grpc.aio.ServicerContext
+    ) -> pb.HistoryResponse:
+        """Read who changed what."""
+        await self._barrier(context)
+        await self._authenticate(context)
+        limit = min(request.limit or MAX_HISTORY_ENTRIES, MAX_HISTORY_ENTRIES)
+        entries = [
+            pb.HistoryEntry(
+                time=entry.time,
+                operator=entry.operator,
+                action=entry.action,
+                subject=entry.subject,
+                outcome=entry.outcome,
+            )
+            for entry in self._machine.audit.latest(limit)
+        ]
+        return pb.HistoryResponse(entries=entries)
+
     async def Backup(  # noqa: N802
         self, request: pb.BackupRequest, context: grpc.aio.ServicerContext
     ) -> AsyncIterator[pb.BackupPiece]:
         """Read a snapshot of the whole state."""
         await self._barrier(context)
-        await self._authenticate(context)
+        operator = await self._authenticate(context)
+        await self._note(context, operator, "backup", "whole state")
         data = self._machine.snapshot()
         for start in range(0, len(data), BACKUP_PIECE_BYTES):
             yield pb.BackupPiece(data=data[start : start + BACKUP_PIECE_BYTES])
 
+    async def _note(
+        self, context: grpc.aio.ServicerContext, operator: str, action: str, subject: str
+    ) -> None:
+        """Keep an action in the audit trail before it is done; without that it isn't done."""
+        logger.info("{}: {} {}", operator, action, subject)
+        try:
+            await self._log.propose(NoteAction(operator, action, subject))
+        except ControlUnavailableError as error:
+            await _abort(context, grpc.StatusCode.UNAVAILABLE, str(error))
+
     async def _barrier(self, context: grpc.aio.ServicerContext) -> None:
         try:
             await self._log.read_barrier()
--- a/src/finchshed/control/replacement.py
+++ b/src/finchshed/control/replacement.py
@@ -23,6 +23,12 @@
     add: str = ""
     standby: bool = False
 
+    def describe(self) -> str:
+        """Return it in the words of the command line."""
+        parts = [f"--remove={self.remove}" if self.remove else ""]
+        parts += [f"--add={self.add}" if self.add else "", "--standby" if self.standby else ""]
+        return " ".join(part for part in parts if part)
+
 
 @dataclass(frozen=True, slots=True)
 class Step:
--- a/src/finchshed/control/state_machine.py
+++ b/src/finchshed/control/state_machine.py
@@ -5,8 +5,10 @@
 import msgspec
 
 from finchshed.common.errors import InvariantError
-from finchshed.configuration.resources import Policy, ResourceKey
+from finchshed.configuration.changes import Accepted, Change, ChangeResult, Conflict
+from finchshed.configuration.resources import Policy, ResourceKey, key_of
 from finchshed.configuration.store import CommittedRevision, ConfigurationStore, StoreSnapshot
+from finchshed.control.audit import AuditEntry, AuditTrail
 from finchshed.control.commands import (
     ApplyChange,
     BeginRequest,
@@ -15,9 +17,11 @@
     CommandResult,
     CompleteRequest,
     LogEntry,
+    NoteAction,
     decode_entry,
 )
 from finchshed.ledger.ledger import Ledger, LedgerLimits, LedgerSnapshot
+from finchshed.ledger.results import Noted
 
 POLICY_KEY = ResourceKey(kind="policy", name="default")
 
@@ -28,6 +32,7 @@
     index: int
     store: StoreSnapshot
     ledger: LedgerSnapshot
+    audit: tuple[AuditEntry, ...] = ()
 
 
 class ControlStateMachine:
@@ -51,6 +56,7 @@
         self._on_restored = on_restored
         self.store = ConfigurationStore()
         self.ledger = Ledger(ledger_limits)
+        self.audit = AuditTrail()
         self.applied_index = 0
 
     def apply(self, index: int, data: bytes) -> CommandResult:
@@ -66,7 +72,12 @@
 
     def snapshot(self) -> bytes:
         """Return the whole state as JSON."""
-        state = StateSnapshot(self.applied_index, self.store.snapshot(), self.ledger.snapshot())
+        state = StateSnapshot(
+            index=self.applied_index,
+            store=self.store.snapshot(),
+            ledger=self.ledger.snapshot(),
+            audit=self.audit.snapshot(),
+        )
         return msgspec.json.encode(state)
 
     def restore(self, data: bytes) -> None:
@@ -78,6 +89,7 @@
         self.applied_index = state.index
         self.store.restore(state.store)
         self.ledger.restore(state.ledger)
+        self.audit.restore(state.audit)
         if self._on_restored is not None:
             self._on_restored()
 
@@ -90,18 +102,60 @@
         self.ledger.advance(entry.time, self.policy().key_window_seconds)
         command: Command = entry.command
         if isinstance(command, ApplyChange):
-            return self._apply_change(command)
+            return self._apply_change(command, entry.time)
         if isinstance(command, BeginRequest):
             return self.ledger.begin(command.key, command.attempt)
         if isinstance(command, CancelRequest):
             return self.ledger.cancel(command.key, command.attempt)
         if isinstance(command, CompleteRequest):
             return self.ledger.complete(command.key, command.attempt, command.answer)
+        if isinstance(command, NoteAction):
+            return self._note_action(command, entry.time)
         raise InvariantError(f"no such command: {type(command).__name__}")
 
-    def _apply_change(self, command: ApplyChange) -> CommandResult:
+    def _apply_change(self, command: ApplyChange, time: float) -> CommandResult:
+        is_first = self.store.result_of(command.change.change_id) is None
         result = self.store.apply(command.change)
+        if is_first:
+            self._note_change(command.change, result, time)
         committed = self.store.last_committed
         if committed is not None and self._on_committed is not None:
             self._on_committed(committed)
         return result
+
+    def _note_change(self, change: Change, result: ChangeResult, time: float) -> None:
+        entry = AuditEntry(
+            index=self.applied_index,
+            time=time,
+            operator=change.operator,
+            action="apply",
+            subject=_subject_of(change),
+            outcome=f"{change.change_id}: {_outcome_of(result)}",
+        )
+        self.audit.add(entry)
+
+    def _note_action(self, command: NoteAction, time: float) -> CommandResult:
+        entry = AuditEntry(
+            index=self.applied_index,
+            time=time,
+            operator=command.operator,
+            action=command.action,
+            subject=command.subject,
+            outcome="asked for",
+        )
+        self.audit.add_unless_repeated(entry)
+        return Noted()
+
+
+def _subject_of(change: Change) -> str:
+    puts = [f"={key.kind}/{key.name}" for key in map(key_of, change.puts)]
+    deletes = [f"-{key.kind}/{key.name}" for key in change.deletes]
+    return " ".join(puts + deletes)
+
+
+def _outcome_of(result: ChangeResult) -> str:
+    if isinstance(result, Accepted):
+        return f"accepted as revision {result.revision}"
+    if isinstance(result, Conflict):
+        return f"conflict with {result.winner_change_id} of {result.winner_operator}"
+    return "invalid"
--- a/src/finchshed/ctl/changes.py
+++ b/src/finchshed/ctl/changes.py
@@ -130,20 +130,19 @@
 def drain(
     endpoint: str,
     *,
-    undo: bool = False,
     control: str = "",
     token_file: str = "",
     timeout: float = DEFAULT_TIMEOUT_SECONDS,
     json: bool = False,
 ) -> int:
-    """Mark ENDPOINT as leaving, so that it gets no new work; --undo takes the mark back.
+    """Mark ENDPOINT as leaving, so that it gets no new work; what it has in progress goes on.
+
+    Safe to run again. Exit code 0 also where it was leaving already.
 
     Parameters
     ----------
     endpoint
         Name of a declared endpoint.
-    undo
-        Make the endpoint active again.
     control
         Addresses of control nodes for operators, a.b.c.d:port,...; or FINCHSHED_CONTROL.
     token_file
@@ -154,22 +153,55 @@
         Print one JSON line.
     """
     client = connect(control, token_file, timeout)
-    state = EndpointState.ACTIVE if undo else EndpointState.LEAVING
+    return _set_state(client, endpoint, EndpointState.LEAVING, as_json=json)
+
+
+def undrain(
+    endpoint: str,
+    *,
+    control: str = "",
+    token_file: str = "",
+    timeout: float = DEFAULT_TIMEOUT_SECONDS,
+    json: bool = False,
+) -> int:
+    """Make ENDPOINT active again after a drain.
+
+    Safe to run again. Exit code 0 also where it was active already.
+
+    Parameters
+    ----------
+    endpoint
+        Name of a declared endpoint.
+    control
+        Addresses of control nodes for operators, a.b.c.d:port,...; or FINCHSHED_CONTROL.
+    token_file
+        File with the operator's token; or FINCHSHED_TOKEN, FINCHSHED_TOKEN_FILE.
+    timeout
+        Longest time for the request over all control nodes, seconds.
+    json
+        Print one JSON line.
+    """
+    client = connect(control, token_file, timeout)
+    return _set_state(client, endpoint, EndpointState.ACTIVE, as_json=json)
+
+
+def _set_state(client: OperatorClient, name: str, state: EndpointState, *, as_json: bool) -> int:
+    """Put an endpoint into ``state``, again where another change was accepted first."""
     for _ in range(DRAIN_ATTEMPTS):
         current = read_in_force(client)
-        resource = current.resources.get(ResourceKey("endpoint", endpoint))
-        if not isinstance(resource, Endpoint):
-            raise SettingsError([f"endpoint = {endpoint!r}: allowed are declared endpoints"])
-        if resource.state is state:
-            lines = [f"{endpoint} is {state.value} at revision {current.revision}"]
-            show(ApplyView("", None), lines, as_json=json)
+        endpoint = current.resources.get(ResourceKey("endpoint", name))
+        if not isinstance(endpoint, Endpoint):
+            raise SettingsError([f"endpoint = {name!r}: allowed are declared endpoints"])
+        if endpoint.state is state:
+            lines = [f"{name} is {state.value} at revision {current.revision}"]
+            show(ApplyView("", None), lines, as_json=as_json)
             return ExitCode.OK
-        changed = Difference((msgspec.structs.replace(resource, state=state),), ())
+        changed = Difference((msgspec.structs.replace(endpoint, state=state),), ())
         identity = str(uuid.uuid4())
         result = submit(client, identity, current.revision, changed)
         if not isinstance(result, Conflict):
             break
-    return report(identity, result, as_json=json)
+    return report(identity, result, as_json=as_json)
 
 
 def read_in_force(client: OperatorClient) -> InForce:
--- a/src/finchshed/ctl/command.py
+++ b/src/finchshed/ctl/command.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Mapping
 from functools import wraps
 
-from finchshed.ctl import changes, maintenance, reading
+from finchshed.ctl import changes, maintenance, reading, restore
 from finchshed.ctl.client import AccessDeniedError
 from finchshed.ctl.exit_codes import CtlExitCode
 from finchshed.ctl.output import complain
@@ -27,13 +27,16 @@
     "diff": _denial_as_exit_code(changes.diff),
     "apply": _denial_as_exit_code(changes.apply),
     "drain": _denial_as_exit_code(changes.drain),
+    "undrain": _denial_as_exit_code(changes.undrain),
     "get": _denial_as_exit_code(reading.get),
     "watch": _denial_as_exit_code(reading.watch),
     "status": _denial_as_exit_code(reading.status),
     "members": _denial_as_exit_code(reading.members),
     "explain": _denial_as_exit_code(reading.explain),
+    "history": _denial_as_exit_code(reading.history),
     "replace-member": _denial_as_exit_code(maintenance.replace_member),
     "backup": _denial_as_exit_code(maintenance.backup),
+    "restore": restore.restore,
     "dump": _denial_as_exit_code(maintenance.dump),
 }
 """Sub-command to function; each function's keyword parameters are its flags."""
--- a/src/finchshed/ctl/exit_codes.py
+++ b/src/finchshed/ctl/exit_codes.py
@@ -22,6 +22,9 @@
     NOT_IN_FORCE = 14
     """``status``: some daemons are behind or silent."""
 
+    LOSS_NOT_ACCEPTED = 15
+    """``restore``: it was only told what would be lost; nothing was written."""
+
 
 MEANINGS: Mapping[int, str] = {
     CtlExitCode.DIFFERENT: "diff: the declarations differ from what is in force",
@@ -29,4 +32,5 @@
     CtlExitCode.INVALID: "apply: the control node found problems; nothing was changed",
     CtlExitCode.DENIED: "the token is none of a declared operator",
     CtlExitCode.NOT_IN_FORCE: "status: some daemons are behind or silent",
+    CtlExitCode.LOSS_NOT_ACCEPTED: "restore: told what would be lost; nothing was written",
 }
--- a/src/finchshed/ctl/maintenance.py
+++ b/src/finchshed/ctl/maintenance.py
@@ -1,4 +1,4 @@
-"""Sub-commands for the control group itself: replace-member, backup, restore, dump."""
+"""Sub-commands for the control group itself: replace-member, backup, dump."""
 
 import hashlib
 import os
--- a/src/finchshed/ctl/reading.py
+++ b/src/finchshed/ctl/reading.py
@@ -1,5 +1,6 @@
-"""Sub-commands that read: get, watch, status, members, explain."""
+"""Sub-commands that read: get, watch, status, members, explain, history."""
 
+import datetime
 from collections.abc import Iterable
 from typing import cast
 
@@ -17,6 +18,8 @@
     DaemonView,
     DecisionView,
     ExplainView,
+    HistoryEntryView,
+    HistoryView,
     MembersView,
     MemberView,
     StatusView,
@@ -261,6 +264,48 @@
     return ExitCode.OK
 
 
+def history(
+    *,
+    limit: int = 20,
+    control: str = "",
+    token_file: str = "",
+    timeout: float = DEFAULT_TIMEOUT_SECONDS,
+    json: bool = False,
+) -> int:
+    """Show who changed what, newest first: changes, and actions on the control group itself.
+
+    Parameters
+    ----------
+    limit
+        Entries shown at most; 0: as many as the control node gives.
+    control
+        Addresses of control nodes for operators, a.b.c.d:port,...; or FINCHSHED_CONTROL.
+    token_file
+        File with the operator's token; or FINCHSHED_TOKEN, FINCHSHED_TOKEN_FILE.
+    timeout
+        Longest time for the request over all control nodes, seconds.
+    json
+        Print one JSON line.
+    """
+    client = connect(control, token_file, timeout)
+    answer = cast(pb.HistoryResponse, client.call("History", pb.HistoryRequest(limit=limit)))
+    entries = tuple(
+        HistoryEntryView(
+            _utc_text(entry.time), entry.operator, entry.action, entry.subject, entry.outcome
+        )
+        for entry in answer.entries
+    )
+    rows = [(item.time, item.operator, item.action, item.subject, item.outcome) for item in entries]
+    header = ("time (UTC)", "operator", "action", "subject", "outcome")
+    show(HistoryView(entries), table(header, rows), as_json=json)
+    return ExitCode.OK
+
+
+def _utc_text(unix_seconds: float) -> str:
+    moment = datetime.datetime.fromtimestamp(unix_seconds, datetime.UTC)
+    return moment.isoformat(timespec="seconds")
+
+
 def _keys(texts: Iterable[str]) -> list[ResourceKey]:
     keys = []
     problems = []
--- a/src/finchshed/ctl/values.py
+++ b/src/finchshed/ctl/values.py
@@ -73,6 +73,22 @@
     members: tuple[MemberView, ...]
 
 
+class HistoryEntryView(msgspec.Struct, frozen=True):
+    """One entry in ``history``. ``time`` is ISO 8601, UTC, by the leader's clock."""
+
+    time: str
+    operator: str
+    action: str
+    subject: str
+    outcome: str
+
+
+class HistoryView(msgspec.Struct, frozen=True):
+    """Answer of ``history``, newest first."""
+
+    entries: tuple[HistoryEntryView, ...]
+
+
 class DecisionView(msgspec.Struct, frozen=True):
     """One decision in ``explain``."""
 
--- a/src/finchshed/ledger/ledger.py
+++ b/src/finchshed/ledger/ledger.py
@@ -66,11 +66,15 @@
 
 
 class LedgerSnapshot(msgspec.Struct):
-    """Everything a ledger holds."""
+    """Everything a ledger holds.
+
+    ``unknown_before``: keys made earlier may have been begun in a part of the log that was lost.
+    """
 
     time: float
     floor: float
     entries: dict[str, LedgerEntry]
+    unknown_before: float = 0.0
 
 
 class LedgerLimits(msgspec.Struct, frozen=True):
@@ -106,6 +110,7 @@
         self._counts: collections.Counter[KeyState] = collections.Counter()
         self.time = 0.0
         self.floor = 0.0
+        self.unknown_before = 0.0
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -136,6 +141,9 @@
         if refusal is not None or issued is None:
             return LedgerRefusal(refusal or LedgerRefusalReason.NO_TIME_IN_KEY)
         entry = self._entries.get(key)
+        is_free = entry is None or entry.state is KeyState.FREE
+        if is_free and issued < self.unknown_before:
+            return OutcomeUnknown()
         if entry is None:
             if self._is_full():
                 return LedgerRefusal(LedgerRefusalReason.FULL)
@@ -189,12 +197,13 @@
 
     def snapshot(self) -> LedgerSnapshot:
         """Return everything held; the value shares its entries with the ledger."""
-        return LedgerSnapshot(self.time, self.floor, self._entries)
+        return LedgerSnapshot(self.time, self.floor, self._entries, self.unknown_before)
 
     def restore(self, snapshot: LedgerSnapshot) -> None:
         """Replace everything held by ``snapshot``."""
         self.time = snapshot.time
         self.floor = snapshot.floor
+        self.unknown_before = snapshot.unknown_before
         self._entries = snapshot.entries
         self._by_issue = [(entry.issued, key) for key, entry in snapshot.entries.items()]
         heapq.heapify(self._by_issue)
--- a/tests/architecture/decision_modules.py
+++ b/tests/architecture/decision_modules.py
@@ -33,8 +33,12 @@
 """Modules of those packages that carry effects out: files, sockets, the event loop."""
 
 FURTHER_DECISION_MODULES = (
+    "finchshed.control.audit",
     "finchshed.control.commands",
     "finchshed.control.platform_list",
+    "finchshed.control.recovery",
+    "finchshed.control.replacement",
+    "finchshed.control.replicated_log",
     "finchshed.control.state_machine",
     "finchshed.link.encoding",
     "finchshed.link.messages",
