Thresholds met further down a path shed a request before it runs

The booklet service itself was not overloaded, so neither its gate nor the edge knew a threshold (subsequent overload, DAGOR, SoCC 2018).

Ruled out: per-attempt timeouts (4 of 2767 attempts ended by deadline), the daemons' own retries (attempts at the deep service were 1.0 in the mean) and a limit not learnt (no refusal by a back end). The 2.5 attempts per request are those of the stand-in callers, which repeat a refused request up to 3 times.

Change: the daemon beside a back end learns which calls the answered requests of a route make, and tells the highest threshold of those calls to its own callers with its load report. It refuses requests below it before they run. A told threshold keeps the age of the report it comes from, so it fades everywhere at once however deep the path is.

Routing draws from a pool of available endpoints at a cost that doesn't depend on their number. An endpoint without a measured latency is compared by the latency of its service; before, it counted as 1 ms and drew a flood. What a report says of the limit is bounded by the declared slots. A declaration that an endpoint is leaving takes effect on endpoints already known, and is undone by a later one; while a link can't be opened one call at a time tries it.

--- a/src/finchshed/admission/gate.py
+++ b/src/finchshed/admission/gate.py
@@ -8,10 +8,12 @@
 
 import random
 from bisect import bisect_left, insort
+from collections.abc import Mapping
 
 import msgspec
 
 from finchshed.admission.effects import GateEffect, Refuse, Start
+from finchshed.admission.paths import NO_PATHS, PathThreshold
 from finchshed.admission.rank import rank_of
 from finchshed.admission.threshold import AdmissionThreshold
 from finchshed.common.context import CallContext
@@ -83,11 +85,21 @@
         self._slots = slots
         self._concurrency.set_slots(slots)
 
-    def arrive(self, token: int, context: CallContext, now: float) -> list[GateEffect]:
-        """Take a new request. ``token`` is unique among those not finished."""
+    def arrive(
+        self, token: int, context: CallContext, now: float, floor: float = 0.0
+    ) -> list[GateEffect]:
+        """Take a new request. ``token`` is unique among those not finished.
+
+        Parameters
+        ----------
+        floor
+            Rank below which calls that the request makes would be refused.
+        """
         if self.draining:
             return [self._refusal(token, RefusalReason.DRAINING)]
         rank = rank_of(context)
+        if rank < floor:
+            return [self._refusal(token, RefusalReason.OVERLOAD)]
         self._threshold.on_arrival(rank)
         if not self._queue and len(self._running) < self._concurrency.limit:
             self._begin(token, now)
@@ -121,8 +133,8 @@
         self._update_threshold(now)
         return effects
 
-    def load_report(self, now: float) -> LoadReport:
-        """Return what callers are told."""
+    def load_report(self, now: float, paths: Mapping[str, PathThreshold] = NO_PATHS) -> LoadReport:
+        """Return what callers are told; ``paths`` are the thresholds met further down."""
         self._update_threshold(now)
         queued = len(self._queue)
         return LoadReport(
@@ -131,6 +143,7 @@
             in_flight=len(self._running) + queued,
             limit=self._concurrency.limit,
             draining=self.draining,
+            paths=paths,
         )
 
     def _begin(self, token: int, now: float) -> None:
--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -12,6 +12,7 @@
 
 from finchshed.admission.effects import GateEffect, Start
 from finchshed.admission.gate import Gate
+from finchshed.admission.paths import PathThresholds
 from finchshed.common.context import (
     HEADER_ACCOUNT,
     HEADER_CALLER,
@@ -61,6 +62,8 @@
     ----------
     backend
         Client to the back end.
+    paths
+        Thresholds that requests meet further down.
     guarded
         Runs what may not be repeated.
     on_backend_leaving
@@ -74,6 +77,7 @@
         backend: Backend,
         guarded: GuardedRuns,
         served: ServedRequests,
+        paths: PathThresholds,
         rng: random.Random,
         on_backend_leaving: Callable[[], None],
         revision: Callable[[], int],
@@ -82,6 +86,7 @@
         self._backend = backend
         self._guarded = guarded
         self._served = served
+        self._paths = paths
         self._rng = rng
         self._on_backend_leaving = on_backend_leaving
         self._revision = revision
@@ -113,7 +118,8 @@
 
     def load_report(self) -> LoadReport:
         """Return the load as callers are told."""
-        report = self._gate.load_report(time.monotonic())
+        now = time.monotonic()
+        report = self._gate.load_report(now, self._paths.report(now))
         if self.draining and not report.draining:
             return msgspec.structs.replace(report, draining=True)
         return report
@@ -133,7 +139,8 @@
             return
         self._works[work.token] = work
         self._by_call[call.epoch, call.call] = work
-        self._apply(self._gate.arrive(work.token, call.context, now))
+        floor = self._paths.floor(work.route, now)
+        self._apply(self._gate.arrive(work.token, call.context, now, floor))
 
     def give_up(self, link: AcceptedLink, call_identity: int) -> None:
         """Drop a call whose caller has given up or is gone."""
@@ -185,6 +192,7 @@
             call=call,
             arrived=now,
             deadline=now + call.context.remaining_seconds,
+            route=route.prefix,
             repeatable=route.repeatable,
             in_session=bool(session),
             max_body_bytes=service.max_body_bytes,
@@ -214,6 +222,7 @@
         call = work.call
         work.state = WorkState.AT_BACKEND
         work.served = self._served.open(call.context, work.deadline)
+        self._paths.on_start(work.served.account, work.route)
         remaining = work.deadline - time.monotonic()
         request = BackendRequest(
             method=call.method,
@@ -291,6 +300,7 @@
         spare = work.call.context.spare_attempts
         if work.served is not None:
             spare = self._served.close(work.served.account)
+            self._paths.on_end(work.served.account, answered=result is CallResult.OK)
         self._forget(work)
         self._apply(self._gate.finish(work.token, result, time.monotonic()))
         return spare
--- a/src/finchshed/daemon/caller.py
+++ b/src/finchshed/daemon/caller.py
@@ -4,6 +4,7 @@
 import time
 from dataclasses import dataclass
 
+from finchshed.admission.paths import PathThresholds
 from finchshed.common.outcomes import Outcome, RefusalReason, Refused
 from finchshed.daemon import metrics
 from finchshed.daemon.accounts import ServedRequests
@@ -36,14 +37,22 @@
         Endpoints as this daemon sees them.
     served
         Retry accounts of requests the local back end is serving.
+    paths
+        Learns what those requests call on.
     """
 
     def __init__(
-        self, table: RoutingTable, links: PeerLinks, served: ServedRequests, rng: random.Random
+        self,
+        table: RoutingTable,
+        links: PeerLinks,
+        served: ServedRequests,
+        paths: PathThresholds,
+        rng: random.Random,
     ) -> None:
         self._table = table
         self._links = links
         self._served = served
+        self._paths = paths
         self._rng = rng
         self._buckets: dict[str, RetryBucket] = {}
         self._retry_ratio = Catalogue().policy.retry_ratio
@@ -66,6 +75,8 @@
         join_identity
             Identity under which a repeat joins the request in progress, or empty.
         """
+        if account:
+            self._paths.on_call(account, request.service, request.route)
         if not join_identity:
             return await self._start(request, account, None).wait()
         key = JoinKey(request.service, request.context.caller, join_identity)
@@ -96,6 +107,7 @@
             request.context,
             repeatable=request.repeatable,
             rng=self._rng,
+            route=request.route,
         )
 
         def finished(call: OutgoingCall, outcome: Outcome, spare: int) -> None:
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 from loguru import logger
 
+from finchshed.admission.paths import PathThresholds
 from finchshed.common.outcomes import RefusalReason, Refused
 from finchshed.configuration.resources import Endpoint
 from finchshed.daemon import metrics
@@ -56,7 +57,8 @@
         self._served = ServedRequests()
         self._table = RoutingTable(settings.zone, settings.region, self._rng)
         self._links = PeerLinks(settings, self, self._rng)
-        self._caller = Caller(self._table, self._links, self._served, self._rng)
+        self._paths = PathThresholds(self._table.floor)
+        self._caller = Caller(self._table, self._links, self._served, self._paths, self._rng)
         spool = SpoolBudget(settings.max_spooled_bytes)
         self._front = Front(self._caller, self._served, spool, self._rng, self._why_not)
         self._listener = LinkListener(
@@ -259,6 +261,7 @@
             backend=self._backend,
             guarded=guarded,
             served=self._served,
+            paths=self._paths,
             rng=self._rng,
             on_backend_leaving=self._on_backend_leaving,
             revision=self.revision,
--- a/src/finchshed/daemon/front.py
+++ b/src/finchshed/daemon/front.py
@@ -149,6 +149,7 @@
             repeatable=matched.route.repeatable,
             in_session=matched.route.session,
             max_body_bytes=matched.service.max_body_bytes,
+            route=matched.route.prefix,
         )
         account = "" if served is None else served.account
         return await self._caller.call(message, account, self._join_identity(request, served))
@@ -187,6 +188,7 @@
             caller=inherited.caller,
             session=request.headers.get(HEADER_SESSION, ""),
             key=request.headers.get(HEADER_IDEMPOTENCY_KEY, ""),
+            position=inherited.position,
         )
 
     def _refused(self, reason: RefusalReason, detail: str = "") -> Refused:
--- a/src/finchshed/daemon/request.py
+++ b/src/finchshed/daemon/request.py
@@ -40,6 +40,8 @@
         Whether its route belongs to sessions.
     max_body_bytes
         Largest body of the request or its answer.
+    route
+        Prefix of the service's route that the request falls under.
     """
 
     service: str
@@ -51,6 +53,7 @@
     repeatable: bool = True
     in_session: bool = False
     max_body_bytes: int = 1 << 20
+    route: str = ""
 
 
 def end_to_end_headers(raw: Iterable[tuple[bytes, bytes]]) -> Headers:
--- a/src/finchshed/daemon/work.py
+++ b/src/finchshed/daemon/work.py
@@ -23,8 +23,9 @@
 class Work:
     """A call in progress. Times are monotonic seconds.
 
-    ``abandoned`` tells that the caller has given up; what may not be repeated and was sent is
-    nevertheless run to its end, so that a resend gets its answer.
+    ``route`` is the prefix of the route it falls under. ``abandoned`` tells that the caller has
+    given up; what may not be repeated and was sent is nevertheless run to its end, so that a
+    resend gets its answer.
     """
 
     token: int
@@ -32,6 +33,7 @@
     call: Call
     arrived: float
     deadline: float
+    route: str
     repeatable: bool
     in_session: bool
     max_body_bytes: int
--- a/src/finchshed/emulator/daemons/callee.py
+++ b/src/finchshed/emulator/daemons/callee.py
@@ -10,6 +10,7 @@
 
 from finchshed.admission.effects import GateEffect, Start
 from finchshed.admission.gate import Gate
+from finchshed.admission.paths import PathThresholds
 from finchshed.common.context import HEADER_DOWNSTREAM
 from finchshed.common.outcomes import (
     Answered,
@@ -78,11 +79,14 @@
         self,
         process: Process,
         back_end: BackEnd,
+        *,
         ledger: LedgerClient,
         accounts: RetryAccounts,
+        paths: PathThresholds,
         rng: random.Random,
     ) -> None:
         self._process = process
+        self._paths = paths
         self._back_end = back_end
         self._ledger = ledger
         self._accounts = accounts
@@ -105,7 +109,8 @@
 
     def load_report(self) -> LoadReport:
         """Return the load as callers are told."""
-        return self._gate.load_report(self._process.now)
+        now = self._process.now
+        return self._gate.load_report(now, self._paths.report(now))
 
     def drain(self) -> None:
         """Take no new calls."""
@@ -116,6 +121,10 @@
         """Return the deadline of a request being served, by its account."""
         return self._deadlines.get(account)
 
+    def call_on_began(self, account: str, request: Request) -> None:
+        """Take note of a call that the back end makes for a request it serves."""
+        self._paths.on_call(account, request.hop.service, request.kind)
+
     def call_on_failed(self, account: str) -> None:
         """Take note that a call which the back end made for this request was not answered."""
         if account in self._deadlines:
@@ -133,7 +142,8 @@
         work = Work(token, link, message, now + message.context.remaining_seconds)
         self._works[token] = work
         self._by_call[(message.epoch, message.call)] = work
-        self._apply(self._gate.arrive(token, message.context, now))
+        floor = self._paths.floor(message.request.kind, now)
+        self._apply(self._gate.arrive(token, message.context, now, floor))
 
     def give_up(self, link: AcceptedLink, call: int) -> None:
         """Drop a call whose caller has given up or is gone."""
@@ -236,6 +246,7 @@
         work.account = f"{self._process.name}.{self._process.life}.{work.token}"
         self._accounts.open(work.account, context.spare_attempts)
         self._deadlines[work.account] = work.deadline
+        self._paths.on_start(work.account, work.message.request.kind)
         request = work.message.request
         served = Request(
             call=request.call,
@@ -304,6 +315,7 @@
         if work.account:
             spare = self._accounts.close(work.account)
             self._deadlines.pop(work.account, None)
+            self._paths.on_end(work.account, answered=result is CallResult.OK)
             self._failed_downstream.discard(work.account)
         self._forget(work)
         self._apply(self._gate.finish(work.token, result, self._process.now))
--- a/src/finchshed/emulator/daemons/daemon.py
+++ b/src/finchshed/emulator/daemons/daemon.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Final, Protocol
 
+from finchshed.admission.paths import PathThresholds
 from finchshed.common.context import CallContext
 from finchshed.common.outcomes import Outcome, RefusalReason, Refused
 from finchshed.common.results import CallResult, result_of
@@ -84,7 +85,15 @@
         self.stopping = False
         self.callee: Callee | None = None
         if self.back_end is not None:
-            self.callee = Callee(self, self.back_end, self._ledger, self.accounts, self.random)
+            paths = PathThresholds(self.table.floor)
+            self.callee = Callee(
+                self,
+                self.back_end,
+                ledger=self._ledger,
+                accounts=self.accounts,
+                paths=paths,
+                rng=self.random,
+            )
 
     def configure(self, endpoints: Iterable[Endpoint], policy: Policy, revision: int) -> None:
         """Act on a configuration."""
@@ -172,6 +181,8 @@
         if deadline is None:
             answer(Refused(RefusalReason.CANCELLED, retry_after(0.0, self.random)))
             return _nothing
+        if self.callee is not None:
+            self.callee.call_on_began(request.account, request)
         lent = self.accounts.lend(request.account)
         context = CallContext(
             request.root,
@@ -208,6 +219,7 @@
             context,
             repeatable=request.repeatable,
             rng=self.random,
+            route=request.kind,
         )
         return OutgoingCall(self, logic, request, context, finished)
 
--- a/src/finchshed/link/messages.py
+++ b/src/finchshed/link/messages.py
@@ -4,10 +4,12 @@
 answer to a call that was given up on finds nobody.
 """
 
+from collections.abc import Mapping
 from typing import TypeAlias
 
 import msgspec
 
+from finchshed.admission.paths import PathThreshold
 from finchshed.common.context import CallContext
 from finchshed.common.outcomes import Headers, Outcome
 from finchshed.distribution.messages import Delta, Fetch
@@ -27,6 +29,9 @@
         Requests running or queued.
     limit
         Concurrency limit in force.
+    paths
+        Thresholds that requests meet further down, by the route's prefix. See
+        :mod:`finchshed.admission.paths`.
     """
 
     threshold: int = 0
@@ -34,6 +39,7 @@
     in_flight: int = 0
     limit: int = 0
     draining: bool = False
+    paths: Mapping[str, PathThreshold] = {}
 
 
 class Hello(msgspec.Struct, frozen=True, tag="hello"):
--- a/src/finchshed/routing/caller.py
+++ b/src/finchshed/routing/caller.py
@@ -81,6 +81,8 @@
         Source of jitter.
     pinned
         Name of the only endpoint to use, or empty: a session's.
+    route
+        Route of the service that the request falls under.
     """
 
     def __init__(
@@ -93,6 +95,7 @@
         repeatable: bool,
         rng: random.Random,
         pinned: str = "",
+        route: str = "",
     ) -> None:
         self._table = table
         self._bucket = bucket
@@ -101,6 +104,7 @@
         self._repeatable = repeatable
         self._rng = rng
         self._pinned = pinned
+        self._route = route
         self._spare = context.spare_attempts
         self._deadline = 0.0
         self._attempt = 0
@@ -186,7 +190,7 @@
         if self._pinned:
             chosen = self._table.choose_pinned(self._pinned, self._tried, now)
         else:
-            chosen = self._table.choose(self.service, self._context, self._tried, now)
+            chosen = self._table.choose(self.service, self._context, self._tried, now, self._route)
         if isinstance(chosen, Refused):
             return self._finish(self._last or chosen)
         self._attempt += 1
--- a/src/finchshed/routing/endpoint.py
+++ b/src/finchshed/routing/endpoint.py
@@ -1,7 +1,9 @@
 """What a caller's daemon knows of one endpoint."""
 
+import enum
 import math
 
+from finchshed.admission.paths import NO_THRESHOLD, PathThreshold, freshness
 from finchshed.common.results import CallResult
 from finchshed.configuration.resources import Endpoint, EndpointState
 from finchshed.link.messages import LoadReport
@@ -9,12 +11,6 @@
 LATENCY_WEIGHT = 0.1
 """Weight of one answer in the mean latency."""
 
-REPORT_VALIDITY_SECONDS = 0.5
-"""A report's threshold and delay fade to nothing over this time."""
-
-PROBE_INTERVAL_SECONDS = 0.05
-"""Below the threshold one request is let through each interval, so that a stale one is seen."""
-
 FAILURE_PENALTY_SECONDS = 1.0
 """A fast failure weighs like a call in flight, fading with this time constant."""
 
@@ -24,9 +20,26 @@
 SLOW_START_WEIGHT = 0.1
 """Weight a new back end starts with."""
 
+MIN_LATENCY_SECONDS = 0.001
+"""Latencies below this are not told apart when endpoints are compared."""
+
 NO_REPORT = LoadReport()
 
 
+class LeavingSign(enum.IntFlag):
+    """Where it is known from that an endpoint is leaving; any one sign suffices."""
+
+    NONE = 0
+    DRAINING = 1
+    """Its own daemon or back end says so."""
+
+    CONFIGURATION = 2
+    """An operator declared it."""
+
+    PLATFORM = 4
+    """The platform's list of machines says so."""
+
+
 class EndpointView:
     """One endpoint as seen by one caller's daemon.
 
@@ -40,7 +53,6 @@
 
     __slots__ = (
         "_cold_since",
-        "_last_probe",
         "_penalty",
         "_penalty_at",
         "_report",
@@ -53,7 +65,9 @@
         "incarnation",
         "leaving",
         "link_down_until",
+        "link_failures",
         "mean_latency",
+        "place",
     )
 
     def __init__(self, endpoint: Endpoint, cold_since: float | None) -> None:
@@ -64,18 +78,33 @@
         self.ejections = 0
         self.ejected_until = 0.0
         self.link_down_until = 0.0
-        self.leaving = endpoint.state is EndpointState.LEAVING
+        self.link_failures = 0
+        self.leaving = LeavingSign.NONE
         self.incarnation = ""
+        self.place = -1
         self._cold_since = cold_since
         self._report = NO_REPORT
         self._report_at = float("-inf")
-        self._last_probe = float("-inf")
         self._penalty = 0.0
         self._penalty_at = 0.0
+        self.declare(endpoint)
+
+    def declare(self, endpoint: Endpoint) -> None:
+        """Take a changed declaration."""
+        self.endpoint = endpoint
+        self.set_sign(LeavingSign.CONFIGURATION, endpoint.state is EndpointState.LEAVING)
+
+    def set_sign(self, sign: LeavingSign, is_leaving: bool) -> None:
+        """Take what one source says."""
+        self.leaving = self.leaving | sign if is_leaving else self.leaving & ~sign
 
     def is_available(self, now: float) -> bool:
         """Return whether new work may be sent."""
-        return not self.leaving and now >= self.ejected_until and now >= self.link_down_until
+        return not self.leaving and now >= self.available_at()
+
+    def available_at(self) -> float:
+        """Return when an endpoint that is not leaving may be sent work again."""
+        return max(self.ejected_until, self.link_down_until)
 
     def weight(self, now: float) -> float:
         """Return the share of full load the endpoint is given; below 1 while it warms up."""
@@ -87,43 +116,52 @@
             return 1.0
         return SLOW_START_WEIGHT + (1.0 - SLOW_START_WEIGHT) * age / SLOW_START_SECONDS
 
-    def threshold(self, now: float) -> float:
-        """Return the last threshold told, fading with its age."""
-        if not self._report.threshold:
-            return 0.0
-        return self._report.threshold * self._freshness(now)
-
-    def admits(self, rank: int, now: float) -> bool:
+    def floor(self, route: str, now: float) -> PathThreshold:
+        """Return the threshold that requests of a route meet here or further down."""
+        if not self._report.threshold and not self._report.paths:
+            return NO_THRESHOLD
+        age = now - self._report_at
+        own = NO_THRESHOLD
+        if self._report.threshold:
+            own = PathThreshold(self._report.threshold, 0).aged(age)
+        below = self._report.paths.get(route)
+        if below is None:
+            return own
+        below = below.aged(age)
+        return below if below.value > own.value else own
+
+    def is_known(self, now: float) -> bool:
+        """Return whether a report has come lately."""
+        return self._freshness(now) > 0.0
+
+    def admits(self, rank: int, route: str, now: float) -> bool:
         """Return whether a request of ``rank`` is worth sending."""
-        return rank >= self.threshold(now)
-
-    def take_probe(self, now: float) -> bool:
-        """Return whether a request below the threshold may go now as a probe."""
-        if now - self._last_probe < PROBE_INTERVAL_SECONDS:
-            return False
-        self._last_probe = now
-        return True
+        return rank >= self.floor(route, now).value
 
     def is_full(self, now: float) -> bool:
         """Return whether the endpoint has no free slot by its own report and our own count."""
-        limit = (self._report.limit or self.endpoint.slots) * self.weight(now)
-        if self.in_flight >= limit:
+        if self.in_flight >= self._limit(now):
             return True
         return self._report.queue_delay * self._freshness(now) > self.mean_latency > 0.0
 
-    def cost(self, now: float) -> float:
-        """Return the expected wait of one more request, seconds; lower is better."""
-        limit = (self._report.limit or self.endpoint.slots) * self.weight(now)
-        penalty = self._penalty_now(now)
-        ours = (self.in_flight + 1 + penalty) * max(self.mean_latency, 0.001) / limit
+    def cost(self, usual_latency: float, now: float) -> float:
+        """Return the expected wait of one more request, seconds; lower is better.
+
+        Parameters
+        ----------
+        usual_latency
+            Mean latency over the service, for an endpoint that has not answered yet.
+        """
+        latency = self.mean_latency or usual_latency
+        queued = self.in_flight + 1 + self._penalty_now(now)
+        ours = queued * max(latency, MIN_LATENCY_SECONDS) / self._limit(now)
         return ours + self._report.queue_delay * self._freshness(now)
 
     def on_report(self, load: LoadReport, now: float) -> None:
         """Take a report that came with an answer or a heartbeat."""
         self._report = load
         self._report_at = now
-        if load.draining:
-            self.leaving = True
+        self.set_sign(LeavingSign.DRAINING, load.draining)
 
     def on_result(self, result: CallResult, latency: float, now: float) -> None:
         """Take the end of one attempt; ``latency`` in seconds."""
@@ -137,8 +175,13 @@
             self._penalty = self._penalty_now(now) + 1.0
             self._penalty_at = now
 
+    def _limit(self, now: float) -> float:
+        """Return the work it takes: what is declared bounds what it says of itself."""
+        slots = self.endpoint.slots
+        return min(self._report.limit or slots, slots) * self.weight(now)
+
     def _freshness(self, now: float) -> float:
-        return max(0.0, 1.0 - (now - self._report_at) / REPORT_VALIDITY_SECONDS)
+        return freshness(now - self._report_at)
 
     def _penalty_now(self, now: float) -> float:
         if self._penalty == 0.0:
--- /dev/null
+++ b/src/finchshed/routing/pool.py
@@ -0,0 +1,177 @@
+"""The endpoints of one service as one caller's daemon sees them, ready to be drawn from.
+
+Those that take work stand in one list for each tier of distance, so that a draw costs the same
+however many there are. The others are parked until their time is over.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Collection, Iterator
+
+import msgspec
+
+from finchshed.admission.paths import NO_THRESHOLD, PathThreshold
+from finchshed.common.results import CallResult
+from finchshed.routing.endpoint import EndpointView
+
+TIERS = 3
+"""The caller's zone, its region, anywhere."""
+
+MAX_DRAWS = 8
+"""Endpoints of a tier that are looked at for one call."""
+
+CANDIDATES = 2
+"""Endpoints that are compared (Mitzenmacher, *The Power of Two Choices*, 2001)."""
+
+LATENCY_WEIGHT = 0.02
+"""Weight of one answer in the service's mean latency."""
+
+KNOWN_SHARE = 1 / 3
+"""Share of the endpoints that must have reported lately for a floor to be told."""
+
+
+class Drawn(msgspec.Struct, frozen=True, gc=False):
+    """The endpoint drawn from a tier, if any, and whether one was passed over as overloaded."""
+
+    view: EndpointView | None
+    shed: bool
+
+
+class ServicePool:
+    """Endpoints of one service.
+
+    Parameters
+    ----------
+    rng
+        Source of the random choices.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._tiers: tuple[list[EndpointView], ...] = tuple([] for _ in range(TIERS))
+        self._tier_of: dict[str, int] = {}
+        self._views: dict[str, EndpointView] = {}
+        self._parked: list[tuple[float, int, EndpointView]] = []
+        self._order = itertools.count()
+        self.mean_latency = 0.0
+
+    def __len__(self) -> int:
+        """Return the number of endpoints."""
+        return len(self._views)
+
+    def put(self, view: EndpointView, tier: int, now: float) -> None:
+        """Take an endpoint, in place of one of the same name."""
+        name = view.endpoint.name
+        self.remove(name)
+        self._views[name] = view
+        self._tier_of[name] = tier
+        self.refresh(view, now)
+
+    def remove(self, name: str) -> None:
+        """Forget an endpoint."""
+        view = self._views.pop(name, None)
+        if view is not None:
+            self._close(view)
+            del self._tier_of[name]
+
+    def refresh(self, view: EndpointView, now: float) -> None:
+        """Sort an endpoint anew after its availability changed."""
+        if view.is_available(now):
+            self._open(view)
+            return
+        self._close(view)
+        if not view.leaving:
+            heapq.heappush(self._parked, (view.available_at(), next(self._order), view))
+
+    def draw(
+        self, tier: int, rank: int, route: str, excluded: Collection[str], now: float
+    ) -> Drawn:
+        """Draw two endpoints of a tier that take a request, and return the better one."""
+        self._unpark(now)
+        shed = False
+        best: EndpointView | None = None
+        best_cost = 0.0
+        found = 0
+        for view in self._sample(self._tiers[tier]):
+            if view.endpoint.name in excluded:
+                continue
+            if not view.admits(rank, route, now):
+                shed = True
+                continue
+            cost = view.cost(self.mean_latency, now)
+            if best is None or cost < best_cost:
+                best, best_cost = view, cost
+            found += 1
+            if found == CANDIDATES:
+                break
+        return Drawn(best, shed)
+
+    def floor(self, route: str, now: float) -> PathThreshold:
+        """Return the lowest threshold that requests of a route meet at any endpoint known of."""
+        lowest: PathThreshold | None = None
+        known = 0
+        views = 0
+        for view in self._open_views():
+            views += 1
+            if not view.is_known(now):
+                continue
+            known += 1
+            floor = view.floor(route, now)
+            if floor.threshold == 0:
+                return NO_THRESHOLD
+            if lowest is None or floor.value < lowest.value:
+                lowest = floor
+        if lowest is None or known < views * KNOWN_SHARE:
+            return NO_THRESHOLD
+        return lowest
+
+    def ejected(self, now: float) -> int:
+        """Return the number of endpoints ejected at present."""
+        return sum(1 for view in self._views.values() if view.ejected_until > now)
+
+    def on_result(self, result: CallResult, latency: float) -> None:
+        """Take the end of an attempt at any endpoint."""
+        if result is not CallResult.OK:
+            return
+        if self.mean_latency == 0.0:
+            self.mean_latency = latency
+        self.mean_latency += LATENCY_WEIGHT * (latency - self.mean_latency)
+
+    def _sample(self, views: list[EndpointView]) -> Iterator[EndpointView]:
+        """Yield up to ``MAX_DRAWS`` different endpoints in random order."""
+        count = len(views)
+        taken: list[int] = []
+        for _ in range(min(count, MAX_DRAWS)):
+            index = int(self._rng.random() * count)
+            while index in taken:
+                index = (index + 1) % count
+            taken.append(index)
+            yield views[index]
+
+    def _open_views(self) -> Iterator[EndpointView]:
+        return itertools.chain.from_iterable(self._tiers)
+
+    def _unpark(self, now: float) -> None:
+        parked = self._parked
+        while parked and parked[0][0] <= now:
+            view = heapq.heappop(parked)[2]
+            if self._views.get(view.endpoint.name) is view and view.is_available(now):
+                self._open(view)
+
+    def _open(self, view: EndpointView) -> None:
+        if view.place >= 0:
+            return
+        tier = self._tiers[self._tier_of[view.endpoint.name]]
+        view.place = len(tier)
+        tier.append(view)
+
+    def _close(self, view: EndpointView) -> None:
+        if view.place < 0:
+            return
+        tier = self._tiers[self._tier_of[view.endpoint.name]]
+        last = tier.pop()
+        if last is not view:
+            tier[view.place] = last
+            last.place = view.place
+        view.place = -1
--- a/src/finchshed/routing/table.py
+++ b/src/finchshed/routing/table.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Collection, Iterable
 
+from finchshed.admission.paths import NO_THRESHOLD, PathThreshold
 from finchshed.admission.rank import rank_of
 from finchshed.common.context import CallContext
 from finchshed.common.outcomes import RefusalReason, Refused
@@ -16,7 +17,8 @@
 from finchshed.configuration.resources import Endpoint
 from finchshed.link.messages import LoadReport
 from finchshed.retry.policy import retry_after
-from finchshed.routing.endpoint import EndpointView
+from finchshed.routing.endpoint import EndpointView, LeavingSign
+from finchshed.routing.pool import TIERS, ServicePool
 
 EJECT_AFTER_FAILURES = 5
 """Failures in a row after which an endpoint is ejected."""
@@ -33,6 +35,9 @@
 LINK_RETRY_SECONDS = 0.5
 """An endpoint whose link broke is left alone for this long unless it comes up before."""
 
+LINK_RETRY_MAX_SECONDS = 4.0
+"""Longest time an endpoint is left alone; it doubles each time the link can't be opened."""
+
 
 class RoutingTable:
     """Endpoints of all services as one caller's daemon sees them.
@@ -50,30 +55,30 @@
         self._region = region
         self._rng = rng
         self._views: dict[str, EndpointView] = {}
-        self._services: dict[str, tuple[list[EndpointView], ...]] = {}
+        self._pools: dict[str, ServicePool] = {}
         self._loaded = False
-        self._now = 0.0
 
     def replace(self, endpoints: Iterable[Endpoint], now: float = 0.0) -> None:
         """Take the endpoints of a configuration in place of those held."""
-        views: dict[str, EndpointView] = {}
+        gone = set(self._views)
         for endpoint in endpoints:
-            held = self._views.get(endpoint.name)
-            if held is None or held.endpoint.address != endpoint.address:
-                views[endpoint.name] = EndpointView(endpoint, now if self._loaded else None)
-            else:
-                held.endpoint = endpoint
-                views[endpoint.name] = held
-        self._views = views
+            gone.discard(endpoint.name)
+            self._declare(endpoint, now)
+        for name in gone:
+            self._pools[self._views.pop(name).endpoint.service].remove(name)
         self._loaded = True
-        self._index()
 
     def view(self, name: str) -> EndpointView | None:
         """Return what is known of an endpoint."""
         return self._views.get(name)
 
     def choose(
-        self, service: str, context: CallContext, excluded: Collection[str], now: float
+        self,
+        service: str,
+        context: CallContext,
+        excluded: Collection[str],
+        now: float,
+        route: str = "",
     ) -> Endpoint | Refused:
         """Choose an endpoint for a call, or refuse it.
 
@@ -81,22 +86,27 @@
         ----------
         excluded
             Names of endpoints already tried.
+        route
+            Route of the service that the call falls under.
         """
+        pool = self._pools.get(service)
+        if pool is None:
+            return Refused(RefusalReason.NO_BACKEND, retry_after(1.0, self._rng))
         rank = rank_of(context)
         spare: EndpointView | None = None
         shed = False
-        for tier in self._services.get(service, ()):
-            found, tier_shed = self._draw(tier, rank, excluded, now)
-            shed = shed or tier_shed
-            if found is None:
+        for tier in range(TIERS):
+            drawn = pool.draw(tier, rank, route, excluded, now)
+            shed = shed or drawn.shed
+            if drawn.view is None:
                 continue
-            if not found.is_full(now):
-                return found.endpoint
-            spare = spare or found
+            if not drawn.view.is_full(now):
+                return drawn.view.endpoint
+            spare = spare or drawn.view
         if spare is not None:
             return spare.endpoint
         reason = RefusalReason.OVERLOAD if shed else RefusalReason.NO_BACKEND
-        return Refused(reason=reason, retry_after=retry_after(1.0, self._rng))
+        return Refused(reason, retry_after(1.0, self._rng))
 
     def choose_pinned(self, name: str, excluded: Collection[str], now: float) -> Endpoint | Refused:
         """Return the endpoint a session is pinned to; one that is leaving keeps its sessions."""
@@ -105,11 +115,20 @@
             return Refused(RefusalReason.NO_BACKEND, retry_after(0.0, self._rng))
         return view.endpoint
 
+    def floor(self, service: str, route: str, now: float) -> PathThreshold:
+        """Return the lowest threshold that calls to a route of a service meet anywhere."""
+        pool = self._pools.get(service)
+        return NO_THRESHOLD if pool is None else pool.floor(route, now)
+
     def on_sent(self, name: str, now: float) -> None:
         """Count an attempt sent."""
         view = self._views.get(name)
-        if view is not None:
-            view.in_flight += 1
+        if view is None:
+            return
+        view.in_flight += 1
+        if view.link_failures:
+            # One call finds out whether the link can be opened; the others go elsewhere.
+            self._hold_back(view, now)
 
     def on_reply(
         self, name: str, load: LoadReport | None, result: CallResult, latency: float, now: float
@@ -120,8 +139,9 @@
             return
         view.in_flight = max(0, view.in_flight - 1)
         if load is not None:
-            view.on_report(load, now)
+            self._take_report(view, load, now)
         view.on_result(result, latency, now)
+        self._pools[view.endpoint.service].on_result(result, latency)
         if view.consecutive_failures >= EJECT_AFTER_FAILURES:
             self._eject(view, now)
 
@@ -129,72 +149,88 @@
         """Take a report that came with a heartbeat."""
         view = self._views.get(name)
         if view is not None:
-            view.on_report(load, now)
+            self._take_report(view, load, now)
 
     def on_link_down(self, name: str, now: float) -> None:
         """Leave an endpoint alone whose link broke or that is silent."""
         view = self._views.get(name)
         if view is not None:
-            view.link_down_until = now + LINK_RETRY_SECONDS
+            self._hold_back(view, now)
+            view.link_failures += 1
 
     def on_link_up(self, name: str, incarnation: str, now: float) -> None:
         """Take a link that came up to the daemon of this incarnation."""
         view = self._views.get(name)
         if view is None:
             return
-        view.link_down_until = 0.0
         if view.incarnation and view.incarnation != incarnation:
-            fresh = EndpointView(view.endpoint, now)
-            fresh.incarnation = incarnation
-            self._views[name] = fresh
-            self._index()
-        else:
-            view.incarnation = incarnation
+            view = self._put(EndpointView(view.endpoint, now), now)
+        view.incarnation = incarnation
+        view.link_failures = 0
+        view.link_down_until = 0.0
+        self._refresh(view, now)
 
     def mark_draining(self, name: str, now: float) -> None:
-        """Send no new work to an endpoint that is leaving."""
+        """Send no new work to an endpoint that says it is leaving."""
+        self.mark_leaving(name, LeavingSign.DRAINING, True, now)
+
+    def mark_leaving(self, name: str, sign: LeavingSign, is_leaving: bool, now: float) -> None:
+        """Take what one source says of an endpoint; new work goes to it if none says it leaves."""
         view = self._views.get(name)
         if view is not None:
-            view.leaving = True
-
-    def _draw(
-        self, tier: list[EndpointView], rank: int, excluded: Collection[str], now: float
-    ) -> tuple[EndpointView | None, bool]:
-        shed = False
-        candidates: list[EndpointView] = []
-        for view in tier:
-            if not view.is_available(now) or view.endpoint.name in excluded:
-                continue
-            if view.admits(rank, now) or view.take_probe(now):
-                candidates.append(view)
-            else:
-                shed = True
-        if not candidates:
-            return None, shed
-        first = self._rng.choice(candidates)
-        second = self._rng.choice(candidates)
-        return (first if first.cost(now) <= second.cost(now) else second), shed
-
-    def _index(self) -> None:
-        services: dict[str, tuple[list[EndpointView], ...]] = {}
-        for view in self._views.values():
-            endpoint = view.endpoint
-            tiers = services.setdefault(endpoint.service, ([], [], []))
-            if endpoint.zone == self._zone:
-                tiers[0].append(view)
-            elif endpoint.region == self._region:
-                tiers[1].append(view)
-            else:
-                tiers[2].append(view)
-        self._services = services
+            view.set_sign(sign, is_leaving)
+            self._refresh(view, now)
+
+    def _declare(self, endpoint: Endpoint, now: float) -> None:
+        held = self._views.get(endpoint.name)
+        if held is None:
+            self._put(EndpointView(endpoint, now if self._loaded else None), now)
+        elif held.endpoint.address != endpoint.address or _place(held.endpoint) != _place(endpoint):
+            self._pools[held.endpoint.service].remove(endpoint.name)
+            self._put(EndpointView(endpoint, now), now)
+        elif held.endpoint != endpoint:
+            held.declare(endpoint)
+            self._refresh(held, now)
+
+    def _put(self, view: EndpointView, now: float) -> EndpointView:
+        endpoint = view.endpoint
+        pool = self._pools.get(endpoint.service)
+        if pool is None:
+            pool = self._pools[endpoint.service] = ServicePool(self._rng)
+        pool.put(view, self._tier(endpoint), now)
+        self._views[endpoint.name] = view
+        return view
+
+    def _tier(self, endpoint: Endpoint) -> int:
+        if endpoint.zone == self._zone:
+            return 0
+        return 1 if endpoint.region == self._region else 2
+
+    def _refresh(self, view: EndpointView, now: float) -> None:
+        self._pools[view.endpoint.service].refresh(view, now)
+
+    def _take_report(self, view: EndpointView, load: LoadReport, now: float) -> None:
+        leaving = view.leaving
+        view.on_report(load, now)
+        if view.leaving != leaving:
+            self._refresh(view, now)
+
+    def _hold_back(self, view: EndpointView, now: float) -> None:
+        doubled = LINK_RETRY_SECONDS * 2.0 ** min(view.link_failures, 8)
+        view.link_down_until = now + min(LINK_RETRY_MAX_SECONDS, doubled)
+        self._refresh(view, now)
 
     def _eject(self, view: EndpointView, now: float) -> None:
-        peers = [peer for tier in self._services[view.endpoint.service] for peer in tier]
-        ejected = sum(1 for peer in peers if peer.ejected_until > now)
-        allowed = max(1, int(len(peers) * EJECTED_SHARE_MAX)) if len(peers) > 1 else 0
-        if ejected >= allowed:
+        view.consecutive_failures = 0
+        pool = self._pools[view.endpoint.service]
+        allowed = max(1, int(len(pool) * EJECTED_SHARE_MAX)) if len(pool) > 1 else 0
+        if pool.ejected(now) >= allowed:
             return
         duration = min(EJECTION_MAX_SECONDS, EJECTION_SECONDS * 2.0**view.ejections)
         view.ejections += 1
         view.ejected_until = now + duration
-        view.consecutive_failures = 0
+        pool.refresh(view, now)
+
+
+def _place(endpoint: Endpoint) -> tuple[str, str, str]:
+    return endpoint.service, endpoint.zone, endpoint.region
