--- a/src/finchshed/daemon/front.py
+++ b/src/finchshed/daemon/front.py
@@ -119,6 +119,7 @@
             repeatable=matched.route.repeatable,
             in_session=matched.route.session,
             max_body_bytes=matched.service.max_body_bytes,
+            route=matched.route.prefix,
         )
 
         def answered(outcome: Outcome) -> None:
@@ -168,6 +169,7 @@
             caller=inherited.caller,
             session=request.header(_SESSION),
             key=request.header(_IDEMPOTENCY_KEY),
+            position=inherited.position,
         )
 
     def _refused(self, reason: RefusalReason, detail: str = "") -> Refused:
