--- a/src/finchshed/proof/consensus/clients.py
+++ b/src/finchshed/proof/consensus/clients.py
@@ -19,6 +19,7 @@
 _CHANCE_OF_STALE_REVISION = 0.2
 _CHANCE_OF_LOST_ANSWER = 0.05
 _CHANCE_OF_HINT = 0.7
+_CHANCE_OF_HOME = 0.8
 
 
 class History(msgspec.Struct):
@@ -40,15 +41,28 @@
     """Proposes changes and reads, one at a time, until told to stop.
 
     After a lost answer a change is sent again under the same identity, mostly to another node.
+
+    Parameters
+    ----------
+    home
+        A node to ask first, by preference.
     """
 
-    def __init__(self, name: str, group: Group, history: History, rng: random.Random) -> None:
+    def __init__(
+        self,
+        name: str,
+        group: Group,
+        history: History,
+        rng: random.Random,
+        home: str | None = None,
+    ) -> None:
         self._name = name
         self._group = group
         self._history = history
         self._rng = rng
         self._changes = 0
         self._known_revision = 0
+        self._home = home
         self.is_stopped = False
 
     def run(self) -> Process:
@@ -63,7 +77,7 @@
     def read(self) -> Process:
         """Read once at any node; the process returns what was read, or None."""
         started = self._group.scheduler.now
-        answer = yield from self._ask(self._some_node(), None)
+        answer = yield from self._ask(self._first_node(), None)
         if not isinstance(answer, Reading):
             return None
         self._known_revision = answer.revision
@@ -76,7 +90,7 @@
         change = Change(f"{self._name}-{self._changes}", self._revision_to_name())
         started = self._group.scheduler.now
         may_have_effect = False
-        node = self._some_node()
+        node = self._first_node()
         while self._group.scheduler.now < started + _GIVE_UP_SECONDS:
             answer = yield from self._ask(node, change)
             if isinstance(answer, ChangeResult):
@@ -105,6 +119,12 @@
         yield scheduler.sleep(self._rng.uniform(*_LINK_SECONDS))
         return answer
 
+    def _first_node(self) -> SimulatedNode:
+        home = self._group.nodes.get(self._home) if self._home is not None else None
+        if home is not None and self._rng.random() < _CHANCE_OF_HOME:
+            return home
+        return self._some_node()
+
     def _some_node(self) -> SimulatedNode:
         return self._rng.choice(list(self._group.nodes.values()))
 
--- a/src/finchshed/proof/consensus/group.py
+++ b/src/finchshed/proof/consensus/group.py
@@ -15,15 +15,21 @@
 
 _POLL_SECONDS = 0.05
 
-OPTIONS = RaftOptions(
-    max_append_entries=8,
-    max_in_flight_appends=4,
-    snapshot_piece_bytes=256,
-    snapshot_every_entries=24,
-    trailing_entries=6,
-    promotion_lag_entries=4,
-)
-"""Production times; sizes so small that windows, pieces and snapshots matter within seconds."""
+
+def options_from(rng: random.Random) -> RaftOptions:
+    """Return options of production times, and sizes so small that they matter within seconds.
+
+    Windows of one entry, and elections in which several nodes stand at once, occur for some seeds.
+    """
+    return RaftOptions(
+        max_append_entries=rng.choice((1, 8)),
+        max_in_flight_appends=rng.choice((1, 4)),
+        election_timeout_max_seconds=rng.choice((1.05, 2.0)),
+        snapshot_piece_bytes=256,
+        snapshot_every_entries=24,
+        trailing_entries=6,
+        promotion_lag_entries=4,
+    )
 
 
 class Group:
@@ -47,6 +53,7 @@
         names = [f"n{number}" for number in range(1, voters + spares + 1)]
         self.voter_names = names[:voters]
         self._seed = seed
+        self.options = options_from(random.Random(f"{seed}/options"))
         self._initial = tuple(InitialMember(name, address_of(name)) for name in self.voter_names)
         self.nodes: dict[str, SimulatedNode] = {}
         for name in names:
@@ -63,7 +70,7 @@
             key,
             name,
             self._initial,
-            options=OPTIONS,
+            options=self.options,
             scheduler=self.scheduler,
             network=self.network,
             observer=self.observer,
@@ -113,22 +120,30 @@
                 return False
         return True
 
+    def slow_disks(self) -> None:
+        """Make some disks slow."""
+        for node in self.nodes.values():
+            node.disk_slowness = self.rng.choice((1.0, 1.0, 10.0, 60.0))
+
     def heal(self) -> None:
-        """End every fault: links, freezes, full disks, crashed nodes."""
+        """End every fault: links, freezes, full and slow disks, crashed nodes."""
         self.network.heal()
         self.network.quality = LinkQuality()
         for node in self.nodes.values():
             node.disk.capacity_bytes = UNLIMITED_BYTES
+            node.disk_slowness = 1.0
             node.thaw()
             node.start()
 
-    def wait_until(self, condition: Callable[[], bool], patience: float) -> Process:
+    def wait_until(
+        self, condition: Callable[[], bool], patience: float, poll: float = _POLL_SECONDS
+    ) -> Process:
         """Wait for a condition up to ``patience`` seconds; the process returns whether it holds."""
         deadline = self.scheduler.now + patience
         while not condition():
             if self.scheduler.now >= deadline:
                 return False
-            yield self.scheduler.sleep(_POLL_SECONDS)
+            yield self.scheduler.sleep(poll)
         return True
 
     def pause(self, shortest: float, longest: float) -> Process:
--- a/src/finchshed/proof/consensus/node.py
+++ b/src/finchshed/proof/consensus/node.py
@@ -53,6 +53,7 @@
 _WRITE_SECONDS = (0.0003, 0.004)
 _SLOW_WRITE_CHANCE = 0.01
 _SLOW_WRITE_SECONDS = (0.05, 0.4)
+_LONGEST_WRITE_SECONDS = 3.0
 _MOST_OPERATIONS_OF_A_WRITE = 12
 
 
@@ -81,6 +82,8 @@
         Outlives crashes of the node.
     clock_offset, clock_rate
         The node's own clock shows ``offset + rate * simulated time``.
+    disk_slowness
+        Times as long as usual that a write takes.
     """
 
     def __init__(
@@ -101,6 +104,7 @@
         self.disk = SimulatedDisk(random.Random(rng.getrandbits(64)))
         self.clock_offset = rng.uniform(0.0, 1e6)
         self.clock_rate = 1.0
+        self.disk_slowness = 1.0
         self.register = Register()
         self.is_running = False
         self.is_frozen = False
@@ -373,7 +377,8 @@
 
     def _write_seconds(self) -> float:
         slow = self._rng.random() < _SLOW_WRITE_CHANCE
-        return self._rng.uniform(*(_SLOW_WRITE_SECONDS if slow else _WRITE_SECONDS))
+        seconds = self._rng.uniform(*(_SLOW_WRITE_SECONDS if slow else _WRITE_SECONDS))
+        return min(self.disk_slowness * seconds, _LONGEST_WRITE_SECONDS)
 
     def _in_this_life(self, action: Callable[[], None]) -> Callable[[], None]:
         """Return ``action`` so that it is left out once the process has ended."""
