Sessions are pinned at the caller's side, kept through surge and drain, and never mix editions

Cause: the caller's daemon drew an endpoint for each request of a session, so a session was admitted again and again, wherever its requests fell; and the admission threshold refused requests of running sessions (seen under load: 1 of 8 parts of a download refused as overload). Ruled out: choosing the endpoint by a hash of the session, which moves running sessions whenever an endpoint comes or goes. Change: a table of sessions at the caller's side; a pinned endpoint is left only when it is lost or sends the session away, never because it is busy. The threshold passes running sessions, which wait by rank; the request that opens a session ranks as new, and a session that was refused before it ran is not kept. A session is taken from the header on session routes only: elsewhere the header raised the rank of any request. A range that goes on elsewhere is asked for under If-Range, and a part with another validator than asked for is a corrupt answer.

--- a/src/finchshed/admission/gate.py
+++ b/src/finchshed/admission/gate.py
@@ -92,7 +92,8 @@
         if not self._queue and len(self._running) < self._concurrency.limit:
             self._begin(token, now)
             return [Start(token)]
-        if rank < self._threshold.value:
+        if rank < self._threshold.value and not context.session:
+            # A running session was admitted as a whole; its requests wait by their rank.
             return [self._refusal(token, RefusalReason.OVERLOAD)]
         return self._enqueue(token, rank, now + context.remaining_seconds, now)
 
--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -20,6 +20,7 @@
     HEADER_IMPORTANCE,
     HEADER_ROOT,
     HEADER_SESSION,
+    CallContext,
 )
 from finchshed.common.outcomes import (
     Answered,
@@ -133,7 +134,7 @@
             return
         self._works[work.token] = work
         self._by_call[call.epoch, call.call] = work
-        self._apply(self._gate.arrive(work.token, call.context, now))
+        self._apply(self._gate.arrive(work.token, _rank_context(work), now))
 
     def give_up(self, link: AcceptedLink, call_identity: int) -> None:
         """Drop a call whose caller has given up or is gone."""
@@ -163,6 +164,7 @@
         if ledger_key is None:
             return self._refused(RefusalReason.KEY_INVALID, "a UUID of version 7 is needed")
         session = call.context.session if route.session else ""
+        opens_session = False
         if self.draining and not (session and self._sessions.get(session)):
             return self._refused(RefusalReason.DRAINING)
         if session:
@@ -176,6 +178,7 @@
             )
             if isinstance(opened, NotOpened):
                 return self._refused(opened.reason)
+            opens_session = opened.is_new
             self._sessions.on_request(session, now)
         token = self._next_token
         self._next_token += 1
@@ -187,6 +190,7 @@
             deadline=now + call.context.remaining_seconds,
             repeatable=route.repeatable,
             in_session=bool(session),
+            opens_session=opens_session,
             max_body_bytes=service.max_body_bytes,
             ledger_key=ledger_key,
         )
@@ -284,6 +288,8 @@
     def _answer(self, work: Work, outcome: Refused) -> None:
         """Answer a call that was never started."""
         self._forget(work)
+        if work.opens_session:
+            self._sessions.close(work.call.context.session)
         self._send_reply(work.link, work.call, outcome, work.call.context.spare_attempts)
 
     def _end(self, work: Work, result: CallResult) -> int:
@@ -319,3 +325,10 @@
 
     def _refused(self, reason: RefusalReason, detail: str = "") -> Refused:
         return Refused(reason, retry_after(0.0, self._rng), detail)
+
+
+def _rank_context(work: Work) -> CallContext:
+    """Return the context a call is ranked by: a session that it opens is not running yet."""
+    if work.opens_session:
+        return msgspec.structs.replace(work.call.context, session="")
+    return work.call.context
--- a/src/finchshed/daemon/caller.py
+++ b/src/finchshed/daemon/caller.py
@@ -3,7 +3,7 @@
 import random
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from finchshed.common.outcomes import Outcome, RefusalReason, Refused
 from finchshed.daemon import metrics
@@ -12,6 +12,7 @@
 from finchshed.daemon.ledger_port import fingerprint_of
 from finchshed.daemon.outgoing import OutgoingCall
 from finchshed.daemon.peers import PeerLinks
+from finchshed.daemon.pins import SessionPins
 from finchshed.daemon.request import Request
 from finchshed.retry.bucket import RetryBucket
 from finchshed.retry.policy import retry_after
@@ -48,15 +49,22 @@
         self._rng = rng
         self._buckets: dict[str, RetryBucket] = {}
         self._retry_ratio = Catalogue().policy.retry_ratio
+        self._catalogue = Catalogue()
+        self._pins = SessionPins()
         self._joinable: dict[JoinKey, tuple[OutgoingCall, str]] = {}
         self.in_progress = 0
 
     def configure(self, catalogue: Catalogue) -> None:
         """Act on a new configuration."""
+        self._catalogue = catalogue
         if catalogue.policy.retry_ratio != self._retry_ratio:
             self._retry_ratio = catalogue.policy.retry_ratio
             self._buckets.clear()
 
+    def expire_sessions(self) -> None:
+        """Forget sessions that have been idle for long."""
+        self._pins.expire(time.monotonic())
+
     def call(
         self,
         request: Request,
@@ -103,6 +111,9 @@
 
     def _start(self, request: Request, account: str, key: JoinKey | None) -> OutgoingCall:
         lent = request.context.spare_attempts
+        if request.in_session:
+            conditions = self._pins.conditions_for(request)
+            request = replace(request, headers=request.headers + conditions)
         logic = CallerLogic(
             self._table,
             self._bucket(request.service),
@@ -110,12 +121,15 @@
             request.context,
             repeatable=request.repeatable,
             rng=self._rng,
+            pinned=self._pins.endpoint_of(request) if request.in_session else "",
         )
 
         def finished(call: OutgoingCall, outcome: Outcome, spare: int) -> None:
             self.in_progress -= 1
             if key is not None:
                 self._joinable.pop(key, None)
+            if request.in_session:
+                self._pins.end(request, call.endpoint, outcome, time.monotonic())
             metrics.count_call(request.service, request.context.importance, outcome)
             if account:
                 self._served.give_back(account, lent, spare)
@@ -123,8 +137,16 @@
         call = OutgoingCall(request, logic, self._links, finished, self._retry_after)
         self.in_progress += 1
         call.begin()
+        if request.in_session and not call.is_over:
+            self._pin(request, call.endpoint)
         return call
 
+    def _pin(self, request: Request, endpoint: str) -> None:
+        service = self._catalogue.service(request.service)
+        if service is not None:
+            idle_seconds = service.session_idle_seconds
+            self._pins.begin(request, endpoint, idle_seconds, time.monotonic())
+
     def _bucket(self, service: str) -> RetryBucket:
         bucket = self._buckets.get(service)
         if bucket is None:
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -286,6 +286,7 @@
         while True:
             await asyncio.sleep(SLOW_TICK_SECONDS)
             self._http.sweep()
+            self._caller.expire_sessions()
             self._links.close_idle()
             self._listener.close_silent(asyncio.get_running_loop().time())
             metrics.IN_PROGRESS.labels("caller").set(self._caller.in_progress)
--- a/src/finchshed/daemon/front.py
+++ b/src/finchshed/daemon/front.py
@@ -108,7 +108,7 @@
         if served is None:
             context = self._root_context(request, matched)
         else:
-            context = self._nested_context(request, served)
+            context = self._nested_context(request, matched, served)
         message = Request(
             service=matched.service.name,
             method=request.method,
@@ -152,12 +152,17 @@
             remaining_seconds=_deadline_of(request, matched.service.deadline_seconds),
             spare_attempts=0 if is_late else self.catalogue.policy.retry_budget,
             caller=request.header(_CALLER) or request.remote,
-            session=request.header(_SESSION),
+            session=request.header(_SESSION) if matched.route.session else "",
             key=request.header(_IDEMPOTENCY_KEY),
         )
 
-    def _nested_context(self, request: InboundRequest, served: ServedRequest) -> CallContext:
+    def _nested_context(
+        self, request: InboundRequest, matched: Matched, served: ServedRequest
+    ) -> CallContext:
         inherited = served.context
+        session = inherited.session
+        if matched.route.session:
+            session = request.header(_SESSION) or session
         left = served.deadline - time.monotonic()
         return CallContext(
             root=inherited.root,
@@ -166,7 +171,7 @@
             spare_attempts=self._served.lend(served.account),
             depth=inherited.depth + 1,
             caller=inherited.caller,
-            session=request.header(_SESSION),
+            session=session,
             key=request.header(_IDEMPOTENCY_KEY),
         )
 
--- a/src/finchshed/daemon/outgoing.py
+++ b/src/finchshed/daemon/outgoing.py
@@ -18,6 +18,7 @@
 )
 from finchshed.daemon import metrics
 from finchshed.daemon.peers import Attempt, PeerLinks
+from finchshed.daemon.pins import mixes_editions
 from finchshed.daemon.request import Request
 from finchshed.link.digests import digest_of
 from finchshed.link.messages import Reply
@@ -121,6 +122,9 @@
         outcome = reply.outcome
         if isinstance(outcome, Answered) and digest_of(outcome.body) != reply.digest:
             outcome = Failed(FailureReason.ANSWER_CORRUPT, self._retry_after())
+        elif isinstance(outcome, Answered) and mixes_editions(self.request, outcome):
+            detail = "a part of another edition than asked for"
+            outcome = Failed(FailureReason.ANSWER_CORRUPT, self._retry_after(), detail)
         self._report(number, outcome, reply.spare_attempts, reply)
 
     def _on_unsent(self, number: int, share: int, reason: RefusalReason, detail: str) -> None:
--- /dev/null
+++ b/src/finchshed/daemon/pins.py
@@ -0,0 +1,129 @@
+"""Sessions at the caller's side: which endpoint serves each, and which edition it was given.
+
+A session's requests go to the endpoint that admitted it, also while that is leaving; it moves only
+when the endpoint is lost or sends it away. A download that goes on elsewhere must not mix editions:
+a range is asked for under the validator of the last part (RFC 9110, 13.1.5), and a part that
+carries another validator than asked for is not handed on (RFC 9110, 15.3.7.3).
+"""
+
+import sys
+from dataclasses import dataclass
+
+from finchshed.common.outcomes import Answered, Headers, Outcome
+from finchshed.daemon.request import Request
+from finchshed.session.table import MoveReason, Opened, SessionTable
+
+STATUS_OK = 200
+STATUS_PARTIAL_CONTENT = 206
+MAX_SESSIONS = 100_000
+"""Sessions remembered; further ones run without being pinned."""
+
+WEAK_PREFIX = "W/"
+
+
+@dataclass(frozen=True, slots=True)
+class _Edition:
+    """The last part a session was given."""
+
+    path: str
+    validator: str
+
+
+class SessionPins:
+    """Endpoints and editions of the sessions whose requests come in here."""
+
+    def __init__(self) -> None:
+        self._sessions = SessionTable()
+        self._editions: dict[str, _Edition] = {}
+
+    def __len__(self) -> int:
+        """Return the number of sessions pinned."""
+        return len(self._sessions)
+
+    def endpoint_of(self, request: Request) -> str:
+        """Return the endpoint that serves the request's session, or empty."""
+        held = self._sessions.get(session_of(request))
+        return "" if held is None else held.endpoint
+
+    def begin(self, request: Request, endpoint: str, idle_seconds: float, now: float) -> None:
+        """Take a request of a session that was sent to ``endpoint``; the first one pins it."""
+        session = session_of(request)
+        if not session or not endpoint:
+            return
+        if self._sessions.get(session) is None and len(self._sessions) >= MAX_SESSIONS:
+            return
+        opened = self._sessions.open(
+            session,
+            request.service,
+            endpoint,
+            max_sessions=sys.maxsize,
+            idle_seconds=idle_seconds,
+            now=now,
+        )
+        if isinstance(opened, Opened):
+            self._sessions.on_request(session, now)
+
+    def end(self, request: Request, endpoint: str, outcome: Outcome, now: float) -> None:
+        """Take the end of a request that ``endpoint`` saw last."""
+        session = session_of(request)
+        held = self._sessions.get(session)
+        if held is None:
+            return
+        self._sessions.on_answer(session, now)
+        if not isinstance(outcome, Answered):
+            return
+        if endpoint and endpoint != held.endpoint:
+            self._sessions.move(session, endpoint, MoveReason.ENDPOINT_LOST, now)
+        validator = header_of(outcome.headers, "etag")
+        if outcome.status in {STATUS_OK, STATUS_PARTIAL_CONTENT} and is_strong(validator):
+            self._editions[session] = _Edition(request.path, validator)
+
+    def expire(self, now: float) -> None:
+        """Forget sessions idle for longer than their service allows."""
+        for session in self._sessions.expire(now):
+            self._editions.pop(session.identity, None)
+
+    def conditions_for(self, request: Request) -> Headers:
+        """Return what is added to the request so that a range comes from the session's edition."""
+        edition = self._editions.get(session_of(request))
+        if edition is None or edition.path != request.path or request.method != "GET":
+            return ()
+        if not header_of(request.headers, "range"):
+            return ()
+        if header_of(request.headers, "if-range") or header_of(request.headers, "if-match"):
+            return ()
+        return (("if-range", edition.validator),)
+
+
+def mixes_editions(request: Request, answer: Answered) -> bool:
+    """Return whether a partial answer comes from another edition than was asked for."""
+    if answer.status != STATUS_PARTIAL_CONTENT:
+        return False
+    given = header_of(answer.headers, "etag")
+    if not given:
+        return False
+    if_range = header_of(request.headers, "if-range")
+    if is_strong(if_range) and if_range != given:
+        return True
+    allowed = [tag.strip() for tag in header_of(request.headers, "if-match").split(",")]
+    return allowed not in ([""], ["*"]) and given not in allowed
+
+
+def session_of(request: Request) -> str:
+    """Return the identity of the request's session among all services, or empty."""
+    if not request.in_session or not request.context.session:
+        return ""
+    return f"{request.service} {request.context.session}"
+
+
+def header_of(headers: Headers, name: str) -> str:
+    """Return the first value of a header, or empty."""
+    for held, value in headers:
+        if held == name:
+            return value
+    return ""
+
+
+def is_strong(validator: str) -> bool:
+    """Return whether a validator is an entity tag that tells bytes apart (RFC 9110, 8.8.1)."""
+    return validator.startswith('"') and not validator.startswith(WEAK_PREFIX)
--- a/src/finchshed/daemon/work.py
+++ b/src/finchshed/daemon/work.py
@@ -23,6 +23,7 @@
 class Work:
     """A call in progress. Times are monotonic seconds.
 
+    ``opens_session`` tells that its session was admitted with it, and ends if it is refused.
     ``abandoned`` tells that the caller has given up; what may not be repeated and was sent is
     nevertheless run to its end, so that a resend gets its answer.
     """
@@ -34,6 +35,7 @@
     deadline: float
     repeatable: bool
     in_session: bool
+    opens_session: bool
     max_body_bytes: int
     state: WorkState = WorkState.QUEUED
     abandoned: bool = False
--- a/src/finchshed/routing/caller.py
+++ b/src/finchshed/routing/caller.py
@@ -80,7 +80,8 @@
     rng
         Source of jitter.
     pinned
-        Name of the only endpoint to use, or empty: a session's.
+        Name of the endpoint that serves the request's session, or empty. Another one is taken
+        only if this one is lost or sends the session away, never because it is busy.
     """
 
     def __init__(
@@ -101,6 +102,7 @@
         self._repeatable = repeatable
         self._rng = rng
         self._pinned = pinned
+        self._is_pinned = bool(pinned)
         self._spare = context.spare_attempts
         self._deadline = 0.0
         self._attempt = 0
@@ -144,6 +146,8 @@
         self._spare += max(0, min(spare_returned, self._lent))
         self._lent = 0
         self._last = outcome
+        if isinstance(outcome, Failed) or is_redirect(outcome):
+            self._is_pinned = False
         if isinstance(outcome, Answered):
             self._bucket.on_success()
             return self._finish(outcome)
@@ -183,10 +187,7 @@
         return effects + self._finish(outcome)
 
     def _send(self, now: float) -> list[CallerEffect]:
-        if self._pinned:
-            chosen = self._table.choose_pinned(self._pinned, self._tried, now)
-        else:
-            chosen = self._table.choose(self.service, self._context, self._tried, now)
+        chosen = self._choose(now)
         if isinstance(chosen, Refused):
             return self._finish(self._last or chosen)
         self._attempt += 1
@@ -198,6 +199,14 @@
         self._table.on_sent(chosen.name, now)
         return [Send(self._attempt, chosen, self._lent), SetTimer(self._deadline)]
 
+    def _choose(self, now: float) -> Endpoint | Refused:
+        if self._is_pinned:
+            chosen = self._table.choose_pinned(self._pinned, (), now)
+            if not isinstance(chosen, Refused):
+                return chosen
+            self._is_pinned = False
+        return self._table.choose(self.service, self._context, self._tried, now)
+
     def _pay(self, outcome: Outcome, now: float) -> bool:
         if is_redirect(outcome) and self._redirects < MAX_REDIRECTS:
             self._redirects += 1
