--- a/src/finchshed/emulator/daemons/callee.py
+++ b/src/finchshed/emulator/daemons/callee.py
@@ -5,6 +5,7 @@
 
 import enum
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
 
@@ -23,6 +24,7 @@
 from finchshed.emulator.backend import HEADER_DRAINING, BackEnd
 from finchshed.emulator.daemons.ledger_client import LedgerClient
 from finchshed.emulator.daemons.link import AcceptedLink, CallMessage
+from finchshed.emulator.daemons.outgoing import SHED_REASONS
 from finchshed.emulator.daemons.process import Process
 from finchshed.emulator.request import Cancel, Request
 from finchshed.ledger.results import Completed, Granted, LedgerResult, OutcomeUnknown
@@ -33,6 +35,9 @@
 from finchshed.retry.policy import retry_after
 
 TICK_SECONDS: Final = 0.02
+IDLE_TICK_SECONDS: Final = 0.1
+"""Time between ticks of a gate without work, where production ticks as often as ever."""
+
 LOCAL_DELAY_SECONDS: Final = 0.0002
 """Time to the back end or back over the loopback."""
 
@@ -79,14 +84,17 @@
         process: Process,
         back_end: BackEnd,
         ledger: LedgerClient,
+        *,
         accounts: RetryAccounts,
         rng: random.Random,
+        revision: Callable[[], int],
     ) -> None:
         self._process = process
         self._back_end = back_end
         self._ledger = ledger
         self._accounts = accounts
         self._random = rng
+        self._revision = revision
         self._recorder = process.simulation.recorder
         self._gate = Gate(back_end.slots, rng, process.now)
         self._works: dict[int, Work] = {}
@@ -95,7 +103,7 @@
         self._failed_downstream: set[str] = set()
         self._next_token = 1
         self.draining = False
-        self.may_serve = True
+        self.may_serve = False
         process.call_later(TICK_SECONDS, self._tick)
 
     @property
@@ -158,7 +166,8 @@
 
     def _tick(self) -> None:
         self._apply(self._gate.tick(self._process.now))
-        self._process.call_later(TICK_SECONDS, self._tick)
+        delay = TICK_SECONDS if self._works else IDLE_TICK_SECONDS
+        self._process.call_later(delay, self._tick)
 
     def _apply(self, effects: list[GateEffect]) -> None:
         for effect in effects:
@@ -326,7 +335,7 @@
                 spare_attempts=spare,
                 load=self.load_report(),
                 digest=digest,
-                revision=0,
+                revision=self._revision(),
             )
         )
 
@@ -335,9 +344,3 @@
 
     def _retry_after(self) -> float:
         return retry_after(0.0, self._random)
-
-
-SHED_REASONS: Final = frozenset(
-    {RefusalReason.OVERLOAD, RefusalReason.QUEUE_FULL, RefusalReason.DEADLINE}
-)
-"""Refusals that say a request was shed for overload."""
