Planned stop: a successor takes the address over, late arrivals are answered, restarted daemons come back

Cause: (1) a stopping edge refused what came in on open connections; (2) the kernel spreads new connections over all processes that listen on an address, and resets what waits at a socket that is closed; a successor that had no configuration yet refused what it got; (3) a caller's daemon opened a link only for a call, and sends none to an endpoint that said it was leaving, so that a restarted endpoint stayed out: after a rolling restart of three, callers got 'no_backend'. Ruled out: passing the listening socket over a Unix socket (processes talk by IP only); closing it at once and having callers connect again (a reset connection doesn't say that nothing ran). Change: a stop first directs new connections to the successor (a one-instruction program of SO_ATTACH_REUSEPORT_CBPF), answers all that comes on open connections as the last answer of each, and sends sessions that are left at the end of the drain to other endpoints. HTTP listeners open once the daemon may serve. Links that broke are opened anew, with their backoff.

--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -105,6 +105,10 @@
         """Sessions pinned to this back end."""
         return len(self._sessions)
 
+    def end_sessions(self) -> None:
+        """Send the sessions away: their requests are refused as draining from now on."""
+        self._sessions = SessionTable()
+
     def configure(self, catalogue: Catalogue) -> None:
         """Act on a new configuration."""
         self._catalogue = catalogue
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -22,9 +22,9 @@
 from finchshed.daemon.front import Admitted, Front
 from finchshed.daemon.guarded import GuardedRuns
 from finchshed.daemon.http_server import HttpServer
+from finchshed.daemon.listeners import Listeners
 from finchshed.daemon.peers import PeerLinks
 from finchshed.daemon.settings import DaemonSettings
-from finchshed.daemon.sockets import listening_socket
 from finchshed.daemon.spool import SpoolBudget
 from finchshed.distribution.addresses import parse_control_address
 from finchshed.distribution.client import ClientIdentity
@@ -69,7 +69,7 @@
         self._driver = self._make_driver()
         self._backend: HttpBackend | None = None
         self._callee = self._make_callee()
-        self._servers: list[asyncio.Server] = []
+        self._listeners = Listeners()
 
     @property
     def is_serving(self) -> bool:
@@ -85,34 +85,33 @@
 
     async def start(self) -> None:
         """Follow the configuration and listen."""
-        loop = asyncio.get_running_loop()
         settings = self._settings
         self._spawn(self._driver.run())
         self._spawn(self._tick_often())
         self._spawn(self._tick_seldom())
-        link_socket = listening_socket(settings.link_address)
-        self._servers.append(
-            await loop.create_server(self._listener.make_protocol, sock=link_socket)
-        )
-        http_socket = listening_socket(settings.http_address)
-        self._servers.append(await loop.create_server(self._http.make_protocol, sock=http_socket))
+        await self._listeners.open(settings.link_address, self._listener.make_protocol)
 
     async def stop(self) -> None:
-        """Take no new work, finish what is in progress, and close."""
+        """Take no new work, finish what is in progress, and close.
+
+        Callers are told first, and what they sent before they heard of it still comes in. New
+        connections go to a successor, if one listens already. Sessions may use all of the time a
+        drain has; those that are left then are sent away, which moves them to other endpoints.
+        """
+        settings = self._settings
         self._is_draining = True
         metrics.DRAINING.set(1)
         logger.info("draining")
-        if self._callee is not None:
-            self._callee.draining = True
+        self._listeners.prefer_successor()
         self._http.closing = True
-        for link in self._listener.links():
-            link.tell_draining()
-        started = time.monotonic()
-        while time.monotonic() - started < self._settings.drain_seconds:
-            is_noticed = time.monotonic() - started >= self._settings.drain_notice_seconds
-            if is_noticed and not self._is_busy():
-                break
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        self._tell_draining()
+        await asyncio.sleep(settings.drain_notice_seconds)
+        self._listeners.close()
+        await self._idle(settings.drain_seconds)
+        if self._callee is not None and self._callee.sessions:
+            logger.info("sending {} sessions away", self._callee.sessions)
+            self._callee.end_sessions()
+            await self._idle(settings.drain_notice_seconds)
         await self._close()
 
     # What the configuration tells.
@@ -146,6 +145,8 @@
         logger.info("taking calls, on the ground of {}", ground)
         metrics.SERVING.set(1)
         self._is_serving = True
+        # Not before: a successor shares its address with a process that does answer.
+        self._spawn(self._listeners.open(self._settings.http_address, self._http.make_protocol))
         if self._callee is not None:
             self._callee.may_serve = True
 
@@ -262,10 +263,21 @@
         if self._callee is None or self._callee.draining:
             return
         logger.info("the back end says that it is leaving")
-        self._callee.draining = True
+        self._tell_draining()
+
+    def _tell_draining(self) -> None:
+        if self._callee is not None:
+            self._callee.draining = True
         for link in self._listener.links():
             link.tell_draining()
 
+    async def _idle(self, seconds: float) -> None:
+        """Wait until nothing is in progress, for ``seconds`` at most."""
+        for _ in range(round(seconds / DRAIN_POLL_SECONDS)):
+            if not self._is_busy():
+                return
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
     def _why_not(self) -> RefusalReason | None:
         return None if self._is_serving else RefusalReason.NO_CONFIGURATION
 
@@ -288,14 +300,14 @@
             self._http.sweep()
             self._caller.expire_sessions()
             self._links.close_idle()
+            self._links.reopen_lost()
             self._listener.close_silent(asyncio.get_running_loop().time())
             metrics.IN_PROGRESS.labels("caller").set(self._caller.in_progress)
             if self._callee is not None:
                 metrics.IN_PROGRESS.labels("callee").set(self._callee.in_progress)
 
     async def _close(self) -> None:
-        for server in self._servers:
-            server.close()
+        self._listeners.close()
         self._http.close()
         self._links.close()
         self._listener.close()
--- /dev/null
+++ b/src/finchshed/daemon/listeners.py
@@ -0,0 +1,38 @@
+"""The listeners of a daemon: opened when it may serve, handed to a successor at a planned stop."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from finchshed.daemon.sockets import listening_socket, prefer_successor
+
+
+class Listeners:
+    """Listening sockets and what serves their connections."""
+
+    def __init__(self) -> None:
+        self._sockets: list[socket.socket] = []
+        self._servers: list[asyncio.Server] = []
+        self._is_closed = False
+
+    async def open(self, address: str, factory: Callable[[], asyncio.Protocol]) -> None:
+        """Listen on ``address``; does nothing once closed."""
+        if self._is_closed:
+            return
+        listener = listening_socket(address)
+        self._sockets.append(listener)
+        loop = asyncio.get_running_loop()
+        self._servers.append(await loop.create_server(factory, sock=listener))
+
+    def prefer_successor(self) -> None:
+        """Have new connections go to a process that listens on the same addresses, if any does."""
+        for listener in self._sockets:
+            prefer_successor(listener)
+
+    def close(self) -> None:
+        """Take no more connections; those taken go on."""
+        self._is_closed = True
+        for server in self._servers:
+            server.close()
+        self._servers.clear()
+        self._sockets.clear()
--- a/src/finchshed/daemon/peers.py
+++ b/src/finchshed/daemon/peers.py
@@ -156,9 +156,17 @@
             if idle and link.calls_in_progress == 0 and link.state is LinkState.OPEN:
                 link.close("idle")
 
+    def reopen_lost(self) -> None:
+        """Open the links anew that broke: an endpoint that is back shows it on its link only."""
+        now = time.monotonic()
+        for peer in self._peers.values():
+            if peer.link is None and peer.failures and now >= peer.not_before:
+                self._open(peer)
+
     def close(self) -> None:
         """Close every link."""
         self._closing = True
+        self._peers.clear()
         for link in list(self._by_link):
             link.close("stopped")
 
--- /dev/null
+++ b/tests/daemon/test_planned_stop.py
@@ -0,0 +1,184 @@
+"""Planned stops of real daemon processes under load: counts, not times."""
+
+import asyncio
+import signal
+from collections import Counter
+from dataclasses import dataclass, field
+
+import aiohttp
+
+from tests.daemon.deployment import Deployment, deployment, eventually, make_key
+from tests.daemon.processes import DaemonProcess
+from tests.daemon.scripted_backend import Received, answer
+
+CLIENTS = 6
+
+
+async def work(received: Received, writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(0.01)
+    writer.write(answer(received.path.encode()))
+
+
+@dataclass
+class Load:
+    """Clients that send one request after the other until told to stop."""
+
+    system: Deployment
+    told: Counter[tuple[int, str]] = field(default_factory=Counter)
+    bought: int = 0
+    is_over: bool = False
+
+    async def run(self, number: int, fresh: bool) -> None:
+        """Send requests, on a new connection each if ``fresh``."""
+        connector = aiohttp.TCPConnector(force_close=fresh)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            count = 0
+            while not self.is_over:
+                count += 1
+                await self._send(session, f"c{number}-{count}", is_bought=count % 5 == 0)
+
+    async def _send(self, session: aiohttp.ClientSession, name: str, *, is_bought: bool) -> None:
+        path = f"/buy/{name}" if is_bought else f"/look/{name}"
+        headers = {"finchshed-service": "licence"}
+        if is_bought:
+            headers["idempotency-key"] = make_key()
+        url = f"http://{self.system.edge.http_address}{path}"
+        method = "POST" if is_bought else "GET"
+        try:
+            async with session.request(method, url, headers=headers) as response:
+                body = await response.read()
+                reason = response.headers.get("finchshed-reason", "")
+                if body != path.encode():
+                    reason = reason or "another answer"
+                self.told[response.status, reason] += 1
+        except aiohttp.ClientError as error:
+            self.told[0, repr(error)] += 1
+        self.bought += is_bought
+
+    def bought_twice(self) -> list[str]:
+        """Return what ran more than once of what may not be repeated."""
+        runs = Counter(
+            received.path
+            for backend in self.system.backends
+            for received in backend.received
+            if received.path.startswith("/buy")
+        )
+        return [path for path, count in runs.items() if count > 1]
+
+    async def past(self, answers: int) -> None:
+        """Wait until that many more answers have come."""
+        wanted = self.told.total() + answers
+        await eventually(lambda: self.told.total() >= wanted, seconds=20.0)
+
+
+async def test_a_rolling_restart_of_the_daemons_fails_no_request() -> None:
+    async with deployment(work, work, work) as system:
+        load = Load(system)
+        clients = [asyncio.ensure_future(load.run(n, n % 2 == 0)) for n in range(CLIENTS)]
+        for daemon in system.daemons:
+            await load.past(60)
+            daemon.signal(signal.SIGTERM)
+            await load.past(20)
+            assert await daemon.stopped() == 0
+            await load.past(20)
+            await daemon.start()
+        await load.past(60)
+        load.is_over = True
+        await asyncio.gather(*clients)
+        assert load.bought_twice() == []
+    assert set(load.told) == {(200, "")}
+    assert load.bought > 20
+
+
+async def test_an_edge_hands_its_address_to_its_successor_without_a_failed_request() -> None:
+    async with deployment(work, work) as system:
+        load = Load(system)
+        clients = [asyncio.ensure_future(load.run(n, n % 2 == 0)) for n in range(CLIENTS)]
+        edges = [system.edge]
+        for number in range(3):
+            await load.past(40)
+            successor = DaemonProcess(
+                node=f"edge-{number}",
+                control_address=system.control.address,
+                http_address=system.edge.http_address,
+                link_address=system.edge.link_address,
+            )
+            await successor.start()
+            edges[-1].signal(signal.SIGTERM)
+            assert await edges[-1].stopped() == 0
+            edges.append(successor)
+        await load.past(40)
+        load.is_over = True
+        await asyncio.gather(*clients)
+        await edges[-1].__aexit__()
+        assert load.bought_twice() == []
+    assert set(load.told) == {(200, "")}
+
+
+async def test_a_stopping_edge_finishes_what_it_has_and_what_comes_meanwhile() -> None:
+    release = asyncio.Event()
+
+    async def held(received: Received, writer: asyncio.StreamWriter) -> None:
+        if received.path == "/held":
+            await release.wait()
+        writer.write(answer(received.path.encode()))
+
+    async with deployment(held) as system:
+        first = asyncio.ensure_future(system.ask("/held"))
+        await eventually(lambda: system.runs("/held"))
+        reader, writer = await asyncio.open_connection(*system.edge.http_address.split(":"))
+        system.edge.signal(signal.SIGTERM)
+        await asyncio.sleep(0.1)
+        writer.write(b"GET /late HTTP/1.1\r\nHost: x\r\nfinchshed-service: licence\r\n\r\n")
+        late = await reader.read()
+        assert not first.done()
+        release.set()
+        told = await first
+        assert await system.edge.stopped() == 0
+        writer.close()
+    assert (told.status, told.body) == (200, b"/held")
+    assert late.startswith(b"HTTP/1.1 200 ")
+    assert late.endswith(b"connection: close\r\n\r\n/late")
+
+
+async def test_a_stopping_daemon_finishes_the_calls_of_its_backend() -> None:
+    async def outer(received: Received, writer: asyncio.StreamWriter) -> None:
+        if received.path == "/inner":
+            writer.write(answer(b"inner"))
+            return
+        daemon = system.daemons[0]
+        daemon.signal(signal.SIGTERM)
+        await asyncio.sleep(1.0)
+        headers = {"finchshed-account": received.headers["finchshed-account"]}
+        headers["finchshed-service"] = "licence"
+        url = f"http://{daemon.http_address}/inner"
+        async with system.session.get(url, headers=headers) as response:
+            writer.write(answer(str(response.status).encode() + b" " + await response.read()))
+
+    async def plain(_: Received, writer: asyncio.StreamWriter) -> None:
+        writer.write(answer(b"inner"))
+
+    async with deployment(outer) as system:
+        # A connection of the back end from before the stop: new ones are not taken any more.
+        url = f"http://{system.daemons[0].http_address}/none"
+        async with system.session.get(url) as response:
+            assert response.status == 404
+        told = await system.ask("/outer")
+        assert await system.daemons[0].stopped() == 0
+    assert told.status == 200
+    assert told.body.startswith((b"200 inner", b"503"))
+
+
+async def test_a_drain_past_its_time_sends_sessions_to_other_endpoints() -> None:
+    flags = {"drain-seconds": "0.6", "drain-notice-seconds": "0.3"}
+    async with deployment(work, work, flags=flags) as system:
+        assert (await system.ask("/session/a", finchshed_session="s1")).status == 200
+        own = 0 if system.backends[0].received else 1
+        system.daemons[own].signal(signal.SIGTERM)
+        told = []
+        while system.daemons[own].process.returncode is None:  # type: ignore[union-attr]
+            told.append(await system.ask("/session/a", finchshed_session="s1"))
+            await asyncio.sleep(0.02)
+        told.append(await system.ask("/session/a", finchshed_session="s1"))
+        assert system.backends[1 - own].received
+    assert {answered.status for answered in told} == {200}
