--- a/src/finchshed/daemon/backend.py
+++ b/src/finchshed/daemon/backend.py
@@ -51,7 +51,11 @@
 
 @dataclass(frozen=True, slots=True)
 class BackendRequest:
-    """A request to the back end, and the bounds of its answer."""
+    """A request to the back end, and the bounds of its answer.
+
+    ``account`` identifies it; an answer that carries another one is not its answer. A back end
+    that copies the header shows by it whose answer it gives (see docs/design/whole-answers.md).
+    """
 
     method: str
     path: str
@@ -60,6 +64,7 @@
     timeout_seconds: float
     max_answer_bytes: int
     is_repeatable: bool = True
+    account: str = ""
 
 
 BackendResult: TypeAlias = (
--- a/src/finchshed/daemon/backend_connection.py
+++ b/src/finchshed/daemon/backend_connection.py
@@ -12,7 +12,7 @@
 
 import httptools
 
-from finchshed.common.context import HEADER_RAN
+from finchshed.common.context import HEADER_ACCOUNT, HEADER_RAN
 from finchshed.common.outcomes import Headers
 from finchshed.daemon.backend import (
     BackendAnswer,
@@ -28,6 +28,7 @@
 MAX_HEAD_BYTES = 65_536
 
 _RAN = HEADER_RAN.encode("ascii")
+_ACCOUNT = HEADER_ACCOUNT.encode("ascii")
 
 
 class ConnectionState(enum.Enum):
@@ -63,6 +64,7 @@
         self._on_result: Callable[[BackendResult], None] | None = None
         self._is_head = False
         self._max_answer_bytes = 0
+        self._account = b""
         self._is_complete: bool = False
         self._is_too_large: bool = False
         self._start_answer()
@@ -73,6 +75,7 @@
         *,
         is_head: bool,
         max_answer_bytes: int,
+        account: bytes,
         on_result: Callable[[BackendResult], None],
     ) -> None:
         """Send a request; the connection must be idle."""
@@ -80,6 +83,7 @@
         self.state = ConnectionState.AWAITING_ANSWER
         self._is_head = is_head
         self._max_answer_bytes = max_answer_bytes
+        self._account = account
         self._on_result = on_result
         self._start_answer()
         self._transport.write(message)
@@ -110,8 +114,9 @@
             self._is_in_doubt = True
         if self._is_complete:
             # What followed in the same bytes decides whether the connection can be used again.
+            answer = self._answer()
             self._release()
-            self._finish(self._answer())
+            self._finish(answer)
         elif self._is_too_large:
             self._finish(BackendAnswerTooLarge())
             self._close()
@@ -203,8 +208,11 @@
         self.state = ConnectionState.IDLE
         self._on_idle(self)
 
-    def _answer(self) -> BackendAnswer:
+    def _answer(self) -> BackendAnswer | BackendBroken:
         told = dict(self._raw_headers)
+        if told.get(_ACCOUNT, self._account) != self._account:
+            self._is_in_doubt = True
+            return BackendBroken("the answer is another request's")
         refused = self._status == STATUS_SERVICE_UNAVAILABLE and told.get(_RAN) == b"no"
         headers: Headers = end_to_end_headers(self._raw_headers)
         return BackendAnswer(
--- a/src/finchshed/daemon/backend_http.py
+++ b/src/finchshed/daemon/backend_http.py
@@ -155,6 +155,7 @@
             message,
             is_head=self._request.method == "HEAD",
             max_answer_bytes=self._request.max_answer_bytes,
+            account=self._request.account.encode("latin-1"),
             on_result=self.end,
         )
 
--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -231,6 +231,7 @@
             timeout_seconds=remaining,
             max_answer_bytes=work.max_body_bytes,
             is_repeatable=work.repeatable,
+            account=work.served.account,
         )
         work.cancel_backend = self._backend.send(
             request, lambda result: self._on_backend_result(work, result)
--- a/tests/daemon/test_whole_answers.py
+++ b/tests/daemon/test_whole_answers.py
@@ -159,3 +159,20 @@
         bodies = [(await system.ask(f"/{number}")).body for number in range(5)]
         assert system.backends[0].connections == 5
     assert bodies == [f"/{number}".encode() for number in range(5)]
+
+
+async def test_an_answer_that_names_another_request_is_not_handed_on() -> None:
+    async def handler(received: Received, writer: asyncio.StreamWriter) -> None:
+        account = received.headers["finchshed-account"]
+        own = answer(received.path.encode(), finchshed_account=account)
+        if received.path == "/0":
+            # A second answer that arrives only when the next request has been sent.
+            held.append(own)
+        writer.write(held.pop() if received.path == "/1" else own)
+
+    held: list[bytes] = []
+    async with deployment(handler, retry_budget=0) as system:
+        told = [await system.ask(f"/{number}") for number in range(4)]
+    assert [answered.body for answered in told if answered.status == 200] == [b"/0", b"/2", b"/3"]
+    assert (told[1].ran, told[1].reason) == ("unknown", "backend_broken")
+    assert "finchshed-account" not in told[0].headers
