--- a/src/finchshed/consensus/options.py
+++ b/src/finchshed/consensus/options.py
@@ -37,6 +37,8 @@
         Time between the greetings of a node that is not yet a member.
     promotion_lag_entries
         A learner this close to the leader's log counts as caught up.
+    standby_after_seconds
+        A voter silent for longer is replaced by a standby that has caught up; infinite: never.
     transfer_timeout_seconds
         A leadership transfer that has not succeeded by then is given up.
     """
@@ -55,6 +57,7 @@
     read_timeout_seconds: Positive = 2.0
     hello_interval_seconds: Positive = 0.5
     promotion_lag_entries: Count = 32
+    standby_after_seconds: Positive = 60.0
     transfer_timeout_seconds: Positive = 2.0
 
     def __post_init__(self) -> None:
--- a/src/finchshed/consensus/repair.py
+++ b/src/finchshed/consensus/repair.py
@@ -14,6 +14,7 @@
     blocked_by,
     keeps_whole_majority,
 )
+from finchshed.consensus.standby import replaced_by_standby
 from finchshed.consensus.state import Greeting, LeaderState, NodeState
 
 ABANDONED_SECONDS = 30.0
@@ -39,7 +40,15 @@
             wanted = _promoted(state, leading, member)
             if wanted is not None:
                 return wanted
-    return None
+    return replaced_by_standby(state, leading, _ready_learners(state, leading))
+
+
+def _ready_learners(state: NodeState, leading: LeaderState) -> list[Member]:
+    return [
+        member
+        for member in state.membership.members
+        if member.role is MemberRole.LEARNER and _has_caught_up(state, leading, member.identity)
+    ]
 
 
 def _taken_in(state: NodeState, leading: LeaderState, greeting: Greeting) -> Membership | None:
--- a/src/finchshed/control/group_log.py
+++ b/src/finchshed/control/group_log.py
@@ -10,8 +10,8 @@
 
 from finchshed.common.errors import ControlUnavailableError
 from finchshed.consensus.effects import RefusalCause
+from finchshed.consensus.membership import Member, MembershipChange
 from finchshed.consensus.membership import MemberRole as GroupRole
-from finchshed.consensus.membership import MembershipChange
 from finchshed.control.background import Background
 from finchshed.control.commands import Command, CommandResult
 from finchshed.control.peer_links import PeerLink, PeerLinks
@@ -130,9 +130,7 @@
         known = {status.member.identity: status for status in node.member_statuses()}
         members = []
         for member in node.membership.members:
-            role = MemberRole.VOTER if member.role is GroupRole.VOTER else MemberRole.LEARNER
-            if member.identity == node.leader:
-                role = MemberRole.LEADER
+            role = MemberRole.LEADER if member.identity == node.leader else _role_of(member)
             status = known.get(member.identity)
             members.append(
                 MemberStatus(
@@ -253,5 +251,11 @@
         await self._host.wait_for_role_change(pause)
 
 
+def _role_of(member: Member) -> MemberRole:
+    if member.role is GroupRole.VOTER:
+        return MemberRole.VOTER
+    return MemberRole.LEARNER if member.promote else MemberRole.STANDBY
+
+
 def _ignore_report(_report: InForceReport) -> None:
     """Stand in until the distribution service is connected."""
--- a/src/finchshed/control/node.py
+++ b/src/finchshed/control/node.py
@@ -136,6 +136,7 @@
         heartbeat_interval_seconds=settings.heartbeat_seconds,
         election_timeout_min_seconds=settings.election_timeout_seconds,
         election_timeout_max_seconds=ELECTION_SPREAD * settings.election_timeout_seconds,
+        standby_after_seconds=settings.standby_after_seconds,
         snapshot_every_entries=settings.snapshot_entries,
         read_timeout_seconds=settings.request_timeout_seconds / 2,
     )
--- a/src/finchshed/control/replacement.py
+++ b/src/finchshed/control/replacement.py
@@ -11,6 +11,8 @@
 from finchshed.consensus.membership import AddMember, MembershipChange, RemoveMember
 from finchshed.control.replicated_log import MemberRole, MemberStatus
 
+VOTING = (MemberRole.LEADER, MemberRole.VOTER)
+
 
 @dataclass(frozen=True, slots=True)
 class Replacement:
@@ -61,13 +63,17 @@
 
 
 def _step_of_adding(members: Sequence[MemberStatus], replacement: Replacement) -> Step | None:
+    """Return the next step of putting the new member in, or None when it is in."""
     name = replacement.add
     present = _named(members, name)
+    shall_vote = _shall_vote(members, replacement)
     if not present:
-        return Step(f"putting {name} in as a learner", AddMember(name, not replacement.standby))
-    votes = [member for member in present if member.role is not MemberRole.LEARNER]
-    if replacement.standby:
-        return None if not votes else Step(f"{name} is a voter already", is_done=True)
+        kind = "a learner" if shall_vote else "a standby"
+        return Step(f"putting {name} in as {kind}", AddMember(name, shall_vote))
+    votes = [member for member in present if member.role in VOTING]
+    if not shall_vote:
+        done = replacement.standby and votes
+        return Step(f"{name} is a voter already", is_done=True) if done else None
     if len(present) > 1:
         return Step(f"{name} comes back on another disk and catches up")
     if not votes:
@@ -76,5 +82,21 @@
     return None
 
 
+def _shall_vote(members: Sequence[MemberStatus], replacement: Replacement) -> bool:
+    """Whether the new member is to vote: it takes the role of the one it replaces.
+
+    A standby that the replaced one left behind stays one: the replaced member had lost its vote to
+    another standby before.
+    """
+    if replacement.standby:
+        return False
+    leaving = _named(members, replacement.remove) if replacement.remove else []
+    if leaving:
+        return any(member.role is not MemberRole.STANDBY for member in leaving)
+    present = _named(members, replacement.add)
+    took_the_place = bool(replacement.remove) and bool(present)
+    return not (took_the_place and all(item.role is MemberRole.STANDBY for item in present))
+
+
 def _named(members: Sequence[MemberStatus], name: str) -> list[MemberStatus]:
     return [member for member in members if member.name == name]
--- a/src/finchshed/control/replicated_log.py
+++ b/src/finchshed/control/replicated_log.py
@@ -15,6 +15,10 @@
     LEADER = "leader"
     VOTER = "voter"
     LEARNER = "learner"
+    """Becomes a voter once it has caught up."""
+
+    STANDBY = "standby"
+    """Follows the log and doesn't vote, until it takes the place of a silent voter."""
 
 
 class MemberStatus(msgspec.Struct, frozen=True):
--- a/src/finchshed/control/settings.py
+++ b/src/finchshed/control/settings.py
@@ -97,6 +97,14 @@
     heartbeat_seconds: Annotated[
         float, msgspec.Meta(ge=0.02, le=10.0, description="Time between the leader's heartbeats.")
     ] = 0.1
+    standby_after_seconds: Annotated[
+        float,
+        msgspec.Meta(
+            ge=1.0,
+            le=1e9,
+            description="A voter silent for this long is replaced by a standby that has caught up.",
+        ),
+    ] = 60.0
     request_timeout_seconds: Annotated[
         float,
         msgspec.Meta(ge=0.1, le=60.0, description="Longest wait for a quorum's agreement."),
--- /dev/null
+++ b/tests/consensus/test_standby.py
@@ -0,0 +1,133 @@
+"""A standby takes the place of a silent voter, in simulated time."""
+
+from collections.abc import Callable
+
+import pytest
+
+from finchshed.consensus.membership import AddMember, MemberRole
+from finchshed.proof.consensus.group import OPTIONS, Group
+from finchshed.proof.consensus.node import SimulatedNode
+from finchshed.proof.consensus.scheduler import Process
+
+PATIENCE_SECONDS = 4 * OPTIONS.standby_after_seconds
+
+
+def wait(group: Group, condition: Callable[[], bool], patience: float = PATIENCE_SECONDS) -> bool:
+    waiting = group.scheduler.start(group.wait_until(condition, patience))
+    group.scheduler.run_until(waiting)
+    return bool(waiting.value)
+
+
+def sleep(group: Group, seconds: float) -> None:
+    wait(group, lambda: False, seconds)
+
+
+def roles(group: Group) -> dict[str, str]:
+    leader = group.leader()
+    if leader is None or leader.raft.log.membership_index > leader.raft.commit_index:
+        return {}
+    return {
+        member.identity.name: "learner" if member.promote else member.role.value
+        for member in leader.raft.membership.members
+    }
+
+
+def voters(group: Group) -> set[str]:
+    return {name for name, role in roles(group).items() if role == "voter"}
+
+
+def formed(seed: str, spares: int = 1) -> Group:
+    """Return a group of five voters and standbys."""
+    group = Group(seed, 5, spares)
+    group.start()
+    assert wait(group, group.is_whole)
+    standbys = {f"n{6 + number}" for number in range(spares)}
+
+    def ask() -> Process:
+        while not standbys <= roles(group).keys():
+            leader = group.leader()
+            for name in standbys - roles(group).keys():
+                if leader is not None:
+                    leader.change_membership(AddMember(name, voter=False))
+            yield group.scheduler.sleep(0.2)
+
+    group.scheduler.start(ask())
+    assert wait(group, lambda: standbys <= roles(group).keys())
+    return group
+
+
+def followers(group: Group) -> list[SimulatedNode]:
+    leader = group.leader()
+    return [node for node in group.nodes.values() if node is not leader and node.name != "n6"]
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_voter_silent_for_long_becomes_the_standby_and_comes_back_as_it(seed: int) -> None:
+    group = formed(f"silent/{seed}")
+    lost = followers(group)[0]
+    lost.crash(power_lost=True)
+    sleep(group, OPTIONS.standby_after_seconds / 2)
+    assert voters(group) == {"n1", "n2", "n3", "n4", "n5"}
+    assert wait(group, lambda: "n6" in voters(group))
+    expected = {"n1", "n2", "n3", "n4", "n5", "n6"} - {lost.name}
+    assert voters(group) == expected
+    lost.start()
+    sleep(group, PATIENCE_SECONDS)
+    assert voters(group) == expected
+    assert roles(group)[lost.name] == MemberRole.LEARNER
+    group.observer.check()
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_the_next_voter_lost_is_replaced_by_the_first_that_came_back(seed: int) -> None:
+    group = formed(f"next/{seed}")
+    first, second, *_ = followers(group)
+    first.crash(power_lost=False)
+    assert wait(group, lambda: "n6" in voters(group))
+    second.crash(power_lost=True)
+    first.lose_disk()
+    first.start()
+    assert wait(group, lambda: first.name in voters(group))
+    assert second.name not in voters(group)
+    assert len(voters(group)) == 5
+    group.observer.check()
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_standby_lost_while_it_is_promoted_leaves_its_place_to_another(seed: int) -> None:
+    group = formed(f"lost-standby/{seed}", spares=2)
+    lost = followers(group)[0]
+    if lost.name == "n7":
+        lost = followers(group)[1]
+    lost.crash(power_lost=True)
+    assert wait(group, lambda: "learner" in roles(group).values() or len(voters(group)) == 5)
+    chosen = next(name for name in ("n6", "n7") if roles(group).get(name) != MemberRole.LEARNER)
+    group.nodes[chosen].crash(power_lost=True)
+    other = "n7" if chosen == "n6" else "n6"
+    assert wait(group, lambda: other in voters(group))
+    group.observer.check()
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_with_two_voters_lost_the_one_standby_is_used_and_no_vote_is_given_up(seed: int) -> None:
+    group = formed(f"two/{seed}")
+    first, second, third, *_ = followers(group)
+    first.crash(power_lost=True)
+    second.crash(power_lost=True)
+    assert wait(group, lambda: "n6" in voters(group))
+    sleep(group, PATIENCE_SECONDS)
+    assert len(voters(group)) == 5
+    third.crash(power_lost=True)
+    assert wait(group, lambda: group.leader() is not None and bool(roles(group)))
+    group.observer.check()
+
+
+def test_without_a_standby_that_has_caught_up_no_voter_is_taken_out() -> None:
+    group = formed("none")
+    lost, *_ = followers(group)
+    group.nodes["n6"].freeze()
+    lost.crash(power_lost=True)
+    sleep(group, PATIENCE_SECONDS)
+    assert voters(group) == {"n1", "n2", "n3", "n4", "n5"}
+    group.nodes["n6"].thaw()
+    assert wait(group, lambda: "n6" in voters(group))
--- /dev/null
+++ b/tests/control/test_standby.py
@@ -0,0 +1,141 @@
+"""Six control machines: five voters and a standby that stands in for a lost one."""
+
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import cast
+
+import pytest
+
+from finchshed.configuration.changes import Accepted
+from finchshed.configuration.difference import Difference
+from finchshed.configuration.resources import Service
+from finchshed.ctl.changes import read_in_force, submit
+from finchshed.rpc.generated import finchshed_pb2 as pb
+from tests.control.group import Group, Node
+
+STANDBY_AFTER_SECONDS = 3.0
+TIMEOUT_SECONDS = 60.0
+VOTING = {"leader", "voter"}
+
+
+@pytest.fixture
+def group(tmp_path: Path) -> Iterator[Group]:
+    made = Group(tmp_path, voters=5, spares=1, standby_after=STANDBY_AFTER_SECONDS)
+    made.start_all(made.nodes)
+    made.bootstrap()
+    take_in_standby(made, made.nodes[5])
+    yield made
+    made.close()
+
+
+def take_in_standby(group: Group, standby: Node) -> None:
+    client = group.client(group.voters)
+    request = pb.ReplaceMemberRequest(add=standby.name, standby=True)
+    wait_until(
+        lambda: cast(pb.ReplaceMemberResponse, client.call("ReplaceMember", request)).done,
+        lambda: "not taken in",
+    )
+    client.close()
+    wait_until_roles(group, lambda roles: roles[standby.name] == "standby")
+
+
+def roles_of(group: Group) -> dict[str, str]:
+    """Return role by name as the leader sees it; empty where none is known."""
+    client = group.client([node for node in group.nodes if node.process is not None])
+    answers = client.call_each("Members", pb.MembersRequest())
+    client.close()
+    for _, answer, _ in answers:
+        response = cast(pb.MembersResponse, answer)
+        if response is not None and response.leader == response.node:
+            return {member.name: member.role for member in response.members}
+    return {}
+
+
+def wait_until(condition: Callable[[], bool], describe: Callable[[], object]) -> None:
+    deadline = time.monotonic() + TIMEOUT_SECONDS
+    while not condition():
+        assert time.monotonic() < deadline, describe()
+        time.sleep(0.05)
+
+
+def wait_until_roles(group: Group, condition: Callable[[dict[str, str]], bool]) -> dict[str, str]:
+    seen: list[dict[str, str]] = [{}]
+
+    def holds() -> bool:
+        seen.append(roles_of(group))
+        return bool(seen[-1]) and condition(seen[-1])
+
+    wait_until(holds, lambda: seen[-1])
+    return seen[-1]
+
+
+class Changes:
+    """Submits numbered changes through whichever nodes run, and remembers which were accepted."""
+
+    def __init__(self, group: Group) -> None:
+        self._group = group
+        self._count = 0
+
+    def accept(self, count: int) -> None:
+        running = [node for node in self._group.nodes if node.process is not None]
+        client = self._group.client(running, timeout=TIMEOUT_SECONDS)
+        for _ in range(count):
+            change = Difference((Service(name=f"s{self._count}"),), ())
+            result = submit(client, f"c{self._count}", 1 + self._count, change)
+            self._count += 1
+            assert result == Accepted(1 + self._count)
+        names = {key.name for key in read_in_force(client).resources}
+        client.close()
+        assert {f"s{number}" for number in range(self._count)} <= names
+
+
+def voting(roles: dict[str, str]) -> set[str]:
+    return {name for name, role in roles.items() if role in VOTING}
+
+
+def test_after_two_machines_are_lost_the_standby_makes_room_for_a_third_loss(
+    group: Group,
+) -> None:
+    changes = Changes(group)
+    changes.accept(5)
+    standby = group.nodes[5]
+    leader = group.leader()
+    other, third, *_rest = (node for node in group.voters if node is not leader)
+    group.kill(leader)
+    group.kill(other)
+    changes.accept(5)
+    roles = wait_until_roles(group, lambda roles: standby.name in voting(roles))
+    assert len(voting(roles)) == 5
+    replaced = {leader.name, other.name} - voting(roles)
+    assert len(replaced) == 1
+    group.kill(third)
+    changes.accept(5)
+    for node in (leader, other, third):
+        group.start(node)
+    changes.accept(5)
+    healed = wait_until_roles(group, lambda roles: len(voting(roles)) == 5)
+    assert {name for name, role in healed.items() if role == "standby"} != set()
+    assert healed.keys() == {node.name for node in group.nodes}
+
+
+def test_a_machine_lost_just_after_a_replacement_began_stops_nothing(group: Group) -> None:
+    changes = Changes(group)
+    changes.accept(3)
+    standby = group.nodes[5]
+    leader = group.leader()
+    first, second, *_ = (node for node in group.voters if node is not leader)
+    group.kill(first)
+    group.lose_disk(first)
+    wait_until_roles(group, lambda roles: roles[first.name] == "standby")
+    group.kill(second)
+    changes.accept(5)
+    roles = wait_until_roles(group, lambda roles: standby.name in voting(roles))
+    assert len(voting(roles)) == 5
+    group.start(first)
+    changes.accept(5)
+    wait_until_roles(
+        group,
+        lambda roles: second.name not in voting(roles) and first.name in voting(roles),
+    )
+    changes.accept(5)
