--- a/src/finchshed/cli/table.py
+++ b/src/finchshed/cli/table.py
@@ -58,6 +58,10 @@
         exit_codes="finchshed.ctl.exit_codes:MEANINGS",
     ),
     "config": Command("check, show or sample settings", "finchshed.settings.command:COMMANDS"),
+    "prove-consensus": Command(
+        "check the replicated log under failure over seeds",
+        "finchshed.proof.consensus.command:prove_consensus",
+    ),
     "fleet": Command("run a deployment of real processes", "finchshed.fleet.command:fleet"),
     "bench": Command("measure what a call costs", "finchshed.bench.command:COMMANDS"),
     "standin": Command("stand-ins for back ends and callers", "finchshed.standins.command:standin"),
