Calls leave no cyclic garbage, and full collections pass over what was there at the start

Cause: with collections counted over 3,000 calls at 300 a second, the edge collected 139,290 objects (33 a call from cycles between a call and its attempt, an exchange and its way to give it up) in 248 collections of 87 ms in sum, 23 ms for the longest; no call moves meanwhile. Change: the three cycles are broken when a call ends; once the daemon serves, what exists is frozen and the thresholds are raised. The machine was shared, so no percentile is claimed.

--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -308,6 +308,7 @@
 
     def _forget(self, work: Work) -> None:
         work.state = WorkState.DONE
+        work.cancel_backend = None
         self._works.pop(work.token, None)
         self._by_call.pop((work.call.epoch, work.call.call), None)
         if work.in_session:
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -36,6 +36,7 @@
 from finchshed.link.messages import Call, Hello, LoadReport, Reply
 from finchshed.retry.policy import retry_after
 from finchshed.routing.table import RoutingTable
+from finchshed.runtime import garbage
 
 TICK_SECONDS = 0.02
 SLOW_TICK_SECONDS = 0.5
@@ -143,6 +144,7 @@
     def start_serving(self, ground: ServingGround) -> None:
         """Take calls from now on."""
         logger.info("taking calls, on the ground of {}", ground)
+        garbage.settle()
         metrics.SERVING.set(1)
         self._is_serving = True
         # Not before: a successor shares its address with a process that does answer.
--- a/src/finchshed/daemon/http_connection.py
+++ b/src/finchshed/daemon/http_connection.py
@@ -289,6 +289,7 @@
         if self._answering is not exchange or self._transport is None:
             return
         self._answering = None
+        exchange.give_up = None
         self._release(exchange)
         closes = exchange.closes or self._owner.closing
         is_head = exchange.request.method == "HEAD"
--- a/src/finchshed/daemon/outgoing.py
+++ b/src/finchshed/daemon/outgoing.py
@@ -149,6 +149,8 @@
 
     def _finish(self, effect: Finish) -> None:
         self._outcome = effect.outcome
+        # The attempt refers back to this call: without the cycle it is freed at once.
+        self._attempt = None
         if self._timer is not None:
             self._timer.cancel()
         self._on_finish(self, effect.outcome, effect.spare_returned)
--- /dev/null
+++ b/src/finchshed/runtime/garbage.py
@@ -0,0 +1,21 @@
+"""Garbage collection of a process that has started.
+
+A full collection looks at every container, most of which belong to imported modules and are never
+garbage: 23 ms were seen in a daemon, during which no call moves. What is there once a process
+serves is taken out of sight, so that a full collection costs what the calls left behind.
+"""
+
+import gc
+
+YOUNG_THRESHOLD = 5_000
+"""Containers made and not freed since the last collection of the youngest generation."""
+
+MIDDLE_THRESHOLD = 20
+OLD_THRESHOLD = 20
+
+
+def settle() -> None:
+    """Collect once, then leave what exists alone; call it when the process begins to serve."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(YOUNG_THRESHOLD, MIDDLE_THRESHOLD, OLD_THRESHOLD)
