--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -12,6 +12,7 @@
 
 from finchshed.admission.effects import GateEffect, Start
 from finchshed.admission.gate import Gate
+from finchshed.admission.paths import PathThresholds
 from finchshed.common.context import (
     HEADER_ACCOUNT,
     HEADER_CALLER,
@@ -62,6 +63,8 @@
     ----------
     backend
         Client to the back end.
+    paths
+        Thresholds that requests meet further down.
     guarded
         Runs what may not be repeated.
     on_backend_leaving
@@ -75,6 +78,7 @@
         backend: Backend,
         guarded: GuardedRuns,
         served: ServedRequests,
+        paths: PathThresholds,
         rng: random.Random,
         on_backend_leaving: Callable[[], None],
         revision: Callable[[], int],
@@ -83,6 +87,7 @@
         self._backend = backend
         self._guarded = guarded
         self._served = served
+        self._paths = paths
         self._rng = rng
         self._on_backend_leaving = on_backend_leaving
         self._revision = revision
@@ -118,7 +123,8 @@
 
     def load_report(self) -> LoadReport:
         """Return the load as callers are told."""
-        report = self._gate.load_report(time.monotonic())
+        now = time.monotonic()
+        report = self._gate.load_report(now, self._paths.report(now))
         if self.draining and not report.draining:
             return msgspec.structs.replace(report, draining=True)
         return report
@@ -138,7 +144,8 @@
             return
         self._works[work.token] = work
         self._by_call[call.epoch, call.call] = work
-        self._apply(self._gate.arrive(work.token, _rank_context(work), now))
+        floor = self._paths.floor(work.route, now)
+        self._apply(self._gate.arrive(work.token, _rank_context(work), now, floor))
 
     def give_up(self, link: AcceptedLink, call_identity: int) -> None:
         """Drop a call whose caller has given up or is gone."""
@@ -192,6 +199,7 @@
             call=call,
             arrived=now,
             deadline=now + call.context.remaining_seconds,
+            route=route.prefix,
             repeatable=route.repeatable,
             in_session=bool(session),
             opens_session=opens_session,
@@ -222,6 +230,7 @@
         call = work.call
         work.state = WorkState.AT_BACKEND
         work.served = self._served.open(call.context, work.deadline)
+        self._paths.on_start(work.served.account, work.route)
         remaining = work.deadline - time.monotonic()
         request = BackendRequest(
             method=call.method,
@@ -302,6 +311,7 @@
         spare = work.call.context.spare_attempts
         if work.served is not None:
             spare = self._served.close(work.served.account)
+            self._paths.on_end(work.served.account, answered=result is CallResult.OK)
         self._forget(work)
         self._apply(self._gate.finish(work.token, result, time.monotonic()))
         return spare
--- a/src/finchshed/daemon/front.py
+++ b/src/finchshed/daemon/front.py
@@ -119,6 +119,7 @@
             repeatable=matched.route.repeatable,
             in_session=matched.route.session,
             max_body_bytes=matched.service.max_body_bytes,
+            route=matched.route.prefix,
         )
 
         def answered(outcome: Outcome) -> None:
@@ -173,6 +174,7 @@
             caller=inherited.caller,
             session=session,
             key=request.header(_IDEMPOTENCY_KEY),
+            position=inherited.position,
         )
 
     def _refused(self, reason: RefusalReason, detail: str = "") -> Refused:
--- a/src/finchshed/daemon/work.py
+++ b/src/finchshed/daemon/work.py
@@ -23,9 +23,10 @@
 class Work:
     """A call in progress. Times are monotonic seconds.
 
-    ``opens_session`` tells that its session was admitted with it, and ends if it is refused.
-    ``abandoned`` tells that the caller has given up; what may not be repeated and was sent is
-    nevertheless run to its end, so that a resend gets its answer.
+    ``route`` is the prefix of the route it falls under. ``opens_session`` tells that its session
+    was admitted with it, and ends if it is refused. ``abandoned`` tells that the caller has given
+    up; what may not be repeated and was sent is nevertheless run to its end, so that a resend gets
+    its answer.
     """
 
     token: int
@@ -33,6 +34,7 @@
     call: Call
     arrived: float
     deadline: float
+    route: str
     repeatable: bool
     in_session: bool
     opens_session: bool
--- a/src/finchshed/emulator/daemons/daemon.py
+++ b/src/finchshed/emulator/daemons/daemon.py
@@ -8,6 +8,7 @@
 import msgspec
 import xxhash
 
+from finchshed.admission.paths import PathThresholds
 from finchshed.common.context import CallContext
 from finchshed.common.outcomes import Outcome, RefusalReason, Refused
 from finchshed.common.results import CallResult, result_of
@@ -100,11 +101,13 @@
         self._connection = self._control.connect(self)
         self.callee: Callee | None = None
         if self.back_end is not None:
+            paths = PathThresholds(self.table.floor)
             self.callee = Callee(
                 self,
                 self.back_end,
                 self._connection.ledger,
                 accounts=self.accounts,
+                paths=paths,
                 rng=self.random,
                 revision=self.revision,
             )
@@ -224,6 +227,8 @@
         if deadline is None:
             answer(Refused(RefusalReason.CANCELLED, retry_after(0.0, self.random)))
             return _nothing
+        if self.callee is not None:
+            self.callee.call_on_began(request.account, request)
         lent = self.accounts.lend(request.account)
         context = CallContext(
             request.root,
@@ -260,6 +265,7 @@
             context,
             repeatable=request.repeatable,
             rng=self.random,
+            route=request.kind,
         )
         return OutgoingCall(self, logic, request, context, finished)
 
--- a/src/finchshed/ledger/ledger.py
+++ b/src/finchshed/ledger/ledger.py
@@ -66,11 +66,15 @@
 
 
 class LedgerSnapshot(msgspec.Struct):
-    """Everything a ledger holds."""
+    """Everything a ledger holds.
+
+    ``unknown_before``: keys made earlier may have been begun in a part of the log that was lost.
+    """
 
     time: float
     floor: float
     entries: dict[str, LedgerEntry]
+    unknown_before: float = 0.0
 
 
 class LedgerLimits(msgspec.Struct, frozen=True):
@@ -106,6 +110,7 @@
         self._counts: collections.Counter[KeyState] = collections.Counter()
         self.time = 0.0
         self.floor = 0.0
+        self.unknown_before = 0.0
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -136,6 +141,9 @@
         if refusal is not None or issued is None:
             return LedgerRefusal(refusal or LedgerRefusalReason.NO_TIME_IN_KEY)
         entry = self._entries.get(key)
+        is_free = entry is None or entry.state is KeyState.FREE
+        if is_free and issued < self.unknown_before:
+            return OutcomeUnknown()
         if entry is None:
             if self._is_full():
                 return LedgerRefusal(LedgerRefusalReason.FULL)
@@ -145,7 +153,11 @@
     def cancel(self, key: str, attempt: str) -> LedgerResult:
         """Free ``key``: ``attempt`` was never sent. A begin that arrives later is refused."""
         issued = issued_at(key)
-        if issued is None or self._refusal_of_time(issued) is not None:
+        refusal = self._refusal_of_time(issued)
+        if refusal is LedgerRefusalReason.MADE_IN_THE_FUTURE:
+            # It can't be kept, and a begin that comes late enough would be granted.
+            return LedgerRefusal(refusal)
+        if refusal is not None or issued is None:
             return Noted()
         entry = self._entries.get(key)
         if entry is None:
@@ -165,16 +177,19 @@
         entry.attempt = ""
         return Noted()
 
-    def complete(self, key: str, attempt: str, answer: Answered) -> LedgerResult:
-        """Record the whole answer of ``attempt``; resends of the request get it from now on."""
+    def complete(self, key: str, attempt: str, answer: Answered | None) -> LedgerResult:
+        """Record the whole answer of ``attempt``; resends of the request get it from now on.
+
+        Without an answer, or with one past the byte limits, they get "outcome unknown".
+        """
         entry = self._entries.get(key)
-        if entry is None or entry.attempt != attempt:
+        if entry is None or entry.state is KeyState.FREE or entry.attempt != attempt:
             return NotHolder()
         if entry.state is KeyState.COMPLETED:
             return Noted()
         self._set_state(entry, KeyState.COMPLETED)
         size = answer_bytes(answer)
-        fits = size <= self._limits.max_answer_bytes
+        fits = answer is not None and size <= self._limits.max_answer_bytes
         if fits and self._total_answer_bytes + size <= self._limits.max_total_answer_bytes:
             entry.answer = answer
             self._total_answer_bytes += size
@@ -182,12 +197,13 @@
 
     def snapshot(self) -> LedgerSnapshot:
         """Return everything held; the value shares its entries with the ledger."""
-        return LedgerSnapshot(self.time, self.floor, self._entries)
+        return LedgerSnapshot(self.time, self.floor, self._entries, self.unknown_before)
 
     def restore(self, snapshot: LedgerSnapshot) -> None:
         """Replace everything held by ``snapshot``."""
         self.time = snapshot.time
         self.floor = snapshot.floor
+        self.unknown_before = snapshot.unknown_before
         self._entries = snapshot.entries
         self._by_issue = [(entry.issued, key) for key, entry in snapshot.entries.items()]
         heapq.heapify(self._by_issue)
--- a/src/finchshed/routing/caller.py
+++ b/src/finchshed/routing/caller.py
@@ -82,6 +82,8 @@
     pinned
         Name of the endpoint that serves the request's session, or empty. Another one is taken
         only if this one is lost or sends the session away, never because it is busy.
+    route
+        Route of the service that the request falls under.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         repeatable: bool,
         rng: random.Random,
         pinned: str = "",
+        route: str = "",
     ) -> None:
         self._table = table
         self._bucket = bucket
@@ -103,6 +106,7 @@
         self._rng = rng
         self._pinned = pinned
         self._is_pinned = bool(pinned)
+        self._route = route
         self._spare = context.spare_attempts
         self._deadline = 0.0
         self._attempt = 0
@@ -208,7 +212,7 @@
             if not isinstance(chosen, Refused):
                 return chosen
             self._is_pinned = False
-        return self._table.choose(self.service, self._context, self._tried, now)
+        return self._table.choose(self.service, self._context, self._tried, now, self._route)
 
     def _pay(self, outcome: Outcome, now: float) -> bool:
         if is_redirect(outcome) and self._redirects < MAX_REDIRECTS:
