--- a/src/finchshed/admission/gate.py
+++ b/src/finchshed/admission/gate.py
@@ -98,7 +98,7 @@
         if self.draining:
             return [self._refusal(token, RefusalReason.DRAINING)]
         rank = rank_of(context)
-        if rank < floor:
+        if rank < floor and not context.session:
             return [self._refusal(token, RefusalReason.OVERLOAD)]
         self._threshold.on_arrival(rank)
         if not self._queue and len(self._running) < self._concurrency.limit:
