--- a/src/finchshed/routing/table.py
+++ b/src/finchshed/routing/table.py
@@ -10,7 +10,7 @@
 from collections.abc import Collection, Iterable
 
 from finchshed.admission.paths import NO_THRESHOLD, PathThreshold
-from finchshed.admission.rank import rank_of
+from finchshed.admission.rank import RANKS, rank_of
 from finchshed.common.context import CallContext
 from finchshed.common.outcomes import RefusalReason, Refused
 from finchshed.common.results import CallResult
@@ -92,7 +92,8 @@
         pool = self._pools.get(service)
         if pool is None:
             return Refused(RefusalReason.NO_BACKEND, retry_after(1.0, self._rng))
-        rank = rank_of(context)
+        # A session was admitted as a whole: its calls wait, and are not shed on the way.
+        rank = RANKS if context.session else rank_of(context)
         spare: EndpointView | None = None
         shed = False
         for tier in range(TIERS):
--- a/tests/daemon/scripted_control.py
+++ b/tests/daemon/scripted_control.py
@@ -67,6 +67,11 @@
         for connection in self._connections:
             connection.send(self._whole())
 
+    def tell(self, message: ControlToDaemon) -> None:
+        """Send a message to every daemon."""
+        for connection in self._connections:
+            connection.send(message)
+
     def disconnect(self) -> None:
         """Cut every connection."""
         for connection in list(self._connections):
