--- a/src/finchshed/proof/consensus/group.py
+++ b/src/finchshed/proof/consensus/group.py
@@ -3,6 +3,8 @@
 import random
 from collections.abc import Callable
 
+import msgspec
+
 from finchshed.consensus.membership import InitialMember, MemberRole
 from finchshed.consensus.options import RaftOptions
 from finchshed.proof.consensus.network import LinkQuality, SimulatedNetwork
@@ -16,19 +18,25 @@
 _POLL_SECONDS = 0.05
 
 
-def options_from(rng: random.Random) -> RaftOptions:
-    """Return options of production times, and sizes so small that they matter within seconds.
+OPTIONS = RaftOptions(
+    max_append_entries=8,
+    max_in_flight_appends=4,
+    snapshot_piece_bytes=256,
+    snapshot_every_entries=24,
+    trailing_entries=6,
+    promotion_lag_entries=4,
+    standby_after_seconds=8.0,
+)
+"""Production times but for standbys; sizes so small that all of them matter within seconds."""
 
-    Windows of one entry, and elections in which several nodes stand at once, occur for some seeds.
-    """
-    return RaftOptions(
+
+def options_from(rng: random.Random) -> RaftOptions:
+    """Return options under which, for some seeds, windows are small and elections collide."""
+    return msgspec.structs.replace(
+        OPTIONS,
         max_append_entries=rng.choice((1, 8)),
         max_in_flight_appends=rng.choice((1, 4)),
         election_timeout_max_seconds=rng.choice((1.05, 2.0)),
-        snapshot_piece_bytes=256,
-        snapshot_every_entries=24,
-        trailing_entries=6,
-        promotion_lag_entries=4,
     )
 
 
