A change of the configuration is checked by what it touches

Cause: each change checked the whole configuration anew: 5.3 ms of processor time at the size to design for (52 services, 1,100 endpoints), spent again for each change replayed at a start. A control node came back after 2,000 changes in 22 s. Found by the measurement of restarts with a configuration of that size; with 52 services alone it took 1 s and didn't show.

Change: a change of a sound configuration that surely leaves it sound is taken by looking at what it puts and deletes; whatever is in doubt gets the whole check, so messages are as before. The operators by token are kept while no change touches an operator.

--- a/src/finchshed/configuration/store.py
+++ b/src/finchshed/configuration/store.py
@@ -12,11 +12,13 @@
 
 from finchshed.configuration.changes import Accepted, Change, ChangeResult, Conflict, Invalid
 from finchshed.configuration.resources import Operator, Resource, ResourceKey, key_of
-from finchshed.configuration.validation import duplicate_keys, problems_of
+from finchshed.configuration.validation import duplicate_keys, keeps_sound, problems_of
 
 RESULT_RETENTION = 10_000
 """Results kept for resends: about a week of changes at 1,400 a day."""
 
+OPERATOR_KIND = "operator"
+
 BOOTSTRAP_OPERATOR = "bootstrap"
 """Name of the operator who may change a configuration that declares no operator yet."""
 
@@ -71,6 +73,7 @@
         self._retention = result_retention
         self._results: dict[str, RetainedResult] = {}
         self._winners: dict[int, Winner] = {}
+        self._operators: dict[str, Operator] | None = None
         self.resources: dict[ResourceKey, Resource] = {}
         self.revision = 0
         self.last_committed: CommittedRevision | None = None
@@ -93,8 +96,10 @@
 
     def operators(self) -> dict[str, Operator]:
         """Return the declared operators by the digest of their token."""
-        found = (item for item in self.resources.values() if isinstance(item, Operator))
-        return {operator.token_sha256: operator for operator in found}
+        if self._operators is None:
+            found = (item for item in self.resources.values() if isinstance(item, Operator))
+            self._operators = {operator.token_sha256: operator for operator in found}
+        return self._operators
 
     def result_of(self, change_id: str) -> ChangeResult | None:
         """Return the first result of ``change_id``, when still retained."""
@@ -119,6 +124,7 @@
         self.revision = snapshot.revision
         self.resources = {key_of(resource): resource for resource in snapshot.resources}
         self._results = {retained.change_id: retained for retained in snapshot.results}
+        self._operators = None
         self._winners = dict(snapshot.winners)
         self.last_committed = None
 
@@ -129,8 +135,9 @@
         if problems:
             return Invalid(tuple(problems))
         candidate = self._candidate(change)
-        problems = problems_of(candidate)
-        if self.operators() and not _has_operator(candidate):
+        if not keeps_sound(candidate, change.puts, change.deletes):
+            problems = problems_of(candidate)
+        if _deletes_operators(change) and not _has_operator(candidate):
             problems.append("operator: none would be left, allowed is 1 or more")
         if problems:
             return Invalid(tuple(problems))
@@ -177,6 +184,8 @@
         deletes = tuple(key for key in change.deletes if key not in put_keys)
         self.revision += 1
         self.resources = candidate
+        if _deletes_operators(change) or any(isinstance(put, Operator) for put in change.puts):
+            self._operators = None
         self._winners[self.revision] = Winner(change.change_id, change.operator)
         self._winners.pop(self.revision - self._retention, None)
         self.last_committed = CommittedRevision(self.revision, change.puts, deletes)
@@ -187,5 +196,9 @@
             self._results.pop(next(iter(self._results)))
 
 
+def _deletes_operators(change: Change) -> bool:
+    return any(key.kind == OPERATOR_KIND for key in change.deletes)
+
+
 def _has_operator(resources: dict[ResourceKey, Resource]) -> bool:
     return any(isinstance(resource, Operator) for resource in resources.values())
--- a/src/finchshed/configuration/validation.py
+++ b/src/finchshed/configuration/validation.py
@@ -2,7 +2,7 @@
 
 import collections
 import ipaddress
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from finchshed.configuration.resources import (
     Endpoint,
@@ -16,6 +16,7 @@
 
 MAX_PORT = 65_535
 POLICY_NAME = "default"
+SERVICE_KIND = "service"
 
 
 def problems_of(resources: Mapping[ResourceKey, Resource]) -> list[str]:
@@ -34,6 +35,58 @@
     return problems
 
 
+def keeps_sound(
+    resources: Mapping[ResourceKey, Resource],
+    puts: Iterable[Resource],
+    deletes: Iterable[ResourceKey],
+) -> bool:
+    """Return whether a change of a sound configuration is sure to leave it sound.
+
+    Only what the change touches is looked at, so its cost does not grow with a configuration of
+    thousands of resources unless it puts endpoints or operators or deletes services.
+
+    Parameters
+    ----------
+    resources
+        The configuration after the change.
+    puts, deletes
+        The change.
+    """
+    if any(key.kind == SERVICE_KIND for key in deletes):
+        return False
+    return all(_fits_in(resource, resources) for resource in puts)
+
+
+def _fits_in(put: Resource, resources: Mapping[ResourceKey, Resource]) -> bool:
+    if isinstance(put, Service):
+        return not _problems_of_service(put)
+    if isinstance(put, Policy):
+        return put.name == POLICY_NAME
+    if isinstance(put, Endpoint):
+        return (
+            ResourceKey(kind=SERVICE_KIND, name=put.service) in resources
+            and is_address(put.address)
+            and _is_alone(put, resources, lambda other: _address_of(other) == put.address)
+        )
+    return _is_alone(put, resources, lambda other: _token_of(other) == put.token_sha256)
+
+
+def _is_alone(
+    put: Resource,
+    resources: Mapping[ResourceKey, Resource],
+    is_same: Callable[[Resource], bool],
+) -> bool:
+    return not any(is_same(other) for other in resources.values() if other is not put)
+
+
+def _address_of(resource: Resource) -> str | None:
+    return resource.address if isinstance(resource, Endpoint) else None
+
+
+def _token_of(resource: Resource) -> str | None:
+    return resource.token_sha256 if isinstance(resource, Operator) else None
+
+
 def duplicate_keys(resources: Iterable[Resource]) -> list[ResourceKey]:
     """Return keys that occur more than once in ``resources``."""
     counter = collections.Counter(key_of(resource) for resource in resources)
