The same overload on real processes and in the emulator; requests keep their root over repeats

Cause: nothing compared the emulator with real processes; stand-in callers gave every attempt another root, so repeats were other requests to the daemons and the measures of experiments could not be taken from a fleet's history. Change: 'finchshed fleet compare' makes the callers of a deployment alike, runs a script of slow services on real processes and on the emulator's form of the same deployment, and prints the measures of both. A request's attempts carry one root and the identity that its answer must name. An act that fails is a problem of the run and no end of it.

--- a/src/finchshed/fleet/bring_up.py
+++ b/src/finchshed/fleet/bring_up.py
@@ -3,7 +3,7 @@
 import pathlib
 
 from finchshed.fleet.admin import wait_in_force
-from finchshed.fleet.deployment import Deployment, read_deployment
+from finchshed.fleet.deployment import Deployment
 from finchshed.fleet.network import FleetNetwork
 from finchshed.fleet.operator import Operator
 from finchshed.fleet.plan import Planner, PlanOptions
@@ -14,17 +14,16 @@
 
 
 def plan_fleet(
-    source: pathlib.Path, folder: pathlib.Path, options: PlanOptions
-) -> tuple[Deployment, Fleet]:
-    """Read a deployment and plan its fleet in ``folder``."""
-    deployment = read_deployment(source)
+    source: pathlib.Path, deployment: Deployment, folder: pathlib.Path, options: PlanOptions
+) -> Fleet:
+    """Plan the fleet of ``deployment`` in ``folder``; its declarations stand in ``source``."""
     network = FleetNetwork()
     try:
         plan = Planner(source, deployment, folder, network, options).plan()
     except BaseException:
         network.release()
         raise
-    return deployment, Fleet(plan, network)
+    return Fleet(plan, network)
 
 
 async def bring_up(fleet: Fleet) -> Operator:
--- a/src/finchshed/fleet/command.py
+++ b/src/finchshed/fleet/command.py
@@ -9,6 +9,12 @@
 
 from finchshed.cli.exit_codes import ExitCode
 from finchshed.common.errors import SettingsError
+from finchshed.fleet.comparison import (
+    EMULATED_SEEDS,
+    run_emulations,
+    run_fleets,
+    table_of,
+)
 from finchshed.fleet.demo import demo_run
 from finchshed.fleet.fault_run import FaultRun
 from finchshed.fleet.scenario import read_scenario
@@ -43,6 +49,28 @@
     return run_interruptible(_exit_code_of(FaultRun(source, folder, scenario, seed)))
 
 
+def compare(
+    deployment: str, faults: str, out: str = "", seeds: int = 3, emulated: int = EMULATED_SEEDS
+) -> int:
+    """Run the same overload on real processes and in the emulator, and compare the measures.
+
+    DEPLOYMENT and FAULTS are as for run; the script may hold acts of kind slow only, and its phase
+    of the highest factor is what is measured. SEEDS real runs and EMULATED emulated ones are made,
+    with callers made alike: no downloads, hard repeats, one deadline. OUT keeps each real run.
+    """
+    source = pathlib.Path(deployment)
+    scenario = read_scenario(pathlib.Path(faults))
+    folder = run_folder(out, f"{source.name}-{scenario.name}-compared")
+    emulations = run_emulations(source, scenario, emulated)
+
+    async def work() -> int:
+        fleets = await run_fleets(source, folder, scenario, seeds)
+        print(table_of([fleets, emulations]))
+        return ExitCode.OK
+
+    return run_interruptible(work())
+
+
 async def _exit_code_of(run: FaultRun) -> int:
     verdict = await run.run()
     return ExitCode.OK if verdict.passed else ExitCode.FAILED
@@ -80,4 +108,4 @@
         return 1
 
 
-fleet: Mapping[str, Callable[..., int]] = {"demo": demo, "run": run}
+fleet: Mapping[str, Callable[..., int]] = {"demo": demo, "run": run, "compare": compare}
--- a/src/finchshed/fleet/fault_run.py
+++ b/src/finchshed/fleet/fault_run.py
@@ -3,12 +3,15 @@
 import asyncio
 import pathlib
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+
+import msgspec
 
 from finchshed.common.errors import SettingsError
 from finchshed.fleet import final_configuration
 from finchshed.fleet.bring_up import bring_up, plan_fleet
 from finchshed.fleet.coverage import CASES
+from finchshed.fleet.deployment import Deployment, read_deployment
 from finchshed.fleet.expectations import unmet
 from finchshed.fleet.faults import FaultInjector
 from finchshed.fleet.histories import Records, build_history, read_all
@@ -24,7 +27,7 @@
 from finchshed.fleet.watch import FleetWatch
 from finchshed.proof.checks import CHECKS, violations_of
 from finchshed.proof.checks.index import Index
-from finchshed.proof.history import History, NodeStarted
+from finchshed.proof.history import Event, History, NodeStarted
 from finchshed.standins.records import CallerOutcome
 
 CALLERS_MARGIN_SECONDS = 40.0
@@ -36,6 +39,11 @@
 PROBLEMS_FILE = "problems.txt"
 
 
+def as_it_is(deployment: Deployment) -> Deployment:
+    """Change nothing."""
+    return deployment
+
+
 class FaultRun:
     """One run: the fleet, what is done to it, and what is collected.
 
@@ -43,10 +51,17 @@
     ----------
     seed
         Seed of arrivals, service times and keys. Processes race, so a seed doesn't fix the run.
+    adapt
+        Changes the deployment read from ``source``.
     """
 
     def __init__(
-        self, source: pathlib.Path, folder: pathlib.Path, scenario: Scenario, seed: int
+        self,
+        source: pathlib.Path,
+        folder: pathlib.Path,
+        scenario: Scenario,
+        seed: int,
+        adapt: Callable[[Deployment], Deployment] = as_it_is,
     ) -> None:
         self._scenario = scenario
         self._seed = seed
@@ -57,9 +72,12 @@
             phases=scenario.phase,
             platform_lag_seconds=scenario.platform_lag_seconds,
         )
-        self._deployment, self._fleet = plan_fleet(source, folder, options)
+        self._deployment = adapt(read_deployment(source))
+        self._fleet = plan_fleet(source, self._deployment, folder, options)
         self._folder = folder
         self._journal = FaultJournal(time.monotonic())
+        self._history: History | None = None
+        self._callers_began = 0.0
         self._final: final_configuration.FinalConfiguration | None = None
         self._first_revision = 0
         self._behind: list[str] = []
@@ -81,6 +99,15 @@
                 await links.close()
         return self._judge()
 
+    def events_from_start(self) -> list[Event]:
+        """Return the run's events with times that count from when the callers began."""
+        assert self._history is not None, "the run is not over"
+        began = self._callers_began
+        return [
+            msgspec.structs.replace(event, time=event.time - began)
+            for event in self._history.events
+        ]
+
     async def _run_with(self, links: FleetLinks) -> None:
         fleet = self._fleet
         _say(f"{self._deployment.name}, {self._scenario.name}: {len(fleet.processes)} processes")
@@ -103,7 +130,7 @@
         self, links: FleetLinks, operator: Operator, watch: FleetWatch
     ) -> None:
         injector = FaultInjector(self._fleet, operator, self._journal, links, watch)
-        await self._fleet.start_callers()
+        self._callers_began = await self._fleet.start_callers() - self._journal.began
         total = sum(phase.duration_seconds for phase in self._scenario.phase)
         async with asyncio.TaskGroup() as group:
             faults = group.create_task(injector.run(self._scenario.act))
@@ -131,6 +158,7 @@
             self._fleet.plan, records, self._journal, self._scenario.name, self._seed
         )
         history.write(self._folder / HISTORY_FILE)
+        self._history = history
         self._journal.write(self._folder / PROBLEMS_FILE)
         rows = rows_of(records.callers)
         verdict = Verdict(
--- a/src/finchshed/fleet/faults.py
+++ b/src/finchshed/fleet/faults.py
@@ -10,6 +10,9 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import aiohttp
+
+from finchshed.common.errors import FinchshedError
 from finchshed.fleet import acts
 from finchshed.fleet.journal import FaultJournal
 from finchshed.fleet.links import FleetLinks
@@ -89,7 +92,10 @@
 
     async def _at(self, act: acts.FaultAct) -> None:
         await asyncio.sleep(act.at)
-        await self._perform[type(act)](act)
+        try:
+            await self._perform[type(act)](act)
+        except (FinchshedError, aiohttp.ClientError, TimeoutError) as error:
+            self._journal.problem(f"{type(act).__name__} at {act.at:g}: {error!r}")
 
     async def _kill(self, act: acts.Kill) -> None:
         process = self._resolve(act.target)
--- a/src/finchshed/standins/answers.py
+++ b/src/finchshed/standins/answers.py
@@ -11,7 +11,7 @@
 from finchshed.proof.history import HEADER_ANSWER_DIGEST
 
 HEADER_IDENTITY = "standin-identity"
-"""Answer header: whose answer this is. The request's key, if it has one, else its call's name."""
+"""Header in which a request names itself, and its answer says whose it is."""
 
 HEADER_RECEIVED = "standin-received"
 """Digest of the request's body as the back end got it."""
@@ -64,15 +64,6 @@
     return RangeRequest(first=int(first), last=int(last))
 
 
-def identity_of(call: str, key: str) -> str:
-    """Return the identity an answer carries.
-
-    A resend of a keyed request gets the answer of the attempt that ran, so its identity is the
-    key and not the name of one attempt.
-    """
-    return key or call
-
-
 def problem_of(identity: str, body: bytes, headers: dict[str, str], sent_body: bytes) -> str:
     """Say why an ordinary answer isn't the whole answer to the request; empty if it is.
 
--- a/src/finchshed/standins/backend.py
+++ b/src/finchshed/standins/backend.py
@@ -180,15 +180,14 @@
 
     def _answer(self, request: web.Request, body: bytes, incoming: Incoming) -> web.Response:
         headers = self._common_headers()
-        headers[answers.HEADER_IDENTITY] = answers.identity_of(incoming.call, incoming.key)
+        identity = request.headers.get(answers.HEADER_IDENTITY, incoming.call)
+        headers[answers.HEADER_IDENTITY] = identity
         headers[HEADER_ANSWER_ROOT] = incoming.root
         headers[answers.HEADER_RECEIVED] = digest_of(body)
         wanted = answers.parse_range(request.headers.get("Range", ""))
         if wanted is not None:
             return self._partial_answer(request, wanted, headers)
-        content = answers.answer_body(
-            answers.identity_of(incoming.call, incoming.key), self.settings.answer_bytes
-        )
+        content = answers.answer_body(identity, self.settings.answer_bytes)
         headers[HEADER_ANSWER_DIGEST] = digest_of(content)
         return web.Response(body=content, headers=headers)
 
--- a/src/finchshed/standins/caller.py
+++ b/src/finchshed/standins/caller.py
@@ -20,6 +20,7 @@
     HEADER_RAN,
     HEADER_REASON,
     HEADER_RETRY_AFTER_MS,
+    HEADER_ROOT,
     HEADER_SERVICE,
     HEADER_SESSION,
 )
@@ -64,12 +65,23 @@
     wanted: answers.RangeRequest | None = None
     validator: str = ""
 
+    @property
+    def identity(self) -> str:
+        """What the answer must name: the key, or the request where it has none.
+
+        Both stay over the request's attempts, as an attempt may join an earlier one in progress,
+        and a resend of a keyed request gets the answer of the attempt that ran.
+        """
+        return self.key or self.request
+
     def headers(self) -> dict[str, str]:
         """Return the headers that every attempt carries."""
         headers = {
             HEADER_SERVICE: self.load.service,
             HEADER_CALLER: self.caller,
             HEADER_DEADLINE: str(int(self.load.deadline_seconds * 1000)),
+            HEADER_ROOT: self.request,
+            answers.HEADER_IDENTITY: self.identity,
         }
         if self.key:
             headers[HEADER_IDEMPOTENCY_KEY] = self.key
@@ -156,11 +168,11 @@
         body = answers.answer_body(outgoing.request, load.body_bytes) if load.body_bytes else b""
         attempts: list[AttemptRecord] = []
         for number in itertools.count():
-            call = f"{outgoing.request}.{number}"
+            call = f"{outgoing.request}/{number}"
             edge = self.settings.edge_addresses[number % len(self.settings.edge_addresses)]
             begun = monotonic()
             reply = await self._send(load, edge, {**headers, HEADER_CALL: call}, body)
-            problem = _problem(outgoing, call, reply, body)
+            problem = _problem(outgoing, reply, body)
             record = _attempt_record(call, edge, begun, reply, problem)
             attempts.append(record)
             if record.outcome is CallerOutcome.ANSWERED or not _may_repeat(load, number):
@@ -227,19 +239,18 @@
     return 0 < reply.status < SUCCESS_BELOW or reply.status == EDITION_CHANGED_STATUS
 
 
-def _problem(outgoing: Outgoing, call: str, reply: Reply, sent: bytes) -> str:
+def _problem(outgoing: Outgoing, reply: Reply, sent: bytes) -> str:
     """Say why an answer isn't this request's whole answer; empty if it is, or is none."""
     if not _is_answer(reply):
         return ""
     if outgoing.wanted is not None:
-        return _range_problem(outgoing, call, reply)
-    identity = answers.identity_of(call, outgoing.key)
-    return answers.problem_of(identity, reply.body, reply.headers, sent)
+        return _range_problem(outgoing, reply)
+    return answers.problem_of(outgoing.identity, reply.body, reply.headers, sent)
 
 
-def _range_problem(outgoing: Outgoing, call: str, reply: Reply) -> str:
+def _range_problem(outgoing: Outgoing, reply: Reply) -> str:
     named = reply.headers.get(answers.HEADER_IDENTITY)
-    if named != call:
+    if named != outgoing.identity:
         return f"answer names request {named!r}"
     if reply.status == EDITION_CHANGED_STATUS:
         return ""
--- a/src/finchshed/standins/calling.py
+++ b/src/finchshed/standins/calling.py
@@ -78,7 +78,12 @@
         raise error
 
     async def _attempt(self, call: CallOn, run: str, name: str, context: dict[str, str]) -> None:
-        headers = {**context, HEADER_SERVICE: call.service, HEADER_CALL: name}
+        headers = {
+            **context,
+            HEADER_SERVICE: call.service,
+            HEADER_CALL: name,
+            answers.HEADER_IDENTITY: name,
+        }
         self._note(BackendEvent.CALL_BEGAN, call, run, name)
         try:
             async with self._session.get(self._base + call.path, headers=headers) as response:
