Each fleet run reads the process table of its production processes

Cause: that a production process has no child, no io_uring and no shared memory was claimed for one process at its start, not seen on a running fleet. Control nodes behind a relay name the relayed addresses, so that a redirect doesn't lead around the relay. A planned stop is given the whole drain.

--- a/src/finchshed/fleet/fault_run.py
+++ b/src/finchshed/fleet/fault_run.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from finchshed.common.errors import SettingsError
-from finchshed.fleet import final_configuration
+from finchshed.fleet import final_configuration, process_table
 from finchshed.fleet.bring_up import bring_up, plan_fleet
 from finchshed.fleet.coverage import CASES
 from finchshed.fleet.deployment import Deployment, read_deployment
@@ -20,7 +20,7 @@
 from finchshed.fleet.operator import Operator
 from finchshed.fleet.path_times import path_times_of
 from finchshed.fleet.plan import PlanOptions
-from finchshed.fleet.processes import Role
+from finchshed.fleet.processes import PRODUCTION_ROLES, Role
 from finchshed.fleet.scenario import Scenario, problems_of
 from finchshed.fleet.summary import rows_of, wrong_answers
 from finchshed.fleet.verdict import Check, Verdict, text_of
@@ -83,6 +83,7 @@
         self._behind: list[str] = []
         self._callers_ended_well = False
         self._fallen: list[str] = []
+        self._table_problems: list[str] = []
 
     async def run(self) -> Verdict:
         """Run it and return what it showed; prints what goes on."""
@@ -124,6 +125,7 @@
             _say(f"callers send: {phases}; {len(self._scenario.act)} acts")
             await self._load_and_faults(links, operator, watch)
             self._fallen = fleet.ended_unasked()
+            self._table_problems = process_table.problems_of(fleet.of_role(*PRODUCTION_ROLES))
             await self._read_final(watch)
 
     async def _load_and_faults(
@@ -195,6 +197,11 @@
             len(self._fleet.processes),
             [*lost, *fallen, *self._journal.problems],
         )
+        yield Check(
+            "no children, io_uring or shared memory",
+            len(self._fleet.of_role(*PRODUCTION_ROLES)),
+            self._table_problems,
+        )
         yield Check(
             "configuration at the end",
             len(records.operators),
--- a/src/finchshed/fleet/plan.py
+++ b/src/finchshed/fleet/plan.py
@@ -179,7 +179,9 @@
             zone=machine.zone,
             data_folder=data_folder,
             raft_address=self._behind(machine.name, machine.host, Port.RAFT),
+            raft_advertised_address=self._at(machine.host, Port.RAFT),
             distribution_address=self._behind(machine.name, machine.host, Port.DISTRIBUTION),
+            distribution_advertised_address=self._at(machine.host, Port.DISTRIBUTION),
             rpc_address=self._behind(machine.name, machine.host, Port.RPC),
             admin_address=self._at(machine.host, Port.CONTROL_ADMIN),
             voters=tuple(
--- a/src/finchshed/fleet/runner.py
+++ b/src/finchshed/fleet/runner.py
@@ -16,6 +16,9 @@
 
 READY_SECONDS = 60.0
 STOP_SECONDS = 15.0
+RESTART_STOP_SECONDS = 45.0
+"""A planned stop may take a daemon's whole drain (30 s by default) and a little more."""
+
 OPERATOR_SECONDS = 300.0
 CALLERS_START_SECONDS = 2.0
 STARTING_ORDER = tuple(Role)
@@ -172,7 +175,7 @@
     async def restart(self, name: str, stop_signal: signal.Signals = signal.SIGTERM) -> bool:
         """Stop one process and start it anew; return whether it stopped by itself."""
         process = self.processes[name]
-        stopped = await process.stop(stop_signal, STOP_SECONDS * 2)
+        stopped = await process.stop(stop_signal, RESTART_STOP_SECONDS)
         process.start()
         await self.wait_ready([process.spec])
         return stopped
