Endpoints that left and came back take work again

And a daemon whose back end said that it was leaving refused work for ever, though the back end was restarted beside it. Ruled out: sending calls to leaving endpoints as probes (work for what leaves), and taking a good health answer at face value (health lags and misleads). A daemon asks its leaving back end's health, and takes work again when the back end was seen gone and answers, or has said for 5 s that it is well; it then greets its callers as a new incarnation, so that they warm it up. Both process tests fail without the change ('was never answered').

--- /dev/null
+++ b/src/finchshed/daemon/backend_return.py
@@ -0,0 +1,79 @@
+"""Watches for the return of a back end that said that it is leaving.
+
+The daemon stays when its back end is restarted, so it must find out when to take work again. It
+asks the back end's ``/health``, which may lag or mislead: a good answer counts at once only if the
+back end was seen gone before, since then another process answers; a back end that was never seen
+gone must say for a while that it is well. So a health endpoint that lags behind a drain brings new
+work to a leaving back end at most once in that while.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from finchshed.daemon.backend import (
+    Backend,
+    BackendAnswer,
+    BackendRequest,
+    BackendResult,
+    BackendUnreached,
+)
+
+HEALTH_PATH = "/health"
+POLL_SECONDS = 0.25
+TIMEOUT_SECONDS = 1.0
+STEADY_SECONDS = 5.0
+"""How long a back end that was never seen gone must say that it is well."""
+
+MAX_HEALTH_BYTES = 65_536
+STATUS_OK = 200
+
+
+class ReturnWatch:
+    """Decides from answers to health checks whether a leaving back end has returned."""
+
+    def __init__(self) -> None:
+        self._was_gone = False
+        self._well_since: float | None = None
+
+    def has_returned(self, result: BackendResult, now: float) -> bool:
+        """Take the result of one check; return whether the back end takes work again."""
+        if isinstance(result, BackendUnreached):
+            self._was_gone = True
+        if not _is_well(result):
+            self._well_since = None
+            return False
+        if self._well_since is None:
+            self._well_since = now
+        return self._was_gone or now - self._well_since >= STEADY_SECONDS
+
+
+async def wait_for_return(backend: Backend) -> None:
+    """Return once the back end has returned."""
+    watch = ReturnWatch()
+    while True:
+        await asyncio.sleep(POLL_SECONDS)
+        if watch.has_returned(await _check(backend), time.monotonic()):
+            return
+
+
+def _is_well(result: BackendResult) -> bool:
+    return isinstance(result, BackendAnswer) and result.status == STATUS_OK and not result.draining
+
+
+async def _check(backend: Backend) -> BackendResult:
+    ended: asyncio.Future[BackendResult] = asyncio.get_running_loop().create_future()
+    request = BackendRequest(
+        method="GET",
+        path=HEALTH_PATH,
+        headers=(),
+        body=b"",
+        timeout_seconds=TIMEOUT_SECONDS,
+        max_answer_bytes=MAX_HEALTH_BYTES,
+    )
+    cancel: Callable[[], object] = backend.send(request, ended.set_result)
+    try:
+        return await ended
+    except asyncio.CancelledError:
+        cancel()
+        raise
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -15,6 +15,7 @@
 from finchshed.daemon import metrics
 from finchshed.daemon.accounts import ServedRequests
 from finchshed.daemon.backend_http import HttpBackend
+from finchshed.daemon.backend_return import wait_for_return
 from finchshed.daemon.callee import Callee
 from finchshed.daemon.caller import Caller
 from finchshed.daemon.catalogue import Catalogue
@@ -265,6 +266,19 @@
         self._callee.draining = True
         for link in self._listener.links():
             link.tell_draining()
+        self._spawn(self._take_back_end_back())
+
+    async def _take_back_end_back(self) -> None:
+        """Take work again once the back end has returned; to peers it is another one."""
+        assert self._backend is not None
+        await wait_for_return(self._backend)
+        if self._callee is None or self._is_draining:
+            return
+        logger.info("the back end has returned")
+        self._callee.draining = False
+        self._incarnation = secrets.token_hex(INCARNATION_BYTES)
+        for link in self._listener.links():
+            link.tell_hello()
 
     def _why_not(self) -> RefusalReason | None:
         return None if self._is_serving else RefusalReason.NO_CONFIGURATION
--- /dev/null
+++ b/tests/daemon/test_return_after_leaving.py
@@ -0,0 +1,70 @@
+"""An endpoint that left and came back takes work again, whichever process was restarted."""
+
+import asyncio
+import signal
+
+from finchshed.daemon.backend import BackendAnswer, BackendBroken, BackendUnreached
+from finchshed.daemon.backend_return import STEADY_SECONDS, ReturnWatch
+from tests.daemon.deployment import Deployment, deployment, eventually
+from tests.daemon.scripted_backend import Received, answer
+
+MAX_ASKS = 300
+PAUSE_SECONDS = 0.05
+FLAGS = {"drain-notice-seconds": "0.2"}
+
+WELL = BackendAnswer(200, (), b"", ran=True, draining=False)
+LEAVING = BackendAnswer(200, (), b"", ran=True, draining=True)
+
+
+async def until_answered(system: Deployment, path: str) -> None:
+    for _ in range(MAX_ASKS):
+        if (await system.ask(path)).status == 200:
+            return
+        await asyncio.sleep(PAUSE_SECONDS)
+    raise AssertionError(f"{path} was never answered")
+
+
+def test_back_end_that_was_gone_has_returned_with_its_first_good_answer() -> None:
+    watch = ReturnWatch()
+    assert not watch.has_returned(LEAVING, 1.0)
+    assert not watch.has_returned(BackendUnreached("refused"), 2.0)
+    assert not watch.has_returned(BackendBroken("reset"), 2.5)
+    assert watch.has_returned(WELL, 3.0)
+
+
+def test_good_answers_of_a_back_end_never_seen_gone_must_last() -> None:
+    watch = ReturnWatch()
+    assert not watch.has_returned(WELL, 1.0)
+    assert not watch.has_returned(LEAVING, 1.0 + STEADY_SECONDS - 0.1)
+    assert not watch.has_returned(WELL, 1.0 + STEADY_SECONDS)
+    assert not watch.has_returned(WELL, 1.0 + 2 * STEADY_SECONDS - 0.1)
+    assert watch.has_returned(WELL, 1.0 + 2 * STEADY_SECONDS)
+
+
+async def test_restarted_daemon_gets_work_of_callers_that_saw_it_leave() -> None:
+    async with deployment(flags=FLAGS) as system:
+        assert (await system.ask("/a")).status == 200
+        daemon = system.daemons[0]
+        daemon.signal(signal.SIGTERM)
+        assert await daemon.stopped() == 0
+        assert (await system.ask("/b")).ran == "no"
+        await daemon.start()
+        await until_answered(system, "/c")
+    assert system.runs("/b") == 0
+
+
+async def test_daemon_takes_work_again_once_its_back_end_is_back() -> None:
+    leaving = True
+
+    async def handler(received: Received, writer: asyncio.StreamWriter) -> None:
+        headers = {"finchshed_draining": "1"} if leaving else {}
+        writer.write(answer(received.path.encode(), **headers))
+
+    async with deployment(handler) as system:
+        assert (await system.ask("/a")).status == 200
+        assert (await system.ask("/b")).ran == "no"
+        await eventually(lambda: system.runs("/health") >= 2)
+        assert (await system.ask("/c")).ran == "no"
+        leaving = False
+        await until_answered(system, "/d")
+    assert system.runs("/b") == system.runs("/c") == 0
