Changes of configuration spread over a fault; a full disk must be seen full

Cause: 60 changes were accepted in 1.4 s, before the disk was filled, and nothing showed that the limit on file sizes had any effect. Change: operators of a script pause between changes, so that changes meet the fault; a control node whose disk was limited must have said that it is full, or the run fails.

--- a/src/finchshed/fleet/acts.py
+++ b/src/finchshed/fleet/acts.py
@@ -141,9 +141,10 @@
 
 
 class Change(Act, frozen=True, kw_only=True, tag="change"):
-    """Have one more operator change the policy ``times`` times, one change after another."""
+    """Have one more operator change the policy ``times`` times, with a pause before each."""
 
     times: Annotated[int, msgspec.Meta(ge=1, le=1000)] = 1
+    pause_seconds: Seconds = 0.0
 
 
 FaultAct: TypeAlias = (
--- a/src/finchshed/fleet/faults.py
+++ b/src/finchshed/fleet/faults.py
@@ -244,7 +244,10 @@
         limit = largest_file_bytes(pathlib.Path(process.spec.data_folder))
         resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (limit, UNLIMITED))
         self._journal.add(Fault(self._journal.now(), "fill_disk", (name,)))
+        self._watch.disks_seen_full.discard(name)
         await asyncio.sleep(act.duration_seconds)
+        if process.spec.role is Role.CONTROL and name not in self._watch.disks_seen_full:
+            self._journal.problem(f"{name}: its disk was never seen full")
         if process.pid:
             resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (UNLIMITED, UNLIMITED))
         self._journal.add(Fault(self._journal.now(), "fill_disk", (name,), ended=True))
@@ -252,7 +255,8 @@
     async def _change(self, act: acts.Change) -> None:
         number = next(self._numbers)
         name = f"operator-{number}"
-        code = await self._fleet.run_operator(name, act.times, number * FIRST_NUMBER_STEP)
+        first = number * FIRST_NUMBER_STEP
+        code = await self._fleet.run_operator(name, act.times, first, act.pause_seconds)
         if code != 0:
             self._journal.problem(f"{name}: a change was never accepted (exit code {code})")
 
--- a/src/finchshed/fleet/plan.py
+++ b/src/finchshed/fleet/plan.py
@@ -76,7 +76,9 @@
         """Return the process named ``name``."""
         return next(spec for spec in self.specs if spec.name == name)
 
-    def operator_spec(self, name: str, changes: int, first_number: int) -> ProcessSpec:
+    def operator_spec(
+        self, name: str, changes: int, first_number: int, pause_seconds: float
+    ) -> ProcessSpec:
         """Write the settings of a stand-in operator and return how to start it."""
         settings = OperatorSettings(
             name=name,
@@ -85,6 +87,7 @@
             record_path=str(self.folder / "records" / f"{name}.jsonl"),
             changes=changes,
             first_number=first_number,
+            pause_seconds=pause_seconds,
         )
         path = self.folder / "settings" / f"{name}.toml"
         path.write_text(to_toml(settings))
--- a/src/finchshed/fleet/runner.py
+++ b/src/finchshed/fleet/runner.py
@@ -157,9 +157,11 @@
         async with self.http.post(url, params={"value": value}) as response:
             response.raise_for_status()
 
-    async def run_operator(self, name: str, changes: int, first_number: int) -> int:
+    async def run_operator(
+        self, name: str, changes: int, first_number: int, pause_seconds: float
+    ) -> int:
         """Run a stand-in operator that makes changes; return its exit code."""
-        spec = self.plan.operator_spec(name, changes, first_number)
+        spec = self.plan.operator_spec(name, changes, first_number, pause_seconds)
         process = FleetProcess(spec, self.log_path(spec.name))
         self.processes[spec.name] = process
         process.start()
--- a/src/finchshed/fleet/watch.py
+++ b/src/finchshed/fleet/watch.py
@@ -17,6 +17,7 @@
 SERVING = "finchshed_serving"
 IS_LEADER = "finchshed_control_is_leader"
 TERM = "finchshed_control_term"
+DISK_FULL = "finchshed_control_disk_full"
 
 
 def values_of(exposition: str) -> dict[str, float]:
@@ -42,6 +43,8 @@
         self._journal = journal
         self._revisions: dict[str, int] = {}
         self._leader_terms: dict[str, float] = {}
+        self.disks_seen_full: set[str] = set()
+        """Control nodes that said that their disk was full."""
         self._task: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> "FleetWatch":
@@ -99,6 +102,8 @@
         values = await self._metrics(name)
         if not values:
             return
+        if values.get(DISK_FULL):
+            self.disks_seen_full.add(name)
         if values.get(IS_LEADER):
             self._leader_terms[name] = values.get(TERM, 0.0)
         else:
