--- a/src/finchshed/fleet/plan.py
+++ b/src/finchshed/fleet/plan.py
@@ -244,7 +244,7 @@
             http_address=self._at(host, Port.HTTP),
             link_address=self._behind(name, host, Port.LINK),
             admin_address=self._at(host, Port.ADMIN),
-            control_addresses=self._control_addresses(endpoint.zone),
+            control_addresses=self._control_addresses(),
             data_folder=data_folder,
             drain_seconds=self._options.drain_seconds,
         )
@@ -258,7 +258,7 @@
             http_address=self._at(machine.host, Port.HTTP),
             link_address=self._behind(machine.name, machine.host, Port.LINK),
             admin_address=self._at(machine.host, Port.ADMIN),
-            control_addresses=self._control_addresses(machine.zone),
+            control_addresses=self._control_addresses(),
             data_folder=self._data_folder(machine.name),
             drain_seconds=self._options.drain_seconds,
         )
@@ -338,9 +338,11 @@
     def _behaviour(self, endpoint: Endpoint) -> ServiceBehaviour:
         return self._behaviours[endpoint.service]
 
-    def _control_addresses(self, zone: str) -> tuple[str, ...]:
-        nearest_first = sorted(self._deployment.control, key=lambda node: node.zone != zone)
-        return tuple(self._at(node.host, Port.DISTRIBUTION) for node in nearest_first)
+    def _control_addresses(self) -> tuple[str, ...]:
+        return tuple(
+            f"{node.zone}={self._at(node.host, Port.DISTRIBUTION)}"
+            for node in self._deployment.control
+        )
 
     def _admin_addresses(self, endpoints: tuple[Endpoint, ...]) -> dict[str, str]:
         addresses = {daemon_name(e.name): self._at(host_of(e), Port.ADMIN) for e in endpoints}
