A connection's process is asked of the kernel for that connection alone

Ruled out: reading again when the row is missed (still slower with each connection). Also: a list of zone=address entries refused a second address of a zone, so two control nodes in one zone could not be given; such entries go by their address.

--- a/src/finchshed/fleet/links.py
+++ b/src/finchshed/fleet/links.py
@@ -6,7 +6,8 @@
 from finchshed.fleet.reachability import reaching
 from finchshed.fleet.relay import UNKNOWN_PEER, Condition, Conditions, Peer, Relay, Rule
 from finchshed.fleet.runner import Fleet
-from finchshed.fleet.sockets import holder_of, inode_of
+from finchshed.fleet.socket_diagnosis import inode_between
+from finchshed.fleet.sockets import holder_of
 from finchshed.proof.history import ControlReachable
 
 
@@ -76,8 +77,8 @@
                     rule = Rule(source=source, target=target, condition=condition)
                     self.conditions.set(f"distance-{source}-{target}", rule)
 
-    def _identify(self, local_address: str) -> Peer:
-        inode = inode_of(local_address)
+    def _identify(self, local_address: str, remote_address: str) -> Peer:
+        inode = inode_between(local_address, remote_address)
         if not inode:
             return UNKNOWN_PEER
         by_pid = {process.pid: process for process in self._fleet.processes.values() if process.pid}
--- a/src/finchshed/fleet/processes.py
+++ b/src/finchshed/fleet/processes.py
@@ -155,10 +155,16 @@
     _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL, 0, 0, 0)
 
 
-async def wait_until_listening(address: str, deadline: float) -> bool:
-    """Wait until ``address`` takes connections; return whether it did before ``deadline``."""
+async def wait_until_listening(address: str, deadline: float, process: FleetProcess) -> bool:
+    """Wait until ``address`` takes connections.
+
+    Returns
+    -------
+    bool
+        Whether it did before ``deadline``, and before ``process`` ended.
+    """
     host, _, port = address.rpartition(":")
-    while time.monotonic() < deadline:
+    while time.monotonic() < deadline and process.is_running:
         try:
             _, writer = await asyncio.open_connection(host, int(port))
         except OSError:
--- a/src/finchshed/fleet/relay.py
+++ b/src/finchshed/fleet/relay.py
@@ -116,10 +116,10 @@
     Parameters
     ----------
     identify
-        Returns the peer whose socket has this local address, ``a.b.c.d:port``.
+        Returns the peer whose socket has these local and remote addresses, ``a.b.c.d:port``.
     """
 
-    def __init__(self, conditions: Conditions, identify: Callable[[str], Peer]) -> None:
+    def __init__(self, conditions: Conditions, identify: Callable[[str, str], Peer]) -> None:
         self._conditions = conditions
         self._identify = identify
         self._servers: list[asyncio.Server] = []
@@ -132,7 +132,8 @@
 
         async def accepted(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             remote = writer.get_extra_info("peername")
-            client = self._identify(f"{remote[0]}:{remote[1]}")
+            own = writer.get_extra_info("sockname")
+            client = self._identify(f"{remote[0]}:{remote[1]}", f"{own[0]}:{own[1]}")
             connection = _Connection(client, owner, reader, writer)
             await self._serve(connection, private)
 
--- a/src/finchshed/fleet/runner.py
+++ b/src/finchshed/fleet/runner.py
@@ -106,11 +106,18 @@
         return begin_at
 
     async def wait_ready(self, specs: Iterable[ProcessSpec]) -> None:
-        """Wait until the processes of ``specs`` take connections."""
+        """Wait until the processes of ``specs`` take connections.
+
+        Raises
+        ------
+        FleetError
+            If one has ended, or doesn't in time; with the end of its log.
+        """
         deadline = time.monotonic() + READY_SECONDS
         for spec in specs:
+            process = self.processes[spec.name]
             for address in spec.listens:
-                if not await wait_until_listening(address, deadline):
+                if not await wait_until_listening(address, deadline, process):
                     raise FleetError(f"{spec.name} doesn't listen at {address}\n{self.tail(spec)}")
 
     async def publish_instances(self) -> None:
--- a/src/finchshed/fleet/sockets.py
+++ b/src/finchshed/fleet/sockets.py
@@ -1,32 +1,14 @@
-"""Finds which process holds a TCP socket, from the kernel's tables under /proc."""
+"""What processes hold and map, from the kernel's tables under /proc."""
 
 import os
 import pathlib
-import socket
-import struct
 from collections.abc import Iterable
 
 PROC = pathlib.Path("/proc")
 SOCKET_PREFIX = "socket:["
-LOCAL_COLUMN = 1
-INODE_COLUMN = 9
 
 
-def inode_of(local_address: str) -> str:
-    """Return the inode of the socket bound to ``a.b.c.d:port``; empty if there is none."""
-    host, _, port = local_address.rpartition(":")
-    packed = struct.unpack("=I", socket.inet_aton(host))[0]
-    wanted = f"{packed:08X}:{int(port):04X}"
-    with (PROC / "net" / "tcp").open() as table:
-        next(table)
-        for line in table:
-            columns = line.split()
-            if columns[LOCAL_COLUMN] == wanted and columns[INODE_COLUMN] != "0":
-                return columns[INODE_COLUMN]
-    return ""
-
-
-def holder_of(inode: str, pids: Iterable[int]) -> int:
+def holder_of(inode: int, pids: Iterable[int]) -> int:
     """Return which of ``pids`` holds the socket, or 0."""
     wanted = f"{SOCKET_PREFIX}{inode}]"
     for pid in pids:
--- a/src/finchshed/scale/cluster.py
+++ b/src/finchshed/scale/cluster.py
@@ -11,7 +11,8 @@
 from finchshed.fleet.network import FleetNetwork
 from finchshed.fleet.processes import FleetProcess, ProcessSpec, Role, wait_until_listening
 from finchshed.fleet.relay import Condition, Conditions, Peer, Relay, Rule
-from finchshed.fleet.sockets import holder_of, inode_of
+from finchshed.fleet.socket_diagnosis import inode_between
+from finchshed.fleet.sockets import holder_of
 from finchshed.rpc.generated import finchshed_pb2 as pb
 from finchshed.scale.changes import ChangeMaker
 from finchshed.scale.layout import (
@@ -194,7 +195,7 @@
         deadline = time.monotonic() + READY_SECONDS
         for process in processes:
             for address in process.spec.listens:
-                if not await wait_until_listening(address, deadline):
+                if not await wait_until_listening(address, deadline, process):
                     raise FinchshedError(f"{process.spec.name} doesn't listen{self._tail(process)}")
 
     def _tail(self, process: FleetProcess) -> str:
@@ -222,9 +223,10 @@
     def _peer(self, name: str) -> Peer:
         return Peer(name=name, zone=self.processes[name].spec.zone)
 
-    def _identify(self, address: str) -> Peer:
-        """Return the control node whose socket has this local address."""
-        holder = holder_of(inode_of(address), self.pids(Role.CONTROL))
+    def _identify(self, local_address: str, remote_address: str) -> Peer:
+        """Return the control node whose socket has these addresses."""
+        inode = inode_between(local_address, remote_address)
+        holder = holder_of(inode, self.pids(Role.CONTROL))
         for process in self.of_role(Role.CONTROL):
             if process.pid == holder:
                 return self._peer(process.spec.name)
--- a/src/finchshed/settings/describe.py
+++ b/src/finchshed/settings/describe.py
@@ -1,11 +1,11 @@
 """Says in words what a settings field allows, from its type."""
 
-from typing import Any
+from typing import Any, get_args
 
 import msgspec
 from msgspec import inspect
 
-from finchshed.settings.fields import LISTEN
+from finchshed.settings.fields import GROUPED, LISTEN
 
 UNIT_SUFFIXES = {
     "_seconds": "seconds",
@@ -47,6 +47,14 @@
     return any((meta.extra or {}).get(LISTEN) for meta in _metas(field_type))
 
 
+def is_grouped_list(field_type: Any) -> bool:
+    """Return whether the field is a list of ``group=value`` entries."""
+    while hasattr(field_type, "__metadata__"):
+        field_type = field_type.__origin__
+    elements = get_args(field_type)
+    return any((meta.extra or {}).get(GROUPED) for item in elements for meta in _metas(item))
+
+
 def allowed(name: str, field_type: Any) -> str:
     """Return in words what the field called ``name`` may hold."""
     titles = [meta.title for meta in _metas(field_type) if meta.title]
--- a/src/finchshed/settings/fields.py
+++ b/src/finchshed/settings/fields.py
@@ -11,6 +11,12 @@
 LISTEN = "listen"
 """Key in ``Meta.extra`` of an address the process binds; two of them may not be equal."""
 
+GROUPED = "grouped"
+"""Key in ``Meta.extra`` of ``group=value`` entries of a list: a group may stand more than once.
+
+Other ``name=value`` entries go by their name, which may stand once.
+"""
+
 _OCTET = r"(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
 _IPV4 = rf"{_OCTET}(\.{_OCTET}){{3}}"
 _PORT = r"(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5][0-9]{4}|[1-9][0-9]{0,3})"
@@ -79,6 +85,7 @@
     msgspec.Meta(
         pattern=rf"^({_NAME}=)?{_IPV4}:{_PORT}$",
         title=f"{_ADDRESS_WORDS}, with zone= before it where the zone is known",
+        extra={GROUPED: True},
     ),
 ]
 """Address of another process, with the zone it stands in: ``zone=a.b.c.d:port``."""
--- a/src/finchshed/settings/loader.py
+++ b/src/finchshed/settings/loader.py
@@ -143,7 +143,7 @@
             words = describe.allowed(key, field_type)
             problems.append(item.wrong_value(key, words + _element(error)))
             continue
-        repeated = _repeated_elements(value)
+        repeated = _repeated_elements(value, describe.is_grouped_list(field_type))
         if repeated:
             problems.append(item.wrong_value(key, f"each entry once; twice here: {repeated}"))
             continue
@@ -168,11 +168,17 @@
     return value
 
 
-def _repeated_elements(value: object) -> str:
-    """Return the entries of a list that stand twice; ``name=value`` entries go by their name."""
+def _repeated_elements(value: object, is_grouped: bool) -> str:
+    """Return the entries of a list that stand twice.
+
+    ``name=value`` entries go by their name, ``group=value`` entries by their value.
+    """
     if not isinstance(value, tuple | list):
         return ""
-    names = [str(entry).partition("=")[0] for entry in value]
+    if is_grouped:
+        names = [str(entry).rpartition("=")[2] for entry in value]
+    else:
+        names = [str(entry).partition("=")[0] for entry in value]
     return ", ".join(sorted({name for name in names if names.count(name) > 1}))
 
 
--- a/tests/fleet/test_relay.py
+++ b/tests/fleet/test_relay.py
@@ -22,7 +22,7 @@
 
     def __init__(self) -> None:
         self.conditions = Conditions()
-        self.relay = Relay(self.conditions, lambda _: CLIENT)
+        self.relay = Relay(self.conditions, lambda *_: CLIENT)
         self.public = free_address()
         self.private = free_address()
 
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -13,6 +13,7 @@
     NamedAddress,
     OptionalListenAddress,
     PositiveSeconds,
+    ZonedAddress,
 )
 from finchshed.settings.loader import Source, load
 
@@ -23,6 +24,7 @@
     link_address: OptionalListenAddress = ""
     control_addresses: tuple[Address, ...] = ()
     voters: tuple[NamedAddress, ...] = ()
+    zoned: Annotated[tuple[ZonedAddress, ...], msgspec.Meta(description="Addresses by zone.")] = ()
     drain_seconds: PositiveSeconds = 5.0
     max_body_bytes: ByteCount = 1024
     verbose: bool = False
@@ -79,6 +81,7 @@
         ('control_addresses = ["10.0.0.1:1", "x"]', ["wrong at entry [1]"]),
         ('control_addresses = ["10.0.0.1:1", "10.0.0.1:1"]', ["each entry once", "10.0.0.1:1"]),
         ('voters = ["a=10.0.0.1:1", "a=10.0.0.2:1"]', ["twice here: a"]),
+        ('zoned = ["a=10.0.0.1:1", "b=10.0.0.1:1"]', ["twice here: 10.0.0.1:1"]),
         ("drain_seconds = 1\ndrain_seconds = 2", ["drain_seconds = 2", "given twice"]),
     ],
 )
@@ -89,6 +92,12 @@
         assert word in problem
 
 
+def test_a_zone_may_hold_more_than_one_address(tmp_path: Path) -> None:
+    path = tmp_path / "s.toml"
+    path.write_text(GOOD + 'zoned = ["a=10.0.0.1:1", "a=10.0.0.2:1", "10.0.0.3:1"]\n')
+    assert len(load(ExampleSettings, str(path), {}).value.zoned) == 3
+
+
 def test_all_problems_of_file_and_flags_come_at_once(tmp_path: Path) -> None:
     text = "drain_seconds = -1\ndrain_seconds = 3\nnod = 1\nmax_body_bytes = 0\n"
     problems = problems_of(tmp_path, text, {"verbos": True, "max_body_bytes": "x"})
