--- a/src/finchshed/fleet/model.py
+++ b/src/finchshed/fleet/model.py
@@ -63,14 +63,21 @@
     behaviours = {service.name: service for service in deployment.service}
     catalogue = Catalogue(resources)
     loads = [load for group in deployment.caller for load in group.loads]
-    total = sum(load.rate_per_second for load in loads)
+    rates: dict[str, float] = collections.defaultdict(float)
+    for load in loads:
+        rates[load.name] += load.rate_per_second
+    total = sum(rates.values())
+    by_name = {load.name: load for load in loads}
     return emulated.Deployment(
         name=deployment.name,
         zones=tuple(edge.zone for edge in deployment.edge),
         zone_delay_seconds=deployment.zone_delay_seconds,
         client_delay_seconds=deployment.client_delay_seconds,
         services=tuple(_services(endpoints, behaviours)),
-        kinds=tuple(_kind(load, total, behaviours, catalogue) for load in loads),
+        kinds=tuple(
+            _kind(load, rates[name] / total, behaviours, catalogue)
+            for name, load in by_name.items()
+        ),
         arrivals_per_second=total,
         deep_service=deep_service,
         deadline_seconds=shortest_deadline(deployment),
@@ -95,14 +102,14 @@
 
 
 def _kind(
-    load: Load, total: float, behaviours: dict[str, ServiceBehaviour], catalogue: Catalogue
+    load: Load, share: float, behaviours: dict[str, ServiceBehaviour], catalogue: Catalogue
 ) -> emulated.RequestKind:
     matched = catalogue.match(load.service, load.path)
     assert matched is not None, f"{load.service} has no route for {load.path}"
     return emulated.RequestKind(
         name=load.name,
         importance=matched.route.importance,
-        share=load.rate_per_second / total,
+        share=share,
         hop=_hop(load.service, load.path, behaviours),
         repeatable=matched.route.repeatable,
     )
--- a/src/finchshed/fleet/toml_writer.py
+++ b/src/finchshed/fleet/toml_writer.py
@@ -13,7 +13,11 @@
 
 def to_toml(settings: msgspec.Struct) -> str:
     """Return ``settings`` as a TOML document."""
-    table: dict[str, Any] = msgspec.to_builtins(settings)
+    return table_to_toml(msgspec.to_builtins(settings))
+
+
+def table_to_toml(table: Mapping[str, Any]) -> str:
+    """Return a table of plain values as a TOML document, a line for each key."""
     return "".join(f"{key} = {_value(value)}\n" for key, value in table.items())
 
 
--- a/src/finchshed/standins/arrivals.py
+++ b/src/finchshed/standins/arrivals.py
@@ -1,7 +1,8 @@
 """Seeded open-loop arrivals: requests come whether or not earlier ones were answered."""
 
 import heapq
-from collections.abc import Iterator, Sequence
+import pathlib
+from collections.abc import Iterable, Iterator, Sequence
 
 import msgspec
 import numpy
@@ -9,14 +10,45 @@
 from finchshed.standins.settings import Load, Phase
 
 
-class Arrival(msgspec.Struct, frozen=True, order=True):
-    """One request to send at ``at`` seconds after the start."""
+class Arrival(msgspec.Struct, frozen=True, order=True, omit_defaults=True):
+    """One request to send at ``at`` seconds after the start.
+
+    Attributes
+    ----------
+    load
+        Place of its load in the settings.
+    caller
+        Number of the outside caller within the load.
+    request
+        Name of the request; empty for one made of the number.
+    key
+        Stands for an idempotency key: equal ones get the same fresh key.
+    key_age_seconds
+        How old that key is to be when it is first sent.
+    """
 
     at: float
     number: int
     load: int
     phase: str
-    caller: int
+    caller: int = 0
+    request: str = ""
+    caller_name: str = ""
+    key: str = ""
+    key_age_seconds: float = 0.0
+    session: str = ""
+
+
+def read_arrivals(path: str) -> list[Arrival]:
+    """Read arrivals from a file of JSON lines, in order of time."""
+    decoder = msgspec.json.Decoder(Arrival)
+    with open(path, "rb") as file:
+        return sorted(decoder.decode(line) for line in file)
+
+
+def write_arrivals(path: pathlib.Path, arrivals: Iterable[Arrival]) -> None:
+    """Write arrivals as JSON lines."""
+    path.write_bytes(b"".join(msgspec.json.encode(item) + b"\n" for item in arrivals))
 
 
 def schedule(
--- a/src/finchshed/standins/caller.py
+++ b/src/finchshed/standins/caller.py
@@ -27,7 +27,7 @@
 from finchshed.ledger.keys import new_key
 from finchshed.proof.history import HEADER_ANSWER_DIGEST, HEADER_ANSWER_ROOT, HEADER_CALL
 from finchshed.standins import answers
-from finchshed.standins.arrivals import Arrival, schedule
+from finchshed.standins.arrivals import Arrival, read_arrivals, schedule
 from finchshed.standins.records import (
     AttemptRecord,
     CallerOutcome,
@@ -103,12 +103,12 @@
         self.settings = settings
         self._session = session
         self._records = RecordWriter(settings.record_path)
-        self._key_entropy = random.Random(settings.seed)
+        self._entropy = random.Random(settings.seed)
+        self._keys: dict[str, str] = {}
 
     async def run(self, stopped: asyncio.Event, begin_at: float) -> None:
         """Send all arrivals, the first phase from ``begin_at`` on, then wait for the last."""
-        generator = numpy.random.default_rng(self.settings.seed)
-        arrivals = schedule(self.settings.loads, self.settings.phases, generator)
+        arrivals = self._arrivals()
         begun = max(begin_at, monotonic())
         async with asyncio.TaskGroup() as group:
             for arrival in arrivals:
@@ -119,17 +119,28 @@
                     break
                 group.create_task(self._serve_arrival(arrival))
 
+    def _arrivals(self) -> list[Arrival]:
+        if self.settings.arrivals_path:
+            return read_arrivals(self.settings.arrivals_path)
+        generator = numpy.random.default_rng(self.settings.seed)
+        return schedule(self.settings.loads, self.settings.phases, generator)
+
+    def _key_of(self, arrival: Arrival) -> str:
+        """Return a fresh key; arrivals that name one share it."""
+        fresh = new_key(time.time() - arrival.key_age_seconds, self._entropy)
+        return self._keys.setdefault(arrival.key, fresh) if arrival.key else fresh
+
     async def _serve_arrival(self, arrival: Arrival) -> None:
         load = self.settings.loads[arrival.load]
-        request = f"{self.settings.name}-{arrival.number}"
-        unique = f"{request}-{self.settings.seed}"
+        request = arrival.request or f"{self.settings.name}-{arrival.number}"
+        session = f"{request}-{self.settings.seed}" if load.download_bytes else arrival.session
         outgoing = Outgoing(
             request=request,
             load=load,
             phase=arrival.phase,
-            caller=f"{self.settings.name}-{load.name}-{arrival.caller}",
-            key=new_key(time.time(), self._key_entropy) if load.keyed else "",
-            session=unique if load.download_bytes else "",
+            caller=arrival.caller_name or f"{self.settings.name}-{load.name}-{arrival.caller}",
+            key=self._key_of(arrival) if load.keyed else "",
+            session=session,
         )
         begun = monotonic()
         if load.download_bytes:
@@ -205,7 +216,7 @@
 
     def _pause(self, load: Load, record: AttemptRecord) -> float:
         if load.retry is RetryHabit.HARD:
-            return 0.0
+            return load.backoff_seconds * (0.5 + self._entropy.random())
         return record.retry_after
 
     def _write(self, outgoing: "Outgoing", begun: float, attempts: list[AttemptRecord]) -> None:
--- a/src/finchshed/standins/calling.py
+++ b/src/finchshed/standins/calling.py
@@ -1,5 +1,6 @@
 """Calls a stand-in back end makes on to further services, through its own daemon."""
 
+import asyncio
 import itertools
 
 import aiohttp
@@ -35,7 +36,7 @@
 
 
 class ChildCalls:
-    """Makes the calls a request needs, one after another."""
+    """Makes the calls a request needs, all at once."""
 
     def __init__(
         self, settings: BackendSettings, session: aiohttp.ClientSession, records: RecordWriter
@@ -60,9 +61,17 @@
             if name.lower().startswith(CONTEXT_PREFIX)
         }
         numbers = itertools.count()
-        for call in self._calls:
-            if request.path.startswith(call.prefix):
-                await self._call(call, run, context, numbers)
+        results = await asyncio.gather(
+            *(
+                self._call(call, run, context, numbers)
+                for call in self._calls
+                if request.path.startswith(call.prefix)
+            ),
+            return_exceptions=True,
+        )
+        for result in results:
+            if isinstance(result, BaseException):
+                raise result
 
     async def _call(
         self, call: CallOn, run: str, context: dict[str, str], numbers: "itertools.count[int]"
--- a/src/finchshed/standins/settings.py
+++ b/src/finchshed/standins/settings.py
@@ -112,6 +112,8 @@
         Number of outside callers the requests are spread over.
     surges
         Whether a surge multiplies this load.
+    backoff_seconds
+        Mean pause before a hard repeat, drawn evenly from half to one and a half of it.
     """
 
     name: Name
@@ -126,6 +128,7 @@
     identities: Annotated[int, msgspec.Meta(ge=1)] = 100
     surges: bool = True
     retry: RetryHabit = RetryHabit.RETRY_AFTER
+    backoff_seconds: Seconds = 0.0
     max_attempts: Annotated[int, msgspec.Meta(ge=1, le=100)] = 3
     deadline_seconds: Annotated[float, msgspec.Meta(gt=0.0, le=3600.0)] = 2.0
 
@@ -147,6 +150,8 @@
         HTTP addresses of edge daemons: the first is used, the others by repeats.
     client_delay_seconds
         One-way delay between clients and the edge, added before and after each attempt.
+    arrivals_path
+        File of the arrivals to send; empty: they are drawn from the loads and phases.
     """
 
     name: Name
@@ -156,6 +161,7 @@
     loads: tuple[Load, ...]
     phases: tuple[Phase, ...]
     client_delay_seconds: Seconds = 0.0
+    arrivals_path: str = ""
     max_connections: Annotated[int, msgspec.Meta(ge=1)] = 512
     seed: int = 1
 
