Arrivals and acts of an emulated deployment are played by real processes

Cause: a trace could be played in the emulator only. Keys keep their age; resends of one request keep their root and body. Operators can submit one change under a given identity, once, and resend it.

--- a/src/finchshed/fleet/acts.py
+++ b/src/finchshed/fleet/acts.py
@@ -53,9 +53,10 @@
 
 
 class Restart(Act, frozen=True, kw_only=True, tag="restart"):
-    """A planned restart: SIGTERM, wait until it has ended, start."""
+    """A planned restart: SIGTERM, wait until it has ended, start ``down_seconds`` later."""
 
     target: Selector
+    down_seconds: Seconds = 0.0
 
 
 class RollingRestart(Act, frozen=True, kw_only=True, tag="rolling_restart"):
@@ -141,10 +142,21 @@
 
 
 class Change(Act, frozen=True, kw_only=True, tag="change"):
-    """Have one more operator change the policy ``times`` times, with a pause before each."""
+    """Have one more operator change the policy ``times`` times, with a pause before each.
+
+    Attributes
+    ----------
+    change_id
+        Identity of a single change, which is not tried anew after a conflict; empty: made up, and
+        each change is tried until it is accepted.
+    resend
+        Send each change once more after its answer, as if that had been lost.
+    """
 
     times: Annotated[int, msgspec.Meta(ge=1, le=1000)] = 1
     pause_seconds: Seconds = 0.0
+    change_id: str = ""
+    resend: bool = False
 
 
 FaultAct: TypeAlias = (
--- a/src/finchshed/fleet/comparison.py
+++ b/src/finchshed/fleet/comparison.py
@@ -133,9 +133,9 @@
     plan = plan_of(scenario, emulated_deployment(source, deployment, deep_service))
     runs = []
     for seed in range(1, seeds + 1):
-        run = FaultRun(source, folder / f"seed-{seed}", scenario, seed, made_alike)
+        run = FaultRun(source, folder / f"seed-{seed}", scenario, seed, adapt=made_alike)
         await run.run()
-        runs.append(measure(run.events_from_start(), plan))
+        runs.append(measure(run.history_from_start().events, plan))
     return Side("fleet", runs)
 
 
--- a/src/finchshed/fleet/fault_run.py
+++ b/src/finchshed/fleet/fault_run.py
@@ -3,7 +3,7 @@
 import asyncio
 import pathlib
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
 
@@ -28,6 +28,7 @@
 from finchshed.proof.checks import CHECKS, violations_of
 from finchshed.proof.checks.index import Index
 from finchshed.proof.history import Event, History, NodeStarted
+from finchshed.standins.arrivals import Arrival
 from finchshed.standins.records import CallerOutcome
 
 CALLERS_MARGIN_SECONDS = 40.0
@@ -53,6 +54,8 @@
         Seed of arrivals, service times and keys. Processes race, so a seed doesn't fix the run.
     adapt
         Changes the deployment read from ``source``.
+    arrivals
+        Arrivals to play, by the name of the group of callers; others draw their own.
     """
 
     def __init__(
@@ -61,7 +64,9 @@
         folder: pathlib.Path,
         scenario: Scenario,
         seed: int,
+        *,
         adapt: Callable[[Deployment], Deployment] = as_it_is,
+        arrivals: Mapping[str, tuple[Arrival, ...]] | None = None,
     ) -> None:
         self._scenario = scenario
         self._seed = seed
@@ -71,6 +76,7 @@
             load_factor=scenario.load_factor,
             phases=scenario.phase,
             platform_lag_seconds=scenario.platform_lag_seconds,
+            arrivals=arrivals or {},
         )
         self._deployment = adapt(read_deployment(source))
         self._fleet = plan_fleet(source, self._deployment, folder, options)
@@ -100,14 +106,15 @@
                 await links.close()
         return self._judge()
 
-    def events_from_start(self) -> list[Event]:
-        """Return the run's events with times that count from when the callers began."""
+    def history_from_start(self) -> History:
+        """Return the run's history with times that count from when the callers began."""
         assert self._history is not None, "the run is not over"
         began = self._callers_began
-        return [
+        events: list[Event] = [
             msgspec.structs.replace(event, time=event.time - began)
             for event in self._history.events
         ]
+        return History(self._history.header, events)
 
     async def _run_with(self, links: FleetLinks) -> None:
         fleet = self._fleet
--- a/src/finchshed/fleet/faults.py
+++ b/src/finchshed/fleet/faults.py
@@ -121,7 +121,7 @@
         self._note_started(process)
 
     async def _restart(self, act: acts.Restart) -> None:
-        await self._planned_restart(self._resolve(act.target))
+        await self._planned_restart(self._resolve(act.target), act.down_seconds)
 
     async def _rolling_restart(self, act: acts.RollingRestart) -> None:
         await self._restart_in_turn(self._fleet.of_role(Role.CONTROL), act.pause_seconds)
@@ -141,14 +141,14 @@
             await self._planned_restart(process)
             await asyncio.sleep(pause_seconds)
 
-    async def _planned_restart(self, process: FleetProcess) -> None:
+    async def _planned_restart(self, process: FleetProcess, down_seconds: float = 0.0) -> None:
         spec = process.spec
         self._journal.add(PlannedStop(self._journal.now(), spec.name, spec.endpoint))
         if spec.endpoint:
             self._journal.add(EndpointLeaving(self._journal.now(), spec.endpoint, PLANNED_SIGN))
         if spec.role in FOLLOWING_ROLES:
             self._journal.add(NodeStopped(self._journal.now(), spec.name))
-        stopped = await self._fleet.restart(spec.name)
+        stopped = await self._fleet.restart(spec.name, down_seconds)
         if not stopped:
             self._journal.problem(f"{spec.name} didn't end by itself after SIGTERM")
         self._note_started(process)
@@ -255,8 +255,7 @@
     async def _change(self, act: acts.Change) -> None:
         number = next(self._numbers)
         name = f"operator-{number}"
-        first = number * FIRST_NUMBER_STEP
-        code = await self._fleet.run_operator(name, act.times, first, act.pause_seconds)
+        code = await self._fleet.run_operator(name, number * FIRST_NUMBER_STEP, act)
         if code != 0:
             self._journal.problem(f"{name}: a change was never accepted (exit code {code})")
 
--- a/src/finchshed/fleet/plan.py
+++ b/src/finchshed/fleet/plan.py
@@ -4,6 +4,7 @@
 import pathlib
 import shutil
 import zlib
+from collections.abc import Mapping
 
 import msgspec
 
@@ -11,6 +12,7 @@
 from finchshed.configuration.resources import Endpoint
 from finchshed.control.settings import ControlSettings
 from finchshed.daemon.settings import DaemonSettings
+from finchshed.fleet.acts import Change
 from finchshed.fleet.deployment import (
     DECLARATIONS_FOLDER,
     CallerGroup,
@@ -21,6 +23,7 @@
 from finchshed.fleet.network import RELAYED_OFFSET, FleetNetwork, Port
 from finchshed.fleet.processes import ProcessSpec, Role
 from finchshed.fleet.toml_writer import to_toml
+from finchshed.standins.arrivals import Arrival, write_arrivals
 from finchshed.standins.settings import (
     BackendSettings,
     CallerSettings,
@@ -39,6 +42,8 @@
         Whether internal links go through the fleet's relay, so that they can be cut.
     load_factor
         Multiplies the rate of every load.
+    arrivals
+        Arrivals to play, by the name of the group of callers; others draw their own.
     """
 
     seed: int = 1
@@ -46,6 +51,7 @@
     load_factor: float = 1.0
     phases: tuple[Phase, ...] = ()
     platform_lag_seconds: float | None = None
+    arrivals: Mapping[str, tuple[Arrival, ...]] = {}
     drain_seconds: float = 30.0
 
 
@@ -76,18 +82,18 @@
         """Return the process named ``name``."""
         return next(spec for spec in self.specs if spec.name == name)
 
-    def operator_spec(
-        self, name: str, changes: int, first_number: int, pause_seconds: float
-    ) -> ProcessSpec:
+    def operator_spec(self, name: str, first_number: int, change: Change) -> ProcessSpec:
         """Write the settings of a stand-in operator and return how to start it."""
         settings = OperatorSettings(
             name=name,
             token=self.deployment.operator_token,
             rpc_addresses=self.rpc_addresses,
             record_path=str(self.folder / "records" / f"{name}.jsonl"),
-            changes=changes,
+            changes=change.times,
             first_number=first_number,
-            pause_seconds=pause_seconds,
+            pause_seconds=change.pause_seconds,
+            change_id=change.change_id,
+            resend=change.resend,
         )
         path = self.folder / "settings" / f"{name}.toml"
         path.write_text(to_toml(settings))
@@ -278,10 +284,19 @@
             ),
             phases=self._options.phases or self._deployment.phase,
             client_delay_seconds=self._deployment.client_delay_seconds,
+            arrivals_path=self._arrivals_path(group.name),
             seed=self._seed(group.name),
         )
         self._add_standin(group.name, Role.CALLER, settings, "")
 
+    def _arrivals_path(self, group: str) -> str:
+        arrivals = self._options.arrivals.get(group)
+        if arrivals is None:
+            return ""
+        path = self._folder / "settings" / f"{group}-arrivals.jsonl"
+        write_arrivals(path, arrivals)
+        return str(path)
+
     def _add_daemon(self, name: str, role: Role, settings: DaemonSettings) -> None:
         spec = ProcessSpec(
             name=name,
--- a/src/finchshed/fleet/runner.py
+++ b/src/finchshed/fleet/runner.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from finchshed.common.errors import FinchshedError
+from finchshed.fleet.acts import Change
 from finchshed.fleet.network import FleetNetwork
 from finchshed.fleet.plan import FleetPlan
 from finchshed.fleet.processes import FleetProcess, ProcessSpec, Role, wait_until_listening
@@ -164,11 +165,9 @@
         async with self.http.post(url, params={"value": value}) as response:
             response.raise_for_status()
 
-    async def run_operator(
-        self, name: str, changes: int, first_number: int, pause_seconds: float
-    ) -> int:
+    async def run_operator(self, name: str, first_number: int, change: Change) -> int:
         """Run a stand-in operator that makes changes; return its exit code."""
-        spec = self.plan.operator_spec(name, changes, first_number, pause_seconds)
+        spec = self.plan.operator_spec(name, first_number, change)
         process = FleetProcess(spec, self.log_path(spec.name))
         self.processes[spec.name] = process
         process.start()
@@ -181,10 +180,11 @@
         ended = [await caller.wait(timeout_seconds) for caller in callers]
         return all(ended) and all(caller.exit_code == 0 for caller in callers)
 
-    async def restart(self, name: str, stop_signal: signal.Signals = signal.SIGTERM) -> bool:
-        """Stop one process and start it anew; return whether it stopped by itself."""
+    async def restart(self, name: str, down_seconds: float = 0.0) -> bool:
+        """Stop one process and start it anew later; return whether it stopped by itself."""
         process = self.processes[name]
-        stopped = await process.stop(stop_signal, RESTART_STOP_SECONDS)
+        stopped = await process.stop(signal.SIGTERM, RESTART_STOP_SECONDS)
+        await asyncio.sleep(down_seconds)
         process.start()
         await self.wait_ready([process.spec])
         return stopped
--- a/src/finchshed/standins/arrivals.py
+++ b/src/finchshed/standins/arrivals.py
@@ -20,11 +20,9 @@
     caller
         Number of the outside caller within the load.
     request
-        Name of the request; empty for one made of the number.
+        Name of the request; empty for one made of the number. Arrivals of one name are resends.
     key
-        Stands for an idempotency key: equal ones get the same fresh key.
-    key_age_seconds
-        How old that key is to be when it is first sent.
+        Idempotency key; empty for one made when the request is sent.
     """
 
     at: float
@@ -35,7 +33,6 @@
     request: str = ""
     caller_name: str = ""
     key: str = ""
-    key_age_seconds: float = 0.0
     session: str = ""
 
 
--- a/src/finchshed/standins/caller.py
+++ b/src/finchshed/standins/caller.py
@@ -62,6 +62,8 @@
     load: Load
     phase: str
     caller: str
+    sending: str = ""
+    """Tells apart the arrivals of one request in the names of their calls."""
     key: str = ""
     session: str = ""
     wanted: answers.RangeRequest | None = None
@@ -104,7 +106,6 @@
         self._session = session
         self._records = RecordWriter(settings.record_path)
         self._entropy = random.Random(settings.seed)
-        self._keys: dict[str, str] = {}
 
     async def run(self, stopped: asyncio.Event, begin_at: float) -> None:
         """Send all arrivals, the first phase from ``begin_at`` on, then wait for the last."""
@@ -125,11 +126,6 @@
         generator = numpy.random.default_rng(self.settings.seed)
         return schedule(self.settings.loads, self.settings.phases, generator)
 
-    def _key_of(self, arrival: Arrival) -> str:
-        """Return a fresh key; arrivals that name one share it."""
-        fresh = new_key(time.time() - arrival.key_age_seconds, self._entropy)
-        return self._keys.setdefault(arrival.key, fresh) if arrival.key else fresh
-
     async def _serve_arrival(self, arrival: Arrival) -> None:
         load = self.settings.loads[arrival.load]
         request = arrival.request or f"{self.settings.name}-{arrival.number}"
@@ -139,8 +135,9 @@
             load=load,
             phase=arrival.phase,
             caller=arrival.caller_name or f"{self.settings.name}-{load.name}-{arrival.caller}",
-            key=self._key_of(arrival) if load.keyed else "",
+            key=(arrival.key or new_key(time.time(), self._entropy)) if load.keyed else "",
             session=session,
+            sending=f"{arrival.number}." if arrival.request else "",
         )
         begun = monotonic()
         if load.download_bytes:
@@ -178,10 +175,10 @@
     async def _attempts(self, outgoing: "Outgoing") -> tuple[list[AttemptRecord], "Reply"]:
         load = outgoing.load
         headers = outgoing.headers()
-        body = answers.answer_body(outgoing.request, load.body_bytes) if load.body_bytes else b""
+        body = answers.answer_body(outgoing.identity, load.body_bytes) if load.body_bytes else b""
         attempts: list[AttemptRecord] = []
         for number in itertools.count():
-            call = f"{outgoing.request}/{number}"
+            call = f"{outgoing.request}/{outgoing.sending}{number}"
             edge = self.settings.edge_addresses[number % len(self.settings.edge_addresses)]
             begun = monotonic()
             reply = await self._send(load, edge, {**headers, HEADER_CALL: call}, body)
--- a/src/finchshed/standins/operator.py
+++ b/src/finchshed/standins/operator.py
@@ -71,8 +71,14 @@
         return 1 if unanswered else 0
 
     def _change(self, number: int) -> bool:
-        """Make one change, anew after each conflict; return whether it was accepted."""
+        """Make one change, anew after each conflict; return whether it was accepted.
+
+        A change with an identity given is made once; returned is whether it was answered.
+        """
         deadline = monotonic() + self._settings.patience_seconds
+        if self._settings.change_id:
+            outcome = self._submit(self._settings.change_id, number, deadline)
+            return outcome is not ChangeOutcome.UNKNOWN
         attempt = 0
         while monotonic() < deadline:
             attempt += 1
@@ -89,6 +95,15 @@
             return ChangeOutcome.UNKNOWN
         expected, policy = revision
         changed = Difference((msgspec.structs.replace(policy, key_window_seconds=value),), ())
+        outcome = ChangeOutcome.UNKNOWN
+        for _ in range(2 if self._settings.resend else 1):
+            outcome = self._send(identity, expected, value, changed, deadline)
+        return outcome
+
+    def _send(
+        self, identity: str, expected: int, value: float, changed: Difference, deadline: float
+    ) -> ChangeOutcome:
+        """Send a change until it is answered; return the answer."""
         self._note(identity, expected, value, ChangeOutcome.SUBMITTED, 0)
         while monotonic() < deadline:
             try:
--- a/src/finchshed/standins/settings.py
+++ b/src/finchshed/standins/settings.py
@@ -190,6 +190,11 @@
         A change's number is added to this to get the key window it sets, seconds.
     patience_seconds
         A change not answered for so long is given up.
+    change_id
+        Identity of a single change, which is not tried anew after a conflict; empty: made up, and
+        each change is tried until it is accepted.
+    resend
+        Send each change once more after its answer, as if that had been lost.
     """
 
     name: Name
@@ -201,6 +206,8 @@
     base_value: Annotated[float, msgspec.Meta(gt=0.0, le=80_000.0)] = 600.0
     pause_seconds: Seconds = 0.0
     patience_seconds: Seconds = 60.0
+    change_id: str = ""
+    resend: bool = False
 
 
 def load(struct_type: type[SettingsT], path: str | pathlib.Path) -> SettingsT:
