--- /dev/null
+++ b/src/finchshed/fleet/planner.py
@@ -0,0 +1,329 @@
+"""Plans a fleet: every process with its settings file, from a deployment and its declarations."""
+
+import hashlib
+import pathlib
+import shutil
+import zlib
+from collections.abc import Mapping
+
+import msgspec
+
+from finchshed.configuration.declarations import read_declarations
+from finchshed.configuration.resources import Endpoint
+from finchshed.control.settings import ControlSettings
+from finchshed.daemon.settings import DaemonSettings
+from finchshed.fleet.deployment import (
+    DECLARATIONS_FOLDER,
+    CallerGroup,
+    Deployment,
+    Machine,
+    ServiceBehaviour,
+)
+from finchshed.fleet.network import RELAYED_OFFSET, FleetNetwork, Port
+from finchshed.fleet.plan import FleetPlan, backend_name, daemon_name, host_of
+from finchshed.fleet.processes import ProcessSpec, Role
+from finchshed.fleet.toml_writer import to_toml
+from finchshed.standins.arrivals import Arrival, write_arrivals
+from finchshed.standins.settings import (
+    BackendSettings,
+    CallerSettings,
+    Phase,
+    PlatformSettings,
+)
+
+
+class PlanOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """What a run changes of its deployment.
+
+    Attributes
+    ----------
+    relayed
+        Whether internal links go through the fleet's relay, so that they can be cut.
+    load_factor
+        Multiplies the rate of every load.
+    arrivals
+        Arrivals to play, by the name of the group of callers; others draw their own.
+    """
+
+    seed: int = 1
+    relayed: bool = False
+    load_factor: float = 1.0
+    phases: tuple[Phase, ...] = ()
+    platform_lag_seconds: float | None = None
+    arrivals: Mapping[str, tuple[Arrival, ...]] = {}
+    drain_seconds: float = 30.0
+
+
+class Planner:
+    """Builds a plan; writes settings files under the run folder."""
+
+    def __init__(
+        self,
+        source: pathlib.Path,
+        deployment: Deployment,
+        folder: pathlib.Path,
+        network: FleetNetwork,
+        options: PlanOptions,
+    ) -> None:
+        self._source = source
+        self._deployment = deployment
+        self._folder = folder
+        self._network = network
+        self._options = options
+        self._behaviours = {service.name: service for service in deployment.service}
+        self._relayed: dict[str, str] = {}
+        self._owners: dict[str, str] = {}
+        self._specs: list[ProcessSpec] = []
+
+    def plan(self) -> FleetPlan:
+        """Write all settings files and return the plan."""
+        for name in ("settings", "records", "logs", "data"):
+            (self._folder / name).mkdir(parents=True, exist_ok=True)
+        endpoints = self._copy_declarations()
+        self._plan_platform()
+        for machine in self._deployment.control:
+            self._plan_control(machine)
+        for endpoint in endpoints:
+            self._plan_backend(endpoint)
+        for endpoint in endpoints:
+            self._plan_daemon(endpoint)
+        for machine in self._deployment.edge:
+            self._plan_edge(machine)
+        for group in self._deployment.caller:
+            self._plan_caller(group)
+        return FleetPlan(
+            folder=self._folder,
+            deployment=self._deployment,
+            specs=self._specs,
+            endpoints=endpoints,
+            rpc_addresses=tuple(self._at(m.host, Port.RPC) for m in self._deployment.control),
+            edge_addresses={m.name: self._at(m.host, Port.HTTP) for m in self._deployment.edge},
+            admin_addresses=self._admin_addresses(endpoints),
+            backend_addresses={e.name: self._at(host_of(e), Port.BACKEND) for e in endpoints},
+            platform_address=self._at(self._deployment.platform.host, Port.PLATFORM),
+            platform_lag_seconds=self._platform_lag_seconds,
+            relayed=self._relayed,
+            owners=self._owners,
+        )
+
+    @property
+    def _platform_lag_seconds(self) -> float:
+        lag = self._options.platform_lag_seconds
+        return self._deployment.platform.lag_seconds if lag is None else lag
+
+    def _copy_declarations(self) -> tuple[Endpoint, ...]:
+        target = self._folder / DECLARATIONS_FOLDER
+        if target.exists():
+            shutil.rmtree(target)
+        target.mkdir()
+        for path in sorted((self._source / DECLARATIONS_FOLDER).glob("*.toml")):
+            (target / path.name).write_text(self._network.moved(path.read_text()))
+        resources = read_declarations(target).resources.values()
+        return tuple(item for item in resources if isinstance(item, Endpoint))
+
+    def _plan_platform(self) -> None:
+        address = self._at(self._deployment.platform.host, Port.PLATFORM)
+        settings = PlatformSettings(
+            address=address,
+            lag_seconds=self._platform_lag_seconds,
+        )
+        self._add_standin("platform", Role.PLATFORM, settings, address)
+
+    def _plan_control(self, machine: Machine) -> None:
+        data_folder = self._data_folder(machine.name)
+        settings = ControlSettings(
+            node=machine.name,
+            region=machine.region,
+            zone=machine.zone,
+            data_folder=data_folder,
+            raft_address=self._behind(machine.name, machine.host, Port.RAFT),
+            raft_advertised_address=self._at(machine.host, Port.RAFT),
+            distribution_address=self._behind(machine.name, machine.host, Port.DISTRIBUTION),
+            distribution_advertised_address=self._at(machine.host, Port.DISTRIBUTION),
+            rpc_address=self._behind(machine.name, machine.host, Port.RPC),
+            admin_address=self._at(machine.host, Port.CONTROL_ADMIN),
+            voters=tuple(
+                f"{voter.name}={self._at(voter.host, Port.RAFT)}"
+                for voter in self._deployment.control
+            ),
+            bootstrap_token_sha256=hashlib.sha256(
+                self._deployment.operator_token.encode()
+            ).hexdigest(),
+            platform_list_url=(
+                f"http://{self._at(self._deployment.platform.host, Port.PLATFORM)}/instances"
+            ),
+        )
+        spec = ProcessSpec(
+            name=machine.name,
+            role=Role.CONTROL,
+            zone=machine.zone,
+            arguments=self._program("control", machine.name, settings),
+            listens=(settings.distribution_address, settings.rpc_address),
+            data_folder=data_folder,
+        )
+        self._specs.append(spec)
+
+    def _plan_backend(self, endpoint: Endpoint) -> None:
+        behaviour = self._behaviour(endpoint)
+        address = self._at(host_of(endpoint), Port.BACKEND)
+        settings = BackendSettings(
+            name=endpoint.name,
+            service=endpoint.service,
+            zone=endpoint.zone,
+            address=address,
+            daemon_address=self._at(host_of(endpoint), Port.HTTP),
+            record_path=str(self._record_path(endpoint.name)),
+            slots=endpoint.slots,
+            service_time_seconds=behaviour.service_time_seconds,
+            distribution=behaviour.distribution,
+            answer_bytes=behaviour.answer_bytes,
+            queue_limit=behaviour.queue_limit,
+            cold_start_seconds=behaviour.cold_start_seconds,
+            seed=self._seed(endpoint.name),
+            calls=behaviour.calls,
+        )
+        name = backend_name(endpoint.name)
+        self._add_standin(name, Role.BACKEND, settings, address, endpoint)
+
+    def _plan_daemon(self, endpoint: Endpoint) -> None:
+        name = daemon_name(endpoint.name)
+        host = host_of(endpoint)
+        data_folder = self._data_folder(name)
+        settings = DaemonSettings(
+            node=name,
+            region=endpoint.region,
+            zone=endpoint.zone,
+            service=endpoint.service,
+            endpoint=endpoint.name,
+            backend_address=self._at(host, Port.BACKEND),
+            http_address=self._at(host, Port.HTTP),
+            link_address=self._behind(name, host, Port.LINK),
+            admin_address=self._at(host, Port.ADMIN),
+            control_addresses=self._control_addresses(),
+            data_folder=data_folder,
+            drain_seconds=self._options.drain_seconds,
+        )
+        self._add_daemon(name, Role.DAEMON, settings)
+
+    def _plan_edge(self, machine: Machine) -> None:
+        settings = DaemonSettings(
+            node=machine.name,
+            region=machine.region,
+            zone=machine.zone,
+            http_address=self._at(machine.host, Port.HTTP),
+            link_address=self._behind(machine.name, machine.host, Port.LINK),
+            admin_address=self._at(machine.host, Port.ADMIN),
+            control_addresses=self._control_addresses(),
+            data_folder=self._data_folder(machine.name),
+            drain_seconds=self._options.drain_seconds,
+        )
+        self._add_daemon(machine.name, Role.EDGE, settings)
+
+    def _plan_caller(self, group: CallerGroup) -> None:
+        edges = sorted(self._deployment.edge, key=lambda edge: edge.zone != group.zone)
+        factor = self._options.load_factor
+        settings = CallerSettings(
+            name=group.name,
+            zone=group.zone,
+            edge_addresses=tuple(self._at(edge.host, Port.HTTP) for edge in edges),
+            record_path=str(self._record_path(group.name)),
+            loads=tuple(
+                msgspec.structs.replace(load, rate_per_second=load.rate_per_second * factor)
+                for load in group.loads
+            ),
+            phases=self._options.phases or self._deployment.phase,
+            client_delay_seconds=self._deployment.client_delay_seconds,
+            arrivals_path=self._arrivals_path(group.name),
+            seed=self._seed(group.name),
+        )
+        self._add_standin(group.name, Role.CALLER, settings, "")
+
+    def _arrivals_path(self, group: str) -> str:
+        arrivals = self._options.arrivals.get(group)
+        if arrivals is None:
+            return ""
+        path = self._folder / "settings" / f"{group}-arrivals.jsonl"
+        write_arrivals(path, arrivals)
+        return str(path)
+
+    def _add_daemon(self, name: str, role: Role, settings: DaemonSettings) -> None:
+        spec = ProcessSpec(
+            name=name,
+            role=role,
+            zone=settings.zone,
+            arguments=self._program("daemon", name, settings),
+            listens=(settings.link_address, settings.http_address),
+            endpoint=settings.endpoint,
+            service=settings.service,
+            data_folder=settings.data_folder,
+        )
+        self._specs.append(spec)
+
+    def _add_standin(
+        self,
+        name: str,
+        role: Role,
+        settings: msgspec.Struct,
+        address: str,
+        endpoint: Endpoint | None = None,
+    ) -> None:
+        path = self._write_settings(name, settings)
+        self._specs.append(
+            ProcessSpec(
+                name=name,
+                role=role,
+                zone=getattr(settings, "zone", ""),
+                arguments=("-m", "finchshed", "standin", role.value, str(path)),
+                listens=(address,) if address else (),
+                endpoint="" if endpoint is None else endpoint.name,
+                service="" if endpoint is None else endpoint.service,
+            )
+        )
+
+    def _program(self, program: str, name: str, settings: msgspec.Struct) -> tuple[str, ...]:
+        path = self._write_settings(name, settings)
+        return ("-m", "finchshed", program, "--settings", str(path))
+
+    def _write_settings(self, name: str, settings: msgspec.Struct) -> pathlib.Path:
+        path = self._folder / "settings" / f"{name}.toml"
+        path.write_text(to_toml(settings))
+        return path
+
+    def _behind(self, owner: str, host: str, port: Port) -> str:
+        """Return where a program listens: behind the relay, if there is one."""
+        public = self._at(host, port)
+        if not self._options.relayed:
+            return public
+        private = self._at(host, port + RELAYED_OFFSET)
+        self._relayed[private] = public
+        self._owners[private] = owner
+        return private
+
+    def _behaviour(self, endpoint: Endpoint) -> ServiceBehaviour:
+        return self._behaviours[endpoint.service]
+
+    def _control_addresses(self) -> tuple[str, ...]:
+        return tuple(
+            f"{node.zone}={self._at(node.host, Port.DISTRIBUTION)}"
+            for node in self._deployment.control
+        )
+
+    def _admin_addresses(self, endpoints: tuple[Endpoint, ...]) -> dict[str, str]:
+        addresses = {daemon_name(e.name): self._at(host_of(e), Port.ADMIN) for e in endpoints}
+        addresses |= {m.name: self._at(m.host, Port.ADMIN) for m in self._deployment.edge}
+        control = self._deployment.control
+        return addresses | {m.name: self._at(m.host, Port.CONTROL_ADMIN) for m in control}
+
+    def _record_path(self, name: str) -> pathlib.Path:
+        return self._folder / "records" / f"{name}.jsonl"
+
+    def _data_folder(self, name: str) -> str:
+        folder = self._folder / "data" / name
+        folder.mkdir(parents=True, exist_ok=True)
+        return str(folder)
+
+    def _seed(self, name: str) -> int:
+        return self._options.seed * 1_000_003 + zlib.crc32(name.encode())
+
+    def _at(self, host: str, port: int) -> str:
+        return self._network.address(host, port)
--- /dev/null
+++ b/src/finchshed/fleet/serving_events.py
@@ -0,0 +1,155 @@
+"""What back ends ran, and the calls they made on, as events of a history."""
+
+from collections.abc import Iterable, Iterator
+
+from finchshed.common.importance import Importance
+from finchshed.fleet.journal import FaultJournal
+from finchshed.fleet.plan import backend_name
+from finchshed.proof.history import (
+    Admission,
+    CallBegan,
+    CallEnded,
+    CallResult,
+    Event,
+    Fault,
+    RunBegan,
+    RunEnded,
+    RunResult,
+)
+from finchshed.standins.records import BackendEvent, BackendRecord
+
+RUN_ENDS = {
+    BackendEvent.FINISHED: RunResult.FINISHED,
+    BackendEvent.FAILED: RunResult.FINISHED,
+    BackendEvent.ABORTED: RunResult.CANCELLED,
+}
+
+
+class ServingEvents:
+    """What back ends ran, and the calls they made on.
+
+    Attributes
+    ----------
+    roots
+        Root identity by name of the call.
+    """
+
+    def __init__(self, records: Iterable[BackendRecord], journal: FaultJournal) -> None:
+        self._records = list(records)
+        self._journal = journal
+        self._runs: dict[str, BackendRecord] = {}
+        self._open_runs: dict[str, BackendRecord] = {}
+        self._open_calls: dict[str, BackendRecord] = {}
+        self.roots = {
+            record.call: record.root
+            for record in self._records
+            if record.event is BackendEvent.ARRIVED
+        }
+
+    def events(self) -> list[Event]:
+        """Return the events of all records."""
+        events: list[Event] = []
+        for record in self._records:
+            events += self._events_of(record)
+        events += self._crashes()
+        return events
+
+    def _events_of(self, record: BackendRecord) -> Iterator[Event]:
+        if record.event is BackendEvent.STARTED:
+            yield from self._started(record)
+        elif record.event in RUN_ENDS:
+            yield from self._ended(record)
+        elif record.event is BackendEvent.CALL_BEGAN:
+            yield from self._call_began(record)
+        elif record.event is BackendEvent.CALL_ENDED:
+            self._open_calls.pop(record.call, None)
+            yield _nested_ended(record, self._time(record))
+
+    def _started(self, record: BackendRecord) -> Iterator[Event]:
+        self._runs[record.run] = record
+        self._open_runs[record.run] = record
+        time = self._time(record)
+        yield RunBegan(
+            time=time,
+            run=record.run,
+            call=record.call,
+            root=record.root,
+            service=record.service,
+            endpoint=record.backend,
+            key=record.key,
+        )
+        yield Admission(
+            time=time,
+            endpoint=record.backend,
+            service=record.service,
+            root=record.root,
+            importance=importance_of(record),
+            admitted=True,
+        )
+
+    def _ended(self, record: BackendRecord) -> Iterator[Event]:
+        self._open_runs.pop(record.run, None)
+        time = self._time(record)
+        yield from self._abandon_calls_of(record.run, time)
+        yield RunEnded(time, record.run, RUN_ENDS[record.event])
+
+    def _call_began(self, record: BackendRecord) -> Iterator[Event]:
+        run = self._runs.get(record.run)
+        if run is None:
+            return
+        self._open_calls[record.call] = record
+        yield CallBegan(
+            time=self._time(record),
+            call=record.call,
+            root=run.root,
+            service=record.service,
+            importance=importance_of(run),
+            parent=record.run,
+        )
+
+    def _abandon_calls_of(self, run: str, time: float) -> Iterator[Event]:
+        """Yield the end of calls that a run made on and did not wait for."""
+        left = [call for call, record in self._open_calls.items() if record.run == run]
+        for call in left:
+            del self._open_calls[call]
+            yield CallEnded(time, call, CallResult.ABANDONED)
+
+    def _crashes(self) -> Iterator[Event]:
+        """Yield the end of runs that a kill of their back end ended."""
+        kills = [
+            event
+            for event in self._journal.events
+            if isinstance(event, Fault) and event.fault == "kill" and not event.ended
+        ]
+        for run, record in list(self._open_runs.items()):
+            began = self._time(record)
+            name = backend_name(record.backend)
+            times = [kill.time for kill in kills if name in kill.targets and kill.time >= began]
+            if times:
+                yield from self._abandon_calls_of(run, min(times))
+                yield RunEnded(min(times), run, RunResult.CRASHED)
+
+    def _time(self, record: BackendRecord) -> float:
+        return record.at - self._journal.began
+
+
+def importance_of(record: BackendRecord) -> Importance:
+    """Return the importance a run was sent with."""
+    return Importance(int(record.importance)) if record.importance else Importance.NORMAL
+
+
+def _nested_ended(record: BackendRecord, time: float) -> CallEnded:
+    result = CallResult.FAILED
+    if record.ran == "yes":
+        result = CallResult.ANSWERED
+    elif record.ran == "no":
+        result = CallResult.REFUSED
+    return CallEnded(
+        time=time,
+        call=record.call,
+        result=result,
+        reason=record.reason,
+        status=record.status,
+        answer_root=record.root,
+        whole=not record.problem,
+    )
--- a/src/finchshed/standins/caller.py
+++ b/src/finchshed/standins/caller.py
@@ -13,21 +13,20 @@
 import msgspec
 import numpy
 
-from finchshed.common.context import (
-    HEADER_CALLER,
-    HEADER_DEADLINE,
-    HEADER_IDEMPOTENCY_KEY,
-    HEADER_RAN,
-    HEADER_REASON,
-    HEADER_RETRY_AFTER_MS,
-    HEADER_ROOT,
-    HEADER_SERVICE,
-    HEADER_SESSION,
-)
 from finchshed.ledger.keys import new_key
-from finchshed.proof.history import HEADER_ANSWER_DIGEST, HEADER_ANSWER_ROOT, HEADER_CALL
+from finchshed.proof.history import HEADER_CALL
 from finchshed.standins import answers
 from finchshed.standins.arrivals import Arrival, read_arrivals, schedule
+from finchshed.standins.outgoing import (
+    EDITION_CHANGED_STATUS,
+    Outgoing,
+    Reply,
+    attempt_record,
+    is_final,
+    may_repeat,
+    path_of,
+    problem_of,
+)
 from finchshed.standins.records import (
     AttemptRecord,
     CallerOutcome,
@@ -38,66 +37,10 @@
 from finchshed.standins.serving import stop_event
 from finchshed.standins.settings import CallerSettings, Load, RetryHabit
 
-SUCCESS_BELOW = 400
-EDITION_CHANGED_STATUS = 412
-FINAL_STATUSES = frozenset({400, 404, 409, 413, 422})
-"""Statuses of refusals that a resend would get again (RFC 9110, 15.5)."""
 PATIENCE_SECONDS = 5.0
 """How much longer than its deadline a caller waits for an answer."""
 
 
-class Reply(msgspec.Struct, frozen=True):
-    """What came back over HTTP; ``status`` 0 if nothing whole did."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-    error: str = ""
-
-
-class Outgoing(msgspec.Struct, frozen=True, kw_only=True):
-    """A request, or one range of a download, that a caller wants answered."""
-
-    request: str
-    load: Load
-    phase: str
-    caller: str
-    sending: str = ""
-    """Tells apart the arrivals of one request in the names of their calls."""
-    key: str = ""
-    session: str = ""
-    wanted: answers.RangeRequest | None = None
-    validator: str = ""
-
-    @property
-    def identity(self) -> str:
-        """What the answer must name: the key, or the request where it has none.
-
-        Both stay over the request's attempts, as an attempt may join an earlier one in progress,
-        and a resend of a keyed request gets the answer of the attempt that ran.
-        """
-        return self.key or self.request
-
-    def headers(self) -> dict[str, str]:
-        """Return the headers that every attempt carries."""
-        headers = {
-            HEADER_SERVICE: self.load.service,
-            HEADER_CALLER: self.caller,
-            HEADER_DEADLINE: str(int(self.load.deadline_seconds * 1000)),
-            HEADER_ROOT: self.request,
-            answers.HEADER_IDENTITY: self.identity,
-        }
-        if self.key:
-            headers[HEADER_IDEMPOTENCY_KEY] = self.key
-        if self.session:
-            headers[HEADER_SESSION] = self.session
-        if self.wanted is not None:
-            headers["Range"] = f"bytes={self.wanted.first}-{self.wanted.last}"
-        if self.validator:
-            headers["If-Match"] = self.validator
-        return headers
-
-
 class Caller:
     """Sends the requests of one caller process."""
 
@@ -146,7 +89,7 @@
             attempts, _ = await self._attempts(outgoing)
         self._write(outgoing, begun, attempts)
 
-    async def _download(self, outgoing: "Outgoing") -> list[AttemptRecord]:
+    async def _download(self, outgoing: Outgoing) -> list[AttemptRecord]:
         """Fetch a download in ranges within one session; begin anew if the edition changes."""
         load = outgoing.load
         numbers = itertools.count()
@@ -172,7 +115,7 @@
             offset = last + 1
         return attempts
 
-    async def _attempts(self, outgoing: "Outgoing") -> tuple[list[AttemptRecord], "Reply"]:
+    async def _attempts(self, outgoing: Outgoing) -> tuple[list[AttemptRecord], Reply]:
         load = outgoing.load
         headers = outgoing.headers()
         body = answers.answer_body(outgoing.identity, load.body_bytes) if load.body_bytes else b""
@@ -182,12 +125,12 @@
             edge = self.settings.edge_addresses[number % len(self.settings.edge_addresses)]
             begun = monotonic()
             reply = await self._send(load, edge, {**headers, HEADER_CALL: call}, body)
-            problem = _problem(outgoing, reply, body)
-            record = _attempt_record(call, edge, begun, reply, problem)
+            problem = problem_of(outgoing, reply, body)
+            record = attempt_record(call, edge, begun, reply, problem)
             attempts.append(record)
-            if record.outcome is CallerOutcome.ANSWERED or _is_final(record):
+            if record.outcome is CallerOutcome.ANSWERED or is_final(record):
                 break
-            if not _may_repeat(load, number):
+            if not may_repeat(load, number):
                 break
             await asyncio.sleep(self._pause(load, record))
         return attempts, reply
@@ -199,7 +142,7 @@
         try:
             async with self._session.request(
                 load.method,
-                f"http://{edge}{_path_of(load)}",
+                f"http://{edge}{path_of(load)}",
                 headers=headers,
                 data=body or None,
                 timeout=timeout,
@@ -216,7 +159,7 @@
             return load.backoff_seconds * (0.5 + self._entropy.random())
         return record.retry_after
 
-    def _write(self, outgoing: "Outgoing", begun: float, attempts: list[AttemptRecord]) -> None:
+    def _write(self, outgoing: Outgoing, begun: float, attempts: list[AttemptRecord]) -> None:
         problems = [attempt.problem for attempt in attempts if attempt.problem]
         self._records.write(
             CallerRecord(
@@ -237,88 +180,6 @@
         )
 
 
-def _path_of(load: Load) -> str:
-    if load.download_bytes:
-        return f"{load.path}?size={load.download_bytes}"
-    return load.path
-
-
-def _is_final(record: AttemptRecord) -> bool:
-    """Whether the same request would get the same refusal again: none says when to come back."""
-    return record.outcome is CallerOutcome.REFUSED and record.status in FINAL_STATUSES
-
-
-def _may_repeat(load: Load, number: int) -> bool:
-    return load.retry is not RetryHabit.NONE and number + 1 < load.max_attempts
-
-
-def _is_answer(reply: Reply) -> bool:
-    return 0 < reply.status < SUCCESS_BELOW or reply.status == EDITION_CHANGED_STATUS
-
-
-def _problem(outgoing: Outgoing, reply: Reply, sent: bytes) -> str:
-    """Say why an answer isn't this request's whole answer; empty if it is, or is none."""
-    if not _is_answer(reply):
-        return ""
-    if outgoing.wanted is not None:
-        return _range_problem(outgoing, reply)
-    return answers.problem_of(outgoing.identity, reply.body, reply.headers, sent)
-
-
-def _range_problem(outgoing: Outgoing, reply: Reply) -> str:
-    named = reply.headers.get(answers.HEADER_IDENTITY)
-    if named != outgoing.identity:
-        return f"answer names request {named!r}"
-    if reply.status == EDITION_CHANGED_STATUS:
-        return ""
-    tag = reply.headers.get("etag", "")
-    edition = tag.strip('"').rpartition("-")[2]
-    if not edition.isdigit():
-        return f"answer has no edition: {tag!r}"
-    if outgoing.validator and tag != outgoing.validator:
-        return f"edition changed from {outgoing.validator} to {tag}"
-    wanted = outgoing.wanted
-    if wanted is not None:
-        content = answers.edition_bytes(outgoing.load.path, int(edition), wanted)
-        if reply.body != content:
-            return "range differs from its edition"
-    return ""
-
-
-def _attempt_record(
-    call: str, edge: str, begun: float, reply: Reply, problem: str
-) -> AttemptRecord:
-    answered = _is_answer(reply)
-    ran = "yes" if answered else reply.headers.get(HEADER_RAN, "unknown")
-    outcome = CallerOutcome.FAILED
-    if answered:
-        outcome = CallerOutcome.ANSWERED
-    elif ran == "no":
-        outcome = CallerOutcome.REFUSED
-    return AttemptRecord(
-        call=call,
-        edge=edge,
-        begun=begun,
-        ended=monotonic(),
-        outcome=outcome,
-        ran=ran,
-        status=reply.status,
-        reason=reply.headers.get(HEADER_REASON, reply.error),
-        retry_after=_retry_after(reply),
-        root=reply.headers.get(HEADER_ANSWER_ROOT, ""),
-        digest=reply.headers.get(HEADER_ANSWER_DIGEST, ""),
-        problem=problem,
-    )
-
-
-def _retry_after(reply: Reply) -> float:
-    milliseconds = reply.headers.get(HEADER_RETRY_AFTER_MS, "")
-    if milliseconds:
-        return float(milliseconds) / 1000.0
-    seconds = reply.headers.get("retry-after", "")
-    return float(seconds) if seconds else 0.0
-
-
 async def _sleep_unless(stopped: asyncio.Event, seconds: float) -> None:
     try:
         await asyncio.wait_for(stopped.wait(), seconds)
--- a/tests/fleet/test_histories.py
+++ b/tests/fleet/test_histories.py
@@ -1,8 +1,9 @@
 from finchshed.common.importance import Importance
 from finchshed.configuration.resources import Route, Service
 from finchshed.daemon.catalogue import Catalogue
-from finchshed.fleet.histories import ServingEvents, caller_events, operator_events
+from finchshed.fleet.histories import caller_events, operator_events
 from finchshed.fleet.journal import FaultJournal
+from finchshed.fleet.serving_events import ServingEvents
 from finchshed.proof.history import (
     CallBegan,
     CallEnded,
