Storms: fault scripts drawn from a seed for fleets of real processes

Acts that meet on one process no longer trip over each other: a process that is gone isn't started twice, frozen only if it runs, stopped as planned only while it works.

--- a/src/finchshed/fleet/command.py
+++ b/src/finchshed/fleet/command.py
@@ -18,6 +18,7 @@
 from finchshed.fleet.demo import demo_run
 from finchshed.fleet.fault_run import FaultRun
 from finchshed.fleet.scenario import read_scenario
+from finchshed.fleet.storm_runs import run_storms
 
 DEFAULT_RUN_FOLDER = "run"
 
@@ -49,6 +50,31 @@
     return run_interruptible(_exit_code_of(FaultRun(source, folder, scenario, seed)))
 
 
+def storm(deployment: str, seeds: str = "1..3", out: str = "") -> int:
+    """Run storms of faults drawn from seeds on a deployment, one after another.
+
+    DEPLOYMENT is a folder such as examples/brazos, SEEDS a range A..B. OUT keeps each run, and its
+    script as script.toml, which run can repeat. Exit code 0 only if no run failed.
+    """
+    source = pathlib.Path(deployment)
+    folder = run_folder(out, f"{source.name}-storms")
+    return run_interruptible(run_storms(source, folder, seed_range(seeds)))
+
+
+def seed_range(text: str) -> range:
+    """Return the seeds of ``A..B``, both included.
+
+    Raises
+    ------
+    SettingsError
+        If it is no such range.
+    """
+    first, found, last = text.partition("..")
+    if not found or not first.isdigit() or not last.isdigit() or int(last) < int(first):
+        raise SettingsError([f"flag --seeds = {text}: allowed is A..B, two numbers in order"])
+    return range(int(first), int(last) + 1)
+
+
 def compare(
     deployment: str, faults: str, out: str = "", seeds: int = 3, emulated: int = EMULATED_SEEDS
 ) -> int:
@@ -108,4 +134,9 @@
         return 1
 
 
-fleet: Mapping[str, Callable[..., int]] = {"demo": demo, "run": run, "compare": compare}
+fleet: Mapping[str, Callable[..., int]] = {
+    "demo": demo,
+    "run": run,
+    "storm": storm,
+    "compare": compare,
+}
--- a/src/finchshed/fleet/faults.py
+++ b/src/finchshed/fleet/faults.py
@@ -32,6 +32,8 @@
 )
 
 KILL_WAIT_SECONDS = 5.0
+ABLE_SECONDS = 20.0
+POLL_SECONDS = 0.1
 FOLLOWING_ROLES = (Role.DAEMON, Role.EDGE)
 """Processes that follow the configuration."""
 
@@ -67,6 +69,7 @@
         self._links = links
         self._watch = watch
         self._numbers = itertools.count(1)
+        self._control = {process.spec.name for process in fleet.of_role(Role.CONTROL)}
         self._perform: dict[type[acts.Act], Callable[[Any], Awaitable[None]]] = {
             acts.Kill: self._kill,
             acts.Freeze: self._freeze,
@@ -143,6 +146,8 @@
 
     async def _planned_restart(self, process: FleetProcess, down_seconds: float = 0.0) -> None:
         spec = process.spec
+        if not await self._becomes_able_to_stop(process):
+            return
         self._journal.add(PlannedStop(self._journal.now(), spec.name, spec.endpoint))
         if spec.endpoint:
             self._journal.add(EndpointLeaving(self._journal.now(), spec.endpoint, PLANNED_SIGN))
@@ -155,6 +160,14 @@
         if spec.endpoint:
             self._journal.add(EndpointReturned(self._journal.now(), spec.endpoint))
 
+    async def _becomes_able_to_stop(self, process: FleetProcess) -> bool:
+        """Wait while a process is frozen or gone by another act; return whether it works."""
+        for _ in range(int(ABLE_SECONDS / POLL_SECONDS)):
+            if process.is_working:
+                return True
+            await asyncio.sleep(POLL_SECONDS)
+        return False
+
     async def _slow(self, act: acts.Slow) -> None:
         endpoints = self._endpoints(act.target)
         for endpoint in endpoints:
@@ -241,15 +254,19 @@
     async def _fill_disk(self, act: acts.FillDisk) -> None:
         process = self._resolve(act.target)
         name = process.spec.name
+        pid = process.pid
+        if not process.is_working:
+            return
         limit = largest_file_bytes(pathlib.Path(process.spec.data_folder))
-        resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (limit, UNLIMITED))
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, (limit, UNLIMITED))
         self._journal.add(Fault(self._journal.now(), "fill_disk", (name,)))
         self._watch.disks_seen_full.discard(name)
         await asyncio.sleep(act.duration_seconds)
-        if process.spec.role is Role.CONTROL and name not in self._watch.disks_seen_full:
+        is_same = process.pid == pid and process.is_working
+        if is_same and name in self._control and name not in self._watch.disks_seen_full:
             self._journal.problem(f"{name}: its disk was never seen full")
-        if process.pid:
-            resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (UNLIMITED, UNLIMITED))
+        if process.pid == pid:
+            resource.prlimit(pid, resource.RLIMIT_FSIZE, (UNLIMITED, UNLIMITED))
         self._journal.add(Fault(self._journal.now(), "fill_disk", (name,), ended=True))
 
     async def _change(self, act: acts.Change) -> None:
@@ -260,8 +277,7 @@
             self._journal.problem(f"{name}: a change was never accepted (exit code {code})")
 
     async def _start(self, process: FleetProcess) -> None:
-        process.start()
-        await self._fleet.wait_ready([process.spec])
+        await self._fleet.start_again(process)
         self._note_started(process)
 
     def _note_fault(self, fault: str, process: FleetProcess, *, ended: bool = False) -> None:
@@ -275,7 +291,7 @@
         self._links.note_reachability()
 
     def _note_started(self, process: FleetProcess) -> None:
-        if process.spec.role in FOLLOWING_ROLES:
+        if process.spec.role in FOLLOWING_ROLES and process.is_working:
             self._journal.add(NodeStarted(self._journal.now(), process.spec.name))
         self._links.note_reachability()
 
--- a/src/finchshed/fleet/processes.py
+++ b/src/finchshed/fleet/processes.py
@@ -112,10 +112,11 @@
         """Send a signal if the process exists."""
         if number in {signal.SIGTERM, signal.SIGINT, signal.SIGKILL}:
             self.expected_to_run = False
+        if not self.is_running or self._process is None:
+            return
         if number in {signal.SIGSTOP, signal.SIGCONT}:
             self.is_frozen = number is signal.SIGSTOP
-        if self.is_running and self._process is not None:
-            self._process.send_signal(number)
+        self._process.send_signal(number)
 
     async def wait(self, timeout_seconds: float) -> bool:
         """Wait until the process has ended; return whether it did in time."""
--- a/src/finchshed/fleet/runner.py
+++ b/src/finchshed/fleet/runner.py
@@ -185,10 +185,15 @@
         process = self.processes[name]
         stopped = await process.stop(signal.SIGTERM, RESTART_STOP_SECONDS)
         await asyncio.sleep(down_seconds)
-        process.start()
-        await self.wait_ready([process.spec])
+        await self.start_again(process)
         return stopped
 
+    async def start_again(self, process: FleetProcess) -> None:
+        """Start a process that has ended, if nobody did meanwhile, and wait until it listens."""
+        if not process.is_running:
+            process.start()
+        await self.wait_ready([process.spec])
+
     async def stop_all(self) -> None:
         """Stop every process, role by role."""
         for role in STOPPING_ORDER:
