--- a/src/finchshed/fleet/command.py
+++ b/src/finchshed/fleet/command.py
@@ -36,18 +36,20 @@
     return run_interruptible(_exit_code_of(run))
 
 
-def run(deployment: str, faults: str, out: str = "", seed: int = 1) -> int:
+def run(deployment: str, faults: str, out: str = "", seed: int = 1, relayed: bool = False) -> int:
     """Run a deployment of separate processes under a fault script and judge its history.
 
     DEPLOYMENT is a folder such as examples/brazos, FAULTS a script such as
     examples/brazos/faults/kill-daemon.toml. OUT keeps settings, logs, records, the history and
-    the verdict (default run/NAME-TIME). SEED fixes arrivals and service times.
+    the verdict (default run/NAME-TIME). SEED fixes arrivals and service times. RELAYED sends the
+    internal links through the relay also where no act needs it.
     Exit code 0 only if nothing that was checked failed.
     """
     source = pathlib.Path(deployment)
     scenario = read_scenario(pathlib.Path(faults))
     folder = run_folder(out, f"{source.name}-{scenario.name}")
-    return run_interruptible(_exit_code_of(FaultRun(source, folder, scenario, seed)))
+    fault_run = FaultRun(source, folder, scenario, seed, relayed=relayed)
+    return run_interruptible(_exit_code_of(fault_run))
 
 
 def storm(deployment: str, seeds: str = "1..3", out: str = "") -> int:
--- a/src/finchshed/fleet/fault_run.py
+++ b/src/finchshed/fleet/fault_run.py
@@ -52,6 +52,8 @@
     ----------
     seed
         Seed of arrivals, service times and keys. Processes race, so a seed doesn't fix the run.
+    relayed
+        Whether links go through the relay also where no act needs it.
     adapt
         Changes the deployment read from ``source``.
     arrivals
@@ -65,6 +67,7 @@
         scenario: Scenario,
         seed: int,
         *,
+        relayed: bool = False,
         adapt: Callable[[Deployment], Deployment] = as_it_is,
         arrivals: Mapping[str, tuple[Arrival, ...]] | None = None,
     ) -> None:
@@ -72,7 +75,7 @@
         self._seed = seed
         options = PlanOptions(
             seed=seed,
-            relayed=scenario.needs_relay,
+            relayed=relayed or scenario.needs_relay,
             load_factor=scenario.load_factor,
             phases=scenario.phase,
             platform_lag_seconds=scenario.platform_lag_seconds,
