Links that broke are opened anew by one mechanism

Cause: two did it, one for endpoints that said they leave and one for all. Ruled out: keeping the narrower one; the other covers it. The process tests of endpoints that left and came back pass without it.

--- a/src/finchshed/daemon/peers.py
+++ b/src/finchshed/daemon/peers.py
@@ -79,8 +79,6 @@
     waiting: list[Attempt] = field(default_factory=list)
     failures: int = 0
     not_before: float = 0.0
-    leaving: bool = False
-    """Whether the peer said that it is leaving, on the last link that was open."""
 
 
 class PeerLinks:
@@ -185,7 +183,6 @@
             link.close("wrong peer")
             return
         peer.failures = 0
-        peer.leaving = hello.draining
         self._owner.peer_up(peer.endpoint.name, hello.incarnation)
         waiting = peer.waiting
         peer.waiting = []
@@ -202,7 +199,6 @@
         if cause != "idle":
             self._back_off(peer)
             self._owner.peer_down(peer.endpoint.name)
-            self._look_again_if_leaving(peer)
         waiting = peer.waiting
         peer.waiting = []
         for attempt in waiting:
@@ -213,7 +209,6 @@
         """Pass the sign on (link owner's part)."""
         peer = self._by_link.get(link)
         if peer is not None:
-            peer.leaving = True
             self._owner.peer_draining(peer.endpoint.name)
 
     def load_reported(self, link: PeerLink, load: LoadReport) -> None:
@@ -270,20 +265,6 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _look_again_if_leaving(self, peer: _Peer) -> None:
-        """Open the link anew after a while, where no call will.
-
-        No call is sent to a peer that left, so none would find out that it is back.
-        """
-        if peer.leaving and not self._closing:
-            wait = peer.not_before - time.monotonic()
-            asyncio.get_running_loop().call_later(max(0.0, wait), self._look_again, peer)
-
-    def _look_again(self, peer: _Peer) -> None:
-        is_declared = self._peers.get(peer.endpoint.name) is peer
-        if is_declared and peer.link is None and not self._closing:
-            self._open(peer)
-
     def _back_off(self, peer: _Peer) -> None:
         bound = min(BACKOFF_MAX_SECONDS, BACKOFF_FIRST_SECONDS * 2.0 ** min(peer.failures, 16))
         peer.failures += 1
