--- a/src/finchshed/proof/checks/index.py
+++ b/src/finchshed/proof/checks/index.py
@@ -116,6 +116,24 @@
                 open_spans.pop(event.endpoint).end = event.time
         return spans
 
+    def fault_spans(self, ignored: frozenset[str], seconds: float) -> list[tuple[float, float]]:
+        """Return the times of faults of kinds not ``ignored``.
+
+        A fault whose end isn't recorded is taken to last ``seconds``.
+        """
+        spans: list[tuple[float, float]] = []
+        open_faults: dict[tuple[str, tuple[str, ...]], float] = {}
+        for fault in self.faults:
+            if fault.fault in ignored:
+                continue
+            key = (fault.fault, fault.targets)
+            if not fault.ended:
+                open_faults[key] = fault.time
+            elif key in open_faults:
+                spans.append((open_faults.pop(key), fault.time))
+        spans.extend((begin, begin + seconds) for begin in open_faults.values())
+        return spans
+
     def faults_between(self, begin: float, end: float, target: str = "") -> list[Fault]:
         """Return faults active at some time in ``begin .. end``, of ``target`` if given."""
         found: list[Fault] = []
--- a/tests/proof/test_checks.py
+++ b/tests/proof/test_checks.py
@@ -93,6 +93,10 @@
     high = admissions(0.0, Importance.CRITICAL, 5, 45, end=1.0)
     high += admissions(1.0, Importance.CRITICAL, 5, 45, end=2.0)
     assert found("shed-order", *low, *high)
+    slow = Fault(0.0, "slow_service", ("s",))
+    assert found("shed-order", slow, *low, *high)
+    killed = Fault(0.5, "crash_daemon", ("e9",))
+    assert not found("shed-order", killed, *low, *high)
 
 
 def leaving(begin: float, *runs: Event, sign: str = "answer") -> list[Event]:
