--- a/src/finchshed/emulator/daemons/outgoing.py
+++ b/src/finchshed/emulator/daemons/outgoing.py
@@ -107,8 +107,11 @@
         link.send(attempt)
 
     def _withdraw(self, effect: Withdraw) -> None:
-        attempt, link = self._attempts.pop(effect.attempt)
-        link.withdraw(attempt)
+        held = self._attempts.pop(effect.attempt, None)
+        # An attempt that was not sent is told to the state machine a moment later.
+        if held is not None:
+            attempt, link = held
+            link.withdraw(attempt)
 
     def _replied(self, number: int, reply: Reply | None) -> None:
         self._attempts.pop(number, None)
--- a/src/finchshed/proof/disturbances.py
+++ b/src/finchshed/proof/disturbances.py
@@ -19,6 +19,7 @@
 
 T = TypeVar("T")
 
+CONTROL_NODES: Final = ("control-1", "control-2", "control-3")
 SIGNS: Final = ("answer", "operator", "platform")
 LONGEST_FAULT_SECONDS: Final = 4.0
 
@@ -40,6 +41,7 @@
         self._begin = begin
         self._end = end
         self._changes = 0
+        self._mortal = tuple(rng.sample(CONTROL_NODES, 2))
         self.endpoints = [
             name
             for service in deployment.services
@@ -73,7 +75,18 @@
 
     def control(self) -> str:
         """Return a control node; the leader as often as all others together."""
-        return self.one_of(("leader", "leader", "control-1", "control-2", "control-3"))
+        return self.one_of(("leader", "leader", *CONTROL_NODES))
+
+    def disk(self) -> str:
+        """Return a control node that may lose its disk.
+
+        Two of the three may in one run: what all three have lost nobody can bring back.
+        """
+        return self.one_of(self._mortal)
+
+    def may_lose_disk(self, node: str) -> bool:
+        """Return whether a control node is one of those that may lose their disks."""
+        return node in self._mortal
 
     def daemon(self) -> str:
         """Return a daemon: beside a back end, or an edge."""
@@ -211,15 +224,15 @@
 
 def second_loss_during_repair(draw: Draw) -> list[Disturbance]:
     """Lose a second control machine while the first, with an empty disk, catches up."""
-    first, second = draw.one_of(
-        (("control-1", "control-2"), ("control-2", "control-3"), ("control-3", "control-1"))
-    )
+    first = draw.disk()
+    second = draw.one_of([node for node in CONTROL_NODES if node != first])
+    wipes_both = draw.may_lose_disk(second) and draw.chance(0.5)
     time, away = draw.time(), draw.seconds(0.2, 1.5)
     again = round(time + away + draw.seconds(0.0, 2.0), 3)
     return [
         acts.CrashControl(time=time, node=first, seconds=away, wipe_disk=True),
         acts.CrashControl(
-            time=again, node=second, seconds=draw.seconds(0.5, 3.0), wipe_disk=draw.chance(0.3)
+            time=again, node=second, seconds=draw.seconds(0.5, 3.0), wipe_disk=wipes_both
         ),
     ]
 
--- a/src/finchshed/proof/scenarios.py
+++ b/src/finchshed/proof/scenarios.py
@@ -11,7 +11,7 @@
 from finchshed.emulator.presets import BRAZOS_RIDGE, MANILA
 from finchshed.emulator.run import RunSpecification
 from finchshed.proof import disturbances as kinds
-from finchshed.proof.disturbances import Disturbance, Draw, Kind
+from finchshed.proof.disturbances import CONTROL_NODES, Disturbance, Draw, Kind
 
 BEGIN_SECONDS: Final = 2.5
 """Time of the first arrival: the control group has formed by then."""
@@ -22,8 +22,6 @@
 SETTLE_SECONDS: Final = 6.0
 """Time after the last arrival, in which every fault has ended and every bound has run out."""
 
-CONTROL_NODES: Final = 3
-
 _SCALE: Final = 4
 """Slots and demand of a campaign's deployment are this part of the ordinary ones."""
 
@@ -83,10 +81,9 @@
     ),
     "disk-loss": Scenario(
         description="a control machine loses its disk, a second one is lost during the repair",
-        kinds=(*_DISKS, kinds.control_kill, kinds.config_race),
+        kinds=(*_DISKS, *_DAEMONS, kinds.control_kill, kinds.config_race),
         always=(kinds.second_loss_during_repair, kinds.config_race),
-        least=0,
-        most=2,
+        most=3,
     ),
     "daemon-loss": Scenario(
         description="daemons and edges are killed or frozen",
@@ -183,7 +180,7 @@
             acts=acts,
             client=ClientPolicy(),
             scenario=self.scenario,
-            control_nodes=CONTROL_NODES,
+            control_nodes=len(CONTROL_NODES),
         )
 
 
--- /dev/null
+++ b/tests/proof/broken.py
@@ -0,0 +1,213 @@
+"""Deliberately broken variants of the logic, one for each property the campaign must judge.
+
+Each variant replaces a piece of a production module, or of its counterpart in the emulator where
+the production piece does input and output. ``scenario`` is where it is looked for, ``check`` the
+checker that must find it.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import pytest
+
+from finchshed.admission import rank
+from finchshed.common.outcomes import FailureReason, RefusalReason, Refused
+from finchshed.configuration.store import ConfigurationStore
+from finchshed.distribution.effects import ServingGround
+from finchshed.distribution.follower import Follower
+from finchshed.emulator.daemons.callee import Callee
+from finchshed.emulator.daemons.daemon import Daemon
+from finchshed.emulator.daemons.link import AcceptedLink, DaemonLink
+from finchshed.emulator.daemons.outgoing import OutgoingCall
+from finchshed.emulator.scheme import FinchshedScheme
+from finchshed.ledger.ledger import Ledger
+from finchshed.ledger.results import Granted
+from finchshed.routing.caller import CallerLogic
+from finchshed.routing.table import RoutingTable
+
+Break = Callable[[pytest.MonkeyPatch], None]
+
+
+class Variant(msgspec.Struct, frozen=True):
+    """A broken variant."""
+
+    check: str
+    scenario: str
+    apply: Break
+
+
+def retries_are_not_paid(patch: pytest.MonkeyPatch) -> None:
+    """Let each hop retry as often as its deadline allows, also where it was refused before."""
+
+    def pay(self: CallerLogic, outcome: Any, now: float) -> bool:
+        self._tried.clear()
+        return True
+
+    patch.setattr(CallerLogic, "_pay", pay)
+
+
+def importance_is_ignored(patch: pytest.MonkeyPatch) -> None:
+    """Rank requests by their position alone."""
+    plain = rank.rank_of
+
+    def rank_of(context: Any) -> int:
+        return plain(context) & (rank.POSITIONS - 1)
+
+    patch.setattr("finchshed.admission.gate.rank_of", rank_of)
+    patch.setattr("finchshed.routing.table.rank_of", rank_of)
+
+
+def call_identities_are_used_again(patch: pytest.MonkeyPatch) -> None:
+    """Number calls from one on each connection and take answers of whatever connection.
+
+    A connection that was closed still answers.
+    """
+    connect = DaemonLink._connect
+
+    def connect_anew(self: DaemonLink) -> None:
+        self._next_call = 1
+        connect(self)
+
+    def on_reply(self: DaemonLink, reply: Any) -> None:
+        attempt = self._pending.pop(reply.call, None)
+        if attempt is not None:
+            attempt.on_reply(reply)
+
+    def send_when_closed(self: AcceptedLink, reply: Any) -> None:
+        self._send(self._calling_end.on_reply, reply)
+
+    patch.setattr(DaemonLink, "_connect", connect_anew)
+    patch.setattr(DaemonLink, "on_reply", on_reply)
+    patch.setattr(AcceptedLink, "reply", send_when_closed)
+    patch.setattr(AcceptedLink, "close", lambda self: setattr(self, "open", False))
+
+
+def a_broken_link_counts_as_a_refusal(patch: pytest.MonkeyPatch) -> None:
+    """Say that a request didn't run when its link broke after it was sent."""
+    replied = OutgoingCall._replied
+
+    def refuse(self: OutgoingCall, number: int, reply: Any) -> None:
+        if reply is not None:
+            replied(self, number, reply)
+            return
+        refused = Refused(RefusalReason.CONNECT_FAILED, 0.1)
+        self._attempts.pop(number, None)
+        self._apply(self._logic.on_outcome(number, refused, 0, None, self._process.now))
+
+    patch.setattr(OutgoingCall, "_replied", refuse)
+
+
+def the_last_attempt_speaks_for_all(patch: pytest.MonkeyPatch) -> None:
+    """Tell a caller what the last attempt came to, whatever an earlier one did."""
+    finish = CallerLogic._finish
+
+    def forget(self: CallerLogic, outcome: Any) -> Any:
+        self._failed = None
+        return finish(self, outcome)
+
+    patch.setattr(CallerLogic, "_finish", forget)
+
+
+def the_ledger_grants_again(patch: pytest.MonkeyPatch) -> None:
+    """Grant a key that another attempt began."""
+    begin = Ledger.begin
+
+    def grant(self: Ledger, key: str, attempt: str) -> Any:
+        begin(self, key, attempt)
+        return Granted()
+
+    patch.setattr(Ledger, "begin", grant)
+
+
+def unknown_outcomes_are_run_again(patch: pytest.MonkeyPatch) -> None:
+    """Free a key when the run of its request failed."""
+    returned = Callee._returned
+
+    def free(self: Callee, work: Any, outcome: Any) -> None:
+        reason = getattr(outcome, "reason", None)
+        if not work.repeatable and reason is FailureReason.BACKEND_BROKEN:
+            self._ledger.cancel(work.message.context.key, work.ledger_attempt)
+        returned(self, work, outcome)
+
+    patch.setattr(Callee, "_returned", free)
+
+
+def leaving_is_not_heeded(patch: pytest.MonkeyPatch) -> None:
+    """Go on sending to an endpoint that said it leaves, and go on taking its calls."""
+    patch.setattr(RoutingTable, "mark_draining", lambda self, name, now: None)
+    patch.setattr(Callee, "drain", lambda self: None)
+
+
+def a_stop_does_not_wait(patch: pytest.MonkeyPatch) -> None:
+    """Stop the process while it has work."""
+    patch.setattr(Daemon, "in_progress", property(lambda self: 0))
+    wait = FinchshedScheme._stop_when_idle
+
+    def stop_at_once(self: Any, daemon: Any, life: int, stop_after: float, seconds: float) -> None:
+        back_end = self._back_ends[daemon.name]
+        patch.setattr(type(back_end), "in_flight", property(lambda held: 0), raising=False)
+        wait(self, daemon, life, 0.0, seconds)
+
+    patch.setattr(FinchshedScheme, "_stop_when_idle", stop_at_once)
+
+
+def a_restart_trusts_any_control_node(patch: pytest.MonkeyPatch) -> None:
+    """Serve after a start with whatever revision the first control node holds."""
+
+    def ground(self: Follower) -> ServingGround:
+        return ServingGround.QUORUM if self._holds_any else ServingGround.NONE
+
+    patch.setattr(Follower, "_find_ground", ground)
+
+
+def higher_revisions_are_not_fetched(patch: pytest.MonkeyPatch) -> None:
+    """Wait for control to send a change, whatever peers and heartbeats say, and drop every tenth.
+
+    The daemon then stays behind after a lost delta.
+    """
+    take = Follower._take
+
+    def drop(self: Follower, delta: Any, now: float) -> Any:
+        newer = delta.revision > self._held.revision
+        if newer and self._holds_any and delta.revision % 2 == 0:
+            return []
+        return take(self, delta, now)
+
+    patch.setattr(Follower, "_take", drop)
+    patch.setattr(Follower, "_fetch", lambda self, now: [])
+
+
+def resends_are_new_changes(patch: pytest.MonkeyPatch) -> None:
+    """Forget what a change was answered."""
+    patch.setattr(ConfigurationStore, "_retain", lambda self, retained: None)
+
+
+def races_are_all_won(patch: pytest.MonkeyPatch) -> None:
+    """Accept a change whatever revision it was made against."""
+    first = ConfigurationStore._apply_first
+
+    def accept(self: ConfigurationStore, change: Any) -> Any:
+        return first(self, msgspec.structs.replace(change, expected_revision=self.revision))
+
+    patch.setattr(ConfigurationStore, "_apply_first", accept)
+
+
+VARIANTS = {
+    variant.apply.__name__: variant
+    for variant in (
+        Variant("retry-bound", "overload", retries_are_not_paid),
+        Variant("shed-order", "overload", importance_is_ignored),
+        Variant("whole-answers", "daemon-loss", call_identities_are_used_again),
+        Variant("refused-not-run", "daemon-loss", a_broken_link_counts_as_a_refusal),
+        Variant("refused-not-run", "everything", the_last_attempt_speaks_for_all),
+        Variant("at-most-once", "daemon-loss", the_ledger_grants_again),
+        Variant("at-most-once", "back-end-loss", unknown_outcomes_are_run_again),
+        Variant("leaving", "back-end-loss", leaving_is_not_heeded),
+        Variant("planned-stop", "rolling-restart", a_stop_does_not_wait),
+        Variant("configuration", "disk-loss", a_restart_trusts_any_control_node),
+        Variant("configuration", "config-race", higher_revisions_are_not_fetched),
+        Variant("configuration", "config-race", resends_are_new_changes),
+        Variant("configuration", "config-race", races_are_all_won),
+    )
+}
