--- a/src/finchshed/fleet/faults.py
+++ b/src/finchshed/fleet/faults.py
@@ -1,6 +1,7 @@
 """Carries out the acts of a fault script on a running fleet."""
 
 import asyncio
+import collections
 import itertools
 import pathlib
 import resource
@@ -11,11 +12,13 @@
 
 from finchshed.fleet import acts
 from finchshed.fleet.journal import FaultJournal
+from finchshed.fleet.links import FleetLinks
 from finchshed.fleet.operator import Operator
 from finchshed.fleet.plan import backend_name, daemon_name
 from finchshed.fleet.processes import FleetProcess, Role
-from finchshed.fleet.relay import Condition, Conditions, Relay, Rule
-from finchshed.fleet.runner import Fleet
+from finchshed.fleet.relay import Condition, Rule
+from finchshed.fleet.runner import Fleet, FleetError
+from finchshed.fleet.watch import FleetWatch
 from finchshed.proof.history import (
     EndpointLeaving,
     EndpointReturned,
@@ -26,7 +29,12 @@
 )
 
 KILL_WAIT_SECONDS = 5.0
-RESTARTED_ROLES = (Role.CONTROL, Role.BACKEND, Role.DAEMON, Role.EDGE)
+FOLLOWING_ROLES = (Role.DAEMON, Role.EDGE)
+"""Processes that follow the configuration."""
+
+PLANNED_SIGN = "stop"
+"""Sign of an endpoint of which a process was asked to stop."""
+
 FIRST_NUMBER_STEP = 1000
 """Each stand-in operator numbers its changes from a multiple of this."""
 
@@ -38,8 +46,8 @@
 
     Parameters
     ----------
-    relay
-        The fleet's relay, if its links go through one.
+    watch
+        Tells who leads the control group.
     """
 
     def __init__(
@@ -47,14 +55,14 @@
         fleet: Fleet,
         operator: Operator,
         journal: FaultJournal,
-        conditions: Conditions,
-        relay: Relay | None,
+        links: FleetLinks,
+        watch: FleetWatch,
     ) -> None:
         self._fleet = fleet
         self._operator = operator
         self._journal = journal
-        self._conditions = conditions
-        self._relay = relay
+        self._links = links
+        self._watch = watch
         self._numbers = itertools.count(1)
         self._perform: dict[type[acts.Act], Callable[[Any], Awaitable[None]]] = {
             acts.Kill: self._kill,
@@ -84,45 +92,60 @@
         await self._perform[type(act)](act)
 
     async def _kill(self, act: acts.Kill) -> None:
-        process = await self._resolve(act.target)
-        name = process.spec.name
+        process = self._resolve(act.target)
         process.send_signal(signal.SIGKILL)
         await process.wait(KILL_WAIT_SECONDS)
-        self._journal.add(Fault(self._journal.now(), "kill", (name,)))
-        self._journal.add(NodeStopped(self._journal.now(), name))
+        self._note_fault("kill", process)
+        self._note_stopped(process)
         if act.wipe:
             wipe_folder(process.spec.data_folder)
         if act.restart_after_seconds >= 0.0:
             await asyncio.sleep(act.restart_after_seconds)
             await self._start(process)
-            self._journal.add(Fault(self._journal.now(), "kill", (name,), ended=True))
+            self._note_fault("kill", process, ended=True)
 
     async def _freeze(self, act: acts.Freeze) -> None:
-        process = await self._resolve(act.target)
-        name = process.spec.name
+        process = self._resolve(act.target)
         process.send_signal(signal.SIGSTOP)
-        self._journal.add(Fault(self._journal.now(), "freeze", (name,)))
-        self._journal.add(NodeStopped(self._journal.now(), name))
+        self._note_fault("freeze", process)
+        self._note_stopped(process)
         await asyncio.sleep(act.duration_seconds)
         process.send_signal(signal.SIGCONT)
-        self._journal.add(Fault(self._journal.now(), "freeze", (name,), ended=True))
-        self._journal.add(NodeStarted(self._journal.now(), name))
+        self._note_fault("freeze", process, ended=True)
+        self._note_started(process)
 
     async def _restart(self, act: acts.Restart) -> None:
-        await self._planned_restart(await self._resolve(act.target))
+        await self._planned_restart(self._resolve(act.target))
 
     async def _rolling_restart(self, act: acts.RollingRestart) -> None:
-        for process in self._fleet.of_role(*RESTARTED_ROLES):
+        await self._restart_in_turn(self._fleet.of_role(Role.CONTROL), act.pause_seconds)
+        by_service: dict[str, list[FleetProcess]] = collections.defaultdict(list)
+        for endpoint in self._fleet.plan.endpoints:
+            by_service[endpoint.service] += [
+                self._fleet.processes[backend_name(endpoint.name)],
+                self._fleet.processes[daemon_name(endpoint.name)],
+            ]
+        async with asyncio.TaskGroup() as group:
+            for processes in by_service.values():
+                group.create_task(self._restart_in_turn(processes, act.pause_seconds))
+        await self._restart_in_turn(self._fleet.of_role(Role.EDGE), act.pause_seconds)
+
+    async def _restart_in_turn(self, processes: list[FleetProcess], pause_seconds: float) -> None:
+        for process in processes:
             await self._planned_restart(process)
-            await asyncio.sleep(act.pause_seconds)
+            await asyncio.sleep(pause_seconds)
 
     async def _planned_restart(self, process: FleetProcess) -> None:
         spec = process.spec
         self._journal.add(PlannedStop(self._journal.now(), spec.name, spec.endpoint))
+        if spec.endpoint:
+            self._journal.add(EndpointLeaving(self._journal.now(), spec.endpoint, PLANNED_SIGN))
+        if spec.role in FOLLOWING_ROLES:
+            self._journal.add(NodeStopped(self._journal.now(), spec.name))
         stopped = await self._fleet.restart(spec.name)
         if not stopped:
             self._journal.problem(f"{spec.name} didn't end by itself after SIGTERM")
-        self._journal.add(NodeStarted(self._journal.now(), spec.name))
+        self._note_started(process)
         if spec.endpoint:
             self._journal.add(EndpointReturned(self._journal.now(), spec.endpoint))
 
@@ -137,7 +160,7 @@
         self._journal.add(Fault(self._journal.now(), "slow", tuple(endpoints), ended=True))
 
     async def _misreport(self, act: acts.Misreport) -> None:
-        await self._fleet.command_backend(act.target, "report", "zero")
+        await self._fleet.command_backend(act.target, "report", act.report.value)
         await self._fleet.command_backend(act.target, "fail", "1" if act.failing else "0")
         self._journal.add(Fault(self._journal.now(), "misreport", (act.target,)))
         await asyncio.sleep(act.duration_seconds)
@@ -146,7 +169,9 @@
         self._journal.add(Fault(self._journal.now(), "misreport", (act.target,), ended=True))
 
     async def _leave(self, act: acts.Leave) -> None:
-        self._journal.add(EndpointLeaving(self._journal.now(), act.target, act.sign.value))
+        lag = self._fleet.platform_lag_seconds if act.sign is acts.Sign.PLATFORM else 0.0
+        first_sign = self._journal.now() + lag
+        self._journal.add(EndpointLeaving(first_sign, act.target, act.sign.value))
         if act.sign is acts.Sign.ANSWER:
             await self._fleet.command_backend(act.target, "drain")
         elif act.sign is acts.Sign.OPERATOR:
@@ -157,7 +182,7 @@
             for name in (daemon_name(act.target), backend_name(act.target)):
                 process = self._fleet.processes[name]
                 process.send_signal(signal.SIGSTOP)
-                self._journal.add(NodeStopped(self._journal.now(), name))
+                self._note_stopped(process)
 
     async def _edition(self, act: acts.Edition) -> None:
         for endpoint in self._endpoints(act.target):
@@ -190,26 +215,25 @@
         targets: list[str] = []
         for source, target in ways:
             name = f"{fault}-{next(self._numbers)}"
-            resolved = (await self._end_of(source), await self._end_of(target))
+            resolved = (self._end_of(source), self._end_of(target))
             rule = Rule(source=resolved[0], target=resolved[1], condition=condition)
-            self._conditions.set(name, rule)
+            self._links.set(name, rule)
             names.append(name)
             targets += resolved
         ends = tuple(dict.fromkeys(targets))
         self._journal.add(Fault(self._journal.now(), fault, ends))
         await asyncio.sleep(duration_seconds)
         for name in names:
-            self._conditions.clear(name)
+            self._links.clear(name)
         self._journal.add(Fault(self._journal.now(), fault, ends, ended=True))
 
     async def _reset(self, act: acts.Reset) -> None:
-        ends = (await self._end_of(act.source), await self._end_of(act.target))
-        if self._relay is not None:
-            self._relay.reset(*ends)
+        ends = (self._end_of(act.source), self._end_of(act.target))
+        self._links.relay.reset(*ends)
         self._journal.add(Fault(self._journal.now(), "reset", ends))
 
     async def _fill_disk(self, act: acts.FillDisk) -> None:
-        process = await self._resolve(act.target)
+        process = self._resolve(act.target)
         name = process.spec.name
         limit = largest_file_bytes(pathlib.Path(process.spec.data_folder))
         resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (limit, UNLIMITED))
@@ -229,20 +253,35 @@
     async def _start(self, process: FleetProcess) -> None:
         process.start()
         await self._fleet.wait_ready([process.spec])
-        self._journal.add(NodeStarted(self._journal.now(), process.spec.name))
+        self._note_started(process)
+
+    def _note_fault(self, fault: str, process: FleetProcess, *, ended: bool = False) -> None:
+        """Note a fault of a process under its own name and its endpoint's."""
+        targets = tuple(name for name in (process.spec.name, process.spec.endpoint) if name)
+        self._journal.add(Fault(self._journal.now(), fault, targets, ended))
+
+    def _note_stopped(self, process: FleetProcess) -> None:
+        if process.spec.role in FOLLOWING_ROLES:
+            self._journal.add(NodeStopped(self._journal.now(), process.spec.name))
+        self._links.note_reachability()
+
+    def _note_started(self, process: FleetProcess) -> None:
+        if process.spec.role in FOLLOWING_ROLES:
+            self._journal.add(NodeStarted(self._journal.now(), process.spec.name))
+        self._links.note_reachability()
 
-    async def _resolve(self, selector: str) -> FleetProcess:
-        return self._fleet.processes[await self._end_of(selector)]
+    def _resolve(self, selector: str) -> FleetProcess:
+        return self._fleet.processes[self._end_of(selector)]
 
-    async def _end_of(self, selector: str) -> str:
+    def _end_of(self, selector: str) -> str:
         """Return the process that a selector stands for now; other names as they are."""
-        if selector not in {"leader", "follower"}:
-            return selector
-        leader = await self._operator.leader()
         if selector == "leader":
-            return leader
-        names = [process.spec.name for process in self._fleet.of_role(Role.CONTROL)]
-        return next(name for name in names if name != leader)
+            if not self._watch.leader:
+                raise FleetError("no control node leads")
+            return self._watch.leader
+        if selector == "follower":
+            return self._watch.followers()[0]
+        return selector
 
     def _endpoints(self, target: str) -> list[str]:
         return [
