--- a/src/finchshed/control/commands.py
+++ b/src/finchshed/control/commands.py
@@ -37,14 +37,26 @@
 
 
 class CompleteRequest(msgspec.Struct, frozen=True, tag="complete"):
-    """Tell the ledger the whole answer of an attempt."""
+    """Tell the ledger the whole answer of an attempt.
+
+    ``answer`` is None where it exceeds the ledger's byte limit: the log doesn't carry what the
+    ledger would not keep.
+    """
 
     key: str
     attempt: str
-    answer: Answered
+    answer: Answered | None
+
+
+class NoteAction(msgspec.Struct, frozen=True, tag="note_action"):
+    """Keep in the audit trail what an operator does to the control group itself."""
+
+    operator: str
+    action: str
+    subject: str
 
 
-Command: TypeAlias = ApplyChange | BeginRequest | CancelRequest | CompleteRequest
+Command: TypeAlias = ApplyChange | BeginRequest | CancelRequest | CompleteRequest | NoteAction
 
 CommandResult: TypeAlias = (
     Accepted
