--- a/src/finchshed/proof/command.py
+++ b/src/finchshed/proof/command.py
@@ -122,9 +122,11 @@
     if len(names) != 1 or len(seeds) != 1:
         raise SettingsError(["flags --only and --history need one scenario and one seed"])
     plan = plan_of(names[0], seeds[0])
-    if only:
-        plan = plan.only(_positions(only, len(plan.disturbances)))
-    result, recorded = run_plan(plan)
+    positions = _positions(only, len(plan.disturbances)) if only else None
+    result, recorded = run_plan(plan if positions is None else plan.only(positions))
+    if positions is not None:
+        result.kept = list(positions)
+        result.disturbances = [repr(item) for item in plan.disturbances]
     if history and recorded is not None:
         recorded.write(Path(history))
     if result.failed:
