--- a/src/finchshed/emulator/daemons/daemon.py
+++ b/src/finchshed/emulator/daemons/daemon.py
@@ -12,7 +12,7 @@
 from finchshed.common.context import CallContext
 from finchshed.common.outcomes import Outcome, RefusalReason, Refused
 from finchshed.common.results import CallResult, result_of
-from finchshed.configuration.resources import Endpoint, EndpointState, Policy
+from finchshed.configuration.resources import Endpoint, Policy
 from finchshed.control.state_machine import POLICY_KEY
 from finchshed.distribution.messages import Delta, Hints
 from finchshed.distribution.snapshot import Configuration
@@ -30,6 +30,7 @@
 from finchshed.retry.bucket import RetryBucket
 from finchshed.retry.policy import retry_after
 from finchshed.routing.caller import CallerLogic
+from finchshed.routing.endpoint import LeavingSign
 from finchshed.routing.table import RoutingTable
 
 REGION: Final = "region-1"
@@ -92,6 +93,7 @@
         self._buckets: dict[str, RetryBucket] = {}
         self._joined: dict[str, _Joined] = {}
         self._linked_at: dict[str, float] = {}
+        self._listed: set[str] = set()
         self._began_at = self.now
         self._in_progress = 0
         self.stopping = False
@@ -149,11 +151,6 @@
         self.held_revision = revision
         self._note_in_force()
         self.table.replace(self._endpoints, self.now)
-        for endpoint in self._endpoints:
-            if endpoint.state is EndpointState.LEAVING:
-                self.table.mark_draining(endpoint.name, self.now)
-                if endpoint.name == self.name and self.callee is not None:
-                    self.callee.drain()
 
     def call(self, request: Request, done: Done) -> Cancel:
         """Take a request over HTTP from an outside caller or the back end beside it."""
@@ -347,6 +344,10 @@
 
     def hints(self, hints: Hints) -> None:
         """Take the platform's list of leaving machines."""
+        listed = {hint.endpoint for hint in hints.leaving}
+        for name in self._listed - listed:
+            self.table.mark_leaving(name, LeavingSign.PLATFORM, False, self.now)
+        self._listed = listed
         for hint in hints.leaving:
             if hint.endpoint == self.name:
                 if hints.applies_to(hint, self.now - self._began_at) and self.callee is not None:
@@ -354,7 +355,7 @@
                 continue
             linked_at = self._linked_at.get(hint.endpoint)
             if linked_at is not None and hints.applies_to(hint, self.now - linked_at):
-                self.table.mark_draining(hint.endpoint, self.now)
+                self.table.mark_leaving(hint.endpoint, LeavingSign.PLATFORM, True, self.now)
 
     @property
     def in_progress(self) -> int:
--- a/tests/proof/test_checks.py
+++ b/tests/proof/test_checks.py
@@ -106,6 +106,10 @@
 def test_new_work_at_a_leaving_back_end_is_found() -> None:
     assert not found("leaving", *leaving(1.0, run(2.9)))
     assert found("leaving", *leaving(1.0, run(3.1)))
+    waited = AttemptSent(2.9, "r1/1", "r1", "e1")
+    assert not found("leaving", waited, *leaving(1.0, run(3.1)))
+    late = AttemptSent(3.05, "r1/1", "r1", "e1")
+    assert found("leaving", late, *leaving(1.0, run(3.1)))
     returned = EndpointReturned(3.0, "e1")
     assert not found("leaving", *leaving(1.0, run(3.1)), returned)
 
