--- a/src/finchshed/emulator/control/planes.py
+++ b/src/finchshed/emulator/control/planes.py
@@ -16,7 +16,7 @@
 from finchshed.emulator.simulation import Simulation
 from finchshed.proof.history import ControlReachable
 
-REACHABILITY_SECONDS: Final = 0.25
+REACHABILITY_SECONDS: Final = 0.5
 """Time between looks at which daemons can reach a majority."""
 
 
--- a/src/finchshed/emulator/daemons/callee.py
+++ b/src/finchshed/emulator/daemons/callee.py
@@ -36,7 +36,7 @@
 from finchshed.retry.policy import retry_after
 
 TICK_SECONDS: Final = 0.02
-IDLE_TICK_SECONDS: Final = 0.1
+IDLE_TICK_SECONDS: Final = 0.25
 """Time between ticks of a gate without work, where production ticks as often as ever."""
 
 LOCAL_DELAY_SECONDS: Final = 0.0002
--- a/src/finchshed/emulator/daemons/link.py
+++ b/src/finchshed/emulator/daemons/link.py
@@ -16,6 +16,9 @@
 
 HEARTBEAT_SECONDS: Final = 0.25
 SILENCE_SECONDS: Final = 1.0
+ACCEPTED_SILENCE_SECONDS: Final = 2.0
+"""The serving end waits longer: the calling end's heartbeats may be late."""
+
 CONNECT_TIMEOUT_SECONDS: Final = 0.5
 
 
@@ -108,7 +111,7 @@
         self._calling_end = calling_end
         self._heard_at = process.now
         self._calls: set[int] = set()
-        process.call_later(SILENCE_SECONDS, self._watch)
+        process.call_later(ACCEPTED_SILENCE_SECONDS, self._watch)
 
     @property
     def caller(self) -> str:
@@ -180,10 +183,10 @@
         if not self.open:
             return
         silent = self._process.now - self._heard_at
-        if silent >= SILENCE_SECONDS:
+        if silent >= ACCEPTED_SILENCE_SECONDS:
             self.close()
             return
-        self._process.call_later(SILENCE_SECONDS - silent + 1e-6, self._watch)
+        self._process.call_later(ACCEPTED_SILENCE_SECONDS - silent + 1e-6, self._watch)
 
 
 class DaemonLink:
@@ -335,11 +338,13 @@
     def _beat(self, epoch: str) -> None:
         if epoch != self._epoch or not self.connected:
             return
-        if self.process.now - self._heard_at >= SILENCE_SECONDS:
+        silent = self.process.now - self._heard_at
+        if silent >= SILENCE_SECONDS:
             self._break()
             return
         assert self._accepted is not None
-        self._send(self._accepted.on_ping, self._daemon.revision())
+        if silent >= HEARTBEAT_SECONDS / 2:
+            self._send(self._accepted.on_ping, self._daemon.revision())
         self.process.call_later(HEARTBEAT_SECONDS, self._beat, epoch)
 
     def _break(self) -> None:
