Replay of traces against stated outcomes, and traces of each failure

Cause: the users want the system proved by replay of recorded traces; there was no trace format, no statement of outcomes and nothing to replay with.

finchshed replay reads a trace (JSON lines, version 1), plays it on the emulator or through a driver on real processes, and judges the history against outcomes stated by request, class, property, recovery, change and revision.

Found by it: an answer given to a request under the same key as an earlier one was judged as another request's; requests under one key are one request to the ledger, so the checker allows it for equal keys only.

--- a/src/finchshed/cli/table.py
+++ b/src/finchshed/cli/table.py
@@ -65,6 +65,8 @@
     "fleet": Command("run a deployment of real processes", "finchshed.fleet.command:fleet"),
     "bench": Command("measure what a call costs", "finchshed.bench.command:COMMANDS"),
     "prove": Command("check the stated properties over seeds", "finchshed.proof.command:prove"),
+    "replay": Command("replay a trace against stated outcomes", "finchshed.replay.command:replay"),
+    "record": Command("record a trace", "finchshed.replay.command:record"),
     "standin": Command("stand-ins for back ends and callers", "finchshed.standins.command:standin"),
 }
 
--- a/src/finchshed/emulator/acts.py
+++ b/src/finchshed/emulator/acts.py
@@ -161,12 +161,15 @@
     """``operators`` operators submit a change at once, against the same revision.
 
     Each changes the retry ratio of the policy. With ``resend`` each sends its change again under
-    the same identity, as if the first answer had been lost.
+    the same identity, as if the first answer had been lost. With ``times`` this is done again and
+    again, each time against the revision of then, ``every_seconds`` apart.
     """
 
     change_id: str
     operators: Annotated[int, msgspec.Meta(ge=1, le=16)] = 1
     resend: bool = False
+    times: Annotated[int, msgspec.Meta(ge=1, le=10_000)] = 1
+    every_seconds: Seconds = 0.02
 
 
 Act: TypeAlias = (
--- a/src/finchshed/emulator/callers.py
+++ b/src/finchshed/emulator/callers.py
@@ -63,12 +63,16 @@
     end: float,
     surges: tuple[Surge, ...],
     begin: float = 0.0,
+    *,
+    name: str = "",
 ) -> Iterable[Arrival]:
     """Yield arrivals of a Poisson process from ``begin`` until ``end``, in order of time.
 
+    ``name`` tells several processes of one run apart: in their numbers and in the roots' names.
+
     Drawn at the highest rate and thinned (Lewis and Shedler, 1979).
     """
-    random = streams.python("arrivals")
+    random = streams.python(f"arrivals{name}")
     highest = max((surge.factor for surge in surges), default=1.0)
     highest = max(highest, 1.0)
     time = begin
@@ -84,7 +88,7 @@
         number += 1
         kind = random.choices(kinds, shares)[0]
         caller = f"caller-{random.randrange(200)}"
-        root = f"r{number}"
+        root = f"r{name}{number}"
         yield Arrival(
             time=time,
             root=root,
--- a/src/finchshed/emulator/faults.py
+++ b/src/finchshed/emulator/faults.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import msgspec
+
 from finchshed.common.errors import FinchshedError
 from finchshed.emulator import acts
 from finchshed.emulator.backend import BackEnd
@@ -93,7 +95,7 @@
                 self._processes.stop_planned(act.endpoint, act.seconds)
             case acts.Submit():
                 self._note(act, act.change_id)
-                self._processes.submit(act)
+                self._submit(act)
             case acts.CrashDaemon() | acts.FreezeDaemon():
                 self._apply_to_daemon(act)
             case acts.CrashControl() | acts.FreezeControl() | acts.StopControl():
@@ -101,6 +103,14 @@
             case _:
                 self._apply_to_network(act)
 
+    def _submit(self, act: acts.Submit) -> None:
+        if act.times == 1:
+            self._processes.submit(act)
+            return
+        for number in range(act.times):
+            once = msgspec.structs.replace(act, change_id=f"{act.change_id}.{number}", times=1)
+            self._clock.call_later(number * act.every_seconds, self._processes.submit, once)
+
     def _apply_to_daemon(self, act: acts.CrashDaemon | acts.FreezeDaemon) -> None:
         self._note(act, act.node)
         if isinstance(act, acts.CrashDaemon):
@@ -237,7 +247,8 @@
         self._clock.call_later(seconds, finish)
 
     def _note(self, act: acts.Act, *targets: str) -> None:
-        self._recorder.note(Fault(self._clock.now, _name(act), targets))
+        detail = msgspec.json.encode(act).decode()
+        self._recorder.note(Fault(self._clock.now, _name(act), targets, detail=detail))
 
 
 def _name(act: acts.Act) -> str:
--- a/src/finchshed/proof/history.py
+++ b/src/finchshed/proof/history.py
@@ -189,13 +189,15 @@
 class Fault(msgspec.Struct, frozen=True, omit_defaults=True, tag="fault"):
     """A fault was injected: began, or ended when ``ended``.
 
-    ``targets`` are names of nodes, endpoints or zones.
+    ``targets`` are names of nodes, endpoints or zones. ``detail`` is the whole act as JSON, where
+    the source of the history records it.
     """
 
     time: float
     fault: str
     targets: tuple[str, ...] = ()
     ended: bool = False
+    detail: str = ""
 
 
 class ChangeSubmitted(msgspec.Struct, frozen=True, tag="change_submitted"):
--- /dev/null
+++ b/src/finchshed/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replay of recorded traces against stated outcomes."""
--- /dev/null
+++ b/src/finchshed/replay/judge.py
@@ -0,0 +1,235 @@
+"""Judges a history against stated outcomes. Works on histories of the emulator and of a fleet."""
+
+import math
+from collections.abc import Iterator
+
+import msgspec
+
+from finchshed.bench.measures import RECOVERED_SHARE, recovery_seconds
+from finchshed.common.importance import Importance
+from finchshed.proof.checks import CHECKS, violations_of
+from finchshed.proof.history import (
+    CallBegan,
+    CallEnded,
+    CallResult,
+    ChangeAnswered,
+    History,
+    RevisionInForce,
+    RunBegan,
+)
+from finchshed.replay.outcomes import (
+    ALL,
+    ChangeOutcome,
+    ClassOutcome,
+    OutcomeLine,
+    Outcomes,
+    PropertyOutcome,
+    RecoveryOutcome,
+    RequestOutcome,
+    RevisionOutcome,
+)
+
+ERROR_STATUS = 400
+P99 = 0.99
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """Whether one statement held. ``problems`` is empty if it did."""
+
+    line: int
+    statement: str
+    problems: tuple[str, ...]
+
+
+class RequestRecord(msgspec.Struct):
+    """What happened to one root request, over its client's attempts."""
+
+    root: str
+    kind: str
+    importance: Importance
+    service: str
+    arrived: float
+    attempts: int = 0
+    answered: float = math.inf
+    last_result: str = "abandoned"
+    last_reason: str = ""
+    runs: int = 0
+
+    @property
+    def result(self) -> str:
+        """``answered``, or the result of the last attempt."""
+        return "answered" if self.answered < math.inf else self.last_result
+
+
+def judge(history: History, outcomes: Outcomes) -> list[Verdict]:
+    """Return a verdict for each statement, in the file's order."""
+    judging = _Judge(history)
+    verdicts = []
+    for line, statement in outcomes.statements:
+        problems = tuple(judging.problems_of(statement))
+        verdicts.append(Verdict(line, _title(statement), problems))
+    return verdicts
+
+
+def request_records(history: History) -> dict[str, RequestRecord]:
+    """Gather what happened to each root request."""
+    records: dict[str, RequestRecord] = {}
+    root_of_call: dict[str, str] = {}
+    for event in history.events:
+        match event:
+            case CallBegan() if not event.parent:
+                record = records.get(event.root)
+                if record is None:
+                    record = RequestRecord(
+                        event.root, event.kind, event.importance, event.service, event.time
+                    )
+                    records[event.root] = record
+                record.attempts += 1
+                root_of_call[event.call] = event.root
+            case CallEnded() if event.call in root_of_call:
+                _note_end(records[root_of_call[event.call]], event)
+            case RunBegan() if event.call in root_of_call:
+                records[root_of_call[event.call]].runs += 1
+    return records
+
+
+def _note_end(record: RequestRecord, event: CallEnded) -> None:
+    is_answer = event.result is CallResult.ANSWERED
+    if is_answer and event.whole and event.status < ERROR_STATUS:
+        record.answered = min(record.answered, event.time)
+        return
+    record.last_result = "failed" if is_answer else event.result.value
+    record.last_reason = f"status {event.status}" if is_answer else event.reason
+
+
+class _Judge:
+    def __init__(self, history: History) -> None:
+        self._history = history
+        self._records = request_records(history)
+
+    def problems_of(self, statement: OutcomeLine) -> Iterator[str]:
+        """Yield what is wrong about a statement."""
+        match statement:
+            case RequestOutcome():
+                return self._request(statement)
+            case ClassOutcome():
+                return self._class(statement)
+            case PropertyOutcome():
+                return self._property(statement)
+            case RecoveryOutcome():
+                return self._recovery(statement)
+            case ChangeOutcome():
+                return self._change(statement)
+            case RevisionOutcome():
+                return self._revision(statement)
+
+    def _request(self, stated: RequestOutcome) -> Iterator[str]:
+        record = self._records.get(stated.root)
+        if record is None:
+            yield "the request was not sent"
+            return
+        if stated.result not in ("any", record.result):
+            yield f"it was {record.result} ({record.last_reason or 'no reason'})"
+        if stated.reason and stated.reason != record.last_reason:
+            yield f"the reason was {record.last_reason!r}"
+        seconds = record.answered - record.arrived
+        if stated.within_seconds is not None and seconds > stated.within_seconds:
+            yield f"it took {seconds:.3f} s"
+        if stated.runs_at_most is not None and record.runs > stated.runs_at_most:
+            yield f"it ran {record.runs} times"
+        if stated.runs_at_least is not None and record.runs < stated.runs_at_least:
+            yield f"it ran {record.runs} times"
+
+    def _class(self, stated: ClassOutcome) -> Iterator[str]:
+        records = [
+            record
+            for record in self._records.values()
+            if stated.begin <= record.arrived < stated.end
+            and stated.matches(record.importance, record.kind)
+        ]
+        count = len(records)
+        if count < max(stated.arrived_at_least, 1):
+            yield f"{count} requests arrived"
+            return
+        shares = {
+            result: sum(record.result == result for record in records) / count
+            for result in ("answered", "refused", "failed")
+        }
+        answered = shares["answered"]
+        if stated.answered_at_least is not None and answered < stated.answered_at_least:
+            yield f"{answered:.1%} of {count} were answered"
+        if stated.answered_at_most is not None and answered > stated.answered_at_most:
+            yield f"{answered:.1%} of {count} were answered"
+        if stated.refused_at_most is not None and shares["refused"] > stated.refused_at_most:
+            yield f"{shares['refused']:.1%} of {count} were refused"
+        if stated.failed_at_most is not None and shares["failed"] > stated.failed_at_most:
+            yield f"{shares['failed']:.1%} of {count} failed"
+        yield from self._class_figures(stated, records)
+
+    @staticmethod
+    def _class_figures(stated: ClassOutcome, records: list[RequestRecord]) -> Iterator[str]:
+        if stated.p99_seconds_at_most is not None:
+            latencies = sorted(
+                record.answered - record.arrived for record in records if record.answered < math.inf
+            )
+            if not latencies:
+                yield "none was answered"
+            else:
+                p99 = latencies[min(int(P99 * len(latencies)), len(latencies) - 1)]
+                if p99 > stated.p99_seconds_at_most:
+                    yield f"99 in 100 took {p99:.3f} s"
+        if stated.attempts_mean_at_most is not None:
+            mean = sum(record.attempts for record in records) / len(records)
+            if mean > stated.attempts_mean_at_most:
+                yield f"{mean:.2f} attempts a request"
+
+    def _property(self, stated: PropertyOutcome) -> Iterator[str]:
+        names = CHECKS if stated.check == ALL else (stated.check,)
+        for violation in violations_of(self._history, names):
+            yield str(violation)
+
+    def _recovery(self, stated: RecoveryOutcome) -> Iterator[str]:
+        finished = sorted(
+            record.answered for record in self._records.values() if record.answered < math.inf
+        )
+        length = stated.before_end - stated.before_begin
+        if length <= 0.0:
+            yield "before_end must be after before_begin"
+            return
+        count = sum(stated.before_begin <= time < stated.before_end for time in finished)
+        end = max((record.arrived for record in self._records.values()), default=0.0)
+        before = count / length * stated.share / RECOVERED_SHARE
+        seconds = recovery_seconds(finished, before, stated.after, end)
+        if seconds is None:
+            yield "goodput did not come back before the last arrival"
+        elif seconds > stated.within_seconds:
+            yield f"goodput came back after {seconds:.2f} s"
+
+    def _change(self, stated: ChangeOutcome) -> Iterator[str]:
+        accepted = {
+            event.change_id
+            for event in self._history.events
+            if isinstance(event, ChangeAnswered)
+            and event.result == "accepted"
+            and event.change_id.startswith(stated.change_id)
+        }
+        count = len(accepted)
+        if stated.accepted is not None and count != stated.accepted:
+            yield f"{count} were accepted"
+        if stated.accepted_at_least is not None and count < stated.accepted_at_least:
+            yield f"{count} were accepted"
+
+    def _revision(self, stated: RevisionOutcome) -> Iterator[str]:
+        last: dict[str, int] = {}
+        for event in self._history.events:
+            if isinstance(event, RevisionInForce):
+                last[event.node] = event.revision
+        if stated.node:
+            last = {stated.node: last.get(stated.node, 0)}
+        for node, revision in sorted(last.items()):
+            if revision < stated.at_least:
+                yield f"{node} holds revision {revision}"
+
+
+def _title(statement: OutcomeLine) -> str:
+    return msgspec.json.encode(statement).decode()
--- /dev/null
+++ b/src/finchshed/replay/recording.py
@@ -0,0 +1,133 @@
+"""Makes traces: of a seed of a campaign, or of a history that was recorded."""
+
+import msgspec
+
+from finchshed.common.errors import SettingsError
+from finchshed.emulator import acts
+from finchshed.emulator.callers import Arrival, ClientPolicy, generate_arrivals
+from finchshed.emulator.deployment import Deployment
+from finchshed.emulator.streams import Streams
+from finchshed.proof.history import CallBegan, Fault, History
+from finchshed.proof.scenarios import Plan
+from finchshed.replay.judge import request_records
+from finchshed.replay.outcomes import (
+    OUTCOMES_VERSION,
+    ClassName,
+    ClassOutcome,
+    OutcomesHeader,
+    PropertyOutcome,
+    encode_line,
+)
+from finchshed.replay.trace import TRACE_VERSION, Trace, TraceArrival, TraceHeader
+
+_act_decoder: msgspec.json.Decoder[acts.Act] = msgspec.json.Decoder(acts.Act)
+
+MARGIN = 0.1
+"""By how much a recorded share may be missed in a replay."""
+
+
+def trace_of_plan(plan: Plan) -> Trace:
+    """Return a trace whose replay gives the same history as the plan's run, byte for byte."""
+    specification = plan.specification()
+    header = TraceHeader(
+        version=TRACE_VERSION,
+        name=plan.scenario,
+        deployment=plan.deployment,
+        description=f"seed {plan.seed} of scenario {plan.scenario}",
+        seed=plan.seed,
+        control_nodes=specification.control_nodes,
+        settle_seconds=specification.settle_seconds,
+        retry_budget=specification.retry_budget,
+        client=specification.client,
+    )
+    arrivals = generate_arrivals(
+        plan.deployment,
+        Streams(plan.seed),
+        specification.seconds,
+        specification.surges,
+        specification.begin_seconds,
+    )
+    listed = tuple(_listed(arrival) for arrival in arrivals)
+    return Trace(header, plan.deployment, listed, (), specification.acts)
+
+
+def trace_of_history(history: History, name: str, deployment: Deployment) -> tuple[Trace, int]:
+    """Return a trace of what reached a deployment in ``history``.
+
+    Clients' own repeats are left to the replay's clients. Faults that the history doesn't record
+    whole, or that a trace has no word for, are left out.
+
+    Returns
+    -------
+    tuple of Trace and int
+        The trace and the number of faults left out.
+    """
+    zones = deployment.zones
+    arrivals: dict[str, TraceArrival] = {}
+    found: list[acts.Act] = []
+    left_out = 0
+    for event in history.events:
+        if isinstance(event, CallBegan) and not event.parent and event.root not in arrivals:
+            arrivals[event.root] = TraceArrival(
+                time=event.time,
+                root=event.root,
+                kind=event.kind,
+                zone=zones[len(arrivals) % len(zones)],
+                caller=event.caller,
+                key=event.key,
+                session=event.session,
+            )
+        elif isinstance(event, Fault) and not event.ended:
+            try:
+                found.append(_act_decoder.decode(event.detail))
+            except msgspec.DecodeError:
+                left_out += 1
+    kinds = {kind.name for kind in deployment.kinds}
+    unknown = sorted({arrival.kind for arrival in arrivals.values()} - kinds)
+    if unknown:
+        raise SettingsError([f"kind = {unknown[0]!r}: allowed are {', '.join(sorted(kinds))}"])
+    header = TraceHeader(
+        version=TRACE_VERSION,
+        name=name,
+        deployment=deployment,
+        description=f"recorded from a history of {history.header.source}",
+        seed=history.header.seed,
+        retry_budget=history.header.retry_budget,
+        client=ClientPolicy(),
+    )
+    return Trace(header, deployment, tuple(arrivals.values()), (), tuple(found)), left_out
+
+
+def outcomes_of(trace: Trace, history: History) -> list[bytes]:
+    """Return outcomes that ``history`` reached: every property, and the share answered by class.
+
+    Shares are stated with a margin of :data:`MARGIN`.
+    """
+    lines = [
+        encode_line(OutcomesHeader(version=OUTCOMES_VERSION, trace=trace.header.name)),
+        encode_line(PropertyOutcome()),
+    ]
+    records = list(request_records(history).values())
+    names: tuple[ClassName, ...] = ("critical", "high", "normal", "sheddable")
+    for name in names:
+        shares = [
+            record.result == "answered"
+            for record in records
+            if record.importance.name.lower() == name
+        ]
+        if shares:
+            least = max(round(sum(shares) / len(shares) - MARGIN, 3), 0.0)
+            lines.append(encode_line(ClassOutcome(importance=name, answered_at_least=least)))
+    return lines
+
+
+def _listed(arrival: Arrival) -> TraceArrival:
+    return TraceArrival(
+        time=arrival.time,
+        root=arrival.root,
+        kind=arrival.kind,
+        zone=arrival.zone,
+        caller=arrival.caller,
+        key=arrival.key,
+        session=arrival.session,
+    )
--- a/tests/proof/test_checks.py
+++ b/tests/proof/test_checks.py
@@ -3,6 +3,7 @@
 from finchshed.common.importance import Importance
 from finchshed.proof.history import (
     AttemptSent,
+    CallBegan,
     ChangeAnswered,
     ChangeSubmitted,
     ControlReachable,
@@ -64,6 +65,15 @@
     assert found("whole-answers", *ran, answered(0.3, name="r9/1"))
 
 
+def test_an_answer_to_the_same_key_is_an_own_answer() -> None:
+    first = CallBegan(0.0, "r1/1", "r1", "s", Importance.HIGH, key="k")
+    ran = (first, run(0.1, key="k"), finished(0.2))
+    again = CallBegan(0.3, "r2/1", "r2", "s", Importance.HIGH, key="k")
+    assert not found("whole-answers", *ran, again, answered(0.4, "r2/1", "r1"))
+    other = CallBegan(0.3, "r2/1", "r2", "s", Importance.HIGH, key="k2")
+    assert found("whole-answers", *ran, other, answered(0.4, "r2/1", "r1"))
+
+
 def test_calls_without_an_outcome_are_found() -> None:
     assert not found("calls-end", call(0.0), refused(5.0))
     assert found("calls-end", call(0.0), call(1.0, "r2/1", "r2"), refused(6.0, "r2/1"))
