Traces are replayed on real processes

Cause: 'finchshed replay --on=fleet' had no driver. Change: finchshed.fleet.replay.play plays a checked trace: arrivals, drawn load, client policy, faults and operators that race and resend, hundreds of changes from one process.

--- a/src/finchshed/fleet/acts.py
+++ b/src/finchshed/fleet/acts.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from finchshed.configuration.resources import Name
-from finchshed.standins.settings import LoadReporting
+from finchshed.standins.settings import LoadReporting, Submission
 
 Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=3600.0)]
 PositiveSeconds = Annotated[float, msgspec.Meta(gt=0.0, le=3600.0)]
@@ -142,21 +142,19 @@
 
 
 class Change(Act, frozen=True, kw_only=True, tag="change"):
-    """Have one more operator change the policy ``times`` times, with a pause before each.
-
-    Attributes
-    ----------
-    change_id
-        Identity of a single change, which is not tried anew after a conflict; empty: made up, and
-        each change is tried until it is accepted.
-    resend
-        Send each change once more after its answer, as if that had been lost.
-    """
+    """Have one more operator change the policy ``times`` times, with a pause before each."""
 
     times: Annotated[int, msgspec.Meta(ge=1, le=1000)] = 1
     pause_seconds: Seconds = 0.0
-    change_id: str = ""
-    resend: bool = False
+
+
+class Submit(Act, frozen=True, kw_only=True, tag="submit"):
+    """Have operators submit changes of given identities, each once, timed from this act.
+
+    Those of one submission race each other against the same revision.
+    """
+
+    submissions: tuple[Submission, ...]
 
 
 FaultAct: TypeAlias = (
@@ -174,6 +172,7 @@
     | Reset
     | FillDisk
     | Change
+    | Submit
 )
 
 LINK_ACTS = (Cut, Delay, Throttle, Reset)
--- a/src/finchshed/fleet/command.py
+++ b/src/finchshed/fleet/command.py
@@ -1,11 +1,8 @@
 """Command line of the fleet runner."""
 
-import asyncio
 import pathlib
-import signal
 import time
-from collections.abc import Callable, Coroutine, Mapping
-from typing import Any
+from collections.abc import Callable, Mapping
 
 from finchshed.cli.exit_codes import ExitCode
 from finchshed.common.errors import SettingsError
@@ -17,6 +14,7 @@
 )
 from finchshed.fleet.demo import demo_run
 from finchshed.fleet.fault_run import FaultRun
+from finchshed.fleet.interruption import run_interruptible
 from finchshed.fleet.scenario import read_scenario
 from finchshed.fleet.storm_runs import run_storms
 
@@ -119,23 +117,6 @@
     return path
 
 
-def run_interruptible(work: Coroutine[Any, Any, int]) -> int:
-    """Run ``work``; SIGTERM, SIGHUP and Ctrl-C cancel it, so that it stops what it started."""
-
-    async def cancellable() -> int:
-        task = asyncio.ensure_future(work)
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
-            loop.add_signal_handler(number, task.cancel)
-        return await task
-
-    try:
-        return asyncio.run(cancellable())
-    except asyncio.CancelledError:
-        print("interrupted; everything was stopped")
-        return 1
-
-
 fleet: Mapping[str, Callable[..., int]] = {
     "demo": demo,
     "run": run,
--- a/src/finchshed/fleet/emulated_acts.py
+++ b/src/finchshed/fleet/emulated_acts.py
@@ -1,13 +1,13 @@
 """The emulator's faults and operators' acts as acts on a fleet of real processes."""
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Iterator
 from typing import Any
 
 from finchshed.common.errors import SettingsError
 from finchshed.emulator import acts as emulated
 from finchshed.fleet import acts
 from finchshed.fleet.plan import backend_name, daemon_name
-from finchshed.standins.settings import LoadReporting
+from finchshed.standins.settings import LoadReporting, Submission
 
 EVERYONE = "*"
 LEAST_SECONDS = 0.001
@@ -40,7 +40,6 @@
             emulated.Drain: self._drain,
             emulated.StopPlanned: self._stop_planned,
             emulated.Misreport: self._misreport,
-            emulated.Submit: self._submit,
         }
 
     def translated(self, script: Iterable[emulated.Act]) -> tuple[acts.FaultAct, ...]:
@@ -52,7 +51,8 @@
             If one can't be done to real processes; all such are named.
         """
         script = list(script)
-        unknown = [act for act in script if type(act) not in self._translate]
+        known = (*self._translate, emulated.Submit)
+        unknown = [act for act in script if type(act) not in known]
         if unknown:
             raise SettingsError(
                 [
@@ -61,7 +61,10 @@
                     for act in unknown
                 ]
             )
-        return tuple(done for act in script for done in self._translate[type(act)](act))
+        faults = [act for act in script if not isinstance(act, emulated.Submit)]
+        submits = [act for act in script if isinstance(act, emulated.Submit)]
+        done = [made for act in faults for made in self._translate[type(act)](act)]
+        return (*done, *_submitted(submits))
 
     def process_of(self, node: str) -> str:
         """Return the name of the daemon, edge or control process of a node."""
@@ -142,12 +145,23 @@
             )
         ]
 
-    def _submit(self, act: emulated.Submit) -> list[acts.FaultAct]:
-        """Let the operators submit at once, each under an identity of its own."""
-        return [
-            acts.Change(at=act.time, change_id=f"{act.change_id}.{number}", resend=act.resend)
-            for number in range(act.operators)
-        ]
+
+def _submitted(submits: list[emulated.Submit]) -> list[acts.FaultAct]:
+    """Return one act in which one process submits all changes."""
+    if not submits:
+        return []
+    submissions = tuple(one for act in submits for one in _submissions_of(act))
+    return [acts.Submit(at=0.0, submissions=submissions)]
+
+
+def _submissions_of(act: emulated.Submit) -> Iterator[Submission]:
+    for number in range(act.times):
+        yield Submission(
+            at=act.time + number * act.every_seconds,
+            change_id=act.change_id if act.times == 1 else f"{act.change_id}.{number}",
+            operators=act.operators,
+            resend=act.resend,
+        )
 
 
 def _slow(time: float, target: str, factor: float, seconds: float) -> acts.Slow:
--- a/src/finchshed/fleet/faults.py
+++ b/src/finchshed/fleet/faults.py
@@ -85,6 +85,7 @@
             acts.Reset: self._reset,
             acts.FillDisk: self._fill_disk,
             acts.Change: self._change,
+            acts.Submit: self._change,
         }
 
     async def run(self, script: tuple[acts.FaultAct, ...]) -> None:
@@ -269,12 +270,12 @@
             resource.prlimit(pid, resource.RLIMIT_FSIZE, (UNLIMITED, UNLIMITED))
         self._journal.add(Fault(self._journal.now(), "fill_disk", (name,), ended=True))
 
-    async def _change(self, act: acts.Change) -> None:
+    async def _change(self, act: acts.Change | acts.Submit) -> None:
         number = next(self._numbers)
         name = f"operator-{number}"
         code = await self._fleet.run_operator(name, number * FIRST_NUMBER_STEP, act)
         if code != 0:
-            self._journal.problem(f"{name}: a change was never accepted (exit code {code})")
+            self._journal.problem(f"{name}: a change was never answered (exit code {code})")
 
     async def _start(self, process: FleetProcess) -> None:
         await self._fleet.start_again(process)
--- a/src/finchshed/fleet/plan.py
+++ b/src/finchshed/fleet/plan.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from finchshed.configuration.resources import Endpoint
-from finchshed.fleet.acts import Change
+from finchshed.fleet.acts import Change, Submit
 from finchshed.fleet.deployment import DECLARATIONS_FOLDER, Deployment
 from finchshed.fleet.processes import ProcessSpec, Role
 from finchshed.fleet.toml_writer import to_toml
@@ -39,18 +39,17 @@
         """Return the process named ``name``."""
         return next(spec for spec in self.specs if spec.name == name)
 
-    def operator_spec(self, name: str, first_number: int, change: Change) -> ProcessSpec:
+    def operator_spec(self, name: str, first_number: int, act: Change | Submit) -> ProcessSpec:
         """Write the settings of a stand-in operator and return how to start it."""
         settings = OperatorSettings(
             name=name,
             token=self.deployment.operator_token,
             rpc_addresses=self.rpc_addresses,
             record_path=str(self.folder / "records" / f"{name}.jsonl"),
-            changes=change.times,
+            changes=act.times if isinstance(act, Change) else 0,
+            pause_seconds=act.pause_seconds if isinstance(act, Change) else 0.0,
+            submissions=act.submissions if isinstance(act, Submit) else (),
             first_number=first_number,
-            pause_seconds=change.pause_seconds,
-            change_id=change.change_id,
-            resend=change.resend,
         )
         path = self.folder / "settings" / f"{name}.toml"
         path.write_text(to_toml(settings))
--- a/src/finchshed/fleet/replay.py
+++ b/src/finchshed/fleet/replay.py
@@ -10,6 +10,7 @@
 from finchshed.emulator import acts as emulated_acts
 from finchshed.emulator.callers import Arrival as EmulatedArrival
 from finchshed.emulator.callers import ClientPolicy
+from finchshed.emulator.control.group import PLATFORM_LAG_SECONDS
 from finchshed.emulator.deployment import Deployment as EmulatedDeployment
 from finchshed.emulator.plain_control import EPOCH_UNIX_SECONDS
 from finchshed.emulator.world import endpoints_of
@@ -17,9 +18,12 @@
 from finchshed.fleet.emulated_acts import ActTranslator
 from finchshed.fleet.emulated_source import group_of, write_source
 from finchshed.fleet.fault_run import FaultRun
+from finchshed.fleet.interruption import run_interruptible
 from finchshed.fleet.scenario import Scenario
 from finchshed.ledger.keys import TIMESTAMP_SHIFT, issued_at
 from finchshed.proof.history import History
+from finchshed.replay.emulated import arrivals_of
+from finchshed.replay.trace import Trace
 from finchshed.standins.arrivals import Arrival
 from finchshed.standins.settings import Phase, RetryHabit
 
@@ -50,7 +54,41 @@
     retry_budget: int = 3
 
 
-async def play(wanted: Play, folder: pathlib.Path) -> History:
+def play(trace: Trace, folder: pathlib.Path) -> History:
+    """Play a trace on real processes; times of the history count from its first moment.
+
+    Parameters
+    ----------
+    folder
+        New or empty; keeps settings, logs and records.
+
+    Raises
+    ------
+    SettingsError
+        If the trace holds what real processes can't play.
+    """
+    return run_interruptible(play_on_fleet(play_of(trace), folder))
+
+
+def play_of(trace: Trace) -> Play:
+    """Return what a trace wants played."""
+    header = trace.header
+    arrivals = arrivals_of(trace)
+    last = max((arrival.time for arrival in arrivals), default=0.0)
+    return Play(
+        name=header.name,
+        deployment=trace.deployment,
+        arrivals=arrivals,
+        acts=trace.acts,
+        client=header.client,
+        seconds=max(trace.last_time, last),
+        seed=header.seed,
+        control_nodes=header.control_nodes,
+        retry_budget=header.retry_budget,
+    )
+
+
+async def play_on_fleet(wanted: Play, folder: pathlib.Path) -> History:
     """Play ``wanted`` on real processes; times of the history count from the first moment.
 
     Parameters
@@ -82,6 +120,7 @@
         description="a replay",
         phase=(Phase(name=PHASE, duration_seconds=max(wanted.seconds, LEAST_SECONDS)),),
         act=script,
+        platform_lag_seconds=PLATFORM_LAG_SECONDS,
     )
 
     def with_client_policy(deployment: Deployment) -> Deployment:
--- a/src/finchshed/fleet/runner.py
+++ b/src/finchshed/fleet/runner.py
@@ -9,7 +9,7 @@
 import aiohttp
 
 from finchshed.common.errors import FinchshedError
-from finchshed.fleet.acts import Change
+from finchshed.fleet.acts import Change, Submit
 from finchshed.fleet.network import FleetNetwork
 from finchshed.fleet.plan import FleetPlan
 from finchshed.fleet.processes import FleetProcess, ProcessSpec, Role, wait_until_listening
@@ -165,9 +165,9 @@
         async with self.http.post(url, params={"value": value}) as response:
             response.raise_for_status()
 
-    async def run_operator(self, name: str, first_number: int, change: Change) -> int:
+    async def run_operator(self, name: str, first_number: int, act: Change | Submit) -> int:
         """Run a stand-in operator that makes changes; return its exit code."""
-        spec = self.plan.operator_spec(name, first_number, change)
+        spec = self.plan.operator_spec(name, first_number, act)
         process = FleetProcess(spec, self.log_path(spec.name))
         self.processes[spec.name] = process
         process.start()
--- a/src/finchshed/scale/command.py
+++ b/src/finchshed/scale/command.py
@@ -3,7 +3,8 @@
 import pathlib
 from collections.abc import Callable, Mapping
 
-from finchshed.fleet.command import run_folder, run_interruptible
+from finchshed.fleet.command import run_folder
+from finchshed.fleet.interruption import run_interruptible
 from finchshed.scale.layout import ScaleSize
 from finchshed.scale.measure import measure as measure_scale
 from finchshed.scale.phases import PhaseOptions
--- a/src/finchshed/standins/operator.py
+++ b/src/finchshed/standins/operator.py
@@ -6,7 +6,9 @@
 """
 
 import enum
+import itertools
 import time
+from concurrent.futures import Future, ThreadPoolExecutor
 from typing import cast
 
 import msgspec
@@ -18,10 +20,11 @@
 from finchshed.ctl.changes import read_in_force, submit
 from finchshed.ctl.client import OperatorClient
 from finchshed.standins.records import RecordWriter, monotonic
-from finchshed.standins.settings import OperatorSettings
+from finchshed.standins.settings import OperatorSettings, Submission
 
 POLICY = ResourceKey("policy", "default")
 REQUEST_SECONDS = 5.0
+MAX_RACING_OPERATORS = 32
 
 
 class ChangeOutcome(enum.StrEnum):
@@ -52,6 +55,13 @@
     revision: int = 0
 
 
+class _ChangeToMake(msgspec.Struct, frozen=True):
+    identity: str
+    expected: int
+    policy: Policy
+    value: float
+
+
 class StandinOperator:
     """Makes the changes of one stand-in operator."""
 
@@ -71,14 +81,8 @@
         return 1 if unanswered else 0
 
     def _change(self, number: int) -> bool:
-        """Make one change, anew after each conflict; return whether it was accepted.
-
-        A change with an identity given is made once; returned is whether it was answered.
-        """
+        """Make one change, anew after each conflict; return whether it was accepted."""
         deadline = monotonic() + self._settings.patience_seconds
-        if self._settings.change_id:
-            outcome = self._submit(self._settings.change_id, number, deadline)
-            return outcome is not ChangeOutcome.UNKNOWN
         attempt = 0
         while monotonic() < deadline:
             attempt += 1
@@ -88,32 +92,69 @@
                 return outcome is ChangeOutcome.ACCEPTED
         return False
 
+    def run_submissions(self) -> int:
+        """Submit the changes of given identities; return the exit code as :meth:`run`."""
+        begun = monotonic()
+        numbers = itertools.count(self._settings.first_number)
+        with ThreadPoolExecutor(MAX_RACING_OPERATORS) as racing:
+            sent = []
+            for submission in sorted(self._settings.submissions, key=lambda item: item.at):
+                time.sleep(max(0.0, begun + submission.at - monotonic()))
+                sent += self._race(racing, submission, numbers)
+            unanswered = sum(item.result() is ChangeOutcome.UNKNOWN for item in sent)
+        self._client.close()
+        return 1 if unanswered else 0
+
+    def _race(
+        self, racing: ThreadPoolExecutor, submission: Submission, numbers: "itertools.count[int]"
+    ) -> list["Future[ChangeOutcome]"]:
+        deadline = monotonic() + self._settings.patience_seconds
+        held = self._revision(deadline)
+        if held is None:
+            return []
+        times = 2 if submission.resend else 1
+        return [
+            racing.submit(
+                self._send_times,
+                _ChangeToMake(
+                    identity=f"{submission.change_id}.{operator}",
+                    expected=held[0],
+                    policy=held[1],
+                    value=self._settings.base_value + next(numbers),
+                ),
+                times,
+                deadline,
+            )
+            for operator in range(submission.operators)
+        ]
+
     def _submit(self, identity: str, number: int, deadline: float) -> ChangeOutcome:
-        value = self._settings.base_value + number
-        revision = self._revision(deadline)
-        if revision is None:
+        held = self._revision(deadline)
+        if held is None:
             return ChangeOutcome.UNKNOWN
-        expected, policy = revision
-        changed = Difference((msgspec.structs.replace(policy, key_window_seconds=value),), ())
+        value = self._settings.base_value + number
+        return self._send(_ChangeToMake(identity, held[0], held[1], value), deadline)
+
+    def _send_times(self, change: "_ChangeToMake", times: int, deadline: float) -> ChangeOutcome:
         outcome = ChangeOutcome.UNKNOWN
-        for _ in range(2 if self._settings.resend else 1):
-            outcome = self._send(identity, expected, value, changed, deadline)
+        for _ in range(times):
+            outcome = self._send(change, deadline)
         return outcome
 
-    def _send(
-        self, identity: str, expected: int, value: float, changed: Difference, deadline: float
-    ) -> ChangeOutcome:
+    def _send(self, change: "_ChangeToMake", deadline: float) -> ChangeOutcome:
         """Send a change until it is answered; return the answer."""
-        self._note(identity, expected, value, ChangeOutcome.SUBMITTED, 0)
+        policy = msgspec.structs.replace(change.policy, key_window_seconds=change.value)
+        changed = Difference((policy,), ())
+        self._note(change, ChangeOutcome.SUBMITTED, 0)
         while monotonic() < deadline:
             try:
-                result = submit(self._client, identity, expected, changed)
+                result = submit(self._client, change.identity, change.expected, changed)
             except ControlUnavailableError:
                 continue
             outcome, accepted = _outcome_of(result)
-            self._note(identity, expected, value, outcome, accepted)
+            self._note(change, outcome, accepted)
             return outcome
-        self._note(identity, expected, value, ChangeOutcome.UNKNOWN, 0)
+        self._note(change, ChangeOutcome.UNKNOWN, 0)
         return ChangeOutcome.UNKNOWN
 
     def _revision(self, deadline: float) -> tuple[int, Policy] | None:
@@ -125,16 +166,14 @@
             return current.revision, cast(Policy, current.resources[POLICY])
         return None
 
-    def _note(
-        self, identity: str, expected: int, value: float, outcome: ChangeOutcome, revision: int
-    ) -> None:
+    def _note(self, change: "_ChangeToMake", outcome: ChangeOutcome, revision: int) -> None:
         self._records.write(
             OperatorRecord(
                 at=monotonic(),
                 operator=self._settings.name,
-                change_id=identity,
-                expected_revision=expected,
-                value=value,
+                change_id=change.identity,
+                expected_revision=change.expected,
+                value=change.value,
                 outcome=outcome,
                 revision=revision,
             )
@@ -151,4 +190,5 @@
 
 def run_operator(settings: OperatorSettings) -> int:
     """Make the changes of ``settings``; return the exit code."""
-    return StandinOperator(settings).run()
+    operator = StandinOperator(settings)
+    return operator.run_submissions() if settings.submissions else operator.run()
--- a/src/finchshed/standins/settings.py
+++ b/src/finchshed/standins/settings.py
@@ -179,6 +179,25 @@
     lag_seconds: Seconds = 0.0
 
 
+class Submission(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A change that operators submit at once, all against the revision in force then.
+
+    Attributes
+    ----------
+    at
+        Seconds after the start.
+    change_id
+        Operator ``n``, from 0, submits under the identity ``change_id.n``.
+    resend
+        Send each change once more after its answer, as if that had been lost.
+    """
+
+    at: Seconds
+    change_id: Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+    operators: Annotated[int, msgspec.Meta(ge=1, le=16)] = 1
+    resend: bool = False
+
+
 class OperatorSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Settings of one stand-in operator.
 
@@ -190,11 +209,8 @@
         A change's number is added to this to get the key window it sets, seconds.
     patience_seconds
         A change not answered for so long is given up.
-    change_id
-        Identity of a single change, which is not tried anew after a conflict; empty: made up, and
-        each change is tried until it is accepted.
-    resend
-        Send each change once more after its answer, as if that had been lost.
+    submissions
+        Changes of given identities to submit, each once, in place of ``changes``.
     """
 
     name: Name
@@ -206,8 +222,7 @@
     base_value: Annotated[float, msgspec.Meta(gt=0.0, le=80_000.0)] = 600.0
     pause_seconds: Seconds = 0.0
     patience_seconds: Seconds = 60.0
-    change_id: str = ""
-    resend: bool = False
+    submissions: tuple[Submission, ...] = ()
 
 
 def load(struct_type: type[SettingsT], path: str | pathlib.Path) -> SettingsT:
--- a/tests/fleet/test_replay.py
+++ b/tests/fleet/test_replay.py
@@ -13,7 +13,7 @@
 from finchshed.emulator.plain_control import EPOCH_UNIX_SECONDS
 from finchshed.fleet import acts
 from finchshed.fleet.emulated_acts import ActTranslator
-from finchshed.fleet.replay import Play, arrivals_by_group, moved_key, play
+from finchshed.fleet.replay import Play, arrivals_by_group, moved_key, play_on_fleet
 from finchshed.ledger.keys import issued_at, new_key
 from finchshed.proof.checks import violations_of
 from finchshed.proof.history import CallBegan, CallEnded, CallResult, RunBegan
@@ -125,7 +125,7 @@
         ),
         seconds=3.0,
     )
-    history = await play(wanted, tmp_path)
+    history = await play_on_fleet(wanted, tmp_path)
     assert violations_of(history) == []
     began = [event for event in history.events if isinstance(event, CallBegan)]
     outside = {event.root: event.kind for event in began if not event.parent}
--- a/tests/fleet/test_storm.py
+++ b/tests/fleet/test_storm.py
@@ -43,7 +43,12 @@
 
 def test_every_kind_of_fault_is_drawn_and_some_come_together() -> None:
     drawn = {type(act) for scenario in storms() for act in scenario.act}
-    assert set(get_args(acts.FaultAct)) - drawn == {acts.RollingRestart, acts.Leave, acts.Edition}
+    assert set(get_args(acts.FaultAct)) - drawn == {
+        acts.RollingRestart,
+        acts.Leave,
+        acts.Edition,
+        acts.Submit,
+    }
     together = 0
     for scenario in storms():
         times = [act.at for act in scenario.act if not isinstance(act, acts.Change)]
