--- a/src/finchshed/distribution/follower.py
+++ b/src/finchshed/distribution/follower.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 
 from finchshed.configuration.resources import Endpoint
+from finchshed.distribution.delta_history import DeltaHistory
 from finchshed.distribution.effects import (
     FetchFromControl,
     FetchFromPeer,
@@ -37,6 +38,9 @@
 FETCH_RETRY_SECONDS = 1.0
 """An unanswered fetch is repeated, from another source if there is one, after this long."""
 
+HISTORY_CHANGES = 64
+"""Changes kept for peers; one that is further behind gets the whole configuration."""
+
 NO_EFFECTS: tuple[FollowerEffect, ...] = ()
 
 
@@ -84,6 +88,7 @@
         self._disk_failed = False
         self._in_force = Configuration()
         self._held = self._in_force
+        self._history = DeltaHistory(HISTORY_CHANGES)
         self._holds_any = False
         self._started_from_disk = False
         self._highest_seen = 0
@@ -91,6 +96,7 @@
         self._ground = ServingGround.NONE
         self._control_connected = False
         self._peers: dict[str, int] = {}
+        self._asked: set[str] = set()
         self._fetch_due = 0.0
         self._fetch_from_peer_next = False
         self._recording: Configuration | None = None
@@ -200,7 +206,7 @@
         """Return what a peer that holds ``revision`` needs to hold what is in force here."""
         if revision >= self._in_force.revision:
             return unchanged(self._in_force.revision)
-        return whole(self._in_force)
+        return self._history.between(revision, self._in_force)
 
     def _load(self, record: FollowerRecord) -> None:
         self._highest_seen = record.highest_seen
@@ -221,6 +227,7 @@
         newer = delta.revision > self._held.revision
         if (first or newer) and is_applicable(delta, self._held.revision):
             self._held = apply_delta(self._held, delta)
+            self._history.append(delta)
             self._holds_any = True
         return self._settle(now)
 
@@ -293,6 +300,7 @@
     def _fetch(self, now: float) -> list[FollowerEffect]:
         if self._held.revision >= self._highest_seen:
             self._fetch_from_peer_next = False
+            self._asked.clear()
             if self.may_serve and self._peers:
                 self._peers.clear()
             return []
@@ -303,15 +311,22 @@
 
     def _choose_source(self) -> list[FollowerEffect]:
         """Ask control first; if that brought nothing, or there is none, the furthest peer."""
-        peer = max(self._peers, key=self._peers.__getitem__, default="")
-        ahead = bool(peer) and self._peers[peer] > self._held.revision
-        if ahead and (self._fetch_from_peer_next or not self._control_connected):
+        peer = self._next_peer()
+        if peer and (self._fetch_from_peer_next or not self._control_connected):
             self._fetch_from_peer_next = False
-            # A peer that doesn't answer must not be the only one asked.
-            if self.may_serve:
-                del self._peers[peer]
+            self._asked.add(peer)
             return [FetchFromPeer(peer, self._held.revision)]
         if self._control_connected:
             self._fetch_from_peer_next = True
             return [FetchFromControl(self._held.revision)]
         return []
+
+    def _next_peer(self) -> str:
+        """Return the furthest peer ahead that wasn't asked yet; once all were, begin again.
+
+        A link tells a revision once, so peers are kept until what they hold is held here too.
+        """
+        ahead = {name for name, held in self._peers.items() if held > self._held.revision}
+        if ahead and ahead <= self._asked:
+            self._asked.clear()
+        return max(ahead - self._asked, key=lambda name: (self._peers[name], name), default="")
--- a/src/finchshed/emulator/callers.py
+++ b/src/finchshed/emulator/callers.py
@@ -58,16 +58,20 @@
 
 
 def generate_arrivals(
-    deployment: Deployment, streams: Streams, end: float, surges: tuple[Surge, ...]
+    deployment: Deployment,
+    streams: Streams,
+    end: float,
+    surges: tuple[Surge, ...],
+    begin: float = 0.0,
 ) -> Iterable[Arrival]:
-    """Yield arrivals of a Poisson process until ``end``, in order of time.
+    """Yield arrivals of a Poisson process from ``begin`` until ``end``, in order of time.
 
     Drawn at the highest rate and thinned (Lewis and Shedler, 1979).
     """
     random = streams.python("arrivals")
     highest = max((surge.factor for surge in surges), default=1.0)
     highest = max(highest, 1.0)
-    time = 0.0
+    time = begin
     number = 0
     kinds = deployment.kinds
     shares = [kind.share for kind in kinds]
@@ -107,7 +111,8 @@
     arrival: Arrival
     kind: RequestKind
     attempt: int = 0
-    ended: bool = False
+    waits: bool = False
+    """Whether an attempt was sent and neither answered nor given up yet."""
     timer: Timer | None = None
     cancel: Cancel | None = None
 
@@ -148,6 +153,7 @@
 
     def _attempt(self, root: _Root) -> None:
         root.attempt += 1
+        root.waits = True
         attempt = root.attempt
         arrival = root.arrival
         site = Site(f"client-{arrival.zone}", OUTSIDE)
@@ -173,14 +179,15 @@
             self._network.send(edge_site, site, lambda: self._ended(root, attempt, outcome))
 
         def arrive() -> None:
-            if not root.ended and root.attempt == attempt:
+            if root.waits and root.attempt == attempt:
                 root.cancel = path.call(request, answered)
 
         self._network.send(site, edge_site, arrive)
 
     def _timed_out(self, root: _Root, attempt: int) -> None:
-        if root.ended or root.attempt != attempt:
+        if not root.waits or root.attempt != attempt:
             return
+        root.waits = False
         self._recorder.call_abandoned(f"{root.arrival.root}/{attempt}")
         edge_site, _ = self._edge_of(root.arrival.zone)
         if root.cancel is not None:
@@ -189,22 +196,20 @@
         self._repeat(root, 0.0)
 
     def _ended(self, root: _Root, attempt: int, outcome: Outcome) -> None:
-        if root.ended or root.attempt != attempt:
+        if not root.waits or root.attempt != attempt:
             return
+        root.waits = False
         if root.timer is not None:
             root.timer.cancel()
         self._recorder.call_ended(f"{root.arrival.root}/{attempt}", outcome)
         if isinstance(outcome, Answered):
-            if outcome.status == 200:
-                root.ended = True
-                return
-            self._repeat(root, 0.0)
+            if outcome.status != 200:
+                self._repeat(root, 0.0)
             return
         self._repeat(root, outcome.retry_after)
 
     def _repeat(self, root: _Root, retry_after: float) -> None:
         if root.attempt >= self._policy.attempts:
-            root.ended = True
             return
         wait = self._policy.backoff_seconds * (0.5 + self._random.random())
         if self._policy.heed_retry_after:
