--- a/src/finchshed/admission/gate.py
+++ b/src/finchshed/admission/gate.py
@@ -131,6 +131,7 @@
         effects = self._expire(now)
         effects.extend(self._fill(now))
         self._update_threshold(now)
+        effects.extend(self._shed())
         return effects
 
     def load_report(self, now: float, paths: Mapping[str, PathThreshold] = NO_PATHS) -> LoadReport:
@@ -204,6 +205,22 @@
             self._threshold.on_queue(len(kept))
         return effects
 
+    def _shed(self) -> list[GateEffect]:
+        """Refuse what waits below the threshold, but keep enough to fill the slots."""
+        effects: list[GateEffect] = []
+        queue = self._queue
+        dropped = 0
+        may_drop = len(queue) - self._concurrency.limit
+        while dropped < may_drop and queue[dropped][0] < self._threshold.value:
+            waiting = queue[dropped][2]
+            del self._waiting[waiting.token]
+            effects.append(self._refusal(waiting.token, RefusalReason.OVERLOAD))
+            dropped += 1
+        if dropped:
+            del queue[:dropped]
+            self._threshold.on_queue(len(queue))
+        return effects
+
     def _remove(self, waiting: _Waiting) -> None:
         index = bisect_left(self._queue, (waiting.rank, -waiting.order))
         self._queue.pop(index)
--- a/src/finchshed/admission/threshold.py
+++ b/src/finchshed/admission/threshold.py
@@ -18,6 +18,9 @@
 BUCKETS = RANKS >> BUCKET_BITS
 """Buckets of the histogram: 32 for each class of rank and session."""
 
+MEMORY = 0.8
+"""Part of the histogram that is kept from one window to the next."""
+
 MARGIN = 1.1
 """Arrivals let through, as a multiple of the capacity, so that the queue never runs dry."""
 
@@ -36,8 +39,8 @@
     def __init__(self, now: float, window: float = WINDOW_SECONDS) -> None:
         self._window = window
         self._window_start = now
-        self._arrivals = [0] * BUCKETS
-        self._arrived = 0
+        self._arrivals = [0.0] * BUCKETS
+        self._covered = 0.0
         self._shortest_queue = 0
         self._bucket = 0
         self._release_step = 1
@@ -49,8 +52,7 @@
 
     def on_arrival(self, rank: int) -> None:
         """Count a request that reached the gate."""
-        self._arrivals[rank >> BUCKET_BITS] += 1
-        self._arrived += 1
+        self._arrivals[rank >> BUCKET_BITS] += 1.0
 
     def on_queue(self, queued: int) -> None:
         """Take the length of the queue after a change."""
@@ -71,22 +73,26 @@
         elapsed = now - self._window_start
         if elapsed < self._window:
             return
+        self._covered += elapsed
         if self._shortest_queue > target_queue:
-            self._raise(rate * elapsed, self._shortest_queue - target_queue)
+            self._raise(rate * self._covered)
         elif self._shortest_queue == 0:
             self._release()
         self._window_start = now
         self._shortest_queue = queued
-        if self._arrived:
-            self._arrivals = [0] * BUCKETS
-            self._arrived = 0
+        self._arrivals = [count * MEMORY for count in self._arrivals]
+        self._covered *= MEMORY
+
+    def _raise(self, capacity: float) -> None:
+        """Set the threshold where the arrivals above it fit; never lower than it is.
 
-    def _raise(self, capacity: float, excess: float) -> None:
+        Below it the histogram shows nothing, because callers shed there.
+        """
         self._release_step = 1
-        room = max(1.0, capacity * MARGIN - excess)
-        admitted = 0
+        room = max(1.0, capacity * MARGIN)
+        admitted = 0.0
         bucket = BUCKETS
-        while bucket > 0 and admitted + self._arrivals[bucket - 1] <= room:
+        while bucket > self._bucket and admitted + self._arrivals[bucket - 1] <= room:
             bucket -= 1
             admitted += self._arrivals[bucket]
         self._bucket = min(bucket, BUCKETS - 1)
--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -56,3 +56,22 @@
     assert held.cancel(2, 0.05) == []
     assert held.finish(1, CallResult.OK, 0.1) == []
     assert held.load_report(0.1).in_flight == 0
+
+
+def test_waiting_request_below_a_raised_threshold_is_refused_at_once() -> None:
+    """It must not be held until its deadline while others overtake it."""
+    held = gate()
+    held.arrive(0, context(Importance.CRITICAL), 0.0)
+    held.finish(0, CallResult.OK, 0.1)
+    held.arrive(1, context(Importance.CRITICAL), 0.1)
+    for token in range(2, 5):
+        assert held.arrive(token, context(Importance.SHEDDABLE, f"r{token}"), 0.1) == []
+    for token in range(5, 8):
+        assert held.arrive(token, context(Importance.CRITICAL, f"r{token}"), 0.1) == []
+    held.tick(0.16)
+    effects = held.tick(0.22)
+    refused = {effect.token for effect in effects if isinstance(effect, Refuse)}
+    assert refused >= {2, 3, 4}
+    assert refused < set(range(2, 8))
+    kept = set(range(5, 8)) - refused
+    assert held.finish(1, CallResult.OK, 0.3) == [Start(min(kept))]
