--- a/src/finchshed/admission/gate.py
+++ b/src/finchshed/admission/gate.py
@@ -123,7 +123,7 @@
         waiting = self._waiting.pop(token, None)
         if waiting is not None:
             self._remove(waiting)
-            self._note_queue()
+            self._threshold.on_queue(len(self._queue))
         return self._fill(now)
 
     def tick(self, now: float) -> list[GateEffect]:
@@ -184,7 +184,7 @@
                 continue
             self._begin(waiting.token, now)
             effects.append(Start(waiting.token))
-        self._note_queue()
+        self._threshold.on_queue(len(queue))
         return effects
 
     def _expire(self, now: float) -> list[GateEffect]:
@@ -202,7 +202,7 @@
         if effects:
             kept.reverse()
             self._queue = kept
-            self._note_queue()
+            self._threshold.on_queue(len(kept))
         return effects
 
     def _shed(self) -> list[GateEffect]:
@@ -218,14 +218,9 @@
             dropped += 1
         if dropped:
             del queue[:dropped]
-            self._note_queue()
+            self._threshold.on_queue(len(queue))
         return effects
 
-    def _note_queue(self) -> None:
-        limit = self._concurrency.limit
-        idle_share = max(0, limit - len(self._running)) / limit
-        self._threshold.on_queue(len(self._queue), idle_share)
-
     def _remove(self, waiting: _Waiting) -> None:
         index = bisect_left(self._queue, (waiting.rank, -waiting.order))
         self._queue.pop(index)
--- a/src/finchshed/admission/threshold.py
+++ b/src/finchshed/admission/threshold.py
@@ -3,8 +3,8 @@
 The gate's priority queue decides exactly; the threshold tells callers which requests have no chance
 so that they are shed before they cost a hop. While the queue does not empty for a whole window, the
 threshold is set to the rank at which the arrivals above it match the measured capacity (the
-histogram of DAGOR, SoCC 2018). Once the queue has emptied, the threshold falls, in steps that
-double while slots are idle, because callers no longer send what lies below it and the histogram can't show it.
+histogram of DAGOR, SoCC 2018). Once the queue has emptied, the threshold falls in steps that
+double, because callers no longer send what lies below it and the histogram can't show it.
 """
 
 from finchshed.admission.rank import RANKS
@@ -21,13 +21,6 @@
 MEMORY = 0.8
 """Part of the histogram that is kept from one window to the next."""
 
-IDLE_SHARE = 0.25
-"""Slots left idle, as a share, from which on the threshold falls in steps that double.
-
-A queue that was empty for a moment is no sign of free capacity: callers learn of a fall only with
-their next answers, and all of them send at once what it lets through.
-"""
-
 MARGIN = 1.1
 """Arrivals let through, as a multiple of the capacity, so that the queue never runs dry."""
 
@@ -49,7 +42,6 @@
         self._arrivals = [0.0] * BUCKETS
         self._covered = 0.0
         self._shortest_queue = 0
-        self._idle_share = 0.0
         self._bucket = 0
         self._release_step = 1
 
@@ -62,10 +54,9 @@
         """Count a request that reached the gate."""
         self._arrivals[rank >> BUCKET_BITS] += 1.0
 
-    def on_queue(self, queued: int, idle_share: float) -> None:
-        """Take the length of the queue and the share of slots left idle, after a change."""
+    def on_queue(self, queued: int) -> None:
+        """Take the length of the queue after a change."""
         self._shortest_queue = min(self._shortest_queue, queued)
-        self._idle_share = max(self._idle_share, idle_share)
 
     def update(self, now: float, queued: int, rate: float, target_queue: float) -> None:
         """Close the window if it is over and compute the threshold.
@@ -89,7 +80,6 @@
             self._release()
         self._window_start = now
         self._shortest_queue = queued
-        self._idle_share = 0.0
         self._arrivals = [count * MEMORY for count in self._arrivals]
         self._covered *= MEMORY
 
@@ -110,7 +100,5 @@
     def _release(self) -> None:
         if self._bucket == 0:
             return
-        if self._idle_share < IDLE_SHARE:
-            self._release_step = 1
         self._bucket = max(0, self._bucket - self._release_step)
         self._release_step *= 2
