--- a/src/finchshed/admission/gate.py
+++ b/src/finchshed/admission/gate.py
@@ -29,6 +29,9 @@
 MIN_TARGET_DELAY_SECONDS = 0.005
 """Standing queueing delay that is always tolerated."""
 
+RESERVE_DIVISOR = 4
+"""What waits below the threshold is kept up to the limit over this, so that no slot runs idle."""
+
 OVERLOAD_WEIGHT = 0.02
 """Weight of one arrival in the measured share of refusals."""
 
@@ -210,7 +213,7 @@
         effects: list[GateEffect] = []
         queue = self._queue
         dropped = 0
-        may_drop = len(queue) - self._concurrency.limit
+        may_drop = len(queue) - max(1, self._concurrency.limit // RESERVE_DIVISOR)
         while dropped < may_drop and queue[dropped][0] < self._threshold.value:
             waiting = queue[dropped][2]
             del self._waiting[waiting.token]
--- a/src/finchshed/daemon/front.py
+++ b/src/finchshed/daemon/front.py
@@ -167,7 +167,7 @@
             spare_attempts=self._served.lend(served.account),
             depth=inherited.depth + 1,
             caller=inherited.caller,
-            session=request.header(_SESSION),
+            session=request.header(_SESSION) or inherited.session,
             key=request.header(_IDEMPOTENCY_KEY),
             position=inherited.position,
         )
--- a/src/finchshed/emulator/backend.py
+++ b/src/finchshed/emulator/backend.py
@@ -207,6 +207,7 @@
             deadline=request.deadline,
             caller=request.caller,
             parent=run.name,
+            session=request.session,
             account=request.account,
         )
         self._recorder.call_began(child)
