--- a/src/finchshed/consensus/node.py
+++ b/src/finchshed/consensus/node.py
@@ -213,6 +213,7 @@
         read_index.finish_reads(state, leading)
         read_index.start_round(state, leading)
         read_index.finish_reads(state, leading)
+        membership_changes.finish_pending_change(state, leading)
         replication.send_entries(state, leading)
 
     def _dispatch(self, event: Event) -> None:
@@ -251,7 +252,8 @@
         elif state.now >= state.election_due:
             if election.may_campaign(state):
                 election.start_pre_vote(state)
-            elif state.leader is not None:
+            else:
+                # Also takes a new time for the next look, or every tick from now on would be due.
                 roles.become_follower(state, state.term, None)
 
     def _tick_leader(self, leading: LeaderState) -> None:
--- a/src/finchshed/consensus/repair.py
+++ b/src/finchshed/consensus/repair.py
@@ -1,9 +1,18 @@
 """Repair by the leader: a node that lost its disk comes back as a learner and is promoted.
 
-The steps, each one change of the membership: the new incarnation joins as a learner beside the
-old one; once it has caught up the old incarnation is removed; then the new one becomes a voter.
-While the learner catches up, the old incarnation still counts as a voter that never answers, so
-the quorum is that of the whole group and no acknowledgement is taken from the empty disk.
+The steps, each one change of the membership:
+
+1. The new incarnation joins as a learner beside the old one. From then on the old one is
+   superseded: it counts towards the size of the group, but no vote or acknowledgement of it does.
+   The quorum is that of the whole group, and nothing is taken from the empty disk either.
+2. Once the learner has caught up it takes the place of the old incarnation as a voter, in one
+   change. To remove first and promote then would leave a group of three for a moment with two
+   voters that must both answer; if one of them is lost just then the group stands for ever.
+
+Every quorum before a step shares a voter with every quorum after it, as Raft asks of a change.
+With ``n`` voters and ``q = n // 2 + 1``, step 1 goes from sets of ``q`` of the ``n`` to sets of
+``q`` among the ``n - 1`` others. Step 2 goes on to sets of ``q`` among those ``n - 1`` and the new
+voter; such a set has at least ``q - 1`` of the ``n - 1``, and ``q + q - 1 > n - 1``.
 """
 
 from finchshed.consensus.identity import NodeIdentity
@@ -14,9 +23,10 @@
     blocked_by,
     keeps_whole_majority,
 )
+from finchshed.consensus.standby import replaced_by_standby
 from finchshed.consensus.state import Greeting, LeaderState, NodeState
 
-ABANDONED_SECONDS = 30.0
+ABANDONED_SECONDS = 5.0
 """A learner silent for so long makes room if another incarnation of its name answers."""
 
 
@@ -39,7 +49,15 @@
             wanted = _promoted(state, leading, member)
             if wanted is not None:
                 return wanted
-    return None
+    return replaced_by_standby(state, leading, _ready_learners(state, leading))
+
+
+def _ready_learners(state: NodeState, leading: LeaderState) -> list[Member]:
+    return [
+        member
+        for member in state.membership.members
+        if member.role is MemberRole.LEARNER and _has_caught_up(state, leading, member.identity)
+    ]
 
 
 def _taken_in(state: NodeState, leading: LeaderState, greeting: Greeting) -> Membership | None:
@@ -50,7 +68,7 @@
     known = any(member.identity == identity for member in earlier)
     if not fresh or known or not earlier:
         return None
-    if any(_answers(state, leading, member.identity) for member in earlier):
+    if any(_was_heard_since(state, leading, member.identity, greeting) for member in earlier):
         return None
     voter = any(member.role is MemberRole.VOTER or member.promote for member in earlier)
     membership = state.membership
@@ -73,9 +91,8 @@
         return _without_abandoned(state, leading, identity)
     if not learner.promote or not _has_caught_up(state, leading, identity):
         return None
-    if earlier:
-        return state.membership.without(earlier[0].identity)
-    return state.membership.with_member(Member(identity, learner.address, MemberRole.VOTER))
+    membership = state.membership.with_member(Member(identity, learner.address, MemberRole.VOTER))
+    return membership.without(earlier[0].identity) if earlier else membership
 
 
 def _without_abandoned(
@@ -87,6 +104,19 @@
     return state.membership.without(identity)
 
 
+def _was_heard_since(
+    state: NodeState, leading: LeaderState, identity: NodeIdentity, greeting: Greeting
+) -> bool:
+    """Whether a member answers, or answered after the greeting of another incarnation of its name.
+
+    A greeting older than that came from an incarnation that has gone: it must not supersede.
+    """
+    if _answers(state, leading, identity):
+        return True
+    progress = leading.progress.get(identity)
+    return progress is not None and progress.last_heard >= greeting.heard
+
+
 def _answers(state: NodeState, leading: LeaderState, identity: NodeIdentity) -> bool:
     if identity == state.identity:
         return True
--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -21,6 +21,7 @@
     HEADER_IMPORTANCE,
     HEADER_ROOT,
     HEADER_SESSION,
+    CallContext,
 )
 from finchshed.common.outcomes import (
     Answered,
@@ -109,6 +110,10 @@
         """Sessions pinned to this back end."""
         return len(self._sessions)
 
+    def end_sessions(self) -> None:
+        """Send the sessions away: their requests are refused as draining from now on."""
+        self._sessions = SessionTable()
+
     def configure(self, catalogue: Catalogue) -> None:
         """Act on a new configuration."""
         self._catalogue = catalogue
@@ -140,7 +145,7 @@
         self._works[work.token] = work
         self._by_call[call.epoch, call.call] = work
         floor = self._paths.floor(work.route, now)
-        self._apply(self._gate.arrive(work.token, call.context, now, floor))
+        self._apply(self._gate.arrive(work.token, _rank_context(work), now, floor))
 
     def give_up(self, link: AcceptedLink, call_identity: int) -> None:
         """Drop a call whose caller has given up or is gone."""
@@ -170,6 +175,7 @@
         if ledger_key is None:
             return self._refused(RefusalReason.KEY_INVALID, "a UUID of version 7 is needed")
         session = call.context.session if route.session else ""
+        opens_session = False
         if self.draining and not (session and self._sessions.get(session)):
             return self._refused(RefusalReason.DRAINING)
         if session:
@@ -183,6 +189,7 @@
             )
             if isinstance(opened, NotOpened):
                 return self._refused(opened.reason)
+            opens_session = opened.is_new
             self._sessions.on_request(session, now)
         token = self._next_token
         self._next_token += 1
@@ -195,6 +202,7 @@
             route=route.prefix,
             repeatable=route.repeatable,
             in_session=bool(session),
+            opens_session=opens_session,
             max_body_bytes=service.max_body_bytes,
             ledger_key=ledger_key,
         )
@@ -232,6 +240,7 @@
             timeout_seconds=remaining,
             max_answer_bytes=work.max_body_bytes,
             is_repeatable=work.repeatable,
+            account=work.served.account,
         )
         work.cancel_backend = self._backend.send(
             request, lambda result: self._on_backend_result(work, result)
@@ -293,6 +302,8 @@
     def _answer(self, work: Work, outcome: Refused) -> None:
         """Answer a call that was never started."""
         self._forget(work)
+        if work.opens_session:
+            self._sessions.close(work.call.context.session)
         self._send_reply(work.link, work.call, outcome, work.call.context.spare_attempts)
 
     def _end(self, work: Work, result: CallResult) -> int:
@@ -329,3 +340,10 @@
 
     def _refused(self, reason: RefusalReason, detail: str = "") -> Refused:
         return Refused(reason, retry_after(0.0, self._rng), detail)
+
+
+def _rank_context(work: Work) -> CallContext:
+    """Return the context a call is ranked by: a session that it opens is not running yet."""
+    if work.opens_session:
+        return msgspec.structs.replace(work.call.context, session="")
+    return work.call.context
--- a/src/finchshed/emulator/daemons/callee.py
+++ b/src/finchshed/emulator/daemons/callee.py
@@ -84,7 +84,6 @@
         self,
         process: Process,
         back_end: BackEnd,
-        *,
         ledger: LedgerClient,
         accounts: RetryAccounts,
         paths: PathThresholds,
