Fair shares for callers of one class, and one position over all hops

Cause: within a class requests were ordered by the hash of the root alone, so a caller that sends fifty times as much gets fifty times the share. The edge now places each root request by how far its caller is over the mean of the callers of its class in the last second; the position travels with it.

Tried first and not kept: positions by the plain count of a caller's recent requests over all classes.

A drained endpoint whose link closes is tried again like any broken one, one call at a time; it stayed out of use until its callers restarted.

--- a/src/finchshed/admission/gate.py
+++ b/src/finchshed/admission/gate.py
@@ -14,7 +14,7 @@
 
 from finchshed.admission.effects import GateEffect, Refuse, Start
 from finchshed.admission.paths import NO_PATHS, PathThreshold
-from finchshed.admission.rank import rank_of
+from finchshed.admission.rank import is_in_session, rank_of
 from finchshed.admission.threshold import AdmissionThreshold
 from finchshed.common.context import CallContext
 from finchshed.common.outcomes import RefusalReason
@@ -211,18 +211,20 @@
 
     def _shed(self) -> list[GateEffect]:
         """Refuse what waits below the threshold, but keep enough to fill the slots."""
+        may_drop = len(self._queue) - max(1, self._concurrency.limit // RESERVE_DIVISOR)
+        if may_drop <= 0 or self._queue[0][0] >= self._threshold.value:
+            return []
+        kept: list[tuple[int, int, _Waiting]] = []
         effects: list[GateEffect] = []
-        queue = self._queue
-        dropped = 0
-        may_drop = len(queue) - max(1, self._concurrency.limit // RESERVE_DIVISOR)
-        while dropped < may_drop and queue[dropped][0] < self._threshold.value:
-            waiting = queue[dropped][2]
-            del self._waiting[waiting.token]
-            effects.append(self._refusal(waiting.token, RefusalReason.OVERLOAD))
-            dropped += 1
-        if dropped:
-            del queue[:dropped]
-            self._threshold.on_queue(len(queue))
+        for key in self._queue:
+            is_shed = key[0] < self._threshold.value and not is_in_session(key[0])
+            if len(effects) < may_drop and is_shed:
+                del self._waiting[key[2].token]
+                effects.append(self._refusal(key[2].token, RefusalReason.OVERLOAD))
+            else:
+                kept.append(key)
+        self._queue = kept
+        self._threshold.on_queue(len(kept))
         return effects
 
     def _remove(self, waiting: _Waiting) -> None:
--- a/src/finchshed/daemon/front.py
+++ b/src/finchshed/daemon/front.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from finchshed.admission.fairness import FairPositions
 from finchshed.common.context import (
     HEADER_ACCOUNT,
     HEADER_CALLER,
@@ -72,6 +73,7 @@
         self._caller = caller
         self._served = served
         self._rng = rng
+        self._fair = FairPositions(time.monotonic())
         self._why_not = why_not
         self.catalogue = Catalogue()
 
@@ -147,14 +149,17 @@
     def _root_context(self, request: InboundRequest, matched: Matched) -> CallContext:
         # The account of a request that is over has nothing left to lend.
         is_late = _ACCOUNT in request.first
+        root = request.header(_ROOT) or secrets.token_hex(ROOT_BYTES)
+        caller = request.header(_CALLER) or request.remote
         return CallContext(
-            root=request.header(_ROOT) or secrets.token_hex(ROOT_BYTES),
+            root=root,
             importance=matched.route.importance,
             remaining_seconds=_deadline_of(request, matched.service.deadline_seconds),
             spare_attempts=0 if is_late else self.catalogue.policy.retry_budget,
-            caller=request.header(_CALLER) or request.remote,
+            caller=caller,
             session=request.header(_SESSION) if matched.route.session else "",
             key=request.header(_IDEMPOTENCY_KEY),
+            position=self._fair.place(caller, matched.route.importance, root, time.monotonic()),
         )
 
     def _nested_context(
--- a/src/finchshed/emulator/daemons/daemon.py
+++ b/src/finchshed/emulator/daemons/daemon.py
@@ -8,6 +8,7 @@
 import msgspec
 import xxhash
 
+from finchshed.admission.fairness import FairPositions
 from finchshed.admission.paths import PathThresholds
 from finchshed.common.context import CallContext
 from finchshed.common.outcomes import Outcome, RefusalReason, Refused
@@ -91,6 +92,7 @@
         self._accepted: list[AcceptedLink] = []
         self._buckets: dict[str, RetryBucket] = {}
         self._joined: dict[str, _Joined] = {}
+        self._fair = FairPositions(self.now)
         self._linked_at: dict[str, float] = {}
         self._began_at = self.now
         self._in_progress = 0
@@ -200,6 +202,7 @@
             request.caller,
             request.session,
             request.key,
+            self._fair.place(request.caller, request.importance, request.root, self.now),
         )
 
         def finished(outcome: Outcome, _spare: int) -> None:
@@ -238,6 +241,7 @@
             request.caller,
             request.session,
             request.key,
+            self.callee.position_of(request.account) if self.callee is not None else -1,
         )
 
         def finished(outcome: Outcome, spare: int) -> None:
--- a/src/finchshed/routing/table.py
+++ b/src/finchshed/routing/table.py
@@ -154,9 +154,12 @@
     def on_link_down(self, name: str, now: float) -> None:
         """Leave an endpoint alone whose link broke or that is silent."""
         view = self._views.get(name)
-        if view is not None:
-            self._hold_back(view, now)
-            view.link_failures += 1
+        if view is None:
+            return
+        # A process that drained is gone with its link; what comes up there next speaks for itself.
+        view.set_sign(LeavingSign.DRAINING, False)
+        self._hold_back(view, now)
+        view.link_failures += 1
 
     def on_link_up(self, name: str, incarnation: str, now: float) -> None:
         """Take a link that came up to the daemon of this incarnation."""
