--- a/src/finchshed/routing/caller.py
+++ b/src/finchshed/routing/caller.py
@@ -105,8 +105,8 @@
         self._repeatable = repeatable
         self._rng = rng
         self._pinned = pinned
-        self._route = route
         self._is_pinned = bool(pinned)
+        self._route = route
         self._spare = context.spare_attempts
         self._deadline = 0.0
         self._attempt = 0
