--- a/src/finchshed/emulator/daemons/daemon.py
+++ b/src/finchshed/emulator/daemons/daemon.py
@@ -8,6 +8,7 @@
 import msgspec
 import xxhash
 
+from finchshed.admission.fairness import FairPositions
 from finchshed.admission.paths import PathThresholds
 from finchshed.common.context import CallContext
 from finchshed.common.outcomes import Outcome, RefusalReason, Refused
@@ -92,6 +93,7 @@
         self._accepted: list[AcceptedLink] = []
         self._buckets: dict[str, RetryBucket] = {}
         self._joined: dict[str, _Joined] = {}
+        self._fair = FairPositions(self.now)
         self._linked_at: dict[str, float] = {}
         self._listed: set[str] = set()
         self._began_at = self.now
@@ -103,13 +105,12 @@
         self._connection = self._control.connect(self)
         self.callee: Callee | None = None
         if self.back_end is not None:
-            paths = PathThresholds(self.table.floor)
             self.callee = Callee(
                 self,
                 self.back_end,
-                self._connection.ledger,
+                ledger=self._connection.ledger,
                 accounts=self.accounts,
-                paths=paths,
+                paths=PathThresholds(self.table.floor),
                 rng=self.random,
                 revision=self.revision,
             )
@@ -198,6 +199,7 @@
             request.caller,
             request.session,
             request.key,
+            self._fair.place(request.caller, request.importance, request.root, self.now),
         )
 
         def finished(outcome: Outcome, _spare: int) -> None:
@@ -236,6 +238,7 @@
             request.caller,
             request.session,
             request.key,
+            self.callee.position_of(request.account) if self.callee is not None else -1,
         )
 
         def finished(outcome: Outcome, spare: int) -> None:
