--- a/src/finchshed/fleet/faults.py
+++ b/src/finchshed/fleet/faults.py
@@ -15,11 +15,11 @@
 from finchshed.common.errors import FinchshedError
 from finchshed.fleet import acts
 from finchshed.fleet.journal import FaultJournal
+from finchshed.fleet.link_faults import LinkFaults
 from finchshed.fleet.links import FleetLinks
 from finchshed.fleet.operator import Operator
 from finchshed.fleet.plan import backend_name, daemon_name
 from finchshed.fleet.processes import FleetProcess, Role
-from finchshed.fleet.relay import Condition, Rule
 from finchshed.fleet.runner import Fleet, FleetError
 from finchshed.fleet.watch import FleetWatch
 from finchshed.proof.history import (
@@ -69,6 +69,7 @@
         self._links = links
         self._watch = watch
         self._numbers = itertools.count(1)
+        self._link_faults = LinkFaults(links, journal, self._end_of)
         self._control = {process.spec.name for process in fleet.of_role(Role.CONTROL)}
         self._perform: dict[type[acts.Act], Callable[[Any], Awaitable[None]]] = {
             acts.Kill: self._kill,
@@ -79,10 +80,10 @@
             acts.Misreport: self._misreport,
             acts.Leave: self._leave,
             acts.Edition: self._edition,
-            acts.Cut: self._cut,
-            acts.Delay: self._delay,
-            acts.Throttle: self._throttle,
-            acts.Reset: self._reset,
+            acts.Cut: self._link_faults.cut,
+            acts.Delay: self._link_faults.delay,
+            acts.Throttle: self._link_faults.throttle,
+            acts.Reset: self._link_faults.reset,
             acts.FillDisk: self._fill_disk,
             acts.Change: self._change,
             acts.Submit: self._change,
@@ -208,50 +209,6 @@
         for endpoint in self._endpoints(act.target):
             await self._fleet.command_backend(endpoint, "edition", str(act.edition))
 
-    async def _cut(self, act: acts.Cut) -> None:
-        ways = [(act.source, act.target)]
-        if not act.one_way:
-            ways.append((act.target, act.source))
-        await self._suffer("cut", ways, Condition(cut=True), act.duration_seconds)
-
-    async def _delay(self, act: acts.Delay) -> None:
-        ways = [(act.source, act.target), (act.target, act.source)]
-        condition = Condition(delay_seconds=act.delay_seconds)
-        await self._suffer("delay", ways, condition, act.duration_seconds)
-
-    async def _throttle(self, act: acts.Throttle) -> None:
-        ways = [(act.source, act.target), (act.target, act.source)]
-        condition = Condition(bytes_per_second=act.bytes_per_second)
-        await self._suffer("throttle", ways, condition, act.duration_seconds)
-
-    async def _suffer(
-        self,
-        fault: str,
-        ways: list[tuple[str, str]],
-        condition: Condition,
-        duration_seconds: float,
-    ) -> None:
-        names = []
-        targets: list[str] = []
-        for source, target in ways:
-            name = f"{fault}-{next(self._numbers)}"
-            resolved = (self._end_of(source), self._end_of(target))
-            rule = Rule(source=resolved[0], target=resolved[1], condition=condition)
-            self._links.set(name, rule)
-            names.append(name)
-            targets += resolved
-        ends = tuple(dict.fromkeys(targets))
-        self._journal.add(Fault(self._journal.now(), fault, ends))
-        await asyncio.sleep(duration_seconds)
-        for name in names:
-            self._links.clear(name)
-        self._journal.add(Fault(self._journal.now(), fault, ends, ended=True))
-
-    async def _reset(self, act: acts.Reset) -> None:
-        ends = (self._end_of(act.source), self._end_of(act.target))
-        self._links.relay.reset(*ends)
-        self._journal.add(Fault(self._journal.now(), "reset", ends))
-
     async def _fill_disk(self, act: acts.FillDisk) -> None:
         process = self._resolve(act.target)
         name = process.spec.name
