--- a/src/finchshed/daemon/caller.py
+++ b/src/finchshed/daemon/caller.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from finchshed.admission.paths import PathThresholds
 from finchshed.common.outcomes import Outcome, RefusalReason, Refused
 from finchshed.daemon import metrics
 from finchshed.daemon.accounts import ServedRequests
@@ -37,14 +38,22 @@
         Endpoints as this daemon sees them.
     served
         Retry accounts of requests the local back end is serving.
+    paths
+        Learns what those requests call on.
     """
 
     def __init__(
-        self, table: RoutingTable, links: PeerLinks, served: ServedRequests, rng: random.Random
+        self,
+        table: RoutingTable,
+        links: PeerLinks,
+        served: ServedRequests,
+        paths: PathThresholds,
+        rng: random.Random,
     ) -> None:
         self._table = table
         self._links = links
         self._served = served
+        self._paths = paths
         self._rng = rng
         self._buckets: dict[str, RetryBucket] = {}
         self._retry_ratio = Catalogue().policy.retry_ratio
@@ -73,6 +82,8 @@
         join_identity
             Identity under which a repeat joins the request in progress, or empty.
         """
+        if account:
+            self._paths.on_call(account, request.service, request.route)
         if not join_identity:
             return self._start(request, account, None).wait(on_outcome)
         key = JoinKey(request.service, request.context.caller, join_identity)
@@ -110,6 +121,7 @@
             request.context,
             repeatable=request.repeatable,
             rng=self._rng,
+            route=request.route,
         )
 
         def finished(call: OutgoingCall, outcome: Outcome, spare: int) -> None:
