The ledger spread by key over several control groups

Change: policy.ledger_shards names control groups of their own. Which group a key belongs to follows from the time in the key: a change of the shards begins an epoch, and keys made before stay where they are, so nothing is copied and a key never has two owners. Control nodes pass daemons' requests on to the shard (control/ledger_router.py); daemons know nothing of it. A node sends a key to a shard only if a majority confirmed its state within 30 s, and never one from the future, expired, or from before a recovery.

--- a/src/finchshed/bench/command.py
+++ b/src/finchshed/bench/command.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from finchshed.bench.control_placement import placement
 from finchshed.bench.control_plane import control
 from finchshed.bench.experiment import cases_of, load
 from finchshed.bench.paired_latency import latency
@@ -54,4 +55,10 @@
     return ExitCode.OK
 
 
-COMMANDS = {"run": bench, "summary": summarize, "latency": latency, "control": control}
+COMMANDS = {
+    "run": bench,
+    "summary": summarize,
+    "latency": latency,
+    "control": control,
+    "placement": placement,
+}
--- a/src/finchshed/bench/control_plane.py
+++ b/src/finchshed/bench/control_plane.py
@@ -28,6 +28,8 @@
 from finchshed.configuration.changes import Accepted
 from finchshed.configuration.difference import Difference
 from finchshed.configuration.resources import Endpoint, Resource, Service
+from finchshed.control.commands import BeginRequest, CompleteRequest, LogEntry, encode_entry
+from finchshed.control.state_machine import ControlStateMachine
 from finchshed.ctl.changes import read_in_force, submit
 from finchshed.ctl.client import OperatorClient
 from finchshed.distribution.messages import LedgerGranted
@@ -38,10 +40,15 @@
 ANSWER = Answered(200, (("content-type", "application/json"),), bytes(300))
 """Answer of the size of a licence or a notice's receipt."""
 
-LOADS_PER_SECOND = (50, 100, 200, 400)
+LOADS_PER_SECOND = (50, 100, 200, 400, 800, 1_600)
 LOAD_SECONDS = 6.0
-MEMORY_KEYS = (0, 2_000, 4_000, 6_000, 8_000)
+MEMORY_KEYS = (0, 4_000, 8_000, 12_000, 16_000)
+SNAPSHOT_KEYS = (5_000, 10_000, 20_000, 40_000, 80_000)
 CONFIGURATION_SIZES = (100, 500, 1_000, 2_000, 4_000)
+MEMORY_SETTINGS = ("snapshot_entries = 1000",)
+"""So that the log in memory doesn't count as the ledger's."""
+
+KEY_TIME = 1_800_000_000.0
 APPLIES = 15
 RESTART_CHANGES = (0, 500, 2_000, 5_000)
 TIMEOUT_SECONDS = 30.0
@@ -158,7 +165,8 @@
 async def _measure(folder: Path, voters: int) -> ControlPlaneReport:
     ledger = await _in_group(folder / "ledger", voters, _ledger_points)
     series = [
-        await _in_group(folder / "memory", voters, _memory),
+        await _in_group(folder / "memory", voters, _memory, MEMORY_SETTINGS),
+        _snapshots(),
         await _in_group(folder / "apply", voters, _applies),
     ]
     series.append(await _restarts(folder / "restart"))
@@ -166,9 +174,12 @@
 
 
 async def _in_group(
-    folder: Path, voters: int, measure: Callable[[BenchGroup], Awaitable[MeasuredT]]
+    folder: Path,
+    voters: int,
+    measure: Callable[[BenchGroup], Awaitable[MeasuredT]],
+    settings: Sequence[str] = (),
 ) -> MeasuredT:
-    group = BenchGroup(folder, voters)
+    group = BenchGroup(folder, voters, settings)
     try:
         for node in group.nodes:
             await group.start(node)
@@ -279,6 +290,26 @@
     return Series(what, tuple(points), fit(points), meter.load())
 
 
+def _snapshots() -> Series:
+    """Measure how long the event loop is held by encoding a snapshot, by completed keys."""
+    machine = ControlStateMachine()
+    generator = random.Random(2)
+    meter = MachineMeter()
+    points = []
+    index = 0
+    for size in SNAPSHOT_KEYS:
+        while len(machine.ledger) < size:
+            key = new_key(KEY_TIME, generator)
+            for command in (BeginRequest(key, "a"), CompleteRequest(key, "a", ANSWER)):
+                index += 1
+                machine.apply(index, encode_entry(LogEntry(KEY_TIME, command)))
+        started = time.perf_counter()
+        machine.snapshot()
+        points.append(Point(size, (time.perf_counter() - started) * 1e3))
+    what = "milliseconds that encoding a snapshot takes by completed keys"
+    return Series(what, tuple(points), fit(points), meter.load())
+
+
 def _resources(count: int) -> list[Resource]:
     services = [Service(name=f"s{n}") for n in range(max(1, count // ENDPOINTS_PER_SERVICE))]
     endpoints = [
--- a/src/finchshed/configuration/resources.py
+++ b/src/finchshed/configuration/resources.py
@@ -17,6 +17,9 @@
 Address: TypeAlias = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
 """An IPv4 address and port, ``a.b.c.d:port``."""
 
+Shard: TypeAlias = Annotated[tuple[Address, ...], msgspec.Meta(min_length=1, max_length=9)]
+"""One control group that keeps a part of the ledger."""
+
 PositiveSeconds: TypeAlias = Annotated[float, msgspec.Meta(gt=0.0, le=86_400.0)]
 
 
@@ -109,12 +112,16 @@
         Retries a service's callers may make in sum, as a share of its recent successes.
     key_window_seconds
         How long an idempotency key is valid; past it a request with that key is refused.
+    ledger_shards
+        Control groups that the at-most-once ledger is spread over, each by the distribution
+        addresses of its nodes; none: the control group keeps the ledger itself.
     """
 
     name: Name = "default"
     retry_budget: Annotated[int, msgspec.Meta(ge=0, le=16)] = 3
     retry_ratio: Annotated[float, msgspec.Meta(ge=0.0, le=1.0)] = 0.1
     key_window_seconds: PositiveSeconds = 600.0
+    ledger_shards: tuple[Shard, ...] = ()
 
 
 class Operator(
--- a/src/finchshed/configuration/validation.py
+++ b/src/finchshed/configuration/validation.py
@@ -15,6 +15,7 @@
 )
 
 MAX_PORT = 65_535
+MAX_SHARDS = 64
 POLICY_NAME = "default"
 
 
@@ -29,6 +30,8 @@
             problems += _problems_of_endpoint(resource, services)
         elif isinstance(resource, Policy) and resource.name != POLICY_NAME:
             problems.append(f"policy/{resource.name}: name: only '{POLICY_NAME}' is allowed")
+        if isinstance(resource, Policy):
+            problems += _problems_of_shards(resource)
     problems += _shared_addresses(resources.values())
     problems += _shared_tokens(resources.values())
     return problems
@@ -70,6 +73,24 @@
     return problems
 
 
+def _problems_of_shards(policy: Policy) -> list[str]:
+    addresses = [address for shard in policy.ledger_shards for address in shard]
+    where = f"policy/{policy.name}: ledger_shards"
+    problems = [
+        f"{where} = {address!r}: allowed is an IPv4 address and a port from 1 to {MAX_PORT}"
+        for address in addresses
+        if not is_address(address)
+    ]
+    problems += [
+        f"{where} = {address!r}: given {count} times, allowed once"
+        for address, count in collections.Counter(addresses).items()
+        if count > 1
+    ]
+    if len(policy.ledger_shards) > MAX_SHARDS:
+        problems.append(f"{where}: {len(policy.ledger_shards)}, allowed are up to {MAX_SHARDS}")
+    return problems
+
+
 def is_address(text: str) -> bool:
     """Return whether ``text`` is ``a.b.c.d:port`` with values in range."""
     host, _, port = text.rpartition(":")
--- a/src/finchshed/control/distribution_service.py
+++ b/src/finchshed/control/distribution_service.py
@@ -1,11 +1,13 @@
 """What control does for its daemons: configuration down, ledger requests and reports up."""
 
 import asyncio
+import time
 
 from finchshed.configuration.store import CommittedRevision
 from finchshed.control.addresses import split_address
 from finchshed.control.background import Background
 from finchshed.control.explanations import Explanations
+from finchshed.control.ledger_router import LedgerRouter, ShardClient
 from finchshed.control.ledger_service import LedgerRequest, LedgerService
 from finchshed.control.replicated_log import ReplicatedLog
 from finchshed.control.state_machine import ControlStateMachine
@@ -38,7 +40,14 @@
         self._machine = machine
         self._log = log
         self._background = background
-        self._ledger = LedgerService(log, background)
+        self._ledger = LedgerRouter(
+            machine,
+            log,
+            LedgerService(log, background),
+            make_shard=lambda addresses: ShardClient(node, addresses),
+            now=time.monotonic,
+            unix_now=time.time,
+        )
         self._hub = Hub(node)
         self._explanations = Explanations()
         self._server = HubServer(
@@ -64,6 +73,7 @@
         self._is_serving = False
         if self._requests:
             await asyncio.wait(self._requests, timeout=timeout_seconds)
+        self._ledger.close()
         await self._server.close()
 
     def set_alternatives(self, addresses: tuple[str, ...]) -> None:
--- a/src/finchshed/control/raft_host.py
+++ b/src/finchshed/control/raft_host.py
@@ -50,6 +50,8 @@
 from finchshed.control.state_machine import ControlStateMachine
 
 DISK_RETRY_SECONDS = 0.5
+OBSERVE_SECONDS = 0.1
+"""Time between settings of the gauges: at each step they took a tenth of a busy leader."""
 
 
 class NotTakenError(Exception):
@@ -119,6 +121,7 @@
         self._last_token = 0
         self._role_changed = asyncio.Event()
         self._is_stopped = False
+        self._observe_due = 0.0
 
     def start(self, links: PeerLinks) -> None:
         """Bring the state machine to what the disk holds, and take part in the group."""
@@ -292,7 +295,10 @@
             self._timer.cancel()
         delay = self.node.next_delay()
         self._timer = asyncio.get_running_loop().call_later(delay, self._on_timer)
-        metrics.observe(self.node, self.journal_bytes)
+        now = _now()
+        if now >= self._observe_due:
+            self._observe_due = now + OBSERVE_SECONDS
+            metrics.observe(self.node, self.journal_bytes)
 
     async def _write(self) -> None:
         loop = asyncio.get_running_loop()
--- a/src/finchshed/control/recovery.py
+++ b/src/finchshed/control/recovery.py
@@ -49,6 +49,7 @@
         store=_recovered_store(state.store),
         ledger=_recovered_ledger(state.ledger, time),
         audit=(*state.audit, entry),
+        epochs=state.epochs,
     )
 
 
--- a/src/finchshed/control/state_machine.py
+++ b/src/finchshed/control/state_machine.py
@@ -20,8 +20,9 @@
     NoteAction,
     decode_entry,
 )
+from finchshed.ledger.epochs import OWN, EpochsSnapshot, LedgerEpochs
 from finchshed.ledger.ledger import Ledger, LedgerLimits, LedgerSnapshot
-from finchshed.ledger.results import Noted
+from finchshed.ledger.results import LedgerRefusal, LedgerRefusalReason, Noted
 
 POLICY_KEY = ResourceKey(kind="policy", name="default")
 
@@ -33,6 +34,7 @@
     store: StoreSnapshot
     ledger: LedgerSnapshot
     audit: tuple[AuditEntry, ...] = ()
+    epochs: EpochsSnapshot = EpochsSnapshot()
 
 
 class ControlStateMachine:
@@ -56,6 +58,7 @@
         self._on_restored = on_restored
         self.store = ConfigurationStore()
         self.ledger = Ledger(ledger_limits)
+        self.epochs = LedgerEpochs()
         self.audit = AuditTrail()
         self.applied_index = 0
 
@@ -77,6 +80,7 @@
             store=self.store.snapshot(),
             ledger=self.ledger.snapshot(),
             audit=self.audit.snapshot(),
+            epochs=self.epochs.snapshot(),
         )
         return msgspec.json.encode(state)
 
@@ -90,6 +94,7 @@
         self.store.restore(state.store)
         self.ledger.restore(state.ledger)
         self.audit.restore(state.audit)
+        self.epochs.restore(state.epochs)
         if self._on_restored is not None:
             self._on_restored()
 
@@ -103,21 +108,29 @@
         command: Command = entry.command
         if isinstance(command, ApplyChange):
             return self._apply_change(command, entry.time)
+        if isinstance(command, NoteAction):
+            return self._note_action(command, entry.time)
+        return self._apply_to_ledger(command)
+
+    def _apply_to_ledger(
+        self, command: BeginRequest | CancelRequest | CompleteRequest
+    ) -> CommandResult:
+        self.epochs.forget(self.ledger.floor)
+        if self.epochs.group_of(command.key) != OWN:
+            return LedgerRefusal(LedgerRefusalReason.MOVED)
+        self.epochs.is_used = True
         if isinstance(command, BeginRequest):
             return self.ledger.begin(command.key, command.attempt)
         if isinstance(command, CancelRequest):
             return self.ledger.cancel(command.key, command.attempt)
-        if isinstance(command, CompleteRequest):
-            return self.ledger.complete(command.key, command.attempt, command.answer)
-        if isinstance(command, NoteAction):
-            return self._note_action(command, entry.time)
-        raise InvariantError(f"no such command: {type(command).__name__}")
+        return self.ledger.complete(command.key, command.attempt, command.answer)
 
     def _apply_change(self, command: ApplyChange, time: float) -> CommandResult:
         is_first = self.store.result_of(command.change.change_id) is None
         result = self.store.apply(command.change)
         if is_first:
             self._note_change(command.change, result, time)
+        self.epochs.declare(self.policy().ledger_shards, self.ledger.time)
         committed = self.store.last_committed
         if committed is not None and self._on_committed is not None:
             self._on_committed(committed)
--- a/src/finchshed/ctl/client.py
+++ b/src/finchshed/ctl/client.py
@@ -19,6 +19,9 @@
 RETRY_PAUSE_SECONDS = 0.2
 MAX_MESSAGE_BYTES = 64 << 20
 
+CONNECT_FAILED = "failed to connect to all addresses"
+"""How the library's text of a connection that can't be made begins; only its end says why."""
+
 _RETRIED = frozenset(
     {
         grpc.StatusCode.UNAVAILABLE,
@@ -135,7 +138,10 @@
 
 
 def _describe(error: grpc.RpcError) -> str:
-    return f"{error.code().name}: {error.details()}"
+    details = str(error.details())
+    if details.startswith(CONNECT_FAILED):
+        details = f"can't be reached: {details.rpartition(': ')[2]}"
+    return f"{error.code().name}: {details}"
 
 
 def _translated(error: grpc.RpcError) -> FinchshedError:
--- a/src/finchshed/ctl/maintenance.py
+++ b/src/finchshed/ctl/maintenance.py
@@ -82,7 +82,7 @@
     step = ""
     while True:
         answer = cast(pb.ReplaceMemberResponse, client.call("ReplaceMember", request))
-        if answer.step != step and not json:
+        if answer.step != step and not answer.done and not json:
             complain(answer.step)
         step = answer.step
         if answer.done:
--- a/src/finchshed/ledger/results.py
+++ b/src/finchshed/ledger/results.py
@@ -16,6 +16,8 @@
     MADE_IN_THE_FUTURE = "made_in_the_future"
     FULL = "full"
     ATTEMPT_CANCELLED = "attempt_cancelled"
+    MOVED = "moved"
+    """The key belongs to a shard, not to this log."""
 
 
 class Granted(msgspec.Struct, frozen=True, tag="granted"):
--- /dev/null
+++ b/tests/control/test_ledger_router.py
@@ -0,0 +1,202 @@
+import asyncio
+import random
+
+import pytest
+
+from finchshed.common.errors import ControlUnavailableError
+from finchshed.common.outcomes import Answered
+from finchshed.configuration.changes import Change
+from finchshed.configuration.resources import Operator, Policy
+from finchshed.control.background import Background
+from finchshed.control.commands import ApplyChange, Command, CommandResult, LogEntry, encode_entry
+from finchshed.control.ledger_router import LedgerRouter
+from finchshed.control.ledger_service import LedgerRequest, LedgerService
+from finchshed.control.replicated_log import LogStatus
+from finchshed.control.state_machine import ControlStateMachine
+from finchshed.distribution.client import LedgerAnswer
+from finchshed.distribution.messages import (
+    LedgerBegin,
+    LedgerCancel,
+    LedgerComplete,
+    LedgerGranted,
+    LedgerNoted,
+    LedgerRefused,
+    LedgerUnknown,
+)
+from finchshed.distribution.status import InForceReport
+from finchshed.ledger.epochs import CLOCK_LEAD_SECONDS, CONFIRMED_SECONDS, ShardAddresses
+from finchshed.ledger.keys import new_key
+
+NOW = 1_800_000_000.0
+SHARDS = (("10.0.0.1:1",), ("10.0.0.2:1",))
+ANSWER = Answered(200, (), b"whole")
+ANA = Operator("ana", "a" * 64)
+
+
+class FakeLog:
+    """The leader's state machine, and a copy here that catches up at a read barrier."""
+
+    def __init__(self) -> None:
+        self.leader = ControlStateMachine()
+        self.here = ControlStateMachine()
+        self._entries: list[bytes] = []
+        self.barriers = 0
+        self.has_quorum = True
+
+    async def propose(self, command: Command) -> CommandResult:
+        data = encode_entry(LogEntry(NOW, command))
+        self._entries.append(data)
+        return self.leader.apply(len(self._entries), data)
+
+    async def read_barrier(self) -> None:
+        if not self.has_quorum:
+            raise ControlUnavailableError("no quorum")
+        self.barriers += 1
+        for index in range(self.here.applied_index + 1, len(self._entries) + 1):
+            self.here.apply(index, self._entries[index - 1])
+
+    def status(self) -> LogStatus:
+        return LogStatus("c1", "c1", 1, 0, 0, ())
+
+    def in_contact(self) -> bool:
+        return self.has_quorum
+
+    def send_report(self, report: InForceReport) -> None:
+        """There is nobody else."""
+
+
+class FakeShard:
+    def __init__(self) -> None:
+        self.begun: list[str] = []
+        self.is_closed = False
+
+    async def begin(self, key: str, attempt: str, timeout_seconds: float) -> LedgerAnswer:
+        self.begun.append(key)
+        return LedgerGranted(999)
+
+    async def cancel(self, key: str, attempt: str, timeout_seconds: float) -> bool:
+        return True
+
+    async def complete(self, request: LedgerRequest, timeout_seconds: float) -> bool:
+        return False
+
+    def close(self) -> None:
+        self.is_closed = True
+
+
+class World:
+    def __init__(self) -> None:
+        self.log = FakeLog()
+        self.shards: dict[ShardAddresses, FakeShard] = {}
+        self.now = 0.0
+        own = LedgerService(self.log, Background(lambda error: pytest.fail(str(error))))
+        self.router = LedgerRouter(
+            self.log.here,
+            self.log,
+            own,
+            make_shard=self._make_shard,
+            now=lambda: self.now,
+            unix_now=lambda: NOW + self.now,
+        )
+
+    def _make_shard(self, group: ShardAddresses) -> FakeShard:
+        return self.shards.setdefault(group, FakeShard())
+
+    async def apply(self, identity: str, revision: int, shards: tuple[ShardAddresses, ...]) -> None:
+        operator = "ana" if revision else "bootstrap"
+        puts = (ANA, Policy(ledger_shards=shards))
+        await self.log.propose(ApplyChange(Change(identity, operator, revision, puts)))
+
+    async def begin(self, key: str) -> object:
+        return await self.router.answer(LedgerBegin(7, key, "a", "edge"))
+
+
+def made_at(time: float, seed: int = 1) -> str:
+    return new_key(time, random.Random(seed))
+
+
+async def test_requests_go_to_the_shard_of_their_key_under_their_own_number() -> None:
+    world = World()
+    await world.apply("first", 0, SHARDS)
+    await world.log.read_barrier()
+    keys = [made_at(NOW, seed) for seed in range(20)]
+    for key in keys:
+        assert await world.begin(key) == LedgerGranted(7)
+    assert sorted(key for shard in world.shards.values() for key in shard.begun) == sorted(keys)
+    assert len(world.shards) == 2
+    assert await world.router.answer(LedgerCancel(8, keys[0], "a")) == LedgerNoted(8)
+    complete = await world.router.answer(LedgerComplete(9, keys[0], "a", ANSWER))
+    assert isinstance(complete, LedgerRefused)
+
+
+async def test_a_node_that_does_not_know_of_the_shards_learns_it_from_the_own_log() -> None:
+    world = World()
+    await world.apply("first", 0, SHARDS)
+    assert await world.begin(made_at(NOW)) == LedgerGranted(7)
+    assert sum(len(shard.begun) for shard in world.shards.values()) == 1
+
+
+async def test_no_key_is_sent_to_a_shard_on_state_that_no_majority_confirmed_lately() -> None:
+    world = World()
+    await world.apply("first", 0, SHARDS)
+    await world.begin(made_at(NOW, 1))
+    barriers = world.log.barriers
+    world.now = CONFIRMED_SECONDS - 1.0
+    await world.begin(made_at(NOW, 2))
+    assert world.log.barriers == barriers
+    world.now = CONFIRMED_SECONDS
+    world.log.has_quorum = False
+    refused = await world.begin(made_at(NOW, 3))
+    assert isinstance(refused, LedgerRefused)
+    assert sum(len(shard.begun) for shard in world.shards.values()) == 2
+    world.log.has_quorum = True
+    assert await world.begin(made_at(NOW, 3)) == LedgerGranted(7)
+
+
+async def test_keys_from_the_future_expired_or_from_before_a_recovery_reach_no_shard() -> None:
+    world = World()
+    await world.apply("first", 0, SHARDS)
+    await world.log.read_barrier()
+    ahead = await world.begin(made_at(NOW + CLOCK_LEAD_SECONDS + 1.0))
+    assert ahead == LedgerRefused(7, False, "made_in_the_future")
+    old = await world.begin(made_at(NOW - 601.0))
+    assert old == LedgerRefused(7, True, "expired")
+    world.log.here.ledger.unknown_before = NOW + 1.0
+    assert await world.begin(made_at(NOW)) == LedgerUnknown(7)
+    assert not any(shard.begun for shard in world.shards.values())
+
+
+async def test_a_key_begun_in_the_own_log_is_answered_there_after_the_move() -> None:
+    world = World()
+    await world.apply("first", 0, ())
+    key = made_at(NOW)
+    assert await world.begin(key) == LedgerGranted(7)
+    await world.apply("second", 1, SHARDS)
+    await world.log.read_barrier()
+    other = await world.router.answer(LedgerBegin(8, key, "b", "edge"))
+    assert other == LedgerUnknown(8)
+    assert not world.shards
+
+
+async def test_connections_to_groups_no_key_belongs_to_are_closed() -> None:
+    world = World()
+    await world.apply("first", 0, SHARDS)
+    for seed in range(10):
+        await world.begin(made_at(NOW, seed))
+    first = set(world.shards.values())
+    world.log.here.epochs = type(world.log.here.epochs)()
+    world.log.here.epochs.declare((("10.0.0.3:1",),), NOW)
+    world.now = 2 * CONFIRMED_SECONDS
+    assert await world.begin(made_at(NOW, 99)) == LedgerGranted(7)
+    assert all(shard.is_closed for shard in first)
+    world.router.close()
+    assert all(shard.is_closed for shard in world.shards.values())
+
+
+async def test_one_confirmation_serves_all_who_wait() -> None:
+    world = World()
+    await world.apply("first", 0, SHARDS)
+    await world.log.read_barrier()
+    before = world.log.barriers
+    await asyncio.gather(*(world.begin(made_at(NOW, seed)) for seed in range(50)))
+    assert world.log.barriers == before + 1
