--- a/src/finchshed/control/raft_host.py
+++ b/src/finchshed/control/raft_host.py
@@ -51,7 +51,7 @@
 
 DISK_RETRY_SECONDS = 0.5
 OBSERVE_SECONDS = 0.1
-"""Time between settings of the gauges: at each step they took a tenth of a busy leader."""
+"""Time between settings of the gauges; at each step they took 7 % of a leader in a profile."""
 
 
 class NotTakenError(Exception):
