A control node that can't write gives its daemons up

Change: a node is in contact only if its disk takes writes: not full, and no write running for over a second. The hub then sends its daemons elsewhere after its grace of 1.5 s.

Test first: a node in the test's process whose write is held; without the change it stays in contact until the test's bound of 30 s.

--- a/src/finchshed/control/group_log.py
+++ b/src/finchshed/control/group_log.py
@@ -113,8 +113,12 @@
                 return
 
     def in_contact(self) -> bool:
-        """Return whether a leader is known, which has heard of a quorum not long ago."""
-        return self._host.node.leader is not None
+        """Return whether what is committed is applied here soon.
+
+        A leader must be known, which has heard of a quorum not long ago, and the disk must take
+        writes: otherwise daemons would be kept on an old revision by a node that can't go on.
+        """
+        return self._host.node.leader is not None and self._host.can_write
 
     def send_report(self, report: InForceReport) -> None:
         """Send a report of daemons to every other member."""
--- a/src/finchshed/control/raft_host.py
+++ b/src/finchshed/control/raft_host.py
@@ -50,6 +50,7 @@
 from finchshed.control.state_machine import ControlStateMachine
 
 DISK_RETRY_SECONDS = 0.5
+STUCK_WRITE_SECONDS = 1.0
 OBSERVE_SECONDS = 0.1
 """Time between settings of the gauges; at each step they took 7 % of a leader in a profile."""
 
@@ -120,6 +121,7 @@
         self._last_applied: tuple[int, CommandResult | None] = (0, None)
         self._last_token = 0
         self._role_changed = asyncio.Event()
+        self._write_started: float | None = None
         self._is_stopped = False
         self._observe_due = 0.0
 
@@ -145,6 +147,16 @@
         """Whether this node leads."""
         return self.node.role is Role.LEADER
 
+    @property
+    def can_write(self) -> bool:
+        """Whether the disk takes writes: it isn't full, and none has been running for long.
+
+        A node that can't write still hears its leader, but applies nothing new.
+        """
+        started = self._write_started
+        is_stuck = started is not None and _now() - started > STUCK_WRITE_SECONDS
+        return not (self.node.disk_full or is_stuck)
+
     @property
     def journal_bytes(self) -> int:
         """Size of the journal file."""
@@ -303,12 +315,14 @@
     async def _write(self) -> None:
         loop = asyncio.get_running_loop()
         writes = self._driver.next_writes()
-        started = time.monotonic()
+        started = self._write_started = _now()
         try:
             outcome = await loop.run_in_executor(self._writer, self._store.write, writes)
         except StorageError as error:
             raise InvariantError(f"the disk failed: {error}") from error
-        metrics.WRITE_SECONDS.observe(time.monotonic() - started)
+        finally:
+            self._write_started = None
+        metrics.WRITE_SECONDS.observe(_now() - started)
         if outcome is not outcome.DURABLE:
             logger.error("the disk is full; trying again")
             await asyncio.sleep(DISK_RETRY_SECONDS)
--- /dev/null
+++ b/tests/control/test_raft_host.py
@@ -0,0 +1,104 @@
+"""One node of the log in this process, with a disk that the test holds up."""
+
+import asyncio
+import threading
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+
+import pytest
+
+from finchshed.consensus.options import RaftOptions
+from finchshed.control.background import Background
+from finchshed.control.commands import NoteAction
+from finchshed.control.group_log import GroupLog
+from finchshed.control.peer_links import PeerLinks
+from finchshed.control.peer_messages import PeerHello
+from finchshed.control.raft_host import RaftHost
+from finchshed.control.state_machine import ControlStateMachine
+from finchshed.storage.log_store import LogStore, WriteOutcome
+from finchshed.storage.records import Write
+from tests.control.group import free_addresses
+
+OPTIONS = RaftOptions(
+    heartbeat_interval_seconds=0.05,
+    election_timeout_min_seconds=0.2,
+    election_timeout_max_seconds=0.4,
+)
+TIMEOUT_SECONDS = 30.0
+
+
+class HeldDisk:
+    """Stands between the host and its store."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.may_write = threading.Event()
+        self.may_write.set()
+        self.is_full = False
+        write = LogStore.write
+
+        def held(store: LogStore, writes: list[Write]) -> WriteOutcome:
+            self.may_write.wait(TIMEOUT_SECONDS)
+            return WriteOutcome.DISK_FULL if self.is_full else write(store, writes)
+
+        monkeypatch.setattr(LogStore, "write", held)
+
+
+@pytest.fixture
+def disk(monkeypatch: pytest.MonkeyPatch) -> HeldDisk:
+    return HeldDisk(monkeypatch)
+
+
+@pytest.fixture
+async def log(tmp_path: Path, disk: HeldDisk) -> AsyncIterator[GroupLog]:
+    background = Background(on_broken=lambda error: pytest.fail(str(error)))
+    (address,) = free_addresses(1)
+    machine = ControlStateMachine()
+    host = RaftHost(
+        "c1",
+        address,
+        {"c1": address},
+        str(tmp_path),
+        options=OPTIONS,
+        machine=machine,
+        background=background,
+    )
+    made = GroupLog(host, machine, background, timeout_seconds=TIMEOUT_SECONDS)
+    links = PeerLinks(PeerHello("c1", ""), made.on_message, background)
+    await links.start(address)
+    made.start(links)
+    yield made
+    disk.is_full = False
+    disk.may_write.set()
+    background.cancel()
+    links.stop()
+    await host.stop()
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(TIMEOUT_SECONDS):
+        while not condition():  # noqa: ASYNC110 - the node has no event for it
+            await asyncio.sleep(0.01)
+
+
+async def test_a_node_whose_write_does_not_return_gives_its_daemons_up_until_it_does(
+    log: GroupLog, disk: HeldDisk
+) -> None:
+    await log.propose(NoteAction("ana", "test", "before"))
+    assert log.in_contact()
+    disk.may_write.clear()
+    proposing = asyncio.create_task(log.propose(NoteAction("ana", "test", "held")))
+    await until(lambda: not log.in_contact())
+    assert log.status().leader == "c1"
+    disk.may_write.set()
+    await proposing
+    await until(log.in_contact)
+
+
+async def test_a_node_with_a_full_disk_is_not_in_contact(log: GroupLog, disk: HeldDisk) -> None:
+    await log.propose(NoteAction("ana", "test", "before"))
+    disk.is_full = True
+    proposing = asyncio.create_task(log.propose(NoteAction("ana", "test", "full")))
+    await until(lambda: not log.in_contact())
+    disk.is_full = False
+    await proposing
+    await until(log.in_contact)
