Link tests draw only messages that are messages

Cause: since revisions on links are bounded (0 to 2^63 - 1), the strategy of tests/link drew a Fetch of revision -1 and expected it to arrive.

Change: it draws the whole allowed range instead of -2 to 8, and a test of its own sends -1 and 2^63: the connection ends with a protocol error that names the field. Nothing is left unchecked that was checked before.

--- a/tests/link/strategies.py
+++ b/tests/link/strategies.py
@@ -85,7 +85,7 @@
     st.builds(Draining, epoch=epochs),
     st.builds(Ping, epoch=epochs, revision=numbers),
     st.builds(Pong, epoch=epochs, load=loads, revision=numbers),
-    st.builds(Fetch, revision=numbers),
+    st.builds(Fetch, revision=st.integers(0, (1 << 63) - 1)),
 )
 
 json_values = st.recursive(
--- a/tests/link/test_lines.py
+++ b/tests/link/test_lines.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from finchshed.common.errors import ProtocolError
+from finchshed.distribution.messages import Fetch
 from finchshed.link.encoding import encode_line
 from finchshed.link.lines import LineProtocol
 from finchshed.link.messages import PeerMessage, Ping
@@ -108,3 +109,16 @@
     size = connection.lines.send(Ping(epoch="e1"))
     assert size == (0 if closed else len(PING))
     assert connection.transport.written == (b"" if closed else PING)
+
+
+@pytest.mark.parametrize("revision", [-1, 1 << 63])
+def test_a_revision_out_of_bounds_ends_the_connection_with_the_cause(revision: int) -> None:
+    connection = Connection()
+    connection.feed(encode_line(Fetch(revision=revision)))
+    assert connection.received == []
+    assert connection.transport.closed
+    connection.transport.finish()
+    (error,) = connection.ends
+    assert isinstance(error, ProtocolError)
+    assert "`int`" in str(error)
+    assert "$.revision" in str(error)
