--- a/src/finchshed/fleet/command.py
+++ b/src/finchshed/fleet/command.py
@@ -38,7 +38,7 @@
     """Run a deployment of separate processes under a fault script and judge its history.
 
     DEPLOYMENT is a folder such as examples/brazos, FAULTS a script such as
-    examples/brazos/faults/kill-daemon.toml. OUT keeps settings, logs, records, the history and
+    examples/brazos/faults/kill-processes.toml. OUT keeps settings, logs, records, the history and
     the verdict (default run/NAME-TIME). SEED fixes arrivals and service times. RELAYED sends the
     internal links through the relay also where no act needs it.
     Exit code 0 only if nothing that was checked failed.
