--- a/src/finchshed/admission/gate.py
+++ b/src/finchshed/admission/gate.py
@@ -14,7 +14,7 @@
 
 from finchshed.admission.effects import GateEffect, Refuse, Start
 from finchshed.admission.paths import NO_PATHS, PathThreshold
-from finchshed.admission.rank import rank_of
+from finchshed.admission.rank import is_in_session, rank_of
 from finchshed.admission.threshold import AdmissionThreshold
 from finchshed.common.context import CallContext
 from finchshed.common.outcomes import RefusalReason
@@ -29,6 +29,9 @@
 MIN_TARGET_DELAY_SECONDS = 0.005
 """Standing queueing delay that is always tolerated."""
 
+RESERVE_DIVISOR = 4
+"""What waits below the threshold is kept up to the limit over this, so that no slot runs idle."""
+
 OVERLOAD_WEIGHT = 0.02
 """Weight of one arrival in the measured share of refusals."""
 
@@ -132,6 +135,7 @@
         effects = self._expire(now)
         effects.extend(self._fill(now))
         self._update_threshold(now)
+        effects.extend(self._shed())
         return effects
 
     def load_report(self, now: float, paths: Mapping[str, PathThreshold] = NO_PATHS) -> LoadReport:
@@ -205,6 +209,24 @@
             self._threshold.on_queue(len(kept))
         return effects
 
+    def _shed(self) -> list[GateEffect]:
+        """Refuse what waits below the threshold, but keep enough to fill the slots."""
+        may_drop = len(self._queue) - max(1, self._concurrency.limit // RESERVE_DIVISOR)
+        if may_drop <= 0 or self._queue[0][0] >= self._threshold.value:
+            return []
+        kept: list[tuple[int, int, _Waiting]] = []
+        effects: list[GateEffect] = []
+        for key in self._queue:
+            is_shed = key[0] < self._threshold.value and not is_in_session(key[0])
+            if len(effects) < may_drop and is_shed:
+                del self._waiting[key[2].token]
+                effects.append(self._refusal(key[2].token, RefusalReason.OVERLOAD))
+            else:
+                kept.append(key)
+        self._queue = kept
+        self._threshold.on_queue(len(kept))
+        return effects
+
     def _remove(self, waiting: _Waiting) -> None:
         index = bisect_left(self._queue, (waiting.rank, -waiting.order))
         self._queue.pop(index)
