Ledger: cancels outlive a lost quorum, confirmations are renewed ahead

Cause: a begin that may yet be committed was cancelled for one request timeout only; without a quorum for longer its key was held by nobody for the whole window.

Tests: both fail without the change (one try; no renewal). Garbage sent to every port of a real control node harms nobody.

--- a/src/finchshed/control/ledger_router.py
+++ b/src/finchshed/control/ledger_router.py
@@ -179,15 +179,34 @@
         return None
 
     async def _confirm(self) -> None:
-        """Return once a majority confirmed the epochs known here lately enough."""
-        while self._now() - self._confirmed_at >= CONFIRMED_SECONDS:
-            if self._confirming is None or self._confirming.done():
-                self._confirming = asyncio.get_running_loop().create_task(self._read_barrier())
-            await asyncio.shield(self._confirming)
+        """Return once a majority confirmed the epochs known here lately enough.
+
+        Half-way it is asked for again in the background, so that no request waits for it as long
+        as there is a majority.
+        """
+        if self._age() >= CONFIRMED_SECONDS / 2:
+            self._start_confirming()
+        while self._age() >= CONFIRMED_SECONDS:
+            confirming = self._start_confirming()
+            await asyncio.shield(confirming)
+            if self._age() >= CONFIRMED_SECONDS and confirming.done():
+                raise ControlUnavailableError(NO_QUORUM)
+
+    def _age(self) -> float:
+        return self._now() - self._confirmed_at
+
+    def _start_confirming(self) -> asyncio.Task[None]:
+        if self._confirming is None or self._confirming.done():
+            self._confirming = asyncio.get_running_loop().create_task(self._read_barrier())
+        return self._confirming
 
     async def _read_barrier(self) -> None:
+        """Ask a majority; without one the time of the last confirmation stays."""
         asked_at = self._now()
-        await self._log.read_barrier()
+        try:
+            await self._log.read_barrier()
+        except ControlUnavailableError:
+            return
         self._confirmed_at = asked_at
         self._close_unused()
 
--- a/src/finchshed/control/ledger_service.py
+++ b/src/finchshed/control/ledger_service.py
@@ -1,5 +1,6 @@
 """Carries a daemon's ledger requests to the replicated log and the results back."""
 
+import asyncio
 from typing import TypeAlias
 
 from loguru import logger
@@ -39,6 +40,10 @@
     LedgerGranted | LedgerCompleted | LedgerUnknown | LedgerRefused | LedgerNoted
 )
 
+CANCEL_TRIES = 60
+CANCEL_PAUSE_SECONDS = 1.0
+MAX_CANCELS = 10_000
+
 NO_QUORUM = "no quorum answered in time"
 NOT_HOLDER = "the attempt doesn't hold the key"
 
@@ -59,6 +64,7 @@
     def __init__(self, log: ReplicatedLog, background: Background) -> None:
         self._log = log
         self._background = background
+        self._cancels = 0
 
     async def answer(self, request: LedgerRequest) -> LedgerReply:
         """Return the answer to ``request``; never raises for a missing quorum."""
@@ -78,11 +84,30 @@
         return _reply_of(request.request, result)
 
     async def _cancel(self, request: LedgerBegin) -> None:
-        """Free the key of a begin that may yet be committed though its daemon was refused."""
+        """Free the key of a begin that may yet be committed though its daemon was refused.
+
+        Tried until there is a quorum again, since the key would else be held by nobody for its
+        whole window. Past :data:`MAX_CANCELS` at a time, or :data:`CANCEL_TRIES` of one, it is
+        given up: resends then get "outcome unknown".
+        """
+        if self._cancels >= MAX_CANCELS:
+            return
+        self._cancels += 1
+        try:
+            for _ in range(CANCEL_TRIES):
+                if await self._cancel_once(request):
+                    return
+        finally:
+            self._cancels -= 1
+        logger.info("begin of attempt {} stays undecided: no quorum", request.attempt)
+
+    async def _cancel_once(self, request: LedgerBegin) -> bool:
         try:
             await self._log.propose(CancelRequest(request.key, request.attempt))
         except ControlUnavailableError:
-            logger.info("begin of attempt {} stays undecided: no quorum", request.attempt)
+            await asyncio.sleep(CANCEL_PAUSE_SECONDS)
+            return False
+        return True
 
 
 def _command_of(request: LedgerRequest) -> BeginRequest | CancelRequest | CompleteRequest:
--- a/tests/control/test_ledger_router.py
+++ b/tests/control/test_ledger_router.py
@@ -141,15 +141,31 @@
     await world.apply("first", 0, SHARDS)
     await world.begin(made_at(NOW, 1))
     barriers = world.log.barriers
-    world.now = CONFIRMED_SECONDS - 1.0
+    world.now = CONFIRMED_SECONDS / 2 - 1.0
     await world.begin(made_at(NOW, 2))
     assert world.log.barriers == barriers
-    world.now = CONFIRMED_SECONDS
     world.log.has_quorum = False
-    refused = await world.begin(made_at(NOW, 3))
+    world.now = CONFIRMED_SECONDS - 1.0
+    assert await world.begin(made_at(NOW, 3)) == LedgerGranted(7)
+    world.now = CONFIRMED_SECONDS
+    refused = await world.begin(made_at(NOW, 4))
     assert isinstance(refused, LedgerRefused)
-    assert sum(len(shard.begun) for shard in world.shards.values()) == 2
+    assert sum(len(shard.begun) for shard in world.shards.values()) == 3
     world.log.has_quorum = True
+    assert await world.begin(made_at(NOW, 4)) == LedgerGranted(7)
+
+
+async def test_the_confirmation_is_renewed_before_a_request_has_to_wait_for_it() -> None:
+    world = World()
+    await world.apply("first", 0, SHARDS)
+    await world.begin(made_at(NOW, 1))
+    barriers = world.log.barriers
+    world.now = CONFIRMED_SECONDS / 2
+    await world.begin(made_at(NOW, 2))
+    await asyncio.sleep(0)
+    assert world.log.barriers == barriers + 1
+    world.now = CONFIRMED_SECONDS + 1.0
+    world.log.has_quorum = False
     assert await world.begin(made_at(NOW, 3)) == LedgerGranted(7)
 
 
--- a/tests/control/test_ledger_service.py
+++ b/tests/control/test_ledger_service.py
@@ -5,6 +5,7 @@
 
 from finchshed.common.errors import ControlUnavailableError
 from finchshed.common.outcomes import Answered
+from finchshed.control import ledger_service
 from finchshed.control.background import Background
 from finchshed.control.commands import (
     BeginRequest,
@@ -36,16 +37,24 @@
 
 
 class OneNodeLog:
-    """Applies ledger commands at once; the first ``undecided`` commit, but are not answered."""
+    """Applies ledger commands at once.
 
-    def __init__(self, undecided: int = 0) -> None:
+    The first ``undecided`` commit, but are not answered; the first ``refused`` cancels have no
+    effect.
+    """
+
+    def __init__(self, undecided: int = 0, refused: int = 0) -> None:
         self.ledger = Ledger()
         self.ledger.advance(NOW, 600.0)
         self.proposed: list[Command] = []
         self.undecided = undecided
+        self.refused = refused
 
     async def propose(self, command: Command) -> CommandResult:
         self.proposed.append(command)
+        if isinstance(command, CancelRequest) and self.refused:
+            self.refused -= 1
+            raise ControlUnavailableError("no quorum")
         result: CommandResult
         if isinstance(command, BeginRequest):
             result = self.ledger.begin(command.key, command.attempt)
@@ -130,3 +139,18 @@
     assert await service.answer(LedgerComplete(2, KEY, "a", large)) == LedgerNoted(2)
     assert log.proposed[-1] == CompleteRequest(KEY, "a", None)
     assert await service.answer(LedgerBegin(3, KEY, "b", "edge")) == LedgerUnknown(3)
+
+
+async def test_a_cancel_is_tried_until_there_is_a_quorum_again(
+    background: Background, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(ledger_service, "CANCEL_PAUSE_SECONDS", 0.0)
+    log = OneNodeLog(undecided=1, refused=20)
+    service = LedgerService(log, background)
+    refused = await service.answer(LedgerBegin(1, KEY, "a", "edge"))
+    assert isinstance(refused, LedgerRefused)
+    async with asyncio.timeout(30.0):
+        while log.refused:  # noqa: ASYNC110 - the cancel runs in the background
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.01)
+    assert isinstance(await service.answer(LedgerBegin(2, KEY, "b", "edge")), LedgerGranted)
--- a/tests/ctl/test_commands.py
+++ b/tests/ctl/test_commands.py
@@ -1,6 +1,8 @@
 """Every sub-command of ``finchshed ctl`` against real control nodes, with its exit code."""
 
 import asyncio
+import contextlib
+import socket
 import threading
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -301,3 +303,25 @@
     monkeypatch.delenv(TOKEN_VARIABLE)
     ctl("get", code=2)
     assert "flag --token_file: missing" in ctl.errors
+
+
+GARBAGE = [b"\x00\xff" * 500, b"{}\n", b'{"type":"ledger_begin"}\n', b"x" * 100_000, b"\n" * 50]
+
+
+def test_garbage_at_every_port_harms_nobody(ctl: Shell, declared: Path, group: Group) -> None:
+    node = group.nodes[0]
+    for address in (node.raft, node.distribution, node.rpc):
+        host, _, port = address.rpartition(":")
+        for data in GARBAGE:
+            with socket.create_connection((host, int(port)), 30.0) as connection:
+                connection.sendall(data)
+                connection.shutdown(socket.SHUT_WR)
+                connection.settimeout(30.0)
+                with contextlib.suppress(ConnectionResetError):
+                    while connection.recv(65_536):
+                        pass
+    ctl(f"get service/sales --control={node.rpc}")
+    ctl("drain sales-1")
+    ctl("undrain sales-1")
+    assert node.process is not None
+    assert node.process.poll() is None
