--- a/src/finchshed/control/settings.py
+++ b/src/finchshed/control/settings.py
@@ -8,6 +8,7 @@
     ListenAddress,
     Name,
     NamedAddress,
+    OptionalAddress,
     OptionalListenAddress,
     OptionalUrl,
 )
@@ -30,6 +31,24 @@
     distribution_address: Annotated[
         ListenAddress, msgspec.Meta(description="Listens for daemons, a.b.c.d:port.")
     ]
+    raft_advertised_address: Annotated[
+        OptionalAddress,
+        msgspec.Meta(
+            description=(
+                "Where other control nodes reach raft_address, when it isn't that address itself "
+                "(behind a relay); empty: raft_address."
+            )
+        ),
+    ] = ""
+    distribution_advertised_address: Annotated[
+        OptionalAddress,
+        msgspec.Meta(
+            description=(
+                "Where daemons reach distribution_address, when it isn't that address itself; "
+                "named to daemons that have to move. Empty: distribution_address."
+            )
+        ),
+    ] = ""
     rpc_address: Annotated[
         ListenAddress, msgspec.Meta(description="Listens for operators (gRPC), a.b.c.d:port.")
     ]
@@ -78,6 +97,14 @@
     heartbeat_seconds: Annotated[
         float, msgspec.Meta(ge=0.02, le=10.0, description="Time between the leader's heartbeats.")
     ] = 0.1
+    standby_after_seconds: Annotated[
+        float,
+        msgspec.Meta(
+            ge=1.0,
+            le=1e9,
+            description="A voter silent for this long is replaced by a standby that has caught up.",
+        ),
+    ] = 60.0
     request_timeout_seconds: Annotated[
         float,
         msgspec.Meta(ge=0.1, le=60.0, description="Longest wait for a quorum's agreement."),
--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -12,6 +12,7 @@
 
 from finchshed.admission.effects import GateEffect, Start
 from finchshed.admission.gate import Gate
+from finchshed.admission.paths import PathThresholds
 from finchshed.common.context import (
     HEADER_ACCOUNT,
     HEADER_CALLER,
@@ -20,6 +21,7 @@
     HEADER_IMPORTANCE,
     HEADER_ROOT,
     HEADER_SESSION,
+    CallContext,
 )
 from finchshed.common.outcomes import (
     Answered,
@@ -61,6 +63,8 @@
     ----------
     backend
         Client to the back end.
+    paths
+        Thresholds that requests meet further down.
     guarded
         Runs what may not be repeated.
     on_backend_leaving
@@ -74,6 +78,7 @@
         backend: Backend,
         guarded: GuardedRuns,
         served: ServedRequests,
+        paths: PathThresholds,
         rng: random.Random,
         on_backend_leaving: Callable[[], None],
         revision: Callable[[], int],
@@ -82,6 +87,7 @@
         self._backend = backend
         self._guarded = guarded
         self._served = served
+        self._paths = paths
         self._rng = rng
         self._on_backend_leaving = on_backend_leaving
         self._revision = revision
@@ -104,6 +110,10 @@
         """Sessions pinned to this back end."""
         return len(self._sessions)
 
+    def end_sessions(self) -> None:
+        """Send the sessions away: their requests are refused as draining from now on."""
+        self._sessions = SessionTable()
+
     def configure(self, catalogue: Catalogue) -> None:
         """Act on a new configuration."""
         self._catalogue = catalogue
@@ -113,7 +123,8 @@
 
     def load_report(self) -> LoadReport:
         """Return the load as callers are told."""
-        report = self._gate.load_report(time.monotonic())
+        now = time.monotonic()
+        report = self._gate.load_report(now, self._paths.report(now))
         if self.draining and not report.draining:
             return msgspec.structs.replace(report, draining=True)
         return report
@@ -133,7 +144,8 @@
             return
         self._works[work.token] = work
         self._by_call[call.epoch, call.call] = work
-        self._apply(self._gate.arrive(work.token, call.context, now))
+        floor = self._paths.floor(work.route, now)
+        self._apply(self._gate.arrive(work.token, _rank_context(work), now, floor))
 
     def give_up(self, link: AcceptedLink, call_identity: int) -> None:
         """Drop a call whose caller has given up or is gone."""
@@ -161,8 +173,9 @@
             return self._refused(RefusalReason.REQUEST_TOO_LARGE)
         ledger_key = "" if route.repeatable else scoped_key(call.context.key, service.name)
         if ledger_key is None:
-            return self._refused(RefusalReason.KEY_MISSING, "a UUID of version 7 is needed")
+            return self._refused(RefusalReason.KEY_INVALID, "a UUID of version 7 is needed")
         session = call.context.session if route.session else ""
+        opens_session = False
         if self.draining and not (session and self._sessions.get(session)):
             return self._refused(RefusalReason.DRAINING)
         if session:
@@ -176,6 +189,7 @@
             )
             if isinstance(opened, NotOpened):
                 return self._refused(opened.reason)
+            opens_session = opened.is_new
             self._sessions.on_request(session, now)
         token = self._next_token
         self._next_token += 1
@@ -185,8 +199,10 @@
             call=call,
             arrived=now,
             deadline=now + call.context.remaining_seconds,
+            route=route.prefix,
             repeatable=route.repeatable,
             in_session=bool(session),
+            opens_session=opens_session,
             max_body_bytes=service.max_body_bytes,
             ledger_key=ledger_key,
         )
@@ -214,6 +230,7 @@
         call = work.call
         work.state = WorkState.AT_BACKEND
         work.served = self._served.open(call.context, work.deadline)
+        self._paths.on_start(work.served.account, work.route)
         remaining = work.deadline - time.monotonic()
         request = BackendRequest(
             method=call.method,
@@ -223,6 +240,7 @@
             timeout_seconds=remaining,
             max_answer_bytes=work.max_body_bytes,
             is_repeatable=work.repeatable,
+            account=work.served.account,
         )
         work.cancel_backend = self._backend.send(
             request, lambda result: self._on_backend_result(work, result)
@@ -284,6 +302,8 @@
     def _answer(self, work: Work, outcome: Refused) -> None:
         """Answer a call that was never started."""
         self._forget(work)
+        if work.opens_session:
+            self._sessions.close(work.call.context.session)
         self._send_reply(work.link, work.call, outcome, work.call.context.spare_attempts)
 
     def _end(self, work: Work, result: CallResult) -> int:
@@ -291,6 +311,7 @@
         spare = work.call.context.spare_attempts
         if work.served is not None:
             spare = self._served.close(work.served.account)
+            self._paths.on_end(work.served.account, answered=result is CallResult.OK)
         self._forget(work)
         self._apply(self._gate.finish(work.token, result, time.monotonic()))
         return spare
@@ -319,3 +340,10 @@
 
     def _refused(self, reason: RefusalReason, detail: str = "") -> Refused:
         return Refused(reason, retry_after(0.0, self._rng), detail)
+
+
+def _rank_context(work: Work) -> CallContext:
+    """Return the context a call is ranked by: a session that it opens is not running yet."""
+    if work.opens_session:
+        return msgspec.structs.replace(work.call.context, session="")
+    return work.call.context
--- a/src/finchshed/daemon/caller.py
+++ b/src/finchshed/daemon/caller.py
@@ -2,8 +2,10 @@
 
 import random
 import time
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, replace
 
+from finchshed.admission.paths import PathThresholds
 from finchshed.common.outcomes import Outcome, RefusalReason, Refused
 from finchshed.daemon import metrics
 from finchshed.daemon.accounts import ServedRequests
@@ -11,6 +13,7 @@
 from finchshed.daemon.ledger_port import fingerprint_of
 from finchshed.daemon.outgoing import OutgoingCall
 from finchshed.daemon.peers import PeerLinks
+from finchshed.daemon.pins import SessionPins
 from finchshed.daemon.request import Request
 from finchshed.retry.bucket import RetryBucket
 from finchshed.retry.policy import retry_after
@@ -36,28 +39,49 @@
         Endpoints as this daemon sees them.
     served
         Retry accounts of requests the local back end is serving.
+    paths
+        Learns what those requests call on.
     """
 
     def __init__(
-        self, table: RoutingTable, links: PeerLinks, served: ServedRequests, rng: random.Random
+        self,
+        table: RoutingTable,
+        links: PeerLinks,
+        served: ServedRequests,
+        paths: PathThresholds,
+        rng: random.Random,
     ) -> None:
         self._table = table
         self._links = links
         self._served = served
+        self._paths = paths
         self._rng = rng
         self._buckets: dict[str, RetryBucket] = {}
         self._retry_ratio = Catalogue().policy.retry_ratio
+        self._catalogue = Catalogue()
+        self._pins = SessionPins()
         self._joinable: dict[JoinKey, tuple[OutgoingCall, str]] = {}
         self.in_progress = 0
 
     def configure(self, catalogue: Catalogue) -> None:
         """Act on a new configuration."""
+        self._catalogue = catalogue
         if catalogue.policy.retry_ratio != self._retry_ratio:
             self._retry_ratio = catalogue.policy.retry_ratio
             self._buckets.clear()
 
-    async def call(self, request: Request, account: str, join_identity: str) -> Outcome:
-        """Have ``request`` answered.
+    def expire_sessions(self) -> None:
+        """Forget sessions that have been idle for long."""
+        self._pins.expire(time.monotonic())
+
+    def call(
+        self,
+        request: Request,
+        account: str,
+        join_identity: str,
+        on_outcome: Callable[[Outcome], None],
+    ) -> Callable[[], None]:
+        """Have ``request`` answered; ``on_outcome`` is called once. Return what gives it up.
 
         Parameters
         ----------
@@ -66,29 +90,41 @@
         join_identity
             Identity under which a repeat joins the request in progress, or empty.
         """
+        if account:
+            self._paths.on_call(account, request.service, request.route)
         if not join_identity:
-            return await self._start(request, account, None).wait()
+            return self._start(request, account, None).wait(on_outcome)
         key = JoinKey(request.service, request.context.caller, join_identity)
         fingerprint = fingerprint_of(request.method, request.path, request.body)
         held = self._joinable.get(key)
         if held is not None:
             lent = request.context.spare_attempts
             self._served.give_back(account, lent, lent)
-            return await self._join(*held, fingerprint)
+            return self._join(held, fingerprint, on_outcome)
         call = self._start(request, account, key)
         if not call.is_over:
             self._joinable[key] = (call, fingerprint)
-        return await call.wait()
-
-    async def _join(self, call: OutgoingCall, held_fingerprint: str, fingerprint: str) -> Outcome:
+        return call.wait(on_outcome)
+
+    def _join(
+        self,
+        held: tuple[OutgoingCall, str],
+        fingerprint: str,
+        on_outcome: Callable[[Outcome], None],
+    ) -> Callable[[], None]:
+        call, held_fingerprint = held
         if held_fingerprint != fingerprint:
             detail = "another request of this identity is in progress"
-            return Refused(RefusalReason.KEY_REUSED, self._retry_after(), detail)
+            on_outcome(Refused(RefusalReason.KEY_REUSED, self._retry_after(), detail))
+            return _nothing
         metrics.JOINED.inc()
-        return await call.wait()
+        return call.wait(on_outcome)
 
     def _start(self, request: Request, account: str, key: JoinKey | None) -> OutgoingCall:
         lent = request.context.spare_attempts
+        if request.in_session:
+            conditions = self._pins.conditions_for(request)
+            request = replace(request, headers=request.headers + conditions)
         logic = CallerLogic(
             self._table,
             self._bucket(request.service),
@@ -96,12 +132,16 @@
             request.context,
             repeatable=request.repeatable,
             rng=self._rng,
+            route=request.route,
+            pinned=self._pins.endpoint_of(request) if request.in_session else "",
         )
 
         def finished(call: OutgoingCall, outcome: Outcome, spare: int) -> None:
             self.in_progress -= 1
             if key is not None:
                 self._joinable.pop(key, None)
+            if request.in_session:
+                self._pins.end(request, call.endpoint, outcome, time.monotonic())
             metrics.count_call(request.service, request.context.importance, outcome)
             if account:
                 self._served.give_back(account, lent, spare)
@@ -109,8 +149,16 @@
         call = OutgoingCall(request, logic, self._links, finished, self._retry_after)
         self.in_progress += 1
         call.begin()
+        if request.in_session and not call.is_over:
+            self._pin(request, call.endpoint)
         return call
 
+    def _pin(self, request: Request, endpoint: str) -> None:
+        service = self._catalogue.service(request.service)
+        if service is not None:
+            idle_seconds = service.session_idle_seconds
+            self._pins.begin(request, endpoint, idle_seconds, time.monotonic())
+
     def _bucket(self, service: str) -> RetryBucket:
         bucket = self._buckets.get(service)
         if bucket is None:
@@ -120,3 +168,7 @@
 
     def _retry_after(self) -> float:
         return retry_after(0.0, self._rng)
+
+
+def _nothing() -> None:
+    """Give up a call that is over."""
--- a/src/finchshed/daemon/peers.py
+++ b/src/finchshed/daemon/peers.py
@@ -17,7 +17,7 @@
 from finchshed.daemon.settings import DaemonSettings
 from finchshed.distribution.messages import Delta
 from finchshed.link.messages import Hello, LoadReport, Reply
-from finchshed.link.peer import LinkState, PeerLink, SendResult
+from finchshed.link.peer import Connect, LinkState, PeerLink, SendResult
 
 BACKOFF_FIRST_SECONDS = 0.05
 BACKOFF_MAX_SECONDS = 2.0
@@ -82,9 +82,19 @@
 
 
 class PeerLinks:
-    """Links to the daemons of endpoints, by endpoint name."""
+    """Links to the daemons of endpoints, by endpoint name.
 
-    def __init__(self, settings: DaemonSettings, owner: PeersOwner, rng: random.Random) -> None:
+    ``connect`` opens connections; None: the event loop does.
+    """
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        owner: PeersOwner,
+        rng: random.Random,
+        connect: Connect | None = None,
+    ) -> None:
+        self._connect = connect
         self._settings = settings
         self._owner = owner
         self._rng = rng
@@ -146,9 +156,17 @@
             if idle and link.calls_in_progress == 0 and link.state is LinkState.OPEN:
                 link.close("idle")
 
+    def reopen_lost(self) -> None:
+        """Open the links anew that broke: an endpoint that is back shows it on its link only."""
+        now = time.monotonic()
+        for peer in self._peers.values():
+            if peer.link is None and peer.failures and now >= peer.not_before:
+                self._open(peer)
+
     def close(self) -> None:
         """Close every link."""
         self._closing = True
+        self._peers.clear()
         for link in list(self._by_link):
             link.close("stopped")
 
@@ -239,6 +257,7 @@
             silence_seconds=settings.silence_seconds,
             heartbeat_seconds=settings.heartbeat_seconds,
             connect_timeout_seconds=settings.connect_timeout_seconds,
+            connect=self._connect,
         )
         peer.link = link
         self._by_link[link] = peer
--- a/src/finchshed/emulator/daemons/callee.py
+++ b/src/finchshed/emulator/daemons/callee.py
@@ -5,11 +5,13 @@
 
 import enum
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
 
 from finchshed.admission.effects import GateEffect, Start
 from finchshed.admission.gate import Gate
+from finchshed.admission.paths import PathThresholds
 from finchshed.common.context import HEADER_DOWNSTREAM
 from finchshed.common.outcomes import (
     Answered,
@@ -23,6 +25,7 @@
 from finchshed.emulator.backend import HEADER_DRAINING, BackEnd
 from finchshed.emulator.daemons.ledger_client import LedgerClient
 from finchshed.emulator.daemons.link import AcceptedLink, CallMessage
+from finchshed.emulator.daemons.outgoing import SHED_REASONS
 from finchshed.emulator.daemons.process import Process
 from finchshed.emulator.request import Cancel, Request
 from finchshed.ledger.results import Completed, Granted, LedgerResult, OutcomeUnknown
@@ -33,6 +36,9 @@
 from finchshed.retry.policy import retry_after
 
 TICK_SECONDS: Final = 0.02
+IDLE_TICK_SECONDS: Final = 0.1
+"""Time between ticks of a gate without work, where production ticks as often as ever."""
+
 LOCAL_DELAY_SECONDS: Final = 0.0002
 """Time to the back end or back over the loopback."""
 
@@ -79,14 +85,19 @@
         process: Process,
         back_end: BackEnd,
         ledger: LedgerClient,
+        *,
         accounts: RetryAccounts,
+        paths: PathThresholds,
         rng: random.Random,
+        revision: Callable[[], int],
     ) -> None:
         self._process = process
+        self._paths = paths
         self._back_end = back_end
         self._ledger = ledger
         self._accounts = accounts
         self._random = rng
+        self._revision = revision
         self._recorder = process.simulation.recorder
         self._gate = Gate(back_end.slots, rng, process.now)
         self._works: dict[int, Work] = {}
@@ -95,7 +106,7 @@
         self._failed_downstream: set[str] = set()
         self._next_token = 1
         self.draining = False
-        self.may_serve = True
+        self.may_serve = False
         process.call_later(TICK_SECONDS, self._tick)
 
     @property
@@ -105,7 +116,8 @@
 
     def load_report(self) -> LoadReport:
         """Return the load as callers are told."""
-        return self._gate.load_report(self._process.now)
+        now = self._process.now
+        return self._gate.load_report(now, self._paths.report(now))
 
     def drain(self) -> None:
         """Take no new calls."""
@@ -116,6 +128,10 @@
         """Return the deadline of a request being served, by its account."""
         return self._deadlines.get(account)
 
+    def call_on_began(self, account: str, request: Request) -> None:
+        """Take note of a call that the back end makes for a request it serves."""
+        self._paths.on_call(account, request.hop.service, request.kind)
+
     def call_on_failed(self, account: str) -> None:
         """Take note that a call which the back end made for this request was not answered."""
         if account in self._deadlines:
@@ -133,7 +149,8 @@
         work = Work(token, link, message, now + message.context.remaining_seconds)
         self._works[token] = work
         self._by_call[(message.epoch, message.call)] = work
-        self._apply(self._gate.arrive(token, message.context, now))
+        floor = self._paths.floor(message.request.kind, now)
+        self._apply(self._gate.arrive(token, message.context, now, floor))
 
     def give_up(self, link: AcceptedLink, call: int) -> None:
         """Drop a call whose caller has given up or is gone."""
@@ -158,7 +175,8 @@
 
     def _tick(self) -> None:
         self._apply(self._gate.tick(self._process.now))
-        self._process.call_later(TICK_SECONDS, self._tick)
+        delay = TICK_SECONDS if self._works else IDLE_TICK_SECONDS
+        self._process.call_later(delay, self._tick)
 
     def _apply(self, effects: list[GateEffect]) -> None:
         for effect in effects:
@@ -236,6 +254,7 @@
         work.account = f"{self._process.name}.{self._process.life}.{work.token}"
         self._accounts.open(work.account, context.spare_attempts)
         self._deadlines[work.account] = work.deadline
+        self._paths.on_start(work.account, work.message.request.kind)
         request = work.message.request
         served = Request(
             call=request.call,
@@ -304,6 +323,7 @@
         if work.account:
             spare = self._accounts.close(work.account)
             self._deadlines.pop(work.account, None)
+            self._paths.on_end(work.account, answered=result is CallResult.OK)
             self._failed_downstream.discard(work.account)
         self._forget(work)
         self._apply(self._gate.finish(work.token, result, self._process.now))
@@ -326,7 +346,7 @@
                 spare_attempts=spare,
                 load=self.load_report(),
                 digest=digest,
-                revision=0,
+                revision=self._revision(),
             )
         )
 
@@ -335,9 +355,3 @@
 
     def _retry_after(self) -> float:
         return retry_after(0.0, self._random)
-
-
-SHED_REASONS: Final = frozenset(
-    {RefusalReason.OVERLOAD, RefusalReason.QUEUE_FULL, RefusalReason.DEADLINE}
-)
-"""Refusals that say a request was shed for overload."""
