--- a/src/finchshed/distribution/server.py
+++ b/src/finchshed/distribution/server.py
@@ -33,6 +33,10 @@
 Connection: TypeAlias = LineProtocol[DaemonToControl]
 
 TICK_SECONDS = 0.25
+CONFIRMATION_PAUSE_SECONDS = 0.02
+"""Least time between reads from a quorum. A daemon that claims a higher revision than is in force
+waits for it for as long as it stays; without a pause such a claim would keep the node busy."""
+
 BUFFER_LIMIT_BYTES = 4 << 20
 """A subscriber with more than this unsent is skipped until half of it has been sent."""
 
@@ -202,6 +206,7 @@
                 confirmed = False
             if confirmed:
                 self._perform(self._hub.on_confirmed(ticket, self._now()))
+            await asyncio.sleep(CONFIRMATION_PAUSE_SECONDS)
 
     async def _tick_forever(self) -> None:
         while True:
--- a/src/finchshed/link/lines.py
+++ b/src/finchshed/link/lines.py
@@ -50,6 +50,7 @@
         on_open: Callable[["LineProtocol[ReceivedT]"], None] | None = None,
         on_close: Callable[["LineProtocol[ReceivedT]", Exception | None], None] | None = None,
         max_line_bytes: int = DEFAULT_MAX_LINE_BYTES,
+        *,
         expects_greeting: bool = False,
     ) -> None:
         self._decoder = msgspec.json.Decoder(received_type)
--- a/src/finchshed/link/messages.py
+++ b/src/finchshed/link/messages.py
@@ -5,14 +5,16 @@
 """
 
 from collections.abc import Mapping
-from typing import TypeAlias
+from typing import Annotated, TypeAlias
 
 import msgspec
 
 from finchshed.admission.paths import PathThreshold
 from finchshed.common.context import CallContext
 from finchshed.common.outcomes import Headers, Outcome
-from finchshed.distribution.messages import Delta, Fetch
+from finchshed.distribution.messages import Delta, Fetch, RequestNumber, Revision
+
+SpareAttempts: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
 
 
 class LoadReport(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -50,7 +52,7 @@
     epoch: str
     service: str
     zone: str
-    revision: int
+    revision: Revision
     draining: bool = False
 
 
@@ -58,7 +60,7 @@
     """A request. ``digest`` is xxh3-64 of the body, hexadecimal."""
 
     epoch: str
-    call: int
+    call: RequestNumber
     service: str
     method: str
     path: str
@@ -66,7 +68,7 @@
     body: bytes
     digest: str
     context: CallContext
-    revision: int = 0
+    revision: Revision = 0
 
 
 class Reply(msgspec.Struct, frozen=True, omit_defaults=True, tag="reply"):
@@ -77,19 +79,19 @@
     """
 
     epoch: str
-    call: int
+    call: RequestNumber
     outcome: Outcome
-    spare_attempts: int
+    spare_attempts: SpareAttempts
     load: LoadReport
     digest: str = ""
-    revision: int = 0
+    revision: Revision = 0
 
 
 class Cancel(msgspec.Struct, frozen=True, tag="cancel"):
     """The caller has given up on a call."""
 
     epoch: str
-    call: int
+    call: RequestNumber
 
 
 class Draining(msgspec.Struct, frozen=True, tag="draining"):
@@ -102,7 +104,7 @@
     """Heartbeat; answered by :class:`Pong`."""
 
     epoch: str
-    revision: int = 0
+    revision: Revision = 0
 
 
 class Pong(msgspec.Struct, frozen=True, omit_defaults=True, tag="pong"):
@@ -110,7 +112,7 @@
 
     epoch: str
     load: LoadReport
-    revision: int = 0
+    revision: Revision = 0
 
 
 PeerMessage: TypeAlias = Hello | Call | Reply | Cancel | Draining | Ping | Pong | Fetch | Delta
--- a/src/finchshed/link/peer.py
+++ b/src/finchshed/link/peer.py
@@ -214,8 +214,8 @@
         return LineProtocol(
             PeerMessage,
             self._on_message,
-            self._on_open,
-            self._on_close,
+            on_open=self._on_open,
+            on_close=self._on_close,
             expects_greeting=True,
         )
 
--- a/tests/link/test_listener.py
+++ b/tests/link/test_listener.py
@@ -10,7 +10,7 @@
 from finchshed.common.context import CallContext
 from finchshed.common.importance import Importance
 from finchshed.common.outcomes import Answered
-from finchshed.distribution.messages import Delta
+from finchshed.distribution.messages import Delta, Fetch
 from finchshed.link.digests import digest_of
 from finchshed.link.encoding import encode_line
 from finchshed.link.lines import FIRST_LINE_BYTES
@@ -133,6 +133,9 @@
         (Hello("n1", "1", "", "s", "z", 1), call(1)),
         (b"x" * (FIRST_LINE_BYTES + 1), HELLO, call(1)),
         (b"{}\n", HELLO, call(1)),
+        (HELLO, Fetch(-1), call(1)),
+        (HELLO, Ping(epoch=EPOCH, revision=1 << 63), call(1)),
+        (HELLO, call(-1), call(1)),
     ],
 )
 def test_nothing_after_a_breach_is_taken(parts: tuple[PeerMessage | bytes, ...]) -> None:
