Test reads the process table of a running fleet

Each daemon, edge and control node of a small fleet: no child process, no io_uring descriptor, no shared-memory segment of its own (mapped, held open, or System V segments it made), threads within the number stated. Planted offenders of each kind are found: a child, /dev/shm, memfd, a shared anonymous mapping, a System V segment, and uvloop with io_uring allowed. The last two kinds of memory weren't looked for before.

--- a/src/finchshed/observability/process_checks.py
+++ b/src/finchshed/observability/process_checks.py
@@ -1,5 +1,6 @@
 """Checks of the own process against what it may not have."""
 
+import os
 from pathlib import Path
 
 from finchshed.common.errors import InvariantError
@@ -8,6 +9,8 @@
 SHARED_MEMORY_FOLDER = "/dev/shm/"
 SYSV_MARK = "/SYSV"
 MEMFD_MARK = "/memfd:"
+ANONYMOUS_SHARED_MARK = "/dev/zero"
+"""How Linux names a shared anonymous mapping, as one made before a fork."""
 
 _PROC = Path("/proc")
 
@@ -19,11 +22,12 @@
 
 def shared_memory_segments(process: int | str = "self") -> list[str]:
     """Return the shared-memory segments that a process has mapped or holds open."""
-    marks = (SHARED_MEMORY_FOLDER, SYSV_MARK, MEMFD_MARK)
+    marks = (SHARED_MEMORY_FOLDER, SYSV_MARK, MEMFD_MARK, ANONYMOUS_SHARED_MARK)
     maps = (_PROC / str(process) / "maps").read_text(encoding="utf-8", errors="replace")
     names = {line.split(maxsplit=5)[5] for line in maps.splitlines() if len(line.split()) > 5}
     names.update(_descriptor_targets(process))
-    return sorted(name for name in names if name.startswith(marks))
+    found = [name for name in names if name.startswith(marks)]
+    return sorted([*found, *_segments_made_by(process)])
 
 
 def child_processes(process: int | str = "self") -> list[int]:
@@ -34,6 +38,19 @@
     return sorted(children)
 
 
+def thread_count(process: int | str = "self") -> int:
+    """Return the number of a process's threads."""
+    return len(list((_PROC / str(process) / "task").iterdir()))
+
+
+def violations_of(process: int | str = "self") -> list[str]:
+    """Return one line for each thing that a production process may not have, and has."""
+    found = [f"child process {child}" for child in child_processes(process)]
+    found += [f"io_uring descriptor {name}" for name in io_uring_descriptors(process)]
+    found += [f"shared-memory segment {name}" for name in shared_memory_segments(process)]
+    return found
+
+
 def require_no_io_uring() -> None:
     """Raise :class:`InvariantError` where this process has opened an io_uring."""
     found = io_uring_descriptors()
@@ -41,6 +58,20 @@
         raise InvariantError(f"the event loop opened an io_uring: {', '.join(found)}")
 
 
+def _segments_made_by(process: int | str) -> list[str]:
+    """Return the System V segments that a process created, attached or not."""
+    number = os.getpid() if process == "self" else int(process)
+    try:
+        lines = (_PROC / "sysvipc" / "shm").read_text(encoding="ascii").splitlines()
+    except OSError:
+        return []  # a kernel without System V shared memory
+    if not lines:
+        return []
+    columns = lines[0].split()
+    rows = [dict(zip(columns, line.split(), strict=False)) for line in lines[1:]]
+    return [f"{SYSV_MARK} shmid {row['shmid']}" for row in rows if row["cpid"] == str(number)]
+
+
 def _descriptor_targets(process: int | str) -> list[str]:
     targets = []
     for path in (_PROC / str(process) / "fd").iterdir():
--- /dev/null
+++ b/tests/fleet/test_process_table.py
@@ -0,0 +1,88 @@
+"""What the kernel says of the processes of a running fleet, and of planted offenders."""
+
+import subprocess
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import pytest
+
+from finchshed.fleet.bring_up import bring_up, plan_fleet
+from finchshed.fleet.plan import PlanOptions
+from finchshed.fleet.processes import PRODUCTION_ROLES, Role
+from finchshed.observability.process_checks import thread_count, violations_of
+
+SMALL = Path(__file__).parent / "small"
+WAIT_SECONDS = 30.0
+
+MOST_THREADS = {Role.DAEMON: 8, Role.EDGE: 8, Role.CONTROL: 48}
+"""A daemon has its event loop's thread, four of libuv's pool and the executor's that syncs the
+revision it holds (six in all when this was written); a control node has grpcio's own besides, whose
+number follows the machine's cores (21 in all on 12 cores)."""
+
+
+async def test_no_production_process_has_children_io_uring_or_shared_memory(
+    tmp_path: Path,
+) -> None:
+    _, fleet = plan_fleet(SMALL, tmp_path / "run", PlanOptions())
+    async with fleet:
+        await bring_up(fleet)
+        await fleet.start(Role.CALLER)
+        processes = fleet.of_role(*PRODUCTION_ROLES)
+        found = {process.spec.name: violations_of(process.pid) for process in processes}
+        threads = {process.spec.name: thread_count(process.pid) for process in processes}
+        roles = {process.spec.name: process.spec.role for process in processes}
+    assert set(roles.values()) == set(PRODUCTION_ROLES)
+    assert {name: lines for name, lines in found.items() if lines} == {}
+    too_many = {n: count for n, count in threads.items() if count > MOST_THREADS[roles[n]]}
+    assert too_many == {}, threads
+
+
+OFFENDERS = {
+    "child process": "import subprocess\nkept = subprocess.Popen(['sleep', '60'])",
+    "shared-memory segment /dev/shm/": (
+        "from multiprocessing import shared_memory, resource_tracker\n"
+        "resource_tracker.register = lambda *_: None\n"
+        "kept = shared_memory.SharedMemory(create=True, size=64)\nkept.unlink()"
+    ),
+    "shared-memory segment /memfd:": "import os\nkept = os.memfd_create('planted')",
+    "shared-memory segment /dev/zero": "import mmap\nkept = mmap.mmap(-1, 4096)",
+    "shared-memory segment /SYSV": (
+        "import ctypes\nlibc = ctypes.CDLL(None)\nkept = libc.shmget(0, 4096, 0o1600)\n"
+        "libc.shmat.restype = ctypes.c_void_p\nlibc.shmat(kept, None, 0)\n"
+        "libc.shmctl(kept, 0, None)"
+    ),
+    "io_uring descriptor": (
+        "import os\nos.environ['UV_USE_IO_URING'] = '1'\n"
+        "import uvloop\nkept = uvloop.new_event_loop()"
+    ),
+}
+
+
+@contextmanager
+def running(code: str) -> Iterator[int]:
+    """Run ``code`` in a process that then waits; yield its identity once the code has run."""
+    text = f"{code}\nprint('ready', flush=True)\ninput()\n"
+    if "Popen" in code:
+        text += "kept.kill()\nkept.wait()\n"
+    command = [sys.executable, "-c", text]
+    with subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE) as process:
+        assert process.stdout is not None
+        assert process.stdout.readline() == b"ready\n"
+        yield process.pid
+        process.communicate(b"\n", timeout=WAIT_SECONDS)
+        assert process.returncode == 0
+
+
+@pytest.mark.parametrize("kind", OFFENDERS)
+def test_a_planted_offender_is_found(kind: str) -> None:
+    with running(OFFENDERS[kind]) as pid:
+        found = violations_of(pid)
+    assert [line for line in found if line.startswith(kind)], found
+
+
+def test_a_process_without_any_is_clean() -> None:
+    with running("import asyncio, socket") as pid:
+        assert violations_of(pid) == []
+        assert thread_count(pid) == 1
