--- a/src/finchshed/daemon/caller.py
+++ b/src/finchshed/daemon/caller.py
@@ -132,8 +132,8 @@
             request.context,
             repeatable=request.repeatable,
             rng=self._rng,
-            route=request.route,
             pinned=self._pins.endpoint_of(request) if request.in_session else "",
+            route=request.route,
         )
 
         def finished(call: OutgoingCall, outcome: Outcome, spare: int) -> None:
