--- a/src/finchshed/control/program.py
+++ b/src/finchshed/control/program.py
@@ -15,4 +15,4 @@
         await control.stop_requested.wait()
         await node.stop()
 
-    return run_process(main, "control", settings.node, settings.data_folder)
+    return run_process(main, "control", settings.node, settings.data_folder, settings.zone)
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -318,6 +318,9 @@
             metrics.IN_PROGRESS.labels("caller").set(self._caller.in_progress)
             if self._callee is not None:
                 metrics.IN_PROGRESS.labels("callee").set(self._callee.in_progress)
+                load = self._callee.load_report()
+                metrics.LIMIT.set(load.limit)
+                metrics.THRESHOLD.set(load.threshold)
 
     async def _close(self) -> None:
         self._listeners.close()
--- a/src/finchshed/daemon/metrics.py
+++ b/src/finchshed/daemon/metrics.py
@@ -26,6 +26,12 @@
     buckets=(0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2),
 )
 RETRIES = Counter("finchshed_retries_total", "Attempts past the first of a call", ["service"])
+LIMIT = Gauge(
+    "finchshed_concurrency_limit", "Requests the back end is sent at a time, as learnt and bounded"
+)
+THRESHOLD = Gauge(
+    "finchshed_admission_threshold", "Requests of a lower admission rank are refused at present"
+)
 IN_PROGRESS = Gauge("finchshed_calls_in_progress", "Calls in progress", ["side"])
 REVISION = Gauge("finchshed_configuration_revision", "Revision of the configuration in force")
 SERVING = Gauge("finchshed_serving", "1 once the daemon may take calls")
--- a/src/finchshed/daemon/program.py
+++ b/src/finchshed/daemon/program.py
@@ -20,7 +20,7 @@
         if admin is not None:
             await admin.stop()
 
-    return run_process(main, "daemon", settings.node, settings.data_folder or None)
+    return run_process(main, "daemon", settings.node, settings.data_folder or None, settings.zone)
 
 
 def _admin_server(settings: DaemonSettings, daemon: Daemon) -> AdminServer | None:
--- a/src/finchshed/runtime/process.py
+++ b/src/finchshed/runtime/process.py
@@ -8,9 +8,10 @@
 import uvloop
 from loguru import logger
 
+from finchshed import __version__
 from finchshed.cli.exit_codes import ExitCode
 from finchshed.common.errors import FinchshedError, InvariantError
-from finchshed.observability import ring
+from finchshed.observability import process_metrics, ring
 from finchshed.observability.invariants import FaultMonitor
 from finchshed.observability.process_checks import require_no_io_uring
 
@@ -37,6 +38,7 @@
 
     def request_stop(self) -> None:
         """Ask for a planned stop."""
+        process_metrics.STOPPING.set(1)
         self.stop_requested.set()
 
 
@@ -47,13 +49,16 @@
         """Run the program."""
 
 
-def run_process(main: Main, program: str, node: str, data_folder: str | None = None) -> int:
+def run_process(
+    main: Main, program: str, node: str, data_folder: str | None = None, zone: str = ""
+) -> int:
     """Run ``main`` in a fresh uvloop loop and return the process's exit code.
 
     The ring is set up, the loop checked for an io_uring, signals handled: SIGTERM and SIGINT ask
     for a planned stop (a second one stops at once), SIGUSR1 writes the ring out.
     """
     ring.configure(program, node, data_folder)
+    process_metrics.identify(program, node, zone, __version__)
     loop = uvloop.new_event_loop()
     try:
         asyncio.set_event_loop(loop)
@@ -76,10 +81,12 @@
     control = ProcessControl(faults)
     try:
         require_no_io_uring()
+        loop_lag = loop.create_task(process_metrics.measure_loop_lag())
         task = loop.create_task(main(control))
         _handle_signals(loop, control, task.cancel)
         ring.announce(f"{title}: started")
         loop.run_until_complete(task)
+        loop_lag.cancel()
     except InvariantError as error:
         faults.report_broken(error)
     except asyncio.CancelledError:
