Every problem of settings and declarations is one printable, bounded line

Cause: generated settings and declarations found that a value or key with line breaks made one problem look like several, that a value of any length was printed whole, and that a value nested a few thousand deep ended the program with RecursionError instead of a problem.

Change: SettingsError makes each problem one line, escaped and cut in the middle; deep nesting is a problem like any other.

--- a/src/finchshed/common/errors.py
+++ b/src/finchshed/common/errors.py
@@ -4,6 +4,8 @@
 caller inside the process has to deal with a fault. Only :class:`InvariantError` stops a process.
 """
 
+from finchshed.common.text import one_line
+
 
 class FinchshedError(Exception):
     """Base of every error raised by finchshed."""
@@ -14,11 +16,11 @@
 
 
 class SettingsError(FinchshedError):
-    """A settings file or flag is wrong. Holds one line per problem found."""
+    """A settings file or flag is wrong. Holds one printable line per problem found."""
 
     def __init__(self, problems: list[str]) -> None:
-        super().__init__("\n".join(problems))
-        self.problems = problems
+        self.problems = [one_line(problem) for problem in problems]
+        super().__init__("\n".join(self.problems))
 
 
 class DeclarationError(SettingsError):
--- a/src/finchshed/configuration/declarations.py
+++ b/src/finchshed/configuration/declarations.py
@@ -43,6 +43,7 @@
     key_of,
 )
 from finchshed.configuration.validation import problems_of
+from finchshed.settings.toml_file import NESTED_TOO_DEEP
 
 TABLES: Mapping[str, type[Service] | type[Endpoint] | type[Policy] | type[Operator]] = {
     "service": Service,
@@ -67,6 +68,9 @@
         except (tomllib.TOMLDecodeError, UnicodeDecodeError, OSError) as error:
             self.problems.append(f"{path.name}: {error}")
             return
+        except RecursionError:
+            self.problems.append(f"{path.name}: {NESTED_TOO_DEEP}")
+            return
         for table_name, content in document.items():
             if table_name not in TABLES:
                 allowed = ", ".join(TABLES)
--- a/src/finchshed/settings/toml_file.py
+++ b/src/finchshed/settings/toml_file.py
@@ -5,6 +5,8 @@
 from pathlib import Path
 from typing import Any
 
+NESTED_TOO_DEEP = "isn't valid TOML: nested too deep"
+
 _DUPLICATE_MESSAGE = "Cannot overwrite a value"
 _LINE_NUMBER = re.compile(r"at line (\d+)")
 
@@ -31,6 +33,8 @@
             if problem is None:
                 return {}, [*problems, f"{path}: isn't valid TOML: {error}"]
             problems.append(problem)
+        except RecursionError:
+            return {}, [*problems, f"{path}: {NESTED_TOO_DEEP}"]
     return {}, problems
 
 
