Test groups listen on loopback hosts of their own

Cause: one run in six had a node that wasn't reachable at its address (setup of a standby test, connection refused). Its log wasn't kept; supposed, not shown: the port, free when it was chosen on 127.0.0.1, had become the local port of some connection. The machine had over ten thousand sockets on that host.

Change: addresses on 127.x.y.z, by process id and counter.

--- a/tests/control/group.py
+++ b/tests/control/group.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import hashlib
+import itertools
 import os
 import shutil
 import signal
@@ -28,13 +29,22 @@
     return hashlib.sha256(token.encode()).hexdigest()
 
 
+_hosts = itertools.count()
+
+
 def free_addresses(count: int) -> list[str]:
-    """Return addresses whose ports were free a moment ago."""
+    """Return free addresses, on a loopback host that no other test process uses.
+
+    On 127.0.0.1 a port that was free a moment ago may be taken meanwhile as the local port of
+    anybody's outgoing connection.
+    """
+    process, number = os.getpid(), next(_hosts)
+    host = f"127.{16 + process // 256 % 200}.{process % 256}.{1 + number % 250}"
     with contextlib.ExitStack() as stack:
         sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
         for item in sockets:
-            item.bind(("127.0.0.1", 0))
-        return [f"127.0.0.1:{item.getsockname()[1]}" for item in sockets]
+            item.bind((host, 0))
+        return [f"{host}:{item.getsockname()[1]}" for item in sockets]
 
 
 class Node(msgspec.Struct):
