--- a/src/finchshed/fleet/acts.py
+++ b/src/finchshed/fleet/acts.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from finchshed.configuration.resources import Name
-from finchshed.standins.settings import LoadReporting
+from finchshed.standins.settings import LoadReporting, Submission
 
 Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=3600.0)]
 PositiveSeconds = Annotated[float, msgspec.Meta(gt=0.0, le=3600.0)]
@@ -53,9 +53,10 @@
 
 
 class Restart(Act, frozen=True, kw_only=True, tag="restart"):
-    """A planned restart: SIGTERM, wait until it has ended, start."""
+    """A planned restart: SIGTERM, wait until it has ended, start ``down_seconds`` later."""
 
     target: Selector
+    down_seconds: Seconds = 0.0
 
 
 class RollingRestart(Act, frozen=True, kw_only=True, tag="rolling_restart"):
@@ -141,9 +142,19 @@
 
 
 class Change(Act, frozen=True, kw_only=True, tag="change"):
-    """Have one more operator change the policy ``times`` times, one change after another."""
+    """Have one more operator change the policy ``times`` times, with a pause before each."""
 
     times: Annotated[int, msgspec.Meta(ge=1, le=1000)] = 1
+    pause_seconds: Seconds = 0.0
+
+
+class Submit(Act, frozen=True, kw_only=True, tag="submit"):
+    """Have operators submit changes of given identities, each once, timed from this act.
+
+    Those of one submission race each other against the same revision.
+    """
+
+    submissions: tuple[Submission, ...]
 
 
 FaultAct: TypeAlias = (
@@ -161,6 +172,7 @@
     | Reset
     | FillDisk
     | Change
+    | Submit
 )
 
 LINK_ACTS = (Cut, Delay, Throttle, Reset)
--- a/src/finchshed/fleet/fault_run.py
+++ b/src/finchshed/fleet/fault_run.py
@@ -3,12 +3,15 @@
 import asyncio
 import pathlib
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping
+
+import msgspec
 
 from finchshed.common.errors import SettingsError
-from finchshed.fleet import final_configuration
+from finchshed.fleet import final_configuration, process_table
 from finchshed.fleet.bring_up import bring_up, plan_fleet
 from finchshed.fleet.coverage import CASES
+from finchshed.fleet.deployment import Deployment, read_deployment
 from finchshed.fleet.expectations import unmet
 from finchshed.fleet.faults import FaultInjector
 from finchshed.fleet.histories import Records, build_history, read_all
@@ -16,15 +19,16 @@
 from finchshed.fleet.links import FleetLinks
 from finchshed.fleet.operator import Operator
 from finchshed.fleet.path_times import path_times_of
-from finchshed.fleet.plan import PlanOptions
-from finchshed.fleet.processes import Role
+from finchshed.fleet.planner import PlanOptions
+from finchshed.fleet.processes import PRODUCTION_ROLES, Role
 from finchshed.fleet.scenario import Scenario, problems_of
 from finchshed.fleet.summary import rows_of, wrong_answers
 from finchshed.fleet.verdict import Check, Verdict, text_of
 from finchshed.fleet.watch import FleetWatch
 from finchshed.proof.checks import CHECKS, violations_of
 from finchshed.proof.checks.index import Index
-from finchshed.proof.history import History, NodeStarted
+from finchshed.proof.history import Event, History, NodeStarted
+from finchshed.standins.arrivals import Arrival
 from finchshed.standins.records import CallerOutcome
 
 CALLERS_MARGIN_SECONDS = 40.0
@@ -36,6 +40,11 @@
 PROBLEMS_FILE = "problems.txt"
 
 
+def as_it_is(deployment: Deployment) -> Deployment:
+    """Change nothing."""
+    return deployment
+
+
 class FaultRun:
     """One run: the fleet, what is done to it, and what is collected.
 
@@ -43,28 +52,47 @@
     ----------
     seed
         Seed of arrivals, service times and keys. Processes race, so a seed doesn't fix the run.
+    relayed
+        Whether links go through the relay also where no act needs it.
+    adapt
+        Changes the deployment read from ``source``.
+    arrivals
+        Arrivals to play, by the name of the group of callers; others draw their own.
     """
 
     def __init__(
-        self, source: pathlib.Path, folder: pathlib.Path, scenario: Scenario, seed: int
+        self,
+        source: pathlib.Path,
+        folder: pathlib.Path,
+        scenario: Scenario,
+        seed: int,
+        *,
+        relayed: bool = False,
+        adapt: Callable[[Deployment], Deployment] = as_it_is,
+        arrivals: Mapping[str, tuple[Arrival, ...]] | None = None,
     ) -> None:
         self._scenario = scenario
         self._seed = seed
         options = PlanOptions(
             seed=seed,
-            relayed=scenario.needs_relay,
+            relayed=relayed or scenario.needs_relay,
             load_factor=scenario.load_factor,
             phases=scenario.phase,
             platform_lag_seconds=scenario.platform_lag_seconds,
+            arrivals=arrivals or {},
         )
-        self._deployment, self._fleet = plan_fleet(source, folder, options)
+        self._deployment = adapt(read_deployment(source))
+        self._fleet = plan_fleet(source, self._deployment, folder, options)
         self._folder = folder
         self._journal = FaultJournal(time.monotonic())
+        self._history: History | None = None
+        self._callers_began = 0.0
         self._final: final_configuration.FinalConfiguration | None = None
         self._first_revision = 0
         self._behind: list[str] = []
         self._callers_ended_well = False
         self._fallen: list[str] = []
+        self._table_problems: list[str] = []
 
     async def run(self) -> Verdict:
         """Run it and return what it showed; prints what goes on."""
@@ -81,6 +109,16 @@
                 await links.close()
         return self._judge()
 
+    def history_from_start(self) -> History:
+        """Return the run's history with times that count from when the callers began."""
+        assert self._history is not None, "the run is not over"
+        began = self._callers_began
+        events: list[Event] = [
+            msgspec.structs.replace(event, time=event.time - began)
+            for event in self._history.events
+        ]
+        return History(self._history.header, events)
+
     async def _run_with(self, links: FleetLinks) -> None:
         fleet = self._fleet
         _say(f"{self._deployment.name}, {self._scenario.name}: {len(fleet.processes)} processes")
@@ -97,13 +135,14 @@
             _say(f"callers send: {phases}; {len(self._scenario.act)} acts")
             await self._load_and_faults(links, operator, watch)
             self._fallen = fleet.ended_unasked()
+            self._table_problems = process_table.problems_of(fleet.of_role(*PRODUCTION_ROLES))
             await self._read_final(watch)
 
     async def _load_and_faults(
         self, links: FleetLinks, operator: Operator, watch: FleetWatch
     ) -> None:
         injector = FaultInjector(self._fleet, operator, self._journal, links, watch)
-        await self._fleet.start_callers()
+        self._callers_began = await self._fleet.start_callers() - self._journal.began
         total = sum(phase.duration_seconds for phase in self._scenario.phase)
         async with asyncio.TaskGroup() as group:
             faults = group.create_task(injector.run(self._scenario.act))
@@ -131,6 +170,7 @@
             self._fleet.plan, records, self._journal, self._scenario.name, self._seed
         )
         history.write(self._folder / HISTORY_FILE)
+        self._history = history
         self._journal.write(self._folder / PROBLEMS_FILE)
         rows = rows_of(records.callers)
         verdict = Verdict(
@@ -167,6 +207,11 @@
             len(self._fleet.processes),
             [*lost, *fallen, *self._journal.problems],
         )
+        yield Check(
+            "no children, io_uring or shared memory",
+            len(self._fleet.of_role(*PRODUCTION_ROLES)),
+            self._table_problems,
+        )
         yield Check(
             "configuration at the end",
             len(records.operators),
--- a/src/finchshed/fleet/faults.py
+++ b/src/finchshed/fleet/faults.py
@@ -10,13 +10,16 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import aiohttp
+
+from finchshed.common.errors import FinchshedError
 from finchshed.fleet import acts
 from finchshed.fleet.journal import FaultJournal
+from finchshed.fleet.link_faults import LinkFaults
 from finchshed.fleet.links import FleetLinks
 from finchshed.fleet.operator import Operator
 from finchshed.fleet.plan import backend_name, daemon_name
 from finchshed.fleet.processes import FleetProcess, Role
-from finchshed.fleet.relay import Condition, Rule
 from finchshed.fleet.runner import Fleet, FleetError
 from finchshed.fleet.watch import FleetWatch
 from finchshed.proof.history import (
@@ -29,6 +32,8 @@
 )
 
 KILL_WAIT_SECONDS = 5.0
+ABLE_SECONDS = 20.0
+POLL_SECONDS = 0.1
 FOLLOWING_ROLES = (Role.DAEMON, Role.EDGE)
 """Processes that follow the configuration."""
 
@@ -64,6 +69,8 @@
         self._links = links
         self._watch = watch
         self._numbers = itertools.count(1)
+        self._link_faults = LinkFaults(links, journal, self._end_of)
+        self._control = {process.spec.name for process in fleet.of_role(Role.CONTROL)}
         self._perform: dict[type[acts.Act], Callable[[Any], Awaitable[None]]] = {
             acts.Kill: self._kill,
             acts.Freeze: self._freeze,
@@ -73,12 +80,13 @@
             acts.Misreport: self._misreport,
             acts.Leave: self._leave,
             acts.Edition: self._edition,
-            acts.Cut: self._cut,
-            acts.Delay: self._delay,
-            acts.Throttle: self._throttle,
-            acts.Reset: self._reset,
+            acts.Cut: self._link_faults.cut,
+            acts.Delay: self._link_faults.delay,
+            acts.Throttle: self._link_faults.throttle,
+            acts.Reset: self._link_faults.reset,
             acts.FillDisk: self._fill_disk,
             acts.Change: self._change,
+            acts.Submit: self._change,
         }
 
     async def run(self, script: tuple[acts.FaultAct, ...]) -> None:
@@ -89,7 +97,10 @@
 
     async def _at(self, act: acts.FaultAct) -> None:
         await asyncio.sleep(act.at)
-        await self._perform[type(act)](act)
+        try:
+            await self._perform[type(act)](act)
+        except (FinchshedError, aiohttp.ClientError, TimeoutError) as error:
+            self._journal.problem(f"{type(act).__name__} at {act.at:g}: {error!r}")
 
     async def _kill(self, act: acts.Kill) -> None:
         process = self._resolve(act.target)
@@ -115,7 +126,7 @@
         self._note_started(process)
 
     async def _restart(self, act: acts.Restart) -> None:
-        await self._planned_restart(self._resolve(act.target))
+        await self._planned_restart(self._resolve(act.target), act.down_seconds)
 
     async def _rolling_restart(self, act: acts.RollingRestart) -> None:
         await self._restart_in_turn(self._fleet.of_role(Role.CONTROL), act.pause_seconds)
@@ -135,20 +146,30 @@
             await self._planned_restart(process)
             await asyncio.sleep(pause_seconds)
 
-    async def _planned_restart(self, process: FleetProcess) -> None:
+    async def _planned_restart(self, process: FleetProcess, down_seconds: float = 0.0) -> None:
         spec = process.spec
+        if not await self._becomes_able_to_stop(process):
+            return
         self._journal.add(PlannedStop(self._journal.now(), spec.name, spec.endpoint))
         if spec.endpoint:
             self._journal.add(EndpointLeaving(self._journal.now(), spec.endpoint, PLANNED_SIGN))
         if spec.role in FOLLOWING_ROLES:
             self._journal.add(NodeStopped(self._journal.now(), spec.name))
-        stopped = await self._fleet.restart(spec.name)
+        stopped = await self._fleet.restart(spec.name, down_seconds)
         if not stopped:
             self._journal.problem(f"{spec.name} didn't end by itself after SIGTERM")
         self._note_started(process)
         if spec.endpoint:
             self._journal.add(EndpointReturned(self._journal.now(), spec.endpoint))
 
+    async def _becomes_able_to_stop(self, process: FleetProcess) -> bool:
+        """Wait while a process is frozen or gone by another act; return whether it works."""
+        for _ in range(int(ABLE_SECONDS / POLL_SECONDS)):
+            if process.is_working:
+                return True
+            await asyncio.sleep(POLL_SECONDS)
+        return False
+
     async def _slow(self, act: acts.Slow) -> None:
         endpoints = self._endpoints(act.target)
         for endpoint in endpoints:
@@ -188,71 +209,33 @@
         for endpoint in self._endpoints(act.target):
             await self._fleet.command_backend(endpoint, "edition", str(act.edition))
 
-    async def _cut(self, act: acts.Cut) -> None:
-        ways = [(act.source, act.target)]
-        if not act.one_way:
-            ways.append((act.target, act.source))
-        await self._suffer("cut", ways, Condition(cut=True), act.duration_seconds)
-
-    async def _delay(self, act: acts.Delay) -> None:
-        ways = [(act.source, act.target), (act.target, act.source)]
-        condition = Condition(delay_seconds=act.delay_seconds)
-        await self._suffer("delay", ways, condition, act.duration_seconds)
-
-    async def _throttle(self, act: acts.Throttle) -> None:
-        ways = [(act.source, act.target), (act.target, act.source)]
-        condition = Condition(bytes_per_second=act.bytes_per_second)
-        await self._suffer("throttle", ways, condition, act.duration_seconds)
-
-    async def _suffer(
-        self,
-        fault: str,
-        ways: list[tuple[str, str]],
-        condition: Condition,
-        duration_seconds: float,
-    ) -> None:
-        names = []
-        targets: list[str] = []
-        for source, target in ways:
-            name = f"{fault}-{next(self._numbers)}"
-            resolved = (self._end_of(source), self._end_of(target))
-            rule = Rule(source=resolved[0], target=resolved[1], condition=condition)
-            self._links.set(name, rule)
-            names.append(name)
-            targets += resolved
-        ends = tuple(dict.fromkeys(targets))
-        self._journal.add(Fault(self._journal.now(), fault, ends))
-        await asyncio.sleep(duration_seconds)
-        for name in names:
-            self._links.clear(name)
-        self._journal.add(Fault(self._journal.now(), fault, ends, ended=True))
-
-    async def _reset(self, act: acts.Reset) -> None:
-        ends = (self._end_of(act.source), self._end_of(act.target))
-        self._links.relay.reset(*ends)
-        self._journal.add(Fault(self._journal.now(), "reset", ends))
-
     async def _fill_disk(self, act: acts.FillDisk) -> None:
         process = self._resolve(act.target)
         name = process.spec.name
+        pid = process.pid
+        if not process.is_working:
+            return
         limit = largest_file_bytes(pathlib.Path(process.spec.data_folder))
-        resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (limit, UNLIMITED))
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, (limit, UNLIMITED))
         self._journal.add(Fault(self._journal.now(), "fill_disk", (name,)))
+        self._watch.disks_seen_full.discard(name)
         await asyncio.sleep(act.duration_seconds)
-        if process.pid:
-            resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (UNLIMITED, UNLIMITED))
+        is_same = process.pid == pid and process.is_working
+        if is_same and name in self._control and name not in self._watch.disks_seen_full:
+            self._journal.problem(f"{name}: its disk was never seen full")
+        if process.pid == pid:
+            resource.prlimit(pid, resource.RLIMIT_FSIZE, (UNLIMITED, UNLIMITED))
         self._journal.add(Fault(self._journal.now(), "fill_disk", (name,), ended=True))
 
-    async def _change(self, act: acts.Change) -> None:
+    async def _change(self, act: acts.Change | acts.Submit) -> None:
         number = next(self._numbers)
         name = f"operator-{number}"
-        code = await self._fleet.run_operator(name, act.times, number * FIRST_NUMBER_STEP)
+        code = await self._fleet.run_operator(name, number * FIRST_NUMBER_STEP, act)
         if code != 0:
-            self._journal.problem(f"{name}: a change was never accepted (exit code {code})")
+            self._journal.problem(f"{name}: a change was never answered (exit code {code})")
 
     async def _start(self, process: FleetProcess) -> None:
-        process.start()
-        await self._fleet.wait_ready([process.spec])
+        await self._fleet.start_again(process)
         self._note_started(process)
 
     def _note_fault(self, fault: str, process: FleetProcess, *, ended: bool = False) -> None:
@@ -266,7 +249,7 @@
         self._links.note_reachability()
 
     def _note_started(self, process: FleetProcess) -> None:
-        if process.spec.role in FOLLOWING_ROLES:
+        if process.spec.role in FOLLOWING_ROLES and process.is_working:
             self._journal.add(NodeStarted(self._journal.now(), process.spec.name))
         self._links.note_reachability()
 
