--- a/src/finchshed/bench/daemon_system.py
+++ b/src/finchshed/bench/daemon_system.py
@@ -56,6 +56,8 @@
         Size of each answer, and the time a back end takes for it.
     flags
         Flags of every daemon, over the defaults.
+    relays
+        Number of processes that only pass bytes, in a row before the first back end.
     wrapper
         Returns the command a daemon is run by, given its name and arguments.
     """
@@ -65,10 +67,12 @@
     backend_seconds: float = 0.0
     slots: int = 64
     flags: Mapping[str, str] = field(default_factory=dict)
+    relays: int = 0
     wrapper: Callable[[str, list[str]], list[str]] | None = None
     control: FixedControl = field(default_factory=FixedControl)
     backend_processes: list[MeasuredProcess] = field(default_factory=list)
     daemons: list[MeasuredProcess] = field(default_factory=list)
+    relay_processes: list[MeasuredProcess] = field(default_factory=list)
     edge: MeasuredProcess | None = None
 
     async def __aenter__(self) -> "DaemonSystem":
@@ -100,7 +104,9 @@
             }
             self._launch_daemon(daemon, beside)
         self._launch_daemon(self.edge, {})
-        for process in [*self.backend_processes, *self.daemons, self.edge]:
+        self._launch_relays()
+        started = [*self.backend_processes, *self.relay_processes, *self.daemons, self.edge]
+        for process in started:
             await _wait_listening(process)
 
     def _resources(self) -> tuple[Service | Policy | Endpoint, ...]:
@@ -124,6 +130,16 @@
         arguments = [port, str(self.body_bytes), str(self.backend_seconds)]
         backend.process = _launch([sys.executable, "-m", module, *arguments])
 
+    def _launch_relays(self) -> None:
+        onward = self.backend_processes[0].http_address
+        for number in range(1, self.relays + 1):
+            relay = MeasuredProcess(f"relay-{number}", _free_address())
+            port = relay.http_address.rpartition(":")[2]
+            module = "finchshed.bench.byte_relay"
+            relay.process = _launch([sys.executable, "-m", module, port, onward])
+            self.relay_processes.append(relay)
+            onward = relay.http_address
+
     def _launch_daemon(self, daemon: MeasuredProcess, beside: Mapping[str, str]) -> None:
         named = {
             "node": daemon.name,
@@ -146,7 +162,7 @@
         edge = [] if self.edge is None else [self.edge]
         processes = [
             measured.process
-            for measured in [*edge, *self.daemons, *self.backend_processes]
+            for measured in [*edge, *self.daemons, *self.relay_processes, *self.backend_processes]
             if measured.process is not None
         ]
         for process in processes:
--- a/src/finchshed/bench/paired_latency.py
+++ b/src/finchshed/bench/paired_latency.py
@@ -1,19 +1,19 @@
 """Latency the whole path adds to a call, measured in pairs.
 
-One caller sends each request twice: directly to the back end, and through the path (edge daemon,
-JSON lines, daemon beside the back end, back end). The two calls of a pair follow one another at
-once, which of them goes first alternates, and pairs arrive as a Poisson process, so whatever else
-the machine does falls on both alike. Both p99 of each way and percentiles of the differences
-within pairs are told: the former is what a caller sees, the latter what the path does to a call.
+One caller sends each request three times: directly to the back end, through the path (edge daemon,
+JSON lines, daemon beside the back end, back end), and through two processes that only pass bytes,
+which shows the part that no work on the daemons can take away. The calls of a set follow one
+another at once, which of them goes first changes, and sets arrive as a Poisson process, so whatever
+else the machine does falls on all alike. Percentiles of each way and of the differences within sets
+are told: the former is what a caller sees, the latter what the path does to a call.
 """
 
 import asyncio
 import random
 import sys
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from pathlib import Path
-from typing import TypeAlias
 
 import msgspec
 import uvloop
@@ -26,6 +26,9 @@
 from finchshed.daemon.backend import BackendAnswer, BackendRequest, BackendResult
 from finchshed.daemon.backend_http import HttpBackend
 
+DIRECT, THROUGH, RELAYED = range(3)
+RELAYS = 2
+
 DEFAULT_RATES = (50.0, 100.0, 200.0, 400.0)
 DEFAULT_SECONDS = 15.0
 WARM_UP_SECONDS = 2.0
@@ -37,9 +40,6 @@
 CALLER_CONNECTIONS = 64
 MICROSECONDS = 1e6
 
-_Start: TypeAlias = Callable[[], None]
-_Done: TypeAlias = Callable[[float | None], None]
-
 
 class Percentiles(msgspec.Struct, frozen=True):
     """Milliseconds at three percentiles."""
@@ -70,6 +70,8 @@
         Pairs of which a call was not.
     added
         Difference of the percentiles: what a caller sees.
+    added_by_relays
+        The same for two processes that only pass bytes.
     paired
         Percentiles of the difference within each pair; a negative difference counts as 0.
     edge_microseconds, daemon_microseconds
@@ -83,7 +85,9 @@
     failed: int
     direct: Percentiles
     through: Percentiles
+    relayed: Percentiles
     added: Percentiles
+    added_by_relays: Percentiles
     paired: Percentiles
     edge_microseconds: float
     daemon_microseconds: float
@@ -91,13 +95,21 @@
 
 
 class PairedRun:
-    """Sends pairs at one rate and keeps what they took."""
+    """Sends sets of calls at one rate and keeps what they took.
 
-    def __init__(self, direct: HttpBackend, through: HttpBackend, rng: random.Random) -> None:
-        self._ways = (direct, through)
+    Parameters
+    ----------
+    ways
+        Clients of the ways: direct, through the path, relayed.
+    rng
+        Source of the arrivals.
+    """
+
+    def __init__(self, ways: Sequence[HttpBackend], rng: random.Random) -> None:
+        self._ways = ways
         self._rng = rng
         self._loop = asyncio.get_running_loop()
-        self._histograms = (_histogram(), _histogram())
+        self._histograms = [_histogram() for _ in ways]
         self._differences = _histogram()
         self._open = 0
         self._all_ended: asyncio.Event | None = None
@@ -105,7 +117,7 @@
         self.failed = 0
 
     async def run(self, rate: float, seconds: float) -> None:
-        """Send pairs for ``seconds`` and wait for their answers."""
+        """Send sets for ``seconds`` and wait for their answers."""
         start = time.perf_counter()
         due = start
         number = 0
@@ -113,55 +125,41 @@
             due += self._rng.expovariate(rate)
             await asyncio.sleep(max(0.0, due - time.perf_counter()))
             self._open += 1
-            self._send_first(number % 2)
+            self._send_next(number % len(self._ways), [None] * len(self._ways))
             number += 1
         if self._open:
             self._all_ended = asyncio.Event()
             await self._all_ended.wait()
 
-    def percentiles(self) -> tuple[Percentiles, Percentiles, Percentiles]:
-        """Return those of direct calls, calls through the path, and the differences."""
-        direct, through = self._histograms
-        return _percentiles(direct), _percentiles(through), _percentiles(self._differences)
-
-    def _send_first(self, way: int) -> None:
-        def answered(first: float | None) -> None:
-            if first is None:
-                self._end_failed()
-                return
-            self._loop.call_soon(self._send(1 - way, lambda second: self._end(way, first, second)))
-
-        self._send(way, answered)()
-
-    def _send(self, way: int, done: _Done) -> _Start:
-        def start() -> None:
-            started = time.perf_counter()
-
-            def on_result(result: BackendResult) -> None:
-                took = time.perf_counter() - started
-                is_whole = isinstance(result, BackendAnswer) and _is_whole(result)
-                done(took if is_whole else None)
+    def percentiles(self) -> list[Percentiles]:
+        """Return those of each way, then those of the differences."""
+        return [_percentiles(held) for held in (*self._histograms, self._differences)]
 
-            self._ways[way].send(_request(), on_result)
+    def _send_next(self, way: int, took: list[float | None]) -> None:
+        started = time.perf_counter()
 
-        return start
-
-    def _end(self, first_way: int, first: float, second: float | None) -> None:
-        if second is None:
-            self._end_failed()
-            return
-        direct, through = (first, second) if first_way == 0 else (second, first)
-        self._histograms[0].record_value(round(direct * MICROSECONDS))
-        self._histograms[1].record_value(round(through * MICROSECONDS))
-        self._differences.record_value(max(0, round((through - direct) * MICROSECONDS)))
-        self.pairs += 1
-        self._close_pair()
-
-    def _end_failed(self) -> None:
-        self.failed += 1
-        self._close_pair()
-
-    def _close_pair(self) -> None:
+        def on_result(result: BackendResult) -> None:
+            if not (isinstance(result, BackendAnswer) and _is_whole(result)):
+                self._end(None)
+                return
+            took[way] = time.perf_counter() - started
+            following = (way + 1) % len(self._ways)
+            if took[following] is None:
+                self._loop.call_soon(self._send_next, following, took)
+            else:
+                self._end([seconds or 0.0 for seconds in took])
+
+        self._ways[way].send(_request(), on_result)
+
+    def _end(self, took: Sequence[float] | None) -> None:
+        if took is None:
+            self.failed += 1
+        else:
+            self.pairs += 1
+            for histogram, seconds in zip(self._histograms, took, strict=True):
+                histogram.record_value(round(seconds * MICROSECONDS))
+            difference = took[THROUGH] - took[DIRECT]
+            self._differences.record_value(max(0, round(difference * MICROSECONDS)))
         self._open -= 1
         if self._open == 0 and self._all_ended is not None:
             self._all_ended.set()
@@ -179,19 +177,19 @@
             return [sys.executable, "-m", "cProfile", "-o", out, *arguments]
 
     results = []
-    async with DaemonSystem(body_bytes=BODY_BYTES, wrapper=wrapper) as system:
+    async with DaemonSystem(body_bytes=BODY_BYTES, relays=RELAYS, wrapper=wrapper) as system:
         edge, daemon = system.edge, system.daemons[0]
         assert edge is not None
-        direct = _client(system.backend_processes[0])
-        through = _client(edge)
-        await _await_ready(through)
-        await PairedRun(direct, through, random.Random(seed)).run(rates[0], WARM_UP_SECONDS)
+        ends = (system.backend_processes[0], edge, system.relay_processes[-1])
+        ways = [_client(end) for end in ends]
+        await _await_ready(ways[THROUGH])
+        await PairedRun(ways, random.Random(seed)).run(rates[0], WARM_UP_SECONDS)
         for rate in rates:
-            run = PairedRun(direct, through, random.Random(seed))
+            run = PairedRun(ways, random.Random(seed))
             usage = await _run_measured(run, rate, seconds, (edge, daemon))
             results.append(_result(run, rate, seconds, seed, usage))
-        await direct.close()
-        await through.close()
+        for way in ways:
+            await way.close()
     return results
 
 
@@ -214,7 +212,7 @@
 
 
 def _result(run: PairedRun, rate: float, seconds: float, seed: int, usage: _Usage) -> PairedResult:
-    direct, through, paired = run.percentiles()
+    direct, through, relayed, paired = run.percentiles()
     calls = max(1, run.pairs + run.failed)
     return PairedResult(
         rate=rate,
@@ -224,7 +222,9 @@
         failed=run.failed,
         direct=direct,
         through=through,
+        relayed=relayed,
         added=through.minus(direct),
+        added_by_relays=relayed.minus(direct),
         paired=paired,
         edge_microseconds=round(usage.edge / calls * MICROSECONDS, 1),
         daemon_microseconds=round(usage.daemon / calls * MICROSECONDS, 1),
@@ -267,12 +267,18 @@
     """Return the results as lines of a table; latencies in milliseconds at p50/p99/p99.9."""
     lines = [
         "pairs/s  pairs failed          direct         through           added"
-        "          paired  edge us  daemon us  busy cores"
+        "    added, relay          paired  edge us  daemon us  busy cores"
     ]
     for result in results:
         columns = [
             f"{_text(percentiles):>15}"
-            for percentiles in (result.direct, result.through, result.added, result.paired)
+            for percentiles in (
+                result.direct,
+                result.through,
+                result.added,
+                result.added_by_relays,
+                result.paired,
+            )
         ]
         lines.append(
             f"{result.rate:7.0f} {result.pairs:6d} {result.failed:6d} {' '.join(columns)}"
