Report of experiments as one page with plots; recovery counts only without relapse

A later stretch of 2 s below 85% now means that goodput wasn't back.

Latencies are kept as HdrHistograms, repeats by quarter of a second.

--- a/src/finchshed/bench/measures.py
+++ b/src/finchshed/bench/measures.py
@@ -7,16 +7,29 @@
 from typing import Final
 
 import msgspec
+from hdrh.histogram import HdrHistogram
 
 from finchshed.common.importance import Importance
-from finchshed.proof.history import CallBegan, CallEnded, CallResult, Event, RunBegan, RunEnded
+from finchshed.proof.history import (
+    AttemptSent,
+    CallBegan,
+    CallEnded,
+    CallResult,
+    Event,
+    RunBegan,
+    RunEnded,
+)
 
 RECOVERY_WINDOW_SECONDS: Final = 0.5
 RECOVERY_STEP_SECONDS: Final = 0.05
 RECOVERY_SUSTAINED_SECONDS: Final = 2.0
 TIMELINE_STEP_SECONDS: Final = 0.25
 RECOVERED_SHARE: Final = 0.95
+RELAPSE_SHARE: Final = 0.85
+"""Goodput that falls below this part of the former, after it had come back, hadn't come back."""
+
 STATUS_OK: Final = 200
+MICROSECONDS: Final = 1_000_000
 
 
 class Period(msgspec.Struct, frozen=True):
@@ -68,6 +81,12 @@
         Of the root requests that arrived during the overload, the share answered in the end.
     timeline
         Whole answers in each quarter of a second, by kind.
+    client_repeats, inner_repeats
+        Requests sent again in each quarter of a second, by outside clients, and by daemons or back
+        ends further down.
+    latency_histograms
+        Time from a root request's arrival to its whole answer, by kind: HdrHistogram (encoded V2)
+        of microseconds.
     wasted_share
         Part of the back ends' running time that went into requests not answered whole.
     """
@@ -84,6 +103,9 @@
     latency_p99: float
     answered_share_by_kind: dict[str, float]
     timeline: dict[str, list[int]]
+    client_repeats: list[int] = []
+    inner_repeats: list[int] = []
+    latency_histograms: dict[str, str] = {}
 
 
 def roots_of(events: Iterable[Event], deep_service: str) -> dict[str, RootRecord]:
@@ -161,6 +183,9 @@
         latency_p99=_quantile(latencies, 0.99),
         answered_share_by_kind=_answered_share_by_kind(roots, overload),
         timeline=_timeline(roots, plan.end),
+        client_repeats=_client_repeats(events, plan.end),
+        inner_repeats=_inner_repeats(events, plan.end),
+        latency_histograms=_latency_histograms(roots),
     )
 
 
@@ -171,7 +196,8 @@
 
     Goodput is counted in windows of half a second; the time is that of the first good window's
     end, so the smallest figure is half a second. A burst of repeats that answers much for a moment
-    is no recovery: the mean over the sustained time from the window's start must be good as well.
+    is no recovery: the mean over the sustained time from the window's start must be good as well,
+    and no later stretch of that length may fall below :data:`RELAPSE_SHARE`.
 
     Parameters
     ----------
@@ -186,7 +212,7 @@
         Seconds, or None if goodput doesn't recover until ``end``.
     """
     needed = RECOVERED_SHARE * before
-    start = trigger_end
+    start = max(trigger_end, _last_relapse(finished, before, trigger_end, end))
     while start + RECOVERY_SUSTAINED_SECONDS <= end:
         window = Period(start, start + RECOVERY_WINDOW_SECONDS)
         sustained = Period(start, start + RECOVERY_SUSTAINED_SECONDS)
@@ -196,6 +222,18 @@
     return None
 
 
+def _last_relapse(finished: list[float], before: float, trigger_end: float, end: float) -> float:
+    """Return the start of the last stretch in which goodput was far below the former."""
+    needed = RELAPSE_SHARE * before * RECOVERY_SUSTAINED_SECONDS
+    last = trigger_end
+    start = trigger_end
+    while start + RECOVERY_SUSTAINED_SECONDS <= end:
+        if _count(finished, Period(start, start + RECOVERY_SUSTAINED_SECONDS)) < needed:
+            last = start
+        start += RECOVERY_STEP_SECONDS
+    return last
+
+
 def _count(times: list[float], period: Period) -> int:
     return bisect_left(times, period.end) - bisect_left(times, period.start)
 
@@ -230,6 +268,54 @@
     return dict(sorted(timeline.items()))
 
 
+def _client_repeats(events: Iterable[Event], end: float) -> list[int]:
+    times: list[float] = []
+    seen: set[str] = set()
+    for event in events:
+        if isinstance(event, CallBegan) and not event.parent:
+            if event.root in seen:
+                times.append(event.time)
+            seen.add(event.root)
+    return _steps(times, end)
+
+
+def _inner_repeats(events: list[Event], end: float) -> list[int]:
+    """Count attempts beyond the first of each call; runs, where attempts aren't recorded."""
+    kind = AttemptSent if any(isinstance(event, AttemptSent) for event in events) else RunBegan
+    times: list[float] = []
+    seen: set[str] = set()
+    for event in events:
+        if isinstance(event, kind):
+            if event.call in seen:
+                times.append(event.time)
+            seen.add(event.call)
+    return _steps(times, end)
+
+
+def _steps(times: Iterable[float], end: float) -> list[int]:
+    counts = [0] * math.ceil(end / TIMELINE_STEP_SECONDS)
+    for time in times:
+        if time < end:
+            counts[int(time / TIMELINE_STEP_SECONDS)] += 1
+    return counts
+
+
+def _latency_histograms(roots: dict[str, RootRecord]) -> dict[str, str]:
+    histograms: dict[str, HdrHistogram] = {}
+    for root in roots.values():
+        histogram = histograms.get(root.kind)
+        if histogram is None:
+            histogram = histograms[root.kind] = new_histogram()
+        if root.good:
+            histogram.record_value(int((root.finished - root.arrived) * MICROSECONDS))
+    return {kind: held.encode().decode() for kind, held in sorted(histograms.items())}
+
+
+def new_histogram() -> HdrHistogram:
+    """Return an empty histogram of microseconds, from one to a minute, three digits kept."""
+    return HdrHistogram(1, 60 * MICROSECONDS, 3)
+
+
 def _wasted_share(events: Iterable[Event], roots: dict[str, RootRecord]) -> float:
     began: dict[str, RunBegan] = {}
     total = 0.0
--- a/src/finchshed/bench/results.py
+++ b/src/finchshed/bench/results.py
@@ -14,6 +14,7 @@
 from finchshed.bench.measures import Measures, measure
 from finchshed.common.errors import FinchshedError
 from finchshed.emulator import world
+from finchshed.emulator.collector import tune_collector
 from finchshed.emulator.physical_limit import limits_by_kind
 from finchshed.emulator.presets import PRESETS
 
@@ -67,6 +68,7 @@
 
 def run_case(case: Case) -> RunRecord:
     """Run one case and measure it."""
+    tune_collector()
     deployment = PRESETS[case.deployment]
     result = world.run(case.specification())
     measures = measure(result.history.events, case.plan())
--- a/src/finchshed/cli/table.py
+++ b/src/finchshed/cli/table.py
@@ -67,6 +67,7 @@
     "prove": Command("check the stated properties over seeds", "finchshed.proof.command:prove"),
     "replay": Command("replay a trace against stated outcomes", "finchshed.replay.command:replay"),
     "record": Command("record a trace", "finchshed.replay.command:record"),
+    "report": Command("make reports and plots of results", "finchshed.report.command:report"),
     "standin": Command("stand-ins for back ends and callers", "finchshed.standins.command:standin"),
 }
 
--- a/src/finchshed/proof/campaign.py
+++ b/src/finchshed/proof/campaign.py
@@ -1,6 +1,5 @@
 """Runs seeds of a scenario and judges their histories; shrinks what fails."""
 
-import gc
 from collections import Counter
 from collections.abc import Iterable, Iterator, Sequence
 from concurrent.futures import ProcessPoolExecutor
@@ -8,6 +7,7 @@
 import msgspec
 
 from finchshed.emulator import world
+from finchshed.emulator.collector import tune_collector
 from finchshed.proof.checks import violations_of
 from finchshed.proof.checks.index import Violation
 from finchshed.proof.coverage import coverage_of
@@ -15,8 +15,6 @@
 from finchshed.proof.scenarios import Plan, plan_of
 
 VIOLATIONS_KEPT = 20
-COLLECTOR_THRESHOLD = 200_000
-"""Objects made before the garbage collector runs."""
 
 
 class SeedResult(msgspec.Struct):
@@ -71,14 +69,6 @@
     return result, run.history
 
 
-def tune_collector() -> None:
-    """Let the garbage collector run seldom: a run makes much that lives to its end.
-
-    Measured on the scenario ``partition``: 0.63 s of processor time a seed before, 0.48 s after.
-    """
-    gc.set_threshold(COLLECTOR_THRESHOLD, 20, 20)
-
-
 def run_seed(scenario: str, seed: int, shrink: bool = True) -> SeedResult:
     """Run one seed; if it fails, find a smaller list of faults that fails the same checker."""
     tune_collector()
--- /dev/null
+++ b/src/finchshed/report/__init__.py
@@ -0,0 +1,1 @@
+"""Reports and plots of results of experiments."""
--- a/tests/proof/seeds_taken.py
+++ b/tests/proof/seeds_taken.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from finchshed.proof.campaign import run_plan, tune_collector
+from finchshed.emulator.collector import tune_collector
+from finchshed.proof.campaign import run_plan
 from finchshed.proof.scenarios import plan_of
 from tests.proof.broken import VARIANTS, Variant
 
