--- a/src/finchshed/emulator/command.py
+++ b/src/finchshed/emulator/command.py
@@ -2,12 +2,15 @@
 
 from pathlib import Path
 
+import msgspec
+
 from finchshed.cli.exit_codes import ExitCode
 from finchshed.common.errors import SettingsError
 from finchshed.emulator import world
 from finchshed.emulator.acts import SlowService
 from finchshed.emulator.callers import Surge
 from finchshed.emulator.collector import tune_collector
+from finchshed.emulator.deployment import Deployment
 from finchshed.emulator.presets import PRESETS
 from finchshed.emulator.run import CONTROLS, RunResult, RunSpecification
 from finchshed.proof.checks import violations_of
@@ -31,6 +34,7 @@
     demand: float = 1.0,
     slow: float = 1.0,
     control_nodes: int = 3,
+    scale: int = 1,
     history: str = "",
 ) -> int:
     """Run a deployment once in simulated time, and judge it.
@@ -53,6 +57,8 @@
         Factors of the surge.
     control_nodes
         Control nodes to emulate; 0 emulates a control plane that never fails.
+    scale
+        How many times as many back ends, and as much demand, the deployment has.
     history
         File that gets the history.
     """
@@ -63,7 +69,7 @@
     begin = FORMING_SECONDS if nodes else 0.0
     surge_begin = begin + seconds * SURGE_SHARE
     surge_seconds = seconds * SURGE_SHARE
-    model = PRESETS[deployment]
+    model = scaled_out(PRESETS[deployment], scale)
     slowed = SlowService(
         time=surge_begin, service=model.deep_service, factor=slow, seconds=surge_seconds
     )
@@ -90,6 +96,19 @@
     return ExitCode.FAILED if violations else ExitCode.OK
 
 
+def scaled_out(deployment: Deployment, scale: int) -> Deployment:
+    """Return ``deployment`` with ``scale`` times as many back ends and as much demand."""
+    services = tuple(
+        msgspec.structs.replace(service, back_ends=service.back_ends * scale)
+        for service in deployment.services
+    )
+    return msgspec.structs.replace(
+        deployment,
+        services=services,
+        arrivals_per_second=deployment.arrivals_per_second * scale,
+    )
+
+
 def _lines(result: RunResult) -> list[str]:
     coverage = coverage_of(result.history.events)
     lines = [f"history {result.history.digest()}, {len(result.history.events)} events"]
