A daemon restarted with a disk hears control first, before disk and peers suffice

A daemon with a disk and no peer in its zone took calls on its recorded revision at once, though control was in reach and had accepted a later one. With peers the same could happen when most of them were behind.

Change: disk and peers are a ground only while control isn't connected and 2 s after the start.

ClientIdentity has a module of its own, so that the emulator imports no shell: the architecture test failed with time.time reached through asyncio.

--- a/src/finchshed/cli/table.py
+++ b/src/finchshed/cli/table.py
@@ -60,6 +60,7 @@
     "config": Command("check, show or sample settings", "finchshed.settings.command:COMMANDS"),
     "fleet": Command("run a deployment of real processes", "finchshed.fleet.command:fleet"),
     "bench": Command("measure what a call costs", "finchshed.bench.command:COMMANDS"),
+    "scale": Command("run many hollow daemons beside real ones", "finchshed.scale.command:scale"),
     "standin": Command("stand-ins for back ends and callers", "finchshed.standins.command:standin"),
 }
 
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -27,9 +27,9 @@
 from finchshed.daemon.sockets import listening_socket
 from finchshed.daemon.spool import SpoolBudget
 from finchshed.distribution.addresses import parse_control_address
-from finchshed.distribution.client import ClientIdentity
 from finchshed.distribution.driver import FollowerDriver
 from finchshed.distribution.effects import ServingGround
+from finchshed.distribution.identity import ClientIdentity
 from finchshed.distribution.messages import Delta
 from finchshed.distribution.snapshot import Configuration
 from finchshed.link.listener import AcceptedLink, LinkListener
--- a/src/finchshed/distribution/client.py
+++ b/src/finchshed/distribution/client.py
@@ -14,6 +14,7 @@
 
 from finchshed.common.outcomes import Answered
 from finchshed.distribution.addresses import AddressBook, ControlAddress
+from finchshed.distribution.identity import ClientIdentity
 from finchshed.distribution.messages import (
     ControlToDaemon,
     Decision,
@@ -57,17 +58,6 @@
 MAX_LINE_BYTES = 96 << 20
 
 
-@dataclass(frozen=True, slots=True)
-class ClientIdentity:
-    """Who the daemon is, as told to control nodes."""
-
-    node: str
-    incarnation: str
-    service: str
-    zone: str
-    endpoint: str = ""
-
-
 @dataclass(frozen=True, slots=True)
 class ClientHandlers:
     """What the client tells its owner.
--- a/src/finchshed/distribution/driver.py
+++ b/src/finchshed/distribution/driver.py
@@ -16,7 +16,6 @@
 from finchshed.distribution.addresses import ControlAddress
 from finchshed.distribution.client import (
     ClientHandlers,
-    ClientIdentity,
     Connect,
     ControlClient,
 )
@@ -33,6 +32,7 @@
     TakeEffect,
 )
 from finchshed.distribution.follower import Follower, FollowerIdentity
+from finchshed.distribution.identity import ClientIdentity
 from finchshed.distribution.messages import Delta
 from finchshed.distribution.record import RecordFile
 from finchshed.distribution.snapshot import Configuration
--- a/src/finchshed/distribution/follower.py
+++ b/src/finchshed/distribution/follower.py
@@ -38,6 +38,9 @@
 FETCH_RETRY_SECONDS = 1.0
 """An unanswered fetch is repeated, from another source if there is one, after this long."""
 
+CONTROL_GRACE_SECONDS = 2.0
+"""After a start, control has this long to be reached before disk and peers are enough."""
+
 HISTORY_CHANGES = 64
 """Changes kept for peers; one that is further behind gets the whole configuration."""
 
@@ -91,6 +94,7 @@
         self._history = DeltaHistory(HISTORY_CHANGES)
         self._holds_any = False
         self._started_from_disk = False
+        self._started_at = 0.0
         self._highest_seen = 0
         self._confirmed_revision: int | None = None
         self._ground = ServingGround.NONE
@@ -142,6 +146,7 @@
 
     def start(self, now: float) -> Sequence[FollowerEffect]:
         """Begin; with a record, act on it at once and ask the peers of the zone."""
+        self._started_at = now
         if not self._started_from_disk:
             return NO_EFFECTS
         effects: list[FollowerEffect] = [TakeEffect(Configuration(), self._in_force)]
@@ -235,7 +240,7 @@
         """Return what the present state asks for."""
         effects: list[FollowerEffect] = []
         effects.extend(self._record_or_take_effect())
-        effects.extend(self._start_serving())
+        effects.extend(self._start_serving(now))
         effects.extend(self._fetch(now))
         return effects
 
@@ -259,17 +264,17 @@
         self._in_force = configuration
         return [TakeEffect(previous, configuration), ReportInForce(configuration.revision)]
 
-    def _start_serving(self) -> list[FollowerEffect]:
+    def _start_serving(self, now: float) -> list[FollowerEffect]:
         if self.may_serve:
             return []
-        ground = self._find_ground()
+        ground = self._find_ground(now)
         if ground is ServingGround.NONE:
             return []
         self._ground = ground
         self._peers.clear()
         return [StartServing(ground)]
 
-    def _find_ground(self) -> ServingGround:
+    def _find_ground(self, now: float) -> ServingGround:
         in_force = self._in_force.revision
         if not self._holds_any or self._in_force is not self._held:
             return ServingGround.NONE
@@ -277,7 +282,11 @@
             return ServingGround.NONE
         if self._confirmed_revision is not None and in_force >= self._confirmed_revision:
             return ServingGround.QUORUM
-        if self._started_from_disk and self._most_peers_answered():
+        # A quorum knows more than the peers, so it is heard first where it can be reached.
+        without_control = (
+            not self._control_connected and now - self._started_at >= CONTROL_GRACE_SECONDS
+        )
+        if self._started_from_disk and without_control and self._most_peers_answered():
             return ServingGround.DISK_AND_PEERS
         return ServingGround.NONE
 
--- a/src/finchshed/emulator/control/planes.py
+++ b/src/finchshed/emulator/control/planes.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from finchshed.configuration.resources import Endpoint, EndpointState, Policy
-from finchshed.distribution.client import ClientIdentity
+from finchshed.distribution.identity import ClientIdentity
 from finchshed.emulator import acts
 from finchshed.emulator.control.group import PLATFORM_LAG_SECONDS, ControlGroup
 from finchshed.emulator.daemons.control_plane import ControlConnection
--- a/src/finchshed/emulator/daemons/control_client.py
+++ b/src/finchshed/emulator/daemons/control_client.py
@@ -12,7 +12,7 @@
 from finchshed.common.outcomes import Answered
 from finchshed.control.commands import CommandResult, CompleteRequest
 from finchshed.distribution.addresses import AddressBook, ControlAddress
-from finchshed.distribution.client import ClientIdentity
+from finchshed.distribution.identity import ClientIdentity
 from finchshed.distribution.messages import ControlToDaemon, Delta, Hints, Redirect, Subscribe
 from finchshed.emulator.control.node import ControlNode
 from finchshed.emulator.daemons.ledger_client import OnLedgerResult
--- a/src/finchshed/emulator/daemons/follower_shell.py
+++ b/src/finchshed/emulator/daemons/follower_shell.py
@@ -10,7 +10,6 @@
 from typing import Final, Protocol
 
 from finchshed.configuration.resources import Endpoint
-from finchshed.distribution.client import ClientIdentity
 from finchshed.distribution.effects import (
     FetchFromControl,
     FetchFromPeer,
@@ -23,6 +22,7 @@
     TakeEffect,
 )
 from finchshed.distribution.follower import Follower, FollowerIdentity
+from finchshed.distribution.identity import ClientIdentity
 from finchshed.distribution.messages import Delta, Hints
 from finchshed.distribution.snapshot import Configuration
 from finchshed.emulator.control.node import ControlNode
--- a/src/finchshed/scale/hollow.py
+++ b/src/finchshed/scale/hollow.py
@@ -14,9 +14,9 @@
 from finchshed.daemon.peers import PeerLinks
 from finchshed.daemon.settings import DaemonSettings
 from finchshed.distribution.addresses import parse_control_address
-from finchshed.distribution.client import ClientIdentity
 from finchshed.distribution.driver import FollowerDriver
 from finchshed.distribution.effects import ServingGround
+from finchshed.distribution.identity import ClientIdentity
 from finchshed.distribution.messages import Delta
 from finchshed.distribution.snapshot import Configuration
 from finchshed.link.listener import AcceptedLink, LinkListener
--- a/tests/distribution/test_client.py
+++ b/tests/distribution/test_client.py
@@ -11,10 +11,10 @@
 from finchshed.configuration.resources import Endpoint, Service
 from finchshed.distribution import client as client_module
 from finchshed.distribution.addresses import ControlAddress
-from finchshed.distribution.client import ClientIdentity
 from finchshed.distribution.driver import FollowerDriver
 from finchshed.distribution.effects import ServingGround
 from finchshed.distribution.hub import Hub
+from finchshed.distribution.identity import ClientIdentity
 from finchshed.distribution.messages import (
     Delta,
     LedgerBegin,
--- a/tests/distribution/test_follower.py
+++ b/tests/distribution/test_follower.py
@@ -12,7 +12,12 @@
     StartServing,
     TakeEffect,
 )
-from finchshed.distribution.follower import FETCH_RETRY_SECONDS, Follower, FollowerIdentity
+from finchshed.distribution.follower import (
+    CONTROL_GRACE_SECONDS,
+    FETCH_RETRY_SECONDS,
+    Follower,
+    FollowerIdentity,
+)
 from finchshed.distribution.messages import Delta
 
 HERE = FollowerIdentity(zone="z1", endpoint="own")
@@ -142,13 +147,25 @@
     follower.on_peer_revision("p", 4, 1.0)
     follower.on_peer_revision("stranger", 4, 1.0)
     assert not follower.may_serve
-    effects = follower.on_peer_revision("q", 3, 1.1)
+    assert follower.on_peer_revision("q", 3, 1.1) == []
+    assert follower.tick(CONTROL_GRACE_SECONDS - 0.1) == []
+    effects = follower.tick(CONTROL_GRACE_SECONDS)
+    assert effects == [StartServing(ServingGround.DISK_AND_PEERS)]
+
+
+def test_disk_and_peers_are_not_enough_while_control_is_connected() -> None:
+    follower = Follower(HERE, has_disk=True, record=record(4))
+    assert kinds(follower.start(10.0)) == [TakeEffect]
+    follower.on_control_connected(10.1)
+    follower.tick(10.0 + 2 * CONTROL_GRACE_SECONDS)
+    assert not follower.may_serve
+    effects = follower.on_control_lost(11.0 + 2 * CONTROL_GRACE_SECONDS)
     assert effects == [StartServing(ServingGround.DISK_AND_PEERS)]
 
 
 def test_a_daemon_with_a_disk_fetches_what_a_peer_has_before_it_serves() -> None:
     follower = Follower(HERE, has_disk=True, record=record(4, "p"))
-    follower.start(0.0)
+    follower.start(-CONTROL_GRACE_SECONDS)
     assert follower.on_peer_revision("p", 5, 1.0)[-1] == FetchFromPeer("p", 4)
     assert not follower.may_serve
     follower.on_persisted(1.1)
--- a/tests/simulation/distribution.py
+++ b/tests/simulation/distribution.py
@@ -293,6 +293,8 @@
         self.follower = Follower(FollowerIdentity(self.zone, self.name), self.has_disk, self.disk)
         self.heard_at = self.world.env.now
         self.is_subscribed = False
+        self.confirmed: int | None = None
+        """What was accepted when the daemon made the subscription a quorum confirmed."""
         self.perform(self.follower.start(self.world.env.now))
         self.connect()
 
@@ -362,6 +364,8 @@
             if not self.is_subscribed:
                 self.is_subscribed = True
                 self.perform(self.follower.on_control_connected(now))
+            if message.confirmed:
+                self.confirmed = max(self.confirmed or 0, link.accepted_at_subscription)
             self.perform(self.follower.on_control_delta(message, now))
 
     def tick(self) -> None:
@@ -447,8 +451,9 @@
         revision = self.follower.revision
         if revision < self.ever_in_force:
             raise ViolationError(f"{self.name} serves on {revision}, had {self.ever_in_force}")
-        if ground is ServingGround.QUORUM:
-            assert self.link is not None
-            wanted = self.link.accepted_at_subscription
-            if revision < wanted:
-                raise ViolationError(f"{self.name} serves on {revision}, {wanted} was accepted")
+        if ground is not ServingGround.QUORUM:
+            return
+        if self.confirmed is None:
+            raise ViolationError(f"{self.name} serves, and no quorum confirmed anything")
+        if revision < self.confirmed:
+            raise ViolationError(f"{self.name} serves on {revision} of {self.confirmed} accepted")
--- a/tests/simulation/test_distribution.py
+++ b/tests/simulation/test_distribution.py
@@ -39,8 +39,12 @@
 
 
 def test_both_grounds_for_serving_occur_over_the_seeds() -> None:
-    grounds = {ground for seed in range(20) for ground in run(seed).grounds}
-    assert grounds == {ServingGround.QUORUM, ServingGround.DISK_AND_PEERS}
+    found: set[ServingGround] = set()
+    for seed in SEEDS:
+        found |= run(seed).grounds
+        if found == {ServingGround.QUORUM, ServingGround.DISK_AND_PEERS}:
+            return
+    pytest.fail(f"only {found} over {len(SEEDS)} seeds")
 
 
 def test_the_same_seed_gives_the_same_history() -> None:
@@ -48,7 +52,7 @@
     assert [d.in_force_at for d in first.daemons] == [d.in_force_at for d in second.daemons]
 
 
-def serves_what_it_holds(self: Follower) -> ServingGround:
+def serves_what_it_holds(self: Follower, now: float) -> ServingGround:
     return ServingGround.QUORUM if self._holds_any else ServingGround.NONE
 
 
