Daemons go back to their own zone's control node; projection from slopes

Cause: a control node that was restarted served nobody any more, and daemons of its zone stayed linked to zones they may be cut off from.

Change: a daemon linked to another zone's node tries its own zone's one to two minutes later and moves if a connection opens. The new test timed out with the move switched off.

finchshed scale project works out processor time, memory and traffic at a size from fitted slopes.

--- a/src/finchshed/distribution/addresses.py
+++ b/src/finchshed/distribution/addresses.py
@@ -79,6 +79,18 @@
         first = min(self._records, key=lambda entry: self._records[entry].ready_at)
         return Attempt(first, self._records[first].ready_at - now)
 
+    def nearer(self, address: ControlAddress) -> ControlAddress | None:
+        """Return a node of the own zone, if ``address`` is of another."""
+        if address.zone == self._zone:
+            return None
+        return next((entry for entry in self._records if entry.zone == self._zone), None)
+
+    def on_reachable(self, address: ControlAddress) -> None:
+        """Note that a connection could be opened: earlier failures count no more."""
+        record = self._records[address]
+        record.failures = 0
+        record.ready_at = 0.0
+
     def on_ended(self, address: ControlAddress, lived_seconds: float, now: float) -> None:
         """Note that an attempt or a connection has ended; ``lived_seconds`` 0: never opened."""
         record = self._records[address]
--- a/src/finchshed/distribution/client.py
+++ b/src/finchshed/distribution/client.py
@@ -52,6 +52,13 @@
 ABANDON_SECONDS = 30.0
 """How long the cancel of an attempt whose grant did not come in time is tried."""
 
+NEARER_SECONDS = 60.0
+"""A daemon linked to another zone's control node tries its own zone's after one to two of these.
+
+Without it a control node that was restarted would serve nobody, and a zone would hang on links to
+others that may be cut.
+"""
+
 HEARTBEAT_SECONDS = 1.0
 CHECK_SECONDS = 0.5
 MAX_PENDING_REQUESTS = 8192
@@ -114,6 +121,7 @@
         self._identity = identity
         self._connect = connect or _connect_by_loop
         self._handlers = handlers
+        self._rng = rng
         self._book = AddressBook(addresses, identity.zone, rng)
         self._connection: Connection | None = None
         self._ended: asyncio.Event = asyncio.Event()
@@ -239,7 +247,7 @@
         self.connections_made += 1
         self._subscribe(connection)
         try:
-            await self._watch(connection)
+            await self._watch(connection, address)
         finally:
             self._leave(connection)
         return loop.time() - opened_at
@@ -262,9 +270,11 @@
         for pending in self._pending.values():
             self._send_pending(connection, pending)
 
-    async def _watch(self, connection: Connection) -> None:
-        """Return once the connection has ended or its control node has gone silent."""
+    async def _watch(self, connection: Connection, address: ControlAddress) -> None:
+        """Return once the connection has ended, is silent, or a nearer node can be reached."""
         loop = asyncio.get_running_loop()
+        nearer = self._book.nearer(address)
+        nearer_due = loop.time() + NEARER_SECONDS * (1.0 + self._rng.random())
         while connection.is_open and not self._ended.is_set():
             try:
                 await asyncio.wait_for(self._ended.wait(), CHECK_SECONDS)
@@ -274,6 +284,23 @@
                     return
                 if self._is_subscribed and now >= self._heartbeat_due:
                     self.report_in_force(self._handlers.revision_in_force())
+                if nearer is not None and now >= nearer_due:
+                    nearer_due = now + NEARER_SECONDS * (1.0 + self._rng.random())
+                    if await self._can_reach(nearer):
+                        self._book.on_reachable(nearer)
+                        return
+
+    async def _can_reach(self, address: ControlAddress) -> bool:
+        """Whether a connection to a control node can be opened; it is closed at once."""
+        probe: LineProtocol[ControlToDaemon] = LineProtocol(ControlToDaemon, _ignore)
+        host, _, port = address.address.rpartition(":")
+        try:
+            opening = self._connect(lambda: probe, host, int(port))
+            await asyncio.wait_for(opening, CONNECT_SECONDS)
+        except (OSError, TimeoutError):
+            return False
+        probe.abort()
+        return True
 
     def _leave(self, connection: Connection) -> None:
         received, sent = self._bytes_before
@@ -315,6 +342,10 @@
             self._ended.set()
 
 
+def _ignore(connection: Connection, message: ControlToDaemon) -> None:
+    """Take nothing from a connection that is only tried."""
+
+
 async def _connect_by_loop(make_protocol: Callable[[], Connection], host: str, port: int) -> object:
     return await asyncio.get_running_loop().create_connection(make_protocol, host, port)
 
--- a/src/finchshed/scale/command.py
+++ b/src/finchshed/scale/command.py
@@ -3,10 +3,14 @@
 import pathlib
 from collections.abc import Callable, Mapping
 
+from finchshed.cli.exit_codes import ExitCode
 from finchshed.fleet.command import run_folder, run_interruptible
 from finchshed.scale.layout import ScaleSize
 from finchshed.scale.measure import measure as measure_scale
+from finchshed.scale.measure import read_fits
 from finchshed.scale.phases import PhaseOptions
+from finchshed.scale.projection import Size, table_of
+from finchshed.scale.projection import project as project_size
 from finchshed.scale.run import RunOptions
 from finchshed.scale.run import run as run_scale
 from finchshed.scale.worker import run_worker
@@ -113,9 +117,51 @@
     return run_interruptible(measure_scale(options, seconds))
 
 
+def project(
+    slopes: str,
+    *,
+    daemons: int = 1_100,
+    changes_per_day: float = 1_400.0,
+    burst: float = 4.0,
+    restarts_per_day: float = 110.0,
+    configuration_kib: float = 157.0,
+) -> int:
+    """Work out from measured slopes what control costs at a size, and print it.
+
+    Parameters
+    ----------
+    slopes
+        File written by ``scale measure``.
+    daemons
+        Daemons in sum.
+    changes_per_day
+        Changes accepted on a mean day.
+    burst
+        Changes accepted a second, for a while.
+    restarts_per_day
+        Daemons restarted on a mean day.
+    configuration_kib
+        Size of the whole configuration as sent, KiB.
+    """
+    size = Size(
+        daemons=daemons,
+        changes_per_day=changes_per_day,
+        burst_changes_per_second=burst,
+        restarts_per_day=restarts_per_day,
+        configuration_kibibytes=configuration_kib,
+    )
+    print(table_of(project_size(read_fits(pathlib.Path(slopes)), size)))
+    return ExitCode.OK
+
+
 def hollow(settings: str) -> int:
     """Run a process with hollow daemons; SETTINGS is its file. Started by the other commands."""
     return run_worker(pathlib.Path(settings))
 
 
-scale: Mapping[str, Callable[..., int]] = {"run": run, "measure": measure, "hollow": hollow}
+scale: Mapping[str, Callable[..., int]] = {
+    "run": run,
+    "measure": measure,
+    "project": project,
+    "hollow": hollow,
+}
--- a/src/finchshed/scale/measure.py
+++ b/src/finchshed/scale/measure.py
@@ -1,11 +1,15 @@
 """Runs the sweeps, fits their points, and writes both."""
 
+from pathlib import Path
+
 import msgspec
 
 from finchshed.cli.exit_codes import ExitCode
+from finchshed.common.errors import FinchshedError
 from finchshed.scale.cluster import Cluster
+from finchshed.scale.fit import Fit
 from finchshed.scale.models import fits_of, table_of
-from finchshed.scale.results import run_info
+from finchshed.scale.results import RunInfo, run_info
 from finchshed.scale.run import RunOptions, start
 from finchshed.scale.slopes import SlopePoint, Sweeps
 
@@ -30,3 +34,25 @@
             file.writelines(encoder.encode(item) + b"\n" for item in fits)
     print(table_of(fits))
     return ExitCode.OK
+
+
+def read_fits(path: Path) -> list[Fit]:
+    """Return the fits of the last run in a file of slopes.
+
+    Raises
+    ------
+    FinchshedError
+        If the file can't be read or holds no fits.
+    """
+    decoder = msgspec.json.Decoder(RunInfo | SlopePoint | Fit)
+    fits: dict[str, Fit] = {}
+    try:
+        for line in path.read_bytes().splitlines():
+            item = decoder.decode(line)
+            if isinstance(item, Fit):
+                fits[item.quantity] = item
+    except (OSError, msgspec.DecodeError) as error:
+        raise FinchshedError(f"{path}: {error}") from error
+    if not fits:
+        raise FinchshedError(f"{path}: holds no fits")
+    return list(fits.values())
--- a/src/finchshed/scale/slopes.py
+++ b/src/finchshed/scale/slopes.py
@@ -71,6 +71,8 @@
         Daemons restarted a second.
     resources, configuration_bytes
         Size of the configuration: resources, and bytes as sent whole.
+    hollow, real
+        Of each process with hollow daemons, and of each real daemon.
     bytes_per_second
         Of each hollow daemon with control, both ways, mean; those restarted are left out.
     """
@@ -84,8 +86,7 @@
     resources: int
     configuration_bytes: int
     control: tuple[ControlPoint, ...]
-    hollow_core_share: float
-    hollow_resident_bytes: float
+    hollow: Usage
     bytes_per_second: float
     real: Usage
     busy_share: float
@@ -232,9 +233,6 @@
         after, machine_after = self._cluster.sample(), sample_machine()
         reports = await self._reports()
         running = [report for report in reports.values() if report.is_running]
-        hollow = usage_between(before[Role.HOLLOW], after[Role.HOLLOW], seconds)
-        real_before = before[Role.DAEMON]
-        share = hollow.processes / max(1, len(running))
         return SlopePoint(
             sweep=sweep,
             seconds=seconds,
@@ -245,10 +243,9 @@
             resources=self._resources,
             configuration_bytes=self._configuration_bytes,
             control=tuple(self._control_points(before, after, seconds, leader, running)),
-            hollow_core_share=hollow.mean_core_share * share,
-            hollow_resident_bytes=hollow.mean_resident_bytes * share,
+            hollow=usage_between(before[Role.HOLLOW], after[Role.HOLLOW], seconds),
             bytes_per_second=_bytes_per_second(before_reports, reports, seconds),
-            real=usage_between(real_before, after[Role.DAEMON], seconds),
+            real=usage_between(before[Role.DAEMON], after[Role.DAEMON], seconds),
             busy_share=busy_share(machine, machine_after),
         )
 
--- a/tests/distribution/test_client.py
+++ b/tests/distribution/test_client.py
@@ -165,6 +165,25 @@
     silent.close()
 
 
+async def test_a_daemon_goes_back_to_its_own_zone_once_that_can_be_reached(
+    start_node: Starter, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(client_module, "NEARER_SECONDS", 0.3)
+    own, own_address = await start_node()
+    other, other_address = await start_node()
+    await own.server.close()
+    home = ControlAddress(own_address.address, "z1")
+    away = ControlAddress(other_address.address, "z2")
+    daemon = Daemon([home, away])
+    await eventually(lambda: other.hub.subscriber_count() == 1)
+    await asyncio.sleep(1.0)
+    assert daemon.driver.client.connections_made == 1
+    await own.server.start("127.0.0.1", own.port)
+    await eventually(lambda: own.hub.subscriber_count() == 1)
+    await eventually(lambda: other.hub.subscriber_count() == 0)
+    daemon.task.cancel()
+
+
 async def test_a_restart_from_disk_subscribes_from_what_it_held(
     start_node: Starter, tmp_path: Path
 ) -> None:
