--- a/src/finchshed/distribution/client.py
+++ b/src/finchshed/distribution/client.py
@@ -15,6 +15,7 @@
 from finchshed.common.outcomes import Answered
 from finchshed.distribution.addresses import AddressBook, ControlAddress
 from finchshed.distribution.identity import ClientIdentity
+from finchshed.distribution.ledger_requests import LedgerAnswer, LedgerRequest, LedgerRequests
 from finchshed.distribution.messages import (
     ControlToDaemon,
     Decision,
@@ -24,23 +25,11 @@
     Fetch,
     Hints,
     InForce,
-    LedgerBegin,
-    LedgerCancel,
-    LedgerComplete,
-    LedgerCompleted,
-    LedgerGranted,
-    LedgerNoted,
-    LedgerRefused,
-    LedgerUnknown,
     Redirect,
     Subscribe,
 )
 from finchshed.link.lines import LineProtocol
 
-LedgerAnswer: TypeAlias = (
-    LedgerGranted | LedgerCompleted | LedgerUnknown | LedgerRefused | LedgerNoted
-)
-LedgerRequest: TypeAlias = LedgerBegin | LedgerCancel | LedgerComplete
 Connection: TypeAlias = LineProtocol[ControlToDaemon]
 Connect: TypeAlias = Callable[[Callable[[], Connection], str, int], Awaitable[object]]
 """Opens a connection for the protocol made by the first argument to a host and port."""
@@ -49,9 +38,6 @@
 SILENCE_SECONDS = 2.0
 """A control node that sent nothing for this long is left; it sends each half second."""
 
-ABANDON_SECONDS = 30.0
-"""How long the cancel of an attempt whose grant did not come in time is tried."""
-
 NEARER_SECONDS = 60.0
 """A daemon linked to another zone's control node tries its own zone's after one to two of these.
 
@@ -61,7 +47,6 @@
 
 HEARTBEAT_SECONDS = 1.0
 CHECK_SECONDS = 0.5
-MAX_PENDING_REQUESTS = 8192
 MAX_LINE_BYTES = 96 << 20
 
 
@@ -79,13 +64,6 @@
     revision_in_force: Callable[[], int]
 
 
-@dataclass(slots=True)
-class _Pending:
-    message: LedgerRequest
-    answer: asyncio.Future[LedgerAnswer]
-    sent: bool = False
-
-
 class ControlClient:
     """Keeps a connection to one control node.
 
@@ -128,9 +106,7 @@
         self._is_subscribed = False
         self._heard_at = 0.0
         self._heartbeat_due = 0.0
-        self._pending: dict[int, _Pending] = {}
-        self._last_request = 0
-        self._abandoning: set[asyncio.Task[bool]] = set()
+        self._ledger = LedgerRequests(identity.node, self._send_ledger_request)
         self._bytes_before = (0, 0)
         self.connections_made = 0
         self.on_hints: Callable[[Hints], None] | None = None
@@ -176,60 +152,18 @@
             self._connection.send(Fetch(revision))
 
     async def begin(self, key: str, attempt: str, timeout_seconds: float) -> LedgerAnswer:
-        """Ask leave to run the request under ``key``; once granted, the attempt may be sent once.
-
-        When no answer comes in time the attempt must not be sent: it is cancelled in the
-        background, and the answer is :class:`LedgerRefused`.
-        """
-        number = self._next_request()
-        pending = _Pending(LedgerBegin(number, key, attempt, self._identity.node), _future())
-        answer = await self._request(pending, timeout_seconds)
-        if answer is not None:
-            return answer
-        if pending.sent:
-            self._abandon(key, attempt)
-        return LedgerRefused(number, expired=False, detail="no answer from control")
+        """Ask the ledger for leave; see :meth:`LedgerRequests.begin`."""
+        return await self._ledger.begin(key, attempt, timeout_seconds)
 
     async def cancel(self, key: str, attempt: str, timeout_seconds: float) -> bool:
-        """Free the key of an attempt that was granted and not sent; True once committed."""
-        pending = _Pending(LedgerCancel(self._next_request(), key, attempt), _future())
-        return isinstance(await self._request(pending, timeout_seconds), LedgerNoted)
+        """Free a key; see :meth:`LedgerRequests.cancel`."""
+        return await self._ledger.cancel(key, attempt, timeout_seconds)
 
     async def complete(
         self, key: str, attempt: str, answer: Answered, timeout_seconds: float
     ) -> bool:
-        """Record the answer of an attempt that ran; True once committed."""
-        message = LedgerComplete(self._next_request(), key, attempt, answer)
-        pending = _Pending(message, _future())
-        return isinstance(await self._request(pending, timeout_seconds), LedgerNoted)
-
-    def _next_request(self) -> int:
-        self._last_request += 1
-        return self._last_request
-
-    def _abandon(self, key: str, attempt: str) -> None:
-        task = asyncio.create_task(self.cancel(key, attempt, ABANDON_SECONDS))
-        self._abandoning.add(task)
-        task.add_done_callback(self._abandoning.discard)
-
-    async def _request(self, pending: _Pending, timeout_seconds: float) -> LedgerAnswer | None:
-        if len(self._pending) >= MAX_PENDING_REQUESTS:
-            return None
-        number = pending.message.request
-        self._pending[number] = pending
-        if self._connection is not None:
-            self._send_pending(self._connection, pending)
-        try:
-            return await asyncio.wait_for(pending.answer, timeout_seconds)
-        except TimeoutError:
-            return None
-        finally:
-            del self._pending[number]
-
-    @staticmethod
-    def _send_pending(connection: Connection, pending: _Pending) -> None:
-        if connection.send(pending.message):
-            pending.sent = True
+        """Record an answer; see :meth:`LedgerRequests.complete`."""
+        return await self._ledger.complete(key, attempt, answer, timeout_seconds)
 
     async def _connect_and_serve(self, address: ControlAddress) -> float:
         """Return for how many seconds the connection served."""
@@ -267,8 +201,7 @@
                 endpoint=identity.endpoint,
             )
         )
-        for pending in self._pending.values():
-            self._send_pending(connection, pending)
+        self._ledger.send_again()
 
     async def _watch(self, connection: Connection, address: ControlAddress) -> None:
         """Return once the connection has ended, is silent, or a nearer node can be reached."""
@@ -330,12 +263,10 @@
             decisions = self.on_explain(message) if self.on_explain is not None else ()
             connection.send(ExplainReply(message.request, decisions))
         else:
-            self._on_ledger_answer(message)
+            self._ledger.on_answer(message)
 
-    def _on_ledger_answer(self, message: LedgerAnswer) -> None:
-        pending = self._pending.get(message.request)
-        if pending is not None and not pending.answer.done():
-            pending.answer.set_result(message)
+    def _send_ledger_request(self, request: LedgerRequest) -> bool:
+        return self._connection is not None and self._connection.send(request) > 0
 
     def _on_close(self, connection: Connection, error: Exception | None) -> None:
         if connection is self._connection:
@@ -348,7 +279,3 @@
 
 async def _connect_by_loop(make_protocol: Callable[[], Connection], host: str, port: int) -> object:
     return await asyncio.get_running_loop().create_connection(make_protocol, host, port)
-
-
-def _future() -> asyncio.Future[LedgerAnswer]:
-    return asyncio.get_running_loop().create_future()
--- a/src/finchshed/distribution/follower.py
+++ b/src/finchshed/distribution/follower.py
@@ -27,6 +27,7 @@
     TakeEffect,
 )
 from finchshed.distribution.messages import Delta
+from finchshed.distribution.peer_revisions import PeerRevisions
 from finchshed.distribution.snapshot import (
     Configuration,
     apply_delta,
@@ -99,8 +100,7 @@
         self._confirmed_revision: int | None = None
         self._ground = ServingGround.NONE
         self._control_connected = False
-        self._peers: dict[str, int] = {}
-        self._asked: set[str] = set()
+        self._peers = PeerRevisions()
         self._fetch_due = 0.0
         self._fetch_from_peer_next = False
         self._recording: Configuration | None = None
@@ -176,14 +176,14 @@
 
     def on_peer_delta(self, peer: str, delta: Delta, now: float) -> Sequence[FollowerEffect]:
         """Take a delta from another daemon. It can't confirm anything for a quorum."""
-        self._note_peer(peer, delta.revision)
+        self._peers.note(peer, delta.revision)
         return self._take(delta, now)
 
     def on_peer_revision(self, peer: str, revision: int, now: float) -> Sequence[FollowerEffect]:
         """Note the revision that came with a call, an answer or a heartbeat of ``peer``."""
         if revision <= self._held.revision and self.may_serve:
             return NO_EFFECTS
-        self._note_peer(peer, revision)
+        self._peers.note(peer, revision)
         if revision > self._highest_seen:
             self._highest_seen = revision
             self._fetch_due = now
@@ -271,7 +271,7 @@
         if ground is ServingGround.NONE:
             return []
         self._ground = ground
-        self._peers.clear()
+        self._peers.forget()
         return [StartServing(ground)]
 
     def _find_ground(self, now: float) -> ServingGround:
@@ -292,8 +292,7 @@
 
     def _most_peers_answered(self) -> bool:
         names = [endpoint.name for endpoint in self._zone_peers()]
-        answered = sum(1 for name in names if name in self._peers)
-        return 2 * answered > len(names) or not names
+        return 2 * self._peers.told(names) > len(names) or not names
 
     def _zone_peers(self) -> tuple[Endpoint, ...]:
         zone, own = self._identity.zone, self._identity.endpoint
@@ -303,15 +302,12 @@
             if endpoint.zone == zone and endpoint.name != own
         )
 
-    def _note_peer(self, peer: str, revision: int) -> None:
-        self._peers[peer] = max(revision, self._peers.get(peer, 0))
-
     def _fetch(self, now: float) -> list[FollowerEffect]:
         if self._held.revision >= self._highest_seen:
             self._fetch_from_peer_next = False
-            self._asked.clear()
-            if self.may_serve and self._peers:
-                self._peers.clear()
+            self._peers.forget_asked()
+            if self.may_serve:
+                self._peers.forget()
             return []
         if now < self._fetch_due:
             return []
@@ -320,22 +316,12 @@
 
     def _choose_source(self) -> list[FollowerEffect]:
         """Ask control first; if that brought nothing, or there is none, the furthest peer."""
-        peer = self._next_peer()
+        peer = self._peers.next_ahead(self._held.revision)
         if peer and (self._fetch_from_peer_next or not self._control_connected):
             self._fetch_from_peer_next = False
-            self._asked.add(peer)
+            self._peers.asked(peer)
             return [FetchFromPeer(peer, self._held.revision)]
         if self._control_connected:
             self._fetch_from_peer_next = True
             return [FetchFromControl(self._held.revision)]
         return []
-
-    def _next_peer(self) -> str:
-        """Return the furthest peer ahead that wasn't asked yet; once all were, begin again.
-
-        A link tells a revision once, so peers are kept until what they hold is held here too.
-        """
-        ahead = {name for name, held in self._peers.items() if held > self._held.revision}
-        if ahead and ahead <= self._asked:
-            self._asked.clear()
-        return max(ahead - self._asked, key=lambda name: (self._peers[name], name), default="")
--- a/tests/architecture/decision_modules.py
+++ b/tests/architecture/decision_modules.py
@@ -26,6 +26,7 @@
         "finchshed.consensus.driver",
         "finchshed.distribution.client",
         "finchshed.distribution.driver",
+        "finchshed.distribution.ledger_requests",
         "finchshed.distribution.record",
         "finchshed.distribution.server",
     }
