Daemons are sent no operators

Cause: the whole configuration went to every daemon, with the digests of all operators' tokens, and from there into data folders and to whoever opened a connection to the distribution port.

Change: control nodes leave operators out of what daemons are sent; a change of operators alone arrives as a revision that changes nothing.

--- a/src/finchshed/control/distribution_service.py
+++ b/src/finchshed/control/distribution_service.py
@@ -5,12 +5,13 @@
 from finchshed.configuration.store import CommittedRevision
 from finchshed.control.addresses import split_address
 from finchshed.control.background import Background
+from finchshed.control.daemon_view import configuration_for_daemons, delta_for_daemons
 from finchshed.control.explanations import Explanations
 from finchshed.control.ledger_service import LedgerRequest, LedgerService
 from finchshed.control.replicated_log import ReplicatedLog
 from finchshed.control.state_machine import ControlStateMachine
 from finchshed.distribution.hub import Hub
-from finchshed.distribution.messages import Decision, Delta, Hints
+from finchshed.distribution.messages import Decision, Hints
 from finchshed.distribution.server import Answer, HubServer
 from finchshed.distribution.snapshot import Configuration
 from finchshed.distribution.status import DistributionStatus, InForceReport, StatusTable
@@ -73,9 +74,7 @@
     def on_committed(self, committed: CommittedRevision) -> None:
         """Send an accepted change on."""
         if self._is_serving:
-            self._server.commit(
-                Delta(committed.revision - 1, committed.revision, committed.puts, committed.deletes)
-            )
+            self._server.commit(delta_for_daemons(committed))
 
     def on_restored(self) -> None:
         """Send the whole configuration on: the state was replaced by a snapshot."""
@@ -107,7 +106,7 @@
 
     def _configuration(self) -> Configuration:
         store = self._machine.store
-        return Configuration(store.revision, dict(store.resources))
+        return configuration_for_daemons(store.revision, store.resources.values())
 
     async def _confirm(self) -> bool:
         await self._log.read_barrier()
--- a/src/finchshed/scale/command.py
+++ b/src/finchshed/scale/command.py
@@ -21,6 +21,7 @@
     daemons: int = 1_100,
     services: int = 52,
     real: int = 6,
+    links: int = 2,
     rate: float = 1.0,
     compressed: int = 240,
     compressed_rate: float = 4.0,
@@ -44,6 +45,8 @@
         Declared services.
     real
         Real daemons, each with a back end, beside one edge; 0 for none.
+    links
+        Links to other daemons that each hollow daemon keeps open.
     rate
         Changes a second in all phases but the compressed one.
     compressed, compressed_rate
@@ -64,7 +67,7 @@
     options = RunOptions(
         folder=run_folder(folder, "scale"),
         out=pathlib.Path(out).absolute(),
-        size=ScaleSize(daemons=daemons, services=services, real_daemons=real),
+        size=ScaleSize(daemons=daemons, services=services, real_daemons=real, peer_links=links),
         phases=PhaseOptions(
             steady_seconds=steady_seconds,
             fault_seconds=fault_seconds,
--- a/tests/architecture/decision_modules.py
+++ b/tests/architecture/decision_modules.py
@@ -35,6 +35,7 @@
 
 FURTHER_DECISION_MODULES = (
     "finchshed.control.commands",
+    "finchshed.control.daemon_view",
     "finchshed.control.platform_list",
     "finchshed.control.state_machine",
     "finchshed.link.encoding",
--- /dev/null
+++ b/tests/control/test_daemon_view.py
@@ -0,0 +1,75 @@
+import asyncio
+import random
+from pathlib import Path
+
+import msgspec
+
+from finchshed.configuration.resources import Operator, Policy, ResourceKey, Service
+from finchshed.configuration.store import CommittedRevision
+from finchshed.control.daemon_view import configuration_for_daemons, delta_for_daemons
+from finchshed.distribution.addresses import ControlAddress
+from finchshed.distribution.driver import FollowerDriver
+from finchshed.distribution.effects import ServingGround
+from finchshed.distribution.identity import ClientIdentity
+from finchshed.distribution.snapshot import Configuration, apply_delta
+from tests.control.group import Group
+
+OPERATOR = Operator("ana", "ab" * 32)
+
+
+def test_operators_are_left_out_of_the_whole_and_of_changes() -> None:
+    whole = configuration_for_daemons(4, (OPERATOR, Policy(), Service("s")))
+    assert set(whole.resources) == {ResourceKey("policy", "default"), ResourceKey("service", "s")}
+    committed = CommittedRevision(
+        5, (OPERATOR, Service("t")), (ResourceKey("operator", "old"), ResourceKey("service", "s"))
+    )
+    delta = delta_for_daemons(committed)
+    assert delta.puts == (Service("t"),)
+    assert delta.deletes == (ResourceKey("service", "s"),)
+    assert apply_delta(whole, delta).revision == 5
+
+
+def test_a_change_of_operators_alone_still_advances_the_revision() -> None:
+    delta = delta_for_daemons(CommittedRevision(7, (OPERATOR,), ()))
+    assert (delta.base, delta.revision, delta.puts, delta.deletes) == (6, 7, (), ())
+
+
+class Listener:
+    """Notes what comes into force."""
+
+    def __init__(self) -> None:
+        self.current = Configuration()
+        self.grounds: list[ServingGround] = []
+
+    def take_effect(self, previous: Configuration, current: Configuration) -> None:
+        self.current = current
+
+    def start_serving(self, ground: ServingGround) -> None:
+        self.grounds.append(ground)
+
+    def fetch_from_peer(self, peer: str, revision: int) -> None:
+        pass
+
+    def greet_peers(self, endpoints: tuple[object, ...]) -> None:
+        pass
+
+
+async def test_a_daemon_of_a_real_control_node_holds_no_operator(tmp_path: Path) -> None:
+    group = Group(tmp_path, voters=1)
+    listener = Listener()
+    try:
+        await asyncio.to_thread(group.start_all)
+        revision = await asyncio.to_thread(group.bootstrap, Service(name="s1"))
+        address = ControlAddress(group.nodes[0].distribution)
+        identity = ClientIdentity("d", "1", "s1", "z")
+        driver = FollowerDriver(identity, [address], listener, random.Random(1))
+        running = asyncio.create_task(driver.run())
+        async with asyncio.timeout(20.0):
+            while not listener.grounds:  # noqa: ASYNC110 - set by another task
+                await asyncio.sleep(0.02)
+        running.cancel()
+        assert listener.current.revision == revision
+        assert set(listener.current.resources) == {ResourceKey("service", "s1")}
+        assert b"token" not in msgspec.json.encode(tuple(listener.current.resources.values()))
+    finally:
+        group.close()
