Slopes of the ledger: requests a second through all control nodes

finchshed scale measure also runs requests through the at-most-once ledger (begin, then complete with 100 bytes), open loop, spread over all control nodes, and fits their cost on each node and on the leader.

--- a/src/finchshed/scale/measure.py
+++ b/src/finchshed/scale/measure.py
@@ -11,7 +11,8 @@
 from finchshed.scale.models import fits_of, table_of
 from finchshed.scale.results import RunInfo, run_info
 from finchshed.scale.run import RunOptions, start
-from finchshed.scale.slopes import SlopePoint, Sweeps
+from finchshed.scale.slope_points import SlopePoint
+from finchshed.scale.slopes import Sweeps
 
 
 async def measure(options: RunOptions, seconds: float) -> int:
--- a/src/finchshed/scale/models.py
+++ b/src/finchshed/scale/models.py
@@ -8,7 +8,7 @@
 from typing import TypeAlias
 
 from finchshed.scale.fit import Fit, fit
-from finchshed.scale.slopes import ControlPoint, SlopePoint
+from finchshed.scale.slope_points import ControlPoint, SlopePoint
 
 KIB = 1024.0
 MICROSECONDS = 1e6
@@ -101,6 +101,10 @@
             rate * size for rate, size in zip(rates, sizes, strict=True)
         ],
         "restart": [point.restarts for point, _ in nodes],
+        "ledger": [point.ledger for point, _ in nodes],
+        "leader x ledger": [
+            lead * point.ledger for lead, (point, _) in zip(leads, nodes, strict=True)
+        ],
     }
 
 
--- a/src/finchshed/scale/slopes.py
+++ b/src/finchshed/scale/slopes.py
@@ -13,6 +13,7 @@
 from finchshed.configuration.resources import Resource, ResourceKey, Route, Service, key_of
 from finchshed.ctl.changes import read_in_force, submit
 from finchshed.ctl.client import OperatorClient
+from finchshed.fleet.network import Port
 from finchshed.fleet.processes import Role
 from finchshed.scale.cluster import Cluster
 from finchshed.scale.layout import (
@@ -22,12 +23,13 @@
     hollow_endpoints,
     places,
 )
+from finchshed.scale.ledger_load import LedgerLoad
 from finchshed.scale.measurement import Histories
 from finchshed.scale.messages import DaemonReport
 from finchshed.scale.plan import OPERATOR_TOKEN, control_name
+from finchshed.scale.slope_points import ControlPoint, SlopePoint
 from finchshed.scale.usage import (
     ProcessSample,
-    Usage,
     busy_share,
     sample_machine,
     usage_between,
@@ -41,57 +43,13 @@
 RATE_STEPS = (0.0, 1.0, 2.0, 4.0, 8.0)
 SPARE_ENDPOINT_STEPS = (500, 1_500, 3_000, 5_000)
 SPARE_SERVICE_STEPS = (26, 52, 104, 208)
+LEDGER_STEPS = (50.0, 100.0, 200.0, 400.0)
 RESTART_STEPS = (0.0, 5.0, 10.0, 20.0)
 BASE_RATE = 2.0
 CLIENT_TIMEOUT_SECONDS = 30.0
 SPARE_PORT = 30_000
 
 
-class ControlPoint(msgspec.Struct, frozen=True, kw_only=True):
-    """What one control node used at one point."""
-
-    node: str
-    is_leader: bool
-    is_standby: bool
-    subscribers: int
-    core_share: float
-    resident_bytes: int
-
-
-class SlopePoint(msgspec.Struct, frozen=True, kw_only=True, tag="point"):
-    """One point: what was set, and what was used.
-
-    Attributes
-    ----------
-    sweep
-        What is varied from point to point.
-    rate
-        Changes accepted a second.
-    restarts
-        Daemons restarted a second.
-    resources, configuration_bytes
-        Size of the configuration: resources, and bytes as sent whole.
-    hollow, real
-        Of each process with hollow daemons, and of each real daemon.
-    bytes_per_second
-        Of each hollow daemon with control, both ways, mean; those restarted are left out.
-    """
-
-    sweep: str
-    seconds: float
-    daemons: int
-    services: int
-    rate: float
-    restarts: float
-    resources: int
-    configuration_bytes: int
-    control: tuple[ControlPoint, ...]
-    hollow: Usage
-    bytes_per_second: float
-    real: Usage
-    busy_share: float
-
-
 class Sweeps:
     """Runs the points of all sweeps on one cluster.
 
@@ -114,6 +72,7 @@
             self.daemons,
             self.rates,
             self.restarts,
+            self.ledger,
             self.spare_endpoints,
             self.spare_services,
             self.one_hub,
@@ -138,6 +97,19 @@
         """Vary the daemons restarted a second."""
         return [await self._point("restarts", BASE_RATE, rate) for rate in RESTART_STEPS]
 
+    async def ledger(self) -> list[SlopePoint]:
+        """Vary requests to the ledger."""
+        prefix = self._cluster.plan.prefix
+        addresses = tuple(
+            f"{control_host(prefix, zone)}:{Port.DISTRIBUTION.value}" for zone in CONTROL_ZONES
+        )
+        load = LedgerLoad(addresses, self._cluster.plan.seed)
+        await load.start()
+        try:
+            return [await self._ledger_point(load, rate) for rate in LEDGER_STEPS]
+        finally:
+            await load.stop()
+
     async def spare_endpoints(self) -> list[SlopePoint]:
         """Vary the endpoints declared, with no daemons to the further ones."""
         return await self._grown("endpoints", SPARE_ENDPOINT_STEPS, self._spare_endpoints)
@@ -221,6 +193,14 @@
                 return
             await asyncio.sleep(SETTLE_SECONDS / 4)
 
+    async def _ledger_point(self, load: LedgerLoad, rate: float) -> SlopePoint:
+        running = asyncio.create_task(self._point("ledger", 0.0))
+        await asyncio.sleep(SETTLE_SECONDS / 2)
+        seconds = self._seconds + 2 * SETTLE_SECONDS
+        done, begin = await load.run(rate, seconds)
+        point = await running
+        return msgspec.structs.replace(point, ledger=done / seconds, ledger_begin=begin)
+
     async def _point(self, sweep: str, rate: float, restarts: float = 0.0) -> SlopePoint:
         await asyncio.sleep(SETTLE_SECONDS)
         await asyncio.to_thread(self._cluster.changes.read_revision)
--- a/tests/scale/test_fit.py
+++ b/tests/scale/test_fit.py
@@ -3,7 +3,7 @@
 
 from finchshed.scale.fit import fit
 from finchshed.scale.models import fits_of, table_of
-from finchshed.scale.slopes import ControlPoint, SlopePoint
+from finchshed.scale.slope_points import ControlPoint, SlopePoint
 from finchshed.scale.usage import Usage
 
 
@@ -34,9 +34,11 @@
         fit("y", {"x": [0.0, 0.0]}, [1.0, 2.0])
 
 
-def point(rate: float, subscribers: int, kilobytes: float, restarts: float) -> SlopePoint:
-    """Make a point that costs 2 microseconds a change and subscriber, and no more."""
-    cost = 2e-6 * rate * subscribers
+def point(
+    rate: float, subscribers: int, kilobytes: float, restarts: float, ledger: float = 0.0
+) -> SlopePoint:
+    """Make a point that costs 2 microseconds a change and subscriber, and 300 a ledger request."""
+    cost = 2e-6 * rate * subscribers + 3e-4 * ledger
     daemons = 2 * subscribers / 4
     nodes = tuple(
         ControlPoint(
@@ -56,6 +58,7 @@
         services=52,
         rate=rate,
         restarts=restarts,
+        ledger=ledger,
         resources=1_100,
         configuration_bytes=int(1024 * kilobytes),
         control=nodes,
@@ -68,16 +71,16 @@
 
 def spread_points() -> list[SlopePoint]:
     return [
-        point(rate, subscribers, kilobytes, restarts)
-        for rate, subscribers, kilobytes, restarts in (
-            (0.0, 100, 200.0, 0.0),
-            (2.0, 20, 200.0, 0.0),
-            (2.0, 100, 200.0, 0.0),
-            (4.0, 50, 200.0, 5.0),
-            (8.0, 180, 900.0, 0.0),
-            (2.0, 180, 900.0, 10.0),
-            (1.0, 180, 950.0, 0.0),
-            (4.0, 180, 1000.0, 20.0),
+        point(rate, subscribers, kilobytes, restarts, ledger)
+        for rate, subscribers, kilobytes, restarts, ledger in (
+            (0.0, 100, 200.0, 0.0, 0.0),
+            (2.0, 20, 200.0, 0.0, 0.0),
+            (2.0, 100, 200.0, 0.0, 0.0),
+            (4.0, 50, 200.0, 5.0, 100.0),
+            (8.0, 180, 900.0, 0.0, 0.0),
+            (2.0, 180, 900.0, 10.0, 0.0),
+            (1.0, 180, 950.0, 0.0, 0.0),
+            (4.0, 180, 1000.0, 20.0, 100.0),
         )
     ]
 
@@ -87,6 +90,7 @@
     fits = {item.quantity: item for item in fits_of(points)}
     control = {c.name: c.value for c in fits["control node, processor"].coefficients}
     assert control["change x subscriber"] == pytest.approx(2.0)
+    assert control["ledger"] == pytest.approx(300.0)
     assert control["leader"] == pytest.approx(0.0, abs=1e-6)
     hollow = {c.name: c.value for c in fits["process of hollow daemons, processor"].coefficients}
     assert hollow["daemon"] == pytest.approx(100.0)
--- a/tests/scale/test_projection.py
+++ b/tests/scale/test_projection.py
@@ -6,7 +6,10 @@
 
 
 def test_what_was_measured_is_carried_to_the_size_asked_for() -> None:
-    rows = project(fits_of(spread_points()), Size(daemons=1_200, burst_changes_per_second=5.0))
+    rows = project(
+        fits_of(spread_points()),
+        Size(daemons=1_200, burst_changes_per_second=5.0),
+    )
     by_name = {(row.quantity, row.unit): row for row in rows}
     sixth = by_name["control leader, a sixth of daemons", "% of a core"]
     # The points cost 2 microseconds a change and subscriber.
