A restarted daemon is not listed as silent when its former connection ends

Cause: the hub noted a daemon as silent when any connection under its name ended. A daemon that restarted while its former connection hung (cut off, found after 5 s) was listed as silent, and reports of the former connection stood for the new one, until the next full report up to 10 s later.

Change: only the latest subscription of a name speaks for it. The first of the three new tests failed before.

--- a/src/finchshed/distribution/hub.py
+++ b/src/finchshed/distribution/hub.py
@@ -59,6 +59,7 @@
         self._configuration = Configuration()
         self._history = DeltaHistory(self.limits.history_changes)
         self._subscribers: dict[int, _Subscriber] = {}
+        self._latest: dict[str, int] = {}
         self._catch_up: dict[int, SharedLine] = {}
         self._unchanged: dict[bool, SharedLine] = {}
         self._next_ticket = 1
@@ -85,8 +86,8 @@
         """
         if everything:
             self._changed.clear()
-            for item in self._subscribers.values():
-                self._note(item, connected=True)
+            for number, item in self._subscribers.items():
+                self._note(number, item, connected=True)
         daemons = tuple(self._changed.values())
         self._changed.clear()
         revision = self._configuration.revision
@@ -142,7 +143,8 @@
         ticket = self._next_ticket
         item = _Subscriber(message, message.revision, message.revision, now, now, ticket)
         self._subscribers[number] = item
-        self._note(item, connected=True)
+        self._latest[message.node] = number
+        self._note(number, item, connected=True)
         effects: list[HubEffect] = list(self._send_to(number, item, now, fresh=True))
         if not self._waits_for_confirmation:
             effects.append(self._request_confirmation())
@@ -152,7 +154,9 @@
         """Forget a connection that has ended."""
         item = self._subscribers.pop(number, None)
         if item is not None:
-            self._note(item, connected=False)
+            self._note(number, item, connected=False)
+            if self._latest.get(item.identity.node) == number:
+                del self._latest[item.identity.node]
 
     def on_in_force(self, number: int, revision: int, now: float) -> None:
         """Take a daemon's report."""
@@ -162,7 +166,7 @@
         item.heard_at = now
         if item.in_force != revision:
             item.in_force = revision
-            self._note(item, connected=True)
+            self._note(number, item, connected=True)
 
     def on_fetch(self, number: int, revision: int, now: float) -> Sequence[HubEffect]:
         """Answer a daemon that asks for what follows ``revision``."""
@@ -299,8 +303,11 @@
             return []
         return [Send(tuple(numbers), SharedLine(Redirect(self._alternatives)))]
 
-    def _note(self, item: _Subscriber, connected: bool) -> None:
+    def _note(self, number: int, item: _Subscriber, connected: bool) -> None:
+        """Put a daemon's state in the next report; a former connection doesn't stand for it."""
         identity = item.identity
+        if self._latest.get(identity.node) != number:
+            return
         self._changed[identity.node] = SubscriberStatus(
             node=identity.node,
             endpoint=identity.endpoint,
--- a/tests/distribution/test_hub.py
+++ b/tests/distribution/test_hub.py
@@ -165,3 +165,39 @@
     assert len(hub.collect_report(everything=True).daemons) == 1
     hub.unsubscribe(1)
     assert [item.connected for item in hub.collect_report().daemons] == [False]
+
+
+def test_a_restarted_daemon_is_not_silent_when_its_former_connection_ends() -> None:
+    hub = filled(3)
+    hub.subscribe(1, subscription("n1"), 0.0)
+    hub.subscribe(2, subscription("n1"), 1.0)
+    hub.on_in_force(2, 3, 1.1)
+    hub.collect_report()
+    hub.unsubscribe(1)
+    assert [(status.node, status.connected) for status in hub.collect_report().daemons] != [
+        ("n1", False)
+    ]
+    hub.unsubscribe(2)
+    (status,) = hub.collect_report().daemons
+    assert not status.connected
+
+
+def test_reports_of_a_former_connection_do_not_stand_for_the_restarted_daemon() -> None:
+    hub = filled(3)
+    hub.subscribe(1, subscription("n1", 2), 0.0)
+    hub.subscribe(2, subscription("n1"), 1.0)
+    hub.on_in_force(2, 1, 1.1)
+    hub.on_in_force(1, 3, 1.2)
+    (status,) = hub.collect_report(everything=True).daemons
+    assert (status.revision, status.connected) == (1, True)
+
+
+def test_a_former_connection_may_end_last() -> None:
+    hub = filled(3)
+    hub.subscribe(1, subscription("n1"), 0.0)
+    hub.subscribe(2, subscription("n1"), 1.0)
+    hub.unsubscribe(2)
+    hub.unsubscribe(1)
+    assert hub.subscriber_count() == 0
+    (status,) = hub.collect_report().daemons
+    assert not status.connected
