--- a/src/finchshed/scale/command.py
+++ b/src/finchshed/scale/command.py
@@ -127,8 +127,7 @@
     changes_per_day: float = 1_400.0,
     burst: float = 4.0,
     restarts_per_day: float = 110.0,
-    configuration_kib: float = 157.0,
-    ledger: float = 0.0,
+    configuration_kib: float = 160.0,
 ) -> int:
     """Work out from measured slopes what control costs at a size, and print it.
 
@@ -146,8 +145,6 @@
         Daemons restarted on a mean day.
     configuration_kib
         Size of the whole configuration as sent, KiB.
-    ledger
-        Requests a second that may not be repeated.
     """
     size = Size(
         daemons=daemons,
@@ -155,7 +152,6 @@
         burst_changes_per_second=burst,
         restarts_per_day=restarts_per_day,
         configuration_kibibytes=configuration_kib,
-        ledger_per_second=ledger,
     )
     print(table_of(project_size(read_fits(pathlib.Path(slopes)), size)))
     return ExitCode.OK
--- a/src/finchshed/scale/ledger_load.py
+++ b/src/finchshed/scale/ledger_load.py
@@ -4,6 +4,8 @@
 import random
 import time
 
+import msgspec
+
 from finchshed.common.outcomes import Answered
 from finchshed.distribution.addresses import ControlAddress
 from finchshed.distribution.client import ClientHandlers, ControlClient
@@ -16,6 +18,13 @@
 ANSWER = Answered(200, (), b"x" * 100)
 
 
+class LedgerResult(msgspec.Struct, frozen=True):
+    """Requests granted and completed a second, and how long leave took, seconds."""
+
+    rate: float
+    begin: Quantiles
+
+
 class LedgerLoad:
     """Runs requests through the ledger: begin, then complete with an answer of 100 bytes.
 
@@ -45,11 +54,8 @@
             task.cancel()
         await asyncio.gather(*self._running, return_exceptions=True)
 
-    async def run(self, rate: float, seconds: float) -> tuple[int, Quantiles]:
-        """Make requests at ``rate``; return how many were granted and completed, and begin times.
-
-        The rate is kept whether or not earlier requests were answered.
-        """
+    async def run(self, rate: float, seconds: float) -> LedgerResult:
+        """Make requests at ``rate``, whether or not earlier ones were answered."""
         self._times = []
         self._failed = 0
         started = time.monotonic()
@@ -61,7 +67,8 @@
                     await asyncio.sleep(wait)
                 client = self._clients[number % len(self._clients)]
                 group.create_task(self._request(client))
-        return count - self._failed, quantiles(self._times)
+        elapsed = time.monotonic() - started
+        return LedgerResult((count - self._failed) / elapsed, quantiles(self._times))
 
     async def _request(self, client: ControlClient) -> None:
         key = new_key(time.time(), self._rng)
--- a/src/finchshed/scale/models.py
+++ b/src/finchshed/scale/models.py
@@ -20,13 +20,15 @@
 DAEMON_PROCESSOR = "daemon without calls, processor"
 DAEMON_MEMORY = "daemon without calls, memory"
 DAEMON_TRAFFIC = "daemon, traffic with control"
+LEDGER_PROCESSOR = "control node under ledger requests, processor"
 
 Terms: TypeAlias = Mapping[str, Sequence[float]]
 
 
 def fits_of(points: Sequence[SlopePoint]) -> list[Fit]:
     """Return a fit for each quantity."""
-    nodes = [(point, node) for point in points for node in point.control]
+    nodes = [(point, node) for point in points if not point.ledger for node in point.control]
+    asked = [(point, node) for point in points if point.ledger for node in point.control]
     grown = _without_shrunk(points)
     grown_nodes = [(point, node) for point in grown for node in point.control]
     return [
@@ -82,6 +84,11 @@
             [point.real.mean_resident_bytes / KIB for point in grown],
         ),
         fit(DAEMON_TRAFFIC, _change_terms(points), [point.bytes_per_second for point in points]),
+        fit(
+            LEDGER_PROCESSOR,
+            _ledger_terms(asked),
+            [MICROSECONDS * node.core_share for _, node in asked],
+        ),
     ]
 
 
@@ -101,10 +108,17 @@
             rate * size for rate, size in zip(rates, sizes, strict=True)
         ],
         "restart": [point.restarts for point, _ in nodes],
-        "ledger": [point.ledger for point, _ in nodes],
-        "leader x ledger": [
-            lead * point.ledger for lead, (point, _) in zip(leads, nodes, strict=True)
-        ],
+    }
+
+
+def _ledger_terms(nodes: Sequence[tuple[SlopePoint, ControlPoint]]) -> Terms:
+    leads = [float(node.is_leader) for _, node in nodes]
+    rates = [point.ledger for point, _ in nodes]
+    return {
+        "constant": [1.0 for _ in nodes],
+        "leader": leads,
+        "request": rates,
+        "leader x request": [lead * rate for lead, rate in zip(leads, rates, strict=True)],
     }
 
 
--- a/src/finchshed/scale/projection.py
+++ b/src/finchshed/scale/projection.py
@@ -30,16 +30,13 @@
     ----------
     burst_changes_per_second
         Highest rate of changes, for a while.
-    ledger_per_second
-        Requests a second that may not be repeated.
     """
 
     daemons: int = 1_100
     changes_per_day: float = 1_400.0
     burst_changes_per_second: float = 4.0
     restarts_per_day: float = 110.0
-    configuration_kibibytes: float = 157.0
-    ledger_per_second: float = 0.0
+    configuration_kibibytes: float = 160.0
 
 
 class Row(msgspec.Struct, frozen=True):
@@ -121,8 +118,6 @@
         "change x subscriber": rate * node.get("subscriber", 0.0),
         "change x configuration KiB": rate * size.configuration_kibibytes,
         "configuration KiB": size.configuration_kibibytes,
-        "ledger": size.ledger_per_second,
-        "leader x ledger": size.ledger_per_second * node.get("leader", 0.0),
         "restart": size.restarts_per_day / SECONDS_PER_DAY,
         **node,
     }
--- a/src/finchshed/scale/slopes.py
+++ b/src/finchshed/scale/slopes.py
@@ -196,10 +196,9 @@
     async def _ledger_point(self, load: LedgerLoad, rate: float) -> SlopePoint:
         running = asyncio.create_task(self._point("ledger", 0.0))
         await asyncio.sleep(SETTLE_SECONDS / 2)
-        seconds = self._seconds + 2 * SETTLE_SECONDS
-        done, begin = await load.run(rate, seconds)
+        done = await load.run(rate, self._seconds + 2 * SETTLE_SECONDS)
         point = await running
-        return msgspec.structs.replace(point, ledger=done / seconds, ledger_begin=begin)
+        return msgspec.structs.replace(point, ledger=done.rate, ledger_begin=done.begin)
 
     async def _point(self, sweep: str, rate: float, restarts: float = 0.0) -> SlopePoint:
         await asyncio.sleep(SETTLE_SECONDS)
--- a/tests/scale/test_fit.py
+++ b/tests/scale/test_fit.py
@@ -76,11 +76,14 @@
             (0.0, 100, 200.0, 0.0, 0.0),
             (2.0, 20, 200.0, 0.0, 0.0),
             (2.0, 100, 200.0, 0.0, 0.0),
-            (4.0, 50, 200.0, 5.0, 100.0),
+            (4.0, 50, 200.0, 5.0, 0.0),
             (8.0, 180, 900.0, 0.0, 0.0),
             (2.0, 180, 900.0, 10.0, 0.0),
             (1.0, 180, 950.0, 0.0, 0.0),
-            (4.0, 180, 1000.0, 20.0, 100.0),
+            (4.0, 180, 1000.0, 20.0, 0.0),
+            (0.0, 180, 1000.0, 0.0, 50.0),
+            (0.0, 180, 1000.0, 0.0, 100.0),
+            (0.0, 180, 1000.0, 0.0, 400.0),
         )
     ]
 
@@ -90,7 +93,8 @@
     fits = {item.quantity: item for item in fits_of(points)}
     control = {c.name: c.value for c in fits["control node, processor"].coefficients}
     assert control["change x subscriber"] == pytest.approx(2.0)
-    assert control["ledger"] == pytest.approx(300.0)
+    ledger = fits["control node under ledger requests, processor"].coefficients
+    assert {c.name: c.value for c in ledger}["request"] == pytest.approx(300.0)
     assert control["leader"] == pytest.approx(0.0, abs=1e-6)
     hollow = {c.name: c.value for c in fits["process of hollow daemons, processor"].coefficients}
     assert hollow["daemon"] == pytest.approx(100.0)
