Scale run: daemons restarted while cut off from control take no calls

In the phase in which a zone is cut off from control, five of its daemons restart with nothing in hand; the run fails if one could take calls before the cut ends.

--- a/src/finchshed/scale/measurement.py
+++ b/src/finchshed/scale/measurement.py
@@ -73,6 +73,7 @@
         self.faults: list[str] = []
         self.recovered_seconds: float | None = None
         self.cut_off: frozenset[str] = frozenset()
+        self.served_unconfirmed = 0
 
     async def begin(self) -> None:
         """Take the samples that the phase is compared with."""
@@ -89,6 +90,11 @@
         """Note a fault brought about, with its time."""
         self.faults.append(f"{time.monotonic() - self.began_at:.1f} s: {fault}")
 
+    async def count_serving(self, names: Collection[str]) -> int:
+        """Return how many of these daemons could take calls now."""
+        self._histories.add(await self._cluster.workers.collect())
+        return sum(1 for name in names if self._histories.latest[name].serving_at > 0.0)
+
     async def wait_in_force(self, revision: int, among: Collection[str]) -> float | None:
         """Wait until ``revision`` is in force among these; return when, or None if not in time."""
         deadline = time.monotonic() + SETTLE_SECONDS
@@ -127,6 +133,7 @@
             start_to_serving=quantiles(self._starts()),
             recovered_seconds=self.recovered_seconds,
             reverted=self._histories.reverted - self._reverted_before,
+            served_unconfirmed=self.served_unconfirmed,
             usage=usage,
             hollow_core_share=hollow.mean_core_share / per_process if per_process else 0.0,
             hollow_resident_bytes=hollow.mean_resident_bytes / per_process if per_process else 0.0,
--- a/src/finchshed/scale/phases.py
+++ b/src/finchshed/scale/phases.py
@@ -22,6 +22,7 @@
 CUT_REGION = "region-3"
 RESTARTED = 110
 RESTART_BATCH = 10
+RESTARTED_IN_CUT = 5
 START_BATCH = 100
 BEFORE_FAULT_SECONDS = 3.0
 NO_QUORUM_CALL_SECONDS = 2.0
@@ -170,7 +171,10 @@
         return await self._phase_under("zone back", act)
 
     async def control_cut_off(self) -> PhaseResult:
-        """Cut one zone's daemons off from all control nodes; other daemons stay in reach."""
+        """Cut one zone's daemons off from all control nodes; other daemons stay in reach.
+
+        Some of them restart meanwhile. Without a disk they may not take calls before the end.
+        """
         names = self._cluster.hollow_names([PEERS_ONLY_ZONE])
 
         async def act(measurement: Measurement) -> None:
@@ -178,7 +182,12 @@
             await asyncio.sleep(BEFORE_FAULT_SECONDS)
             self._cluster.cut_from_control([PEERS_ONLY_ZONE])
             measurement.note(f"{PEERS_ONLY_ZONE} cut off from control")
-            await asyncio.sleep(self._options.fault_seconds)
+            await asyncio.sleep(self._options.fault_seconds / 2)
+            restarted = names[:RESTARTED_IN_CUT]
+            self._cluster.workers.restart_daemons(restarted)
+            measurement.note(f"{len(restarted)} of its daemons were restarted")
+            await asyncio.sleep(self._options.fault_seconds / 2)
+            measurement.served_unconfirmed = await measurement.count_serving(restarted)
             await self._heal(measurement, names)
 
         return await self._phase_under("peers only", act)
--- a/src/finchshed/scale/results.py
+++ b/src/finchshed/scale/results.py
@@ -60,6 +60,9 @@
         Time from the start of daemons (re)started in the phase until calls could be taken.
     recovered_seconds
         Time from the end of the fault until every daemon had the last change in force.
+    served_unconfirmed
+        Daemons without a disk that were restarted while cut off from control and took calls
+        before it was in reach again; must be 0.
     reverted
         Times a configuration in force went back within one life of a daemon; must be 0.
     usage
@@ -83,6 +86,7 @@
     start_to_serving: Quantiles
     recovered_seconds: float | None = None
     reverted: int
+    served_unconfirmed: int = 0
     usage: dict[str, Usage]
     hollow_core_share: float
     hollow_resident_bytes: float
--- a/src/finchshed/scale/run.py
+++ b/src/finchshed/scale/run.py
@@ -67,6 +67,8 @@
             problems.append(f"{result.name}: {result.in_force.missing} never came into force")
         if result.reverted:
             problems.append(f"{result.name}: {result.reverted} times a configuration went back")
+        if result.served_unconfirmed:
+            problems.append(f"{result.name}: {result.served_unconfirmed} served unconfirmed")
         if worst > IN_FORCE_LIMIT_SECONDS:
             problems.append(
                 f"{result.name}: {worst:.2f} s to in force, allowed {IN_FORCE_LIMIT_SECONDS:g}"
--- a/tests/scale/test_scale_run.py
+++ b/tests/scale/test_scale_run.py
@@ -1,4 +1,4 @@
-"""A small scale run of real processes: changes, and a control leader killed."""
+"""A small scale run of real processes: changes, the leader killed, a zone cut off from control."""
 
 from pathlib import Path
 
@@ -17,7 +17,7 @@
         rate=2.0,
         fault_seconds=6.0,
         steady_seconds=3.0,
-        only="steady,leader_killed",
+        only="steady,leader_killed,control_cut_off",
         folder=str(tmp_path / "run"),
         out=str(out),
     )
@@ -29,11 +29,12 @@
     for phase in phases:
         assert isinstance(phase, PhaseResult)
         names.append(phase.name)
-        assert phase.daemons_in_reach == 21
+        cut_off = phase.cut_off.each.count if phase.cut_off else 0
         assert phase.in_force.missing == 0
         assert phase.reverted == 0
-        assert phase.in_force.each.count == phase.accepted * 21
-    assert names == ["start-up", "steady", "leader killed"]
+        assert phase.in_force.each.count + cut_off == phase.accepted * 21
+        assert phase.served_unconfirmed == 0
+    assert names == ["start-up", "steady", "leader killed", "peers only"]
     steady = phases[1]
     assert isinstance(steady, PhaseResult)
     assert steady.accepted == 6
