Strangers on the distribution port: short lines only, and they must subscribe

Cause: any connection could have 96 MiB of one line kept, or stay open for ever without a word.

Change: until a connection has subscribed its lines are limited to 16 KiB, and after 3 s it is closed. When a daemon's latest connection ends and a former one under its name is left, that one speaks for it again (found by the new tests).

--- a/src/finchshed/distribution/hub.py
+++ b/src/finchshed/distribution/hub.py
@@ -153,10 +153,10 @@
     def unsubscribe(self, number: int) -> None:
         """Forget a connection that has ended."""
         item = self._subscribers.pop(number, None)
-        if item is not None:
-            self._note(number, item, connected=False)
-            if self._latest.get(item.identity.node) == number:
-                del self._latest[item.identity.node]
+        if item is None or self._latest[item.identity.node] != number:
+            return
+        self._note(number, item, connected=False)
+        self._fall_back(item.identity.node)
 
     def on_in_force(self, number: int, revision: int, now: float) -> None:
         """Take a daemon's report."""
@@ -303,6 +303,15 @@
             return []
         return [Send(tuple(numbers), SharedLine(Redirect(self._alternatives)))]
 
+    def _fall_back(self, node: str) -> None:
+        """Let a former connection under the name ``node`` speak for it again, if one is left."""
+        former = [n for n, item in self._subscribers.items() if item.identity.node == node]
+        if not former:
+            del self._latest[node]
+            return
+        self._latest[node] = max(former)
+        self._note(max(former), self._subscribers[max(former)], connected=True)
+
     def _note(self, number: int, item: _Subscriber, connected: bool) -> None:
         """Put a daemon's state in the next report; a former connection doesn't stand for it."""
         identity = item.identity
--- a/src/finchshed/distribution/server.py
+++ b/src/finchshed/distribution/server.py
@@ -36,6 +36,12 @@
 BUFFER_LIMIT_BYTES = 4 << 20
 """A subscriber with more than this unsent is skipped until half of it has been sent."""
 
+MAX_FIRST_LINE_BYTES = 16 << 10
+"""Longest line taken from a connection that hasn't subscribed: it may be anyone's."""
+
+SUBSCRIBE_SECONDS = 3.0
+"""A connection that hasn't subscribed after this long is closed."""
+
 MAX_REQUEST_BYTES = 96 << 20
 """Longest line taken from a daemon; a completed call's whole answer is in it."""
 
@@ -70,6 +76,7 @@
         self._connections: dict[int, Connection] = {}
         self._by_node: dict[str, Connection] = {}
         self._numbers: dict[Connection, int] = {}
+        self._strangers: dict[Connection, float] = {}
         self._last_number = 0
         self._ticket: int | None = None
         self._confirming: asyncio.Task[None] | None = None
@@ -90,7 +97,7 @@
                 task.cancel()
         if self._server is not None:
             self._server.close()
-        for connection in list(self._connections.values()):
+        for connection in [*self._connections.values(), *self._strangers]:
             connection.abort()
 
     def commit(self, delta: Delta) -> None:
@@ -119,9 +126,24 @@
 
     def _make_protocol(self) -> Connection:
         return LineProtocol(
-            DaemonToControl, self._on_message, None, self._on_close, MAX_REQUEST_BYTES
+            DaemonToControl,
+            self._on_message,
+            self._on_open,
+            self._on_close,
+            MAX_FIRST_LINE_BYTES,
         )
 
+    def _on_open(self, connection: Connection) -> None:
+        self._strangers[connection] = self._now()
+
+    def _close_strangers(self) -> None:
+        """Close connections that were opened and never subscribed."""
+        limit = self._now() - SUBSCRIBE_SECONDS
+        for connection, opened_at in list(self._strangers.items()):
+            if opened_at < limit:
+                logger.warning("{} didn't subscribe in time", connection.peer_address)
+                connection.abort()
+
     def _on_message(self, connection: Connection, message: DaemonToControl) -> None:
         if isinstance(message, Subscribe):
             self._subscribe(connection, message)
@@ -144,6 +166,8 @@
         if connection in self._numbers:
             connection.abort()
             return
+        del self._strangers[connection]
+        connection.max_line_bytes = MAX_REQUEST_BYTES
         self._last_number += 1
         self._numbers[connection] = self._last_number
         self._connections[self._last_number] = connection
@@ -151,6 +175,7 @@
         self._perform(self._hub.subscribe(self._last_number, message, self._now()))
 
     def _on_close(self, connection: Connection, error: Exception | None) -> None:
+        self._strangers.pop(connection, None)
         for node, last in list(self._by_node.items()):
             if last is connection:
                 del self._by_node[node]
@@ -205,6 +230,7 @@
                 connection = self._connections.get(number)
                 if connection is None or connection.unsent_bytes() <= BUFFER_LIMIT_BYTES // 2:
                     self._perform(self._hub.on_buffer(number, False, self._now()))
+            self._close_strangers()
             self._perform(self._hub.tick(self._now()))
 
     @staticmethod
--- a/tests/distribution/test_hub.py
+++ b/tests/distribution/test_hub.py
@@ -197,6 +197,8 @@
     hub.subscribe(1, subscription("n1"), 0.0)
     hub.subscribe(2, subscription("n1"), 1.0)
     hub.unsubscribe(2)
+    (status,) = hub.collect_report().daemons
+    assert status.connected
     hub.unsubscribe(1)
     assert hub.subscriber_count() == 0
     (status,) = hub.collect_report().daemons
