--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -25,18 +25,20 @@
 from finchshed.daemon.http_server import HttpServer
 from finchshed.daemon.listeners import Listeners
 from finchshed.daemon.peers import PeerLinks
+from finchshed.daemon.platform_hints import PlatformHints
 from finchshed.daemon.settings import DaemonSettings
 from finchshed.daemon.spool import SpoolBudget
 from finchshed.distribution.addresses import parse_control_address
 from finchshed.distribution.driver import FollowerDriver
 from finchshed.distribution.effects import ServingGround
 from finchshed.distribution.identity import ClientIdentity
-from finchshed.distribution.messages import Delta
+from finchshed.distribution.messages import Delta, Hints
 from finchshed.distribution.snapshot import Configuration
 from finchshed.link.listener import AcceptedLink, LinkListener
 from finchshed.link.messages import Call, Hello, LoadReport, Reply
 from finchshed.retry.policy import retry_after
 from finchshed.routing.table import RoutingTable
+from finchshed.runtime import garbage
 
 TICK_SECONDS = 0.02
 SLOW_TICK_SECONDS = 0.5
@@ -56,6 +58,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._served = ServedRequests()
         self._table = RoutingTable(settings.zone, settings.region, self._rng)
+        self._platform = PlatformHints(self._table)
         self._links = PeerLinks(settings, self, self._rng)
         self._paths = PathThresholds(self._table.floor)
         self._caller = Caller(self._table, self._links, self._served, self._paths, self._rng)
@@ -69,6 +72,7 @@
             max_unsent_bytes=settings.max_unsent_bytes,
         )
         self._driver = self._make_driver()
+        self._driver.client.on_hints = self._on_hints
         self._backend: HttpBackend | None = None
         self._callee = self._make_callee()
         self._listeners = Listeners()
@@ -145,6 +149,7 @@
     def start_serving(self, ground: ServingGround) -> None:
         """Take calls from now on."""
         logger.info("taking calls, on the ground of {}", ground)
+        garbage.settle()
         metrics.SERVING.set(1)
         self._is_serving = True
         # Not before: a successor shares its address with a process that does answer.
@@ -206,7 +211,9 @@
 
     def peer_up(self, endpoint: str, incarnation: str) -> None:
         """Note that an endpoint can be called."""
-        self._table.on_link_up(endpoint, incarnation, time.monotonic())
+        now = time.monotonic()
+        self._table.on_link_up(endpoint, incarnation, now)
+        self._platform.on_linked(endpoint, incarnation, now)
 
     def peer_down(self, endpoint: str) -> None:
         """Note that an endpoint can't be called."""
@@ -228,6 +235,9 @@
         """Take configuration from an endpoint's daemon."""
         self._driver.on_peer_delta(peer, delta)
 
+    def _on_hints(self, hints: Hints) -> None:
+        self._platform.on_hints(hints, time.monotonic())
+
     # Construction and upkeep.
 
     def _make_driver(self) -> FollowerDriver:
