Simulation of distribution: slow readers, and zones cut off from control alone

A link tells a revision once, as real ones do. New fault: a daemon that reads nothing for seconds; nothing may be sent to it. New scenario: one zone cut off from control has to follow through other daemons within 6 s.

--- a/tests/simulation/distribution.py
+++ b/tests/simulation/distribution.py
@@ -54,11 +54,16 @@
 
     zones: set[frozenset[str]] = field(default_factory=set)
     nodes: set[str] = field(default_factory=set)
+    from_control: set[str] = field(default_factory=set)
+    """Zones whose daemons reach no control node."""
 
     def between(self, first: "Node", second: "Node") -> bool:
         """Whether nothing passes between two nodes."""
         if first.name in self.nodes or second.name in self.nodes:
             return True
+        for node, other in ((first, second), (second, first)):
+            if other.is_control and not node.is_control and node.zone in self.from_control:
+                return True
         return first.zone != second.zone and frozenset((first.zone, second.zone)) in self.zones
 
 
@@ -68,6 +73,7 @@
 
     name: str
     zone: str
+    is_control: bool = False
 
 
 class World:
@@ -132,7 +138,7 @@
     """A control node: the real hub over the world's list of accepted changes."""
 
     def __init__(self, world: World, name: str, zone: str) -> None:
-        super().__init__(name, zone)
+        super().__init__(name, zone, is_control=True)
         self.world = world
         self.links: dict[int, Link] = {}
         self.numbers = itertools.count(1)
@@ -185,13 +191,22 @@
         if self.links.pop(link.number, None) is not None:
             self.hub.unsubscribe(link.number)
 
+    def set_full(self, link: "Link", is_full: bool) -> None:
+        """Have a daemon's connection take no more, or again."""
+        if link.number in self.links:
+            link.is_full = is_full
+            self.perform(self.hub.on_buffer(link.number, is_full, self.world.env.now))
+
     def perform(self, effects: Sequence[HubEffect]) -> None:
         """Carry the hub's effects out."""
         for effect in effects:
             if isinstance(effect, Send):
                 for number in effect.subscribers:
-                    if number in self.links:
-                        self.links[number].send_down(effect.line.message)
+                    if number not in self.links:
+                        continue
+                    if self.links[number].is_full:
+                        raise ViolationError(f"{self.name} sent to a subscriber that is full")
+                    self.links[number].send_down(effect.line.message)
             elif isinstance(effect, Close):
                 if effect.subscriber in self.links:
                     self.links[effect.subscriber].close()
@@ -221,6 +236,7 @@
         self.control = control
         self.number = next(control.numbers)
         self.is_open = True
+        self.is_full = False
         self.accepted_at_subscription = 0
         self._last = {"up": 0.0, "down": 0.0}
         self._held: list[tuple[str, object]] = []
@@ -293,6 +309,7 @@
         self.follower = Follower(FollowerIdentity(self.zone, self.name), self.has_disk, self.disk)
         self.heard_at = self.world.env.now
         self.is_subscribed = False
+        self.told_by: dict[str, int] = {}
         self.confirmed: int | None = None
         """What was accepted when the daemon made the subscription a quorum confirmed."""
         self.perform(self.follower.start(self.world.env.now))
@@ -384,7 +401,11 @@
         revision, life = self.follower.revision, peer.life
 
         def heard() -> None:
-            if life == peer.life and not self.world.cuts.between(self, peer):
+            if life != peer.life or self.world.cuts.between(self, peer):
+                return
+            # A link tells a revision once.
+            if revision > peer.told_by.get(self.name, -1):
+                peer.told_by[self.name] = revision
                 effects = peer.follower.on_peer_revision(self.name, revision, self.world.env.now)
                 peer.perform(effects)
 
--- a/tests/simulation/distribution_faults.py
+++ b/tests/simulation/distribution_faults.py
@@ -6,12 +6,19 @@
 MEETING_SECONDS = 0.02
 FAULT_SECONDS = (0.3, 2.5)
 CUT_SECONDS = (0.5, 12.0)
+SLOW_SECONDS = (0.2, 6.0)
 
 
 class Faults:
-    """Changes, meetings of daemons, and faults until :meth:`end`."""
+    """Changes, meetings of daemons, and faults until :meth:`end`.
 
-    def __init__(self, world: World) -> None:
+    Parameters
+    ----------
+    random_faults
+        Whether faults are drawn from the seed; without, only what the test brings about happens.
+    """
+
+    def __init__(self, world: World, random_faults: bool = True) -> None:
         self.world = world
         self.is_over = False
         self.kinds = (
@@ -20,11 +27,13 @@
             self.restart_daemon,
             self.restart_control,
             self.break_link,
+            self.slow_reader,
         )
         world.accept()
         self._change()
         self._meet()
-        self._fault()
+        if random_faults:
+            self._fault()
 
     def end(self) -> None:
         """Bring no more faults about, end the cuts, and accept no more changes."""
@@ -70,6 +79,15 @@
         if link is not None:
             link.close()
 
+    def slow_reader(self) -> None:
+        """Have a daemon read nothing for a while, so that its buffer at control is full."""
+        link = self.world.rng.choice(self.world.daemons).link
+        if link is None:
+            return
+        link.control.set_full(link, True)
+        pause = self.world.rng.uniform(*SLOW_SECONDS)
+        self.world.after(pause, lambda: link.control.set_full(link, False))
+
     def _release(self) -> None:
         for daemon in self.world.daemons:
             if daemon.link is not None:
--- a/tests/simulation/test_distribution.py
+++ b/tests/simulation/test_distribution.py
@@ -12,6 +12,9 @@
 CATCH_UP_SECONDS = 12.0
 """Longest backoff, a refused attempt, and the fetch that follows."""
 
+FOLLOW_SECONDS = 6.0
+"""A lost answer or two of peers, each asked again after a second, and late ones."""
+
 SEEDS = range(60)
 MUTANT_SEEDS = range(60)
 
@@ -32,12 +35,33 @@
     return world
 
 
+def run_cut_off_from_control(seed: int) -> None:
+    """Cut one zone's daemons off from control, and check that they follow through others."""
+    world = World(seed)
+    faults = Faults(world, random_faults=False)
+    world.env.run(until=5.0)
+    world.cuts.from_control.add("z1")
+    world.env.run(until=15.0)
+    wanted = len(world.accepted)
+    world.env.run(until=15.0 + FOLLOW_SECONDS)
+    faults.end()
+    for daemon in world.daemons:
+        if daemon.zone == "z1" and daemon.follower.revision < wanted:
+            held = daemon.follower.revision
+            raise ViolationError(f"{daemon.name} is at {held}, {wanted} is {FOLLOW_SECONDS} s old")
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_no_configuration_goes_back_and_everyone_catches_up(seed: int) -> None:
     world = run(seed)
     assert len(world.accepted) > 10
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_daemons_cut_off_from_control_follow_through_others(seed: int) -> None:
+    run_cut_off_from_control(seed)
+
+
 def test_both_grounds_for_serving_occur_over_the_seeds() -> None:
     found: set[ServingGround] = set()
     for seed in SEEDS:
@@ -71,6 +95,12 @@
     return list(self._take_effect(self._held)) if self._holds_any else []
 
 
+def forgets_that_buffers_fill(
+    self: Hub, number: int, is_full: bool, now: float
+) -> tuple[object, ...]:
+    return ()
+
+
 ORIGINAL_SUBSCRIBE = Hub.subscribe
 
 
@@ -81,8 +111,15 @@
         (Hub, "subscribe", confirms_at_once),
         (Follower, "_fetch", forgets_to_fetch),
         (Follower, "_record_or_take_effect", records_late),
+        (Hub, "on_buffer", forgets_that_buffers_fill),
+    ],
+    ids=[
+        "serves unconfirmed",
+        "confirms without a quorum",
+        "never fetches",
+        "records late",
+        "fills buffers",
     ],
-    ids=["serves unconfirmed", "confirms without a quorum", "never fetches", "records late"],
 )
 def test_broken_logic_is_caught(
     monkeypatch: pytest.MonkeyPatch, owner: type, name: str, broken: object
@@ -91,6 +128,7 @@
     for seed in MUTANT_SEEDS:
         try:
             run(seed)
+            run_cut_off_from_control(seed)
         except ViolationError:
             return
     pytest.fail(f"no seed of {len(MUTANT_SEEDS)} caught it")
