--- a/src/finchshed/scale/phases.py
+++ b/src/finchshed/scale/phases.py
@@ -12,7 +12,7 @@
 from finchshed.scale.calls import Calls
 from finchshed.scale.changes import ChangeRun
 from finchshed.scale.cluster import Cluster
-from finchshed.scale.layout import ZONES_OF_REGIONS, places
+from finchshed.scale.layout import CONTROL_ZONES, VOTERS, ZONES_OF_REGIONS, places
 from finchshed.scale.measurement import Histories, Measurement
 from finchshed.scale.plan import control_name
 from finchshed.scale.results import PhaseResult
@@ -66,6 +66,7 @@
             self.rolling_restart,
             self.control_frozen,
             self.leader_killed,
+            self.two_control_killed,
             self.zone_lost,
             self.zone_back,
             self.control_cut_off,
@@ -130,15 +131,27 @@
     async def leader_killed(self) -> PhaseResult:
         """Kill the leading control node, and start it again."""
         leader = await asyncio.to_thread(self._cluster.leader)
+        return await self._control_killed("leader killed", [leader])
+
+    async def two_control_killed(self) -> PhaseResult:
+        """Kill the leader and another voter at once, and start both again."""
+        leader = await asyncio.to_thread(self._cluster.leader)
+        voters = [control_name(zone) for zone in CONTROL_ZONES[:VOTERS]]
+        other = next(voter for voter in reversed(voters) if voter != leader)
+        return await self._control_killed("two control killed", [leader, other])
+
+    async def _control_killed(self, name: str, nodes: list[str]) -> PhaseResult:
+        processes = [self._cluster.processes[node] for node in nodes]
 
         async def act(measurement: Measurement) -> None:
             await asyncio.sleep(BEFORE_FAULT_SECONDS)
-            await self._cluster.kill([self._cluster.processes[leader]])
-            measurement.note(f"{leader} killed")
+            await self._cluster.kill(processes)
+            measurement.note(f"{' and '.join(nodes)} killed")
             await asyncio.sleep(self._options.fault_seconds - BEFORE_FAULT_SECONDS)
 
-        result = await self._phase_under("leader killed", act)
-        await self._cluster.restart(self._cluster.processes[leader])
+        result = await self._phase_under(name, act)
+        for process in processes:
+            await self._cluster.restart(process)
         return result
 
     async def zone_lost(self) -> PhaseResult:
