--- a/src/finchshed/control/ledger_router.py
+++ b/src/finchshed/control/ledger_router.py
@@ -10,12 +10,9 @@
 from finchshed.control.replicated_log import ReplicatedLog
 from finchshed.control.state_machine import ControlStateMachine
 from finchshed.distribution.addresses import ControlAddress
-from finchshed.distribution.client import (
-    ClientHandlers,
-    ClientIdentity,
-    ControlClient,
-    LedgerAnswer,
-)
+from finchshed.distribution.client import ClientHandlers, ControlClient
+from finchshed.distribution.identity import ClientIdentity
+from finchshed.distribution.ledger_requests import LedgerAnswer
 from finchshed.distribution.messages import (
     LedgerBegin,
     LedgerCancel,
--- a/src/finchshed/distribution/follower.py
+++ b/src/finchshed/distribution/follower.py
@@ -27,6 +27,7 @@
     TakeEffect,
 )
 from finchshed.distribution.messages import Delta
+from finchshed.distribution.peer_revisions import PeerRevisions
 from finchshed.distribution.snapshot import (
     Configuration,
     apply_delta,
@@ -38,6 +39,9 @@
 FETCH_RETRY_SECONDS = 1.0
 """An unanswered fetch is repeated, from another source if there is one, after this long."""
 
+CONTROL_GRACE_SECONDS = 2.0
+"""After a start, control has this long to be reached before disk and peers are enough."""
+
 HISTORY_CHANGES = 64
 """Changes kept for peers; one that is further behind gets the whole configuration."""
 
@@ -91,12 +95,12 @@
         self._history = DeltaHistory(HISTORY_CHANGES)
         self._holds_any = False
         self._started_from_disk = False
+        self._started_at = 0.0
         self._highest_seen = 0
         self._confirmed_revision: int | None = None
         self._ground = ServingGround.NONE
         self._control_connected = False
-        self._peers: dict[str, int] = {}
-        self._asked: set[str] = set()
+        self._peers = PeerRevisions()
         self._fetch_due = 0.0
         self._fetch_from_peer_next = False
         self._recording: Configuration | None = None
@@ -142,6 +146,7 @@
 
     def start(self, now: float) -> Sequence[FollowerEffect]:
         """Begin; with a record, act on it at once and ask the peers of the zone."""
+        self._started_at = now
         if not self._started_from_disk:
             return NO_EFFECTS
         effects: list[FollowerEffect] = [TakeEffect(Configuration(), self._in_force)]
@@ -171,14 +176,14 @@
 
     def on_peer_delta(self, peer: str, delta: Delta, now: float) -> Sequence[FollowerEffect]:
         """Take a delta from another daemon. It can't confirm anything for a quorum."""
-        self._note_peer(peer, delta.revision)
+        self._peers.note(peer, delta.revision)
         return self._take(delta, now)
 
     def on_peer_revision(self, peer: str, revision: int, now: float) -> Sequence[FollowerEffect]:
         """Note the revision that came with a call, an answer or a heartbeat of ``peer``."""
         if revision <= self._held.revision and self.may_serve:
             return NO_EFFECTS
-        self._note_peer(peer, revision)
+        self._peers.note(peer, revision)
         if revision > self._highest_seen:
             self._highest_seen = revision
             self._fetch_due = now
@@ -235,7 +240,7 @@
         """Return what the present state asks for."""
         effects: list[FollowerEffect] = []
         effects.extend(self._record_or_take_effect())
-        effects.extend(self._start_serving())
+        effects.extend(self._start_serving(now))
         effects.extend(self._fetch(now))
         return effects
 
@@ -259,17 +264,17 @@
         self._in_force = configuration
         return [TakeEffect(previous, configuration), ReportInForce(configuration.revision)]
 
-    def _start_serving(self) -> list[FollowerEffect]:
+    def _start_serving(self, now: float) -> list[FollowerEffect]:
         if self.may_serve:
             return []
-        ground = self._find_ground()
+        ground = self._find_ground(now)
         if ground is ServingGround.NONE:
             return []
         self._ground = ground
-        self._peers.clear()
+        self._peers.forget()
         return [StartServing(ground)]
 
-    def _find_ground(self) -> ServingGround:
+    def _find_ground(self, now: float) -> ServingGround:
         in_force = self._in_force.revision
         if not self._holds_any or self._in_force is not self._held:
             return ServingGround.NONE
@@ -277,14 +282,17 @@
             return ServingGround.NONE
         if self._confirmed_revision is not None and in_force >= self._confirmed_revision:
             return ServingGround.QUORUM
-        if self._started_from_disk and self._most_peers_answered():
+        # A quorum knows more than the peers, so it is heard first where it can be reached.
+        without_control = (
+            not self._control_connected and now - self._started_at >= CONTROL_GRACE_SECONDS
+        )
+        if self._started_from_disk and without_control and self._most_peers_answered():
             return ServingGround.DISK_AND_PEERS
         return ServingGround.NONE
 
     def _most_peers_answered(self) -> bool:
         names = [endpoint.name for endpoint in self._zone_peers()]
-        answered = sum(1 for name in names if name in self._peers)
-        return 2 * answered > len(names) or not names
+        return 2 * self._peers.told(names) > len(names) or not names
 
     def _zone_peers(self) -> tuple[Endpoint, ...]:
         zone, own = self._identity.zone, self._identity.endpoint
@@ -294,15 +302,12 @@
             if endpoint.zone == zone and endpoint.name != own
         )
 
-    def _note_peer(self, peer: str, revision: int) -> None:
-        self._peers[peer] = max(revision, self._peers.get(peer, 0))
-
     def _fetch(self, now: float) -> list[FollowerEffect]:
         if self._held.revision >= self._highest_seen:
             self._fetch_from_peer_next = False
-            self._asked.clear()
-            if self.may_serve and self._peers:
-                self._peers.clear()
+            self._peers.forget_asked()
+            if self.may_serve:
+                self._peers.forget()
             return []
         if now < self._fetch_due:
             return []
@@ -311,22 +316,12 @@
 
     def _choose_source(self) -> list[FollowerEffect]:
         """Ask control first; if that brought nothing, or there is none, the furthest peer."""
-        peer = self._next_peer()
+        peer = self._peers.next_ahead(self._held.revision)
         if peer and (self._fetch_from_peer_next or not self._control_connected):
             self._fetch_from_peer_next = False
-            self._asked.add(peer)
+            self._peers.asked(peer)
             return [FetchFromPeer(peer, self._held.revision)]
         if self._control_connected:
             self._fetch_from_peer_next = True
             return [FetchFromControl(self._held.revision)]
         return []
-
-    def _next_peer(self) -> str:
-        """Return the furthest peer ahead that wasn't asked yet; once all were, begin again.
-
-        A link tells a revision once, so peers are kept until what they hold is held here too.
-        """
-        ahead = {name for name, held in self._peers.items() if held > self._held.revision}
-        if ahead and ahead <= self._asked:
-            self._asked.clear()
-        return max(ahead - self._asked, key=lambda name: (self._peers[name], name), default="")
--- a/tests/scale/test_fit.py
+++ b/tests/scale/test_fit.py
@@ -3,7 +3,7 @@
 
 from finchshed.scale.fit import fit
 from finchshed.scale.models import fits_of, table_of
-from finchshed.scale.slopes import ControlPoint, SlopePoint
+from finchshed.scale.slope_points import ControlPoint, SlopePoint
 from finchshed.scale.usage import Usage
 
 
@@ -34,9 +34,12 @@
         fit("y", {"x": [0.0, 0.0]}, [1.0, 2.0])
 
 
-def point(rate: float, subscribers: int, kilobytes: float, restarts: float) -> SlopePoint:
-    """Make a point that costs 2 microseconds a change and subscriber, and no more."""
-    cost = 2e-6 * rate * subscribers
+def point(
+    rate: float, subscribers: int, kilobytes: float, restarts: float, ledger: float = 0.0
+) -> SlopePoint:
+    """Make a point that costs 2 microseconds a change and subscriber, and 300 a ledger request."""
+    cost = 2e-6 * rate * subscribers + 3e-4 * ledger
+    daemons = 2 * subscribers / 4
     nodes = tuple(
         ControlPoint(
             node=name,
@@ -55,36 +58,47 @@
         services=52,
         rate=rate,
         restarts=restarts,
+        ledger=ledger,
         resources=1_100,
         configuration_bytes=int(1024 * kilobytes),
         control=nodes,
-        hollow_core_share=1e-4 * (1.0 + rate),
-        hollow_resident_bytes=1024 * 10 * kilobytes,
+        hollow=Usage(4, 1e-4 * daemons, 1e-4 * daemons, 1024.0 * daemons * kilobytes, 1),
         bytes_per_second=150.0 + 160.0 * rate,
         real=Usage(1, 1e-3 * rate, 1e-3 * rate, 5e7, 50_000_000),
         busy_share=0.1,
     )
 
 
-def test_the_models_find_the_costs_that_the_points_were_made_of() -> None:
-    points = [
-        point(rate, subscribers, kilobytes, restarts)
-        for rate, subscribers, kilobytes, restarts in (
-            (0.0, 100, 200.0, 0.0),
-            (2.0, 20, 200.0, 0.0),
-            (2.0, 100, 200.0, 0.0),
-            (4.0, 50, 200.0, 5.0),
-            (8.0, 180, 900.0, 0.0),
-            (2.0, 180, 900.0, 10.0),
-            (1.0, 180, 500.0, 0.0),
-            (4.0, 180, 400.0, 20.0),
+def spread_points() -> list[SlopePoint]:
+    return [
+        point(rate, subscribers, kilobytes, restarts, ledger)
+        for rate, subscribers, kilobytes, restarts, ledger in (
+            (0.0, 100, 200.0, 0.0, 0.0),
+            (2.0, 20, 200.0, 0.0, 0.0),
+            (2.0, 100, 200.0, 0.0, 0.0),
+            (4.0, 50, 200.0, 5.0, 0.0),
+            (8.0, 180, 900.0, 0.0, 0.0),
+            (2.0, 180, 900.0, 10.0, 0.0),
+            (1.0, 180, 950.0, 0.0, 0.0),
+            (4.0, 180, 1000.0, 20.0, 0.0),
+            (0.0, 180, 1000.0, 0.0, 50.0),
+            (0.0, 180, 1000.0, 0.0, 100.0),
+            (0.0, 180, 1000.0, 0.0, 400.0),
         )
     ]
+
+
+def test_the_models_find_the_costs_that_the_points_were_made_of() -> None:
+    points = spread_points()
     fits = {item.quantity: item for item in fits_of(points)}
-    leader = {c.name: c.value for c in fits["control leader, processor"].coefficients}
-    assert leader["change x subscriber"] == pytest.approx(2.0)
-    assert leader["constant"] == pytest.approx(0.0, abs=1e-6)
-    traffic = {c.name: c.value for c in fits["daemon, traffic"].coefficients}
+    control = {c.name: c.value for c in fits["control node, processor"].coefficients}
+    assert control["change x subscriber"] == pytest.approx(2.0)
+    ledger = fits["control node under ledger requests, processor"].coefficients
+    assert {c.name: c.value for c in ledger}["request"] == pytest.approx(300.0)
+    assert control["leader"] == pytest.approx(0.0, abs=1e-6)
+    hollow = {c.name: c.value for c in fits["process of hollow daemons, processor"].coefficients}
+    assert hollow["daemon"] == pytest.approx(100.0)
+    traffic = {c.name: c.value for c in fits["daemon, traffic with control"].coefficients}
     assert traffic["constant"] == pytest.approx(150.0)
     assert traffic["change"] == pytest.approx(160.0)
     memory = {c.name: c.value for c in fits["control node, memory"].coefficients}
