--- a/src/finchshed/bench/command.py
+++ b/src/finchshed/bench/command.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from finchshed.bench.daemon_slopes import slopes
 from finchshed.bench.experiment import cases_of, load
 from finchshed.bench.paired_latency import latency
 from finchshed.bench.results import RunRecord, read, run_case, summary_lines
@@ -53,4 +54,4 @@
     return ExitCode.OK
 
 
-COMMANDS = {"run": bench, "summary": summarize, "latency": latency}
+COMMANDS = {"run": bench, "summary": summarize, "latency": latency, "slopes": slopes}
--- a/src/finchshed/bench/daemon_system.py
+++ b/src/finchshed/bench/daemon_system.py
@@ -56,6 +56,8 @@
         Size of each answer, and the time a back end takes for it.
     flags
         Flags of every daemon, over the defaults.
+    peers
+        Endpoints to declare in place of the daemons' own.
     relays
         Number of processes that only pass bytes, in a row before the first back end.
     wrapper
@@ -68,6 +70,7 @@
     slots: int = 64
     flags: Mapping[str, str] = field(default_factory=dict)
     relays: int = 0
+    peers: tuple[Endpoint, ...] = ()
     wrapper: Callable[[str, list[str]], list[str]] | None = None
     control: FixedControl = field(default_factory=FixedControl)
     backend_processes: list[MeasuredProcess] = field(default_factory=list)
@@ -122,7 +125,7 @@
             )
             for daemon in self.daemons
         ]
-        return (service, Policy(), *endpoints)
+        return (service, Policy(), *(self.peers or endpoints))
 
     def _launch_backend(self, backend: MeasuredProcess) -> None:
         port = backend.http_address.rpartition(":")[2]
--- a/src/finchshed/bench/paired_latency.py
+++ b/src/finchshed/bench/paired_latency.py
@@ -19,11 +19,11 @@
 import uvloop
 from hdrh.histogram import HdrHistogram
 
-from finchshed.bench.daemon_system import SERVICE, DaemonSystem, MeasuredProcess, MeasurementError
+from finchshed.bench.call_load import bench_request
+from finchshed.bench.daemon_system import DaemonSystem, MeasuredProcess, MeasurementError
 from finchshed.bench.process_usage import MachineLoad, MachineMeter, processor_seconds
 from finchshed.cli.exit_codes import ExitCode
-from finchshed.common.context import HEADER_SERVICE
-from finchshed.daemon.backend import BackendAnswer, BackendRequest, BackendResult
+from finchshed.daemon.backend import BackendAnswer, BackendResult
 from finchshed.daemon.backend_http import HttpBackend
 
 DIRECT, THROUGH, RELAYED = range(3)
@@ -149,7 +149,7 @@
             else:
                 self._end([seconds or 0.0 for seconds in took])
 
-        self._ways[way].send(_request(), on_result)
+        self._ways[way].send(bench_request(), on_result)
 
     def _end(self, took: Sequence[float] | None) -> None:
         if took is None:
@@ -296,17 +296,6 @@
     return answer.status == 200 and len(answer.body) == BODY_BYTES
 
 
-def _request() -> BackendRequest:
-    return BackendRequest(
-        method="GET",
-        path="/",
-        headers=((HEADER_SERVICE, SERVICE),),
-        body=b"",
-        timeout_seconds=CALL_TIMEOUT_SECONDS,
-        max_answer_bytes=1 << 20,
-    )
-
-
 def _client(measured: MeasuredProcess) -> HttpBackend:
     return HttpBackend(measured.http_address, CALLER_CONNECTIONS, CALL_TIMEOUT_SECONDS)
 
@@ -315,7 +304,7 @@
     """Wait until calls are answered: every daemon holds the configuration."""
     for _ in range(500):
         waiter: asyncio.Future[BackendResult] = asyncio.get_running_loop().create_future()
-        client.send(_request(), waiter.set_result)
+        client.send(bench_request(), waiter.set_result)
         result = await waiter
         if isinstance(result, BackendAnswer) and _is_whole(result):
             return
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -67,7 +67,7 @@
         self._listener = LinkListener(
             self,
             settings.peer_networks,
-            silence_seconds=2 * settings.idle_heartbeat_seconds + settings.silence_seconds,
+            silence_seconds=settings.accepted_silence_seconds,
             max_unsent_bytes=settings.max_unsent_bytes,
         )
         self._driver = self._make_driver()
--- a/src/finchshed/daemon/settings.py
+++ b/src/finchshed/daemon/settings.py
@@ -97,3 +97,8 @@
     drain_notice_seconds: Annotated[
         float, Meta(ge=0, le=60, description="Time a stop leaves for late arrivals to come in.")
     ] = 0.5
+
+    @property
+    def accepted_silence_seconds(self) -> float:
+        """How long a link that a peer opened may carry nothing: idle peers seldom say a thing."""
+        return 2 * self.idle_heartbeat_seconds + self.silence_seconds
--- a/src/finchshed/scale/hollow.py
+++ b/src/finchshed/scale/hollow.py
@@ -75,7 +75,7 @@
         self._listener = LinkListener(
             self,
             settings.peer_networks,
-            silence_seconds=2 * settings.silence_seconds,
+            silence_seconds=settings.accepted_silence_seconds,
             max_unsent_bytes=settings.max_unsent_bytes,
         )
         host, _, port = self._spec.address.rpartition(":")
--- a/tests/daemon/test_platform_hints.py
+++ b/tests/daemon/test_platform_hints.py
@@ -61,8 +61,7 @@
 
 async def test_a_listed_backend_gets_no_new_work() -> None:
     async with deployment(echo, echo) as system:
-        for number in range(20):
-            await system.ask(f"/{number}")
+        await asyncio.gather(*(system.ask(f"/{number}") for number in range(30)))
         assert system.backends[0].received
         system.control.tell(Hints((LeavingHint("licence-1", 0.0),), 0.0))
         await asyncio.sleep(0.3)
@@ -71,6 +70,6 @@
         assert len(system.backends[0].received) == before
         system.control.tell(Hints((), 0.0))
         await asyncio.sleep(0.3)
-        told += [await system.ask(f"/c{number}") for number in range(30)]
+        told += await asyncio.gather(*(system.ask(f"/c{number}") for number in range(30)))
         assert len(system.backends[0].received) > before
     assert {answered.status for answered in told} == {200}
