--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -16,6 +16,7 @@
 from finchshed.daemon import metrics
 from finchshed.daemon.accounts import ServedRequests
 from finchshed.daemon.backend_http import HttpBackend
+from finchshed.daemon.backend_return import wait_for_return
 from finchshed.daemon.callee import Callee
 from finchshed.daemon.caller import Caller
 from finchshed.daemon.catalogue import Catalogue
@@ -29,9 +30,9 @@
 from finchshed.daemon.settings import DaemonSettings
 from finchshed.daemon.spool import SpoolBudget
 from finchshed.distribution.addresses import parse_control_address
-from finchshed.distribution.client import ClientIdentity
 from finchshed.distribution.driver import FollowerDriver
 from finchshed.distribution.effects import ServingGround
+from finchshed.distribution.identity import ClientIdentity
 from finchshed.distribution.messages import Delta, Hints
 from finchshed.distribution.snapshot import Configuration
 from finchshed.link.listener import AcceptedLink, LinkListener
@@ -40,7 +41,6 @@
 from finchshed.routing.table import RoutingTable
 from finchshed.runtime import garbage
 
-TICK_SECONDS = 0.02
 SLOW_TICK_SECONDS = 0.5
 INCARNATION_BYTES = 8
 DRAIN_POLL_SECONDS = 0.02
@@ -68,7 +68,7 @@
         self._listener = LinkListener(
             self,
             settings.peer_networks,
-            silence_seconds=2 * settings.silence_seconds,
+            silence_seconds=settings.accepted_silence_seconds,
             max_unsent_bytes=settings.max_unsent_bytes,
         )
         self._driver = self._make_driver()
@@ -93,7 +93,6 @@
         """Follow the configuration and listen."""
         settings = self._settings
         self._spawn(self._driver.run())
-        self._spawn(self._tick_often())
         self._spawn(self._tick_seldom())
         await self._listeners.open(settings.link_address, self._listener.make_protocol)
 
@@ -283,6 +282,19 @@
             self._callee.draining = True
         for link in self._listener.links():
             link.tell_draining()
+        self._spawn(self._take_back_end_back())
+
+    async def _take_back_end_back(self) -> None:
+        """Take work again once the back end has returned; to peers it is another one."""
+        assert self._backend is not None
+        await wait_for_return(self._backend)
+        if self._callee is None or self._is_draining:
+            return
+        logger.info("the back end has returned")
+        self._callee.draining = False
+        self._incarnation = secrets.token_hex(INCARNATION_BYTES)
+        for link in self._listener.links():
+            link.tell_hello()
 
     async def _idle(self, seconds: float) -> None:
         """Wait until nothing is in progress, for ``seconds`` at most."""
@@ -301,12 +313,6 @@
             self._callee.in_progress > 0 or self._callee.sessions > 0
         )
 
-    async def _tick_often(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_SECONDS)
-            if self._callee is not None:
-                self._callee.tick()
-
     async def _tick_seldom(self) -> None:
         while True:
             await asyncio.sleep(SLOW_TICK_SECONDS)
@@ -317,7 +323,11 @@
             self._listener.close_silent(asyncio.get_running_loop().time())
             metrics.IN_PROGRESS.labels("caller").set(self._caller.in_progress)
             if self._callee is not None:
+                self._callee.expire_sessions()
                 metrics.IN_PROGRESS.labels("callee").set(self._callee.in_progress)
+                load = self._callee.load_report()
+                metrics.LIMIT.set(load.limit)
+                metrics.THRESHOLD.set(load.threshold)
 
     async def _close(self) -> None:
         self._listeners.close()
--- a/src/finchshed/emulator/control/planes.py
+++ b/src/finchshed/emulator/control/planes.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from finchshed.configuration.resources import Endpoint, EndpointState, Policy
-from finchshed.distribution.client import ClientIdentity
+from finchshed.distribution.identity import ClientIdentity
 from finchshed.emulator import acts
 from finchshed.emulator.control.group import PLATFORM_LAG_SECONDS, ControlGroup
 from finchshed.emulator.daemons.control_plane import ControlConnection
@@ -16,7 +16,7 @@
 from finchshed.emulator.simulation import Simulation
 from finchshed.proof.history import ControlReachable
 
-REACHABILITY_SECONDS: Final = 0.25
+REACHABILITY_SECONDS: Final = 0.5
 """Time between looks at which daemons can reach a majority."""
 
 
--- a/src/finchshed/standins/settings.py
+++ b/src/finchshed/standins/settings.py
@@ -112,6 +112,8 @@
         Number of outside callers the requests are spread over.
     surges
         Whether a surge multiplies this load.
+    backoff_seconds
+        Mean pause before a hard repeat, drawn evenly from half to one and a half of it.
     """
 
     name: Name
@@ -126,6 +128,7 @@
     identities: Annotated[int, msgspec.Meta(ge=1)] = 100
     surges: bool = True
     retry: RetryHabit = RetryHabit.RETRY_AFTER
+    backoff_seconds: Seconds = 0.0
     max_attempts: Annotated[int, msgspec.Meta(ge=1, le=100)] = 3
     deadline_seconds: Annotated[float, msgspec.Meta(gt=0.0, le=3600.0)] = 2.0
 
@@ -147,6 +150,8 @@
         HTTP addresses of edge daemons: the first is used, the others by repeats.
     client_delay_seconds
         One-way delay between clients and the edge, added before and after each attempt.
+    arrivals_path
+        File of the arrivals to send; empty: they are drawn from the loads and phases.
     """
 
     name: Name
@@ -156,6 +161,7 @@
     loads: tuple[Load, ...]
     phases: tuple[Phase, ...]
     client_delay_seconds: Seconds = 0.0
+    arrivals_path: str = ""
     max_connections: Annotated[int, msgspec.Meta(ge=1)] = 512
     seed: int = 1
 
@@ -173,6 +179,25 @@
     lag_seconds: Seconds = 0.0
 
 
+class Submission(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A change that operators submit at once, all against the revision in force then.
+
+    Attributes
+    ----------
+    at
+        Seconds after the start.
+    change_id
+        Operator ``n``, from 0, submits under the identity ``change_id.n``.
+    resend
+        Send each change once more after its answer, as if that had been lost.
+    """
+
+    at: Seconds
+    change_id: Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+    operators: Annotated[int, msgspec.Meta(ge=1, le=16)] = 1
+    resend: bool = False
+
+
 class OperatorSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Settings of one stand-in operator.
 
@@ -184,6 +209,8 @@
         A change's number is added to this to get the key window it sets, seconds.
     patience_seconds
         A change not answered for so long is given up.
+    submissions
+        Changes of given identities to submit, each once, in place of ``changes``.
     """
 
     name: Name
@@ -195,6 +222,7 @@
     base_value: Annotated[float, msgspec.Meta(gt=0.0, le=80_000.0)] = 600.0
     pause_seconds: Seconds = 0.0
     patience_seconds: Seconds = 60.0
+    submissions: tuple[Submission, ...] = ()
 
 
 def load(struct_type: type[SettingsT], path: str | pathlib.Path) -> SettingsT:
