--- a/src/finchshed/bench/command.py
+++ b/src/finchshed/bench/command.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from finchshed.bench.consensus_log import measure_log
 from finchshed.bench.control_placement import placement
 from finchshed.bench.control_plane import control
 from finchshed.bench.daemon_slopes import slopes
@@ -60,6 +61,7 @@
     "run": bench,
     "summary": summarize,
     "latency": latency,
+    "log": measure_log,
     "control": control,
     "placement": placement,
     "slopes": slopes,
