ctl status tells the ledger's keys; the garbage test lets the node close first

Cause of the test's change: it failed when the node had reset the connection before the test shut down its side (ENOTCONN), which is right of the node. It still requires that the node closes, and serves operators afterwards.

--- a/src/finchshed/ctl/reading.py
+++ b/src/finchshed/ctl/reading.py
@@ -20,6 +20,7 @@
     ExplainView,
     HistoryEntryView,
     HistoryView,
+    LedgerView,
     MembersView,
     MemberView,
     StatusView,
@@ -159,6 +160,12 @@
         confirmed=best.confirmed,
         in_force=best.in_force,
         known=best.known,
+        ledger=LedgerView(
+            best.ledger.free,
+            best.ledger.begun,
+            best.ledger.completed,
+            best.ledger.answer_bytes,
+        ),
         daemons=tuple(daemons),
         unreachable=tuple(unreachable),
     )
@@ -359,6 +366,8 @@
     lines = [
         f"revision {view.revision}, {confirmation}, leader {view.leader or 'unknown'}",
         f"in force at {view.in_force} of {view.known} daemons",
+        f"ledger: {view.ledger.begun} keys begun, {view.ledger.completed} completed, "
+        f"{view.ledger.free} cancelled, {view.ledger.answer_bytes} bytes of answers",
     ]
     rows = [
         (
--- a/src/finchshed/ctl/values.py
+++ b/src/finchshed/ctl/values.py
@@ -42,6 +42,15 @@
     seconds: float
 
 
+class LedgerView(msgspec.Struct, frozen=True):
+    """Keys of the at-most-once ledger that the control group itself holds, by state."""
+
+    free: int
+    begun: int
+    completed: int
+    answer_bytes: int
+
+
 class StatusView(msgspec.Struct, frozen=True):
     """Answer of ``status``."""
 
@@ -50,6 +59,7 @@
     confirmed: bool
     in_force: int
     known: int
+    ledger: LedgerView
     daemons: tuple[DaemonView, ...]
     unreachable: tuple[str, ...]
 
--- a/tests/ctl/test_commands.py
+++ b/tests/ctl/test_commands.py
@@ -166,6 +166,7 @@
         text = ctl("status", code=14)
         assert "confirmed by a quorum" in text
         assert "in force at 1 of 2 daemons" in text
+        assert "ledger: 0 keys begun" in text
         slow.holds_back = False
         ctl("undrain sales-1")
         wait_for_status(ctl, lambda status: status["in_force"] == 2)
@@ -308,18 +309,25 @@
 GARBAGE = [b"\x00\xff" * 500, b"{}\n", b'{"type":"ledger_begin"}\n', b"x" * 100_000, b"\n" * 50]
 
 
+def send_and_read_to_the_end(connection: socket.socket, data: bytes) -> None:
+    """The other side may close at any point, but must close."""
+    connection.settimeout(30.0)
+    with contextlib.suppress(ConnectionError):
+        connection.sendall(data)
+    with contextlib.suppress(OSError):  # not connected any more
+        connection.shutdown(socket.SHUT_WR)
+    with contextlib.suppress(ConnectionError):
+        while connection.recv(65_536):
+            pass
+
+
 def test_garbage_at_every_port_harms_nobody(ctl: Shell, declared: Path, group: Group) -> None:
     node = group.nodes[0]
     for address in (node.raft, node.distribution, node.rpc):
         host, _, port = address.rpartition(":")
         for data in GARBAGE:
             with socket.create_connection((host, int(port)), 30.0) as connection:
-                connection.sendall(data)
-                connection.shutdown(socket.SHUT_WR)
-                connection.settimeout(30.0)
-                with contextlib.suppress(ConnectionResetError):
-                    while connection.recv(65_536):
-                        pass
+                send_and_read_to_the_end(connection, data)
     ctl(f"get service/sales --control={node.rpc}")
     ctl("drain sales-1")
     ctl("undrain sales-1")
