--- a/src/finchshed/bench/command.py
+++ b/src/finchshed/bench/command.py
@@ -8,6 +8,7 @@
 
 from finchshed.bench.control_placement import placement
 from finchshed.bench.control_plane import control
+from finchshed.bench.daemon_slopes import slopes
 from finchshed.bench.experiment import cases_of, load
 from finchshed.bench.paired_latency import latency
 from finchshed.bench.results import RunRecord, read, run_case, summary_lines
@@ -61,4 +62,5 @@
     "latency": latency,
     "control": control,
     "placement": placement,
+    "slopes": slopes,
 }
