--- a/tests/control/group.py
+++ b/tests/control/group.py
@@ -64,6 +64,7 @@
     ) -> None:
         self.folder = folder
         self.standby_after = standby_after
+        self.extra_settings = ""
         addresses = iter(free_addresses(3 * (voters + spares)))
         self.nodes = [
             Node(f"control-{n}", folder / f"control-{n}", *(next(addresses) for _ in range(3)))
@@ -83,6 +84,7 @@
             "election_timeout_seconds = 0.5\nheartbeat_seconds = 0.05\n"
             f"standby_after_seconds = {self.standby_after}\n"
             "request_timeout_seconds = 5.0\nsnapshot_entries = 200\nstop_seconds = 1.0\n"
+            f"{self.extra_settings}"
         )
         return path
 
