--- a/src/finchshed/control/distribution_service.py
+++ b/src/finchshed/control/distribution_service.py
@@ -1,16 +1,19 @@
 """What control does for its daemons: configuration down, ledger requests and reports up."""
 
 import asyncio
+import time
 
 from finchshed.configuration.store import CommittedRevision
 from finchshed.control.addresses import split_address
 from finchshed.control.background import Background
+from finchshed.control.daemon_view import configuration_for_daemons, delta_for_daemons
 from finchshed.control.explanations import Explanations
+from finchshed.control.ledger_router import LedgerRouter, ShardClient
 from finchshed.control.ledger_service import LedgerRequest, LedgerService
 from finchshed.control.replicated_log import ReplicatedLog
 from finchshed.control.state_machine import ControlStateMachine
 from finchshed.distribution.hub import Hub
-from finchshed.distribution.messages import Decision, Delta, Hints
+from finchshed.distribution.messages import Decision, Hints
 from finchshed.distribution.server import Answer, HubServer
 from finchshed.distribution.snapshot import Configuration
 from finchshed.distribution.status import DistributionStatus, InForceReport, StatusTable
@@ -38,7 +41,14 @@
         self._machine = machine
         self._log = log
         self._background = background
-        self._ledger = LedgerService(log, background)
+        self._ledger = LedgerRouter(
+            machine,
+            log,
+            LedgerService(log, background),
+            make_shard=lambda addresses: ShardClient(node, addresses),
+            now=time.monotonic,
+            unix_now=time.time,
+        )
         self._hub = Hub(node)
         self._explanations = Explanations()
         self._server = HubServer(
@@ -64,6 +74,7 @@
         self._is_serving = False
         if self._requests:
             await asyncio.wait(self._requests, timeout=timeout_seconds)
+        self._ledger.close()
         await self._server.close()
 
     def set_alternatives(self, addresses: tuple[str, ...]) -> None:
@@ -73,9 +84,7 @@
     def on_committed(self, committed: CommittedRevision) -> None:
         """Send an accepted change on."""
         if self._is_serving:
-            self._server.commit(
-                Delta(committed.revision - 1, committed.revision, committed.puts, committed.deletes)
-            )
+            self._server.commit(delta_for_daemons(committed))
 
     def on_restored(self) -> None:
         """Send the whole configuration on: the state was replaced by a snapshot."""
@@ -107,7 +116,7 @@
 
     def _configuration(self) -> Configuration:
         store = self._machine.store
-        return Configuration(store.revision, dict(store.resources))
+        return configuration_for_daemons(store.revision, store.resources.values())
 
     async def _confirm(self) -> bool:
         await self._log.read_barrier()
--- a/tests/proof/test_checks.py
+++ b/tests/proof/test_checks.py
@@ -3,6 +3,7 @@
 from finchshed.common.importance import Importance
 from finchshed.proof.history import (
     AttemptSent,
+    CallBegan,
     ChangeAnswered,
     ChangeSubmitted,
     ControlReachable,
@@ -64,6 +65,15 @@
     assert found("whole-answers", *ran, answered(0.3, name="r9/1"))
 
 
+def test_an_answer_to_the_same_key_is_an_own_answer() -> None:
+    first = CallBegan(0.0, "r1/1", "r1", "s", Importance.HIGH, key="k")
+    ran = (first, run(0.1, key="k"), finished(0.2))
+    again = CallBegan(0.3, "r2/1", "r2", "s", Importance.HIGH, key="k")
+    assert not found("whole-answers", *ran, again, answered(0.4, "r2/1", "r1"))
+    other = CallBegan(0.3, "r2/1", "r2", "s", Importance.HIGH, key="k2")
+    assert found("whole-answers", *ran, other, answered(0.4, "r2/1", "r1"))
+
+
 def test_calls_without_an_outcome_are_found() -> None:
     assert not found("calls-end", call(0.0), refused(5.0))
     assert found("calls-end", call(0.0), call(1.0, "r2/1", "r2"), refused(6.0, "r2/1"))
@@ -93,6 +103,10 @@
     high = admissions(0.0, Importance.CRITICAL, 5, 45, end=1.0)
     high += admissions(1.0, Importance.CRITICAL, 5, 45, end=2.0)
     assert found("shed-order", *low, *high)
+    slow = Fault(0.0, "slow_service", ("s",))
+    assert found("shed-order", slow, *low, *high)
+    killed = Fault(0.5, "crash_daemon", ("e9",))
+    assert not found("shed-order", killed, *low, *high)
 
 
 def leaving(begin: float, *runs: Event, sign: str = "answer") -> list[Event]:
@@ -102,6 +116,10 @@
 def test_new_work_at_a_leaving_back_end_is_found() -> None:
     assert not found("leaving", *leaving(1.0, run(2.9)))
     assert found("leaving", *leaving(1.0, run(3.1)))
+    waited = AttemptSent(2.9, "r1/1", "r1", "e1")
+    assert not found("leaving", waited, *leaving(1.0, run(3.1)))
+    late = AttemptSent(3.05, "r1/1", "r1", "e1")
+    assert found("leaving", late, *leaving(1.0, run(3.1)))
     returned = EndpointReturned(3.0, "e1")
     assert not found("leaving", *leaving(1.0, run(3.1)), returned)
 
