A back end's own repeats are paid from the budget; routing tests

Cause: the budget bounded what daemons retry, but a back end that makes a call again by itself after it failed paid nothing, so attempts multiplied by the hops. Such a repeat (same service, method and path under one account) now costs one spare attempt, and is refused as not run (retries_spent) without one.

Not proved: a client that repeats at another edge enters anew, with a budget of its own; the bound holds for each entry, not over them.

Routing: with two endpoints both were always compared, so at low load the slower one got nothing at all; the second choice is drawn with replacement. tests/routing/test_table.py covers each sign of leaving, cold start, an endpoint that reports no load and fails fast (under 5% of 2000 calls, with its report of a limit of 100000), the ejection cap, zones, and the number of endpoints looked at among 1100.

--- a/src/finchshed/common/outcomes.py
+++ b/src/finchshed/common/outcomes.py
@@ -33,6 +33,7 @@
     CANCELLED = "cancelled"
     CONNECT_FAILED = "connect_failed"
     KEY_REUSED = "key_reused"
+    RETRIES_SPENT = "retries_spent"
 
 
 FINAL_REFUSALS = frozenset(
--- a/src/finchshed/daemon/accounts.py
+++ b/src/finchshed/daemon/accounts.py
@@ -55,6 +55,14 @@
         """Take back what a call did not spend."""
         self._accounts.give_back(account, lent, spare_attempts)
 
+    def on_call_failed(self, account: str, call: str) -> None:
+        """Take note that a call made for the request was not answered."""
+        self._accounts.on_call_failed(account, call)
+
+    def is_repeat(self, account: str, call: str) -> bool:
+        """Return whether the back end makes a call again after it failed."""
+        return self._accounts.is_repeat(account, call)
+
     def close(self, account: str) -> int:
         """End the request; return the spare attempts that are left."""
         self._served.pop(account, None)
--- a/src/finchshed/daemon/caller.py
+++ b/src/finchshed/daemon/caller.py
@@ -5,8 +5,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+import msgspec
+
 from finchshed.admission.paths import PathThresholds
 from finchshed.common.outcomes import Outcome, RefusalReason, Refused
+from finchshed.common.results import CallResult, result_of
 from finchshed.daemon import metrics
 from finchshed.daemon.accounts import ServedRequests
 from finchshed.daemon.catalogue import Catalogue
@@ -92,6 +95,11 @@
         """
         if account:
             self._paths.on_call(account, request.service, request.route)
+            if self._served.is_repeat(account, _call_name(request)):
+                if request.context.spare_attempts < 1:
+                    on_outcome(Refused(RefusalReason.RETRIES_SPENT, self._retry_after()))
+                    return _nothing
+                request = _paying_one(request)
         if not join_identity:
             return self._start(request, account, None).wait(on_outcome)
         key = JoinKey(request.service, request.context.caller, join_identity)
@@ -145,6 +153,8 @@
             metrics.count_call(request.service, request.context.importance, outcome)
             if account:
                 self._served.give_back(account, lent, spare)
+                if result_of(outcome) is not CallResult.OK:
+                    self._served.on_call_failed(account, _call_name(request))
 
         call = OutgoingCall(request, logic, self._links, finished, self._retry_after)
         self.in_progress += 1
@@ -170,5 +180,16 @@
         return retry_after(0.0, self._rng)
 
 
+def _call_name(request: Request) -> str:
+    return f"{request.service} {request.method} {request.path}"
+
+
+def _paying_one(request: Request) -> Request:
+    """Return the request with one spare attempt less: a repeat the back end makes by itself."""
+    context = request.context
+    paid = msgspec.structs.replace(context, spare_attempts=context.spare_attempts - 1)
+    return replace(request, context=paid)
+
+
 def _nothing() -> None:
     """Give up a call that is over."""
--- a/src/finchshed/retry/account.py
+++ b/src/finchshed/retry/account.py
@@ -14,9 +14,14 @@
 """Accounts kept at a time; the oldest is dropped first, which loses spare attempts, never adds."""
 
 
+MAX_FAILED_CALLS = 64
+"""Calls that failed which are remembered of one request; past it every call counts as a repeat."""
+
+
 class _Account(msgspec.Struct, gc=False):
     balance: int
     lent: int = 0
+    failed: set[str] | None = None
 
 
 def lent_share(balance: int) -> int:
@@ -74,6 +79,27 @@
         held.lent -= lent
         held.balance += max(0, min(spare_attempts, lent))
 
+    def on_call_failed(self, account: str, call: str) -> None:
+        """Take note that a call the request made was not answered; ``call`` tells calls apart."""
+        held = self._accounts.get(account)
+        if held is None:
+            return
+        if held.failed is None:
+            held.failed = set()
+        if len(held.failed) < MAX_FAILED_CALLS:
+            held.failed.add(call)
+
+    def is_repeat(self, account: str, call: str) -> bool:
+        """Return whether a call is made again after it failed.
+
+        A back end that repeats by itself would multiply the attempts at every hop, so such a call
+        is a retry like any other and is paid from what it was lent.
+        """
+        held = self._accounts.get(account)
+        if held is None or held.failed is None:
+            return False
+        return call in held.failed or len(held.failed) >= MAX_FAILED_CALLS
+
     def close(self, account: str) -> int:
         """Close an account and return its balance; what is lent out at this time is lost."""
         held = self._accounts.pop(account, None)
--- a/src/finchshed/routing/pool.py
+++ b/src/finchshed/routing/pool.py
@@ -21,9 +21,6 @@
 MAX_DRAWS = 8
 """Endpoints of a tier that are looked at for one call."""
 
-CANDIDATES = 2
-"""Endpoints that are compared (Mitzenmacher, *The Power of Two Choices*, 2001)."""
-
 LATENCY_WEIGHT = 0.02
 """Weight of one answer in the service's mean latency."""
 
@@ -87,25 +84,28 @@
     def draw(
         self, tier: int, rank: int, route: str, excluded: Collection[str], now: float
     ) -> Drawn:
-        """Draw two endpoints of a tier that take a request, and return the better one."""
+        """Draw two endpoints of a tier that take a request, and return the better one.
+
+        Two random choices: Mitzenmacher, *The Power of Two Choices in Randomized Load Balancing*,
+        2001.
+        """
         self._unpark(now)
+        views = self._tiers[tier]
         shed = False
-        best: EndpointView | None = None
-        best_cost = 0.0
-        found = 0
-        for view in self._sample(self._tiers[tier]):
-            if view.endpoint.name in excluded:
+        for first in self._sample(views):
+            if first.endpoint.name in excluded:
                 continue
-            if not view.admits(rank, route, now):
+            if not first.admits(rank, route, now):
                 shed = True
                 continue
-            cost = view.cost(self.mean_latency, now)
-            if best is None or cost < best_cost:
-                best, best_cost = view, cost
-            found += 1
-            if found == CANDIDATES:
-                break
-        return Drawn(best, shed)
+            # With replacement, so that none of a few endpoints is left out for good.
+            second = views[int(self._rng.random() * len(views))]
+            if second.endpoint.name in excluded or not second.admits(rank, route, now):
+                return Drawn(first, shed)
+            usual = self.mean_latency
+            better = second if second.cost(usual, now) < first.cost(usual, now) else first
+            return Drawn(better, shed)
+        return Drawn(None, shed)
 
     def floor(self, route: str, now: float) -> PathThreshold:
         """Return the lowest threshold that requests of a route meet at any endpoint known of."""
--- /dev/null
+++ b/tests/routing/test_table.py
@@ -0,0 +1,201 @@
+"""Which endpoint a call goes to."""
+
+import random
+from collections import Counter
+
+import pytest
+
+from finchshed.common.context import CallContext
+from finchshed.common.importance import Importance
+from finchshed.common.outcomes import RefusalReason, Refused
+from finchshed.common.results import CallResult
+from finchshed.configuration.resources import Endpoint, EndpointState
+from finchshed.link.messages import LoadReport
+from finchshed.routing.endpoint import SLOW_START_SECONDS, LeavingSign
+from finchshed.routing.table import EJECT_AFTER_FAILURES, LINK_RETRY_MAX_SECONDS, RoutingTable
+
+CONTEXT = CallContext("root", Importance.NORMAL, 1.0)
+LATENCY = 0.2
+
+
+def endpoint(
+    number: int, zone: str = "z", state: EndpointState = EndpointState.ACTIVE, slots: int = 6
+) -> Endpoint:
+    return Endpoint(
+        name=f"e{number}",
+        service="s",
+        region="r",
+        zone=zone,
+        address=f"127.0.0.1:{9000 + number}",
+        slots=slots,
+        state=state,
+    )
+
+
+def table_of(*endpoints: Endpoint) -> RoutingTable:
+    table = RoutingTable("z", "r", random.Random(5))
+    table.replace(endpoints)
+    return table
+
+
+def chosen(table: RoutingTable, now: float) -> str:
+    found = table.choose("s", CONTEXT, (), now)
+    return found.reason.value if isinstance(found, Refused) else found.name
+
+
+def choices(table: RoutingTable, now: float, count: int = 200) -> Counter[str]:
+    return Counter(chosen(table, now) for _ in range(count))
+
+
+def answer(table: RoutingTable, name: str, now: float, result: CallResult = CallResult.OK) -> None:
+    table.on_sent(name, now)
+    table.on_reply(name, LoadReport(limit=6), result, LATENCY, now)
+
+
+def warm(table: RoutingTable, names: list[str], now: float = 0.0) -> None:
+    for name in names:
+        answer(table, name, now)
+
+
+def drain_by_report(table: RoutingTable, now: float) -> None:
+    table.on_report("e0", LoadReport(draining=True), now)
+
+
+def drain_by_link(table: RoutingTable, now: float) -> None:
+    table.mark_draining("e0", now)
+
+
+def drain_by_operator(table: RoutingTable, now: float) -> None:
+    leaving = endpoint(0, state=EndpointState.LEAVING)
+    table.replace([leaving, *(endpoint(number) for number in range(1, 4))], now)
+
+
+def drain_by_platform(table: RoutingTable, now: float) -> None:
+    table.mark_leaving("e0", LeavingSign.PLATFORM, True, now)
+
+
+def silence(table: RoutingTable, now: float) -> None:
+    table.on_link_down("e0", now)
+
+
+@pytest.mark.parametrize(
+    "sign", [drain_by_report, drain_by_link, drain_by_operator, drain_by_platform, silence]
+)
+def test_any_one_sign_stops_new_work_at_once(sign) -> None:  # type: ignore[no-untyped-def]
+    table = table_of(*(endpoint(number) for number in range(4)))
+    warm(table, ["e0", "e1", "e2", "e3"])
+    assert choices(table, 1.0)["e0"]
+    sign(table, 1.0)
+    assert not choices(table, 1.0)["e0"]
+
+
+def test_one_sign_taken_back_does_not_undo_another() -> None:
+    table = table_of(endpoint(0), endpoint(1))
+    table.mark_leaving("e0", LeavingSign.PLATFORM, True, 0.0)
+    table.mark_draining("e0", 0.0)
+    table.mark_leaving("e0", LeavingSign.PLATFORM, False, 1.0)
+    assert not choices(table, 1.0)["e0"]
+    table.on_report("e0", LoadReport(), 2.0)
+    assert choices(table, 2.0)["e0"]
+
+
+def test_drained_endpoint_that_comes_back_is_found_again() -> None:
+    table = table_of(endpoint(0), endpoint(1))
+    table.on_link_up("e0", "first", 0.0)
+    table.mark_draining("e0", 1.0)
+    table.on_link_down("e0", 2.0)
+    later = 2.0 + LINK_RETRY_MAX_SECONDS
+    assert choices(table, later)["e0"]
+    table.on_link_up("e0", "second", later)
+    assert choices(table, later)["e0"]
+
+
+def test_one_call_at_a_time_tries_a_broken_link() -> None:
+    table = table_of(endpoint(0), endpoint(1))
+    table.on_link_down("e0", 0.0)
+    later = LINK_RETRY_MAX_SECONDS
+    assert choices(table, later)["e0"]
+    table.on_sent("e0", later)
+    assert not choices(table, later)["e0"]
+
+
+def test_cold_endpoint_is_not_flooded() -> None:
+    """It has no latency yet; taken for the fastest it would get nearly all calls."""
+    table = table_of(*(endpoint(number) for number in range(4)))
+    warm(table, ["e0", "e1", "e2", "e3"])
+    table.replace([endpoint(number) for number in range(5)], 1.0)
+    cold: Counter[str] = Counter()
+    for step in range(100):
+        name = chosen(table, 1.0 + 0.01 * step)
+        table.on_sent(name, 1.0 + 0.01 * step)
+        cold[name] += 1
+    assert cold["e4"] <= 10
+    warm(table, ["e4"], 1.0)
+    assert choices(table, 1.0 + SLOW_START_SECONDS)["e4"]
+
+
+def test_endpoint_that_reports_no_load_and_fails_fast_gets_no_flood() -> None:
+    table = table_of(*(endpoint(number) for number in range(4)))
+    warm(table, ["e1", "e2", "e3"])
+    in_flight: list[tuple[float, str]] = []
+    sent: Counter[str] = Counter()
+    for step in range(2000):
+        now = 0.01 * step
+        for ends, name in [item for item in in_flight if item[0] <= now]:
+            in_flight.remove((ends, name))
+            table.on_reply(name, LoadReport(limit=6), CallResult.OK, LATENCY, now)
+        name = chosen(table, now)
+        sent[name] += 1
+        table.on_sent(name, now)
+        if name == "e0":
+            report = LoadReport(limit=100_000)
+            table.on_reply(name, report, CallResult.ERROR, 0.0005, now)
+        else:
+            in_flight.append((now + LATENCY, name))
+    assert sent["e0"] < 0.05 * sum(sent.values())
+
+
+def test_ejections_never_take_more_than_their_share() -> None:
+    table = table_of(*(endpoint(number) for number in range(9)))
+    for _ in range(EJECT_AFTER_FAILURES):
+        for number in range(9):
+            answer(table, f"e{number}", 0.0, CallResult.ERROR)
+    assert len(choices(table, 0.1, 2000)) == 6
+
+
+def test_nearer_endpoints_are_taken_until_they_are_full() -> None:
+    table = table_of(endpoint(0), endpoint(1, zone="other"))
+    warm(table, ["e0", "e1"])
+    assert set(choices(table, 0.1)) == {"e0"}
+    for _ in range(6):
+        table.on_sent("e0", 0.1)
+    assert set(choices(table, 0.1)) == {"e1"}
+
+
+def test_request_below_every_threshold_is_refused_before_it_is_sent() -> None:
+    table = table_of(endpoint(0), endpoint(1))
+    for name in ("e0", "e1"):
+        table.on_report(name, LoadReport(threshold=int(Importance.HIGH) << 17), 0.0)
+    assert choices(table, 0.0) == {RefusalReason.OVERLOAD.value: 200}
+    critical = CallContext("root", Importance.CRITICAL, 1.0)
+    assert isinstance(table.choose("s", critical, (), 0.0), Endpoint)
+
+
+def test_choice_looks_at_few_endpoints_however_many_there_are() -> None:
+    """With 1100 endpoints a call must not walk them all."""
+    table = table_of(*(endpoint(number) for number in range(1100)))
+    looked = 0
+    view = table.view("e0")
+    assert view is not None
+    kind = type(view)
+    original = kind.admits
+
+    def counted(self, rank: int, route: str, now: float) -> bool:  # type: ignore[no-untyped-def]
+        nonlocal looked
+        looked += 1
+        return original(self, rank, route, now)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(kind, "admits", counted)
+        choices(table, 0.0, 100)
+    assert looked <= 300
--- a/tests/simulation/system.py
+++ b/tests/simulation/system.py
@@ -39,6 +39,8 @@
     calls: tuple[str, ...] = ()
     parallel: bool = False
     real_slots: int = 0
+    own_repeats: int = 0
+    """Times the back end itself makes a call again that was not answered."""
 
 
 @dataclass
@@ -276,8 +278,13 @@
         left = [len(pending)]
         account = str(job.token)
 
-        def begin(service: str) -> None:
+        def begin(service: str, repeats: int) -> None:
             share = self.accounts.lend(account)
+            if self.accounts.is_repeat(account, service):
+                if share < 1:
+                    self.end(job, Failed(FailureReason.BACKEND_BROKEN, 0.1))
+                    return
+                share -= 1
             elapsed = self.system.env.now - job.arrived
             context = CallContext(
                 root=job.context.root,
@@ -295,21 +302,25 @@
                 if job.over:
                     return
                 if result_of(outcome) is not CallResult.OK:
+                    self.accounts.on_call_failed(account, service)
+                    if repeats > 0:
+                        begin(service, repeats - 1)
+                        return
                     self.end(job, Failed(FailureReason.BACKEND_BROKEN, 0.1))
                     return
                 left[0] -= 1
                 if left[0] == 0:
                     self.end(job, ANSWER)
                 elif not self.model.parallel:
-                    begin(pending.pop(0))
+                    begin(pending.pop(0), self.model.own_repeats)
 
             job.calls.append(self.call(service, context, True, done))
 
         if self.model.parallel:
             for service in pending:
-                begin(service)
+                begin(service, self.model.own_repeats)
         else:
-            begin(pending.pop(0))
+            begin(pending.pop(0), self.model.own_repeats)
 
     def end(self, job: Job, outcome: Outcome) -> None:
         """Answer a job and free its slot."""
