--- a/src/finchshed/fleet/runner.py
+++ b/src/finchshed/fleet/runner.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from finchshed.common.errors import FinchshedError
+from finchshed.fleet.acts import Change, Submit
 from finchshed.fleet.network import FleetNetwork
 from finchshed.fleet.plan import FleetPlan
 from finchshed.fleet.processes import FleetProcess, ProcessSpec, Role, wait_until_listening
@@ -16,6 +17,9 @@
 
 READY_SECONDS = 60.0
 STOP_SECONDS = 15.0
+RESTART_STOP_SECONDS = 45.0
+"""A planned stop may take a daemon's whole drain (30 s by default) and a little more."""
+
 OPERATOR_SECONDS = 300.0
 CALLERS_START_SECONDS = 2.0
 STARTING_ORDER = tuple(Role)
@@ -103,11 +107,18 @@
         return begin_at
 
     async def wait_ready(self, specs: Iterable[ProcessSpec]) -> None:
-        """Wait until the processes of ``specs`` take connections."""
+        """Wait until the processes of ``specs`` take connections.
+
+        Raises
+        ------
+        FleetError
+            If one has ended, or doesn't in time; with the end of its log.
+        """
         deadline = time.monotonic() + READY_SECONDS
         for spec in specs:
+            process = self.processes[spec.name]
             for address in spec.listens:
-                if not await wait_until_listening(address, deadline):
+                if not await wait_until_listening(address, deadline, process):
                     raise FleetError(f"{spec.name} doesn't listen at {address}\n{self.tail(spec)}")
 
     async def publish_instances(self) -> None:
@@ -154,9 +165,9 @@
         async with self.http.post(url, params={"value": value}) as response:
             response.raise_for_status()
 
-    async def run_operator(self, name: str, changes: int, first_number: int) -> int:
+    async def run_operator(self, name: str, first_number: int, act: Change | Submit) -> int:
         """Run a stand-in operator that makes changes; return its exit code."""
-        spec = self.plan.operator_spec(name, changes, first_number)
+        spec = self.plan.operator_spec(name, first_number, act)
         process = FleetProcess(spec, self.log_path(spec.name))
         self.processes[spec.name] = process
         process.start()
@@ -169,14 +180,20 @@
         ended = [await caller.wait(timeout_seconds) for caller in callers]
         return all(ended) and all(caller.exit_code == 0 for caller in callers)
 
-    async def restart(self, name: str, stop_signal: signal.Signals = signal.SIGTERM) -> bool:
-        """Stop one process and start it anew; return whether it stopped by itself."""
+    async def restart(self, name: str, down_seconds: float = 0.0) -> bool:
+        """Stop one process and start it anew later; return whether it stopped by itself."""
         process = self.processes[name]
-        stopped = await process.stop(stop_signal, STOP_SECONDS * 2)
-        process.start()
-        await self.wait_ready([process.spec])
+        stopped = await process.stop(signal.SIGTERM, RESTART_STOP_SECONDS)
+        await asyncio.sleep(down_seconds)
+        await self.start_again(process)
         return stopped
 
+    async def start_again(self, process: FleetProcess) -> None:
+        """Start a process that has ended, if nobody did meanwhile, and wait until it listens."""
+        if not process.is_running:
+            process.start()
+        await self.wait_ready([process.spec])
+
     async def stop_all(self) -> None:
         """Stop every process, role by role."""
         for role in STOPPING_ORDER:
--- a/src/finchshed/scale/phases.py
+++ b/src/finchshed/scale/phases.py
@@ -12,7 +12,7 @@
 from finchshed.scale.calls import Calls
 from finchshed.scale.changes import ChangeRun
 from finchshed.scale.cluster import Cluster
-from finchshed.scale.layout import ZONES_OF_REGIONS, places
+from finchshed.scale.layout import CONTROL_ZONES, VOTERS, ZONES_OF_REGIONS, places
 from finchshed.scale.measurement import Histories, Measurement
 from finchshed.scale.plan import control_name
 from finchshed.scale.results import PhaseResult
@@ -22,6 +22,7 @@
 CUT_REGION = "region-3"
 RESTARTED = 110
 RESTART_BATCH = 10
+RESTARTED_IN_CUT = 5
 START_BATCH = 100
 BEFORE_FAULT_SECONDS = 3.0
 NO_QUORUM_CALL_SECONDS = 2.0
@@ -65,6 +66,7 @@
             self.rolling_restart,
             self.control_frozen,
             self.leader_killed,
+            self.two_control_killed,
             self.zone_lost,
             self.zone_back,
             self.control_cut_off,
@@ -129,15 +131,27 @@
     async def leader_killed(self) -> PhaseResult:
         """Kill the leading control node, and start it again."""
         leader = await asyncio.to_thread(self._cluster.leader)
+        return await self._control_killed("leader killed", [leader])
+
+    async def two_control_killed(self) -> PhaseResult:
+        """Kill the leader and another voter at once, and start both again."""
+        leader = await asyncio.to_thread(self._cluster.leader)
+        voters = [control_name(zone) for zone in CONTROL_ZONES[:VOTERS]]
+        other = next(voter for voter in reversed(voters) if voter != leader)
+        return await self._control_killed("two control killed", [leader, other])
+
+    async def _control_killed(self, name: str, nodes: list[str]) -> PhaseResult:
+        processes = [self._cluster.processes[node] for node in nodes]
 
         async def act(measurement: Measurement) -> None:
             await asyncio.sleep(BEFORE_FAULT_SECONDS)
-            await self._cluster.kill([self._cluster.processes[leader]])
-            measurement.note(f"{leader} killed")
+            await self._cluster.kill(processes)
+            measurement.note(f"{' and '.join(nodes)} killed")
             await asyncio.sleep(self._options.fault_seconds - BEFORE_FAULT_SECONDS)
 
-        result = await self._phase_under("leader killed", act)
-        await self._cluster.restart(self._cluster.processes[leader])
+        result = await self._phase_under(name, act)
+        for process in processes:
+            await self._cluster.restart(process)
         return result
 
     async def zone_lost(self) -> PhaseResult:
@@ -170,7 +184,10 @@
         return await self._phase_under("zone back", act)
 
     async def control_cut_off(self) -> PhaseResult:
-        """Cut one zone's daemons off from all control nodes; other daemons stay in reach."""
+        """Cut one zone's daemons off from all control nodes; other daemons stay in reach.
+
+        Some of them restart meanwhile. Without a disk they may not take calls before the end.
+        """
         names = self._cluster.hollow_names([PEERS_ONLY_ZONE])
 
         async def act(measurement: Measurement) -> None:
@@ -178,7 +195,12 @@
             await asyncio.sleep(BEFORE_FAULT_SECONDS)
             self._cluster.cut_from_control([PEERS_ONLY_ZONE])
             measurement.note(f"{PEERS_ONLY_ZONE} cut off from control")
-            await asyncio.sleep(self._options.fault_seconds)
+            await asyncio.sleep(self._options.fault_seconds / 2)
+            restarted = names[:RESTARTED_IN_CUT]
+            self._cluster.workers.restart_daemons(restarted)
+            measurement.note(f"{len(restarted)} of its daemons were restarted")
+            await asyncio.sleep(self._options.fault_seconds / 2)
+            measurement.served_unconfirmed = await measurement.count_serving(restarted)
             await self._heal(measurement, names)
 
         return await self._phase_under("peers only", act)
--- a/tests/architecture/decision_modules.py
+++ b/tests/architecture/decision_modules.py
@@ -26,6 +26,7 @@
         "finchshed.consensus.driver",
         "finchshed.distribution.client",
         "finchshed.distribution.driver",
+        "finchshed.distribution.ledger_requests",
         "finchshed.distribution.record",
         "finchshed.distribution.server",
     }
@@ -35,6 +36,7 @@
 FURTHER_DECISION_MODULES = (
     "finchshed.control.audit",
     "finchshed.control.commands",
+    "finchshed.control.daemon_view",
     "finchshed.control.platform_list",
     "finchshed.control.recovery",
     "finchshed.control.replacement",
