--- a/src/finchshed/bench/command.py
+++ b/src/finchshed/bench/command.py
@@ -9,6 +9,7 @@
 from finchshed.bench.control_placement import placement
 from finchshed.bench.control_plane import control
 from finchshed.bench.daemon_slopes import slopes
+from finchshed.bench.decisions import decisions
 from finchshed.bench.experiment import cases_of, load
 from finchshed.bench.paired_latency import latency
 from finchshed.bench.results import RunRecord, read, run_case, summary_lines
@@ -63,4 +64,5 @@
     "control": control,
     "placement": placement,
     "slopes": slopes,
+    "decisions": decisions,
 }
--- a/src/finchshed/session/table.py
+++ b/src/finchshed/session/table.py
@@ -1,6 +1,7 @@
 """Sessions of one daemon: admitted once, pinned to an endpoint, ended by idleness or by request."""
 
 import enum
+import heapq
 from typing import TypeAlias
 
 import msgspec
@@ -51,6 +52,7 @@
     def __init__(self) -> None:
         self._sessions: dict[str, Session] = {}
         self._by_endpoint: dict[str, set[str]] = {}
+        self._due: list[tuple[float, str]] = []
 
     def __len__(self) -> int:
         """Return the number of sessions running."""
@@ -84,6 +86,7 @@
             return NotOpened(RefusalReason.SESSION_LIMIT)
         session = Session(identity, service, endpoint, now, now, idle_seconds)
         self._sessions[identity] = session
+        heapq.heappush(self._due, (now + idle_seconds, identity))
         pinned.add(identity)
         return Opened(session, is_new=True)
 
@@ -121,12 +124,21 @@
         return held
 
     def expire(self, now: float) -> list[Session]:
-        """End the sessions idle for longer than their service allows and return them."""
-        ended = [
-            session
-            for session in self._sessions.values()
-            if session.in_progress == 0 and now - session.used_at > session.idle_seconds
-        ]
-        for session in ended:
-            self.close(session.identity)
+        """End the sessions idle for longer than their service allows and return them.
+
+        Only sessions that may be due are looked at, so it can be called often.
+        """
+        ended: list[Session] = []
+        while self._due and self._due[0][0] < now:
+            _, identity = heapq.heappop(self._due)
+            session = self._sessions.get(identity)
+            if session is None:
+                continue
+            due = session.used_at + session.idle_seconds
+            if session.in_progress == 0 and due < now:
+                self.close(identity)
+                ended.append(session)
+            else:
+                # Looked at again once it can have been idle for long enough.
+                heapq.heappush(self._due, (max(due, now), identity))
         return ended
--- a/tests/session/test_table.py
+++ b/tests/session/test_table.py
@@ -31,3 +31,16 @@
     assert table.expire(100.0) == []
     table.on_answer("a", 100.0)
     assert [ended.identity for ended in table.expire(111.0)] == ["a"]
+
+
+def test_session_in_use_outlives_many_looks_for_idle_ones() -> None:
+    table = SessionTable()
+    open_session(table, "used", 0.0)
+    open_session(table, "idle", 0.0)
+    for second in range(1, 30):
+        table.on_request("used", float(second))
+        table.on_answer("used", float(second))
+        ended = [session.identity for session in table.expire(float(second))]
+        assert ended == (["idle"] if second == 11 else [])
+    assert [session.identity for session in table.expire(39.5)] == ["used"]
+    assert len(table) == 0
