--- a/src/finchshed/fleet/processes.py
+++ b/src/finchshed/fleet/processes.py
@@ -112,10 +112,11 @@
         """Send a signal if the process exists."""
         if number in {signal.SIGTERM, signal.SIGINT, signal.SIGKILL}:
             self.expected_to_run = False
+        if not self.is_running or self._process is None:
+            return
         if number in {signal.SIGSTOP, signal.SIGCONT}:
             self.is_frozen = number is signal.SIGSTOP
-        if self.is_running and self._process is not None:
-            self._process.send_signal(number)
+        self._process.send_signal(number)
 
     async def wait(self, timeout_seconds: float) -> bool:
         """Wait until the process has ended; return whether it did in time."""
@@ -155,10 +156,16 @@
     _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL, 0, 0, 0)
 
 
-async def wait_until_listening(address: str, deadline: float) -> bool:
-    """Wait until ``address`` takes connections; return whether it did before ``deadline``."""
+async def wait_until_listening(address: str, deadline: float, process: FleetProcess) -> bool:
+    """Wait until ``address`` takes connections.
+
+    Returns
+    -------
+    bool
+        Whether it did before ``deadline``, and before ``process`` ended.
+    """
     host, _, port = address.rpartition(":")
-    while time.monotonic() < deadline:
+    while time.monotonic() < deadline and process.is_running:
         try:
             _, writer = await asyncio.open_connection(host, int(port))
         except OSError:
