A planned stop doesn't watch for the back end's return

Found by tests/daemon/test_planned_stop.py. The drain test waits until the daemon says that it drains instead of 0.3 s, which were too short at a load of 27.

--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -276,13 +276,13 @@
             return
         logger.info("the back end says that it is leaving")
         self._tell_draining()
+        self._spawn(self._take_back_end_back())
 
     def _tell_draining(self) -> None:
         if self._callee is not None:
             self._callee.draining = True
         for link in self._listener.links():
             link.tell_draining()
-        self._spawn(self._take_back_end_back())
 
     async def _take_back_end_back(self) -> None:
         """Take work again once the back end has returned; to peers it is another one."""
--- a/tests/daemon/processes.py
+++ b/tests/daemon/processes.py
@@ -87,6 +87,16 @@
                     pass
                 await asyncio.sleep(0.02)
 
+    async def draining(self) -> None:
+        """Wait until the process says that it takes no new work, and its peers can know."""
+        async with aiohttp.ClientSession() as session, asyncio.timeout(STOP_SECONDS):
+            while True:
+                async with session.get(f"http://{self.admin_address}/healthz") as response:
+                    if response.status != 200:
+                        break
+                await asyncio.sleep(0.02)
+        await asyncio.sleep(0.2)
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal."""
         assert self.process is not None
--- a/tests/daemon/test_sessions.py
+++ b/tests/daemon/test_sessions.py
@@ -107,7 +107,7 @@
         assert (await ask(system)).status == 206
         (own,) = serving(system)
         system.daemons[own].signal(signal.SIGTERM)
-        await asyncio.sleep(0.3)
+        await system.daemons[own].draining()
         new = [await ask(system, session=f"n{number}") for number in range(3)]
         assert len(system.backends[own].received) == 1
         kept = [await ask(system, part * PART) for part in range(8)]
