--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -30,9 +30,9 @@
 from finchshed.daemon.settings import DaemonSettings
 from finchshed.daemon.spool import SpoolBudget
 from finchshed.distribution.addresses import parse_control_address
-from finchshed.distribution.client import ClientIdentity
 from finchshed.distribution.driver import FollowerDriver
 from finchshed.distribution.effects import ServingGround
+from finchshed.distribution.identity import ClientIdentity
 from finchshed.distribution.messages import Delta, Hints
 from finchshed.distribution.snapshot import Configuration
 from finchshed.link.listener import AcceptedLink, LinkListener
