Identities of root requests without a random draw for each

Cause: each root request read 12 bytes of the system's random source. Their identity must be unique; a prefix drawn at the start of the process makes it so. No figure is claimed: the machine is shared.

--- a/src/finchshed/daemon/front.py
+++ b/src/finchshed/daemon/front.py
@@ -4,6 +4,7 @@
 whole answer of a back end or with a refusal or failure that says whether it ran.
 """
 
+import itertools
 import random
 import secrets
 import time
@@ -31,7 +32,7 @@
 from finchshed.ledger.keys import issued_at
 from finchshed.retry.policy import retry_after
 
-ROOT_BYTES = 12
+ROOT_PREFIX_BYTES = 8
 MILLISECONDS = 1000.0
 
 _ACCOUNT = HEADER_ACCOUNT.encode("ascii")
@@ -73,6 +74,8 @@
         self._caller = caller
         self._served = served
         self._rng = rng
+        self._root_prefix = secrets.token_hex(ROOT_PREFIX_BYTES)
+        self._roots = itertools.count()
         self._fair = FairPositions(time.monotonic())
         self._why_not = why_not
         self.catalogue = Catalogue()
@@ -149,7 +152,7 @@
     def _root_context(self, request: InboundRequest, matched: Matched) -> CallContext:
         # The account of a request that is over has nothing left to lend.
         is_late = _ACCOUNT in request.first
-        root = request.header(_ROOT) or secrets.token_hex(ROOT_BYTES)
+        root = request.header(_ROOT) or self._new_root()
         caller = request.header(_CALLER) or request.remote
         return CallContext(
             root=root,
@@ -162,6 +165,10 @@
             position=self._fair.place(caller, matched.route.importance, root, time.monotonic()),
         )
 
+    def _new_root(self) -> str:
+        """Return an identity no other request has; the random part is drawn once, not by call."""
+        return f"{self._root_prefix}-{next(self._roots):x}"
+
     def _nested_context(
         self, request: InboundRequest, matched: Matched, served: ServedRequest
     ) -> CallContext:
