Running sessions are judged; a refused first request no longer ends a running one

Cause: the emulator pinned no sessions, so nothing proved that running sessions come through. It now opens and pins them with the production SessionTable, and a checker looks for refused requests of running sessions.

Test changed: test_session_is_admitted_once_and_up_to_the_limit opens, admits and opens again, since open alone no longer makes a session run; three tests are new. A surge brings new sessions, and running ones keep their pace: with a surge in each session's own demand the load of the sessions alone was past capacity.

--- a/src/finchshed/bench/command.py
+++ b/src/finchshed/bench/command.py
@@ -22,7 +22,7 @@
     Parameters
     ----------
     experiment
-        TOML file, see docs/operations/run-an-experiment.md.
+        TOML file, see docs/operations/bench-and-report.md.
     out
         File of results; runs are added to it as they end.
     workers
--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -213,6 +213,8 @@
             if work is None:
                 continue
             if isinstance(effect, Start):
+                if work.in_session:
+                    self._sessions.admit(work.call.context.session)
                 self._start(work)
             else:
                 refused = Refused(effect.reason, effect.retry_after)
@@ -303,7 +305,7 @@
         """Answer a call that was never started."""
         self._forget(work)
         if work.opens_session:
-            self._sessions.close(work.call.context.session)
+            self._sessions.refuse(work.call.context.session)
         self._send_reply(work.link, work.call, outcome, work.call.context.spare_attempts)
 
     def _end(self, work: Work, result: CallResult) -> int:
--- a/src/finchshed/emulator/backend.py
+++ b/src/finchshed/emulator/backend.py
@@ -72,6 +72,7 @@
         self.site = site
         self.slots = model.slots
         self.connections = model.connections
+        self.max_sessions = model.max_sessions
         self.path: Path | None = None
         self.slow_factor = 1.0
         self.draining = False
@@ -166,7 +167,7 @@
                 self.service,
                 self.endpoint,
                 request.key,
-                request.session,
+                "" if request.parent else request.session,
             )
         )
         seconds = self._service_seconds(request.hop.seconds)
@@ -207,6 +208,7 @@
             deadline=request.deadline,
             caller=request.caller,
             parent=run.name,
+            session=request.session,
             account=request.account,
         )
         self._recorder.call_began(child)
--- a/src/finchshed/emulator/callers.py
+++ b/src/finchshed/emulator/callers.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from typing import Final
 
 import msgspec
 
@@ -18,6 +19,13 @@
 from finchshed.emulator.streams import Streams
 from finchshed.ledger.keys import new_key
 
+CALLERS: Final = 200
+SESSION_CALLERS: Final = 30
+"""Callers with a session on an ordinary day; each always comes to the edge of one zone.
+
+A surge brings more of them: a running session keeps its pace.
+"""
+
 
 class ClientPolicy(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """How outside clients repeat a request that was refused, failed or not answered in time.
@@ -83,17 +91,23 @@
         time += random.expovariate(deployment.arrivals_per_second * highest)
         if time >= end:
             return
-        if random.random() * highest > _factor_at(time, surges):
+        factor = _factor_at(time, surges)
+        if random.random() * highest > factor:
             continue
         number += 1
         kind = random.choices(kinds, shares)[0]
-        caller = f"caller-{random.randrange(200)}"
+        callers = int(SESSION_CALLERS * factor) if kind.session else CALLERS
+        caller_number = random.randrange(max(callers, SESSION_CALLERS))
+        caller = f"caller-{caller_number}"
         root = f"r{name}{number}"
+        zone = random.choice(deployment.zones)
+        if kind.session:
+            zone = deployment.zones[caller_number % len(deployment.zones)]
         yield Arrival(
             time=time,
             root=root,
             kind=kind.name,
-            zone=random.choice(deployment.zones),
+            zone=zone,
             caller=caller,
             key="" if kind.repeatable else new_key(EPOCH_UNIX_SECONDS + time, random),
             session=f"s-{caller}" if kind.session else "",
--- a/src/finchshed/emulator/daemons/callee.py
+++ b/src/finchshed/emulator/daemons/callee.py
@@ -9,10 +9,12 @@
 from dataclasses import dataclass
 from typing import Final
 
+import msgspec
+
 from finchshed.admission.effects import GateEffect, Start
 from finchshed.admission.gate import Gate
 from finchshed.admission.paths import PathThresholds
-from finchshed.common.context import HEADER_DOWNSTREAM
+from finchshed.common.context import HEADER_DOWNSTREAM, CallContext
 from finchshed.common.outcomes import (
     Answered,
     Failed,
@@ -34,6 +36,7 @@
 from finchshed.proof.history import Admission
 from finchshed.retry.account import RetryAccounts
 from finchshed.retry.policy import retry_after
+from finchshed.session.table import NotOpened, SessionTable
 
 TICK_SECONDS: Final = 0.02
 IDLE_TICK_SECONDS: Final = 0.25
@@ -42,6 +45,9 @@
 LOCAL_DELAY_SECONDS: Final = 0.0002
 """Time to the back end or back over the loopback."""
 
+SESSION_IDLE_SECONDS: Final = 60.0
+"""A session unused for this long has ended; the default of a declared service."""
+
 LEDGER_TIMEOUT_SECONDS: Final = 1.0
 GRANT_LEASE_SECONDS: Final = 2.0
 
@@ -67,6 +73,7 @@
     state: WorkState = WorkState.QUEUED
     abandoned: bool = False
     account: str = ""
+    opens_session: bool = False
     ledger_attempt: str = ""
     asked_at: float = 0.0
     cancel_back_end: Cancel | None = None
@@ -76,6 +83,17 @@
         """Whether the request may run more than once."""
         return self.message.request.repeatable
 
+    @property
+    def session(self) -> str:
+        """Session that is pinned to this back end; calls further down only carry its name."""
+        request = self.message.request
+        return "" if request.parent else request.session
+
+    def rank_context(self) -> CallContext:
+        """Return the context the call is ranked by: a session it opens is not running yet."""
+        context = self.message.context
+        return msgspec.structs.replace(context, session="") if self.opens_session else context
+
 
 class Callee:
     """Serves calls with the local back end."""
@@ -104,6 +122,7 @@
         self._by_call: dict[tuple[str, int], Work] = {}
         self._deadlines: dict[str, float] = {}
         self._failed_downstream: set[str] = set()
+        self._sessions = SessionTable()
         self._next_token = 1
         self.draining = False
         self.may_serve = False
@@ -117,12 +136,16 @@
     def load_report(self) -> LoadReport:
         """Return the load as callers are told."""
         now = self._process.now
-        return self._gate.load_report(now, self._paths.report(now))
+        report = self._gate.load_report(now, self._paths.report(now))
+        return msgspec.structs.replace(report, draining=True) if self.draining else report
 
     def drain(self) -> None:
-        """Take no new calls."""
+        """Take no new calls; those of running sessions go on."""
         self.draining = True
-        self._gate.draining = True
+
+    def end_sessions(self) -> None:
+        """Send the sessions away: their requests are refused as draining from now on."""
+        self._sessions = SessionTable()
 
     def deadline_of(self, account: str) -> float | None:
         """Return the deadline of a request being served, by its account."""
@@ -140,17 +163,40 @@
     def take(self, link: AcceptedLink, message: CallMessage) -> None:
         """Take a call."""
         now = self._process.now
-        if not self.may_serve:
-            refused = Refused(RefusalReason.NO_CONFIGURATION, retry_after(0.0, self._random))
-            self._reply(link, message, refused, message.context.spare_attempts)
-            return
         token = self._next_token
         self._next_token += 1
         work = Work(token, link, message, now + message.context.remaining_seconds)
+        reason = self._reason_not_to_take(work)
+        if reason is not None:
+            self._reply(link, message, self._refused(reason), message.context.spare_attempts)
+            return
         self._works[token] = work
         self._by_call[(message.epoch, message.call)] = work
         floor = self._paths.floor(message.request.kind, now)
-        self._apply(self._gate.arrive(token, message.context, now, floor))
+        self._apply(self._gate.arrive(token, work.rank_context(), now, floor))
+
+    def _reason_not_to_take(self, work: Work) -> RefusalReason | None:
+        """Return why a call is refused before the gate; open its session if it isn't."""
+        if not self.may_serve:
+            return RefusalReason.NO_CONFIGURATION
+        session = work.session
+        if self.draining and not (session and self._sessions.get(session)):
+            return RefusalReason.DRAINING
+        if not session:
+            return None
+        opened = self._sessions.open(
+            session,
+            self._back_end.service,
+            self._back_end.endpoint,
+            max_sessions=self._back_end.max_sessions,
+            idle_seconds=SESSION_IDLE_SECONDS,
+            now=self._process.now,
+        )
+        if isinstance(opened, NotOpened):
+            return opened.reason
+        work.opens_session = opened.is_new
+        self._sessions.on_request(session, self._process.now)
+        return None
 
     def give_up(self, link: AcceptedLink, call: int) -> None:
         """Drop a call whose caller has given up or is gone."""
@@ -187,9 +233,13 @@
             if admitted or effect.reason in SHED_REASONS:  # type: ignore[union-attr]
                 self._note_admission(work, admitted)
             if isinstance(effect, Start):
+                if work.session:
+                    self._sessions.admit(work.session)
                 self._start(work)
             else:
                 self._forget(work)
+                if work.opens_session:
+                    self._sessions.refuse(work.session)
                 refused = Refused(effect.reason, effect.retry_after)
                 self._reply(work.link, work.message, refused, work.message.context.spare_attempts)
 
@@ -203,7 +253,7 @@
                 context.root,
                 context.importance,
                 admitted,
-                bool(context.session),
+                bool(work.rank_context().session),
             )
         )
 
@@ -333,6 +383,8 @@
         work.state = WorkState.DONE
         self._works.pop(work.token, None)
         self._by_call.pop((work.message.epoch, work.message.call), None)
+        if work.session:
+            self._sessions.on_answer(work.session, self._process.now)
 
     def _reply(
         self, link: AcceptedLink, message: CallMessage, outcome: Outcome, spare: int
--- a/src/finchshed/emulator/daemons/daemon.py
+++ b/src/finchshed/emulator/daemons/daemon.py
@@ -1,6 +1,7 @@
 """One emulated daemon: beside a back end, or an edge in front of outside callers."""
 
 import random
+import sys
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Final, Protocol
@@ -10,14 +11,14 @@
 
 from finchshed.admission.paths import PathThresholds
 from finchshed.common.context import CallContext
-from finchshed.common.outcomes import Outcome, RefusalReason, Refused
+from finchshed.common.outcomes import Answered, Outcome, RefusalReason, Refused
 from finchshed.common.results import CallResult, result_of
 from finchshed.configuration.resources import Endpoint, Policy
 from finchshed.control.state_machine import POLICY_KEY
 from finchshed.distribution.messages import Delta, Hints
 from finchshed.distribution.snapshot import Configuration
 from finchshed.emulator.backend import BackEnd
-from finchshed.emulator.daemons.callee import Callee
+from finchshed.emulator.daemons.callee import SESSION_IDLE_SECONDS, Callee
 from finchshed.emulator.daemons.control_plane import ControlPlane
 from finchshed.emulator.daemons.link import AcceptedLink, CallMessage, DaemonLink
 from finchshed.emulator.daemons.outgoing import CallingProcess, OnFinish, OutgoingCall
@@ -32,6 +33,7 @@
 from finchshed.routing.caller import CallerLogic
 from finchshed.routing.endpoint import LeavingSign
 from finchshed.routing.table import RoutingTable
+from finchshed.session.table import MoveReason, SessionTable
 
 REGION: Final = "region-1"
 LOCAL_DELAY_SECONDS: Final = 0.0002
@@ -92,6 +94,7 @@
         self._accepted: list[AcceptedLink] = []
         self._buckets: dict[str, RetryBucket] = {}
         self._joined: dict[str, _Joined] = {}
+        self._pins = SessionTable()
         self._linked_at: dict[str, float] = {}
         self._listed: set[str] = set()
         self._began_at = self.now
@@ -203,6 +206,7 @@
         def finished(outcome: Outcome, _spare: int) -> None:
             self._in_progress -= 1
             self._joined.pop(request.root, None)
+            self._session_answered(request, joined.outgoing.endpoint, outcome)
             waiting = list(joined.waiting.values())
             joined.waiting.clear()
             for waiter in waiting:
@@ -213,8 +217,34 @@
         self._joined[request.root] = joined
         self._in_progress += 1
         joined.outgoing.begin()
+        self._session_sent(request, joined.outgoing.endpoint)
         return joined
 
+    def _session_sent(self, request: Request, endpoint: str) -> None:
+        """Pin a session to the endpoint that its first request was sent to."""
+        if not request.session or not endpoint:
+            return
+        self._pins.open(
+            request.session,
+            request.hop.service,
+            endpoint,
+            max_sessions=sys.maxsize,
+            idle_seconds=SESSION_IDLE_SECONDS,
+            now=self.now,
+        )
+
+    def _session_answered(self, request: Request, endpoint: str, outcome: Outcome) -> None:
+        """Move a session whose request was answered by another endpoint than it is pinned to."""
+        held = self._pins.get(request.session) if request.session else None
+        if held is None or not isinstance(outcome, Answered):
+            return
+        if endpoint and endpoint != held.endpoint:
+            self._pins.move(request.session, endpoint, MoveReason.ENDPOINT_LOST, self.now)
+
+    def _pinned_endpoint(self, request: Request) -> str:
+        held = self._pins.get(request.session) if request.session and not request.parent else None
+        return "" if held is None else held.endpoint
+
     def _leave(self, joined: _Joined, call: str) -> None:
         if joined.waiting.pop(call, None) is not None and not joined.waiting:
             joined.outgoing.cancel()
@@ -262,6 +292,7 @@
             context,
             repeatable=request.repeatable,
             rng=self.random,
+            pinned=self._pinned_endpoint(request),
             route=request.kind,
         )
         return OutgoingCall(self, logic, request, context, finished)
--- a/src/finchshed/emulator/daemons/outgoing.py
+++ b/src/finchshed/emulator/daemons/outgoing.py
@@ -45,7 +45,13 @@
 
 
 class OutgoingCall:
-    """Carries out the effects of one call's state machine."""
+    """Carries out the effects of one call's state machine.
+
+    Attributes
+    ----------
+    endpoint
+        The endpoint the call was sent to last, or empty.
+    """
 
     def __init__(
         self,
@@ -64,6 +70,7 @@
         self._timer: Timer | None = None
         self._attempts: dict[int, tuple[Attempt, DaemonLink]] = {}
         self._was_sent = False
+        self.endpoint = ""
         self._recorder = daemon.simulation.recorder
 
     def begin(self) -> None:
@@ -88,6 +95,7 @@
     def _send(self, effect: Send) -> None:
         number = effect.attempt
         self._was_sent = True
+        self.endpoint = effect.endpoint.name
         remaining = self._deadline - self._process.now
         context = self._context.for_attempt(remaining, effect.share)
         attempt = Attempt(
--- a/src/finchshed/emulator/deployment.py
+++ b/src/finchshed/emulator/deployment.py
@@ -16,12 +16,15 @@
         Requests one back end runs at a time. A request holds its slot while it calls on.
     connections
         Requests one back end holds, running or waiting.
+    max_sessions
+        Sessions one back end admits at a time.
     """
 
     name: str
     back_ends: int
     slots: int
     connections: int = 120
+    max_sessions: int = 1000
 
 
 class Hop(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- a/src/finchshed/emulator/scheme.py
+++ b/src/finchshed/emulator/scheme.py
@@ -198,6 +198,8 @@
         if daemon.life != life:
             return
         back_end = self._back_ends[daemon.name]
+        if daemon.callee is not None and self._clock.now >= stop_after:
+            daemon.callee.end_sessions()
         if daemon.in_progress or back_end.in_flight or self._clock.now < stop_after:
             self._clock.call_later(
                 STOP_POLL_SECONDS, self._stop_when_idle, daemon, life, stop_after, seconds
--- a/src/finchshed/proof/checks/__init__.py
+++ b/src/finchshed/proof/checks/__init__.py
@@ -3,7 +3,15 @@
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import Final
 
-from finchshed.proof.checks import answers, configuration, leaving, retries, runs, shedding
+from finchshed.proof.checks import (
+    answers,
+    configuration,
+    leaving,
+    retries,
+    runs,
+    sessions,
+    shedding,
+)
 from finchshed.proof.checks.index import Index, Violation
 from finchshed.proof.history import History
 
@@ -12,6 +20,7 @@
 CHECKS: Final[Mapping[str, Check]] = {
     retries.NAME: retries.check,
     shedding.NAME: shedding.check,
+    sessions.NAME: sessions.check,
     answers.NAME: answers.check,
     answers.NAME_ENDS: answers.check_ends,
     runs.NAME_REFUSED: runs.check_refused,
--- a/src/finchshed/session/table.py
+++ b/src/finchshed/session/table.py
@@ -17,7 +17,10 @@
 
 
 class Session(msgspec.Struct):
-    """A running session. Times are monotonic seconds."""
+    """A session. Times are monotonic seconds.
+
+    ``admitted`` says that a request of it was started: only then the session runs.
+    """
 
     identity: str
     service: str
@@ -27,10 +30,14 @@
     idle_seconds: float
     in_progress: int = 0
     moves: int = 0
+    admitted: bool = False
 
 
 class Opened(msgspec.Struct, frozen=True, gc=False):
-    """The session runs; requests of it go to its endpoint."""
+    """Requests of the session go to its endpoint.
+
+    ``is_new`` says that the session doesn't run yet: none of its requests was started.
+    """
 
     session: Session
     is_new: bool
@@ -78,7 +85,7 @@
         held = self._sessions.get(identity)
         if held is not None:
             held.used_at = now
-            return Opened(held, is_new=False)
+            return Opened(held, is_new=not held.admitted)
         pinned = self._by_endpoint.setdefault(endpoint, set())
         if len(pinned) >= max_sessions:
             return NotOpened(RefusalReason.SESSION_LIMIT)
@@ -94,6 +101,22 @@
             held.used_at = now
             held.in_progress += 1
 
+    def admit(self, identity: str) -> None:
+        """Take the start of a request of a session: the session runs from now on."""
+        held = self._sessions.get(identity)
+        if held is not None:
+            held.admitted = True
+
+    def refuse(self, identity: str) -> None:
+        """Take the refusal of a request, after :meth:`on_answer`.
+
+        A session that doesn't run ends with the last of its requests, not before: another of them
+        may still be started.
+        """
+        held = self._sessions.get(identity)
+        if held is not None and not held.admitted and held.in_progress == 0:
+            self.close(identity)
+
     def on_answer(self, identity: str, now: float) -> None:
         """Count a request of a session as ended."""
         held = self._sessions.get(identity)
--- a/tests/proof/broken.py
+++ b/tests/proof/broken.py
@@ -25,6 +25,7 @@
 from finchshed.ledger.results import Granted
 from finchshed.routing.caller import CallerLogic
 from finchshed.routing.endpoint import EndpointView
+from finchshed.session.table import SessionTable
 
 Break = Callable[[pytest.MonkeyPatch], None]
 
@@ -62,6 +63,16 @@
     patch.setattr("finchshed.routing.table.rank_of", rank_of)
 
 
+def a_refused_request_ends_its_session(patch: pytest.MonkeyPatch) -> None:
+    """End a session with the refusal of the request that opened it, whatever others do."""
+
+    def close(self: SessionTable, identity: str) -> None:
+        self.close(identity)
+
+    patch.setattr(SessionTable, "refuse", close)
+    patch.setattr(SessionTable, "admit", lambda self, identity: None)
+
+
 def call_identities_are_used_again(patch: pytest.MonkeyPatch) -> None:
     """Give the identity of a call that was given up to the next call on the link."""
     withdraw = DaemonLink.withdraw
@@ -194,6 +205,7 @@
     for variant in (
         Variant("retry-bound", "overload", retries_are_not_paid),
         Variant("shed-order", "overload", importance_is_ignored),
+        Variant("sessions", "overload", a_refused_request_ends_its_session),
         Variant("whole-answers", "overload", call_identities_are_used_again),
         Variant("refused-not-run", "zone-loss", a_broken_link_counts_as_a_refusal, 23),
         Variant("refused-not-run", "zone-loss", the_last_attempt_speaks_for_all, 9),
--- a/tests/proof/test_checks.py
+++ b/tests/proof/test_checks.py
@@ -109,6 +109,28 @@
     assert not found("shed-order", killed, *low, *high)
 
 
+def in_session(time: float, name: str) -> CallBegan:
+    root = name.split("/", maxsplit=1)[0]
+    return CallBegan(time, name, root, "s", Importance.NORMAL, session="a")
+
+
+def test_a_refused_request_of_a_running_session_is_found() -> None:
+    runs = (in_session(0.0, "r1/1"), run(0.1), finished(0.2), answered(0.3))
+    later = (in_session(1.0, "r2/1"), refused(1.1, "r2/1"))
+    assert found("sessions", *runs, *later)
+    assert not found("sessions", *later)
+    killed = Fault(0.5, "crash_daemon", ("e1",))
+    assert not found("sessions", *runs, killed, *later)
+    slowed = Fault(0.5, "slow_service", ("s",))
+    assert found("sessions", *runs, slowed, *later)
+
+
+def test_a_request_sent_before_its_session_ran_may_be_refused() -> None:
+    early = (in_session(0.1, "r2/1"), refused(0.5, "r2/1"))
+    runs = (in_session(0.0, "r1/1"), run(0.1), finished(0.2), answered(0.3))
+    assert not found("sessions", *runs, *early)
+
+
 def leaving(begin: float, *runs: Event, sign: str = "answer") -> list[Event]:
     return [EndpointLeaving(begin, "e1", sign), *runs]
 
--- a/tests/session/test_table.py
+++ b/tests/session/test_table.py
@@ -12,6 +12,7 @@
     assert isinstance(open_session(table, "a"), Opened)
     assert isinstance(open_session(table, "b"), Opened)
     assert isinstance(open_session(table, "c"), NotOpened)
+    table.admit("a")
     again = open_session(table, "a")
     assert isinstance(again, Opened)
     assert not again.is_new
@@ -31,3 +32,39 @@
     assert table.expire(100.0) == []
     table.on_answer("a", 100.0)
     assert [ended.identity for ended in table.expire(111.0)] == ["a"]
+
+
+def open_one(table: SessionTable) -> Opened:
+    opened = table.open("a", "s", "e", max_sessions=2, idle_seconds=1.0, now=0.0)
+    assert isinstance(opened, Opened)
+    table.on_request("a", 0.0)
+    return opened
+
+
+def test_a_session_runs_once_a_request_of_it_was_started() -> None:
+    table = SessionTable()
+    assert open_one(table).is_new
+    assert open_one(table).is_new
+    table.admit("a")
+    assert not open_one(table).is_new
+
+
+def test_a_refused_first_request_does_not_end_a_session_with_another_in_progress() -> None:
+    table = SessionTable()
+    open_one(table)
+    open_one(table)
+    table.on_answer("a", 0.1)
+    table.refuse("a")
+    assert table.get("a") is not None
+    table.admit("a")
+    table.on_answer("a", 0.2)
+    table.refuse("a")
+    assert table.get("a") is not None
+
+
+def test_a_session_none_of_whose_requests_was_started_ends_with_the_last() -> None:
+    table = SessionTable()
+    open_one(table)
+    table.on_answer("a", 0.1)
+    table.refuse("a")
+    assert table.get("a") is None
