--- a/src/finchshed/distribution/client.py
+++ b/src/finchshed/distribution/client.py
@@ -14,6 +14,8 @@
 
 from finchshed.common.outcomes import Answered
 from finchshed.distribution.addresses import AddressBook, ControlAddress
+from finchshed.distribution.identity import ClientIdentity
+from finchshed.distribution.ledger_requests import LedgerAnswer, LedgerRequest, LedgerRequests
 from finchshed.distribution.messages import (
     ControlToDaemon,
     Decision,
@@ -23,49 +25,33 @@
     Fetch,
     Hints,
     InForce,
-    LedgerBegin,
-    LedgerCancel,
-    LedgerComplete,
-    LedgerCompleted,
-    LedgerGranted,
-    LedgerNoted,
-    LedgerRefused,
-    LedgerUnknown,
     Redirect,
     Subscribe,
 )
 from finchshed.link.lines import LineProtocol
 
-LedgerAnswer: TypeAlias = (
-    LedgerGranted | LedgerCompleted | LedgerUnknown | LedgerRefused | LedgerNoted
-)
-LedgerRequest: TypeAlias = LedgerBegin | LedgerCancel | LedgerComplete
 Connection: TypeAlias = LineProtocol[ControlToDaemon]
 Connect: TypeAlias = Callable[[Callable[[], Connection], str, int], Awaitable[object]]
 """Opens a connection for the protocol made by the first argument to a host and port."""
 
-CONNECT_SECONDS = 1.0
-SILENCE_SECONDS = 2.0
-"""A control node that sent nothing for this long is left; it sends each half second."""
-
-ABANDON_SECONDS = 30.0
-"""How long the cancel of an attempt whose grant did not come in time is tried."""
+CONNECT_SECONDS = 0.75
+SILENCE_SECONDS = 1.5
+"""A control node that sent nothing for this long is left; it sends each half second.
 
-HEARTBEAT_SECONDS = 1.0
-CHECK_SECONDS = 0.5
-MAX_PENDING_REQUESTS = 8192
-MAX_LINE_BYTES = 96 << 20
+The 4 s until a change is in force have to hold this, the check after it, and two nodes in a row
+that can't be reached either.
+"""
 
+NEARER_SECONDS = 60.0
+"""A daemon linked to another zone's control node tries its own zone's after one to two of these.
 
-@dataclass(frozen=True, slots=True)
-class ClientIdentity:
-    """Who the daemon is, as told to control nodes."""
+Without it a control node that was restarted would serve nobody, and a zone would hang on links to
+others that may be cut.
+"""
 
-    node: str
-    incarnation: str
-    service: str
-    zone: str
-    endpoint: str = ""
+HEARTBEAT_SECONDS = 1.0
+CHECK_SECONDS = 0.25
+MAX_LINE_BYTES = 96 << 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,13 +68,6 @@
     revision_in_force: Callable[[], int]
 
 
-@dataclass(slots=True)
-class _Pending:
-    message: LedgerRequest
-    answer: asyncio.Future[LedgerAnswer]
-    sent: bool = False
-
-
 class ControlClient:
     """Keeps a connection to one control node.
 
@@ -124,15 +103,14 @@
         self._identity = identity
         self._connect = connect or _connect_by_loop
         self._handlers = handlers
+        self._rng = rng
         self._book = AddressBook(addresses, identity.zone, rng)
         self._connection: Connection | None = None
         self._ended: asyncio.Event = asyncio.Event()
         self._is_subscribed = False
         self._heard_at = 0.0
         self._heartbeat_due = 0.0
-        self._pending: dict[int, _Pending] = {}
-        self._last_request = 0
-        self._abandoning: set[asyncio.Task[bool]] = set()
+        self._ledger = LedgerRequests(identity.node, self._send_ledger_request)
         self._bytes_before = (0, 0)
         self.connections_made = 0
         self.on_hints: Callable[[Hints], None] | None = None
@@ -178,60 +156,18 @@
             self._connection.send(Fetch(revision))
 
     async def begin(self, key: str, attempt: str, timeout_seconds: float) -> LedgerAnswer:
-        """Ask leave to run the request under ``key``; once granted, the attempt may be sent once.
-
-        When no answer comes in time the attempt must not be sent: it is cancelled in the
-        background, and the answer is :class:`LedgerRefused`.
-        """
-        number = self._next_request()
-        pending = _Pending(LedgerBegin(number, key, attempt, self._identity.node), _future())
-        answer = await self._request(pending, timeout_seconds)
-        if answer is not None:
-            return answer
-        if pending.sent:
-            self._abandon(key, attempt)
-        return LedgerRefused(number, expired=False, detail="no answer from control")
+        """Ask the ledger for leave; see :meth:`LedgerRequests.begin`."""
+        return await self._ledger.begin(key, attempt, timeout_seconds)
 
     async def cancel(self, key: str, attempt: str, timeout_seconds: float) -> bool:
-        """Free the key of an attempt that was granted and not sent; True once committed."""
-        pending = _Pending(LedgerCancel(self._next_request(), key, attempt), _future())
-        return isinstance(await self._request(pending, timeout_seconds), LedgerNoted)
+        """Free a key; see :meth:`LedgerRequests.cancel`."""
+        return await self._ledger.cancel(key, attempt, timeout_seconds)
 
     async def complete(
         self, key: str, attempt: str, answer: Answered, timeout_seconds: float
     ) -> bool:
-        """Record the answer of an attempt that ran; True once committed."""
-        message = LedgerComplete(self._next_request(), key, attempt, answer)
-        pending = _Pending(message, _future())
-        return isinstance(await self._request(pending, timeout_seconds), LedgerNoted)
-
-    def _next_request(self) -> int:
-        self._last_request += 1
-        return self._last_request
-
-    def _abandon(self, key: str, attempt: str) -> None:
-        task = asyncio.create_task(self.cancel(key, attempt, ABANDON_SECONDS))
-        self._abandoning.add(task)
-        task.add_done_callback(self._abandoning.discard)
-
-    async def _request(self, pending: _Pending, timeout_seconds: float) -> LedgerAnswer | None:
-        if len(self._pending) >= MAX_PENDING_REQUESTS:
-            return None
-        number = pending.message.request
-        self._pending[number] = pending
-        if self._connection is not None:
-            self._send_pending(self._connection, pending)
-        try:
-            return await asyncio.wait_for(pending.answer, timeout_seconds)
-        except TimeoutError:
-            return None
-        finally:
-            del self._pending[number]
-
-    @staticmethod
-    def _send_pending(connection: Connection, pending: _Pending) -> None:
-        if connection.send(pending.message):
-            pending.sent = True
+        """Record an answer; see :meth:`LedgerRequests.complete`."""
+        return await self._ledger.complete(key, attempt, answer, timeout_seconds)
 
     async def _connect_and_serve(self, address: ControlAddress) -> float:
         """Return for how many seconds the connection served."""
@@ -249,7 +185,7 @@
         self.connections_made += 1
         self._subscribe(connection)
         try:
-            await self._watch(connection)
+            await self._watch(connection, address)
         finally:
             self._leave(connection)
         return loop.time() - opened_at
@@ -269,12 +205,13 @@
                 endpoint=identity.endpoint,
             )
         )
-        for pending in self._pending.values():
-            self._send_pending(connection, pending)
+        self._ledger.send_again()
 
-    async def _watch(self, connection: Connection) -> None:
-        """Return once the connection has ended or its control node has gone silent."""
+    async def _watch(self, connection: Connection, address: ControlAddress) -> None:
+        """Return once the connection has ended, is silent, or a nearer node can be reached."""
         loop = asyncio.get_running_loop()
+        nearer = self._book.nearer(address)
+        nearer_due = loop.time() + NEARER_SECONDS * (1.0 + self._rng.random())
         while connection.is_open and not self._ended.is_set():
             try:
                 await asyncio.wait_for(self._ended.wait(), CHECK_SECONDS)
@@ -284,6 +221,23 @@
                     return
                 if self._is_subscribed and now >= self._heartbeat_due:
                     self.report_in_force(self._handlers.revision_in_force())
+                if nearer is not None and now >= nearer_due:
+                    nearer_due = now + NEARER_SECONDS * (1.0 + self._rng.random())
+                    if await self._can_reach(nearer):
+                        self._book.on_reachable(nearer)
+                        return
+
+    async def _can_reach(self, address: ControlAddress) -> bool:
+        """Whether a connection to a control node can be opened; it is closed at once."""
+        probe: LineProtocol[ControlToDaemon] = LineProtocol(ControlToDaemon, _ignore)
+        host, _, port = address.address.rpartition(":")
+        try:
+            opening = self._connect(lambda: probe, host, int(port))
+            await asyncio.wait_for(opening, CONNECT_SECONDS)
+        except (OSError, TimeoutError):
+            return False
+        probe.abort()
+        return True
 
     def _leave(self, connection: Connection) -> None:
         received, sent = self._bytes_before
@@ -313,21 +267,19 @@
             decisions = self.on_explain(message) if self.on_explain is not None else ()
             connection.send(ExplainReply(message.request, decisions))
         else:
-            self._on_ledger_answer(message)
+            self._ledger.on_answer(message)
 
-    def _on_ledger_answer(self, message: LedgerAnswer) -> None:
-        pending = self._pending.get(message.request)
-        if pending is not None and not pending.answer.done():
-            pending.answer.set_result(message)
+    def _send_ledger_request(self, request: LedgerRequest) -> bool:
+        return self._connection is not None and self._connection.send(request) > 0
 
     def _on_close(self, connection: Connection, error: Exception | None) -> None:
         if connection is self._connection:
             self._ended.set()
 
 
-async def _connect_by_loop(make_protocol: Callable[[], Connection], host: str, port: int) -> object:
-    return await asyncio.get_running_loop().create_connection(make_protocol, host, port)
+def _ignore(connection: Connection, message: ControlToDaemon) -> None:
+    """Take nothing from a connection that is only tried."""
 
 
-def _future() -> asyncio.Future[LedgerAnswer]:
-    return asyncio.get_running_loop().create_future()
+async def _connect_by_loop(make_protocol: Callable[[], Connection], host: str, port: int) -> object:
+    return await asyncio.get_running_loop().create_connection(make_protocol, host, port)
--- a/src/finchshed/fleet/command.py
+++ b/src/finchshed/fleet/command.py
@@ -1,17 +1,22 @@
 """Command line of the fleet runner."""
 
-import asyncio
 import pathlib
-import signal
 import time
-from collections.abc import Callable, Coroutine, Mapping
-from typing import Any
+from collections.abc import Callable, Mapping
 
 from finchshed.cli.exit_codes import ExitCode
 from finchshed.common.errors import SettingsError
+from finchshed.fleet.comparison import (
+    EMULATED_SEEDS,
+    run_emulations,
+    run_fleets,
+    table_of,
+)
 from finchshed.fleet.demo import demo_run
 from finchshed.fleet.fault_run import FaultRun
+from finchshed.fleet.interruption import run_interruptible
 from finchshed.fleet.scenario import read_scenario
+from finchshed.fleet.storm_runs import run_storms
 
 DEFAULT_RUN_FOLDER = "run"
 
@@ -29,18 +34,67 @@
     return run_interruptible(_exit_code_of(run))
 
 
-def run(deployment: str, faults: str, out: str = "", seed: int = 1) -> int:
+def run(deployment: str, faults: str, out: str = "", seed: int = 1, relayed: bool = False) -> int:
     """Run a deployment of separate processes under a fault script and judge its history.
 
     DEPLOYMENT is a folder such as examples/brazos, FAULTS a script such as
-    examples/brazos/faults/kill-daemon.toml. OUT keeps settings, logs, records, the history and
-    the verdict (default run/NAME-TIME). SEED fixes arrivals and service times.
+    examples/brazos/faults/kill-processes.toml. OUT keeps settings, logs, records, the history and
+    the verdict (default run/NAME-TIME). SEED fixes arrivals and service times. RELAYED sends the
+    internal links through the relay also where no act needs it.
     Exit code 0 only if nothing that was checked failed.
     """
     source = pathlib.Path(deployment)
     scenario = read_scenario(pathlib.Path(faults))
     folder = run_folder(out, f"{source.name}-{scenario.name}")
-    return run_interruptible(_exit_code_of(FaultRun(source, folder, scenario, seed)))
+    fault_run = FaultRun(source, folder, scenario, seed, relayed=relayed)
+    return run_interruptible(_exit_code_of(fault_run))
+
+
+def storm(deployment: str, seeds: str = "1..3", out: str = "") -> int:
+    """Run storms of faults drawn from seeds on a deployment, one after another.
+
+    DEPLOYMENT is a folder such as examples/brazos, SEEDS a range A..B. OUT keeps each run, and its
+    script as script.toml, which run can repeat. Exit code 0 only if no run failed.
+    """
+    source = pathlib.Path(deployment)
+    folder = run_folder(out, f"{source.name}-storms")
+    return run_interruptible(run_storms(source, folder, seed_range(seeds)))
+
+
+def seed_range(text: str) -> range:
+    """Return the seeds of ``A..B``, both included.
+
+    Raises
+    ------
+    SettingsError
+        If it is no such range.
+    """
+    first, found, last = text.partition("..")
+    if not found or not first.isdigit() or not last.isdigit() or int(last) < int(first):
+        raise SettingsError([f"flag --seeds = {text}: allowed is A..B, two numbers in order"])
+    return range(int(first), int(last) + 1)
+
+
+def compare(
+    deployment: str, faults: str, out: str = "", seeds: int = 3, emulated: int = EMULATED_SEEDS
+) -> int:
+    """Run the same overload on real processes and in the emulator, and compare the measures.
+
+    DEPLOYMENT and FAULTS are as for run; the script may hold acts of kind slow only, and its phase
+    of the highest factor is what is measured. SEEDS real runs and EMULATED emulated ones are made,
+    with callers made alike: no downloads, hard repeats, one deadline. OUT keeps each real run.
+    """
+    source = pathlib.Path(deployment)
+    scenario = read_scenario(pathlib.Path(faults))
+    folder = run_folder(out, f"{source.name}-{scenario.name}-compared")
+    emulations = run_emulations(source, scenario, emulated)
+
+    async def work() -> int:
+        fleets = await run_fleets(source, folder, scenario, seeds)
+        print(table_of([fleets, emulations]))
+        return ExitCode.OK
+
+    return run_interruptible(work())
 
 
 async def _exit_code_of(run: FaultRun) -> int:
@@ -63,21 +117,9 @@
     return path
 
 
-def run_interruptible(work: Coroutine[Any, Any, int]) -> int:
-    """Run ``work``; SIGTERM, SIGHUP and Ctrl-C cancel it, so that it stops what it started."""
-
-    async def cancellable() -> int:
-        task = asyncio.ensure_future(work)
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
-            loop.add_signal_handler(number, task.cancel)
-        return await task
-
-    try:
-        return asyncio.run(cancellable())
-    except asyncio.CancelledError:
-        print("interrupted; everything was stopped")
-        return 1
-
-
-fleet: Mapping[str, Callable[..., int]] = {"demo": demo, "run": run}
+fleet: Mapping[str, Callable[..., int]] = {
+    "demo": demo,
+    "run": run,
+    "storm": storm,
+    "compare": compare,
+}
--- a/src/finchshed/scale/hollow.py
+++ b/src/finchshed/scale/hollow.py
@@ -14,9 +14,9 @@
 from finchshed.daemon.peers import PeerLinks
 from finchshed.daemon.settings import DaemonSettings
 from finchshed.distribution.addresses import parse_control_address
-from finchshed.distribution.client import ClientIdentity
 from finchshed.distribution.driver import FollowerDriver
 from finchshed.distribution.effects import ServingGround
+from finchshed.distribution.identity import ClientIdentity
 from finchshed.distribution.messages import Delta
 from finchshed.distribution.snapshot import Configuration
 from finchshed.link.listener import AcceptedLink, LinkListener
@@ -75,7 +75,7 @@
         self._listener = LinkListener(
             self,
             settings.peer_networks,
-            silence_seconds=2 * settings.silence_seconds,
+            silence_seconds=settings.accepted_silence_seconds,
             max_unsent_bytes=settings.max_unsent_bytes,
         )
         host, _, port = self._spec.address.rpartition(":")
