Shedding order is compared at equal times and without running sessions

Sheddable requests, which the service before shed while it lasted, were missing from the overloaded half, so their share of the whole window was higher than that of the class above. Slices of 0.1 s are compared now and weighed together.

--- a/src/finchshed/proof/checks/shedding.py
+++ b/src/finchshed/proof/checks/shedding.py
@@ -4,12 +4,17 @@
 in a window: admitted if any of its attempts there was, and shed otherwise. Sheds by the daemons of
 callers count as well as those beside the back ends, since a caller's daemon refuses early on behalf
 of a service; so do refusals for overload that a caller was told, in histories where daemons record
-no decisions of their own.
-
-In a window with at least :data:`LEAST_COUNT` units of two classes, the more important class must
-not be admitted to a smaller share than the other by more than :data:`TOLERANCE`. A window counts
-only once shedding has gone on for :data:`SETTLE_SECONDS` at the service: the threshold is learnt
-from measured queueing delay, so the first shed requests of a surge come from a full queue.
+no decisions of their own. Requests of running sessions are left out: a session was admitted as a
+whole, and its requests are not shed whatever their class (:mod:`finchshed.proof.checks.sessions`).
+
+The two classes of a pair are compared within slices of :data:`SLICE_SECONDS`, and the differences
+of the slices are weighed as by Mantel and Haenszel (1959): overload begins and ends within a
+window, and requests of low importance that were shed at a service before this one are missing from
+its overloaded part, so shares over the whole window would compare different moments. In a window
+with a weight of at least :data:`LEAST_WEIGHT`, the more important class must not be admitted to a
+smaller share than the other by more than :data:`TOLERANCE`. A window counts only once shedding has
+gone on for :data:`SETTLE_SECONDS` at the service: the threshold is learnt from measured queueing
+delay, so the first shed requests of a surge come from a full queue.
 
 Windows in which another fault than overload is at work (a kill, a freeze, a cut), or was within
 :data:`FAULT_MARGIN_SECONDS`, are not judged: there requests are refused because their deadline ran
@@ -20,6 +25,8 @@
 from collections.abc import Iterator
 from typing import Final
 
+import msgspec
+
 from finchshed.common.importance import Importance
 from finchshed.common.outcomes import RefusalReason
 from finchshed.proof.checks.index import Index, Violation
@@ -27,7 +34,10 @@
 
 NAME: Final = "shed-order"
 WINDOW_SECONDS: Final = 1.0
-LEAST_COUNT: Final = 10
+SLICE_SECONDS: Final = 0.1
+LEAST_WEIGHT: Final = 5.0
+"""Least weight of a window: that of ten requests of each class in one slice."""
+
 TOLERANCE: Final = 0.15
 SETTLE_SECONDS: Final = 0.5
 
@@ -46,7 +56,17 @@
 """Refusals that say a request was shed for overload."""
 
 Window = tuple[str, int]
-Units = dict[tuple[Importance, str], bool]
+
+
+class _Unit(msgspec.Struct):
+    """A root request at a service in a window: when it was first decided on, and how."""
+
+    importance: Importance
+    slice: int
+    admitted: bool
+
+
+Units = dict[str, _Unit]
 
 
 def check(index: Index) -> Iterator[Violation]:
@@ -57,12 +77,16 @@
         span = shedding.setdefault(admission.service, _SheddingSpan())
         if not admission.admitted:
             span.note(admission.time)
-        if not span.is_settled(admission.time):
+        if admission.in_session or not span.is_settled(admission.time):
             continue
         window = (admission.service, int(admission.time / WINDOW_SECONDS))
-        key = (admission.importance, admission.root)
         units = windows[window]
-        units[key] = units.get(key, False) or admission.admitted
+        held = units.get(admission.root)
+        if held is None:
+            place = int(admission.time / SLICE_SECONDS)
+            units[admission.root] = _Unit(admission.importance, place, admission.admitted)
+        elif admission.admitted:
+            held.admitted = True
     faults = index.fault_spans(OVERLOAD_FAULTS, FAULT_SECONDS)
     for (service, number), units in windows.items():
         begin = number * WINDOW_SECONDS
@@ -83,7 +107,10 @@
         for end in ends:
             call = index.calls.get(end.call)
             if call is not None and end.result is CallResult.REFUSED and end.reason in SHED_REASONS:
-                shed = Admission(end.time, "", call.service, call.root, call.importance, False)
+                session = bool(call.session)
+                shed = Admission(
+                    end.time, "", call.service, call.root, call.importance, False, session
+                )
                 decisions.append(shed)
     decisions.sort(key=lambda decision: decision.time)
     return decisions
@@ -108,20 +135,32 @@
 
 
 def _check_window(service: str, time: float, units: Units) -> Iterator[Violation]:
-    counts: dict[Importance, list[int]] = defaultdict(lambda: [0, 0])
-    for (importance, _), admitted in units.items():
-        counts[importance][0] += admitted
-        counts[importance][1] += 1
-    shares = {
-        importance: admitted / total
-        for importance, (admitted, total) in counts.items()
-        if total >= LEAST_COUNT
-    }
-    for high, share in shares.items():
-        for low, low_share in shares.items():
-            if low < high and low_share > share + TOLERANCE:
+    for high in Importance:
+        for low in Importance:
+            if low >= high:
+                continue
+            difference, weight = _difference(units, high, low)
+            if weight >= LEAST_WEIGHT and difference > TOLERANCE:
                 detail = (
-                    f"{high.name} admitted to {share:.0%} of {counts[high][1]}, "
-                    f"{low.name} to {low_share:.0%} of {counts[low][1]}"
+                    f"{high.name} admitted less than {low.name} by {difference:.0%} of the "
+                    f"requests at equal times, weight {weight:.1f}"
                 )
                 yield Violation(NAME, time, service, detail)
+
+
+def _difference(units: Units, high: Importance, low: Importance) -> tuple[float, float]:
+    """Return by how much ``low`` was admitted to a greater share, and the weight of that."""
+    counts: dict[int, list[int]] = defaultdict(lambda: [0, 0, 0, 0])
+    for unit in units.values():
+        if unit.importance in (high, low):
+            offset = 0 if unit.importance is high else 2
+            counts[unit.slice][offset] += unit.admitted
+            counts[unit.slice][offset + 1] += 1
+    total = 0.0
+    weight = 0.0
+    for admitted_high, count_high, admitted_low, count_low in counts.values():
+        if count_high and count_low:
+            share = count_high * count_low / (count_high + count_low)
+            total += share * (admitted_low / count_low - admitted_high / count_high)
+            weight += share
+    return (total / weight if weight else 0.0), weight
--- a/tests/proof/histories.py
+++ b/tests/proof/histories.py
@@ -64,7 +64,7 @@
 
 def admissions(
     begin: float, importance: Importance, admitted: int, shed: int, end: float = 1.0
-) -> list[Event]:
+) -> list[Admission]:
     """Return decisions spread evenly from ``begin`` to ``end``."""
     total = admitted + shed
     step = (end - begin) / total
--- a/tests/proof/test_checks.py
+++ b/tests/proof/test_checks.py
@@ -1,5 +1,7 @@
 """Each checker passes a history that keeps its property, and finds one that doesn't."""
 
+import msgspec
+
 from finchshed.common.importance import Importance
 from finchshed.proof.history import (
     AttemptSent,
@@ -109,6 +111,24 @@
     assert not found("shed-order", killed, *low, *high)
 
 
+def test_shares_are_compared_at_equal_times() -> None:
+    """Overload of the more important class that ends as the less important arrives is in order."""
+    span = admissions(0.0, Importance.HIGH, 0, 50, end=1.5)
+    span += admissions(1.5, Importance.HIGH, 30, 1, end=2.0)
+    later = admissions(1.5, Importance.SHEDDABLE, 30, 0, end=2.0)
+    assert not found("shed-order", *span, *later)
+    together = admissions(0.7, Importance.SHEDDABLE, 30, 0, end=1.5)
+    assert found("shed-order", *span, *together)
+
+
+def test_running_sessions_are_left_out_of_the_order() -> None:
+    high = admissions(0.0, Importance.HIGH, 0, 60, end=2.0)
+    low = admissions(0.5, Importance.NORMAL, 40, 0, end=2.0)
+    assert found("shed-order", *high, *low)
+    running = [msgspec.structs.replace(item, in_session=True) for item in low]
+    assert not found("shed-order", *high, *running)
+
+
 def in_session(time: float, name: str) -> CallBegan:
     root = name.split("/", maxsplit=1)[0]
     return CallBegan(time, name, root, "s", Importance.NORMAL, session="a")
