Smaller modules: operators' access, ctl's status and members, bench of control

Access control of the RPC service is a module of its own (control/access.py), `status` and `members` are in ctl/standing.py, the bench of the control plane is split into load, report and measurements.

--- a/src/finchshed/bench/control_plane.py
+++ b/src/finchshed/bench/control_plane.py
@@ -17,14 +17,17 @@
 import numpy as np
 
 from finchshed.bench.control_group import BenchGroup, BenchNode, GroupError, LedgerUser
-from finchshed.bench.process_usage import (
-    MachineLoad,
-    MachineMeter,
-    processor_seconds,
-    resident_bytes,
+from finchshed.bench.control_load import ANSWER, measure_load, operate
+from finchshed.bench.control_report import (
+    ControlPlaneReport,
+    LoadPoint,
+    Point,
+    Series,
+    fit,
+    report_lines,
 )
+from finchshed.bench.process_usage import MachineMeter, resident_bytes
 from finchshed.cli.exit_codes import ExitCode
-from finchshed.common.outcomes import Answered
 from finchshed.configuration.changes import Accepted
 from finchshed.configuration.difference import Difference
 from finchshed.configuration.resources import Endpoint, Policy, Resource, Service
@@ -32,16 +35,10 @@
 from finchshed.control.state_machine import ControlStateMachine
 from finchshed.ctl.changes import read_in_force, submit
 from finchshed.ctl.client import OperatorClient
-from finchshed.distribution.messages import LedgerGranted
 from finchshed.ledger.keys import new_key
 
 MeasuredT = TypeVar("MeasuredT")
 
-ANSWER = Answered(200, (("content-type", "application/json"),), bytes(300))
-"""Answer of the size of a licence or a notice's receipt."""
-
-LOADS_PER_SECOND = (50, 100, 200, 400, 800, 1_600)
-LOAD_SECONDS = 6.0
 MEMORY_KEYS = (0, 4_000, 8_000, 12_000, 16_000)
 SNAPSHOT_KEYS = (5_000, 10_000, 20_000, 40_000, 80_000)
 CONFIGURATION_SIZES = (100, 500, 1_000, 2_000, 4_000)
@@ -55,70 +52,6 @@
 ENDPOINTS_PER_SERVICE = 20
 
 
-class LoadPoint(msgspec.Struct, frozen=True):
-    """The ledger under one load; each operation is a begin and a complete.
-
-    Attributes
-    ----------
-    leader_microseconds, follower_microseconds
-        Processor time of one node for one operation, less that of an idle node.
-    granted
-        Operations whose begin was granted; the others were refused.
-    """
-
-    operations_per_second: float
-    operations: int
-    granted: int
-    begin_p50_ms: float
-    begin_p99_ms: float
-    complete_p50_ms: float
-    complete_p99_ms: float
-    leader_microseconds: float
-    follower_microseconds: float
-    load: MachineLoad
-
-
-class Point(msgspec.Struct, frozen=True):
-    """One measured value at one size."""
-
-    size: int
-    value: float
-
-
-class Fit(msgspec.Struct, frozen=True):
-    """Least squares line; ``residual`` is the largest distance of a point from it."""
-
-    intercept: float
-    slope: float
-    residual: float
-
-
-class Series(msgspec.Struct, frozen=True):
-    """Points and the line through them."""
-
-    what: str
-    points: tuple[Point, ...]
-    fit: Fit
-    load: MachineLoad
-
-
-class ControlPlaneReport(msgspec.Struct, frozen=True):
-    """All that was measured."""
-
-    voters: int
-    ledger: tuple[LoadPoint, ...]
-    series: tuple[Series, ...]
-
-
-def fit(points: Sequence[Point]) -> Fit:
-    """Return the line through ``points``."""
-    sizes = np.array([point.size for point in points], dtype=float)
-    values = np.array([point.value for point in points], dtype=float)
-    slope, intercept = np.polyfit(sizes, values, 1)
-    residual = np.abs(values - (slope * sizes + intercept)).max()
-    return Fit(float(intercept), float(slope), float(residual))
-
-
 def control(
     out: str = "control-plane.json", voters: int = 3, folder: str = "", shards: int = 0
 ) -> int:
@@ -148,30 +81,6 @@
     return ExitCode.OK
 
 
-def report_lines(report: ControlPlaneReport) -> list[str]:
-    """Return the figures as tables for people."""
-    lines = [
-        "begin+complete/s  granted  begin p50/p99 ms  complete p50/p99 ms  "
-        "leader us  follower us  busy cores"
-    ]
-    for point in report.ledger:
-        lines.append(
-            f"{point.operations_per_second:>16.0f}  {point.granted}/{point.operations}"
-            f"  {point.begin_p50_ms:.2f}/{point.begin_p99_ms:.2f}"
-            f"  {point.complete_p50_ms:.2f}/{point.complete_p99_ms:.2f}"
-            f"  {point.leader_microseconds:.0f}  {point.follower_microseconds:.0f}"
-            f"  {point.load.busy_cores}/{point.load.cores}"
-        )
-    for series in report.series:
-        values = ", ".join(f"{point.size}: {point.value:.4g}" for point in series.points)
-        line = series.fit
-        lines.append(
-            f"{series.what}: {values}; {line.intercept:.4g} + {line.slope:.4g} a piece, "
-            f"residual {line.residual:.3g}; {series.load.busy_cores} cores busy"
-        )
-    return lines
-
-
 async def _measure(folder: Path, voters: int) -> ControlPlaneReport:
     ledger = await _in_group(folder / "ledger", voters, _ledger_points)
     series = [
@@ -193,7 +102,7 @@
         await main.bootstrap([Policy(ledger_shards=tuple(addresses))])
         await shards[0].bootstrap()
         nodes = await main.leader(), await shards[0].leader()
-        points = await _points(main.nodes, nodes)
+        points = await measure_load(main.nodes, nodes)
     finally:
         for group in (main, *shards):
             await group.close()
@@ -219,89 +128,7 @@
 async def _ledger_points(group: BenchGroup) -> list[LoadPoint]:
     leader = await group.leader()
     follower = next(node for node in group.nodes if node is not leader)
-    return await _points(group.nodes, (leader, follower))
-
-
-async def _points(
-    served: Sequence[BenchNode], measured: tuple[BenchNode, BenchNode]
-) -> list[LoadPoint]:
-    """Load the ledger through ``served`` nodes; count the processor time of ``measured``."""
-    users = [LedgerUser(f"u{n}", node) for n, node in enumerate([*served, *served])]
-    for user in users:
-        await user.wait()
-    await asyncio.sleep(1.0)
-    idle = await _idle_share(measured[0]), await _idle_share(measured[1])
-    points = []
-    for rate in LOADS_PER_SECOND:
-        points.append(await _ledger_point(users, rate, measured, idle))
-    for user in users:
-        user.close()
-    return points
-
-
-async def _idle_share(node: BenchNode) -> float:
-    """Return the processor seconds a node takes each second without load."""
-    before, started = processor_seconds(node.pid), time.monotonic()
-    await asyncio.sleep(2.0)
-    return (processor_seconds(node.pid) - before) / (time.monotonic() - started)
-
-
-async def _ledger_point(
-    users: Sequence[LedgerUser],
-    rate: int,
-    nodes: tuple[BenchNode, BenchNode],
-    idle: tuple[float, float],
-) -> LoadPoint:
-    loop = asyncio.get_running_loop()
-    generator = random.Random(rate)
-    begins: list[float] = []
-    completes: list[float] = []
-    meter = MachineMeter()
-    before = [processor_seconds(node.pid) for node in nodes]
-    count = int(rate * LOAD_SECONDS)
-    started = loop.time()
-    tasks = []
-    for number in range(count):
-        delay = started + number / rate - loop.time()
-        if delay > 0:
-            await asyncio.sleep(delay)
-        user = users[number % len(users)]
-        key = new_key(time.time(), generator)
-        tasks.append(asyncio.create_task(_operate(user, key, begins, completes)))
-    await asyncio.gather(*tasks)
-    elapsed = loop.time() - started
-    spent = [
-        (processor_seconds(node.pid) - used - share * elapsed) / count * 1e6
-        for node, used, share in zip(nodes, before, idle, strict=True)
-    ]
-    return LoadPoint(
-        operations_per_second=count / elapsed,
-        operations=count,
-        granted=len(begins),
-        begin_p50_ms=_percentile(begins, 50),
-        begin_p99_ms=_percentile(begins, 99),
-        complete_p50_ms=_percentile(completes, 50),
-        complete_p99_ms=_percentile(completes, 99),
-        leader_microseconds=round(spent[0], 1),
-        follower_microseconds=round(spent[1], 1),
-        load=meter.load(),
-    )
-
-
-async def _operate(user: LedgerUser, key: str, begins: list[float], completes: list[float]) -> None:
-    loop = asyncio.get_running_loop()
-    started = loop.time()
-    granted = await user.client.begin(key, key[-12:], TIMEOUT_SECONDS)
-    begun = loop.time()
-    if not isinstance(granted, LedgerGranted):
-        return
-    begins.append(begun - started)
-    if await user.client.complete(key, key[-12:], ANSWER, TIMEOUT_SECONDS):
-        completes.append(loop.time() - begun)
-
-
-def _percentile(seconds: Sequence[float], percent: float) -> float:
-    return round(float(np.percentile(seconds, percent)) * 1e3, 3) if seconds else float("nan")
+    return await measure_load(group.nodes, (leader, follower))
 
 
 async def _memory(group: BenchGroup) -> Series:
@@ -316,7 +143,7 @@
     for size in MEMORY_KEYS:
         while held < size:
             batch = [new_key(time.time(), generator) for _ in range(100)]
-            await asyncio.gather(*(_operate(user, key, [], []) for key in batch))
+            await asyncio.gather(*(operate(user, key, [], []) for key in batch))
             held += len(batch)
         points.append(Point(held, float(resident_bytes(leader.pid))))
     user.close()
--- a/src/finchshed/control/operator_service.py
+++ b/src/finchshed/control/operator_service.py
@@ -1,16 +1,15 @@
 """The operators' RPC service on a control node."""
 
-import hashlib
 import time
 from collections.abc import AsyncIterator
-from typing import NoReturn, Protocol
+from typing import Protocol
 
 import grpc
 from loguru import logger
 
 from finchshed.common.errors import ControlUnavailableError
 from finchshed.configuration.changes import Accepted, Change, Conflict, Invalid
-from finchshed.configuration.store import BOOTSTRAP_OPERATOR
+from finchshed.control.access import Access, abort
 from finchshed.control.commands import ApplyChange, NoteAction
 from finchshed.control.distribution_service import DistributionService
 from finchshed.control.replacement import Replacement
@@ -29,8 +28,6 @@
 from finchshed.rpc.generated import finchshed_pb2 as pb
 from finchshed.rpc.generated import finchshed_pb2_grpc as pb_grpc
 
-AUTHORIZATION = "authorization"
-BEARER = "Bearer "
 MAX_CHANGE_ID_CHARACTERS = 200
 MAX_EXPLAINED_DECISIONS = 1_000
 MAX_HISTORY_ENTRIES = 1_000
@@ -69,18 +66,18 @@
         self._log = log
         self._distribution = distribution
         self._feed = feed
-        self._bootstrap_digest = bootstrap_token_sha256
+        self._access = Access(machine, log, bootstrap_token_sha256)
         self._membership = membership
 
     async def Apply(  # noqa: N802 - named by the schema
         self, request: pb.ApplyRequest, context: grpc.aio.ServicerContext
     ) -> pb.ApplyResponse:
         """Apply a change."""
-        await self._barrier(context)
-        operator = await self._authenticate(context)
+        await self._access.barrier(context)
+        operator = await self._access.operator(context)
         if not 0 < len(request.change_id) <= MAX_CHANGE_ID_CHARACTERS:
             problem = f"change_id: allowed are 1 to {MAX_CHANGE_ID_CHARACTERS} characters"
-            await _abort(context, grpc.StatusCode.INVALID_ARGUMENT, problem)
+            await abort(context, grpc.StatusCode.INVALID_ARGUMENT, problem)
         problems: list[str] = []
         puts = resources_from_messages(request.puts, problems)
         if problems:
@@ -95,9 +92,9 @@
         try:
             result = await self._log.propose(ApplyChange(change))
         except ControlUnavailableError as error:
-            await _abort(context, grpc.StatusCode.UNAVAILABLE, str(error))
+            await abort(context, grpc.StatusCode.UNAVAILABLE, str(error))
         if not isinstance(result, Accepted | Conflict | Invalid):
-            await _abort(context, grpc.StatusCode.INTERNAL, "unexpected result of a change")
+            await abort(context, grpc.StatusCode.INTERNAL, "unexpected result of a change")
         logger.info("change {} of {}: {}", change.change_id, operator, result)
         return result_to_message(result)
 
@@ -105,20 +102,20 @@
         self, request: pb.GetResultRequest, context: grpc.aio.ServicerContext
     ) -> pb.ApplyResponse:
         """Read the first result of an earlier change."""
-        await self._barrier(context)
-        await self._authenticate(context)
+        await self._access.barrier(context)
+        await self._access.operator(context)
         result = self._machine.store.result_of(request.change_id)
         if result is None:
             detail = f"no result of change {request.change_id!r} is retained"
-            await _abort(context, grpc.StatusCode.NOT_FOUND, detail)
+            await abort(context, grpc.StatusCode.NOT_FOUND, detail)
         return result_to_message(result)
 
     async def Get(  # noqa: N802
         self, request: pb.GetRequest, context: grpc.aio.ServicerContext
     ) -> pb.GetResponse:
         """Read the configuration."""
-        await self._barrier(context)
-        await self._authenticate(context)
+        await self._access.barrier(context)
+        await self._access.operator(context)
         store = self._machine.store
         wanted = [key_from_message(key) for key in request.keys] or list(store.resources)
         found = [store.resources[key] for key in wanted if key in store.resources]
@@ -131,8 +128,8 @@
         self, request: pb.WatchRequest, context: grpc.aio.ServicerContext
     ) -> AsyncIterator[pb.WatchEvent]:
         """Follow accepted changes."""
-        await self._barrier(context)
-        await self._authenticate(context)
+        await self._access.barrier(context)
+        await self._access.operator(context)
         async for delta in self._feed.follow(request.after_revision):
             yield pb.WatchEvent(
                 base=delta.base,
@@ -145,7 +142,7 @@
         self, request: pb.StatusRequest, context: grpc.aio.ServicerContext
     ) -> pb.StatusResponse:
         """Read which daemons act on which revision."""
-        await self._authenticate(context)
+        await self._access.operator(context)
         confirmed = await self._is_confirmed()
         status = self._log.status()
         distribution = self._distribution.status()
@@ -165,7 +162,7 @@
         self, request: pb.MembersRequest, context: grpc.aio.ServicerContext
     ) -> pb.MembersResponse:
         """Read the members of the control group."""
-        await self._authenticate(context)
+        await self._access.operator(context)
         status = self._log.status()
         members = [
             pb.Member(
@@ -191,29 +188,29 @@
         self, request: pb.ReplaceMemberRequest, context: grpc.aio.ServicerContext
     ) -> pb.ReplaceMemberResponse:
         """Change the members of the control group."""
-        await self._barrier(context)
-        operator = await self._authenticate(context)
+        await self._access.barrier(context)
+        operator = await self._access.operator(context)
         replacement = Replacement(request.remove, request.add, request.standby)
         if max(len(request.remove), len(request.add)) > MAX_NAME_CHARACTERS:
             detail = f"remove, add: allowed are up to {MAX_NAME_CHARACTERS} characters"
-            await _abort(context, grpc.StatusCode.INVALID_ARGUMENT, detail)
+            await abort(context, grpc.StatusCode.INVALID_ARGUMENT, detail)
         await self._note(context, operator, "replace-member", replacement.describe())
         try:
             done, step = await self._membership.replace_member(replacement)
         except ControlUnavailableError as error:
-            await _abort(context, grpc.StatusCode.UNAVAILABLE, str(error))
+            await abort(context, grpc.StatusCode.UNAVAILABLE, str(error))
         return pb.ReplaceMemberResponse(done=done, step=step)
 
     async def Explain(  # noqa: N802
         self, request: pb.ExplainRequest, context: grpc.aio.ServicerContext
     ) -> pb.ExplainResponse:
         """Read recent decisions of a daemon."""
-        await self._authenticate(context)
+        await self._access.operator(context)
         limit = min(request.limit or MAX_EXPLAINED_DECISIONS, MAX_EXPLAINED_DECISIONS)
         decisions = await self._distribution.explain(request.node, request.root, limit)
         if decisions is None:
             detail = f"daemon {request.node} isn't connected here or didn't answer"
-            await _abort(context, grpc.StatusCode.NOT_FOUND, detail)
+            await abort(context, grpc.StatusCode.NOT_FOUND, detail)
         return pb.ExplainResponse(
             decisions=[
                 pb.Decision(
@@ -232,7 +229,7 @@
         self, request: pb.DumpRequest, context: grpc.aio.ServicerContext
     ) -> pb.DumpResponse:
         """Write out the ring of log records."""
-        operator = await self._authenticate(context)
+        operator = await self._access.operator(context)
         path = ring.dump(f"asked for by operator {operator}")
         return pb.DumpResponse(destination=str(path) if path is not None else "stderr")
 
@@ -240,8 +237,8 @@
         self, request: pb.HistoryRequest, context: grpc.aio.ServicerContext
     ) -> pb.HistoryResponse:
         """Read who changed what."""
-        await self._barrier(context)
-        await self._authenticate(context)
+        await self._access.barrier(context)
+        await self._access.operator(context)
         limit = min(request.limit or MAX_HISTORY_ENTRIES, MAX_HISTORY_ENTRIES)
         entries = [
             pb.HistoryEntry(
@@ -259,8 +256,8 @@
         self, request: pb.BackupRequest, context: grpc.aio.ServicerContext
     ) -> AsyncIterator[pb.BackupPiece]:
         """Read a snapshot of the whole state."""
-        await self._barrier(context)
-        operator = await self._authenticate(context)
+        await self._access.barrier(context)
+        operator = await self._access.operator(context)
         await self._note(context, operator, "backup", "whole state")
         data = self._machine.snapshot()
         for start in range(0, len(data), BACKUP_PIECE_BYTES):
@@ -274,13 +271,7 @@
         try:
             await self._log.propose(NoteAction(operator, action, subject))
         except ControlUnavailableError as error:
-            await _abort(context, grpc.StatusCode.UNAVAILABLE, str(error))
-
-    async def _barrier(self, context: grpc.aio.ServicerContext) -> None:
-        try:
-            await self._log.read_barrier()
-        except ControlUnavailableError as error:
-            await _abort(context, grpc.StatusCode.UNAVAILABLE, str(error))
+            await abort(context, grpc.StatusCode.UNAVAILABLE, str(error))
 
     async def _is_confirmed(self) -> bool:
         try:
@@ -289,32 +280,6 @@
             return False
         return True
 
-    async def _authenticate(self, context: grpc.aio.ServicerContext) -> str:
-        """Return the operator's name; end the call when the token is none of an operator."""
-        metadata = dict(context.invocation_metadata() or ())
-        value = str(metadata.get(AUTHORIZATION, ""))
-        if not value.startswith(BEARER):
-            detail = "give an operator's token in the metadata key 'authorization'"
-            await _abort(context, grpc.StatusCode.UNAUTHENTICATED, detail)
-        digest = hashlib.sha256(value.removeprefix(BEARER).encode()).hexdigest()
-        name = self._operator_of(digest)
-        if name is None:
-            # This node may not know the latest operators: nobody is denied on old state.
-            await self._barrier(context)
-            name = self._operator_of(digest)
-        if name is None:
-            logger.warning("call with an unknown token from {}", context.peer())
-            detail = "the token is none of a declared operator"
-            await _abort(context, grpc.StatusCode.PERMISSION_DENIED, detail)
-        return name
-
-    def _operator_of(self, digest: str) -> str | None:
-        operators = self._machine.store.operators()
-        if not operators and self._bootstrap_digest and digest == self._bootstrap_digest:
-            return BOOTSTRAP_OPERATOR
-        operator = operators.get(digest)
-        return None if operator is None else operator.name
-
     def _ledger_status(self) -> pb.LedgerStatus:
         ledger = self._machine.ledger
         counts = ledger.counts()
@@ -336,8 +301,3 @@
         revision=daemon.revision,
         seconds=daemon.seconds,
     )
-
-
-async def _abort(context: grpc.aio.ServicerContext, code: grpc.StatusCode, detail: str) -> NoReturn:
-    await context.abort(code, detail)
-    raise AssertionError("abort returns")  # pragma: no cover - abort always raises
--- a/src/finchshed/ctl/reading.py
+++ b/src/finchshed/ctl/reading.py
@@ -1,4 +1,4 @@
-"""Sub-commands that read: get, watch, status, members, explain, history."""
+"""Sub-commands that read what is declared and was decided: get, watch, explain, history."""
 
 import datetime
 from collections.abc import Iterable
@@ -9,21 +9,14 @@
 from finchshed.cli.exit_codes import ExitCode
 from finchshed.common.errors import ControlUnavailableError, SettingsError
 from finchshed.configuration.resources import Resource, ResourceKey, key_of
-from finchshed.ctl.client import OperatorClient
 from finchshed.ctl.connection import DEFAULT_TIMEOUT_SECONDS, connect
-from finchshed.ctl.exit_codes import CtlExitCode
 from finchshed.ctl.output import complain, show, table
 from finchshed.ctl.values import (
     ConfigurationView,
-    DaemonView,
     DecisionView,
     ExplainView,
     HistoryEntryView,
     HistoryView,
-    LedgerView,
-    MembersView,
-    MemberView,
-    StatusView,
 )
 from finchshed.rpc.conversion import (
     key_from_message,
@@ -32,9 +25,6 @@
 )
 from finchshed.rpc.generated import finchshed_pb2 as pb
 
-BEHIND = "behind"
-SILENT = "silent"
-
 
 def get(
     *resources: str,
@@ -112,113 +102,6 @@
             client.call("Members", pb.MembersRequest())
 
 
-def status(
-    *,
-    control: str = "",
-    token_file: str = "",
-    timeout: float = DEFAULT_TIMEOUT_SECONDS,
-    json: bool = False,
-) -> int:
-    """Show the revision in force, and the daemons that are behind or silent.
-
-    Each control node knows the daemons of all; of those that answer the best informed is shown.
-    Exit code 14 when some daemon is behind or silent.
-
-    Parameters
-    ----------
-    control
-        Addresses of control nodes for operators, a.b.c.d:port,...; or FINCHSHED_CONTROL.
-    token_file
-        File with the operator's token; or FINCHSHED_TOKEN, FINCHSHED_TOKEN_FILE.
-    timeout
-        Longest time for the request over all control nodes, seconds.
-    json
-        Print one JSON line.
-    """
-    view = read_status(connect(control, token_file, timeout))
-    show(view, _status_lines(view), as_json=json)
-    return ExitCode.OK if view.in_force == view.known else CtlExitCode.NOT_IN_FORCE
-
-
-def read_status(client: OperatorClient) -> StatusView:
-    """Return the state of all daemons, from the best informed control node that answers."""
-    answers: list[pb.StatusResponse] = []
-    unreachable = []
-    for address, answer, error in client.call_each("Status", pb.StatusRequest()):
-        if answer is None:
-            unreachable.append(f"{address}: {error}")
-        else:
-            answers.append(cast(pb.StatusResponse, answer))
-    if not answers:
-        raise ControlUnavailableError("; ".join(unreachable))
-    best = max(answers, key=lambda answer: (answer.confirmed, answer.revision, answer.in_force))
-    daemons = [_daemon_view(daemon, BEHIND) for daemon in best.behind]
-    daemons += [_daemon_view(daemon, SILENT) for daemon in best.silent]
-    return StatusView(
-        revision=best.revision,
-        leader=best.leader,
-        confirmed=best.confirmed,
-        in_force=best.in_force,
-        known=best.known,
-        ledger=LedgerView(
-            best.ledger.free,
-            best.ledger.begun,
-            best.ledger.completed,
-            best.ledger.answer_bytes,
-        ),
-        daemons=tuple(daemons),
-        unreachable=tuple(unreachable),
-    )
-
-
-def members(
-    *,
-    control: str = "",
-    token_file: str = "",
-    timeout: float = DEFAULT_TIMEOUT_SECONDS,
-    json: bool = False,
-) -> int:
-    """Show the members of the control group, as its leader sees them.
-
-    Parameters
-    ----------
-    control
-        Addresses of control nodes for operators, a.b.c.d:port,...; or FINCHSHED_CONTROL.
-    token_file
-        File with the operator's token; or FINCHSHED_TOKEN, FINCHSHED_TOKEN_FILE.
-    timeout
-        Longest time for the request over all control nodes, seconds.
-    json
-        Print one JSON line.
-    """
-    client = connect(control, token_file, timeout)
-    answers = [
-        cast(pb.MembersResponse, answer)
-        for _, answer, _ in client.call_each("Members", pb.MembersRequest())
-        if answer is not None
-    ]
-    if not answers:
-        raise ControlUnavailableError("no control node answered")
-    best = max(answers, key=lambda answer: (answer.node == answer.leader, answer.term))
-    view = MembersView(
-        leader=best.leader,
-        term=best.term,
-        commit_index=best.commit_index,
-        members=tuple(
-            MemberView(
-                member.name,
-                member.address,
-                member.role,
-                member.match_index,
-                member.silent_seconds,
-            )
-            for member in best.members
-        ),
-    )
-    show(view, _member_lines(view), as_json=json)
-    return ExitCode.OK if view.leader else ExitCode.UNAVAILABLE
-
-
 def explain(
     node: str,
     *,
@@ -347,54 +230,3 @@
     view = ConfigurationView(event.revision, puts, base=event.base, deletes=deletes)
     show(view, lines, as_json=as_json)
     return int(event.revision)
-
-
-def _daemon_view(daemon: pb.DaemonStatus, state: str) -> DaemonView:
-    return DaemonView(
-        node=daemon.node,
-        endpoint=daemon.endpoint,
-        service=daemon.service,
-        zone=daemon.zone,
-        state=state,
-        revision=daemon.revision,
-        seconds=round(daemon.seconds, 3),
-    )
-
-
-def _status_lines(view: StatusView) -> list[str]:
-    confirmation = "confirmed by a quorum" if view.confirmed else "NOT confirmed by a quorum"
-    lines = [
-        f"revision {view.revision}, {confirmation}, leader {view.leader or 'unknown'}",
-        f"in force at {view.in_force} of {view.known} daemons",
-        f"ledger: {view.ledger.begun} keys begun, {view.ledger.completed} completed, "
-        f"{view.ledger.free} cancelled, {view.ledger.answer_bytes} bytes of answers",
-    ]
-    rows = [
-        (
-            daemon.node or "-",
-            daemon.endpoint or "-",
-            daemon.state,
-            str(daemon.revision),
-            f"{daemon.seconds:.1f}",
-        )
-        for daemon in view.daemons
-    ]
-    if rows:
-        lines += table(("daemon", "endpoint", "state", "revision", "for seconds"), rows)
-    lines += [f"control node unreachable: {text}" for text in view.unreachable]
-    return lines
-
-
-def _member_lines(view: MembersView) -> list[str]:
-    rows = [
-        (
-            member.name,
-            member.role,
-            member.address,
-            str(member.match_index),
-            "-" if member.silent_seconds < 0 else f"{member.silent_seconds:.1f}",
-        )
-        for member in view.members
-    ]
-    title = f"leader {view.leader or 'unknown'}, term {view.term}, committed {view.commit_index}"
-    return [title, *table(("member", "role", "address", "on disk", "seconds silent"), rows)]
--- a/tests/bench/test_control_plane.py
+++ b/tests/bench/test_control_report.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from finchshed.bench.control_plane import Point, fit
+from finchshed.bench.control_report import Point, fit
 
 
 def test_a_line_is_found_with_its_largest_residual() -> None:
