A machine that the platform lists as leaving tells its callers itself

A new link to a daemon whose back end leaves was greeted as if it stayed. Ruled out: marking by young links (another machine may stand there by then). Change: the daemon beside the back end heeds a hint that means its own machine, as old as it has stood there, refuses new work and tells all callers, and takes that back when the hint is withdrawn, by an unasked load report. Every sign counts in the greeting.

--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -26,7 +26,7 @@
 from finchshed.daemon.http_server import HttpServer
 from finchshed.daemon.listeners import Listeners
 from finchshed.daemon.peers import PeerLinks
-from finchshed.daemon.platform_hints import PlatformHints
+from finchshed.daemon.platform_hints import OwnListing, PlatformHints
 from finchshed.daemon.settings import DaemonSettings
 from finchshed.daemon.spool import SpoolBudget
 from finchshed.distribution.addresses import parse_control_address
@@ -55,6 +55,9 @@
         self._incarnation = secrets.token_hex(INCARNATION_BYTES)
         self._is_serving = False
         self._is_draining = False
+        self._is_listed = False
+        self._back_end_leaves = False
+        self._own_listing = OwnListing(settings.endpoint, time.monotonic())
         self._tasks: set[asyncio.Task[None]] = set()
         self._served = ServedRequests()
         self._table = RoutingTable(settings.zone, settings.region, self._rng)
@@ -82,6 +85,11 @@
         """Whether new work is taken."""
         return self._is_serving and not self._is_draining
 
+    @property
+    def _takes_nothing(self) -> bool:
+        """Whether any sign says that this endpoint leaves."""
+        return self._is_draining or self._is_listed or self._back_end_leaves
+
     @property
     def state_detail(self) -> str:
         """What a daemon that takes no new work waits for."""
@@ -167,7 +175,7 @@
             service=self._settings.service,
             zone=self._settings.zone,
             revision=self.revision(),
-            draining=self._is_draining,
+            draining=self._takes_nothing,
         )
 
     def revision(self) -> int:
@@ -181,7 +189,7 @@
     def load_report(self) -> LoadReport:
         """Return the load to tell with a heartbeat."""
         if self._callee is None:
-            return LoadReport(draining=self._is_draining)
+            return LoadReport(draining=self._takes_nothing)
         return self._callee.load_report()
 
     def call_received(self, link: AcceptedLink, call: Call) -> None:
@@ -235,7 +243,17 @@
         self._driver.on_peer_delta(peer, delta)
 
     def _on_hints(self, hints: Hints) -> None:
-        self._platform.on_hints(hints, time.monotonic())
+        now = time.monotonic()
+        self._platform.on_hints(hints, now)
+        is_listed = self._own_listing.is_meant(hints, now)
+        if is_listed == self._is_listed:
+            return
+        self._is_listed = is_listed
+        if is_listed:
+            logger.info("the platform lists this machine as leaving")
+            self._tell_draining()
+        else:
+            self._stay()
 
     # Construction and upkeep.
 
@@ -272,30 +290,40 @@
         )
 
     def _on_backend_leaving(self) -> None:
-        if self._callee is None or self._callee.draining:
+        if self._back_end_leaves:
             return
         logger.info("the back end says that it is leaving")
+        self._back_end_leaves = True
         self._tell_draining()
+        self._spawn(self._take_back_end_back())
 
     def _tell_draining(self) -> None:
         if self._callee is not None:
             self._callee.draining = True
         for link in self._listener.links():
             link.tell_draining()
-        self._spawn(self._take_back_end_back())
 
     async def _take_back_end_back(self) -> None:
         """Take work again once the back end has returned; to peers it is another one."""
         assert self._backend is not None
         await wait_for_return(self._backend)
-        if self._callee is None or self._is_draining:
-            return
+        self._back_end_leaves = False
         logger.info("the back end has returned")
+        if self._callee is None or self._takes_nothing:
+            return
         self._callee.draining = False
         self._incarnation = secrets.token_hex(INCARNATION_BYTES)
         for link in self._listener.links():
             link.tell_hello()
 
+    def _stay(self) -> None:
+        """Take work again though the platform had listed this machine, if no other sign is left."""
+        if self._callee is None or self._takes_nothing:
+            return
+        self._callee.draining = False
+        for link in self._listener.links():
+            link.tell_load()
+
     async def _idle(self, seconds: float) -> None:
         """Wait until nothing is in progress, for ``seconds`` at most."""
         for _ in range(round(seconds / DRAIN_POLL_SECONDS)):
--- a/src/finchshed/daemon/platform_hints.py
+++ b/src/finchshed/daemon/platform_hints.py
@@ -52,3 +52,30 @@
             for hint in self._hints.leaving
             if hint.endpoint == endpoint
         )
+
+
+class OwnListing:
+    """Whether the platform lists the machine this daemon stands on.
+
+    Callers mark an endpoint only if their link to it is old enough, and links open late. The
+    daemon beside the back end has stood there longest and tells all of them.
+
+    Parameters
+    ----------
+    endpoint
+        Name of its own endpoint; empty for an edge.
+    started_at
+        When the daemon started, monotonic seconds.
+    """
+
+    def __init__(self, endpoint: str, started_at: float) -> None:
+        self._endpoint = endpoint
+        self._started_at = started_at
+
+    def is_meant(self, hints: Hints, now: float) -> bool:
+        """Whether ``hints`` say that this machine leaves."""
+        age = now - self._started_at
+        return any(
+            hint.endpoint == self._endpoint and hints.applies_to(hint, age)
+            for hint in hints.leaving
+        )
--- a/src/finchshed/fleet/planner.py
+++ b/src/finchshed/fleet/planner.py
@@ -31,6 +31,9 @@
     PlatformSettings,
 )
 
+PLATFORM_POLL_SECONDS = 0.5
+"""A back end that the platform's list shows as leaving must get no new work 2 s later."""
+
 
 class PlanOptions(msgspec.Struct, frozen=True, kw_only=True):
     """What a run changes of its deployment.
@@ -152,6 +155,8 @@
             platform_list_url=(
                 f"http://{self._at(self._deployment.platform.host, Port.PLATFORM)}/instances"
             ),
+            platform_poll_seconds=PLATFORM_POLL_SECONDS,
+            platform_lag_seconds=self._platform_lag_seconds,
         )
         spec = ProcessSpec(
             name=machine.name,
--- a/src/finchshed/link/listener.py
+++ b/src/finchshed/link/listener.py
@@ -102,6 +102,14 @@
         if self.peer is not None:
             self.lines.send(self._owner.hello(self.peer.epoch))
 
+    def tell_load(self) -> None:
+        """Tell the peer the load, asked for or not: a report without draining takes that back."""
+        if self.peer is None:
+            return
+        self.lines.send(
+            Pong(epoch=self.epoch, load=self._owner.load_report(), revision=self._owner.revision())
+        )
+
     def tell_draining(self) -> None:
         """Tell the peer that no new calls are taken."""
         if self.peer is not None:
@@ -162,9 +170,7 @@
 
     def _take_ping(self, ping: Ping) -> None:
         self._note_revision(ping.revision)
-        self.lines.send(
-            Pong(epoch=self.epoch, load=self._owner.load_report(), revision=self._owner.revision())
-        )
+        self.tell_load()
 
     def _take_fetch(self, fetch: Fetch) -> None:
         delta = self._owner.delta_for(fetch.revision)
--- a/tests/daemon/test_platform_hints.py
+++ b/tests/daemon/test_platform_hints.py
@@ -1,8 +1,9 @@
 import asyncio
 import random
+import signal
 
 from finchshed.configuration.resources import Endpoint
-from finchshed.daemon.platform_hints import PlatformHints
+from finchshed.daemon.platform_hints import OwnListing, PlatformHints
 from finchshed.distribution.messages import Hints, LeavingHint
 from finchshed.routing.endpoint import LeavingSign
 from finchshed.routing.table import RoutingTable
@@ -74,3 +75,27 @@
         told += [await system.ask(f"/c{number}") for number in range(30)]
         assert len(system.backends[0].received) > before
     assert {answered.status for answered in told} == {200}
+
+
+def test_own_listing_counts_for_a_daemon_older_than_the_lag_only() -> None:
+    own = OwnListing("a", 100.0)
+    hint = Hints((LeavingHint("a", 1.0),), 30.0)
+    assert not own.is_meant(hint, 130.0)
+    assert own.is_meant(hint, 131.5)
+    assert not own.is_meant(Hints((LeavingHint("b", 1.0),), 30.0), 200.0)
+    assert not OwnListing("", 100.0).is_meant(hint, 200.0)
+
+
+async def test_a_listed_machine_tells_callers_whose_link_is_new() -> None:
+    async with deployment(echo, echo) as system:
+        await system.ask("/first")
+        system.control.tell(Hints((LeavingHint("licence-1", 0.0),), 0.0))
+        await asyncio.sleep(0.3)
+        edge = system.edge
+        edge.signal(signal.SIGTERM)
+        await edge.stopped()
+        await edge.start()
+        before = len(system.backends[0].received)
+        told = [await system.ask(f"/b{number}") for number in range(30)]
+        assert len(system.backends[0].received) == before
+    assert {answered.status for answered in told} == {200}
