--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -30,9 +30,9 @@
 from finchshed.daemon.settings import DaemonSettings
 from finchshed.daemon.spool import SpoolBudget
 from finchshed.distribution.addresses import parse_control_address
-from finchshed.distribution.client import ClientIdentity
 from finchshed.distribution.driver import FollowerDriver
 from finchshed.distribution.effects import ServingGround
+from finchshed.distribution.identity import ClientIdentity
 from finchshed.distribution.messages import Delta, Hints
 from finchshed.distribution.snapshot import Configuration
 from finchshed.link.listener import AcceptedLink, LinkListener
@@ -71,7 +71,7 @@
         self._listener = LinkListener(
             self,
             settings.peer_networks,
-            silence_seconds=2 * settings.idle_heartbeat_seconds + settings.silence_seconds,
+            silence_seconds=settings.accepted_silence_seconds,
             max_unsent_bytes=settings.max_unsent_bytes,
         )
         self._driver = self._make_driver()
@@ -353,6 +353,9 @@
             if self._callee is not None:
                 self._callee.expire_sessions()
                 metrics.IN_PROGRESS.labels("callee").set(self._callee.in_progress)
+                load = self._callee.load_report()
+                metrics.LIMIT.set(load.limit)
+                metrics.THRESHOLD.set(load.threshold)
 
     async def _close(self) -> None:
         self._listeners.close()
--- a/src/finchshed/distribution/server.py
+++ b/src/finchshed/distribution/server.py
@@ -33,6 +33,10 @@
 Connection: TypeAlias = LineProtocol[DaemonToControl]
 
 TICK_SECONDS = 0.25
+CONFIRMATION_PAUSE_SECONDS = 0.02
+"""Least time between reads from a quorum. A daemon that claims a higher revision than is in force
+waits for it for as long as it stays; without a pause such a claim would keep the node busy."""
+
 BUFFER_LIMIT_BYTES = 4 << 20
 """A subscriber with more than this unsent is skipped until half of it has been sent."""
 
@@ -119,7 +123,11 @@
 
     def _make_protocol(self) -> Connection:
         return LineProtocol(
-            DaemonToControl, self._on_message, None, self._on_close, MAX_REQUEST_BYTES
+            DaemonToControl,
+            self._on_message,
+            on_close=self._on_close,
+            max_line_bytes=MAX_REQUEST_BYTES,
+            expects_greeting=True,
         )
 
     def _on_message(self, connection: Connection, message: DaemonToControl) -> None:
@@ -144,6 +152,7 @@
         if connection in self._numbers:
             connection.abort()
             return
+        connection.greeted()
         self._last_number += 1
         self._numbers[connection] = self._last_number
         self._connections[self._last_number] = connection
@@ -197,6 +206,7 @@
                 confirmed = False
             if confirmed:
                 self._perform(self._hub.on_confirmed(ticket, self._now()))
+            await asyncio.sleep(CONFIRMATION_PAUSE_SECONDS)
 
     async def _tick_forever(self) -> None:
         while True:
