One reading of the process table

The assertion on the children of a process that is gone went with the function; the other module has its own.

--- a/src/finchshed/fleet/sockets.py
+++ b/src/finchshed/fleet/sockets.py
@@ -1,4 +1,4 @@
-"""What processes hold and map, from the kernel's tables under /proc."""
+"""Which process holds a socket, from the kernel's tables under /proc."""
 
 import os
 import pathlib
@@ -31,25 +31,3 @@
         except OSError:
             continue
     return found
-
-
-def children_of(pid: int) -> list[int]:
-    """Return the child processes of all threads of a process; empty if it is gone."""
-    children: list[int] = []
-    try:
-        threads = os.listdir(PROC / str(pid) / "task")
-        for thread in threads:
-            text = (PROC / str(pid) / "task" / thread / "children").read_text()
-            children += [int(word) for word in text.split()]
-    except OSError:
-        return children
-    return children
-
-
-def shared_memory_of(pid: int) -> list[str]:
-    """Return mappings of shared-memory segments of a process."""
-    try:
-        lines = (PROC / str(pid) / "maps").read_text().splitlines()
-    except OSError:
-        return []
-    return [line for line in lines if "/dev/shm" in line or "SYSV" in line]
--- a/tests/fleet/test_process_table.py
+++ b/tests/fleet/test_process_table.py
@@ -37,7 +37,7 @@
 
 async def test_process_with_a_child_is_found(tmp_path: pathlib.Path) -> None:
     (problem,) = await problems_of(tmp_path, PARENT)
-    assert problem.startswith("one has child processes")
+    assert problem.startswith("one: child process ")
 
 
 async def test_process_without_children_is_right(tmp_path: pathlib.Path) -> None:
--- a/tests/fleet/test_sockets.py
+++ b/tests/fleet/test_sockets.py
@@ -2,7 +2,7 @@
 import socket
 
 from finchshed.fleet.socket_diagnosis import inode_between
-from finchshed.fleet.sockets import children_of, descriptors_of, holder_of
+from finchshed.fleet.sockets import descriptors_of, holder_of
 
 
 def address_of(name: tuple[str, int]) -> str:
@@ -38,4 +38,3 @@
 
 def test_process_that_is_gone_has_nothing() -> None:
     assert descriptors_of(2**22 + 1) == []
-    assert children_of(2**22 + 1) == []
