--- a/src/finchshed/scale/command.py
+++ b/src/finchshed/scale/command.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable, Mapping
 
 from finchshed.cli.exit_codes import ExitCode
-from finchshed.fleet.command import run_folder, run_interruptible
+from finchshed.fleet.command import run_folder
+from finchshed.fleet.interruption import run_interruptible
 from finchshed.scale.layout import ScaleSize
 from finchshed.scale.measure import measure as measure_scale
 from finchshed.scale.measure import read_fits
