A daemon that control can't be reached by asks its peers for their revisions

Cause: since links without calls carry a heartbeat only each 5 s, daemons cut off from every control node got changes through others in up to 5.9 s (1,100 daemons; median 1.02, p99 4.80).

Ruled out: telling each risen revision on all links (every daemon would pay for every change, though nearly all have it from control).

Change: twice a second, while control is out of reach, a daemon sends a heartbeat on each open link; the answer tells the peer's revision.

--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -348,6 +348,9 @@
             self._caller.expire_sessions()
             self._links.close_idle()
             self._links.reopen_lost()
+            if not self._driver.client.is_connected:
+                # Other daemons are the only source of configuration then.
+                self._links.ask_revisions()
             self._listener.close_silent(asyncio.get_running_loop().time())
             metrics.IN_PROGRESS.labels("caller").set(self._caller.in_progress)
             if self._callee is not None:
--- a/src/finchshed/daemon/peers.py
+++ b/src/finchshed/daemon/peers.py
@@ -148,6 +148,11 @@
         peer.link.fetch(revision)
         return True
 
+    def ask_revisions(self) -> None:
+        """Ask all peers for their revisions, without waiting for a heartbeat's turn."""
+        for link in list(self._by_link):
+            link.ask_revision()
+
     def close_idle(self) -> None:
         """Close links that carried no call for a long time."""
         now = asyncio.get_running_loop().time()
--- a/src/finchshed/link/peer.py
+++ b/src/finchshed/link/peer.py
@@ -311,6 +311,12 @@
         wait = self._watch.next_check(self._loop.time(), is_busy)
         self._timer = self._loop.call_later(wait, self._check_silence)
 
+    def ask_revision(self) -> None:
+        """Send a heartbeat now: its answer tells the revision the peer holds."""
+        if self.state is LinkState.OPEN:
+            self._watch.on_sent(self._loop.time())
+            self._send(Ping(epoch=self.epoch))
+
     def _check_silence(self) -> None:
         now = self._loop.time()
         verdict = self._watch.check(now, bool(self._pending))
--- a/src/finchshed/scale/hollow.py
+++ b/src/finchshed/scale/hollow.py
@@ -219,6 +219,8 @@
             self._listener.close_silent(asyncio.get_running_loop().time())
         if self._links is not None and self.is_running:
             self._links.greet(self._peers)
+            if self._driver is not None and not self._driver.client.is_connected:
+                self._links.ask_revisions()
 
     def _make_driver(self) -> FollowerDriver:
         identity = ClientIdentity(
--- a/src/finchshed/scale/worker.py
+++ b/src/finchshed/scale/worker.py
@@ -23,7 +23,7 @@
 )
 from finchshed.scale.network import Network
 
-TICK_SECONDS = 1.0
+TICK_SECONDS = 0.5
 
 
 class Worker:
