A restarted node whose own removal is uncommitted still stands for leader

Change: the membership before the latest counts, while the latest isn't known to be committed; one of the two is the committed one.

Test: the cut with a restart failed before.

--- a/src/finchshed/consensus/election.py
+++ b/src/finchshed/consensus/election.py
@@ -16,8 +16,10 @@
     A node whose own removal is not committed yet still stands: it may be the only one whose log
     others can accept (section 4.2.2 of the Raft dissertation). It doesn't vote for itself.
     """
-    committed = state.log.membership_at(state.commit_index)
-    is_candidate = state.identity in (*state.counted_voters, *committed.counted_voters)
+    is_candidate = state.identity in state.counted_voters or (
+        state.log.membership_index > state.commit_index
+        and state.identity in state.log.previous_membership.counted_voters
+    )
     return is_candidate and not state.disk_full
 
 
--- a/src/finchshed/consensus/log.py
+++ b/src/finchshed/consensus/log.py
@@ -51,6 +51,15 @@
         """Index of the entry that set the latest membership."""
         return self._memberships[-1][0]
 
+    @property
+    def previous_membership(self) -> Membership:
+        """The membership before the latest, if it is held, else the latest.
+
+        Of the two one is the committed one, also while the commit index isn't known, as after a
+        start: a change is made only once the change before it is committed.
+        """
+        return self._memberships[max(0, len(self._memberships) - 2)][1]
+
     def membership_at(self, index: int) -> Membership:
         """Return the membership after an entry."""
         return next(m for at, m in reversed(self._memberships) if at <= index)
--- a/tests/consensus/test_repair.py
+++ b/tests/consensus/test_repair.py
@@ -104,7 +104,8 @@
     assert wait(group, lambda: group.nodes["n4"].is_leader)
 
 
-def test_leader_can_remove_itself_from_a_group_of_two_across_a_cut() -> None:
+@pytest.mark.parametrize("is_restarted", [False, True])
+def test_leader_can_remove_itself_from_a_group_of_two_across_a_cut(is_restarted: bool) -> None:
     group = formed()
     leader = group.leader()
     assert leader is not None
@@ -122,6 +123,9 @@
     assert wait(group, lambda: group.leader() is None)
     assert last.name in {voter.name for voter in last.raft.membership.voters}
     assert leader.name in {voter.name for voter in last.raft.membership.voters}
+    if is_restarted:
+        leader.crash(power_lost=False)
+        leader.start()
     group.network.heal()
     assert wait(group, lambda: members(group) == {last.name})
 
