--- a/src/finchshed/proof/consensus/command.py
+++ b/src/finchshed/proof/consensus/command.py
@@ -3,7 +3,7 @@
 from finchshed.cli.exit_codes import ExitCode
 from finchshed.common.errors import SettingsError
 from finchshed.proof.consensus.campaign import Summary, run_campaign
-from finchshed.proof.consensus.faults import SCENARIOS
+from finchshed.proof.consensus.scenarios import SCENARIOS
 
 DEFAULT_SEEDS = "0..99"
 DEFAULT_WORKERS = 2
--- a/src/finchshed/proof/consensus/run.py
+++ b/src/finchshed/proof/consensus/run.py
@@ -5,9 +5,9 @@
 import msgspec
 
 from finchshed.proof.consensus.clients import Client, History
-from finchshed.proof.consensus.faults import SCENARIOS
 from finchshed.proof.consensus.group import Group
 from finchshed.proof.consensus.linearizability import is_linearizable
+from finchshed.proof.consensus.scenarios import SCENARIOS
 from finchshed.proof.consensus.scheduler import Process
 
 _FIRST_LEADER_SECONDS = 10.0
