--- a/src/finchshed/consensus/following.py
+++ b/src/finchshed/consensus/following.py
@@ -108,7 +108,7 @@
     for entry in kept:
         state.log.append(entry)
     state.commit_index = snapshot.index
-    state.limit_persisted(state.log.last_index)
+    state.writes.limit_persisted(state.log.last_index)
     state.replace_stored(snapshot, kept)
     state.effects.append(RestoreSnapshot(snapshot.index, snapshot.data))
     membership = state.log.membership_at(snapshot.index)
--- a/src/finchshed/consensus/node.py
+++ b/src/finchshed/consensus/node.py
@@ -41,6 +41,7 @@
 from finchshed.consensus.membership import InitialMember, Member, Membership
 from finchshed.consensus.options import RaftOptions
 from finchshed.consensus.state import LeaderState, NodeState
+from finchshed.consensus.write_buffer import WriteBuffer
 from finchshed.storage.records import Stored
 
 _REQUEST_BITS = 48
@@ -99,7 +100,7 @@
             initial_members=initial_members,
             snapshot=stored.snapshot,
             commit_index=stored.snapshot.index if stored.snapshot else 0,
-            persisted_index=log.last_index,
+            writes=WriteBuffer(log.last_index),
             # Answers to requests of an earlier start must not be taken for answers to new ones.
             next_request=rng.getrandbits(_REQUEST_BITS),
         )
--- a/src/finchshed/consensus/state.py
+++ b/src/finchshed/consensus/state.py
@@ -1,22 +1,18 @@
-"""State shared by the modules of a node, and the buffer of its effects.
-
-Writes wanted during one step are gathered and become one :class:`Persist`. Messages that promise
-something are held back until the writes before them are durable.
-"""
+"""State shared by the modules of a node, and its effects of one step."""
 
 import random
-from collections import deque
 from dataclasses import dataclass, field
 
 from finchshed.common.errors import InvariantError
 from finchshed.consensus.clock import SteadyClock
-from finchshed.consensus.effects import Effect, Persist, Role, RoleChanged, Send
+from finchshed.consensus.effects import Effect, Role, RoleChanged, Send
 from finchshed.consensus.identity import NodeIdentity
 from finchshed.consensus.log import RaftLog
 from finchshed.consensus.membership import InitialMember, Membership
 from finchshed.consensus.messages import Envelope, Message
 from finchshed.consensus.options import RaftOptions
 from finchshed.consensus.progress import Progress
+from finchshed.consensus.write_buffer import WriteBuffer
 from finchshed.storage.records import Entry, Snapshot, Vote, Write
 
 _MAX_HEARD_ADDRESSES = 64
@@ -96,16 +92,6 @@
     index: int | None = None
 
 
-@dataclass
-class _OutstandingWrite:
-    """A write asked for and not yet durable, and what waits for it."""
-
-    ticket: int
-    last_index: int
-    holds_vote: bool
-    sends: list[Send] = field(default_factory=list)
-
-
 @dataclass
 class NodeState:
     """State of one node."""
@@ -120,7 +106,7 @@
     initial_members: tuple[InitialMember, ...]
     snapshot: Snapshot | None
     commit_index: int
-    persisted_index: int
+    writes: WriteBuffer
     role: Role = Role.FOLLOWER
     leader: NodeIdentity | None = None
     leading: LeaderState | None = None
@@ -138,12 +124,6 @@
     applied_bytes_since_snapshot: int = 0
     snapshot_wanted: bool = False
     effects: list[Effect] = field(default_factory=list)
-    _last_ticket: int = 0
-    _outstanding: deque[_OutstandingWrite] = field(default_factory=deque)
-    _vote_changed: bool = False
-    _truncate_from: int | None = None
-    _unsaved: list[Entry] = field(default_factory=list)
-    _held_sends: list[Send] = field(default_factory=list)
 
     @property
     def now(self) -> float:
@@ -180,6 +160,11 @@
         """Whether this node has ever learnt a membership."""
         return bool(self.log.membership.members)
 
+    @property
+    def persisted_index(self) -> int:
+        """Last entry of the log that is durable here."""
+        return self.writes.persisted_index
+
     @property
     def unsaved_entries(self) -> int:
         """Number of entries in memory that are not durable yet."""
@@ -218,14 +203,14 @@
         """Send a message once every write asked for so far is durable."""
         address = self.address_of(receiver)
         if address:
-            self._held_sends.append(Send(address, self._envelope(receiver, message)))
+            self.writes.hold(Send(address, self._envelope(receiver, message)))
 
     def send_when_term_durable(self, receiver: NodeIdentity, message: Message) -> None:
         """Send a message that promises no more than the present term.
 
         It needn't wait for entries, so a node whose disk is slow or full still answers.
         """
-        if self._vote_changed or any(write.holds_vote for write in self._outstanding):
+        if self.writes.holds_vote:
             self.send_when_durable(receiver, message)
         else:
             self.send(receiver, message)
@@ -236,46 +221,32 @@
             raise InvariantError(f"term {self.vote.term} can't go back to {vote.term}")
         if vote != self.vote:
             self.vote = vote
-            self._vote_changed = True
+            self.writes.change_vote()
 
     def append(self, entry: Entry) -> None:
         """Add an entry to the log and to the next write."""
         self.log.append(entry)
-        self._unsaved.append(entry)
+        self.writes.append(entry)
 
     def truncate_from(self, index: int) -> None:
         """Drop entries that another leader's log replaces."""
         if index <= self.commit_index:
             raise InvariantError(f"committed entry {index} would be dropped")
         self.log.truncate_from(index)
-        self._unsaved = [entry for entry in self._unsaved if entry.index < index]
-        earlier = self._truncate_from
-        self._truncate_from = index if earlier is None else min(earlier, index)
-        self.limit_persisted(index - 1)
-
-    def limit_persisted(self, index: int) -> None:
-        """Count nothing after ``index`` as durable on account of writes asked for so far."""
-        self.persisted_index = min(self.persisted_index, index)
-        for write in self._outstanding:
-            write.last_index = min(write.last_index, index)
+        self.writes.truncate_from(index)
 
     def replace_stored(self, snapshot: Snapshot, entries: tuple[Entry, ...]) -> None:
         """Write a snapshot, and the entries after it, in place of all that is stored."""
         self.snapshot = snapshot
         self.applied_since_snapshot = 0
         self.applied_bytes_since_snapshot = 0
-        self._vote_changed = False
-        self._truncate_from = None
-        self._unsaved = []
-        self._persist(Write(vote=self.vote, entries=entries, snapshot=snapshot))
+        write = Write(vote=self.vote, entries=entries, snapshot=snapshot)
+        self.effects.append(self.writes.replace_stored(write, self.log.last_index))
 
     def persisted(self, ticket: int) -> bool:
         """Take note of a finished write; whether more of the log is now durable."""
         before = self.persisted_index
-        while self._outstanding and self._outstanding[0].ticket <= ticket:
-            write = self._outstanding.popleft()
-            self.persisted_index = max(self.persisted_index, write.last_index)
-            self.effects.extend(write.sends)
+        self.effects.extend(self.writes.finish(ticket))
         return self.persisted_index > before
 
     def change_role(self, role: Role, leader: NodeIdentity | None) -> None:
@@ -288,42 +259,7 @@
 
     def flush_writes(self) -> None:
         """End a step: ask for the gathered write, and hold or let go what waits for it."""
-        if self._vote_changed or self._truncate_from is not None or self._unsaved:
-            vote = self.vote if self._vote_changed else None
-            entries = tuple(self._unsaved)
-            write = Write(vote=vote, truncate_from=self._truncate_from, entries=entries)
-            self._vote_changed = False
-            self._truncate_from = None
-            self._unsaved = []
-            self._persist(write)
-        if self._outstanding:
-            for held in self._held_sends:
-                _hold(self._outstanding[-1].sends, held)
-        else:
-            self.effects.extend(self._held_sends)
-        self._held_sends = []
+        self.effects.extend(self.writes.flush(self.vote, self.log.last_index))
 
     def _envelope(self, receiver: NodeIdentity, message: Message) -> Envelope:
         return Envelope(self.identity, receiver, message, self.address)
-
-    def _persist(self, write: Write) -> None:
-        self._last_ticket += 1
-        holds_vote = write.vote is not None
-        last_index = self.log.last_index
-        self._outstanding.append(_OutstandingWrite(self._last_ticket, last_index, holds_vote))
-        self.effects.append(Persist(self._last_ticket, write))
-
-
-def _hold(sends: list[Send], send: Send) -> None:
-    """Add a message to those that wait for a write; it stands for earlier ones of its kind.
-
-    Only the last acknowledgement or vote to a node matters, so what waits stays small however
-    long the disk has no room.
-    """
-    envelope = send.envelope
-    for position, earlier in enumerate(sends):
-        same_receiver = earlier.envelope.receiver == envelope.receiver
-        if same_receiver and type(earlier.envelope.message) is type(envelope.message):
-            sends[position] = send
-            return
-    sends.append(send)
--- a/tests/consensus/test_full_disk.py
+++ b/tests/consensus/test_full_disk.py
@@ -57,5 +57,4 @@
     fill_disk(full.disk, 0)
     change_once(group, 0)
     rest(group, 60.0)
-    held = sum(len(write.sends) for write in full.raft._state._outstanding)
-    assert held <= 4
+    assert full.raft._state.writes.held_sends <= 4
