Standby test: the one that is promoted goes silent at the swap itself

Cause: a scratch change that let voters only, and not the learner under promotion, be replaced was found by no test.

--- a/tests/consensus/test_standby.py
+++ b/tests/consensus/test_standby.py
@@ -136,3 +136,23 @@
     assert voters(group) == {"n1", "n2", "n3", "n4", "n5"}
     group.nodes["n6"].thaw()
     assert wait(group, lambda: "n6" in voters(group))
+
+
+@pytest.mark.parametrize("offset", range(8))
+def test_a_standby_that_stops_answering_at_the_swap_leaves_its_place_to_another(
+    offset: int,
+) -> None:
+    """Around the swap the standby still counts as answering, and a moment later it doesn't."""
+    group = formed(f"at-the-swap/{offset}", spares=2)
+    lost = next(node for node in followers(group) if node.name != "n7")
+    lost.crash(power_lost=True)
+    sleep(group, OPTIONS.standby_after_seconds - 1.3 + 0.1 * offset)
+    for name in ("n6", "n7"):
+        group.nodes[name].freeze()
+    wait(group, lambda: "promoted" in roles(group).values(), 2.0)
+    standing = {name for name in ("n6", "n7") if roles(group).get(name) == "learner"}
+    other = min(standing)
+    group.nodes[other].thaw()
+    assert wait(group, lambda: other in voters(group))
+    assert len(voters(group)) == 5
+    assert not group.observer.violations
