--- a/src/finchshed/control/group_log.py
+++ b/src/finchshed/control/group_log.py
@@ -23,7 +23,8 @@
     PeerMessage,
     RaftLine,
 )
-from finchshed.control.raft_host import NotTakenError, RaftHost, UndecidedError
+from finchshed.control.pending_outcomes import NotTakenError, UndecidedError
+from finchshed.control.raft_host import RaftHost
 from finchshed.control.replacement import Replacement, explain_refusal, next_step
 from finchshed.control.replicated_log import LogStatus, MemberRole, MemberStatus
 from finchshed.control.state_machine import ControlStateMachine
--- a/src/finchshed/control/raft_host.py
+++ b/src/finchshed/control/raft_host.py
@@ -46,6 +46,12 @@
 from finchshed.control.commands import Command, CommandResult, LogEntry, encode_entry
 from finchshed.control.peer_links import PeerLinks
 from finchshed.control.peer_messages import RaftLine
+from finchshed.control.pending_outcomes import (
+    NotTakenError,
+    Outcome,
+    PendingOutcomes,
+    UndecidedError,
+)
 from finchshed.control.raft_storage import open_durable_state, open_log_folder
 from finchshed.control.state_machine import ControlStateMachine
 
@@ -55,19 +61,6 @@
 """Time between settings of the gauges; at each step they took 7 % of a leader in a profile."""
 
 
-class NotTakenError(Exception):
-    """A proposal, read or change had no effect."""
-
-    def __init__(self, cause: RefusalCause) -> None:
-        super().__init__(cause.value)
-        self.cause = cause
-
-
-class UndecidedError(Exception):
-    """Leadership ended before it was known whether the proposal commits."""
-
-
-Outcome: TypeAlias = asyncio.Future[CommandResult | None]
 MakeEvent: TypeAlias = Callable[[int], Event]
 
 
@@ -117,9 +110,8 @@
         self._flush_scheduled = False
         self._timer: asyncio.TimerHandle | None = None
         self._writer = ThreadPoolExecutor(max_workers=1, thread_name_prefix="journal")
-        self._waiting: dict[int, Outcome] = {}
+        self._pending = PendingOutcomes()
         self._last_applied: tuple[int, CommandResult | None] = (0, None)
-        self._last_token = 0
         self._role_changed = asyncio.Event()
         self._write_started: float | None = None
         self._is_stopped = False
@@ -236,15 +228,15 @@
         """Take the outcome of a proposal, read or change, or a change of role."""
         match effect:
             case Committed():
-                self._resolve(effect.token, self._result_of(effect.index))
+                self._pending.resolve(effect.token, self._result_of(effect.index))
             case ReadReady():
-                self._resolve(effect.token, None)
+                self._pending.resolve(effect.token, None)
             case Lost():
-                self._fail(effect.token, UndecidedError("leadership ended"))
+                self._pending.fail(effect.token, UndecidedError("leadership ended"))
             case Refused():
-                self._fail(effect.token, NotTakenError(effect.cause))
+                self._pending.fail(effect.token, NotTakenError(effect.cause))
             case ReadFailed():
-                self._fail(effect.token, NotTakenError(RefusalCause.NOT_READY))
+                self._pending.fail(effect.token, NotTakenError(RefusalCause.NOT_READY))
             case RoleChanged():
                 logger.info("{} in term {}, leader {}", effect.role, effect.term, effect.leader)
                 metrics.ROLE_CHANGES.labels(effect.role.value).inc()
@@ -254,27 +246,15 @@
                 logger.info("members at entry {}: {}", effect.index, effect.membership)
 
     def _submit(self, make_event: MakeEvent) -> Outcome:
-        self._last_token += 1
-        future: Outcome = asyncio.get_running_loop().create_future()
-        self._waiting[self._last_token] = future
-        self._post(make_event(self._last_token))
-        return future
+        token, outcome = self._pending.add()
+        self._post(make_event(token))
+        return outcome
 
     def _result_of(self, index: int) -> CommandResult | None:
         """Return the result of the entry applied last, if it is the one at ``index``."""
         applied_index, result = self._last_applied
         return result if applied_index == index else None
 
-    def _resolve(self, token: int, result: CommandResult | None) -> None:
-        future = self._waiting.pop(token, None)
-        if future is not None and not future.done():
-            future.set_result(result)
-
-    def _fail(self, token: int, error: Exception) -> None:
-        future = self._waiting.pop(token, None)
-        if future is not None and not future.done():
-            future.set_exception(error)
-
     def _post(self, event: Event) -> None:
         if self._is_stopped:
             return
