--- a/src/finchshed/configuration/validation.py
+++ b/src/finchshed/configuration/validation.py
@@ -64,7 +64,7 @@
     if isinstance(put, Service):
         return not _problems_of_service(put)
     if isinstance(put, Policy):
-        return put.name == POLICY_NAME
+        return put.name == POLICY_NAME and not _problems_of_shards(put)
     if isinstance(put, Endpoint):
         return (
             ResourceKey(kind=SERVICE_KIND, name=put.service) in resources
