--- /dev/null
+++ b/tests/docs/test_pages.py
@@ -0,0 +1,80 @@
+"""Pages point at files that exist, and name commands and flags that exist."""
+
+import inspect
+import re
+from collections.abc import Iterator
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from finchshed.cli.table import COMMANDS, PROGRAMS, resolve, subcommands_of
+
+ROOT = Path(__file__).parents[2]
+PAGES = sorted([ROOT / "README.md", *(ROOT / "docs").rglob("*.md")])
+COMMAND = re.compile(
+    r"(?:^ {4}|`)(?:\S*/)?(?:python -m )?finchshed ([a-z][a-z-]*)(?: ([a-z][a-z-]*))?([^`\n]*)",
+    re.M,
+)
+"""A command in an indented block or a code span."""
+
+
+def links_of(page: Path) -> Iterator[str]:
+    for target in re.findall(r"\]\(([^)#\s]+)", page.read_text()):
+        if "://" not in target:
+            yield target
+
+
+def flags_of(name: str, sub_name: str) -> set[str] | None:
+    """Return the flags of a command; None where any flag may come; raise KeyError if unknown."""
+    if name in PROGRAMS:
+        fields = msgspec.structs.fields(PROGRAMS[name].settings_type())
+        return {"settings", "help", *(field.name for field in fields)}
+    target = resolve(COMMANDS[name].target)
+    subcommands = subcommands_of(target)
+    function = target if subcommands is None else subcommands[sub_name]
+    parameters = inspect.signature(function).parameters.values()
+    if any(parameter.kind is inspect.Parameter.VAR_KEYWORD for parameter in parameters):
+        return None
+    names = {parameter.name for parameter in parameters}
+    return {"help", *names, *(f"no{parameter}" for parameter in names)}
+
+
+def problems_of(text: str) -> list[str]:
+    problems = []
+    for name, sub_name, rest in COMMAND.findall(text):
+        try:
+            allowed = flags_of(name, sub_name)
+        except KeyError:
+            if sub_name or name not in COMMANDS:
+                problems.append(f"no such command: finchshed {name} {sub_name}")
+            continue
+        used = {flag.replace("-", "_") for flag in re.findall(r"(?<=\s)--([a-z][a-z_-]*)", rest)}
+        if allowed is not None:
+            unknown = sorted(used - allowed)
+            problems += [f"no such flag: finchshed {name} {sub_name} --{flag}" for flag in unknown]
+    return problems
+
+
+@pytest.mark.parametrize("page", PAGES, ids=lambda page: str(page.relative_to(ROOT)))
+def test_links_of_a_page_lead_somewhere(page: Path) -> None:
+    assert [target for target in links_of(page) if not (page.parent / target).exists()] == []
+
+
+@pytest.mark.parametrize("page", PAGES, ids=lambda page: str(page.relative_to(ROOT)))
+def test_commands_of_a_page_exist(page: Path) -> None:
+    assert problems_of(page.read_text()) == []
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "    finchshed demon --settings x\n",
+        "    finchshed ctl aply declarations\n",
+        "    finchshed ctl apply declarations --forse\n",
+        "see `finchshed x` and\n`finchshed ctl statuss`",
+        "    venv/bin/finchshed fleet demo --lod=2\n",
+    ],
+)
+def test_a_wrong_command_is_found(text: str) -> None:
+    assert problems_of(text) != []
