--- a/tests/ci/test_run.py
+++ b/tests/ci/test_run.py
@@ -32,6 +32,7 @@
     (tmp_path / "Makefile").write_text(MAKEFILE)
     (tmp_path / "README.md").write_text("    make test\n")
     (tmp_path / "test_sample.py").write_text(TESTS)
+    (tmp_path / "pytest.ini").write_text("[pytest]\n")  # tests are named from this folder
     (tmp_path / ".venv" / "bin").mkdir(parents=True)
     python = tmp_path / ".venv" / "bin" / "python"
     python.write_text(f'#!/bin/sh\nexec {sys.executable} "$@"\n')
--- a/tests/fleet/test_running_processes.py
+++ b/tests/fleet/test_running_processes.py
@@ -9,7 +9,8 @@
 import pytest
 
 from finchshed.fleet.bring_up import bring_up, plan_fleet
-from finchshed.fleet.plan import PlanOptions
+from finchshed.fleet.deployment import read_deployment
+from finchshed.fleet.planner import PlanOptions
 from finchshed.fleet.processes import PRODUCTION_ROLES, Role
 from finchshed.observability.process_checks import thread_count, violations_of
 
@@ -25,7 +26,7 @@
 async def test_no_production_process_has_children_io_uring_or_shared_memory(
     tmp_path: Path,
 ) -> None:
-    _, fleet = plan_fleet(SMALL, tmp_path / "run", PlanOptions())
+    fleet = plan_fleet(SMALL, read_deployment(SMALL), tmp_path / "run", PlanOptions())
     async with fleet:
         await bring_up(fleet)
         await fleet.start(Role.CALLER)
