--- a/src/finchshed/session/table.py
+++ b/src/finchshed/session/table.py
@@ -1,6 +1,7 @@
 """Sessions of one daemon: admitted once, pinned to an endpoint, ended by idleness or by request."""
 
 import enum
+import heapq
 from typing import TypeAlias
 
 import msgspec
@@ -17,7 +18,10 @@
 
 
 class Session(msgspec.Struct):
-    """A running session. Times are monotonic seconds."""
+    """A session. Times are monotonic seconds.
+
+    ``admitted`` says that a request of it was started: only then the session runs.
+    """
 
     identity: str
     service: str
@@ -27,10 +31,14 @@
     idle_seconds: float
     in_progress: int = 0
     moves: int = 0
+    admitted: bool = False
 
 
 class Opened(msgspec.Struct, frozen=True, gc=False):
-    """The session runs; requests of it go to its endpoint."""
+    """Requests of the session go to its endpoint.
+
+    ``is_new`` says that the session doesn't run yet: none of its requests was started.
+    """
 
     session: Session
     is_new: bool
@@ -51,6 +59,7 @@
     def __init__(self) -> None:
         self._sessions: dict[str, Session] = {}
         self._by_endpoint: dict[str, set[str]] = {}
+        self._due: list[tuple[float, str]] = []
 
     def __len__(self) -> int:
         """Return the number of sessions running."""
@@ -78,12 +87,13 @@
         held = self._sessions.get(identity)
         if held is not None:
             held.used_at = now
-            return Opened(held, is_new=False)
+            return Opened(held, is_new=not held.admitted)
         pinned = self._by_endpoint.setdefault(endpoint, set())
         if len(pinned) >= max_sessions:
             return NotOpened(RefusalReason.SESSION_LIMIT)
         session = Session(identity, service, endpoint, now, now, idle_seconds)
         self._sessions[identity] = session
+        heapq.heappush(self._due, (now + idle_seconds, identity))
         pinned.add(identity)
         return Opened(session, is_new=True)
 
@@ -94,6 +104,22 @@
             held.used_at = now
             held.in_progress += 1
 
+    def admit(self, identity: str) -> None:
+        """Take the start of a request of a session: the session runs from now on."""
+        held = self._sessions.get(identity)
+        if held is not None:
+            held.admitted = True
+
+    def refuse(self, identity: str) -> None:
+        """Take the refusal of a request, after :meth:`on_answer`.
+
+        A session that doesn't run ends with the last of its requests, not before: another of them
+        may still be started.
+        """
+        held = self._sessions.get(identity)
+        if held is not None and not held.admitted and held.in_progress == 0:
+            self.close(identity)
+
     def on_answer(self, identity: str, now: float) -> None:
         """Count a request of a session as ended."""
         held = self._sessions.get(identity)
@@ -121,12 +147,21 @@
         return held
 
     def expire(self, now: float) -> list[Session]:
-        """End the sessions idle for longer than their service allows and return them."""
-        ended = [
-            session
-            for session in self._sessions.values()
-            if session.in_progress == 0 and now - session.used_at > session.idle_seconds
-        ]
-        for session in ended:
-            self.close(session.identity)
+        """End the sessions idle for longer than their service allows and return them.
+
+        Only sessions that may be due are looked at, so it can be called often.
+        """
+        ended: list[Session] = []
+        while self._due and self._due[0][0] < now:
+            _, identity = heapq.heappop(self._due)
+            session = self._sessions.get(identity)
+            if session is None:
+                continue
+            due = session.used_at + session.idle_seconds
+            if session.in_progress == 0 and due < now:
+                self.close(identity)
+                ended.append(session)
+            else:
+                # Looked at again once it can have been idle for long enough.
+                heapq.heappush(self._due, (max(due, now), identity))
         return ended
--- a/tests/control/test_ledger_router.py
+++ b/tests/control/test_ledger_router.py
@@ -13,7 +13,7 @@
 from finchshed.control.ledger_service import LedgerRequest, LedgerService
 from finchshed.control.replicated_log import LogStatus
 from finchshed.control.state_machine import ControlStateMachine
-from finchshed.distribution.client import LedgerAnswer
+from finchshed.distribution.ledger_requests import LedgerAnswer
 from finchshed.distribution.messages import (
     LedgerBegin,
     LedgerCancel,
