--- a/src/finchshed/link/listener.py
+++ b/src/finchshed/link/listener.py
@@ -8,7 +8,6 @@
 import asyncio
 import ipaddress
 from collections.abc import Sequence
-from typing import Protocol
 
 from loguru import logger
 from prometheus_client import Counter, Gauge
@@ -22,12 +21,12 @@
     Cancel,
     Draining,
     Hello,
-    LoadReport,
     PeerMessage,
     Ping,
     Pong,
     Reply,
 )
+from finchshed.link.owners import ListenerOwner
 
 LINKS_REFUSED = Counter(
     "finchshed_links_refused_total", "Connections of peers closed for a fault", ["cause"]
@@ -35,34 +34,6 @@
 LINKS_ACCEPTED = Gauge("finchshed_links_accepted", "Links other daemons hold to this one")
 
 
-class ListenerOwner(Protocol):
-    """What the holder of the listener is told and asked."""
-
-    def hello(self, epoch: str) -> Hello:
-        """Return the answer to a peer's Hello."""
-
-    def call_received(self, link: "AcceptedLink", call: Call) -> None:
-        """Take a call; it is answered by :meth:`AcceptedLink.reply`."""
-
-    def call_cancelled(self, link: "AcceptedLink", call: int) -> None:
-        """Drop a call in progress: its caller has given up or is gone."""
-
-    def load_report(self) -> LoadReport:
-        """Return the load to tell with a heartbeat."""
-
-    def revision(self) -> int:
-        """Return the revision in force."""
-
-    def accepted_revision_seen(self, link: "AcceptedLink", revision: int) -> None:
-        """Note the revision of the configuration the peer holds."""
-
-    def accepted_delta_received(self, link: "AcceptedLink", delta: Delta) -> None:
-        """Take the peer's answer to a fetch."""
-
-    def delta_for(self, revision: int) -> Delta | None:
-        """Return the configuration for a peer that holds ``revision``."""
-
-
 class AcceptedLink:
     """One connection a peer opened."""
 
--- a/src/finchshed/link/peer.py
+++ b/src/finchshed/link/peer.py
@@ -9,7 +9,6 @@
 import enum
 import secrets
 from collections.abc import Awaitable, Callable
-from typing import Protocol
 
 import msgspec
 from loguru import logger
@@ -27,12 +26,12 @@
     Cancel,
     Draining,
     Hello,
-    LoadReport,
     PeerMessage,
     Ping,
     Pong,
     Reply,
 )
+from finchshed.link.owners import LinkOwner
 from finchshed.link.silence import SilenceWatch, Verdict
 
 EPOCH_BYTES = 8
@@ -59,34 +58,6 @@
     CLOSED = "closed"
 
 
-class LinkOwner(Protocol):
-    """What the holder of links is told."""
-
-    def hello(self, epoch: str) -> Hello:
-        """Return the first line to send."""
-
-    def link_opened(self, link: "PeerLink", hello: Hello) -> None:
-        """Send calls from now on: the peer said who it is."""
-
-    def link_closed(self, link: "PeerLink", cause: str) -> None:
-        """Forget the link. Calls in progress were told before."""
-
-    def peer_draining(self, link: "PeerLink") -> None:
-        """Note that the peer takes no new calls."""
-
-    def load_reported(self, link: "PeerLink", load: LoadReport) -> None:
-        """Take the load the peer told outside of a reply."""
-
-    def revision_seen(self, link: "PeerLink", revision: int) -> None:
-        """Note the revision of the configuration the peer holds."""
-
-    def delta_received(self, link: "PeerLink", delta: Delta) -> None:
-        """Take the peer's answer to a fetch."""
-
-    def delta_for(self, revision: int) -> Delta | None:
-        """Return the configuration for a peer that holds ``revision``."""
-
-
 Connect = Callable[[Callable[[], asyncio.Protocol], str, int], Awaitable[object]]
 """Opens a connection for the protocol made by the first argument to a host and port."""
 
--- a/tests/architecture/decision_modules.py
+++ b/tests/architecture/decision_modules.py
@@ -12,7 +12,6 @@
     "configuration",
     "consensus",
     "distribution",
-    "drain",
     "ledger",
     "limit",
     "retry",
