--- a/src/finchshed/bench/measures.py
+++ b/src/finchshed/bench/measures.py
@@ -7,14 +7,10 @@
 from typing import Final
 
 import msgspec
-from hdrh.histogram import HdrHistogram
 
-from finchshed.common.importance import Importance
+from finchshed.bench.roots import RootRecord, roots_of
+from finchshed.bench.series import client_repeats, inner_repeats, latency_histograms, timeline
 from finchshed.proof.history import (
-    AttemptSent,
-    CallBegan,
-    CallEnded,
-    CallResult,
     Event,
     RunBegan,
     RunEnded,
@@ -23,14 +19,10 @@
 RECOVERY_WINDOW_SECONDS: Final = 0.5
 RECOVERY_STEP_SECONDS: Final = 0.05
 RECOVERY_SUSTAINED_SECONDS: Final = 2.0
-TIMELINE_STEP_SECONDS: Final = 0.25
 RECOVERED_SHARE: Final = 0.95
 RELAPSE_SHARE: Final = 0.85
 """Goodput that falls below this part of the former, after it had come back, hadn't come back."""
 
-STATUS_OK: Final = 200
-MICROSECONDS: Final = 1_000_000
-
 
 class Period(msgspec.Struct, frozen=True):
     """A stretch of a run, seconds."""
@@ -44,26 +36,6 @@
         return self.end - self.start
 
 
-class RootRecord(msgspec.Struct):
-    """What happened to one root request.
-
-    ``finished`` is the time of the first whole answer, or infinite.
-    """
-
-    kind: str
-    importance: Importance
-    arrived: float
-    finished: float = math.inf
-    client_attempts: int = 0
-    runs: int = 0
-    deep_runs: int = 0
-
-    @property
-    def good(self) -> bool:
-        """Whether the caller got a whole answer."""
-        return self.finished < math.inf
-
-
 class Measures(msgspec.Struct, kw_only=True):
     """Figures of one run.
 
@@ -108,39 +80,6 @@
     latency_histograms: dict[str, str] = {}
 
 
-def roots_of(events: Iterable[Event], deep_service: str) -> dict[str, RootRecord]:
-    """Gather what happened to each root request."""
-    roots: dict[str, RootRecord] = {}
-    for event in events:
-        if isinstance(event, CallBegan):
-            if not event.parent:
-                _note_arrival(roots, event)
-        elif isinstance(event, CallEnded):
-            _note_answer(roots, event)
-        elif isinstance(event, RunBegan):
-            root = roots.get(event.root)
-            if root is not None:
-                root.runs += 1
-                root.deep_runs += event.service == deep_service
-    return roots
-
-
-def _note_arrival(roots: dict[str, RootRecord], event: CallBegan) -> None:
-    root = roots.get(event.root)
-    if root is None:
-        root = roots[event.root] = RootRecord(event.kind, event.importance, event.time)
-    root.client_attempts += 1
-
-
-def _note_answer(roots: dict[str, RootRecord], event: CallEnded) -> None:
-    if event.result is not CallResult.ANSWERED or event.status != STATUS_OK or not event.whole:
-        return
-    name, _, _ = event.call.rpartition("/")
-    root = roots.get(name)
-    if root is not None and event.time < root.finished:
-        root.finished = event.time
-
-
 class Plan(msgspec.Struct, frozen=True, kw_only=True):
     """When what happens in a run, and what is measured at the bottom of its call graphs.
 
@@ -182,10 +121,10 @@
         latency_p50=_quantile(latencies, 0.5),
         latency_p99=_quantile(latencies, 0.99),
         answered_share_by_kind=_answered_share_by_kind(roots, overload),
-        timeline=_timeline(roots, plan.end),
-        client_repeats=_client_repeats(events, plan.end),
-        inner_repeats=_inner_repeats(events, plan.end),
-        latency_histograms=_latency_histograms(roots),
+        timeline=timeline(roots, plan.end),
+        client_repeats=client_repeats(events, plan.end),
+        inner_repeats=inner_repeats(events, plan.end),
+        latency_histograms=latency_histograms(roots),
     )
 
 
@@ -258,64 +197,6 @@
     return {kind: answered[kind] / count for kind, count in sorted(arrived.items())}
 
 
-def _timeline(roots: dict[str, RootRecord], end: float) -> dict[str, list[int]]:
-    steps = math.ceil(end / TIMELINE_STEP_SECONDS)
-    timeline: dict[str, list[int]] = {}
-    for root in roots.values():
-        counts = timeline.setdefault(root.kind, [0] * steps)
-        if root.finished < end:
-            counts[int(root.finished / TIMELINE_STEP_SECONDS)] += 1
-    return dict(sorted(timeline.items()))
-
-
-def _client_repeats(events: Iterable[Event], end: float) -> list[int]:
-    times: list[float] = []
-    seen: set[str] = set()
-    for event in events:
-        if isinstance(event, CallBegan) and not event.parent:
-            if event.root in seen:
-                times.append(event.time)
-            seen.add(event.root)
-    return _steps(times, end)
-
-
-def _inner_repeats(events: list[Event], end: float) -> list[int]:
-    """Count attempts beyond the first of each call; runs, where attempts aren't recorded."""
-    kind = AttemptSent if any(isinstance(event, AttemptSent) for event in events) else RunBegan
-    times: list[float] = []
-    seen: set[str] = set()
-    for event in events:
-        if isinstance(event, kind):
-            if event.call in seen:
-                times.append(event.time)
-            seen.add(event.call)
-    return _steps(times, end)
-
-
-def _steps(times: Iterable[float], end: float) -> list[int]:
-    counts = [0] * math.ceil(end / TIMELINE_STEP_SECONDS)
-    for time in times:
-        if time < end:
-            counts[int(time / TIMELINE_STEP_SECONDS)] += 1
-    return counts
-
-
-def _latency_histograms(roots: dict[str, RootRecord]) -> dict[str, str]:
-    histograms: dict[str, HdrHistogram] = {}
-    for root in roots.values():
-        histogram = histograms.get(root.kind)
-        if histogram is None:
-            histogram = histograms[root.kind] = new_histogram()
-        if root.good:
-            histogram.record_value(int((root.finished - root.arrived) * MICROSECONDS))
-    return {kind: held.encode().decode() for kind, held in sorted(histograms.items())}
-
-
-def new_histogram() -> HdrHistogram:
-    """Return an empty histogram of microseconds, from one to a minute, three digits kept."""
-    return HdrHistogram(1, 60 * MICROSECONDS, 3)
-
-
 def _wasted_share(events: Iterable[Event], roots: dict[str, RootRecord]) -> float:
     began: dict[str, RunBegan] = {}
     total = 0.0
--- a/src/finchshed/emulator/daemons/callee.py
+++ b/src/finchshed/emulator/daemons/callee.py
@@ -3,10 +3,8 @@
 Counterpart of :mod:`finchshed.daemon.callee` and :mod:`finchshed.daemon.guarded`.
 """
 
-import enum
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Final
 
 import msgspec
@@ -14,7 +12,7 @@
 from finchshed.admission.effects import GateEffect, Start
 from finchshed.admission.gate import Gate
 from finchshed.admission.paths import PathThresholds
-from finchshed.common.context import HEADER_DOWNSTREAM, CallContext
+from finchshed.common.context import HEADER_DOWNSTREAM
 from finchshed.common.outcomes import (
     Answered,
     Failed,
@@ -25,11 +23,12 @@
 )
 from finchshed.common.results import SERVER_ERROR, CallResult, result_of
 from finchshed.emulator.backend import HEADER_DRAINING, BackEnd
+from finchshed.emulator.daemons.accepted_link import AcceptedLink, CallMessage
 from finchshed.emulator.daemons.ledger_client import LedgerClient
-from finchshed.emulator.daemons.link import AcceptedLink, CallMessage
 from finchshed.emulator.daemons.outgoing import SHED_REASONS
 from finchshed.emulator.daemons.process import Process
-from finchshed.emulator.request import Cancel, Request
+from finchshed.emulator.daemons.work import Work, WorkState
+from finchshed.emulator.request import Request
 from finchshed.ledger.results import Completed, Granted, LedgerResult, OutcomeUnknown
 from finchshed.link.digests import digest_of
 from finchshed.link.messages import LoadReport, Reply
@@ -52,49 +51,6 @@
 GRANT_LEASE_SECONDS: Final = 2.0
 
 
-class WorkState(enum.Enum):
-    """Where a call is."""
-
-    QUEUED = "queued"
-    ASKING_LEDGER = "asking_ledger"
-    AT_BACK_END = "at_back_end"
-    RECORDING = "recording"
-    DONE = "done"
-
-
-@dataclass(slots=True, eq=False)
-class Work:
-    """One call being served."""
-
-    token: int
-    link: AcceptedLink
-    message: CallMessage
-    deadline: float
-    state: WorkState = WorkState.QUEUED
-    abandoned: bool = False
-    account: str = ""
-    opens_session: bool = False
-    ledger_attempt: str = ""
-    asked_at: float = 0.0
-    cancel_back_end: Cancel | None = None
-
-    @property
-    def repeatable(self) -> bool:
-        """Whether the request may run more than once."""
-        return self.message.request.repeatable
-
-    @property
-    def session(self) -> str:
-        """Session that is pinned to this back end; calls further down only carry its name."""
-        request = self.message.request
-        return "" if request.parent else request.session
-
-    def rank_context(self) -> CallContext:
-        """Return the context the call is ranked by: a session it opens is not running yet."""
-        context = self.message.context
-        return msgspec.structs.replace(context, session="") if self.opens_session else context
-
-
 class Callee:
     """Serves calls with the local back end."""
 
--- a/src/finchshed/emulator/daemons/daemon.py
+++ b/src/finchshed/emulator/daemons/daemon.py
@@ -1,28 +1,27 @@
 """One emulated daemon: beside a back end, or an edge in front of outside callers."""
 
 import random
-import sys
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Final, Protocol
 
-import msgspec
-import xxhash
-
 from finchshed.admission.fairness import FairPositions
 from finchshed.admission.paths import PathThresholds
 from finchshed.common.context import CallContext
-from finchshed.common.outcomes import Answered, Outcome, RefusalReason, Refused
+from finchshed.common.outcomes import Outcome, RefusalReason, Refused
 from finchshed.common.results import CallResult, result_of
 from finchshed.configuration.resources import Endpoint, Policy
 from finchshed.control.state_machine import POLICY_KEY
 from finchshed.distribution.messages import Delta, Hints
 from finchshed.distribution.snapshot import Configuration
 from finchshed.emulator.backend import BackEnd
-from finchshed.emulator.daemons.callee import SESSION_IDLE_SECONDS, Callee
+from finchshed.emulator.daemons.accepted_link import AcceptedLink, CallMessage
+from finchshed.emulator.daemons.callee import Callee
+from finchshed.emulator.daemons.configuration_digest import digest_of_configuration
 from finchshed.emulator.daemons.control_plane import ControlPlane
-from finchshed.emulator.daemons.link import AcceptedLink, CallMessage, DaemonLink
+from finchshed.emulator.daemons.link import DaemonLink
 from finchshed.emulator.daemons.outgoing import CallingProcess, OnFinish, OutgoingCall
+from finchshed.emulator.daemons.pins import SessionPins
 from finchshed.emulator.network import Site
 from finchshed.emulator.request import Cancel, Done, Request
 from finchshed.emulator.simulation import Simulation
@@ -34,7 +33,6 @@
 from finchshed.routing.caller import CallerLogic
 from finchshed.routing.endpoint import LeavingSign
 from finchshed.routing.table import RoutingTable
-from finchshed.session.table import MoveReason, SessionTable
 
 REGION: Final = "region-1"
 LOCAL_DELAY_SECONDS: Final = 0.0002
@@ -95,7 +93,7 @@
         self._accepted: list[AcceptedLink] = []
         self._buckets: dict[str, RetryBucket] = {}
         self._joined: dict[str, _Joined] = {}
-        self._pins = SessionTable()
+        self._pins = SessionPins()
         self._fair = FairPositions(self.now)
         self._linked_at: dict[str, float] = {}
         self._listed: set[str] = set()
@@ -208,7 +206,7 @@
         def finished(outcome: Outcome, _spare: int) -> None:
             self._in_progress -= 1
             self._joined.pop(request.root, None)
-            self._session_answered(request, joined.outgoing.endpoint, outcome)
+            self._pins.answered(request, joined.outgoing.endpoint, outcome, self.now)
             waiting = list(joined.waiting.values())
             joined.waiting.clear()
             for waiter in waiting:
@@ -219,34 +217,9 @@
         self._joined[request.root] = joined
         self._in_progress += 1
         joined.outgoing.begin()
-        self._session_sent(request, joined.outgoing.endpoint)
+        self._pins.sent(request, joined.outgoing.endpoint, self.now)
         return joined
 
-    def _session_sent(self, request: Request, endpoint: str) -> None:
-        """Pin a session to the endpoint that its first request was sent to."""
-        if not request.session or not endpoint:
-            return
-        self._pins.open(
-            request.session,
-            request.hop.service,
-            endpoint,
-            max_sessions=sys.maxsize,
-            idle_seconds=SESSION_IDLE_SECONDS,
-            now=self.now,
-        )
-
-    def _session_answered(self, request: Request, endpoint: str, outcome: Outcome) -> None:
-        """Move a session whose request was answered by another endpoint than it is pinned to."""
-        held = self._pins.get(request.session) if request.session else None
-        if held is None or not isinstance(outcome, Answered):
-            return
-        if endpoint and endpoint != held.endpoint:
-            self._pins.move(request.session, endpoint, MoveReason.ENDPOINT_LOST, self.now)
-
-    def _pinned_endpoint(self, request: Request) -> str:
-        held = self._pins.get(request.session) if request.session and not request.parent else None
-        return "" if held is None else held.endpoint
-
     def _leave(self, joined: _Joined, call: str) -> None:
         if joined.waiting.pop(call, None) is not None and not joined.waiting:
             joined.outgoing.cancel()
@@ -295,7 +268,7 @@
             context,
             repeatable=request.repeatable,
             rng=self.random,
-            pinned=self._pinned_endpoint(request),
+            pinned=self._pins.endpoint_of(request),
             route=request.kind,
         )
         return OutgoingCall(self, logic, request, context, finished)
@@ -425,11 +398,5 @@
         self._begin_life()
 
 
-def digest_of_configuration(configuration: Configuration) -> str:
-    """Return xxh3-64 (hexadecimal) over all resources, in order of their keys."""
-    resources = [configuration.resources[key] for key in sorted(configuration.resources)]
-    return xxhash.xxh3_64_hexdigest(msgspec.json.encode(resources))
-
-
 def _nothing() -> None:
     """Cancel a call that has ended already."""
--- a/src/finchshed/proof/scenarios.py
+++ b/src/finchshed/proof/scenarios.py
@@ -11,7 +11,8 @@
 from finchshed.emulator.presets import BRAZOS_RIDGE, MANILA
 from finchshed.emulator.run import RunSpecification
 from finchshed.proof import disturbances as kinds
-from finchshed.proof.disturbances import CONTROL_NODES, Disturbance, Draw, Kind
+from finchshed.proof.disturbances import Disturbance, Kind
+from finchshed.proof.draw import CONTROL_NODES, Draw
 
 BEGIN_SECONDS: Final = 2.5
 """Time of the first arrival: the control group has formed by then."""
--- a/src/finchshed/report/groups.py
+++ b/src/finchshed/report/groups.py
@@ -7,8 +7,8 @@
 from hdrh.histogram import HdrHistogram
 from numpy.typing import NDArray
 
-from finchshed.bench.measures import TIMELINE_STEP_SECONDS, new_histogram
 from finchshed.bench.results import RunRecord
+from finchshed.bench.series import TIMELINE_STEP_SECONDS, new_histogram
 from finchshed.emulator.run import CONTROLS
 
 Cell = tuple[str, float]
--- a/src/finchshed/report/plots.py
+++ b/src/finchshed/report/plots.py
@@ -14,8 +14,8 @@
 from matplotlib.figure import Figure
 
 from finchshed.bench.experiment import Experiment
-from finchshed.bench.measures import MICROSECONDS, TIMELINE_STEP_SECONDS
 from finchshed.bench.results import RunRecord
+from finchshed.bench.series import MICROSECONDS, TIMELINE_STEP_SECONDS
 from finchshed.emulator.presets import PRESETS
 from finchshed.report.groups import (
     Cell,
--- a/tests/proof/broken.py
+++ b/tests/proof/broken.py
@@ -16,9 +16,10 @@
 from finchshed.configuration.store import ConfigurationStore
 from finchshed.distribution.effects import ServingGround
 from finchshed.distribution.follower import Follower
+from finchshed.emulator.daemons.accepted_link import AcceptedLink
 from finchshed.emulator.daemons.callee import Callee
 from finchshed.emulator.daemons.daemon import Daemon
-from finchshed.emulator.daemons.link import AcceptedLink, DaemonLink
+from finchshed.emulator.daemons.link import DaemonLink
 from finchshed.emulator.daemons.outgoing import OutgoingCall
 from finchshed.emulator.scheme import FinchshedScheme
 from finchshed.ledger.ledger import Ledger
