--- a/tests/session/test_table.py
+++ b/tests/session/test_table.py
@@ -34,6 +34,19 @@
     assert [ended.identity for ended in table.expire(111.0)] == ["a"]
 
 
+def test_session_in_use_outlives_many_looks_for_idle_ones() -> None:
+    table = SessionTable()
+    open_session(table, "used", 0.0)
+    open_session(table, "idle", 0.0)
+    for second in range(1, 30):
+        table.on_request("used", float(second))
+        table.on_answer("used", float(second))
+        ended = [session.identity for session in table.expire(float(second))]
+        assert ended == (["idle"] if second == 11 else [])
+    assert [session.identity for session in table.expire(39.5)] == ["used"]
+    assert len(table) == 0
+
+
 def open_one(table: SessionTable) -> Opened:
     opened = table.open("a", "s", "e", max_sessions=2, idle_seconds=1.0, now=0.0)
     assert isinstance(opened, Opened)
