--- a/src/finchshed/bench/command.py
+++ b/src/finchshed/bench/command.py
@@ -6,9 +6,11 @@
 
 import msgspec
 
+from finchshed.bench.consensus_log import measure_log
 from finchshed.bench.control_placement import placement
 from finchshed.bench.control_plane import control
 from finchshed.bench.daemon_slopes import slopes
+from finchshed.bench.decisions import decisions
 from finchshed.bench.experiment import cases_of, load
 from finchshed.bench.paired_latency import latency
 from finchshed.bench.results import RunRecord, read, run_case, summary_lines
@@ -25,7 +27,7 @@
     Parameters
     ----------
     experiment
-        TOML file, see docs/operations/run-an-experiment.md.
+        TOML file, see docs/operations/bench-and-report.md.
     out
         File of results; runs are added to it as they end.
     workers
@@ -60,7 +62,9 @@
     "run": bench,
     "summary": summarize,
     "latency": latency,
+    "log": measure_log,
     "control": control,
     "placement": placement,
     "slopes": slopes,
+    "decisions": decisions,
 }
