--- a/src/finchshed/proof/consensus/clients.py
+++ b/src/finchshed/proof/consensus/clients.py
@@ -6,8 +6,9 @@
 
 from finchshed.proof.consensus.group import Group
 from finchshed.proof.consensus.linearizability import Operation
-from finchshed.proof.consensus.node import Answer, NotTaken, SimulatedNode, Undecided
+from finchshed.proof.consensus.node import SimulatedNode
 from finchshed.proof.consensus.register import Change, ChangeResult, Reading
+from finchshed.proof.consensus.requests import Answer, NotTaken, Undecided
 from finchshed.proof.consensus.scheduler import Process
 
 _THINK_SECONDS = (0.05, 0.8)
--- a/src/finchshed/proof/consensus/node.py
+++ b/src/finchshed/proof/consensus/node.py
@@ -2,7 +2,6 @@
 
 import random
 from collections.abc import Callable
-from typing import TypeAlias
 
 import msgspec
 import simpy
@@ -10,13 +9,7 @@
 from finchshed.common.errors import CorruptRecordError, InvariantError, StorageError
 from finchshed.consensus.driver import Driver
 from finchshed.consensus.effects import (
-    Committed,
     Effect,
-    Lost,
-    ReadFailed,
-    ReadReady,
-    RefusalCause,
-    Refused,
     Role,
     RoleChanged,
 )
@@ -35,7 +28,9 @@
 from finchshed.consensus.options import RaftOptions
 from finchshed.proof.consensus.network import SimulatedNetwork
 from finchshed.proof.consensus.observer import Observer
-from finchshed.proof.consensus.register import Change, ChangeResult, Reading, Register
+from finchshed.proof.consensus.process import SimulatedProcess
+from finchshed.proof.consensus.register import Change, ChangeResult, Register
+from finchshed.proof.consensus.requests import WaitingRequests
 from finchshed.proof.consensus.scheduler import Scheduler
 from finchshed.storage.log_store import (
     LogStore,
@@ -57,20 +52,6 @@
 _MOST_OPERATIONS_OF_A_WRITE = 12
 
 
-class NotTaken(msgspec.Struct, frozen=True):
-    """The node did nothing; ``leader`` names another to ask, if known."""
-
-    cause: RefusalCause
-    leader: str = ""
-
-
-class Undecided(msgspec.Struct, frozen=True):
-    """Leadership ended before the outcome was known."""
-
-
-Answer: TypeAlias = ChangeResult | Reading | NotTaken | Undecided | None
-
-
 class SimulatedNode:
     """One node; implements :class:`~finchshed.consensus.driver.Host`.
 
@@ -106,8 +87,6 @@
         self.clock_rate = 1.0
         self.disk_slowness = 1.0
         self.register = Register()
-        self.is_running = False
-        self.is_frozen = False
         self._doomed: bool | None = None
         self._initial_members = initial_members
         self._options = options
@@ -115,14 +94,12 @@
         self._network = network
         self._observer = observer
         self._rng = rng
-        self._life = 0
+        self._process = SimulatedProcess(scheduler, rng)
+        self._requests = WaitingRequests(scheduler)
         self._timer = 0
         self._inbox: list[Event] = []
         self._flush_planned = False
-        self._last_token = 0
         self._last_result: tuple[int, ChangeResult | None] = (0, None)
-        self._waiting: dict[int, simpy.Event] = {}
-        self._held_while_frozen: list[Callable[[], None]] = []
         self._store: LogStore
         self._driver: Driver
         network.attach(key, self.address, self._deliver)
@@ -132,6 +109,11 @@
         """The production node. Meaningful while running."""
         return self._driver.node
 
+    @property
+    def is_running(self) -> bool:
+        """Whether the process runs, frozen or not."""
+        return self._process.is_running
+
     @property
     def is_leader(self) -> bool:
         """Whether the node runs and takes itself for the leader."""
@@ -147,9 +129,8 @@
             self._observer.count("start_failed")
             self._scheduler.call_later(_START_RETRY_SECONDS, self.start)
             return
-        self._life += 1
         self._inbox = []
-        self._waiting = {}
+        self._requests.forget()
         self._flush_planned = False
         self._store = opened.store
         self.register = Register()
@@ -163,7 +144,7 @@
             options=self._options,
         )
         self._driver = Driver(raft, self)
-        self.is_running = True
+        self._process.begin()
         self._observer.started(self)
         self._guarded(lambda: self._driver.start(self._host_now()))
 
@@ -201,32 +182,23 @@
 
     def freeze(self) -> None:
         """Stop as by SIGSTOP: no timer, no message, no end of a write is noticed."""
-        self.is_frozen = self.is_running
+        self._process.freeze()
 
     def thaw(self) -> None:
         """Go on as by SIGCONT: due timers and all that arrived are noticed, in any order."""
-        if not self.is_frozen:
-            return
-        self.is_frozen = False
-        held, self._held_while_frozen = self._held_while_frozen, []
-        if self._rng.random() < 0.5:
-            held.append(self._tick)
-        else:
-            held.insert(0, self._tick)
-        for action in held:
-            self._scheduler.call_later(0.0, self._in_this_life(action))
+        self._process.thaw(self._tick)
 
     def propose(self, change: Change) -> simpy.Event:
-        """Ask for a change; the event gives an :data:`Answer` or never happens."""
+        """Ask for a change; the event gives an ``Answer``, or never happens."""
         data = msgspec.json.encode(change)
         return self._submit(lambda token: Propose(token, data))
 
     def read(self) -> simpy.Event:
-        """Ask for a linearizable read; the event gives an :data:`Answer` or never happens."""
+        """Ask for a linearizable read; the event gives an ``Answer``, or never happens."""
         return self._submit(Read)
 
     def change_membership(self, change: MembershipChange) -> simpy.Event:
-        """Ask for a change of members; the event gives an :data:`Answer` or never happens."""
+        """Ask for a change of members; the event gives an ``Answer``, or never happens."""
         return self._submit(lambda token: ChangeMembership(token, change))
 
     def transfer_leadership(self) -> None:
@@ -255,21 +227,11 @@
 
     def report(self, effect: Effect) -> None:
         """Answer whoever waits, and tell the observer of changes of role."""
-        match effect:
-            case Committed():
-                index, result = self._last_result
-                self._answer(effect.token, result if index == effect.index else None)
-            case ReadReady():
-                self._answer(effect.token, self.register.read())
-            case Lost():
-                self._answer(effect.token, Undecided())
-            case Refused():
-                leader = effect.leader.name if effect.leader else ""
-                self._answer(effect.token, NotTaken(effect.cause, leader))
-            case ReadFailed():
-                self._answer(effect.token, NotTaken(RefusalCause.NOT_READY))
-            case RoleChanged() if effect.role is Role.LEADER:
+        if isinstance(effect, RoleChanged):
+            if effect.role is Role.LEADER:
                 self._observer.elected(self, effect.term)
+        else:
+            self._requests.report(effect, self.register, self._last_result)
 
     def _open(self) -> OpenedStore:
         """Open the disk as the production node does."""
@@ -281,29 +243,18 @@
             return open_store(self.disk, self._rng)
 
     def _end_process(self) -> None:
-        self._life += 1
-        self.is_running = False
-        self.is_frozen = False
-        self._held_while_frozen = []
+        self._process.end()
         self.disk.restart()
 
     def _host_now(self) -> float:
         return self.clock_offset + self.clock_rate * self._scheduler.now
 
     def _submit(self, make_event: Callable[[int], Event]) -> simpy.Event:
-        answer = self._scheduler.event()
+        token, answer = self._requests.add()
         if self.is_running:
-            self._last_token += 1
-            token = self._last_token
-            self._waiting[token] = answer
             self._take(make_event(token))
         return answer
 
-    def _answer(self, token: int, answer: Answer) -> None:
-        waiting = self._waiting.pop(token, None)
-        if waiting is not None:
-            waiting.succeed(answer)
-
     def _deliver(self, envelope: Envelope) -> None:
         if self.is_running:
             self._take(Received(envelope))
@@ -316,9 +267,9 @@
         if self._rng.random() < _BUSY_CHANCE:
             self._flush_planned = True
             delay = self._rng.uniform(0.0, _BUSY_SECONDS)
-            self._scheduler.call_later(delay, self._in_this_life(self._flush))
+            self._process.later(delay, self._flush)
         else:
-            self._unless_frozen(self._flush)
+            self._process.now(self._flush)
 
     def _flush(self) -> None:
         self._flush_planned = False
@@ -347,11 +298,11 @@
         if self._driver.has_writes:
             self._driver.next_writes()
             delay = self._write_seconds()
-            self._scheduler.call_later(delay, self._in_this_life(self._finish_write))
+            self._process.later(delay, self._finish_write)
             if self._doomed is not None:
                 power_lost = self._doomed
-                crash = self._in_this_life(lambda: self.crash(power_lost))
-                self._scheduler.call_later(self._rng.uniform(0.0, delay), crash)
+                crash_after = self._rng.uniform(0.0, delay)
+                self._process.later(crash_after, lambda: self.crash(power_lost))
         self._timer += 1
         timer = self._timer
         delay = self.raft.next_delay() / self.clock_rate
@@ -360,7 +311,7 @@
             if timer == self._timer:
                 self._tick()
 
-        self._scheduler.call_later(delay, self._in_this_life(on_timer))
+        self._process.later(delay, on_timer)
 
     def _finish_write(self) -> None:
         outcome = self._store.write(self._driver.next_writes())
@@ -368,11 +319,9 @@
             self._guarded(lambda: self._driver.written(outcome, self._host_now()))
             return
         self._observer.count("disk_full")
-        self._scheduler.call_later(
+        self._process.later(
             _DISK_RETRY_SECONDS,
-            self._in_this_life(
-                lambda: self._guarded(lambda: self._driver.written(outcome, self._host_now()))
-            ),
+            lambda: self._guarded(lambda: self._driver.written(outcome, self._host_now())),
         )
 
     def _write_seconds(self) -> float:
@@ -380,22 +329,6 @@
         seconds = self._rng.uniform(*(_SLOW_WRITE_SECONDS if slow else _WRITE_SECONDS))
         return min(self.disk_slowness * seconds, _LONGEST_WRITE_SECONDS)
 
-    def _in_this_life(self, action: Callable[[], None]) -> Callable[[], None]:
-        """Return ``action`` so that it is left out once the process has ended."""
-        life = self._life
-
-        def run() -> None:
-            if life == self._life:
-                self._unless_frozen(action)
-
-        return run
-
-    def _unless_frozen(self, action: Callable[[], None]) -> None:
-        if self.is_frozen:
-            self._held_while_frozen.append(action)
-        else:
-            action()
-
 
 def address_of(key: str) -> str:
     """Return where a simulated machine is reached."""
