--- a/src/finchshed/proof/consensus/membership_faults.py
+++ b/src/finchshed/proof/consensus/membership_faults.py
@@ -29,6 +29,29 @@
         yield from group.pause(0.1, 2.0)
 
 
+def standbys(group: Group) -> Process:
+    """Take voters away for long, so that standbys take their places, and give them back."""
+    rng = group.rng
+    spares = [name for name in group.nodes if name not in group.voter_names]
+    for _ in range(8):
+        leader = group.leader()
+        for name in spares:
+            if leader is not None:
+                leader.change_membership(AddMember(name, voter=False))
+            yield from group.pause(0.3, 0.6)
+    for _ in range(3):
+        node = group.some_node()
+        if rng.random() < 0.5:
+            group.network.isolate(node.key)
+        else:
+            node.crash(power_lost=True)
+        yield from group.pause(1.0, 20.0)
+        if rng.random() < 0.7:
+            group.network.heal()
+        group.restart_later(node, 0.0, 2.0)
+        yield from group.pause(0.0, 4.0)
+
+
 def replaced_while_cut(group: Group) -> Process:
     """Start a new machine under the name of one that is alive and only cut off.
 
--- a/src/finchshed/proof/consensus/scenarios.py
+++ b/src/finchshed/proof/consensus/scenarios.py
@@ -24,7 +24,7 @@
     partitions,
     silent_leader,
 )
-from finchshed.proof.consensus.membership_faults import membership, replaced_while_cut
+from finchshed.proof.consensus.membership_faults import membership, replaced_while_cut, standbys
 from finchshed.proof.consensus.scheduler import Process
 from finchshed.proof.consensus.storm import storm
 
@@ -69,6 +69,7 @@
     "second-loss": Scenario("a second machine lost during a repair", second_loss),
     "clocks": Scenario("clocks that step and drift", clocks),
     "membership": Scenario("members added and removed during cuts", membership, spares=2),
+    "standbys": Scenario("voters away for long, standbys in their places", standbys, spares=2),
     "replaced-while-cut": Scenario("a name given to a new machine too soon", replaced_while_cut),
     "storm": Scenario("all of these together", storm, spares=1),
 }
