Control nodes take daemons and other control nodes from declared networks only

Cause: peer_networks was checked by daemons alone; the listeners of a control node for daemons and for the replicated log took connections from anywhere. A wrong network in a daemon's settings passed the check and ended the start as an unexpected error.

Change: one check in the lines that every listener uses, before anything is read; ControlSettings takes peer_networks with the same default; a network is a checked type of settings. Tests of the raft listener: another network, garbage, silence, lines before the greeting.

Ruled out: names in the greeting as proof of identity; who can connect can say any name. Mutual TLS stays not done, as docs/design/links.md says.

--- a/src/finchshed/control/distribution_service.py
+++ b/src/finchshed/control/distribution_service.py
@@ -17,6 +17,7 @@
 from finchshed.distribution.server import Answer, HubServer
 from finchshed.distribution.snapshot import Configuration
 from finchshed.distribution.status import DistributionStatus, InForceReport, StatusTable
+from finchshed.link.networks import PeerNetworks
 
 CONTACT_SECONDS = 0.4
 """Time between looks at whether this node is in contact with a quorum."""
@@ -36,7 +37,12 @@
     """
 
     def __init__(
-        self, node: str, machine: ControlStateMachine, log: ReplicatedLog, background: Background
+        self,
+        node: str,
+        machine: ControlStateMachine,
+        log: ReplicatedLog,
+        background: Background,
+        networks: PeerNetworks | None = None,
     ) -> None:
         self._machine = machine
         self._log = log
@@ -52,7 +58,7 @@
         self._hub = Hub(node)
         self._explanations = Explanations()
         self._server = HubServer(
-            self._hub, self._confirm, self._on_ledger, self._explanations.on_reply
+            self._hub, self._confirm, self._on_ledger, self._explanations.on_reply, networks
         )
         self._requests: set[asyncio.Task[None]] = set()
         self._status: StatusTable | None = None
--- a/src/finchshed/control/node.py
+++ b/src/finchshed/control/node.py
@@ -20,6 +20,7 @@
 from finchshed.control.settings import ControlSettings
 from finchshed.control.state_machine import ControlStateMachine
 from finchshed.control.state_metrics import observe_state
+from finchshed.link.networks import PeerNetworks
 from finchshed.observability.admin import AdminServer, Health
 
 ELECTION_SPREAD = 2.0
@@ -58,9 +59,10 @@
         hello = PeerHello(
             settings.node, settings.distribution_advertised_address or settings.distribution_address
         )
-        self._links = PeerLinks(hello, self._log.on_message, background)
+        networks = PeerNetworks(settings.peer_networks)
+        self._links = PeerLinks(hello, self._log.on_message, background, networks)
         self._distribution = DistributionService(
-            settings.node, self._machine, self._log, background
+            settings.node, self._machine, self._log, background, networks
         )
         self._log.on_report = self._distribution.on_report
         service = OperatorService(
--- a/src/finchshed/control/peer_links.py
+++ b/src/finchshed/control/peer_links.py
@@ -17,6 +17,7 @@
 from finchshed.control.background import Background
 from finchshed.control.peer_messages import PeerHello, PeerMessage
 from finchshed.link.lines import LineProtocol
+from finchshed.link.networks import PeerNetworks
 
 PeerLink: TypeAlias = LineProtocol[PeerMessage]
 OnMessage: TypeAlias = Callable[[PeerLink, PeerMessage], None]
@@ -60,12 +61,21 @@
         First line of each connection made here.
     on_message
         Called with each message and the link it came by.
+    networks
+        Networks that other control nodes connect from; None for any.
     """
 
-    def __init__(self, hello: PeerHello, on_message: OnMessage, background: Background) -> None:
+    def __init__(
+        self,
+        hello: PeerHello,
+        on_message: OnMessage,
+        background: Background,
+        networks: PeerNetworks | None = None,
+    ) -> None:
         self._hello = hello
         self._on_message = on_message
         self._background = background
+        self._networks = networks
         self._outbound: dict[str, _Outbound] = {}
         self._greeted: dict[PeerLink, PeerHello] = {}
         self._inbound: set[PeerLink] = set()
@@ -152,6 +162,7 @@
             on_close=self._on_inbound_close,
             max_line_bytes=MAX_LINE_BYTES,
             expects_greeting=True,
+            networks=self._networks,
         )
 
     def _on_inbound_open(self, link: PeerLink) -> None:
--- a/src/finchshed/control/settings.py
+++ b/src/finchshed/control/settings.py
@@ -5,9 +5,11 @@
 import msgspec
 
 from finchshed.settings.fields import (
+    PRIVATE_NETWORKS,
     ListenAddress,
     Name,
     NamedAddress,
+    Network,
     OptionalAddress,
     OptionalListenAddress,
     OptionalUrl,
@@ -76,6 +78,12 @@
             )
         ),
     ] = ""
+    peer_networks: Annotated[
+        tuple[Network, ...],
+        msgspec.Meta(
+            description="Networks (CIDR) that daemons and other control nodes connect from."
+        ),
+    ] = PRIVATE_NETWORKS
     platform_list_url: Annotated[
         OptionalUrl,
         msgspec.Meta(
--- a/src/finchshed/daemon/settings.py
+++ b/src/finchshed/daemon/settings.py
@@ -9,8 +9,10 @@
 from msgspec import Meta
 
 from finchshed.settings.fields import (
+    PRIVATE_NETWORKS,
     ListenAddress,
     Name,
+    Network,
     OptionalAddress,
     OptionalListenAddress,
     OptionalName,
@@ -56,9 +58,9 @@
         str, Meta(description="Folder for the highest revision seen; empty for none.")
     ] = ""
     peer_networks: Annotated[
-        tuple[str, ...],
+        tuple[Network, ...],
         Meta(description="Networks (CIDR) links from other daemons are taken from."),
-    ] = ("127.0.0.0/8", "10.0.0.0/8", "172.16.0.0/12", "192.168.0.0/16")
+    ] = PRIVATE_NETWORKS
     heartbeat_seconds: Annotated[
         float,
         Meta(gt=0, le=60, description="A busy link silent for this long is sent a heartbeat."),
--- a/src/finchshed/distribution/server.py
+++ b/src/finchshed/distribution/server.py
@@ -27,6 +27,7 @@
 from finchshed.distribution.snapshot import Configuration
 from finchshed.link.encoding import encode_line
 from finchshed.link.lines import LineProtocol
+from finchshed.link.networks import PeerNetworks
 
 LedgerRequest: TypeAlias = LedgerBegin | LedgerCancel | LedgerComplete
 Answer: TypeAlias = Callable[[ControlToDaemon], None]
@@ -58,6 +59,8 @@
         Called with each ledger request and the function that sends its answer.
     on_explanation
         Called with each daemon's answer to an :class:`ExplainRequest`.
+    networks
+        Networks that daemons connect from; None for any.
     """
 
     def __init__(
@@ -66,11 +69,13 @@
         confirm: Callable[[], Awaitable[bool]],
         on_ledger: Callable[[LedgerRequest, Answer], None],
         on_explanation: Callable[[ExplainReply], None] | None = None,
+        networks: PeerNetworks | None = None,
     ) -> None:
         self._hub = hub
         self._confirm = confirm
         self._on_ledger = on_ledger
         self._on_explanation = on_explanation
+        self._networks = networks
         self._connections: dict[int, Connection] = {}
         self._by_node: dict[str, Connection] = {}
         self._numbers: dict[Connection, int] = {}
@@ -128,6 +133,7 @@
             on_close=self._on_close,
             max_line_bytes=MAX_REQUEST_BYTES,
             expects_greeting=True,
+            networks=self._networks,
         )
 
     def _on_message(self, connection: Connection, message: DaemonToControl) -> None:
--- a/src/finchshed/link/lines.py
+++ b/src/finchshed/link/lines.py
@@ -12,6 +12,7 @@
 
 from finchshed.common.errors import ProtocolError
 from finchshed.link.encoding import LINE_FEED, encode_line
+from finchshed.link.networks import PeerNetworks
 
 ReceivedT = TypeVar("ReceivedT")
 
@@ -41,6 +42,8 @@
     expects_greeting
         Whether the peer has to say who it is: until :meth:`greeted` is called lines are taken up
         to ``FIRST_LINE_BYTES``, and the connection is closed after ``GREETING_SECONDS``.
+    networks
+        A connection from elsewhere is closed at once, with ``on_close`` alone called; None: any.
     """
 
     def __init__(
@@ -52,6 +55,7 @@
         max_line_bytes: int = DEFAULT_MAX_LINE_BYTES,
         *,
         expects_greeting: bool = False,
+        networks: PeerNetworks | None = None,
     ) -> None:
         self._decoder = msgspec.json.Decoder(received_type)
         self._on_message = on_message
@@ -61,6 +65,7 @@
         self._error: Exception | None = None
         self._max_line_bytes = max_line_bytes
         self._awaits_greeting = expects_greeting
+        self._networks = networks
         self.transport: asyncio.Transport | None = None
         self.bytes_received = 0
         self.bytes_sent = 0
@@ -77,6 +82,9 @@
         self.transport.set_write_buffer_limits(high=0)
         peer = transport.get_extra_info("peername")
         self.peer_address = f"{peer[0]}:{peer[1]}" if peer else ""
+        if self._networks is not None and not self._networks.allow(self.peer_address):
+            self._fail(ProtocolError("the peer isn't of an allowed network"))
+            return
         if self._awaits_greeting:
             loop = asyncio.get_running_loop()
             loop.call_later(GREETING_SECONDS, self._require_greeting)
--- a/src/finchshed/link/listener.py
+++ b/src/finchshed/link/listener.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import ipaddress
 from collections.abc import Sequence
 
 from loguru import logger
@@ -26,6 +25,7 @@
     Pong,
     Reply,
 )
+from finchshed.link.networks import PeerNetworks
 from finchshed.link.owners import ListenerOwner
 
 LINKS_REFUSED = Counter(
@@ -178,7 +178,7 @@
         max_unsent_bytes: int,
     ) -> None:
         self._owner = owner
-        self._networks = [ipaddress.ip_network(network) for network in networks]
+        self._networks = PeerNetworks(networks)
         self._silence_seconds = silence_seconds
         self._max_unsent_bytes = max_unsent_bytes
         self._links: dict[LineProtocol[PeerMessage], AcceptedLink] = {}
@@ -209,7 +209,7 @@
             lines.close()
 
     def _on_open(self, lines: LineProtocol[PeerMessage]) -> None:
-        if not self._is_allowed(lines.peer_address):
+        if not self._networks.allow(lines.peer_address):
             self._refuse(lines, "network")
             return
         link = AcceptedLink(lines, self._owner, self._max_unsent_bytes)
@@ -217,14 +217,6 @@
         self._links[lines] = link
         LINKS_ACCEPTED.inc()
 
-    def _is_allowed(self, address: str) -> bool:
-        host = address.rsplit(":", 1)[0]
-        try:
-            peer = ipaddress.ip_address(host)
-        except ValueError:
-            return False
-        return any(peer in network for network in self._networks)
-
     def _on_message(self, lines: LineProtocol[PeerMessage], message: PeerMessage) -> None:
         link = self._links.get(lines)
         if link is None:
--- a/src/finchshed/settings/fields.py
+++ b/src/finchshed/settings/fields.py
@@ -90,6 +90,18 @@
 ]
 """Address of another process, with the zone it stands in: ``zone=a.b.c.d:port``."""
 
+Network: TypeAlias = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=rf"^{_IPV4}/(3[0-2]|[12]?[0-9])$",
+        title="a network a.b.c.d/n, parts 0 to 255, n 0 to 32",
+    ),
+]
+"""An IPv4 network (CIDR notation, RFC 4632)."""
+
+PRIVATE_NETWORKS = ("127.0.0.0/8", "10.0.0.0/8", "172.16.0.0/12", "192.168.0.0/16")
+"""Loopback, and the private networks of RFC 1918."""
+
 OptionalUrl: TypeAlias = Annotated[
     str,
     msgspec.Meta(
--- /dev/null
+++ b/tests/control/test_peer_links.py
@@ -0,0 +1,85 @@
+"""Connections to a control node's listener for other control nodes."""
+
+import asyncio
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager, suppress
+
+import pytest
+
+from finchshed.control.background import Background
+from finchshed.control.peer_links import PeerLinks
+from finchshed.control.peer_messages import ForwardOutcome, ForwardReply, PeerHello, PeerMessage
+from finchshed.link import lines
+from finchshed.link.encoding import encode_line
+from finchshed.link.lines import FIRST_LINE_BYTES
+from finchshed.link.networks import PeerNetworks
+from tests.control.group import free_addresses
+from tests.link.strategies import NESTED
+
+STEP_SECONDS = 5.0
+HELLO = encode_line(PeerHello("c2", "127.0.0.1:1"))
+REPLY = encode_line(ForwardReply(request=1, outcome=ForwardOutcome.DONE))
+
+
+class Listening:
+    """A listener, what it handed on, and a way to connect to it."""
+
+    def __init__(self, networks: Sequence[str]) -> None:
+        self.received: list[PeerMessage] = []
+        self.address = free_addresses(1)[0]
+        background = Background(lambda error: pytest.fail(str(error)))
+        hello = PeerHello("c1", "127.0.0.1:2")
+        allowed = PeerNetworks(networks)
+        self.links = PeerLinks(
+            hello, lambda _, message: self.received.append(message), background, allowed
+        )
+
+    async def send(self, data: bytes) -> bool:
+        """Send ``data`` on a new connection; return whether the listener closed it."""
+        host, port = self.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            with suppress(ConnectionError):
+                writer.write(data)
+                async with asyncio.timeout(STEP_SECONDS):
+                    await reader.read()
+            return True
+        finally:
+            writer.close()
+
+
+@asynccontextmanager
+async def listening(networks: Sequence[str] = ("127.0.0.0/8",)) -> AsyncIterator[Listening]:
+    listener = Listening(networks)
+    await listener.links.start(listener.address)
+    try:
+        yield listener
+    finally:
+        listener.links.stop()
+
+
+async def test_a_node_of_another_network_is_closed_and_unheard() -> None:
+    async with listening(["10.0.0.0/8"]) as listener:
+        assert await listener.send(HELLO + REPLY)
+        assert listener.received == []
+
+
+@pytest.mark.parametrize(
+    "data", [REPLY + HELLO + REPLY, b"x" * (FIRST_LINE_BYTES + 1), NESTED, b"{}\n" + HELLO + REPLY]
+)
+async def test_a_breach_closes_the_connection(data: bytes) -> None:
+    async with listening() as listener:
+        assert await listener.send(data)
+        assert listener.received == []
+
+
+async def test_a_node_that_says_nothing_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(lines, "GREETING_SECONDS", 0.1)
+    async with listening() as listener:
+        assert await listener.send(b"")
+
+
+async def test_what_follows_the_greeting_is_handed_on() -> None:
+    async with listening() as listener:
+        await listener.send(HELLO + REPLY + b"\n")
+        assert [type(message) for message in listener.received] == [ForwardReply]
--- a/tests/distribution/test_server.py
+++ b/tests/distribution/test_server.py
@@ -1,7 +1,7 @@
 """The distribution server: what one connection sends harms no other."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable
+from collections.abc import AsyncIterator, Awaitable, Sequence
 from contextlib import asynccontextmanager, suppress
 
 import msgspec
@@ -29,6 +29,7 @@
 from finchshed.link import lines
 from finchshed.link.encoding import encode_line
 from finchshed.link.lines import FIRST_LINE_BYTES
+from finchshed.link.networks import PeerNetworks
 from tests.link.strategies import NESTED, garbage
 
 STEP_SECONDS = 5.0
@@ -58,8 +59,9 @@
 class CountingServer(HubServer):
     """A server at once confirmed by its quorum, which counts the confirmations."""
 
-    def __init__(self) -> None:
-        super().__init__(Hub("c1"), self._count, self._grant)
+    def __init__(self, networks: Sequence[str] = ("127.0.0.0/8",)) -> None:
+        allowed = PeerNetworks(networks)
+        super().__init__(Hub("c1"), self._count, self._grant, networks=allowed)
         self.confirmations = 0
 
     async def _count(self) -> bool:
@@ -161,6 +163,20 @@
         await bad.ended()
 
 
+async def test_a_connection_from_another_network_is_closed_without_an_answer() -> None:
+    server = CountingServer(networks=("10.0.0.0/8",))
+    port = await server.start("127.0.0.1", 0)
+    server.note_contact(True)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    client = Client(reader, writer)
+    with suppress(ConnectionError):
+        await client.send(SUBSCRIBE)
+        assert await within(reader.read()) == b""
+    assert server.confirmations == 0
+    writer.close()
+    await server.close()
+
+
 async def test_a_daemon_that_claims_a_revision_to_come_does_not_keep_the_node_busy() -> None:
     async with serving() as (server, (good, bad)):
         await bad.send(Subscribe("bad", "1", "s", "z", 1000))
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -11,6 +11,7 @@
     ListenAddress,
     Name,
     NamedAddress,
+    Network,
     OptionalListenAddress,
     PositiveSeconds,
     ZonedAddress,
@@ -25,6 +26,7 @@
     control_addresses: tuple[Address, ...] = ()
     voters: tuple[NamedAddress, ...] = ()
     zoned: Annotated[tuple[ZonedAddress, ...], msgspec.Meta(description="Addresses by zone.")] = ()
+    peer_networks: tuple[Network, ...] = ()
     drain_seconds: PositiveSeconds = 5.0
     max_body_bytes: ByteCount = 1024
     verbose: bool = False
@@ -77,6 +79,8 @@
         ('link_address = "127.0.0.256:80"', ["127.0.0.256:80", "parts 0 to 255"]),
         ('link_address = "127.0.0.1:65536"', ["127.0.0.1:65536", "port 1 to 65535"]),
         ('link_address = "127.0.0.1:8000"', ["other than that of http_address"]),
+        ('peer_networks = ["10.0.0.0/33"]', ["10.0.0.0/33", "wrong at entry [0]"]),
+        ('peer_networks = ["10.0.0.0/8", "ten"]', ["a network a.b.c.d/n", "entry [1]"]),
         ('link_address = "localhost:80"', ["localhost:80", "a.b.c.d:port"]),
         ('control_addresses = ["10.0.0.1:1", "x"]', ["wrong at entry [1]"]),
         ('control_addresses = ["10.0.0.1:1", "10.0.0.1:1"]', ["each entry once", "10.0.0.1:1"]),
