--- a/src/finchshed/common/context.py
+++ b/src/finchshed/common/context.py
@@ -20,9 +20,6 @@
 HEADER_IMPORTANCE = "finchshed-importance"
 """Importance of the root request, as a decimal number."""
 
-HEADER_POSITION = "finchshed-position"
-"""Position of the root request within its importance class, as a decimal number."""
-
 HEADER_SESSION = "finchshed-session"
 """Identity of the session the request belongs to, if any."""
 
--- a/src/finchshed/common/errors.py
+++ b/src/finchshed/common/errors.py
@@ -31,10 +31,6 @@
     """A peer sent a line that is malformed, oversized or out of order."""
 
 
-class LinkClosedError(FinchshedError):
-    """The link to a peer is closed."""
-
-
 class StorageError(FinchshedError):
     """The data folder could not be read or written."""
 
--- a/src/finchshed/settings/fields.py
+++ b/src/finchshed/settings/fields.py
@@ -111,17 +111,12 @@
 ]
 """An HTTP URL by IP address, or empty for none."""
 
-FolderPath: TypeAlias = Annotated[str, msgspec.Meta(title="path of a folder")]
-
 PositiveSeconds: TypeAlias = Annotated[float, msgspec.Meta(gt=0.0, le=86_400.0)]
 """A time span in seconds, above 0 and up to a day."""
 
 Seconds: TypeAlias = Annotated[float, msgspec.Meta(ge=0.0, le=86_400.0)]
 """A time span in seconds, 0 to a day."""
 
-ByteCount: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=1 << 40)]
-"""A size in bytes."""
-
 Count: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=10_000_000)]
 """A number of things."""
 
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -7,7 +7,6 @@
 from finchshed.common.errors import SettingsError
 from finchshed.settings.fields import (
     Address,
-    ByteCount,
     ListenAddress,
     Name,
     NamedAddress,
@@ -28,7 +27,7 @@
     zoned: Annotated[tuple[ZonedAddress, ...], msgspec.Meta(description="Addresses by zone.")] = ()
     peer_networks: tuple[Network, ...] = ()
     drain_seconds: PositiveSeconds = 5.0
-    max_body_bytes: ByteCount = 1024
+    max_body_bytes: Annotated[int, msgspec.Meta(ge=1, le=1 << 40)] = 1024
     verbose: bool = False
 
 
