An address in use ends a start with exit code 1 and one line

It was an unexpected error before: exit code 4 with the ring written out, as for a fault of the program. Other errors of the system stay faults.

--- a/src/finchshed/runtime/process.py
+++ b/src/finchshed/runtime/process.py
@@ -1,6 +1,7 @@
 """Runs one program in a uvloop event loop until it is told to stop."""
 
 import asyncio
+import errno
 import signal
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
@@ -20,6 +21,9 @@
 
 DUMP_SIGNAL = signal.SIGUSR1
 
+ADDRESS_ERRORS = frozenset({errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EACCES})
+"""Errors of an address in the settings that the machine doesn't give; no fault of the program."""
+
 
 class ProcessControl:
     """What a program's main coroutine learns of its process.
@@ -94,11 +98,13 @@
     except FinchshedError as error:
         ring.announce(f"{title}: can't go on: {error}")
         return ExitCode.FAILED
+    except OSError as error:
+        if error.errno not in ADDRESS_ERRORS:
+            return _fault(title, error)
+        ring.announce(f"{title}: can't listen: {error}")
+        return ExitCode.FAILED
     except Exception as error:
-        logger.opt(exception=error).critical("unexpected error: {!r}", error)
-        ring.dump(f"unexpected error: {error!r}")
-        ring.announce(f"{title}: stopped by an unexpected error: {error!r}")
-        return ExitCode.FAULT
+        return _fault(title, error)
     if broken:
         ring.announce(f"{title}: stopped by a broken invariant: {broken[0]}")
         return ExitCode.FAULT
@@ -106,6 +112,13 @@
     return ExitCode.OK
 
 
+def _fault(title: str, error: Exception) -> int:
+    logger.opt(exception=error).critical("unexpected error: {!r}", error)
+    ring.dump(f"unexpected error: {error!r}")
+    ring.announce(f"{title}: stopped by an unexpected error: {error!r}")
+    return ExitCode.FAULT
+
+
 def _handle_signals(
     loop: asyncio.AbstractEventLoop, control: ProcessControl, stop_now: Callable[[], object]
 ) -> None:
--- a/tests/observability/test_ring.py
+++ b/tests/observability/test_ring.py
@@ -1,4 +1,5 @@
 import asyncio
+import errno
 import os
 import signal
 from collections.abc import Iterator
@@ -8,6 +9,7 @@
 import pytest
 from loguru import logger
 
+from finchshed.cli.exit_codes import ExitCode
 from finchshed.common.errors import InvariantError
 from finchshed.observability import ring
 from finchshed.runtime.process import ProcessControl, run_process
@@ -96,6 +98,28 @@
     assert "ValueError('odd')" in str(header["reason"])
 
 
+def test_an_address_in_use_is_no_fault(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    async def listen_twice(_: ProcessControl) -> None:
+        loop = asyncio.get_running_loop()
+        first = await loop.create_server(asyncio.Protocol, "127.0.0.1", 0)
+        try:
+            port = first.sockets[0].getsockname()[1]
+            await loop.create_server(asyncio.Protocol, "127.0.0.1", port)
+        finally:
+            first.close()
+
+    assert run_process(listen_twice, "daemon", "n1", str(tmp_path)) == ExitCode.FAILED
+    assert dumps_in(tmp_path) == []
+    last = capsys.readouterr().err.splitlines()[-1]
+    assert last.startswith("daemon n1: can't listen: ")
+    assert "address already in use" in last
+
+
+def test_another_error_of_the_system_is_a_fault(tmp_path: Path) -> None:
+    assert run_failing(tmp_path, OSError(errno.EMFILE, "too many open files")) == ExitCode.FAULT
+    assert len(dumps_in(tmp_path)) == 1
+
+
 def test_broken_invariant_in_a_callback_stops_the_process(tmp_path: Path) -> None:
     def break_invariant() -> None:
         raise InvariantError("in a callback")
