--- a/src/finchshed/bench/command.py
+++ b/src/finchshed/bench/command.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from finchshed.bench.consensus_log import measure_log
 from finchshed.bench.control_placement import placement
 from finchshed.bench.control_plane import control
 from finchshed.bench.daemon_slopes import slopes
@@ -26,7 +27,7 @@
     Parameters
     ----------
     experiment
-        TOML file, see docs/operations/run-an-experiment.md.
+        TOML file, see docs/operations/bench-and-report.md.
     out
         File of results; runs are added to it as they end.
     workers
@@ -61,6 +62,7 @@
     "run": bench,
     "summary": summarize,
     "latency": latency,
+    "log": measure_log,
     "control": control,
     "placement": placement,
     "slopes": slopes,
--- a/tests/distribution/test_server.py
+++ b/tests/distribution/test_server.py
@@ -179,3 +179,16 @@
         await good.send(Subscribe("good", "1", "licence", "z1", 0))
         await bad.ended()
         assert isinstance(await good.receive(), Delta)
+
+
+async def test_a_daemon_may_send_lines_that_a_stranger_may_not() -> None:
+    long_line = b'{"type":"in_force","revision":' + b" " * (1 << 20) + b"1}\n"
+    async with serving() as (server, (good, bad)):
+        await good.send(Subscribe("good", "1", "licence", "z1", 0))
+        await good.receive_revision(1)
+        await good.send(long_line)
+        with suppress(ConnectionError):
+            await bad.send(long_line.rstrip())
+        await bad.ended()
+        server.commit(Delta(1, 2, puts=(Service(name="s2"),)))
+        await good.receive_revision(2)
