One rank for a root request on every hop, also for one that opens a session

Cause: the gate ranks the request that opens a session without the session bit, but the calls made for it inherited the session and were ranked with it, so a deeper hop admitted what the first one would shed. The request being served is now kept with the context it is ranked by, and its calls inherit that.

--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -251,7 +251,7 @@
     def _send_to_backend(self, work: Work) -> None:
         call = work.call
         work.state = WorkState.AT_BACKEND
-        work.served = self._served.open(call.context, work.deadline)
+        work.served = self._served.open(_rank_context(work), work.deadline)
         self._paths.on_start(work.served.account, work.route)
         remaining = work.deadline - time.monotonic()
         request = BackendRequest(
--- a/src/finchshed/emulator/daemons/callee.py
+++ b/src/finchshed/emulator/daemons/callee.py
@@ -121,7 +121,7 @@
         self._works: dict[int, Work] = {}
         self._by_call: dict[tuple[str, int], Work] = {}
         self._deadlines: dict[str, float] = {}
-        self._positions: dict[str, int] = {}
+        self._ranked_by: dict[str, CallContext] = {}
         self._failed_downstream: set[str] = set()
         self._sessions = SessionTable()
         self._next_token = 1
@@ -152,9 +152,9 @@
         """Return the deadline of a request being served, by its account."""
         return self._deadlines.get(account)
 
-    def position_of(self, account: str) -> int:
-        """Return the position that a request being served has within its class."""
-        return self._positions.get(account, -1)
+    def ranked_by(self, account: str) -> CallContext | None:
+        """Return the context that a request being served is ranked by."""
+        return self._ranked_by.get(account)
 
     def call_on_began(self, account: str, request: Request) -> None:
         """Take note of a call that the back end makes for a request it serves."""
@@ -309,7 +309,7 @@
         work.account = f"{self._process.name}.{self._process.life}.{work.token}"
         self._accounts.open(work.account, context.spare_attempts)
         self._deadlines[work.account] = work.deadline
-        self._positions[work.account] = context.position
+        self._ranked_by[work.account] = work.rank_context()
         self._paths.on_start(work.account, work.message.request.kind)
         request = work.message.request
         served = Request(
@@ -379,7 +379,7 @@
         if work.account:
             spare = self._accounts.close(work.account)
             self._deadlines.pop(work.account, None)
-            self._positions.pop(work.account, None)
+            self._ranked_by.pop(work.account, None)
             self._paths.on_end(work.account, answered=result is CallResult.OK)
             self._failed_downstream.discard(work.account)
         self._forget(work)
--- a/src/finchshed/emulator/daemons/daemon.py
+++ b/src/finchshed/emulator/daemons/daemon.py
@@ -253,11 +253,11 @@
 
     def _call_on(self, request: Request, answer: Done) -> Cancel:
         deadline = None if self.callee is None else self.callee.deadline_of(request.account)
-        if deadline is None:
+        served = None if self.callee is None else self.callee.ranked_by(request.account)
+        if self.callee is None or deadline is None or served is None:
             answer(Refused(RefusalReason.CANCELLED, retry_after(0.0, self.random)))
             return _nothing
-        if self.callee is not None:
-            self.callee.call_on_began(request.account, request)
+        self.callee.call_on_began(request.account, request)
         lent = self.accounts.lend(request.account)
         context = CallContext(
             request.root,
@@ -266,9 +266,9 @@
             lent,
             1,
             request.caller,
-            request.session,
+            served.session,
             request.key,
-            self.callee.position_of(request.account) if self.callee is not None else -1,
+            served.position,
         )
 
         def finished(outcome: Outcome, spare: int) -> None:
--- /dev/null
+++ b/tests/limit/test_concurrency.py
@@ -0,0 +1,62 @@
+"""The concurrency limit."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from finchshed.common.results import CallResult
+from finchshed.limit.concurrency import DECREASE_FACTOR, ConcurrencyLimit
+
+
+def answered(limit: ConcurrencyLimit, count: int, now: float = 0.0) -> None:
+    for _ in range(count):
+        limit.on_result(CallResult.OK, 0.1, now)
+
+
+@given(
+    st.integers(1, 64),
+    st.lists(st.tuples(st.sampled_from(CallResult), st.floats(0.0, 5.0)), max_size=200),
+)
+def test_limit_stays_between_one_and_the_declared_slots(
+    slots: int, results: list[tuple[CallResult, float]]
+) -> None:
+    limit = ConcurrencyLimit(slots)
+    now = 0.0
+    for result, pause in results:
+        now += pause
+        limit.on_result(result, 0.1, now)
+        assert 1 <= limit.limit <= slots
+
+
+def test_refusals_of_one_overload_lower_the_limit_once() -> None:
+    limit = ConcurrencyLimit(20)
+    answered(limit, 10)
+    for _ in range(10):
+        limit.on_result(CallResult.REFUSED, 0.0, 1.0)
+    assert limit.limit == int(20 * DECREASE_FACTOR)
+    limit.on_result(CallResult.REFUSED, 0.0, 1.2)
+    assert limit.limit == int(20 * DECREASE_FACTOR * DECREASE_FACTOR)
+
+
+def test_limit_climbs_again_with_answers() -> None:
+    limit = ConcurrencyLimit(20)
+    answered(limit, 10)
+    limit.on_result(CallResult.REFUSED, 0.0, 1.0)
+    lowered = limit.limit
+    answered(limit, lowered)
+    assert limit.limit == lowered + 1 or limit.limit == lowered
+    answered(limit, 200)
+    assert limit.limit == 20
+
+
+def test_cancelled_and_failed_requests_say_nothing_of_the_latency() -> None:
+    limit = ConcurrencyLimit(4)
+    answered(limit, 1)
+    for result in (CallResult.CANCELLED, CallResult.FAILED, CallResult.REFUSED):
+        limit.on_result(result, 9.0, 0.0)
+    assert limit.mean_latency == 0.1
+
+
+def test_changed_declaration_takes_effect() -> None:
+    limit = ConcurrencyLimit(4)
+    limit.set_slots(9)
+    assert limit.limit == 9
--- /dev/null
+++ b/tests/retry/test_bucket.py
@@ -0,0 +1,56 @@
+"""The service-wide bound on retries, and the time clients are told to stay away."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from finchshed.retry.bucket import DEFAULT_CAPACITY, DEFAULT_INFLOW_PER_SECOND, RetryBucket
+from finchshed.retry.policy import (
+    RETRY_AFTER_BASE_SECONDS,
+    RETRY_AFTER_MAX_SECONDS,
+    RETRY_AFTER_SPREAD,
+    retry_after,
+)
+
+
+@given(
+    st.floats(0.0, 1.0),
+    st.lists(st.tuples(st.booleans(), st.floats(0.0, 0.5)), max_size=300),
+)
+def test_retries_stay_below_a_share_of_successes(
+    ratio: float, steps: list[tuple[bool, float]]
+) -> None:
+    bucket = RetryBucket(ratio, 0.0)
+    now = 0.0
+    successes = 0
+    retries = 0
+    for is_success, pause in steps:
+        now += pause
+        if is_success:
+            successes += 1
+            bucket.on_success()
+        else:
+            retries += bucket.take(now)
+    inflow = DEFAULT_INFLOW_PER_SECOND * now
+    assert retries <= DEFAULT_CAPACITY / 2 + ratio * successes + inflow + 1e-6
+
+
+def test_clients_told_to_come_back_do_not_return_together() -> None:
+    rng = random.Random(3)
+    times = sorted(retry_after(0.0, rng) for _ in range(1000))
+    low = RETRY_AFTER_BASE_SECONDS * (1.0 - RETRY_AFTER_SPREAD)
+    high = RETRY_AFTER_BASE_SECONDS * (1.0 + RETRY_AFTER_SPREAD)
+    assert low <= times[0] < times[-1] <= high
+    tenth = (high - low) / 10
+    for part in range(10):
+        begin = low + part * tenth
+        assert 50 <= sum(begin <= time < begin + tenth for time in times) <= 160
+
+
+def test_time_told_grows_with_the_overload_and_is_bounded() -> None:
+    rng = random.Random(3)
+    mild = max(retry_after(0.0, rng) for _ in range(100))
+    assert min(retry_after(10.0, rng) for _ in range(100)) > mild
+    bound = RETRY_AFTER_MAX_SECONDS * (1.0 + RETRY_AFTER_SPREAD)
+    assert max(retry_after(1e9, rng) for _ in range(100)) <= bound
