--- a/src/finchshed/admission/gate.py
+++ b/src/finchshed/admission/gate.py
@@ -14,7 +14,7 @@
 
 from finchshed.admission.effects import GateEffect, Refuse, Start
 from finchshed.admission.paths import NO_PATHS, PathThreshold
-from finchshed.admission.rank import rank_of
+from finchshed.admission.rank import is_in_session, rank_of
 from finchshed.admission.threshold import AdmissionThreshold
 from finchshed.common.context import CallContext
 from finchshed.common.outcomes import RefusalReason
@@ -107,7 +107,8 @@
         if not self._queue and len(self._running) < self._concurrency.limit:
             self._begin(token, now)
             return [Start(token)]
-        if rank < self._threshold.value:
+        if rank < self._threshold.value and not context.session:
+            # A running session was admitted as a whole; its requests wait by their rank.
             return [self._refusal(token, RefusalReason.OVERLOAD)]
         return self._enqueue(token, rank, now + context.remaining_seconds, now)
 
@@ -216,7 +217,8 @@
         kept: list[tuple[int, int, _Waiting]] = []
         effects: list[GateEffect] = []
         for key in self._queue:
-            if len(effects) < may_drop and key[0] < self._threshold.value:
+            is_shed = key[0] < self._threshold.value and not is_in_session(key[0])
+            if len(effects) < may_drop and is_shed:
                 del self._waiting[key[2].token]
                 effects.append(self._refusal(key[2].token, RefusalReason.OVERLOAD))
             else:
--- a/src/finchshed/admission/rank.py
+++ b/src/finchshed/admission/rank.py
@@ -38,6 +38,11 @@
     return rank | _SESSION_BIT if context.session else rank
 
 
+def is_in_session(rank: int) -> bool:
+    """Return whether the request belongs to a running session."""
+    return bool(rank & _SESSION_BIT)
+
+
 def class_floor(importance: Importance) -> int:
     """Return the lowest rank of an importance class."""
     return int(importance) << _IMPORTANCE_SHIFT
