--- a/src/finchshed/emulator/daemons/callee.py
+++ b/src/finchshed/emulator/daemons/callee.py
@@ -12,7 +12,7 @@
 from finchshed.admission.effects import GateEffect, Start
 from finchshed.admission.gate import Gate
 from finchshed.admission.paths import PathThresholds
-from finchshed.common.context import HEADER_DOWNSTREAM
+from finchshed.common.context import HEADER_DOWNSTREAM, CallContext
 from finchshed.common.outcomes import (
     Answered,
     Failed,
