Subsets of endpoints, and latencies that are not remembered for ever

Cause: every caller used every endpoint of a service, so its links grew with the deployment. An endpoint whose first answer was slow was drawn only when both random choices fell on it: one of ten with a first answer of 20 s got 4 of the last 1000 of 2000 calls. Of endpoints equally fast the one with the least rounding error above got nothing in a direct comparison.

Change: a daemon uses at most `subset_size` (20) endpoints of a service in each of zone, region and elsewhere, by rendezvous hashing; the others only while none of those can be used. A mean latency fades to the service's with a time constant of 1 s; costs within a tenth are not told apart.

Tried and not kept: fading to the usual latency over 5 s without an answer. The rare draws of the slow endpoint renewed its age, and it stayed at 4 calls.

tests/routing: spread of 60 callers over 200 endpoints, replacement of one that leaves and its return, use of the others, order of declarations, the slow first answer (fails without the fading).

--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -60,7 +60,13 @@
         self._own_listing = OwnListing(settings.endpoint, time.monotonic())
         self._tasks: set[asyncio.Task[None]] = set()
         self._served = ServedRequests()
-        self._table = RoutingTable(settings.zone, settings.region, self._rng)
+        self._table = RoutingTable(
+            settings.zone,
+            settings.region,
+            self._rng,
+            owner=settings.node,
+            subset_size=settings.subset_size,
+        )
         self._platform = PlatformHints(self._table)
         self._links = PeerLinks(settings, self, self._rng)
         self._paths = PathThresholds(self._table.floor)
--- a/src/finchshed/daemon/settings.py
+++ b/src/finchshed/daemon/settings.py
@@ -59,6 +59,17 @@
         tuple[str, ...],
         Meta(description="Networks (CIDR) links from other daemons are taken from."),
     ] = ("127.0.0.0/8", "10.0.0.0/8", "172.16.0.0/12", "192.168.0.0/16")
+    subset_size: Annotated[
+        int,
+        Meta(
+            ge=2,
+            le=100_000,
+            description=(
+                "Endpoints of one service this daemon uses in its zone, in its region and "
+                "elsewhere; the others only while none of those can be used."
+            ),
+        ),
+    ] = 20
     heartbeat_seconds: Annotated[
         float,
         Meta(gt=0, le=60, description="A busy link silent for this long is sent a heartbeat."),
--- a/src/finchshed/emulator/daemons/daemon.py
+++ b/src/finchshed/emulator/daemons/daemon.py
@@ -87,7 +87,7 @@
     def _begin_life(self) -> None:
         streams = self.simulation.streams
         self.random: random.Random = streams.python(f"daemon/{self.name}/{self.life}")
-        self.table = RoutingTable(self.site.zone, REGION, self.random)
+        self.table = RoutingTable(self.site.zone, REGION, self.random, owner=self.name)
         self.accounts = RetryAccounts()
         self._links: dict[str, DaemonLink] = {}
         self._accepted: list[AcceptedLink] = []
--- a/src/finchshed/routing/endpoint.py
+++ b/src/finchshed/routing/endpoint.py
@@ -20,6 +20,12 @@
 SLOW_START_WEIGHT = 0.1
 """Weight a new back end starts with."""
 
+LATENCY_MEMORY_SECONDS = 1.0
+"""What an endpoint's mean latency differs from its service's fades with this time constant.
+
+Else an endpoint whose first answer was slow is never drawn again, and never shows that it is fast.
+"""
+
 MIN_LATENCY_SECONDS = 0.001
 """Latencies below this are not told apart when endpoints are compared."""
 
@@ -52,6 +58,7 @@
     """
 
     __slots__ = (
+        "_answered_at",
         "_cold_since",
         "_penalty",
         "_penalty_at",
@@ -61,6 +68,7 @@
         "ejected_until",
         "ejections",
         "endpoint",
+        "group",
         "in_flight",
         "incarnation",
         "leaving",
@@ -82,6 +90,8 @@
         self.leaving = LeavingSign.NONE
         self.incarnation = ""
         self.place = -1
+        self.group: list[EndpointView] | None = None
+        self._answered_at = float("-inf")
         self._cold_since = cold_since
         self._report = NO_REPORT
         self._report_at = float("-inf")
@@ -152,7 +162,7 @@
         usual_latency
             Mean latency over the service, for an endpoint that has not answered yet.
         """
-        latency = self.mean_latency or usual_latency
+        latency = self._latency(usual_latency, now)
         queued = self.in_flight + 1 + self._penalty_now(now)
         ours = queued * max(latency, MIN_LATENCY_SECONDS) / self._limit(now)
         return ours + self._report.queue_delay * self._freshness(now)
@@ -163,18 +173,27 @@
         self._report_at = now
         self.set_sign(LeavingSign.DRAINING, load.draining)
 
-    def on_result(self, result: CallResult, latency: float, now: float) -> None:
-        """Take the end of one attempt; ``latency`` in seconds."""
+    def on_result(
+        self, result: CallResult, latency: float, usual_latency: float, now: float
+    ) -> None:
+        """Take the end of one attempt; ``latency`` in seconds, ``usual_latency`` the service's."""
         if result is CallResult.OK:
             self.consecutive_failures = 0
-            if self.mean_latency == 0.0:
-                self.mean_latency = latency
-            self.mean_latency += LATENCY_WEIGHT * (latency - self.mean_latency)
+            mean = self._latency(usual_latency, now) if self.mean_latency else latency
+            self.mean_latency = mean + LATENCY_WEIGHT * (latency - mean)
+            self._answered_at = now
         elif result is CallResult.ERROR or result is CallResult.FAILED:
             self.consecutive_failures += 1
             self._penalty = self._penalty_now(now) + 1.0
             self._penalty_at = now
 
+    def _latency(self, usual: float, now: float) -> float:
+        """Return the latency to expect: the mean, faded to the usual one with its age."""
+        if self.mean_latency == 0.0:
+            return usual
+        kept = math.exp((self._answered_at - now) / LATENCY_MEMORY_SECONDS)
+        return usual + kept * (self.mean_latency - usual)
+
     def _limit(self, now: float) -> float:
         """Return the work it takes: what is declared bounds what it says of itself."""
         slots = self.endpoint.slots
--- a/src/finchshed/routing/pool.py
+++ b/src/finchshed/routing/pool.py
@@ -10,6 +10,7 @@
 from collections.abc import Collection, Iterator
 
 import msgspec
+import xxhash
 
 from finchshed.admission.paths import NO_THRESHOLD, PathThreshold
 from finchshed.common.results import CallResult
@@ -18,9 +19,15 @@
 TIERS = 3
 """The caller's zone, its region, anywhere."""
 
+DEFAULT_SUBSET_SIZE = 20
+"""Endpoints of a tier that one caller uses, unless none of them can be used."""
+
 MAX_DRAWS = 8
 """Endpoints of a tier that are looked at for one call."""
 
+BETTER_SHARE = 0.9
+"""Costs nearer to each other than this are not told apart: they are estimates."""
+
 LATENCY_WEIGHT = 0.02
 """Weight of one answer in the service's mean latency."""
 
@@ -42,11 +49,24 @@
     ----------
     rng
         Source of the random choices.
+    owner
+        Identity of the caller; it settles which endpoints are in its subset.
+    subset_size
+        Endpoints of a tier that the caller uses, at least 2. The others are used only while none of
+        those can be, so the links of a caller stay bounded however many endpoints there are.
     """
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(
+        self, rng: random.Random, owner: str = "", subset_size: int = DEFAULT_SUBSET_SIZE
+    ) -> None:
         self._rng = rng
+        self._owner = owner
+        self._subset_size = subset_size
+        self._members: tuple[dict[str, int], ...] = tuple({} for _ in range(TIERS))
+        self._subsets: list[set[str]] = [set() for _ in range(TIERS)]
+        self._lowest = [-1] * TIERS
         self._tiers: tuple[list[EndpointView], ...] = tuple([] for _ in range(TIERS))
+        self._others: tuple[list[EndpointView], ...] = tuple([] for _ in range(TIERS))
         self._tier_of: dict[str, int] = {}
         self._views: dict[str, EndpointView] = {}
         self._parked: list[tuple[float, int, EndpointView]] = []
@@ -70,10 +90,12 @@
         view = self._views.pop(name, None)
         if view is not None:
             self._close(view)
-            del self._tier_of[name]
+            tier = self._tier_of.pop(name)
+            self._drop_member(name, tier)
 
     def refresh(self, view: EndpointView, now: float) -> None:
         """Sort an endpoint anew after its availability changed."""
+        self._note_leaving(view)
         if view.is_available(now):
             self._open(view)
             return
@@ -90,7 +112,19 @@
         2001.
         """
         self._unpark(now)
-        views = self._tiers[tier]
+        drawn = self._draw_from(self._tiers[tier], rank, route, excluded, now)
+        if drawn.view is not None or drawn.shed:
+            return drawn
+        return self._draw_from(self._others[tier], rank, route, excluded, now)
+
+    def _draw_from(
+        self,
+        views: list[EndpointView],
+        rank: int,
+        route: str,
+        excluded: Collection[str],
+        now: float,
+    ) -> Drawn:
         shed = False
         for first in self._sample(views):
             if first.endpoint.name in excluded:
@@ -103,8 +137,8 @@
             if second.endpoint.name in excluded or not second.admits(rank, route, now):
                 return Drawn(first, shed)
             usual = self.mean_latency
-            better = second if second.cost(usual, now) < first.cost(usual, now) else first
-            return Drawn(better, shed)
+            is_better = second.cost(usual, now) < BETTER_SHARE * first.cost(usual, now)
+            return Drawn(second if is_better else first, shed)
         return Drawn(None, shed)
 
     def floor(self, route: str, now: float) -> PathThreshold:
@@ -162,16 +196,55 @@
     def _open(self, view: EndpointView) -> None:
         if view.place >= 0:
             return
-        tier = self._tiers[self._tier_of[view.endpoint.name]]
-        view.place = len(tier)
-        tier.append(view)
+        name = view.endpoint.name
+        tier = self._tier_of[name]
+        group = (self._tiers if name in self._subsets[tier] else self._others)[tier]
+        view.group = group
+        view.place = len(group)
+        group.append(view)
 
     def _close(self, view: EndpointView) -> None:
-        if view.place < 0:
+        if view.place < 0 or view.group is None:
             return
-        tier = self._tiers[self._tier_of[view.endpoint.name]]
-        last = tier.pop()
+        last = view.group.pop()
         if last is not view:
-            tier[view.place] = last
+            view.group[view.place] = last
             last.place = view.place
         view.place = -1
+        view.group = None
+
+    def _note_leaving(self, view: EndpointView) -> None:
+        """Let another endpoint take the place in the subset of one that leaves, and back."""
+        name = view.endpoint.name
+        tier = self._tier_of[name]
+        if view.leaving:
+            self._drop_member(name, tier)
+        elif name not in self._members[tier]:
+            score = self._score(name)
+            self._members[tier][name] = score
+            if score > self._lowest[tier]:
+                self._choose_subset(tier)
+
+    def _drop_member(self, name: str, tier: int) -> None:
+        if self._members[tier].pop(name, None) is not None and name in self._subsets[tier]:
+            self._choose_subset(tier)
+
+    def _choose_subset(self, tier: int) -> None:
+        """Take the members of the highest scores (rendezvous hashing, Thaler, Ravishankar, 1998).
+
+        A member that comes or goes changes at most one other's place.
+        """
+        members = self._members[tier]
+        chosen = heapq.nlargest(self._subset_size, members, key=members.__getitem__)
+        is_whole = len(chosen) < self._subset_size
+        self._lowest[tier] = -1 if is_whole else members[chosen[-1]]
+        before = self._subsets[tier]
+        self._subsets[tier] = set(chosen)
+        for name in before.symmetric_difference(chosen):
+            view = self._views.get(name)
+            if view is not None and view.place >= 0:
+                self._close(view)
+                self._open(view)
+
+    def _score(self, name: str) -> int:
+        return xxhash.xxh3_64_intdigest(f"{self._owner}/{name}".encode())
--- a/src/finchshed/routing/table.py
+++ b/src/finchshed/routing/table.py
@@ -18,7 +18,7 @@
 from finchshed.link.messages import LoadReport
 from finchshed.retry.policy import retry_after
 from finchshed.routing.endpoint import EndpointView, LeavingSign
-from finchshed.routing.pool import TIERS, ServicePool
+from finchshed.routing.pool import DEFAULT_SUBSET_SIZE, TIERS, ServicePool
 
 EJECT_AFTER_FAILURES = 5
 """Failures in a row after which an endpoint is ejected."""
@@ -48,9 +48,23 @@
         Where the daemon runs.
     rng
         Source of the random choices.
+    owner
+        Identity of the daemon; daemons of different identities use different subsets.
+    subset_size
+        Endpoints of one service in each of zone, region and elsewhere that are used.
     """
 
-    def __init__(self, zone: str, region: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        zone: str,
+        region: str,
+        rng: random.Random,
+        *,
+        owner: str = "",
+        subset_size: int = DEFAULT_SUBSET_SIZE,
+    ) -> None:
+        self._owner = owner
+        self._subset_size = subset_size
         self._zone = zone
         self._region = region
         self._rng = rng
@@ -141,8 +155,9 @@
         view.in_flight = max(0, view.in_flight - 1)
         if load is not None:
             self._take_report(view, load, now)
-        view.on_result(result, latency, now)
-        self._pools[view.endpoint.service].on_result(result, latency)
+        pool = self._pools[view.endpoint.service]
+        pool.on_result(result, latency)
+        view.on_result(result, latency, pool.mean_latency, now)
         if view.consecutive_failures >= EJECT_AFTER_FAILURES:
             self._eject(view, now)
 
@@ -200,7 +215,9 @@
         endpoint = view.endpoint
         pool = self._pools.get(endpoint.service)
         if pool is None:
-            pool = self._pools[endpoint.service] = ServicePool(self._rng)
+            pool = self._pools[endpoint.service] = ServicePool(
+                self._rng, self._owner, self._subset_size
+            )
         pool.put(view, self._tier(endpoint), now)
         self._views[endpoint.name] = view
         return view
--- a/tests/routing/test_table.py
+++ b/tests/routing/test_table.py
@@ -11,7 +11,7 @@
 from finchshed.common.results import CallResult
 from finchshed.configuration.resources import Endpoint, EndpointState
 from finchshed.link.messages import LoadReport
-from finchshed.routing.endpoint import SLOW_START_SECONDS, LeavingSign
+from finchshed.routing.endpoint import LATENCY_MEMORY_SECONDS, SLOW_START_SECONDS, LeavingSign
 from finchshed.routing.table import EJECT_AFTER_FAILURES, LINK_RETRY_MAX_SECONDS, RoutingTable
 
 CONTEXT = CallContext("root", Importance.NORMAL, 1.0)
@@ -199,3 +199,73 @@
         patch.setattr(kind, "admits", counted)
         choices(table, 0.0, 100)
     assert looked <= 300
+
+
+def table_with_subset(owner: str, endpoints: int, subset_size: int) -> RoutingTable:
+    table = RoutingTable("z", "r", random.Random(5), owner=owner, subset_size=subset_size)
+    table.replace([endpoint(number) for number in range(endpoints)])
+    return table
+
+
+def used(table: RoutingTable, now: float = 0.0) -> set[str]:
+    return set(choices(table, now, 400))
+
+
+def test_caller_uses_a_subset_of_many_endpoints() -> None:
+    load: Counter[str] = Counter()
+    for owner in range(60):
+        subset = used(table_with_subset(f"daemon-{owner}", 200, 20))
+        assert len(subset) == 20
+        load.update(subset)
+    assert len(load) > 190
+    assert max(load.values()) <= 16
+
+
+def test_leaving_member_of_a_subset_is_replaced_by_one_other() -> None:
+    table = table_with_subset("daemon", 60, 10)
+    before = used(table)
+    gone = min(before)
+    table.mark_draining(gone, 1.0)
+    after = used(table, 1.0)
+    assert len(after) == 10
+    assert after - before != set()
+    assert before - after == {gone}
+    table.mark_leaving(gone, LeavingSign.DRAINING, False, 2.0)
+    assert used(table, 2.0) == before
+
+
+def test_others_are_used_while_no_member_of_the_subset_can_be() -> None:
+    table = table_with_subset("daemon", 12, 4)
+    subset = used(table)
+    for name in subset:
+        table.on_link_down(name, 0.0)
+    assert used(table, 0.0).isdisjoint(subset)
+    assert len(used(table, 0.0)) == 8
+    later = LINK_RETRY_MAX_SECONDS
+    assert used(table, later) == subset
+
+
+def test_subset_does_not_change_with_the_order_of_declarations() -> None:
+    declared = [endpoint(number) for number in range(100)]
+    subsets = []
+    for seed in range(3):
+        table = RoutingTable("z", "r", random.Random(5), owner="daemon", subset_size=10)
+        random.Random(seed).shuffle(declared)
+        table.replace(declared)
+        subsets.append(used(table))
+    assert subsets[0] == subsets[1] == subsets[2]
+
+
+def test_endpoint_with_one_slow_answer_is_drawn_again() -> None:
+    names = [f"e{number}" for number in range(10)]
+    table = table_of(*(endpoint(number) for number in range(10)))
+    warm(table, names[1:])
+    table.on_sent("e0", 0.0)
+    table.on_reply("e0", None, CallResult.OK, 20.0, 0.0)
+    drawn: Counter[str] = Counter()
+    for step in range(2000):
+        now = 20.0 * LATENCY_MEMORY_SECONDS * step / 2000
+        name = chosen(table, now)
+        drawn[name] += now > 10.0 * LATENCY_MEMORY_SECONDS
+        answer(table, name, now)
+    assert drawn["e0"] > 0.05 * sum(drawn.values())
