--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -75,3 +75,12 @@
     assert refused < set(range(2, 8))
     kept = set(range(5, 8)) - refused
     assert held.finish(1, CallResult.OK, 0.3) == [Start(min(kept))]
+
+
+def test_running_session_is_not_refused_for_a_threshold_of_its_path() -> None:
+    held = gate()
+    floor = float(int(Importance.CRITICAL) << 17)
+    in_session = CallContext("s", Importance.NORMAL, 10.0, session="download")
+    assert held.arrive(1, in_session, 0.0, floor) == [Start(1)]
+    outside = held.arrive(2, context(Importance.NORMAL), 0.0, floor)
+    assert [type(effect) for effect in outside] == [Refuse]
--- a/tests/routing/test_table.py
+++ b/tests/routing/test_table.py
@@ -269,3 +269,13 @@
         drawn[name] += now > 10.0 * LATENCY_MEMORY_SECONDS
         answer(table, name, now)
     assert drawn["e0"] > 0.05 * sum(drawn.values())
+
+
+def test_call_of_a_session_passes_thresholds() -> None:
+    table = table_of(endpoint(0), endpoint(1))
+    for name in ("e0", "e1"):
+        table.on_report(name, LoadReport(threshold=int(Importance.HIGH) << 17), 0.0)
+    in_session = CallContext("root", Importance.NORMAL, 1.0, session="s")
+    outside = CallContext("root", Importance.NORMAL, 1.0)
+    assert isinstance(table.choose("s", outside, (), 0.0), Refused)
+    assert isinstance(table.choose("s", in_session, (), 0.0), Endpoint)
