--- a/src/finchshed/emulator/daemons/daemon.py
+++ b/src/finchshed/emulator/daemons/daemon.py
@@ -5,9 +5,6 @@
 from dataclasses import dataclass, field
 from typing import Final, Protocol
 
-import msgspec
-import xxhash
-
 from finchshed.admission.fairness import FairPositions
 from finchshed.admission.paths import PathThresholds
 from finchshed.common.context import CallContext
@@ -18,10 +15,13 @@
 from finchshed.distribution.messages import Delta, Hints
 from finchshed.distribution.snapshot import Configuration
 from finchshed.emulator.backend import BackEnd
+from finchshed.emulator.daemons.accepted_link import AcceptedLink, CallMessage
 from finchshed.emulator.daemons.callee import Callee
+from finchshed.emulator.daemons.configuration_digest import digest_of_configuration
 from finchshed.emulator.daemons.control_plane import ControlPlane
-from finchshed.emulator.daemons.link import AcceptedLink, CallMessage, DaemonLink
+from finchshed.emulator.daemons.link import DaemonLink
 from finchshed.emulator.daemons.outgoing import CallingProcess, OnFinish, OutgoingCall
+from finchshed.emulator.daemons.pins import SessionPins
 from finchshed.emulator.network import Site
 from finchshed.emulator.request import Cancel, Done, Request
 from finchshed.emulator.simulation import Simulation
@@ -93,6 +93,7 @@
         self._accepted: list[AcceptedLink] = []
         self._buckets: dict[str, RetryBucket] = {}
         self._joined: dict[str, _Joined] = {}
+        self._pins = SessionPins()
         self._fair = FairPositions(self.now)
         self._linked_at: dict[str, float] = {}
         self._listed: set[str] = set()
@@ -205,6 +206,7 @@
         def finished(outcome: Outcome, _spare: int) -> None:
             self._in_progress -= 1
             self._joined.pop(request.root, None)
+            self._pins.answered(request, joined.outgoing.endpoint, outcome, self.now)
             waiting = list(joined.waiting.values())
             joined.waiting.clear()
             for waiter in waiting:
@@ -215,6 +217,7 @@
         self._joined[request.root] = joined
         self._in_progress += 1
         joined.outgoing.begin()
+        self._pins.sent(request, joined.outgoing.endpoint, self.now)
         return joined
 
     def _leave(self, joined: _Joined, call: str) -> None:
@@ -265,6 +268,7 @@
             context,
             repeatable=request.repeatable,
             rng=self.random,
+            pinned=self._pins.endpoint_of(request),
             route=request.kind,
         )
         return OutgoingCall(self, logic, request, context, finished)
@@ -394,11 +398,5 @@
         self._begin_life()
 
 
-def digest_of_configuration(configuration: Configuration) -> str:
-    """Return xxh3-64 (hexadecimal) over all resources, in order of their keys."""
-    resources = [configuration.resources[key] for key in sorted(configuration.resources)]
-    return xxhash.xxh3_64_hexdigest(msgspec.json.encode(resources))
-
-
 def _nothing() -> None:
     """Cancel a call that has ended already."""
--- a/src/finchshed/scale/network.py
+++ b/src/finchshed/scale/network.py
@@ -75,6 +75,14 @@
         self._network.closed(self)
         self._inner.connection_lost(exc)
 
+    def pause_writing(self) -> None:
+        """Pass on that the buffer is full (asyncio callback)."""
+        self._inner.pause_writing()
+
+    def resume_writing(self) -> None:
+        """Pass on that the buffer drained (asyncio callback)."""
+        self._inner.resume_writing()
+
     def apply(self, is_cut: bool) -> None:
         """Cut the connection, or let it go on."""
         if self._transport is not None:
@@ -111,6 +119,10 @@
         else:
             self._transport.write(data)
 
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        """Pass the limits on; what a cut holds doesn't count for them."""
+        self._transport.set_write_buffer_limits(high, low)
+
     def get_write_buffer_size(self) -> int:
         """Return the bytes not yet taken by the operating system, those held included."""
         return self._transport.get_write_buffer_size() + sum(map(len, self._held))
--- a/tests/proof/test_checks.py
+++ b/tests/proof/test_checks.py
@@ -1,5 +1,7 @@
 """Each checker passes a history that keeps its property, and finds one that doesn't."""
 
+import msgspec
+
 from finchshed.common.importance import Importance
 from finchshed.proof.history import (
     AttemptSent,
@@ -109,6 +111,46 @@
     assert not found("shed-order", killed, *low, *high)
 
 
+def test_shares_are_compared_at_equal_times() -> None:
+    """Overload of the more important class that ends as the less important arrives is in order."""
+    span = admissions(0.0, Importance.HIGH, 0, 50, end=1.5)
+    span += admissions(1.5, Importance.HIGH, 30, 1, end=2.0)
+    later = admissions(1.5, Importance.SHEDDABLE, 30, 0, end=2.0)
+    assert not found("shed-order", *span, *later)
+    together = admissions(0.7, Importance.SHEDDABLE, 30, 0, end=1.5)
+    assert found("shed-order", *span, *together)
+
+
+def test_running_sessions_are_left_out_of_the_order() -> None:
+    high = admissions(0.0, Importance.HIGH, 0, 60, end=2.0)
+    low = admissions(0.5, Importance.NORMAL, 40, 0, end=2.0)
+    assert found("shed-order", *high, *low)
+    running = [msgspec.structs.replace(item, in_session=True) for item in low]
+    assert not found("shed-order", *high, *running)
+
+
+def in_session(time: float, name: str) -> CallBegan:
+    root = name.split("/", maxsplit=1)[0]
+    return CallBegan(time, name, root, "s", Importance.NORMAL, session="a")
+
+
+def test_a_refused_request_of_a_running_session_is_found() -> None:
+    runs = (in_session(0.0, "r1/1"), run(0.1), finished(0.2), answered(0.3))
+    later = (in_session(1.0, "r2/1"), refused(1.1, "r2/1"))
+    assert found("sessions", *runs, *later)
+    assert not found("sessions", *later)
+    killed = Fault(0.5, "crash_daemon", ("e1",))
+    assert not found("sessions", *runs, killed, *later)
+    slowed = Fault(0.5, "slow_service", ("s",))
+    assert found("sessions", *runs, slowed, *later)
+
+
+def test_a_request_sent_before_its_session_ran_may_be_refused() -> None:
+    early = (in_session(0.1, "r2/1"), refused(0.5, "r2/1"))
+    runs = (in_session(0.0, "r1/1"), run(0.1), finished(0.2), answered(0.3))
+    assert not found("sessions", *runs, *early)
+
+
 def leaving(begin: float, *runs: Event, sign: str = "answer") -> list[Event]:
     return [EndpointLeaving(begin, "e1", sign), *runs]
 
