--- /dev/null
+++ b/src/finchshed/daemon/backend_call.py
@@ -0,0 +1,63 @@
+"""What the daemon tells the back end with a call, and what the back end's result means."""
+
+from finchshed.common.context import (
+    HEADER_ACCOUNT,
+    HEADER_CALLER,
+    HEADER_DEADLINE,
+    HEADER_IDEMPOTENCY_KEY,
+    HEADER_IMPORTANCE,
+    HEADER_ROOT,
+    HEADER_SESSION,
+)
+from finchshed.common.outcomes import (
+    Answered,
+    Failed,
+    FailureReason,
+    Headers,
+    Outcome,
+    RefusalReason,
+    Refused,
+)
+from finchshed.daemon.backend import (
+    BackendAnswer,
+    BackendAnswerTooLarge,
+    BackendResult,
+    BackendTimedOut,
+    BackendUnreached,
+)
+from finchshed.daemon.work import Work
+
+
+def backend_headers(work: Work, remaining: float) -> Headers:
+    """Return the headers of the request to the back end, with ``remaining`` seconds left."""
+    context = work.call.context
+    account = work.served.account if work.served is not None else ""
+    headers = [
+        *work.call.headers,
+        (HEADER_ROOT, context.root),
+        (HEADER_ACCOUNT, account),
+        (HEADER_DEADLINE, str(max(0, int(remaining * 1000)))),
+        (HEADER_IMPORTANCE, str(int(context.importance))),
+    ]
+    if context.caller:
+        headers.append((HEADER_CALLER, context.caller))
+    if context.session:
+        headers.append((HEADER_SESSION, context.session))
+    if context.key:
+        headers.append((HEADER_IDEMPOTENCY_KEY, context.key))
+    return tuple(headers)
+
+
+def outcome_of(result: BackendResult, wait: float) -> Outcome:
+    """Return the outcome that a result means; ``wait`` is when to come back, seconds."""
+    if isinstance(result, BackendAnswer):
+        if result.ran:
+            return Answered(result.status, result.headers, result.body)
+        return Refused(RefusalReason.BACKEND_REFUSED, wait)
+    if isinstance(result, BackendUnreached):
+        return Refused(RefusalReason.CONNECT_FAILED, wait, result.detail)
+    if isinstance(result, BackendTimedOut):
+        return Failed(FailureReason.DEADLINE, wait)
+    if isinstance(result, BackendAnswerTooLarge):
+        return Failed(FailureReason.ANSWER_TOO_LARGE, wait)
+    return Failed(FailureReason.BACKEND_BROKEN, wait, result.detail)
--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -15,20 +15,10 @@
 from finchshed.admission.gate import Gate
 from finchshed.admission.paths import PathThresholds
 from finchshed.common.context import (
-    HEADER_ACCOUNT,
-    HEADER_CALLER,
-    HEADER_DEADLINE,
-    HEADER_IDEMPOTENCY_KEY,
-    HEADER_IMPORTANCE,
-    HEADER_ROOT,
-    HEADER_SESSION,
     CallContext,
 )
 from finchshed.common.outcomes import (
     Answered,
-    Failed,
-    FailureReason,
-    Headers,
     Outcome,
     RefusalReason,
     Refused,
@@ -39,12 +29,10 @@
 from finchshed.daemon.backend import (
     Backend,
     BackendAnswer,
-    BackendAnswerTooLarge,
     BackendRequest,
     BackendResult,
-    BackendTimedOut,
-    BackendUnreached,
 )
+from finchshed.daemon.backend_call import backend_headers, outcome_of
 from finchshed.daemon.catalogue import Catalogue
 from finchshed.daemon.guarded import GuardedRuns
 from finchshed.daemon.ledger_port import scoped_key
@@ -257,7 +245,7 @@
         request = BackendRequest(
             method=call.method,
             path=call.path,
-            headers=self._backend_headers(work, remaining),
+            headers=backend_headers(work, remaining),
             body=call.body,
             timeout_seconds=remaining,
             max_answer_bytes=work.max_body_bytes,
@@ -268,30 +256,12 @@
             request, lambda result: self._on_backend_result(work, result)
         )
 
-    def _backend_headers(self, work: Work, remaining: float) -> Headers:
-        context = work.call.context
-        account = work.served.account if work.served is not None else ""
-        headers = [
-            *work.call.headers,
-            (HEADER_ROOT, context.root),
-            (HEADER_ACCOUNT, account),
-            (HEADER_DEADLINE, str(max(0, int(remaining * 1000)))),
-            (HEADER_IMPORTANCE, str(int(context.importance))),
-        ]
-        if context.caller:
-            headers.append((HEADER_CALLER, context.caller))
-        if context.session:
-            headers.append((HEADER_SESSION, context.session))
-        if context.key:
-            headers.append((HEADER_IDEMPOTENCY_KEY, context.key))
-        return tuple(headers)
-
     def _on_backend_result(self, work: Work, result: BackendResult) -> None:
         if work.state is not WorkState.AT_BACKEND:
             return
         if isinstance(result, BackendAnswer) and result.draining:
             self._on_backend_leaving()
-        outcome = self._outcome_of(result)
+        outcome = outcome_of(result, retry_after(0.0, self._rng))
         if work.repeatable:
             self._finish(work, outcome)
             return
@@ -300,20 +270,6 @@
         self._apply(self._gate.finish(work.token, result_of(outcome), time.monotonic()))
         self._guarded.settle(work, outcome, self._finish)
 
-    def _outcome_of(self, result: BackendResult) -> Outcome:
-        if isinstance(result, BackendAnswer):
-            if result.ran:
-                return Answered(result.status, result.headers, result.body)
-            return self._refused(RefusalReason.BACKEND_REFUSED)
-        if isinstance(result, BackendUnreached):
-            return self._refused(RefusalReason.CONNECT_FAILED, result.detail)
-        wait = retry_after(0.0, self._rng)
-        if isinstance(result, BackendTimedOut):
-            return Failed(FailureReason.DEADLINE, wait)
-        if isinstance(result, BackendAnswerTooLarge):
-            return Failed(FailureReason.ANSWER_TOO_LARGE, wait)
-        return Failed(FailureReason.BACKEND_BROKEN, wait, result.detail)
-
     def _finish(self, work: Work, outcome: Outcome) -> None:
         """Answer a call that was started, and free its slot."""
         if work.state is WorkState.DONE:
