--- a/src/finchshed/daemon/http_server.py
+++ b/src/finchshed/daemon/http_server.py
@@ -78,12 +78,6 @@
         for connection in list(self._connections):
             self._check(connection)
 
-    def close_idle(self) -> None:
-        """Close the connections that carry no request."""
-        for connection in list(self._connections):
-            if not connection.is_busy:
-                connection.close()
-
     def close(self) -> None:
         """Close every connection."""
         for connection in list(self._connections):
