--- a/src/finchshed/emulator/daemons/callee.py
+++ b/src/finchshed/emulator/daemons/callee.py
@@ -3,10 +3,8 @@
 Counterpart of :mod:`finchshed.daemon.callee` and :mod:`finchshed.daemon.guarded`.
 """
 
-import enum
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Final
 
 import msgspec
@@ -25,11 +23,12 @@
 )
 from finchshed.common.results import SERVER_ERROR, CallResult, result_of
 from finchshed.emulator.backend import HEADER_DRAINING, BackEnd
+from finchshed.emulator.daemons.accepted_link import AcceptedLink, CallMessage
 from finchshed.emulator.daemons.ledger_client import LedgerClient
-from finchshed.emulator.daemons.link import AcceptedLink, CallMessage
 from finchshed.emulator.daemons.outgoing import SHED_REASONS
 from finchshed.emulator.daemons.process import Process
-from finchshed.emulator.request import Cancel, Request
+from finchshed.emulator.daemons.work import Work, WorkState
+from finchshed.emulator.request import Request
 from finchshed.ledger.results import Completed, Granted, LedgerResult, OutcomeUnknown
 from finchshed.link.digests import digest_of
 from finchshed.link.messages import LoadReport, Reply
@@ -52,49 +51,6 @@
 GRANT_LEASE_SECONDS: Final = 2.0
 
 
-class WorkState(enum.Enum):
-    """Where a call is."""
-
-    QUEUED = "queued"
-    ASKING_LEDGER = "asking_ledger"
-    AT_BACK_END = "at_back_end"
-    RECORDING = "recording"
-    DONE = "done"
-
-
-@dataclass(slots=True, eq=False)
-class Work:
-    """One call being served."""
-
-    token: int
-    link: AcceptedLink
-    message: CallMessage
-    deadline: float
-    state: WorkState = WorkState.QUEUED
-    abandoned: bool = False
-    account: str = ""
-    opens_session: bool = False
-    ledger_attempt: str = ""
-    asked_at: float = 0.0
-    cancel_back_end: Cancel | None = None
-
-    @property
-    def repeatable(self) -> bool:
-        """Whether the request may run more than once."""
-        return self.message.request.repeatable
-
-    @property
-    def session(self) -> str:
-        """Session that is pinned to this back end; calls further down only carry its name."""
-        request = self.message.request
-        return "" if request.parent else request.session
-
-    def rank_context(self) -> CallContext:
-        """Return the context the call is ranked by: a session it opens is not running yet."""
-        context = self.message.context
-        return msgspec.structs.replace(context, session="") if self.opens_session else context
-
-
 class Callee:
     """Serves calls with the local back end."""
 
@@ -121,7 +77,7 @@
         self._works: dict[int, Work] = {}
         self._by_call: dict[tuple[str, int], Work] = {}
         self._deadlines: dict[str, float] = {}
-        self._positions: dict[str, int] = {}
+        self._ranked_by: dict[str, CallContext] = {}
         self._failed_downstream: set[str] = set()
         self._sessions = SessionTable()
         self._next_token = 1
@@ -152,9 +108,9 @@
         """Return the deadline of a request being served, by its account."""
         return self._deadlines.get(account)
 
-    def position_of(self, account: str) -> int:
-        """Return the position that a request being served has within its class."""
-        return self._positions.get(account, -1)
+    def ranked_by(self, account: str) -> CallContext | None:
+        """Return the context that a request being served is ranked by."""
+        return self._ranked_by.get(account)
 
     def call_on_began(self, account: str, request: Request) -> None:
         """Take note of a call that the back end makes for a request it serves."""
@@ -309,7 +265,7 @@
         work.account = f"{self._process.name}.{self._process.life}.{work.token}"
         self._accounts.open(work.account, context.spare_attempts)
         self._deadlines[work.account] = work.deadline
-        self._positions[work.account] = context.position
+        self._ranked_by[work.account] = work.rank_context()
         self._paths.on_start(work.account, work.message.request.kind)
         request = work.message.request
         served = Request(
@@ -379,7 +335,7 @@
         if work.account:
             spare = self._accounts.close(work.account)
             self._deadlines.pop(work.account, None)
-            self._positions.pop(work.account, None)
+            self._ranked_by.pop(work.account, None)
             self._paths.on_end(work.account, answered=result is CallResult.OK)
             self._failed_downstream.discard(work.account)
         self._forget(work)
