Every fault run failed at its judgement since sessions are checked

Cause: the checker `sessions` was added to the list of checkers, and the fleet's table of cases by checker had no row for it, so each `fleet run` ended in KeyError: 'sessions' after the whole run. The checker also took a session for running only after a 200, while downloads of a fleet come in ranges, with 206: over a fleet's history it could judge nothing.

Ruled out: a default of 0 cases for checkers without a row; it would hide the next one.

Change: a row for it, counting answered requests of sessions; 206 begins a session too.

--- a/src/finchshed/fleet/coverage.py
+++ b/src/finchshed/fleet/coverage.py
@@ -2,7 +2,15 @@
 
 from collections.abc import Callable, Mapping
 
-from finchshed.proof.checks import answers, configuration, leaving, retries, runs, shedding
+from finchshed.proof.checks import (
+    answers,
+    configuration,
+    leaving,
+    retries,
+    runs,
+    sessions,
+    shedding,
+)
 from finchshed.proof.checks.index import Index
 from finchshed.proof.history import CallEnded, CallResult, ChangeAnswered, PlannedStop
 
@@ -23,6 +31,16 @@
     return len(index.outside_calls)
 
 
+def _sessions(index: Index) -> int:
+    return sum(
+        event.call in index.calls
+        and bool(index.calls[event.call].session)
+        and sessions.is_served(event)
+        for event in index.events
+        if isinstance(event, CallEnded)
+    )
+
+
 def _keys(index: Index) -> int:
     return len({(run.service, run.key) for run in index.runs.values() if run.key})
 
@@ -45,6 +63,7 @@
 CASES: Mapping[str, Callable[[Index], int]] = {
     retries.NAME: _outside,
     shedding.NAME: _refused,
+    sessions.NAME: _sessions,
     answers.NAME: _answered,
     answers.NAME_ENDS: _outside,
     runs.NAME_REFUSED: _refused,
--- a/src/finchshed/proof/checks/sessions.py
+++ b/src/finchshed/proof/checks/sessions.py
@@ -15,7 +15,8 @@
 from finchshed.proof.history import CallEnded, CallResult
 
 NAME: Final = "sessions"
-STATUS_OK: Final = 200
+SERVED_STATUSES: Final = frozenset({200, 206})
+"""Answers that a session's work is in: the whole, or a range of a download."""
 
 DROPPING: Final = frozenset(
     {
@@ -38,7 +39,7 @@
         call = index.calls.get(event.call)
         if call is None or call.parent or not call.session:
             continue
-        if event.result is CallResult.ANSWERED and event.status == STATUS_OK:
+        if is_served(event):
             running.setdefault(call.session, event.time)
         began = running.get(call.session)
         dropped = event.result is CallResult.REFUSED and event.reason in DROPPING
@@ -50,5 +51,10 @@
         yield Violation(NAME, event.time, event.call, detail)
 
 
+def is_served(ended: CallEnded) -> bool:
+    """Return whether a request's end gave a session what it asked for."""
+    return ended.result is CallResult.ANSWERED and ended.status in SERVED_STATUSES
+
+
 def _near(time: float, span: tuple[float, float]) -> bool:
     return span[0] - FAULT_MARGIN_SECONDS <= time <= span[1] + FAULT_MARGIN_SECONDS
