A fault script publishes editions while downloads run

Cause: downloads ran in sessions through every script, but no script published a new edition meanwhile, so nothing showed on real processes that parts of two editions are never put together. The stand-in back end also knew If-Match only, while the daemons ask with If-Range.

Ruled out: one publication at a set time; a download of 4 ranges takes about half a second, so it would seldom meet one.

Change: the act `edition` publishes so many editions in a row, with a pause between back ends (they hold different ones meanwhile). Stand-in back ends heed If-Range (RFC 9110, 13.1.5), in a module of their own. Loads may leave the edition to the system (`conditional = false`). Callers record the validator of each part; the new check `downloads of one edition` looks at whole downloads and fails if editions came out and no download met one.

--- a/src/finchshed/fleet/acts.py
+++ b/src/finchshed/fleet/acts.py
@@ -94,10 +94,23 @@
 
 
 class Edition(Act, frozen=True, kw_only=True, tag="edition"):
-    """Publish a new edition on all back ends of a service."""
+    """Publish new editions on all back ends of a service.
+
+    Attributes
+    ----------
+    edition
+        Number of the first one.
+    times, every_seconds
+        Publish so many, with consecutive numbers, so far apart.
+    pause_seconds
+        Pause between one back end and the next: meanwhile they hold different editions.
+    """
 
     target: Name
     edition: Annotated[int, msgspec.Meta(ge=1)]
+    times: Annotated[int, msgspec.Meta(ge=1, le=1000)] = 1
+    every_seconds: Seconds = 0.0
+    pause_seconds: Seconds = 0.0
 
 
 class Cut(Act, frozen=True, kw_only=True, tag="cut"):
--- /dev/null
+++ b/src/finchshed/fleet/editions.py
@@ -0,0 +1,55 @@
+"""Whether downloads that ran while new editions came out were put together from one edition.
+
+A caller checks each range against the edition that it names; this looks at whole downloads, from
+the validators of all their parts.
+"""
+
+from collections.abc import Iterable, Iterator
+
+from finchshed.standins.downloads import EDITION_CHANGED_STATUS, PART_STATUS, WHOLE_STATUS
+from finchshed.standins.records import CallerOutcome, CallerRecord
+
+NAME = "downloads of one edition"
+NEW_EDITION = frozenset({EDITION_CHANGED_STATUS, WHOLE_STATUS})
+"""Statuses that tell a caller, who asked for a range, of another edition."""
+
+
+def met_a_new_one(record: CallerRecord) -> bool:
+    """Return whether a download's edition was replaced while it ran."""
+    return _is_download(record) and any(
+        attempt.status in NEW_EDITION for attempt in record.attempts
+    )
+
+
+def problems_of(records: Iterable[CallerRecord], *, published: bool) -> list[str]:
+    """Return a line for each download that put parts of several editions together.
+
+    Parameters
+    ----------
+    published
+        Whether new editions came out during the run; then some download must have met one, or
+        nothing was shown.
+    """
+    downloads = [record for record in records if _is_download(record)]
+    lines = [line for record in downloads for line in _mixed(record)]
+    if published and not any(met_a_new_one(record) for record in downloads):
+        lines.append("editions were published, but no download met a new one")
+    return lines
+
+
+def _is_download(record: CallerRecord) -> bool:
+    return any(attempt.edition for attempt in record.attempts)
+
+
+def _mixed(record: CallerRecord) -> Iterator[str]:
+    parts: list[str] = []
+    for attempt in record.attempts:
+        if attempt.outcome is not CallerOutcome.ANSWERED:
+            continue
+        if attempt.status in NEW_EDITION:
+            parts = []
+        if attempt.status in {PART_STATUS, WHOLE_STATUS}:
+            parts.append(attempt.edition)
+        if len(set(parts)) > 1:
+            yield f"{attempt.call}: parts of editions {', '.join(sorted(set(parts)))}"
+            return
--- a/src/finchshed/fleet/fault_run.py
+++ b/src/finchshed/fleet/fault_run.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from finchshed.common.errors import SettingsError
-from finchshed.fleet import final_configuration, process_table
+from finchshed.fleet import editions, final_configuration, process_table
+from finchshed.fleet.acts import Edition
 from finchshed.fleet.bring_up import bring_up, plan_fleet
 from finchshed.fleet.coverage import CASES
 from finchshed.fleet.deployment import Deployment, read_deployment
@@ -200,6 +201,14 @@
             for attempt in record.attempts
         )
         yield Check("answers whole and the caller's own", answered, wrong_answers(records.callers))
+        yield Check(
+            editions.NAME,
+            sum(editions.met_a_new_one(record) for record in records.callers),
+            editions.problems_of(
+                records.callers,
+                published=any(isinstance(act, Edition) for act in self._scenario.act),
+            ),
+        )
         lost = [] if self._callers_ended_well else ["a caller process didn't end well"]
         fallen = [f"ended unasked: {name}" for name in self._fallen]
         yield Check(
--- a/src/finchshed/fleet/faults.py
+++ b/src/finchshed/fleet/faults.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import collections
+import contextlib
 import itertools
 import pathlib
 import resource
-import shutil
 import signal
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -14,6 +14,7 @@
 
 from finchshed.common.errors import FinchshedError
 from finchshed.fleet import acts
+from finchshed.fleet.data_folders import largest_file_bytes, wipe_folder
 from finchshed.fleet.journal import FaultJournal
 from finchshed.fleet.link_faults import LinkFaults
 from finchshed.fleet.links import FleetLinks
@@ -208,8 +209,16 @@
                 self._note_stopped(process)
 
     async def _edition(self, act: acts.Edition) -> None:
-        for endpoint in self._endpoints(act.target):
-            await self._fleet.command_backend(endpoint, "edition", str(act.edition))
+        for number in range(act.edition, act.edition + act.times):
+            for endpoint in self._endpoints(act.target):
+                await self._publish(endpoint, number)
+                await asyncio.sleep(act.pause_seconds)
+            await asyncio.sleep(act.every_seconds)
+
+    async def _publish(self, endpoint: str, number: int) -> None:
+        """Publish an edition on one back end; one that is gone or starting gets the next."""
+        with contextlib.suppress(aiohttp.ClientError):
+            await self._fleet.command_backend(endpoint, "edition", str(number))
 
     async def _fill_disk(self, act: acts.FillDisk) -> None:
         process = self._resolve(act.target)
@@ -274,16 +283,3 @@
             for endpoint in self._fleet.plan.endpoints
             if target in {endpoint.name, endpoint.service}
         ]
-
-
-def wipe_folder(folder: str) -> None:
-    """Empty a data folder, as a replaced disk would be."""
-    if folder:
-        shutil.rmtree(folder, ignore_errors=True)
-        pathlib.Path(folder).mkdir(parents=True)
-
-
-def largest_file_bytes(folder: pathlib.Path) -> int:
-    """Return the size of the largest file under ``folder``."""
-    sizes = [path.stat().st_size for path in folder.rglob("*") if path.is_file()]
-    return max(sizes, default=0)
--- a/src/finchshed/standins/backend.py
+++ b/src/finchshed/standins/backend.py
@@ -26,7 +26,7 @@
 )
 from finchshed.link.digests import digest_of
 from finchshed.proof.history import HEADER_ANSWER_DIGEST, HEADER_ANSWER_ROOT, HEADER_CALL
-from finchshed.standins import answers
+from finchshed.standins import answers, downloads
 from finchshed.standins.calling import ChildCalls, ChildRefusedError
 from finchshed.standins.load_reports import LoadReports
 from finchshed.standins.records import BackendEvent, BackendRecord, RecordWriter, monotonic
@@ -186,29 +186,13 @@
         headers[answers.HEADER_RECEIVED] = digest_of(body)
         wanted = answers.parse_range(request.headers.get("Range", ""))
         if wanted is not None:
-            return self._partial_answer(request, wanted, headers)
+            size = int(request.query.get("size", DEFAULT_EDITION_BYTES))
+            part = downloads.part_of(request.path, self._edition, size, wanted, request.headers)
+            return web.Response(status=part.status, body=part.body, headers=headers | part.headers)
         content = answers.answer_body(identity, self.settings.answer_bytes)
         headers[HEADER_ANSWER_DIGEST] = digest_of(content)
         return web.Response(body=content, headers=headers)
 
-    def _partial_answer(
-        self, request: web.Request, wanted: answers.RangeRequest, headers: dict[str, str]
-    ) -> web.Response:
-        tag = answers.edition_tag(request.path, self._edition)
-        headers["ETag"] = tag
-        expected = request.headers.get("If-Match", tag)
-        if expected != tag:
-            headers[HEADER_ANSWER_DIGEST] = digest_of(b"")
-            return web.Response(status=412, headers=headers)
-        size = int(request.query.get("size", DEFAULT_EDITION_BYTES))
-        last = min(wanted.last, size - 1)
-        content = answers.edition_bytes(
-            request.path, self._edition, answers.RangeRequest(first=wanted.first, last=last)
-        )
-        headers[HEADER_ANSWER_DIGEST] = digest_of(content)
-        headers["Content-Range"] = f"bytes {wanted.first}-{last}/{size}"
-        return web.Response(status=206, body=content, headers=headers)
-
     def _refusal(self) -> str:
         if self._slots.is_full:
             return "queue full"
--- a/src/finchshed/standins/caller.py
+++ b/src/finchshed/standins/caller.py
@@ -17,8 +17,8 @@
 from finchshed.proof.history import HEADER_CALL
 from finchshed.standins import answers
 from finchshed.standins.arrivals import Arrival, read_arrivals, schedule
+from finchshed.standins.downloads import EDITION_CHANGED_STATUS, WHOLE_STATUS
 from finchshed.standins.outgoing import (
-    EDITION_CHANGED_STATUS,
     Outgoing,
     Reply,
     attempt_record,
@@ -111,6 +111,8 @@
             if reply.status == EDITION_CHANGED_STATUS:
                 validator, offset = "", 0
                 continue
+            if reply.status == WHOLE_STATUS:
+                break
             validator = reply.headers.get("etag", "")
             offset = last + 1
         return attempts
@@ -122,7 +124,7 @@
         attempts: list[AttemptRecord] = []
         for number in itertools.count():
             call = f"{outgoing.request}/{outgoing.sending}{number}"
-            edge = self.settings.edge_addresses[number % len(self.settings.edge_addresses)]
+            edge = self._edge(load, number)
             begun = monotonic()
             reply = await self._send(load, edge, {**headers, HEADER_CALL: call}, body)
             problem = problem_of(outgoing, reply, body)
@@ -135,6 +137,12 @@
             await asyncio.sleep(self._pause(load, record))
         return attempts, reply
 
+    def _edge(self, load: Load, number: int) -> str:
+        edges = self.settings.edge_addresses
+        if load.download_bytes and not load.conditional:
+            return edges[0]
+        return edges[number % len(edges)]
+
     async def _send(self, load: Load, edge: str, headers: dict[str, str], body: bytes) -> Reply:
         delay = self.settings.client_delay_seconds
         await asyncio.sleep(delay)
--- a/src/finchshed/standins/outgoing.py
+++ b/src/finchshed/standins/outgoing.py
@@ -15,11 +15,11 @@
 )
 from finchshed.proof.history import HEADER_ANSWER_DIGEST, HEADER_ANSWER_ROOT
 from finchshed.standins import answers
+from finchshed.standins.downloads import EDITION_CHANGED_STATUS, WHOLE_STATUS
 from finchshed.standins.records import AttemptRecord, CallerOutcome, monotonic
 from finchshed.standins.settings import Load, RetryHabit
 
 SUCCESS_BELOW = 400
-EDITION_CHANGED_STATUS = 412
 FINAL_STATUSES = frozenset({400, 404, 409, 413, 422})
 """Statuses of refusals that a resend would get again (RFC 9110, 15.5)."""
 
@@ -71,7 +71,7 @@
             headers[HEADER_SESSION] = self.session
         if self.wanted is not None:
             headers["Range"] = f"bytes={self.wanted.first}-{self.wanted.last}"
-        if self.validator:
+        if self.validator and self.load.conditional:
             headers["If-Match"] = self.validator
         return headers
 
@@ -116,9 +116,12 @@
     edition = tag.strip('"').rpartition("-")[2]
     if not edition.isdigit():
         return f"answer has no edition: {tag!r}"
-    if outgoing.validator and tag != outgoing.validator:
-        return f"edition changed from {outgoing.validator} to {tag}"
     wanted = outgoing.wanted
+    if reply.status == WHOLE_STATUS:
+        # Instead of a range of the edition asked for: all of another one (RFC 9110, 13.1.5).
+        wanted = answers.RangeRequest(first=0, last=outgoing.load.download_bytes - 1)
+    elif outgoing.validator and tag != outgoing.validator:
+        return f"edition changed from {outgoing.validator} to {tag}"
     if wanted is not None:
         content = answers.edition_bytes(outgoing.load.path, int(edition), wanted)
         if reply.body != content:
@@ -147,6 +150,7 @@
         retry_after=_retry_after(reply),
         root=reply.headers.get(HEADER_ANSWER_ROOT, ""),
         digest=reply.headers.get(HEADER_ANSWER_DIGEST, ""),
+        edition=reply.headers.get("etag", "") if answered else "",
         problem=problem,
     )
 
--- a/src/finchshed/standins/records.py
+++ b/src/finchshed/standins/records.py
@@ -85,6 +85,8 @@
     ----------
     ran
         What the answer said: ``yes``, ``no`` or ``unknown``.
+    edition
+        Validator (ETag) of the part or whole of a download that was answered.
     problem
         Why an answer was not the whole answer to this request; empty if it was.
     """
@@ -100,6 +102,7 @@
     retry_after: float = 0.0
     root: str = ""
     digest: str = ""
+    edition: str = ""
     problem: str = ""
 
 
--- a/src/finchshed/standins/settings.py
+++ b/src/finchshed/standins/settings.py
@@ -108,6 +108,9 @@
         Whether each request carries its own idempotency key.
     download_bytes
         Above zero the request is a download of this size, fetched in ranges as one session.
+    conditional
+        Whether a download's later ranges name its edition (If-Match). Without it the caller
+        relies on the system, and keeps to one edge, which knows the session.
     identities
         Number of outside callers the requests are spread over.
     surges
@@ -125,6 +128,7 @@
     keyed: bool = False
     download_bytes: Count = 0
     range_bytes: Annotated[int, msgspec.Meta(ge=1)] = 65_536
+    conditional: bool = True
     identities: Annotated[int, msgspec.Meta(ge=1)] = 100
     surges: bool = True
     retry: RetryHabit = RetryHabit.RETRY_AFTER
