The fleet's planner gives its addresses and options to modules of their own

Nothing else changes; tests/fleet/test_histories.py, test_replay.py and test_network.py pass as before.

--- a/src/finchshed/fleet/bring_up.py
+++ b/src/finchshed/fleet/bring_up.py
@@ -6,7 +6,8 @@
 from finchshed.fleet.deployment import Deployment
 from finchshed.fleet.network import FleetNetwork
 from finchshed.fleet.operator import Operator
-from finchshed.fleet.planner import Planner, PlanOptions
+from finchshed.fleet.plan_options import PlanOptions
+from finchshed.fleet.planner import Planner
 from finchshed.fleet.processes import Role
 from finchshed.fleet.runner import Fleet
 
--- a/src/finchshed/fleet/fault_run.py
+++ b/src/finchshed/fleet/fault_run.py
@@ -20,7 +20,7 @@
 from finchshed.fleet.links import FleetLinks
 from finchshed.fleet.operator import Operator
 from finchshed.fleet.path_times import path_times_of
-from finchshed.fleet.planner import PlanOptions
+from finchshed.fleet.plan_options import PlanOptions
 from finchshed.fleet.processes import PRODUCTION_ROLES, Role
 from finchshed.fleet.scenario import Scenario, problems_of
 from finchshed.fleet.summary import rows_of, wrong_answers
--- a/src/finchshed/fleet/planner.py
+++ b/src/finchshed/fleet/planner.py
@@ -4,7 +4,6 @@
 import pathlib
 import shutil
 import zlib
-from collections.abc import Mapping
 
 import msgspec
 
@@ -19,15 +18,16 @@
     Machine,
     ServiceBehaviour,
 )
-from finchshed.fleet.network import RELAYED_OFFSET, FleetNetwork, Port
+from finchshed.fleet.listeners import Listeners
+from finchshed.fleet.network import FleetNetwork, Port
 from finchshed.fleet.plan import FleetPlan, backend_name, daemon_name, host_of
+from finchshed.fleet.plan_options import PlanOptions
 from finchshed.fleet.processes import ProcessSpec, Role
 from finchshed.fleet.toml_writer import to_toml
-from finchshed.standins.arrivals import Arrival, write_arrivals
+from finchshed.standins.arrivals import write_arrivals
 from finchshed.standins.settings import (
     BackendSettings,
     CallerSettings,
-    Phase,
     PlatformSettings,
 )
 
@@ -35,28 +35,6 @@
 """A back end that the platform's list shows as leaving must get no new work 2 s later."""
 
 
-class PlanOptions(msgspec.Struct, frozen=True, kw_only=True):
-    """What a run changes of its deployment.
-
-    Attributes
-    ----------
-    relayed
-        Whether internal links go through the fleet's relay, so that they can be cut.
-    load_factor
-        Multiplies the rate of every load.
-    arrivals
-        Arrivals to play, by the name of the group of callers; others draw their own.
-    """
-
-    seed: int = 1
-    relayed: bool = False
-    load_factor: float = 1.0
-    phases: tuple[Phase, ...] = ()
-    platform_lag_seconds: float | None = None
-    arrivals: Mapping[str, tuple[Arrival, ...]] = {}
-    drain_seconds: float = 30.0
-
-
 class Planner:
     """Builds a plan; writes settings files under the run folder."""
 
@@ -72,10 +50,11 @@
         self._deployment = deployment
         self._folder = folder
         self._network = network
+        self._listeners = Listeners(network, relayed=options.relayed)
+        self._at = self._listeners.at
+        self._behind = self._listeners.behind
         self._options = options
         self._behaviours = {service.name: service for service in deployment.service}
-        self._relayed: dict[str, str] = {}
-        self._owners: dict[str, str] = {}
         self._specs: list[ProcessSpec] = []
 
     def plan(self) -> FleetPlan:
@@ -105,8 +84,8 @@
             backend_addresses={e.name: self._at(host_of(e), Port.BACKEND) for e in endpoints},
             platform_address=self._at(self._deployment.platform.host, Port.PLATFORM),
             platform_lag_seconds=self._platform_lag_seconds,
-            relayed=self._relayed,
-            owners=self._owners,
+            relayed=self._listeners.relayed,
+            owners=self._listeners.owners,
         )
 
     @property
@@ -294,16 +273,6 @@
         path.write_text(to_toml(settings))
         return path
 
-    def _behind(self, owner: str, host: str, port: Port) -> str:
-        """Return where a program listens: behind the relay, if there is one."""
-        public = self._at(host, port)
-        if not self._options.relayed:
-            return public
-        private = self._at(host, port + RELAYED_OFFSET)
-        self._relayed[private] = public
-        self._owners[private] = owner
-        return private
-
     def _behaviour(self, endpoint: Endpoint) -> ServiceBehaviour:
         return self._behaviours[endpoint.service]
 
@@ -329,6 +298,3 @@
 
     def _seed(self, name: str) -> int:
         return self._options.seed * 1_000_003 + zlib.crc32(name.encode())
-
-    def _at(self, host: str, port: int) -> str:
-        return self._network.address(host, port)
--- a/tests/fleet/test_histories.py
+++ b/tests/fleet/test_histories.py
@@ -7,7 +7,8 @@
 from finchshed.fleet.histories import Records, build_history, caller_events, operator_events
 from finchshed.fleet.journal import FaultJournal
 from finchshed.fleet.network import FleetNetwork
-from finchshed.fleet.planner import Planner, PlanOptions
+from finchshed.fleet.plan_options import PlanOptions
+from finchshed.fleet.planner import Planner
 from finchshed.fleet.scenario import Scenario
 from finchshed.fleet.serving_events import ServingEvents
 from finchshed.proof.history import (
--- a/tests/fleet/test_running_processes.py
+++ b/tests/fleet/test_running_processes.py
@@ -10,7 +10,7 @@
 
 from finchshed.fleet.bring_up import bring_up, plan_fleet
 from finchshed.fleet.deployment import read_deployment
-from finchshed.fleet.planner import PlanOptions
+from finchshed.fleet.plan_options import PlanOptions
 from finchshed.fleet.processes import PRODUCTION_ROLES, Role
 from finchshed.observability.process_checks import thread_count, violations_of
 
