One command runs all fault scripts of a deployment and prints the table

Cause: the table of results in docs/design/fleet.md was put together by hand from single runs, without the load of the machine at the time.

Change: `fleet suite` runs the scripts one after another, a failed one doesn't stop the others; `fleet results` prints the table from the verdicts, which hold the machine's load average now. Tests: tests/fleet/test_results.py.

--- a/src/finchshed/fleet/command.py
+++ b/src/finchshed/fleet/command.py
@@ -15,8 +15,10 @@
 from finchshed.fleet.demo import demo_run
 from finchshed.fleet.fault_run import FaultRun
 from finchshed.fleet.interruption import run_interruptible
+from finchshed.fleet.results import markdown_of, read_verdicts
 from finchshed.fleet.scenario import read_scenario
 from finchshed.fleet.storm_runs import run_storms
+from finchshed.fleet.suite import run_suite, scripts_of
 
 DEFAULT_RUN_FOLDER = "run"
 
@@ -61,6 +63,26 @@
     return run_interruptible(run_storms(source, folder, seed_range(seeds)))
 
 
+def suite(deployment: str, scripts: str = "", out: str = "", seed: int = 1) -> int:
+    """Run the fault scripts of a deployment one after another, and print a table of the results.
+
+    DEPLOYMENT is a folder such as examples/brazos, SCRIPTS names of its scripts with commas
+    between (default all). OUT keeps each run in a folder of its own. SEED is as for run.
+    Exit code 0 only if no run failed.
+    """
+    source = pathlib.Path(deployment)
+    names = [name for name in scripts.split(",") if name]
+    chosen = scripts_of(source, names)
+    folder = run_folder(out, f"{source.name}-suite")
+    return run_interruptible(run_suite(source, folder, chosen, seed))
+
+
+def results(folder: str) -> int:
+    """Print a table of the results of all fault runs below FOLDER, in Markdown."""
+    print(markdown_of(read_verdicts(pathlib.Path(folder))))
+    return ExitCode.OK
+
+
 def seed_range(text: str) -> range:
     """Return the seeds of ``A..B``, both included.
 
@@ -120,6 +142,8 @@
 fleet: Mapping[str, Callable[..., int]] = {
     "demo": demo,
     "run": run,
+    "suite": suite,
+    "results": results,
     "storm": storm,
     "compare": compare,
 }
--- a/src/finchshed/fleet/fault_run.py
+++ b/src/finchshed/fleet/fault_run.py
@@ -1,6 +1,7 @@
 """A run of a deployment of real processes under a fault script, judged from its history."""
 
 import asyncio
+import os
 import pathlib
 import time
 from collections.abc import Callable, Iterable, Mapping
@@ -22,6 +23,7 @@
 from finchshed.fleet.path_times import path_times_of
 from finchshed.fleet.plan_options import PlanOptions
 from finchshed.fleet.processes import PRODUCTION_ROLES, Role
+from finchshed.fleet.results import VERDICT_FILE
 from finchshed.fleet.scenario import Scenario, problems_of
 from finchshed.fleet.summary import rows_of, wrong_answers
 from finchshed.fleet.verdict import Check, Verdict, text_of
@@ -37,7 +39,6 @@
 """How long daemons may take after the run to act on the last revision."""
 
 HISTORY_FILE = "history.jsonl"
-VERDICT_FILE = "verdict.json"
 PROBLEMS_FILE = "problems.txt"
 
 
@@ -180,6 +181,7 @@
             seed=self._seed,
             processes=len(self._fleet.processes),
             acts=len(self._scenario.act),
+            load_average=os.getloadavg()[0],
             checks=[
                 *_invariants(history),
                 *self._checks(records),
--- /dev/null
+++ b/src/finchshed/fleet/results.py
@@ -0,0 +1,70 @@
+"""Tables of the results of fault runs, from the verdicts in their folders."""
+
+import pathlib
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from finchshed.common.errors import SettingsError
+from finchshed.fleet import editions
+from finchshed.fleet.verdict import Verdict
+from finchshed.proof.checks import answers, configuration, leaving, runs, sessions
+
+VERDICT_FILE = "verdict.json"
+
+CASES: Mapping[str, str] = {
+    "answers": answers.NAME,
+    "refusals": runs.NAME_REFUSED,
+    "keys": runs.NAME_ONCE,
+    "in sessions": sessions.NAME,
+    "new editions": editions.NAME,
+    "changes": configuration.NAME,
+    "signs": leaving.NAME_LEAVING,
+    "stops": leaving.NAME_STOP,
+}
+"""Column by the check whose cases it counts."""
+
+HEADINGS = ("deployment", "script", "processes", *CASES, "load average", "result")
+
+
+def read_verdicts(folder: pathlib.Path) -> list[Verdict]:
+    """Read the verdicts of all runs below ``folder``, by deployment and script.
+
+    Raises
+    ------
+    SettingsError
+        If there is none, or one can't be read.
+    """
+    try:
+        verdicts = [
+            msgspec.json.decode(path.read_bytes(), type=Verdict)
+            for path in folder.rglob(VERDICT_FILE)
+        ]
+    except (OSError, msgspec.MsgspecError) as error:
+        raise SettingsError([f"{folder}: {error}"]) from error
+    if not verdicts:
+        raise SettingsError([f"{folder}: no {VERDICT_FILE} below it"])
+    return sorted(verdicts, key=lambda verdict: (verdict.deployment, verdict.scenario))
+
+
+def markdown_of(verdicts: Iterable[Verdict]) -> str:
+    """Return a table in Markdown, a row for each run."""
+    rows = [HEADINGS, ("---",) * len(HEADINGS), *(_cells(verdict) for verdict in verdicts)]
+    return "\n".join(f"| {' | '.join(row)} |" for row in rows)
+
+
+def _cells(verdict: Verdict) -> tuple[str, ...]:
+    cases = {check.name: check.cases for check in verdict.checks}
+    return (
+        verdict.deployment,
+        f"`{verdict.scenario}`",
+        str(verdict.processes),
+        *(str(cases.get(check, 0)) for check in CASES.values()),
+        f"{verdict.load_average:.0f}",
+        _result(verdict),
+    )
+
+
+def _result(verdict: Verdict) -> str:
+    failed = [f"{check.name} ({len(check.problems)})" for check in verdict.checks if check.problems]
+    return "FAILED: " + ", ".join(failed) if failed else "passed"
--- a/src/finchshed/fleet/verdict.py
+++ b/src/finchshed/fleet/verdict.py
@@ -20,7 +20,13 @@
 
 
 class Verdict(msgspec.Struct, frozen=True):
-    """Result of a fault run, as written to ``verdict.json``."""
+    """Result of a fault run, as written to ``verdict.json``.
+
+    Attributes
+    ----------
+    load_average
+        The machine's, over the minute before the run's end.
+    """
 
     scenario: str
     deployment: str
@@ -28,6 +34,7 @@
     processes: int
     acts: int
     checks: list[Check]
+    load_average: float = 0.0
 
     @property
     def passed(self) -> bool:
--- /dev/null
+++ b/tests/fleet/test_results.py
@@ -0,0 +1,53 @@
+"""The table of results tells failed runs as failed."""
+
+import pathlib
+
+import pytest
+
+from finchshed.common.errors import SettingsError
+from finchshed.fleet.results import HEADINGS, markdown_of, read_verdicts
+from finchshed.fleet.suite import scripts_of
+from finchshed.fleet.verdict import Check, Verdict
+from finchshed.proof.checks import answers, leaving
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
+
+
+def written(folder: pathlib.Path, script: str, *problems: str) -> None:
+    run = folder / script
+    run.mkdir()
+    Verdict(
+        scenario=script,
+        deployment="brazos",
+        seed=1,
+        processes=46,
+        acts=2,
+        checks=[Check(answers.NAME, 321, []), Check(leaving.NAME_LEAVING, 4, list(problems))],
+        load_average=11.6,
+    ).write(run / "verdict.json")
+
+
+def test_each_run_has_a_row(tmp_path: pathlib.Path) -> None:
+    written(tmp_path, "leaving", "one", "two")
+    written(tmp_path, "calm")
+    lines = markdown_of(read_verdicts(tmp_path)).splitlines()
+    cells = [[cell.strip() for cell in line.strip("|").split("|")] for line in lines]
+    assert tuple(cells[0]) == HEADINGS
+    calm, gone = (dict(zip(HEADINGS, row, strict=True)) for row in cells[2:])
+    assert (calm["script"], calm["answers"], calm["result"]) == ("`calm`", "321", "passed")
+    assert (gone["script"], gone["signs"]) == ("`leaving`", "4")
+    assert gone["result"] == f"FAILED: {leaving.NAME_LEAVING} (2)"
+    assert gone["load average"] == "12"
+
+
+def test_a_folder_without_runs_is_told(tmp_path: pathlib.Path) -> None:
+    with pytest.raises(SettingsError, match=r"no verdict.json"):
+        read_verdicts(tmp_path)
+
+
+def test_a_suite_takes_all_scripts_or_those_named() -> None:
+    source = EXAMPLES / "manila"
+    assert len(scripts_of(source, [])) == len(list((source / "faults").glob("*.toml")))
+    assert [path.stem for path in scripts_of(source, ["leaving", "calm"])] == ["leaving", "calm"]
+    with pytest.raises(SettingsError, match="no script nothing"):
+        scripts_of(source, ["calm", "nothing"])
