A caller's download over a new edition is tested

Cause: the caller's loop over the ranges of a download, which begins anew on 412 and ends on a whole new edition, ran in fleets only.

Change: tests/standins/test_caller.py, with a server whose edition changes after two ranges. One test lets nobody name the edition: the mixture must be found, by the caller and by the check of whole downloads.

--- /dev/null
+++ b/tests/standins/test_caller.py
@@ -0,0 +1,118 @@
+"""A caller's download while a new edition comes out."""
+
+import asyncio
+import pathlib
+import socket
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from finchshed.fleet import editions
+from finchshed.standins import answers, downloads
+from finchshed.standins.caller import Caller
+from finchshed.standins.records import CallerOutcome, CallerRecord, read_records
+from finchshed.standins.serving import start_site
+from finchshed.standins.settings import CallerSettings, Load, Phase
+
+SIZE = 400
+RANGE = 100
+PUBLISHED_AFTER = 2
+"""Requests that are answered from the first edition."""
+
+PATH = "/edition/bay"
+
+
+class Publisher:
+    """Serves a download whose second edition comes out after some requests.
+
+    With ``keeps_edition`` it stands for a back end behind a daemon that asks for the later ranges
+    of a session under If-Range.
+    """
+
+    def __init__(self, *, keeps_edition: bool) -> None:
+        self._keeps_edition = keeps_edition
+        self._served = 0
+        self._last_tag = ""
+
+    async def serve(self, request: web.Request) -> web.Response:
+        edition = 1 if self._served < PUBLISHED_AFTER else 2
+        self._served += 1
+        wanted = answers.parse_range(request.headers["Range"])
+        assert wanted is not None
+        asked = dict(request.headers)
+        if self._keeps_edition and self._last_tag and "If-Match" not in asked:
+            asked["If-Range"] = self._last_tag
+        part = downloads.part_of(request.path, edition, SIZE, wanted, asked)
+        if part.status in {downloads.PART_STATUS, downloads.WHOLE_STATUS}:
+            self._last_tag = part.headers["ETag"]
+        identity = request.headers[answers.HEADER_IDENTITY]
+        headers = part.headers | {answers.HEADER_IDENTITY: identity}
+        return web.Response(status=part.status, body=part.body, headers=headers)
+
+
+def free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+async def downloaded(
+    folder: pathlib.Path, publisher: Publisher, *, conditional: bool
+) -> CallerRecord:
+    """Return the record of the first download that a caller makes."""
+    address = free_address()
+    load = Load(
+        name="edition",
+        service="charts",
+        path=PATH,
+        rate_per_second=200.0,
+        download_bytes=SIZE,
+        range_bytes=RANGE,
+        conditional=conditional,
+    )
+    settings = CallerSettings(
+        name="ferries",
+        zone="bay",
+        edge_addresses=(address,),
+        record_path=str(folder / "ferries.jsonl"),
+        loads=(load,),
+        phases=(Phase(name="all", duration_seconds=0.1),),
+    )
+    app = web.Application()
+    app.router.add_get(PATH, publisher.serve)
+    runner = await start_site(app, address)
+    try:
+        async with aiohttp.ClientSession() as session:
+            caller = Caller(settings, session)
+            first = caller._arrivals()[0]
+            await asyncio.wait_for(caller._serve_arrival(first), 30.0)
+    finally:
+        await runner.cleanup()
+    (record,) = read_records(folder / "ferries.jsonl", CallerRecord)
+    return record
+
+
+@pytest.mark.parametrize(
+    ("conditional", "keeps_edition", "statuses"),
+    [
+        (True, False, [206, 206, 412, 206, 206, 206, 206]),
+        (False, True, [206, 206, 200]),
+        (True, True, [206, 206, 412, 200]),
+    ],
+)
+async def test_a_download_begins_anew_with_a_new_edition(
+    tmp_path: pathlib.Path, conditional: bool, keeps_edition: bool, statuses: list[int]
+) -> None:
+    publisher = Publisher(keeps_edition=keeps_edition)
+    record = await downloaded(tmp_path, publisher, conditional=conditional)
+    assert [attempt.status for attempt in record.attempts] == statuses
+    assert (record.outcome, record.problem) == (CallerOutcome.ANSWERED, "")
+    assert editions.met_a_new_one(record)
+    assert editions.problems_of([record], published=True) == []
+
+
+async def test_a_mixture_is_found_where_nobody_names_the_edition(tmp_path: pathlib.Path) -> None:
+    record = await downloaded(tmp_path, Publisher(keeps_edition=False), conditional=False)
+    assert "edition changed" in record.problem
+    assert editions.problems_of([record], published=False) != []
