--- a/src/finchshed/fleet/fault_run.py
+++ b/src/finchshed/fleet/fault_run.py
@@ -1,6 +1,7 @@
 """A run of a deployment of real processes under a fault script, judged from its history."""
 
 import asyncio
+import os
 import pathlib
 import time
 from collections.abc import Callable, Iterable, Mapping
@@ -8,7 +9,8 @@
 import msgspec
 
 from finchshed.common.errors import SettingsError
-from finchshed.fleet import final_configuration, process_table
+from finchshed.fleet import editions, final_configuration, process_table
+from finchshed.fleet.acts import Edition
 from finchshed.fleet.bring_up import bring_up, plan_fleet
 from finchshed.fleet.coverage import CASES
 from finchshed.fleet.deployment import Deployment, read_deployment
@@ -19,8 +21,9 @@
 from finchshed.fleet.links import FleetLinks
 from finchshed.fleet.operator import Operator
 from finchshed.fleet.path_times import path_times_of
-from finchshed.fleet.planner import PlanOptions
+from finchshed.fleet.plan_options import PlanOptions
 from finchshed.fleet.processes import PRODUCTION_ROLES, Role
+from finchshed.fleet.results import VERDICT_FILE
 from finchshed.fleet.scenario import Scenario, problems_of
 from finchshed.fleet.summary import rows_of, wrong_answers
 from finchshed.fleet.verdict import Check, Verdict, text_of
@@ -36,7 +39,6 @@
 """How long daemons may take after the run to act on the last revision."""
 
 HISTORY_FILE = "history.jsonl"
-VERDICT_FILE = "verdict.json"
 PROBLEMS_FILE = "problems.txt"
 
 
@@ -179,6 +181,7 @@
             seed=self._seed,
             processes=len(self._fleet.processes),
             acts=len(self._scenario.act),
+            load_average=os.getloadavg()[0],
             checks=[
                 *_invariants(history),
                 *self._checks(records),
@@ -200,6 +203,14 @@
             for attempt in record.attempts
         )
         yield Check("answers whole and the caller's own", answered, wrong_answers(records.callers))
+        yield Check(
+            editions.NAME,
+            sum(editions.met_a_new_one(record) for record in records.callers),
+            editions.problems_of(
+                records.callers,
+                published=any(isinstance(act, Edition) for act in self._scenario.act),
+            ),
+        )
         lost = [] if self._callers_ended_well else ["a caller process didn't end well"]
         fallen = [f"ended unasked: {name}" for name in self._fallen]
         yield Check(
