--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -60,7 +60,13 @@
         self._own_listing = OwnListing(settings.endpoint, time.monotonic())
         self._tasks: set[asyncio.Task[None]] = set()
         self._served = ServedRequests()
-        self._table = RoutingTable(settings.zone, settings.region, self._rng)
+        self._table = RoutingTable(
+            settings.zone,
+            settings.region,
+            self._rng,
+            owner=settings.node,
+            subset_size=settings.subset_size,
+        )
         self._platform = PlatformHints(self._table)
         self._links = PeerLinks(settings, self, self._rng)
         self._paths = PathThresholds(self._table.floor)
@@ -348,6 +354,9 @@
             self._caller.expire_sessions()
             self._links.close_idle()
             self._links.reopen_lost()
+            if not self._driver.client.is_connected:
+                # Other daemons are the only source of configuration then.
+                self._links.ask_revisions()
             self._listener.close_silent(asyncio.get_running_loop().time())
             metrics.IN_PROGRESS.labels("caller").set(self._caller.in_progress)
             if self._callee is not None:
--- a/src/finchshed/settings/fields.py
+++ b/src/finchshed/settings/fields.py
@@ -90,6 +90,18 @@
 ]
 """Address of another process, with the zone it stands in: ``zone=a.b.c.d:port``."""
 
+Network: TypeAlias = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=rf"^{_IPV4}/(3[0-2]|[12]?[0-9])$",
+        title="a network a.b.c.d/n, parts 0 to 255, n 0 to 32",
+    ),
+]
+"""An IPv4 network (CIDR notation, RFC 4632)."""
+
+PRIVATE_NETWORKS = ("127.0.0.0/8", "10.0.0.0/8", "172.16.0.0/12", "192.168.0.0/16")
+"""Loopback, and the private networks of RFC 1918."""
+
 OptionalUrl: TypeAlias = Annotated[
     str,
     msgspec.Meta(
@@ -99,17 +111,12 @@
 ]
 """An HTTP URL by IP address, or empty for none."""
 
-FolderPath: TypeAlias = Annotated[str, msgspec.Meta(title="path of a folder")]
-
 PositiveSeconds: TypeAlias = Annotated[float, msgspec.Meta(gt=0.0, le=86_400.0)]
 """A time span in seconds, above 0 and up to a day."""
 
 Seconds: TypeAlias = Annotated[float, msgspec.Meta(ge=0.0, le=86_400.0)]
 """A time span in seconds, 0 to a day."""
 
-ByteCount: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=1 << 40)]
-"""A size in bytes."""
-
 Count: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=10_000_000)]
 """A number of things."""
 
