A full queue drops no request of a running session while others wait

Of requests outside sessions the lowest rank gives way now, to any request of a running session; where only sessions wait, by rank as before. The first new test fails without the change.

--- a/src/finchshed/admission/gate.py
+++ b/src/finchshed/admission/gate.py
@@ -165,17 +165,28 @@
             return [self._refusal(token, RefusalReason.DEADLINE)]
         effects: list[GateEffect] = []
         if len(self._queue) >= self._slots * QUEUE_PER_SLOT:
-            lowest = self._queue[0][2]
-            if lowest.rank >= rank:
+            place = self._gives_way_to(rank)
+            if place is None:
                 return [self._refusal(token, RefusalReason.QUEUE_FULL)]
-            self._queue.pop(0)
-            del self._waiting[lowest.token]
-            effects.append(self._refusal(lowest.token, RefusalReason.QUEUE_FULL))
+            dropped = self._queue.pop(place)[2]
+            del self._waiting[dropped.token]
+            effects.append(self._refusal(dropped.token, RefusalReason.QUEUE_FULL))
         insort(self._queue, key)
         self._waiting[token] = waiting
         effects.extend(self._fill(now))
         return effects
 
+    def _gives_way_to(self, rank: int) -> int | None:
+        """Return the place in a full queue of what gives way, or None: the new request does.
+
+        Of requests outside sessions the lowest rank gives way, to any request of a running session.
+        Where only sessions wait, the lowest rank does.
+        """
+        for place, key in enumerate(self._queue):
+            if not is_in_session(key[0]):
+                return place if is_in_session(rank) or key[0] < rank else None
+        return 0 if self._queue[0][0] < rank else None
+
     def _fill(self, now: float) -> list[GateEffect]:
         effects: list[GateEffect] = []
         queue = self._queue
--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -49,6 +49,35 @@
     assert held.finish(0, CallResult.OK, 0.1) == [Start(9)]
 
 
+def running_session(importance: Importance, root: str) -> CallContext:
+    return CallContext(root, importance, 10.0, session=f"session of {root}")
+
+
+def test_full_queue_drops_no_running_session_while_others_wait() -> None:
+    held = gate()
+    held.arrive(0, context(Importance.NORMAL), 0.0)
+    held.arrive(1, running_session(Importance.NORMAL, "a"), 0.0)
+    for token in range(2, 9):
+        assert held.arrive(token, context(Importance.HIGH, f"r{token}"), 0.0) == []
+    effects = held.arrive(9, context(Importance.CRITICAL), 0.0)
+    assert [type(effect) for effect in effects] == [Refuse]
+    assert effects[0].token in range(2, 9)
+    effects = held.arrive(10, running_session(Importance.NORMAL, "b"), 0.0)
+    assert [type(effect) for effect in effects] == [Refuse]
+    assert effects[0].token in range(2, 9)
+
+
+def test_full_queue_of_running_sessions_gives_up_its_lowest_rank() -> None:
+    held = gate()
+    held.arrive(0, context(Importance.NORMAL), 0.0)
+    for token in range(1, 9):
+        assert held.arrive(token, running_session(Importance.NORMAL, f"r{token}"), 0.0) == []
+    (refused,) = held.arrive(9, context(Importance.SHEDDABLE), 0.0)
+    assert refused.token == 9
+    (refused,) = held.arrive(10, context(Importance.CRITICAL), 0.0)
+    assert refused.token != 10
+
+
 def test_cancelled_request_never_starts() -> None:
     held = gate()
     held.arrive(1, context(Importance.NORMAL), 0.0)
