--- a/src/finchshed/routing/pool.py
+++ b/src/finchshed/routing/pool.py
@@ -31,7 +31,7 @@
 LATENCY_WEIGHT = 0.02
 """Weight of one answer in the service's mean latency."""
 
-KNOWN_SHARE = 0.0
+KNOWN_SHARE = 1 / 3
 """Share of the endpoints that must have reported lately for a floor to be told."""
 
 
