Stand-ins: changes of a series wait for answers, downloads leave a dead edge

The operator's next change, due 20 ms after the last, was read and sent while the last was under way (round trips of 10 ms and more at load 27), so it conflicted with its own operator's, as optimistic changes must. Submissions of one `submit` with `times` are a series now and follow each other's answers; those that race still race. A download that leaves its edition to the system tried its one edge five times within 20 ms while that restarted. Such a download begins anew at the next edge now. Attempts record the first byte they asked for, and the check of editions takes a part from byte 0 as a new beginning.

--- a/src/finchshed/fleet/editions.py
+++ b/src/finchshed/fleet/editions.py
@@ -42,11 +42,12 @@
 
 
 def _mixed(record: CallerRecord) -> Iterator[str]:
+    # A download begins anew with its first byte, or with a whole new edition.
     parts: list[str] = []
     for attempt in record.attempts:
         if attempt.outcome is not CallerOutcome.ANSWERED:
             continue
-        if attempt.status in NEW_EDITION:
+        if attempt.status in NEW_EDITION or attempt.offset == 0:
             parts = []
         if attempt.status in {PART_STATUS, WHOLE_STATUS}:
             parts.append(attempt.edition)
--- a/src/finchshed/fleet/emulated_acts.py
+++ b/src/finchshed/fleet/emulated_acts.py
@@ -161,6 +161,7 @@
             change_id=act.change_id if act.times == 1 else f"{act.change_id}.{number}",
             operators=act.operators,
             resend=act.resend,
+            series=act.change_id if act.times > 1 else "",
         )
 
 
--- a/src/finchshed/standins/caller.py
+++ b/src/finchshed/standins/caller.py
@@ -90,12 +90,17 @@
         self._write(outgoing, begun, attempts)
 
     async def _download(self, outgoing: Outgoing) -> list[AttemptRecord]:
-        """Fetch a download in ranges within one session; begin anew if the edition changes."""
+        """Fetch a download in ranges within one session; begin anew if the edition changes.
+
+        A download that leaves its edition to the system begins anew at the next edge when one
+        gives no answer: only the edge that it came in at knows which edition it has.
+        """
         load = outgoing.load
         numbers = itertools.count()
         attempts: list[AttemptRecord] = []
         validator = ""
         offset = 0
+        edge = 0
         while offset < load.download_bytes:
             last = min(offset + load.range_bytes, load.download_bytes) - 1
             part = msgspec.structs.replace(
@@ -104,10 +109,14 @@
                 wanted=answers.RangeRequest(first=offset, last=last),
                 validator=validator,
             )
-            made, reply = await self._attempts(part)
+            made, reply = await self._attempts(part, edge)
             attempts += made
             if made[-1].outcome is not CallerOutcome.ANSWERED:
-                break
+                edge += 1
+                if load.conditional or edge == len(self.settings.edge_addresses):
+                    break
+                validator, offset = "", 0
+                continue
             if reply.status == EDITION_CHANGED_STATUS:
                 validator, offset = "", 0
                 continue
@@ -117,18 +126,22 @@
             offset = last + 1
         return attempts
 
-    async def _attempts(self, outgoing: Outgoing) -> tuple[list[AttemptRecord], Reply]:
+    async def _attempts(
+        self, outgoing: Outgoing, home: int = 0
+    ) -> tuple[list[AttemptRecord], Reply]:
         load = outgoing.load
         headers = outgoing.headers()
         body = answers.answer_body(outgoing.identity, load.body_bytes) if load.body_bytes else b""
         attempts: list[AttemptRecord] = []
         for number in itertools.count():
             call = f"{outgoing.request}/{outgoing.sending}{number}"
-            edge = self._edge(load, number)
+            edge = self._edge(load, home, number)
             begun = monotonic()
             reply = await self._send(load, edge, {**headers, HEADER_CALL: call}, body)
             problem = problem_of(outgoing, reply, body)
             record = attempt_record(call, edge, begun, reply, problem)
+            if outgoing.wanted is not None:
+                record = msgspec.structs.replace(record, offset=outgoing.wanted.first)
             attempts.append(record)
             if record.outcome is CallerOutcome.ANSWERED or is_final(record):
                 break
@@ -137,10 +150,10 @@
             await asyncio.sleep(self._pause(load, record))
         return attempts, reply
 
-    def _edge(self, load: Load, number: int) -> str:
+    def _edge(self, load: Load, home: int, number: int) -> str:
         edges = self.settings.edge_addresses
         if load.download_bytes and not load.conditional:
-            return edges[0]
+            return edges[home]
         return edges[number % len(edges)]
 
     async def _send(self, load: Load, edge: str, headers: dict[str, str], body: bytes) -> Reply:
--- a/src/finchshed/standins/operator.py
+++ b/src/finchshed/standins/operator.py
@@ -8,7 +8,7 @@
 import enum
 import itertools
 import time
-from concurrent.futures import Future, ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor, wait
 from typing import cast
 
 import msgspec
@@ -96,11 +96,16 @@
         """Submit the changes of given identities; return the exit code as :meth:`run`."""
         begun = monotonic()
         numbers = itertools.count(self._settings.first_number)
+        series: dict[str, list[Future[ChangeOutcome]]] = {}
         with ThreadPoolExecutor(MAX_RACING_OPERATORS) as racing:
             sent = []
             for submission in sorted(self._settings.submissions, key=lambda item: item.at):
                 time.sleep(max(0.0, begun + submission.at - monotonic()))
-                sent += self._race(racing, submission, numbers)
+                if submission.series:
+                    wait(series.get(submission.series, []))
+                racers = self._race(racing, submission, numbers)
+                series[submission.series] = racers
+                sent += racers
             unanswered = sum(item.result() is ChangeOutcome.UNKNOWN for item in sent)
         self._client.close()
         return 1 if unanswered else 0
--- a/src/finchshed/standins/records.py
+++ b/src/finchshed/standins/records.py
@@ -87,6 +87,8 @@
         What the answer said: ``yes``, ``no`` or ``unknown``.
     edition
         Validator (ETag) of the part or whole of a download that was answered.
+    offset
+        First byte of a download that was asked for.
     problem
         Why an answer was not the whole answer to this request; empty if it was.
     """
@@ -103,6 +105,7 @@
     root: str = ""
     digest: str = ""
     edition: str = ""
+    offset: int = 0
     problem: str = ""
 
 
--- a/src/finchshed/standins/settings.py
+++ b/src/finchshed/standins/settings.py
@@ -194,12 +194,16 @@
         Operator ``n``, from 0, submits under the identity ``change_id.n``.
     resend
         Send each change once more after its answer, as if that had been lost.
+    series
+        Submissions of one series wait for the answers to the one before, as operators do who
+        make one change after another; empty: it waits for none.
     """
 
     at: Seconds
     change_id: Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
     operators: Annotated[int, msgspec.Meta(ge=1, le=16)] = 1
     resend: bool = False
+    series: str = ""
 
 
 class OperatorSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- a/tests/fleet/test_editions.py
+++ b/tests/fleet/test_editions.py
@@ -6,7 +6,7 @@
 OLD, NEW = '"chart-1"', '"chart-2"'
 
 
-def attempt(status: int, edition: str = "") -> AttemptRecord:
+def attempt(status: int, edition: str = "", offset: int = 100) -> AttemptRecord:
     answered = CallerOutcome.ANSWERED if edition else CallerOutcome.REFUSED
     return AttemptRecord(
         call=f"d/{status}",
@@ -17,6 +17,7 @@
         ran="yes" if edition else "no",
         status=status,
         edition=edition,
+        offset=offset,
     )
 
 
@@ -49,6 +50,7 @@
     assert not mixed(attempt(206, OLD), attempt(503), attempt(206, OLD))
     assert not mixed(attempt(206, OLD), attempt(412, NEW), attempt(206, NEW), attempt(206, NEW))
     assert not mixed(attempt(206, OLD), attempt(200, NEW))
+    assert not mixed(attempt(206, OLD), attempt(206, NEW, offset=0), attempt(206, NEW))
 
 
 def test_editions_that_no_download_met_prove_nothing() -> None:
--- a/tests/standins/test_caller.py
+++ b/tests/standins/test_caller.py
@@ -58,9 +58,9 @@
 
 
 async def downloaded(
-    folder: pathlib.Path, publisher: Publisher, *, conditional: bool
+    folder: pathlib.Path, publisher: Publisher, *, conditional: bool, dead: tuple[str, ...] = ()
 ) -> CallerRecord:
-    """Return the record of the first download that a caller makes."""
+    """Return the record of the first download that a caller makes; ``dead`` are edges it tries."""
     address = free_address()
     load = Load(
         name="edition",
@@ -74,7 +74,7 @@
     settings = CallerSettings(
         name="ferries",
         zone="bay",
-        edge_addresses=(address,),
+        edge_addresses=(*dead, address),
         record_path=str(folder / "ferries.jsonl"),
         loads=(load,),
         phases=(Phase(name="all", duration_seconds=0.1),),
@@ -116,3 +116,14 @@
     record = await downloaded(tmp_path, Publisher(keeps_edition=False), conditional=False)
     assert "edition changed" in record.problem
     assert editions.problems_of([record], published=False) != []
+
+
+async def test_a_download_begins_anew_where_its_edge_is_gone(tmp_path: pathlib.Path) -> None:
+    publisher = Publisher(keeps_edition=True)
+    dead = free_address()
+    record = await downloaded(tmp_path, publisher, conditional=False, dead=(dead,))
+    assert (record.outcome, record.problem) == (CallerOutcome.ANSWERED, "")
+    assert record.attempts[0].edge == dead
+    answered = [attempt for attempt in record.attempts if attempt.status]
+    assert len({attempt.edge for attempt in answered}) == 1
+    assert [attempt.offset for attempt in answered] == [0, RANGE, 2 * RANGE]
