Operators of a replay count their times from the acts' clock

A stand-in operator counted from when its own process had started, about a second after the act at load 25; by then the script had taken the majority of the control group, so it waited for that, and the later ones met it.

Ruled out: an accepted change that was lost (one was accepted, revision 2 at every daemon, which is the first change).

Change: the runner gives operators the time of the act, as it gives callers theirs. Test first: test_times_count_from_the_begin_given failed (TypeError).

--- a/src/finchshed/fleet/runner.py
+++ b/src/finchshed/fleet/runner.py
@@ -170,7 +170,7 @@
         spec = self.plan.operator_spec(name, first_number, act)
         process = FleetProcess(spec, self.log_path(spec.name))
         self.processes[spec.name] = process
-        process.start()
+        process.start(f"--begin_at={time.monotonic()}")
         await process.wait(OPERATOR_SECONDS)
         return process.exit_code if process.exit_code is not None else -1
 
--- a/src/finchshed/standins/operator.py
+++ b/src/finchshed/standins/operator.py
@@ -92,9 +92,12 @@
                 return outcome is ChangeOutcome.ACCEPTED
         return False
 
-    def run_submissions(self) -> int:
-        """Submit the changes of given identities; return the exit code as :meth:`run`."""
-        begun = monotonic()
+    def run_submissions(self, begun: float) -> int:
+        """Submit the changes of given identities; return the exit code as :meth:`run`.
+
+        Times count from ``begun``, so that they keep their place among other acts however long
+        the process took to start.
+        """
         numbers = itertools.count(self._settings.first_number)
         series: dict[str, list[Future[ChangeOutcome]]] = {}
         with ThreadPoolExecutor(MAX_RACING_OPERATORS) as racing:
@@ -193,7 +196,15 @@
     return ChangeOutcome.INVALID, 0
 
 
-def run_operator(settings: OperatorSettings) -> int:
-    """Make the changes of ``settings``; return the exit code."""
+def run_operator(settings: OperatorSettings, begin_at: float = 0.0) -> int:
+    """Make the changes of ``settings``; return the exit code.
+
+    Parameters
+    ----------
+    begin_at
+        From when the times of submissions count, on the machine's monotonic clock; 0: from now.
+    """
     operator = StandinOperator(settings)
-    return operator.run_submissions() if settings.submissions else operator.run()
+    if settings.submissions:
+        return operator.run_submissions(begin_at or monotonic())
+    return operator.run()
--- a/tests/standins/test_operator.py
+++ b/tests/standins/test_operator.py
@@ -9,8 +9,8 @@
 from finchshed.configuration.resources import Policy
 from finchshed.ctl.changes import InForce
 from finchshed.standins import operator
-from finchshed.standins.operator import POLICY, ChangeOutcome, OperatorRecord, StandinOperator
-from finchshed.standins.records import read_records
+from finchshed.standins.operator import POLICY, ChangeOutcome, OperatorRecord, run_operator
+from finchshed.standins.records import monotonic, read_records
 from finchshed.standins.settings import OperatorSettings, Submission
 
 CHANGES = 5
@@ -38,19 +38,22 @@
         return Accepted(self.revision)
 
 
-def outcomes(folder: pathlib.Path, series: str) -> list[ChangeOutcome]:
-    settings = OperatorSettings(
+def settings_of(folder: pathlib.Path, *submissions: Submission) -> OperatorSettings:
+    return OperatorSettings(
         name="dana",
         token="token",
         rpc_addresses=("127.0.0.1:1",),
         record_path=str(folder / "dana.jsonl"),
         changes=0,
-        submissions=tuple(
-            Submission(at=0.0, change_id=f"many.{number}", series=series)
-            for number in range(CHANGES)
-        ),
+        submissions=submissions,
     )
-    assert StandinOperator(settings).run_submissions() == 0
+
+
+def outcomes(folder: pathlib.Path, series: str) -> list[ChangeOutcome]:
+    many = (
+        Submission(at=0.0, change_id=f"many.{number}", series=series) for number in range(CHANGES)
+    )
+    assert run_operator(settings_of(folder, *many)) == 0
     records = read_records(folder / "dana.jsonl", OperatorRecord)
     return [item.outcome for item in records if item.outcome is not ChangeOutcome.SUBMITTED]
 
@@ -72,3 +75,19 @@
     group.patience = 1.0
     assert ChangeOutcome.CONFLICT in outcomes(tmp_path, "")
     assert group.revision < 1 + CHANGES
+
+
+@pytest.mark.parametrize(("begun_ago", "waits"), [(100.0, False), (-1000.0, True)])
+def test_times_count_from_the_begin_given(
+    tmp_path: pathlib.Path,
+    group: Group,
+    monkeypatch: pytest.MonkeyPatch,
+    begun_ago: float,
+    waits: bool,
+) -> None:
+    assert group.revision == 1
+    slept: list[float] = []
+    monkeypatch.setattr("time.sleep", slept.append)
+    settings = settings_of(tmp_path, Submission(at=50.0, change_id="late"))
+    assert run_operator(settings, monotonic() - begun_ago) == 0
+    assert (max(slept) > 0.0) == waits
