--- a/src/finchshed/standins/operator.py
+++ b/src/finchshed/standins/operator.py
@@ -8,7 +8,7 @@
 import enum
 import itertools
 import time
-from concurrent.futures import Future, ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor, wait
 from typing import cast
 
 import msgspec
@@ -92,15 +92,23 @@
                 return outcome is ChangeOutcome.ACCEPTED
         return False
 
-    def run_submissions(self) -> int:
-        """Submit the changes of given identities; return the exit code as :meth:`run`."""
-        begun = monotonic()
+    def run_submissions(self, begun: float) -> int:
+        """Submit the changes of given identities; return the exit code as :meth:`run`.
+
+        Times count from ``begun``, so that they keep their place among other acts however long
+        the process took to start.
+        """
         numbers = itertools.count(self._settings.first_number)
+        series: dict[str, list[Future[ChangeOutcome]]] = {}
         with ThreadPoolExecutor(MAX_RACING_OPERATORS) as racing:
             sent = []
             for submission in sorted(self._settings.submissions, key=lambda item: item.at):
                 time.sleep(max(0.0, begun + submission.at - monotonic()))
-                sent += self._race(racing, submission, numbers)
+                if submission.series:
+                    wait(series.get(submission.series, []))
+                racers = self._race(racing, submission, numbers)
+                series[submission.series] = racers
+                sent += racers
             unanswered = sum(item.result() is ChangeOutcome.UNKNOWN for item in sent)
         self._client.close()
         return 1 if unanswered else 0
@@ -188,7 +196,15 @@
     return ChangeOutcome.INVALID, 0
 
 
-def run_operator(settings: OperatorSettings) -> int:
-    """Make the changes of ``settings``; return the exit code."""
+def run_operator(settings: OperatorSettings, begin_at: float = 0.0) -> int:
+    """Make the changes of ``settings``; return the exit code.
+
+    Parameters
+    ----------
+    begin_at
+        From when the times of submissions count, on the machine's monotonic clock; 0: from now.
+    """
     operator = StandinOperator(settings)
-    return operator.run_submissions() if settings.submissions else operator.run()
+    if settings.submissions:
+        return operator.run_submissions(begin_at or monotonic())
+    return operator.run()
