A back end that leaves while idle is noticed within 2 s

Cause: the sign of a back end that leaves was looked for on its answers to calls only. One that no call reached was noticed with the first call sent to it after its drain had begun, so that call came to a leaving back end.

Ruled out: taking the status or body of /health for a sign (they lag or mislead); asking also while answers come (a lagging check would overrule what the back end itself says).

Change: BackendWatch asks /health after one whole period of 0.5 s without an answer and heeds only the header finchshed-draining there, and not if an answer came during the check. The watch for the return is in the same place; deciding about it stays in ReturnWatch.

Changed tests: the scripted back end now answers checks of health apart (`health`), as handlers written for calls took a check for one (test_planned_stop); the test of the return began with a back end that was leaving already, which is noticed now before its first call, so it now leaves with the answer to its first call; what is asserted is the same.

--- a/src/finchshed/daemon/backend_return.py
+++ b/src/finchshed/daemon/backend_return.py
@@ -1,31 +1,17 @@
-"""Watches for the return of a back end that said that it is leaving.
+"""Decides whether a back end that said that it is leaving has returned.
 
-The daemon stays when its back end is restarted, so it must find out when to take work again. It
-asks the back end's ``/health``, which may lag or mislead: a good answer counts at once only if the
-back end was seen gone before, since then another process answers; a back end that was never seen
-gone must say for a while that it is well. So a health endpoint that lags behind a drain brings new
-work to a leaving back end at most once in that while.
+The daemon stays when its back end is restarted, so it must find out when to take work again. The
+back end's ``/health`` may lag or mislead: a good answer counts at once only if the back end was
+seen gone before, since then another process answers; a back end that was never seen gone must say
+for a while that it is well. So a health endpoint that lags behind a drain brings new work to a
+leaving back end at most once in that while.
 """
 
-import asyncio
-import time
-from collections.abc import Callable
+from finchshed.daemon.backend import BackendAnswer, BackendResult, BackendUnreached
 
-from finchshed.daemon.backend import (
-    Backend,
-    BackendAnswer,
-    BackendRequest,
-    BackendResult,
-    BackendUnreached,
-)
-
-HEALTH_PATH = "/health"
-POLL_SECONDS = 0.25
-TIMEOUT_SECONDS = 1.0
 STEADY_SECONDS = 5.0
 """How long a back end that was never seen gone must say that it is well."""
 
-MAX_HEALTH_BYTES = 65_536
 STATUS_OK = 200
 
 
@@ -48,32 +34,5 @@
         return self._was_gone or now - self._well_since >= STEADY_SECONDS
 
 
-async def wait_for_return(backend: Backend) -> None:
-    """Return once the back end has returned."""
-    watch = ReturnWatch()
-    while True:
-        await asyncio.sleep(POLL_SECONDS)
-        if watch.has_returned(await _check(backend), time.monotonic()):
-            return
-
-
 def _is_well(result: BackendResult) -> bool:
     return isinstance(result, BackendAnswer) and result.status == STATUS_OK and not result.draining
-
-
-async def _check(backend: Backend) -> BackendResult:
-    ended: asyncio.Future[BackendResult] = asyncio.get_running_loop().create_future()
-    request = BackendRequest(
-        method="GET",
-        path=HEALTH_PATH,
-        headers=(),
-        body=b"",
-        timeout_seconds=TIMEOUT_SECONDS,
-        max_answer_bytes=MAX_HEALTH_BYTES,
-    )
-    cancel: Callable[[], object] = backend.send(request, ended.set_result)
-    try:
-        return await ended
-    except asyncio.CancelledError:
-        cancel()
-        raise
--- /dev/null
+++ b/src/finchshed/daemon/backend_watch.py
@@ -0,0 +1,114 @@
+"""Watches whether the back end is leaving, and whether one that left has returned.
+
+A back end says that it is leaving on its answers. One that gives none, as no calls reach it, is
+asked: its ``/health`` may lag or mislead, so it counts only as a hint that carries the sign of
+leaving, only while no answer tells otherwise, and never as a proof that all is well.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from finchshed.daemon.backend import (
+    Backend,
+    BackendAnswer,
+    BackendRequest,
+    BackendResult,
+)
+from finchshed.daemon.backend_return import ReturnWatch
+
+HEALTH_PATH = "/health"
+IDLE_POLL_SECONDS = 0.5
+"""A back end is asked after one whole such time without an answer: callers must hear of a back end
+that leaves within 2 s, and this makes it at most two such times and the check."""
+
+RETURN_POLL_SECONDS = 0.25
+TIMEOUT_SECONDS = 1.0
+MAX_HEALTH_BYTES = 65_536
+
+
+class BackendWatch:
+    """Watches one back end.
+
+    Parameters
+    ----------
+    backend
+        Client to the back end.
+    on_leaving
+        Called when the back end is found to be leaving.
+    on_returned
+        Called when a back end that was leaving takes work again.
+    """
+
+    def __init__(
+        self,
+        backend: Backend,
+        on_leaving: Callable[[], None],
+        on_returned: Callable[[], None],
+    ) -> None:
+        self.is_leaving = False
+        self._backend = backend
+        self._on_leaving = on_leaving
+        self._on_returned = on_returned
+        self._return = ReturnWatch()
+        self._has_answered = False
+
+    def on_answer(self, answer: BackendAnswer) -> None:
+        """Note an answer to a call."""
+        self._has_answered = True
+        if answer.draining:
+            self._leaves()
+
+    async def run(self) -> None:
+        """Watch for as long as the daemon runs."""
+        while True:
+            await asyncio.sleep(RETURN_POLL_SECONDS if self.is_leaving else IDLE_POLL_SECONDS)
+            await self.look()
+
+    async def look(self) -> None:
+        """Look once for what the back end does not say by itself."""
+        if self.is_leaving:
+            await self._look_for_return()
+        elif self._has_answered:
+            self._has_answered = False
+        else:
+            await self._look_for_leaving()
+
+    async def _look_for_leaving(self) -> None:
+        result = await check_health(self._backend)
+        # An answer that came meanwhile is the better witness.
+        if isinstance(result, BackendAnswer) and result.draining and not self._has_answered:
+            self._leaves()
+
+    async def _look_for_return(self) -> None:
+        result = await check_health(self._backend)
+        if not self._return.has_returned(result, time.monotonic()):
+            return
+        self.is_leaving = False
+        self._on_returned()
+
+    def _leaves(self) -> None:
+        if self.is_leaving:
+            return
+        self.is_leaving = True
+        self._return = ReturnWatch()
+        self._on_leaving()
+
+
+async def check_health(backend: Backend) -> BackendResult:
+    """Return what the back end answers to a check of its health."""
+    ended: asyncio.Future[BackendResult] = asyncio.get_running_loop().create_future()
+    request = BackendRequest(
+        method="GET",
+        path=HEALTH_PATH,
+        headers=(),
+        body=b"",
+        timeout_seconds=TIMEOUT_SECONDS,
+        max_answer_bytes=MAX_HEALTH_BYTES,
+    )
+    cancel: Callable[[], object] = backend.send(request, ended.set_result)
+    try:
+        return await ended
+    except asyncio.CancelledError:
+        cancel()
+        raise
--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -59,8 +59,8 @@
         Thresholds that requests meet further down.
     guarded
         Runs what may not be repeated.
-    on_backend_leaving
-        Called when the back end says that it is leaving.
+    on_backend_answer
+        Called with each answer of the back end.
     """
 
     def __init__(
@@ -72,7 +72,7 @@
         served: ServedRequests,
         paths: PathThresholds,
         rng: random.Random,
-        on_backend_leaving: Callable[[], None],
+        on_backend_answer: Callable[[BackendAnswer], None],
         revision: Callable[[], int],
     ) -> None:
         self._settings = settings
@@ -81,7 +81,7 @@
         self._served = served
         self._paths = paths
         self._rng = rng
-        self._on_backend_leaving = on_backend_leaving
+        self._on_backend_answer = on_backend_answer
         self._revision = revision
         self._gate = Gate(1, rng, time.monotonic())
         self._sessions = SessionTable()
@@ -259,8 +259,8 @@
     def _on_backend_result(self, work: Work, result: BackendResult) -> None:
         if work.state is not WorkState.AT_BACKEND:
             return
-        if isinstance(result, BackendAnswer) and result.draining:
-            self._on_backend_leaving()
+        if isinstance(result, BackendAnswer):
+            self._on_backend_answer(result)
         outcome = outcome_of(result, retry_after(0.0, self._rng))
         if work.repeatable:
             self._finish(work, outcome)
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -16,7 +16,7 @@
 from finchshed.daemon import metrics
 from finchshed.daemon.accounts import ServedRequests
 from finchshed.daemon.backend_http import HttpBackend
-from finchshed.daemon.backend_return import wait_for_return
+from finchshed.daemon.backend_watch import BackendWatch
 from finchshed.daemon.callee import Callee
 from finchshed.daemon.caller import Caller
 from finchshed.daemon.catalogue import Catalogue
@@ -56,7 +56,6 @@
         self._is_serving = False
         self._is_draining = False
         self._is_listed = False
-        self._back_end_leaves = False
         self._own_listing = OwnListing(settings.endpoint, time.monotonic())
         self._tasks: set[asyncio.Task[None]] = set()
         self._served = ServedRequests()
@@ -83,6 +82,7 @@
         self._driver = self._make_driver()
         self._driver.client.on_hints = self._on_hints
         self._backend: HttpBackend | None = None
+        self._backend_watch: BackendWatch | None = None
         self._callee = self._make_callee()
         self._listeners = Listeners()
 
@@ -94,7 +94,8 @@
     @property
     def _takes_nothing(self) -> bool:
         """Whether any sign says that this endpoint leaves."""
-        return self._is_draining or self._is_listed or self._back_end_leaves
+        watch = self._backend_watch
+        return self._is_draining or self._is_listed or (watch is not None and watch.is_leaving)
 
     @property
     def state_detail(self) -> str:
@@ -108,6 +109,8 @@
         settings = self._settings
         self._spawn(self._driver.run())
         self._spawn(self._tick_seldom())
+        if self._backend_watch is not None:
+            self._spawn(self._backend_watch.run())
         await self._listeners.open(settings.link_address, self._listener.make_protocol)
 
     async def stop(self) -> None:
@@ -283,6 +286,9 @@
         self._backend = HttpBackend(
             settings.backend_address, settings.max_connections, settings.connect_timeout_seconds
         )
+        self._backend_watch = BackendWatch(
+            self._backend, self._on_backend_leaving, self._on_backend_returned
+        )
         guarded = GuardedRuns(settings, ControlLedger(self._driver.client), self._rng)
         return Callee(
             settings,
@@ -291,17 +297,13 @@
             served=self._served,
             paths=self._paths,
             rng=self._rng,
-            on_backend_leaving=self._on_backend_leaving,
+            on_backend_answer=self._backend_watch.on_answer,
             revision=self.revision,
         )
 
     def _on_backend_leaving(self) -> None:
-        if self._back_end_leaves:
-            return
         logger.info("the back end says that it is leaving")
-        self._back_end_leaves = True
         self._tell_draining()
-        self._spawn(self._take_back_end_back())
 
     def _tell_draining(self) -> None:
         if self._callee is not None:
@@ -309,11 +311,8 @@
         for link in self._listener.links():
             link.tell_draining()
 
-    async def _take_back_end_back(self) -> None:
-        """Take work again once the back end has returned; to peers it is another one."""
-        assert self._backend is not None
-        await wait_for_return(self._backend)
-        self._back_end_leaves = False
+    def _on_backend_returned(self) -> None:
+        """Take work again; to peers this is another back end."""
         logger.info("the back end has returned")
         if self._callee is None or self._takes_nothing:
             return
--- a/tests/daemon/deployment.py
+++ b/tests/daemon/deployment.py
@@ -14,7 +14,7 @@
 from finchshed.configuration.resources import Endpoint, Policy, Resource, Route, Service
 from finchshed.ledger.keys import new_key
 from tests.daemon.processes import DaemonProcess
-from tests.daemon.scripted_backend import Handler, ScriptedBackend, echo
+from tests.daemon.scripted_backend import Handler, ScriptedBackend, echo, well
 from tests.daemon.scripted_control import ScriptedControl
 
 SERVICE = "licence"
@@ -124,14 +124,18 @@
     *handlers: Handler,
     flags: dict[str, str] | None = None,
     retry_budget: int = 3,
+    health: Handler = well,
 ) -> AsyncIterator[Deployment]:
-    """Run one back end and daemon for each handler (by default one that echoes), and an edge."""
+    """Run one back end and daemon for each handler (by default one that echoes), and an edge.
+
+    ``health`` answers the checks of the back ends' health.
+    """
     async with AsyncExitStack() as stack:
         control = await stack.enter_async_context(ScriptedControl(()))
         backends = []
         daemons = []
         for number, handler in enumerate(handlers or (echo,), start=1):
-            backend = await stack.enter_async_context(ScriptedBackend(handler))
+            backend = await stack.enter_async_context(ScriptedBackend(handler, health))
             backends.append(backend)
             daemons.append(
                 DaemonProcess(
--- a/tests/daemon/scripted_backend.py
+++ b/tests/daemon/scripted_backend.py
@@ -23,10 +23,12 @@
 class ScriptedBackend:
     """Records each request and lets ``handler`` write the answer.
 
-    Checks of its health are counted apart: they are no work that was sent to it.
+    Checks of its health are counted apart, and answered by ``health``: they are no work that was
+    sent to it.
     """
 
     handler: Handler
+    health: Handler
     received: list[Received] = field(default_factory=list)
     health_checks: int = 0
     closed_early: int = 0
@@ -62,9 +64,11 @@
             while (received := await _read_request(reader)) is not None:
                 if received.path == HEALTH_PATH:
                     self.health_checks += 1
+                    handler = self.health
                 else:
                     self.received.append(received)
-                answering = asyncio.ensure_future(self.handler(received, writer))
+                    handler = self.handler
+                answering = asyncio.ensure_future(handler(received, writer))
                 watching = asyncio.ensure_future(_closed(reader))
                 await asyncio.wait({answering, watching}, return_when=asyncio.FIRST_COMPLETED)
                 watching.cancel()
@@ -114,3 +118,8 @@
 async def echo(received: Received, writer: asyncio.StreamWriter) -> None:
     """Answer with the method, path and body of the request."""
     writer.write(answer(f"{received.method} {received.path} ".encode() + received.body))
+
+
+async def well(_: Received, writer: asyncio.StreamWriter) -> None:
+    """Answer a check of the health."""
+    writer.write(answer(b"well"))
--- a/tests/daemon/test_return_after_leaving.py
+++ b/tests/daemon/test_return_after_leaving.py
@@ -54,13 +54,15 @@
 
 
 async def test_daemon_takes_work_again_once_its_back_end_is_back() -> None:
-    leaving = True
+    leaving = False
 
     async def handler(received: Received, writer: asyncio.StreamWriter) -> None:
+        nonlocal leaving
+        leaving = leaving or received.path == "/a"
         headers = {"finchshed_draining": "1"} if leaving else {}
-        writer.write(answer(received.path.encode(), **headers))
+        writer.write(answer(received.path.encode(), 200, **headers))
 
-    async with deployment(handler) as system:
+    async with deployment(handler, health=handler) as system:
         assert (await system.ask("/a")).status == 200
         assert (await system.ask("/b")).ran == "no"
         await eventually(lambda: system.backends[0].health_checks >= 2)
