Daemon, callee, HTTP connection and peer link in modules by job

tests/link/test_peer.py: only its import changed. tests/daemon, tests/link and tests/architecture: 189 passed.

--- /dev/null
+++ b/src/finchshed/daemon/call_admission.py
@@ -0,0 +1,90 @@
+"""Judges a call that came in by the configuration, the drain and the sessions."""
+
+import random
+
+from finchshed.common.outcomes import RefusalReason, Refused
+from finchshed.daemon.catalogue import Catalogue
+from finchshed.daemon.ledger_port import scoped_key
+from finchshed.daemon.settings import DaemonSettings
+from finchshed.daemon.work import Work
+from finchshed.link.listener import AcceptedLink
+from finchshed.link.messages import Call
+from finchshed.retry.policy import retry_after
+from finchshed.session.table import NotOpened, SessionTable
+
+
+class CallAdmission:
+    """Turns calls into work, or tells why not.
+
+    Attributes
+    ----------
+    may_serve
+        Whether there is a configuration that calls may be served by.
+    draining
+        Whether no new work is taken.
+    catalogue
+        The configuration in force.
+    sessions
+        Sessions pinned to this back end.
+    """
+
+    def __init__(self, settings: DaemonSettings, rng: random.Random) -> None:
+        self.may_serve = False
+        self.draining = False
+        self.catalogue = Catalogue()
+        self.sessions = SessionTable()
+        self._settings = settings
+        self._rng = rng
+        self._next_token = 1
+
+    def admit(self, link: AcceptedLink, call: Call, now: float) -> Work | Refused:
+        """Return the work a call means, or why it is refused. ``now`` is monotonic seconds."""
+        if not self.may_serve:
+            return self.refused(RefusalReason.NO_CONFIGURATION)
+        matched = self.catalogue.match(call.service, call.path)
+        if matched is None or call.service != self._settings.service:
+            return self.refused(RefusalReason.UNKNOWN_ROUTE)
+        route, service = matched.route, matched.service
+        if len(call.body) > service.max_body_bytes:
+            return self.refused(RefusalReason.REQUEST_TOO_LARGE)
+        ledger_key = "" if route.repeatable else scoped_key(call.context.key, service.name)
+        if ledger_key is None:
+            return self.refused(RefusalReason.KEY_INVALID, "a UUID of version 7 is needed")
+        session = call.context.session if route.session else ""
+        opens_session = False
+        if self.draining and not (session and self.sessions.get(session)):
+            return self.refused(RefusalReason.DRAINING)
+        if session:
+            if self.sessions.get(session) is None:
+                self.sessions.expire(now)
+            opened = self.sessions.open(
+                session,
+                service.name,
+                self._settings.endpoint,
+                max_sessions=service.max_sessions,
+                idle_seconds=service.session_idle_seconds,
+                now=now,
+            )
+            if isinstance(opened, NotOpened):
+                return self.refused(opened.reason)
+            opens_session = opened.is_new
+            self.sessions.on_request(session, now)
+        token = self._next_token
+        self._next_token += 1
+        return Work(
+            token=token,
+            link=link,
+            call=call,
+            arrived=now,
+            deadline=now + call.context.remaining_seconds,
+            route=route.prefix,
+            repeatable=route.repeatable,
+            in_session=bool(session),
+            opens_session=opens_session,
+            max_body_bytes=service.max_body_bytes,
+            ledger_key=ledger_key,
+        )
+
+    def refused(self, reason: RefusalReason, detail: str = "") -> Refused:
+        """Return a refusal for ``reason``."""
+        return Refused(reason, retry_after(0.0, self._rng), detail)
--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -20,7 +20,6 @@
 from finchshed.common.outcomes import (
     Answered,
     Outcome,
-    RefusalReason,
     Refused,
 )
 from finchshed.common.results import CallResult, result_of
@@ -33,16 +32,16 @@
     BackendResult,
 )
 from finchshed.daemon.backend_call import backend_headers, outcome_of
+from finchshed.daemon.call_admission import CallAdmission
 from finchshed.daemon.catalogue import Catalogue
 from finchshed.daemon.guarded import GuardedRuns
-from finchshed.daemon.ledger_port import scoped_key
 from finchshed.daemon.settings import DaemonSettings
 from finchshed.daemon.work import Work, WorkState
 from finchshed.link.digests import digest_of
 from finchshed.link.listener import AcceptedLink
 from finchshed.link.messages import Call, LoadReport, Reply
 from finchshed.retry.policy import retry_after
-from finchshed.session.table import NotOpened, SessionTable
+from finchshed.session.table import SessionTable
 
 TICK_SECONDS = 0.02
 """How often deadlines in the queue and the threshold are looked at while there is a queue."""
@@ -84,14 +83,23 @@
         self._on_backend_answer = on_backend_answer
         self._revision = revision
         self._gate = Gate(1, rng, time.monotonic())
-        self._sessions = SessionTable()
-        self._catalogue = Catalogue()
+        self._admission = CallAdmission(settings, rng)
         self._works: dict[int, Work] = {}
         self._by_call: dict[tuple[str, int], Work] = {}
-        self._next_token = 1
         self._ticker: asyncio.TimerHandle | None = None
-        self.may_serve = False
-        self.draining = False
+
+    @property
+    def draining(self) -> bool:
+        """Whether no new work is taken."""
+        return self._admission.draining
+
+    @draining.setter
+    def draining(self, value: bool) -> None:
+        self._admission.draining = value
+
+    def start_serving(self) -> None:
+        """Take calls from now on."""
+        self._admission.may_serve = True
 
     @property
     def in_progress(self) -> int:
@@ -101,15 +109,15 @@
     @property
     def sessions(self) -> int:
         """Sessions pinned to this back end."""
-        return len(self._sessions)
+        return len(self._admission.sessions)
 
     def end_sessions(self) -> None:
         """Send the sessions away: their requests are refused as draining from now on."""
-        self._sessions = SessionTable()
+        self._admission.sessions = SessionTable()
 
     def configure(self, catalogue: Catalogue) -> None:
         """Act on a new configuration."""
-        self._catalogue = catalogue
+        self._admission.catalogue = catalogue
         endpoint = catalogue.endpoints.get(self._settings.endpoint)
         if endpoint is not None:
             self._gate.set_slots(endpoint.slots)
@@ -124,7 +132,7 @@
 
     def expire_sessions(self) -> None:
         """End the sessions that have been idle for long."""
-        self._sessions.expire(time.monotonic())
+        self._admission.sessions.expire(time.monotonic())
 
     def _arm_tick(self) -> None:
         """Look after the queue and the threshold for as long as there is either."""
@@ -142,7 +150,7 @@
     def take(self, link: AcceptedLink, call: Call) -> None:
         """Take a call that came in."""
         now = time.monotonic()
-        work = self._admit(link, call, now)
+        work = self._admission.admit(link, call, now)
         if isinstance(work, Refused):
             self._send_reply(link, call, work, call.context.spare_attempts)
             return
@@ -168,53 +176,6 @@
                 work.cancel_backend()
             self._end(work, CallResult.CANCELLED)
 
-    def _admit(self, link: AcceptedLink, call: Call, now: float) -> Work | Refused:
-        if not self.may_serve:
-            return self._refused(RefusalReason.NO_CONFIGURATION)
-        matched = self._catalogue.match(call.service, call.path)
-        if matched is None or call.service != self._settings.service:
-            return self._refused(RefusalReason.UNKNOWN_ROUTE)
-        route, service = matched.route, matched.service
-        if len(call.body) > service.max_body_bytes:
-            return self._refused(RefusalReason.REQUEST_TOO_LARGE)
-        ledger_key = "" if route.repeatable else scoped_key(call.context.key, service.name)
-        if ledger_key is None:
-            return self._refused(RefusalReason.KEY_INVALID, "a UUID of version 7 is needed")
-        session = call.context.session if route.session else ""
-        opens_session = False
-        if self.draining and not (session and self._sessions.get(session)):
-            return self._refused(RefusalReason.DRAINING)
-        if session:
-            if self._sessions.get(session) is None:
-                self._sessions.expire(now)
-            opened = self._sessions.open(
-                session,
-                service.name,
-                self._settings.endpoint,
-                max_sessions=service.max_sessions,
-                idle_seconds=service.session_idle_seconds,
-                now=now,
-            )
-            if isinstance(opened, NotOpened):
-                return self._refused(opened.reason)
-            opens_session = opened.is_new
-            self._sessions.on_request(session, now)
-        token = self._next_token
-        self._next_token += 1
-        return Work(
-            token=token,
-            link=link,
-            call=call,
-            arrived=now,
-            deadline=now + call.context.remaining_seconds,
-            route=route.prefix,
-            repeatable=route.repeatable,
-            in_session=bool(session),
-            opens_session=opens_session,
-            max_body_bytes=service.max_body_bytes,
-            ledger_key=ledger_key,
-        )
-
     def _apply(self, effects: list[GateEffect]) -> None:
         for effect in effects:
             work = self._works.get(effect.token)
@@ -222,7 +183,7 @@
                 continue
             if isinstance(effect, Start):
                 if work.in_session:
-                    self._sessions.admit(work.call.context.session)
+                    self._admission.sessions.admit(work.call.context.session)
                 self._start(work)
             else:
                 refused = Refused(effect.reason, effect.retry_after)
@@ -281,7 +242,7 @@
         """Answer a call that was never started."""
         self._forget(work)
         if work.opens_session:
-            self._sessions.refuse(work.call.context.session)
+            self._admission.sessions.refuse(work.call.context.session)
         self._send_reply(work.link, work.call, outcome, work.call.context.spare_attempts)
 
     def _end(self, work: Work, result: CallResult) -> int:
@@ -300,7 +261,7 @@
         self._works.pop(work.token, None)
         self._by_call.pop((work.call.epoch, work.call.call), None)
         if work.in_session:
-            self._sessions.on_answer(work.call.context.session, time.monotonic())
+            self._admission.sessions.on_answer(work.call.context.session, time.monotonic())
 
     def _send_reply(self, link: AcceptedLink, call: Call, outcome: Outcome, spare: int) -> None:
         digest = digest_of(outcome.body) if isinstance(outcome, Answered) else ""
@@ -317,9 +278,6 @@
         )
         metrics.count_served(call.service, call.context.importance, outcome)
 
-    def _refused(self, reason: RefusalReason, detail: str = "") -> Refused:
-        return Refused(reason, retry_after(0.0, self._rng), detail)
-
 
 def _rank_context(work: Work) -> CallContext:
     """Return the context a call is ranked by: a session that it opens is not running yet."""
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -11,12 +11,11 @@
 from loguru import logger
 
 from finchshed.admission.paths import PathThresholds
-from finchshed.common.outcomes import RefusalReason, Refused
+from finchshed.common.outcomes import RefusalReason
 from finchshed.configuration.resources import Endpoint
 from finchshed.daemon import metrics
 from finchshed.daemon.accounts import ServedRequests
 from finchshed.daemon.backend_http import HttpBackend
-from finchshed.daemon.backend_watch import BackendWatch
 from finchshed.daemon.callee import Callee
 from finchshed.daemon.caller import Caller
 from finchshed.daemon.catalogue import Catalogue
@@ -24,25 +23,24 @@
 from finchshed.daemon.front import Admitted, Front
 from finchshed.daemon.guarded import GuardedRuns
 from finchshed.daemon.http_server import HttpServer
+from finchshed.daemon.leaving import Leaving, new_incarnation
+from finchshed.daemon.link_side import LinkSide
 from finchshed.daemon.listeners import Listeners
 from finchshed.daemon.peers import PeerLinks
-from finchshed.daemon.platform_hints import OwnListing, PlatformHints
+from finchshed.daemon.platform_hints import PlatformHints
 from finchshed.daemon.settings import DaemonSettings
 from finchshed.daemon.spool import SpoolBudget
 from finchshed.distribution.addresses import parse_control_address
 from finchshed.distribution.driver import FollowerDriver
 from finchshed.distribution.effects import ServingGround
 from finchshed.distribution.identity import ClientIdentity
-from finchshed.distribution.messages import Delta, Hints
+from finchshed.distribution.messages import Hints
 from finchshed.distribution.snapshot import Configuration
-from finchshed.link.listener import AcceptedLink, LinkListener
-from finchshed.link.messages import Call, Hello, LoadReport, Reply
-from finchshed.retry.policy import retry_after
+from finchshed.link.listener import LinkListener
 from finchshed.routing.table import RoutingTable
 from finchshed.runtime import garbage
 
 SLOW_TICK_SECONDS = 0.5
-INCARNATION_BYTES = 8
 DRAIN_POLL_SECONDS = 0.02
 
 
@@ -52,11 +50,9 @@
     def __init__(self, settings: DaemonSettings) -> None:
         self._settings = settings
         self._rng = random.Random(secrets.randbits(64))
-        self._incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self._incarnation = new_incarnation()
         self._is_serving = False
-        self._is_draining = False
-        self._is_listed = False
-        self._own_listing = OwnListing(settings.endpoint, time.monotonic())
+        self._leaving = Leaving(settings.endpoint)
         self._tasks: set[asyncio.Task[None]] = set()
         self._served = ServedRequests()
         self._table = RoutingTable(
@@ -67,40 +63,44 @@
             subset_size=settings.subset_size,
         )
         self._platform = PlatformHints(self._table)
-        self._links = PeerLinks(settings, self, self._rng)
+        self._driver = self._make_driver()
+        self._driver.client.on_hints = self._on_hints
+        self._side = LinkSide(
+            settings,
+            self._driver,
+            self._table,
+            self._platform,
+            incarnation=self._incarnation,
+            takes_nothing=self._leaving.takes_nothing,
+            rng=self._rng,
+        )
+        self._links = PeerLinks(settings, self._side, self._rng)
         self._paths = PathThresholds(self._table.floor)
         self._caller = Caller(self._table, self._links, self._served, self._paths, self._rng)
         self._front = Front(self._caller, self._served, self._rng, self._why_not)
         spool = SpoolBudget(settings.max_spooled_bytes)
         self._http: HttpServer[Admitted] = HttpServer(self._front, spool)
         self._listener = LinkListener(
-            self,
+            self._side,
             settings.peer_networks,
             silence_seconds=settings.accepted_silence_seconds,
             max_unsent_bytes=settings.max_unsent_bytes,
         )
-        self._driver = self._make_driver()
-        self._driver.client.on_hints = self._on_hints
         self._backend: HttpBackend | None = None
-        self._backend_watch: BackendWatch | None = None
         self._callee = self._make_callee()
+        self._side.callee = self._callee
+        self._leaving.attach(self._callee, self._side, self._listener)
         self._listeners = Listeners()
 
     @property
     def is_serving(self) -> bool:
         """Whether new work is taken."""
-        return self._is_serving and not self._is_draining
-
-    @property
-    def _takes_nothing(self) -> bool:
-        """Whether any sign says that this endpoint leaves."""
-        watch = self._backend_watch
-        return self._is_draining or self._is_listed or (watch is not None and watch.is_leaving)
+        return self._is_serving and not self._leaving.is_stopping
 
     @property
     def state_detail(self) -> str:
         """What a daemon that takes no new work waits for."""
-        if self._is_draining:
+        if self._leaving.is_stopping:
             return "draining"
         return "" if self._is_serving else "waiting for a confirmed configuration"
 
@@ -109,8 +109,8 @@
         settings = self._settings
         self._spawn(self._driver.run())
         self._spawn(self._tick_seldom())
-        if self._backend_watch is not None:
-            self._spawn(self._backend_watch.run())
+        if self._leaving.watch is not None:
+            self._spawn(self._leaving.watch.run())
         await self._listeners.open(settings.link_address, self._listener.make_protocol)
 
     async def stop(self) -> None:
@@ -121,12 +121,12 @@
         drain has; those that are left then are sent away, which moves them to other endpoints.
         """
         settings = self._settings
-        self._is_draining = True
+        self._leaving.is_stopping = True
         metrics.DRAINING.set(1)
         logger.info("draining")
         self._listeners.prefer_successor()
         self._http.closing = True
-        self._tell_draining()
+        self._leaving.tell()
         await asyncio.sleep(settings.drain_notice_seconds)
         self._listeners.close()
         await self._idle(settings.drain_seconds)
@@ -171,98 +171,11 @@
         # Not before: a successor shares its address with a process that does answer.
         self._spawn(self._listeners.open(self._settings.http_address, self._http.make_protocol))
         if self._callee is not None:
-            self._callee.may_serve = True
-
-    # What links tell and ask, on both ends.
-
-    def hello(self, epoch: str) -> Hello:
-        """Return this daemon's first line."""
-        return Hello(
-            node=self._settings.endpoint or self._settings.node,
-            incarnation=self._incarnation,
-            epoch=epoch,
-            service=self._settings.service,
-            zone=self._settings.zone,
-            revision=self.revision(),
-            draining=self._takes_nothing,
-        )
-
-    def revision(self) -> int:
-        """Return the revision in force."""
-        return self._driver.follower.revision
-
-    def delta_for(self, revision: int) -> Delta | None:
-        """Return the configuration for a peer that holds ``revision``."""
-        return self._driver.follower.answer_fetch(revision)
-
-    def load_report(self) -> LoadReport:
-        """Return the load to tell with a heartbeat."""
-        if self._callee is None:
-            return LoadReport(draining=self._takes_nothing)
-        return self._callee.load_report()
-
-    def call_received(self, link: AcceptedLink, call: Call) -> None:
-        """Take a call of another daemon; an edge has nothing to answer it with."""
-        if self._callee is not None:
-            self._callee.take(link, call)
-            return
-        refused = Refused(RefusalReason.UNKNOWN_ROUTE, retry_after(0.0, self._rng))
-        spare = call.context.spare_attempts
-        link.reply(Reply(call.epoch, call.call, refused, spare, self.load_report()))
-
-    def call_cancelled(self, link: AcceptedLink, call: int) -> None:
-        """Drop a call of another daemon."""
-        if self._callee is not None:
-            self._callee.give_up(link, call)
-
-    def accepted_revision_seen(self, link: AcceptedLink, revision: int) -> None:
-        """Note the revision a calling daemon holds; fetch it if it is higher."""
-        if link.peer is not None:
-            self._driver.on_peer_revision(link.peer.node, revision)
-
-    def accepted_delta_received(self, link: AcceptedLink, delta: Delta) -> None:
-        """Take configuration from a calling daemon."""
-        if link.peer is not None:
-            self._driver.on_peer_delta(link.peer.node, delta)
-
-    def peer_up(self, endpoint: str, incarnation: str) -> None:
-        """Note that an endpoint can be called."""
-        now = time.monotonic()
-        self._table.on_link_up(endpoint, incarnation, now)
-        self._platform.on_linked(endpoint, incarnation, now)
-
-    def peer_down(self, endpoint: str) -> None:
-        """Note that an endpoint can't be called."""
-        self._table.on_link_down(endpoint, time.monotonic())
-
-    def peer_draining(self, endpoint: str) -> None:
-        """Note that an endpoint takes no new calls."""
-        self._table.mark_draining(endpoint, time.monotonic())
-
-    def peer_load(self, endpoint: str, load: LoadReport) -> None:
-        """Note the load an endpoint told with a heartbeat."""
-        self._table.on_report(endpoint, load, time.monotonic())
-
-    def peer_revision(self, peer: str, revision: int) -> None:
-        """Note the revision an endpoint's daemon holds."""
-        self._driver.on_peer_revision(peer, revision)
-
-    def peer_delta(self, peer: str, delta: Delta) -> None:
-        """Take configuration from an endpoint's daemon."""
-        self._driver.on_peer_delta(peer, delta)
+            self._callee.start_serving()
 
     def _on_hints(self, hints: Hints) -> None:
-        now = time.monotonic()
-        self._platform.on_hints(hints, now)
-        is_listed = self._own_listing.is_meant(hints, now)
-        if is_listed == self._is_listed:
-            return
-        self._is_listed = is_listed
-        if is_listed:
-            logger.info("the platform lists this machine as leaving")
-            self._tell_draining()
-        else:
-            self._stay()
+        self._platform.on_hints(hints, time.monotonic())
+        self._leaving.on_hints(hints)
 
     # Construction and upkeep.
 
@@ -286,9 +199,7 @@
         self._backend = HttpBackend(
             settings.backend_address, settings.max_connections, settings.connect_timeout_seconds
         )
-        self._backend_watch = BackendWatch(
-            self._backend, self._on_backend_leaving, self._on_backend_returned
-        )
+        watch = self._leaving.watch_backend(self._backend)
         guarded = GuardedRuns(settings, ControlLedger(self._driver.client), self._rng)
         return Callee(
             settings,
@@ -297,38 +208,10 @@
             served=self._served,
             paths=self._paths,
             rng=self._rng,
-            on_backend_answer=self._backend_watch.on_answer,
-            revision=self.revision,
+            on_backend_answer=watch.on_answer,
+            revision=self._side.revision,
         )
 
-    def _on_backend_leaving(self) -> None:
-        logger.info("the back end says that it is leaving")
-        self._tell_draining()
-
-    def _tell_draining(self) -> None:
-        if self._callee is not None:
-            self._callee.draining = True
-        for link in self._listener.links():
-            link.tell_draining()
-
-    def _on_backend_returned(self) -> None:
-        """Take work again; to peers this is another back end."""
-        logger.info("the back end has returned")
-        if self._callee is None or self._takes_nothing:
-            return
-        self._callee.draining = False
-        self._incarnation = secrets.token_hex(INCARNATION_BYTES)
-        for link in self._listener.links():
-            link.tell_hello()
-
-    def _stay(self) -> None:
-        """Take work again though the platform had listed this machine, if no other sign is left."""
-        if self._callee is None or self._takes_nothing:
-            return
-        self._callee.draining = False
-        for link in self._listener.links():
-            link.tell_load()
-
     async def _idle(self, seconds: float) -> None:
         """Wait until nothing is in progress, for ``seconds`` at most."""
         for _ in range(round(seconds / DRAIN_POLL_SECONDS)):
--- a/src/finchshed/daemon/http_connection.py
+++ b/src/finchshed/daemon/http_connection.py
@@ -6,15 +6,19 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Generic, Protocol, TypeVar, cast
+from typing import Generic, cast
 
 import httptools
 
 from finchshed.common.outcomes import Refused
-from finchshed.daemon.http_message import CONTINUE, InboundRequest, Response, encode_response
-from finchshed.daemon.spool import SpoolBudget
+from finchshed.daemon.http_exchange import ConnectionOwner, Exchange, RequestT
+from finchshed.daemon.http_message import (
+    CONTINUE,
+    InboundRequest,
+    Response,
+    encode_response,
+    origin_form,
+)
 
 MAX_HEAD_BYTES = 65_536
 """Longest request line with headers."""
@@ -22,71 +26,6 @@
 MAX_DISCARDED_BYTES = 1 << 20
 """A refused request's body is read and dropped up to here, so that its sender sees the answer."""
 
-RequestT = TypeVar("RequestT")
-
-
-class RequestHandler(Protocol[RequestT]):
-    """What answers requests.
-
-    ``RequestT`` is what it knows of a request from its head; it gets that back with the body.
-    """
-
-    def admit(self, request: InboundRequest) -> RequestT | Refused:
-        """Judge a request by its head, before its body is read."""
-
-    def max_body_bytes(self, admitted: RequestT) -> int:
-        """Return the largest body taken for an admitted request."""
-
-    def handle(
-        self,
-        request: InboundRequest,
-        admitted: RequestT,
-        respond: Callable[[Response], None],
-    ) -> Callable[[], None]:
-        """Answer a whole request; ``respond`` is called once. Return what gives it up."""
-
-    def refused(self, refused: Refused) -> Response:
-        """Return the response that tells a refusal."""
-
-    def too_large(self, limit: int) -> Refused:
-        """Return the refusal of a body larger than ``limit``."""
-
-    def spool_full(self) -> Refused:
-        """Return the refusal of a request whose body can't be held."""
-
-    def malformed(self, detail: str) -> Response:
-        """Return the response to bytes that are no request."""
-
-
-class ConnectionOwner(Protocol[RequestT]):
-    """The listener a connection belongs to."""
-
-    handler: RequestHandler[RequestT]
-    spool: SpoolBudget
-    now: float
-    closing: bool
-
-    def opened(self, connection: "InboundConnection[RequestT]") -> None:
-        """Count a connection."""
-
-    def closed(self, connection: "InboundConnection[RequestT]") -> None:
-        """Forget a connection."""
-
-
-@dataclass(slots=True)
-class _Exchange(Generic[RequestT]):
-    """One request being read or answered."""
-
-    request: InboundRequest
-    admitted: RequestT | None = None
-    refusal: Refused | None = None
-    limit: int = 0
-    size: int = 0
-    spooled: int = 0
-    closes: bool = False
-    is_whole: bool = False
-    give_up: Callable[[], None] | None = None
-
 
 class InboundConnection(asyncio.Protocol, Generic[RequestT]):
     """A connection of a caller."""
@@ -99,9 +38,9 @@
         self._target = b""
         self._parts: list[bytes] = []
         self._head_bytes = 0
-        self._reading: _Exchange[RequestT] | None = None
-        self._answering: _Exchange[RequestT] | None = None
-        self._queued: deque[_Exchange[RequestT]] = deque()
+        self._reading: Exchange[RequestT] | None = None
+        self._answering: Exchange[RequestT] | None = None
+        self._queued: deque[Exchange[RequestT]] = deque()
         self._held: list[bytes] = []
         self._is_advancing = False
         self.is_lingering = False
@@ -186,7 +125,7 @@
             self._check_size(self._reading)
         self._advance()
 
-    def _check_size(self, reading: _Exchange[RequestT]) -> None:
+    def _check_size(self, reading: Exchange[RequestT]) -> None:
         if reading.admitted is None and reading.refusal is None:
             if self._head_bytes > MAX_HEAD_BYTES:
                 self._end_malformed("the head of the request is too large")
@@ -197,7 +136,7 @@
 
     def on_message_begin(self) -> None:
         """Start a request."""
-        self._reading = _Exchange(InboundRequest(self._remote))
+        self._reading = Exchange(InboundRequest(self._remote))
         self._target = b""
         self._parts = []
 
@@ -219,7 +158,7 @@
         assert exchange is not None
         request = exchange.request
         request.method = self._parser.get_method().decode("latin-1")
-        request.target = _origin_form(self._target)
+        request.target = origin_form(self._target)
         keeps_alive = self._parser.should_keep_alive()
         exchange.closes = not keeps_alive or self._parser.get_http_version() != "1.1"
         handler = self._owner.handler
@@ -274,7 +213,7 @@
             self._begin(self._queued.popleft())
         self._is_advancing = False
 
-    def _begin(self, exchange: _Exchange[RequestT]) -> None:
+    def _begin(self, exchange: Exchange[RequestT]) -> None:
         self._answering = exchange
         handler = self._owner.handler
         if exchange.refusal is not None or exchange.admitted is None:
@@ -287,7 +226,7 @@
         if self._answering is exchange:
             exchange.give_up = give_up
 
-    def _respond(self, exchange: _Exchange[RequestT], response: Response) -> None:
+    def _respond(self, exchange: Exchange[RequestT], response: Response) -> None:
         if self._answering is not exchange or self._transport is None:
             return
         self._answering = None
@@ -314,12 +253,12 @@
             self._parse(held.pop(0))
         self._held = held + self._held
 
-    def _check_declared_length(self, exchange: _Exchange[RequestT]) -> None:
+    def _check_declared_length(self, exchange: Exchange[RequestT]) -> None:
         declared = exchange.request.first.get(b"content-length")
         if declared is not None and int(declared) > exchange.limit:
             exchange.refusal = self._owner.handler.too_large(exchange.limit)
 
-    def _on_expect(self, exchange: _Exchange[RequestT]) -> None:
+    def _on_expect(self, exchange: Exchange[RequestT]) -> None:
         if self._answering is not None or self._transport is None:
             return
         if exchange.refusal is None:
@@ -328,7 +267,7 @@
         # The sender waits for leave to send the body, and is not given it.
         self._queue_unread(exchange)
 
-    def _queue_unread(self, exchange: _Exchange[RequestT]) -> None:
+    def _queue_unread(self, exchange: Exchange[RequestT]) -> None:
         """Have a refused request answered though its body has not come in whole."""
         exchange.closes = True
         self._reading = None
@@ -352,18 +291,6 @@
         else:
             self._transport.close()
 
-    def _release(self, exchange: _Exchange[RequestT]) -> None:
+    def _release(self, exchange: Exchange[RequestT]) -> None:
         self._owner.spool.give_back(exchange.spooled)
         exchange.spooled = 0
-
-
-def _origin_form(target: bytes) -> str:
-    """Return path and query of a request's target (RFC 9112, 3.2)."""
-    if target.startswith(b"/"):
-        return target.decode("latin-1")
-    try:
-        url = httptools.parse_url(target)
-    except httptools.HttpParserInvalidURLError:
-        return target.decode("latin-1")
-    path = (url.path or b"/") + (b"?" + url.query if url.query else b"")
-    return path.decode("latin-1")
--- a/src/finchshed/daemon/http_message.py
+++ b/src/finchshed/daemon/http_message.py
@@ -4,6 +4,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+import httptools
+
 from finchshed.common.outcomes import Headers
 
 STATUS_NO_CONTENT = 204
@@ -54,6 +56,18 @@
     body: bytes
 
 
+def origin_form(target: bytes) -> str:
+    """Return path and query of a request's target (RFC 9112, 3.2)."""
+    if target.startswith(b"/"):
+        return target.decode("latin-1")
+    try:
+        url = httptools.parse_url(target)
+    except httptools.HttpParserInvalidURLError:
+        return target.decode("latin-1")
+    path = (url.path or b"/") + (b"?" + url.query if url.query else b"")
+    return path.decode("latin-1")
+
+
 def encode_response(response: Response, *, is_head: bool, closes: bool) -> bytes:
     """Return the bytes of a response.
 
--- a/src/finchshed/daemon/http_server.py
+++ b/src/finchshed/daemon/http_server.py
@@ -7,7 +7,8 @@
 import time
 from typing import Generic, TypeVar
 
-from finchshed.daemon.http_connection import InboundConnection, RequestHandler
+from finchshed.daemon.http_connection import InboundConnection
+from finchshed.daemon.http_exchange import RequestHandler
 from finchshed.daemon.spool import SpoolBudget
 
 KEEP_ALIVE_SECONDS = 75.0
--- a/src/finchshed/daemon/peers.py
+++ b/src/finchshed/daemon/peers.py
@@ -17,7 +17,8 @@
 from finchshed.daemon.settings import DaemonSettings
 from finchshed.distribution.messages import Delta
 from finchshed.link.messages import Hello, LoadReport, Reply
-from finchshed.link.peer import Connect, LinkState, PeerLink, SendResult
+from finchshed.link.peer import PeerLink
+from finchshed.link.states import Connect, LinkState, SendResult
 
 BACKOFF_FIRST_SECONDS = 0.05
 BACKOFF_MAX_SECONDS = 2.0
--- a/src/finchshed/link/peer.py
+++ b/src/finchshed/link/peer.py
@@ -6,9 +6,7 @@
 """
 
 import asyncio
-import enum
 import secrets
-from collections.abc import Awaitable, Callable
 
 import msgspec
 from loguru import logger
@@ -33,6 +31,7 @@
 )
 from finchshed.link.owners import LinkOwner
 from finchshed.link.silence import SilenceWatch, Verdict
+from finchshed.link.states import Connect, LinkState, ReplyCallback, SendResult
 
 EPOCH_BYTES = 8
 
@@ -42,29 +41,6 @@
 LINKS_BROKEN = Counter("finchshed_links_broken_total", "Links lost or given up on", ["cause"])
 
 
-class LinkState(enum.Enum):
-    """State of the calling end."""
-
-    CONNECTING = "connecting"
-    OPEN = "open"
-    CLOSED = "closed"
-
-
-class SendResult(enum.Enum):
-    """What became of handing a call to a link."""
-
-    SENT = "sent"
-    FULL = "full"
-    CLOSED = "closed"
-
-
-Connect = Callable[[Callable[[], asyncio.Protocol], str, int], Awaitable[object]]
-"""Opens a connection for the protocol made by the first argument to a host and port."""
-
-ReplyCallback = Callable[[Reply | None], None]
-"""Called once with the reply, or with None when the link broke after the call was sent."""
-
-
 class PeerLink:
     """One link to the daemon at ``address``.
 
--- /dev/null
+++ b/src/finchshed/link/states.py
@@ -0,0 +1,31 @@
+"""States of the calling end of a link, and what those who use it give and get."""
+
+import asyncio
+import enum
+from collections.abc import Awaitable, Callable
+from typing import TypeAlias
+
+from finchshed.link.messages import Reply
+
+
+class LinkState(enum.Enum):
+    """State of the calling end."""
+
+    CONNECTING = "connecting"
+    OPEN = "open"
+    CLOSED = "closed"
+
+
+class SendResult(enum.Enum):
+    """What became of handing a call to a link."""
+
+    SENT = "sent"
+    FULL = "full"
+    CLOSED = "closed"
+
+
+Connect: TypeAlias = Callable[[Callable[[], asyncio.Protocol], str, int], Awaitable[object]]
+"""Opens a connection for the protocol made by the first argument to a host and port."""
+
+ReplyCallback: TypeAlias = Callable[[Reply | None], None]
+"""Called once with the reply, or with None when the link broke after the call was sent."""
--- a/tests/link/test_peer.py
+++ b/tests/link/test_peer.py
@@ -14,7 +14,8 @@
 from finchshed.distribution.messages import Delta
 from finchshed.link.encoding import encode_line
 from finchshed.link.messages import Hello, LoadReport, PeerMessage, Ping, Reply
-from finchshed.link.peer import LinkState, PeerLink, SendResult
+from finchshed.link.peer import PeerLink
+from finchshed.link.states import LinkState, SendResult
 from tests.link.strategies import NESTED, garbage, messages
 
 CONTEXT = CallContext(root="r", importance=Importance.NORMAL, remaining_seconds=1.0)
