--- a/src/finchshed/daemon/request.py
+++ b/src/finchshed/daemon/request.py
@@ -1,6 +1,5 @@
 """A request as the data path sees it, and the headers that are passed on."""
 
-import functools
 from collections.abc import Iterable
 
 import msgspec
@@ -30,12 +29,6 @@
 """Headers of this prefix are set by daemons; what a caller sent is not passed on."""
 
 
-CONNECTION = b"connection"
-
-MAX_KNOWN_NAMES = 1024
-"""Header names whose treatment is kept: callers use few, whatever they send."""
-
-
 class Request(msgspec.Struct, frozen=True):
     """One request on its way to a service.
 
@@ -71,21 +64,13 @@
     kept: list[tuple[str, str]] = []
     nominated: set[str] = set()
     for name_bytes, value_bytes in raw:
-        name = _passed_name(name_bytes)
-        if name:
-            kept.append((name, value_bytes.decode("latin-1")))
-        elif name_bytes.lower() == CONNECTION:
+        name = name_bytes.decode("latin-1").lower()
+        if name == "connection":
             value = value_bytes.decode("latin-1").lower()
             nominated.update(token.strip() for token in value.split(","))
+        if name in HOP_BY_HOP_HEADERS or name.startswith(INTERNAL_PREFIX):
+            continue
+        kept.append((name, value_bytes.decode("latin-1")))
     if nominated - {"keep-alive", "close", ""}:
         kept = [item for item in kept if item[0] not in nominated]
     return tuple(kept)
-
-
-@functools.lru_cache(maxsize=MAX_KNOWN_NAMES)
-def _passed_name(raw: bytes) -> str:
-    """Return a header's name in lower case, or an empty string if it is not passed on."""
-    name = raw.decode("latin-1").lower()
-    if name in HOP_BY_HOP_HEADERS or name.startswith(INTERNAL_PREFIX):
-        return ""
-    return name
