--- /dev/null
+++ b/src/finchshed/daemon/attempt.py
@@ -0,0 +1,27 @@
+"""One attempt of a call, as it is handed to the links."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from finchshed.common.outcomes import RefusalReason
+from finchshed.daemon.request import Request
+from finchshed.link.messages import Reply
+from finchshed.link.peer import PeerLink
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One attempt of a call on its way to an endpoint.
+
+    ``on_reply`` is called with the reply, or None if the link broke after the send;
+    ``on_unsent`` if it was never sent. Exactly one of them is called, unless it is withdrawn.
+    """
+
+    request: Request
+    share: int
+    deadline: float
+    on_reply: Callable[[Reply | None], None]
+    on_unsent: Callable[[RefusalReason, str], None]
+    withdrawn: bool = False
+    link: PeerLink | None = None
+    identity: int = 0
--- a/src/finchshed/daemon/outgoing.py
+++ b/src/finchshed/daemon/outgoing.py
@@ -17,7 +17,8 @@
     Refused,
 )
 from finchshed.daemon import metrics
-from finchshed.daemon.peers import Attempt, PeerLinks
+from finchshed.daemon.attempt import Attempt
+from finchshed.daemon.peers import PeerLinks
 from finchshed.daemon.pins import mixes_editions
 from finchshed.daemon.request import Request
 from finchshed.link.digests import digest_of
--- a/src/finchshed/daemon/peers.py
+++ b/src/finchshed/daemon/peers.py
@@ -7,16 +7,15 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Protocol
 
 from finchshed.common.outcomes import RefusalReason
 from finchshed.configuration.resources import Endpoint
-from finchshed.daemon.request import Request
+from finchshed.daemon.attempt import Attempt
+from finchshed.daemon.peers_owner import PeersOwner
 from finchshed.daemon.settings import DaemonSettings
 from finchshed.distribution.messages import Delta
-from finchshed.link.messages import Hello, LoadReport, Reply
+from finchshed.link.messages import Hello, LoadReport
 from finchshed.link.peer import PeerLink
 from finchshed.link.states import Connect, LinkState, SendResult
 
@@ -24,55 +23,6 @@
 BACKOFF_MAX_SECONDS = 2.0
 
 
-class PeersOwner(Protocol):
-    """What the holder of the links is told and asked."""
-
-    def hello(self, epoch: str) -> Hello:
-        """Return the first line of a link."""
-
-    def peer_up(self, endpoint: str, incarnation: str) -> None:
-        """Note that the link to an endpoint is open, or that its back end was restarted."""
-
-    def peer_down(self, endpoint: str) -> None:
-        """Note that the link to an endpoint broke or could not be opened."""
-
-    def peer_draining(self, endpoint: str) -> None:
-        """Note that an endpoint takes no new calls."""
-
-    def peer_load(self, endpoint: str, load: LoadReport) -> None:
-        """Take the load that an endpoint told with a heartbeat."""
-
-    def peer_revision(self, peer: str, revision: int) -> None:
-        """Note the revision a peer holds."""
-
-    def peer_delta(self, peer: str, delta: Delta) -> None:
-        """Take configuration that a peer sent."""
-
-    def delta_for(self, revision: int) -> Delta | None:
-        """Return the configuration for a peer that holds ``revision``."""
-
-    def revision(self) -> int:
-        """Return the revision in force."""
-
-
-@dataclass(slots=True)
-class Attempt:
-    """One attempt of a call on its way to an endpoint.
-
-    ``on_reply`` is called with the reply, or None if the link broke after the send;
-    ``on_unsent`` if it was never sent. Exactly one of them is called, unless it is withdrawn.
-    """
-
-    request: Request
-    share: int
-    deadline: float
-    on_reply: Callable[[Reply | None], None]
-    on_unsent: Callable[[RefusalReason, str], None]
-    withdrawn: bool = False
-    link: PeerLink | None = None
-    identity: int = 0
-
-
 @dataclass(slots=True)
 class _Peer:
     endpoint: Endpoint
--- /dev/null
+++ b/src/finchshed/daemon/peers_owner.py
@@ -0,0 +1,37 @@
+"""What the holder of the links to other daemons tells and asks."""
+
+from typing import Protocol
+
+from finchshed.distribution.messages import Delta
+from finchshed.link.messages import Hello, LoadReport
+
+
+class PeersOwner(Protocol):
+    """What the holder of the links is told and asked."""
+
+    def hello(self, epoch: str) -> Hello:
+        """Return the first line of a link."""
+
+    def peer_up(self, endpoint: str, incarnation: str) -> None:
+        """Note that the link to an endpoint is open, or that its back end was restarted."""
+
+    def peer_down(self, endpoint: str) -> None:
+        """Note that the link to an endpoint broke or could not be opened."""
+
+    def peer_draining(self, endpoint: str) -> None:
+        """Note that an endpoint takes no new calls."""
+
+    def peer_load(self, endpoint: str, load: LoadReport) -> None:
+        """Take the load that an endpoint told with a heartbeat."""
+
+    def peer_revision(self, peer: str, revision: int) -> None:
+        """Note the revision a peer holds."""
+
+    def peer_delta(self, peer: str, delta: Delta) -> None:
+        """Take configuration that a peer sent."""
+
+    def delta_for(self, revision: int) -> Delta | None:
+        """Return the configuration for a peer that holds ``revision``."""
+
+    def revision(self) -> int:
+        """Return the revision in force."""
