Mutual TLS for links, distribution, control peers and operators' RPC

Cause: whoever reached a listener could speak as any daemon or control node, and tokens went in plain text over the network.

Change: tls_ settings name certificate, key and authority; certificates name their holder by URIs in subjectAltName, which each greeting is compared with. Files are read anew for new connections once they have changed. 'finchshed keys' makes an authority and certificates.

--- a/src/finchshed/cli/table.py
+++ b/src/finchshed/cli/table.py
@@ -64,6 +64,7 @@
     ),
     "fleet": Command("run a deployment of real processes", "finchshed.fleet.command:fleet"),
     "bench": Command("measure what a call costs", "finchshed.bench.command:COMMANDS"),
+    "keys": Command("make and show keys and certificates", "finchshed.tls.command:COMMANDS"),
     "emulate": Command("run a deployment in simulated time", "finchshed.emulator.command:emulate"),
     "prove": Command("check the stated properties over seeds", "finchshed.proof.command:prove"),
     "replay": Command("replay a trace against stated outcomes", "finchshed.replay.command:replay"),
--- a/src/finchshed/control/access.py
+++ b/src/finchshed/control/access.py
@@ -10,6 +10,8 @@
 from finchshed.configuration.store import BOOTSTRAP_OPERATOR
 from finchshed.control.replicated_log import ReplicatedLog
 from finchshed.control.state_machine import ControlStateMachine
+from finchshed.tls.names import Role, has_role, name_of, shown
+from finchshed.tls.rpc import caller_names
 
 AUTHORIZATION = "authorization"
 BEARER = "Bearer "
@@ -55,6 +57,9 @@
             logger.warning("call with an unknown token from {}", context.peer())
             detail = "the token is none of a declared operator"
             await abort(context, grpc.StatusCode.PERMISSION_DENIED, detail)
+        if fault := _unproven_operator(context, name):
+            logger.warning("call from {} refused: {}", context.peer(), fault)
+            await abort(context, grpc.StatusCode.PERMISSION_DENIED, fault)
         return name
 
     def _operator_of(self, digest: str) -> str | None:
@@ -65,6 +70,16 @@
         return None if operator is None else operator.name
 
 
+def _unproven_operator(context: grpc.aio.ServicerContext, name: str) -> str:
+    """Return why the caller's certificate isn't that of operator ``name``; empty if it is."""
+    names = caller_names(context.auth_context())
+    if names is None or name_of(Role.OPERATOR, name) in names:
+        return ""
+    if name == BOOTSTRAP_OPERATOR and has_role(names, Role.OPERATOR):
+        return ""
+    return f"the certificate of {shown(names)} isn't that of operator {name}"
+
+
 async def abort(context: grpc.aio.ServicerContext, code: grpc.StatusCode, detail: str) -> NoReturn:
     """End the call with ``code``."""
     await context.abort(code, detail)
--- a/src/finchshed/control/distribution_service.py
+++ b/src/finchshed/control/distribution_service.py
@@ -17,6 +17,9 @@
 from finchshed.distribution.server import Answer, HubServer
 from finchshed.distribution.snapshot import Configuration
 from finchshed.distribution.status import DistributionStatus, InForceReport, StatusTable
+from finchshed.tls.credentials import Credentials
+from finchshed.tls.handshakes import Connector
+from finchshed.tls.names import Role
 
 CONTACT_SECONDS = 0.4
 """Time between looks at whether this node is in contact with a quorum."""
@@ -33,11 +36,19 @@
     ----------
     node
         Name of this control node.
+    credentials
+        Keys for TLS; None: plain text.
     """
 
     def __init__(
-        self, node: str, machine: ControlStateMachine, log: ReplicatedLog, background: Background
+        self,
+        node: str,
+        machine: ControlStateMachine,
+        log: ReplicatedLog,
+        background: Background,
+        credentials: Credentials | None = None,
     ) -> None:
+        connect = Connector(credentials, Role.CONTROL)
         self._machine = machine
         self._log = log
         self._background = background
@@ -45,14 +56,14 @@
             machine,
             log,
             LedgerService(log, background),
-            make_shard=lambda addresses: ShardClient(node, addresses),
+            make_shard=lambda addresses: ShardClient(node, addresses, connect),
             now=time.monotonic,
             unix_now=time.time,
         )
         self._hub = Hub(node)
         self._explanations = Explanations()
         self._server = HubServer(
-            self._hub, self._confirm, self._on_ledger, self._explanations.on_reply
+            self._hub, self._confirm, self._on_ledger, self._explanations.on_reply, credentials
         )
         self._requests: set[asyncio.Task[None]] = set()
         self._status: StatusTable | None = None
--- a/src/finchshed/control/ledger_router.py
+++ b/src/finchshed/control/ledger_router.py
@@ -10,7 +10,7 @@
 from finchshed.control.replicated_log import ReplicatedLog
 from finchshed.control.state_machine import ControlStateMachine
 from finchshed.distribution.addresses import ControlAddress
-from finchshed.distribution.client import ClientHandlers, ControlClient
+from finchshed.distribution.client import ClientHandlers, Connect, ControlClient
 from finchshed.distribution.identity import ClientIdentity
 from finchshed.distribution.ledger_requests import LedgerAnswer
 from finchshed.distribution.messages import (
@@ -57,9 +57,13 @@
     ----------
     node
         Name of this control node, which the shard lists like a daemon.
+    connect
+        Opens connections; None: the event loop does.
     """
 
-    def __init__(self, node: str, addresses: ShardAddresses) -> None:
+    def __init__(
+        self, node: str, addresses: ShardAddresses, connect: Connect | None = None
+    ) -> None:
         handlers = ClientHandlers(
             on_delta=lambda _: None,
             on_connected=lambda: None,
@@ -72,6 +76,7 @@
             [ControlAddress(address) for address in addresses],
             handlers,
             random.Random(),
+            connect,
         )
         self._task = asyncio.get_running_loop().create_task(self._client.run())
 
--- a/src/finchshed/control/node.py
+++ b/src/finchshed/control/node.py
@@ -21,6 +21,7 @@
 from finchshed.control.state_machine import ControlStateMachine
 from finchshed.control.state_metrics import observe_state
 from finchshed.observability.admin import AdminServer, Health
+from finchshed.tls.credentials import credentials_of
 
 ELECTION_SPREAD = 2.0
 """The longest election timeout, as a multiple of the shortest."""
@@ -58,9 +59,10 @@
         hello = PeerHello(
             settings.node, settings.distribution_advertised_address or settings.distribution_address
         )
-        self._links = PeerLinks(hello, self._log.on_message, background)
+        credentials = credentials_of(settings)
+        self._links = PeerLinks(hello, self._log.on_message, background, credentials)
         self._distribution = DistributionService(
-            settings.node, self._machine, self._log, background
+            settings.node, self._machine, self._log, background, credentials
         )
         self._log.on_report = self._distribution.on_report
         service = OperatorService(
@@ -71,7 +73,7 @@
             bootstrap_token_sha256=settings.bootstrap_token_sha256,
             membership=self._log,
         )
-        self._rpc = RpcServer(service)
+        self._rpc = RpcServer(service, credentials)
         self._poller = PlatformPoller(settings, self._machine, self._distribution.send_hints)
         self._admin = _make_admin(settings, self._health)
 
--- a/src/finchshed/control/peer_links.py
+++ b/src/finchshed/control/peer_links.py
@@ -15,8 +15,12 @@
 
 from finchshed.control.addresses import split_address
 from finchshed.control.background import Background
-from finchshed.control.peer_messages import PeerHello, PeerMessage
+from finchshed.control.peer_messages import PeerHello, PeerMessage, RaftLine
+from finchshed.distribution.status import InForceReport
 from finchshed.link.lines import LineProtocol
+from finchshed.tls.credentials import Credentials
+from finchshed.tls.handshakes import Connector, Server, listening, serve
+from finchshed.tls.names import Role, name_of, unproven
 
 PeerLink: TypeAlias = LineProtocol[PeerMessage]
 OnMessage: TypeAlias = Callable[[PeerLink, PeerMessage], None]
@@ -60,24 +64,33 @@
         First line of each connection made here.
     on_message
         Called with each message and the link it came by.
+    credentials
+        Keys for TLS; None: plain text.
     """
 
-    def __init__(self, hello: PeerHello, on_message: OnMessage, background: Background) -> None:
+    def __init__(
+        self,
+        hello: PeerHello,
+        on_message: OnMessage,
+        background: Background,
+        credentials: Credentials | None = None,
+    ) -> None:
+        self._credentials = credentials
+        self._open_connection = Connector(credentials, Role.CONTROL)
         self._hello = hello
         self._on_message = on_message
         self._background = background
         self._outbound: dict[str, _Outbound] = {}
         self._greeted: dict[PeerLink, PeerHello] = {}
         self._inbound: set[PeerLink] = set()
-        self._server: asyncio.Server | None = None
+        self._server: Server | None = None
         self._is_closed = False
         self.distribution_addresses: dict[str, str] = {}
 
     async def start(self, address: str) -> None:
         """Listen at ``address``."""
         host, port = split_address(address)
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._make_inbound, host, port)
+        self._server = await serve(self._make_inbound, self._credentials, listening(host, port))
 
     def stop(self) -> None:
         """Close every connection."""
@@ -119,12 +132,11 @@
         return True
 
     async def _connect(self, outbound: _Outbound) -> None:
-        loop = asyncio.get_running_loop()
+        link = self._make_outbound()
         host, port = split_address(outbound.address)
         try:
-            _, link = await asyncio.wait_for(
-                loop.create_connection(self._make_outbound, host, port), CONNECT_SECONDS
-            )
+            opening = self._open_connection(lambda: link, host, port)
+            await asyncio.wait_for(opening, CONNECT_SECONDS)
         except (OSError, TimeoutError):
             DROPPED.inc(len(outbound.waiting))
             outbound.waiting.clear()
@@ -165,7 +177,10 @@
             logger.info("link of {} ended: {}", link.peer_address, error)
 
     def _on_inbound_message(self, link: PeerLink, message: PeerMessage) -> None:
-        if isinstance(message, PeerHello):
+        if fault := _unproven_sender(link, message):
+            logger.warning("link of {} closed: {}", link.peer_address, fault)
+            link.abort()
+        elif isinstance(message, PeerHello):
             link.greeted()
             self._greeted[link] = message
             self.distribution_addresses[message.node] = message.distribution_address
@@ -176,6 +191,19 @@
             self._on_message(link, message)
 
 
+def _unproven_sender(link: PeerLink, message: PeerMessage) -> str:
+    """Return the name a message claims that isn't in the peer's certificate, as text."""
+    if isinstance(message, PeerHello):
+        sender = message.node
+    elif isinstance(message, RaftLine):
+        sender = message.envelope.sender.name
+    elif isinstance(message, InForceReport):
+        sender = message.control_node
+    else:
+        return ""
+    return unproven(link.transport, [name_of(Role.CONTROL, sender)])
+
+
 def _set_user_timeout(link: PeerLink) -> None:
     if link.transport is None:
         return
--- a/src/finchshed/control/rpc_server.py
+++ b/src/finchshed/control/rpc_server.py
@@ -7,6 +7,8 @@
 from finchshed.control.operator_service import OperatorService
 from finchshed.rpc.generated import finchshed_pb2 as pb
 from finchshed.rpc.generated import finchshed_pb2_grpc as pb_grpc
+from finchshed.tls.credentials import Credentials
+from finchshed.tls.rpc import server_credentials
 
 MAX_MESSAGE_BYTES = 16 << 20
 """Largest request taken from an operator."""
@@ -15,9 +17,16 @@
 
 
 class RpcServer:
-    """Serves operators on the running event loop."""
+    """Serves operators on the running event loop.
 
-    def __init__(self, service: OperatorService) -> None:
+    Parameters
+    ----------
+    credentials
+        Keys for TLS; None: plain text.
+    """
+
+    def __init__(self, service: OperatorService, credentials: Credentials | None = None) -> None:
+        self._credentials = credentials
         options = [
             ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
             ("grpc.max_send_message_length", -1),
@@ -32,7 +41,11 @@
 
     async def start(self, address: str) -> int:
         """Listen at ``address`` and return the port."""
-        port: int = self._server.add_insecure_port(address)
+        port: int
+        if self._credentials is None:
+            port = self._server.add_insecure_port(address)
+        else:
+            port = self._server.add_secure_port(address, server_credentials(self._credentials))
         await self._server.start()
         await self._health.set(SERVICE_NAME, health_pb2.HealthCheckResponse.SERVING)
         return port
--- a/src/finchshed/control/settings.py
+++ b/src/finchshed/control/settings.py
@@ -1,5 +1,6 @@
 """Settings of ``finchshed control``."""
 
+from collections.abc import Mapping
 from typing import Annotated
 
 import msgspec
@@ -12,6 +13,7 @@
     OptionalListenAddress,
     OptionalUrl,
 )
+from finchshed.tls.files import AuthorityFile, CertificateFile, KeyFile, TlsFiles, problems_of
 
 Sha256 = Annotated[str, msgspec.Meta(pattern=r"^([0-9a-f]{64})?$")]
 
@@ -116,3 +118,15 @@
         float,
         msgspec.Meta(ge=0.0, le=60.0, description="Longest wait for requests in progress at stop."),
     ] = 5.0
+    tls_certificate_file: CertificateFile = ""
+    tls_key_file: KeyFile = ""
+    tls_authority_file: AuthorityFile = ""
+
+    @property
+    def tls_files(self) -> TlsFiles:
+        """Key and certificates of this process."""
+        return TlsFiles(self.tls_certificate_file, self.tls_key_file, self.tls_authority_file)
+
+    def file_problems(self) -> Mapping[str, str]:
+        """Return what is wrong with files named here, by setting (settings loader's part)."""
+        return problems_of(self.tls_files)
--- a/src/finchshed/ctl/client.py
+++ b/src/finchshed/ctl/client.py
@@ -12,6 +12,8 @@
 
 from finchshed.common.errors import ControlUnavailableError, FinchshedError
 from finchshed.rpc.generated import finchshed_pb2_grpc as pb_grpc
+from finchshed.tls.files import TlsFiles
+from finchshed.tls.rpc import TARGET_NAME_OPTION, client_credentials
 
 ResponseT = TypeVar("ResponseT")
 
@@ -52,9 +54,17 @@
         The operator's token.
     timeout_seconds
         Longest time for one request over all of its retries.
+    tls
+        Key and certificates; None: plain text.
     """
 
-    def __init__(self, addresses: tuple[str, ...], token: str, timeout_seconds: float) -> None:
+    def __init__(
+        self,
+        addresses: tuple[str, ...],
+        token: str,
+        timeout_seconds: float,
+        tls: TlsFiles | None = None,
+    ) -> None:
         options = [
             ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
             ("grpc.enable_http_proxy", 0),
@@ -63,7 +73,7 @@
         ]
         self._metadata = (("authorization", f"Bearer {token}"),)
         self._timeout = timeout_seconds
-        self._channels = [grpc.insecure_channel(address, options) for address in addresses]
+        self._channels = [_channel(address, options, tls) for address in addresses]
         self._stubs = [pb_grpc.OperatorsStub(channel) for channel in self._channels]
         self._preferred = 0
         self.addresses = addresses
@@ -148,6 +158,12 @@
         return call(request, metadata=self._metadata, timeout=timeout)
 
 
+def _channel(address: str, options: list[tuple[str, int]], tls: TlsFiles | None) -> grpc.Channel:
+    if tls is None:
+        return grpc.insecure_channel(address, options)
+    return grpc.secure_channel(address, client_credentials(tls), [*options, TARGET_NAME_OPTION])
+
+
 def _describe(error: grpc.RpcError) -> str:
     details = str(error.details())
     if details.startswith(CONNECT_FAILED):
--- a/src/finchshed/ctl/connection.py
+++ b/src/finchshed/ctl/connection.py
@@ -6,12 +6,20 @@
 from finchshed.common.errors import SettingsError
 from finchshed.configuration.validation import is_address
 from finchshed.ctl.client import OperatorClient
+from finchshed.tls.files import TlsFiles, problems_of
 
 CONTROL_VARIABLE = "FINCHSHED_CONTROL"
 """RPC addresses of control nodes, separated by commas."""
 
 TOKEN_VARIABLE = "FINCHSHED_TOKEN"
 TOKEN_FILE_VARIABLE = "FINCHSHED_TOKEN_FILE"
+TLS_VARIABLES = {
+    "tls_certificate_file": "FINCHSHED_TLS_CERTIFICATE_FILE",
+    "tls_key_file": "FINCHSHED_TLS_KEY_FILE",
+    "tls_authority_file": "FINCHSHED_TLS_AUTHORITY_FILE",
+}
+"""Files of the operator's certificate, its key and the authority; none set: plain text."""
+
 DEFAULT_TIMEOUT_SECONDS = 20.0
 
 
@@ -44,9 +52,21 @@
         if not is_address(address)
     ]
     token = _token(token_file, problems)
+    tls = _tls(problems)
     if problems:
         raise SettingsError(problems)
-    return OperatorClient(addresses, token, timeout)
+    return OperatorClient(addresses, token, timeout, tls)
+
+
+def _tls(problems: list[str]) -> TlsFiles | None:
+    """Return the files the environment names; None for plain text."""
+    paths = {name: os.environ.get(variable, "") for name, variable in TLS_VARIABLES.items()}
+    files = TlsFiles(
+        paths["tls_certificate_file"], paths["tls_key_file"], paths["tls_authority_file"]
+    )
+    for name, words in problems_of(files).items():
+        problems.append(f"{TLS_VARIABLES[name]} = {paths[name]!r}: {words}")
+    return None if files.is_plain else files
 
 
 def _token(token_file: str, problems: list[str]) -> str:
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -40,6 +40,9 @@
 from finchshed.retry.policy import retry_after
 from finchshed.routing.table import RoutingTable
 from finchshed.runtime import garbage
+from finchshed.tls.credentials import credentials_of
+from finchshed.tls.handshakes import Connector
+from finchshed.tls.names import Role
 
 SLOW_TICK_SECONDS = 0.5
 INCARNATION_BYTES = 8
@@ -62,7 +65,8 @@
         self._served = ServedRequests()
         self._table = RoutingTable(settings.zone, settings.region, self._rng)
         self._platform = PlatformHints(self._table)
-        self._links = PeerLinks(settings, self, self._rng)
+        self._credentials = credentials_of(settings)
+        self._links = PeerLinks(settings, self, self._rng, Connector(self._credentials))
         self._paths = PathThresholds(self._table.floor)
         self._caller = Caller(self._table, self._links, self._served, self._paths, self._rng)
         self._front = Front(self._caller, self._served, self._rng, self._why_not)
@@ -102,7 +106,8 @@
         settings = self._settings
         self._spawn(self._driver.run())
         self._spawn(self._tick_seldom())
-        await self._listeners.open(settings.link_address, self._listener.make_protocol)
+        make_link = self._listener.make_protocol
+        await self._listeners.open(settings.link_address, make_link, self._credentials)
 
     async def stop(self) -> None:
         """Take no new work, finish what is in progress, and close.
@@ -268,7 +273,8 @@
         )
         addresses = [parse_control_address(text) for text in settings.control_addresses]
         folder = Path(settings.data_folder) if settings.data_folder else None
-        return FollowerDriver(identity, addresses, self, self._rng, folder)
+        connect = Connector(self._credentials, Role.CONTROL)
+        return FollowerDriver(identity, addresses, self, self._rng, folder, connect=connect)
 
     def _make_callee(self) -> Callee | None:
         settings = self._settings
--- a/src/finchshed/daemon/listeners.py
+++ b/src/finchshed/daemon/listeners.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 
 from finchshed.daemon.sockets import listening_socket, prefer_successor
+from finchshed.tls.credentials import Credentials
+from finchshed.tls.handshakes import Server, serve
 
 
 class Listeners:
@@ -12,17 +14,21 @@
 
     def __init__(self) -> None:
         self._sockets: list[socket.socket] = []
-        self._servers: list[asyncio.Server] = []
+        self._servers: list[Server] = []
         self._is_closed = False
 
-    async def open(self, address: str, factory: Callable[[], asyncio.Protocol]) -> None:
-        """Listen on ``address``; does nothing once closed."""
+    async def open(
+        self,
+        address: str,
+        factory: Callable[[], asyncio.Protocol],
+        credentials: Credentials | None = None,
+    ) -> None:
+        """Listen on ``address``, in plain text without credentials; does nothing once closed."""
         if self._is_closed:
             return
         listener = listening_socket(address)
         self._sockets.append(listener)
-        loop = asyncio.get_running_loop()
-        self._servers.append(await loop.create_server(factory, sock=listener))
+        self._servers.append(await serve(factory, credentials, listener))
 
     def prefer_successor(self) -> None:
         """Have new connections go to a process that listens on the same addresses, if any does."""
--- a/src/finchshed/daemon/settings.py
+++ b/src/finchshed/daemon/settings.py
@@ -3,6 +3,7 @@
 Sizes are in bytes and durations in seconds, as the field names say.
 """
 
+from collections.abc import Mapping
 from typing import Annotated
 
 import msgspec
@@ -16,6 +17,7 @@
     OptionalName,
     ZonedAddress,
 )
+from finchshed.tls.files import AuthorityFile, CertificateFile, KeyFile, TlsFiles, problems_of
 
 
 class DaemonSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -97,6 +99,18 @@
     drain_notice_seconds: Annotated[
         float, Meta(ge=0, le=60, description="Time a stop leaves for late arrivals to come in.")
     ] = 0.5
+    tls_certificate_file: CertificateFile = ""
+    tls_key_file: KeyFile = ""
+    tls_authority_file: AuthorityFile = ""
+
+    @property
+    def tls_files(self) -> TlsFiles:
+        """Key and certificates of this process."""
+        return TlsFiles(self.tls_certificate_file, self.tls_key_file, self.tls_authority_file)
+
+    def file_problems(self) -> Mapping[str, str]:
+        """Return what is wrong with files named here, by setting (settings loader's part)."""
+        return problems_of(self.tls_files)
 
     @property
     def accepted_silence_seconds(self) -> float:
--- a/src/finchshed/distribution/server.py
+++ b/src/finchshed/distribution/server.py
@@ -27,11 +27,15 @@
 from finchshed.distribution.snapshot import Configuration
 from finchshed.link.encoding import encode_line
 from finchshed.link.lines import LineProtocol
+from finchshed.tls.credentials import Credentials
+from finchshed.tls.handshakes import Server, listening, serve
+from finchshed.tls.names import Role, has_role, name_of, proven_names, unproven
 
 LedgerRequest: TypeAlias = LedgerBegin | LedgerCancel | LedgerComplete
 Answer: TypeAlias = Callable[[ControlToDaemon], None]
 Connection: TypeAlias = LineProtocol[DaemonToControl]
 
+BACKLOG = 2048
 TICK_SECONDS = 0.25
 CONFIRMATION_PAUSE_SECONDS = 0.02
 """Least time between reads from a quorum. A daemon that claims a higher revision than is in force
@@ -58,6 +62,8 @@
         Called with each ledger request and the function that sends its answer.
     on_explanation
         Called with each daemon's answer to an :class:`ExplainRequest`.
+    credentials
+        Keys for TLS; None: plain text.
     """
 
     def __init__(
@@ -66,7 +72,9 @@
         confirm: Callable[[], Awaitable[bool]],
         on_ledger: Callable[[LedgerRequest, Answer], None],
         on_explanation: Callable[[ExplainReply], None] | None = None,
+        credentials: Credentials | None = None,
     ) -> None:
+        self._credentials = credentials
         self._hub = hub
         self._confirm = confirm
         self._on_ledger = on_ledger
@@ -78,12 +86,12 @@
         self._ticket: int | None = None
         self._confirming: asyncio.Task[None] | None = None
         self._ticking: asyncio.Task[None] | None = None
-        self._server: asyncio.Server | None = None
+        self._server: Server | None = None
 
     async def start(self, host: str, port: int) -> int:
         """Listen and return the port, which is chosen by the system if ``port`` is 0."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._make_protocol, host, port, backlog=2048)
+        listener = listening(host, port, BACKLOG)
+        self._server = await serve(self._make_protocol, self._credentials, listener)
         self._ticking = asyncio.create_task(self._tick_forever())
         return int(self._server.sockets[0].getsockname()[1])
 
@@ -152,6 +160,10 @@
         if connection in self._numbers:
             connection.abort()
             return
+        if fault := _unproven_subscriber(connection, message):
+            logger.warning("link of daemon {} refused: {}", connection.peer_address, fault)
+            connection.abort()
+            return
         connection.greeted()
         self._last_number += 1
         self._numbers[connection] = self._last_number
@@ -222,5 +234,17 @@
         return asyncio.get_running_loop().time()
 
 
+def _unproven_subscriber(connection: Connection, message: Subscribe) -> str:
+    """Return what a subscriber claims and its certificate doesn't hold, as text.
+
+    Control nodes subscribe too: they ask for the ledger of another group.
+    """
+    names = proven_names(connection.transport) or frozenset()
+    role = Role.CONTROL if has_role(names, Role.CONTROL) else Role.DAEMON
+    claimed = {role: message.node, Role.ZONE: message.zone, Role.ENDPOINT: message.endpoint}
+    claims = [name_of(kind, name) for kind, name in claimed.items() if name or kind is role]
+    return unproven(connection.transport, claims)
+
+
 def _send(connection: Connection, answer: ControlToDaemon) -> None:
     connection.send(answer)
--- a/src/finchshed/link/listener.py
+++ b/src/finchshed/link/listener.py
@@ -27,6 +27,7 @@
     Reply,
 )
 from finchshed.link.owners import ListenerOwner
+from finchshed.tls.names import claims_of_link, unproven
 
 LINKS_REFUSED = Counter(
     "finchshed_links_refused_total", "Connections of peers closed for a fault", ["cause"]
@@ -117,6 +118,9 @@
     def _take_hello(self, message: PeerMessage) -> None:
         if not isinstance(message, Hello) or not message.epoch or not message.node:
             raise ProtocolError("the first line is no Hello")
+        claims = claims_of_link(message.node, message.service, message.zone)
+        if fault := unproven(self.lines.transport, claims):
+            raise ProtocolError(fault)
         self.peer = message
         self.lines.greeted()
         self.lines.send(self._owner.hello(message.epoch))
--- a/src/finchshed/link/peer.py
+++ b/src/finchshed/link/peer.py
@@ -33,6 +33,7 @@
 )
 from finchshed.link.owners import LinkOwner
 from finchshed.link.silence import SilenceWatch, Verdict
+from finchshed.tls.names import claims_of_link, unproven
 
 EPOCH_BYTES = 8
 
@@ -235,6 +236,11 @@
         if hello.epoch != self.epoch:
             self._end("protocol")
             return
+        claims = claims_of_link(hello.node, hello.service, hello.zone)
+        if fault := unproven(lines.transport, claims):
+            logger.warning("link to {} closed: {}", self.address, fault)
+            self._end("protocol")
+            return
         lines.greeted()
         self.state = LinkState.OPEN
         self.peer = hello
--- a/src/finchshed/settings/loader.py
+++ b/src/finchshed/settings/loader.py
@@ -90,12 +90,16 @@
     source = path or "settings"
     problems += _missing(fields, given, source)
     problems += _same_listen_address(fields, values, given)
+    if problems:
+        raise SettingsError(problems)
+    settings = struct_type(**values)
+    problems += _file_problems(settings, given, source)
     if problems:
         raise SettingsError(problems)
     origins = {
         name: given[name].origin if name in given else Origin(Source.DEFAULT) for name in fields
     }
-    return Loaded(value=struct_type(**values), origins=origins)
+    return Loaded(value=settings, origins=origins)
 
 
 def _from_file(
@@ -206,6 +210,18 @@
     return problems
 
 
+def _file_problems(settings: msgspec.Struct, given: Mapping[str, _Given], source: str) -> list[str]:
+    """Return what is wrong with files that settings name, where the struct checks them."""
+    check = getattr(settings, "file_problems", None)
+    if check is None:
+        return []
+    found: Mapping[str, str] = check()
+    return [
+        given[name].problem(name, words) if name in given else f"{source}: {name}: {words}"
+        for name, words in found.items()
+    ]
+
+
 def _toml_text(value: object) -> str:
     """Return ``value`` as it would stand in a TOML file."""
     return msgspec.json.encode(value, enc_hook=str).decode()
--- /dev/null
+++ b/src/finchshed/tls/command.py
@@ -0,0 +1,141 @@
+"""``finchshed keys``: make an authority and certificates for a deployment, and show them."""
+
+import datetime
+import re
+from collections.abc import Callable, Mapping
+from pathlib import Path
+
+from cryptography import x509
+from cryptography.x509.oid import NameOID
+
+from finchshed.cli.exit_codes import ExitCode
+from finchshed.common.errors import FinchshedError, SettingsError
+from finchshed.tls.files import read_certificates
+from finchshed.tls.issuing import (
+    CERTIFICATE_MODE,
+    KEY_MODE,
+    Issued,
+    make_authority,
+    read_issued,
+    write_synced,
+)
+from finchshed.tls.issuing import issue as issue_certificate
+from finchshed.tls.names import CONTROL_HOST, Role, name_of
+
+AUTHORITY = "authority"
+AUTHORITY_DAYS = 3650.0
+CERTIFICATE_DAYS = 90.0
+MAX_DAYS = 36_500.0
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+ISSUED_ROLES = (Role.CONTROL, Role.DAEMON, Role.OPERATOR)
+
+
+def authority(folder: str, days: float = AUTHORITY_DAYS) -> int:
+    """Make an authority in FOLDER: authority.pem for every machine, authority.key for none.
+
+    An authority that is there is never replaced.
+    """
+    valid = _valid(days, [])
+    path = Path(folder)
+    if (path / f"{AUTHORITY}.key").exists() or (path / f"{AUTHORITY}.pem").exists():
+        raise FinchshedError(f"{folder} holds an authority; it isn't replaced")
+    _write(path, AUTHORITY, make_authority(valid))
+    return ExitCode.OK
+
+
+def issue(
+    authority: str,
+    folder: str,
+    *,
+    role: str,
+    name: str,
+    zone: str = "",
+    endpoint: str = "",
+    days: float = CERTIFICATE_DAYS,
+) -> int:
+    """Make a key and a certificate for NAME in FOLDER, signed by the authority in AUTHORITY.
+
+    ROLE is control, daemon or operator; ZONE and ENDPOINT are those of a daemon's settings. Files
+    NAME.key and NAME.pem that are there are replaced. DAYS may be a fraction.
+    """
+    problems: list[str] = []
+    if role not in ISSUED_ROLES:
+        problems.append(f"flag --role = {role}: allowed is {', '.join(ISSUED_ROLES)}")
+    named = {"name": str(name), "zone": str(zone), "endpoint": str(endpoint)}
+    for flag, value in named.items():
+        if (value or flag == "name") and not NAME_PATTERN.fullmatch(value):
+            problems.append(
+                f"flag --{flag} = {value}: allowed is 1 to 63 of a-z, 0-9, '.', '_', '-'"
+            )
+    if endpoint and role != Role.DAEMON:
+        problems.append("flag --endpoint: only a daemon has one")
+    valid = _valid(days, problems)
+    names = [name_of(Role(role), named["name"])]
+    names += [name_of(Role(flag), named[flag]) for flag in ("zone", "endpoint") if named[flag]]
+    hosts = [CONTROL_HOST] if role == Role.CONTROL else []
+    signer = _read_authority(Path(authority))
+    _write(
+        Path(folder), named["name"], issue_certificate(signer, named["name"], names, hosts, valid)
+    )
+    return ExitCode.OK
+
+
+def show(certificate: str) -> int:
+    """Show names, validity and issuer of the certificates in the file CERTIFICATE."""
+    try:
+        found = read_certificates(certificate)
+    except (OSError, ValueError) as error:
+        raise FinchshedError(f"{certificate}: {error}") from error
+    for item in found:
+        print(f"subject    {_common_name(item.subject)}")
+        print(f"issuer     {_common_name(item.issuer)}")
+        print(f"valid from {item.not_valid_before_utc.isoformat()}")
+        print(f"valid to   {item.not_valid_after_utc.isoformat()}")
+        for text in _alternatives(item):
+            print(f"name       {text}")
+    return ExitCode.OK
+
+
+COMMANDS: Mapping[str, Callable[..., int]] = {"authority": authority, "issue": issue, "show": show}
+
+
+def _valid(days: float, problems: list[str]) -> datetime.timedelta:
+    """Return the validity; raise for this and the other problems found."""
+    is_number = isinstance(days, int | float) and not isinstance(days, bool)
+    if not is_number or not 0.0 < days <= MAX_DAYS:
+        problems.append(f"flag --days = {days}: allowed is above 0, up to {MAX_DAYS:g}")
+    if problems:
+        raise SettingsError(problems)
+    return datetime.timedelta(days=days)
+
+
+def _read_authority(folder: Path) -> Issued:
+    try:
+        return read_issued(folder / f"{AUTHORITY}.pem", folder / f"{AUTHORITY}.key")
+    except (OSError, ValueError) as error:
+        raise FinchshedError(f"no authority in {folder}: {error}") from error
+
+
+def _write(folder: Path, name: str, issued: Issued) -> None:
+    """Write both files; processes that see one new file only keep to the old pair."""
+    key, certificate = folder / f"{name}.key", folder / f"{name}.pem"
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        write_synced(key, issued.key_pem(), KEY_MODE)
+        write_synced(certificate, issued.certificate_pem(), CERTIFICATE_MODE)
+    except OSError as error:
+        raise FinchshedError(f"can't write to {folder}: {error}") from error
+    end = issued.certificate.not_valid_after_utc.isoformat()
+    print(f"wrote {key} and {certificate}, valid until {end}")
+
+
+def _common_name(name: x509.Name) -> str:
+    return ", ".join(str(item.value) for item in name.get_attributes_for_oid(NameOID.COMMON_NAME))
+
+
+def _alternatives(certificate: x509.Certificate) -> list[str]:
+    try:
+        extension = certificate.extensions.get_extension_for_class(x509.SubjectAlternativeName)
+    except x509.ExtensionNotFound:
+        return []
+    return [str(item.value) for item in extension.value]
--- /dev/null
+++ b/src/finchshed/tls/issuing.py
@@ -0,0 +1,141 @@
+"""Makes an authority and certificates of its own for a deployment (X.509, RFC 5280).
+
+Keys are on the curve P-256: the handshake is cheap, and every TLS 1.3 library has it.
+"""
+
+import datetime
+import os
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import ExtendedKeyUsageOID, NameOID
+
+KEY_MODE = 0o600
+CERTIFICATE_MODE = 0o644
+CLOCK_LEAD = datetime.timedelta(minutes=5)
+"""Certificates are valid from this long before they are made: machines' clocks differ."""
+
+AUTHORITY_NAME = "finchshed authority"
+
+
+@dataclass(frozen=True, slots=True)
+class Issued:
+    """A certificate with its key."""
+
+    certificate: x509.Certificate
+    key: ec.EllipticCurvePrivateKey
+
+    def certificate_pem(self) -> bytes:
+        """Return the certificate as PEM."""
+        return self.certificate.public_bytes(serialization.Encoding.PEM)
+
+    def key_pem(self) -> bytes:
+        """Return the key as PEM (PKCS #8), not encrypted."""
+        return self.key.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+
+
+def make_authority(valid: datetime.timedelta) -> Issued:
+    """Return a new authority that signs certificates of processes only."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = _subject(AUTHORITY_NAME)
+    builder = _builder(name, name, key, valid)
+    builder = builder.add_extension(x509.BasicConstraints(ca=True, path_length=0), critical=True)
+    builder = builder.add_extension(_usage(signs_certificates=True), critical=True)
+    return Issued(builder.sign(key, hashes.SHA256()), key)
+
+
+def issue(
+    authority: Issued,
+    common_name: str,
+    names: Sequence[str],
+    hosts: Sequence[str],
+    valid: datetime.timedelta,
+) -> Issued:
+    """Return a certificate that holds ``names`` as URIs and ``hosts`` as DNS names."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    subject = _subject(common_name)
+    builder = _builder(subject, authority.certificate.subject, key, valid)
+    alternatives: list[x509.GeneralName] = [x509.UniformResourceIdentifier(name) for name in names]
+    alternatives += [x509.DNSName(host) for host in hosts]
+    builder = builder.add_extension(x509.SubjectAlternativeName(alternatives), critical=False)
+    builder = builder.add_extension(x509.BasicConstraints(False, None), critical=True)
+    builder = builder.add_extension(_usage(signs_certificates=False), critical=True)
+    purposes = [ExtendedKeyUsageOID.SERVER_AUTH, ExtendedKeyUsageOID.CLIENT_AUTH]
+    builder = builder.add_extension(x509.ExtendedKeyUsage(purposes), critical=False)
+    authority_key = authority.key.public_key()
+    builder = builder.add_extension(
+        x509.AuthorityKeyIdentifier.from_issuer_public_key(authority_key), critical=False
+    )
+    return Issued(builder.sign(authority.key, hashes.SHA256()), key)
+
+
+def read_issued(certificate_path: Path, key_path: Path) -> Issued:
+    """Read a certificate and its key; OSError or ValueError where they can't be used."""
+    certificate = x509.load_pem_x509_certificate(certificate_path.read_bytes())
+    key = serialization.load_pem_private_key(key_path.read_bytes(), password=None)
+    if not isinstance(key, ec.EllipticCurvePrivateKey):
+        raise ValueError("the key isn't on an elliptic curve")
+    if key.public_key() != certificate.public_key():
+        raise ValueError("the key isn't that of the certificate")
+    return Issued(certificate, key)
+
+
+def write_synced(path: Path, content: bytes, mode: int) -> None:
+    """Write a file so that it is there whole, with ``mode``, or as it was before.
+
+    It is never readable by more than ``mode`` says, not even while it is written.
+    """
+    temporary = path.with_name(f".{path.name}.{os.getpid()}.new")
+    temporary.unlink(missing_ok=True)
+    handle = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_EXCL, mode)
+    with os.fdopen(handle, "wb") as file:
+        os.fchmod(file.fileno(), mode)
+        file.write(content)
+        file.flush()
+        os.fsync(file.fileno())
+    temporary.rename(path)
+    folder = os.open(path.parent, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
+
+
+def _builder(
+    subject: x509.Name,
+    issuer: x509.Name,
+    key: ec.EllipticCurvePrivateKey,
+    valid: datetime.timedelta,
+) -> x509.CertificateBuilder:
+    now = datetime.datetime.now(datetime.UTC)
+    builder = x509.CertificateBuilder().subject_name(subject).issuer_name(issuer)
+    builder = builder.public_key(key.public_key()).serial_number(x509.random_serial_number())
+    builder = builder.not_valid_before(now - CLOCK_LEAD).not_valid_after(now + valid)
+    identifier = x509.SubjectKeyIdentifier.from_public_key(key.public_key())
+    return builder.add_extension(identifier, critical=False)
+
+
+def _subject(common_name: str) -> x509.Name:
+    return x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, common_name)])
+
+
+def _usage(*, signs_certificates: bool) -> x509.KeyUsage:
+    return x509.KeyUsage(
+        digital_signature=not signs_certificates,
+        content_commitment=False,
+        key_encipherment=False,
+        data_encipherment=False,
+        key_agreement=False,
+        key_cert_sign=signs_certificates,
+        crl_sign=signs_certificates,
+        encipher_only=False,
+        decipher_only=False,
+    )
--- /dev/null
+++ b/tests/tls/keys.py
@@ -0,0 +1,51 @@
+"""Authorities and certificates for tests."""
+
+import datetime
+from pathlib import Path
+
+from finchshed.tls.files import TlsFiles
+from finchshed.tls.issuing import (
+    CERTIFICATE_MODE,
+    KEY_MODE,
+    Issued,
+    issue,
+    make_authority,
+    write_synced,
+)
+from finchshed.tls.names import CONTROL_HOST, Role, name_of
+
+DAY = datetime.timedelta(days=1)
+EXPIRED = datetime.timedelta(seconds=-1)
+
+
+class Deployment:
+    """An authority and what it has issued, in a folder."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        folder.mkdir(exist_ok=True)
+        self.authority: Issued = make_authority(DAY)
+        self.authority_file = folder / "authority.pem"
+        write_synced(self.authority_file, self.authority.certificate_pem(), CERTIFICATE_MODE)
+
+    def issue(
+        self, role: Role, name: str, valid: datetime.timedelta = DAY, **others: str
+    ) -> TlsFiles:
+        """Write key and certificate of ``name``; others are zone and endpoint."""
+        names = [name_of(role, name), *(name_of(Role(k), v) for k, v in others.items())]
+        hosts = [CONTROL_HOST] if role is Role.CONTROL else []
+        issued = issue(self.authority, name, names, hosts, valid)
+        certificate, key = self.folder / f"{name}.pem", self.folder / f"{name}.key"
+        write_synced(key, issued.key_pem(), KEY_MODE)
+        write_synced(certificate, issued.certificate_pem(), CERTIFICATE_MODE)
+        return TlsFiles(str(certificate), str(key), str(self.authority_file))
+
+
+def settings_text(files: TlsFiles) -> str:
+    """Return ``files`` as lines of a settings file."""
+    return "".join(f'{name} = "{path}"\n' for name, path in files.by_setting().items())
+
+
+def flags(files: TlsFiles) -> dict[str, str]:
+    """Return ``files`` as flags of a program."""
+    return {name.replace("_", "-"): path for name, path in files.by_setting().items()}
--- /dev/null
+++ b/tests/tls/test_command.py
@@ -0,0 +1,76 @@
+"""``finchshed keys``."""
+
+import stat
+from pathlib import Path
+
+import pytest
+
+from finchshed.cli.main import run
+from finchshed.common.errors import SettingsError
+from finchshed.ctl.connection import connect
+from finchshed.tls.files import TlsFiles, problems_of
+from finchshed.tls.names import Role
+from tests.tls.keys import Deployment
+
+
+def issue(folder: Path, *flags: str) -> int:
+    return run(["keys", "issue", f"--authority={folder}", f"--folder={folder}", *flags])
+
+
+def test_an_authority_issues_usable_files_that_only_their_owner_reads(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert run(["keys", "authority", f"--folder={tmp_path}"]) == 0
+    flags = ("--role=daemon", "--name=d1", "--zone=a", "--endpoint=e1", "--days=0.5")
+    assert issue(tmp_path, *flags) == 0
+    files = TlsFiles(*(str(tmp_path / name) for name in ("d1.pem", "d1.key", "authority.pem")))
+    assert problems_of(files) == {}
+    for key in ("d1.key", "authority.key"):
+        assert stat.S_IMODE((tmp_path / key).stat().st_mode) == 0o600
+    capsys.readouterr()
+    assert run(["keys", "show", f"--certificate={files.certificate}"]) == 0
+    shown = capsys.readouterr().out
+    for name in ("daemon/d1", "zone/a", "endpoint/e1"):
+        assert f"finchshed://{name}\n" in shown
+    assert sorted(path.name for path in tmp_path.iterdir()) == [
+        "authority.key",
+        "authority.pem",
+        "d1.key",
+        "d1.pem",
+    ]
+
+
+def test_an_authority_is_never_replaced(tmp_path: Path) -> None:
+    assert run(["keys", "authority", f"--folder={tmp_path}"]) == 0
+    before = (tmp_path / "authority.key").read_bytes()
+    assert run(["keys", "authority", f"--folder={tmp_path}"]) == 1
+    assert (tmp_path / "authority.key").read_bytes() == before
+
+
+def test_wrong_flags_are_told_together(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    assert run(["keys", "authority", f"--folder={tmp_path}"]) == 0
+    assert issue(tmp_path, "--role=king", "--name=../d1", "--days=0") == 2
+    told = capsys.readouterr().err
+    for flag in ("--role", "--name", "--days"):
+        assert f"flag {flag} = " in told
+    assert not list(tmp_path.glob("d1*"))
+
+
+def test_no_authority_is_told(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    assert issue(tmp_path, "--role=daemon", "--name=d1") == 1
+    assert "no authority in" in capsys.readouterr().err
+
+
+def test_an_operator_s_files_come_from_the_environment(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    files = Deployment(tmp_path / "keys").issue(Role.OPERATOR, "ana")
+    monkeypatch.setenv("FINCHSHED_TOKEN", "secret")
+    monkeypatch.setenv("FINCHSHED_TLS_CERTIFICATE_FILE", files.certificate)
+    monkeypatch.setenv("FINCHSHED_TLS_KEY_FILE", "/no/such.key")
+    with pytest.raises(SettingsError) as raised:
+        connect("127.0.0.1:4000")
+    assert raised.value.problems == [
+        "FINCHSHED_TLS_KEY_FILE = '/no/such.key': can't be read: No such file or directory",
+        "FINCHSHED_TLS_AUTHORITY_FILE = '': has to be given with the other two tls_ files",
+    ]
--- /dev/null
+++ b/tests/tls/test_control_peers.py
@@ -0,0 +1,100 @@
+"""Control nodes take the replicated log's messages from the node they name only."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from finchshed.consensus.identity import NodeIdentity
+from finchshed.consensus.messages import Envelope, PreVoteReply
+from finchshed.control.background import Background
+from finchshed.control.peer_links import PeerLinks
+from finchshed.control.peer_messages import PeerHello, PeerMessage, RaftLine
+from finchshed.distribution.status import InForceReport
+from finchshed.link.encoding import encode_line
+from finchshed.tls.credentials import Credentials
+from finchshed.tls.handshakes import Connector
+from finchshed.tls.names import Role
+from tests.control.group import free_addresses
+from tests.tls.keys import Deployment
+
+SECONDS = 10.0
+
+
+def raft_line(sender: str) -> RaftLine:
+    message = PreVoteReply(term=1, granted=True)
+    return RaftLine(Envelope(NodeIdentity(sender, "1"), NodeIdentity("c1", "1"), message))
+
+
+class Node:
+    """The peer links of node ``c1``, and what came by them."""
+
+    def __init__(self, keys: Deployment) -> None:
+        self.received: asyncio.Queue[PeerMessage] = asyncio.Queue()
+        self.keys = keys
+        (self.address,) = free_addresses(1)
+        credentials = Credentials(keys.issue(Role.CONTROL, "c1"))
+        self.background = Background(lambda error: pytest.fail(str(error)))
+        self.links = PeerLinks(
+            PeerHello("c1", ""),
+            lambda _, message: self.received.put_nowait(message),
+            self.background,
+            credentials,
+        )
+
+    async def tell(self, role: Role, name: str, *messages: msgspec.Struct) -> bool:
+        """Send as ``name``; return whether the connection is closed for it."""
+        reader = asyncio.StreamReader()
+        host, port = self.address.split(":")
+        connector = Connector(Credentials(self.keys.issue(role, name)), Role.CONTROL)
+        transport, _ = await connector(
+            lambda: asyncio.StreamReaderProtocol(reader), host, int(port)
+        )
+        transport.write(b"".join(encode_line(message) for message in messages))
+        ending = asyncio.create_task(reader.read())
+        taking = asyncio.create_task(self.received.get())
+        done, left = await asyncio.wait(
+            {ending, taking}, timeout=SECONDS, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in left:
+            task.cancel()
+        transport.abort()
+        assert done, "neither closed nor taken"
+        return ending in done
+
+
+@pytest.fixture
+async def node(tmp_path: Path) -> AsyncIterator[Node]:
+    made = Node(Deployment(tmp_path / "keys"))
+    await made.links.start(made.address)
+    yield made
+    made.background.cancel()
+    made.links.stop()
+
+
+async def test_a_node_speaks_for_itself_only(node: Node) -> None:
+    hello = PeerHello("c2", "")
+    assert not await node.tell(Role.CONTROL, "c2", hello, raft_line("c2"))
+    assert await node.tell(Role.CONTROL, "c2", hello, raft_line("c3"))
+    assert await node.tell(Role.CONTROL, "c3", hello, raft_line("c2"))
+    assert await node.tell(Role.CONTROL, "c2", hello, InForceReport("c3", 1))
+    assert node.received.empty()
+
+
+async def test_a_daemon_can_not_speak_as_a_control_node(node: Node) -> None:
+    assert await node.tell(Role.DAEMON, "c2", PeerHello("c2", ""), raft_line("c2"))
+    assert node.received.empty()
+
+
+async def test_links_of_two_nodes_carry_messages(node: Node, tmp_path: Path) -> None:
+    other = PeerLinks(
+        PeerHello("c2", "127.0.0.1:1"),
+        lambda *_: None,
+        node.background,
+        Credentials(node.keys.issue(Role.CONTROL, "c2")),
+    )
+    assert other.send(node.address, raft_line("c2"))
+    assert await asyncio.wait_for(node.received.get(), SECONDS) == raft_line("c2")
+    other.stop()
