--- a/src/finchshed/control/distribution_service.py
+++ b/src/finchshed/control/distribution_service.py
@@ -17,6 +17,7 @@
 from finchshed.distribution.server import Answer, HubServer
 from finchshed.distribution.snapshot import Configuration
 from finchshed.distribution.status import DistributionStatus, InForceReport, StatusTable
+from finchshed.link.networks import PeerNetworks
 from finchshed.tls.credentials import Credentials
 from finchshed.tls.handshakes import Connector
 from finchshed.tls.names import Role
@@ -46,6 +47,8 @@
         machine: ControlStateMachine,
         log: ReplicatedLog,
         background: Background,
+        *,
+        networks: PeerNetworks | None = None,
         credentials: Credentials | None = None,
     ) -> None:
         connect = Connector(credentials, Role.CONTROL)
@@ -63,7 +66,12 @@
         self._hub = Hub(node)
         self._explanations = Explanations()
         self._server = HubServer(
-            self._hub, self._confirm, self._on_ledger, self._explanations.on_reply, credentials
+            self._hub,
+            self._confirm,
+            self._on_ledger,
+            self._explanations.on_reply,
+            networks=networks,
+            credentials=credentials,
         )
         self._requests: set[asyncio.Task[None]] = set()
         self._status: StatusTable | None = None
--- a/src/finchshed/control/node.py
+++ b/src/finchshed/control/node.py
@@ -20,6 +20,7 @@
 from finchshed.control.settings import ControlSettings
 from finchshed.control.state_machine import ControlStateMachine
 from finchshed.control.state_metrics import observe_state
+from finchshed.link.networks import PeerNetworks
 from finchshed.observability.admin import AdminServer, Health
 from finchshed.tls.credentials import credentials_of
 
@@ -59,10 +60,22 @@
         hello = PeerHello(
             settings.node, settings.distribution_advertised_address or settings.distribution_address
         )
+        networks = PeerNetworks(settings.peer_networks)
         credentials = credentials_of(settings)
-        self._links = PeerLinks(hello, self._log.on_message, background, credentials)
+        self._links = PeerLinks(
+            hello,
+            self._log.on_message,
+            background,
+            networks=networks,
+            credentials=credentials,
+        )
         self._distribution = DistributionService(
-            settings.node, self._machine, self._log, background, credentials
+            settings.node,
+            self._machine,
+            self._log,
+            background,
+            networks=networks,
+            credentials=credentials,
         )
         self._log.on_report = self._distribution.on_report
         service = OperatorService(
--- a/src/finchshed/control/peer_links.py
+++ b/src/finchshed/control/peer_links.py
@@ -18,6 +18,7 @@
 from finchshed.control.peer_messages import PeerHello, PeerMessage, RaftLine
 from finchshed.distribution.status import InForceReport
 from finchshed.link.lines import LineProtocol
+from finchshed.link.networks import PeerNetworks
 from finchshed.tls.credentials import Credentials
 from finchshed.tls.handshakes import Connector, Server, listening, serve
 from finchshed.tls.names import Role, name_of, unproven
@@ -64,6 +65,8 @@
         First line of each connection made here.
     on_message
         Called with each message and the link it came by.
+    networks
+        Networks that other control nodes connect from; None for any.
     credentials
         Keys for TLS; None: plain text.
     """
@@ -73,6 +76,8 @@
         hello: PeerHello,
         on_message: OnMessage,
         background: Background,
+        *,
+        networks: PeerNetworks | None = None,
         credentials: Credentials | None = None,
     ) -> None:
         self._credentials = credentials
@@ -80,6 +85,7 @@
         self._hello = hello
         self._on_message = on_message
         self._background = background
+        self._networks = networks
         self._outbound: dict[str, _Outbound] = {}
         self._greeted: dict[PeerLink, PeerHello] = {}
         self._inbound: set[PeerLink] = set()
@@ -164,6 +170,7 @@
             on_close=self._on_inbound_close,
             max_line_bytes=MAX_LINE_BYTES,
             expects_greeting=True,
+            networks=self._networks,
         )
 
     def _on_inbound_open(self, link: PeerLink) -> None:
--- a/tests/tls/test_control_peers.py
+++ b/tests/tls/test_control_peers.py
@@ -41,7 +41,7 @@
             PeerHello("c1", ""),
             lambda _, message: self.received.put_nowait(message),
             self.background,
-            credentials,
+            credentials=credentials,
         )
 
     async def tell(self, role: Role, name: str, *messages: msgspec.Struct) -> bool:
@@ -93,7 +93,7 @@
         PeerHello("c2", "127.0.0.1:1"),
         lambda *_: None,
         node.background,
-        Credentials(node.keys.issue(Role.CONTROL, "c2")),
+        credentials=Credentials(node.keys.issue(Role.CONTROL, "c2")),
     )
     assert other.send(node.address, raft_line("c2"))
     assert await asyncio.wait_for(node.received.get(), SECONDS) == raft_line("c2")
--- /dev/null
+++ b/tests/tls/test_peer_link.py
@@ -0,0 +1,69 @@
+"""The calling end of a link takes an answer only from the endpoint it names."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from finchshed.link.lines import LineProtocol
+from finchshed.link.messages import Hello, PeerMessage
+from finchshed.link.peer import LinkState, PeerLink
+from finchshed.tls.credentials import Credentials
+from finchshed.tls.handshakes import Connector, listening, serve
+from finchshed.tls.names import Role
+from tests.link.test_peer import Owner
+from tests.tls.keys import Deployment
+
+SECONDS = 10.0
+
+
+async def link_to(listener: Credentials, client: Credentials) -> tuple[PeerLink, Owner]:
+    """Return a link to a listener that says it is endpoint ``e1`` in zone ``a``."""
+
+    def answer(lines: LineProtocol[PeerMessage], message: PeerMessage) -> None:
+        assert isinstance(message, Hello)
+        lines.greeted()
+        lines.send(Hello("e1", "1", message.epoch, "s", "a", 1))
+
+    def make() -> LineProtocol[PeerMessage]:
+        return LineProtocol(PeerMessage, answer)
+
+    server = await serve(make, listener, listening("127.0.0.1", 0))
+    host, port = server.sockets[0].getsockname()
+    owner = Owner()
+    link = PeerLink(
+        f"{host}:{port}",
+        owner,
+        max_unsent_bytes=1 << 20,
+        silence_seconds=SECONDS,
+        heartbeat_seconds=SECONDS,
+        idle_heartbeat_seconds=SECONDS,
+        connect_timeout_seconds=SECONDS,
+        connect=Connector(client),
+    )
+    await link.connect()
+    ends = [asyncio.create_task(event.wait()) for event in (owner.opened, owner.closed)]
+    await asyncio.wait(ends, timeout=SECONDS, return_when=asyncio.FIRST_COMPLETED)
+    for end in ends:
+        end.cancel()
+    server.close()
+    return link, owner
+
+
+@pytest.mark.parametrize(
+    ("zone", "endpoint", "state"),
+    [
+        ("a", "e1", LinkState.OPEN),
+        ("a", "e2", LinkState.CLOSED),
+        ("b", "e1", LinkState.CLOSED),
+    ],
+)
+async def test_a_link_opens_to_the_endpoint_of_the_certificate_only(
+    tmp_path: Path, zone: str, endpoint: str, state: LinkState
+) -> None:
+    keys = Deployment(tmp_path / "keys")
+    listener = Credentials(keys.issue(Role.DAEMON, "d1", zone=zone, endpoint=endpoint))
+    link, owner = await link_to(listener, Credentials(keys.issue(Role.DAEMON, "me")))
+    assert link.state is state
+    assert owner.opened.is_set() == (state is LinkState.OPEN)
+    link.close("stopped")
