--- a/src/finchshed/bench/daemon_system.py
+++ b/src/finchshed/bench/daemon_system.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 
 from finchshed.bench.fixed_control import FixedControl
+from finchshed.bench.keys import BenchKeys
 from finchshed.common.errors import FinchshedError
 from finchshed.configuration.resources import Endpoint, Policy, Route, Service
 
@@ -65,6 +66,9 @@
         Number of processes that only pass bytes, in a row before the first back end.
     wrapper
         Returns the command a daemon is run by, given its name and arguments.
+    keys
+        Authority that certificates of the daemons and of control are issued by, and the folder
+        they are written to; None: plain text.
     """
 
     backends: int = 1
@@ -75,6 +79,7 @@
     relays: int = 0
     peers: tuple[Endpoint, ...] = ()
     wrapper: Callable[[str, list[str]], list[str]] | None = None
+    keys: BenchKeys | None = None
     control: FixedControl = field(default_factory=FixedControl)
     backend_processes: list[MeasuredProcess] = field(default_factory=list)
     daemons: list[MeasuredProcess] = field(default_factory=list)
@@ -93,6 +98,8 @@
         self._stop()
 
     async def _start(self) -> None:
+        if self.keys is not None:
+            self.control.credentials = self.keys.control()
         await self.control.start()
         for number in range(1, self.backends + 1):
             backend = MeasuredProcess(f"backend-{number}", _free_address())
@@ -158,6 +165,8 @@
             **self.flags,
             **beside,
         }
+        if self.keys is not None:
+            named.update(self.keys.flags_of(daemon.name, ZONE, beside.get("endpoint", "")))
         arguments = ["-m", "finchshed", "daemon"]
         arguments += [f"--{name}={value}" for name, value in named.items()]
         if self.wrapper is None:
--- a/src/finchshed/bench/fixed_control.py
+++ b/src/finchshed/bench/fixed_control.py
@@ -15,6 +15,8 @@
     Subscribe,
 )
 from finchshed.link.lines import LineProtocol
+from finchshed.tls.credentials import Credentials
+from finchshed.tls.handshakes import Server, listening, serve
 
 HEARTBEAT_SECONDS = 0.5
 REVISION = 1
@@ -27,13 +29,14 @@
         self.resources = resources
         self.address = ""
         self._lines: set[LineProtocol[DaemonToControl]] = set()
-        self._server: asyncio.Server | None = None
+        self._server: Server | None = None
+        self.credentials: Credentials | None = None
         self._heartbeats: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Listen."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._make_protocol, "127.0.0.1", 0)
+        self._server = await serve(self._make_protocol, self.credentials, listening("127.0.0.1", 0))
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
         self._heartbeats = loop.create_task(self._send_heartbeats())
--- /dev/null
+++ b/src/finchshed/bench/keys.py
@@ -0,0 +1,47 @@
+"""Certificates for measured processes."""
+
+import datetime
+from pathlib import Path
+
+from finchshed.tls.credentials import Credentials
+from finchshed.tls.files import TlsFiles
+from finchshed.tls.issuing import (
+    CERTIFICATE_MODE,
+    KEY_MODE,
+    issue,
+    make_authority,
+    write_synced,
+)
+from finchshed.tls.names import Role, name_of
+
+VALID = datetime.timedelta(days=1)
+AUTHORITY_FILE = "authority.pem"
+
+
+class BenchKeys:
+    """An authority of its own for one measurement; its files go in ``folder``."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._authority = make_authority(VALID)
+        content = self._authority.certificate_pem()
+        write_synced(folder / AUTHORITY_FILE, content, CERTIFICATE_MODE)
+
+    def control(self) -> Credentials:
+        """Return the credentials of the control node."""
+        return Credentials(self._issue("control", [name_of(Role.CONTROL, "control")]))
+
+    def flags_of(self, node: str, zone: str, endpoint: str) -> dict[str, str]:
+        """Return a daemon's flags; its files are issued."""
+        names = [name_of(Role.DAEMON, node), name_of(Role.ZONE, zone)]
+        if endpoint:
+            names.append(name_of(Role.ENDPOINT, endpoint))
+        paths = self._issue(node, names).by_setting()
+        return {setting.replace("_", "-"): path for setting, path in paths.items()}
+
+    def _issue(self, node: str, names: list[str]) -> TlsFiles:
+        issued = issue(self._authority, node, names, [], VALID)
+        certificate, key = self._folder / f"{node}.pem", self._folder / f"{node}.key"
+        write_synced(key, issued.key_pem(), KEY_MODE)
+        write_synced(certificate, issued.certificate_pem(), CERTIFICATE_MODE)
+        return TlsFiles(str(certificate), str(key), str(self._folder / AUTHORITY_FILE))
--- a/src/finchshed/bench/paired_latency.py
+++ b/src/finchshed/bench/paired_latency.py
@@ -11,6 +11,7 @@
 import asyncio
 import random
 import sys
+import tempfile
 import time
 from collections.abc import Sequence
 from pathlib import Path
@@ -21,6 +22,7 @@
 
 from finchshed.bench.call_load import bench_request
 from finchshed.bench.daemon_system import DaemonSystem, MeasuredProcess, MeasurementError
+from finchshed.bench.keys import BenchKeys
 from finchshed.bench.paired_results import PairedResult, Percentiles, table
 from finchshed.bench.process_usage import MachineLoad, MachineMeter, processor_seconds
 from finchshed.cli.exit_codes import ExitCode
@@ -114,9 +116,16 @@
 
 
 async def measure(
-    rates: Sequence[float], seconds: float, seed: int, profile: str = ""
+    rates: Sequence[float],
+    seconds: float,
+    seed: int,
+    profile: str = "",
+    keys: BenchKeys | None = None,
 ) -> list[PairedResult]:
-    """Measure each rate on one running system; write profiles of the daemons if told where."""
+    """Measure each rate on one running system; write profiles of the daemons if told where.
+
+    With ``keys`` the daemons speak TLS.
+    """
     wrapper = None
     if profile:
 
@@ -125,7 +134,9 @@
             return [sys.executable, "-m", "cProfile", "-o", out, *arguments]
 
     results = []
-    async with DaemonSystem(body_bytes=BODY_BYTES, relays=RELAYS, wrapper=wrapper) as system:
+    async with DaemonSystem(
+        body_bytes=BODY_BYTES, relays=RELAYS, wrapper=wrapper, keys=keys
+    ) as system:
         edge, daemon = system.edge, system.daemons[0]
         assert edge is not None
         ends = (system.backend_processes[0], edge, system.relay_processes[-1])
@@ -186,6 +197,8 @@
     seed: int = 1,
     out: str = "",
     profile: str = "",
+    *,
+    tls: bool = False,
 ) -> int:
     """Measure the latency that the path adds to a call, in pairs, at several rates.
 
@@ -201,9 +214,13 @@
         File that one JSON line for each rate is added to, or empty.
     profile
         Folder for cProfile's files of the daemons, or empty; profiled figures don't count.
+    tls
+        Whether the daemons speak mutual TLS, with keys made for the run.
     """
     chosen = [float(rate) for rate in str(rates).strip("()").split(",") if rate] or DEFAULT_RATES
-    results = uvloop.run(measure(chosen, float(seconds), int(seed), profile))
+    with tempfile.TemporaryDirectory() as folder:
+        keys = BenchKeys(Path(folder)) if tls else None
+        results = uvloop.run(measure(chosen, float(seconds), int(seed), profile, keys))
     print("\n".join(table(results)))
     if out:
         with Path(out).open("ab") as file:
