A control node that is refused comes back less and less often

In TLS 1.3 a certificate is refused after the connection is open at the client's end, so the pause between tries was taken back each time: 149 connections in 1.5 s in the new test, each with lines in the peer's log; now at most 8. Links in plain text keep their pauses.

--- a/src/finchshed/control/peer_links.py
+++ b/src/finchshed/control/peer_links.py
@@ -54,6 +54,7 @@
         self.waiting: list[PeerMessage] = []
         self.is_connecting = False
         self.pause = FIRST_PAUSE_SECONDS
+        self.opened_at = 0.0
 
 
 class PeerLinks:
@@ -137,7 +138,23 @@
             return False
         return True
 
+    async def _pause_if_refused(self, outbound: _Outbound) -> None:
+        """Wait before a connection to a peer that closed the last one at once.
+
+        In TLS 1.3 a peer refuses a certificate after the connection is open at this end.
+        """
+        link, outbound.link = outbound.link, None
+        if self._credentials is None or link is None:
+            return
+        lived = asyncio.get_running_loop().time() - outbound.opened_at
+        if lived >= LONGEST_PAUSE_SECONDS:
+            outbound.pause = FIRST_PAUSE_SECONDS
+            return
+        await asyncio.sleep(outbound.pause)
+        outbound.pause = min(2 * outbound.pause, LONGEST_PAUSE_SECONDS)
+
     async def _connect(self, outbound: _Outbound) -> None:
+        await self._pause_if_refused(outbound)
         link = self._make_outbound()
         host, port = split_address(outbound.address)
         try:
@@ -150,7 +167,9 @@
             outbound.pause = min(2 * outbound.pause, LONGEST_PAUSE_SECONDS)
             outbound.is_connecting = False
             return
-        outbound.pause = FIRST_PAUSE_SECONDS
+        if self._credentials is None:
+            outbound.pause = FIRST_PAUSE_SECONDS
+        outbound.opened_at = asyncio.get_running_loop().time()
         outbound.is_connecting = False
         outbound.link = link
         _set_user_timeout(link)
--- a/tests/tls/test_control_peers.py
+++ b/tests/tls/test_control_peers.py
@@ -16,7 +16,7 @@
 from finchshed.link.encoding import encode_line
 from finchshed.tls.credentials import Credentials
 from finchshed.tls.handshakes import Connector
-from finchshed.tls.names import Role
+from finchshed.tls.names import REFUSED, Role
 from tests.control.group import free_addresses
 from tests.tls.keys import Deployment
 
@@ -98,3 +98,20 @@
     assert other.send(node.address, raft_line("c2"))
     assert await asyncio.wait_for(node.received.get(), SECONDS) == raft_line("c2")
     other.stop()
+
+
+async def test_a_node_that_is_refused_comes_back_less_and_less_often(node: Node) -> None:
+    other = PeerLinks(
+        PeerHello("c9", ""),
+        lambda *_: None,
+        node.background,
+        credentials=Credentials(node.keys.issue(Role.CONTROL, "c2")),
+    )
+    before = REFUSED.labels("name")._value.get()
+    for _ in range(150):
+        other.send(node.address, raft_line("c9"))
+        await asyncio.sleep(0.01)
+    refused = REFUSED.labels("name")._value.get() - before
+    other.stop()
+    assert 1 <= refused <= 8
+    assert node.received.empty()
