--- a/src/finchshed/control/distribution_service.py
+++ b/src/finchshed/control/distribution_service.py
@@ -18,6 +18,9 @@
 from finchshed.distribution.snapshot import Configuration
 from finchshed.distribution.status import DistributionStatus, InForceReport, StatusTable
 from finchshed.link.networks import PeerNetworks
+from finchshed.tls.credentials import Credentials
+from finchshed.tls.handshakes import Connector
+from finchshed.tls.names import Role
 
 CONTACT_SECONDS = 0.4
 """Time between looks at whether this node is in contact with a quorum."""
@@ -34,6 +37,8 @@
     ----------
     node
         Name of this control node.
+    credentials
+        Keys for TLS; None: plain text.
     """
 
     def __init__(
@@ -42,8 +47,11 @@
         machine: ControlStateMachine,
         log: ReplicatedLog,
         background: Background,
+        *,
         networks: PeerNetworks | None = None,
+        credentials: Credentials | None = None,
     ) -> None:
+        connect = Connector(credentials, Role.CONTROL)
         self._machine = machine
         self._log = log
         self._background = background
@@ -51,14 +59,19 @@
             machine,
             log,
             LedgerService(log, background),
-            make_shard=lambda addresses: ShardClient(node, addresses),
+            make_shard=lambda addresses: ShardClient(node, addresses, connect),
             now=time.monotonic,
             unix_now=time.time,
         )
         self._hub = Hub(node)
         self._explanations = Explanations()
         self._server = HubServer(
-            self._hub, self._confirm, self._on_ledger, self._explanations.on_reply, networks
+            self._hub,
+            self._confirm,
+            self._on_ledger,
+            self._explanations.on_reply,
+            networks=networks,
+            credentials=credentials,
         )
         self._requests: set[asyncio.Task[None]] = set()
         self._status: StatusTable | None = None
--- a/src/finchshed/control/node.py
+++ b/src/finchshed/control/node.py
@@ -22,6 +22,7 @@
 from finchshed.control.state_metrics import observe_state
 from finchshed.link.networks import PeerNetworks
 from finchshed.observability.admin import AdminServer, Health
+from finchshed.tls.credentials import credentials_of
 
 ELECTION_SPREAD = 2.0
 """The longest election timeout, as a multiple of the shortest."""
@@ -60,9 +61,21 @@
             settings.node, settings.distribution_advertised_address or settings.distribution_address
         )
         networks = PeerNetworks(settings.peer_networks)
-        self._links = PeerLinks(hello, self._log.on_message, background, networks)
+        credentials = credentials_of(settings)
+        self._links = PeerLinks(
+            hello,
+            self._log.on_message,
+            background,
+            networks=networks,
+            credentials=credentials,
+        )
         self._distribution = DistributionService(
-            settings.node, self._machine, self._log, background, networks
+            settings.node,
+            self._machine,
+            self._log,
+            background,
+            networks=networks,
+            credentials=credentials,
         )
         self._log.on_report = self._distribution.on_report
         service = OperatorService(
@@ -73,7 +86,7 @@
             bootstrap_token_sha256=settings.bootstrap_token_sha256,
             membership=self._log,
         )
-        self._rpc = RpcServer(service)
+        self._rpc = RpcServer(service, credentials)
         self._poller = PlatformPoller(settings, self._machine, self._distribution.send_hints)
         self._admin = _make_admin(settings, self._health)
 
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -39,6 +39,9 @@
 from finchshed.link.listener import LinkListener
 from finchshed.routing.table import RoutingTable
 from finchshed.runtime import garbage
+from finchshed.tls.credentials import credentials_of
+from finchshed.tls.handshakes import Connector
+from finchshed.tls.names import Role
 
 SLOW_TICK_SECONDS = 0.5
 DRAIN_POLL_SECONDS = 0.02
@@ -63,6 +66,7 @@
             subset_size=settings.subset_size,
         )
         self._platform = PlatformHints(self._table)
+        self._credentials = credentials_of(settings)
         self._driver = self._make_driver()
         self._driver.client.on_hints = self._on_hints
         self._side = LinkSide(
@@ -74,7 +78,7 @@
             takes_nothing=self._leaving.takes_nothing,
             rng=self._rng,
         )
-        self._links = PeerLinks(settings, self._side, self._rng)
+        self._links = PeerLinks(settings, self._side, self._rng, Connector(self._credentials))
         self._paths = PathThresholds(self._table.floor)
         self._caller = Caller(self._table, self._links, self._served, self._paths, self._rng)
         self._front = Front(self._caller, self._served, self._rng, self._why_not)
@@ -111,7 +115,8 @@
         self._spawn(self._tick_seldom())
         if self._leaving.watch is not None:
             self._spawn(self._leaving.watch.run())
-        await self._listeners.open(settings.link_address, self._listener.make_protocol)
+        make_link = self._listener.make_protocol
+        await self._listeners.open(settings.link_address, make_link, self._credentials)
 
     async def stop(self) -> None:
         """Take no new work, finish what is in progress, and close.
@@ -190,7 +195,8 @@
         )
         addresses = [parse_control_address(text) for text in settings.control_addresses]
         folder = Path(settings.data_folder) if settings.data_folder else None
-        return FollowerDriver(identity, addresses, self, self._rng, folder)
+        connect = Connector(self._credentials, Role.CONTROL)
+        return FollowerDriver(identity, addresses, self, self._rng, folder, connect=connect)
 
     def _make_callee(self) -> Callee | None:
         settings = self._settings
