Networks are given to servers of control by position again

The merge with TLS had made the argument keyword-only, which broke the seven tests of tests/control/test_peer_links.py; only credentials are keyword-only now.

--- a/src/finchshed/control/distribution_service.py
+++ b/src/finchshed/control/distribution_service.py
@@ -47,8 +47,8 @@
         machine: ControlStateMachine,
         log: ReplicatedLog,
         background: Background,
-        *,
         networks: PeerNetworks | None = None,
+        *,
         credentials: Credentials | None = None,
     ) -> None:
         connect = Connector(credentials, Role.CONTROL)
--- a/src/finchshed/control/peer_links.py
+++ b/src/finchshed/control/peer_links.py
@@ -77,8 +77,8 @@
         hello: PeerHello,
         on_message: OnMessage,
         background: Background,
-        *,
         networks: PeerNetworks | None = None,
+        *,
         credentials: Credentials | None = None,
     ) -> None:
         self._credentials = credentials
--- a/src/finchshed/distribution/server.py
+++ b/src/finchshed/distribution/server.py
@@ -75,8 +75,8 @@
         confirm: Callable[[], Awaitable[bool]],
         on_ledger: Callable[[LedgerRequest, Answer], None],
         on_explanation: Callable[[ExplainReply], None] | None = None,
-        *,
         networks: PeerNetworks | None = None,
+        *,
         credentials: Credentials | None = None,
     ) -> None:
         self._credentials = credentials
