Runs of a fleet's history carry their session

Ruled out: daemons on an old revision (all had it in force 0.6 s after the sign).

Change: sessions of the callers' records go into the runs. Test: test_run_of_a_session_carries_it.

--- a/src/finchshed/fleet/histories.py
+++ b/src/finchshed/fleet/histories.py
@@ -87,7 +87,13 @@
         leaving_bound_seconds=scenario.leaving_bound_seconds,
         in_force_bound_seconds=scenario.in_force_bound_seconds,
     )
-    serving = ServingEvents(records.backends, journal)
+    sessions = {
+        attempt.call: record.session
+        for record in records.callers
+        for attempt in record.attempts
+        if record.session
+    }
+    serving = ServingEvents(records.backends, journal, sessions)
     events = [
         *journal.events,
         *serving.events(),
--- a/src/finchshed/fleet/serving_events.py
+++ b/src/finchshed/fleet/serving_events.py
@@ -1,6 +1,6 @@
 """What back ends ran, and the calls they made on, as events of a history."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 
 from finchshed.common.importance import Importance
 from finchshed.fleet.journal import FaultJournal
@@ -33,15 +33,26 @@
 class ServingEvents:
     """What back ends ran, and the calls they made on.
 
+    Parameters
+    ----------
+    sessions
+        Session by name of the call, of calls that outside callers made in one.
+
     Attributes
     ----------
     roots
         Root identity by name of the call.
     """
 
-    def __init__(self, records: Iterable[BackendRecord], journal: FaultJournal) -> None:
+    def __init__(
+        self,
+        records: Iterable[BackendRecord],
+        journal: FaultJournal,
+        sessions: Mapping[str, str],
+    ) -> None:
         self._records = list(records)
         self._journal = journal
+        self._sessions = sessions
         self._runs: dict[str, BackendRecord] = {}
         self._open_runs: dict[str, BackendRecord] = {}
         self._open_calls: dict[str, BackendRecord] = {}
@@ -97,6 +108,7 @@
             service=record.service,
             endpoint=record.backend,
             key=record.key,
+            session=self._sessions.get(record.call, ""),
         )
         yield Admission(
             time=time,
--- a/tests/fleet/test_histories.py
+++ b/tests/fleet/test_histories.py
@@ -46,7 +46,7 @@
 def serving(records: list[BackendRecord], *faults: Fault) -> list[Event]:
     journal = FaultJournal(BEGAN)
     journal.events += faults
-    return ServingEvents(records, journal).events()
+    return ServingEvents(records, journal, {"download-0/0": "s"}).events()
 
 
 def of_type(events: list[Event], kind: type) -> list[Event]:
@@ -179,3 +179,15 @@
     assert (header.scenario, header.seed, header.source) == ("x", 5, "fleet")
     assert (header.in_force_bound_seconds, header.leaving_bound_seconds) == (7.0, 2.0)
     assert header.retry_budget == 3
+
+
+def test_run_of_a_session_carries_it() -> None:
+    """Work of a session may go on at an endpoint that leaves, so the checker must know it."""
+    events = serving(
+        [
+            backend_record(1.0, BackendEvent.STARTED, call="download-0/0"),
+            backend_record(2.0, BackendEvent.STARTED, run="one:1:2"),
+        ]
+    )
+    begun = [event for event in events if isinstance(event, RunBegan)]
+    assert [run.session for run in begun] == ["s", ""]
