A running session's requests find their endpoint at any edge

Cause: pins are per edge.

Ruled out: a consistent rank of the identity (edges see different endpoints), a signed claim (a key to rotate for a choice of endpoint only), sessions in the replicated log (a write each).

Change: answers to a session's request carry `finchshed-session-at`, which clients send back. An edge without a pin confirmed by an answer takes the endpoint from it, if declared for the service and its link isn't down; anything else is ignored. The daemon beside the back end judges by its own table, so a false claim gains the choice of the endpoint for one link message; further attempts are paid as any. A pin ends with `session_limit`, which an endpoint never gives a session that it has. Stand-in callers send it back.

Emulated edges don't read the claim: emulated callers keep one edge.

--- a/src/finchshed/common/context.py
+++ b/src/finchshed/common/context.py
@@ -23,6 +23,9 @@
 HEADER_SESSION = "finchshed-session"
 """Identity of the session the request belongs to, if any."""
 
+HEADER_SESSION_AT = "finchshed-session-at"
+"""Name of the endpoint that serves the session: on its answers, and sent back by the client."""
+
 HEADER_SERVICE = "finchshed-service"
 """Name of the service a caller asks for."""
 
--- a/src/finchshed/daemon/caller.py
+++ b/src/finchshed/daemon/caller.py
@@ -140,7 +140,7 @@
             request.context,
             repeatable=request.repeatable,
             rng=self._rng,
-            pinned=self._pins.endpoint_of(request) if request.in_session else "",
+            pinned=self._pins.endpoint_of(request, self._table, time.monotonic()),
             route=request.route,
         )
 
--- a/src/finchshed/daemon/front.py
+++ b/src/finchshed/daemon/front.py
@@ -21,6 +21,7 @@
     HEADER_ROOT,
     HEADER_SERVICE,
     HEADER_SESSION,
+    HEADER_SESSION_AT,
     CallContext,
 )
 from finchshed.common.outcomes import Outcome, RefusalReason, Refused
@@ -43,6 +44,7 @@
 _ROOT = HEADER_ROOT.encode("ascii")
 _SERVICE = HEADER_SERVICE.encode("ascii")
 _SESSION = HEADER_SESSION.encode("ascii")
+_SESSION_AT = HEADER_SESSION_AT.encode("ascii")
 
 
 class Admitted(msgspec.Struct, frozen=True):
@@ -125,6 +127,7 @@
             in_session=matched.route.session,
             max_body_bytes=matched.service.max_body_bytes,
             route=matched.route.prefix,
+            session_at=request.header(_SESSION_AT) if matched.route.session else "",
         )
 
         def answered(outcome: Outcome) -> None:
--- a/src/finchshed/daemon/outgoing.py
+++ b/src/finchshed/daemon/outgoing.py
@@ -19,7 +19,7 @@
 from finchshed.daemon import metrics
 from finchshed.daemon.attempt import Attempt
 from finchshed.daemon.peers import PeerLinks
-from finchshed.daemon.pins import mixes_editions
+from finchshed.daemon.pins import mixes_editions, told_place
 from finchshed.daemon.request import Request
 from finchshed.link.digests import digest_of
 from finchshed.link.messages import Reply
@@ -149,7 +149,8 @@
         self._perform(self._logic.on_timer(now))
 
     def _finish(self, effect: Finish) -> None:
-        self._outcome = effect.outcome
+        outcome = told_place(self.request, self.endpoint, effect.outcome)
+        self._outcome = outcome
         # The attempt refers back to this call: without the cycle it is freed at once.
         self._attempt = None
         if self._timer is not None:
@@ -157,5 +158,5 @@
         waiters = self._waiters
         self._waiters = []
         for on_outcome in waiters:
-            on_outcome(effect.outcome)
-        self._on_finish(self, effect.outcome, effect.spare_returned)
+            on_outcome(outcome)
+        self._on_finish(self, outcome, effect.spare_returned)
--- a/src/finchshed/daemon/pins.py
+++ b/src/finchshed/daemon/pins.py
@@ -4,13 +4,21 @@
 when the endpoint is lost or sends it away. A download that goes on elsewhere must not mix editions:
 a range is asked for under the validator of the last part (RFC 9110, 13.1.5), and a part that
 carries another validator than asked for is not handed on (RFC 9110, 15.3.7.3).
+
+A client may come in at another edge, which has no pin. So answers tell where the session runs and
+clients send it back. That claim proves nothing: it chooses the endpoint alone, and the daemon there
+judges the request by the sessions it has admitted itself.
 """
 
 import sys
 from dataclasses import dataclass
 
+import msgspec
+
+from finchshed.common.context import HEADER_SESSION_AT
 from finchshed.common.outcomes import Answered, Headers, Outcome
 from finchshed.daemon.request import Request
+from finchshed.routing.table import RoutingTable
 from finchshed.session.table import MoveReason, Opened, SessionTable
 
 STATUS_OK = 200
@@ -40,9 +48,20 @@
         """Return the number of sessions pinned."""
         return len(self._sessions)
 
-    def endpoint_of(self, request: Request) -> str:
-        """Return the endpoint that serves the request's session, or empty."""
-        held = self._sessions.get(session_of(request))
+    def endpoint_of(self, request: Request, table: RoutingTable, now: float) -> str:
+        """Return the endpoint that serves the request's session, or empty.
+
+        The client's claim counts where no answer has confirmed a pin, if it names an endpoint of
+        the service that can be used; any other claim is ignored.
+        """
+        session = session_of(request)
+        if not session:
+            return ""
+        held = self._sessions.get(session)
+        if held is not None and held.admitted:
+            return held.endpoint
+        if request.session_at and table.is_usable(request.session_at, request.service, now):
+            return request.session_at
         return "" if held is None else held.endpoint
 
     def begin(self, request: Request, endpoint: str, idle_seconds: float, now: float) -> None:
@@ -72,6 +91,7 @@
         self._sessions.on_answer(session, now)
         if not isinstance(outcome, Answered):
             return
+        self._sessions.admit(session)
         if endpoint and endpoint != held.endpoint:
             self._sessions.move(session, endpoint, MoveReason.ENDPOINT_LOST, now)
         validator = header_of(outcome.headers, "etag")
@@ -109,6 +129,14 @@
     return allowed not in ([""], ["*"]) and given not in allowed
 
 
+def told_place(request: Request, endpoint: str, outcome: Outcome) -> Outcome:
+    """Return ``outcome`` with the endpoint that answered a session's request in its headers."""
+    if not isinstance(outcome, Answered) or not endpoint or not session_of(request):
+        return outcome
+    headers = tuple(item for item in outcome.headers if item[0].lower() != HEADER_SESSION_AT)
+    return msgspec.structs.replace(outcome, headers=(*headers, (HEADER_SESSION_AT, endpoint)))
+
+
 def session_of(request: Request) -> str:
     """Return the identity of the request's session among all services, or empty."""
     if not request.in_session or not request.context.session:
--- a/src/finchshed/daemon/request.py
+++ b/src/finchshed/daemon/request.py
@@ -42,6 +42,8 @@
         Largest body of the request or its answer.
     route
         Prefix of the service's route that the request falls under.
+    session_at
+        Endpoint that serves the request's session by the client's word, or empty. Not checked.
     """
 
     service: str
@@ -54,6 +56,7 @@
     in_session: bool = False
     max_body_bytes: int = 1 << 20
     route: str = ""
+    session_at: str = ""
 
 
 def end_to_end_headers(raw: Iterable[tuple[bytes, bytes]]) -> Headers:
--- a/src/finchshed/routing/caller.py
+++ b/src/finchshed/routing/caller.py
@@ -153,7 +153,7 @@
         self._last = outcome
         if isinstance(outcome, Failed):
             self._failed = outcome
-        if isinstance(outcome, Failed) or is_redirect(outcome):
+        if isinstance(outcome, Failed) or _does_not_serve(outcome):
             self._is_pinned = False
         if isinstance(outcome, Answered):
             self._bucket.on_success()
@@ -243,3 +243,13 @@
             outcome = Failed(self._failed.reason, outcome.retry_after, self._failed.detail)
         self.finished = True
         return [Finish(outcome, self._spare)]
+
+
+def _does_not_serve(outcome: Outcome) -> bool:
+    """Return whether the pinned endpoint said that it doesn't have the session.
+
+    It counts a running session as admitted, and never refuses it for the bound on sessions.
+    """
+    if is_redirect(outcome):
+        return True
+    return isinstance(outcome, Refused) and outcome.reason is RefusalReason.SESSION_LIMIT
--- a/src/finchshed/routing/table.py
+++ b/src/finchshed/routing/table.py
@@ -130,6 +130,11 @@
             return Refused(RefusalReason.NO_BACKEND, retry_after(0.0, self._rng))
         return view.endpoint
 
+    def is_usable(self, name: str, service: str, now: float) -> bool:
+        """Return whether ``name`` is a declared endpoint of ``service`` whose link isn't down."""
+        view = self._views.get(name)
+        return view is not None and view.endpoint.service == service and now >= view.link_down_until
+
     def floor(self, service: str, route: str, now: float) -> PathThreshold:
         """Return the lowest threshold that calls to a route of a service meet anywhere."""
         pool = self._pools.get(service)
--- a/src/finchshed/standins/caller.py
+++ b/src/finchshed/standins/caller.py
@@ -13,6 +13,7 @@
 import msgspec
 import numpy
 
+from finchshed.common.context import HEADER_SESSION_AT
 from finchshed.ledger.keys import new_key
 from finchshed.proof.history import HEADER_CALL
 from finchshed.standins import answers
@@ -49,6 +50,8 @@
         self._session = session
         self._records = RecordWriter(settings.record_path)
         self._entropy = random.Random(settings.seed)
+        self._places: dict[tuple[str, str], str] = {}
+        """Endpoint of each session as last told, by service and session."""
 
     async def run(self, stopped: asyncio.Event, begin_at: float) -> None:
         """Send all arrivals, the first phase from ``begin_at`` on, then wait for the last."""
@@ -130,14 +133,17 @@
         self, outgoing: Outgoing, home: int = 0
     ) -> tuple[list[AttemptRecord], Reply]:
         load = outgoing.load
-        headers = outgoing.headers()
+        session = (load.service, outgoing.session)
         body = answers.answer_body(outgoing.identity, load.body_bytes) if load.body_bytes else b""
         attempts: list[AttemptRecord] = []
         for number in itertools.count():
             call = f"{outgoing.request}/{outgoing.sending}{number}"
             edge = self._edge(load, home, number)
             begun = monotonic()
+            headers = outgoing.headers(self._places.get(session, ""))
             reply = await self._send(load, edge, {**headers, HEADER_CALL: call}, body)
+            if outgoing.session and HEADER_SESSION_AT in reply.headers:
+                self._places[session] = reply.headers[HEADER_SESSION_AT]
             problem = problem_of(outgoing, reply, body)
             record = attempt_record(call, edge, begun, reply, problem)
             if outgoing.wanted is not None:
--- a/src/finchshed/standins/outgoing.py
+++ b/src/finchshed/standins/outgoing.py
@@ -12,6 +12,7 @@
     HEADER_ROOT,
     HEADER_SERVICE,
     HEADER_SESSION,
+    HEADER_SESSION_AT,
 )
 from finchshed.proof.history import HEADER_ANSWER_DIGEST, HEADER_ANSWER_ROOT
 from finchshed.standins import answers
@@ -56,8 +57,8 @@
         """
         return self.key or self.request
 
-    def headers(self) -> dict[str, str]:
-        """Return the headers that every attempt carries."""
+    def headers(self, place: str = "") -> dict[str, str]:
+        """Return an attempt's headers; ``place`` is where its session runs, if that was told."""
         headers = {
             HEADER_SERVICE: self.load.service,
             HEADER_CALLER: self.caller,
@@ -69,6 +70,8 @@
             headers[HEADER_IDEMPOTENCY_KEY] = self.key
         if self.session:
             headers[HEADER_SESSION] = self.session
+        if self.session and place:
+            headers[HEADER_SESSION_AT] = place
         if self.wanted is not None:
             headers["Range"] = f"bytes={self.wanted.first}-{self.wanted.last}"
         if self.validator and self.load.conditional:
--- a/tests/daemon/deployment.py
+++ b/tests/daemon/deployment.py
@@ -65,12 +65,21 @@
     session: aiohttp.ClientSession
 
     async def ask(
-        self, path: str, method: str = "GET", body: bytes = b"", **headers: str
+        self,
+        path: str,
+        method: str = "GET",
+        body: bytes = b"",
+        *,
+        edge: DaemonProcess | None = None,
+        **headers: str,
     ) -> Answer:
-        """Send a request through the edge; underscores in header names stand for hyphens."""
+        """Send a request through ``edge``, by default the deployment's own one.
+
+        Underscores in header names stand for hyphens.
+        """
         sent = {HEADER_SERVICE: SERVICE}
         sent.update({name.replace("_", "-"): value for name, value in headers.items()})
-        url = URL(f"http://{self.edge.http_address}{path}", encoded=True)
+        url = URL(f"http://{(edge or self.edge).http_address}{path}", encoded=True)
         async with self.session.request(method, url, data=body or None, headers=sent) as response:
             told = {name.lower(): value for name, value in response.headers.items()}
             return Answer(response.status, told, await response.read())
@@ -125,6 +134,7 @@
     flags: dict[str, str] | None = None,
     retry_budget: int = 3,
     health: Handler = well,
+    service: Service = SERVICE_DECLARATION,
 ) -> AsyncIterator[Deployment]:
     """Run one back end and daemon for each handler (by default one that echoes), and an edge.
 
@@ -146,7 +156,7 @@
                     flags=flags or {},
                 )
             )
-        control.resources = resources_for(daemons, retry_budget=retry_budget)
+        control.resources = resources_for(daemons, service, retry_budget)
         edge = DaemonProcess(node="edge", control_address=control.address, flags=flags or {})
         for daemon in [*daemons, edge]:
             await stack.enter_async_context(daemon)
--- /dev/null
+++ b/tests/daemon/test_pins.py
@@ -0,0 +1,78 @@
+"""Which endpoint an edge takes for a session's request: its own pin, or what the client claims."""
+
+import random
+
+import msgspec
+
+from finchshed.common.context import CallContext
+from finchshed.common.importance import Importance
+from finchshed.common.outcomes import Answered, RefusalReason, Refused
+from finchshed.configuration.resources import Endpoint
+from finchshed.daemon.pins import SessionPins, told_place
+from finchshed.daemon.request import Request
+from finchshed.routing.table import RoutingTable
+
+SERVED = Answered(200, (), b"part")
+
+
+def table() -> RoutingTable:
+    routes = RoutingTable("z", "r", random.Random(1), owner="edge")
+    routes.replace(
+        Endpoint(name=name, service=service, region="r", zone="z", address="127.0.0.1:1", slots=1)
+        for name, service in (("a", "chart"), ("b", "chart"), ("c", "other"))
+    )
+    return routes
+
+
+def request(place: str = "", *, in_session: bool = True, session: str = "s") -> Request:
+    return Request(
+        service="chart",
+        method="GET",
+        path="/",
+        headers=(),
+        body=b"",
+        context=CallContext("r", Importance.NORMAL, 1.0, session=session),
+        in_session=in_session,
+        session_at=place,
+    )
+
+
+def test_without_a_pin_the_claimed_endpoint_is_taken() -> None:
+    assert SessionPins().endpoint_of(request("b"), table(), 0.0) == "b"
+
+
+def test_claims_are_ignored_unless_they_name_a_usable_endpoint_of_the_service() -> None:
+    routes, pins = table(), SessionPins()
+    for place in ("", "c", "unknown", "a,b", "A", "a ", "\x00", "x" * 10_000):
+        assert pins.endpoint_of(request(place), routes, 0.0) == ""
+    assert pins.endpoint_of(request("a", in_session=False), routes, 0.0) == ""
+    assert pins.endpoint_of(request("a", session=""), routes, 0.0) == ""
+    routes.on_link_down("a", 0.0)
+    assert pins.endpoint_of(request("a"), routes, 0.0) == ""
+
+
+def test_an_answered_pin_goes_before_a_claim() -> None:
+    pins = SessionPins()
+    pins.begin(request(), "a", 10.0, 0.0)
+    pins.end(request(), "a", SERVED, 1.0)
+    assert pins.endpoint_of(request("b"), table(), 1.0) == "a"
+
+
+def test_a_pin_whose_request_was_refused_gives_way_to_a_claim() -> None:
+    pins = SessionPins()
+    pins.begin(request(), "a", 10.0, 0.0)
+    pins.end(request(), "a", Refused(RefusalReason.OVERLOAD, 0.1), 1.0)
+    assert pins.endpoint_of(request(), table(), 1.0) == "a"
+    assert pins.endpoint_of(request("b"), table(), 1.0) == "b"
+    pins.end(request("b"), "b", SERVED, 2.0)
+    assert pins.endpoint_of(request(), table(), 2.0) == "b"
+
+
+def test_the_answer_tells_the_place_and_not_what_the_back_end_says() -> None:
+    forged = msgspec.structs.replace(SERVED, headers=(("finchshed-session-at", "z"), ("etag", "1")))
+    told = told_place(request(), "a", forged)
+    assert isinstance(told, Answered)
+    assert told.headers == (("etag", "1"), ("finchshed-session-at", "a"))
+    assert told_place(request(in_session=False), "a", SERVED) == SERVED
+    refused = Refused(RefusalReason.OVERLOAD, 0.1)
+    assert told_place(request(), "a", refused) == refused
--- a/tests/routing/test_caller.py
+++ b/tests/routing/test_caller.py
@@ -28,13 +28,13 @@
     )
 
 
-def caller(endpoints: int, spare: int, repeatable: bool = True) -> CallerLogic:
+def caller(endpoints: int, spare: int, repeatable: bool = True, pinned: str = "") -> CallerLogic:
     rng = random.Random(3)
     table = RoutingTable("z", "r", rng)
     table.replace([endpoint(number) for number in range(endpoints)])
     context = CallContext("root", Importance.NORMAL, 1.0, spare_attempts=spare)
     bucket = RetryBucket(0.1, 0.0)
-    return CallerLogic(table, bucket, "s", context, repeatable=repeatable, rng=rng)
+    return CallerLogic(table, bucket, "s", context, repeatable=repeatable, rng=rng, pinned=pinned)
 
 
 def test_answer_returns_what_was_not_spent() -> None:
@@ -45,6 +45,20 @@
     assert logic.on_outcome(send.attempt, answer, send.share, None, 0.1) == [Finish(answer, 3)]
 
 
+def test_a_pin_is_kept_when_busy_and_dropped_at_the_bound_on_sessions() -> None:
+    for reason, is_kept in ((RefusalReason.OVERLOAD, True), (RefusalReason.SESSION_LIMIT, False)):
+        logic = caller(2, 3, pinned="e1")
+        first = logic.begin(0.0)[0]
+        assert isinstance(first, Send)
+        assert first.endpoint.name == "e1"
+        refused = Refused(reason, 1.0)
+        timer = logic.on_outcome(first.attempt, refused, first.share, None, 0.1)[0]
+        assert isinstance(timer, SetTimer)
+        second = logic.on_timer(timer.at)[0]
+        assert isinstance(second, Send)
+        assert (second.endpoint.name == "e1") is is_kept
+
+
 def test_refused_attempt_is_sent_elsewhere_and_paid() -> None:
     logic = caller(2, 3)
     first = logic.begin(0.0)[0]
