--- /dev/null
+++ b/tests/proof/test_found_seeds.py
@@ -0,0 +1,15 @@
+"""Seeds of campaigns that broke a property; each stays here once it is mended."""
+
+from finchshed.proof.campaign import run_seed
+
+
+def test_a_change_accepted_around_the_loss_of_disks_stays_accepted() -> None:
+    assert run_seed("disk-loss", 155, shrink=False).violations == []
+
+
+def test_a_request_delivered_twice_is_not_refused_as_not_run_while_it_runs() -> None:
+    assert run_seed("duplicates", 111, shrink=False).violations == []
+
+
+def test_normal_requests_are_not_shed_more_than_sheddable_ones_after_a_surge() -> None:
+    assert run_seed("overload", 21, shrink=False).violations == []
