--- a/src/finchshed/common/outcomes.py
+++ b/src/finchshed/common/outcomes.py
@@ -34,6 +34,7 @@
     CONNECT_FAILED = "connect_failed"
     KEY_REUSED = "key_reused"
     RETRIES_SPENT = "retries_spent"
+    REQUEST_INVALID = "request_invalid"
 
 
 FINAL_REFUSALS = frozenset(
@@ -43,6 +44,7 @@
         RefusalReason.KEY_EXPIRED,
         RefusalReason.KEY_REUSED,
         RefusalReason.REQUEST_TOO_LARGE,
+        RefusalReason.REQUEST_INVALID,
         RefusalReason.UNKNOWN_ROUTE,
     }
 )
--- a/src/finchshed/configuration/changes.py
+++ b/src/finchshed/configuration/changes.py
@@ -17,6 +17,16 @@
     expected_revision
         Revision the change was made against. Of racing changes against one revision exactly one
         is accepted.
+    is_whole
+        Whether ``puts`` are all services, routes by host and limits there are to be: those not
+        among them are deleted.
+    version
+        Number that the operator gave the configuration, above the one in force; 0: none. The
+        change then goes by ``base_version`` in place of ``expected_revision``.
+    base_version
+        Version the change was made against; 0: none was in force.
+    source
+        The configuration as the operator wrote it, kept to be read back.
     """
 
     change_id: str
@@ -24,6 +34,10 @@
     expected_revision: int
     puts: tuple[Resource, ...] = ()
     deletes: tuple[ResourceKey, ...] = ()
+    is_whole: bool = False
+    version: int = 0
+    base_version: int = 0
+    source: str = ""
 
 
 class Accepted(msgspec.Struct, frozen=True, tag="accepted"):
--- a/src/finchshed/configuration/declarations.py
+++ b/src/finchshed/configuration/declarations.py
@@ -11,6 +11,13 @@
       prefix = "/"
       importance = "critical"
 
+    [[host_route]]
+    name = "check.example/verify/"
+    host = "check.example"
+    prefix = "/verify/"
+    importance = "critical"
+    destinations = [{ service = "officer-verification" }]
+
     [[endpoint]]
     name = "officer-verification-1"
     service = "officer-verification"
@@ -34,6 +41,8 @@
 from finchshed.configuration.fields import convert_table, importance_from_name
 from finchshed.configuration.resources import (
     Endpoint,
+    HostRoute,
+    IngressLimits,
     Operator,
     Policy,
     Resource,
@@ -45,11 +54,13 @@
 from finchshed.configuration.validation import problems_of
 from finchshed.settings.toml_file import NESTED_TOO_DEEP
 
-TABLES: Mapping[str, type[Service] | type[Endpoint] | type[Policy] | type[Operator]] = {
+TABLES: Mapping[str, type[Resource]] = {
     "service": Service,
     "endpoint": Endpoint,
     "policy": Policy,
     "operator": Operator,
+    "host_route": HostRoute,
+    "ingress_limits": IngressLimits,
 }
 
 
@@ -89,6 +100,8 @@
         where = f"{file}: {table_name} {item.get('name', f'number {position}')}"
         if table_name == "service":
             item = self._with_routes(item, where)
+        if table_name == "host_route":
+            item = dict(importance_from_name(item, where, self.problems))
         resource = convert_table(item, TABLES[table_name], where, self.problems)
         if resource is not None:
             self._add(resource, file, explicit_state="state" in item)
--- a/src/finchshed/configuration/resources.py
+++ b/src/finchshed/configuration/resources.py
@@ -20,6 +20,14 @@
 Shard: TypeAlias = Annotated[tuple[Address, ...], msgspec.Meta(min_length=1, max_length=9)]
 """One control group that keeps a part of the ledger."""
 
+HostName: TypeAlias = Annotated[str, msgspec.Meta(pattern=r"^[^\s/]{1,253}$")]
+"""Host of a request, without a port."""
+
+HostRouteName: TypeAlias = Annotated[str, msgspec.Meta(pattern=r"^[^\s/]{1,253}/\S{0,4000}$")]
+
+WARM_UP_SECONDS = 10.0
+"""Time over which a new back end's share of the work grows, where none is declared."""
+
 PositiveSeconds: TypeAlias = Annotated[float, msgspec.Meta(gt=0.0, le=86_400.0)]
 
 
@@ -67,6 +75,10 @@
         Sessions one endpoint admits at a time.
     session_idle_seconds
         A session unused for this long has ended.
+    health_path
+        Path a back end answers checks of its health on.
+    max_connections
+        Connections one back end takes; 0: as the settings of its daemon say.
     """
 
     name: Name
@@ -75,6 +87,79 @@
     max_body_bytes: Annotated[int, msgspec.Meta(ge=1, le=64 << 20)] = 1 << 20
     max_sessions: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 0
     session_idle_seconds: PositiveSeconds = 60.0
+    health_path: Annotated[str, msgspec.Meta(pattern=r"^/\S*$")] = "/health"
+    max_connections: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 0
+
+
+class Destination(msgspec.Struct, frozen=True, omit_defaults=True, forbid_unknown_fields=True):
+    """One of the services that share the requests of a route, and its part of them.
+
+    ``weight`` counts against the sum of the route's weights; 0: it gets none.
+    """
+
+    service: Name
+    weight: Annotated[float, msgspec.Meta(ge=0.0, le=1e9)] = 1.0
+
+
+class HostRoute(
+    msgspec.Struct, frozen=True, omit_defaults=True, forbid_unknown_fields=True, tag="host_route"
+):
+    """Requests that come for one host under one path prefix.
+
+    A request falls under the route of its host with the longest prefix of its path.
+
+    Attributes
+    ----------
+    name
+        Host and prefix together, see :func:`host_route_name`.
+    destinations
+        Services that answer the requests, by weight.
+    importance
+        Class the requests are shed by.
+    repeatable
+        Whether a request may run more than once. Where it may not, the daemon that took it sends
+        it once, and never again after it may have run.
+    timeout_seconds
+        Longest time for which a request is held.
+    target_seconds
+        Latency the requests are meant to be answered in.
+    max_attempts
+        Back ends that one request may be sent to, the first included.
+    """
+
+    name: HostRouteName
+    host: HostName
+    prefix: Annotated[str, msgspec.Meta(pattern=r"^/")]
+    destinations: Annotated[tuple[Destination, ...], msgspec.Meta(min_length=1)]
+    importance: Importance = Importance.NORMAL
+    repeatable: bool = True
+    timeout_seconds: Annotated[float, msgspec.Meta(gt=0.0, le=600.0)] = 2.0
+    target_seconds: PositiveSeconds = 1.0
+    max_attempts: Annotated[int, msgspec.Meta(ge=1, le=100)] = 2
+
+
+class IngressLimits(
+    msgspec.Struct,
+    frozen=True,
+    omit_defaults=True,
+    forbid_unknown_fields=True,
+    tag="ingress_limits",
+):
+    """What a caller may send and how long it may take; the one resource is named ``default``.
+
+    Attributes
+    ----------
+    head_seconds
+        Longest time from the first byte of a request's head to its last.
+    idle_seconds
+        A connection without a request for longer may be closed.
+    """
+
+    name: Name = "default"
+    max_head_bytes: Annotated[int, msgspec.Meta(ge=256, le=1 << 20)] = 65_536
+    max_body_bytes: Annotated[int, msgspec.Meta(ge=0, le=64 << 20)] = 64 << 20
+    head_seconds: PositiveSeconds = 30.0
+    idle_seconds: PositiveSeconds = 75.0
 
 
 class Endpoint(
@@ -88,6 +173,8 @@
         Where the daemon beside the back end listens for links of other daemons.
     slots
         Requests the back end can run at a time, as declared.
+    warm_up_seconds
+        Time over which a new back end's share of the work grows to its whole one.
     """
 
     name: Name
@@ -97,6 +184,7 @@
     address: Address
     slots: Annotated[int, msgspec.Meta(ge=1, le=100_000)]
     state: EndpointState = EndpointState.ACTIVE
+    warm_up_seconds: Annotated[float, msgspec.Meta(ge=0.0, le=3600.0)] = WARM_UP_SECONDS
 
 
 class Policy(
@@ -136,14 +224,7 @@
     token_sha256: Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
 
 
-Resource: TypeAlias = Service | Endpoint | Policy | Operator
-
-KINDS: tuple[type[Service], type[Endpoint], type[Policy], type[Operator]] = (
-    Service,
-    Endpoint,
-    Policy,
-    Operator,
-)
+Resource: TypeAlias = Service | HostRoute | IngressLimits | Endpoint | Policy | Operator
 
 
 class ResourceKey(msgspec.Struct, frozen=True, order=True):
@@ -153,7 +234,16 @@
     name: str
 
 
+def host_route_name(host: str, prefix: str) -> str:
+    """Return the name of the route for ``host`` and ``prefix``."""
+    return host + prefix
+
+
+def kind_of(resource_type: type[Resource]) -> str:
+    """Return the kind that resources of a type have in their keys."""
+    return str(resource_type.__struct_config__.tag)
+
+
 def key_of(resource: Resource) -> ResourceKey:
     """Return the identity of ``resource``."""
-    kind = type(resource).__struct_config__.tag
-    return ResourceKey(kind=str(kind), name=resource.name)
+    return ResourceKey(kind=kind_of(type(resource)), name=resource.name)
--- a/src/finchshed/configuration/store.py
+++ b/src/finchshed/configuration/store.py
@@ -11,7 +11,16 @@
 import msgspec
 
 from finchshed.configuration.changes import Accepted, Change, ChangeResult, Conflict, Invalid
-from finchshed.configuration.resources import Operator, Resource, ResourceKey, key_of
+from finchshed.configuration.resources import (
+    HostRoute,
+    IngressLimits,
+    Operator,
+    Resource,
+    ResourceKey,
+    Service,
+    key_of,
+    kind_of,
+)
 from finchshed.configuration.validation import duplicate_keys, keeps_sound, problems_of
 
 RESULT_RETENTION = 10_000
@@ -19,6 +28,9 @@
 
 OPERATOR_KIND = "operator"
 
+WHOLE_KINDS = frozenset(kind_of(kind) for kind in (Service, HostRoute, IngressLimits))
+"""Kinds that a change with the whole configuration gives all resources of."""
+
 BOOTSTRAP_OPERATOR = "bootstrap"
 """Name of the operator who may change a configuration that declares no operator yet."""
 
@@ -53,6 +65,8 @@
     resources: tuple[Resource, ...]
     results: list[RetainedResult]
     winners: dict[int, Winner]
+    version: int = 0
+    source: str = ""
 
 
 def digest_of_change(change: Change) -> str:
@@ -76,6 +90,8 @@
         self._operators: dict[str, Operator] | None = None
         self.resources: dict[ResourceKey, Resource] = {}
         self.revision = 0
+        self.version = 0
+        self.source = ""
         self.last_committed: CommittedRevision | None = None
 
     def apply(self, change: Change) -> ChangeResult:
@@ -117,6 +133,8 @@
             resources=tuple(self.resources.values()),
             results=list(self._results.values()),
             winners=dict(self._winners),
+            version=self.version,
+            source=self.source,
         )
 
     def restore(self, snapshot: StoreSnapshot) -> None:
@@ -125,12 +143,15 @@
         self.resources = {key_of(resource): resource for resource in snapshot.resources}
         self._results = {retained.change_id: retained for retained in snapshot.results}
         self._operators = None
+        self.version = snapshot.version
+        self.source = snapshot.source
         self._winners = dict(snapshot.winners)
         self.last_committed = None
 
     def _apply_first(self, change: Change) -> ChangeResult:
-        if change.expected_revision != self.revision:
+        if not self._builds_on_latest(change):
             return self._conflict(change)
+        change = self._as_difference(change)
         problems = self._problems(change)
         if problems:
             return Invalid(tuple(problems))
@@ -144,6 +165,24 @@
         self._commit(change, candidate)
         return Accepted(self.revision)
 
+    def _builds_on_latest(self, change: Change) -> bool:
+        if change.version:
+            return change.base_version == self.version
+        return change.expected_revision == self.revision
+
+    def _as_difference(self, change: Change) -> Change:
+        """Return a change that gives the whole configuration as what it makes different."""
+        if not change.is_whole:
+            return change
+        given = {key_of(resource) for resource in change.puts}
+        missing = [key for key in self.resources if key.kind in WHOLE_KINDS and key not in given]
+        puts = [item for item in change.puts if self.resources.get(key_of(item)) != item]
+        # Two different resources of one key are left for the check of duplicates.
+        if len(given) < len(change.puts):
+            puts = list(change.puts)
+        deletes = (*change.deletes, *missing)
+        return msgspec.structs.replace(change, puts=tuple(puts), deletes=deletes)
+
     def _conflict(self, change: Change) -> Conflict:
         winner = self._winners.get(change.expected_revision + 1)
         if winner is None:
@@ -156,6 +195,8 @@
 
     def _problems(self, change: Change) -> list[str]:
         problems = []
+        if change.version and change.version <= self.version:
+            problems.append(f"version = {change.version}: allowed are those above {self.version}")
         if not self._may_change(change.operator):
             problems.append(f"operator = {change.operator!r}: allowed are declared operators")
         for key in duplicate_keys(change.puts):
@@ -184,6 +225,9 @@
         deletes = tuple(key for key in change.deletes if key not in put_keys)
         self.revision += 1
         self.resources = candidate
+        if change.version:
+            self.version = change.version
+            self.source = change.source
         if _deletes_operators(change) or any(isinstance(put, Operator) for put in change.puts):
             self._operators = None
         self._winners[self.revision] = Winner(change.change_id, change.operator)
--- a/src/finchshed/configuration/validation.py
+++ b/src/finchshed/configuration/validation.py
@@ -6,18 +6,23 @@
 
 from finchshed.configuration.resources import (
     Endpoint,
+    HostRoute,
+    IngressLimits,
     Operator,
     Policy,
     Resource,
     ResourceKey,
     Service,
+    host_route_name,
     key_of,
+    kind_of,
 )
 
 MAX_PORT = 65_535
 MAX_SHARDS = 64
 POLICY_NAME = "default"
-SERVICE_KIND = "service"
+LIMITS_NAME = "default"
+SERVICE_KIND = kind_of(Service)
 
 
 def problems_of(resources: Mapping[ResourceKey, Resource]) -> list[str]:
@@ -27,6 +32,12 @@
     for resource in resources.values():
         if isinstance(resource, Service):
             problems += _problems_of_service(resource)
+        elif isinstance(resource, HostRoute):
+            problems += _problems_of_host_route(resource, services)
+        elif isinstance(resource, IngressLimits) and resource.name != LIMITS_NAME:
+            problems.append(
+                f"ingress_limits/{resource.name}: name: only '{LIMITS_NAME}' is allowed"
+            )
         elif isinstance(resource, Endpoint):
             problems += _problems_of_endpoint(resource, services)
         elif isinstance(resource, Policy) and resource.name != POLICY_NAME:
@@ -63,6 +74,15 @@
 def _fits_in(put: Resource, resources: Mapping[ResourceKey, Resource]) -> bool:
     if isinstance(put, Service):
         return not _problems_of_service(put)
+    if isinstance(put, HostRoute):
+        services = {
+            destination.service
+            for destination in put.destinations
+            if ResourceKey(kind=SERVICE_KIND, name=destination.service) in resources
+        }
+        return not _problems_of_host_route(put, services)
+    if isinstance(put, IngressLimits):
+        return put.name == LIMITS_NAME
     if isinstance(put, Policy):
         return put.name == POLICY_NAME and not _problems_of_shards(put)
     if isinstance(put, Endpoint):
@@ -110,6 +130,26 @@
     return problems
 
 
+def _problems_of_host_route(route: HostRoute, services: set[str]) -> list[str]:
+    where = f"host_route/{route.name}"
+    problems = [
+        f"{where}: destinations.service = {destination.service!r}: allowed are declared services"
+        for destination in route.destinations
+        if destination.service not in services
+    ]
+    if route.name != host_route_name(route.host, route.prefix):
+        problems.append(f"{where}: name: allowed is the host and the prefix together")
+    if sum(destination.weight for destination in route.destinations) <= 0.0:
+        problems.append(f"{where}: destinations.weight: all are 0, allowed is one above it")
+    counter = collections.Counter(destination.service for destination in route.destinations)
+    problems += [
+        f"{where}: destinations.service = {service!r}: given {count} times, allowed once"
+        for service, count in counter.items()
+        if count > 1
+    ]
+    return problems
+
+
 def _problems_of_endpoint(endpoint: Endpoint, services: set[str]) -> list[str]:
     where = f"endpoint/{endpoint.name}"
     problems = []
--- a/src/finchshed/consensus/formation.py
+++ b/src/finchshed/consensus/formation.py
@@ -70,7 +70,7 @@
 
 def form_group(state: NodeState) -> None:
     """Form the group if this node is the one to do it and all initial voters have greeted it."""
-    if state.is_formed or not _is_founder(state):
+    if state.is_formed or not state.may_form or not _is_founder(state):
         return
     members = [_greeted(state, initial) for initial in state.initial_members]
     present = [member for member in members if member is not None]
--- a/src/finchshed/consensus/membership_changes.py
+++ b/src/finchshed/consensus/membership_changes.py
@@ -22,7 +22,7 @@
     encode_membership,
     quorum_size,
 )
-from finchshed.consensus.state import LeaderState, NodeState, PendingChange
+from finchshed.consensus.state import Greeting, LeaderState, NodeState, PendingChange
 from finchshed.storage.records import Entry, EntryKind
 
 GREETING_LIFETIME_SECONDS = 5.0
@@ -166,11 +166,10 @@
 
 
 def _with_greeting(state: NodeState, change: AddMember) -> Membership | None:
-    since = state.now - GREETING_LIFETIME_SECONDS
     greetings = [
         greeting
         for greeting in state.greetings.values()
-        if greeting.identity.name == change.name and greeting.heard >= since
+        if greeting.identity.name == change.name and is_fresh(state, greeting)
     ]
     if not greetings:
         return None
@@ -180,6 +179,11 @@
     return state.membership.with_member(member)
 
 
+def is_fresh(state: NodeState, greeting: Greeting) -> bool:
+    """Whether a greeting was heard so lately that its sender can be taken in."""
+    return greeting.heard >= state.now - GREETING_LIFETIME_SECONDS
+
+
 def _with_wish(member: Member, voter: bool) -> Member:
     if member.role is MemberRole.VOTER and voter:
         return member
--- a/src/finchshed/consensus/node.py
+++ b/src/finchshed/consensus/node.py
@@ -74,6 +74,8 @@
         The host's time in seconds. Any clock will do: steps are harmless.
     options
         Times and sizes.
+    may_form
+        Whether the node may form the group; one that starts anew on an empty disk later may not.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         initial_members: tuple[InitialMember, ...],
         now: float,
         options: RaftOptions | None = None,
+        may_form: bool = True,
     ) -> None:
         options = options or RaftOptions()
         log = RaftLog(stored.snapshot, stored.entries)
@@ -101,6 +104,7 @@
             snapshot=stored.snapshot,
             commit_index=stored.snapshot.index if stored.snapshot else 0,
             writes=WriteBuffer(log.last_index),
+            may_form=may_form,
             # Answers to requests of an earlier start must not be taken for answers to new ones.
             next_request=rng.getrandbits(_REQUEST_BITS),
         )
--- a/src/finchshed/consensus/options.py
+++ b/src/finchshed/consensus/options.py
@@ -42,6 +42,10 @@
         A learner this close to the leader's log counts as caught up.
     standby_after_seconds
         A voter silent for longer is replaced by a standby that has caught up; infinite: never.
+    admits_standbys
+        Whether the leader takes in any node that greets it, as a standby.
+    forget_standby_seconds
+        A standby silent for longer is taken out where standbys are admitted; it may come again.
     transfer_timeout_seconds
         A leadership transfer that has not succeeded by then is given up.
     """
@@ -62,6 +66,8 @@
     hello_interval_seconds: Positive = 0.5
     promotion_lag_entries: Count = 32
     standby_after_seconds: Positive = 60.0
+    admits_standbys: bool = False
+    forget_standby_seconds: Positive = 60.0
     transfer_timeout_seconds: Positive = 2.0
 
     def __post_init__(self) -> None:
--- a/src/finchshed/consensus/repair.py
+++ b/src/finchshed/consensus/repair.py
@@ -18,12 +18,16 @@
 from finchshed.consensus.identity import NodeIdentity
 from finchshed.consensus.membership import Member, MemberRole, Membership
 from finchshed.consensus.membership_changes import (
-    GREETING_LIFETIME_SECONDS,
     append_membership,
     blocked_by,
+    is_fresh,
     keeps_whole_majority,
 )
-from finchshed.consensus.standby import replaced_by_standby
+from finchshed.consensus.standby import (
+    admitted_standby,
+    replaced_by_standby,
+    without_silent_standby,
+)
 from finchshed.consensus.state import Greeting, LeaderState, NodeState
 
 ABANDONED_SECONDS = 5.0
@@ -49,7 +53,10 @@
             wanted = _promoted(state, leading, member)
             if wanted is not None:
                 return wanted
-    return replaced_by_standby(state, leading, _ready_learners(state, leading))
+    wanted = replaced_by_standby(state, leading, _ready_learners(state, leading))
+    if wanted is None and state.options.admits_standbys:
+        return admitted_standby(state) or without_silent_standby(state, leading)
+    return wanted
 
 
 def _ready_learners(state: NodeState, leading: LeaderState) -> list[Member]:
@@ -63,7 +70,7 @@
 def _taken_in(state: NodeState, leading: LeaderState, greeting: Greeting) -> Membership | None:
     """Add a new incarnation of a member that no longer answers."""
     identity = greeting.identity
-    fresh = greeting.heard >= state.now - GREETING_LIFETIME_SECONDS
+    fresh = is_fresh(state, greeting)
     earlier = state.membership.named(identity.name)
     known = any(member.identity == identity for member in earlier)
     if not fresh or known or not earlier:
--- a/src/finchshed/consensus/standby.py
+++ b/src/finchshed/consensus/standby.py
@@ -16,6 +16,7 @@
 
 from finchshed.consensus.identity import NodeIdentity
 from finchshed.consensus.membership import Member, MemberRole, Membership
+from finchshed.consensus.membership_changes import is_fresh
 from finchshed.consensus.state import LeaderState, NodeState
 
 
@@ -41,6 +42,26 @@
     return state.membership.with_member(waiting).with_member(chosen)
 
 
+def admitted_standby(state: NodeState) -> Membership | None:
+    """Return the membership with a node that greets and is no member, as a standby."""
+    for greeting in state.greetings.values():
+        identity = greeting.identity
+        if is_fresh(state, greeting) and not state.membership.named(identity.name):
+            standby = Member(identity, greeting.address, MemberRole.LEARNER)
+            return state.membership.with_member(standby)
+    return None
+
+
+def without_silent_standby(state: NodeState, leading: LeaderState) -> Membership | None:
+    """Return the membership without a standby that has been silent for long: it may be gone."""
+    for member in state.membership.members:
+        is_standby = member.role is MemberRole.LEARNER and not member.promote
+        silent = _silent_seconds(state, leading, member.identity)
+        if is_standby and silent > state.options.forget_standby_seconds:
+            return state.membership.without(member.identity)
+    return None
+
+
 def _silent(state: NodeState, leading: LeaderState) -> Member | None:
     """Return the member whose place a standby should take: the one silent for longest.
 
--- a/src/finchshed/consensus/state.py
+++ b/src/finchshed/consensus/state.py
@@ -107,6 +107,7 @@
     snapshot: Snapshot | None
     commit_index: int
     writes: WriteBuffer
+    may_form: bool = True
     role: Role = Role.FOLLOWER
     leader: NodeIdentity | None = None
     leading: LeaderState | None = None
--- a/src/finchshed/control/distribution_service.py
+++ b/src/finchshed/control/distribution_service.py
@@ -7,13 +7,14 @@
 from finchshed.control.addresses import split_address
 from finchshed.control.background import Background
 from finchshed.control.daemon_view import configuration_for_daemons, delta_for_daemons
+from finchshed.control.directory_service import DirectoryService
 from finchshed.control.explanations import Explanations
 from finchshed.control.ledger_router import LedgerRouter, ShardClient
 from finchshed.control.ledger_service import LedgerRequest, LedgerService
 from finchshed.control.replicated_log import ReplicatedLog
 from finchshed.control.state_machine import ControlStateMachine
 from finchshed.distribution.hub import Hub
-from finchshed.distribution.messages import Decision, Hints
+from finchshed.distribution.messages import ControlToDaemon, Decision, Hints
 from finchshed.distribution.server import Answer, HubServer
 from finchshed.distribution.snapshot import Configuration
 from finchshed.distribution.status import DistributionStatus, InForceReport, StatusTable
@@ -65,6 +66,7 @@
         )
         self._hub = Hub(node)
         self._explanations = Explanations()
+        self.directory = DirectoryService(self._broadcast, log.send_report)
         self._server = HubServer(
             self._hub,
             self._confirm,
@@ -72,6 +74,8 @@
             self._explanations.on_reply,
             networks=networks,
             credentials=credentials,
+            on_announce=self.directory.on_announce,
+            on_subscribed=self.directory.greeting,
         )
         self._requests: set[asyncio.Task[None]] = set()
         self._status: StatusTable | None = None
@@ -87,6 +91,7 @@
         self._server.restore(self._configuration())
         self._background.spawn(self._watch_contact())
         self._background.spawn(self._report())
+        self._background.spawn(self.directory.run())
 
     async def stop(self, timeout_seconds: float) -> None:
         """Answer the requests in progress and close the links."""
@@ -99,6 +104,7 @@
     def set_alternatives(self, addresses: tuple[str, ...]) -> None:
         """Name other control nodes' distribution addresses, for daemons that have to move."""
         self._hub.set_alternatives(addresses)
+        self.directory.set_control_addresses(addresses)
 
     def on_committed(self, committed: CommittedRevision) -> None:
         """Send an accepted change on."""
@@ -133,6 +139,9 @@
         """Return recent decisions of a daemon, or None when it can't be asked here."""
         return await self._explanations.ask(self._server, node, root, limit)
 
+    def _broadcast(self, message: ControlToDaemon) -> None:
+        self._server.broadcast(message)
+
     def _configuration(self) -> Configuration:
         store = self._machine.store
         return configuration_for_daemons(store.revision, store.resources.values())
--- a/src/finchshed/control/group_log.py
+++ b/src/finchshed/control/group_log.py
@@ -16,6 +16,7 @@
 from finchshed.control.commands import Command, CommandResult
 from finchshed.control.peer_links import PeerLink, PeerLinks
 from finchshed.control.peer_messages import (
+    DirectoryReport,
     ForwardedChange,
     ForwardedCommand,
     ForwardOutcome,
@@ -63,7 +64,8 @@
         self._rng = random.Random()
         self._last_request = 0
         self._forwarded: dict[int, asyncio.Future[ForwardReply]] = {}
-        self.on_report: Callable[[InForceReport], None] = _ignore_report
+        self.on_report: Callable[[InForceReport], None] = _ignore
+        self.on_directory: Callable[[DirectoryReport], None] = _ignore
 
     def start(self, links: PeerLinks) -> None:
         """Take part in the group over ``links``."""
@@ -121,8 +123,8 @@
         """
         return self._host.node.leader is not None and self._host.can_write
 
-    def send_report(self, report: InForceReport) -> None:
-        """Send a report of daemons to every other member."""
+    def send_report(self, report: InForceReport | DirectoryReport) -> None:
+        """Send a report of daemons or back ends to every other member."""
         if self._links is None:
             return
         for member in self._host.node.membership.members:
@@ -168,6 +170,8 @@
                 future.set_result(message)
         elif isinstance(message, InForceReport):
             self.on_report(message)
+        elif isinstance(message, DirectoryReport):
+            self.on_directory(message)
 
     async def _propose_once(self, command: Command) -> CommandResult:
         if self._host.is_leader:
@@ -262,5 +266,5 @@
     return MemberRole.LEARNER if member.promote else MemberRole.STANDBY
 
 
-def _ignore_report(_report: InForceReport) -> None:
+def _ignore(_report: InForceReport | DirectoryReport) -> None:
     """Stand in until the distribution service is connected."""
--- a/src/finchshed/control/node.py
+++ b/src/finchshed/control/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from finchshed.configuration.store import CommittedRevision
 from finchshed.consensus.options import RaftOptions
@@ -10,19 +11,21 @@
 from finchshed.control.background import Background
 from finchshed.control.distribution_service import DistributionService
 from finchshed.control.group_log import GroupLog
-from finchshed.control.operator_service import OperatorService
 from finchshed.control.peer_links import PeerLinks
 from finchshed.control.peer_messages import PeerHello
-from finchshed.control.platform_poller import PlatformPoller
 from finchshed.control.raft_host import RaftHost
 from finchshed.control.revisions import RevisionFeed
-from finchshed.control.rpc_server import RpcServer
 from finchshed.control.settings import ControlSettings
 from finchshed.control.state_machine import ControlStateMachine
 from finchshed.control.state_metrics import observe_state
+from finchshed.control.whole_configuration import WholeConfiguration
 from finchshed.link.networks import PeerNetworks
-from finchshed.observability.admin import AdminServer, Health
-from finchshed.tls.credentials import credentials_of
+from finchshed.observability.health import Health
+from finchshed.tls.credentials import Credentials, credentials_of
+
+if TYPE_CHECKING:
+    from finchshed.control.rpc_server import RpcServer
+    from finchshed.observability.admin import AdminServer
 
 ELECTION_SPREAD = 2.0
 """The longest election timeout, as a multiple of the shortest."""
@@ -51,6 +54,7 @@
             member_addresses(settings.voters),
             settings.data_folder,
             options=_options(settings),
+            may_form=settings.forms_group,
             machine=self._machine,
             background=background,
         )
@@ -78,16 +82,11 @@
             credentials=credentials,
         )
         self._log.on_report = self._distribution.on_report
-        service = OperatorService(
-            self._machine,
-            self._log,
-            distribution=self._distribution,
-            feed=self._feed,
-            bootstrap_token_sha256=settings.bootstrap_token_sha256,
-            membership=self._log,
+        self._log.on_directory = self._distribution.directory.on_report
+        self.configuration = WholeConfiguration(
+            self._machine, self._log, settings.request_timeout_seconds
         )
-        self._rpc = RpcServer(service, credentials)
-        self._poller = PlatformPoller(settings, self._machine, self._distribution.send_hints)
+        self._rpc = self._make_rpc(credentials) if settings.rpc_address else None
         self._admin = _make_admin(settings, self._health)
 
     async def start(self) -> None:
@@ -95,16 +94,19 @@
         await self._links.start(self._settings.raft_address)
         self._log.start(self._links)
         await self._distribution.start(self._settings.distribution_address)
-        await self._rpc.start(self._settings.rpc_address)
+        if self._rpc is not None:
+            await self._rpc.start(self._settings.rpc_address)
         self._background.spawn(self._name_alternatives())
-        self._background.spawn(self._poller.run())
+        if self._settings.platform_list_url:
+            self._spawn_poller()
         self._background.spawn(observe_state(self._machine, self._distribution.connected_daemons))
         if self._admin is not None:
             await self._admin.start()
 
     async def stop(self) -> None:
         """Finish requests in progress, hand leadership over and stop."""
-        await self._rpc.stop(self._settings.stop_seconds)
+        if self._rpc is not None:
+            await self._rpc.stop(self._settings.stop_seconds)
         await self._distribution.stop(self._settings.stop_seconds)
         await self._hand_over()
         self._background.cancel()
@@ -113,6 +115,27 @@
         if self._admin is not None:
             await self._admin.stop()
 
+    def _make_rpc(self, credentials: Credentials | None) -> "RpcServer":
+        # Not at the import: a node without it needn't hold gRPC in memory.
+        from finchshed.control.operator_service import OperatorService
+        from finchshed.control.rpc_server import RpcServer
+
+        service = OperatorService(
+            self._machine,
+            self._log,
+            distribution=self._distribution,
+            feed=self._feed,
+            bootstrap_token_sha256=self._settings.bootstrap_token_sha256,
+            membership=self._log,
+        )
+        return RpcServer(service, credentials)
+
+    def _spawn_poller(self) -> None:
+        from finchshed.control.platform_poller import PlatformPoller
+
+        poller = PlatformPoller(self._settings, self._machine, self._distribution.send_hints)
+        self._background.spawn(poller.run())
+
     async def _hand_over(self) -> None:
         """Transfer leadership, so that the group needs no election timeout."""
         deadline = time.monotonic() + TRANSFER_SECONDS
@@ -121,9 +144,10 @@
             await self._host.wait_for_role_change(deadline - time.monotonic())
 
     async def _name_alternatives(self) -> None:
+        own = self._settings.distribution_advertised_address or self._settings.distribution_address
         while True:
-            known = self._links.distribution_addresses
-            self._distribution.set_alternatives(tuple(sorted(known.values())))
+            known = {*self._links.distribution_addresses.values(), own}
+            self._distribution.set_alternatives(tuple(sorted(known)))
             await asyncio.sleep(ALTERNATIVES_SECONDS)
 
     def _health(self) -> Health:
@@ -140,9 +164,11 @@
         self._distribution.on_restored()
 
 
-def _make_admin(settings: ControlSettings, health: Callable[[], Health]) -> AdminServer | None:
+def _make_admin(settings: ControlSettings, health: Callable[[], Health]) -> "AdminServer | None":
     if not settings.admin_address:
         return None
+    from finchshed.observability.admin import AdminServer
+
     return AdminServer(settings.admin_address, health)
 
 
@@ -152,6 +178,7 @@
         election_timeout_min_seconds=settings.election_timeout_seconds,
         election_timeout_max_seconds=ELECTION_SPREAD * settings.election_timeout_seconds,
         standby_after_seconds=settings.standby_after_seconds,
+        admits_standbys=settings.admits_standbys,
         snapshot_every_entries=settings.snapshot_entries,
         read_timeout_seconds=settings.request_timeout_seconds / 2,
     )
--- a/src/finchshed/control/peer_messages.py
+++ b/src/finchshed/control/peer_messages.py
@@ -8,6 +8,7 @@
 from finchshed.consensus.membership import MembershipChange
 from finchshed.consensus.messages import Envelope
 from finchshed.control.commands import Command, CommandResult
+from finchshed.directory.registration import Registration
 from finchshed.distribution.status import InForceReport
 
 
@@ -58,6 +59,18 @@
     detail: str = ""
 
 
+class DirectoryReport(msgspec.Struct, frozen=True, tag="directory_report"):
+    """Registrations of back ends whose daemons are connected to the sender."""
+
+    registrations: tuple[Registration, ...]
+
+
 PeerMessage: TypeAlias = (
-    PeerHello | RaftLine | ForwardedCommand | ForwardedChange | ForwardReply | InForceReport
+    PeerHello
+    | RaftLine
+    | ForwardedCommand
+    | ForwardedChange
+    | ForwardReply
+    | InForceReport
+    | DirectoryReport
 )
--- a/src/finchshed/control/raft_host.py
+++ b/src/finchshed/control/raft_host.py
@@ -75,6 +75,8 @@
         Address by name of the voters the group is formed of.
     data_folder
         Where the log is kept.
+    may_form
+        Whether this node may form the group.
     """
 
     def __init__(
@@ -85,6 +87,7 @@
         data_folder: str,
         *,
         options: RaftOptions,
+        may_form: bool = True,
         machine: ControlStateMachine,
         background: Background,
     ) -> None:
@@ -103,6 +106,7 @@
             initial_members=initial,
             now=_now(),
             options=options,
+            may_form=may_form,
         )
         self._driver = Driver(self.node, self)
         self._links: PeerLinks | None = None
--- a/src/finchshed/control/replicated_log.py
+++ b/src/finchshed/control/replicated_log.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from finchshed.control.commands import Command, CommandResult
+from finchshed.control.peer_messages import DirectoryReport
 from finchshed.distribution.status import InForceReport
 
 
@@ -82,6 +83,6 @@
         """Return whether this node is in contact with a quorum, as far as it knows."""
         ...
 
-    def send_report(self, report: InForceReport) -> None:
+    def send_report(self, report: InForceReport | DirectoryReport) -> None:
         """Send a report of daemons to every other member; it may be lost."""
         ...
--- a/src/finchshed/control/settings.py
+++ b/src/finchshed/control/settings.py
@@ -54,7 +54,8 @@
         ),
     ] = ""
     rpc_address: Annotated[
-        ListenAddress, msgspec.Meta(description="Listens for operators (gRPC), a.b.c.d:port.")
+        OptionalListenAddress,
+        msgspec.Meta(description="Listens for operators (gRPC), a.b.c.d:port; empty: not served."),
     ]
     admin_address: Annotated[
         OptionalListenAddress,
@@ -71,6 +72,24 @@
             ),
         ),
     ]
+    forms_group: Annotated[
+        bool,
+        msgspec.Meta(
+            description=(
+                "Whether this node may form a new group with the other voters; false on a node "
+                "that comes to a group which was formed before."
+            )
+        ),
+    ] = True
+    admits_standbys: Annotated[
+        bool,
+        msgspec.Meta(
+            description=(
+                "Whether the group takes in, as a standby, any node that names one of its members "
+                "among its voters; else an operator adds it."
+            )
+        ),
+    ] = False
     bootstrap_token_sha256: Annotated[
         Sha256,
         msgspec.Meta(
--- a/src/finchshed/daemon/backend.py
+++ b/src/finchshed/daemon/backend.py
@@ -26,9 +26,10 @@
 
 
 class BackendUnreached(msgspec.Struct, frozen=True):
-    """Nothing was sent."""
+    """Nothing was sent. ``is_refused``: no connection to the back end can be opened."""
 
     detail: str
+    is_refused: bool = False
 
 
 class BackendBroken(msgspec.Struct, frozen=True):
@@ -50,6 +51,7 @@
 
     ``account`` identifies it; an answer that carries another one is not its answer. A back end
     that copies the header shows by it whose answer it gives (see docs/design/whole-answers.md).
+    ``request_id`` is the same for a request that was taken by host, empty for others.
     """
 
     method: str
@@ -60,6 +62,7 @@
     max_answer_bytes: int
     is_repeatable: bool = True
     account: str = ""
+    request_id: str = ""
 
 
 BackendResult: TypeAlias = (
--- /dev/null
+++ b/src/finchshed/daemon/backend_answer.py
@@ -0,0 +1,62 @@
+"""What the head of a back end's answer says of it."""
+
+from collections.abc import Sequence
+
+from finchshed.common.context import HEADER_ACCOUNT, HEADER_RAN
+from finchshed.common.outcomes import Headers
+from finchshed.daemon.backend import BackendAnswer, BackendBroken, BackendRequest
+from finchshed.daemon.header_names import HeaderNames
+from finchshed.daemon.request import end_to_end_headers
+
+STATUS_OK = 200
+STATUS_MULTIPLE_CHOICES = 300
+STATUS_MISDIRECTED_REQUEST = 421
+STATUS_SERVICE_UNAVAILABLE = 503
+HEADER_DRAINING = b"finchshed-draining"
+
+_RAN = HEADER_RAN.encode("ascii")
+_ACCOUNT = HEADER_ACCOUNT.encode("ascii")
+
+
+class AnswerReader:
+    """Judges answers by the names of headers that a deployment uses."""
+
+    def __init__(self, names: HeaderNames) -> None:
+        self._request = names.request.encode("ascii")
+        self._not_run = names.not_run.encode("ascii")
+        self._seal = names.seal.encode("ascii")
+
+    def read(
+        self,
+        request: BackendRequest,
+        status: int,
+        raw_headers: Sequence[tuple[bytes, bytes]],
+        body: bytes,
+    ) -> BackendAnswer | BackendBroken:
+        """Return the answer, or why it can't be taken for the one to ``request``."""
+        told = dict(raw_headers)
+        if not self._is_to(request, told):
+            return BackendBroken("the answer is another request's")
+        is_success = STATUS_OK <= status < STATUS_MULTIPLE_CHOICES
+        if request.request_id and self._seal and is_success and self._seal not in told:
+            return BackendBroken("the answer lacks the back end's seal")
+        headers: Headers = end_to_end_headers(raw_headers)
+        return BackendAnswer(
+            status=status,
+            headers=headers,
+            body=body,
+            ran=not self._is_refusal(request, status, told),
+            draining=told.get(HEADER_DRAINING) == b"1",
+        )
+
+    def _is_to(self, request: BackendRequest, told: dict[bytes, bytes]) -> bool:
+        account = request.account.encode("latin-1")
+        if told.get(_ACCOUNT, account) != account:
+            return False
+        identity = request.request_id.encode("latin-1")
+        return not identity or told.get(self._request, identity) == identity
+
+    def _is_refusal(self, request: BackendRequest, status: int, told: dict[bytes, bytes]) -> bool:
+        if not request.request_id:
+            return status == STATUS_SERVICE_UNAVAILABLE and told.get(_RAN) == b"no"
+        return self._not_run in told or status == STATUS_MISDIRECTED_REQUEST
--- a/src/finchshed/daemon/backend_call.py
+++ b/src/finchshed/daemon/backend_call.py
@@ -25,6 +25,7 @@
     BackendTimedOut,
     BackendUnreached,
 )
+from finchshed.daemon.header_names import HeaderNames
 from finchshed.daemon.work import Work
 
 
@@ -48,6 +49,12 @@
     return tuple(headers)
 
 
+def headers_by_host(work: Work, remaining: float, names: HeaderNames, instance: str) -> Headers:
+    """Return the headers of a request that was taken by host, meant for ``instance`` alone."""
+    headers = (*work.call.headers, (names.deadline, str(max(0, int(remaining * 1000)))))
+    return (*headers, (names.expected_instance, instance)) if instance else headers
+
+
 def outcome_of(result: BackendResult, wait: float) -> Outcome:
     """Return the outcome that a result means; ``wait`` is when to come back, seconds."""
     if isinstance(result, BackendAnswer):
--- a/src/finchshed/daemon/backend_connection.py
+++ b/src/finchshed/daemon/backend_connection.py
@@ -7,28 +7,25 @@
 
 import asyncio
 import enum
+import re
 from collections.abc import Callable
 from typing import cast
 
 import httptools
 
-from finchshed.common.context import HEADER_ACCOUNT, HEADER_RAN
-from finchshed.common.outcomes import Headers
 from finchshed.daemon.backend import (
     BackendAnswer,
     BackendAnswerTooLarge,
     BackendBroken,
+    BackendRequest,
     BackendResult,
 )
-from finchshed.daemon.request import end_to_end_headers
+from finchshed.daemon.backend_answer import STATUS_OK, AnswerReader
 
-STATUS_OK = 200
-STATUS_SERVICE_UNAVAILABLE = 503
-HEADER_DRAINING = b"finchshed-draining"
 MAX_HEAD_BYTES = 65_536
 
-_RAN = HEADER_RAN.encode("ascii")
-_ACCOUNT = HEADER_ACCOUNT.encode("ascii")
+KEEP_ALIVE = b"keep-alive"
+TIMEOUT_PARAMETER = re.compile(rb"timeout=(\d+)")
 
 
 class ConnectionState(enum.Enum):
@@ -44,6 +41,8 @@
 
     Parameters
     ----------
+    reader
+        Judges the answers.
     on_idle
         Called when the connection can carry another request.
     on_closed
@@ -52,11 +51,14 @@
 
     def __init__(
         self,
+        reader: AnswerReader,
         on_idle: Callable[["BackendConnection"], None],
         on_closed: Callable[["BackendConnection"], None],
     ) -> None:
         self.state = ConnectionState.IDLE
         self.idle_since = 0.0
+        self.kept_seconds: float | None = None
+        self._reader = reader
         self._on_idle = on_idle
         self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
@@ -64,7 +66,7 @@
         self._on_result: Callable[[BackendResult], None] | None = None
         self._is_head = False
         self._max_answer_bytes = 0
-        self._account = b""
+        self._request: BackendRequest | None = None
         self._is_complete: bool = False
         self._is_too_large: bool = False
         self._start_answer()
@@ -72,18 +74,15 @@
     def send(
         self,
         message: bytes,
-        *,
-        is_head: bool,
-        max_answer_bytes: int,
-        account: bytes,
+        request: BackendRequest,
         on_result: Callable[[BackendResult], None],
     ) -> None:
-        """Send a request; the connection must be idle."""
+        """Send a request as ``message``; the connection must be idle."""
         assert self._transport is not None
         self.state = ConnectionState.AWAITING_ANSWER
-        self._is_head = is_head
-        self._max_answer_bytes = max_answer_bytes
-        self._account = account
+        self._is_head = request.method == "HEAD"
+        self._max_answer_bytes = request.max_answer_bytes
+        self._request = request
         self._on_result = on_result
         self._start_answer()
         self._transport.write(message)
@@ -207,23 +206,23 @@
         if self._is_in_doubt or not self._keeps_alive:
             self._close()
             return
+        self._note_keep_alive()
         self.state = ConnectionState.IDLE
         self._on_idle(self)
 
     def _answer(self) -> BackendAnswer | BackendBroken:
-        told = dict(self._raw_headers)
-        if told.get(_ACCOUNT, self._account) != self._account:
+        assert self._request is not None
+        body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
+        answer = self._reader.read(self._request, self._status, self._raw_headers, body)
+        if isinstance(answer, BackendBroken):
             self._is_in_doubt = True
-            return BackendBroken("the answer is another request's")
-        refused = self._status == STATUS_SERVICE_UNAVAILABLE and told.get(_RAN) == b"no"
-        headers: Headers = end_to_end_headers(self._raw_headers)
-        return BackendAnswer(
-            status=self._status,
-            headers=headers,
-            body=self._body[0] if len(self._body) == 1 else b"".join(self._body),
-            ran=not refused,
-            draining=told.get(HEADER_DRAINING) == b"1",
-        )
+        return answer
+
+    def _note_keep_alive(self) -> None:
+        """Take the time the back end says it keeps an idle connection for."""
+        for name, value in self._raw_headers:
+            if name == KEEP_ALIVE and (found := TIMEOUT_PARAMETER.search(value)):
+                self.kept_seconds = float(found.group(1))
 
     def _fail(self, detail: str) -> None:
         self._finish(BackendBroken(detail))
--- a/src/finchshed/daemon/backend_http.py
+++ b/src/finchshed/daemon/backend_http.py
@@ -11,7 +11,9 @@
     BackendTimedOut,
     BackendUnreached,
 )
+from finchshed.daemon.backend_answer import AnswerReader
 from finchshed.daemon.backend_connection import BackendConnection, ConnectionState
+from finchshed.daemon.header_names import HeaderNames
 
 IDLE_SECONDS = 15.0
 """A connection unused for this long is not used again: the back end may be closing it."""
@@ -19,6 +21,9 @@
 IDLE_SECONDS_UNREPEATABLE = 1.0
 """The same for requests that may not be repeated, where such a race leaves the outcome unknown."""
 
+KEPT_SHARE = 0.7
+"""Part of the time a back end says it keeps an idle connection for, in which it is used."""
+
 METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 
 
@@ -33,10 +38,19 @@
         Connections kept at a time; a request past them is not sent.
     connect_timeout_seconds
         Time to open a connection.
+    names
+        Names of the headers the back end gives.
     """
 
-    def __init__(self, address: str, max_connections: int, connect_timeout_seconds: float) -> None:
+    def __init__(
+        self,
+        address: str,
+        max_connections: int,
+        connect_timeout_seconds: float,
+        names: HeaderNames | None = None,
+    ) -> None:
         self._address = address
+        self._reader = AnswerReader(names or HeaderNames())
         host, _, port = address.rpartition(":")
         self._host = host
         self._port = int(port)
@@ -79,13 +93,14 @@
             connection.abort()
 
     def _take_idle(self, is_repeatable: bool) -> BackendConnection | None:
-        allowed = IDLE_SECONDS if is_repeatable else IDLE_SECONDS_UNREPEATABLE
-        oldest = time.monotonic() - allowed
         idle = self._idle
         if not idle:
             return None
         connection = idle.pop()
-        if connection.idle_since >= oldest:
+        allowed = IDLE_SECONDS if is_repeatable else IDLE_SECONDS_UNREPEATABLE
+        if connection.kept_seconds is not None:
+            allowed = min(allowed, connection.kept_seconds * KEPT_SHARE)
+        if connection.idle_since >= time.monotonic() - allowed:
             return connection
         # It was used last, so every other one has been idle for longer still.
         idle.append(connection)
@@ -99,12 +114,12 @@
         try:
             async with asyncio.timeout(self._connect_timeout_seconds):
                 _, connection = await loop.create_connection(
-                    lambda: BackendConnection(self._on_idle, self._on_closed),
+                    lambda: BackendConnection(self._reader, self._on_idle, self._on_closed),
                     self._host,
                     self._port,
                 )
         except (OSError, TimeoutError) as error:
-            exchange.end(BackendUnreached(f"connect: {error or 'timed out'}"))
+            exchange.end(BackendUnreached(f"connect: {error or 'timed out'}", is_refused=True))
             return
         finally:
             self._connecting -= 1
@@ -151,13 +166,7 @@
             self.fail_later(BackendUnreached(detail))
             return
         self._connection = connection
-        connection.send(
-            message,
-            is_head=self._request.method == "HEAD",
-            max_answer_bytes=self._request.max_answer_bytes,
-            account=self._request.account.encode("latin-1"),
-            on_result=self.end,
-        )
+        connection.send(message, self._request, self.end)
 
     def fail_later(self, result: BackendResult) -> None:
         """Tell ``result`` once the caller of :meth:`HttpBackend.send` has returned."""
@@ -193,14 +202,16 @@
 
 def encode_request(request: BackendRequest, host: str) -> bytes | None:
     """Return the bytes of ``request``, or None if a field holds a line break."""
-    lines = [f"{request.method} {request.path} HTTP/1.1\r\nhost: {host}"]
     headers: Headers = request.headers
+    lines = [f"{request.method} {request.path} HTTP/1.1"]
+    if not headers or headers[0][0] != "host":
+        lines.append(f"host: {host}")
     lines += [f"{name}: {value}" for name, value in headers]
     if request.body or request.method in METHODS_WITH_BODY:
         lines.append(f"content-length: {len(request.body)}")
     lines.append("\r\n")
     head = "\r\n".join(lines)
-    breaks = len(lines) + 1
+    breaks = len(lines)
     if head.count("\n") != breaks or head.count("\r") != breaks or "\0" in head:
         return None
     return head.encode("latin-1") + request.body
--- a/src/finchshed/daemon/call_admission.py
+++ b/src/finchshed/daemon/call_admission.py
@@ -12,6 +12,9 @@
 from finchshed.retry.policy import retry_after
 from finchshed.session.table import NotOpened, SessionTable
 
+MAX_ANSWER_BYTES = 64 << 20
+"""Longest answer to a call that was taken by host."""
+
 
 class CallAdmission:
     """Turns calls into work, or tells why not.
@@ -20,6 +23,8 @@
     ----------
     may_serve
         Whether there is a configuration that calls may be served by.
+    service
+        Service of the back end.
     draining
         Whether no new work is taken.
     catalogue
@@ -30,6 +35,7 @@
 
     def __init__(self, settings: DaemonSettings, rng: random.Random) -> None:
         self.may_serve = False
+        self.service = settings.service
         self.draining = False
         self.catalogue = Catalogue()
         self.sessions = SessionTable()
@@ -41,8 +47,10 @@
         """Return the work a call means, or why it is refused. ``now`` is monotonic seconds."""
         if not self.may_serve:
             return self.refused(RefusalReason.NO_CONFIGURATION)
+        if call.route:
+            return self._admit_by_host(link, call, now)
         matched = self.catalogue.match(call.service, call.path)
-        if matched is None or call.service != self._settings.service:
+        if matched is None or call.service != self.service:
             return self.refused(RefusalReason.UNKNOWN_ROUTE)
         route, service = matched.route, matched.service
         if len(call.body) > service.max_body_bytes:
@@ -69,10 +77,8 @@
                 return self.refused(opened.reason)
             opens_session = opened.is_new
             self.sessions.on_request(session, now)
-        token = self._next_token
-        self._next_token += 1
         return Work(
-            token=token,
+            token=self._new_token(),
             link=link,
             call=call,
             arrived=now,
@@ -85,6 +91,30 @@
             ledger_key=ledger_key,
         )
 
+    def _admit_by_host(self, link: AcceptedLink, call: Call, now: float) -> Work | Refused:
+        """Take a call that the calling daemon found the route of."""
+        if self.draining or call.service != self.service:
+            # What was called here has gone: whatever is here now was not meant.
+            return self.refused(RefusalReason.DRAINING)
+        return Work(
+            token=self._new_token(),
+            link=link,
+            call=call,
+            arrived=now,
+            deadline=now + call.context.remaining_seconds,
+            route=call.route,
+            repeatable=call.repeatable,
+            in_session=False,
+            opens_session=False,
+            max_body_bytes=MAX_ANSWER_BYTES,
+            is_by_host=True,
+        )
+
+    def _new_token(self) -> int:
+        token = self._next_token
+        self._next_token += 1
+        return token
+
     def refused(self, reason: RefusalReason, detail: str = "") -> Refused:
         """Return a refusal for ``reason``."""
         return Refused(reason, retry_after(0.0, self._rng), detail)
--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -20,6 +20,7 @@
 from finchshed.common.outcomes import (
     Answered,
     Outcome,
+    RefusalReason,
     Refused,
 )
 from finchshed.common.results import CallResult, result_of
@@ -31,10 +32,12 @@
     BackendRequest,
     BackendResult,
 )
-from finchshed.daemon.backend_call import backend_headers, outcome_of
+from finchshed.daemon.backend_answer import STATUS_MISDIRECTED_REQUEST
+from finchshed.daemon.backend_call import backend_headers, headers_by_host, outcome_of
 from finchshed.daemon.call_admission import CallAdmission
 from finchshed.daemon.catalogue import Catalogue
 from finchshed.daemon.guarded import GuardedRuns
+from finchshed.daemon.header_names import HeaderNames
 from finchshed.daemon.settings import DaemonSettings
 from finchshed.daemon.work import Work, WorkState
 from finchshed.link.digests import digest_of
@@ -60,6 +63,14 @@
         Runs what may not be repeated.
     on_backend_answer
         Called with each answer of the back end.
+    names
+        Names of the headers of requests that were taken by host.
+
+    Attributes
+    ----------
+    on_backend_fault
+        Called with the instance that was meant and a result that isn't a whole answer, or one of
+        another instance.
     """
 
     def __init__(
@@ -73,6 +84,7 @@
         rng: random.Random,
         on_backend_answer: Callable[[BackendAnswer], None],
         revision: Callable[[], int],
+        names: HeaderNames,
     ) -> None:
         self._settings = settings
         self._backend = backend
@@ -82,6 +94,9 @@
         self._rng = rng
         self._on_backend_answer = on_backend_answer
         self._revision = revision
+        self._names = names
+        self._instance = ""
+        self.on_backend_fault: Callable[[str, BackendResult], None] = _ignore_fault
         self._gate = Gate(1, rng, time.monotonic())
         self._admission = CallAdmission(settings, rng)
         self._works: dict[int, Work] = {}
@@ -122,6 +137,20 @@
         if endpoint is not None:
             self._gate.set_slots(endpoint.slots)
 
+    def serve_instance(self, instance: str, service: str, slots: int) -> None:
+        """Serve with this start of the back end from now on."""
+        self._instance = instance
+        self._admission.service = service
+        if slots:
+            self._gate.set_slots(slots)
+
+    def turn_away_waiting(self) -> None:
+        """Send what waits for the back end elsewhere; it has not run."""
+        for work in list(self._works.values()):
+            if work.state is WorkState.QUEUED and work.is_by_host:
+                self._apply(self._gate.cancel(work.token, time.monotonic()))
+                self._answer(work, self._admission.refused(RefusalReason.DRAINING))
+
     def load_report(self) -> LoadReport:
         """Return the load as callers are told."""
         now = time.monotonic()
@@ -191,7 +220,7 @@
 
     def _start(self, work: Work) -> None:
         metrics.QUEUE_DELAY.observe(time.monotonic() - work.arrived)
-        if work.repeatable:
+        if work.repeatable or work.is_by_host:
             self._send_to_backend(work)
         else:
             work.state = WorkState.ASKING_LEDGER
@@ -203,27 +232,35 @@
         work.served = self._served.open(_rank_context(work), work.deadline)
         self._paths.on_start(work.served.account, work.route)
         remaining = work.deadline - time.monotonic()
+        if work.is_by_host:
+            headers = headers_by_host(work, remaining, self._names, self._instance)
+        else:
+            headers = backend_headers(work, remaining)
         request = BackendRequest(
             method=call.method,
             path=call.path,
-            headers=backend_headers(work, remaining),
+            headers=headers,
             body=call.body,
             timeout_seconds=remaining,
             max_answer_bytes=work.max_body_bytes,
             is_repeatable=work.repeatable,
-            account=work.served.account,
+            account="" if work.is_by_host else work.served.account,
+            request_id=call.context.root if work.is_by_host else "",
         )
+        instance = self._instance
         work.cancel_backend = self._backend.send(
-            request, lambda result: self._on_backend_result(work, result)
+            request, lambda result: self._on_backend_result(work, instance, result)
         )
 
-    def _on_backend_result(self, work: Work, result: BackendResult) -> None:
+    def _on_backend_result(self, work: Work, instance: str, result: BackendResult) -> None:
         if work.state is not WorkState.AT_BACKEND:
             return
         if isinstance(result, BackendAnswer):
             self._on_backend_answer(result)
+        if not isinstance(result, BackendAnswer) or result.status == STATUS_MISDIRECTED_REQUEST:
+            self.on_backend_fault(instance, result)
         outcome = outcome_of(result, retry_after(0.0, self._rng))
-        if work.repeatable:
+        if work.repeatable or work.is_by_host:
             self._finish(work, outcome)
             return
         work.state = WorkState.RECORDING
@@ -279,6 +316,10 @@
         metrics.count_served(call.service, call.context.importance, outcome)
 
 
+def _ignore_fault(instance: str, result: BackendResult) -> None:
+    """Stand in where nobody keeps track of the back end's starts."""
+
+
 def _rank_context(work: Work) -> CallContext:
     """Return the context a call is ranked by: a session that it opens is not running yet."""
     if work.opens_session:
--- a/src/finchshed/daemon/catalogue.py
+++ b/src/finchshed/daemon/catalogue.py
@@ -1,11 +1,20 @@
 """Services and routes of the configuration in force, arranged for look-up by each call."""
 
-from collections.abc import Iterable
+import itertools
+from collections.abc import Iterable, Iterator
 from urllib.parse import unquote
 
 import msgspec
 
-from finchshed.configuration.resources import Endpoint, Policy, Resource, Route, Service
+from finchshed.configuration.resources import (
+    Endpoint,
+    HostRoute,
+    IngressLimits,
+    Policy,
+    Resource,
+    Route,
+    Service,
+)
 
 
 class Matched(msgspec.Struct, frozen=True):
@@ -21,15 +30,35 @@
     def __init__(self, resources: Iterable[Resource] = ()) -> None:
         self.policy = Policy()
         self.endpoints: dict[str, Endpoint] = {}
+        self.limits = IngressLimits()
+        self._hosts: dict[str, list[HostRoute]] = {}
         self._services: dict[str, Service] = {}
         self._routes: dict[str, tuple[Route, ...]] = {}
         for resource in resources:
             self._add(resource)
+        for routes in self._hosts.values():
+            routes.sort(key=lambda route: -len(route.prefix))
 
     def service(self, name: str) -> Service | None:
         """Return a declared service."""
         return self._services.get(name)
 
+    def host_routes(self) -> Iterator[HostRoute]:
+        """Yield all routes by host."""
+        return itertools.chain.from_iterable(self._hosts.values())
+
+    def match_host(self, host: str, target: str) -> HostRoute | None:
+        """Return the route of ``host`` with the longest prefix of a request's target, or None.
+
+        A port in ``host`` is passed over, and so are its letters' cases.
+        """
+        name = host.partition(":")[0].lower()
+        path = target.partition("?")[0]
+        for route in self._hosts.get(name, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
     def match(self, service_name: str, path: str) -> Matched | None:
         """Return the route of the longest prefix of ``path``, or None where none is declared.
 
@@ -47,6 +76,10 @@
             self._services[resource.name] = resource
             longest_first = sorted(resource.routes, key=lambda route: -len(route.prefix))
             self._routes[resource.name] = tuple(longest_first)
+        elif isinstance(resource, HostRoute):
+            self._hosts.setdefault(resource.host.lower(), []).append(resource)
+        elif isinstance(resource, IngressLimits):
+            self.limits = resource
         elif isinstance(resource, Endpoint):
             self.endpoints[resource.name] = resource
         elif isinstance(resource, Policy):
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -20,22 +20,27 @@
 from finchshed.daemon.caller import Caller
 from finchshed.daemon.catalogue import Catalogue
 from finchshed.daemon.control_ledger import ControlLedger
+from finchshed.daemon.endpoints import KnownEndpoints
 from finchshed.daemon.front import Admitted, Front
 from finchshed.daemon.guarded import GuardedRuns
-from finchshed.daemon.http_server import HttpServer
+from finchshed.daemon.header_names import HeaderNames
+from finchshed.daemon.host_front import HostAdmitted, HostFront
 from finchshed.daemon.leaving import Leaving, new_incarnation
 from finchshed.daemon.link_side import LinkSide
 from finchshed.daemon.listeners import Listeners
+from finchshed.daemon.own_backend import OwnBackend
 from finchshed.daemon.peers import PeerLinks
 from finchshed.daemon.platform_hints import PlatformHints
 from finchshed.daemon.settings import DaemonSettings
-from finchshed.daemon.spool import SpoolBudget
+from finchshed.directory.registrar import Registrar
 from finchshed.distribution.addresses import parse_control_address
 from finchshed.distribution.driver import FollowerDriver
 from finchshed.distribution.effects import ServingGround
 from finchshed.distribution.identity import ClientIdentity
-from finchshed.distribution.messages import Hints
+from finchshed.distribution.messages import DirectoryUpdate, Hints
 from finchshed.distribution.snapshot import Configuration
+from finchshed.http.server import HttpServer
+from finchshed.http.spool import SpoolBudget
 from finchshed.link.listener import LinkListener
 from finchshed.routing.table import RoutingTable
 from finchshed.runtime import garbage
@@ -45,13 +50,29 @@
 
 SLOW_TICK_SECONDS = 0.5
 DRAIN_POLL_SECONDS = 0.02
+MILLISECONDS = 1000.0
+
+IDLE_SLACK_SECONDS = 2.0
+"""A connection is kept a little longer than callers were told, so that none of theirs crosses."""
 
 
 class Daemon:
-    """One daemon process: data path beside a back end, or an edge."""
+    """One daemon process: data path beside a back end, or an edge.
+
+    Parameters
+    ----------
+    names
+        Names of the headers of requests by host.
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    Attributes
+    ----------
+    own_backend
+        Takes the back end's heartbeats; None where its endpoint is declared, and on an edge.
+    """
+
+    def __init__(self, settings: DaemonSettings, names: HeaderNames | None = None) -> None:
         self._settings = settings
+        self._names = names or HeaderNames()
         self._rng = random.Random(secrets.randbits(64))
         self._incarnation = new_incarnation()
         self._is_serving = False
@@ -79,11 +100,20 @@
             rng=self._rng,
         )
         self._links = PeerLinks(settings, self._side, self._rng, Connector(self._credentials))
+        self._endpoints = KnownEndpoints(self._table, self._links)
         self._paths = PathThresholds(self._table.floor)
         self._caller = Caller(self._table, self._links, self._served, self._paths, self._rng)
         self._front = Front(self._caller, self._served, self._rng, self._why_not)
+        self._host_front = HostFront(
+            self._caller,
+            self._names,
+            self._rng,
+            own_service=lambda: self._side.service,
+            why_not=self._why_not,
+        )
         spool = SpoolBudget(settings.max_spooled_bytes)
         self._http: HttpServer[Admitted] = HttpServer(self._front, spool)
+        self._host_http: HttpServer[HostAdmitted] = HttpServer(self._host_front, spool)
         self._listener = LinkListener(
             self._side,
             settings.peer_networks,
@@ -94,6 +124,8 @@
         self._callee = self._make_callee()
         self._side.callee = self._callee
         self._leaving.attach(self._callee, self._side, self._listener)
+        self.own_backend = self._make_own_backend()
+        self._driver.client.on_directory = self._on_directory
         self._listeners = Listeners()
 
     @property
@@ -113,10 +145,12 @@
         settings = self._settings
         self._spawn(self._driver.run())
         self._spawn(self._tick_seldom())
-        if self._leaving.watch is not None:
+        if self._leaving.watch is not None and self.own_backend is None:
             self._spawn(self._leaving.watch.run())
         make_link = self._listener.make_protocol
         await self._listeners.open(settings.link_address, make_link, self._credentials)
+        if settings.host_address:
+            await self._listeners.open(settings.host_address, self._host_http.make_protocol)
 
     async def stop(self) -> None:
         """Take no new work, finish what is in progress, and close.
@@ -131,6 +165,7 @@
         logger.info("draining")
         self._listeners.prefer_successor()
         self._http.closing = True
+        self._host_http.closing = True
         self._leaving.tell()
         await asyncio.sleep(settings.drain_notice_seconds)
         self._listeners.close()
@@ -147,10 +182,13 @@
         """Act on ``current`` from now on."""
         metrics.REVISION.set(current.revision)
         catalogue = Catalogue(current.resources.values())
-        self._table.replace(catalogue.endpoints.values(), time.monotonic())
-        self._links.replace(catalogue.endpoints)
+        self._endpoints.declare(catalogue.endpoints)
         self._caller.configure(catalogue)
         self._front.catalogue = catalogue
+        self._host_front.configure(catalogue)
+        self._host_http.limits.max_head_bytes = catalogue.limits.max_head_bytes
+        self._host_http.limits.read_seconds = catalogue.limits.head_seconds
+        self._host_http.limits.idle_seconds = catalogue.limits.idle_seconds + IDLE_SLACK_SECONDS
         if self._callee is not None:
             self._callee.configure(catalogue)
 
@@ -173,11 +211,18 @@
         garbage.settle()
         metrics.SERVING.set(1)
         self._is_serving = True
-        # Not before: a successor shares its address with a process that does answer.
-        self._spawn(self._listeners.open(self._settings.http_address, self._http.make_protocol))
+        if self._settings.http_address:
+            # Not before: a successor shares its address with a process that does answer.
+            self._spawn(self._listeners.open(self._settings.http_address, self._http.make_protocol))
         if self._callee is not None:
             self._callee.start_serving()
 
+    def _on_directory(self, update: DirectoryUpdate) -> None:
+        self._endpoints.on_update(update)
+        held = self._endpoints.registration_of(self._settings.link_address)
+        if self.own_backend is not None and held is not None:
+            self.own_backend.on_own_registration(held)
+
     def _on_hints(self, hints: Hints) -> None:
         self._platform.on_hints(hints, time.monotonic())
         self._leaving.on_hints(hints)
@@ -203,7 +248,10 @@
         if not settings.backend_address:
             return None
         self._backend = HttpBackend(
-            settings.backend_address, settings.max_connections, settings.connect_timeout_seconds
+            settings.backend_address,
+            settings.max_connections,
+            settings.connect_timeout_seconds,
+            self._names,
         )
         watch = self._leaving.watch_backend(self._backend)
         guarded = GuardedRuns(settings, ControlLedger(self._driver.client), self._rng)
@@ -216,6 +264,27 @@
             rng=self._rng,
             on_backend_answer=watch.on_answer,
             revision=self._side.revision,
+            names=self._names,
+        )
+
+    def _make_own_backend(self) -> OwnBackend | None:
+        settings = self._settings
+        if self._callee is None or not settings.registers_backend:
+            return None
+        registrar = Registrar(
+            settings.link_address,
+            settings.zone,
+            settings.region,
+            epoch=int(time.time() * MILLISECONDS),
+            silence_seconds=settings.backend_silence_seconds,
+        )
+        return OwnBackend(
+            registrar,
+            self._callee,
+            side=self._side,
+            leaving=self._leaving,
+            listener=self._listener,
+            client=self._driver.client,
         )
 
     async def _idle(self, seconds: float) -> None:
@@ -229,7 +298,7 @@
         return None if self._is_serving else RefusalReason.NO_CONFIGURATION
 
     def _is_busy(self) -> bool:
-        if self._http.is_busy or self._caller.in_progress:
+        if self._http.is_busy or self._host_http.is_busy or self._caller.in_progress:
             return True
         return self._callee is not None and (
             self._callee.in_progress > 0 or self._callee.sessions > 0
@@ -239,6 +308,9 @@
         while True:
             await asyncio.sleep(SLOW_TICK_SECONDS)
             self._http.sweep()
+            self._host_http.sweep()
+            if self.own_backend is not None:
+                self.own_backend.tick()
             self._caller.expire_sessions()
             self._links.close_idle()
             self._links.reopen_lost()
@@ -257,6 +329,7 @@
     async def _close(self) -> None:
         self._listeners.close()
         self._http.close()
+        self._host_http.close()
         self._links.close()
         self._listener.close()
         if self._backend is not None:
--- /dev/null
+++ b/src/finchshed/daemon/endpoints.py
@@ -0,0 +1,55 @@
+"""All endpoints a daemon may call: those declared, and those that registered themselves."""
+
+import time
+
+from finchshed.configuration.resources import Endpoint
+from finchshed.daemon.peers import PeerLinks
+from finchshed.directory.registration import Registration
+from finchshed.directory.table import Directory
+from finchshed.distribution.messages import DirectoryUpdate
+from finchshed.routing.table import RoutingTable
+
+FORGET_SECONDS = 3_600.0
+"""Control says what is to be forgotten; without it a daemon goes on with what it knows."""
+
+MAX_GREETED = 64
+"""Up to so many registered endpoints are linked before the first call."""
+
+
+class KnownEndpoints:
+    """Keeps routing table and links in step with declarations and registrations."""
+
+    def __init__(self, table: RoutingTable, links: PeerLinks) -> None:
+        self._table = table
+        self._links = links
+        self._directory = Directory(FORGET_SECONDS)
+        self._declared: dict[str, Endpoint] = {}
+
+    def __len__(self) -> int:
+        """Return the number of daemons that registered."""
+        return len(self._directory)
+
+    def declare(self, declared: dict[str, Endpoint]) -> None:
+        """Take the endpoints of the configuration."""
+        self._declared = declared
+        self._apply()
+
+    def on_update(self, update: DirectoryUpdate) -> None:
+        """Take registrations. A control node that just started doesn't know them all yet."""
+        now = time.monotonic()
+        news = self._directory.take(update.registrations, now)
+        dropped = self._directory.drop(update.forgotten)
+        if news or dropped:
+            self._apply()
+
+    def registration_of(self, address: str) -> Registration | None:
+        """Return what is held of the daemon at ``address``."""
+        return self._directory.get(address)
+
+    def _apply(self) -> None:
+        registered = self._directory.endpoints()
+        endpoints = {**registered, **self._declared}
+        self._table.replace(endpoints.values(), time.monotonic())
+        self._links.replace(endpoints)
+        if len(registered) <= MAX_GREETED:
+            self._links.greet(tuple(registered.values()))
--- a/src/finchshed/daemon/front.py
+++ b/src/finchshed/daemon/front.py
@@ -28,9 +28,13 @@
 from finchshed.daemon.accounts import ServedRequest, ServedRequests
 from finchshed.daemon.caller import Caller
 from finchshed.daemon.catalogue import Catalogue, Matched
-from finchshed.daemon.http_message import InboundRequest, Response
 from finchshed.daemon.request import Request, end_to_end_headers
-from finchshed.daemon.responses import malformed_response, response_of
+from finchshed.daemon.responses import (
+    STATUS_HEAD_TOO_LARGE,
+    malformed_response,
+    response_of,
+)
+from finchshed.http.message import InboundRequest, Response
 from finchshed.ledger.keys import issued_at
 from finchshed.retry.policy import retry_after
 
@@ -152,6 +156,10 @@
         """Return the response to bytes that are no request."""
         return malformed_response(detail)
 
+    def head_too_large(self, limit: int) -> Response:
+        """Return the response to a head longer than ``limit`` bytes."""
+        return malformed_response(f"limit of the head: {limit} bytes", STATUS_HEAD_TOO_LARGE)
+
     def _root_context(self, request: InboundRequest, matched: Matched) -> CallContext:
         # The account of a request that is over has nothing left to lend.
         is_late = _ACCOUNT in request.first
--- /dev/null
+++ b/src/finchshed/daemon/header_names.py
@@ -0,0 +1,39 @@
+"""Names of the headers that requests taken by host and their back ends carry."""
+
+import msgspec
+
+from finchshed.common.context import HEADER_DEADLINE
+
+
+class HeaderNames(msgspec.Struct, frozen=True):
+    """Names, in lower case; a deployment that speaks others gives its own.
+
+    Attributes
+    ----------
+    request
+        Identity of a request, passed on unchanged; an answer gives it back.
+    deadline
+        Milliseconds that the sender will wait.
+    caller_service
+        Service of the back end beside which a request began; set whatever was sent.
+    expected_instance
+        Start of the back end that a request is for; any other refuses it.
+    not_run
+        On an answer: the back end did not run the request.
+    load
+        On an answer: requests running and waiting, and slots.
+    seal
+        On an answer of status 2xx: the back end's mark that it is whole; empty: there is none.
+    """
+
+    request: str = "finchshed-request"
+    deadline: str = HEADER_DEADLINE
+    caller_service: str = "finchshed-caller-service"
+    expected_instance: str = "finchshed-expect-instance"
+    not_run: str = "finchshed-not-run"
+    load: str = "finchshed-load"
+    seal: str = ""
+
+    def set_here(self) -> frozenset[str]:
+        """Return the names that daemons set; what a caller sent under them is dropped."""
+        return frozenset({self.deadline, self.caller_service, self.expected_instance})
--- /dev/null
+++ b/src/finchshed/daemon/host_front.py
@@ -0,0 +1,215 @@
+"""The listener for requests by host and path: what each asks for, and how its end is told.
+
+A request falls under the route of its host with the longest prefix of its path. The route names the
+services that share such requests; one is drawn by weight, and the call goes to a back end of it.
+"""
+
+import random
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from finchshed.common.context import CallContext
+from finchshed.common.outcomes import (
+    Answered,
+    Failed,
+    FailureReason,
+    Headers,
+    Outcome,
+    RefusalReason,
+    Refused,
+)
+from finchshed.configuration.resources import HostRoute
+from finchshed.daemon.caller import Caller
+from finchshed.daemon.catalogue import Catalogue
+from finchshed.daemon.header_names import HeaderNames
+from finchshed.daemon.request import Request, end_to_end_headers
+from finchshed.daemon.responses import (
+    STATUS_BAD_GATEWAY,
+    STATUS_BAD_REQUEST,
+    STATUS_CONTENT_TOO_LARGE,
+    STATUS_GATEWAY_TIMEOUT,
+    STATUS_HEAD_TOO_LARGE,
+    STATUS_NOT_FOUND,
+    STATUS_SERVICE_UNAVAILABLE,
+)
+from finchshed.http.message import InboundRequest, Response
+from finchshed.retry.policy import retry_after
+from finchshed.routing.weights import WeightedChoice
+
+MILLISECONDS = 1000.0
+MAX_ANSWER_BYTES = 64 << 20
+
+_REFUSAL_STATUS = {
+    RefusalReason.UNKNOWN_ROUTE: STATUS_NOT_FOUND,
+    RefusalReason.REQUEST_TOO_LARGE: STATUS_CONTENT_TOO_LARGE,
+    RefusalReason.REQUEST_INVALID: STATUS_BAD_REQUEST,
+}
+
+
+class HostAdmitted(msgspec.Struct, frozen=True, gc=False):
+    """What is known of a request from its head. ``began`` is in monotonic seconds."""
+
+    route: HostRoute
+    host: str
+    remaining_seconds: float
+    began: float
+
+
+class HostFront:
+    """Answers requests by host and path (the listener's handler).
+
+    Parameters
+    ----------
+    own_service
+        Returns the service of the back end beside this daemon.
+    why_not
+        Returns the reason why no request may be taken now, or None.
+    """
+
+    def __init__(
+        self,
+        caller: Caller,
+        names: HeaderNames,
+        rng: random.Random,
+        *,
+        own_service: Callable[[], str],
+        why_not: Callable[[], RefusalReason | None],
+    ) -> None:
+        self._caller = caller
+        self._names = names
+        self._rng = rng
+        self._own_service = own_service
+        self._why_not = why_not
+        self._dropped = names.set_here()
+        self._deadline = names.deadline.encode("ascii")
+        self._request = names.request.encode("ascii")
+        self._choices: dict[str, WeightedChoice] = {}
+        self._catalogue = Catalogue()
+
+    def configure(self, catalogue: Catalogue) -> None:
+        """Act on a new configuration."""
+        self._catalogue = catalogue
+        self._choices = {route.name: self._choices_of(route) for route in catalogue.host_routes()}
+
+    def admit(self, request: InboundRequest) -> HostAdmitted | Refused:
+        """Judge a request by its head, before its body is read."""
+        reason = self._why_not()
+        if reason is not None:
+            return self._refused(reason)
+        host = request.header(b"host")
+        route = self._catalogue.match_host(host, request.target)
+        if route is None:
+            return self._refused(RefusalReason.UNKNOWN_ROUTE, f"host {host!r}")
+        if not request.first.get(self._request):
+            detail = f"the header {self._names.request} is needed"
+            return self._refused(RefusalReason.REQUEST_INVALID, detail)
+        remaining = min(self._told_seconds(request, route), route.timeout_seconds)
+        return HostAdmitted(route, host, remaining, time.monotonic())
+
+    def max_body_bytes(self, admitted: HostAdmitted) -> int:
+        """Return the largest body taken for an admitted request."""
+        return self._catalogue.limits.max_body_bytes
+
+    def handle(
+        self,
+        request: InboundRequest,
+        admitted: HostAdmitted,
+        respond: Callable[[Response], None],
+    ) -> Callable[[], None]:
+        """Answer a whole request; ``respond`` is called once. Return what gives it up."""
+        route = admitted.route
+        remaining = admitted.remaining_seconds - (time.monotonic() - admitted.began)
+        identity = request.header(self._request)
+        context = CallContext(
+            root=identity,
+            importance=route.importance,
+            remaining_seconds=remaining,
+            spare_attempts=route.max_attempts - 1,
+        )
+        message = Request(
+            service=self._choices[route.name].draw(),
+            method=request.method,
+            path=request.target,
+            headers=self._headers(request, admitted.host),
+            body=request.body,
+            context=context,
+            repeatable=route.repeatable,
+            max_body_bytes=MAX_ANSWER_BYTES,
+            route=route.name,
+            is_by_host=True,
+        )
+
+        def answered(outcome: Outcome) -> None:
+            respond(self._response_of(outcome))
+
+        return self._caller.call(message, "", "", answered)
+
+    def refused(self, refused: Refused) -> Response:
+        """Return the response that tells a refusal."""
+        return self._response_of(refused)
+
+    def too_large(self, limit: int) -> Refused:
+        """Return the refusal of a body larger than ``limit``."""
+        return self._refused(RefusalReason.REQUEST_TOO_LARGE, f"limit: {limit} bytes")
+
+    def spool_full(self) -> Refused:
+        """Return the refusal of a request whose body can't be held."""
+        return self._refused(RefusalReason.OVERLOAD, "bodies held reach their limit")
+
+    def malformed(self, detail: str) -> Response:
+        """Return the response to bytes that are no request."""
+        return _text_response(STATUS_BAD_REQUEST, detail)
+
+    def head_too_large(self, limit: int) -> Response:
+        """Return the response to a head longer than ``limit`` bytes."""
+        return _text_response(STATUS_HEAD_TOO_LARGE, f"limit of the head: {limit} bytes")
+
+    def _choices_of(self, route: HostRoute) -> WeightedChoice:
+        held = self._choices.get(route.name)
+        if held is not None and held.destinations == route.destinations:
+            return held
+        return WeightedChoice(route.destinations, self._rng)
+
+    def _told_seconds(self, request: InboundRequest, route: HostRoute) -> float:
+        """Return the seconds the caller will wait, by its word."""
+        value = request.first.get(self._deadline)
+        if value is None:
+            return route.timeout_seconds
+        try:
+            return max(0.0, float(value) / MILLISECONDS)
+        except ValueError:
+            return route.timeout_seconds
+
+    def _headers(self, request: InboundRequest, host: str) -> Headers:
+        """Return the headers that go to the back end, but for those of each attempt."""
+        kept = tuple(
+            item for item in end_to_end_headers(request.headers) if item[0] not in self._dropped
+        )
+        return (("host", host), *kept, (self._names.caller_service, self._own_service()))
+
+    def _refused(self, reason: RefusalReason, detail: str = "") -> Refused:
+        return Refused(reason, retry_after(0.0, self._rng), detail)
+
+    def _response_of(self, outcome: Outcome) -> Response:
+        if isinstance(outcome, Answered):
+            return Response(outcome.status, outcome.headers, outcome.body)
+        text = f"{outcome.reason}: {outcome.detail}" if outcome.detail else str(outcome.reason)
+        if isinstance(outcome, Refused):
+            status = _REFUSAL_STATUS.get(outcome.reason, STATUS_SERVICE_UNAVAILABLE)
+            return _text_response(status, text, outcome.retry_after)
+        return _text_response(_status_of_failure(outcome), text)
+
+
+def _status_of_failure(failed: Failed) -> int:
+    if failed.reason is FailureReason.DEADLINE:
+        return STATUS_GATEWAY_TIMEOUT
+    return STATUS_BAD_GATEWAY
+
+
+def _text_response(status: int, text: str, retry_after_seconds: float = 0.0) -> Response:
+    headers: Headers = (("content-type", "text/plain"),)
+    if status == STATUS_SERVICE_UNAVAILABLE:
+        headers += (("retry-after", f"{retry_after_seconds:.3f}"),)
+    return Response(status, headers, text.encode("utf-8", "replace"))
--- a/src/finchshed/daemon/leaving.py
+++ b/src/finchshed/daemon/leaving.py
@@ -40,6 +40,7 @@
         self.is_stopping = False
         self.watch: BackendWatch | None = None
         self._is_listed = False
+        self._backend_leaves = False
         self._own_listing = OwnListing(endpoint, time.monotonic())
         self._callee: Callee | None = None
         self._side: LinkSide | None = None
@@ -48,7 +49,13 @@
     def takes_nothing(self) -> bool:
         """Whether any sign says that this endpoint leaves."""
         watch = self.watch
-        return self.is_stopping or self._is_listed or (watch is not None and watch.is_leaving)
+        if self.is_stopping or self._is_listed or self._backend_leaves:
+            return True
+        return watch is not None and watch.is_leaving
+
+    def set_backend_leaving(self, is_leaving: bool) -> None:
+        """Take what the back end's registration says; those concerned are told apart."""
+        self._backend_leaves = is_leaving
 
     def watch_backend(self, backend: Backend) -> BackendWatch:
         """Return the watch of the back end; whoever runs it calls its ``run``."""
@@ -71,7 +78,7 @@
             logger.info("the platform lists this machine as leaving")
             self.tell()
         else:
-            self._stay()
+            self.stay()
 
     def tell(self) -> None:
         """Take no new work, and tell callers."""
@@ -97,8 +104,8 @@
         for link in self._listener.links():
             link.tell_hello()
 
-    def _stay(self) -> None:
-        """Take work again though the platform had listed this machine, if no other sign is left."""
+    def stay(self) -> None:
+        """Take work again, if no sign is left, and tell callers."""
         if self._callee is None or self.takes_nothing():
             return
         self._callee.draining = False
--- a/src/finchshed/daemon/link_side.py
+++ b/src/finchshed/daemon/link_side.py
@@ -30,6 +30,8 @@
     ----------
     callee
         Takes the calls that come in; None on an edge.
+    endpoint, service
+        Name and service of the endpoint as others know it; empty on an edge.
     """
 
     def __init__(
@@ -44,6 +46,8 @@
         rng: random.Random,
     ) -> None:
         self.incarnation = incarnation
+        self.endpoint = settings.endpoint
+        self.service = settings.service
         self.callee: Callee | None = None
         self._settings = settings
         self._driver = driver
@@ -55,10 +59,10 @@
     def hello(self, epoch: str) -> Hello:
         """Return this daemon's first line."""
         return Hello(
-            node=self._settings.endpoint or self._settings.node,
+            node=self.endpoint or self._settings.node,
             incarnation=self.incarnation,
             epoch=epoch,
-            service=self._settings.service,
+            service=self.service,
             zone=self._settings.zone,
             revision=self.revision(),
             draining=self._takes_nothing(),
--- a/src/finchshed/daemon/peers.py
+++ b/src/finchshed/daemon/peers.py
@@ -243,6 +243,8 @@
             context=context,
             revision=self._owner.revision(),
             on_reply=attempt.on_reply,
+            route=request.route if request.is_by_host else "",
+            repeatable=request.repeatable,
         )
         if result is SendResult.SENT:
             attempt.link = link
--- a/src/finchshed/daemon/program.py
+++ b/src/finchshed/daemon/program.py
@@ -2,7 +2,8 @@
 
 from finchshed.daemon.daemon import Daemon
 from finchshed.daemon.settings import DaemonSettings
-from finchshed.observability.admin import AdminServer, Health
+from finchshed.observability.admin import AdminServer
+from finchshed.observability.health import Health
 from finchshed.runtime.process import ProcessControl, run_process
 
 
--- a/src/finchshed/daemon/request.py
+++ b/src/finchshed/daemon/request.py
@@ -42,6 +42,8 @@
         Largest body of the request or its answer.
     route
         Prefix of the service's route that the request falls under.
+    is_by_host
+        Whether it was taken under a route of its host; ``route`` is then the name of that.
     session_at
         Endpoint that serves the request's session by the client's word, or empty. Not checked.
     """
@@ -57,6 +59,7 @@
     max_body_bytes: int = 1 << 20
     route: str = ""
     session_at: str = ""
+    is_by_host: bool = False
 
 
 def end_to_end_headers(raw: Iterable[tuple[bytes, bytes]]) -> Headers:
--- a/src/finchshed/daemon/responses.py
+++ b/src/finchshed/daemon/responses.py
@@ -15,7 +15,7 @@
     RefusalReason,
     Refused,
 )
-from finchshed.daemon.http_message import Response
+from finchshed.http.message import Response
 
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
@@ -23,6 +23,7 @@
 STATUS_CONTENT_TOO_LARGE = 413
 STATUS_UNPROCESSABLE_CONTENT = 422
 STATUS_TOO_MANY_REQUESTS = 429
+STATUS_HEAD_TOO_LARGE = 431
 STATUS_BAD_GATEWAY = 502
 STATUS_SERVICE_UNAVAILABLE = 503
 STATUS_GATEWAY_TIMEOUT = 504
@@ -80,7 +81,7 @@
     return Response(status, headers, msgspec.json.encode(body))
 
 
-def malformed_response(detail: str) -> Response:
+def malformed_response(detail: str, status: int = STATUS_BAD_REQUEST) -> Response:
     """Return the response to bytes that are no request: nothing has run."""
     body = OutcomeBody(outcome="refused", reason=REASON_MALFORMED, detail=detail)
     headers = (
@@ -88,4 +89,4 @@
         (HEADER_RAN, RAN_NO),
         (HEADER_REASON, REASON_MALFORMED),
     )
-    return Response(STATUS_BAD_REQUEST, headers, msgspec.json.encode(body))
+    return Response(status, headers, msgspec.json.encode(body))
--- a/src/finchshed/daemon/settings.py
+++ b/src/finchshed/daemon/settings.py
@@ -38,8 +38,31 @@
         OptionalAddress, Meta(description="HTTP address of the back end; empty on an edge.")
     ] = ""
     http_address: Annotated[
-        ListenAddress, Meta(description="HTTP listener for the local back end and outside callers.")
+        OptionalListenAddress,
+        Meta(
+            description=(
+                "HTTP listener for the local back end and outside callers that name the service; "
+                "empty for none."
+            )
+        ),
     ]
+    host_address: Annotated[
+        OptionalListenAddress,
+        Meta(description="HTTP listener for requests by host and path; empty for none."),
+    ] = ""
+    registers_backend: Annotated[
+        bool,
+        Meta(
+            description=(
+                "Whether the back end tells by heartbeats who it is, in place of a declared "
+                "endpoint."
+            )
+        ),
+    ] = False
+    backend_silence_seconds: Annotated[
+        float,
+        Meta(gt=0, le=3600, description="A back end without a heartbeat this long is gone."),
+    ] = 5.0
     link_address: Annotated[
         ListenAddress, Meta(description="Listener for other daemons; the address in its endpoint.")
     ]
--- a/src/finchshed/daemon/work.py
+++ b/src/finchshed/daemon/work.py
@@ -43,5 +43,6 @@
     abandoned: bool = False
     served: ServedRequest | None = None
     cancel_backend: Callable[[], object] | None = None
+    is_by_host: bool = False
     ledger_key: str = ""
     attempt: str = ""
--- /dev/null
+++ b/src/finchshed/directory/registrar.py
@@ -0,0 +1,127 @@
+"""The registration of the back end beside a daemon, from its heartbeats. Pure decisions.
+
+Only this daemon can reach the back end, so what it decides here is in force at once: a back end
+that leaves gets nothing new from the moment its word was taken, whoever else knows of it.
+
+Heartbeats may come late, twice, or from an earlier start of the back end. The sequence number that
+rises with each heartbeat of one start tells them: only a higher one than was seen before counts.
+"""
+
+import msgspec
+
+from finchshed.directory.registration import InstanceState, Registration
+
+MAX_REMEMBERED_INSTANCES = 64
+"""Earlier starts of the back end whose late heartbeats are known as such."""
+
+
+class Heartbeat(msgspec.Struct, frozen=True):
+    """What a back end tells of itself. ``sequence`` rises with each heartbeat of one start."""
+
+    instance: str
+    service: str
+    slots: int
+    sequence: int
+    is_leaving: bool = False
+
+
+class _Known(msgspec.Struct):
+    """An instance heard of before."""
+
+    sequence: int
+    is_leaving: bool
+
+
+class Registrar:
+    """Keeps the registration of one daemon's back end.
+
+    Parameters
+    ----------
+    address
+        Where this daemon listens for other daemons.
+    epoch
+        Number of this start of the daemon, above those of its earlier starts as far as known.
+    silence_seconds
+        A back end that sent no heartbeat for longer is taken for gone.
+    """
+
+    def __init__(
+        self, address: str, zone: str, region: str, *, epoch: int, silence_seconds: float
+    ) -> None:
+        self.registration = Registration(address, epoch, 0, zone=zone, region=region)
+        self._silence_seconds = silence_seconds
+        self._known: dict[str, _Known] = {}
+        self._heard_at = 0.0
+
+    def on_heartbeat(self, heartbeat: Heartbeat, now: float) -> bool:
+        """Take a heartbeat; return whether the registration changed."""
+        known = self._known.get(heartbeat.instance)
+        if known is not None and heartbeat.sequence <= known.sequence:
+            return False
+        if known is None:
+            known = self._remember(heartbeat.instance)
+        known.sequence = heartbeat.sequence
+        known.is_leaving = known.is_leaving or heartbeat.is_leaving
+        self._heard_at = now
+        state = InstanceState.LEAVING if known.is_leaving else InstanceState.READY
+        return self._change(
+            instance=heartbeat.instance,
+            service=heartbeat.service,
+            slots=heartbeat.slots,
+            state=state,
+        )
+
+    def on_leave(self, instance: str) -> bool:
+        """Take an instance's word that it leaves; return whether the registration changed."""
+        known = self._known.get(instance) or self._remember(instance)
+        known.is_leaving = True
+        if instance != self.registration.instance:
+            return False
+        if self.registration.state is InstanceState.GONE:
+            return False
+        return self._change(state=InstanceState.LEAVING)
+
+    def on_unreachable(self) -> bool:
+        """Note that the back end takes no connections; its next heartbeat brings it back."""
+        if self.registration.state is not InstanceState.READY:
+            return False
+        return self._change(state=InstanceState.GONE)
+
+    def on_misdirected(self, instance: str) -> bool:
+        """Note that the back end said not to be ``instance``; return whether that was new."""
+        if instance != self.registration.instance:
+            return False
+        return self.on_unreachable()
+
+    def tick(self, now: float) -> bool:
+        """Look for silence; return whether the registration changed."""
+        is_present = self.registration.state is not InstanceState.GONE
+        if is_present and now - self._heard_at > self._silence_seconds:
+            return self._change(state=InstanceState.GONE)
+        return False
+
+    def on_own_registration(self, registration: Registration) -> bool:
+        """Take what others hold of this daemon's address; return whether it must be told anew.
+
+        A clock that was set back may have given this start a lower epoch than an earlier one.
+        """
+        own = self.registration
+        if registration == own or not registration.supersedes(own):
+            return False
+        self.registration = msgspec.structs.replace(own, epoch=registration.epoch + 1)
+        return True
+
+    def _remember(self, instance: str) -> _Known:
+        if len(self._known) >= MAX_REMEMBERED_INSTANCES:
+            oldest = next(name for name in self._known if name != self.registration.instance)
+            del self._known[oldest]
+        known = self._known[instance] = _Known(sequence=-1, is_leaving=False)
+        return known
+
+    def _change(self, **fields: object) -> bool:
+        changed = msgspec.structs.replace(self.registration, **fields)
+        if changed == self.registration:
+            return False
+        serial = self.registration.serial + 1
+        self.registration = msgspec.structs.replace(changed, serial=serial)
+        return True
--- /dev/null
+++ b/src/finchshed/directory/table.py
@@ -0,0 +1,80 @@
+"""All registrations that a control node or a daemon knows of. Pure decisions."""
+
+from collections.abc import Iterable
+
+from finchshed.configuration.resources import Endpoint, EndpointState
+from finchshed.directory.registration import InstanceState, Registration
+
+
+class Directory:
+    """The latest registration of each daemon.
+
+    Parameters
+    ----------
+    forget_seconds
+        A registration that nobody confirmed for longer is dropped: its machine may be gone.
+    """
+
+    def __init__(self, forget_seconds: float) -> None:
+        self._forget_seconds = forget_seconds
+        self._held: dict[str, Registration] = {}
+        self._confirmed_at: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        """Return the number of registrations."""
+        return len(self._held)
+
+    def registrations(self) -> tuple[Registration, ...]:
+        """Return all that is held."""
+        return tuple(self._held.values())
+
+    def get(self, address: str) -> Registration | None:
+        """Return the registration of the daemon at ``address``."""
+        return self._held.get(address)
+
+    def take(self, registrations: Iterable[Registration], now: float) -> tuple[Registration, ...]:
+        """Take registrations; return those that are news. The ones held are confirmed by it."""
+        news = []
+        for registration in registrations:
+            held = self._held.get(registration.address)
+            if held is not None and held.supersedes(registration):
+                continue
+            self._confirmed_at[registration.address] = now
+            if held is None or registration.supersedes(held):
+                self._held[registration.address] = registration
+                news.append(registration)
+        return tuple(news)
+
+    def expire(self, now: float) -> tuple[str, ...]:
+        """Drop what was not confirmed for long; return the addresses."""
+        since = now - self._forget_seconds
+        old = [address for address, at in self._confirmed_at.items() if at < since]
+        self.drop(old)
+        return tuple(old)
+
+    def drop(self, addresses: Iterable[str]) -> bool:
+        """Forget registrations; return whether any was held."""
+        held = [address for address in addresses if address in self._held]
+        for address in held:
+            del self._held[address]
+            del self._confirmed_at[address]
+        return bool(held)
+
+    def endpoints(self) -> dict[str, Endpoint]:
+        """Return the back ends that are there, as endpoints by their names."""
+        present = (item for item in self._held.values() if item.state is not InstanceState.GONE)
+        return {item.instance: _endpoint_of(item) for item in present}
+
+
+def _endpoint_of(registration: Registration) -> Endpoint:
+    is_leaving = registration.state is InstanceState.LEAVING
+    return Endpoint(
+        name=registration.instance,
+        service=registration.service,
+        region=registration.region,
+        zone=registration.zone,
+        address=registration.address,
+        slots=max(1, registration.slots),
+        state=EndpointState.LEAVING if is_leaving else EndpointState.ACTIVE,
+        warm_up_seconds=0.0,
+    )
--- a/src/finchshed/distribution/client.py
+++ b/src/finchshed/distribution/client.py
@@ -13,13 +13,17 @@
 from typing import TypeAlias
 
 from finchshed.common.outcomes import Answered
+from finchshed.directory.registration import Registration
 from finchshed.distribution.addresses import AddressBook, ControlAddress
 from finchshed.distribution.identity import ClientIdentity
 from finchshed.distribution.ledger_requests import LedgerAnswer, LedgerRequest, LedgerRequests
 from finchshed.distribution.messages import (
+    Announce,
+    ControlNodes,
     ControlToDaemon,
     Decision,
     Delta,
+    DirectoryUpdate,
     ExplainReply,
     ExplainRequest,
     Fetch,
@@ -90,6 +94,10 @@
         Called with the platform's list as control read it; set by the daemon.
     on_explain
         Called when an operator asks for recent decisions; set by the daemon.
+    on_directory
+        Called with registrations of back ends; set by the daemon.
+    registration
+        Returns the registration of the back end beside the daemon; None: it tells of none.
     """
 
     def __init__(
@@ -115,6 +123,8 @@
         self.connections_made = 0
         self.on_hints: Callable[[Hints], None] | None = None
         self.on_explain: Callable[[ExplainRequest], tuple[Decision, ...]] | None = None
+        self.on_directory: Callable[[DirectoryUpdate], None] | None = None
+        self.registration: Callable[[], Registration] | None = None
 
     @property
     def is_connected(self) -> bool:
@@ -150,6 +160,15 @@
             self._connection.send(InForce(revision))
             self._heartbeat_due = asyncio.get_running_loop().time() + HEARTBEAT_SECONDS
 
+    def announce(self) -> None:
+        """Tell the control node of the back end beside this daemon."""
+        if self._connection is not None and self.registration is not None:
+            self._connection.send(Announce(self.registration()))
+
+    def add_addresses(self, addresses: Iterable[str]) -> None:
+        """Take in further control nodes."""
+        self._book.add(addresses)
+
     def fetch(self, revision: int) -> None:
         """Ask the control node for what follows ``revision``."""
         if self._connection is not None:
@@ -205,6 +224,7 @@
                 endpoint=identity.endpoint,
             )
         )
+        self.announce()
         self._ledger.send_again()
 
     async def _watch(self, connection: Connection, address: ControlAddress) -> None:
@@ -221,6 +241,7 @@
                     return
                 if self._is_subscribed and now >= self._heartbeat_due:
                     self.report_in_force(self._handlers.revision_in_force())
+                    self.announce()
                 if nearer is not None and now >= nearer_due:
                     nearer_due = now + NEARER_SECONDS * (1.0 + self._rng.random())
                     if await self._can_reach(nearer):
@@ -263,6 +284,11 @@
         elif isinstance(message, Hints):
             if self.on_hints is not None:
                 self.on_hints(message)
+        elif isinstance(message, DirectoryUpdate):
+            if self.on_directory is not None:
+                self.on_directory(message)
+        elif isinstance(message, ControlNodes):
+            self._book.add(message.addresses)
         elif isinstance(message, ExplainRequest):
             decisions = self.on_explain(message) if self.on_explain is not None else ()
             connection.send(ExplainReply(message.request, decisions))
--- a/src/finchshed/distribution/messages.py
+++ b/src/finchshed/distribution/messages.py
@@ -10,6 +10,7 @@
 
 from finchshed.common.outcomes import Answered
 from finchshed.configuration.resources import Resource, ResourceKey
+from finchshed.directory.registration import Registration
 
 Revision: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
 """Revision of the configuration; the operators' schema holds it in 64 bits."""
@@ -166,6 +167,29 @@
         return linked_seconds > hint.listed_seconds + self.lag_seconds
 
 
+class Announce(msgspec.Struct, frozen=True, tag="announce"):
+    """The daemon tells of the back end beside it; also sent now and then without a change."""
+
+    registration: Registration
+
+
+class DirectoryUpdate(msgspec.Struct, frozen=True, omit_defaults=True, tag="directory"):
+    """Registrations that are news; with ``is_whole``, all that the control node holds.
+
+    ``forgotten`` are addresses whose registrations were not confirmed for long.
+    """
+
+    registrations: tuple[Registration, ...] = ()
+    forgotten: tuple[str, ...] = ()
+    is_whole: bool = False
+
+
+class ControlNodes(msgspec.Struct, frozen=True, tag="control_nodes"):
+    """Distribution addresses of the control nodes that the sender knows of, its own included."""
+
+    addresses: tuple[str, ...]
+
+
 class ExplainRequest(msgspec.Struct, frozen=True, omit_defaults=True, tag="explain_request"):
     """An operator asks the daemon for its recent decisions; empty ``root`` asks for all."""
 
@@ -193,7 +217,14 @@
 
 
 DaemonToControl: TypeAlias = (
-    Subscribe | InForce | Fetch | LedgerBegin | LedgerCancel | LedgerComplete | ExplainReply
+    Subscribe
+    | InForce
+    | Fetch
+    | LedgerBegin
+    | LedgerCancel
+    | LedgerComplete
+    | ExplainReply
+    | Announce
 )
 ControlToDaemon: TypeAlias = (
     Delta
@@ -205,4 +236,6 @@
     | LedgerNoted
     | Hints
     | ExplainRequest
+    | DirectoryUpdate
+    | ControlNodes
 )
--- a/src/finchshed/distribution/server.py
+++ b/src/finchshed/distribution/server.py
@@ -13,6 +13,7 @@
 from finchshed.distribution.hub import Hub
 from finchshed.distribution.hub_effects import Close, HubEffect, RequestConfirmation, Send
 from finchshed.distribution.messages import (
+    Announce,
     ControlToDaemon,
     DaemonToControl,
     Delta,
@@ -63,6 +64,10 @@
         Called with each ledger request and the function that sends its answer.
     on_explanation
         Called with each daemon's answer to an :class:`ExplainRequest`.
+    on_announce
+        Called with each registration that a daemon tells.
+    on_subscribed
+        Returns what each daemon is sent once it has subscribed.
     networks
         Networks that daemons connect from; None for any.
     credentials
@@ -78,8 +83,12 @@
         networks: PeerNetworks | None = None,
         *,
         credentials: Credentials | None = None,
+        on_announce: Callable[[Announce], None] | None = None,
+        on_subscribed: Callable[[], Sequence[ControlToDaemon]] | None = None,
     ) -> None:
         self._credentials = credentials
+        self._on_announce = on_announce
+        self._on_subscribed = on_subscribed
         self._hub = hub
         self._confirm = confirm
         self._on_ledger = on_ledger
@@ -157,6 +166,9 @@
             self._hub.on_in_force(number, message.revision, self._now())
         elif isinstance(message, Fetch):
             self._perform(self._hub.on_fetch(number, message.revision, self._now()))
+        elif isinstance(message, Announce):
+            if self._on_announce is not None:
+                self._on_announce(message)
         elif isinstance(message, ExplainReply):
             if self._on_explanation is not None:
                 self._on_explanation(message)
@@ -177,6 +189,9 @@
         self._connections[self._last_number] = connection
         self._by_node[message.node] = connection
         self._perform(self._hub.subscribe(self._last_number, message, self._now()))
+        if self._on_subscribed is not None:
+            for further in self._on_subscribed():
+                connection.send(further)
 
     def _on_close(self, connection: Connection, error: Exception | None) -> None:
         for node, last in list(self._by_node.items()):
--- /dev/null
+++ b/src/finchshed/http/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP listener: connections of callers, their requests and the answers to them."""
--- a/src/finchshed/daemon/http_connection.py
+++ b/src/finchshed/http/connection.py
@@ -11,8 +11,8 @@
 import httptools
 
 from finchshed.common.outcomes import Refused
-from finchshed.daemon.http_exchange import ConnectionOwner, Exchange, RequestT
-from finchshed.daemon.http_message import (
+from finchshed.http.exchange import ConnectionOwner, Exchange, RequestT
+from finchshed.http.message import (
     CONTINUE,
     InboundRequest,
     Response,
@@ -20,9 +20,6 @@
     origin_form,
 )
 
-MAX_HEAD_BYTES = 65_536
-"""Longest request line with headers."""
-
 MAX_DISCARDED_BYTES = 1 << 20
 """A refused request's body is read and dropped up to here, so that its sender sees the answer."""
 
@@ -127,8 +124,9 @@
 
     def _check_size(self, reading: Exchange[RequestT]) -> None:
         if reading.admitted is None and reading.refusal is None:
-            if self._head_bytes > MAX_HEAD_BYTES:
-                self._end_malformed("the head of the request is too large")
+            limit = self._owner.limits.max_head_bytes
+            if self._head_bytes > limit:
+                self._end_early(self._owner.handler.head_too_large(limit))
         elif reading.size > reading.limit + MAX_DISCARDED_BYTES:
             self._queue_unread(reading)
 
@@ -274,10 +272,13 @@
         self._queued.append(exchange)
 
     def _end_malformed(self, detail: str) -> None:
+        self._end_early(self._owner.handler.malformed(detail))
+
+    def _end_early(self, response: Response) -> None:
+        """Answer what can't be read on from here, and end the connection."""
         if self._transport is None:
             return
         if self._answering is None:
-            response = self._owner.handler.malformed(detail)
             self._transport.write(encode_response(response, is_head=False, closes=True))
         self._end_sending(is_lingering=True)
 
--- a/src/finchshed/daemon/http_exchange.py
+++ b/src/finchshed/http/exchange.py
@@ -5,11 +5,12 @@
 from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
 from finchshed.common.outcomes import Refused
-from finchshed.daemon.http_message import InboundRequest, Response
-from finchshed.daemon.spool import SpoolBudget
+from finchshed.http.limits import ConnectionLimits
+from finchshed.http.message import InboundRequest, Response
+from finchshed.http.spool import SpoolBudget
 
 if TYPE_CHECKING:
-    from finchshed.daemon.http_connection import InboundConnection
+    from finchshed.http.connection import InboundConnection
 
 RequestT = TypeVar("RequestT")
 
@@ -46,12 +47,16 @@
     def malformed(self, detail: str) -> Response:
         """Return the response to bytes that are no request."""
 
+    def head_too_large(self, limit: int) -> Response:
+        """Return the response to a head longer than ``limit`` bytes."""
+
 
 class ConnectionOwner(Protocol[RequestT]):
     """The listener a connection belongs to."""
 
     handler: RequestHandler[RequestT]
     spool: SpoolBudget
+    limits: ConnectionLimits
     now: float
     closing: bool
 
--- a/src/finchshed/daemon/http_server.py
+++ b/src/finchshed/http/server.py
@@ -7,22 +7,14 @@
 import time
 from typing import Generic, TypeVar
 
-from finchshed.daemon.http_connection import InboundConnection
-from finchshed.daemon.http_exchange import RequestHandler
-from finchshed.daemon.spool import SpoolBudget
-
-KEEP_ALIVE_SECONDS = 75.0
-"""A connection without a request for this long is closed."""
-
-READ_SECONDS = 30.0
-"""A request of which nothing has come in for this long is given up."""
+from finchshed.http.connection import InboundConnection
+from finchshed.http.exchange import RequestHandler
+from finchshed.http.limits import ConnectionLimits
+from finchshed.http.spool import SpoolBudget
 
 LINGER_SECONDS = 2.0
 """A caller whose request was refused early has this long to close the connection itself."""
 
-WRITE_SECONDS = 60.0
-"""An answer of which nothing was taken for this long is given up."""
-
 RequestT = TypeVar("RequestT")
 
 
@@ -35,6 +27,8 @@
         Answers requests.
     spool
         Bounds the bodies held.
+    limits
+        Bounds of each connection.
 
     Attributes
     ----------
@@ -44,9 +38,15 @@
         Monotonic seconds at the last look at the connections.
     """
 
-    def __init__(self, handler: RequestHandler[RequestT], spool: SpoolBudget) -> None:
+    def __init__(
+        self,
+        handler: RequestHandler[RequestT],
+        spool: SpoolBudget,
+        limits: ConnectionLimits | None = None,
+    ) -> None:
         self.handler = handler
         self.spool = spool
+        self.limits = limits or ConnectionLimits()
         self.now = time.monotonic()
         self.closing = False
         self._connections: set[InboundConnection[RequestT]] = set()
@@ -91,7 +91,7 @@
             connection.active_at = self.now
         idle = self.now - connection.active_at
         if unsent:
-            if idle > WRITE_SECONDS:
+            if idle > self.limits.write_seconds:
                 connection.abort()
         elif connection.is_answering:
             connection.active_at = self.now
@@ -101,4 +101,5 @@
     def _longest_idle(self, connection: InboundConnection[RequestT]) -> float:
         if connection.is_lingering:
             return LINGER_SECONDS
-        return READ_SECONDS if connection.is_busy else KEEP_ALIVE_SECONDS
+        limits = self.limits
+        return limits.read_seconds if connection.is_busy else limits.idle_seconds
--- a/src/finchshed/link/messages.py
+++ b/src/finchshed/link/messages.py
@@ -57,7 +57,11 @@
 
 
 class Call(msgspec.Struct, frozen=True, omit_defaults=True, tag="call"):
-    """A request. ``digest`` is xxh3-64 of the body, hexadecimal."""
+    """A request. ``digest`` is xxh3-64 of the body, hexadecimal.
+
+    ``route`` names the route by host that the calling daemon took it under; empty: it falls under a
+    route of its service. ``repeatable`` counts for requests with a ``route``.
+    """
 
     epoch: str
     call: RequestNumber
@@ -69,6 +73,8 @@
     digest: str
     context: CallContext
     revision: Revision = 0
+    route: str = ""
+    repeatable: bool = True
 
 
 class Reply(msgspec.Struct, frozen=True, omit_defaults=True, tag="reply"):
--- a/src/finchshed/link/peer.py
+++ b/src/finchshed/link/peer.py
@@ -118,6 +118,8 @@
         context: CallContext,
         revision: int,
         on_reply: ReplyCallback,
+        route: str = "",
+        repeatable: bool = True,
     ) -> tuple[SendResult, int]:
         """Send a call; return the result and the call's identity.
 
@@ -141,6 +143,8 @@
             digest=digest_of(body),
             context=context,
             revision=revision,
+            route=route,
+            repeatable=repeatable,
         )
         self._pending[identity] = on_reply
         lines.send(message)
--- a/src/finchshed/observability/admin.py
+++ b/src/finchshed/observability/admin.py
@@ -15,19 +15,13 @@
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
 from finchshed.observability import ring
+from finchshed.observability.health import Health
 from finchshed.observability.process_metrics import RING_RECORDS
 
 Handler: TypeAlias = Callable[[Mapping[str, str]], Awaitable[msgspec.Struct]]
 """Answers a GET with a struct, from the query's parameters."""
 
 
-class Health(msgspec.Struct, frozen=True):
-    """Answer of /healthz. ``detail`` says what an unhealthy process waits for."""
-
-    healthy: bool
-    detail: str = ""
-
-
 class RingDumped(msgspec.Struct, frozen=True):
     """Answer of POST /ring. ``path`` is empty where the ring went to standard error."""
 
--- a/src/finchshed/observability/process_checks.py
+++ b/src/finchshed/observability/process_checks.py
@@ -6,7 +6,10 @@
 from finchshed.common.errors import InvariantError
 
 IO_URING_MARK = "io_uring"
-SHARED_MEMORY_FOLDER = "/dev/shm/"
+MEMORY_FILESYSTEM = "tmpfs"
+DEVICE_FOLDER = "/dev/"
+"""Where Linux mounts the filesystem that holds POSIX shared memory, under whatever name."""
+
 SYSV_MARK = "/SYSV"
 MEMFD_MARK = "/memfd:"
 ANONYMOUS_SHARED_MARK = "/dev/zero"
@@ -22,7 +25,7 @@
 
 def shared_memory_segments(process: int | str = "self") -> list[str]:
     """Return the shared-memory segments that a process has mapped or holds open."""
-    marks = (SHARED_MEMORY_FOLDER, SYSV_MARK, MEMFD_MARK, ANONYMOUS_SHARED_MARK)
+    marks = (*_memory_folders(process), SYSV_MARK, MEMFD_MARK, ANONYMOUS_SHARED_MARK)
     maps = (_PROC / str(process) / "maps").read_text(encoding="utf-8", errors="replace")
     names = {line.split(maxsplit=5)[5] for line in maps.splitlines() if len(line.split()) > 5}
     names.update(_descriptor_targets(process))
@@ -58,6 +61,18 @@
         raise InvariantError(f"the event loop opened an io_uring: {', '.join(found)}")
 
 
+def _memory_folders(process: int | str) -> list[str]:
+    """Return the folders under ``/dev`` that live in memory, as the process sees them mounted."""
+    folders = []
+    text = (_PROC / str(process) / "mountinfo").read_text(encoding="utf-8", errors="replace")
+    for line in text.splitlines():
+        mounted, _, kind = line.partition(" - ")
+        folder = mounted.split()[4]
+        if kind.split()[0] == MEMORY_FILESYSTEM and folder.startswith(DEVICE_FOLDER):
+            folders.append(f"{folder}/")
+    return folders
+
+
 def _segments_made_by(process: int | str) -> list[str]:
     """Return the System V segments that a process created, attached or not."""
     number = os.getpid() if process == "self" else int(process)
--- a/src/finchshed/routing/endpoint.py
+++ b/src/finchshed/routing/endpoint.py
@@ -14,9 +14,6 @@
 FAILURE_PENALTY_SECONDS = 1.0
 """A fast failure weighs like a call in flight, fading with this time constant."""
 
-SLOW_START_SECONDS = 10.0
-"""Time over which a new back end's weight grows to 1."""
-
 SLOW_START_WEIGHT = 0.1
 """Weight a new back end starts with."""
 
@@ -121,10 +118,11 @@
         if self._cold_since is None:
             return 1.0
         age = now - self._cold_since
-        if age >= SLOW_START_SECONDS:
+        warm_up = self.endpoint.warm_up_seconds
+        if age >= warm_up:
             self._cold_since = None
             return 1.0
-        return SLOW_START_WEIGHT + (1.0 - SLOW_START_WEIGHT) * age / SLOW_START_SECONDS
+        return SLOW_START_WEIGHT + (1.0 - SLOW_START_WEIGHT) * age / warm_up
 
     def floor(self, route: str, now: float) -> PathThreshold:
         """Return the threshold that requests of a route meet here or further down."""
--- a/src/finchshed/rpc/conversion.py
+++ b/src/finchshed/rpc/conversion.py
@@ -2,12 +2,17 @@
 
 from collections.abc import Iterable
 
+import msgspec
+
 from finchshed.common.importance import Importance
 from finchshed.configuration.changes import Accepted, ChangeResult, Conflict, Invalid
 from finchshed.configuration.fields import convert_table
 from finchshed.configuration.resources import (
+    Destination,
     Endpoint,
     EndpointState,
+    HostRoute,
+    IngressLimits,
     Operator,
     Policy,
     Resource,
@@ -22,6 +27,8 @@
     EndpointState.ACTIVE: pb.ENDPOINT_STATE_ACTIVE,
     EndpointState.LEAVING: pb.ENDPOINT_STATE_LEAVING,
 }
+LIMITS_FIELDS = IngressLimits.__struct_fields__
+ALLOWED_KINDS = "service, host_route, ingress_limits, endpoint, policy, operator"
 STATES_BACK = {number: state for state, number in STATES.items()}
 
 
@@ -39,6 +46,7 @@
                 address=resource.address,
                 slots=resource.slots,
                 state=STATES[resource.state],
+                warm_up_seconds=resource.warm_up_seconds,
             )
         )
     if isinstance(resource, Policy):
@@ -51,6 +59,11 @@
                 ledger_shards=[pb.LedgerShard(addresses=it) for it in resource.ledger_shards],
             )
         )
+    if isinstance(resource, HostRoute):
+        return pb.Resource(host_route=_host_route_to_message(resource))
+    if isinstance(resource, IngressLimits):
+        fields = msgspec.structs.asdict(resource)
+        return pb.Resource(ingress_limits=pb.IngressLimits(**fields))
     operator = pb.Operator(name=resource.name, token_sha256=resource.token_sha256)
     return pb.Resource(operator=operator)
 
@@ -64,10 +77,15 @@
         return _endpoint_from_message(message.endpoint, problems)
     if kind == "policy":
         return _policy_from_message(message.policy, problems)
+    if kind == "host_route":
+        return _host_route_from_message(message.host_route, problems)
+    if kind == "ingress_limits":
+        table = {name: getattr(message.ingress_limits, name) for name in LIMITS_FIELDS}
+        return convert_table(table, IngressLimits, "ingress_limits", problems)
     if kind == "operator":
         table = {"name": message.operator.name, "token_sha256": message.operator.token_sha256}
         return convert_table(table, Operator, f"operator {message.operator.name}", problems)
-    problems.append("resource: no kind given, allowed are: service, endpoint, policy, operator")
+    problems.append(f"resource: no kind given, allowed are: {ALLOWED_KINDS}")
     return None
 
 
@@ -142,6 +160,8 @@
         max_body_bytes=service.max_body_bytes,
         max_sessions=service.max_sessions,
         session_idle_seconds=service.session_idle_seconds,
+        health_path=service.health_path,
+        max_connections=service.max_connections,
     )
 
 
@@ -165,10 +185,53 @@
         "max_body_bytes": message.max_body_bytes,
         "max_sessions": message.max_sessions,
         "session_idle_seconds": message.session_idle_seconds,
+        "max_connections": message.max_connections,
     }
+    if message.health_path:
+        table["health_path"] = message.health_path
     return convert_table(table, Service, where, problems)
 
 
+def _host_route_to_message(route: HostRoute) -> pb.HostRoute:
+    return pb.HostRoute(
+        name=route.name,
+        host=route.host,
+        prefix=route.prefix,
+        destinations=[
+            pb.Destination(service=destination.service, weight=destination.weight)
+            for destination in route.destinations
+        ],
+        importance=int(route.importance),
+        repeatable=route.repeatable,
+        timeout_seconds=route.timeout_seconds,
+        target_seconds=route.target_seconds,
+        max_attempts=route.max_attempts,
+    )
+
+
+def _host_route_from_message(message: pb.HostRoute, problems: list[str]) -> HostRoute | None:
+    where = f"host_route {message.name}"
+    destinations = []
+    for position, destination in enumerate(message.destinations, start=1):
+        table = {"service": destination.service, "weight": destination.weight}
+        part = f"{where}: destination {position}"
+        converted = convert_table(table, Destination, part, problems)
+        if converted is not None:
+            destinations.append(converted)
+    table = {
+        "name": message.name,
+        "host": message.host,
+        "prefix": message.prefix,
+        "destinations": tuple(destinations),
+        "importance": _importance(message.importance, where, problems),
+        "repeatable": message.repeatable,
+        "timeout_seconds": message.timeout_seconds,
+        "target_seconds": message.target_seconds,
+        "max_attempts": message.max_attempts,
+    }
+    return convert_table(table, HostRoute, where, problems)
+
+
 def _importance(number: int, where: str, problems: list[str]) -> Importance:
     try:
         return Importance(number)
@@ -192,6 +255,8 @@
         "slots": message.slots,
         "state": STATES_BACK.get(message.state, EndpointState.ACTIVE),
     }
+    if message.HasField("warm_up_seconds"):
+        table["warm_up_seconds"] = message.warm_up_seconds
     return convert_table(table, Endpoint, where, problems)
 
 
--- a/src/finchshed/runtime/process.py
+++ b/src/finchshed/runtime/process.py
@@ -20,6 +20,7 @@
 """Signals that ask for a planned stop; a second one stops without waiting."""
 
 DUMP_SIGNAL = signal.SIGUSR1
+RELOAD_SIGNAL = signal.SIGHUP
 
 ADDRESS_ERRORS = frozenset({errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EACCES})
 """Errors of an address in the settings that the machine doesn't give; no fault of the program."""
@@ -32,14 +33,21 @@
     ----------
     stop_requested
         Set once on the first stop signal: begin the planned stop and return when it is done.
+    on_reload
+        Called when the settings file is said to have changed (SIGHUP).
     faults
         Reports a broken invariant found outside of a loop callback.
     """
 
     def __init__(self, faults: FaultMonitor) -> None:
         self.stop_requested = asyncio.Event()
+        self.on_reload: Callable[[], None] = _no_reload
         self.faults = faults
 
+    def reload(self) -> None:
+        """Tell the program that its settings file is said to have changed."""
+        self.on_reload()
+
     def request_stop(self) -> None:
         """Ask for a planned stop."""
         process_metrics.STOPPING.set(1)
@@ -129,9 +137,14 @@
 
     for stop_signal in STOP_SIGNALS:
         loop.add_signal_handler(stop_signal, on_stop_signal)
+    loop.add_signal_handler(RELOAD_SIGNAL, control.reload)
     loop.add_signal_handler(DUMP_SIGNAL, lambda: ring.dump("asked for by signal"))
 
 
+def _no_reload() -> None:
+    logger.info("told to read the settings again; this program reads them at its start only")
+
+
 def _close(loop: asyncio.AbstractEventLoop) -> None:
     tasks = asyncio.all_tasks(loop)
     for task in tasks:
--- a/src/finchshed/tls/files.py
+++ b/src/finchshed/tls/files.py
@@ -5,10 +5,12 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated, TypeAlias
+from typing import TYPE_CHECKING, Annotated, TypeAlias
 
 import msgspec
-from cryptography import x509
+
+if TYPE_CHECKING:
+    from cryptography import x509
 
 CertificateFile: TypeAlias = Annotated[
     str,
@@ -74,8 +76,11 @@
     return _content_problems(files)
 
 
-def read_certificates(path: str) -> list[x509.Certificate]:
+def read_certificates(path: str) -> "list[x509.Certificate]":
     """Return the certificates of a PEM file; ValueError or OSError where it holds none."""
+    # Not at the import: a process in plain text needn't hold the library in memory.
+    from cryptography import x509
+
     return x509.load_pem_x509_certificates(Path(path).read_bytes())
 
 
@@ -117,7 +122,7 @@
     return {}
 
 
-def _time_problem(certificates: list[x509.Certificate]) -> str:
+def _time_problem(certificates: "list[x509.Certificate]") -> str:
     now = datetime.datetime.now(datetime.UTC)
     for certificate in certificates:
         if certificate.not_valid_after_utc <= now:
--- a/tests/daemon/test_http_listener.py
+++ b/tests/daemon/test_http_listener.py
@@ -8,10 +8,11 @@
 import pytest
 
 from finchshed.common.outcomes import RefusalReason, Refused
-from finchshed.daemon import http_connection, http_server
-from finchshed.daemon.http_message import InboundRequest, Response
-from finchshed.daemon.http_server import HttpServer
-from finchshed.daemon.spool import SpoolBudget
+from finchshed.http import connection as http_connection
+from finchshed.http.limits import ConnectionLimits
+from finchshed.http.message import InboundRequest, Response
+from finchshed.http.server import HttpServer
+from finchshed.http.spool import SpoolBudget
 from tests.daemon.deployment import eventually
 
 LIMIT = 1000
@@ -56,6 +57,9 @@
     def spool_full(self) -> Refused:
         return Refused(RefusalReason.QUEUE_FULL, 0.0)
 
+    def head_too_large(self, limit: int) -> Response:
+        return Response(431, (), b"head too large")
+
     def malformed(self, detail: str) -> Response:
         return Response(400, (), b"malformed")
 
@@ -213,7 +217,6 @@
         b"nonsense\r\n\r\n",
         b"GET / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
         b"GET / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n",
-        b"GET / HTTP/1.1\r\nX: " + b"a" * (http_connection.MAX_HEAD_BYTES + 10),
     ],
 )
 async def test_bytes_that_are_no_request_end_the_connection(sent: bytes) -> None:
@@ -267,13 +270,21 @@
         assert await to.ended()
 
 
-async def test_idle_and_stuck_connections_are_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+async def test_a_head_past_its_limit_ends_the_connection() -> None:
+    async with listener() as to:
+        sent = b"GET / HTTP/1.1\r\nX: " + b"a" * (ConnectionLimits().max_head_bytes + 10)
+        assert await to.exchange(sent) == [(431, b"head too large")]
+        assert await to.ended()
+        assert to.handler.handled == []
+
+
+async def test_idle_and_stuck_connections_are_closed() -> None:
     async with listener() as to:
         to.writer.write(b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Le")
         await asyncio.sleep(0.05)
         to.server.sweep()
         assert to.server.connections == 1
-        monkeypatch.setattr(http_server, "READ_SECONDS", -1.0)
+        to.server.limits.read_seconds = -1.0
         to.server.sweep()
         assert await to.ended()
         assert to.handler.handled == []
--- a/tests/observability/test_admin.py
+++ b/tests/observability/test_admin.py
@@ -7,7 +7,8 @@
 from loguru import logger
 
 from finchshed.observability import process_metrics, ring
-from finchshed.observability.admin import AdminServer, Health
+from finchshed.observability.admin import AdminServer
+from finchshed.observability.health import Health
 
 
 class Answer(msgspec.Struct):
--- a/tests/observability/test_metrics_page.py
+++ b/tests/observability/test_metrics_page.py
@@ -16,9 +16,11 @@
 COMMON_SECTION = "Every process"
 
 NAMES_OF_PROGRAM = """
-import importlib, sys
+import importlib, pkgutil, sys
 from prometheus_client import generate_latest
-importlib.import_module(f"finchshed.{sys.argv[1]}.program")
+package = importlib.import_module(f"finchshed.{sys.argv[1]}")
+for module in pkgutil.iter_modules(package.__path__, f"{package.__name__}."):
+    importlib.import_module(module.name)
 for line in generate_latest().decode().splitlines():
     if line.startswith("# TYPE ") and "_created " not in line:
         print(line.split()[2])
--- a/tests/routing/test_table.py
+++ b/tests/routing/test_table.py
@@ -9,9 +9,9 @@
 from finchshed.common.importance import Importance
 from finchshed.common.outcomes import RefusalReason, Refused
 from finchshed.common.results import CallResult
-from finchshed.configuration.resources import Endpoint, EndpointState
+from finchshed.configuration.resources import WARM_UP_SECONDS, Endpoint, EndpointState
 from finchshed.link.messages import LoadReport
-from finchshed.routing.endpoint import LATENCY_MEMORY_SECONDS, SLOW_START_SECONDS, LeavingSign
+from finchshed.routing.endpoint import LATENCY_MEMORY_SECONDS, LeavingSign
 from finchshed.routing.table import EJECT_AFTER_FAILURES, LINK_RETRY_MAX_SECONDS, RoutingTable
 
 CONTEXT = CallContext("root", Importance.NORMAL, 1.0)
@@ -131,7 +131,7 @@
         cold[name] += 1
     assert cold["e4"] <= 10
     warm(table, ["e4"], 1.0)
-    assert choices(table, 1.0 + SLOW_START_SECONDS)["e4"]
+    assert choices(table, 1.0 + WARM_UP_SECONDS)["e4"]
 
 
 def test_endpoint_that_reports_no_load_and_fails_fast_gets_no_flood() -> None:
--- a/tests/rpc/test_conversion.py
+++ b/tests/rpc/test_conversion.py
@@ -6,8 +6,11 @@
 from finchshed.common.importance import Importance
 from finchshed.configuration.changes import Accepted, ChangeResult, Conflict, Invalid
 from finchshed.configuration.resources import (
+    Destination,
     Endpoint,
     EndpointState,
+    HostRoute,
+    IngressLimits,
     Operator,
     Policy,
     Resource,
@@ -31,7 +34,21 @@
         max_body_bytes=77,
         max_sessions=3,
         session_idle_seconds=9.0,
+        health_path="/up",
+        max_connections=12,
     ),
+    HostRoute(
+        name="sales.example/buy/",
+        host="sales.example",
+        prefix="/buy/",
+        destinations=(Destination("sales", 9.0), Destination("sales-new", 0.0)),
+        importance=Importance.CRITICAL,
+        repeatable=False,
+        timeout_seconds=0.8,
+        target_seconds=0.3,
+        max_attempts=3,
+    ),
+    IngressLimits(max_head_bytes=4096, max_body_bytes=0, head_seconds=3.0, idle_seconds=15.0),
     Endpoint(
         name="sales-1",
         service="sales",
@@ -40,6 +57,7 @@
         address="10.0.0.1:7000",
         slots=8,
         state=EndpointState.LEAVING,
+        warm_up_seconds=0.0,
     ),
     Policy(retry_budget=0, retry_ratio=0.0, key_window_seconds=5.0),
     Operator(name="ana", token_sha256="a" * 64),
