--- a/src/finchshed/common/outcomes.py
+++ b/src/finchshed/common/outcomes.py
@@ -63,12 +63,18 @@
     ABORTED = "aborted"
 
 
-class Answered(msgspec.Struct, frozen=True, tag="answered"):
-    """The back end's whole answer."""
+class Answered(msgspec.Struct, frozen=True, omit_defaults=True, tag="answered"):
+    """The back end's answer.
+
+    ``has_length`` tells that its framing showed it to be whole. One that lacked a length ended with
+    its connection: nobody can tell whether that was its end, so it is handed on as it came, without
+    a length.
+    """
 
     status: int
     headers: Headers
     body: bytes
+    has_length: bool = True
 
 
 class Refused(msgspec.Struct, frozen=True, tag="refused"):
--- a/src/finchshed/daemon/backend.py
+++ b/src/finchshed/daemon/backend.py
@@ -15,7 +15,7 @@
 class BackendAnswer(msgspec.Struct, frozen=True):
     """A whole answer. ``ran`` is False where the back end says that it refused before running.
 
-    ``headers`` are those passed on; ``draining`` tells that the back end announced its leaving.
+    ``has_length`` is False where it lacked a length and ended with its connection. ``headers`` are those passed on; ``draining`` tells that the back end announced its leaving.
     """
 
     status: int
@@ -23,6 +23,7 @@
     body: bytes
     ran: bool
     draining: bool
+    has_length: bool = True
 
 
 class BackendUnreached(msgspec.Struct, frozen=True):
--- a/src/finchshed/daemon/backend_call.py
+++ b/src/finchshed/daemon/backend_call.py
@@ -59,7 +59,7 @@
     """Return the outcome that a result means; ``wait`` is when to come back, seconds."""
     if isinstance(result, BackendAnswer):
         if result.ran:
-            return Answered(result.status, result.headers, result.body)
+            return Answered(result.status, result.headers, result.body, result.has_length)
         return Refused(RefusalReason.BACKEND_REFUSED, wait)
     if isinstance(result, BackendUnreached):
         return Refused(RefusalReason.CONNECT_FAILED, wait, result.detail)
--- a/src/finchshed/daemon/backend_connection.py
+++ b/src/finchshed/daemon/backend_connection.py
@@ -12,6 +12,7 @@
 from typing import cast
 
 import httptools
+import msgspec
 
 from finchshed.daemon.backend import (
     BackendAnswer,
@@ -216,6 +217,8 @@
         answer = self._reader.read(self._request, self._status, self._raw_headers, body)
         if isinstance(answer, BackendBroken):
             self._is_in_doubt = True
+        elif self._ends_with_connection:
+            return msgspec.structs.replace(answer, has_length=False)
         return answer
 
     def _note_keep_alive(self) -> None:
--- a/src/finchshed/daemon/host_front.py
+++ b/src/finchshed/daemon/host_front.py
@@ -194,7 +194,7 @@
 
     def _response_of(self, outcome: Outcome) -> Response:
         if isinstance(outcome, Answered):
-            return Response(outcome.status, outcome.headers, outcome.body)
+            return Response(outcome.status, outcome.headers, outcome.body, outcome.has_length)
         text = f"{outcome.reason}: {outcome.detail}" if outcome.detail else str(outcome.reason)
         if isinstance(outcome, Refused):
             status = _REFUSAL_STATUS.get(outcome.reason, STATUS_SERVICE_UNAVAILABLE)
--- a/src/finchshed/daemon/responses.py
+++ b/src/finchshed/daemon/responses.py
@@ -58,7 +58,7 @@
 def response_of(outcome: Outcome) -> Response:
     """Return the HTTP response that tells ``outcome``."""
     if isinstance(outcome, Answered):
-        return Response(outcome.status, outcome.headers, outcome.body)
+        return Response(outcome.status, outcome.headers, outcome.body, outcome.has_length)
     if isinstance(outcome, Refused):
         status = _REFUSAL_STATUS.get(outcome.reason, STATUS_SERVICE_UNAVAILABLE)
         return _without_answer("refused", outcome, status, RAN_NO)
--- a/src/finchshed/http/connection.py
+++ b/src/finchshed/http/connection.py
@@ -230,7 +230,7 @@
         self._answering = None
         exchange.give_up = None
         self._release(exchange)
-        closes = exchange.closes or self._owner.closing
+        closes = exchange.closes or self._owner.closing or not response.has_length
         is_head = exchange.request.method == "HEAD"
         self._transport.write(encode_response(response, is_head=is_head, closes=closes))
         if closes:
--- a/src/finchshed/http/message.py
+++ b/src/finchshed/http/message.py
@@ -49,11 +49,12 @@
 
 
 class Response(msgspec.Struct, frozen=True):
-    """A response to a caller, whole."""
+    """A response to a caller. Without a length its end is told by that of the connection."""
 
     status: int
     headers: Headers
     body: bytes
+    has_length: bool = True
 
 
 def origin_form(target: bytes) -> str:
@@ -82,7 +83,7 @@
     lines = [f"HTTP/1.1 {status} {_PHRASES.get(status, 'Unknown')}"]
     lines += [f"{name}: {value}" for name, value in response.headers]
     has_body = not is_head and status not in {STATUS_NO_CONTENT, STATUS_NOT_MODIFIED}
-    if has_body:
+    if has_body and response.has_length:
         lines.append(f"content-length: {len(response.body)}")
     if closes:
         lines.append("connection: close")
