Calls are tied to their requests and never shed; admission by the demand of each class

Ruled out: higher queue bounds (the calls then end at their deadline); thresholds that follow the queue (0.3 s and more lie between admission and arrival, so they swing). The change: what a call is made for is known by its identity, which extends that of the request the back end serves; a call inherits class and place, is never shed by a threshold, goes before new requests of its class; a server error after a call that failed isn't the back end's fault; the gate estimates what each class would ask for if all were admitted and cuts where the slots are full. Thresholds count in full for 0.3 s (0.1 before) and end at 1 s: they travel over four hops.

--- a/src/finchshed/admission/gate.py
+++ b/src/finchshed/admission/gate.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from finchshed.admission.demand import DemandThreshold
 from finchshed.admission.effects import GateEffect, Refuse, Start
 from finchshed.admission.paths import NO_PATHS, PathThreshold
 from finchshed.admission.rank import is_in_session, rank_of
@@ -46,6 +47,7 @@
 
 class _Running(msgspec.Struct, gc=False):
     started: float
+    rank: int
 
 
 class Gate:
@@ -59,13 +61,19 @@
         Spreads the times at which refused callers are told to come back.
     now
         Time of creation, seconds.
+    by_demand
+        Whether the threshold follows the estimated demand of each class in place of the queue.
     """
 
-    def __init__(self, slots: int, rng: random.Random, now: float) -> None:
+    def __init__(
+        self, slots: int, rng: random.Random, now: float, *, by_demand: bool = False
+    ) -> None:
         self._slots = slots
         self._rng = rng
         self._concurrency = ConcurrencyLimit(slots)
-        self._threshold = AdmissionThreshold(now)
+        self._threshold: AdmissionThreshold | DemandThreshold = (
+            DemandThreshold(now) if by_demand else AdmissionThreshold(now)
+        )
         self._queue: list[tuple[int, int, _Waiting]] = []
         self._waiting: dict[int, _Waiting] = {}
         self._running: dict[int, _Running] = {}
@@ -101,13 +109,13 @@
         if self.draining:
             return [self._refusal(token, RefusalReason.DRAINING)]
         rank = rank_of(context)
-        if rank < floor and not context.session:
+        if rank < floor and not context.is_admitted:
             return [self._refusal(token, RefusalReason.OVERLOAD)]
         self._threshold.on_arrival(rank)
         if not self._queue and len(self._running) < self._concurrency.limit:
-            self._begin(token, now)
+            self._begin(token, rank, now)
             return [Start(token)]
-        if rank < self._threshold.value and not context.session:
+        if rank < self._threshold.value and not context.is_admitted:
             # A running session was admitted as a whole; its requests wait by their rank.
             return [self._refusal(token, RefusalReason.OVERLOAD)]
         return self._enqueue(token, rank, now + context.remaining_seconds, now)
@@ -116,7 +124,10 @@
         """Take the end of a started request."""
         running = self._running.pop(token, None)
         if running is not None:
-            self._concurrency.on_result(result, now - running.started, now)
+            seconds = now - running.started
+            self._concurrency.on_result(result, seconds, now)
+            if isinstance(self._threshold, DemandThreshold) and result is not CallResult.REFUSED:
+                self._threshold.on_finish(running.rank, seconds)
         return self._fill(now)
 
     def cancel(self, token: int, now: float) -> list[GateEffect]:
@@ -151,9 +162,9 @@
             paths=paths,
         )
 
-    def _begin(self, token: int, now: float) -> None:
+    def _begin(self, token: int, rank: int, now: float) -> None:
         self._refused_share -= OVERLOAD_WEIGHT * self._refused_share
-        self._running[token] = _Running(now)
+        self._running[token] = _Running(now, rank)
 
     def _enqueue(self, token: int, rank: int, deadline: float, now: float) -> list[GateEffect]:
         self._order += 1
@@ -197,7 +208,7 @@
             if now + self._concurrency.mean_latency > waiting.deadline:
                 effects.append(self._refusal(waiting.token, RefusalReason.DEADLINE))
                 continue
-            self._begin(waiting.token, now)
+            self._begin(waiting.token, waiting.rank, now)
             effects.append(Start(waiting.token))
         self._threshold.on_queue(len(queue))
         return effects
@@ -249,6 +260,15 @@
         per_finish = self._seconds_per_finish()
         if per_finish <= 0.0:
             return
+        if isinstance(self._threshold, DemandThreshold):
+            self._threshold.step(
+                now,
+                running=len(self._running),
+                queued=len(self._queue),
+                limit=self._concurrency.limit,
+                mean_seconds=self._concurrency.mean_latency,
+            )
+            return
         target_delay = max(MIN_TARGET_DELAY_SECONDS, self._concurrency.mean_latency / 2)
         self._threshold.update(now, len(self._queue), 1.0 / per_finish, target_delay / per_finish)
 
--- a/src/finchshed/admission/paths.py
+++ b/src/finchshed/admission/paths.py
@@ -28,10 +28,10 @@
 MILLISECONDS = 1000.0
 
 
-HOLD_SECONDS = 0.1
+HOLD_SECONDS = 0.3
 """A threshold counts in full while the report it comes from is no older than this."""
 
-VALIDITY_SECONDS = 0.5
+VALIDITY_SECONDS = 1.0
 """After :data:`HOLD_SECONDS` a threshold fades evenly, to nothing at this age."""
 
 
--- a/src/finchshed/admission/rank.py
+++ b/src/finchshed/admission/rank.py
@@ -35,7 +35,7 @@
     if position < 0:
         position = position_of(context.root)
     rank = (context.importance << _IMPORTANCE_SHIFT) | position
-    return rank | _SESSION_BIT if context.session else rank
+    return rank | _SESSION_BIT if context.is_admitted else rank
 
 
 def is_in_session(rank: int) -> bool:
--- a/src/finchshed/common/context.py
+++ b/src/finchshed/common/context.py
@@ -76,6 +76,8 @@
     position
         Position of the root request within its class, set where it enters so that callers of one
         class get fair shares (see :mod:`finchshed.admission.fairness`); -1 if not set.
+    is_call
+        Whether it is a call made for a request that was admitted as a whole.
     """
 
     root: str
@@ -87,6 +89,12 @@
     session: str = ""
     key: str = ""
     position: int = -1
+    is_call: bool = False
+
+    @property
+    def is_admitted(self) -> bool:
+        """Whether it belongs to something admitted as a whole: it waits, and isn't shed."""
+        return self.is_call or bool(self.session)
 
     def for_attempt(self, remaining_seconds: float, spare_attempts: int) -> "CallContext":
         """Return the context as one attempt carries it to the next hop."""
@@ -100,4 +108,5 @@
             self.session,
             self.key,
             self.position,
+            self.is_call,
         )
--- a/src/finchshed/daemon/accounts.py
+++ b/src/finchshed/daemon/accounts.py
@@ -15,11 +15,15 @@
 
 
 class ServedRequest(msgspec.Struct, frozen=True):
-    """One request the back end is serving. ``deadline`` is in monotonic seconds."""
+    """One request the back end is serving. ``deadline`` is in monotonic seconds.
+
+    ``identity`` is that of a request taken by host, as its caller gave it.
+    """
 
     account: str
     context: CallContext
     deadline: float
+    identity: str = ""
 
 
 class ServedRequests:
@@ -28,18 +32,21 @@
     def __init__(self) -> None:
         self._accounts = RetryAccounts()
         self._served: dict[str, ServedRequest] = {}
+        self._by_identity: dict[str, ServedRequest] = {}
         self._prefix = secrets.token_hex(_PREFIX_BYTES)
         self._next = 0
 
     def __len__(self) -> int:
         return len(self._served)
 
-    def open(self, context: CallContext, deadline: float) -> ServedRequest:
+    def open(self, context: CallContext, deadline: float, identity: str = "") -> ServedRequest:
         """Open an account with the spare attempts that ``context`` brings."""
         self._next += 1
         account = f"{self._prefix}-{self._next}"
-        served = ServedRequest(account, context, deadline)
+        served = ServedRequest(account, context, deadline, identity)
         self._served[account] = served
+        if identity:
+            self._by_identity[identity] = served
         self._accounts.open(account, context.spare_attempts)
         return served
 
@@ -47,6 +54,14 @@
         """Return the request of an account, if it is still being served."""
         return self._served.get(account)
 
+    def get_by_identity(self, identity: str) -> ServedRequest | None:
+        """Return the request that its caller gave this identity, if it is being served."""
+        return self._by_identity.get(identity)
+
+    def has_failed_call(self, account: str) -> bool:
+        """Return whether a call made for the request was not answered."""
+        return self._accounts.has_failed_call(account)
+
     def lend(self, account: str) -> int:
         """Lend spare attempts to one call of the request."""
         return self._accounts.lend(account)
@@ -65,5 +80,7 @@
 
     def close(self, account: str) -> int:
         """End the request; return the spare attempts that are left."""
-        self._served.pop(account, None)
+        served = self._served.pop(account, None)
+        if served is not None and self._by_identity.get(served.identity) is served:
+            del self._by_identity[served.identity]
         return self._accounts.close(account)
--- a/src/finchshed/daemon/backend.py
+++ b/src/finchshed/daemon/backend.py
@@ -15,7 +15,8 @@
 class BackendAnswer(msgspec.Struct, frozen=True):
     """A whole answer. ``ran`` is False where the back end says that it refused before running.
 
-    ``has_length`` is False where it lacked a length and ended with its connection. ``headers`` are those passed on; ``draining`` tells that the back end announced its leaving.
+    ``headers`` are those passed on; ``draining`` tells that the back end announced its leaving.
+    ``has_length`` is False where it lacked a length and ended with its connection.
     """
 
     status: int
--- a/src/finchshed/daemon/backend_call.py
+++ b/src/finchshed/daemon/backend_call.py
@@ -1,9 +1,12 @@
 """What the daemon tells the back end with a call, and what the back end's result means."""
 
+import msgspec
+
 from finchshed.common.context import (
     HEADER_ACCOUNT,
     HEADER_CALLER,
     HEADER_DEADLINE,
+    HEADER_DOWNSTREAM,
     HEADER_IDEMPOTENCY_KEY,
     HEADER_IMPORTANCE,
     HEADER_ROOT,
@@ -18,6 +21,7 @@
     RefusalReason,
     Refused,
 )
+from finchshed.common.results import SERVER_ERROR
 from finchshed.daemon.backend import (
     BackendAnswer,
     BackendAnswerTooLarge,
@@ -68,3 +72,11 @@
     if isinstance(result, BackendAnswerTooLarge):
         return Failed(FailureReason.ANSWER_TOO_LARGE, wait)
     return Failed(FailureReason.BACKEND_BROKEN, wait, result.detail)
+
+
+def with_downstream(outcome: Outcome, has_failed_call: bool) -> Outcome:
+    """Return ``outcome`` marked where a server error came of a call that was not answered."""
+    if not has_failed_call or not isinstance(outcome, Answered) or outcome.status < SERVER_ERROR:
+        return outcome
+    headers = (*outcome.headers, (HEADER_DOWNSTREAM, "1"))
+    return msgspec.structs.replace(outcome, headers=headers)
--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -33,7 +33,12 @@
     BackendResult,
 )
 from finchshed.daemon.backend_answer import STATUS_MISDIRECTED_REQUEST
-from finchshed.daemon.backend_call import backend_headers, headers_by_host, outcome_of
+from finchshed.daemon.backend_call import (
+    backend_headers,
+    headers_by_host,
+    outcome_of,
+    with_downstream,
+)
 from finchshed.daemon.call_admission import CallAdmission
 from finchshed.daemon.catalogue import Catalogue
 from finchshed.daemon.guarded import GuardedRuns
@@ -97,7 +102,8 @@
         self._names = names
         self._instance = ""
         self.on_backend_fault: Callable[[str, BackendResult], None] = _ignore_fault
-        self._gate = Gate(1, rng, time.monotonic())
+        by_demand = settings.registers_backend
+        self._gate = Gate(1, rng, time.monotonic(), by_demand=by_demand)
         self._admission = CallAdmission(settings, rng)
         self._works: dict[int, Work] = {}
         self._by_call: dict[tuple[str, int], Work] = {}
@@ -229,7 +235,7 @@
     def _send_to_backend(self, work: Work) -> None:
         call = work.call
         work.state = WorkState.AT_BACKEND
-        work.served = self._served.open(_rank_context(work), work.deadline)
+        work.served = self._served.open(_rank_context(work), work.deadline, call.identity)
         self._paths.on_start(work.served.account, work.route)
         remaining = work.deadline - time.monotonic()
         if work.is_by_host:
@@ -245,7 +251,7 @@
             max_answer_bytes=work.max_body_bytes,
             is_repeatable=work.repeatable,
             account="" if work.is_by_host else work.served.account,
-            request_id=call.context.root if work.is_by_host else "",
+            request_id=call.identity,
         )
         instance = self._instance
         work.cancel_backend = self._backend.send(
@@ -260,6 +266,8 @@
         if not isinstance(result, BackendAnswer) or result.status == STATUS_MISDIRECTED_REQUEST:
             self.on_backend_fault(instance, result)
         outcome = outcome_of(result, retry_after(0.0, self._rng))
+        if work.is_by_host and work.served is not None:
+            outcome = with_downstream(outcome, self._served.has_failed_call(work.served.account))
         if work.repeatable or work.is_by_host:
             self._finish(work, outcome)
             return
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -106,6 +106,7 @@
         self._front = Front(self._caller, self._served, self._rng, self._why_not)
         self._host_front = HostFront(
             self._caller,
+            self._served,
             self._names,
             self._rng,
             own_service=lambda: self._side.service,
--- a/src/finchshed/daemon/header_names.py
+++ b/src/finchshed/daemon/header_names.py
@@ -24,6 +24,9 @@
         On an answer: requests running and waiting, and slots.
     seal
         On an answer of status 2xx: the back end's mark that it is whole; empty: there is none.
+    call_separator
+        A back end that calls on gives its call the identity of the request it serves, this, and
+        something of its own; empty: nothing ties a call to the request it is made for.
     """
 
     request: str = "finchshed-request"
@@ -33,6 +36,7 @@
     not_run: str = "finchshed-not-run"
     load: str = "finchshed-load"
     seal: str = ""
+    call_separator: str = ""
 
     def set_here(self) -> frozenset[str]:
         """Return the names that daemons set; what a caller sent under them is dropped."""
--- a/src/finchshed/daemon/host_front.py
+++ b/src/finchshed/daemon/host_front.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from finchshed.common.context import CallContext
+from finchshed.common.context import HEADER_DOWNSTREAM, CallContext
 from finchshed.common.outcomes import (
     Answered,
     Failed,
@@ -21,6 +21,7 @@
     Refused,
 )
 from finchshed.configuration.resources import HostRoute
+from finchshed.daemon.accounts import ServedRequest, ServedRequests
 from finchshed.daemon.caller import Caller
 from finchshed.daemon.catalogue import Catalogue
 from finchshed.daemon.header_names import HeaderNames
@@ -71,6 +72,7 @@
     def __init__(
         self,
         caller: Caller,
+        served: ServedRequests,
         names: HeaderNames,
         rng: random.Random,
         *,
@@ -78,6 +80,7 @@
         why_not: Callable[[], RefusalReason | None],
     ) -> None:
         self._caller = caller
+        self._served = served
         self._names = names
         self._rng = rng
         self._own_service = own_service
@@ -120,14 +123,9 @@
     ) -> Callable[[], None]:
         """Answer a whole request; ``respond`` is called once. Return what gives it up."""
         route = admitted.route
-        remaining = admitted.remaining_seconds - (time.monotonic() - admitted.began)
         identity = request.header(self._request)
-        context = CallContext(
-            root=identity,
-            importance=route.importance,
-            remaining_seconds=remaining,
-            spare_attempts=route.max_attempts - 1,
-        )
+        served = self._served_by(identity)
+        context = self._context(admitted, identity, served)
         message = Request(
             service=self._choices[route.name].draw(),
             method=request.method,
@@ -139,12 +137,14 @@
             max_body_bytes=MAX_ANSWER_BYTES,
             route=route.name,
             is_by_host=True,
+            identity=identity,
         )
 
         def answered(outcome: Outcome) -> None:
             respond(self._response_of(outcome))
 
-        return self._caller.call(message, "", "", answered)
+        account = "" if served is None else served.account
+        return self._caller.call(message, account, "", answered)
 
     def refused(self, refused: Refused) -> Response:
         """Return the response that tells a refusal."""
@@ -166,6 +166,33 @@
         """Return the response to a head longer than ``limit`` bytes."""
         return _text_response(STATUS_HEAD_TOO_LARGE, f"limit of the head: {limit} bytes")
 
+    def _served_by(self, identity: str) -> ServedRequest | None:
+        """Return the request of the own back end that a call is made for, by its identity."""
+        separator = self._names.call_separator
+        if not separator:
+            return None
+        parent, found, _ = identity.rpartition(separator)
+        return self._served.get_by_identity(parent) if found else None
+
+    def _context(
+        self, admitted: HostAdmitted, identity: str, served: ServedRequest | None
+    ) -> CallContext:
+        now = time.monotonic()
+        route = admitted.route
+        remaining = admitted.remaining_seconds - (now - admitted.began)
+        spare = route.max_attempts - 1
+        if served is None:
+            return CallContext(identity, route.importance, remaining, spare)
+        inherited = served.context
+        return CallContext(
+            root=inherited.root,
+            importance=inherited.importance,
+            remaining_seconds=min(remaining, served.deadline - now),
+            spare_attempts=spare,
+            depth=inherited.depth + 1,
+            is_call=True,
+        )
+
     def _choices_of(self, route: HostRoute) -> WeightedChoice:
         held = self._choices.get(route.name)
         if held is not None and held.destinations == route.destinations:
@@ -194,7 +221,8 @@
 
     def _response_of(self, outcome: Outcome) -> Response:
         if isinstance(outcome, Answered):
-            return Response(outcome.status, outcome.headers, outcome.body, outcome.has_length)
+            headers = tuple(item for item in outcome.headers if item[0] != HEADER_DOWNSTREAM)
+            return Response(outcome.status, headers, outcome.body, outcome.has_length)
         text = f"{outcome.reason}: {outcome.detail}" if outcome.detail else str(outcome.reason)
         if isinstance(outcome, Refused):
             status = _REFUSAL_STATUS.get(outcome.reason, STATUS_SERVICE_UNAVAILABLE)
--- a/src/finchshed/daemon/peers.py
+++ b/src/finchshed/daemon/peers.py
@@ -245,6 +245,7 @@
             on_reply=attempt.on_reply,
             route=request.route if request.is_by_host else "",
             repeatable=request.repeatable,
+            identity=request.identity,
         )
         if result is SendResult.SENT:
             attempt.link = link
--- a/src/finchshed/daemon/request.py
+++ b/src/finchshed/daemon/request.py
@@ -44,6 +44,8 @@
         Prefix of the service's route that the request falls under.
     is_by_host
         Whether it was taken under a route of its host; ``route`` is then the name of that.
+    identity
+        What the caller of a request taken by host calls it by.
     session_at
         Endpoint that serves the request's session by the client's word, or empty. Not checked.
     """
@@ -60,6 +62,7 @@
     route: str = ""
     session_at: str = ""
     is_by_host: bool = False
+    identity: str = ""
 
 
 def end_to_end_headers(raw: Iterable[tuple[bytes, bytes]]) -> Headers:
--- a/src/finchshed/link/messages.py
+++ b/src/finchshed/link/messages.py
@@ -60,7 +60,8 @@
     """A request. ``digest`` is xxh3-64 of the body, hexadecimal.
 
     ``route`` names the route by host that the calling daemon took it under; empty: it falls under a
-    route of its service. ``repeatable`` counts for requests with a ``route``.
+    route of its service. ``repeatable`` and ``identity``, which its caller gave it, count for
+    requests with a ``route``.
     """
 
     epoch: str
@@ -75,6 +76,7 @@
     revision: Revision = 0
     route: str = ""
     repeatable: bool = True
+    identity: str = ""
 
 
 class Reply(msgspec.Struct, frozen=True, omit_defaults=True, tag="reply"):
--- a/src/finchshed/link/peer.py
+++ b/src/finchshed/link/peer.py
@@ -120,8 +120,9 @@
         on_reply: ReplyCallback,
         route: str = "",
         repeatable: bool = True,
+        identity: str = "",
     ) -> tuple[SendResult, int]:
-        """Send a call; return the result and the call's identity.
+        """Send a call; return the result and the call's number on this link.
 
         ``on_reply`` is called only if the result is ``SENT``.
         """
@@ -130,11 +131,11 @@
             return SendResult.CLOSED, 0
         if lines.unsent_bytes() > self._max_unsent_bytes:
             return SendResult.FULL, 0
-        identity = self._next_call
+        call = self._next_call
         self._next_call += 1
         message = Call(
             epoch=self.epoch,
-            call=identity,
+            call=call,
             service=service,
             method=method,
             path=path,
@@ -145,11 +146,12 @@
             revision=revision,
             route=route,
             repeatable=repeatable,
+            identity=identity,
         )
-        self._pending[identity] = on_reply
+        self._pending[call] = on_reply
         lines.send(message)
         self._on_call_sent()
-        return SendResult.SENT, identity
+        return SendResult.SENT, call
 
     def cancel_call(self, identity: int) -> None:
         """Forget the call and tell the peer. Its reply, if one comes, finds nobody."""
--- a/src/finchshed/retry/account.py
+++ b/src/finchshed/retry/account.py
@@ -89,6 +89,11 @@
         if len(held.failed) < MAX_FAILED_CALLS:
             held.failed.add(call)
 
+    def has_failed_call(self, account: str) -> bool:
+        """Return whether any call the request made was not answered."""
+        held = self._accounts.get(account)
+        return held is not None and bool(held.failed)
+
     def is_repeat(self, account: str, call: str) -> bool:
         """Return whether a call is made again after it failed.
 
--- a/src/finchshed/routing/table.py
+++ b/src/finchshed/routing/table.py
@@ -106,8 +106,8 @@
         pool = self._pools.get(service)
         if pool is None:
             return Refused(RefusalReason.NO_BACKEND, retry_after(1.0, self._rng))
-        # A session was admitted as a whole: its calls wait, and are not shed on the way.
-        rank = RANKS if context.session else rank_of(context)
+        # What was admitted as a whole waits, and is not shed on the way.
+        rank = RANKS if context.is_admitted else rank_of(context)
         spare: EndpointView | None = None
         shed = False
         for tier in range(TIERS):
