--- a/src/finchshed/control/program.py
+++ b/src/finchshed/control/program.py
@@ -15,4 +15,11 @@
         await control.stop_requested.wait()
         await node.stop()
 
-    return run_process(main, "control", settings.node, settings.data_folder, settings.zone)
+    return run_process(
+        main,
+        "control",
+        settings.node,
+        settings.data_folder,
+        settings.zone,
+        logs_to_stdout=settings.logs_to_stdout,
+    )
--- a/src/finchshed/control/settings.py
+++ b/src/finchshed/control/settings.py
@@ -145,6 +145,10 @@
         float,
         msgspec.Meta(ge=0.0, le=60.0, description="Longest wait for requests in progress at stop."),
     ] = 5.0
+    logs_to_stdout: Annotated[
+        bool,
+        msgspec.Meta(description="Whether decisions go to standard output, as JSON lines."),
+    ] = True
     tls_certificate_file: CertificateFile = ""
     tls_key_file: KeyFile = ""
     tls_authority_file: AuthorityFile = ""
--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -41,6 +41,7 @@
 )
 from finchshed.daemon.call_admission import CallAdmission
 from finchshed.daemon.catalogue import Catalogue
+from finchshed.daemon.decision_log import log_call
 from finchshed.daemon.guarded import GuardedRuns
 from finchshed.daemon.header_names import HeaderNames
 from finchshed.daemon.settings import DaemonSettings
@@ -235,6 +236,7 @@
     def _send_to_backend(self, work: Work) -> None:
         call = work.call
         work.state = WorkState.AT_BACKEND
+        work.started = time.monotonic()
         work.served = self._served.open(_rank_context(work), work.deadline, call.identity)
         self._paths.on_start(work.served.account, work.route)
         remaining = work.deadline - time.monotonic()
@@ -281,6 +283,7 @@
         if work.state is WorkState.DONE:
             return
         spare = self._end(work, result_of(outcome))
+        self._log(work, outcome)
         self._send_reply(work.link, work.call, outcome, spare)
 
     def _answer(self, work: Work, outcome: Refused) -> None:
@@ -288,6 +291,7 @@
         self._forget(work)
         if work.opens_session:
             self._admission.sessions.refuse(work.call.context.session)
+        self._log(work, outcome)
         self._send_reply(work.link, work.call, outcome, work.call.context.spare_attempts)
 
     def _end(self, work: Work, result: CallResult) -> int:
@@ -300,6 +304,9 @@
         self._apply(self._gate.finish(work.token, result, time.monotonic()))
         return spare
 
+    def _log(self, work: Work, outcome: Outcome) -> None:
+        log_call(work, outcome, self._instance, self.load_report(), self._gate.running)
+
     def _forget(self, work: Work) -> None:
         work.state = WorkState.DONE
         work.cancel_backend = None
--- a/src/finchshed/daemon/caller.py
+++ b/src/finchshed/daemon/caller.py
@@ -13,6 +13,7 @@
 from finchshed.daemon import metrics
 from finchshed.daemon.accounts import ServedRequests
 from finchshed.daemon.catalogue import Catalogue
+from finchshed.daemon.decision_log import log_request
 from finchshed.daemon.ledger_port import fingerprint_of
 from finchshed.daemon.outgoing import OutgoingCall
 from finchshed.daemon.peers import PeerLinks
@@ -151,6 +152,7 @@
             if request.in_session:
                 self._pins.end(request, call.endpoint, outcome, time.monotonic())
             metrics.count_call(request.service, request.context.importance, outcome)
+            log_request(request, outcome, call.seconds, call.attempts, self._catalogue.revision)
             if account:
                 self._served.give_back(account, lent, spare)
                 if result_of(outcome) is not CallResult.OK:
--- a/src/finchshed/daemon/catalogue.py
+++ b/src/finchshed/daemon/catalogue.py
@@ -27,7 +27,8 @@
 class Catalogue:
     """Declared services, endpoints and policy at one revision."""
 
-    def __init__(self, resources: Iterable[Resource] = ()) -> None:
+    def __init__(self, resources: Iterable[Resource] = (), revision: int = 0) -> None:
+        self.revision = revision
         self.policy = Policy()
         self.endpoints: dict[str, Endpoint] = {}
         self.limits = IngressLimits()
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -182,7 +182,8 @@
     def take_effect(self, previous: Configuration, current: Configuration) -> None:
         """Act on ``current`` from now on."""
         metrics.REVISION.set(current.revision)
-        catalogue = Catalogue(current.resources.values())
+        catalogue = Catalogue(current.resources.values(), current.revision)
+        logger.info("configuration {} in force, before {}", current.revision, previous.revision)
         self._endpoints.declare(catalogue.endpoints)
         self._caller.configure(catalogue)
         self._front.catalogue = catalogue
--- /dev/null
+++ b/src/finchshed/daemon/decision_log.py
@@ -0,0 +1,97 @@
+"""Turns the ends of requests and calls into lines of the log.
+
+Whatever did not end well is logged; of what did, a sample that is the same on every hop.
+"""
+
+import time
+from collections.abc import Sequence
+
+from finchshed.admission.rank import rank_of
+from finchshed.common.outcomes import Answered, Outcome, Refused
+from finchshed.common.results import SERVER_ERROR
+from finchshed.daemon.request import Request
+from finchshed.daemon.work import Work
+from finchshed.link.messages import LoadReport
+from finchshed.observability import log_stream
+from finchshed.observability.decisions import Attempt, CallEnded, RequestEnded
+
+MILLISECONDS = 1000.0
+
+
+def name_of(outcome: Outcome) -> str:
+    """Return the word for an outcome."""
+    if isinstance(outcome, Answered):
+        return "answered"
+    return "refused" if isinstance(outcome, Refused) else "failed"
+
+
+def is_failure(outcome: Outcome) -> bool:
+    """Return whether a caller gets less than it asked for."""
+    return not isinstance(outcome, Answered) or outcome.status >= SERVER_ERROR
+
+
+def log_request(
+    request: Request, outcome: Outcome, seconds: float, attempts: Sequence[Attempt], revision: int
+) -> None:
+    """Log the end of a request at the daemon that took it."""
+    failed = is_failure(outcome)
+    if not log_stream.is_on() or not (failed or log_stream.is_sampled(request.context.root)):
+        return
+    reason, detail, status, retry_after = _parts(outcome)
+    record = RequestEnded(
+        time=time.time(),
+        id=request.identity or request.context.root,
+        root=request.context.root,
+        service=request.service,
+        route=request.route,
+        importance=int(request.context.importance),
+        outcome=name_of(outcome),
+        ms=round(seconds * MILLISECONDS, 2),
+        reason=reason,
+        detail=detail,
+        status=status,
+        retry_after_ms=retry_after,
+        is_call=request.context.is_call,
+        revision=revision,
+        attempts=tuple(attempts),
+    )
+    log_stream.emit(record, is_failure=failed)
+
+
+def log_call(work: Work, outcome: Outcome, instance: str, load: LoadReport, running: int) -> None:
+    """Log the end of a call at the daemon beside the back end."""
+    failed = is_failure(outcome)
+    context = work.call.context
+    if not log_stream.is_on() or not (failed or log_stream.is_sampled(context.root)):
+        return
+    reason, detail, status, _ = _parts(outcome)
+    now = time.monotonic()
+    started = work.started
+    record = CallEnded(
+        time=time.time(),
+        id=work.call.identity or context.root,
+        root=context.root,
+        service=work.call.service,
+        instance=instance,
+        outcome=name_of(outcome),
+        queued_ms=round(((started or now) - work.arrived) * MILLISECONDS, 2),
+        ran_ms=round((now - started) * MILLISECONDS, 2) if started else -1.0,
+        reason=reason,
+        detail=detail,
+        status=status,
+        rank=rank_of(context),
+        threshold=load.threshold,
+        running=running,
+        queued=load.in_flight - running,
+        limit=load.limit,
+        caller=work.link.peer.node if work.link.peer is not None else "",
+    )
+    log_stream.emit(record, is_failure=failed)
+
+
+def _parts(outcome: Outcome) -> tuple[str, str, int, float]:
+    """Return reason, detail, status and milliseconds until a caller is to come back."""
+    if isinstance(outcome, Answered):
+        return "", "", outcome.status, 0.0
+    told = round(outcome.retry_after * MILLISECONDS, 1) if isinstance(outcome, Refused) else 0.0
+    return str(outcome.reason), outcome.detail, 0, told
--- a/src/finchshed/daemon/outgoing.py
+++ b/src/finchshed/daemon/outgoing.py
@@ -18,11 +18,13 @@
 )
 from finchshed.daemon import metrics
 from finchshed.daemon.attempt import Attempt
+from finchshed.daemon.decision_log import MILLISECONDS, name_of
 from finchshed.daemon.peers import PeerLinks
 from finchshed.daemon.pins import mixes_editions, told_place
 from finchshed.daemon.request import Request
 from finchshed.link.digests import digest_of
 from finchshed.link.messages import Reply
+from finchshed.observability.decisions import Attempt as AttemptRecord
 from finchshed.routing.caller import CallerEffect, CallerLogic, Finish, Send, SetTimer, Withdraw
 
 
@@ -59,6 +61,17 @@
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
         self._outcome: Outcome | None = None
+        self._began = time.monotonic()
+        self._sent_at = 0.0
+        self._sent = 0
+        self._report_age = -1.0
+        self._in_flight = 0
+        self.attempts: list[AttemptRecord] = []
+
+    @property
+    def seconds(self) -> float:
+        """Time since the call began."""
+        return time.monotonic() - self._began
 
     @property
     def is_over(self) -> bool:
@@ -102,6 +115,7 @@
 
     def _send(self, effect: Send) -> None:
         number = effect.attempt
+        self._sent = number
         if number > 1:
             metrics.RETRIES.labels(self.request.service).inc()
         attempt = Attempt(
@@ -113,6 +127,9 @@
         )
         self._attempt = attempt
         self.endpoint = effect.endpoint.name
+        self._sent_at = time.monotonic()
+        self._report_age = effect.report_age
+        self._in_flight = effect.in_flight
         self._links.send(effect.endpoint, attempt)
 
     def _on_reply(self, number: int, reply: Reply | None) -> None:
@@ -136,8 +153,22 @@
     def _report(self, number: int, outcome: Outcome, spare: int, reply: Reply | None) -> None:
         load = None if reply is None else reply.load
         now = time.monotonic()
+        self._note_attempt(outcome, now)
         self._perform(self._logic.on_outcome(number, outcome, spare, load, now))
 
+    def _note_attempt(self, outcome: Outcome, now: float) -> None:
+        reason = "" if isinstance(outcome, Answered) else str(outcome.reason)
+        self.attempts.append(
+            AttemptRecord(
+                endpoint=self.endpoint,
+                outcome=name_of(outcome),
+                ms=round((now - self._sent_at) * MILLISECONDS, 2),
+                reason=reason or (str(outcome.status) if isinstance(outcome, Answered) else ""),
+                report_ms=round(self._report_age * MILLISECONDS, 1),
+                in_flight=self._in_flight,
+            )
+        )
+
     def _set_timer(self, at: float) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -149,6 +180,8 @@
         self._perform(self._logic.on_timer(now))
 
     def _finish(self, effect: Finish) -> None:
+        if self._sent_at and len(self.attempts) < self._sent:
+            self._note_attempt(effect.outcome, time.monotonic())
         outcome = told_place(self.request, self.endpoint, effect.outcome)
         self._outcome = outcome
         # The attempt refers back to this call: without the cycle it is freed at once.
--- a/src/finchshed/daemon/program.py
+++ b/src/finchshed/daemon/program.py
@@ -21,7 +21,14 @@
         if admin is not None:
             await admin.stop()
 
-    return run_process(main, "daemon", settings.node, settings.data_folder or None, settings.zone)
+    return run_process(
+        main,
+        "daemon",
+        settings.node,
+        settings.data_folder or None,
+        settings.zone,
+        logs_to_stdout=settings.logs_to_stdout,
+    )
 
 
 def _admin_server(settings: DaemonSettings, daemon: Daemon) -> AdminServer | None:
--- a/src/finchshed/daemon/settings.py
+++ b/src/finchshed/daemon/settings.py
@@ -135,6 +135,9 @@
     drain_notice_seconds: Annotated[
         float, Meta(ge=0, le=60, description="Time a stop leaves for late arrivals to come in.")
     ] = 0.5
+    logs_to_stdout: Annotated[
+        bool, Meta(description="Whether decisions go to standard output, as JSON lines.")
+    ] = True
     tls_certificate_file: CertificateFile = ""
     tls_key_file: KeyFile = ""
     tls_authority_file: AuthorityFile = ""
--- a/src/finchshed/daemon/work.py
+++ b/src/finchshed/daemon/work.py
@@ -21,7 +21,7 @@
 
 @dataclass(slots=True)
 class Work:
-    """A call in progress. Times are monotonic seconds.
+    """A call in progress. Times are monotonic seconds; ``started`` is 0 until it was sent.
 
     ``route`` is the prefix of the route it falls under. ``opens_session`` tells that its session
     was admitted with it, and ends if it is refused. ``abandoned`` tells that the caller has given
@@ -44,5 +44,6 @@
     served: ServedRequest | None = None
     cancel_backend: Callable[[], object] | None = None
     is_by_host: bool = False
+    started: float = 0.0
     ledger_key: str = ""
     attempt: str = ""
--- a/src/finchshed/observability/ring.py
+++ b/src/finchshed/observability/ring.py
@@ -14,6 +14,8 @@
 import msgspec
 from loguru import logger
 
+from finchshed.observability import log_stream
+from finchshed.observability.decisions import Believed
 from finchshed.observability.redaction import redact, redact_field
 
 if TYPE_CHECKING:
@@ -28,6 +30,9 @@
 MAX_DUMP_FILES = 8
 """Dump files kept in a data folder; the oldest go first."""
 
+STREAM_LEVEL = 20
+"""Records from this level on (loguru's INFO) go to the log stream too, if there is one."""
+
 DUMP_FOLDER = "logs"
 _DUMP_PREFIX = "ring-"
 
@@ -162,8 +167,14 @@
     return redact_field(name, value)
 
 
+def _tell(at: float, level: str, module: str | None, text: str) -> None:
+    log_stream.emit(Believed(at, level.lower(), module or "", _cut(text)), is_failure=True)
+
+
 def _sink(message: "Message") -> None:
     record = message.record
+    if record["level"].no >= STREAM_LEVEL:
+        _tell(record["time"].timestamp(), record["level"].name, record["name"], record["message"])
     exception = record["exception"]
     fields = {str(key): _field(str(key), value) for key, value in record["extra"].items()}
     _ring.add(
--- a/src/finchshed/routing/caller.py
+++ b/src/finchshed/routing/caller.py
@@ -32,11 +32,17 @@
 
 
 class Send(msgspec.Struct, frozen=True, gc=False):
-    """Send attempt number ``attempt`` with ``share`` spare attempts in its context."""
+    """Send attempt number ``attempt`` with ``share`` spare attempts in its context.
+
+    ``report_age`` (seconds, negative: none came) and ``in_flight`` are what the endpoint was chosen
+    by, for the log.
+    """
 
     attempt: int
     endpoint: Endpoint
     share: int
+    report_age: float = -1.0
+    in_flight: int = 0
 
 
 class Withdraw(msgspec.Struct, frozen=True, gc=False):
@@ -203,8 +209,10 @@
         self._lent = lent_share(self._spare)
         self._spare -= self._lent
         self._sent_at = now
+        report_age, in_flight = self._table.grounds_of(chosen.name, now)
         self._table.on_sent(chosen.name, now)
-        return [Send(self._attempt, chosen, self._lent), SetTimer(self._deadline)]
+        send = Send(self._attempt, chosen, self._lent, report_age, in_flight)
+        return [send, SetTimer(self._deadline)]
 
     def _choose(self, now: float) -> Endpoint | Refused:
         if self._is_pinned:
--- a/src/finchshed/routing/endpoint.py
+++ b/src/finchshed/routing/endpoint.py
@@ -142,6 +142,10 @@
         """Return whether a report has come lately."""
         return self._freshness(now) > 0.0
 
+    def report_age(self, now: float) -> float:
+        """Return the seconds since the last report; negative where none came."""
+        return now - self._report_at if self._report_at > 0.0 else -1.0
+
     def admits(self, rank: int, route: str, now: float) -> bool:
         """Return whether a request of ``rank`` is worth sending."""
         return rank >= self.floor(route, now).value
--- a/src/finchshed/routing/table.py
+++ b/src/finchshed/routing/table.py
@@ -140,6 +140,11 @@
         pool = self._pools.get(service)
         return NO_THRESHOLD if pool is None else pool.floor(route, now)
 
+    def grounds_of(self, name: str, now: float) -> tuple[float, int]:
+        """Return the age of an endpoint's report (negative: none) and this daemon's calls there."""
+        view = self._views.get(name)
+        return (-1.0, 0) if view is None else (view.report_age(now), view.in_flight)
+
     def on_sent(self, name: str, now: float) -> None:
         """Count an attempt sent."""
         view = self._views.get(name)
--- a/src/finchshed/runtime/process.py
+++ b/src/finchshed/runtime/process.py
@@ -12,7 +12,7 @@
 from finchshed import __version__
 from finchshed.cli.exit_codes import ExitCode
 from finchshed.common.errors import FinchshedError, InvariantError
-from finchshed.observability import process_metrics, ring
+from finchshed.observability import log_stream, process_metrics, ring
 from finchshed.observability.invariants import FaultMonitor
 from finchshed.observability.process_checks import require_no_io_uring
 
@@ -62,24 +62,32 @@
 
 
 def run_process(
-    main: Main, program: str, node: str, data_folder: str | None = None, zone: str = ""
+    main: Main,
+    program: str,
+    node: str,
+    data_folder: str | None = None,
+    zone: str = "",
+    *,
+    logs_to_stdout: bool = False,
 ) -> int:
     """Run ``main`` in a fresh uvloop loop and return the process's exit code.
 
     The ring is set up, the loop checked for an io_uring, signals handled: SIGTERM and SIGINT ask
-    for a planned stop (a second one stops at once), SIGUSR1 writes the ring out.
+    for a planned stop (a second one stops at once), SIGUSR1 writes the ring out. With
+    ``logs_to_stdout`` decisions and changes of state are written as JSON lines too.
     """
     ring.configure(program, node, data_folder)
     process_metrics.identify(program, node, zone, __version__)
     loop = uvloop.new_event_loop()
     try:
         asyncio.set_event_loop(loop)
-        return _run(loop, main, f"{program} {node}")
+        return _run(loop, main, f"{program} {node}", logs_to_stdout=logs_to_stdout)
     finally:
         _close(loop)
+        log_stream.close()
 
 
-def _run(loop: asyncio.AbstractEventLoop, main: Main, title: str) -> int:
+def _run(loop: asyncio.AbstractEventLoop, main: Main, title: str, *, logs_to_stdout: bool) -> int:
     broken: list[InvariantError] = []
     task: asyncio.Task[None] | None = None
 
@@ -94,6 +102,8 @@
     try:
         require_no_io_uring()
         loop_lag = loop.create_task(process_metrics.measure_loop_lag())
+        if logs_to_stdout:
+            loop.create_task(log_stream.flush_forever(log_stream.open_standard_output()))
         task = loop.create_task(main(control))
         _handle_signals(loop, control, task.cancel)
         ring.announce(f"{title}: started")
