Demand by inverse weights, floors as the mean over endpoints, a sixteenth of the slots left free

Its three gates each took arrivals for admitted by their own threshold while requests were admitted by the lowest of the three, so two estimates ran away; queues stood at 100 calls. And all 31 slots were filled, where that back end slows by 1.3. Ruled out: a lag model of admissions (the lag is 0.3 s to 4 s, by congestion). The change: a call carries the share of its class that was admitted with its root request and counts by its inverse; a service's floor is the mean cut of its endpoints; slots_to_use leaves 1/16 free.

--- a/src/finchshed/admission/demand.py
+++ b/src/finchshed/admission/demand.py
@@ -2,10 +2,12 @@
 
 A request may call on a back end long after it was admitted at the edge, so a threshold that follows
 the queue alone is always late: it rises when too much has been admitted, and falls when too little
-has. This one estimates what each class *would* ask for if all of it were admitted: the time its
-arrivals take at the back end, over the share of the class that was admitted when they were. Neither
-depends on the threshold in force, so it can be set where the classes, from the most important down,
-fill the slots. Below the threshold requests are refused at the edge, before anything ran.
+has. This one estimates what each class *would* ask for if all of it were admitted: each arrival
+counts by the inverse of the share of its class that was admitted together with it, which its
+context carries (inverse probability weighting; Horvitz, Thompson, *A Generalization of Sampling
+Without Replacement*, 1952). The estimate depends neither on the threshold in force nor on the
+delay, so the threshold can be set where the classes, from the most important down, fill the slots.
+Below it requests are refused at the edge, before anything ran.
 
 The idea of admitting by classes and, within one, by a position that all hops share is DAGOR's (Zhou
 et al., *Overload Control for Scaling WeChat Microservices*, SoCC 2018).
@@ -13,20 +15,17 @@
 
 import math
 
-from finchshed.admission.rank import POSITIONS, class_floor, importance_of
+from finchshed.admission.rank import importance_of, rank_of_cut
 from finchshed.common.importance import Importance
 
-TARGET_USE = 0.95
+TARGET_USE = 0.97
 """Share of the slots that the admitted demand fills; above it queues grow without end."""
 
-MEMORY_SECONDS = 0.7
+MEMORY_SECONDS = 0.5
 """Time constant of the estimates."""
 
-DELAY_SECONDS = 0.3
-"""Time constant of the lag between the admission of a request and its arrival here."""
-
 RAISE_SECONDS = 0.1
-LOWER_SECONDS = 0.3
+LOWER_SECONDS = 0.2
 """Time constants with which the threshold moves up and down."""
 
 BACKLOG_SECONDS = 1.0
@@ -36,8 +35,8 @@
 PRESSURE_LEAST = 0.8
 """The threshold rises only if the slots were used by this much lately: estimates are noisy."""
 
-EXPOSURE_LEAST = 0.03
-"""Of a class that was admitted less than this the last estimate is kept."""
+SHARE_LEAST = 0.04
+"""Arrivals of a class that was admitted less than this count as if it were admitted this much."""
 
 SERVICE_WEIGHT = 0.02
 """Weight of one finished request in the mean time of its class."""
@@ -51,12 +50,10 @@
 class _Class:
     """Estimates of one importance class."""
 
-    __slots__ = ("arrivals", "demand", "exposure", "lagged", "seconds")
+    __slots__ = ("arrivals", "demand", "seconds")
 
     def __init__(self) -> None:
         self.arrivals = 0.0
-        self.exposure = 0.0
-        self.lagged = 1.0
         self.seconds = 0.0
         self.demand = 0.0
 
@@ -71,6 +68,7 @@
     """
 
     def __init__(self, now: float) -> None:
+        self._created_at = now
         self._stepped_at = now
         self._classes = tuple(_Class() for _ in CLASSES)
         self._cut = 0.0
@@ -79,20 +77,22 @@
     @property
     def value(self) -> int:
         """Ranks below this one are refused at present."""
-        importance = min(int(self._cut), len(CLASSES) - 1)
-        position = int((self._cut - importance) * POSITIONS)
-        return class_floor(CLASSES[importance]) + min(position, POSITIONS - 1)
+        return rank_of_cut(self._cut)
 
     def demand_of(self, importance: Importance) -> float:
         """Return the slots that a class would use if all of it were admitted."""
         return self._classes[importance].demand
 
-    def on_arrival(self, rank: int) -> None:
-        """Count a request that reached the gate."""
-        self._classes[importance_of(rank)].arrivals += 1.0
+    def on_arrival(self, rank: int, admitted_share: float) -> None:
+        """Count a request that reached the gate.
 
-    def on_queue(self, queued: int) -> None:
-        """Take the length of the queue after a change; only its length at a step counts."""
+        Parameters
+        ----------
+        admitted_share
+            Share of its class that was admitted when its root request was.
+        """
+        weight = 1.0 / max(admitted_share, SHARE_LEAST)
+        self._classes[importance_of(rank)].arrivals += weight
 
     def on_finish(self, rank: int, seconds: float) -> None:
         """Take the time that one request took at the back end."""
@@ -117,32 +117,32 @@
         if elapsed < WINDOW_SECONDS:
             return
         self._stepped_at = now
-        self._estimate(elapsed, limit)
+        self._estimate(elapsed, now)
         use = (running + queued) / limit
         self._pressure += _part(elapsed, PRESSURE_SECONDS) * (use - self._pressure)
         wanted = self._wanted(limit, queued * mean_seconds)
         if wanted > self._cut:
             if self._pressure >= PRESSURE_LEAST:
-                self._cut += _part(elapsed, RAISE_SECONDS) * (wanted - self._cut)
+                # Below the least important class that asks for anything there is nothing to refuse.
+                begin = max(self._cut, min(wanted, self._lowest_class()))
+                self._cut = begin + _part(elapsed, RAISE_SECONDS) * (wanted - begin)
         else:
             self._cut += _part(elapsed, LOWER_SECONDS) * (wanted - self._cut)
 
-    def _estimate(self, elapsed: float, limit: int) -> None:
+    def _estimate(self, elapsed: float, now: float) -> None:
         kept = 1.0 - _part(elapsed, MEMORY_SECONDS)
-        for importance, held in zip(CLASSES, self._classes, strict=True):
-            admitted = self._admitted(importance)
-            held.lagged += _part(elapsed, DELAY_SECONDS) * (admitted - held.lagged)
-            held.exposure = kept * held.exposure + elapsed * held.lagged
+        # The memory of a new gate is not full yet.
+        filled = _part(now - self._created_at, MEMORY_SECONDS)
+        for held in self._classes:
+            held.demand = held.arrivals * held.seconds / (MEMORY_SECONDS * filled)
             held.arrivals *= kept
-            if held.exposure >= EXPOSURE_LEAST * MEMORY_SECONDS:
-                held.demand = held.arrivals * held.seconds / held.exposure
 
-    def _admitted(self, importance: Importance) -> float:
-        """Return the share of a class that lies above the threshold."""
-        return min(1.0, max(0.0, importance + 1.0 - self._cut))
+    def _lowest_class(self) -> float:
+        asking = (float(item) for item in CLASSES if self._classes[item].demand > 0.0)
+        return min(asking, default=0.0)
 
     def _wanted(self, limit: int, waiting: float) -> float:
-        """Return the cut, in classes from the least important, at which the demand fits."""
+        """Return the cut at which the demand fits; ``waiting`` is what queues, in seconds."""
         room = max(0.0, TARGET_USE * limit - waiting / BACKLOG_SECONDS)
         for importance in reversed(CLASSES):
             demand = self._classes[importance].demand
--- a/src/finchshed/admission/gate.py
+++ b/src/finchshed/admission/gate.py
@@ -111,7 +111,10 @@
         rank = rank_of(context)
         if rank < floor and not context.is_admitted:
             return [self._refusal(token, RefusalReason.OVERLOAD)]
-        self._threshold.on_arrival(rank)
+        if isinstance(self._threshold, DemandThreshold):
+            self._threshold.on_arrival(rank, context.admitted_share)
+        else:
+            self._threshold.on_arrival(rank)
         if not self._queue and len(self._running) < self._concurrency.limit:
             self._begin(token, rank, now)
             return [Start(token)]
@@ -138,7 +141,7 @@
         waiting = self._waiting.pop(token, None)
         if waiting is not None:
             self._remove(waiting)
-            self._threshold.on_queue(len(self._queue))
+            self._note_queue()
         return self._fill(now)
 
     def tick(self, now: float) -> list[GateEffect]:
@@ -210,7 +213,7 @@
                 continue
             self._begin(waiting.token, waiting.rank, now)
             effects.append(Start(waiting.token))
-        self._threshold.on_queue(len(queue))
+        self._note_queue()
         return effects
 
     def _expire(self, now: float) -> list[GateEffect]:
@@ -228,7 +231,7 @@
         if effects:
             kept.reverse()
             self._queue = kept
-            self._threshold.on_queue(len(kept))
+            self._note_queue()
         return effects
 
     def _shed(self) -> list[GateEffect]:
@@ -246,13 +249,17 @@
             else:
                 kept.append(key)
         self._queue = kept
-        self._threshold.on_queue(len(kept))
+        self._note_queue()
         return effects
 
     def _remove(self, waiting: _Waiting) -> None:
         index = bisect_left(self._queue, (waiting.rank, -waiting.order))
         self._queue.pop(index)
 
+    def _note_queue(self) -> None:
+        if isinstance(self._threshold, AdmissionThreshold):
+            self._threshold.on_queue(len(self._queue))
+
     def _seconds_per_finish(self) -> float:
         return self._concurrency.mean_latency / self._concurrency.limit
 
--- a/src/finchshed/admission/rank.py
+++ b/src/finchshed/admission/rank.py
@@ -51,3 +51,22 @@
 def importance_of(rank: int) -> Importance:
     """Return the importance class a rank belongs to."""
     return Importance(min(rank >> _IMPORTANCE_SHIFT, max(Importance)))
+
+
+def cut_of(rank: float) -> float:
+    """Return where a threshold cuts the classes: its class, and the share of that below it."""
+    importance = min(int(rank) >> _IMPORTANCE_SHIFT, max(Importance))
+    position = rank - (importance << _IMPORTANCE_SHIFT)
+    return importance + min(1.0, position / POSITIONS)
+
+
+def rank_of_cut(cut: float) -> int:
+    """Return the threshold for a cut between 0 and the number of classes."""
+    importance = min(int(cut), max(Importance))
+    position = min(POSITIONS - 1, int((cut - importance) * POSITIONS))
+    return (importance << _IMPORTANCE_SHIFT) | position
+
+
+def admitted_share(importance: Importance, threshold: float) -> float:
+    """Return the share of a class whose ranks are not below ``threshold``."""
+    return min(1.0, max(0.0, importance + 1.0 - cut_of(threshold)))
--- a/src/finchshed/common/context.py
+++ b/src/finchshed/common/context.py
@@ -78,6 +78,8 @@
         class get fair shares (see :mod:`finchshed.admission.fairness`); -1 if not set.
     is_call
         Whether it is a call made for a request that was admitted as a whole.
+    admitted_share
+        Share of its class that was admitted when its root request was.
     """
 
     root: str
@@ -90,13 +92,16 @@
     key: str = ""
     position: int = -1
     is_call: bool = False
+    admitted_share: float = 1.0
 
     @property
     def is_admitted(self) -> bool:
         """Whether it belongs to something admitted as a whole: it waits, and isn't shed."""
         return self.is_call or bool(self.session)
 
-    def for_attempt(self, remaining_seconds: float, spare_attempts: int) -> "CallContext":
+    def for_attempt(
+        self, remaining_seconds: float, spare_attempts: int, admitted_share: float = 1.0
+    ) -> "CallContext":
         """Return the context as one attempt carries it to the next hop."""
         return CallContext(
             self.root,
@@ -109,4 +114,5 @@
             self.key,
             self.position,
             self.is_call,
+            min(self.admitted_share, admitted_share),
         )
--- a/src/finchshed/daemon/attempt.py
+++ b/src/finchshed/daemon/attempt.py
@@ -19,6 +19,7 @@
 
     request: Request
     share: int
+    admitted_share: float
     deadline: float
     on_reply: Callable[[Reply | None], None]
     on_unsent: Callable[[RefusalReason, str], None]
--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -46,6 +46,7 @@
 from finchshed.daemon.header_names import HeaderNames
 from finchshed.daemon.settings import DaemonSettings
 from finchshed.daemon.work import Work, WorkState
+from finchshed.limit.concurrency import slots_to_use
 from finchshed.link.digests import digest_of
 from finchshed.link.listener import AcceptedLink
 from finchshed.link.messages import Call, LoadReport, Reply
@@ -149,7 +150,7 @@
         self._instance = instance
         self._admission.service = service
         if slots:
-            self._gate.set_slots(slots)
+            self._gate.set_slots(slots_to_use(slots))
 
     def turn_away_waiting(self) -> None:
         """Send what waits for the back end elsewhere; it has not run."""
--- a/src/finchshed/daemon/host_front.py
+++ b/src/finchshed/daemon/host_front.py
@@ -191,6 +191,7 @@
             spare_attempts=spare,
             depth=inherited.depth + 1,
             is_call=True,
+            admitted_share=inherited.admitted_share,
         )
 
     def _choices_of(self, route: HostRoute) -> WeightedChoice:
--- a/src/finchshed/daemon/outgoing.py
+++ b/src/finchshed/daemon/outgoing.py
@@ -121,6 +121,7 @@
         attempt = Attempt(
             request=self.request,
             share=effect.share,
+            admitted_share=effect.admitted_share,
             deadline=self._deadline,
             on_reply=lambda reply: self._on_reply(number, reply),
             on_unsent=lambda reason, detail: self._on_unsent(number, effect.share, reason, detail),
--- a/src/finchshed/daemon/peers.py
+++ b/src/finchshed/daemon/peers.py
@@ -233,7 +233,7 @@
             attempt.on_unsent(RefusalReason.DEADLINE, "no time left to send")
             return
         request = attempt.request
-        context = request.context.for_attempt(remaining, attempt.share)
+        context = request.context.for_attempt(remaining, attempt.share, attempt.admitted_share)
         result, identity = link.send_call(
             service=request.service,
             method=request.method,
--- a/src/finchshed/limit/concurrency.py
+++ b/src/finchshed/limit/concurrency.py
@@ -14,6 +14,22 @@
 """Weight of one sample in the mean latency."""
 
 
+HEADROOM_DIVISOR = 16
+"""One slot in so many is left free where a back end has enough of them."""
+
+HEADROOM_SLOTS_LEAST = 12
+
+
+def slots_to_use(slots: int) -> int:
+    """Return how many of ``slots`` are worth filling.
+
+    Some back ends slow down when they are nearly full, by more than the last slots bring.
+    """
+    if slots < HEADROOM_SLOTS_LEAST:
+        return slots
+    return slots - -(-slots // HEADROOM_DIVISOR)
+
+
 class ConcurrencyLimit:
     """Learns how many requests a back end runs at a time.
 
--- a/src/finchshed/routing/caller.py
+++ b/src/finchshed/routing/caller.py
@@ -35,7 +35,7 @@
     """Send attempt number ``attempt`` with ``share`` spare attempts in its context.
 
     ``report_age`` (seconds, negative: none came) and ``in_flight`` are what the endpoint was chosen
-    by, for the log.
+    by, for the log; ``admitted_share`` is the share of the request's class admitted with it.
     """
 
     attempt: int
@@ -43,6 +43,7 @@
     share: int
     report_age: float = -1.0
     in_flight: int = 0
+    admitted_share: float = 1.0
 
 
 class Withdraw(msgspec.Struct, frozen=True, gc=False):
@@ -211,7 +212,8 @@
         self._sent_at = now
         report_age, in_flight = self._table.grounds_of(chosen.name, now)
         self._table.on_sent(chosen.name, now)
-        send = Send(self._attempt, chosen, self._lent, report_age, in_flight)
+        share = self._table.admitted_share(chosen.name, self._context, self._route, now)
+        send = Send(self._attempt, chosen, self._lent, report_age, in_flight, share)
         return [send, SetTimer(self._deadline)]
 
     def _choose(self, now: float) -> Endpoint | Refused:
--- a/src/finchshed/routing/pool.py
+++ b/src/finchshed/routing/pool.py
@@ -12,7 +12,8 @@
 import msgspec
 import xxhash
 
-from finchshed.admission.paths import NO_THRESHOLD, PathThreshold
+from finchshed.admission.paths import HOLD_SECONDS, NO_THRESHOLD, PathThreshold
+from finchshed.admission.rank import cut_of, rank_of_cut
 from finchshed.common.results import CallResult
 from finchshed.routing.endpoint import EndpointView
 
@@ -31,6 +32,8 @@
 LATENCY_WEIGHT = 0.02
 """Weight of one answer in the service's mean latency."""
 
+HOLD_MILLISECONDS = int(HOLD_SECONDS * 1000)
+
 KNOWN_SHARE = 1 / 3
 """Share of the endpoints that must have reported lately for a floor to be told."""
 
@@ -142,8 +145,13 @@
         return Drawn(None, shed)
 
     def floor(self, route: str, now: float) -> PathThreshold:
-        """Return the lowest threshold that requests of a route meet at any endpoint known of."""
-        lowest: PathThreshold | None = None
+        """Return the threshold that requests of a route meet, over the endpoints known of.
+
+        It cuts the classes where the endpoints' thresholds do on the mean: a call goes to any of
+        them, and what one can't take another may.
+        """
+        cuts = 0.0
+        oldest = 0
         known = 0
         views = 0
         for view in self._open_views():
@@ -152,13 +160,12 @@
                 continue
             known += 1
             floor = view.floor(route, now)
-            if floor.threshold == 0:
-                return NO_THRESHOLD
-            if lowest is None or floor.value < lowest.value:
-                lowest = floor
-        if lowest is None or known < views * KNOWN_SHARE:
+            cuts += cut_of(floor.value)
+            oldest = max(oldest, floor.age_ms if floor.threshold else 0)
+        if not cuts or known < views * KNOWN_SHARE:
             return NO_THRESHOLD
-        return lowest
+        # What has faded here already must not fade once more for its age on the way.
+        return PathThreshold(rank_of_cut(cuts / known), min(oldest, HOLD_MILLISECONDS))
 
     def ejected(self, now: float) -> int:
         """Return the number of endpoints ejected at present."""
--- a/src/finchshed/routing/table.py
+++ b/src/finchshed/routing/table.py
@@ -10,7 +10,7 @@
 from collections.abc import Collection, Iterable
 
 from finchshed.admission.paths import NO_THRESHOLD, PathThreshold
-from finchshed.admission.rank import RANKS, rank_of
+from finchshed.admission.rank import RANKS, admitted_share, rank_of
 from finchshed.common.context import CallContext
 from finchshed.common.outcomes import RefusalReason, Refused
 from finchshed.common.results import CallResult
@@ -145,6 +145,13 @@
         view = self._views.get(name)
         return (-1.0, 0) if view is None else (view.report_age(now), view.in_flight)
 
+    def admitted_share(self, name: str, context: CallContext, route: str, now: float) -> float:
+        """Return the share of a request's class that an endpoint admits with it."""
+        view = self._views.get(name)
+        if view is None or context.is_admitted:
+            return 1.0
+        return admitted_share(context.importance, view.floor(route, now).value)
+
     def on_sent(self, name: str, now: float) -> None:
         """Count an attempt sent."""
         view = self._views.get(name)
--- a/tests/admission/test_demand.py
+++ b/tests/admission/test_demand.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from finchshed.admission.demand import DemandThreshold
-from finchshed.admission.rank import POSITIONS, class_floor
+from finchshed.admission.rank import POSITIONS, admitted_share, class_floor
 from finchshed.common.importance import Importance
 
 STEP_SECONDS = 0.01
@@ -24,7 +24,7 @@
     admitted: dict[Importance, int] = field(default_factory=dict)
     longest_queue: int = 0
     _rng: random.Random = field(default_factory=lambda: random.Random(5))
-    _under_way: list[tuple[float, int]] = field(default_factory=list)
+    _under_way: list[tuple[float, int, float]] = field(default_factory=list)
     _running: list[tuple[float, int]] = field(default_factory=list)
     _queue: list[int] = field(default_factory=list)
 
@@ -43,12 +43,13 @@
             rank = class_floor(importance) + self._rng.randrange(POSITIONS)
             if rank >= self.threshold.value:
                 self.admitted[importance] += 1
-                heapq.heappush(self._under_way, (self.now + self.delay, rank))
+                share = admitted_share(importance, self.threshold.value)
+                heapq.heappush(self._under_way, (self.now + self.delay, rank, share))
 
     def _serve(self) -> None:
         while self._under_way and self._under_way[0][0] <= self.now:
-            rank = heapq.heappop(self._under_way)[1]
-            self.threshold.on_arrival(rank)
+            _, rank, share = heapq.heappop(self._under_way)
+            self.threshold.on_arrival(rank, share)
             self._queue.append(rank)
         while self._running and self._running[0][0] <= self.now + STEP_SECONDS / 2:
             self.threshold.on_finish(heapq.heappop(self._running)[1], WORK_SECONDS)
