--- a/src/finchshed/cli/table.py
+++ b/src/finchshed/cli/table.py
@@ -58,6 +58,7 @@
         exit_codes="finchshed.ctl.exit_codes:MEANINGS",
     ),
     "config": Command("check, show or sample settings", "finchshed.settings.command:COMMANDS"),
+    "logs": Command("read the logs of several processes", "finchshed.logs.command:COMMANDS"),
     "prove-consensus": Command(
         "check the replicated log under failure over seeds",
         "finchshed.proof.consensus.command:prove_consensus",
--- /dev/null
+++ b/src/finchshed/logs/way.py
@@ -0,0 +1,124 @@
+"""One request's way through the logs of several processes, and the cause of its end. Pure.
+
+Clocks of machines differ, so lines are ordered by what they say of each other first: a call ended
+at its back end before the request it served ended at the daemon that took it.
+"""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from finchshed.logs.reading import LogLine
+
+CALL_SEPARATOR = "."
+
+ADVICE = {
+    "overload": "refused before anything ran: the class was cut at a back end on its way; see the "
+    "threshold, queued and limit of call_ended lines of the same time",
+    "queue_full": "refused: the queue beside the back end was full of what matters as much or more",
+    "deadline": "no time left: it waited or would have waited past its deadline or its route's "
+    "time-out; compare queued_ms and ran_ms of its call_ended lines",
+    "draining": "the back end or its daemon was leaving, and no other took it",
+    "no_backend": "no back end of the service was known and open at this daemon",
+    "no_configuration": "the daemon had no configuration confirmed by a quorum yet",
+    "unknown_route": "no route stands for this host and path in the revision named",
+    "connect_failed": "no connection to the endpoint's daemon or from it to its back end",
+    "link_broken": "the link to the endpoint's daemon broke after the sending: it may have run",
+    "backend_broken": "the back end's connection ended without a whole answer: it may have run",
+    "backend_refused": "the back end said that it did not run it",
+    "aborted": "its client left",
+    "cancelled": "its client left before it was sent",
+    "retries_spent": "no retry was left in the service's budget",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Way:
+    """Lines about one request and the calls made for it, in order, and what is missing."""
+
+    identity: str
+    lines: tuple[LogLine, ...]
+
+    @property
+    def cause(self) -> str:
+        """What ended the request, in words."""
+        ends = [line for line in self.lines if _is_end_of(line, self.identity)]
+        if not ends:
+            return (
+                "its end is in none of the files: it ended well and was not sampled, or its "
+                "line was left out"
+            )
+        return _cause_of(ends[-1], self.lines)
+
+
+def way_of(identity: str, lines: Iterable[LogLine]) -> Way:
+    """Return the way of the request that its caller gave ``identity``."""
+    about = [line for line in lines if _is_about(line, identity)]
+    return Way(identity, tuple(sorted(about, key=_order)))
+
+
+def describe(way: Way) -> list[str]:
+    """Return the way as lines for people."""
+    text = [f"request {way.identity}"]
+    for line in way.lines:
+        text.append(f"  {line.time:.3f} {line.prefix or line.source}: {_text_of(line)}")
+    text.append(f"cause: {way.cause}")
+    return text
+
+
+def _is_about(line: LogLine, identity: str) -> bool:
+    if line.event not in {"request_ended", "call_ended"}:
+        return False
+    named = str(line.record.get("id", ""))
+    return named == identity or named.startswith(identity + CALL_SEPARATOR)
+
+
+def _is_end_of(line: LogLine, identity: str) -> bool:
+    return line.event == "request_ended" and line.record.get("id") == identity
+
+
+def _order(line: LogLine) -> tuple[int, bool, float]:
+    """Order deeper calls first, then a call's end before its request's, then by time."""
+    depth = str(line.record.get("id", "")).count(CALL_SEPARATOR)
+    return (-depth, line.event == "request_ended", line.time)
+
+
+def _text_of(line: LogLine) -> str:
+    record = line.record
+    what = f"{line.event} {record.get('id')}: {record.get('outcome')}"
+    reason = record.get("reason") or record.get("status") or ""
+    parts = [f"{what} {reason}".rstrip()]
+    if record.get("detail"):
+        parts.append(str(record["detail"]))
+    if line.event == "request_ended":
+        parts.append(f"service {record.get('service')}, {record.get('ms')} ms")
+        parts.append(f"revision {record.get('revision', 0)}")
+        for attempt in record.get("attempts", ()):
+            reason = attempt.get("reason", "")
+            parts.append(f"{attempt['endpoint']}: {attempt['outcome']} {reason}".rstrip())
+    else:
+        parts.append(f"instance {record.get('instance')}")
+        parts.append(f"queued {record.get('queued_ms')} ms, ran {record.get('ran_ms', -1.0)} ms")
+        load = (record.get(name, 0) for name in ("running", "queued", "limit", "threshold"))
+        parts.append("running {}, queued {}, limit {}, threshold {}".format(*load))
+    return "; ".join(parts)
+
+
+def _cause_of(end: LogLine, lines: Sequence[LogLine]) -> str:
+    record = end.record
+    if record.get("outcome") != "answered":
+        reason = str(record.get("reason", ""))
+        return f"{record.get('outcome')}, {reason}: {ADVICE.get(reason, 'no advice')}"
+    status = record.get("status", 0)
+    failed = [line for line in lines if line is not end and _is_failed_call(line, end)]
+    if failed:
+        first = failed[0].record
+        why = first.get("reason") or f"status {first.get('status')}"
+        return f"the back end answered {status} after its call {first.get('id')} ended: {why}"
+    return f"the back end answered {status} itself"
+
+
+def _is_failed_call(line: LogLine, end: LogLine) -> bool:
+    if line.event != "request_ended" or line.record.get("id") == end.record.get("id"):
+        return False
+    is_error = int(line.record.get("status", 0)) >= 500
+    return line.record.get("outcome") != "answered" or is_error
