--- a/src/finchshed/retry/bucket.py
+++ b/src/finchshed/retry/bucket.py
@@ -12,6 +12,10 @@
 """Tokens added each second regardless of successes."""
 
 
+CALL_SHARE = 0.2
+"""Tokens that the success of a call brings, as a share of those of a request."""
+
+
 class RetryBucket:
     """Bounds the retries of all calls from one daemon to one service.
 
@@ -46,9 +50,14 @@
         self._inflow = inflow_per_second
         self._tokens = min(self._tokens, capacity)
 
-    def on_success(self) -> None:
-        """Count a success."""
-        self._tokens = min(self._capacity, self._tokens + self.ratio)
+    def on_success(self, *, is_call: bool = False) -> None:
+        """Count a success.
+
+        A call made for a request brings less: when a request is repeated all of its calls are made
+        again, and count as repeats where they arrive.
+        """
+        share = CALL_SHARE if is_call else 1.0
+        self._tokens = min(self._capacity, self._tokens + share * self.ratio)
 
     def take(self, now: float) -> bool:
         """Take one token for a retry; return whether there was one."""
--- a/src/finchshed/routing/caller.py
+++ b/src/finchshed/routing/caller.py
@@ -163,7 +163,7 @@
         if isinstance(outcome, Failed) or _does_not_serve(outcome):
             self._is_pinned = False
         if isinstance(outcome, Answered):
-            self._bucket.on_success()
+            self._bucket.on_success(is_call=self._context.is_call)
             return self._finish(outcome)
         if not may_retry(outcome, self._repeatable) or not self._pay(outcome, now):
             return self._finish(outcome)
