--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -4,7 +4,7 @@
 import random
 import secrets
 import time
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable
 from pathlib import Path
 from typing import Any
 
@@ -179,6 +179,10 @@
 
     # What the configuration tells.
 
+    def add_control_addresses(self, addresses: Iterable[str]) -> None:
+        """Take in control nodes that the settings name by now."""
+        self._driver.client.add_addresses(addresses)
+
     def take_effect(self, previous: Configuration, current: Configuration) -> None:
         """Act on ``current`` from now on."""
         metrics.REVISION.set(current.revision)
--- a/src/finchshed/observability/admin.py
+++ b/src/finchshed/observability/admin.py
@@ -12,11 +12,9 @@
 from aiohttp import web
 from loguru import logger
 from prometheus_client import REGISTRY, CollectorRegistry
-from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
-from finchshed.observability import ring
+from finchshed.observability import metrics_page, ring
 from finchshed.observability.health import Health
-from finchshed.observability.process_metrics import RING_RECORDS
 
 Handler: TypeAlias = Callable[[Mapping[str, str]], Awaitable[msgspec.Struct]]
 """Answers a GET with a struct, from the query's parameters."""
@@ -98,9 +96,8 @@
                 return _json(Problem(problem="no such path or method"), status=404)
 
     def _metrics(self) -> web.Response:
-        RING_RECORDS.set(len(ring.current().records()))
-        body = generate_latest(self.registry)
-        return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
+        body = metrics_page.render(self.registry)
+        return web.Response(body=body, headers={"Content-Type": metrics_page.CONTENT_TYPE})
 
 
 def _json(message: Any, status: int = 200) -> web.Response:
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -52,14 +52,13 @@
         if wipe:
             for path in sorted(self.folder.rglob("*"), reverse=True):
                 path.rmdir() if path.is_dir() else path.unlink()
-        settings = self.folder.parent / f"{self.role}-{self.ip}.json"
-        settings.write_text(json.dumps({**self.fields, "bootstrap": bootstrap}))
+        self.write_settings(bootstrap=bootstrap)
         environment = {
             "PATH": os.environ["PATH"],
             "PYTHONPATH": f"{ROOT / 'src'}:{ROOT / 'platform'}",
-            "FINCHSHED_SETTINGS": str(settings),
+            "FINCHSHED_SETTINGS": str(self.settings),
         }
-        log = (self.folder.parent / f"{self.role}-{self.ip}.log").open("ab")
+        log = self.log_file.open("ab")
         self.process = subprocess.Popen(
             [sys.executable, str(ROOT / "platform" / "run.py"), self.role],
             env=environment,
@@ -67,6 +66,24 @@
             stderr=log,
         )
 
+    @property
+    def settings(self) -> Path:
+        """The settings file."""
+        return self.folder.parent / f"{self.role}-{self.ip}.json"
+
+    @property
+    def log_file(self) -> Path:
+        """What the process writes."""
+        return self.folder.parent / f"{self.role}-{self.ip}.log"
+
+    def log(self) -> str:
+        """Return what the process has written."""
+        return self.log_file.read_text()
+
+    def write_settings(self, *, bootstrap: bool = False) -> None:
+        """Write the settings of this moment."""
+        self.settings.write_text(json.dumps({**self.fields, "bootstrap": bootstrap}))
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process started here."""
         assert self.process is not None
--- a/tests/platform/test_thin_path.py
+++ b/tests/platform/test_thin_path.py
@@ -7,7 +7,17 @@
 
 from aiohttp import web
 
-from tests.platform.standin import Backend, Platform, document, platform, rule, until
+from tests.platform.standin import (
+    INNER_PORTS,
+    Backend,
+    Platform,
+    document,
+    platform,
+    rule,
+    until,
+)
+
+METRICS = INNER_PORTS[-1]
 
 RULES = (
     rule("/buy/", "sales", "unsafe", timeout_s=1),
@@ -146,3 +156,37 @@
         await asyncio.sleep(0.2)
         assert (await running.ask("/look/after")).status == 200
         assert (await running.read(0)).status == 200
+
+
+async def test_seeds_that_were_exchanged_are_taken_in_without_a_restart(tmp_path: Path) -> None:
+    async with platform(tmp_path, "sales") as running:
+        await serving(running)
+        daemon = running.daemons[0]
+        daemon.fields["seed_nodes"] = ["127.0.0.9:8306"]
+        daemon.write_settings()
+        daemon.signal(signal.SIGHUP)
+
+        async def is_told() -> bool:
+            return "127.0.0.9:7621" in daemon.log()
+
+        await until(is_told)
+        daemon.settings.write_text("{")
+        daemon.signal(signal.SIGHUP)
+
+        async def is_refused() -> bool:
+            return "nothing changed" in daemon.log()
+
+        await until(is_refused)
+        assert (await running.ask("/look/after")).status == 200
+
+
+async def test_metrics_are_served_by_both_programs(tmp_path: Path) -> None:
+    async with platform(tmp_path, "sales") as running:
+        await serving(running)
+        for machine, name in (
+            (running.daemons[0], "finchshed_admission_threshold"),
+            (running.controls[0], "finchshed_control_peer_dropped"),
+        ):
+            async with running.session.get(f"http://{machine.ip}:{METRICS}/metrics") as response:
+                assert response.status == 200
+                assert name in await response.text()
