--- a/src/finchshed/emulator/control/log_host.py
+++ b/src/finchshed/emulator/control/log_host.py
@@ -74,6 +74,7 @@
         machine: ControlStateMachine,
         post: Post,
         rng: random.Random,
+        may_form: bool,
     ) -> None:
         self._process = process
         self._machine = machine
@@ -88,6 +89,7 @@
             rng=rng,
             initial_members=voters,
             now=process.now,
+            may_form=may_form,
         )
         self._driver = Driver(self.node, self)
         self._events: list[Event] = []
--- a/src/finchshed/emulator/control/node.py
+++ b/src/finchshed/emulator/control/node.py
@@ -53,6 +53,7 @@
         self.address = next(member.address for member in voters if member.name == site.node)
         self.disk = SimulatedDisk(simulation.streams.python(f"disk/{site.node}"))
         self.stopping = False
+        self._may_form = True
         self._begin_life()
 
     def _begin_life(self) -> None:
@@ -67,7 +68,10 @@
             machine=self.machine,
             post=self,
             rng=rng,
+            may_form=self._may_form,
         )
+        # As an operator does it: only the first start may form the group.
+        self._may_form = False
         self.proposals = Proposals(self, self.host, self, rng)
         self.hub = HubShell(
             self,
