--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 #
 #   make demo                      run the Brazos Ridge example as separate processes
 #   make demo DEPLOYMENT=manila    run another folder of examples/
+#   make platform                  run the path on a stand-in of the users' platform
 #   make test                      run the tests
 #   make check                     formatter, linter, types, generated code, settings samples
 #   make ci                        all that .ci/run does
@@ -19,14 +20,17 @@
 BIN := $(VENV)/bin
 INSTALLED := $(VENV)/.installed
 
-.PHONY: demo test check format lint types generated samples ci lock clean help
+.PHONY: demo platform test check format lint types generated samples ci lock clean help
 
 help:
-	@sed -n '3,7p' Makefile | sed 's/^# *//'
+	@sed -n '3,8p' Makefile | sed 's/^# *//'
 
 demo: $(INSTALLED)
 	$(BIN)/finchshed fleet demo --deployment=examples/$(DEPLOYMENT) --seed=$(SEED) --load=$(LOAD)
 
+platform: $(INSTALLED)
+	$(BIN)/python -m pytest -v tests/platform/test_thin_path.py
+
 # Failures of the tests in KNOWN-RED.txt are shown and don't count; any other one does.
 test: $(INSTALLED)
 	$(BIN)/python -m pytest -n $(TEST_WORKERS) --dist=loadfile \
--- /dev/null
+++ b/tests/control/test_directory_service.py
@@ -0,0 +1,88 @@
+"""Registrations at one control node: passed on at once, repeated, and forgotten at last."""
+
+import asyncio
+
+import pytest
+
+from finchshed.control import directory_service
+from finchshed.control.directory_service import DirectoryService
+from finchshed.control.peer_messages import DirectoryReport
+from finchshed.directory.registration import InstanceState, Registration
+from finchshed.distribution.messages import (
+    Announce,
+    ControlNodes,
+    ControlToDaemon,
+    DirectoryUpdate,
+)
+
+
+class Outside:
+    """What the service sends."""
+
+    def __init__(self) -> None:
+        self.to_daemons: list[ControlToDaemon] = []
+        self.to_peers: list[DirectoryReport] = []
+
+    def service(self) -> DirectoryService:
+        return DirectoryService(self.to_daemons.append, self.to_peers.append)
+
+
+def registration(serial: int, host: int = 1) -> Registration:
+    address = f"10.0.0.{host}:7000"
+    return Registration(address, 1, serial, f"i-{host}", "sales", state=InstanceState.READY)
+
+
+async def test_what_a_daemon_tells_goes_to_daemons_and_peers_once() -> None:
+    outside = Outside()
+    service = outside.service()
+    for _ in range(3):
+        service.on_announce(Announce(registration(1)))
+    assert outside.to_daemons == [DirectoryUpdate((registration(1),))]
+    assert outside.to_peers == [DirectoryReport((registration(1),))]
+
+
+async def test_what_a_peer_tells_goes_to_daemons_and_to_no_other_peer() -> None:
+    outside = Outside()
+    service = outside.service()
+    service.on_report(DirectoryReport((registration(2),)))
+    service.on_report(DirectoryReport((registration(1), registration(1, host=2))))
+    assert outside.to_daemons == [
+        DirectoryUpdate((registration(2),)),
+        DirectoryUpdate((registration(1, host=2),)),
+    ]
+    assert outside.to_peers == []
+
+
+async def test_a_daemon_that_connects_gets_all_and_the_control_nodes() -> None:
+    outside = Outside()
+    service = outside.service()
+    service.on_announce(Announce(registration(1)))
+    service.set_control_addresses(("10.1.0.1:7621",))
+    service.set_control_addresses(("10.1.0.1:7621",))
+    assert outside.to_daemons[1:] == [ControlNodes(("10.1.0.1:7621",))]
+    assert list(service.greeting()) == [
+        DirectoryUpdate((registration(1),), is_whole=True),
+        ControlNodes(("10.1.0.1:7621",)),
+    ]
+
+
+async def test_own_registrations_are_repeated_to_peers_and_lost_ones_forgotten(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(directory_service, "CONFIRM_SECONDS", 0.02)
+    monkeypatch.setattr(directory_service, "FORGET_SECONDS", 0.1)
+    monkeypatch.setattr(directory_service, "OWN_SECONDS", 0.05)
+    outside = Outside()
+    service = outside.service()
+    service.on_announce(Announce(registration(1)))
+    service.on_report(DirectoryReport((registration(1, host=2),)))
+    running = asyncio.create_task(service.run())
+    await asyncio.sleep(0.3)
+    running.cancel()
+    assert outside.to_peers[1] == DirectoryReport((registration(1),))
+    assert outside.to_peers[-1] == DirectoryReport(())
+    forgotten = [item for item in outside.to_daemons if item.forgotten]  # type: ignore[union-attr]
+    assert {address for item in forgotten for address in item.forgotten} == {  # type: ignore[union-attr]
+        "10.0.0.1:7000",
+        "10.0.0.2:7000",
+    }
--- a/tests/directory/test_registrar.py
+++ b/tests/directory/test_registrar.py
@@ -102,3 +102,22 @@
     assert registered.registration.instance == "i-1"
     assert not registered.on_own_registration(held)
     assert not registered.on_own_registration(registered.registration)
+
+
+def test_a_check_of_health_tells_who_is_there_until_a_heartbeat_does() -> None:
+    registered = registrar()
+    assert registered.on_health("i-1", "sales", 8, 0.0)
+    assert registered.registration.state is InstanceState.READY
+    assert not registered.on_health("i-2", "sales", 8, 0.1)
+    assert registered.on_heartbeat(beat("i-1", 7, leaving=True), 0.5)
+    assert registered.registration.state is InstanceState.LEAVING
+    assert registered.tick(0.5 + SILENCE_SECONDS + 0.1)
+
+
+def test_a_late_answer_to_a_check_turns_no_heartbeat_back() -> None:
+    registered = registrar()
+    registered.on_leave("i-1")
+    assert not registered.on_health("i-1", "sales", 8, 0.1)
+    registered.on_heartbeat(beat("i-2", 1), 0.2)
+    assert not registered.on_health("i-3", "sales", 8, 0.3)
+    assert registered.registration.instance == "i-2"
--- a/tests/limit/test_concurrency.py
+++ b/tests/limit/test_concurrency.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from finchshed.common.results import CallResult
-from finchshed.limit.concurrency import DECREASE_FACTOR, ConcurrencyLimit
+from finchshed.limit.concurrency import DECREASE_FACTOR, ConcurrencyLimit, slots_to_use
 
 
 def answered(limit: ConcurrencyLimit, count: int, now: float = 0.0) -> None:
@@ -60,3 +60,8 @@
     limit = ConcurrencyLimit(4)
     limit.set_slots(9)
     assert limit.limit == 9
+
+
+def test_a_sixteenth_of_the_slots_is_left_free_where_there_are_enough() -> None:
+    used = {slots: slots_to_use(slots) for slots in (1, 4, 11, 12, 14, 31, 92, 183)}
+    assert used == {1: 1, 4: 4, 11: 11, 12: 11, 14: 13, 31: 29, 92: 86, 183: 171}
--- a/tests/retry/test_bucket.py
+++ b/tests/retry/test_bucket.py
@@ -54,3 +54,22 @@
     assert min(retry_after(10.0, rng) for _ in range(100)) > mild
     bound = RETRY_AFTER_MAX_SECONDS * (1.0 + RETRY_AFTER_SPREAD)
     assert max(retry_after(1e9, rng) for _ in range(100)) <= bound
+
+
+def test_bounds_that_many_daemons_share_hold_from_the_moment_they_are_set() -> None:
+    bucket = RetryBucket(0.1, 0.0)
+    bucket.set_bounds(3.0, 0.0)
+    assert [bucket.take(100.0) for _ in range(5)] == [True, True, True, False, False]
+
+
+def test_the_success_of_a_call_brings_a_fifth_of_that_of_a_request() -> None:
+    bucket = RetryBucket(0.1, 0.0)
+    bucket.set_bounds(3.0, 0.0)
+    while bucket.take(0.0):
+        pass
+    for _ in range(51):
+        bucket.on_success(is_call=True)
+    assert [bucket.take(0.0), bucket.take(0.0)] == [True, False]
+    for _ in range(11):
+        bucket.on_success()
+    assert bucket.take(0.0)
