A request whose route goes while its body comes in is still answered

Found by reading: the service was drawn at the end of the body from the routes of that moment, so a change of configuration that removed the route in between raised a KeyError in the parser's callback and the connection ended without an answer. The new test failed with that error. The service is drawn with the head now.

--- a/src/finchshed/daemon/host_front.py
+++ b/src/finchshed/daemon/host_front.py
@@ -50,9 +50,13 @@
 
 
 class HostAdmitted(msgspec.Struct, frozen=True, gc=False):
-    """What is known of a request from its head. ``began`` is in monotonic seconds."""
+    """What is known of a request from its head. ``began`` is in monotonic seconds.
+
+    ``service`` was drawn then: the route may be gone by the end of the body.
+    """
 
     route: HostRoute
+    service: str
     host: str
     remaining_seconds: float
     began: float
@@ -109,7 +113,8 @@
             detail = f"the header {self._names.request} is needed"
             return self._refused(RefusalReason.REQUEST_INVALID, detail)
         remaining = min(self._told_seconds(request, route), route.timeout_seconds)
-        return HostAdmitted(route, host, remaining, time.monotonic())
+        service = self._choices[route.name].draw()
+        return HostAdmitted(route, service, host, remaining, time.monotonic())
 
     def max_body_bytes(self, admitted: HostAdmitted) -> int:
         """Return the largest body taken for an admitted request."""
@@ -127,7 +132,7 @@
         served = self._served_by(identity)
         context = self._context(admitted, identity, served)
         message = Request(
-            service=self._choices[route.name].draw(),
+            service=admitted.service,
             method=request.method,
             path=request.target,
             headers=self._headers(request, admitted.host),
--- /dev/null
+++ b/tests/daemon/test_host_front.py
@@ -0,0 +1,163 @@
+"""Requests by host and path: what their heads say, and what becomes of them."""
+
+import random
+from collections.abc import Callable
+
+import pytest
+
+from finchshed.common.importance import Importance
+from finchshed.common.outcomes import Answered, Outcome, RefusalReason, Refused
+from finchshed.configuration.resources import (
+    Destination,
+    HostRoute,
+    IngressLimits,
+    Resource,
+    Service,
+    host_route_name,
+)
+from finchshed.daemon.accounts import ServedRequests
+from finchshed.daemon.catalogue import Catalogue
+from finchshed.daemon.header_names import HeaderNames
+from finchshed.daemon.host_front import HostFront
+from finchshed.daemon.request import Request
+from finchshed.http.message import InboundRequest, Response
+
+NAMES = HeaderNames(call_separator=".")
+HOST = "sales.example"
+
+
+def route(prefix: str, service: str = "sales", **fields: object) -> HostRoute:
+    return HostRoute(  # type: ignore[arg-type]
+        host_route_name(HOST, prefix), HOST, prefix, (Destination(service),), **fields
+    )
+
+
+class FakeCaller:
+    """Keeps the requests and answers each at once."""
+
+    def __init__(self) -> None:
+        self.requests: list[Request] = []
+        self.outcome: Outcome = Answered(200, (), b"whole")
+
+    def call(
+        self,
+        request: Request,
+        account: str,
+        join_identity: str,
+        on_outcome: Callable[[Outcome], None],
+    ) -> Callable[[], None]:
+        self.requests.append(request)
+        on_outcome(self.outcome)
+        return lambda: None
+
+
+class Front:
+    """A front over a fake caller."""
+
+    def __init__(self, *resources: Resource) -> None:
+        self.caller = FakeCaller()
+        self.served = ServedRequests()
+        self.reason: RefusalReason | None = None
+        self.front = HostFront(
+            self.caller,  # type: ignore[arg-type]
+            self.served,
+            NAMES,
+            random.Random(1),
+            own_service=lambda: "ledger",
+            why_not=lambda: self.reason,
+        )
+        self.configure(*resources)
+
+    def configure(self, *resources: Resource) -> None:
+        self.front.configure(Catalogue((Service("sales"), Service("ledger"), *resources), 3))
+
+    def ask(self, target: str, then: Callable[[], None] = lambda: None, **told: str) -> Response:
+        """Send a request; ``then`` is called between its head and the end of its body."""
+        request = inbound(target, **told)
+        admitted = self.front.admit(request)
+        if isinstance(admitted, Refused):
+            return self.front.refused(admitted)
+        then()
+        responses: list[Response] = []
+        self.front.handle(request, admitted, responses.append)
+        return responses[0]
+
+
+def inbound(target: str, **told: str) -> InboundRequest:
+    headers = {"host": HOST, "finchshed-request": "r1", "finchshed-deadline-ms": "900"}
+    headers.update({name.replace("_", "-"): value for name, value in told.items()})
+    raw = [(name.encode(), value.encode()) for name, value in headers.items() if value]
+    return InboundRequest("127.0.0.1", "GET", target, raw, dict(raw))
+
+
+def test_the_longest_prefix_of_the_host_counts() -> None:
+    front = Front(route("/a/"), route("/a/b/", "ledger"))
+    assert front.ask("/a/b/c?x=/a/").status == 200
+    assert front.ask("/a/c", host="SALES.example:80").status == 200
+    assert [request.service for request in front.caller.requests] == ["ledger", "sales"]
+    assert front.ask("/ab/").status == 404
+    assert front.ask("/a/", host="other.example").status == 404
+
+
+def test_a_route_that_goes_while_a_body_comes_in_still_answers_the_request() -> None:
+    front = Front(route("/a/"))
+    response = front.ask("/a/1", then=lambda: front.configure(route("/b/")))
+    assert response.status == 200
+    assert front.caller.requests[0].service == "sales"
+    assert front.ask("/a/1").status == 404
+
+
+@pytest.mark.parametrize(("told", "most"), [("900", 0.5), ("200", 0.2), ("0", 0.0), ("x", 0.5)])
+def test_the_time_left_is_the_smaller_of_the_callers_and_the_routes(told: str, most: float) -> None:
+    front = Front(route("/a/", timeout_seconds=0.5))
+    front.ask("/a/1", finchshed_deadline_ms=told)
+    left = front.caller.requests[0].context.remaining_seconds
+    assert most - 0.1 <= left <= most
+
+
+def test_a_call_inherits_from_the_request_it_is_made_for() -> None:
+    front = Front(route("/a/", importance=Importance.CRITICAL), route("/c/"))
+    front.ask("/a/1", finchshed_request="r1")
+    parent = front.caller.requests[0].context
+    front.served.open(parent, 1e12, "r1")
+    front.ask("/c/1", finchshed_request="r1.x")
+    front.ask("/c/1", finchshed_request="r9.x")
+    call, stranger = (request.context for request in front.caller.requests[1:])
+    assert (call.root, call.importance, call.is_call) == ("r1", Importance.CRITICAL, True)
+    assert (stranger.root, stranger.importance, stranger.is_call) == (
+        "r9.x",
+        Importance.NORMAL,
+        False,
+    )
+
+
+def test_headers_that_daemons_set_are_set_whatever_was_sent() -> None:
+    front = Front(route("/a/"))
+    front.ask(
+        "/a/1",
+        finchshed_caller_service="forged",
+        finchshed_expect_instance="i-9",
+        x_other="kept",
+        connection="x-hop, keep-alive",
+        x_hop="dropped",
+    )
+    headers = front.caller.requests[0].headers
+    assert headers == (
+        ("host", HOST),
+        ("x-other", "kept"),
+        ("finchshed-caller-service", "ledger"),
+    )
+
+
+def test_refusals_say_when_to_come_back_and_failures_do_not() -> None:
+    front = Front(route("/a/"), IngressLimits(max_body_bytes=10))
+    front.reason = RefusalReason.NO_CONFIGURATION
+    refused = front.ask("/a/1")
+    assert refused.status == 503
+    assert float(dict(refused.headers)["retry-after"]) > 0.0
+    front.reason = None
+    assert front.ask("/a/1", finchshed_request="").status == 400
+    assert front.front.refused(front.front.too_large(10)).status == 413
+    assert front.front.head_too_large(10).status == 431
+    front.caller.outcome = Answered(500, (("finchshed-downstream", "1"), ("x", "y")), b"")
+    assert front.ask("/a/1").headers == (("x", "y"),)
