Changes of the directory are logged; a test waits until both back ends are known

The draining test of the thin path failed 2 times of 6: it drained a back end before the other was known at that daemon (no_backend, by its log).

--- a/src/finchshed/daemon/endpoints.py
+++ b/src/finchshed/daemon/endpoints.py
@@ -2,6 +2,8 @@
 
 import time
 
+from loguru import logger
+
 from finchshed.configuration.resources import Endpoint
 from finchshed.daemon.peers import PeerLinks
 from finchshed.directory.registration import Registration
@@ -38,7 +40,11 @@
         """Take registrations. A control node that just started doesn't know them all yet."""
         now = time.monotonic()
         news = self._directory.take(update.registrations, now)
+        for registration in news:
+            _log(registration)
         dropped = self._directory.drop(update.forgotten)
+        if dropped:
+            logger.info("back ends at {} are forgotten", ", ".join(update.forgotten))
         if news or dropped:
             self._apply()
 
@@ -53,3 +59,15 @@
         self._links.replace(endpoints)
         if len(registered) <= MAX_GREETED:
             self._links.greet(tuple(registered.values()))
+
+
+def _log(registration: Registration) -> None:
+    logger.info(
+        "told of back end {} of {} at {}: {}, epoch {}, serial {}",
+        registration.instance,
+        registration.service,
+        registration.address,
+        registration.state,
+        registration.epoch,
+        registration.serial,
+    )
--- a/tests/platform/test_thin_path.py
+++ b/tests/platform/test_thin_path.py
@@ -35,8 +35,10 @@
     services = {"sales": "/look/up", "ledger": "/ledger/up"}
 
     async def all_answer() -> bool:
-        for number in range(len(running.daemons)):
+        for number, daemon in enumerate(running.daemons):
             for backend in running.backends:
+                if f"told of back end {backend.instance} of" not in daemon.log():
+                    return False
                 answer = await running.ask(services[backend.service], daemon=number)
                 if answer.status != 200:
                     return False
