A daemon that stops lets others go on calling its back end for 1.3 s

Ruled out: telling at the end of the notice (2.3 s): calls sent then would have 3 s to end. The change: others are told 1.3 s after the stop began; calls sent until then have 4 s.

--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -167,8 +167,10 @@
         self._listeners.prefer_successor()
         self._http.closing = True
         self._host_http.closing = True
+        told_after = min(settings.drain_tell_seconds, settings.drain_notice_seconds)
+        await asyncio.sleep(told_after)
         self._leaving.tell()
-        await asyncio.sleep(settings.drain_notice_seconds)
+        await asyncio.sleep(settings.drain_notice_seconds - told_after)
         self._listeners.close()
         await self._idle(settings.drain_seconds)
         if self._callee is not None and self._callee.sessions:
--- a/src/finchshed/daemon/settings.py
+++ b/src/finchshed/daemon/settings.py
@@ -138,6 +138,17 @@
     logs_to_stdout: Annotated[
         bool, Meta(description="Whether decisions go to standard output, as JSON lines.")
     ] = True
+    drain_tell_seconds: Annotated[
+        float,
+        Meta(
+            ge=0,
+            le=60,
+            description=(
+                "Time a stop lets other daemons go on calling the back end, which stays; within "
+                "the time for late arrivals."
+            ),
+        ),
+    ] = 0.0
     tls_certificate_file: CertificateFile = ""
     tls_key_file: KeyFile = ""
     tls_authority_file: AuthorityFile = ""
--- a/tests/platform/test_thin_path.py
+++ b/tests/platform/test_thin_path.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import signal
+import time
 from pathlib import Path
 
 from aiohttp import web
@@ -155,6 +156,25 @@
         assert await asyncio.to_thread(running.daemons[0].wait, 6.0) == 0
 
 
+async def test_the_back_end_beside_a_daemon_that_stops_is_called_on_for_a_while(
+    tmp_path: Path,
+) -> None:
+    async with platform(tmp_path, "sales", "ledger") as running:
+        await serving(running)
+        running.daemons[0].signal(signal.SIGTERM)
+        began = time.monotonic()
+        last_answered = 0.0
+        while running.daemons[0].process.poll() is None:
+            answer = await running.ask("/look/on", daemon=1)
+            if answer.status == 200:
+                last_answered = time.monotonic() - began
+            else:
+                assert answer.status == 503
+            await asyncio.sleep(0.02)
+        assert 1.0 < last_answered < 1.6
+        assert time.monotonic() - began < 6.0
+
+
 async def test_a_change_of_settings_does_not_end_a_process(tmp_path: Path) -> None:
     async with platform(tmp_path, "sales") as running:
         await serving(running)
