--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -27,6 +27,12 @@
 HEARTBEAT_SECONDS = 0.4
 START_SECONDS = 30.0
 
+UNCLEAR = frozenset({0, 503})
+"""Answers after which an operator sends the same again."""
+
+ACKNOWLEDGED_SECONDS = 4.0
+"""A configuration is clearly answered within this time while the core is stable."""
+
 Work = Callable[["Backend", web.Request], Awaitable[web.Response]]
 
 
@@ -230,6 +236,13 @@
         """Offer a configuration to one control node after the other, as the operator does."""
         await until(lambda: self._try_put(document))
 
+    async def put_until_clear(self, document: dict[str, Any], control: int) -> int:
+        """Offer a configuration until the answer is clear; it has to be within the bound."""
+        deadline = time.monotonic() + ACKNOWLEDGED_SECONDS
+        while (status := await self.put(document, control)) in UNCLEAR:
+            assert time.monotonic() < deadline, "no clear answer in time"
+        return status
+
     async def read(self, control: int = 0) -> Answer:
         """Read the configuration at one control node."""
         url = f"http://{self.controls[control].ip}:{CONTROL}/finchshed/config/get"
