--- a/tests/platform/test_thin_path.py
+++ b/tests/platform/test_thin_path.py
@@ -93,6 +93,14 @@
         assert float(answer.headers["retry-after"]) > 0.0
 
 
+async def test_racing_configurations_are_answered_clearly_at_once(tmp_path: Path) -> None:
+    async with platform(tmp_path, "sales") as running:
+        await serving(running)
+        second, rival = document(7, 3, *RULES), document(8, 3, rule("/look/", "sales"))
+        statuses = await asyncio.gather(running.put(second, 0), running.put(rival, 1))
+        assert sorted(statuses) == [200, 412]
+
+
 async def test_configurations_race_resend_and_outlive_a_restart_of_all(tmp_path: Path) -> None:
     async with platform(tmp_path, "sales") as running:
         await serving(running)
