The change read once more: one refusal for all listeners, one interface of thresholds, one table of status codes

Found and mended:

- State that could be derived: `is_by_host` of requests and of work follows from identity and route; the retry ratio kept beside the catalogue that has it.
- A special case where the mechanism was wrong: the gate asked three times which threshold it has; there is one interface now.
- Names: `logs way` is `logs trace`, `drain_tell_seconds` is `drain_serving_seconds`, `look` is `identify`.

Bounds are as they were. In tests: the listener's stub follows the interface and shows the reason and text that the connection gives, in place of ones it made up itself; nothing else is changed but names. Ruled out as duplicates: the shapes of records, schema messages and settings (alike, with other fields).

--- a/src/finchshed/admission/demand.py
+++ b/src/finchshed/admission/demand.py
@@ -101,6 +101,9 @@
             held.seconds = seconds
         held.seconds += SERVICE_WEIGHT * (seconds - held.seconds)
 
+    def on_queue(self, queued: int) -> None:
+        """Take no notice: the queue is told with each step."""
+
     def step(
         self, now: float, *, running: int, queued: int, limit: int, mean_seconds: float
     ) -> None:
--- a/src/finchshed/admission/gate.py
+++ b/src/finchshed/admission/gate.py
@@ -16,7 +16,7 @@
 from finchshed.admission.effects import GateEffect, Refuse, Start
 from finchshed.admission.paths import NO_PATHS, PathThreshold
 from finchshed.admission.rank import is_in_session, rank_of
-from finchshed.admission.threshold import AdmissionThreshold
+from finchshed.admission.threshold import AdmissionThreshold, Threshold
 from finchshed.common.context import CallContext
 from finchshed.common.outcomes import RefusalReason
 from finchshed.common.results import CallResult
@@ -27,9 +27,6 @@
 QUEUE_PER_SLOT = 8
 """Longest queue, as a multiple of the declared slots."""
 
-MIN_TARGET_DELAY_SECONDS = 0.005
-"""Standing queueing delay that is always tolerated."""
-
 RESERVE_DIVISOR = 4
 """What waits below the threshold is kept up to the limit over this, so that no slot runs idle."""
 
@@ -71,9 +68,7 @@
         self._slots = slots
         self._rng = rng
         self._concurrency = ConcurrencyLimit(slots)
-        self._threshold: AdmissionThreshold | DemandThreshold = (
-            DemandThreshold(now) if by_demand else AdmissionThreshold(now)
-        )
+        self._threshold: Threshold = DemandThreshold(now) if by_demand else AdmissionThreshold(now)
         self._queue: list[tuple[int, int, _Waiting]] = []
         self._waiting: dict[int, _Waiting] = {}
         self._running: dict[int, _Running] = {}
@@ -111,10 +106,7 @@
         rank = rank_of(context)
         if rank < floor and not context.is_admitted:
             return [self._refusal(token, RefusalReason.OVERLOAD)]
-        if isinstance(self._threshold, DemandThreshold):
-            self._threshold.on_arrival(rank, context.admitted_share)
-        else:
-            self._threshold.on_arrival(rank)
+        self._threshold.on_arrival(rank, context.admitted_share)
         if not self._queue and len(self._running) < self._concurrency.limit:
             self._begin(token, rank, now)
             return [Start(token)]
@@ -129,7 +121,7 @@
         if running is not None:
             seconds = now - running.started
             self._concurrency.on_result(result, seconds, now)
-            if isinstance(self._threshold, DemandThreshold) and result is not CallResult.REFUSED:
+            if result is not CallResult.REFUSED:
                 self._threshold.on_finish(running.rank, seconds)
         return self._fill(now)
 
@@ -141,7 +133,7 @@
         waiting = self._waiting.pop(token, None)
         if waiting is not None:
             self._remove(waiting)
-            self._note_queue()
+            self._threshold.on_queue(len(self._queue))
         return self._fill(now)
 
     def tick(self, now: float) -> list[GateEffect]:
@@ -213,7 +205,7 @@
                 continue
             self._begin(waiting.token, waiting.rank, now)
             effects.append(Start(waiting.token))
-        self._note_queue()
+        self._threshold.on_queue(len(self._queue))
         return effects
 
     def _expire(self, now: float) -> list[GateEffect]:
@@ -231,7 +223,7 @@
         if effects:
             kept.reverse()
             self._queue = kept
-            self._note_queue()
+            self._threshold.on_queue(len(self._queue))
         return effects
 
     def _shed(self) -> list[GateEffect]:
@@ -249,35 +241,26 @@
             else:
                 kept.append(key)
         self._queue = kept
-        self._note_queue()
+        self._threshold.on_queue(len(self._queue))
         return effects
 
     def _remove(self, waiting: _Waiting) -> None:
         index = bisect_left(self._queue, (waiting.rank, -waiting.order))
         self._queue.pop(index)
 
-    def _note_queue(self) -> None:
-        if isinstance(self._threshold, AdmissionThreshold):
-            self._threshold.on_queue(len(self._queue))
-
     def _seconds_per_finish(self) -> float:
         return self._concurrency.mean_latency / self._concurrency.limit
 
     def _update_threshold(self, now: float) -> None:
-        per_finish = self._seconds_per_finish()
-        if per_finish <= 0.0:
-            return
-        if isinstance(self._threshold, DemandThreshold):
-            self._threshold.step(
-                now,
-                running=len(self._running),
-                queued=len(self._queue),
-                limit=self._concurrency.limit,
-                mean_seconds=self._concurrency.mean_latency,
-            )
+        if self._concurrency.mean_latency <= 0.0:
             return
-        target_delay = max(MIN_TARGET_DELAY_SECONDS, self._concurrency.mean_latency / 2)
-        self._threshold.update(now, len(self._queue), 1.0 / per_finish, target_delay / per_finish)
+        self._threshold.step(
+            now,
+            running=len(self._running),
+            queued=len(self._queue),
+            limit=self._concurrency.limit,
+            mean_seconds=self._concurrency.mean_latency,
+        )
 
     def _refusal(self, token: int, reason: RefusalReason) -> Refuse:
         self._refused_share += OVERLOAD_WEIGHT * (1.0 - self._refused_share)
--- a/src/finchshed/admission/threshold.py
+++ b/src/finchshed/admission/threshold.py
@@ -7,6 +7,8 @@
 double, because callers no longer send what lies below it and the histogram can't show it.
 """
 
+from typing import Protocol
+
 from finchshed.admission.rank import RANKS
 
 WINDOW_SECONDS = 0.05
@@ -24,6 +26,45 @@
 MARGIN = 1.1
 """Arrivals let through, as a multiple of the capacity, so that the queue never runs dry."""
 
+MIN_TARGET_DELAY_SECONDS = 0.005
+"""Standing queueing delay that is always tolerated."""
+
+
+class Threshold(Protocol):
+    """What a gate refuses by; it is told of what passes through the gate."""
+
+    @property
+    def value(self) -> int:
+        """Ranks below this one are refused at present."""
+
+    def on_arrival(self, rank: int, admitted_share: float) -> None:
+        """Count a request that reached the gate.
+
+        Parameters
+        ----------
+        admitted_share
+            Share of its class that was admitted when its root request was.
+        """
+
+    def on_finish(self, rank: int, seconds: float) -> None:
+        """Take the time that one request took at the back end."""
+
+    def on_queue(self, queued: int) -> None:
+        """Take the length of the queue after a change."""
+
+    def step(
+        self, now: float, *, running: int, queued: int, limit: int, mean_seconds: float
+    ) -> None:
+        """Compute the threshold anew, if a step is due.
+
+        Parameters
+        ----------
+        limit
+            Requests that the back end runs at a time.
+        mean_seconds
+            Mean time of a request at the back end, above 0.
+        """
+
 
 class AdmissionThreshold:
     """Computes the threshold window by window.
@@ -50,14 +91,24 @@
         """Ranks below this one are refused at present."""
         return self._bucket << BUCKET_BITS
 
-    def on_arrival(self, rank: int) -> None:
-        """Count a request that reached the gate."""
+    def on_arrival(self, rank: int, admitted_share: float = 1.0) -> None:
+        """Count a request that reached the gate, whatever share of its class came with it."""
         self._arrivals[rank >> BUCKET_BITS] += 1.0
 
     def on_queue(self, queued: int) -> None:
         """Take the length of the queue after a change."""
         self._shortest_queue = min(self._shortest_queue, queued)
 
+    def on_finish(self, rank: int, seconds: float) -> None:
+        """Take no notice: the capacity is told with each step."""
+
+    def step(
+        self, now: float, *, running: int, queued: int, limit: int, mean_seconds: float
+    ) -> None:
+        """Compute the threshold from the state of the gate, if the window is over."""
+        target_delay = max(MIN_TARGET_DELAY_SECONDS, mean_seconds / 2)
+        self.update(now, queued, limit / mean_seconds, target_delay * limit / mean_seconds)
+
     def update(self, now: float, queued: int, rate: float, target_queue: float) -> None:
         """Close the window if it is over and compute the threshold.
 
--- a/src/finchshed/bench/roots.py
+++ b/src/finchshed/bench/roots.py
@@ -2,15 +2,13 @@
 
 import math
 from collections.abc import Iterable
-from typing import Final
 
 import msgspec
 
 from finchshed.common.importance import Importance
+from finchshed.http.status import STATUS_OK
 from finchshed.proof.history import CallBegan, CallEnded, CallResult, Event, RunBegan
 
-STATUS_OK: Final = 200
-
 
 class RootRecord(msgspec.Struct):
     """What happened to one root request.
--- a/src/finchshed/consensus/roles.py
+++ b/src/finchshed/consensus/roles.py
@@ -36,8 +36,8 @@
     A group that was off as a whole is led again earlier by it. A node that asks too early disturbs
     nobody: voters that hear a leader give no pre-vote.
     """
-    longest = state.options.election_timeout_min_seconds
-    state.election_due = state.now + state.rng.uniform(FIRST_TIMEOUT_SHARE * longest, longest)
+    usual = state.options.election_timeout_min_seconds
+    state.election_due = state.now + state.rng.uniform(FIRST_TIMEOUT_SHARE * usual, usual)
 
 
 def become_follower(state: NodeState, term: int, leader: NodeIdentity | None) -> None:
--- a/src/finchshed/daemon/backend_answer.py
+++ b/src/finchshed/daemon/backend_answer.py
@@ -7,11 +7,13 @@
 from finchshed.daemon.backend import BackendAnswer, BackendBroken, BackendRequest
 from finchshed.daemon.header_names import HeaderNames
 from finchshed.daemon.request import end_to_end_headers
+from finchshed.http.status import (
+    STATUS_MISDIRECTED_REQUEST,
+    STATUS_MULTIPLE_CHOICES,
+    STATUS_OK,
+    STATUS_SERVICE_UNAVAILABLE,
+)
 
-STATUS_OK = 200
-STATUS_MULTIPLE_CHOICES = 300
-STATUS_MISDIRECTED_REQUEST = 421
-STATUS_SERVICE_UNAVAILABLE = 503
 LOAD_PARTS = 3
 HEADER_DRAINING = b"finchshed-draining"
 
--- a/src/finchshed/daemon/backend_connection.py
+++ b/src/finchshed/daemon/backend_connection.py
@@ -21,7 +21,8 @@
     BackendRequest,
     BackendResult,
 )
-from finchshed.daemon.backend_answer import STATUS_OK, AnswerReader
+from finchshed.daemon.backend_answer import AnswerReader
+from finchshed.http.status import STATUS_OK
 
 MAX_HEAD_BYTES = 65_536
 
--- a/src/finchshed/daemon/backend_return.py
+++ b/src/finchshed/daemon/backend_return.py
@@ -8,12 +8,11 @@
 """
 
 from finchshed.daemon.backend import BackendAnswer, BackendResult, BackendUnreached
+from finchshed.http.status import STATUS_OK
 
 STEADY_SECONDS = 5.0
 """How long a back end that was never seen gone must say that it is well."""
 
-STATUS_OK = 200
-
 
 class ReturnWatch:
     """Decides from answers to health checks whether a leaving back end has returned."""
--- a/src/finchshed/daemon/call_admission.py
+++ b/src/finchshed/daemon/call_admission.py
@@ -5,6 +5,7 @@
 from finchshed.common.outcomes import RefusalReason, Refused
 from finchshed.daemon.catalogue import Catalogue
 from finchshed.daemon.ledger_port import scoped_key
+from finchshed.daemon.request import MAX_ANSWER_BYTES_BY_HOST
 from finchshed.daemon.settings import DaemonSettings
 from finchshed.daemon.work import Work
 from finchshed.link.listener import AcceptedLink
@@ -12,9 +13,6 @@
 from finchshed.retry.policy import retry_after
 from finchshed.session.table import NotOpened, SessionTable
 
-MAX_ANSWER_BYTES = 64 << 20
-"""Longest answer to a call that was taken by host."""
-
 
 class CallAdmission:
     """Turns calls into work, or tells why not.
@@ -106,8 +104,7 @@
             repeatable=call.repeatable,
             in_session=False,
             opens_session=False,
-            max_body_bytes=MAX_ANSWER_BYTES,
-            is_by_host=True,
+            max_body_bytes=MAX_ANSWER_BYTES_BY_HOST,
         )
 
     def _new_token(self) -> int:
--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -32,7 +32,6 @@
     BackendRequest,
     BackendResult,
 )
-from finchshed.daemon.backend_answer import STATUS_MISDIRECTED_REQUEST
 from finchshed.daemon.backend_call import (
     backend_headers,
     headers_by_host,
@@ -46,6 +45,7 @@
 from finchshed.daemon.header_names import HeaderNames
 from finchshed.daemon.settings import DaemonSettings
 from finchshed.daemon.work import Work, WorkState
+from finchshed.http.status import STATUS_MISDIRECTED_REQUEST
 from finchshed.limit.concurrency import slots_to_use
 from finchshed.link.digests import digest_of
 from finchshed.link.listener import AcceptedLink
--- a/src/finchshed/daemon/caller.py
+++ b/src/finchshed/daemon/caller.py
@@ -19,7 +19,7 @@
 from finchshed.daemon.peers import PeerLinks
 from finchshed.daemon.pins import SessionPins
 from finchshed.daemon.request import Request
-from finchshed.retry.bucket import RetryBucket
+from finchshed.retry.budgets import RetryBudgets
 from finchshed.retry.policy import retry_after
 from finchshed.routing.caller import CallerLogic
 from finchshed.routing.table import RoutingTable
@@ -60,10 +60,8 @@
         self._served = served
         self._paths = paths
         self._rng = rng
-        self._buckets: dict[str, RetryBucket] = {}
-        self._retry_ratio = Catalogue().policy.retry_ratio
         self._catalogue = Catalogue()
-        self._daemons = 1
+        self._retries = RetryBudgets(self._catalogue.policy)
         self._pins = SessionPins()
         self._joinable: dict[JoinKey, tuple[OutgoingCall, str]] = {}
         self.in_progress = 0
@@ -71,16 +69,11 @@
     def configure(self, catalogue: Catalogue) -> None:
         """Act on a new configuration."""
         self._catalogue = catalogue
-        if catalogue.policy.retry_ratio != self._retry_ratio:
-            self._retry_ratio = catalogue.policy.retry_ratio
-            self._buckets.clear()
-        self.share_with(self._daemons)
+        self._retries.configure(catalogue.policy)
 
     def share_with(self, daemons: int) -> None:
         """Take the number of daemons that bounds are shared between, this one included."""
-        self._daemons = max(1, daemons)
-        for bucket in self._buckets.values():
-            self._bound(bucket)
+        self._retries.share_with(daemons)
 
     def expire_sessions(self) -> None:
         """Forget sessions that have been idle for long."""
@@ -144,7 +137,7 @@
             request = msgspec.structs.replace(request, headers=request.headers + conditions)
         logic = CallerLogic(
             self._table,
-            self._bucket(request.service),
+            self._retries.bucket(request.service, time.monotonic()),
             request.service,
             request.context,
             repeatable=request.repeatable,
@@ -180,20 +173,6 @@
             idle_seconds = service.session_idle_seconds
             self._pins.begin(request, endpoint, idle_seconds, time.monotonic())
 
-    def _bucket(self, service: str) -> RetryBucket:
-        bucket = self._buckets.get(service)
-        if bucket is None:
-            bucket = RetryBucket(self._retry_ratio, time.monotonic())
-            self._buckets[service] = bucket
-            self._bound(bucket)
-        return bucket
-
-    def _bound(self, bucket: RetryBucket) -> None:
-        """Give a bucket this daemon's part of the burst, where all daemons share one."""
-        burst = self._catalogue.policy.retry_burst
-        if burst > 0.0:
-            bucket.set_bounds(max(1.0, burst / self._daemons), 0.0)
-
     def _retry_after(self) -> float:
         return retry_after(0.0, self._rng)
 
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -167,10 +167,10 @@
         self._listeners.prefer_successor()
         self._http.closing = True
         self._host_http.closing = True
-        told_after = min(settings.drain_tell_seconds, settings.drain_notice_seconds)
-        await asyncio.sleep(told_after)
+        serving_seconds = min(settings.drain_serving_seconds, settings.drain_notice_seconds)
+        await asyncio.sleep(serving_seconds)
         self._leaving.tell()
-        await asyncio.sleep(settings.drain_notice_seconds - told_after)
+        await asyncio.sleep(settings.drain_notice_seconds - serving_seconds)
         self._listeners.close()
         await self._idle(settings.drain_seconds)
         if self._callee is not None and self._callee.sessions:
@@ -227,7 +227,7 @@
         if self.own_backend is not None:
             service = self._front.catalogue.service(self._settings.service)
             if service is not None:
-                self._spawn(self.own_backend.look(service.name, service.health_path))
+                self._spawn(self.own_backend.identify(service.name, service.health_path))
 
     def _on_directory(self, update: DirectoryUpdate) -> None:
         self._endpoints.on_update(update)
--- a/src/finchshed/daemon/front.py
+++ b/src/finchshed/daemon/front.py
@@ -29,11 +29,7 @@
 from finchshed.daemon.caller import Caller
 from finchshed.daemon.catalogue import Catalogue, Matched
 from finchshed.daemon.request import Request, end_to_end_headers
-from finchshed.daemon.responses import (
-    STATUS_HEAD_TOO_LARGE,
-    malformed_response,
-    response_of,
-)
+from finchshed.daemon.responses import malformed_response, response_of
 from finchshed.http.message import InboundRequest, Response
 from finchshed.ledger.keys import issued_at
 from finchshed.retry.policy import retry_after
@@ -90,18 +86,18 @@
         """Judge a request by its head, before its body is read."""
         reason = self._why_not()
         if reason is not None:
-            return self._refused(reason)
+            return self.refusal(reason)
         service_name = request.header(_SERVICE)
         matched = self.catalogue.match(service_name, request.target)
         if matched is None:
-            return self._refused(RefusalReason.UNKNOWN_ROUTE, f"service {service_name!r}")
+            return self.refusal(RefusalReason.UNKNOWN_ROUTE, f"service {service_name!r}")
         if not matched.route.repeatable:
             key = request.header(_IDEMPOTENCY_KEY)
             if not key:
-                return self._refused(RefusalReason.KEY_MISSING, "an idempotency key is needed")
+                return self.refusal(RefusalReason.KEY_MISSING, "an idempotency key is needed")
             if issued_at(key) is None:
                 detail = "the idempotency key must be a UUID of version 7"
-                return self._refused(RefusalReason.KEY_INVALID, detail)
+                return self.refusal(RefusalReason.KEY_INVALID, detail)
         return Admitted(matched, self._served.get(request.header(_ACCOUNT)))
 
     def max_body_bytes(self, admitted: Admitted) -> int:
@@ -144,21 +140,13 @@
         """Return the response that tells a refusal."""
         return response_of(refused)
 
-    def too_large(self, limit: int) -> Refused:
-        """Return the refusal of a body larger than ``limit``."""
-        return self._refused(RefusalReason.REQUEST_TOO_LARGE, f"limit: {limit} bytes")
-
-    def spool_full(self) -> Refused:
-        """Return the refusal of a request whose body can't be held."""
-        return self._refused(RefusalReason.OVERLOAD, "bodies held reach their limit")
-
-    def malformed(self, detail: str) -> Response:
-        """Return the response to bytes that are no request."""
-        return malformed_response(detail)
+    def refusal(self, reason: RefusalReason, detail: str = "") -> Refused:
+        """Return the refusal of a request for ``reason``."""
+        return Refused(reason, retry_after(0.0, self._rng), detail)
 
-    def head_too_large(self, limit: int) -> Response:
-        """Return the response to a head longer than ``limit`` bytes."""
-        return malformed_response(f"limit of the head: {limit} bytes", STATUS_HEAD_TOO_LARGE)
+    def malformed(self, detail: str, status: int) -> Response:
+        """Return the response to bytes that are no request, or no allowed one."""
+        return malformed_response(detail, status)
 
     def _root_context(self, request: InboundRequest, matched: Matched) -> CallContext:
         # The account of a request that is over has nothing left to lend.
@@ -200,9 +188,6 @@
             position=inherited.position,
         )
 
-    def _refused(self, reason: RefusalReason, detail: str = "") -> Refused:
-        return Refused(reason, retry_after(0.0, self._rng), detail)
-
 
 def _join_identity(request: InboundRequest, served: ServedRequest | None) -> str:
     key = request.header(_IDEMPOTENCY_KEY)
--- a/src/finchshed/daemon/host_front.py
+++ b/src/finchshed/daemon/host_front.py
@@ -25,22 +25,20 @@
 from finchshed.daemon.caller import Caller
 from finchshed.daemon.catalogue import Catalogue
 from finchshed.daemon.header_names import HeaderNames
-from finchshed.daemon.request import Request, end_to_end_headers
-from finchshed.daemon.responses import (
+from finchshed.daemon.request import MAX_ANSWER_BYTES_BY_HOST, Request, end_to_end_headers
+from finchshed.http.message import InboundRequest, Response
+from finchshed.http.status import (
     STATUS_BAD_GATEWAY,
     STATUS_BAD_REQUEST,
     STATUS_CONTENT_TOO_LARGE,
     STATUS_GATEWAY_TIMEOUT,
-    STATUS_HEAD_TOO_LARGE,
     STATUS_NOT_FOUND,
     STATUS_SERVICE_UNAVAILABLE,
 )
-from finchshed.http.message import InboundRequest, Response
 from finchshed.retry.policy import retry_after
 from finchshed.routing.weights import WeightedChoice
 
 MILLISECONDS = 1000.0
-MAX_ANSWER_BYTES = 64 << 20
 
 _REFUSAL_STATUS = {
     RefusalReason.UNKNOWN_ROUTE: STATUS_NOT_FOUND,
@@ -104,14 +102,14 @@
         """Judge a request by its head, before its body is read."""
         reason = self._why_not()
         if reason is not None:
-            return self._refused(reason)
+            return self.refusal(reason)
         host = request.header(b"host")
         route = self._catalogue.match_host(host, request.target)
         if route is None:
-            return self._refused(RefusalReason.UNKNOWN_ROUTE, f"host {host!r}")
+            return self.refusal(RefusalReason.UNKNOWN_ROUTE, f"host {host!r}")
         if not request.first.get(self._request):
             detail = f"the header {self._names.request} is needed"
-            return self._refused(RefusalReason.REQUEST_INVALID, detail)
+            return self.refusal(RefusalReason.REQUEST_INVALID, detail)
         remaining = min(self._told_seconds(request, route), route.timeout_seconds)
         service = self._choices[route.name].draw()
         return HostAdmitted(route, service, host, remaining, time.monotonic())
@@ -139,9 +137,8 @@
             body=request.body,
             context=context,
             repeatable=route.repeatable,
-            max_body_bytes=MAX_ANSWER_BYTES,
+            max_body_bytes=MAX_ANSWER_BYTES_BY_HOST,
             route=route.name,
-            is_by_host=True,
             identity=identity,
             target_seconds=route.target_seconds,
         )
@@ -156,21 +153,13 @@
         """Return the response that tells a refusal."""
         return self._response_of(refused)
 
-    def too_large(self, limit: int) -> Refused:
-        """Return the refusal of a body larger than ``limit``."""
-        return self._refused(RefusalReason.REQUEST_TOO_LARGE, f"limit: {limit} bytes")
-
-    def spool_full(self) -> Refused:
-        """Return the refusal of a request whose body can't be held."""
-        return self._refused(RefusalReason.OVERLOAD, "bodies held reach their limit")
-
-    def malformed(self, detail: str) -> Response:
-        """Return the response to bytes that are no request."""
-        return _text_response(STATUS_BAD_REQUEST, detail)
+    def refusal(self, reason: RefusalReason, detail: str = "") -> Refused:
+        """Return the refusal of a request for ``reason``."""
+        return Refused(reason, retry_after(0.0, self._rng), detail)
 
-    def head_too_large(self, limit: int) -> Response:
-        """Return the response to a head longer than ``limit`` bytes."""
-        return _text_response(STATUS_HEAD_TOO_LARGE, f"limit of the head: {limit} bytes")
+    def malformed(self, detail: str, status: int) -> Response:
+        """Return the response to bytes that are no request, or no allowed one."""
+        return _text_response(status, detail)
 
     def _served_by(self, identity: str) -> ServedRequest | None:
         """Return the request of the own back end that a call is made for, by its identity."""
@@ -223,9 +212,6 @@
         )
         return (("host", host), *kept, (self._names.caller_service, self._own_service()))
 
-    def _refused(self, reason: RefusalReason, detail: str = "") -> Refused:
-        return Refused(reason, retry_after(0.0, self._rng), detail)
-
     def _response_of(self, outcome: Outcome) -> Response:
         if isinstance(outcome, Answered):
             headers = tuple(item for item in outcome.headers if item[0] != HEADER_DOWNSTREAM)
--- a/src/finchshed/daemon/own_backend.py
+++ b/src/finchshed/daemon/own_backend.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from finchshed.daemon.backend import Backend, BackendAnswer, BackendResult, BackendUnreached
-from finchshed.daemon.backend_answer import STATUS_OK, slots_of
+from finchshed.daemon.backend_answer import slots_of
 from finchshed.daemon.backend_watch import check_health
 from finchshed.daemon.callee import Callee
 from finchshed.daemon.header_names import HeaderNames
@@ -18,6 +18,7 @@
 from finchshed.directory.registrar import Heartbeat, Registrar
 from finchshed.directory.registration import InstanceState, Registration
 from finchshed.distribution.client import ControlClient
+from finchshed.http.status import STATUS_OK
 from finchshed.link.listener import LinkListener
 
 
@@ -75,7 +76,7 @@
         if self._registrar.on_own_registration(registration):
             self._client.announce()
 
-    async def look(self, service: str, health_path: str) -> None:
+    async def identify(self, service: str, health_path: str) -> None:
         """Ask the back end who it is, unless a heartbeat has told already.
 
         A daemon that was restarted need not wait for the next heartbeat to take work for it.
--- a/src/finchshed/daemon/pins.py
+++ b/src/finchshed/daemon/pins.py
@@ -18,11 +18,10 @@
 from finchshed.common.context import HEADER_SESSION_AT
 from finchshed.common.outcomes import Answered, Headers, Outcome
 from finchshed.daemon.request import Request
+from finchshed.http.status import STATUS_OK, STATUS_PARTIAL_CONTENT
 from finchshed.routing.table import RoutingTable
 from finchshed.session.table import MoveReason, Opened, SessionTable
 
-STATUS_OK = 200
-STATUS_PARTIAL_CONTENT = 206
 MAX_SESSIONS = 100_000
 """Sessions remembered; further ones run without being pinned."""
 
--- a/src/finchshed/daemon/request.py
+++ b/src/finchshed/daemon/request.py
@@ -29,6 +29,10 @@
 """Headers of this prefix are set by daemons; what a caller sent is not passed on."""
 
 
+MAX_ANSWER_BYTES_BY_HOST = 64 << 20
+"""Longest answer to a request that was taken by host."""
+
+
 class Request(msgspec.Struct, frozen=True):
     """One request on its way to a service.
 
@@ -42,10 +46,9 @@
         Largest body of the request or its answer.
     route
         Prefix of the service's route that the request falls under.
-    is_by_host
-        Whether it was taken under a route of its host; ``route`` is then the name of that.
     identity
-        What the caller of a request taken by host calls it by.
+        What the caller of a request taken by host calls it by; empty for others. ``route`` is then
+        the name of the route of its host.
     target_seconds
         Latency it is meant to be answered in; 0: none.
     session_at
@@ -63,10 +66,14 @@
     max_body_bytes: int = 1 << 20
     route: str = ""
     session_at: str = ""
-    is_by_host: bool = False
     identity: str = ""
     target_seconds: float = 0.0
 
+    @property
+    def is_by_host(self) -> bool:
+        """Whether it was taken under a route of its host."""
+        return bool(self.identity)
+
 
 def end_to_end_headers(raw: Iterable[tuple[bytes, bytes]]) -> Headers:
     """Return the headers that are passed on, names in lower case.
--- a/src/finchshed/daemon/settings.py
+++ b/src/finchshed/daemon/settings.py
@@ -138,7 +138,7 @@
     logs_to_stdout: Annotated[
         bool, Meta(description="Whether decisions go to standard output, as JSON lines.")
     ] = True
-    drain_tell_seconds: Annotated[
+    drain_serving_seconds: Annotated[
         float,
         Meta(
             ge=0,
--- a/src/finchshed/daemon/work.py
+++ b/src/finchshed/daemon/work.py
@@ -43,7 +43,11 @@
     abandoned: bool = False
     served: ServedRequest | None = None
     cancel_backend: Callable[[], object] | None = None
-    is_by_host: bool = False
     started: float = 0.0
     ledger_key: str = ""
     attempt: str = ""
+
+    @property
+    def is_by_host(self) -> bool:
+        """Whether the calling daemon took it under a route of its host."""
+        return bool(self.call.route)
--- a/src/finchshed/emulator/backend.py
+++ b/src/finchshed/emulator/backend.py
@@ -17,6 +17,7 @@
 from finchshed.emulator.network import Site
 from finchshed.emulator.request import Cancel, Done, Path, Request
 from finchshed.emulator.simulation import Simulation
+from finchshed.http.status import STATUS_OK, STATUS_SERVICE_UNAVAILABLE
 from finchshed.link.digests import digest_of
 from finchshed.proof.history import (
     HEADER_ANSWER_DIGEST,
@@ -31,9 +32,6 @@
 SERVICE_TIME_SHAPE: Final = 8.0
 """Shape of the gamma distribution of service times: coefficient of variation 0.35."""
 
-STATUS_OK: Final = 200
-STATUS_UNAVAILABLE: Final = 503
-
 
 @dataclass(slots=True)
 class Run:
@@ -106,7 +104,7 @@
             done(Refused(RefusalReason.CONNECT_FAILED, 0.1, "connection refused"))
             return _nothing
         if self.fails_fast:
-            done(self._answer(request, STATUS_UNAVAILABLE))
+            done(self._answer(request, STATUS_SERVICE_UNAVAILABLE))
             return _nothing
         if self.in_flight >= self.connections:
             done(Refused(RefusalReason.BACKEND_REFUSED, 0.1, "no free connection"))
@@ -221,7 +219,7 @@
         if run.ended:
             return
         if not isinstance(outcome, Answered) or outcome.status != STATUS_OK:
-            self._finish(run, STATUS_UNAVAILABLE)
+            self._finish(run, STATUS_SERVICE_UNAVAILABLE)
             return
         run.waiting_for -= 1
         if run.waiting_for == 0 and not self.frozen:
--- a/src/finchshed/http/connection.py
+++ b/src/finchshed/http/connection.py
@@ -10,7 +10,7 @@
 
 import httptools
 
-from finchshed.common.outcomes import Refused
+from finchshed.common.outcomes import RefusalReason, Refused
 from finchshed.http.exchange import ConnectionOwner, Exchange, RequestT
 from finchshed.http.message import (
     CONTINUE,
@@ -19,6 +19,7 @@
     encode_response,
     origin_form,
 )
+from finchshed.http.status import STATUS_BAD_REQUEST, STATUS_HEAD_TOO_LARGE
 
 MAX_DISCARDED_BYTES = 1 << 20
 """A refused request's body is read and dropped up to here, so that its sender sees the answer."""
@@ -126,7 +127,7 @@
         if reading.admitted is None and reading.refusal is None:
             limit = self._owner.limits.max_head_bytes
             if self._head_bytes > limit:
-                self._end_early(self._owner.handler.head_too_large(limit))
+                self._end_malformed(f"limit of the head: {limit} bytes", STATUS_HEAD_TOO_LARGE)
         elif reading.size > reading.limit + MAX_DISCARDED_BYTES:
             self._queue_unread(reading)
 
@@ -179,9 +180,10 @@
         if exchange.refusal is not None:
             return
         if exchange.size > exchange.limit:
-            exchange.refusal = self._owner.handler.too_large(exchange.limit)
+            exchange.refusal = self._too_large(exchange.limit)
         elif not self._owner.spool.take(len(body)):
-            exchange.refusal = self._owner.handler.spool_full()
+            detail = "bodies held reach their limit"
+            exchange.refusal = self._owner.handler.refusal(RefusalReason.OVERLOAD, detail)
         else:
             exchange.spooled += len(body)
             self._parts.append(body)
@@ -254,7 +256,11 @@
     def _check_declared_length(self, exchange: Exchange[RequestT]) -> None:
         declared = exchange.request.first.get(b"content-length")
         if declared is not None and int(declared) > exchange.limit:
-            exchange.refusal = self._owner.handler.too_large(exchange.limit)
+            exchange.refusal = self._too_large(exchange.limit)
+
+    def _too_large(self, limit: int) -> Refused:
+        detail = f"limit: {limit} bytes"
+        return self._owner.handler.refusal(RefusalReason.REQUEST_TOO_LARGE, detail)
 
     def _on_expect(self, exchange: Exchange[RequestT]) -> None:
         if self._answering is not None or self._transport is None:
@@ -271,14 +277,12 @@
         self._reading = None
         self._queued.append(exchange)
 
-    def _end_malformed(self, detail: str) -> None:
-        self._end_early(self._owner.handler.malformed(detail))
-
-    def _end_early(self, response: Response) -> None:
+    def _end_malformed(self, detail: str, status: int = STATUS_BAD_REQUEST) -> None:
         """Answer what can't be read on from here, and end the connection."""
         if self._transport is None:
             return
         if self._answering is None:
+            response = self._owner.handler.malformed(detail, status)
             self._transport.write(encode_response(response, is_head=False, closes=True))
         self._end_sending(is_lingering=True)
 
--- a/src/finchshed/http/exchange.py
+++ b/src/finchshed/http/exchange.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
-from finchshed.common.outcomes import Refused
+from finchshed.common.outcomes import RefusalReason, Refused
 from finchshed.http.limits import ConnectionLimits
 from finchshed.http.message import InboundRequest, Response
 from finchshed.http.spool import SpoolBudget
@@ -38,17 +38,11 @@
     def refused(self, refused: Refused) -> Response:
         """Return the response that tells a refusal."""
 
-    def too_large(self, limit: int) -> Refused:
-        """Return the refusal of a body larger than ``limit``."""
+    def refusal(self, reason: RefusalReason, detail: str) -> Refused:
+        """Return the refusal of a request whose body can't be taken."""
 
-    def spool_full(self) -> Refused:
-        """Return the refusal of a request whose body can't be held."""
-
-    def malformed(self, detail: str) -> Response:
-        """Return the response to bytes that are no request."""
-
-    def head_too_large(self, limit: int) -> Response:
-        """Return the response to a head longer than ``limit`` bytes."""
+    def malformed(self, detail: str, status: int) -> Response:
+        """Return the response to bytes that are no request, or no allowed one."""
 
 
 class ConnectionOwner(Protocol[RequestT]):
--- a/src/finchshed/http/message.py
+++ b/src/finchshed/http/message.py
@@ -8,10 +8,11 @@
 import msgspec
 
 from finchshed.common.outcomes import Headers
-
-STATUS_NO_CONTENT = 204
-STATUS_NOT_MODIFIED = 304
-STATUS_INTERNAL_SERVER_ERROR = 500
+from finchshed.http.status import (
+    STATUS_INTERNAL_SERVER_ERROR,
+    STATUS_NO_CONTENT,
+    STATUS_NOT_MODIFIED,
+)
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 """Interim answer to ``Expect: 100-continue`` (RFC 9110, 10.1.1)."""
--- a/src/finchshed/http/simple.py
+++ b/src/finchshed/http/simple.py
@@ -8,13 +8,26 @@
 
 from finchshed.common.outcomes import RefusalReason, Refused
 from finchshed.http.message import InboundRequest, Response
+from finchshed.http.server import HttpServer
+from finchshed.http.spool import SpoolBudget
+from finchshed.http.status import (
+    STATUS_BAD_REQUEST,
+    STATUS_CONTENT_TOO_LARGE,
+    STATUS_INTERNAL_SERVER_ERROR,
+    STATUS_SERVICE_UNAVAILABLE,
+)
 
 AnswerFunction: TypeAlias = Callable[[InboundRequest], "Response | Awaitable[Response]"]
 
-STATUS_OF_REFUSAL = {RefusalReason.REQUEST_TOO_LARGE: 413, RefusalReason.OVERLOAD: 503}
-STATUS_BAD_REQUEST = 400
-STATUS_HEAD_TOO_LARGE = 431
-STATUS_INTERNAL_SERVER_ERROR = 500
+STATUS_OF_REFUSAL = {
+    RefusalReason.REQUEST_TOO_LARGE: STATUS_CONTENT_TOO_LARGE,
+    RefusalReason.OVERLOAD: STATUS_SERVICE_UNAVAILABLE,
+}
+RETRY_SECONDS = 1.0
+"""Refused callers are told to come back after this time."""
+
+SWEEP_SECONDS = 1.0
+"""Time between two looks for idle connections."""
 
 JSON = (("content-type", "application/json"),)
 
@@ -72,21 +85,49 @@
         status = STATUS_OF_REFUSAL.get(refused.reason, STATUS_BAD_REQUEST)
         return problem_response(status, refused.detail or refused.reason)
 
-    def too_large(self, limit: int) -> Refused:
-        """Return the refusal of a body larger than ``limit``."""
-        return Refused(RefusalReason.REQUEST_TOO_LARGE, 0.0, f"limit: {limit} bytes")
+    def refusal(self, reason: RefusalReason, detail: str) -> Refused:
+        """Return the refusal of a request whose body can't be taken."""
+        return Refused(reason, RETRY_SECONDS, detail)
+
+    def malformed(self, detail: str, status: int) -> Response:
+        """Return the response to bytes that are no request, or no allowed one."""
+        return problem_response(status, detail)
+
 
-    def spool_full(self) -> Refused:
-        """Return the refusal of a request whose body can't be held."""
-        return Refused(RefusalReason.OVERLOAD, 1.0, "bodies held reach their limit")
+class SimpleServer(HttpServer[bool]):
+    """A small interface: its handler, its bound of bodies and its look for idle connections.
 
-    def malformed(self, detail: str) -> Response:
-        """Return the response to bytes that are no request."""
-        return problem_response(STATUS_BAD_REQUEST, detail)
+    Parameters
+    ----------
+    answer
+        Returns the answer to a request, or an awaitable of it.
+    max_body_bytes
+        Largest body taken.
+    bodies_held
+        Bodies of that size that are held at a time.
+    """
 
-    def head_too_large(self, limit: int) -> Response:
-        """Return the response to a head longer than ``limit`` bytes."""
-        return problem_response(STATUS_HEAD_TOO_LARGE, f"limit of the head: {limit} bytes")
+    def __init__(self, answer: AnswerFunction, max_body_bytes: int, bodies_held: int) -> None:
+        spool = SpoolBudget(bodies_held * max_body_bytes)
+        super().__init__(SimpleHandler(answer, max_body_bytes), spool)
+        self._sweeping: asyncio.Task[None] | None = None
+
+    def make_protocol(self) -> asyncio.Protocol:
+        """Return the protocol of one accepted connection."""
+        if self._sweeping is None:
+            self._sweeping = asyncio.get_running_loop().create_task(self._sweep_on())
+        return super().make_protocol()
+
+    def close(self) -> None:
+        """Close every connection."""
+        if self._sweeping is not None:
+            self._sweeping.cancel()
+        super().close()
+
+    async def _sweep_on(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            self.sweep()
 
 
 async def _respond_later(answer: Awaitable[Response], respond: Callable[[Response], None]) -> None:
--- a/src/finchshed/logs/__init__.py
+++ b/src/finchshed/logs/__init__.py
@@ -1,1 +1,1 @@
-"""Reads the structured logs of several processes and shows one request's way through them."""
+"""Reads the structured logs of several processes and shows one request's trace through them."""
--- a/src/finchshed/logs/command.py
+++ b/src/finchshed/logs/command.py
@@ -6,17 +6,17 @@
 from finchshed.cli.exit_codes import ExitCode
 from finchshed.common.errors import SettingsError
 from finchshed.logs.reading import Unread, read_lines
-from finchshed.logs.way import describe, way_of
+from finchshed.logs.request_trace import describe, trace_of
 
 
-def way(identity: str, *files: str) -> int:
-    """Show a request's way through FILES, logs of any processes, and the cause of its end.
+def trace(identity: str, *files: str) -> int:
+    """Show a request's trace through FILES, logs of any processes, and the cause of its end.
 
     IDENTITY is the one its client gave it. Exit code 1 where no file tells of it.
     """
     _require(files)
     unread = Unread()
-    found = way_of(str(identity), read_lines(files, unread))
+    found = trace_of(str(identity), read_lines(files, unread))
     print("\n".join(describe(found)))
     _tell_unread(unread)
     return ExitCode.OK if found.lines else ExitCode.FAILED
@@ -49,4 +49,4 @@
         print(f"{unread.lines} lines could not be read: cut, or mixed with others")
 
 
-COMMANDS: Mapping[str, Callable[..., int]] = {"way": way, "ends": ends}
+COMMANDS: Mapping[str, Callable[..., int]] = {"trace": trace, "ends": ends}
--- a/src/finchshed/logs/way.py
+++ b/src/finchshed/logs/request_trace.py
@@ -1,4 +1,4 @@
-"""One request's way through the logs of several processes, and the cause of its end. Pure.
+"""One request's trace through the logs of several processes, and the cause of its end. Pure.
 
 Clocks of machines differ, so lines are ordered by what they say of each other first: a call ended
 at its back end before the request it served ended at the daemon that took it.
@@ -32,7 +32,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Way:
+class RequestTrace:
     """Lines about one request and the calls made for it, in order, and what is missing."""
 
     identity: str
@@ -50,18 +50,18 @@
         return _cause_of(ends[-1], self.lines)
 
 
-def way_of(identity: str, lines: Iterable[LogLine]) -> Way:
-    """Return the way of the request that its caller gave ``identity``."""
+def trace_of(identity: str, lines: Iterable[LogLine]) -> RequestTrace:
+    """Return the trace of the request that its caller gave ``identity``."""
     about = [line for line in lines if _is_about(line, identity)]
-    return Way(identity, tuple(sorted(about, key=_order)))
+    return RequestTrace(identity, tuple(sorted(about, key=_order)))
 
 
-def describe(way: Way) -> list[str]:
-    """Return the way as lines for people."""
-    text = [f"request {way.identity}"]
-    for line in way.lines:
+def describe(trace: RequestTrace) -> list[str]:
+    """Return the trace as lines for people."""
+    text = [f"request {trace.identity}"]
+    for line in trace.lines:
         text.append(f"  {line.time:.3f} {line.prefix or line.source}: {_text_of(line)}")
-    text.append(f"cause: {way.cause}")
+    text.append(f"cause: {trace.cause}")
     return text
 
 
--- a/tests/daemon/test_host_front.py
+++ b/tests/daemon/test_host_front.py
@@ -157,7 +157,8 @@
     assert float(dict(refused.headers)["retry-after"]) > 0.0
     front.reason = None
     assert front.ask("/a/1", finchshed_request="").status == 400
-    assert front.front.refused(front.front.too_large(10)).status == 413
-    assert front.front.head_too_large(10).status == 431
+    too_large = front.front.refusal(RefusalReason.REQUEST_TOO_LARGE, "limit: 10 bytes")
+    assert front.front.refused(too_large).status == 413
+    assert front.front.malformed("limit of the head: 10 bytes", 431).status == 431
     front.caller.outcome = Answered(500, (("finchshed-downstream", "1"), ("x", "y")), b"")
     assert front.ask("/a/1").headers == (("x", "y"),)
--- a/tests/daemon/test_http_listener.py
+++ b/tests/daemon/test_http_listener.py
@@ -51,17 +51,11 @@
     def refused(self, refused: Refused) -> Response:
         return Response(503, (("finchshed-ran", "no"),), refused.reason.encode())
 
-    def too_large(self, limit: int) -> Refused:
-        return Refused(RefusalReason.REQUEST_TOO_LARGE, 0.0)
+    def refusal(self, reason: RefusalReason, detail: str) -> Refused:
+        return Refused(reason, 0.0, detail)
 
-    def spool_full(self) -> Refused:
-        return Refused(RefusalReason.QUEUE_FULL, 0.0)
-
-    def head_too_large(self, limit: int) -> Response:
-        return Response(431, (), b"head too large")
-
-    def malformed(self, detail: str) -> Response:
-        return Response(400, (), b"malformed")
+    def malformed(self, detail: str, status: int) -> Response:
+        return Response(status, (), b"malformed" if status == 400 else detail.encode())
 
 
 @dataclass
@@ -191,7 +185,7 @@
 
 async def test_bodies_past_the_spool_are_refused() -> None:
     async with listener(spool_bytes=10) as to:
-        assert await to.exchange(request("/a", body=bytes(11))) == [(503, b"queue_full")]
+        assert await to.exchange(request("/a", body=bytes(11))) == [(503, b"overload")]
         assert await to.exchange(request("/a", body=b"0123456789")) == [(200, b"/a 0123456789")]
         assert to.spool.held == 0
 
@@ -272,8 +266,9 @@
 
 async def test_a_head_past_its_limit_ends_the_connection() -> None:
     async with listener() as to:
-        sent = b"GET / HTTP/1.1\r\nX: " + b"a" * (ConnectionLimits().max_head_bytes + 10)
-        assert await to.exchange(sent) == [(431, b"head too large")]
+        limit = ConnectionLimits().max_head_bytes
+        sent = b"GET / HTTP/1.1\r\nX: " + b"a" * (limit + 10)
+        assert await to.exchange(sent) == [(431, b"limit of the head: %d bytes" % limit)]
         assert await to.ended()
         assert to.handler.handled == []
 
--- a/tests/logs/test_way.py
+++ b/tests/logs/test_request_trace.py
@@ -1,4 +1,4 @@
-"""A request's way, read from the logs of several processes."""
+"""A request's trace, read from the logs of several processes."""
 
 import json
 from pathlib import Path
@@ -40,7 +40,7 @@
     return str(path)
 
 
-def test_the_way_leads_from_the_id_to_a_call_that_failed_further_down(
+def test_the_trace_leads_from_the_id_to_a_call_that_failed_further_down(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
     edge = written(
@@ -61,7 +61,7 @@
         call("a1", "answered", 102.8, status=500),
         request("a1.x", "refused", 102.7, reason="deadline", is_call=True),
     )
-    assert run(["logs", "way", "a1", edge, middle]) == ExitCode.OK
+    assert run(["logs", "trace", "a1", edge, middle]) == ExitCode.OK
     text = capsys.readouterr().out
     assert "b2" not in text
     order = [text.index(part) for part in ("a1.x: refused", "call_ended a1", "request_ended a1:")]
@@ -80,23 +80,23 @@
 def test_the_cause_is_told_in_words(
     tmp_path: Path, capsys: pytest.CaptureFixture[str], record: dict[str, Any], told: str
 ) -> None:
-    assert run(["logs", "way", "a1", written(tmp_path / "one.log", record)]) == ExitCode.OK
+    assert run(["logs", "trace", "a1", written(tmp_path / "one.log", record)]) == ExitCode.OK
     assert told in capsys.readouterr().out
 
 
 def test_missing_and_cut_lines_are_told(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     path = tmp_path / "cut.log"
     path.write_text('{"event":"request_ended","id":"a\nplain text\n{"other": 1}\n')
-    assert run(["logs", "way", "a1", str(path)]) == ExitCode.FAILED
+    assert run(["logs", "trace", "a1", str(path)]) == ExitCode.FAILED
     text = capsys.readouterr().out
     assert "in none of the files" in text
     assert "1 lines could not be read" in text
 
 
 def test_a_missing_file_and_no_file_are_told(capsys: pytest.CaptureFixture[str]) -> None:
-    assert run(["logs", "way", "a1", "/nowhere.log"]) == ExitCode.USAGE
+    assert run(["logs", "trace", "a1", "/nowhere.log"]) == ExitCode.USAGE
     assert "/nowhere.log" in capsys.readouterr().err
-    assert run(["logs", "way", "a1"]) == ExitCode.USAGE
+    assert run(["logs", "trace", "a1"]) == ExitCode.USAGE
     assert "no log file" in capsys.readouterr().err
 
 
