A doubled request of a client is two requests of one root: the emulator judges each copy

Cause: the emulator's network may deliver a message twice. Between daemons that tests the epochs and call numbers of our own protocol. Ruled out: a fault of the edge. The first copy came as a cut healed, found no endpoint and was refused truly; the second came after that answer and ran, as a client's repeat would. Remembering refusals at the edge was weighed: production has no name that tells a copy from a client's own repeat. Change: each copy that reaches the edge is a call of its own (its name ends in +N), with an outcome of its own that all checks judge; a client takes the first answer.

--- a/src/finchshed/emulator/callers.py
+++ b/src/finchshed/emulator/callers.py
@@ -4,7 +4,7 @@
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 import msgspec
@@ -122,17 +122,39 @@
     return factor
 
 
+@dataclass(slots=True)
+class _Sending:
+    """One copy of an attempt: the attempt itself, or the same request delivered once more."""
+
+    call: str
+    is_over: bool = False
+    cancel: Cancel | None = None
+
+
 @dataclass(slots=True)
 class _Root:
     """A root request at its client, over the client's attempts."""
 
     arrival: Arrival
     kind: RequestKind
-    attempt: int = 0
+    attempts: int = 0
     waits: bool = False
     """Whether an attempt was sent and neither answered nor given up yet."""
+
+
+@dataclass(slots=True)
+class _Attempt:
+    """One attempt of a client, with every copy of it that reached the edge."""
+
+    root: _Root
+    number: int
+    sendings: list[_Sending]
     timer: Timer | None = None
-    cancel: Cancel | None = None
+
+    @property
+    def is_awaited(self) -> bool:
+        """Whether the client still waits for this attempt's answer."""
+        return self.root.waits and self.root.attempts == self.number
 
 
 class OutsideCallers:
@@ -170,15 +192,14 @@
         self._attempt(_Root(arrival, self._kinds[arrival.kind]))
 
     def _attempt(self, root: _Root) -> None:
-        root.attempt += 1
+        root.attempts += 1
         root.waits = True
-        attempt = root.attempt
         arrival = root.arrival
         site = Site(f"client-{arrival.zone}", OUTSIDE)
         edge_site, path = self._edge_of(arrival.zone)
         deadline = self._clock.now + self._deployment.deadline_seconds
         request = Request(
-            call=f"{arrival.root}/{attempt}",
+            call=f"{arrival.root}/{root.attempts}",
             root=arrival.root,
             hop=root.kind.hop,
             kind=arrival.kind,
@@ -190,36 +211,60 @@
             repeatable=root.kind.repeatable,
         )
         self._recorder.call_began(request)
-        root.timer = self._clock.call_at(deadline, self._timed_out, root, attempt)
-        root.cancel = None
-
-        def answered(outcome: Outcome) -> None:
-            self._network.send(edge_site, site, lambda: self._ended(root, attempt, outcome))
+        attempt = _Attempt(root, root.attempts, [_Sending(request.call)])
+        attempt.timer = self._clock.call_at(deadline, self._timed_out, attempt)
 
         def arrive() -> None:
-            if root.waits and root.attempt == attempt:
-                root.cancel = path.call(request, answered)
+            if not attempt.is_awaited:
+                return
+            sending = attempt.sendings[0]
+            if sending.cancel is not None:
+                sending = self._begin_copy(request, attempt)
+
+            def answered(outcome: Outcome) -> None:
+                self._network.send(edge_site, site, lambda: self._ended(attempt, sending, outcome))
+
+            sending.cancel = path.call(replace(request, call=sending.call), answered)
 
         self._network.send(site, edge_site, arrive)
 
-    def _timed_out(self, root: _Root, attempt: int) -> None:
-        if not root.waits or root.attempt != attempt:
+    def _begin_copy(self, request: Request, attempt: _Attempt) -> _Sending:
+        """Take note that the edge gets a request again.
+
+        No transport delivers a request twice: the edge sees another request of the same root, as
+        from a client that sends again on a second connection. Its outcome speaks of this copy.
+        """
+        copy = replace(request, call=f"{request.call}+{len(attempt.sendings)}")
+        self._recorder.call_began(copy)
+        sending = _Sending(copy.call)
+        attempt.sendings.append(sending)
+        return sending
+
+    def _timed_out(self, attempt: _Attempt) -> None:
+        zone = attempt.root.arrival.zone
+        edge_site, _ = self._edge_of(zone)
+        for sending in attempt.sendings:
+            if sending.is_over:
+                continue
+            sending.is_over = True
+            self._recorder.call_abandoned(sending.call)
+            if sending.cancel is not None:
+                self._network.send(Site(f"client-{zone}", OUTSIDE), edge_site, sending.cancel)
+        if attempt.is_awaited:
+            attempt.root.waits = False
+            self._repeat(attempt.root, 0.0)
+
+    def _ended(self, attempt: _Attempt, sending: _Sending, outcome: Outcome) -> None:
+        if sending.is_over:
             return
-        root.waits = False
-        self._recorder.call_abandoned(f"{root.arrival.root}/{attempt}")
-        edge_site, _ = self._edge_of(root.arrival.zone)
-        if root.cancel is not None:
-            site = Site(f"client-{root.arrival.zone}", OUTSIDE)
-            self._network.send(site, edge_site, root.cancel)
-        self._repeat(root, 0.0)
-
-    def _ended(self, root: _Root, attempt: int, outcome: Outcome) -> None:
-        if not root.waits or root.attempt != attempt:
+        sending.is_over = True
+        self._recorder.call_ended(sending.call, outcome)
+        if attempt.timer is not None and all(copy.is_over for copy in attempt.sendings):
+            attempt.timer.cancel()
+        if not attempt.is_awaited:
             return
+        root = attempt.root
         root.waits = False
-        if root.timer is not None:
-            root.timer.cancel()
-        self._recorder.call_ended(f"{root.arrival.root}/{attempt}", outcome)
         if isinstance(outcome, Answered):
             if outcome.status != 200:
                 self._repeat(root, 0.0)
@@ -227,7 +272,7 @@
         self._repeat(root, outcome.retry_after)
 
     def _repeat(self, root: _Root, retry_after: float) -> None:
-        if root.attempt >= self._policy.attempts:
+        if root.attempts >= self._policy.attempts:
             return
         wait = self._policy.backoff_seconds * (0.5 + self._random.random())
         if self._policy.heed_retry_after:
