--- a/tests/platform/play_drawn_days.py
+++ b/tests/platform/play_drawn_days.py
@@ -47,7 +47,18 @@
     day = out / f"{site.stem}-{seed}.toml"
     report = day.with_suffix(".json")
     day.write_text(day_as_toml(draw_day(site, seed, kinds)))
-    command = [bench, "run", str(site), str(day), "--report", str(report), "--why", why]
+    command = [
+        bench,
+        "run",
+        str(site),
+        str(day),
+        "--report",
+        str(report),
+        "--why",
+        why,
+        "--jobs",
+        "1",
+    ]
     ended = subprocess.run(
         command, capture_output=True, text=True, timeout=PLAY_SECONDS, check=False
     )
