A stop waits by the clock, not by the number of polls

Cause: a daemon that stops waits for what is in progress by a number of polls of 20 ms. On a busy loop or a slow machine each takes longer, so the wait outlasts the time a stop may take, and the process is killed in the midst of answers.

--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -44,12 +44,12 @@
 from finchshed.link.listener import LinkListener
 from finchshed.routing.table import RoutingTable
 from finchshed.runtime import garbage
+from finchshed.runtime.waiting import wait_while
 from finchshed.tls.credentials import credentials_of
 from finchshed.tls.handshakes import Connector
 from finchshed.tls.names import Role
 
 SLOW_TICK_SECONDS = 0.5
-DRAIN_POLL_SECONDS = 0.02
 MILLISECONDS = 1000.0
 
 IDLE_SLACK_SECONDS = 2.0
@@ -172,11 +172,11 @@
         self._leaving.tell()
         await asyncio.sleep(settings.drain_notice_seconds - serving_seconds)
         self._listeners.close()
-        await self._idle(settings.drain_seconds)
+        await wait_while(self._is_busy, settings.drain_seconds)
         if self._callee is not None and self._callee.sessions:
             logger.info("sending {} sessions away", self._callee.sessions)
             self._callee.end_sessions()
-            await self._idle(settings.drain_notice_seconds)
+            await wait_while(self._is_busy, settings.drain_notice_seconds)
         await self._close()
 
     # What the configuration tells.
@@ -302,13 +302,6 @@
             names=self._names,
         )
 
-    async def _idle(self, seconds: float) -> None:
-        """Wait until nothing is in progress, for ``seconds`` at most."""
-        for _ in range(round(seconds / DRAIN_POLL_SECONDS)):
-            if not self._is_busy():
-                return
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
-
     def _why_not(self) -> RefusalReason | None:
         return None if self._is_serving else RefusalReason.NO_CONFIGURATION
 
