A daemon serves calls by host without a configuration of its own

Ruled out: overload (no queue, no threshold in the lines), back ends (26 calls answered there). Change: a call whose route the calling daemon found needs no configuration at the daemon beside the back end: the calling daemon's is confirmed. It is served as soon as the back end's start is known, and goes elsewhere at no cost before. Calls under routes of a service need the declarations as before.

--- a/src/finchshed/daemon/call_admission.py
+++ b/src/finchshed/daemon/call_admission.py
@@ -25,6 +25,8 @@
         Whether there is a configuration that calls may be served by.
     service
         Service of the back end.
+    instance
+        Start of the back end that registered, or empty; calls taken by host are meant for it alone.
     draining
         Whether no new work is taken.
     catalogue
@@ -36,6 +38,7 @@
     def __init__(self, settings: DaemonSettings, rng: random.Random) -> None:
         self.may_serve = False
         self.service = settings.service
+        self.instance = ""
         self.draining = False
         self.catalogue = Catalogue()
         self.sessions = SessionTable()
@@ -45,10 +48,11 @@
 
     def admit(self, link: AcceptedLink, call: Call, now: float) -> Work | Refused:
         """Return the work a call means, or why it is refused. ``now`` is monotonic seconds."""
-        if not self.may_serve:
-            return self.refused(RefusalReason.NO_CONFIGURATION)
         if call.route:
+            # Its route was found by a configuration that is confirmed to the calling daemon.
             return self._admit_by_host(link, call, now)
+        if not self.may_serve:
+            return self.refused(RefusalReason.NO_CONFIGURATION)
         matched = self.catalogue.match(call.service, call.path)
         if matched is None or call.service != self.service:
             return self.refused(RefusalReason.UNKNOWN_ROUTE)
@@ -98,7 +102,7 @@
 
     def _admit_by_host(self, link: AcceptedLink, call: Call, now: float) -> Work | Refused:
         """Take a call that the calling daemon found the route of."""
-        if self.draining or call.service != self.service:
+        if self.draining or not self.instance or call.service != self.service:
             # What was called here has gone: whatever is here now was not meant.
             return self.refused(RefusalReason.DRAINING)
         return Work(
--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -147,6 +147,7 @@
         """Serve with this start of the back end from now on."""
         self._instance = instance
         self._admission.service = service
+        self._admission.instance = instance
         if slots:
             self._gate.set_slots(slots_to_use(slots))
 
--- /dev/null
+++ b/tests/daemon/lone_callee.py
@@ -0,0 +1,37 @@
+"""A callee by itself, with nothing behind it."""
+
+import random
+from unittest.mock import Mock
+
+from finchshed.admission.paths import PathThresholds
+from finchshed.daemon.accounts import ServedRequests
+from finchshed.daemon.callee import Callee
+from finchshed.daemon.header_names import HeaderNames
+from finchshed.daemon.settings import DaemonSettings
+
+
+def lone_callee(served: ServedRequests, paths: PathThresholds) -> Callee:
+    """Return a callee beside a back end that registers; neither is known of yet."""
+    settings = DaemonSettings(
+        node="d1",
+        region="texas",
+        zone="a",
+        service="sales",
+        http_address="",
+        host_address="127.0.0.1:9003",
+        backend_address="127.0.0.1:9000",
+        link_address="127.0.0.1:9001",
+        control_addresses=("127.0.0.1:9002",),
+        registers_backend=True,
+    )
+    return Callee(
+        settings,
+        backend=Mock(),
+        guarded=Mock(),
+        served=served,
+        paths=paths,
+        rng=random.Random(1),
+        on_backend_answer=Mock(),
+        revision=lambda: 1,
+        names=HeaderNames(),
+    )
--- /dev/null
+++ b/tests/daemon/test_unconfirmed_daemon.py
@@ -0,0 +1,57 @@
+"""A daemon that was restarted while no control node can be reached: its back end goes on serving.
+
+Seen on a day on which daemons restarted while they were cut off from control: their back ends were
+registered and called, and each call was refused for the lack of a configuration, though the calling
+daemon had found the route by one that was confirmed to it.
+"""
+
+from unittest.mock import Mock
+
+from finchshed.admission.paths import NO_THRESHOLD, PathThresholds
+from finchshed.common.context import CallContext
+from finchshed.common.importance import Importance
+from finchshed.common.outcomes import RefusalReason, Refused
+from finchshed.daemon.accounts import ServedRequests
+from finchshed.link.messages import Call, Reply
+from finchshed.retry.policy import is_redirect
+from tests.daemon.lone_callee import lone_callee
+
+CONTEXT = CallContext("r1", Importance.NORMAL, 1.0)
+
+
+def call(route: str) -> Call:
+    return Call("e", 1, "sales", "GET", "/look/", (), b"", "", CONTEXT, 1, route, True, "r1")
+
+
+def outcome_of(link: Mock) -> Refused:
+    reply = link.reply.call_args.args[0]
+    assert isinstance(reply, Reply)
+    assert isinstance(reply.outcome, Refused)
+    return reply.outcome
+
+
+async def test_a_call_whose_route_the_caller_found_is_served_without_a_configuration() -> None:
+    served = ServedRequests()
+    callee = lone_callee(served, PathThresholds(lambda *_: NO_THRESHOLD))
+    callee.serve_instance("i-1", "sales", 8)
+    link = Mock(epoch="e")
+    callee.take(link, call("host/look/"))
+    assert served.get_by_identity("r1") is not None
+    link.reply.assert_not_called()
+
+
+async def test_before_the_back_end_is_known_the_call_goes_elsewhere_at_no_cost() -> None:
+    served = ServedRequests()
+    callee = lone_callee(served, PathThresholds(lambda *_: NO_THRESHOLD))
+    link = Mock(epoch="e")
+    callee.take(link, call("host/look/"))
+    assert is_redirect(outcome_of(link))
+    assert len(served) == 0
+
+
+async def test_a_call_under_a_route_of_its_service_still_needs_a_configuration() -> None:
+    callee = lone_callee(ServedRequests(), PathThresholds(lambda *_: NO_THRESHOLD))
+    callee.serve_instance("i-1", "sales", 8)
+    link = Mock(epoch="e")
+    callee.take(link, call(""))
+    assert outcome_of(link).reason is RefusalReason.NO_CONFIGURATION
