The start of the back end is kept once, beside what admits its calls

Read once more: Callee and CallAdmission both held it. No change of behaviour; tests of daemon, platform and architecture that touch it pass (217).

--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -100,7 +100,6 @@
         self._on_backend_answer = on_backend_answer
         self._revision = revision
         self._names = names
-        self._instance = ""
         self.on_backend_fault: Callable[[str, BackendResult], None] = _ignore_fault
         by_demand = settings.registers_backend
         self._gate = Gate(1, rng, time.monotonic(), by_demand=by_demand)
@@ -145,7 +144,6 @@
 
     def serve_instance(self, instance: str, service: str, slots: int) -> None:
         """Serve with this start of the back end from now on."""
-        self._instance = instance
         self._admission.service = service
         self._admission.instance = instance
         if slots:
@@ -243,7 +241,7 @@
         self._paths.on_start(work.served.account, work.route)
         remaining = work.deadline - time.monotonic()
         if work.is_by_host:
-            headers = headers_by_host(work, remaining, self._names, self._instance)
+            headers = headers_by_host(work, remaining, self._names, self._admission.instance)
         else:
             headers = backend_headers(work, remaining)
         request = BackendRequest(
@@ -257,7 +255,7 @@
             account="" if work.is_by_host else work.served.account,
             request_id=call.identity,
         )
-        instance = self._instance
+        instance = self._admission.instance
         work.cancel_backend = self._backend.send(
             request, lambda result: self._on_backend_result(work, instance, result)
         )
@@ -306,7 +304,7 @@
 
     def _reply_to(self, work: Work, outcome: Outcome, spare: int) -> None:
         load = self.load_report()
-        log_call(work, outcome, self._instance, load, self._gate.running)
+        log_call(work, outcome, self._admission.instance, load, self._gate.running)
         self._send_reply(work.link, work.call, outcome, spare, load)
 
     def _forget(self, work: Work) -> None:
