A control group grows to the size that its declared failure tolerance asks for

Cause: the group was formed of the three listed voters and stayed so, whatever the deployment declares to bear. Two dark voters of twelve machines stopped it; two disks lost right after an acknowledgement lost what was acknowledged.

Change: the setting tolerated_failures (f). The leader promotes caught-up standbys, one at a time, until 2f + 1 vote, out of the zone with the fewest voters; members carry their zone. Until then it takes no command, for 6 s after its start at most, so that an acknowledgement stands on f + 1 disks and a smaller deployment is still served. The log's line on members gives counts and what changed, not the whole membership.

Ruled out: forming with more voters than the listed ones. A founder that lost its disk could then form a second group beside the first, as a quorum of the first needn't hold any listed voter.

--- a/src/finchshed/consensus/formation.py
+++ b/src/finchshed/consensus/formation.py
@@ -46,7 +46,7 @@
     names |= {member.identity.name for member in state.membership.members}
     for name in sorted(names - {state.identity.name}):
         answers = _latest_incarnation(state, name)
-        hello = Hello(state.identity, state.address, state.is_formed, answers)
+        hello = Hello(state.identity, state.address, state.is_formed, answers, state.zone)
         state.send(NodeIdentity(name, ""), hello)
 
 
@@ -61,7 +61,9 @@
     if is_new and not state.is_formed:
         state.hello_due = state.now
     answers = message.answers if sender == message.identity else ""
-    greeting = Greeting(message.identity, message.address, message.formed, state.now, answers)
+    greeting = Greeting(
+        message.identity, message.address, message.formed, state.now, answers, message.zone
+    )
     state.greetings[message.identity] = greeting
     leader = state.leader
     if sender == message.identity and leader is not None and leader != state.identity:
@@ -94,7 +96,7 @@
 def _greeted(state: NodeState, initial: InitialMember) -> Member | None:
     """Return an initial voter under the identity of its latest greeting."""
     if initial.name == state.identity.name:
-        return Member(state.identity, initial.address, MemberRole.VOTER)
+        return Member(state.identity, initial.address, MemberRole.VOTER, zone=state.zone)
     since = state.now - _FRESH_INTERVALS * state.options.hello_interval_seconds
     fresh = [
         greeting
@@ -107,7 +109,7 @@
     if not fresh:
         return None
     latest = max(fresh, key=lambda greeting: greeting.heard)
-    return Member(latest.identity, initial.address, MemberRole.VOTER)
+    return Member(latest.identity, initial.address, MemberRole.VOTER, zone=latest.zone)
 
 
 def _latest_incarnation(state: NodeState, name: str) -> str:
--- a/src/finchshed/consensus/membership.py
+++ b/src/finchshed/consensus/membership.py
@@ -24,12 +24,15 @@
         Where its consensus messages go, ``host:port``.
     promote
         A learner that becomes a voter once it has caught up; others stay standbys.
+    zone
+        Zone of its machine; empty where it isn't known. Voters are spread over zones.
     """
 
     identity: NodeIdentity
     address: str
     role: MemberRole
     promote: bool = False
+    zone: str = ""
 
 
 class InitialMember(msgspec.Struct, frozen=True):
@@ -39,6 +42,11 @@
     address: str
 
 
+def as_learner(member: Member, *, promote: bool) -> Member:
+    """Return a member as a learner, to be promoted or not."""
+    return msgspec.structs.replace(member, role=MemberRole.LEARNER, promote=promote)
+
+
 class Membership(msgspec.Struct, frozen=True):
     """All members, sorted by identity."""
 
@@ -59,6 +67,18 @@
         promoted = {m.identity.name for m in self.members if m.promote}
         return tuple(voter for voter in self.voters if voter.name not in promoted)
 
+    @property
+    def votes_planned(self) -> int:
+        """Number of voters once the promotion under way, if any, is finished."""
+        names = {m.identity.name for m in self.members if m.role is MemberRole.VOTER or m.promote}
+        return len(names)
+
+    def voters_in(self, zone: str) -> int:
+        """Return how many nodes of a zone vote, or are to vote."""
+        return sum(
+            m.zone == zone and (m.role is MemberRole.VOTER or m.promote) for m in self.members
+        )
+
     @property
     def quorum(self) -> int:
         """Number of counted voters that must agree: a majority of all voters."""
--- a/src/finchshed/consensus/membership_changes.py
+++ b/src/finchshed/consensus/membership_changes.py
@@ -19,6 +19,7 @@
     MemberRole,
     Membership,
     MembershipChange,
+    as_learner,
     encode_membership,
     quorum_size,
 )
@@ -175,7 +176,7 @@
         return None
     latest = max(greetings, key=lambda greeting: greeting.heard)
     role = MemberRole.LEARNER
-    member = Member(latest.identity, latest.address, role, promote=change.voter)
+    member = Member(latest.identity, latest.address, role, promote=change.voter, zone=latest.zone)
     return state.membership.with_member(member)
 
 
@@ -187,4 +188,4 @@
 def _with_wish(member: Member, voter: bool) -> Member:
     if member.role is MemberRole.VOTER and voter:
         return member
-    return Member(member.identity, member.address, MemberRole.LEARNER, promote=voter)
+    return as_learner(member, promote=voter)
--- a/src/finchshed/consensus/messages.py
+++ b/src/finchshed/consensus/messages.py
@@ -131,13 +131,15 @@
     """A node that is no member greets the group, naming where it can be reached.
 
     ``identity`` is repeated because a follower passes the greeting on to its leader. ``answers``
-    is the incarnation of the receiver's last greeting, if the sender has heard one.
+    is the incarnation of the receiver's last greeting, if the sender has heard one. ``zone`` is
+    that of the greeting node.
     """
 
     identity: NodeIdentity
     address: str
     formed: bool
     answers: str = ""
+    zone: str = ""
 
 
 Message: TypeAlias = (
--- a/src/finchshed/consensus/node.py
+++ b/src/finchshed/consensus/node.py
@@ -76,6 +76,8 @@
         Times and sizes.
     may_form
         Whether the node may form the group; one that starts anew on an empty disk later may not.
+    zone
+        Zone of this machine, told to the group; empty: unknown.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         now: float,
         options: RaftOptions | None = None,
         may_form: bool = True,
+        zone: str = "",
     ) -> None:
         options = options or RaftOptions()
         log = RaftLog(stored.snapshot, stored.entries)
@@ -105,6 +108,7 @@
             commit_index=stored.snapshot.index if stored.snapshot else 0,
             writes=WriteBuffer(log.last_index),
             may_form=may_form,
+            zone=zone,
             # Answers to requests of an earlier start must not be taken for answers to new ones.
             next_request=rng.getrandbits(_REQUEST_BITS),
         )
--- a/src/finchshed/consensus/options.py
+++ b/src/finchshed/consensus/options.py
@@ -6,6 +6,7 @@
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
+CountOrNone = Annotated[int, msgspec.Meta(ge=0)]
 
 
 class RaftOptions(msgspec.Struct, frozen=True, kw_only=True):
@@ -44,6 +45,12 @@
         A voter silent for longer is replaced by a standby that has caught up; infinite: never.
     admits_standbys
         Whether the leader takes in any node that greets it, as a standby.
+    tolerated_failures
+        Machines whose loss at once, disks included, the group must bear; standbys are promoted
+        until twice as many and one vote. 0: the group stays as it was formed.
+    size_patience_seconds
+        For so long after its start a leader takes no command while the group is smaller than
+        that; then it goes on with the machines there are.
     forget_standby_seconds
         A standby silent for longer is taken out where standbys are admitted; it may come again.
     transfer_timeout_seconds
@@ -67,9 +74,16 @@
     promotion_lag_entries: Count = 32
     standby_after_seconds: Positive = 60.0
     admits_standbys: bool = False
+    tolerated_failures: CountOrNone = 0
+    size_patience_seconds: Positive = 6.0
     forget_standby_seconds: Positive = 60.0
     transfer_timeout_seconds: Positive = 2.0
 
+    @property
+    def wanted_voters(self) -> int:
+        """Least number of voters of which a majority outlives the tolerated failures."""
+        return 2 * self.tolerated_failures + 1
+
     def __post_init__(self) -> None:
         """Check the options against each other."""
         if self.election_timeout_max_seconds <= self.election_timeout_min_seconds:
--- a/src/finchshed/consensus/repair.py
+++ b/src/finchshed/consensus/repair.py
@@ -15,6 +15,7 @@
 voter; such a set has at least ``q - 1`` of the ``n - 1``, and ``q + q - 1 > n - 1``.
 """
 
+from finchshed.consensus.group_size import grown
 from finchshed.consensus.identity import NodeIdentity
 from finchshed.consensus.membership import Member, MemberRole, Membership
 from finchshed.consensus.membership_changes import (
@@ -53,7 +54,8 @@
             wanted = _promoted(state, leading, member)
             if wanted is not None:
                 return wanted
-    wanted = replaced_by_standby(state, leading, _ready_learners(state, leading))
+    ready = _ready_learners(state, leading)
+    wanted = replaced_by_standby(state, leading, ready) or grown(state, leading, ready)
     if wanted is None and state.options.admits_standbys:
         return admitted_standby(state) or without_silent_standby(state, leading)
     return wanted
@@ -82,7 +84,9 @@
     for member in earlier:
         if member.role is MemberRole.LEARNER:
             membership = membership.without(member.identity)
-    learner = Member(identity, greeting.address, MemberRole.LEARNER, promote=voter)
+    learner = Member(
+        identity, greeting.address, MemberRole.LEARNER, promote=voter, zone=greeting.zone
+    )
     return membership.with_member(learner)
 
 
@@ -98,7 +102,8 @@
         return _without_abandoned(state, leading, identity)
     if not learner.promote or not _has_caught_up(state, leading, identity):
         return None
-    membership = state.membership.with_member(Member(identity, learner.address, MemberRole.VOTER))
+    voter = Member(identity, learner.address, MemberRole.VOTER, zone=learner.zone)
+    membership = state.membership.with_member(voter)
     return membership.without(earlier[0].identity) if earlier else membership
 
 
--- a/src/finchshed/consensus/requests.py
+++ b/src/finchshed/consensus/requests.py
@@ -3,6 +3,7 @@
 from finchshed.consensus import replication, roles
 from finchshed.consensus.effects import RefusalCause
 from finchshed.consensus.events import Propose, SnapshotTaken
+from finchshed.consensus.group_size import waits_for_growth
 from finchshed.consensus.identity import NodeIdentity
 from finchshed.consensus.membership import encode_membership
 from finchshed.consensus.membership_changes import refuse
@@ -19,6 +20,8 @@
         refuse(state, event.token, cause)
     elif leading.transfer is not None:
         refuse(state, event.token, RefusalCause.TRANSFERRING)
+    elif waits_for_growth(state):
+        refuse(state, event.token, RefusalCause.NOT_READY)
     elif len(leading.proposals) >= state.options.max_pending_proposals:
         refuse(state, event.token, RefusalCause.BUSY)
     else:
--- a/src/finchshed/consensus/standby.py
+++ b/src/finchshed/consensus/standby.py
@@ -12,10 +12,10 @@
 cut for minutes so ends with as many voters as before, and nothing flips back when it heals.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from finchshed.consensus.identity import NodeIdentity
-from finchshed.consensus.membership import Member, MemberRole, Membership
+from finchshed.consensus.membership import Member, MemberRole, Membership, as_learner
 from finchshed.consensus.membership_changes import is_fresh
 from finchshed.consensus.state import LeaderState, NodeState
 
@@ -33,23 +33,31 @@
     standbys = [member for member in ready if not member.promote]
     if not standbys:
         return None
-    standby = max(standbys, key=lambda member: _order(leading, member))
     silent = _silent(state, leading)
     if silent is None:
         return None
-    waiting = _learner(silent, promote=False)
-    chosen = _learner(standby, promote=True)
-    return state.membership.with_member(waiting).with_member(chosen)
+    membership = state.membership.with_member(as_learner(silent, promote=False))
+    chosen = best_standby(membership, leading, standbys)
+    return membership.with_member(as_learner(chosen, promote=True))
 
 
 def admitted_standby(state: NodeState) -> Membership | None:
-    """Return the membership with a node that greets and is no member, as a standby."""
-    for greeting in state.greetings.values():
-        identity = greeting.identity
-        if is_fresh(state, greeting) and not state.membership.named(identity.name):
-            standby = Member(identity, greeting.address, MemberRole.LEARNER)
-            return state.membership.with_member(standby)
-    return None
+    """Return the membership with a node that greets and is no member, as a standby.
+
+    The first comes from the zone with the fewest voters: where the group is still to grow, it is
+    the next to vote.
+    """
+    membership = state.membership
+    newcomers = [
+        greeting
+        for greeting in state.greetings.values()
+        if is_fresh(state, greeting) and not membership.named(greeting.identity.name)
+    ]
+    if not newcomers:
+        return None
+    first = min(newcomers, key=lambda new: (membership.voters_in(new.zone), new.identity))
+    standby = Member(first.identity, first.address, MemberRole.LEARNER, zone=first.zone)
+    return membership.with_member(standby)
 
 
 def without_silent_standby(state: NodeState, leading: LeaderState) -> Membership | None:
@@ -62,6 +70,19 @@
     return None
 
 
+def best_standby(
+    membership: Membership, leading: LeaderState, standbys: Sequence[Member]
+) -> Member:
+    """Return the standby to promote: of the zone with the fewest voters, with the longest log."""
+
+    def order(member: Member) -> tuple[int, int, NodeIdentity]:
+        progress = leading.progress.get(member.identity)
+        held = progress.match_index if progress is not None else 0
+        return (-membership.voters_in(member.zone), held, member.identity)
+
+    return max(standbys, key=order)
+
+
 def _silent(state: NodeState, leading: LeaderState) -> Member | None:
     """Return the member whose place a standby should take: the one silent for longest.
 
@@ -85,12 +106,3 @@
     """Return for how long a member has been silent, counted from the start of this leadership."""
     progress = leading.progress.get(identity)
     return 0.0 if progress is None else state.now - progress.last_heard
-
-
-def _order(leading: LeaderState, member: Member) -> tuple[int, NodeIdentity]:
-    progress = leading.progress.get(member.identity)
-    return (progress.match_index if progress is not None else 0, member.identity)
-
-
-def _learner(member: Member, *, promote: bool) -> Member:
-    return Member(member.identity, member.address, MemberRole.LEARNER, promote=promote)
--- a/src/finchshed/consensus/state.py
+++ b/src/finchshed/consensus/state.py
@@ -57,6 +57,7 @@
     formed: bool
     heard: float
     answers: str = ""
+    zone: str = ""
 
 
 @dataclass
@@ -108,6 +109,7 @@
     commit_index: int
     writes: WriteBuffer
     may_form: bool = True
+    zone: str = ""
     role: Role = Role.FOLLOWER
     leader: NodeIdentity | None = None
     leading: LeaderState | None = None
--- a/src/finchshed/control/node.py
+++ b/src/finchshed/control/node.py
@@ -55,6 +55,7 @@
             settings.data_folder,
             options=_options(settings),
             may_form=settings.forms_group,
+            zone=settings.zone,
             machine=self._machine,
             background=background,
         )
@@ -179,6 +180,7 @@
         election_timeout_max_seconds=ELECTION_SPREAD * settings.election_timeout_seconds,
         standby_after_seconds=settings.standby_after_seconds,
         admits_standbys=settings.admits_standbys,
+        tolerated_failures=settings.tolerated_failures,
         snapshot_every_entries=settings.snapshot_entries,
         read_timeout_seconds=settings.request_timeout_seconds / 2,
     )
--- a/src/finchshed/control/raft_host.py
+++ b/src/finchshed/control/raft_host.py
@@ -37,13 +37,14 @@
     Tick,
     TransferLeadership,
 )
-from finchshed.consensus.membership import InitialMember, MembershipChange
+from finchshed.consensus.membership import InitialMember, Membership, MembershipChange
 from finchshed.consensus.messages import Envelope
 from finchshed.consensus.node import RaftNode
 from finchshed.consensus.options import RaftOptions
 from finchshed.control import raft_metrics as metrics
 from finchshed.control.background import Background
 from finchshed.control.commands import Command, CommandResult, LogEntry, encode_entry
+from finchshed.control.member_changes import count_members, describe_change
 from finchshed.control.peer_links import PeerLinks
 from finchshed.control.peer_messages import RaftLine
 from finchshed.control.pending_outcomes import (
@@ -77,6 +78,8 @@
         Where the log is kept.
     may_form
         Whether this node may form the group.
+    zone
+        Zone of this machine; voters are spread over zones.
     """
 
     def __init__(
@@ -88,6 +91,7 @@
         *,
         options: RaftOptions,
         may_form: bool = True,
+        zone: str = "",
         machine: ControlStateMachine,
         background: Background,
     ) -> None:
@@ -107,6 +111,7 @@
             now=_now(),
             options=options,
             may_form=may_form,
+            zone=zone,
         )
         self._driver = Driver(self.node, self)
         self._links: PeerLinks | None = None
@@ -120,6 +125,7 @@
         self._write_started: float | None = None
         self._is_stopped = False
         self._observe_due = 0.0
+        self._members = Membership()
 
     def start(self, links: PeerLinks) -> None:
         """Bring the state machine to what the disk holds, and take part in the group."""
@@ -247,7 +253,13 @@
                 self._role_changed.set()
                 self._role_changed = asyncio.Event()
             case MembershipChanged():
-                logger.info("members at entry {}: {}", effect.index, effect.membership)
+                self._log_members(effect)
+
+    def _log_members(self, changed: MembershipChanged) -> None:
+        before, self._members = self._members, changed.membership
+        change = describe_change(before, changed.membership)
+        counts = count_members(changed.membership)
+        logger.info("members at entry {}: {}; {}", changed.index, counts, change)
 
     def _submit(self, make_event: MakeEvent) -> Outcome:
         token, outcome = self._pending.add()
--- a/src/finchshed/control/settings.py
+++ b/src/finchshed/control/settings.py
@@ -90,6 +90,17 @@
             )
         ),
     ] = False
+    tolerated_failures: Annotated[
+        int,
+        msgspec.Meta(
+            ge=0,
+            le=4,
+            description=(
+                "Control machines whose loss at once, with their disks, must be borne; standbys "
+                "are promoted until twice as many and one vote. 0: those that are listed vote."
+            ),
+        ),
+    ] = 0
     bootstrap_token_sha256: Annotated[
         Sha256,
         msgspec.Meta(
--- a/src/finchshed/proof/consensus/group.py
+++ b/src/finchshed/proof/consensus/group.py
@@ -29,11 +29,25 @@
 )
 """Production times but for standbys; sizes so small that all of them matter within seconds."""
 
+GROWN_STANDBY_SECONDS = 3.0
+"""As the deployments with a declared tolerance set it."""
 
-def options_from(rng: random.Random) -> RaftOptions:
+ZONE_COUNT = 6
+"""Zones that machines are placed in by turns; as many as the largest deployment has."""
+
+
+def options_from(rng: random.Random, tolerated_failures: int = 0) -> RaftOptions:
     """Return options under which, for some seeds, windows are small and elections collide."""
+    options = OPTIONS
+    if tolerated_failures:
+        options = msgspec.structs.replace(
+            options,
+            tolerated_failures=tolerated_failures,
+            admits_standbys=True,
+            standby_after_seconds=GROWN_STANDBY_SECONDS,
+        )
     return msgspec.structs.replace(
-        OPTIONS,
+        options,
         max_append_entries=rng.choice((1, 8)),
         max_in_flight_appends=rng.choice((1, 4)),
         election_timeout_max_seconds=rng.choice((1.05, 2.0)),
@@ -51,9 +65,11 @@
         Number of initial voters.
     spares
         Number of nodes that run beside them and are no members.
+    tolerated_failures
+        Machines that the group must be able to lose at once; it takes in spares as it needs them.
     """
 
-    def __init__(self, seed: str, voters: int, spares: int) -> None:
+    def __init__(self, seed: str, voters: int, spares: int, tolerated_failures: int = 0) -> None:
         self.scheduler = Scheduler()
         self.observer = Observer(self.scheduler)
         self.rng = random.Random(f"{seed}/faults")
@@ -61,7 +77,8 @@
         names = [f"n{number}" for number in range(1, voters + spares + 1)]
         self.voter_names = names[:voters]
         self._seed = seed
-        self.options = options_from(random.Random(f"{seed}/options"))
+        self.tolerated_failures = tolerated_failures
+        self.options = options_from(random.Random(f"{seed}/options"), tolerated_failures)
         self._initial = tuple(InitialMember(name, address_of(name)) for name in self.voter_names)
         self.nodes: dict[str, SimulatedNode] = {}
         for name in names:
@@ -83,6 +100,7 @@
             network=self.network,
             observer=self.observer,
             rng=random.Random(f"{self._seed}/{key}"),
+            zone=f"zone-{len(self.nodes) % ZONE_COUNT}",
         )
         self.nodes[key] = node
         return node
@@ -116,6 +134,8 @@
         leader = self.leader()
         if leader is None or leader.raft.log.membership_index > leader.raft.commit_index:
             return False
+        if len(leader.raft.membership.voters) < self.options.wanted_voters:
+            return False
         statuses = {status.member.identity: status for status in leader.raft.member_statuses()}
         for member in leader.raft.membership.members:
             if member.role is MemberRole.LEARNER:
--- a/src/finchshed/proof/consensus/node.py
+++ b/src/finchshed/proof/consensus/node.py
@@ -65,6 +65,8 @@
         The node's own clock shows ``offset + rate * simulated time``.
     disk_slowness
         Times as long as usual that a write takes.
+    zone
+        Zone of the machine, told to the group.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         network: SimulatedNetwork,
         observer: Observer,
         rng: random.Random,
+        zone: str = "",
     ) -> None:
         self.key = key
         self.name = name
@@ -87,6 +90,7 @@
         self.clock_rate = 1.0
         self.disk_slowness = 1.0
         self.register = Register()
+        self.zone = zone
         self._doomed: bool | None = None
         self._initial_members = initial_members
         self._options = options
@@ -142,6 +146,7 @@
             initial_members=self._initial_members,
             now=self._host_now(),
             options=self._options,
+            zone=self.zone,
         )
         self._driver = Driver(raft, self)
         self._process.begin()
--- a/src/finchshed/proof/consensus/run.py
+++ b/src/finchshed/proof/consensus/run.py
@@ -7,7 +7,7 @@
 from finchshed.proof.consensus.clients import Client, History
 from finchshed.proof.consensus.group import Group
 from finchshed.proof.consensus.linearizability import is_linearizable
-from finchshed.proof.consensus.scenarios import SCENARIOS
+from finchshed.proof.consensus.scenarios import SCENARIOS, Scenario
 from finchshed.proof.consensus.scheduler import Process
 
 _FIRST_LEADER_SECONDS = 10.0
@@ -38,6 +38,18 @@
     counts: dict[str, int]
 
 
+_INITIAL_VOTERS = 3
+"""Initial voters of a group that grows: as many as every machine is told of at the start."""
+
+
+def _make_group(name: str, scenario: Scenario, rng: random.Random) -> Group:
+    if not scenario.sizes:
+        return Group(name, rng.choice((3, 3, 5)), scenario.spares)
+    size = rng.choice(scenario.sizes)
+    spares = size.machines - _INITIAL_VOTERS
+    return Group(name, _INITIAL_VOTERS, spares, size.tolerated_failures)
+
+
 class Simulation:
     """Runs a scenario under a seed."""
 
@@ -47,8 +59,7 @@
         self._seed = seed
         name = f"{scenario}/{seed}"
         rng = random.Random(f"{name}/size")
-        voters = rng.choice((3, 3, 5))
-        self.group = Group(f"{name}", voters, self._scenario.spares)
+        self.group = _make_group(name, self._scenario, rng)
         self.history = History()
         self._clients = [
             Client(
--- a/src/finchshed/proof/consensus/scenarios.py
+++ b/src/finchshed/proof/consensus/scenarios.py
@@ -27,10 +27,26 @@
 from finchshed.proof.consensus.membership_faults import membership, replaced_while_cut, standbys
 from finchshed.proof.consensus.scheduler import Process
 from finchshed.proof.consensus.storm import storm
+from finchshed.proof.consensus.tolerated_losses import (
+    all_off_with_disks_lost,
+    losses_at_once,
+    replaced_in_a_row,
+)
 
 Inject: TypeAlias = Callable[[Group], Process]
 
 
+class GroupSize(msgspec.Struct, frozen=True):
+    """Machines of a group that grows by itself, and how many of them it must be able to lose."""
+
+    machines: int
+    tolerated_failures: int
+
+
+DECLARED_SIZES = (GroupSize(4, 1), GroupSize(6, 1), GroupSize(6, 2), GroupSize(12, 2))
+"""Sizes of the deployments known, and one between them."""
+
+
 class Scenario(msgspec.Struct, frozen=True):
     """One kind of failure.
 
@@ -44,6 +60,9 @@
         Clients that work at the same time.
     from_start
         The faults begin with the first start, before the group is formed.
+    sizes
+        Sizes of groups that grow from three initial voters; a seed has one of them. Empty: 3 or 5
+        initial voters and ``spares``.
     """
 
     summary: str
@@ -51,6 +70,7 @@
     spares: int = 0
     clients: int = 3
     from_start: bool = False
+    sizes: tuple[GroupSize, ...] = ()
 
 
 SCENARIOS: Mapping[str, Scenario] = {
@@ -71,5 +91,16 @@
     "membership": Scenario("members added and removed during cuts", membership, spares=2),
     "standbys": Scenario("voters away for long, standbys in their places", standbys, spares=2),
     "replaced-while-cut": Scenario("a name given to a new machine too soon", replaced_while_cut),
+    "losses-at-once": Scenario(
+        "as many machines lost at once as must be borne", losses_at_once, sizes=DECLARED_SIZES
+    ),
+    "all-off-with-disks-lost": Scenario(
+        "all off at once, as many disks lost as must be borne",
+        all_off_with_disks_lost,
+        sizes=DECLARED_SIZES,
+    ),
+    "replaced-in-a-row": Scenario(
+        "the initial voters replaced by new machines", replaced_in_a_row, sizes=DECLARED_SIZES
+    ),
     "storm": Scenario("all of these together", storm, spares=1),
 }
--- a/tests/control/test_standby.py
+++ b/tests/control/test_standby.py
@@ -139,3 +139,25 @@
         lambda roles: second.name not in voting(roles) and first.name in voting(roles),
     )
     changes.accept(5)
+
+
+def test_a_group_grows_to_its_declared_tolerance_and_outlives_two_of_those_it_was_formed_of(
+    tmp_path: Path,
+) -> None:
+    group = Group(tmp_path, voters=3, spares=3, standby_after=STANDBY_AFTER_SECONDS)
+    group.extra_settings = "admits_standbys = true\ntolerated_failures = 2\n"
+    group.start_all(group.nodes)
+    try:
+        group.bootstrap()
+        wait_until_roles(group, lambda roles: len(voting(roles)) == 5 and len(roles) == 6)
+        changes = Changes(group)
+        changes.accept(3)
+        leader = group.leader()
+        lost = next(node for node in group.voters if node is not leader)
+        group.kill(leader)
+        group.kill(lost)
+        group.lose_disk(leader)
+        group.lose_disk(lost)
+        changes.accept(3)
+    finally:
+        group.close()
--- a/tests/platform/test_node_file.py
+++ b/tests/platform/test_node_file.py
@@ -113,3 +113,17 @@
     assert done.returncode == 2
     assert told in done.stderr
     assert len(done.stderr.splitlines()) == 1
+
+
+@pytest.mark.parametrize(
+    ("declared", "tolerated"), [({}, 0), ({"machines": 2, "zones": 1}, 2), ({"machines": 9}, 4)]
+)
+def test_a_control_group_is_as_large_as_what_must_be_borne(
+    tmp_path: Path, declared: dict[str, int], tolerated: int
+) -> None:
+    path = written(
+        tmp_path, ip="10.1.0.13", data_dir=str(tmp_path / "data"), fault_tolerance=declared
+    )
+    settings = control_settings(read_node_file(path))
+    assert settings.tolerated_failures == tolerated
+    assert settings.zone == "a"
