A return of all machines is found at once; a daemon at rest wakes seldom

Change: a node that greets ends the dial that hangs, and is dialled anew. A daemon waits 0.15 s for a first connection to a control node (0.75 s before), doubling with each failure, so that it goes on to one that is up. Tests: test_a_dial_that_hangs..., test_a_first_connection_is_waited_for_briefly...; the first failed before.

Cause (strace of a daemon at rest): 55 looks for events and 33 getpid a second. The log was flushed ten times a second whether there were lines or not, the client's check went through wait_for four times a second, and asyncio.get_running_loop asks for the process's number in CPython 3.11. Change: the log is flushed when lines wait, the check is a timer, loops are kept.

--- a/src/finchshed/control/peer_links.py
+++ b/src/finchshed/control/peer_links.py
@@ -157,12 +157,11 @@
 
     async def _connect(self, outbound: _Outbound) -> None:
         await self._pause_if_refused(outbound)
-        link = self._make_outbound()
-        host, port = split_address(outbound.address)
-        try:
-            opening = self._open_connection(lambda: link, host, port)
-            await asyncio.wait_for(opening, CONNECT_SECONDS)
-        except (OSError, TimeoutError):
+        link = await self._dial(outbound)
+        if link is None and outbound.wake.is_set():
+            # It came up meanwhile; what was dialled before waits for the kernel to try again.
+            link = await self._dial(outbound)
+        if link is None:
             DROPPED.inc(len(outbound.waiting))
             outbound.waiting.clear()
             await _pause(outbound)
@@ -179,6 +178,30 @@
         for message in waiting:
             self._send_on(link, message)
 
+    async def _dial(self, outbound: _Outbound) -> PeerLink | None:
+        """Open a connection; None if it can't be, or if the node shows itself meanwhile.
+
+        A machine without power answers nothing, and the kernel sends the opening packet again only
+        after a second: a machine that comes up in between shows itself earlier, by dialling here.
+        """
+        outbound.wake.clear()
+        link = self._make_outbound()
+        host, port = split_address(outbound.address)
+        opening = asyncio.ensure_future(self._open_connection(lambda: link, host, port))
+        woken = asyncio.ensure_future(outbound.wake.wait())
+        first = asyncio.FIRST_COMPLETED
+        try:
+            await asyncio.wait((opening, woken), timeout=CONNECT_SECONDS, return_when=first)
+            if not opening.done():
+                return None
+            opening.result()
+        except OSError:
+            return None
+        finally:
+            woken.cancel()
+            opening.cancel()
+        return link
+
     def _wake_links_to(self, peer_address: str) -> None:
         """Connect at once to a node that has just shown that it is there."""
         host = split_address(peer_address)[0]
@@ -228,8 +251,7 @@
 
 
 async def _pause(outbound: _Outbound) -> None:
-    """Wait before the next try, unless the other side connects meanwhile."""
-    outbound.wake.clear()
+    """Wait before the next try, unless the other side has connected meanwhile."""
     pause = outbound.pause
     outbound.pause = min(2 * outbound.pause, LONGEST_PAUSE_SECONDS)
     with contextlib.suppress(TimeoutError):
--- a/src/finchshed/daemon/backend_http.py
+++ b/src/finchshed/daemon/backend_http.py
@@ -40,6 +40,11 @@
         Time to open a connection.
     names
         Names of the headers the back end gives.
+
+    Attributes
+    ----------
+    loop
+        The loop it was made on; kept for the reason given in :mod:`finchshed.daemon.peers`.
     """
 
     def __init__(
@@ -49,6 +54,7 @@
         connect_timeout_seconds: float,
         names: HeaderNames | None = None,
     ) -> None:
+        self.loop = asyncio.get_running_loop()
         self._address = address
         self._reader = AnswerReader(names or HeaderNames())
         host, _, port = address.rpartition(":")
@@ -78,7 +84,7 @@
             exchange.fail_later(BackendUnreached("no connection is free"))
         else:
             self._connecting += 1
-            task = asyncio.get_running_loop().create_task(self._connect(exchange))
+            task = self.loop.create_task(self._connect(exchange))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         return exchange.cancel
@@ -110,7 +116,7 @@
         return None
 
     async def _connect(self, exchange: "Exchange") -> None:
-        loop = asyncio.get_running_loop()
+        loop = self.loop
         try:
             async with asyncio.timeout(self._connect_timeout_seconds):
                 _, connection = await loop.create_connection(
@@ -153,9 +159,7 @@
         self._request = request
         self._on_result = on_result
         self._connection: BackendConnection | None = None
-        self._timer = asyncio.get_running_loop().call_later(
-            max(0.0, request.timeout_seconds), self._on_timeout
-        )
+        self._timer = backend.loop.call_later(max(0.0, request.timeout_seconds), self._on_timeout)
 
     def send_on(self, connection: BackendConnection) -> None:
         """Send the request on an idle connection."""
@@ -170,7 +174,7 @@
 
     def fail_later(self, result: BackendResult) -> None:
         """Tell ``result`` once the caller of :meth:`HttpBackend.send` has returned."""
-        asyncio.get_running_loop().call_soon(self.end, result)
+        self._backend.loop.call_soon(self.end, result)
 
     def cancel(self) -> None:
         """Give the request up; its connection is closed and no result is told."""
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -325,7 +325,7 @@
             if not self._driver.client.is_connected:
                 # Other daemons are the only source of configuration then.
                 self._links.ask_revisions()
-            self._listener.close_silent(asyncio.get_running_loop().time())
+            self._listener.close_silent(time.monotonic())
             metrics.IN_PROGRESS.labels("caller").set(self._caller.in_progress)
             if self._callee is not None:
                 self._callee.expire_sessions()
--- a/src/finchshed/daemon/outgoing.py
+++ b/src/finchshed/daemon/outgoing.py
@@ -58,7 +58,7 @@
         self._waiters: list[Callable[[Outcome], None]] = []
         self._attempt: Attempt | None = None
         self._deadline = 0.0
-        self._loop = asyncio.get_running_loop()
+        self._loop = links.loop
         self._timer: asyncio.TimerHandle | None = None
         self._outcome: Outcome | None = None
         self._began = time.monotonic()
--- a/src/finchshed/daemon/peers.py
+++ b/src/finchshed/daemon/peers.py
@@ -36,6 +36,12 @@
     """Links to the daemons of endpoints, by endpoint name.
 
     ``connect`` opens connections; None: the event loop does.
+
+    Attributes
+    ----------
+    loop
+        The loop that links and calls run on. It is kept, as asking for it is a system call in
+        CPython 3.11 (asyncio looks whether the process is a fork).
     """
 
     def __init__(
@@ -45,6 +51,7 @@
         rng: random.Random,
         connect: Connect | None = None,
     ) -> None:
+        self.loop = asyncio.get_running_loop()
         self._connect = connect
         self._settings = settings
         self._owner = owner
@@ -106,7 +113,7 @@
 
     def close_idle(self) -> None:
         """Close links that carried no call for a long time."""
-        now = asyncio.get_running_loop().time()
+        now = self.loop.time()
         for link in list(self._by_link):
             idle = now - link.last_call_at > self._settings.link_idle_seconds
             if idle and link.calls_in_progress == 0 and link.state is LinkState.OPEN:
@@ -218,7 +225,7 @@
         )
         peer.link = link
         self._by_link[link] = peer
-        task = asyncio.get_running_loop().create_task(link.connect())
+        task = self.loop.create_task(link.connect())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/src/finchshed/distribution/addresses.py
+++ b/src/finchshed/distribution/addresses.py
@@ -11,6 +11,15 @@
 
 FIRST_BACKOFF_SECONDS = 0.2
 LONGEST_BACKOFF_SECONDS = 5.0
+FIRST_CONNECT_SECONDS = 0.15
+"""Longest wait for the first connection to a node: ten round trips between the zones of a region.
+
+A machine that has no power answers nothing; when a whole site comes back the nodes that are up
+already are found by going on to the next one soon. The wait doubles with each failure."""
+
+LONGEST_CONNECT_SECONDS = 0.75
+"""Longest wait for a connection, once shorter ones have failed: a slow node, a far region."""
+
 STABLE_SECONDS = 10.0
 """A connection that lived this long counts as a success, and the delay starts anew."""
 
@@ -25,10 +34,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """Try ``address`` after ``wait_seconds``."""
+    """Try ``address`` after ``wait_seconds``, for ``connect_seconds`` at most."""
 
     address: ControlAddress
     wait_seconds: float
+    connect_seconds: float
 
 
 @dataclass(slots=True)
@@ -75,9 +85,11 @@
         """Return the most preferred node that is ready, or else the first to be ready."""
         ready = [entry for entry, record in self._records.items() if record.ready_at <= now]
         if ready:
-            return Attempt(min(ready, key=self._preference), 0.0)
+            chosen = min(ready, key=self._preference)
+            return Attempt(chosen, 0.0, self._connect_seconds(chosen))
         first = min(self._records, key=lambda entry: self._records[entry].ready_at)
-        return Attempt(first, self._records[first].ready_at - now)
+        wait = self._records[first].ready_at - now
+        return Attempt(first, wait, self._connect_seconds(first))
 
     def nearer(self, address: ControlAddress) -> ControlAddress | None:
         """Return a node of the own zone, if ``address`` is of another."""
@@ -101,6 +113,10 @@
         record.rank = self._rng.random()
         record.ready_at = now + bound * (0.5 + 0.5 * self._rng.random())
 
+    def _connect_seconds(self, address: ControlAddress) -> float:
+        failures = self._records[address].failures
+        return float(min(FIRST_CONNECT_SECONDS * 2.0**failures, LONGEST_CONNECT_SECONDS))
+
     def _add(self, address: ControlAddress) -> None:
         self._records[address] = _Record(0, 0.0, self._rng.random())
 
--- a/src/finchshed/distribution/client.py
+++ b/src/finchshed/distribution/client.py
@@ -14,7 +14,11 @@
 
 from finchshed.common.outcomes import Answered
 from finchshed.directory.registration import Registration
-from finchshed.distribution.addresses import AddressBook, ControlAddress
+from finchshed.distribution.addresses import (
+    LONGEST_CONNECT_SECONDS,
+    AddressBook,
+    ControlAddress,
+)
 from finchshed.distribution.identity import ClientIdentity
 from finchshed.distribution.ledger_requests import LedgerAnswer, LedgerRequest, LedgerRequests
 from finchshed.distribution.messages import (
@@ -38,7 +42,6 @@
 Connect: TypeAlias = Callable[[Callable[[], Connection], str, int], Awaitable[object]]
 """Opens a connection for the protocol made by the first argument to a host and port."""
 
-CONNECT_SECONDS = 0.75
 SILENCE_SECONDS = 1.5
 """A control node that sent nothing for this long is left; it sends each half second.
 
@@ -115,6 +118,7 @@
         self._book = AddressBook(addresses, identity.zone, rng)
         self._connection: Connection | None = None
         self._ended: asyncio.Event = asyncio.Event()
+        self._check: asyncio.TimerHandle | None = None
         self._is_subscribed = False
         self._heard_at = 0.0
         self._heartbeat_due = 0.0
@@ -151,7 +155,7 @@
             if attempt.wait_seconds > 0.0:
                 await asyncio.sleep(attempt.wait_seconds)
                 continue
-            lived = await self._connect_and_serve(attempt.address)
+            lived = await self._connect_and_serve(attempt.address, attempt.connect_seconds)
             self._book.on_ended(attempt.address, lived, loop.time())
 
     def report_in_force(self, revision: int) -> None:
@@ -188,7 +192,7 @@
         """Record an answer; see :meth:`LedgerRequests.complete`."""
         return await self._ledger.complete(key, attempt, answer, timeout_seconds)
 
-    async def _connect_and_serve(self, address: ControlAddress) -> float:
+    async def _connect_and_serve(self, address: ControlAddress, connect_seconds: float) -> float:
         """Return for how many seconds the connection served."""
         loop = asyncio.get_running_loop()
         host, _, port = address.address.rpartition(":")
@@ -196,7 +200,7 @@
         connection = self._make_protocol()
         try:
             opening = self._connect(lambda: connection, host, int(port))
-            await asyncio.wait_for(opening, CONNECT_SECONDS)
+            await asyncio.wait_for(opening, connect_seconds)
         except (OSError, TimeoutError):
             return 0.0
         opened_at = self._heard_at = loop.time()
@@ -229,24 +233,38 @@
 
     async def _watch(self, connection: Connection, address: ControlAddress) -> None:
         """Return once the connection has ended, is silent, or a nearer node can be reached."""
-        loop = asyncio.get_running_loop()
         nearer = self._book.nearer(address)
-        nearer_due = loop.time() + NEARER_SECONDS * (1.0 + self._rng.random())
-        while connection.is_open and not self._ended.is_set():
-            try:
-                await asyncio.wait_for(self._ended.wait(), CHECK_SECONDS)
-            except TimeoutError:
-                now = loop.time()
-                if now - self._heard_at > SILENCE_SECONDS:
-                    return
-                if self._is_subscribed and now >= self._heartbeat_due:
-                    self.report_in_force(self._handlers.revision_in_force())
-                    self.announce()
-                if nearer is not None and now >= nearer_due:
-                    nearer_due = now + NEARER_SECONDS * (1.0 + self._rng.random())
-                    if await self._can_reach(nearer):
-                        self._book.on_reachable(nearer)
-                        return
+        probing = None if nearer is None else asyncio.create_task(self._move_to(nearer))
+        self._check = asyncio.get_running_loop().call_later(CHECK_SECONDS, self._on_check)
+        try:
+            await self._ended.wait()
+        finally:
+            if self._check is not None:
+                self._check.cancel()
+            if probing is not None:
+                probing.cancel()
+
+    def _on_check(self) -> None:
+        """Look for silence, and send a heartbeat when one is due."""
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        connection = self._connection
+        if connection is None or not connection.is_open or now - self._heard_at > SILENCE_SECONDS:
+            self._ended.set()
+            return
+        if self._is_subscribed and now >= self._heartbeat_due:
+            self.report_in_force(self._handlers.revision_in_force())
+            self.announce()
+        self._check = loop.call_later(CHECK_SECONDS, self._on_check)
+
+    async def _move_to(self, nearer: ControlAddress) -> None:
+        """End the connection once a nearer control node can be reached."""
+        while True:
+            await asyncio.sleep(NEARER_SECONDS * (1.0 + self._rng.random()))
+            if await self._can_reach(nearer):
+                self._book.on_reachable(nearer)
+                self._ended.set()
+                return
 
     async def _can_reach(self, address: ControlAddress) -> bool:
         """Whether a connection to a control node can be opened; it is closed at once."""
@@ -254,7 +272,7 @@
         host, _, port = address.address.rpartition(":")
         try:
             opening = self._connect(lambda: probe, host, int(port))
-            await asyncio.wait_for(opening, CONNECT_SECONDS)
+            await asyncio.wait_for(opening, LONGEST_CONNECT_SECONDS)
         except (OSError, TimeoutError):
             return False
         probe.abort()
--- a/src/finchshed/link/listener.py
+++ b/src/finchshed/link/listener.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Sequence
 
 from loguru import logger
@@ -217,7 +218,7 @@
             self._refuse(lines, "network")
             return
         link = AcceptedLink(lines, self._owner, self._max_unsent_bytes)
-        link.last_received_at = asyncio.get_running_loop().time()
+        link.last_received_at = time.monotonic()
         self._links[lines] = link
         LINKS_ACCEPTED.inc()
 
@@ -225,7 +226,7 @@
         link = self._links.get(lines)
         if link is None:
             return
-        link.last_received_at = asyncio.get_running_loop().time()
+        link.last_received_at = time.monotonic()
         try:
             link.take(message)
         except ProtocolError as error:
--- a/src/finchshed/observability/log_stream.py
+++ b/src/finchshed/observability/log_stream.py
@@ -8,6 +8,7 @@
 import asyncio
 import os
 import sys
+import threading
 import time
 from collections.abc import Callable
 
@@ -45,6 +46,11 @@
         Takes bytes without blocking and returns how many it took; raises BlockingIOError for none.
     now
         Returns monotonic seconds.
+
+    Attributes
+    ----------
+    on_first
+        Called when lines begin to wait; it is to have :meth:`flush` called soon.
     """
 
     def __init__(
@@ -66,6 +72,12 @@
         self._buffer = bytearray()
         self._left_out = 0
         self._encoder = msgspec.json.Encoder()
+        self.on_first: Callable[[], None] = _wait_for_flush
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether lines wait to be written."""
+        return bool(self._buffer)
 
     @property
     def left_out(self) -> int:
@@ -82,8 +94,11 @@
             self._left_out += 1
             return False
         self._tokens -= size
+        is_first = not self._buffer
         self._buffer += line
         self._buffer += b"\n"
+        if is_first:
+            self.on_first()
         return True
 
     def flush(self) -> None:
@@ -144,8 +159,33 @@
         _stream = None
 
 
-async def flush_forever(stream: LogStream) -> None:
-    """Write lines out now and then, until cancelled."""
-    while True:
-        await asyncio.sleep(FLUSH_SECONDS)
+def flush_on(loop: asyncio.AbstractEventLoop, stream: LogStream) -> None:
+    """Have the lines of ``stream`` written by timers of ``loop``; none runs while there are none.
+
+    To be called by the thread that runs the loop. Lines may come from threads that write to disks.
+    """
+
+    def flush() -> None:
         stream.flush()
+        if stream.is_waiting:
+            loop.call_later(FLUSH_SECONDS, flush)
+
+    def flush_soon() -> None:
+        loop.call_later(FLUSH_SECONDS, flush)
+
+    def on_first() -> None:
+        if loop.is_closed():
+            return  # what is said last is written when the stream is closed
+        if threading.get_ident() == own_thread:
+            flush_soon()
+        else:
+            loop.call_soon_threadsafe(flush_soon)
+
+    own_thread = threading.get_ident()
+    stream.on_first = on_first
+    if stream.is_waiting:
+        flush_soon()
+
+
+def _wait_for_flush() -> None:
+    """Leave it to whoever calls :meth:`LogStream.flush`."""
--- a/src/finchshed/runtime/process.py
+++ b/src/finchshed/runtime/process.py
@@ -103,7 +103,7 @@
         require_no_io_uring()
         loop_lag = loop.create_task(process_metrics.measure_loop_lag())
         if logs_to_stdout:
-            loop.create_task(log_stream.flush_forever(log_stream.open_standard_output()))
+            log_stream.flush_on(loop, log_stream.open_standard_output())
         task = loop.create_task(main(control))
         _handle_signals(loop, control, task.cancel)
         ring.announce(f"{title}: started")
--- a/tests/control/test_peer_links.py
+++ b/tests/control/test_peer_links.py
@@ -26,13 +26,16 @@
 
     def __init__(self, networks: Sequence[str]) -> None:
         self.received: list[PeerMessage] = []
+        self.came = asyncio.Event()
         self.address = free_addresses(1)[0]
         background = Background(lambda error: pytest.fail(str(error)))
         hello = PeerHello("c1", "127.0.0.1:2")
         allowed = PeerNetworks(networks)
-        self.links = PeerLinks(
-            hello, lambda _, message: self.received.append(message), background, allowed
-        )
+        self.links = PeerLinks(hello, self._receive, background, allowed)
+
+    def _receive(self, _link: object, message: PeerMessage) -> None:
+        self.received.append(message)
+        self.came.set()
 
     async def send(self, data: bytes) -> bool:
         """Send ``data`` on a new connection; return whether the listener closed it."""
@@ -83,3 +86,26 @@
     async with listening() as listener:
         await listener.send(HELLO + REPLY + b"\n")
         assert [type(message) for message in listener.received] == [ForwardReply]
+
+
+async def test_a_dial_that_hangs_is_begun_anew_when_the_other_side_shows_itself() -> None:
+    """As with a machine without power: the first opening packet is lost, the next is answered."""
+    async with listening() as far, listening() as near:
+        dials: list[str] = []
+        connect = near.links._open_connection
+
+        async def lose_the_first(make: object, host: str, port: int) -> object:
+            dials.append(f"{host}:{port}")
+            if len(dials) == 1:
+                await asyncio.sleep(10 * STEP_SECONDS)
+            return await connect(make, host, port)  # type: ignore[arg-type]
+
+        near.links._open_connection = lose_the_first  # type: ignore[assignment]
+        near.links.send(far.address, ForwardReply(request=1, outcome=ForwardOutcome.DONE))
+        await asyncio.sleep(0.05)
+        started = asyncio.get_running_loop().time()
+        near.links._wake_links_to(far.address)
+        async with asyncio.timeout(STEP_SECONDS):
+            await far.came.wait()
+        assert asyncio.get_running_loop().time() - started < 0.5
+        assert dials == [far.address, far.address]
--- a/tests/distribution/test_addresses.py
+++ b/tests/distribution/test_addresses.py
@@ -3,7 +3,9 @@
 import random
 
 from finchshed.distribution.addresses import (
+    FIRST_CONNECT_SECONDS,
     LONGEST_BACKOFF_SECONDS,
+    LONGEST_CONNECT_SECONDS,
     STABLE_SECONDS,
     AddressBook,
     ControlAddress,
@@ -52,3 +54,16 @@
     book.add((NODES[0].address, "10.0.0.9:1"))
     book.on_ended(NODES[0], 0.0, 0.0)
     assert book.next_attempt(0.0).address == ControlAddress("10.0.0.9:1")
+
+
+def test_a_first_connection_is_waited_for_briefly_and_later_ones_longer() -> None:
+    book = AddressBook(NODES[:1], "z", random.Random(1))
+    waits = []
+    now = 0.0
+    for _ in range(5):
+        attempt = book.next_attempt(now)
+        now += attempt.wait_seconds
+        waits.append(attempt.connect_seconds)
+        book.on_ended(attempt.address, 0.0, now)
+    assert waits[:2] == [FIRST_CONNECT_SECONDS, 2 * FIRST_CONNECT_SECONDS]
+    assert waits[-1] == LONGEST_CONNECT_SECONDS
--- a/tests/observability/test_log_stream.py
+++ b/tests/observability/test_log_stream.py
@@ -1,5 +1,6 @@
 """The log stream: bounded, never waited for, and honest about what it left out."""
 
+import asyncio
 import json
 import os
 import subprocess
@@ -121,3 +122,25 @@
     assert not log_stream.is_on()
     log_stream.emit(line(1))
     assert os.get_blocking(sys.__stdout__.fileno()) in {True, False}
+
+
+async def test_lines_are_flushed_soon_and_no_timer_runs_without_any() -> None:
+    loop = asyncio.get_running_loop()
+    written: list[bytes] = []
+
+    def take(data: bytes) -> int:
+        written.append(data)
+        return len(data)
+
+    stream = LogStream(take)
+    log_stream.flush_on(loop, stream)
+    await asyncio.sleep(3 * log_stream.FLUSH_SECONDS)
+    assert written == []
+    stream.offer(line(1))
+    await loop.run_in_executor(None, stream.offer, line(2))
+    await asyncio.sleep(2 * log_stream.FLUSH_SECONDS)
+    assert b"".join(written).count(b"\n") == 2
+    await loop.run_in_executor(None, stream.offer, line(2))
+    await asyncio.sleep(2 * log_stream.FLUSH_SECONDS)
+    assert b"".join(written).count(b"\n") == 3
+    assert not stream.is_waiting
