--- a/tests/control/test_linearizable.py
+++ b/tests/control/test_linearizable.py
@@ -23,6 +23,11 @@
 CLIENTS = 6
 FAULTS = 4
 MIN_OPERATIONS = 100
+"""Fewer answers show nothing. On a busy machine one course of faults may bring fewer: 374 to 396 on
+an idle one, 112 to 131 beside 14 busy processes."""
+
+LONGEST_SECONDS = 90.0
+"""The faults go on until there were enough answers, for so long at most."""
 
 
 class Operation(msgspec.Struct):
@@ -121,18 +126,24 @@
     threads = [threading.Thread(target=worker.run, args=(is_over,)) for worker in workers]
     for thread in threads:
         thread.start()
+    deadline = time.monotonic() + LONGEST_SECONDS
     try:
         disturb(group)
+        while answered(history) < MIN_OPERATIONS and time.monotonic() < deadline:
+            disturb(group)
     finally:
         is_over.set()
     for thread in threads:
         thread.join(timeout=60.0)
         assert not thread.is_alive()
-    answered = [item for item in history if item.revision is not None]
-    assert len(answered) >= MIN_OPERATIONS
+    assert answered(history) >= MIN_OPERATIONS
     assert problems_of(history) == []
 
 
+def answered(history: list[Operation]) -> int:
+    return sum(item.revision is not None for item in list(history))
+
+
 def disturb(group: Group) -> None:
     """Freeze the leader, then kill it, in turns; two of three nodes always run."""
     for number in range(FAULTS):
