--- a/src/finchshed/proof/consensus/disk_faults.py
+++ b/src/finchshed/proof/consensus/disk_faults.py
@@ -11,6 +11,19 @@
 WHOLE_PATIENCE_SECONDS = 20.0
 
 
+def whole_again(group: Group) -> Process:
+    """Wait until the group is whole, and a while more; the process returns whether it still is.
+
+    A group that isn't whole in time has broken a promise.
+    """
+    is_whole = yield from group.wait_until(group.is_whole, WHOLE_PATIENCE_SECONDS)
+    if not is_whole:
+        group.observer.violated("the group was not repaired in time")
+        return False
+    yield from group.pause(0.0, 2.0)
+    return group.is_whole()
+
+
 def crashes(group: Group) -> Process:
     """Kill processes, or take the power from machines, in the middle of writes."""
     for _ in range(12):
@@ -42,12 +55,7 @@
 def bit_rot(group: Group) -> Process:
     """Change bits on one disk after the other, each after the last was repaired."""
     for _ in range(3):
-        is_whole = yield from group.wait_until(group.is_whole, WHOLE_PATIENCE_SECONDS)
-        if not is_whole:
-            group.observer.violated("the group was not repaired in time")
-            return
-        yield from group.pause(0.0, 2.0)
-        if not group.is_whole():
+        if not (yield from whole_again(group)):
             continue
         node = group.some_voter()
         for _bit in range(group.rng.randint(1, 3)):
@@ -77,12 +85,7 @@
 def lost_disks(group: Group) -> Process:
     """Lose one disk after the other, each after the last was repaired."""
     for _ in range(3):
-        is_whole = yield from group.wait_until(group.is_whole, WHOLE_PATIENCE_SECONDS)
-        if not is_whole:
-            group.observer.violated("the group was not repaired in time")
-            return
-        yield from group.pause(0.0, 2.0)
-        if not group.is_whole():
+        if not (yield from whole_again(group)):
             continue
         node = group.some_voter()
         node.lose_disk()
--- a/src/finchshed/proof/consensus/tolerated_losses.py
+++ b/src/finchshed/proof/consensus/tolerated_losses.py
@@ -3,7 +3,7 @@
 from functools import partial
 
 from finchshed.consensus.membership import MemberRole
-from finchshed.proof.consensus.disk_faults import WHOLE_PATIENCE_SECONDS
+from finchshed.proof.consensus.disk_faults import WHOLE_PATIENCE_SECONDS, whole_again
 from finchshed.proof.consensus.group import Group
 from finchshed.proof.consensus.node import SimulatedNode
 from finchshed.proof.consensus.scheduler import Process
@@ -21,12 +21,7 @@
     the machines that weren't lost.
     """
     for _ in range(4):
-        is_whole = yield from group.wait_until(group.is_whole, WHOLE_PATIENCE_SECONDS)
-        if not is_whole:
-            group.observer.violated("the group was not repaired in time")
-            return
-        yield from group.pause(0.0, 2.0)
-        if not group.is_whole():
+        if not (yield from whole_again(group)):
             continue
         lost = group.rng.sample(_voting(group), group.tolerated_failures)
         committed = max(node.raft.commit_index for node in group.running)
@@ -46,12 +41,7 @@
 def all_off_with_disks_lost(group: Group) -> Process:
     """Take the power from all machines at once; some come back with empty disks."""
     for _ in range(3):
-        is_whole = yield from group.wait_until(group.is_whole, WHOLE_PATIENCE_SECONDS)
-        if not is_whole:
-            group.observer.violated("the group was not repaired in time")
-            return
-        yield from group.pause(0.0, 2.0)
-        if not group.is_whole():
+        if not (yield from whole_again(group)):
             continue
         wiped = group.rng.sample(_voting(group), group.tolerated_failures)
         for node in group.nodes.values():
