Links between zones are compressed

Change: a calling end may ask for compression in its Hello; from the next line on each direction is a deflate stream, flushed a line. Asked for where the peer is of another zone (setting compresses_links), never under TLS. A daemon that doesn't know the field answers in plain lines.

--- a/src/finchshed/daemon/peers.py
+++ b/src/finchshed/daemon/peers.py
@@ -222,6 +222,7 @@
             idle_heartbeat_seconds=settings.idle_heartbeat_seconds,
             connect_timeout_seconds=settings.connect_timeout_seconds,
             connect=self._connect,
+            asks_compression=self._asks_compression(peer.endpoint),
         )
         peer.link = link
         self._by_link[link] = peer
@@ -229,6 +230,12 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _asks_compression(self, endpoint: Endpoint) -> bool:
+        """Return whether the link is compressed; under TLS sizes would tell of what is inside."""
+        settings = self._settings
+        is_plain = settings.tls_files.is_plain
+        return settings.compresses_links and is_plain and endpoint.zone != settings.zone
+
     def _back_off(self, peer: _Peer) -> None:
         bound = min(BACKOFF_MAX_SECONDS, BACKOFF_FIRST_SECONDS * 2.0 ** min(peer.failures, 16))
         peer.failures += 1
--- a/src/finchshed/daemon/settings.py
+++ b/src/finchshed/daemon/settings.py
@@ -110,6 +110,14 @@
     connect_timeout_seconds: Annotated[
         float, Meta(gt=0, le=60, description="Time to open a link or a back-end connection.")
     ] = 0.5
+    compresses_links: Annotated[
+        bool,
+        Meta(
+            description=(
+                "Whether links to daemons of other zones are compressed; those under TLS never are."
+            )
+        ),
+    ] = True
     link_idle_seconds: Annotated[
         float, Meta(gt=0, le=86_400, description="A link unused for this long is closed.")
     ] = 120.0
--- a/src/finchshed/link/lines.py
+++ b/src/finchshed/link/lines.py
@@ -1,7 +1,7 @@
 """JSON lines over TCP: the one place where bytes of internal links are read and written.
 
 The codec is msgspec's; the framing is a line feed after each JSON value, which JSON never holds
-unescaped.
+unescaped. A direction may be compressed from some line on, which the lines before it agree on.
 """
 
 import asyncio
@@ -12,6 +12,7 @@
 import msgspec
 
 from finchshed.common.errors import ProtocolError
+from finchshed.link.compression import LineCompressor, LineDecompressor
 from finchshed.link.encoding import LINE_FEED, encode_line
 from finchshed.link.networks import PeerNetworks
 
@@ -73,6 +74,8 @@
         self._max_line_bytes = max_line_bytes
         self._awaits_greeting = expects_greeting
         self._networks = networks
+        self._compressor: LineCompressor | None = None
+        self._decompressor: LineDecompressor | None = None
         self.transport: asyncio.Transport | None = None
         self.bytes_received = 0
         self.bytes_sent = 0
@@ -109,13 +112,18 @@
         if not self.is_open:
             return  # given up on; what still comes has no reader
         self.bytes_received += len(data)
-        *lines, rest = data.split(LINE_FEED)
-        for line in lines:
-            if not self._deliver(self._whole(line)):
-                return
-        if rest:
-            self._rest += rest
-            self._check_size(self._rest)
+        if self._decompressor is None:
+            self._take(data)
+        else:
+            self._expand(self._decompressor, data)
+
+    def compress_sent(self) -> None:
+        """Compress the lines sent from now on; the peer was told so."""
+        self._compressor = LineCompressor()
+
+    def expect_compressed(self) -> None:
+        """Take what comes behind the line handed on just now as compressed: the peer said so."""
+        self._decompressor = LineDecompressor()
 
     def greeted(self) -> None:
         """Take the peer for known: it said who it is."""
@@ -130,6 +138,8 @@
         transport = self.transport
         if transport is None or transport.is_closing():
             return 0
+        if self._compressor is not None:
+            line = self._compressor.compress(line)
         transport.write(line)
         self.bytes_sent += len(line)
         return len(line)
@@ -148,6 +158,30 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _expand(self, decompressor: LineDecompressor, data: bytes) -> None:
+        try:
+            for piece in decompressor.expand(data):
+                self._take(piece)
+                if not self.is_open:
+                    return
+        except ProtocolError as error:
+            self._fail(error)
+
+    def _take(self, data: bytes) -> None:
+        """Split ``data`` into lines and hand each on."""
+        was_plain = self._decompressor is None
+        *lines, rest = data.split(LINE_FEED)
+        for count, line in enumerate(lines, 1):
+            if not self._deliver(self._whole(line)):
+                return
+            if was_plain and self._decompressor is not None:
+                compressed = LINE_FEED.join([*lines[count:], rest])
+                self._expand(self._decompressor, compressed)
+                return
+        if rest:
+            self._rest += rest
+            self._check_size(self._rest)
+
     def _whole(self, line: bytes) -> bytes | bytearray:
         """Return ``line`` with what came of it before."""
         if not self._rest:
--- a/src/finchshed/link/listener.py
+++ b/src/finchshed/link/listener.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Sequence
 
+import msgspec
 from loguru import logger
 
 from finchshed.common.errors import ProtocolError
@@ -124,7 +125,11 @@
             raise ProtocolError(fault)
         self.peer = message
         self.lines.greeted()
-        self.lines.send(self._owner.hello(message.epoch))
+        hello = self._owner.hello(message.epoch)
+        self.lines.send(msgspec.structs.replace(hello, compressed=message.compressed))
+        if message.compressed:
+            self.lines.compress_sent()
+            self.lines.expect_compressed()
         self._note_revision(message.revision)
 
     def _take_call(self, call: Call) -> None:
--- a/src/finchshed/link/messages.py
+++ b/src/finchshed/link/messages.py
@@ -45,7 +45,11 @@
 
 
 class Hello(msgspec.Struct, frozen=True, tag="hello"):
-    """First line in each direction."""
+    """First line in each direction.
+
+    ``compressed`` of the calling end asks for compression of what follows the first lines, both
+    ways; that of the serving end says that it will be. A daemon that doesn't know it answers no.
+    """
 
     node: str
     incarnation: str
@@ -54,6 +58,7 @@
     zone: str
     revision: Revision
     draining: bool = False
+    compressed: bool = False
 
 
 class Call(msgspec.Struct, frozen=True, omit_defaults=True, tag="call"):
--- a/src/finchshed/link/peer.py
+++ b/src/finchshed/link/peer.py
@@ -61,6 +61,8 @@
         The same for a link without calls in progress.
     connect
         Opens the connection; None: the event loop does. Proof passes one that can be cut.
+    asks_compression
+        Whether the peer is asked to compress the link both ways.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         idle_heartbeat_seconds: float = 0.0,
         connect_timeout_seconds: float,
         connect: Connect | None = None,
+        asks_compression: bool = False,
     ) -> None:
         self.address = address
         self.state = LinkState.CONNECTING
@@ -92,6 +95,7 @@
         self._lines: LineProtocol[PeerMessage] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._seen_revision = 0
+        self._asks_compression = asks_compression
 
     @property
     def calls_in_progress(self) -> int:
@@ -183,7 +187,8 @@
         self._lines = lines
         self._watch.on_received(self._loop.time())
         self._watch.on_sent(self._loop.time())
-        lines.send(self._owner.hello(self.epoch))
+        hello = self._owner.hello(self.epoch)
+        lines.send(msgspec.structs.replace(hello, compressed=self._asks_compression))
         self._schedule_check()
 
     def _on_close(self, lines: LineProtocol[PeerMessage], error: Exception | None) -> None:
@@ -224,6 +229,9 @@
             self._end("protocol")
             return
         lines.greeted()
+        if self.peer is None and self._asks_compression and hello.compressed:
+            lines.compress_sent()
+            lines.expect_compressed()
         self.state = LinkState.OPEN
         self.peer = hello
         self._owner.link_opened(self, hello)
