--- a/src/finchshed/limit/concurrency.py
+++ b/src/finchshed/limit/concurrency.py
@@ -17,8 +17,8 @@
 HEADROOM_DIVISOR = 20
 """One slot in so many, rounded up, is left free where a back end has enough of them.
 
-Of 20 slots one: with two left free a service that was full took 5 in 100 fewer calls and ran each as
-quickly (scale-2 in docs/NEW-CUSTOMER.md). None was not tried."""
+With two of 20 left free, not one, a service that was full took 5 in 100 fewer calls (scale-2 in
+docs/NEW-CUSTOMER.md). None left free was not tried."""
 
 HEADROOM_SLOTS_LEAST = 12
 
