--- a/src/finchshed/emulator/daemons/daemon.py
+++ b/src/finchshed/emulator/daemons/daemon.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from typing import Final, Protocol
+from typing import Final
 
 from finchshed.admission.fairness import FairPositions
 from finchshed.admission.paths import PathThresholds
@@ -19,6 +19,7 @@
 from finchshed.emulator.daemons.callee import Callee
 from finchshed.emulator.daemons.configuration_digest import digest_of_configuration
 from finchshed.emulator.daemons.control_plane import ControlPlane
+from finchshed.emulator.daemons.directory import Directory
 from finchshed.emulator.daemons.link import DaemonLink
 from finchshed.emulator.daemons.outgoing import CallingProcess, OnFinish, OutgoingCall
 from finchshed.emulator.daemons.pins import SessionPins
@@ -38,18 +39,6 @@
 LOCAL_DELAY_SECONDS: Final = 0.0002
 
 
-class Directory(Protocol):
-    """Where a daemon finds the processes of other daemons."""
-
-    def daemon_of(self, endpoint: str) -> "Daemon":
-        """Return the daemon beside an endpoint."""
-        ...
-
-    def node_called(self, name: str) -> "Daemon | None":
-        """Return the daemon of this name: an endpoint's or an edge."""
-        ...
-
-
 @dataclass(slots=True, eq=False)
 class _Joined:
     """A root request in progress, and the repeats that joined it."""
