The scale runner with its hollow fleet goes; CAPACITY from the bench's slopes

Cause: the users want no scale run of our own any more; docs/CAPACITY.md stood on it. Change: src/finchshed/scale, its command, pages and tests go (some 3,600 lines); least squares and the table of fits, which the other measurements use, move to bench/linear_fit.py with their tests.

--- a/src/finchshed/bench/consensus_log.py
+++ b/src/finchshed/bench/consensus_log.py
@@ -19,11 +19,11 @@
 
 from finchshed.bench.consensus_group import SERVICES, LeaderMeter, first_change, later_changes
 from finchshed.bench.consensus_restart import RestartPoint, measure_restart
+from finchshed.bench.linear_fit import Fit, fit
 from finchshed.bench.process_usage import MachineLoad, MachineMeter
 from finchshed.cli.exit_codes import ExitCode
 from finchshed.consensus.log import RaftLog
 from finchshed.control.state_machine import ControlStateMachine
-from finchshed.scale.fit import Fit, fit
 from finchshed.storage.folder import DataFolder
 from finchshed.storage.log_store import open_store
 from finchshed.storage.records import Entry, Write
--- a/src/finchshed/bench/daemon_slopes.py
+++ b/src/finchshed/bench/daemon_slopes.py
@@ -21,6 +21,7 @@
     MeasuredProcess,
 )
 from finchshed.bench.hollow_peers import HollowPeers
+from finchshed.bench.linear_fit import Fit, fit, table_of
 from finchshed.bench.process_usage import (
     MachineLoad,
     MachineMeter,
@@ -28,8 +29,6 @@
     resident_bytes,
 )
 from finchshed.cli.exit_codes import ExitCode
-from finchshed.scale.fit import Fit, fit
-from finchshed.scale.models import table_of
 
 RATES = (50.0, 100.0, 200.0, 400.0, 800.0)
 IN_FLIGHT_DELAYS = (0.1, 0.5, 1.0, 2.0)
--- a/src/finchshed/scale/fit.py
+++ b/src/finchshed/bench/linear_fit.py
@@ -73,3 +73,18 @@
         worst_residual=float(np.abs(residuals).max()),
         explained=1.0 - float(residuals @ residuals) / spread if spread else 0.0,
     )
+
+
+def table_of(fits: Sequence[Fit]) -> str:
+    """Return the fits as lines for people."""
+    lines = []
+    for item in fits:
+        lines.append(
+            f"{item.quantity}: {item.points} points, residual rms {item.residual_rms:.4g}, "
+            f"worst {item.worst_residual:.4g}, explained {item.explained:.3f}"
+        )
+        lines += [
+            f"    {term.name:<38}{term.value:>12.4g} +- {term.standard_error:.2g}"
+            for term in item.coefficients
+        ]
+    return "\n".join(lines)
--- a/src/finchshed/cli/table.py
+++ b/src/finchshed/cli/table.py
@@ -71,7 +71,6 @@
     "replay": Command("replay a trace against stated outcomes", "finchshed.replay.command:replay"),
     "record": Command("record a trace", "finchshed.replay.command:record"),
     "report": Command("make reports and plots of results", "finchshed.report.command:report"),
-    "scale": Command("run many hollow daemons beside real ones", "finchshed.scale.command:scale"),
     "standin": Command("stand-ins for back ends and callers", "finchshed.standins.command:standin"),
 }
 
