Tenants: requests by host carry an API key, the back end sees whose it is

Cause: the product knew neither keys nor tenants, so a client's key went on to the back end and a request without one was served. Ruled out: a check in the adapter alone; who may ask is a decision of the product, and its configuration has to carry the tenants to daemons. Change: a resource 'tenant' (TOML, schema, ctl, checks), kept with digests of its keys; the front by host looks the key up, names the tenant to the back end and drops what came under either header; 401 without a known key; public routes and calls of the own back end need none; a call whose request is over gets 503, as it can't be told from one taken by the process before. A tenant's importance goes before that of its route. ctl get takes every kind now.

--- a/src/finchshed/common/outcomes.py
+++ b/src/finchshed/common/outcomes.py
@@ -35,6 +35,9 @@
     KEY_REUSED = "key_reused"
     RETRIES_SPENT = "retries_spent"
     REQUEST_INVALID = "request_invalid"
+    API_KEY_MISSING = "api_key_missing"
+    API_KEY_UNKNOWN = "api_key_unknown"
+    CALLER_UNKNOWN = "caller_unknown"
 
 
 FINAL_REFUSALS = frozenset(
@@ -46,6 +49,8 @@
         RefusalReason.REQUEST_TOO_LARGE,
         RefusalReason.REQUEST_INVALID,
         RefusalReason.UNKNOWN_ROUTE,
+        RefusalReason.API_KEY_MISSING,
+        RefusalReason.API_KEY_UNKNOWN,
     }
 )
 """Refusals that the same request gets again, wherever and whenever it is sent."""
--- a/src/finchshed/configuration/changes.py
+++ b/src/finchshed/configuration/changes.py
@@ -18,8 +18,8 @@
         Revision the change was made against. Of racing changes against one revision exactly one
         is accepted.
     is_whole
-        Whether ``puts`` are all services, routes by host and limits there are to be: those not
-        among them are deleted.
+        Whether ``puts`` are all services, routes by host, limits and tenants there are to be: those
+        not among them are deleted.
     version
         Number that the operator gave the configuration, above the one in force; 0: none. The
         change then goes by ``base_version`` in place of ``expected_revision``.
--- a/src/finchshed/configuration/declarations.py
+++ b/src/finchshed/configuration/declarations.py
@@ -26,6 +26,13 @@
     address = "127.0.1.1:7000"
     slots = 10
 
+    [[tenant]]
+    name = "field-officers"
+    key_sha256 = ["..."]
+    importance = "critical"
+    requests_per_second = 200.0
+    burst_requests = 200.0
+
     [[operator]]
     name = "ana"
     token_sha256 = "..."
@@ -49,6 +56,7 @@
     ResourceKey,
     Route,
     Service,
+    Tenant,
     key_of,
 )
 from finchshed.configuration.validation import problems_of
@@ -61,6 +69,7 @@
     "operator": Operator,
     "host_route": HostRoute,
     "ingress_limits": IngressLimits,
+    "tenant": Tenant,
 }
 
 
@@ -100,7 +109,7 @@
         where = f"{file}: {table_name} {item.get('name', f'number {position}')}"
         if table_name == "service":
             item = self._with_routes(item, where)
-        if table_name == "host_route":
+        if table_name in {"host_route", "tenant"}:
             item = dict(importance_from_name(item, where, self.problems))
         resource = convert_table(item, TABLES[table_name], where, self.problems)
         if resource is not None:
--- a/src/finchshed/configuration/fields.py
+++ b/src/finchshed/configuration/fields.py
@@ -9,6 +9,9 @@
 
 StructT = TypeVar("StructT", bound=msgspec.Struct)
 
+SECRET_FIELDS = frozenset({"key_sha256", "token_sha256"})
+"""Fields in which a key may stand by mistake where its digest belongs: never shown."""
+
 IMPORTANCE_NAMES = {importance.name.lower(): importance for importance in Importance}
 
 
@@ -31,7 +34,9 @@
     values: dict[str, Any] = {}
     for name, field in fields.items():
         if name in table:
-            values[name] = _convert_value(table[name], field.type, f"{where}: {name}", problems)
+            place = f"{where}: {name}"
+            shown = place if name in SECRET_FIELDS else f"{place} = {table[name]!r}"
+            values[name] = _convert_value(table[name], field.type, shown, problems)
         elif field.required:
             problems.append(f"{where}: {name}: missing, required")
     return None if len(problems) > before else struct_type(**values)
@@ -50,9 +55,9 @@
     return {**table, "importance": importance}
 
 
-def _convert_value(value: Any, value_type: Any, where: str, problems: list[str]) -> Any:
+def _convert_value(value: Any, value_type: Any, shown: str, problems: list[str]) -> Any:
     try:
         return msgspec.convert(value, value_type)
     except msgspec.ValidationError as error:
-        problems.append(f"{where} = {value!r}: {error}")
+        problems.append(f"{shown}: {error}")
         return None
--- a/src/finchshed/configuration/resources.py
+++ b/src/finchshed/configuration/resources.py
@@ -5,7 +5,7 @@
 """
 
 import enum
-from typing import Annotated, TypeAlias
+from typing import Annotated, TypeAlias, get_args
 
 import msgspec
 
@@ -25,6 +25,12 @@
 
 HostRouteName: TypeAlias = Annotated[str, msgspec.Meta(pattern=r"^[^\s/]{1,253}/\S{0,4000}$")]
 
+TenantName: TypeAlias = Annotated[str, msgspec.Meta(pattern=r"^[!-~]{1,128}$")]
+"""Name of a tenant; it travels as the value of a header."""
+
+KeyDigest: TypeAlias = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+"""Hexadecimal SHA-256 digest of an API key."""
+
 WARM_UP_SECONDS = 10.0
 """Time over which a new back end's share of the work grows, where none is declared."""
 
@@ -125,6 +131,8 @@
         Latency the requests are meant to be answered in.
     max_attempts
         Back ends that one request may be sent to, the first included.
+    public
+        Whether requests are taken without an API key where tenants are declared.
     """
 
     name: HostRouteName
@@ -136,6 +144,7 @@
     timeout_seconds: Annotated[float, msgspec.Meta(gt=0.0, le=600.0)] = 2.0
     target_seconds: PositiveSeconds = 1.0
     max_attempts: Annotated[int, msgspec.Meta(ge=1, le=100)] = 2
+    public: bool = False
 
 
 class IngressLimits(
@@ -228,7 +237,34 @@
     token_sha256: Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
 
 
-Resource: TypeAlias = Service | HostRoute | IngressLimits | Endpoint | Policy | Operator
+class Tenant(
+    msgspec.Struct, frozen=True, omit_defaults=True, forbid_unknown_fields=True, tag="tenant"
+):
+    """Someone whose requests carry an API key.
+
+    Once a tenant is declared, each request by host needs a key, except on public routes and for
+    the calls that back ends make.
+
+    Attributes
+    ----------
+    key_sha256
+        Digests of the tenant's API keys; several, so that keys can be changed without a gap.
+    importance
+        Class of the tenant's requests, in place of that of their route; None: the route's.
+    requests_per_second
+        Requests that all daemons together take from the tenant; 0: no limit.
+    burst_requests
+        Requests above that rate which may come at once after a quiet time.
+    """
+
+    name: TenantName
+    key_sha256: tuple[KeyDigest, ...] = ()
+    importance: Importance | None = None
+    requests_per_second: Annotated[float, msgspec.Meta(ge=0.0, le=1e9)] = 0.0
+    burst_requests: Annotated[float, msgspec.Meta(ge=0.0, le=1e9)] = 0.0
+
+
+Resource: TypeAlias = Service | HostRoute | IngressLimits | Endpoint | Policy | Operator | Tenant
 
 
 class ResourceKey(msgspec.Struct, frozen=True, order=True):
@@ -251,3 +287,7 @@
 def key_of(resource: Resource) -> ResourceKey:
     """Return the identity of ``resource``."""
     return ResourceKey(kind=kind_of(type(resource)), name=resource.name)
+
+
+KINDS = frozenset(kind_of(resource_type) for resource_type in get_args(Resource))
+"""Kinds of all resources."""
--- a/src/finchshed/configuration/store.py
+++ b/src/finchshed/configuration/store.py
@@ -18,6 +18,7 @@
     Resource,
     ResourceKey,
     Service,
+    Tenant,
     key_of,
     kind_of,
 )
@@ -28,7 +29,7 @@
 
 OPERATOR_KIND = "operator"
 
-WHOLE_KINDS = frozenset(kind_of(kind) for kind in (Service, HostRoute, IngressLimits))
+WHOLE_KINDS = frozenset(kind_of(kind) for kind in (Service, HostRoute, IngressLimits, Tenant))
 """Kinds that a change with the whole configuration gives all resources of."""
 
 BOOTSTRAP_OPERATOR = "bootstrap"
--- a/src/finchshed/configuration/validation.py
+++ b/src/finchshed/configuration/validation.py
@@ -13,6 +13,7 @@
     Resource,
     ResourceKey,
     Service,
+    Tenant,
     host_route_name,
     key_of,
     kind_of,
@@ -46,6 +47,7 @@
             problems += _problems_of_shards(resource)
     problems += _shared_addresses(resources.values())
     problems += _shared_tokens(resources.values())
+    problems += _shared_keys(resources.values())
     return problems
 
 
@@ -91,6 +93,9 @@
             and is_address(put.address)
             and _is_alone(put, resources, lambda other: _address_of(other) == put.address)
         )
+    if isinstance(put, Tenant):
+        keys = set(put.key_sha256)
+        return _is_alone(put, resources, lambda other: not keys.isdisjoint(_keys_of(other)))
     return _is_alone(put, resources, lambda other: _token_of(other) == put.token_sha256)
 
 
@@ -110,6 +115,10 @@
     return resource.token_sha256 if isinstance(resource, Operator) else None
 
 
+def _keys_of(resource: Resource) -> tuple[str, ...]:
+    return resource.key_sha256 if isinstance(resource, Tenant) else ()
+
+
 def duplicate_keys(resources: Iterable[Resource]) -> list[ResourceKey]:
     """Return keys that occur more than once in ``resources``."""
     counter = collections.Counter(key_of(resource) for resource in resources)
@@ -217,3 +226,16 @@
         for names in owners.values()
         if len(names) > 1
     ]
+
+
+def _shared_keys(resources: Iterable[Resource]) -> list[str]:
+    """Return the tenants that hold a key together; the key itself is not told."""
+    owners: dict[str, list[str]] = collections.defaultdict(list)
+    for resource in resources:
+        for digest in set(_keys_of(resource)):
+            owners[digest].append(resource.name)
+    return [
+        f"tenant/{names[-1]}: key_sha256: held by {', '.join(sorted(names))}, allowed is one tenant"
+        for names in owners.values()
+        if len(names) > 1
+    ]
--- a/src/finchshed/ctl/reading.py
+++ b/src/finchshed/ctl/reading.py
@@ -8,7 +8,7 @@
 
 from finchshed.cli.exit_codes import ExitCode
 from finchshed.common.errors import ControlUnavailableError, SettingsError
-from finchshed.configuration.resources import Resource, ResourceKey, key_of
+from finchshed.configuration.resources import KINDS, Resource, ResourceKey, key_of
 from finchshed.ctl.connection import DEFAULT_TIMEOUT_SECONDS, connect
 from finchshed.ctl.output import complain, show, table
 from finchshed.ctl.values import (
@@ -201,8 +201,9 @@
     problems = []
     for text in texts:
         kind, separator, name = text.partition("/")
-        if not separator or kind not in {"service", "endpoint", "policy", "operator"}:
-            problems.append(f"resource = {text!r}: allowed is kind/name, such as service/tides")
+        if not separator or kind not in KINDS:
+            allowed = ", ".join(sorted(KINDS))
+            problems.append(f"resource = {text!r}: allowed is kind/name, kinds are: {allowed}")
         keys.append(ResourceKey(kind, name))
     if problems:
         raise SettingsError(problems)
--- a/src/finchshed/daemon/catalogue.py
+++ b/src/finchshed/daemon/catalogue.py
@@ -14,7 +14,9 @@
     Resource,
     Route,
     Service,
+    Tenant,
 )
+from finchshed.tenancy.keys import TenantKeys
 
 
 class Matched(msgspec.Struct, frozen=True):
@@ -35,8 +37,13 @@
         self._hosts: dict[str, list[HostRoute]] = {}
         self._services: dict[str, Service] = {}
         self._routes: dict[str, tuple[Route, ...]] = {}
+        tenants: list[Tenant] = []
         for resource in resources:
-            self._add(resource)
+            if isinstance(resource, Tenant):
+                tenants.append(resource)
+            else:
+                self._add(resource)
+        self.tenants = TenantKeys(tenants)
         for routes in self._hosts.values():
             routes.sort(key=lambda route: -len(route.prefix))
 
--- a/src/finchshed/daemon/header_names.py
+++ b/src/finchshed/daemon/header_names.py
@@ -26,6 +26,11 @@
         On the answer to a check of health: start of the back end.
     seal
         On an answer of status 2xx: the back end's mark that it is whole; empty: there is none.
+    api_key
+        A caller's API key; not passed on where tenants are declared.
+    tenant
+        Name of the tenant that holds the caller's key; set, where tenants are declared, whatever
+        was sent.
     call_separator
         A back end that calls on gives its call the identity of the request it serves, this, and
         something of its own; empty: nothing ties a call to the request it is made for.
@@ -39,8 +44,14 @@
     load: str = "finchshed-load"
     instance: str = "finchshed-instance"
     seal: str = ""
+    api_key: str = "x-api-key"
+    tenant: str = "finchshed-tenant"
     call_separator: str = ""
 
     def set_here(self) -> frozenset[str]:
         """Return the names that daemons set; what a caller sent under them is dropped."""
         return frozenset({self.deadline, self.caller_service, self.expected_instance})
+
+    def of_tenants(self) -> frozenset[str]:
+        """Return the names that are dropped as well where tenants are declared."""
+        return frozenset({self.api_key, self.tenant})
--- a/src/finchshed/daemon/host_front.py
+++ b/src/finchshed/daemon/host_front.py
@@ -20,7 +20,7 @@
     RefusalReason,
     Refused,
 )
-from finchshed.configuration.resources import HostRoute
+from finchshed.configuration.resources import HostRoute, Tenant
 from finchshed.daemon.accounts import ServedRequest, ServedRequests
 from finchshed.daemon.caller import Caller
 from finchshed.daemon.catalogue import Catalogue
@@ -34,6 +34,7 @@
     STATUS_GATEWAY_TIMEOUT,
     STATUS_NOT_FOUND,
     STATUS_SERVICE_UNAVAILABLE,
+    STATUS_UNAUTHORIZED,
 )
 from finchshed.retry.policy import retry_after
 from finchshed.routing.weights import WeightedChoice
@@ -44,13 +45,16 @@
     RefusalReason.UNKNOWN_ROUTE: STATUS_NOT_FOUND,
     RefusalReason.REQUEST_TOO_LARGE: STATUS_CONTENT_TOO_LARGE,
     RefusalReason.REQUEST_INVALID: STATUS_BAD_REQUEST,
+    RefusalReason.API_KEY_MISSING: STATUS_UNAUTHORIZED,
+    RefusalReason.API_KEY_UNKNOWN: STATUS_UNAUTHORIZED,
 }
 
 
 class HostAdmitted(msgspec.Struct, frozen=True, gc=False):
     """What is known of a request from its head. ``began`` is in monotonic seconds.
 
-    ``service`` was drawn then: the route may be gone by the end of the body.
+    ``service`` was drawn then: the route may be gone by the end of the body. ``tenant`` holds the
+    request's API key; None for a call of the own back end, or where no key is needed.
     """
 
     route: HostRoute
@@ -58,6 +62,7 @@
     host: str
     remaining_seconds: float
     began: float
+    tenant: Tenant | None = None
 
 
 class HostFront:
@@ -87,7 +92,9 @@
         self._rng = rng
         self._own_service = own_service
         self._why_not = why_not
-        self._dropped = names.set_here()
+        self._always_dropped = names.set_here()
+        self._dropped = self._always_dropped
+        self._api_key = names.api_key.encode("ascii")
         self._deadline = names.deadline.encode("ascii")
         self._request = names.request.encode("ascii")
         self._choices: dict[str, WeightedChoice] = {}
@@ -97,6 +104,9 @@
         """Act on a new configuration."""
         self._catalogue = catalogue
         self._choices = {route.name: self._choices_of(route) for route in catalogue.host_routes()}
+        self._dropped = self._always_dropped
+        if catalogue.tenants:
+            self._dropped |= self._names.of_tenants()
 
     def admit(self, request: InboundRequest) -> HostAdmitted | Refused:
         """Judge a request by its head, before its body is read."""
@@ -110,9 +120,12 @@
         if not request.first.get(self._request):
             detail = f"the header {self._names.request} is needed"
             return self.refusal(RefusalReason.REQUEST_INVALID, detail)
+        tenant = self._tenant_of(request, route)
+        if isinstance(tenant, Refused):
+            return tenant
         remaining = min(self._told_seconds(request, route), route.timeout_seconds)
         service = self._choices[route.name].draw()
-        return HostAdmitted(route, service, host, remaining, time.monotonic())
+        return HostAdmitted(route, service, host, remaining, time.monotonic(), tenant)
 
     def max_body_bytes(self, admitted: HostAdmitted) -> int:
         """Return the largest body taken for an admitted request."""
@@ -133,7 +146,7 @@
             service=admitted.service,
             method=request.method,
             path=request.target,
-            headers=self._headers(request, admitted.host),
+            headers=self._headers(request, admitted),
             body=request.body,
             context=context,
             repeatable=route.repeatable,
@@ -161,6 +174,29 @@
         """Return the response to bytes that are no request, or no allowed one."""
         return _text_response(status, detail)
 
+    def _tenant_of(self, request: InboundRequest, route: HostRoute) -> Tenant | Refused | None:
+        """Return whose request it is, None where no key is needed, or the refusal for its key."""
+        tenants = self._catalogue.tenants
+        if not tenants:
+            return None
+        keys = {value for name, value in request.headers if name == self._api_key and value}
+        tenant = tenants.holder_of(keys.pop()) if len(keys) == 1 else None
+        if tenant is not None or route.public:
+            return tenant
+        if keys:
+            return self.refusal(RefusalReason.API_KEY_UNKNOWN)
+        return self._call_without_key(request.header(self._request))
+
+    def _call_without_key(self, identity: str) -> Refused | None:
+        """Return None for a call of the own back end: it needs no key; else the refusal."""
+        if self._served_by(identity) is not None:
+            return None
+        separator = self._names.call_separator
+        if separator and separator in identity:
+            # Its request may be over, or was taken by the process before this one.
+            return self.refusal(RefusalReason.CALLER_UNKNOWN, "the request it is made for is over")
+        return self.refusal(RefusalReason.API_KEY_MISSING, f"{self._names.api_key} is needed")
+
     def _served_by(self, identity: str) -> ServedRequest | None:
         """Return the request of the own back end that a call is made for, by its identity."""
         separator = self._names.call_separator
@@ -177,7 +213,10 @@
         remaining = admitted.remaining_seconds - (now - admitted.began)
         spare = route.max_attempts - 1
         if served is None:
-            return CallContext(identity, route.importance, remaining, spare)
+            importance = route.importance
+            if admitted.tenant is not None and admitted.tenant.importance is not None:
+                importance = admitted.tenant.importance
+            return CallContext(identity, importance, remaining, spare)
         inherited = served.context
         return CallContext(
             root=inherited.root,
@@ -205,12 +244,19 @@
         except ValueError:
             return route.timeout_seconds
 
-    def _headers(self, request: InboundRequest, host: str) -> Headers:
+    def _headers(self, request: InboundRequest, admitted: HostAdmitted) -> Headers:
         """Return the headers that go to the back end, but for those of each attempt."""
         kept = tuple(
             item for item in end_to_end_headers(request.headers) if item[0] not in self._dropped
         )
-        return (("host", host), *kept, (self._names.caller_service, self._own_service()))
+        headers = (
+            ("host", admitted.host),
+            *kept,
+            (self._names.caller_service, self._own_service()),
+        )
+        if admitted.tenant is None:
+            return headers
+        return (*headers, (self._names.tenant, admitted.tenant.name))
 
     def _response_of(self, outcome: Outcome) -> Response:
         if isinstance(outcome, Answered):
--- a/src/finchshed/rpc/conversion.py
+++ b/src/finchshed/rpc/conversion.py
@@ -19,6 +19,7 @@
     ResourceKey,
     Route,
     Service,
+    Tenant,
     key_of,
 )
 from finchshed.rpc.generated import finchshed_pb2 as pb
@@ -28,7 +29,7 @@
     EndpointState.LEAVING: pb.ENDPOINT_STATE_LEAVING,
 }
 LIMITS_FIELDS = IngressLimits.__struct_fields__
-ALLOWED_KINDS = "service, host_route, ingress_limits, endpoint, policy, operator"
+ALLOWED_KINDS = "service, host_route, ingress_limits, endpoint, policy, operator, tenant"
 STATES_BACK = {number: state for state, number in STATES.items()}
 
 
@@ -65,6 +66,8 @@
     if isinstance(resource, IngressLimits):
         fields = msgspec.structs.asdict(resource)
         return pb.Resource(ingress_limits=pb.IngressLimits(**fields))
+    if isinstance(resource, Tenant):
+        return pb.Resource(tenant=_tenant_to_message(resource))
     operator = pb.Operator(name=resource.name, token_sha256=resource.token_sha256)
     return pb.Resource(operator=operator)
 
@@ -86,6 +89,8 @@
     if kind == "operator":
         table = {"name": message.operator.name, "token_sha256": message.operator.token_sha256}
         return convert_table(table, Operator, f"operator {message.operator.name}", problems)
+    if kind == "tenant":
+        return _tenant_from_message(message.tenant, problems)
     problems.append(f"resource: no kind given, allowed are: {ALLOWED_KINDS}")
     return None
 
@@ -207,6 +212,7 @@
         timeout_seconds=route.timeout_seconds,
         target_seconds=route.target_seconds,
         max_attempts=route.max_attempts,
+        public=route.public,
     )
 
 
@@ -229,10 +235,36 @@
         "timeout_seconds": message.timeout_seconds,
         "target_seconds": message.target_seconds,
         "max_attempts": message.max_attempts,
+        "public": message.public,
     }
     return convert_table(table, HostRoute, where, problems)
 
 
+def _tenant_to_message(tenant: Tenant) -> pb.Tenant:
+    message = pb.Tenant(
+        name=tenant.name,
+        key_sha256=tenant.key_sha256,
+        requests_per_second=tenant.requests_per_second,
+        burst_requests=tenant.burst_requests,
+    )
+    if tenant.importance is not None:
+        message.importance = pb.Importance.ValueType(int(tenant.importance))
+    return message
+
+
+def _tenant_from_message(message: pb.Tenant, problems: list[str]) -> Tenant | None:
+    where = f"tenant {message.name}"
+    table = {
+        "name": message.name,
+        "key_sha256": tuple(message.key_sha256),
+        "requests_per_second": message.requests_per_second,
+        "burst_requests": message.burst_requests,
+    }
+    if message.HasField("importance"):
+        table["importance"] = _importance(message.importance, where, problems)
+    return convert_table(table, Tenant, where, problems)
+
+
 def _importance(number: int, where: str, problems: list[str]) -> Importance:
     try:
         return Importance(number)
--- /dev/null
+++ b/src/finchshed/tenancy/__init__.py
@@ -0,0 +1,1 @@
+"""Tenants: whose request it is, by its API key."""
--- /dev/null
+++ b/tests/configuration/test_tenants.py
@@ -0,0 +1,90 @@
+"""Tenants as a part of the configuration: their checks, and whole changes."""
+
+from pathlib import Path
+
+import pytest
+
+from finchshed.common.errors import DeclarationError
+from finchshed.common.importance import Importance
+from finchshed.configuration.changes import Accepted, Change, Invalid
+from finchshed.configuration.declarations import read_declarations
+from finchshed.configuration.resources import Resource, ResourceKey, Service, Tenant
+from finchshed.configuration.store import BOOTSTRAP_OPERATOR, ConfigurationStore
+from finchshed.tenancy.keys import digest_of_key
+
+KEY = digest_of_key(b"one")
+OTHER_KEY = digest_of_key(b"two")
+
+
+def change(revision: int, *puts: Resource, is_whole: bool = False) -> Change:
+    return Change(f"c{revision}", BOOTSTRAP_OPERATOR, revision, puts, is_whole=is_whole)
+
+
+def test_a_key_is_held_by_one_tenant_only() -> None:
+    store = ConfigurationStore()
+    assert store.apply(change(0, Tenant("first", (KEY,)))) == Accepted(1)
+    result = store.apply(change(1, Tenant("second", (OTHER_KEY, KEY))))
+    assert isinstance(result, Invalid)
+    (problem,) = result.problems
+    assert "held by first, second" in problem
+    assert KEY not in problem
+
+
+def test_a_key_may_move_to_another_tenant_in_one_change() -> None:
+    store = ConfigurationStore()
+    assert store.apply(change(0, Tenant("first", (KEY,)))) == Accepted(1)
+    assert store.apply(change(1, Tenant("first"), Tenant("second", (KEY,)))) == Accepted(2)
+
+
+def test_a_whole_change_takes_away_the_tenants_it_does_not_name() -> None:
+    store = ConfigurationStore()
+    assert store.apply(change(0, Service("sales"), Tenant("a", (KEY,)), Tenant("b"))) == Accepted(1)
+    assert store.apply(change(1, Service("sales"), Tenant("b"), is_whole=True)) == Accepted(2)
+    assert ResourceKey("tenant", "a") not in store.resources
+    assert ResourceKey("tenant", "b") in store.resources
+
+
+def test_a_tenant_is_declared_in_a_file(tmp_path: Path) -> None:
+    (tmp_path / "tenants.toml").write_text(
+        f'[[tenant]]\nname = "officers"\nkey_sha256 = ["{KEY}"]\nimportance = "critical"\n'
+        "requests_per_second = 20.0\nburst_requests = 40.0\n"
+    )
+    resources = read_declarations(tmp_path).resources
+    assert resources == {
+        ResourceKey("tenant", "officers"): Tenant(
+            "officers", (KEY,), Importance.CRITICAL, 20.0, 40.0
+        )
+    }
+
+
+@pytest.mark.parametrize(
+    ("field", "shown"),
+    [
+        ("requests_per_second = -1.0", "requests_per_second = -1.0"),
+        ("burst_requests = -0.5", "burst_requests = -0.5"),
+        ('importance = "odd"', "importance = 'odd'"),
+        ("rate = 3", "rate: no such key"),
+    ],
+)
+def test_what_is_wrong_with_a_tenant_is_told(tmp_path: Path, field: str, shown: str) -> None:
+    (tmp_path / "tenants.toml").write_text(f'[[tenant]]\nname = "officers"\n{field}\n')
+    with pytest.raises(DeclarationError) as told:
+        read_declarations(tmp_path)
+    assert shown in str(told.value)
+
+
+def test_a_key_given_in_place_of_its_digest_is_not_shown(tmp_path: Path) -> None:
+    (tmp_path / "tenants.toml").write_text(
+        '[[tenant]]\nname = "officers"\nkey_sha256 = ["the-key-itself"]\n'
+    )
+    with pytest.raises(DeclarationError) as told:
+        read_declarations(tmp_path)
+    assert "key_sha256" in str(told.value)
+    assert "the-key-itself" not in str(told.value)
+
+
+def test_a_name_twice_is_told(tmp_path: Path) -> None:
+    (tmp_path / "tenants.toml").write_text('[[tenant]]\nname = "a"\n[[tenant]]\nname = "a"\n')
+    with pytest.raises(DeclarationError) as told:
+        read_declarations(tmp_path)
+    assert "tenant a: declared in tenants.toml too" in str(told.value)
--- /dev/null
+++ b/tests/daemon/test_tenants_at_the_front.py
@@ -0,0 +1,106 @@
+"""Requests by host where tenants are declared: whose they are, and what back ends see."""
+
+import pytest
+
+from finchshed.common.importance import Importance
+from finchshed.configuration.resources import Tenant
+from finchshed.http.message import InboundRequest, Response
+from finchshed.tenancy.keys import digest_of_key
+from tests.daemon.test_host_front import Front, inbound, route
+
+KEY = "k-" + "7" * 18
+TENANT = Tenant("officers", (digest_of_key(KEY.encode()),), importance=Importance.CRITICAL)
+FORGED = {"finchshed_tenant": "forged", "Finchshed-Tenant": "forged"}
+
+
+def front_with_tenants(**fields: object) -> Front:
+    return Front(route("/a/", **fields), route("/open/", public=True), TENANT)
+
+
+def seen(front: Front) -> dict[str, str]:
+    return dict(front.caller.requests[-1].headers)
+
+
+def ask_raw(front: Front, *headers: tuple[bytes, bytes]) -> Response:
+    """Send a request with headers as they are given; the later of a name comes second."""
+    base = inbound("/a/1")
+    raw = [*base.headers, *headers]
+    first: dict[bytes, bytes] = {}
+    for name, value in raw:
+        first.setdefault(name, value)
+    request = InboundRequest("127.0.0.1", "GET", "/a/1", raw, first)
+    admitted = front.front.admit(request)
+    if not hasattr(admitted, "route"):
+        return front.front.refused(admitted)  # type: ignore[arg-type]
+    responses: list[Response] = []
+    front.front.handle(request, admitted, responses.append)  # type: ignore[arg-type]
+    return responses[0]
+
+
+def test_the_back_end_sees_the_tenant_and_not_the_key() -> None:
+    front = front_with_tenants()
+    assert front.ask("/a/1", x_api_key=KEY, finchshed_tenant="forged").status == 200
+    assert seen(front)["finchshed-tenant"] == "officers"
+    assert all(KEY not in value for value in seen(front).values())
+
+
+def test_the_importance_of_a_tenant_goes_before_that_of_the_route() -> None:
+    front = front_with_tenants(importance=Importance.SHEDDABLE)
+    front.ask("/a/1", x_api_key=KEY)
+    assert front.caller.requests[0].context.importance is Importance.CRITICAL
+    front.configure(route("/a/"), Tenant("officers", TENANT.key_sha256))
+    front.ask("/a/1", x_api_key=KEY)
+    assert front.caller.requests[1].context.importance is Importance.NORMAL
+
+
+@pytest.mark.parametrize("key", ["unknown", "x" * 8192, KEY + "7", KEY.upper(), "schlüssel"])
+def test_an_unknown_key_is_refused_and_not_told_again(key: str) -> None:
+    response = ask_raw(front_with_tenants(), (b"x-api-key", key.encode("latin-1")))
+    assert response.status == 401
+    assert key not in str(response)
+
+
+def test_a_request_without_a_key_is_refused() -> None:
+    front = front_with_tenants()
+    assert front.ask("/a/1").status == 401
+    assert ask_raw(front, (b"x-api-key", b"")).status == 401
+    assert not front.caller.requests
+
+
+def test_two_different_keys_are_none_and_the_same_twice_is_one() -> None:
+    front = front_with_tenants()
+    key = (b"x-api-key", KEY.encode())
+    assert ask_raw(front, key, (b"x-api-key", b"other")).status == 401
+    assert ask_raw(front, (b"x-api-key", b"other"), key).status == 401
+    assert ask_raw(front, key, key).status == 200
+    assert [name for name, _ in front.caller.requests[0].headers].count("finchshed-tenant") == 1
+
+
+def test_a_public_route_needs_no_key() -> None:
+    front = front_with_tenants()
+    assert front.ask("/open/1", finchshed_tenant="forged").status == 200
+    assert front.ask("/open/1", x_api_key="unknown", finchshed_tenant="forged").status == 200
+    for request in front.caller.requests:
+        names = {name for name, _ in request.headers}
+        assert names.isdisjoint({"finchshed-tenant", "x-api-key"})
+
+
+def test_a_call_of_the_own_back_end_needs_no_key_and_names_no_tenant() -> None:
+    front = front_with_tenants()
+    front.ask("/a/1", finchshed_request="r1", x_api_key=KEY)
+    front.served.open(front.caller.requests[0].context, 1e12, "r1")
+    assert front.ask("/a/2", finchshed_request="r1.x", finchshed_tenant="forged").status == 200
+    assert "finchshed-tenant" not in seen(front)
+    assert front.caller.requests[-1].context.importance is Importance.CRITICAL
+
+
+def test_a_call_for_a_request_that_is_over_is_to_come_back_and_is_not_denied() -> None:
+    response = front_with_tenants().ask("/a/2", finchshed_request="r1.x")
+    assert response.status == 503
+    assert "retry-after" in dict(response.headers)
+
+
+def test_without_tenants_the_headers_are_the_applications_own() -> None:
+    front = Front(route("/a/"))
+    front.ask("/a/1", x_api_key=KEY)
+    assert seen(front)["x-api-key"] == KEY
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -8,8 +8,16 @@
 
 from finchshed.common.errors import DeclarationError
 from finchshed.common.importance import Importance
-from finchshed.configuration.resources import Destination, HostRoute, IngressLimits, Policy, Service
+from finchshed.configuration.resources import (
+    Destination,
+    HostRoute,
+    IngressLimits,
+    Policy,
+    Service,
+    Tenant,
+)
 from finchshed.control.whole_configuration import Document
+from finchshed.tenancy.keys import digest_of_key
 from finchshed_platform.documents import read_document
 from finchshed_platform.heartbeats import PATH, read_heartbeat
 from tests.platform.standin import document, rule
@@ -100,3 +108,43 @@
     assert found is not None
     assert found.groups() == ("i-7f", "leave")
     assert PATH.match("/finchshed/instances/i-7f/other") is None
+
+
+def tenants_of(*entries: dict[str, Any]) -> list[Tenant]:
+    taken = read({**document(1, 0, rule("/a/", "sales")), "tenants": list(entries)})
+    return [item for item in taken.resources if isinstance(item, Tenant)]
+
+
+def test_tenants_are_kept_with_digests_of_their_keys() -> None:
+    entry = {"name": "t1", "api_keys": ["k1", "k2"], "priority": 0, "rate_per_s": 9, "burst": 3}
+    first, second = tenants_of(entry, {"name": "t2", "api_keys": []})
+    digests = (digest_of_key(b"k1"), digest_of_key(b"k2"))
+    assert first == Tenant("t1", digests, Importance.CRITICAL, 9.0, 3.0)
+    assert second == Tenant("t2")
+
+
+@pytest.mark.parametrize(
+    "entries",
+    [
+        (
+            {"name": "t1", "api_keys": ["key-in-common"]},
+            {"name": "t2", "api_keys": ["key-in-common"]},
+        ),
+        ({"name": "t1", "api_keys": ["key-in-common"]}, {"name": "t1"}),
+        ({"name": "t1", "api_keys": ["key-in-common", ""]},),
+        ({"name": "t1", "api_keys": ["key-in-common", 3]},),
+        ({"name": "t1", "api_keys": ["key-in-common"], "rate_per_s": -1},),
+        ({"name": "t1", "api_keys": ["key-in-common"], "burst": -1},),
+        ({"name": "", "api_keys": ["key-in-common"]},),
+    ],
+)
+def test_wrong_tenants_are_told_without_their_keys(entries: tuple[dict[str, Any], ...]) -> None:
+    with pytest.raises(DeclarationError) as told:
+        tenants_of(*entries)
+    assert "key-in-common" not in str(told.value)
+
+
+def test_a_public_route_is_marked() -> None:
+    taken = read(document(1, 0, {**rule("/a/", "sales"), "public": True}))
+    routes = [item for item in taken.resources if isinstance(item, HostRoute)]
+    assert routes[0].public
--- a/tests/rpc/test_conversion.py
+++ b/tests/rpc/test_conversion.py
@@ -16,6 +16,7 @@
     Resource,
     Route,
     Service,
+    Tenant,
 )
 from finchshed.rpc.conversion import (
     resource_from_message,
@@ -47,7 +48,10 @@
         timeout_seconds=0.8,
         target_seconds=0.3,
         max_attempts=3,
+        public=True,
     ),
+    Tenant("officers", ("ab" * 32, "cd" * 32), Importance.SHEDDABLE, 20.0, 40.0),
+    Tenant("counters"),
     IngressLimits(max_head_bytes=4096, max_body_bytes=0, head_seconds=3.0, idle_seconds=15.0),
     Endpoint(
         name="sales-1",
