A daemon trusts API keys under a lease that control renews

Ruled out: an age of the configuration (it tells nothing of what was accepted since); the time of the last heartbeat (a deposed leader and a silent connection send old ones); the time of day (it jumps). Change: a daemon asks, each 0.5 s and only while tenants are declared; a hub answers behind the configuration, after a read from a quorum that began once the question was in. The lease counts from the question on the daemon's monotonic clock and is looked at when a key is used. Without it known keys get 503; an unknown one gets 401 only on word not older than 1.5 s.

--- a/src/finchshed/configuration/resources.py
+++ b/src/finchshed/configuration/resources.py
@@ -212,6 +212,9 @@
         daemon has a bound of its own.
     key_window_seconds
         How long an idempotency key is valid; past it a request with that key is refused.
+    key_trust_seconds
+        Longest time for which a daemon that control can't reach goes on taking API keys that may
+        have been taken away; 0: no limit.
     ledger_shards
         Control groups that the at-most-once ledger is spread over, each by the distribution
         addresses of its nodes; none: the control group keeps the ledger itself.
@@ -223,6 +226,7 @@
     key_window_seconds: PositiveSeconds = 600.0
     retry_burst: Annotated[float, msgspec.Meta(ge=0.0, le=1e6)] = 0.0
     ledger_shards: tuple[Shard, ...] = ()
+    key_trust_seconds: Annotated[float, msgspec.Meta(ge=0.0, le=86_400.0)] = 0.0
 
 
 class Operator(
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -25,6 +25,7 @@
 from finchshed.daemon.guarded import GuardedRuns
 from finchshed.daemon.header_names import HeaderNames
 from finchshed.daemon.host_front import HostAdmitted, HostFront
+from finchshed.daemon.lease_renewal import LeaseRenewal
 from finchshed.daemon.leaving import Leaving, new_incarnation
 from finchshed.daemon.link_side import LinkSide
 from finchshed.daemon.listeners import Listeners
@@ -104,11 +105,13 @@
         self._paths = PathThresholds(self._table.floor)
         self._caller = Caller(self._table, self._links, self._served, self._paths, self._rng)
         self._front = Front(self._caller, self._served, self._rng, self._why_not)
+        self._lease_renewal = LeaseRenewal(self._driver.client)
         self._host_front = HostFront(
             self._caller,
             self._served,
             self._names,
             self._rng,
+            lease=self._lease_renewal.lease,
             own_service=lambda: self._side.service,
             why_not=self._why_not,
         )
@@ -194,6 +197,7 @@
         self._caller.configure(catalogue)
         self._front.catalogue = catalogue
         self._host_front.configure(catalogue)
+        self._lease_renewal.configure(catalogue)
         self._host_http.limits.max_head_bytes = catalogue.limits.max_head_bytes
         self._host_http.limits.read_seconds = catalogue.limits.head_seconds
         self._host_http.limits.idle_seconds = catalogue.limits.idle_seconds + IDLE_SLACK_SECONDS
@@ -338,6 +342,7 @@
         self._listeners.close()
         self._http.close()
         self._host_http.close()
+        self._lease_renewal.close()
         self._links.close()
         self._listener.close()
         if self._backend is not None:
--- a/src/finchshed/daemon/host_front.py
+++ b/src/finchshed/daemon/host_front.py
@@ -38,6 +38,8 @@
 )
 from finchshed.retry.policy import retry_after
 from finchshed.routing.weights import WeightedChoice
+from finchshed.tenancy.gate import tenant_of
+from finchshed.tenancy.lease import KeyLease
 
 MILLISECONDS = 1000.0
 
@@ -70,6 +72,8 @@
 
     Parameters
     ----------
+    lease
+        For how long API keys may be trusted.
     own_service
         Returns the service of the back end beside this daemon.
     why_not
@@ -83,6 +87,7 @@
         names: HeaderNames,
         rng: random.Random,
         *,
+        lease: KeyLease,
         own_service: Callable[[], str],
         why_not: Callable[[], RefusalReason | None],
     ) -> None:
@@ -90,6 +95,7 @@
         self._served = served
         self._names = names
         self._rng = rng
+        self._lease = lease
         self._own_service = own_service
         self._why_not = why_not
         self._always_dropped = names.set_here()
@@ -180,12 +186,13 @@
         if not tenants:
             return None
         keys = {value for name, value in request.headers if name == self._api_key and value}
-        tenant = tenants.holder_of(keys.pop()) if len(keys) == 1 else None
-        if tenant is not None or route.public:
-            return tenant
-        if keys:
-            return self.refusal(RefusalReason.API_KEY_UNKNOWN)
-        return self._call_without_key(request.header(self._request))
+        now = time.monotonic()
+        found = tenant_of(keys, tenants, self._lease, now, is_public=route.public)
+        if found is RefusalReason.API_KEY_MISSING:
+            return self._call_without_key(request.header(self._request))
+        if isinstance(found, RefusalReason):
+            return self.refusal(found, f"confirmed {self._lease.age(now):.3f} s ago")
+        return found
 
     def _call_without_key(self, identity: str) -> Refused | None:
         """Return None for a call of the own back end: it needs no key; else the refusal."""
--- /dev/null
+++ b/src/finchshed/daemon/lease_renewal.py
@@ -0,0 +1,73 @@
+"""Keeps the daemon's lease of the API keys: questions to control, and what it answers."""
+
+import asyncio
+import time
+
+from loguru import logger
+
+from finchshed.daemon import metrics
+from finchshed.daemon.catalogue import Catalogue
+from finchshed.distribution.client import ControlClient
+from finchshed.distribution.messages import LeaseRenewed
+from finchshed.tenancy.lease import RENEW_SECONDS, KeyLease
+
+
+class LeaseRenewal:
+    """Renews a lease for as long as tenants are declared.
+
+    Attributes
+    ----------
+    lease
+        Asked at each use of a key.
+    """
+
+    def __init__(self, client: ControlClient) -> None:
+        self.lease = KeyLease()
+        self._client = client
+        self._client.on_lease = self._on_answer
+        self._timer: asyncio.TimerHandle | None = None
+        self._was_valid = True
+
+    def configure(self, catalogue: Catalogue) -> None:
+        """Act on a new configuration."""
+        self.lease.seconds = catalogue.policy.key_trust_seconds
+        self.lease.on_in_force(catalogue.revision)
+        if catalogue.tenants and self._timer is None:
+            self._ask()
+        elif not catalogue.tenants and self._timer is not None:
+            self.close()
+
+    def close(self) -> None:
+        """Ask no more."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _ask(self) -> None:
+        # Not the loop's time, which stands still while a turn of the loop lasts.
+        now = time.monotonic()
+        self._tell_of_change(now)
+        self._client.renew_lease(self.lease.next_question(now))
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(RENEW_SECONDS, self._ask)
+
+    def _on_answer(self, answer: LeaseRenewed) -> None:
+        if self.lease.on_answer(answer.question, answer.revision):
+            self._tell_of_change(time.monotonic())
+
+    def _tell_of_change(self, now: float) -> None:
+        age = self.lease.age(now)
+        metrics.KEY_LEASE_AGE.set(age)
+        is_valid = self.lease.is_valid(now)
+        if is_valid == self._was_valid:
+            return
+        self._was_valid = is_valid
+        if is_valid:
+            logger.info("API keys are trusted again: control confirmed them {:.3f} s ago", age)
+        else:
+            logger.warning(
+                "API keys are not trusted: control last confirmed them {:.3f} s ago "
+                "(negative: never), allowed are {:.3f} s",
+                age,
+                self.lease.seconds,
+            )
--- a/src/finchshed/daemon/metrics.py
+++ b/src/finchshed/daemon/metrics.py
@@ -35,6 +35,10 @@
 REVISION = Gauge("finchshed_configuration_revision", "Revision of the configuration in force")
 SERVING = Gauge("finchshed_serving", "1 once the daemon may take calls")
 DRAINING = Gauge("finchshed_draining", "1 while the daemon takes no new work")
+KEY_LEASE_AGE = Gauge(
+    "finchshed_key_lease_age_seconds",
+    "Time since the question to control that the trust in API keys counts from; negative: none",
+)
 JOINED = Counter("finchshed_joined_total", "Repeats that joined a request in progress")
 
 _served: dict[tuple[str, int, str, str], CounterValue] = {}
--- a/src/finchshed/distribution/client.py
+++ b/src/finchshed/distribution/client.py
@@ -33,7 +33,9 @@
     Fetch,
     Hints,
     InForce,
+    LeaseRenewed,
     Redirect,
+    RenewLease,
     Subscribe,
 )
 from finchshed.link.lines import LineProtocol
@@ -97,6 +99,8 @@
         Called with the platform's list as control read it; set by the daemon.
     on_explain
         Called when an operator asks for recent decisions; set by the daemon.
+    on_lease
+        Called with answers to the daemon's questions for its lease; set by the daemon.
     on_directory
         Called with registrations of back ends; set by the daemon.
     registration
@@ -127,6 +131,7 @@
         self.connections_made = 0
         self.on_hints: Callable[[Hints], None] | None = None
         self.on_explain: Callable[[ExplainRequest], tuple[Decision, ...]] | None = None
+        self.on_lease: Callable[[LeaseRenewed], None] | None = None
         self.on_directory: Callable[[DirectoryUpdate], None] | None = None
         self.registration: Callable[[], Registration] | None = None
 
@@ -169,6 +174,11 @@
         if self._connection is not None and self.registration is not None:
             self._connection.send(Announce(self.registration()))
 
+    def renew_lease(self, question: int) -> None:
+        """Send a question for the daemon's lease."""
+        if self._connection is not None and self._is_subscribed:
+            self._connection.send(RenewLease(question))
+
     def add_addresses(self, addresses: Iterable[str]) -> None:
         """Take in further control nodes."""
         self._book.add(addresses)
@@ -299,20 +309,26 @@
         elif isinstance(message, Redirect):
             self._book.add(message.addresses)
             self._ended.set()
-        elif isinstance(message, Hints):
-            if self.on_hints is not None:
-                self.on_hints(message)
-        elif isinstance(message, DirectoryUpdate):
-            if self.on_directory is not None:
-                self.on_directory(message)
         elif isinstance(message, ControlNodes):
             self._book.add(message.addresses)
         elif isinstance(message, ExplainRequest):
             decisions = self.on_explain(message) if self.on_explain is not None else ()
             connection.send(ExplainReply(message.request, decisions))
+        elif isinstance(message, Hints | DirectoryUpdate | LeaseRenewed):
+            self._pass_on(message)
         else:
             self._ledger.on_answer(message)
 
+    def _pass_on(self, message: Hints | DirectoryUpdate | LeaseRenewed) -> None:
+        """Hand a message to the part of the daemon that waits for it, if there is one."""
+        match message:
+            case Hints() if self.on_hints is not None:
+                self.on_hints(message)
+            case DirectoryUpdate() if self.on_directory is not None:
+                self.on_directory(message)
+            case LeaseRenewed() if self.on_lease is not None:
+                self.on_lease(message)
+
     def _send_ledger_request(self, request: LedgerRequest) -> bool:
         return self._connection is not None and self._connection.send(request) > 0
 
--- a/src/finchshed/distribution/hub.py
+++ b/src/finchshed/distribution/hub.py
@@ -10,7 +10,7 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from finchshed.common.errors import InvariantError
 from finchshed.distribution.delta_history import DeltaHistory
@@ -22,7 +22,7 @@
     Send,
     SharedLine,
 )
-from finchshed.distribution.messages import Delta, Redirect, Subscribe
+from finchshed.distribution.messages import Delta, LeaseRenewed, Redirect, Subscribe
 from finchshed.distribution.snapshot import (
     Configuration,
     apply_delta,
@@ -30,6 +30,9 @@
 )
 from finchshed.distribution.status import InForceReport, SubscriberStatus
 
+MAX_QUESTIONS = 8
+"""Unanswered questions for a lease that are kept for one subscriber."""
+
 
 @dataclass(slots=True)
 class _Subscriber:
@@ -41,6 +44,19 @@
     ticket: int | None
     is_full: bool = False
     redirected: bool = False
+    questions: dict[int, int] = field(default_factory=dict)
+    """Questions for a lease, each with the ticket of the first read that may answer it."""
+
+    def waits(self) -> bool:
+        """Return whether a read from a quorum is wanted."""
+        return self.ticket is not None or bool(self.questions)
+
+    def take_questions(self, ticket: int) -> list[int]:
+        """Return the questions that the read of ``ticket`` answers, and forget them."""
+        answered = [question for question, since in self.questions.items() if since <= ticket]
+        for question in answered:
+            del self.questions[question]
+        return answered
 
 
 class Hub:
@@ -180,25 +196,46 @@
         item.sent_revision = revision
         return self._send_to(number, item, now)
 
+    def on_question(self, number: int, question: int, now: float) -> Sequence[HubEffect]:
+        """Take a daemon's question for its lease."""
+        item = self._subscribers.get(number)
+        if item is None:
+            return ()
+        item.heard_at = now
+        if len(item.questions) >= MAX_QUESTIONS:
+            del item.questions[next(iter(item.questions))]
+        item.questions[question] = self._next_ticket
+        return () if self._waits_for_confirmation else (self._request_confirmation(),)
+
     def on_confirmed(self, ticket: int, now: float) -> Sequence[HubEffect]:
         """Note that a quorum confirmed, after ``ticket``, that what is applied here is latest."""
         self._waits_for_confirmation = False
         effects: list[HubEffect] = []
         ready = []
         for number, item in self._subscribers.items():
-            if item.ticket is None or item.ticket > ticket or item.is_full:
+            if item.is_full or not item.waits():
                 continue
             if item.sent_revision > self._configuration.revision:
                 continue
             effects.extend(self._send_to(number, item, now))
-            item.ticket = None
-            ready.append(number)
+            if item.ticket is not None and item.ticket <= ticket:
+                item.ticket = None
+                ready.append(number)
+            effects.extend(self._answers(number, item, ticket))
         if ready:
             effects.append(Send(tuple(ready), self._unchanged_line(confirmed=True)))
-        if any(item.ticket is not None for item in self._subscribers.values()):
+        if any(item.waits() for item in self._subscribers.values()):
             effects.append(self._request_confirmation())
         return effects
 
+    def _answers(self, number: int, item: _Subscriber, ticket: int) -> list[HubEffect]:
+        """Answer a daemon's questions, behind all that it was sent of the configuration."""
+        revision = self._configuration.revision
+        return [
+            Send((number,), SharedLine(LeaseRenewed(question, revision)))
+            for question in item.take_questions(ticket)
+        ]
+
     def on_buffer(self, number: int, is_full: bool, now: float) -> Sequence[HubEffect]:
         """Note that a subscriber's buffer filled up or drained."""
         item = self._subscribers.get(number)
@@ -220,7 +257,7 @@
         effects.extend(self._drop_silent(now))
         effects.extend(self._redirect(now))
         effects.extend(self._heartbeats())
-        if any(item.ticket is not None for item in self._subscribers.values()):
+        if any(item.waits() for item in self._subscribers.values()):
             effects.append(self._request_confirmation())
         return effects
 
--- a/src/finchshed/distribution/messages.py
+++ b/src/finchshed/distribution/messages.py
@@ -71,6 +71,19 @@
     revision: Revision
 
 
+class RenewLease(msgspec.Struct, frozen=True, tag="renew_lease"):
+    """The daemon's question for its lease of the API keys; see :mod:`finchshed.tenancy.lease`."""
+
+    question: RequestNumber
+
+
+class LeaseRenewed(msgspec.Struct, frozen=True, tag="lease_renewed"):
+    """A quorum confirmed, after the question came in, that ``revision`` was the latest."""
+
+    question: RequestNumber
+    revision: Revision
+
+
 class LedgerBegin(msgspec.Struct, frozen=True, tag="ledger_begin"):
     """Ask leave to run the request under ``key``.
 
@@ -225,6 +238,7 @@
     | LedgerComplete
     | ExplainReply
     | Announce
+    | RenewLease
 )
 ControlToDaemon: TypeAlias = (
     Delta
@@ -238,4 +252,5 @@
     | ExplainRequest
     | DirectoryUpdate
     | ControlNodes
+    | LeaseRenewed
 )
--- a/src/finchshed/distribution/server.py
+++ b/src/finchshed/distribution/server.py
@@ -23,6 +23,7 @@
     LedgerBegin,
     LedgerCancel,
     LedgerComplete,
+    RenewLease,
     Subscribe,
 )
 from finchshed.distribution.snapshot import Configuration
@@ -39,9 +40,11 @@
 
 BACKLOG = 2048
 TICK_SECONDS = 0.25
-CONFIRMATION_PAUSE_SECONDS = 0.02
-"""Least time between reads from a quorum. A daemon that claims a higher revision than is in force
-waits for it for as long as it stays; without a pause such a claim would keep the node busy."""
+CONFIRMATION_PAUSE_SECONDS = 0.05
+"""Least time between reads from a quorum: one read answers all that came in meanwhile.
+
+A daemon that claims a higher revision than is in force waits for it for as long as it stays;
+without a pause such a claim would keep the node busy."""
 
 BUFFER_LIMIT_BYTES = 4 << 20
 """A subscriber with more than this unsent is skipped until half of it has been sent."""
@@ -166,6 +169,8 @@
             self._hub.on_in_force(number, message.revision, self._now())
         elif isinstance(message, Fetch):
             self._perform(self._hub.on_fetch(number, message.revision, self._now()))
+        elif isinstance(message, RenewLease):
+            self._perform(self._hub.on_question(number, message.question, self._now()))
         elif isinstance(message, Announce):
             if self._on_announce is not None:
                 self._on_announce(message)
--- a/src/finchshed/rpc/conversion.py
+++ b/src/finchshed/rpc/conversion.py
@@ -59,6 +59,7 @@
                 key_window_seconds=resource.key_window_seconds,
                 retry_burst=resource.retry_burst,
                 ledger_shards=[pb.LedgerShard(addresses=it) for it in resource.ledger_shards],
+                key_trust_seconds=resource.key_trust_seconds,
             )
         )
     if isinstance(resource, HostRoute):
@@ -300,6 +301,7 @@
         "retry_ratio": message.retry_ratio,
         "key_window_seconds": message.key_window_seconds,
         "retry_burst": message.retry_burst,
+        "key_trust_seconds": message.key_trust_seconds,
         "ledger_shards": tuple(tuple(shard.addresses) for shard in message.ledger_shards),
     }
     return convert_table(table, Policy, f"policy {message.name}", problems)
--- a/tests/architecture/decision_modules.py
+++ b/tests/architecture/decision_modules.py
@@ -18,6 +18,7 @@
     "retry",
     "routing",
     "session",
+    "tenancy",
 )
 
 SHELLS = frozenset(
--- a/tests/daemon/test_host_front.py
+++ b/tests/daemon/test_host_front.py
@@ -1,6 +1,7 @@
 """Requests by host and path: what their heads say, and what becomes of them."""
 
 import random
+import time
 from collections.abc import Callable
 
 import pytest
@@ -21,6 +22,7 @@
 from finchshed.daemon.host_front import HostFront
 from finchshed.daemon.request import Request
 from finchshed.http.message import InboundRequest, Response
+from finchshed.tenancy.lease import KeyLease
 
 NAMES = HeaderNames(call_separator=".")
 HOST = "sales.example"
@@ -32,6 +34,13 @@
     )
 
 
+def confirmed_lease() -> KeyLease:
+    """Return a lease that control has renewed at this moment."""
+    lease = KeyLease()
+    lease.on_answer(lease.next_question(time.monotonic()), 0)
+    return lease
+
+
 class FakeCaller:
     """Keeps the requests and answers each at once."""
 
@@ -54,15 +63,17 @@
 class Front:
     """A front over a fake caller."""
 
-    def __init__(self, *resources: Resource) -> None:
+    def __init__(self, *resources: Resource, lease: KeyLease | None = None) -> None:
         self.caller = FakeCaller()
         self.served = ServedRequests()
+        self.lease = confirmed_lease() if lease is None else lease
         self.reason: RefusalReason | None = None
         self.front = HostFront(
             self.caller,  # type: ignore[arg-type]
             self.served,
             NAMES,
             random.Random(1),
+            lease=self.lease,
             own_service=lambda: "ledger",
             why_not=lambda: self.reason,
         )
--- a/tests/daemon/test_tenants_at_the_front.py
+++ b/tests/daemon/test_tenants_at_the_front.py
@@ -6,6 +6,7 @@
 from finchshed.configuration.resources import Tenant
 from finchshed.http.message import InboundRequest, Response
 from finchshed.tenancy.keys import digest_of_key
+from finchshed.tenancy.lease import KeyLease
 from tests.daemon.test_host_front import Front, inbound, route
 
 KEY = "k-" + "7" * 18
@@ -53,7 +54,7 @@
     assert front.caller.requests[1].context.importance is Importance.NORMAL
 
 
-@pytest.mark.parametrize("key", ["unknown", "x" * 8192, KEY + "7", KEY.upper(), "schlüssel"])
+@pytest.mark.parametrize("key", ["not-a-key", "x" * 8192, KEY + "7", KEY.upper(), "schlüssel"])
 def test_an_unknown_key_is_refused_and_not_told_again(key: str) -> None:
     response = ask_raw(front_with_tenants(), (b"x-api-key", key.encode("latin-1")))
     assert response.status == 401
@@ -104,3 +105,32 @@
     front = Front(route("/a/"))
     front.ask("/a/1", x_api_key=KEY)
     assert seen(front)["x-api-key"] == KEY
+
+
+def test_without_a_valid_lease_a_known_key_is_to_come_back() -> None:
+    front = front_with_tenants()
+    front.lease.seconds = 1e-9
+    assert front.ask("/a/1", x_api_key=KEY).status == 503
+    assert "retry-after" in dict(front.ask("/a/1", x_api_key=KEY).headers)
+    assert front.ask("/a/1").status == 401
+    assert front.ask("/open/1", x_api_key=KEY).status == 200
+    assert "finchshed-tenant" not in seen(front)
+
+
+def test_what_was_taken_under_a_lease_goes_on_and_so_do_its_calls() -> None:
+    front = front_with_tenants()
+
+    def end_lease() -> None:
+        front.lease.seconds = 1e-9
+
+    assert front.ask("/a/1", then=end_lease, x_api_key=KEY).status == 200
+    front.served.open(front.caller.requests[0].context, 1e12, "r1")
+    assert front.ask("/a/2", finchshed_request="r1.x").status == 200
+
+
+def test_an_unknown_key_is_denied_on_a_fresh_word_of_control_only() -> None:
+    front = front_with_tenants()
+    assert front.ask("/a/1", x_api_key="unknown").status == 401
+    front = Front(route("/a/"), TENANT, lease=KeyLease())
+    assert front.ask("/a/1", x_api_key="unknown").status == 503
+    assert front.ask("/a/1", x_api_key=KEY).status == 200
--- a/tests/distribution/test_hub.py
+++ b/tests/distribution/test_hub.py
@@ -6,7 +6,7 @@
 from finchshed.configuration.resources import ResourceKey, Service
 from finchshed.distribution.hub import Hub
 from finchshed.distribution.hub_effects import Close, HubLimits, RequestConfirmation, Send
-from finchshed.distribution.messages import Delta, Redirect, Subscribe
+from finchshed.distribution.messages import Delta, LeaseRenewed, Redirect, Subscribe
 from finchshed.distribution.snapshot import Configuration
 
 
@@ -203,3 +203,58 @@
     assert hub.subscriber_count() == 0
     (status,) = hub.collect_report().daemons
     assert not status.connected
+
+
+def answers(effects: object) -> list[tuple[tuple[int, ...], LeaseRenewed]]:
+    return [(to, line) for to, line in sent(effects) if isinstance(line, LeaseRenewed)]
+
+
+def test_a_question_is_answered_by_a_read_that_began_after_it_came_in() -> None:
+    hub = filled(2)
+    join(hub, 1, 2)
+    assert list(hub.on_question(1, 7, 0.1)) == []
+    effects = hub.on_confirmed(1, 0.2)
+    assert answers(effects) == []
+    assert RequestConfirmation(2) in effects
+    assert answers(hub.on_confirmed(2, 0.3)) == [((1,), LeaseRenewed(7, 2))]
+
+
+def test_one_read_answers_all_that_wait_each_behind_its_configuration() -> None:
+    hub = filled(2)
+    join(hub, 1, 2)
+    join(hub, 2, 2)
+    hub.on_confirmed(1, 0.1)
+    hub.on_confirmed(2, 0.1)
+    assert list(hub.on_question(1, 7, 0.2)) == [RequestConfirmation(3)]
+    assert list(hub.on_question(2, 9, 0.2)) == []
+    assert list(hub.on_question(2, 10, 0.2)) == []
+    assert answers(hub.on_confirmed(3, 0.3)) == [((1,), LeaseRenewed(7, 2))]
+    told = sent([*hub.on_committed(change(3), 0.35), *hub.on_confirmed(4, 0.4)])
+    assert told[0] == ((1, 2), change(3))
+    assert told[1:] == [((2,), LeaseRenewed(9, 3)), ((2,), LeaseRenewed(10, 3))]
+
+
+def test_a_failed_read_answers_nothing_and_the_next_tick_asks_again() -> None:
+    hub = filled(2)
+    join(hub, 1, 2)
+    hub.on_confirmed(1, 0.1)
+    assert list(hub.on_question(1, 7, 0.2)) == [RequestConfirmation(2)]
+    assert RequestConfirmation(3) in hub.tick(1.0)
+    assert answers(hub.on_confirmed(3, 1.1)) == [((1,), LeaseRenewed(7, 2))]
+
+
+def test_a_node_that_lags_behind_a_daemon_does_not_answer_it() -> None:
+    hub = filled(2)
+    join(hub, 1, 5)
+    hub.on_question(1, 7, 0.1)
+    assert answers(hub.on_confirmed(5, 0.2)) == []
+
+
+def test_a_daemon_that_asks_without_end_keeps_a_bounded_number_of_questions() -> None:
+    hub = filled(2)
+    join(hub, 1, 2)
+    for question in range(1000):
+        hub.on_question(1, question, 0.1)
+    assert [line.question for _, line in answers(hub.on_confirmed(9, 0.2))] == list(
+        range(992, 1000)
+    )
--- a/tests/rpc/test_conversion.py
+++ b/tests/rpc/test_conversion.py
@@ -63,7 +63,7 @@
         state=EndpointState.LEAVING,
         warm_up_seconds=0.0,
     ),
-    Policy(retry_budget=0, retry_ratio=0.0, key_window_seconds=5.0),
+    Policy(retry_budget=0, retry_ratio=0.0, key_window_seconds=5.0, key_trust_seconds=4.5),
     Operator(name="ana", token_sha256="a" * 64),
 ]
 
