Quotas: a tenant's limit is divided among daemons, with a reserve at the leader

Change: each daemon holds a token bucket for each tenant that sends there; the leader divides rate and size by demand, counts a share until it must have ended, and keeps a reserve that daemons ask and give back to; a new leader takes in what daemons show and lets no share grow for 6.6 s. Soft state. 429 with the time to come back, 503 where control doesn't answer and no token is held. A refusal before a service was chosen is logged, with its tenant.

--- a/src/finchshed/common/outcomes.py
+++ b/src/finchshed/common/outcomes.py
@@ -37,6 +37,8 @@
     REQUEST_INVALID = "request_invalid"
     API_KEY_MISSING = "api_key_missing"
     API_KEY_UNKNOWN = "api_key_unknown"
+    QUOTA_EXCEEDED = "quota_exceeded"
+    QUOTA_UNCONFIRMED = "quota_unconfirmed"
     API_KEY_UNCONFIRMED = "api_key_unconfirmed"
     CALLER_UNKNOWN = "caller_unknown"
 
--- a/src/finchshed/configuration/resources.py
+++ b/src/finchshed/configuration/resources.py
@@ -215,6 +215,9 @@
     key_trust_seconds
         Longest time for which a daemon that control can't reach goes on taking API keys that may
         have been taken away; 0: no limit.
+    quota_window_seconds, quota_overshoot, quota_slack
+        In any such window all daemons together take at most ``(rate * window + burst) * (1 +
+        overshoot) + slack`` requests of a tenant.
     ledger_shards
         Control groups that the at-most-once ledger is spread over, each by the distribution
         addresses of its nodes; none: the control group keeps the ledger itself.
@@ -226,6 +229,9 @@
     key_window_seconds: PositiveSeconds = 600.0
     retry_burst: Annotated[float, msgspec.Meta(ge=0.0, le=1e6)] = 0.0
     ledger_shards: tuple[Shard, ...] = ()
+    quota_window_seconds: Annotated[float, msgspec.Meta(gt=0.0, le=3600.0)] = 5.0
+    quota_overshoot: Annotated[float, msgspec.Meta(ge=0.0, le=10.0)] = 0.1
+    quota_slack: Annotated[float, msgspec.Meta(ge=0.0, le=1e9)] = 20.0
     key_trust_seconds: Annotated[float, msgspec.Meta(ge=0.0, le=86_400.0)] = 0.0
 
 
--- a/src/finchshed/control/distribution_service.py
+++ b/src/finchshed/control/distribution_service.py
@@ -9,9 +9,10 @@
 from finchshed.control.daemon_view import configuration_for_daemons, delta_for_daemons
 from finchshed.control.directory_service import DirectoryService
 from finchshed.control.explanations import Explanations
+from finchshed.control.group_log import GroupLog
 from finchshed.control.ledger_router import LedgerRouter, ShardClient
 from finchshed.control.ledger_service import LedgerRequest, LedgerService
-from finchshed.control.replicated_log import ReplicatedLog
+from finchshed.control.quota_service import QuotaService
 from finchshed.control.state_machine import ControlStateMachine
 from finchshed.distribution.hub import Hub
 from finchshed.distribution.messages import ControlToDaemon, Decision, Hints
@@ -46,7 +47,7 @@
         self,
         node: str,
         machine: ControlStateMachine,
-        log: ReplicatedLog,
+        log: GroupLog,
         background: Background,
         networks: PeerNetworks | None = None,
         *,
@@ -67,6 +68,7 @@
         self._hub = Hub(node)
         self._explanations = Explanations()
         self.directory = DirectoryService(self._broadcast, log.send_report)
+        self.quotas = QuotaService(machine, log, self._send_to)
         self._server = HubServer(
             self._hub,
             self._confirm,
@@ -75,6 +77,7 @@
             networks=networks,
             credentials=credentials,
             on_announce=self.directory.on_announce,
+            on_quota=self.quotas.on_request,
             on_subscribed=self.directory.greeting,
         )
         self._requests: set[asyncio.Task[None]] = set()
@@ -92,6 +95,7 @@
         self._background.spawn(self._watch_contact())
         self._background.spawn(self._report())
         self._background.spawn(self.directory.run())
+        self._background.spawn(self.quotas.run())
 
     async def stop(self, timeout_seconds: float) -> None:
         """Answer the requests in progress and close the links."""
@@ -139,6 +143,9 @@
         """Return recent decisions of a daemon, or None when it can't be asked here."""
         return await self._explanations.ask(self._server, node, root, limit)
 
+    def _send_to(self, daemon: str, message: ControlToDaemon) -> bool:
+        return self._server.send_to(daemon, message)
+
     def _broadcast(self, message: ControlToDaemon) -> None:
         self._server.broadcast(message)
 
--- a/src/finchshed/control/group_log.py
+++ b/src/finchshed/control/group_log.py
@@ -19,9 +19,11 @@
     DirectoryReport,
     ForwardedChange,
     ForwardedCommand,
+    ForwardedQuota,
     ForwardOutcome,
     ForwardReply,
     PeerMessage,
+    QuotaReply,
     RaftLine,
 )
 from finchshed.control.pending_outcomes import NotTakenError, UndecidedError
@@ -68,6 +70,7 @@
         self._forwarded: dict[int, asyncio.Future[ForwardReply]] = {}
         self.on_report: Callable[[InForceReport], None] = _ignore
         self.on_directory: Callable[[DirectoryReport], None] = _ignore
+        self.on_quota: Callable[[PeerLink, ForwardedQuota | QuotaReply], None] = _ignore_quota
 
     def start(self, links: PeerLinks) -> None:
         """Take part in the group over ``links``."""
@@ -133,6 +136,17 @@
             if member.identity.name != self._host.node.identity.name:
                 self._links.send(member.address, report)
 
+    def leading_term(self) -> int | None:
+        """Return the term in which this node leads, or None."""
+        return self._host.node.term if self._host.is_leader else None
+
+    def send_to_leader(self, message: ForwardedQuota) -> bool:
+        """Send to the leader that is known; return whether there is one."""
+        address = self._host.node.leader_address
+        if self._links is None or self._host.is_leader or not address:
+            return False
+        return self._links.send(address, message)
+
     def status(self) -> LogStatus:
         """Return the state of the log at this node."""
         node = self._host.node
@@ -174,6 +188,8 @@
             self.on_report(message)
         elif isinstance(message, DirectoryReport):
             self.on_directory(message)
+        elif isinstance(message, ForwardedQuota | QuotaReply):
+            self.on_quota(link, message)
 
     async def _propose_once(self, command: Command) -> CommandResult:
         if self._host.is_leader:
@@ -284,3 +300,7 @@
 
 def _ignore(_report: InForceReport | DirectoryReport) -> None:
     """Stand in until the distribution service is connected."""
+
+
+def _ignore_quota(_link: PeerLink, _message: ForwardedQuota | QuotaReply) -> None:
+    """Stand in until the quota service is connected."""
--- a/src/finchshed/control/peer_messages.py
+++ b/src/finchshed/control/peer_messages.py
@@ -10,6 +10,7 @@
 from finchshed.control.commands import Command, CommandResult
 from finchshed.directory.registration import Registration
 from finchshed.distribution.status import InForceReport
+from finchshed.quota.messages import QuotaAnswer, QuotaRequest
 
 
 class PeerHello(msgspec.Struct, frozen=True, tag="peer_hello"):
@@ -65,6 +66,20 @@
     registrations: tuple[Registration, ...]
 
 
+class ForwardedQuota(msgspec.Struct, frozen=True, tag="quota"):
+    """A daemon's report or ask, for the leader; answered on the same link, or lost."""
+
+    daemon: str
+    request: QuotaRequest
+
+
+class QuotaReply(msgspec.Struct, frozen=True, tag="quota_reply"):
+    """The leader's answer, for a daemon connected to the receiver."""
+
+    daemon: str
+    answer: QuotaAnswer
+
+
 PeerMessage: TypeAlias = (
     PeerHello
     | RaftLine
@@ -73,4 +88,6 @@
     | ForwardReply
     | InForceReport
     | DirectoryReport
+    | ForwardedQuota
+    | QuotaReply
 )
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -32,6 +32,7 @@
 from finchshed.daemon.own_backend import OwnBackend
 from finchshed.daemon.peers import PeerLinks
 from finchshed.daemon.platform_hints import PlatformHints
+from finchshed.daemon.quota_gate import QuotaGate
 from finchshed.daemon.settings import DaemonSettings
 from finchshed.directory.registrar import Registrar
 from finchshed.distribution.addresses import parse_control_address
@@ -106,12 +107,14 @@
         self._caller = Caller(self._table, self._links, self._served, self._paths, self._rng)
         self._front = Front(self._caller, self._served, self._rng, self._why_not)
         self._lease_renewal = LeaseRenewal(self._driver.client)
+        self._quotas = QuotaGate(self._driver.client, self._incarnation, self._rng)
         self._host_front = HostFront(
             self._caller,
             self._served,
             self._names,
             self._rng,
             lease=self._lease_renewal.lease,
+            quotas=self._quotas,
             own_service=lambda: self._side.service,
             why_not=self._why_not,
         )
@@ -198,6 +201,7 @@
         self._front.catalogue = catalogue
         self._host_front.configure(catalogue)
         self._lease_renewal.configure(catalogue)
+        self._quotas.configure(catalogue)
         self._host_http.limits.max_head_bytes = catalogue.limits.max_head_bytes
         self._host_http.limits.read_seconds = catalogue.limits.head_seconds
         self._host_http.limits.idle_seconds = catalogue.limits.idle_seconds + IDLE_SLACK_SECONDS
@@ -343,6 +347,7 @@
         self._http.close()
         self._host_http.close()
         self._lease_renewal.close()
+        self._quotas.close()
         self._links.close()
         self._listener.close()
         if self._backend is not None:
--- a/src/finchshed/daemon/decision_log.py
+++ b/src/finchshed/daemon/decision_log.py
@@ -9,6 +9,7 @@
 from finchshed.admission.rank import rank_of
 from finchshed.common.outcomes import Answered, Outcome, Refused
 from finchshed.common.results import SERVER_ERROR
+from finchshed.configuration.resources import HostRoute
 from finchshed.daemon.request import Request
 from finchshed.daemon.work import Work
 from finchshed.link.messages import LoadReport
@@ -59,11 +60,36 @@
         retry_after_ms=retry_after,
         is_call=request.context.is_call,
         revision=revision,
+        tenant=request.tenant,
         attempts=tuple(attempts),
     )
     log_stream.emit(record, is_failure=is_failure(outcome))
 
 
+def log_refusal(
+    identity: str, route: HostRoute | None, refused: Refused, revision: int, tenant: str = ""
+) -> None:
+    """Log that a request by host was refused before a service was chosen for it."""
+    if not log_stream.is_on():
+        return
+    record = RequestEnded(
+        time=time.time(),
+        id=identity,
+        root=identity,
+        service="",
+        route="" if route is None else route.name,
+        importance=-1 if route is None else int(route.importance),
+        outcome=name_of(refused),
+        ms=0.0,
+        reason=str(refused.reason),
+        detail=refused.detail,
+        retry_after_ms=round(refused.retry_after * MILLISECONDS, 1),
+        revision=revision,
+        tenant=tenant,
+    )
+    log_stream.emit(record, is_failure=True)
+
+
 def log_call(work: Work, outcome: Outcome, instance: str, load: LoadReport, running: int) -> None:
     """Log the end of a call at the daemon beside the back end."""
     failed = is_failure(outcome)
--- a/src/finchshed/daemon/host_front.py
+++ b/src/finchshed/daemon/host_front.py
@@ -24,7 +24,9 @@
 from finchshed.daemon.accounts import ServedRequest, ServedRequests
 from finchshed.daemon.caller import Caller
 from finchshed.daemon.catalogue import Catalogue
+from finchshed.daemon.decision_log import log_refusal
 from finchshed.daemon.header_names import HeaderNames
+from finchshed.daemon.quota_gate import QuotaGate
 from finchshed.daemon.request import MAX_ANSWER_BYTES_BY_HOST, Request, end_to_end_headers
 from finchshed.http.message import InboundRequest, Response
 from finchshed.http.status import (
@@ -34,6 +36,7 @@
     STATUS_GATEWAY_TIMEOUT,
     STATUS_NOT_FOUND,
     STATUS_SERVICE_UNAVAILABLE,
+    STATUS_TOO_MANY_REQUESTS,
     STATUS_UNAUTHORIZED,
 )
 from finchshed.retry.policy import retry_after
@@ -49,8 +52,12 @@
     RefusalReason.REQUEST_INVALID: STATUS_BAD_REQUEST,
     RefusalReason.API_KEY_MISSING: STATUS_UNAUTHORIZED,
     RefusalReason.API_KEY_UNKNOWN: STATUS_UNAUTHORIZED,
+    RefusalReason.QUOTA_EXCEEDED: STATUS_TOO_MANY_REQUESTS,
 }
 
+TOLD_TO_RETURN = frozenset({STATUS_SERVICE_UNAVAILABLE, STATUS_TOO_MANY_REQUESTS})
+"""Statuses that come with the time to come back."""
+
 
 class HostAdmitted(msgspec.Struct, frozen=True, gc=False):
     """What is known of a request from its head. ``began`` is in monotonic seconds.
@@ -74,6 +81,8 @@
     ----------
     lease
         For how long API keys may be trusted.
+    quotas
+        Has requests of limited tenants get tokens.
     own_service
         Returns the service of the back end beside this daemon.
     why_not
@@ -88,6 +97,7 @@
         rng: random.Random,
         *,
         lease: KeyLease,
+        quotas: QuotaGate,
         own_service: Callable[[], str],
         why_not: Callable[[], RefusalReason | None],
     ) -> None:
@@ -96,6 +106,7 @@
         self._names = names
         self._rng = rng
         self._lease = lease
+        self._quotas = quotas
         self._own_service = own_service
         self._why_not = why_not
         self._always_dropped = names.set_here()
@@ -116,11 +127,19 @@
 
     def admit(self, request: InboundRequest) -> HostAdmitted | Refused:
         """Judge a request by its head, before its body is read."""
+        host = request.header(b"host")
+        route = self._catalogue.match_host(host, request.target)
+        judged = self._judge(request, host, route)
+        if isinstance(judged, Refused):
+            self._log_refusal(request, route, judged)
+        return judged
+
+    def _judge(
+        self, request: InboundRequest, host: str, route: HostRoute | None
+    ) -> HostAdmitted | Refused:
         reason = self._why_not()
         if reason is not None:
             return self.refusal(reason)
-        host = request.header(b"host")
-        route = self._catalogue.match_host(host, request.target)
         if route is None:
             return self.refusal(RefusalReason.UNKNOWN_ROUTE, f"host {host!r}")
         if not request.first.get(self._request):
@@ -133,6 +152,12 @@
         service = self._choices[route.name].draw()
         return HostAdmitted(route, service, host, remaining, time.monotonic(), tenant)
 
+    def _log_refusal(
+        self, request: InboundRequest, route: HostRoute | None, refused: Refused, tenant: str = ""
+    ) -> None:
+        identity = request.header(self._request)
+        log_refusal(identity, route, refused, self._catalogue.revision, tenant)
+
     def max_body_bytes(self, admitted: HostAdmitted) -> int:
         """Return the largest body taken for an admitted request."""
         return self._catalogue.limits.max_body_bytes
@@ -144,30 +169,66 @@
         respond: Callable[[Response], None],
     ) -> Callable[[], None]:
         """Answer a whole request; ``respond`` is called once. Return what gives it up."""
+        served = self._served_by(request.header(self._request))
+        if admitted.tenant is not None:
+            return self._call_for(admitted.tenant, request, admitted, respond)
+        account = "" if served is None else served.account
+        message = self._message(request, admitted, served)
+        return self._caller.call(
+            message, account, "", lambda outcome: respond(self._response_of(outcome))
+        )
+
+    def _call_for(
+        self,
+        tenant: Tenant,
+        request: InboundRequest,
+        admitted: HostAdmitted,
+        respond: Callable[[Response], None],
+    ) -> Callable[[], None]:
+        """Answer a tenant's request, once it has a token."""
+        leave: list[Callable[[], None]] = []
+
+        def answered(outcome: Outcome) -> None:
+            if isinstance(outcome, Refused):
+                self._quotas.give_back(tenant.name)
+            respond(self._response_of(outcome))
+
+        def decided(refused: Refused | None) -> None:
+            if refused is not None:
+                self._log_refusal(request, admitted.route, refused, tenant.name)
+                respond(self._response_of(refused))
+                return
+            message = self._message(request, admitted, None)
+            leave[:] = [self._caller.call(message, "", "", answered)]
+
+        def give_up() -> None:
+            leave[0]()
+
+        waiting = self._quotas.admit(tenant.name, decided)
+        if not leave:
+            leave.append(waiting)
+        return give_up
+
+    def _message(
+        self, request: InboundRequest, admitted: HostAdmitted, served: ServedRequest | None
+    ) -> Request:
         route = admitted.route
         identity = request.header(self._request)
-        served = self._served_by(identity)
-        context = self._context(admitted, identity, served)
-        message = Request(
+        return Request(
             service=admitted.service,
             method=request.method,
             path=request.target,
             headers=self._headers(request, admitted),
             body=request.body,
-            context=context,
+            context=self._context(admitted, identity, served),
             repeatable=route.repeatable,
             max_body_bytes=MAX_ANSWER_BYTES_BY_HOST,
             route=route.name,
             identity=identity,
             target_seconds=route.target_seconds,
+            tenant="" if admitted.tenant is None else admitted.tenant.name,
         )
 
-        def answered(outcome: Outcome) -> None:
-            respond(self._response_of(outcome))
-
-        account = "" if served is None else served.account
-        return self._caller.call(message, account, "", answered)
-
     def refused(self, refused: Refused) -> Response:
         """Return the response that tells a refusal."""
         return self._response_of(refused)
@@ -181,23 +242,24 @@
         return _text_response(status, detail)
 
     def _tenant_of(self, request: InboundRequest, route: HostRoute) -> Tenant | Refused | None:
-        """Return whose request it is, None where no key is needed, or the refusal for its key."""
+        """Return whose request it is, None where no key is needed, or the refusal.
+
+        A call of the own back end needs no key.
+        """
         tenants = self._catalogue.tenants
-        if not tenants:
+        if not tenants or self._served_by(request.header(self._request)) is not None:
             return None
         keys = {value for name, value in request.headers if name == self._api_key and value}
         now = time.monotonic()
         found = tenant_of(keys, tenants, self._lease, now, is_public=route.public)
         if found is RefusalReason.API_KEY_MISSING:
-            return self._call_without_key(request.header(self._request))
+            return self._without_key(request.header(self._request))
         if isinstance(found, RefusalReason):
             return self.refusal(found, f"confirmed {self._lease.age(now):.3f} s ago")
         return found
 
-    def _call_without_key(self, identity: str) -> Refused | None:
-        """Return None for a call of the own back end: it needs no key; else the refusal."""
-        if self._served_by(identity) is not None:
-            return None
+    def _without_key(self, identity: str) -> Refused:
+        """Return the refusal of a request that has no key and is no call for a known request."""
         separator = self._names.call_separator
         if separator and separator in identity:
             # Its request may be over, or was taken by the process before this one.
@@ -284,6 +346,6 @@
 
 def _text_response(status: int, text: str, retry_after_seconds: float = 0.0) -> Response:
     headers: Headers = (("content-type", "text/plain"),)
-    if status == STATUS_SERVICE_UNAVAILABLE:
+    if status in TOLD_TO_RETURN:
         headers += (("retry-after", f"{retry_after_seconds:.3f}"),)
     return Response(status, headers, text.encode("utf-8", "replace"))
--- a/src/finchshed/daemon/metrics.py
+++ b/src/finchshed/daemon/metrics.py
@@ -39,6 +39,9 @@
     "finchshed_key_lease_age_seconds",
     "Time since the question to control that the trust in API keys counts from; negative: none",
 )
+QUOTA_REFUSED = Counter(
+    "finchshed_quota_refused_total", "Requests of limited tenants without a token", ["reason"]
+)
 JOINED = Counter("finchshed_joined_total", "Repeats that joined a request in progress")
 
 _served: dict[tuple[str, int, str, str], CounterValue] = {}
--- a/src/finchshed/daemon/request.py
+++ b/src/finchshed/daemon/request.py
@@ -52,6 +52,8 @@
         the name of the route of its host.
     target_seconds
         Latency it is meant to be answered in; 0: none.
+    tenant
+        Name of the tenant that holds its API key, or empty.
     session_at
         Endpoint that serves the request's session by the client's word, or empty. Not checked.
     """
@@ -69,6 +71,7 @@
     session_at: str = ""
     identity: str = ""
     target_seconds: float = 0.0
+    tenant: str = ""
 
     @property
     def is_by_host(self) -> bool:
--- a/src/finchshed/distribution/client.py
+++ b/src/finchshed/distribution/client.py
@@ -39,6 +39,7 @@
     Subscribe,
 )
 from finchshed.link.lines import LineProtocol
+from finchshed.quota.messages import QuotaAnswer, QuotaRequest, QuotaShares, QuotaTokens
 
 Connection: TypeAlias = LineProtocol[ControlToDaemon]
 Connect: TypeAlias = Callable[[Callable[[], Connection], str, int], Awaitable[object]]
@@ -101,6 +102,8 @@
         Called when an operator asks for recent decisions; set by the daemon.
     on_lease
         Called with answers to the daemon's questions for its lease; set by the daemon.
+    on_quota
+        Called with answers about quotas; set by the daemon.
     on_directory
         Called with registrations of back ends; set by the daemon.
     registration
@@ -132,6 +135,7 @@
         self.on_hints: Callable[[Hints], None] | None = None
         self.on_explain: Callable[[ExplainRequest], tuple[Decision, ...]] | None = None
         self.on_lease: Callable[[LeaseRenewed], None] | None = None
+        self.on_quota: Callable[[QuotaAnswer], None] | None = None
         self.on_directory: Callable[[DirectoryUpdate], None] | None = None
         self.registration: Callable[[], Registration] | None = None
 
@@ -179,6 +183,14 @@
         if self._connection is not None and self._is_subscribed:
             self._connection.send(RenewLease(question))
 
+    def send_quota(self, request: QuotaRequest) -> bool:
+        """Send a report or an ask to the leader; return whether there was a way to send it."""
+        return (
+            self._connection is not None
+            and self._is_subscribed
+            and self._connection.send(request) > 0
+        )
+
     def add_addresses(self, addresses: Iterable[str]) -> None:
         """Take in further control nodes."""
         self._book.add(addresses)
@@ -314,6 +326,9 @@
         elif isinstance(message, ExplainRequest):
             decisions = self.on_explain(message) if self.on_explain is not None else ()
             connection.send(ExplainReply(message.request, decisions))
+        elif isinstance(message, QuotaShares | QuotaTokens):
+            if self.on_quota is not None:
+                self.on_quota(message)
         elif isinstance(message, Hints | DirectoryUpdate | LeaseRenewed):
             self._pass_on(message)
         else:
--- a/src/finchshed/distribution/messages.py
+++ b/src/finchshed/distribution/messages.py
@@ -11,6 +11,7 @@
 from finchshed.common.outcomes import Answered
 from finchshed.configuration.resources import Resource, ResourceKey
 from finchshed.directory.registration import Registration
+from finchshed.quota.messages import QuotaAsk, QuotaReport, QuotaShares, QuotaTokens
 
 Revision: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
 """Revision of the configuration; the operators' schema holds it in 64 bits."""
@@ -239,6 +240,8 @@
     | ExplainReply
     | Announce
     | RenewLease
+    | QuotaReport
+    | QuotaAsk
 )
 ControlToDaemon: TypeAlias = (
     Delta
@@ -253,4 +256,6 @@
     | DirectoryUpdate
     | ControlNodes
     | LeaseRenewed
+    | QuotaShares
+    | QuotaTokens
 )
--- a/src/finchshed/distribution/server.py
+++ b/src/finchshed/distribution/server.py
@@ -30,6 +30,7 @@
 from finchshed.link.encoding import encode_line
 from finchshed.link.lines import LineProtocol
 from finchshed.link.networks import PeerNetworks
+from finchshed.quota.messages import QuotaAsk, QuotaReport, QuotaRequest
 from finchshed.tls.credentials import Credentials
 from finchshed.tls.handshakes import Server, listening, serve
 from finchshed.tls.names import Role, has_role, name_of, proven_names, unproven
@@ -69,6 +70,8 @@
         Called with each daemon's answer to an :class:`ExplainRequest`.
     on_announce
         Called with each registration that a daemon tells.
+    on_quota
+        Called with each report or ask about quotas, and the name of the daemon it is of.
     on_subscribed
         Returns what each daemon is sent once it has subscribed.
     networks
@@ -87,10 +90,12 @@
         *,
         credentials: Credentials | None = None,
         on_announce: Callable[[Announce], None] | None = None,
+        on_quota: Callable[[str, QuotaRequest], None] | None = None,
         on_subscribed: Callable[[], Sequence[ControlToDaemon]] | None = None,
     ) -> None:
         self._credentials = credentials
         self._on_announce = on_announce
+        self._on_quota = on_quota
         self._on_subscribed = on_subscribed
         self._hub = hub
         self._confirm = confirm
@@ -100,6 +105,7 @@
         self._connections: dict[int, Connection] = {}
         self._by_node: dict[str, Connection] = {}
         self._numbers: dict[Connection, int] = {}
+        self._names: dict[int, str] = {}
         self._last_number = 0
         self._ticket: int | None = None
         self._confirming: asyncio.Task[None] | None = None
@@ -171,6 +177,9 @@
             self._perform(self._hub.on_fetch(number, message.revision, self._now()))
         elif isinstance(message, RenewLease):
             self._perform(self._hub.on_question(number, message.question, self._now()))
+        elif isinstance(message, QuotaReport | QuotaAsk):
+            if self._on_quota is not None:
+                self._on_quota(self._names[number], message)
         elif isinstance(message, Announce):
             if self._on_announce is not None:
                 self._on_announce(message)
@@ -193,6 +202,7 @@
         self._numbers[connection] = self._last_number
         self._connections[self._last_number] = connection
         self._by_node[message.node] = connection
+        self._names[self._last_number] = message.node
         self._perform(self._hub.subscribe(self._last_number, message, self._now()))
         if self._on_subscribed is not None:
             for further in self._on_subscribed():
@@ -207,6 +217,7 @@
         number = self._numbers.pop(connection, None)
         if number is not None:
             del self._connections[number]
+            del self._names[number]
             self._hub.unsubscribe(number)
 
     def _perform(self, effects: Sequence[HubEffect]) -> None:
--- a/src/finchshed/logs/request_trace.py
+++ b/src/finchshed/logs/request_trace.py
@@ -21,6 +21,17 @@
     "no_backend": "no back end of the service was known and open at this daemon",
     "no_configuration": "the daemon had no configuration confirmed by a quorum yet",
     "unknown_route": "no route stands for this host and path in the revision named",
+    "api_key_missing": "it carried no API key, or an empty one, and its route isn't public",
+    "api_key_unknown": "no tenant holds its API key in the revision named, which control had "
+    "confirmed not long before; the key was taken away, or never declared",
+    "api_key_unconfirmed": "the daemon could not tell whether its API key still holds: control had "
+    "confirmed nothing for the time in detail; see the state lines on trust in API keys",
+    "quota_exceeded": "its tenant was above its limit over all daemons; see `finchshed ctl get "
+    "tenant/NAME` for the limit and finchshed_quota_refused_total",
+    "quota_unconfirmed": "the daemon held no token for its tenant, and the leader of the control "
+    "group did not answer",
+    "caller_unknown": "a call of a back end for a request that was over, or that the daemon's "
+    "former process had taken",
     "connect_failed": "no connection to the endpoint's daemon or from it to its back end",
     "link_broken": "the link to the endpoint's daemon broke after the sending: it may have run",
     "backend_broken": "the back end's connection ended without a whole answer: it may have run",
--- a/src/finchshed/observability/decisions.py
+++ b/src/finchshed/observability/decisions.py
@@ -31,8 +31,9 @@
 ):
     """A request that a daemon took has its final outcome.
 
-    ``attempts`` is empty where it was refused before any sending. ``revision`` is that of the
-    configuration in force.
+    ``attempts`` is empty where it was refused before any sending, ``service`` where that was so
+    before one was chosen. ``revision`` is that of the configuration in force, ``tenant`` the one
+    that holds the request's API key.
     """
 
     time: float
@@ -49,6 +50,7 @@
     retry_after_ms: float = 0.0
     is_call: bool = False
     revision: int = 0
+    tenant: str = ""
     attempts: tuple[Attempt, ...] = ()
 
 
--- /dev/null
+++ b/src/finchshed/quota/division.py
@@ -0,0 +1,268 @@
+"""The leader's side of quotas: each tenant's limit divided among the daemons. Pure.
+
+A daemon's share is a token bucket: a rate and a size. Shares are held under a lease, so a daemon
+that nothing reaches goes on for a while within its share, and the shares of all that may still be
+used are never more than the limit:
+
+- a share is counted as the larger of what the daemon holds and what it was last granted, until the
+  daemon has told what it holds, or its lease must have ended;
+- a share grows only into what no other share holds;
+- a new leader knows none of the shares. It takes in what daemons show, and lets none grow until
+  those that were granted before it must have ended.
+
+Shares follow demand. What a daemon's bucket lacks it asks of the reserve, a bucket of the leader's
+own; what it holds beyond its need it returns there. Tokens only move, so both are safe whatever is
+lost on the way.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from finchshed.configuration.resources import Policy, Tenant
+from finchshed.quota.bucket import TokenBucket
+from finchshed.quota.limits import TenantLimit, limit_of
+from finchshed.quota.messages import (
+    GrantedShare,
+    HeldShare,
+    QuotaAsk,
+    QuotaReport,
+    QuotaShares,
+    QuotaTokens,
+)
+
+SHARE_SECONDS = 4.6
+"""A daemon uses a share for this long after the report that it was granted for.
+
+Longer than a change of the leader takes, so that daemons are served meanwhile."""
+
+ANSWER_SECONDS = 1.0
+"""A daemon takes no answer that comes later than this after its report: what the report told of
+shares in use then still holds when the leader reads it."""
+
+COUNTED_SECONDS = SHARE_SECONDS + ANSWER_SECONDS
+"""The leader counts a share for this long after the last report that told of it."""
+
+SETTLE_SECONDS = COUNTED_SECONDS + 1.0
+"""A new leader lets no share grow for this long: the one before it may have granted until 1 s after
+the new one was chosen (see :mod:`finchshed.control.quota_service`)."""
+
+LEAST_CAPACITY = 1.0
+"""A bucket that could hold less than this is not made: a request takes a whole token."""
+
+LEAST_DEMAND = 0.05
+"""Requests a second that a daemon with a bucket is counted with at least."""
+
+RATE_OF_DEMAND = 2.0
+STOCK_SECONDS = 4.0
+STOCK_LEAST = 2.0
+"""A share is at most a rate of so many times the daemon's demand, and tokens for so many seconds of
+it and a few more.
+
+Without it the first daemons that report take the whole of a limit, and the others wait a second for
+them to give it up."""
+
+TOLERANCE = 0.25
+"""A share is changed when it is off by more than this part of it.
+
+Of the limits, about 8 in 100 were tied up in changes where shares followed demand without it."""
+
+WANTED_LEVEL = 0.9
+"""Daemons are asked to return tokens while the reserve holds less than this part of its size."""
+
+KEPT_LEVEL = 0.5
+"""A larger bucket comes with tokens only while the reserve holds more than this part of its size:
+those that have no bucket yet need them."""
+
+RETRY_SECONDS_MAX = 30.0
+
+
+class _Holding(msgspec.Struct):
+    """What is counted for one daemon and tenant."""
+
+    rate: float
+    capacity: float
+    demand: float
+
+
+class _Daemon(msgspec.Struct):
+    """A daemon that reported, and what it may hold."""
+
+    incarnation: str
+    number: int
+    ends_at: float
+    holdings: dict[str, _Holding]
+
+
+class _Tenant:
+    """One tenant's limit, the sums over its holdings, and the reserve."""
+
+    def __init__(self, limit: TenantLimit, now: float) -> None:
+        self.limit = limit
+        self.rate = 0.0
+        self.capacity = 0.0
+        self.demand = 0.0
+        self.reserve = TokenBucket(limit.reserve_rate, limit.reserve_stock, now)
+
+    def change(self, limit: TenantLimit, now: float) -> None:
+        """Take another limit."""
+        self.limit = limit
+        self.resize_reserve(now, is_settled=False)
+
+    def resize_reserve(self, now: float, *, is_settled: bool) -> None:
+        """Give the reserve what no daemon holds, at least its own part."""
+        limit = self.limit
+        rate, capacity = limit.reserve_rate, limit.reserve_stock
+        if is_settled:
+            rate = max(rate, limit.rate - self.rate)
+            capacity = max(capacity, limit.stock - self.capacity)
+        self.reserve.resize(rate, capacity, now)
+
+    def add(self, holding: _Holding) -> None:
+        """Count a holding."""
+        self.rate += holding.rate
+        self.capacity += holding.capacity
+        self.demand += holding.demand
+
+    def subtract(self, holding: _Holding) -> None:
+        """Count a holding no more."""
+        self.rate -= holding.rate
+        self.capacity -= holding.capacity
+        self.demand -= holding.demand
+
+    def wants_returns(self, now: float) -> bool:
+        """Return whether the reserve has room for tokens."""
+        return self.reserve.level(now) < WANTED_LEVEL * self.reserve.capacity
+
+
+class QuotaDivision:
+    """Divides the limits for as long as one node leads.
+
+    Parameters
+    ----------
+    now
+        When the node began to lead, monotonic seconds.
+    """
+
+    def __init__(self, now: float) -> None:
+        self._settled_at = now + SETTLE_SECONDS
+        self._tenants: dict[str, _Tenant] = {}
+        self._daemons: dict[str, _Daemon] = {}
+
+    def configure(self, tenants: Iterable[Tenant], policy: Policy, now: float) -> None:
+        """Take the limits of a configuration. Lower ones reach the daemons with their next report.
+
+        A tenant without a limit is forgotten, and so is what daemons hold for it.
+        """
+        limits = {tenant.name: limit_of(tenant, policy) for tenant in tenants}
+        for name in [name for name in self._tenants if limits.get(name) is None]:
+            del self._tenants[name]
+            for daemon in self._daemons.values():
+                daemon.holdings.pop(name, None)
+        for name, limit in limits.items():
+            if limit is None:
+                continue
+            held = self._tenants.get(name)
+            if held is None:
+                self._tenants[name] = _Tenant(limit, now)
+            elif held.limit != limit:
+                held.change(limit, now)
+
+    def on_report(self, daemon: str, report: QuotaReport, now: float) -> QuotaShares | None:
+        """Take a daemon's report and return its shares from now on; None: a later one came before.
+
+        A daemon that started anew holds nothing; what its former life held is free again.
+        """
+        self._forget_ended(now)
+        known = self._daemons.get(daemon)
+        if known is not None and known.incarnation == report.incarnation:
+            if report.number <= known.number:
+                return None
+        elif now >= self._settled_at:
+            # What a daemon holds that isn't counted here has ended, and may be another's by now.
+            report = _without_claims(report)
+        self._forget(daemon)
+        held = {share.tenant: share for share in report.shares if share.tenant in self._tenants}
+        granted = {name: self._grant(share, now) for name, share in held.items()}
+        holdings = {name: _counted(share, granted[name]) for name, share in held.items()}
+        for name, holding in holdings.items():
+            self._tenants[name].add(holding)
+            self._tenants[name].resize_reserve(now, is_settled=now >= self._settled_at)
+        ends_at = now + COUNTED_SECONDS
+        self._daemons[daemon] = _Daemon(report.incarnation, report.number, ends_at, holdings)
+        return QuotaShares(report.incarnation, report.number, tuple(granted.values()))
+
+    def on_ask(self, ask: QuotaAsk, now: float) -> QuotaTokens:
+        """Grant tokens of the reserve."""
+        tenant = self._tenants.get(ask.tenant)
+        if tenant is None:
+            return QuotaTokens(ask.incarnation, ask.number, 0, 0.0)
+        tokens = tenant.reserve.take(ask.tokens, now)
+        wait = tenant.reserve.seconds_until(ask.tokens - tokens, now)
+        wait = min(wait, RETRY_SECONDS_MAX)
+        return QuotaTokens(ask.incarnation, ask.number, tokens, wait)
+
+    def held(self, name: str) -> tuple[float, float]:
+        """Return the rate and the size of all shares of a tenant that may be in use."""
+        tenant = self._tenants[name]
+        return tenant.rate, tenant.capacity
+
+    def _grant(self, share: HeldShare, now: float) -> GrantedShare:
+        """Return the share of a daemon whose holding is not among the sums."""
+        tenant = self._tenants[share.tenant]
+        limit = tenant.limit
+        tenant.reserve.put(share.returned, now)
+        demand = max(share.demand, LEAST_DEMAND)
+        part = demand / (tenant.demand + demand)
+        rate_free = limit.daemon_rate - tenant.rate
+        capacity_free = limit.daemon_stock - tenant.capacity
+        if now < self._settled_at:
+            rate_free = capacity_free = 0.0
+        wanted_rate = min(part * limit.daemon_rate, RATE_OF_DEMAND * demand)
+        wanted_capacity = min(part * limit.daemon_stock, STOCK_SECONDS * demand + STOCK_LEAST)
+        rate = _next(wanted_rate, share.rate, rate_free)
+        capacity = _next(wanted_capacity, share.capacity, capacity_free)
+        if capacity < LEAST_CAPACITY:
+            rate = capacity = 0.0
+        spare = tenant.reserve.level(now) - KEPT_LEVEL * tenant.reserve.capacity
+        tokens = tenant.reserve.take_part(min(spare, capacity - share.capacity), now)
+        return GrantedShare(share.tenant, rate, capacity, tokens, tenant.wants_returns(now))
+
+    def _forget(self, daemon: str) -> None:
+        known = self._daemons.pop(daemon, None)
+        if known is None:
+            return
+        for name, holding in known.holdings.items():
+            self._tenants[name].subtract(holding)
+
+    def _forget_ended(self, now: float) -> None:
+        """Count no more what daemons held whose lease must have ended."""
+        ended = [name for name, daemon in self._daemons.items() if daemon.ends_at <= now]
+        for name in ended:
+            self._forget(name)
+
+
+def _next(wanted: float, held: float, free: float) -> float:
+    """Return a daemon's next share: what it is to have, but for growth beyond what is free.
+
+    A share that is about right stays: each change is counted twice until the daemon has told of it.
+    """
+    if (1.0 - TOLERANCE) * held <= wanted <= (1.0 + TOLERANCE) * held:
+        return held
+    return wanted if wanted <= held else max(held, min(wanted, free))
+
+
+def _without_claims(report: QuotaReport) -> QuotaReport:
+    shares = tuple(
+        msgspec.structs.replace(share, rate=0.0, capacity=0.0) for share in report.shares
+    )
+    return msgspec.structs.replace(report, shares=shares)
+
+
+def _counted(held: HeldShare, granted: GrantedShare) -> _Holding:
+    """Return what is counted until the daemon tells that it has taken its grant."""
+    return _Holding(
+        rate=max(held.rate, granted.rate),
+        capacity=max(held.capacity, granted.capacity),
+        demand=max(held.demand, LEAST_DEMAND),
+    )
--- a/src/finchshed/rpc/conversion.py
+++ b/src/finchshed/rpc/conversion.py
@@ -30,6 +30,7 @@
 }
 LIMITS_FIELDS = IngressLimits.__struct_fields__
 ALLOWED_KINDS = "service, host_route, ingress_limits, endpoint, policy, operator, tenant"
+QUOTA_FIELDS = ("quota_window_seconds", "quota_overshoot", "quota_slack")
 STATES_BACK = {number: state for state, number in STATES.items()}
 
 
@@ -60,6 +61,9 @@
                 retry_burst=resource.retry_burst,
                 ledger_shards=[pb.LedgerShard(addresses=it) for it in resource.ledger_shards],
                 key_trust_seconds=resource.key_trust_seconds,
+                quota_window_seconds=resource.quota_window_seconds,
+                quota_overshoot=resource.quota_overshoot,
+                quota_slack=resource.quota_slack,
             )
         )
     if isinstance(resource, HostRoute):
@@ -304,4 +308,7 @@
         "key_trust_seconds": message.key_trust_seconds,
         "ledger_shards": tuple(tuple(shard.addresses) for shard in message.ledger_shards),
     }
+    for field in QUOTA_FIELDS:
+        if message.HasField(field):
+            table[field] = getattr(message, field)
     return convert_table(table, Policy, f"policy {message.name}", problems)
--- a/tests/daemon/test_host_front.py
+++ b/tests/daemon/test_host_front.py
@@ -60,12 +60,37 @@
         return lambda: None
 
 
+class FakeQuotas:
+    """Decides as it is told, or later."""
+
+    def __init__(self) -> None:
+        self.refusal: Refused | None = None
+        self.is_slow = False
+        self.waiting: list[Callable[[Refused | None], None]] = []
+        self.admitted: list[str] = []
+        self.given_back: list[str] = []
+
+    def admit(
+        self, tenant: str, on_decided: Callable[[Refused | None], None]
+    ) -> Callable[[], None]:
+        self.admitted.append(tenant)
+        if self.is_slow:
+            self.waiting.append(on_decided)
+            return lambda: self.waiting.remove(on_decided)
+        on_decided(self.refusal)
+        return lambda: None
+
+    def give_back(self, tenant: str) -> None:
+        self.given_back.append(tenant)
+
+
 class Front:
     """A front over a fake caller."""
 
     def __init__(self, *resources: Resource, lease: KeyLease | None = None) -> None:
         self.caller = FakeCaller()
         self.served = ServedRequests()
+        self.quotas = FakeQuotas()
         self.lease = confirmed_lease() if lease is None else lease
         self.reason: RefusalReason | None = None
         self.front = HostFront(
@@ -74,6 +99,7 @@
             NAMES,
             random.Random(1),
             lease=self.lease,
+            quotas=self.quotas,  # type: ignore[arg-type]
             own_service=lambda: "ledger",
             why_not=lambda: self.reason,
         )
--- a/tests/daemon/test_tenants_at_the_front.py
+++ b/tests/daemon/test_tenants_at_the_front.py
@@ -1,9 +1,13 @@
 """Requests by host where tenants are declared: whose they are, and what back ends see."""
 
+import time
+
 import pytest
 
 from finchshed.common.importance import Importance
+from finchshed.common.outcomes import RefusalReason, Refused
 from finchshed.configuration.resources import Tenant
+from finchshed.daemon.host_front import HostAdmitted
 from finchshed.http.message import InboundRequest, Response
 from finchshed.tenancy.keys import digest_of_key
 from finchshed.tenancy.lease import KeyLease
@@ -134,3 +138,57 @@
     front = Front(route("/a/"), TENANT, lease=KeyLease())
     assert front.ask("/a/1", x_api_key="unknown").status == 503
     assert front.ask("/a/1", x_api_key=KEY).status == 200
+
+
+def test_a_request_above_its_tenants_limit_is_told_when_to_come_back() -> None:
+    front = front_with_tenants()
+    front.quotas.refusal = Refused(RefusalReason.QUOTA_EXCEEDED, 1.25)
+    response = front.ask("/a/1", x_api_key=KEY)
+    assert response.status == 429
+    assert dict(response.headers)["retry-after"] == "1.250"
+    assert not front.caller.requests
+
+
+def test_a_request_that_did_not_run_gives_its_token_back() -> None:
+    front = front_with_tenants()
+    front.ask("/a/1", x_api_key=KEY)
+    assert front.quotas.given_back == []
+    front.caller.outcome = Refused(RefusalReason.OVERLOAD, 0.2)
+    front.ask("/a/1", x_api_key=KEY)
+    assert front.quotas.given_back == ["officers"]
+    assert front.quotas.admitted == ["officers", "officers"]
+
+
+def test_calls_and_requests_without_a_tenant_need_no_token() -> None:
+    front = front_with_tenants()
+    front.ask("/open/1")
+    front.served.open(front.caller.requests[0].context, 1e12, "r1")
+    front.ask("/a/2", finchshed_request="r1.x")
+    front.ask("/a/2", finchshed_request="r1.x", x_api_key="unknown")
+    assert [request.path for request in front.caller.requests] == ["/open/1", "/a/2", "/a/2"]
+    assert not front.quotas.admitted
+
+
+def test_a_request_that_waits_for_a_token_can_be_given_up() -> None:
+    front = front_with_tenants()
+    front.quotas.is_slow = True
+    request = inbound("/a/1", x_api_key=KEY)
+    admitted = front.front.admit(request)
+    assert isinstance(admitted, HostAdmitted)
+    responses: list[Response] = []
+    give_up = front.front.handle(request, admitted, responses.append)
+    assert not responses
+    give_up()
+    assert not front.quotas.waiting
+
+
+def test_time_spent_waiting_for_a_token_is_not_passed_on() -> None:
+    front = front_with_tenants()
+    front.quotas.is_slow = True
+    request = inbound("/a/1", x_api_key=KEY, finchshed_deadline_ms="300")
+    admitted = front.front.admit(request)
+    assert isinstance(admitted, HostAdmitted)
+    front.front.handle(request, admitted, lambda _: None)
+    time.sleep(0.05)
+    front.quotas.waiting[0](None)
+    assert front.caller.requests[0].context.remaining_seconds < 0.251
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -263,6 +263,7 @@
         daemon: int = 0,
         identity: str = "",
         deadline_ms: int = 3000,
+        key: str = "",
     ) -> Answer:
         """Send a client's request to a daemon."""
         self.requests += 1
@@ -271,6 +272,8 @@
             "Request-Id": identity or f"{self.requests:016x}",
             "Deadline-Ms": str(deadline_ms),
         }
+        if key:
+            headers |= {"Api-Key": key, "Tenant": "forged"}
         url = f"http://{self.daemons[daemon].ip}:{OUTBOUND}{path}"
         return await self._call(method, url, body, headers)
 
@@ -339,7 +342,10 @@
 
 @asynccontextmanager
 async def platform(
-    folder: Path, *services: str, works: dict[str, Work] | None = None
+    folder: Path,
+    *services: str,
+    works: dict[str, Work] | None = None,
+    bounds: dict[str, Any] | None = None,
 ) -> AsyncIterator[Platform]:
     """Run three control nodes and a back end with its daemon for each of ``services``."""
     hosts = [f"{network()}.{1 + number}" for number in range(3 + len(services))]
@@ -357,6 +363,7 @@
         backends.append(Backend(service, f"i-{number}", host, zone, work))
     async with AsyncExitStack() as stack:
         for machine in [*controls, *daemons]:
+            machine.fields["bounds"] |= bounds or {}
             stack.callback(machine.stop)
             machine.start()
         for backend in backends:
--- /dev/null
+++ b/tests/quota/test_bucket.py
@@ -0,0 +1,45 @@
+"""Token buckets whose rate and size change."""
+
+from finchshed.quota.bucket import TokenBucket
+
+
+def test_it_begins_empty_and_fills_up_to_its_size() -> None:
+    bucket = TokenBucket(2.0, 3.0, 10.0)
+    assert bucket.take(1, 10.0) == 0
+    assert bucket.level(11.0) == 2.0
+    assert bucket.level(20.0) == 3.0
+    assert bucket.take(5, 20.0) == 3
+    assert bucket.take(1, 20.4) == 0
+
+
+def test_time_that_goes_back_adds_nothing() -> None:
+    bucket = TokenBucket(1.0, 10.0, 10.0)
+    assert bucket.level(12.0) == 2.0
+    assert bucket.level(11.0) == 2.0
+    assert bucket.level(12.0) == 2.0
+
+
+def test_what_does_not_fit_is_lost() -> None:
+    bucket = TokenBucket(0.0, 3.0, 0.0)
+    bucket.put(9.0, 0.0)
+    assert bucket.level(0.0) == 3.0
+    bucket.resize(0.0, 1.5, 0.0)
+    bucket.resize(0.0, 9.0, 0.0)
+    assert bucket.level(0.0) == 1.5
+
+
+def test_parts_of_tokens_can_be_moved() -> None:
+    bucket = TokenBucket(0.0, 3.0, 0.0)
+    bucket.put(2.5, 0.0)
+    assert bucket.remove_above(2.0, 0.0) == 0.5
+    assert bucket.remove_above(2.0, 0.0) == 0.0
+    assert bucket.take_part(0.75, 0.0) == 0.75
+    assert bucket.take_part(-1.0, 0.0) == 0.0
+    assert bucket.take_part(9.0, 0.0) == 1.25
+
+
+def test_when_there_will_be_more() -> None:
+    bucket = TokenBucket(4.0, 8.0, 0.0)
+    assert bucket.seconds_until(2.0, 0.0) == 0.5
+    assert bucket.seconds_until(1.0, 1.0) == 0.0
+    assert TokenBucket(0.0, 8.0, 0.0).seconds_until(1.0, 0.0) == float("inf")
--- /dev/null
+++ b/tests/quota/test_daemon_share.py
@@ -0,0 +1,142 @@
+"""A daemon's buckets, reports and asks."""
+
+import pytest
+
+from finchshed.configuration.resources import Policy, Tenant
+from finchshed.quota.daemon_share import (
+    DENIED_SECONDS,
+    REPORT_SECONDS,
+    RETURN_SECONDS_MAX,
+    UNREACHED_SECONDS,
+    DaemonShare,
+    Take,
+)
+from finchshed.quota.division import ANSWER_SECONDS, SHARE_SECONDS
+from finchshed.quota.messages import GrantedShare, QuotaReport, QuotaShares, QuotaTokens
+
+TENANT = Tenant("t", requests_per_second=100.0, burst_requests=100.0)
+
+
+def daemon(*tenants: Tenant) -> DaemonShare:
+    share = DaemonShare("life")
+    share.configure(tenants or (TENANT,), Policy(), 0.0)
+    return share
+
+
+def told(share: DaemonShare, now: float) -> QuotaReport:
+    report = share.next_report(now)
+    assert report is not None
+    return report
+
+
+def granted(share: DaemonShare, now: float, rate: float, capacity: float, **more: object) -> bool:
+    """Have the daemon report and be granted a bucket at once."""
+    number = told(share, now).number
+    grant = GrantedShare("t", rate, capacity, **more)  # type: ignore[arg-type]
+    return share.on_shares(QuotaShares("life", number, (grant,)), now)
+
+
+def test_a_daemon_without_a_bucket_asks() -> None:
+    share = daemon()
+    assert share.take("t", 1.0) is Take.ASK
+    assert share.is_limited("t")
+    assert not share.is_limited("other")
+
+
+def test_a_granted_bucket_serves_until_its_lease_ends() -> None:
+    share = daemon()
+    share.take("t", 1.0)
+    assert granted(share, 1.0, 10.0, 5.0, tokens=2.0)
+    assert share.take("t", 1.0) is Take.TAKEN
+    assert share.take("t", 1.0) is Take.TAKEN
+    assert share.take("t", 1.0) is Take.ASK
+    assert share.take("t", 1.0 + SHARE_SECONDS - 0.01) is Take.TAKEN
+    assert share.take("t", 1.0 + SHARE_SECONDS) is Take.ASK
+
+
+def test_a_bucket_whose_lease_ended_is_not_told_of_and_is_empty_afterwards() -> None:
+    share = daemon()
+    share.take("t", 1.0)
+    assert granted(share, 1.0, 10.0, 5.0)
+    share.take("t", 1.0 + SHARE_SECONDS)
+    (held,) = told(share, 1.0 + SHARE_SECONDS).shares
+    assert (held.rate, held.capacity) == (0.0, 0.0)
+
+
+def test_only_the_answer_to_the_last_report_counts_and_only_in_time() -> None:
+    share = daemon()
+    share.take("t", 1.0)
+    first = told(share, 1.0).number
+    share.take("t", 1.2)
+    second = told(share, 1.5).number
+    grant = (GrantedShare("t", 10.0, 5.0, 5.0),)
+    assert not share.on_shares(QuotaShares("life", first, grant), 1.6)
+    assert not share.on_shares(QuotaShares("former", second, grant), 1.6)
+    assert not share.on_shares(QuotaShares("life", second, grant), 1.51 + ANSWER_SECONDS)
+    assert share.take("t", 1.6) is Take.ASK
+    assert share.on_shares(QuotaShares("life", second, grant), 1.6)
+    assert share.take("t", 1.6) is Take.TAKEN
+
+
+def test_after_a_denial_the_reserve_is_left_alone_for_a_moment() -> None:
+    share = daemon()
+    share.take("t", 1.0)
+    ask = share.next_ask("t", 3)
+    share.on_tokens(ask, QuotaTokens("life", ask.number, 1, 0.4), 0.0, 1.0)
+    assert share.take("t", 1.0 + DENIED_SECONDS - 0.01) is Take.DENIED
+    assert share.take("t", 1.0 + DENIED_SECONDS) is Take.ASK
+    share.on_unanswered(2.0)
+    assert share.take("t", 2.0) is Take.UNREACHED
+    assert share.take("t", 2.0 + UNREACHED_SECONDS) is Take.ASK
+
+
+def test_tokens_come_back_of_requests_that_did_not_run() -> None:
+    share = daemon()
+    share.take("t", 1.0)
+    granted(share, 1.0, 0.0, 5.0, tokens=1.0)
+    assert share.take("t", 1.0) is Take.TAKEN
+    share.give_back("t", 1.0)
+    share.give_back("unknown", 1.0)
+    assert share.take("t", 1.0) is Take.TAKEN
+
+
+def test_what_is_not_needed_is_returned_if_it_is_wanted() -> None:
+    share = daemon()
+    share.take("t", 1.0)
+    granted(share, 1.0, 2.0, 5.0, tokens=5.0)
+    assert told(share, 1.5).shares[0].returned == 0.0
+    granted(share, 2.0, 2.0, 5.0, wants_returns=True)
+    assert told(share, 2.5).shares[0].returned == 2.0 * REPORT_SECONDS
+
+
+def test_a_tenant_that_sends_no_more_has_no_bucket() -> None:
+    share = daemon()
+    share.take("t", 0.1)
+    assert told(share, 0.5).shares[0].demand > 0.0
+    reports = [share.next_report(0.5 + REPORT_SECONDS * number) for number in range(1, 100)]
+    last = [report for report in reports if report is not None][-1]
+    assert last.shares == ()
+    assert reports[-1] is None
+
+
+def test_a_lower_limit_shrinks_a_bucket_at_once() -> None:
+    share = daemon()
+    share.take("t", 1.0)
+    granted(share, 1.0, 50.0, 50.0)
+    lower = Tenant("t", requests_per_second=10.0, burst_requests=10.0)
+    share.configure((lower,), Policy(), 1.0)
+    assert share.rates()["t"][0] == 5.0
+    share.configure((), Policy(), 1.0)
+    assert not share.has_limits
+    assert not share.rates()
+
+
+def test_callers_above_a_limit_come_back_one_after_the_other() -> None:
+    share = daemon()
+    share.take("t", 1.0)
+    granted(share, 1.0, 40.0, 50.0)
+    waits = [share.seconds_until_return("t", 1.0) for _ in range(300)]
+    assert waits == sorted(waits)
+    assert waits[0] == DENIED_SECONDS
+    assert waits[39] == pytest.approx(1.0)
+    assert waits[-1] == RETURN_SECONDS_MAX
