Quotas: buckets kept as full as the reserve, and a new leader that settles in a second

Change: reports tell what a bucket holds; grants level buckets with the reserve both ways, nothing is cut off. Which daemons may hold a share is noted in the replicated log before they get one, so a new leader settles as soon as all of them have told what they hold, 1 s after it was chosen at the earliest.

--- a/src/finchshed/control/commands.py
+++ b/src/finchshed/control/commands.py
@@ -56,7 +56,19 @@
     subject: str
 
 
-Command: TypeAlias = ApplyChange | BeginRequest | CancelRequest | CompleteRequest | NoteAction
+class NoteQuotaHolders(msgspec.Struct, frozen=True, tag="note_quota_holders"):
+    """Keep which daemons may hold a share of a quota, before the first is granted to them.
+
+    A new leader waits until all of them have told what they hold.
+    """
+
+    added: tuple[str, ...] = ()
+    removed: tuple[str, ...] = ()
+
+
+Command: TypeAlias = (
+    ApplyChange | BeginRequest | CancelRequest | CompleteRequest | NoteAction | NoteQuotaHolders
+)
 
 CommandResult: TypeAlias = (
     Accepted
--- a/src/finchshed/control/quota_service.py
+++ b/src/finchshed/control/quota_service.py
@@ -15,6 +15,7 @@
 
 from finchshed.common.errors import FinchshedError
 from finchshed.configuration.resources import Tenant
+from finchshed.control.commands import NoteQuotaHolders
 from finchshed.control.group_log import GroupLog
 from finchshed.control.peer_links import PeerLink
 from finchshed.control.peer_messages import ForwardedQuota, QuotaReply
@@ -105,12 +106,27 @@
         if term is None:
             return
         if self._division is None or term != self._term:
-            self._division = QuotaDivision(time.monotonic())
+            self._division = QuotaDivision(time.monotonic(), self._machine.quota_holders)
             self._revision = -1
             self._configure()
             logger.info("quotas are divided here, term {}", term)
         self._term = term
         self._confirmed_at = began
+        self._division.tick(time.monotonic())
+        await self._note_holders(self._division)
+
+    async def _note_holders(self, division: QuotaDivision) -> None:
+        """Have the log note the daemons that get shares from now on, and drop those long gone."""
+        added, removed = division.to_note(), division.gone(time.monotonic())
+        if not added and not removed:
+            return
+        try:
+            await self._log.propose(NoteQuotaHolders(added, removed))
+        except FinchshedError as error:
+            logger.info("daemons that want shares of quotas could not be noted: {}", error)
+            return
+        division.on_noted(added, removed)
+        logger.info("shares of quotas: {} daemons more, {} less", len(added), len(removed))
 
     def _configure(self) -> None:
         """Take the limits of the configuration in force, if they are others."""
--- a/src/finchshed/control/state_machine.py
+++ b/src/finchshed/control/state_machine.py
@@ -18,6 +18,7 @@
     CompleteRequest,
     LogEntry,
     NoteAction,
+    NoteQuotaHolders,
     decode_entry,
 )
 from finchshed.ledger.epochs import OWN, EpochsSnapshot, LedgerEpochs
@@ -35,6 +36,7 @@
     ledger: LedgerSnapshot
     audit: tuple[AuditEntry, ...] = ()
     epochs: EpochsSnapshot = EpochsSnapshot()
+    quota_holders: tuple[str, ...] = ()
 
 
 class ControlStateMachine:
@@ -60,6 +62,7 @@
         self.ledger = Ledger(ledger_limits)
         self.epochs = LedgerEpochs()
         self.audit = AuditTrail()
+        self.quota_holders: frozenset[str] = frozenset()
         self.applied_index = 0
 
     def apply(self, index: int, data: bytes) -> CommandResult:
@@ -81,6 +84,7 @@
             ledger=self.ledger.snapshot(),
             audit=self.audit.snapshot(),
             epochs=self.epochs.snapshot(),
+            quota_holders=tuple(sorted(self.quota_holders)),
         )
         return msgspec.json.encode(state)
 
@@ -95,6 +99,7 @@
         self.ledger.restore(state.ledger)
         self.audit.restore(state.audit)
         self.epochs.restore(state.epochs)
+        self.quota_holders = frozenset(state.quota_holders)
         if self._on_restored is not None:
             self._on_restored()
 
@@ -110,6 +115,10 @@
             return self._apply_change(command, entry.time)
         if isinstance(command, NoteAction):
             return self._note_action(command, entry.time)
+        if isinstance(command, NoteQuotaHolders):
+            kept = self.quota_holders.difference(command.removed)
+            self.quota_holders = kept.union(command.added)
+            return Noted()
         return self._apply_to_ledger(command)
 
     def _apply_to_ledger(
--- a/src/finchshed/quota/bucket.py
+++ b/src/finchshed/quota/bucket.py
@@ -49,12 +49,12 @@
         self._refill(now)
         self._level = min(self.capacity, self._level + tokens)
 
-    def resize(self, rate: float, capacity: float, now: float) -> None:
-        """Change rate and size; what doesn't fit any more is lost."""
+    def resize(self, rate: float, capacity: float, now: float) -> float:
+        """Change rate and size; return the tokens that don't fit any more."""
         self._refill(now)
         self.rate = rate
         self.capacity = capacity
-        self._level = min(capacity, self._level)
+        return self.remove_above(capacity, now)
 
     def seconds_until(self, tokens: float, now: float) -> float:
         """Return when so many tokens will be held, at the earliest; infinite: never."""
--- a/src/finchshed/quota/daemon_share.py
+++ b/src/finchshed/quota/daemon_share.py
@@ -72,7 +72,10 @@
     bucket: TokenBucket
     demand: float = 0.0
     requests: int = 0
-    wants_returns: bool = False
+    fill: float = 1.0
+    left_over: float = 0.0
+    """Tokens that did not fit into a smaller bucket, to be returned."""
+
     denied_until: float = -math.inf
     next_return: float = -math.inf
 
@@ -159,12 +162,14 @@
         return max(DENIED_SECONDS, share.next_return - now)
 
     def next_report(self, now: float) -> QuotaReport | None:
-        """Return what to tell the leader now; None: there is nothing to tell."""
+        """Return what to tell the leader now: it waits for the word of all daemons.
+
+        None where no tenant has a limit.
+        """
         if now >= self._ends_at:
             self._drop_shares(now)
         elapsed = REPORT_SECONDS if self._reported_at is None else now - self._reported_at
         self._reported_at = now
-        had_shares = bool(self._shares)
         told = []
         for name, share in list(self._shares.items()):
             share.demand = _demand(share, elapsed)
@@ -173,7 +178,7 @@
                 del self._shares[name]
             else:
                 told.append(self._held(name, share, now))
-        if not had_shares:
+        if not self._limits:
             return None
         self._last_number += 1
         self._report_number = self._last_number
@@ -189,9 +194,9 @@
         for granted in answer.shares:
             share = self._shares.get(granted.tenant)
             if share is not None:
-                share.bucket.resize(granted.rate, granted.capacity, now)
+                share.left_over += share.bucket.resize(granted.rate, granted.capacity, now)
                 share.bucket.put(granted.tokens, now)
-                share.wants_returns = granted.wants_returns
+                share.fill = granted.fill
         self._ends_at = self._report_sent_at + SHARE_SECONDS
         return True
 
@@ -222,14 +227,18 @@
     def _drop_shares(self, now: float) -> None:
         for share in self._shares.values():
             share.bucket.resize(0.0, 0.0, now)
+            share.left_over = 0.0
 
     def _held(self, name: str, share: _Share, now: float) -> HeldShare:
         bucket = share.bucket
-        returned = 0.0
-        if share.wants_returns:
+        returned, share.left_over = share.left_over, 0.0
+        kept = max(share.fill * bucket.capacity, REPORT_SECONDS * share.demand)
+        if share.fill < 1.0:
             # What comes in until the next report must fit in: nothing is lost at the brim then.
-            returned = bucket.remove_above(bucket.capacity - REPORT_SECONDS * bucket.rate, now)
-        return HeldShare(name, share.demand, bucket.rate, bucket.capacity, returned)
+            kept = min(kept, bucket.capacity - REPORT_SECONDS * bucket.rate)
+        returned += bucket.remove_above(kept, now)
+        level = bucket.level(now)
+        return HeldShare(name, share.demand, bucket.rate, bucket.capacity, level, returned)
 
 
 def _demand(share: _Share, elapsed: float) -> float:
--- a/src/finchshed/quota/division.py
+++ b/src/finchshed/quota/division.py
@@ -8,7 +8,8 @@
   daemon has told what it holds, or its lease must have ended;
 - a share grows only into what no other share holds;
 - a new leader knows none of the shares. It takes in what daemons show, and lets none grow until
-  those that were granted before it must have ended.
+  all daemons that may hold one have shown it, or those granted before it must have ended. Which
+  daemons these are is kept in the replicated log: no daemon gets a share before it is noted there.
 
 Shares follow demand. What a daemon's bucket lacks it asks of the reserve, a bucket of the leader's
 own; what it holds beyond its need it returns there. Tokens only move, so both are safe whatever is
@@ -43,9 +44,15 @@
 COUNTED_SECONDS = SHARE_SECONDS + ANSWER_SECONDS
 """The leader counts a share for this long after the last report that told of it."""
 
-SETTLE_SECONDS = COUNTED_SECONDS + 1.0
-"""A new leader lets no share grow for this long: the one before it may have granted until 1 s after
-the new one was chosen (see :mod:`finchshed.control.quota_service`)."""
+OVERLAP_SECONDS = 1.0
+"""The leader before may have granted until so long after the new one was chosen (see
+:mod:`finchshed.control.quota_service`)."""
+
+SETTLE_SECONDS = COUNTED_SECONDS + OVERLAP_SECONDS
+"""After this time none of the shares is left that were granted before a new leader."""
+
+GONE_SECONDS = 30.0
+"""A daemon that has told nothing for this long is no longer noted as one that may hold a share."""
 
 LEAST_CAPACITY = 1.0
 """A bucket that could hold less than this is not made: a request takes a whole token."""
@@ -67,12 +74,8 @@
 
 Of the limits, about 8 in 100 were tied up in changes where shares followed demand without it."""
 
-WANTED_LEVEL = 0.9
-"""Daemons are asked to return tokens while the reserve holds less than this part of its size."""
-
-KEPT_LEVEL = 0.5
-"""A larger bucket comes with tokens only while the reserve holds more than this part of its size:
-those that have no bucket yet need them."""
+LEVELLED_PART = 0.5
+"""Part of what a bucket holds less than others, for its size, that it is given with each report."""
 
 RETRY_SECONDS_MAX = 30.0
 
@@ -130,9 +133,15 @@
         self.capacity -= holding.capacity
         self.demand -= holding.demand
 
-    def wants_returns(self, now: float) -> bool:
-        """Return whether the reserve has room for tokens."""
-        return self.reserve.level(now) < WANTED_LEVEL * self.reserve.capacity
+    def fill(self, now: float) -> float:
+        """Return which part of its size the reserve holds."""
+        capacity = self.reserve.capacity
+        return self.reserve.level(now) / capacity if capacity > 0.0 else 0.0
+
+    def tokens_for(self, capacity: float, level: float, now: float) -> float:
+        """Take tokens of the reserve for a bucket that is less full than it."""
+        missing = self.fill(now) * capacity - level
+        return self.reserve.take_part(LEVELLED_PART * missing, now)
 
 
 class QuotaDivision:
@@ -142,10 +151,15 @@
     ----------
     now
         When the node began to lead, monotonic seconds.
+    noted
+        The daemons that may hold a share.
     """
 
-    def __init__(self, now: float) -> None:
-        self._settled_at = now + SETTLE_SECONDS
+    def __init__(self, now: float, noted: Iterable[str] = ()) -> None:
+        self._began_at = now
+        self._noted = set(noted)
+        self._unheard = set(self._noted)
+        self._heard_at = dict.fromkeys(self._noted, now)
         self._tenants: dict[str, _Tenant] = {}
         self._daemons: dict[str, _Daemon] = {}
 
@@ -169,27 +183,31 @@
                 held.change(limit, now)
 
     def on_report(self, daemon: str, report: QuotaReport, now: float) -> QuotaShares | None:
-        """Take a daemon's report and return its shares from now on; None: a later one came before.
+        """Take a daemon's report and return its shares from now on; None: nothing to be told.
 
         A daemon that started anew holds nothing; what its former life held is free again.
         """
         self._forget_ended(now)
+        self._hear(daemon, now)
         known = self._daemons.get(daemon)
         if known is not None and known.incarnation == report.incarnation:
             if report.number <= known.number:
                 return None
-        elif now >= self._settled_at:
+        elif self._is_settled(now):
             # What a daemon holds that isn't counted here has ended, and may be another's by now.
             report = _without_claims(report)
         self._forget(daemon)
         held = {share.tenant: share for share in report.shares if share.tenant in self._tenants}
-        granted = {name: self._grant(share, now) for name, share in held.items()}
+        may_grow = daemon in self._noted and self._is_settled(now)
+        granted = {name: self._grant(share, now, may_grow) for name, share in held.items()}
         holdings = {name: _counted(share, granted[name]) for name, share in held.items()}
         for name, holding in holdings.items():
             self._tenants[name].add(holding)
-            self._tenants[name].resize_reserve(now, is_settled=now >= self._settled_at)
+            self._tenants[name].resize_reserve(now, is_settled=self._is_settled(now))
         ends_at = now + COUNTED_SECONDS
         self._daemons[daemon] = _Daemon(report.incarnation, report.number, ends_at, holdings)
+        if not report.shares:
+            return None
         return QuotaShares(report.incarnation, report.number, tuple(granted.values()))
 
     def on_ask(self, ask: QuotaAsk, now: float) -> QuotaTokens:
@@ -202,12 +220,36 @@
         wait = min(wait, RETRY_SECONDS_MAX)
         return QuotaTokens(ask.incarnation, ask.number, tokens, wait)
 
+    def tick(self, now: float) -> None:
+        """Give the reserves what no daemon holds any more. Call a few times a second."""
+        self._forget_ended(now)
+        is_settled = self._is_settled(now)
+        for tenant in self._tenants.values():
+            tenant.resize_reserve(now, is_settled=is_settled)
+
+    def to_note(self) -> tuple[str, ...]:
+        """Return daemons that reported and aren't noted: they get shares once they are."""
+        return tuple(sorted(self._heard_at.keys() - self._noted))
+
+    def gone(self, now: float) -> tuple[str, ...]:
+        """Return noted daemons that have told nothing for long."""
+        since = now - GONE_SECONDS
+        return tuple(sorted(name for name in self._noted if self._heard_at[name] < since))
+
+    def on_noted(self, added: Iterable[str], removed: Iterable[str]) -> None:
+        """Take note of what the replicated log holds now."""
+        self._noted.update(added)
+        for name in removed:
+            self._noted.discard(name)
+            self._unheard.discard(name)
+            self._heard_at.pop(name, None)
+
     def held(self, name: str) -> tuple[float, float]:
         """Return the rate and the size of all shares of a tenant that may be in use."""
         tenant = self._tenants[name]
         return tenant.rate, tenant.capacity
 
-    def _grant(self, share: HeldShare, now: float) -> GrantedShare:
+    def _grant(self, share: HeldShare, now: float, may_grow: bool) -> GrantedShare:
         """Return the share of a daemon whose holding is not among the sums."""
         tenant = self._tenants[share.tenant]
         limit = tenant.limit
@@ -216,7 +258,7 @@
         part = demand / (tenant.demand + demand)
         rate_free = limit.daemon_rate - tenant.rate
         capacity_free = limit.daemon_stock - tenant.capacity
-        if now < self._settled_at:
+        if not may_grow:
             rate_free = capacity_free = 0.0
         wanted_rate = min(part * limit.daemon_rate, RATE_OF_DEMAND * demand)
         wanted_capacity = min(part * limit.daemon_stock, STOCK_SECONDS * demand + STOCK_LEAST)
@@ -224,9 +266,19 @@
         capacity = _next(wanted_capacity, share.capacity, capacity_free)
         if capacity < LEAST_CAPACITY:
             rate = capacity = 0.0
-        spare = tenant.reserve.level(now) - KEPT_LEVEL * tenant.reserve.capacity
-        tokens = tenant.reserve.take_part(min(spare, capacity - share.capacity), now)
-        return GrantedShare(share.tenant, rate, capacity, tokens, tenant.wants_returns(now))
+        tokens = tenant.tokens_for(capacity, share.level, now)
+        return GrantedShare(share.tenant, rate, capacity, tokens, tenant.fill(now))
+
+    def _hear(self, daemon: str, now: float) -> None:
+        self._heard_at[daemon] = now
+        if now >= self._began_at + OVERLAP_SECONDS:
+            self._unheard.discard(daemon)
+
+    def _is_settled(self, now: float) -> bool:
+        """Return whether no share is in use that isn't counted here."""
+        if now < self._began_at + OVERLAP_SECONDS:
+            return False
+        return not self._unheard or now >= self._began_at + SETTLE_SECONDS
 
     def _forget(self, daemon: str) -> None:
         known = self._daemons.pop(daemon, None)
@@ -254,7 +306,7 @@
 
 def _without_claims(report: QuotaReport) -> QuotaReport:
     shares = tuple(
-        msgspec.structs.replace(share, rate=0.0, capacity=0.0) for share in report.shares
+        msgspec.structs.replace(share, rate=0.0, capacity=0.0, level=0.0) for share in report.shares
     )
     return msgspec.structs.replace(report, shares=shares)
 
--- a/src/finchshed/quota/messages.py
+++ b/src/finchshed/quota/messages.py
@@ -19,6 +19,8 @@
         Requests a second that the tenant sent to this daemon of late.
     rate, capacity
         The bucket as the daemon holds it when it tells.
+    level
+        Tokens that the bucket holds.
     returned
         Tokens that the daemon took out of its bucket for the reserve.
     """
@@ -27,6 +29,7 @@
     demand: Tokens
     rate: Tokens
     capacity: Tokens
+    level: Tokens = 0.0
     returned: Tokens = 0.0
 
 
@@ -56,16 +59,16 @@
     Attributes
     ----------
     tokens
-        Tokens of the reserve that come with a larger bucket.
-    wants_returns
-        Whether the reserve has room for tokens.
+        Tokens of the reserve for the bucket.
+    fill
+        Part of its size that the reserve holds: buckets are kept about as full as it is.
     """
 
     tenant: str
     rate: float
     capacity: float
     tokens: float = 0.0
-    wants_returns: bool = False
+    fill: float = 1.0
 
 
 class QuotaShares(msgspec.Struct, frozen=True, tag="quota_shares"):
