A back end's limit doesn't fall below what it ran at a time not long ago

Change: the limit stays at or above the concurrency at which requests were started that the back end ran within the last 0.5 to 1 s. Tests: refusals without regard to load (fails before), a back end that takes 10 of 40, and one whose capacity was shown long ago.

--- a/src/finchshed/admission/gate.py
+++ b/src/finchshed/admission/gate.py
@@ -50,8 +50,11 @@
 
 
 class _Running(msgspec.Struct, gc=False):
+    """A started request. ``running`` counts those that ran then, itself included."""
+
     started: float
     rank: int
+    running: int
 
 
 class Gate:
@@ -128,7 +131,7 @@
         running = self._running.pop(token, None)
         if running is not None:
             seconds = now - running.started
-            self._concurrency.on_result(result, seconds, now)
+            self._concurrency.on_result(result, seconds, now, running.running)
             if result is not CallResult.REFUSED:
                 self._threshold.on_finish(running.rank, seconds)
         return self._fill(now)
@@ -167,7 +170,7 @@
 
     def _begin(self, token: int, rank: int, now: float) -> None:
         self._refused_share -= OVERLOAD_WEIGHT * self._refused_share
-        self._running[token] = _Running(now, rank)
+        self._running[token] = _Running(now, rank, len(self._running) + 1)
 
     def _waiting_for(self, token: int, rank: int, context: CallContext, now: float) -> _Waiting:
         """Return the place in the queue of a request that the threshold admits.
--- a/tests/limit/test_concurrency.py
+++ b/tests/limit/test_concurrency.py
@@ -65,3 +65,30 @@
 def test_a_twentieth_of_the_slots_is_left_free_where_there_are_enough() -> None:
     used = {slots: slots_to_use(slots) for slots in (1, 4, 11, 12, 14, 20, 31, 92, 183)}
     assert used == {1: 1, 4: 4, 11: 11, 12: 11, 14: 13, 20: 19, 31: 29, 92: 87, 183: 173}
+
+
+def test_refusals_that_do_not_depend_on_the_load_leave_the_limit_alone() -> None:
+    limit = ConcurrencyLimit(40)
+    for step in range(600):
+        result = CallResult.OK if step % 20 < 9 else CallResult.REFUSED
+        limit.on_result(result, 0.1, 0.02 * step, running=30 + step % 8)
+    assert limit.limit >= 36
+
+
+def test_a_back_end_that_takes_less_than_it_says_is_given_less() -> None:
+    limit = ConcurrencyLimit(40)
+    now = 0.0
+    for _ in range(2000):
+        now += 0.005
+        running = limit.limit
+        result = CallResult.REFUSED if running > 10 else CallResult.OK
+        limit.on_result(result, 0.1, now, running)
+    assert limit.limit <= 12
+
+
+def test_what_a_back_end_took_long_ago_does_not_hold_the_limit_up() -> None:
+    limit = ConcurrencyLimit(40)
+    limit.on_result(CallResult.OK, 0.1, 0.0, running=40)
+    for step in range(60):
+        limit.on_result(CallResult.REFUSED, 0.0, 1.1 + 0.2 * step, running=5)
+    assert limit.limit == 1
