Within a tenant's class requests are ordered by the importance of their routes

Ruled out: the higher of the two classes (a look-up of an urgent tenant must go before a purchase of another: a tenant's class goes before the route's).

--- a/src/finchshed/admission/rank.py
+++ b/src/finchshed/admission/rank.py
@@ -32,6 +32,15 @@
     return xxhash.xxh32_intdigest(root.encode()) & (POSITIONS - 1)
 
 
+def position_under(route: Importance, position: int) -> int:
+    """Return the position of a request whose class is its caller's and not its route's.
+
+    Within the caller's class requests are shed by the importance of their routes, and of those
+    equal in that by their own position.
+    """
+    return (int(route) * POSITIONS + position) // len(Importance)
+
+
 def rank_of(context: CallContext) -> int:
     """Return the rank of a request, 0 to ``RANKS - 1``; lower ranks are shed first."""
     position = context.position
--- a/src/finchshed/daemon/host_front.py
+++ b/src/finchshed/daemon/host_front.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from finchshed.admission.rank import position_of, position_under
 from finchshed.common.context import HEADER_DOWNSTREAM, CallContext
 from finchshed.common.outcomes import (
     Answered,
@@ -282,10 +283,16 @@
         remaining = admitted.remaining_seconds - (now - admitted.began)
         spare = route.max_attempts - 1
         if served is None:
-            importance = route.importance
-            if admitted.tenant is not None and admitted.tenant.importance is not None:
-                importance = admitted.tenant.importance
-            return CallContext(identity, importance, remaining, spare)
+            tenant = admitted.tenant
+            if tenant is None or tenant.importance is None:
+                return CallContext(identity, route.importance, remaining, spare)
+            return CallContext(
+                identity,
+                tenant.importance,
+                remaining,
+                spare,
+                position=position_under(route.importance, position_of(identity)),
+            )
         inherited = served.context
         return CallContext(
             root=inherited.root,
@@ -293,6 +300,7 @@
             remaining_seconds=min(remaining, served.deadline - now),
             spare_attempts=spare,
             depth=inherited.depth + 1,
+            position=inherited.position,
             is_call=True,
             admitted_share=inherited.admitted_share,
         )
--- a/tests/daemon/test_tenants_at_the_front.py
+++ b/tests/daemon/test_tenants_at_the_front.py
@@ -1,9 +1,11 @@
 """Requests by host where tenants are declared: whose they are, and what back ends see."""
 
+import itertools
 import time
 
 import pytest
 
+from finchshed.admission.rank import rank_of
 from finchshed.common.importance import Importance
 from finchshed.common.outcomes import RefusalReason, Refused
 from finchshed.configuration.resources import Tenant
@@ -15,7 +17,7 @@
 
 KEY = "k-" + "7" * 18
 TENANT = Tenant("officers", (digest_of_key(KEY.encode()),), importance=Importance.CRITICAL)
-FORGED = {"finchshed_tenant": "forged", "Finchshed-Tenant": "forged"}
+CLASSES = ("SHEDDABLE", "NORMAL", "HIGH", "CRITICAL")
 
 
 def front_with_tenants(**fields: object) -> Front:
@@ -192,3 +194,24 @@
     time.sleep(0.05)
     front.quotas.waiting[0](None)
     assert front.caller.requests[0].context.remaining_seconds < 0.251
+
+
+def test_within_a_tenants_class_requests_are_ordered_by_their_routes() -> None:
+    routes = {name: route(f"/{name.lower()}/", importance=Importance[name]) for name in CLASSES}
+    front = Front(*routes.values(), TENANT)
+    ranks = []
+    for name in CLASSES:
+        for number in range(20):
+            front.ask(f"/{name.lower()}/1", finchshed_request=f"r{number}", x_api_key=KEY)
+        ranks.append([rank_of(request.context) for request in front.caller.requests[-20:]])
+    assert all(max(lower) < min(higher) for lower, higher in itertools.pairwise(ranks))
+    assert all(len(set(found)) > 10 for found in ranks)
+
+
+def test_a_call_has_the_rank_of_the_request_it_is_made_for() -> None:
+    front = front_with_tenants()
+    front.ask("/a/1", finchshed_request="r1", x_api_key=KEY)
+    context = front.caller.requests[0].context
+    front.served.open(context, 1e12, "r1")
+    front.ask("/open/1", finchshed_request="r1.x")
+    assert front.caller.requests[1].context.position == context.position >= 0
