A bucket for a limited tenant holds a whole token at least

Cause: a tenant that sends little to many daemons had no buckets at all: a share under one token was not made, so without a leader nearly all its requests got 503 (each of 78 tenants on all 72 daemons, no leader for 3 of 30 s: 7.9 in 100 of all requests refused below the limits). Ruled out: buckets that go below zero (each daemon could be one over: 72 over where 31 are allowed). Change: as many daemons as the stock allows have one token.

--- a/src/finchshed/quota/division.py
+++ b/src/finchshed/quota/division.py
@@ -56,7 +56,10 @@
 """A daemon that has told nothing for this long is no longer noted as one that may hold a share."""
 
 LEAST_CAPACITY = 1.0
-"""A bucket that could hold less than this is not made: a request takes a whole token."""
+"""A bucket holds at least this: a request takes a whole token.
+
+Where a tenant's stock isn't enough for a token at each daemon, some of them have one and the others
+none, which serves some of its requests while control is away."""
 
 LEAST_DEMAND = 0.05
 """Requests a second that a daemon with a bucket is counted with at least."""
@@ -263,6 +266,7 @@
             rate_free = capacity_free = 0.0
         wanted_rate = min(part * limit.daemon_rate, RATE_OF_DEMAND * demand)
         wanted_capacity = min(part * limit.daemon_stock, STOCK_SECONDS * demand + STOCK_LEAST)
+        wanted_capacity = max(LEAST_CAPACITY, wanted_capacity)
         rate = told(_next(wanted_rate, share.rate, rate_free))
         capacity = told(_next(wanted_capacity, share.capacity, capacity_free))
         if capacity < LEAST_CAPACITY:
