--- a/tests/quota/quota_world.py
+++ b/tests/quota/quota_world.py
@@ -4,17 +4,16 @@
 gets its token.
 """
 
-import heapq
-import itertools
 import random
 from collections import defaultdict
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from finchshed.configuration.resources import Policy, Tenant
 from finchshed.quota.daemon_share import REPORT_SECONDS, DaemonShare, Take
 from finchshed.quota.division import QuotaDivision
 from finchshed.quota.messages import QuotaAsk, QuotaReport, QuotaShares, QuotaTokens
+from tests.event_clock import Clock
 
 OVERLAP_SECONDS = 1.0
 """A leader goes on granting for up to this long beside its successor."""
@@ -23,25 +22,6 @@
 WINDOW_SECONDS = 5.0
 
 
-class Clock:
-    """Time and what is due."""
-
-    def __init__(self) -> None:
-        self.now = 0.0
-        self._due: list[tuple[float, int, Callable[[], None]]] = []
-        self._order = itertools.count()
-
-    def at(self, time: float, act: Callable[[], None]) -> None:
-        """Have ``act`` called at ``time``."""
-        heapq.heappush(self._due, (time, next(self._order), act))
-
-    def run(self, until: float) -> None:
-        """Do what is due before ``until``."""
-        while self._due and self._due[0][0] <= until:
-            self.now, _, act = heapq.heappop(self._due)
-            act()
-
-
 @dataclass
 class Counts:
     """What became of a tenant's requests."""
--- a/tests/tenancy/lease_world.py
+++ b/tests/tenancy/lease_world.py
@@ -5,7 +5,6 @@
 applied there.
 """
 
-import heapq
 import itertools
 import random
 from collections.abc import Callable, Sequence
@@ -18,6 +17,7 @@
 from finchshed.tenancy.gate import tenant_of
 from finchshed.tenancy.keys import TenantKeys, digest_of_key
 from finchshed.tenancy.lease import RENEW_SECONDS, KeyLease
+from tests.event_clock import Clock
 
 KEYS = tuple(f"key-{number}".encode() for number in range(4))
 REVOKE_SECONDS = 5.0
@@ -26,25 +26,6 @@
 USE_SECONDS = 0.1
 
 
-class Clock:
-    """Time and what is due."""
-
-    def __init__(self) -> None:
-        self.now = 0.0
-        self._due: list[tuple[float, int, Callable[[], None]]] = []
-        self._order = itertools.count()
-
-    def at(self, time: float, act: Callable[[], None]) -> None:
-        """Have ``act`` called at ``time``."""
-        heapq.heappush(self._due, (time, next(self._order), act))
-
-    def run(self, until: float) -> None:
-        """Do what is due before ``until``."""
-        while self._due and self._due[0][0] <= until:
-            self.now, _, act = heapq.heappop(self._due)
-            act()
-
-
 class Control:
     """The accepted configurations. Revision 1 holds all keys, each later one changes them."""
 
