Gate and service of quotas: tests of the shells; a token whose request left is kept

Cause: the shells had no tests of their own. Writing them showed that tokens of an answer for requests that had left meanwhile were lost. Change: they go to the daemon's bucket. The service's loop body has a name, so that tests need no sleeps.

--- a/src/finchshed/control/quota_service.py
+++ b/src/finchshed/control/quota_service.py
@@ -57,14 +57,18 @@
     async def run(self) -> None:
         """Show, for as long as the node runs and leads, that it does."""
         while True:
-            self._configure()
-            if self._has_limits and self._log.leading_term() is not None:
-                await self._confirm()
-            elif self._division is not None:
-                self._division = None
-                logger.info("quotas are divided here no more")
+            await self.show_once()
             await asyncio.sleep(CONFIRM_SECONDS)
 
+    async def show_once(self) -> None:
+        """Read from a quorum if this node leads and there is a limit to divide."""
+        self._configure()
+        if self._has_limits and self._log.leading_term() is not None:
+            await self._confirm()
+        elif self._division is not None:
+            self._division = None
+            logger.info("quotas are divided here no more")
+
     def on_request(self, daemon: str, request: QuotaRequest) -> None:
         """Take a report or an ask of a daemon connected here."""
         if self._log.leading_term() is None:
--- a/src/finchshed/daemon/quota_gate.py
+++ b/src/finchshed/daemon/quota_gate.py
@@ -125,8 +125,11 @@
         if asked is None:
             return
         self._share.on_tokens(asked, answer, self._rng.random(), now)
-        for _ in range(min(answer.tokens, len(asking.waiting))):
-            asking.waiting.popleft()(None)
+        for _ in range(answer.tokens):
+            if asking.waiting:
+                asking.waiting.popleft()(None)
+            else:
+                self._share.give_back(tenant, now)  # of a request that left meanwhile
         if answer.tokens >= asked.tokens and asking.waiting:
             self._ask(tenant, asking)
             return
--- /dev/null
+++ b/tests/control/test_quota_service.py
@@ -0,0 +1,170 @@
+"""Quotas at a control node: who divides, and who passes on."""
+
+import pytest
+
+from finchshed.common.errors import ControlUnavailableError
+from finchshed.configuration.changes import Change
+from finchshed.configuration.resources import Tenant
+from finchshed.configuration.store import BOOTSTRAP_OPERATOR
+from finchshed.control import quota_service
+from finchshed.control.commands import (
+    ApplyChange,
+    Command,
+    LogEntry,
+    NoteQuotaHolders,
+    encode_entry,
+)
+from finchshed.control.peer_messages import ForwardedQuota, QuotaReply
+from finchshed.control.quota_service import CONFIRMED_SECONDS, QuotaService
+from finchshed.control.state_machine import ControlStateMachine
+from finchshed.quota.messages import (
+    HeldShare,
+    QuotaAnswer,
+    QuotaAsk,
+    QuotaReport,
+    QuotaShares,
+    QuotaTokens,
+)
+
+LIMITED = Tenant("t", requests_per_second=100.0, burst_requests=100.0)
+REPORT = QuotaReport("1", 1, (HeldShare("t", 10.0, 0.0, 0.0),))
+ASK = QuotaAsk("1", 2, "t", 1)
+
+
+class FakeLog:
+    """A log whose leader and quorum are as the test says."""
+
+    def __init__(self, machine: ControlStateMachine) -> None:
+        self.machine = machine
+        self.term: int | None = 3
+        self.has_quorum = True
+        self.forwarded: list[ForwardedQuota] = []
+
+    def leading_term(self) -> int | None:
+        return self.term
+
+    def send_to_leader(self, message: ForwardedQuota) -> bool:
+        self.forwarded.append(message)
+        return True
+
+    async def read_barrier(self) -> None:
+        if not self.has_quorum:
+            raise ControlUnavailableError("no quorum")
+
+    async def propose(self, command: Command) -> None:
+        if not self.has_quorum:
+            raise ControlUnavailableError("no quorum")
+        apply(self.machine, command)
+
+
+class FakeLink:
+    """A link to another control node."""
+
+    def __init__(self) -> None:
+        self.sent: list[QuotaReply] = []
+
+    def send(self, message: QuotaReply) -> int:
+        self.sent.append(message)
+        return 1
+
+
+def apply(machine: ControlStateMachine, command: Command) -> None:
+    entry = encode_entry(LogEntry(1.0, command))
+    machine.apply(machine.applied_index + 1, entry)
+
+
+class Node:
+    """A service over fakes, at a time that the test sets."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.now = 100.0
+        monkeypatch.setattr(quota_service.time, "monotonic", lambda: self.now)
+        self.machine = ControlStateMachine()
+        change = Change("c", BOOTSTRAP_OPERATOR, 0, (LIMITED,))
+        apply(self.machine, ApplyChange(change))
+        self.log = FakeLog(self.machine)
+        self.answers: list[tuple[str, QuotaAnswer]] = []
+        self.service = QuotaService(self.machine, self.log, self._send)  # type: ignore[arg-type]
+
+    def _send(self, daemon: str, answer: QuotaAnswer) -> bool:
+        self.answers.append((daemon, answer))
+        return True
+
+    async def turn(self, seconds: float = 0.0) -> None:
+        """Let the time pass, and do once what the service does again and again."""
+        self.now += seconds
+        await self.service.show_once()
+
+
+@pytest.fixture
+def node(monkeypatch: pytest.MonkeyPatch) -> Node:
+    return Node(monkeypatch)
+
+
+async def test_a_leader_notes_a_daemon_before_it_grants_a_share(node: Node) -> None:
+    await node.turn()
+    node.service.on_request("d1", REPORT)
+    assert node.machine.quota_holders == frozenset()
+    await node.turn(1.1)
+    assert node.machine.quota_holders == {"d1"}
+    node.service.on_request("d1", QuotaReport("1", 2, REPORT.shares))
+    rates = [answer.shares[0].rate for _, answer in node.answers if isinstance(answer, QuotaShares)]
+    assert rates[0] == 0.0 < rates[1]
+
+
+async def test_a_leader_answers_until_its_last_read_is_too_old(node: Node) -> None:
+    node.service.on_request("d1", ASK)
+    assert not node.answers
+    await node.turn()
+    node.log.has_quorum = False
+    await node.turn(CONFIRMED_SECONDS - 0.01)
+    node.service.on_request("d1", ASK)
+    assert len(node.answers) == 1
+    await node.turn(0.02)
+    node.service.on_request("d1", ASK)
+    assert len(node.answers) == 1
+
+
+async def test_a_process_that_stood_still_answers_nothing_before_it_has_read(node: Node) -> None:
+    await node.turn()
+    node.now += 10.0
+    node.service.on_request("d1", ASK)
+    assert not node.answers
+
+
+async def test_another_term_begins_with_nothing(node: Node) -> None:
+    await node.turn()
+    node.service.on_request("d1", REPORT)
+    await node.turn(1.1)
+    node.log.term = 5
+    node.service.on_request("d1", ASK)
+    assert len(node.answers) == 1
+    await node.turn()
+    node.service.on_request("d1", ASK)
+    answer = node.answers[-1][1]
+    assert isinstance(answer, QuotaTokens)
+    assert answer.tokens == 0
+
+
+async def test_another_node_passes_on_and_hands_the_answer_to_the_daemon(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    follower, leader = Node(monkeypatch), Node(monkeypatch)
+    follower.log.term = None
+    await follower.turn()
+    await leader.turn()
+    leader.now += 0.5
+    follower.service.on_request("d1", ASK)
+    link = FakeLink()
+    leader.service.on_peer(link, follower.log.forwarded[0])  # type: ignore[arg-type]
+    follower.service.on_peer(link, link.sent[0])  # type: ignore[arg-type]
+    assert [daemon for daemon, _ in follower.answers] == ["d1"]
+    assert not leader.answers
+
+
+def test_noted_daemons_survive_a_snapshot() -> None:
+    machine, restored = ControlStateMachine(), ControlStateMachine()
+    apply(machine, NoteQuotaHolders(("a", "b")))
+    apply(machine, NoteQuotaHolders((), ("a",)))
+    restored.restore(machine.snapshot())
+    assert restored.quota_holders == {"b"}
