A late line of a daemon's former life frees nothing of the later one's share

Cause: a report of a process that had ended, held up on its way, took the place of its successor's: the share in use was counted no more and given to others. Found in reading; a test of it fails before. Ruled out: the order of connections (the lines may come through two control nodes); the incarnation alone (it has no order). Change: lives are counted side by side, told apart by age; an older one is dropped, a younger one never.

--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -77,6 +77,7 @@
         self._names = names or HeaderNames()
         self._rng = random.Random(secrets.randbits(64))
         self._incarnation = new_incarnation()
+        self._started_ms = int(time.time() * MILLISECONDS)
         self._is_serving = False
         self._leaving = Leaving(settings.endpoint)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -107,7 +108,9 @@
         self._caller = Caller(self._table, self._links, self._served, self._paths, self._rng)
         self._front = Front(self._caller, self._served, self._rng, self._why_not)
         self._lease_renewal = LeaseRenewal(self._driver.client)
-        self._quotas = QuotaGate(self._driver.client, self._incarnation, self._rng)
+        self._quotas = QuotaGate(
+            self._driver.client, self._incarnation, self._started_ms, self._rng
+        )
         self._host_front = HostFront(
             self._caller,
             self._served,
@@ -296,7 +299,7 @@
             settings.link_address,
             settings.zone,
             settings.region,
-            epoch=int(time.time() * MILLISECONDS),
+            epoch=self._started_ms,
             silence_seconds=settings.backend_silence_seconds,
         )
         return OwnBackend(
--- a/src/finchshed/daemon/quota_gate.py
+++ b/src/finchshed/daemon/quota_gate.py
@@ -40,12 +40,16 @@
     ----------
     incarnation
         This life of the daemon.
+    started_ms
+        When it began, Unix milliseconds.
     """
 
-    def __init__(self, client: ControlClient, incarnation: str, rng: random.Random) -> None:
+    def __init__(
+        self, client: ControlClient, incarnation: str, started_ms: int, rng: random.Random
+    ) -> None:
         self._client = client
         self._client.on_quota = self._on_answer
-        self._share = DaemonShare(incarnation)
+        self._share = DaemonShare(incarnation, started_ms)
         self._rng = rng
         self._asking: dict[str, _Asking] = {}
         self._by_number: dict[int, str] = {}
--- a/src/finchshed/quota/daemon_share.py
+++ b/src/finchshed/quota/daemon_share.py
@@ -1,10 +1,9 @@
 """A daemon's side of quotas: its buckets, its reports and its asks. Pure.
 
 A request takes a token from the daemon's bucket for its tenant. Where that is empty the daemon
-asks the leader's reserve, unless it was told not long ago that there is nothing. Buckets are used
-for
-:data:`~finchshed.quota.division.SHARE_SECONDS` after the report that was answered last; they are
-filled by the daemon itself, so they serve also while control can't be reached.
+asks the leader's reserve, unless it was told not long ago that there is nothing. Buckets are
+filled by the daemon itself and used for :data:`~finchshed.quota.division.SHARE_SECONDS` after the
+report that was answered last, so they serve also while control can't be reached.
 """
 
 import enum
@@ -92,10 +91,13 @@
     ----------
     incarnation
         This life of the daemon.
+    started_ms
+        When it began, Unix milliseconds.
     """
 
-    def __init__(self, incarnation: str) -> None:
+    def __init__(self, incarnation: str, started_ms: int = 0) -> None:
         self._incarnation = incarnation
+        self._started_ms = started_ms
         self._limits: dict[str, TenantLimit] = {}
         self._shares: dict[str, _Share] = {}
         self._last_number = 0
@@ -188,7 +190,7 @@
         self._last_number += 1
         self._report_number = self._last_number
         self._report_sent_at = now
-        return QuotaReport(self._incarnation, self._report_number, tuple(held))
+        return QuotaReport(self._incarnation, self._report_number, tuple(held), self._started_ms)
 
     def on_shares(self, answer: QuotaShares, now: float) -> bool:
         """Take the answer to the last report, in time; return whether it was that."""
--- a/src/finchshed/quota/division.py
+++ b/src/finchshed/quota/division.py
@@ -16,7 +16,8 @@
 lost on the way.
 """
 
-from collections.abc import Iterable
+import itertools
+from collections.abc import Iterable, Iterator
 
 import msgspec
 
@@ -92,10 +93,10 @@
     demand: float
 
 
-class _Daemon(msgspec.Struct):
-    """A daemon that reported, and what it may hold."""
+class _Life(msgspec.Struct):
+    """One life of a daemon that reported, and what it may hold."""
 
-    incarnation: str
+    started_ms: int
     number: int
     ends_at: float
     holdings: dict[str, _Holding]
@@ -165,7 +166,7 @@
         self._unheard = set(self._noted)
         self._heard_at = dict.fromkeys(self._noted, now)
         self._tenants: dict[str, _Tenant] = {}
-        self._daemons: dict[str, _Daemon] = {}
+        self._lives: dict[str, dict[str, _Life]] = {}
 
     def configure(self, tenants: Iterable[Tenant], policy: Policy, now: float) -> None:
         """Take the limits of a configuration. Lower ones reach the daemons with their next report.
@@ -175,8 +176,8 @@
         limits = {tenant.name: limit_of(tenant, policy) for tenant in tenants}
         for name in [name for name in self._tenants if limits.get(name) is None]:
             del self._tenants[name]
-            for daemon in self._daemons.values():
-                daemon.holdings.pop(name, None)
+            for life in self._all_lives():
+                life.holdings.pop(name, None)
         for name, limit in limits.items():
             if limit is None:
                 continue
@@ -189,18 +190,19 @@
     def on_report(self, daemon: str, report: QuotaReport, now: float) -> QuotaShares | None:
         """Take a daemon's report and return its shares from now on; None: nothing to be told.
 
-        A daemon that started anew holds nothing; what its former life held is free again.
+        A daemon that started anew holds nothing; what its former life held is free again. Lines of
+        a former life may come late: they don't count against the later one.
         """
         self._forget_ended(now)
         self._hear(daemon, now)
-        known = self._daemons.get(daemon)
-        if known is not None and known.incarnation == report.incarnation:
-            if report.number <= known.number:
-                return None
-        elif self._is_settled(now):
+        known = self._lives.get(daemon, {}).get(report.incarnation)
+        if known is not None and report.number <= known.number:
+            return None
+        if known is None and self._is_settled(now):
             # What a daemon holds that isn't counted here has ended, and may be another's by now.
             report = _without_claims(report)
-        self._forget(daemon)
+        self._forget_life(daemon, report.incarnation)
+        self._forget_before(daemon, report.started_ms)
         held = {share.tenant: share for share in report.shares if share.tenant in self._tenants}
         may_grow = daemon in self._noted and self._is_settled(now)
         granted = {name: self._grant(share, now, may_grow) for name, share in held.items()}
@@ -209,7 +211,8 @@
             self._tenants[name].add(holding)
             self._tenants[name].resize_reserve(now, is_settled=self._is_settled(now))
         ends_at = now + COUNTED_SECONDS
-        self._daemons[daemon] = _Daemon(report.incarnation, report.number, ends_at, holdings)
+        life = _Life(report.started_ms, report.number, ends_at, holdings)
+        self._lives.setdefault(daemon, {})[report.incarnation] = life
         if not report.shares:
             return None
         return QuotaShares(report.incarnation, report.number, tuple(granted.values()))
@@ -285,18 +288,37 @@
             return False
         return not self._unheard or now >= self._began_at + SETTLE_SECONDS
 
-    def _forget(self, daemon: str) -> None:
-        known = self._daemons.pop(daemon, None)
-        if known is None:
+    def _all_lives(self) -> Iterator[_Life]:
+        return itertools.chain.from_iterable(lives.values() for lives in self._lives.values())
+
+    def _forget_life(self, daemon: str, incarnation: str) -> None:
+        """Count no more what a life of a daemon held."""
+        lives = self._lives.get(daemon, {})
+        life = lives.pop(incarnation, None)
+        if life is None:
             return
-        for name, holding in known.holdings.items():
+        for name, holding in life.holdings.items():
             self._tenants[name].subtract(holding)
+        if not lives:
+            del self._lives[daemon]
+
+    def _forget_before(self, daemon: str, started_ms: int) -> None:
+        """Count no more what lives held that began before another of their daemon."""
+        lives = self._lives.get(daemon, {})
+        former = [name for name, life in lives.items() if life.started_ms < started_ms]
+        for incarnation in former:
+            self._forget_life(daemon, incarnation)
 
     def _forget_ended(self, now: float) -> None:
-        """Count no more what daemons held whose lease must have ended."""
-        ended = [name for name, daemon in self._daemons.items() if daemon.ends_at <= now]
-        for name in ended:
-            self._forget(name)
+        """Count no more what was held under leases that must have ended."""
+        ended = [
+            (daemon, incarnation)
+            for daemon, lives in self._lives.items()
+            for incarnation, life in lives.items()
+            if life.ends_at <= now
+        ]
+        for daemon, incarnation in ended:
+            self._forget_life(daemon, incarnation)
 
 
 def _next(wanted: float, held: float, free: float) -> float:
--- a/src/finchshed/quota/messages.py
+++ b/src/finchshed/quota/messages.py
@@ -46,12 +46,14 @@
 class QuotaReport(msgspec.Struct, frozen=True, tag="quota_report"):
     """All buckets that a daemon holds; it holds none for a tenant that isn't named.
 
-    ``number`` rises with each message of one life of the daemon, ``incarnation`` names that life.
+    ``number`` rises with each message of one life of the daemon, ``incarnation`` names that life
+    and ``started_ms`` tells lives apart by age: Unix milliseconds, by the daemon's clock.
     """
 
     incarnation: str
     number: MessageNumber
     shares: tuple[HeldShare, ...]
+    started_ms: int = 0
 
 
 class QuotaAsk(msgspec.Struct, frozen=True, tag="quota_ask"):
--- a/tests/daemon/test_quota_gate.py
+++ b/tests/daemon/test_quota_gate.py
@@ -48,7 +48,7 @@
 
     def __init__(self) -> None:
         self.client = FakeClient()
-        self.gate = QuotaGate(self.client, LIFE, random.Random(1))  # type: ignore[arg-type]
+        self.gate = QuotaGate(self.client, LIFE, 1, random.Random(1))  # type: ignore[arg-type]
         self.gate.configure(Catalogue((LIMITED, Tenant("free"))))
         self.decided: list[Refused | None] = []
 
--- a/tests/quota/quota_world.py
+++ b/tests/quota/quota_world.py
@@ -48,10 +48,21 @@
 
     def restart(self) -> None:
         """Begin another life, with nothing held."""
+        self._repeat_later()
         self.life += 1
-        self.share = DaemonShare(str(self.life))
+        self.share = DaemonShare(str(self.life), self.life)
         self.configure()
 
+    def _repeat_later(self) -> None:
+        """Have a line of the life that ends come to the leader after the next life's."""
+        world = self.world
+        report = self.share.next_report(world.clock.now)
+        leader = world.leader_of(self)
+        if report is not None and leader is not None:
+            life = self.life
+            late = world.clock.now + world.rng.uniform(0.0, 3.0)
+            world.clock.at(late, lambda: leader.take(self, life, report))
+
     def configure(self) -> None:
         """Take the limits in force."""
         self.share.configure(self.world.tenants, self.world.policy, self.world.clock.now)
--- a/tests/quota/test_division.py
+++ b/tests/quota/test_division.py
@@ -143,10 +143,22 @@
 def test_a_daemon_that_started_anew_gives_up_what_its_former_life_held() -> None:
     made = division()
     report(made, "a", 1, demand=100.0)
-    assert made.on_report("a", QuotaReport("2", 1, ()), SETTLED) is None
+    assert made.on_report("a", QuotaReport("2", 1, (), started_ms=5), SETTLED) is None
     assert made.held("t") == (0.0, 0.0)
 
 
+def test_a_late_line_of_a_former_life_frees_nothing_of_the_later_one() -> None:
+    made = division()
+    late = QuotaReport("1", 9, (), started_ms=1)
+    shares = (HeldShare("t", 100.0, 0.0, 0.0),)
+    for number in (1, 2):
+        made.on_report("a", QuotaReport("2", number, shares, started_ms=2), SETTLED)
+    held = made.held("t")
+    assert held[0] > 0.0
+    made.on_report("a", late, SETTLED)
+    assert made.held("t") == held
+
+
 def test_the_reserve_helps_out_and_tells_when_it_may_have_more() -> None:
     made = division()
     answer = made.on_ask(QuotaAsk("1", 1, "t", 5), SETTLED)
