--- a/src/finchshed/logs/request_trace.py
+++ b/src/finchshed/logs/request_trace.py
@@ -101,7 +101,9 @@
     if record.get("detail"):
         parts.append(str(record["detail"]))
     if line.event == "request_ended":
-        parts.append(f"service {record.get('service')}, {record.get('ms')} ms")
+        # Without a service it was refused before one was chosen.
+        service = f"service {record['service']}, " if record.get("service") else ""
+        parts.append(f"{service}{record.get('ms')} ms")
         parts.append(f"revision {record.get('revision', 0)}")
         for attempt in record.get("attempts", ()):
             reason = attempt.get("reason", "")
--- a/tests/logs/test_request_trace.py
+++ b/tests/logs/test_request_trace.py
@@ -75,6 +75,12 @@
         (request("a1", "refused", 1.0, reason="overload"), "refused before anything ran"),
         (request("a1", "failed", 1.0, reason="backend_broken"), "may have run"),
         (request("a1", "answered", 1.0, status=503), "answered 503 itself"),
+        (request("a1", "refused", 1.0, reason="api_key_unknown"), "no tenant holds its API key"),
+        (request("a1", "refused", 1.0, reason="api_key_unconfirmed"), "trust in API keys"),
+        (request("a1", "refused", 1.0, reason="quota_exceeded"), "above its limit"),
+        (request("a1", "refused", 1.0, reason="quota_unconfirmed"), "did not answer"),
+        (request("a1", "refused", 1.0, reason="caller_unknown"), "a request that was over"),
+        (request("a1", "refused", 1.0, service="", detail="why"), "refused; why; 12.5 ms"),
     ],
 )
 def test_the_cause_is_told_in_words(
