--- a/src/finchshed/quota/division.py
+++ b/src/finchshed/quota/division.py
@@ -53,10 +53,8 @@
 SETTLE_SECONDS = COUNTED_SECONDS + OVERLAP_SECONDS
 """After this time none of the shares is left that were granted before a new leader."""
 
-GONE_SECONDS = COUNTED_SECONDS + 0.4
-"""A daemon that has told nothing for this long is no longer noted as one that may hold a share.
-
-What it held has ended by then. A new leader waits in vain for daemons that are noted and gone."""
+GONE_SECONDS = 30.0
+"""A daemon that has told nothing for this long is no longer noted as one that may hold a share."""
 
 LEAST_CAPACITY = 1.0
 """A bucket holds at least this: a request takes a whole token.
