A request that crashes the back ends that run it is kept from them

Cause: a failure was judged by the endpoint and by one try's identity; nothing that outlives a try belonged to the work sent. Class: failure attributed to the sender and the place, not to the work. Ruled out: back ends that end by themselves (the test's do not), overload, our retries alone (one of two sends). Ejection can't help: it keeps work from endpoints, and the next start is a new one. Change: a register of requests by signature at every daemon and control node, merged by union. A suspect runs alone at the one endpoint designated for it, a crash under a suspect is charged to it alone, an end clears it; three crashes refuse it with 503, true, before anything is sent. News by control, by answers, and by links where control is away.

--- a/src/finchshed/common/outcomes.py
+++ b/src/finchshed/common/outcomes.py
@@ -41,6 +41,11 @@
     QUOTA_UNCONFIRMED = "quota_unconfirmed"
     API_KEY_UNCONFIRMED = "api_key_unconfirmed"
     CALLER_UNKNOWN = "caller_unknown"
+    QUARANTINED = "quarantined"
+    """Back ends ended under it."""
+
+    SUSPECTS_WAIT = "suspects_wait"
+    """A back end ended under it, and others of which that is so have their turn before."""
 
 
 FINAL_REFUSALS = frozenset(
--- a/src/finchshed/control/distribution_service.py
+++ b/src/finchshed/control/distribution_service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Sequence
 
 from finchshed.configuration.store import CommittedRevision
 from finchshed.control.addresses import split_address
@@ -12,6 +13,7 @@
 from finchshed.control.group_log import GroupLog
 from finchshed.control.ledger_router import LedgerRouter, ShardClient
 from finchshed.control.ledger_service import LedgerRequest, LedgerService
+from finchshed.control.quarantine_service import QuarantineService
 from finchshed.control.quota_service import QuotaService
 from finchshed.control.state_machine import ControlStateMachine
 from finchshed.distribution.hub import Hub
@@ -68,6 +70,7 @@
         self._hub = Hub(node)
         self._explanations = Explanations()
         self.directory = DirectoryService(self._broadcast, log.send_report)
+        self.quarantine = QuarantineService(self._broadcast, log.send_report)
         self.quotas = QuotaService(machine, log, self._send_to)
         self._server = HubServer(
             self._hub,
@@ -78,7 +81,8 @@
             credentials=credentials,
             on_announce=self.directory.on_announce,
             on_quota=self.quotas.on_request,
-            on_subscribed=self.directory.greeting,
+            on_crash_news=self.quarantine.on_daemon_news,
+            on_subscribed=self._greeting,
         )
         self._requests: set[asyncio.Task[None]] = set()
         self._status: StatusTable | None = None
@@ -95,6 +99,7 @@
         self._background.spawn(self._watch_contact())
         self._background.spawn(self._report())
         self._background.spawn(self.directory.run())
+        self._background.spawn(self.quarantine.run())
         self._background.spawn(self.quotas.run())
 
     async def stop(self, timeout_seconds: float) -> None:
@@ -143,6 +148,9 @@
         """Return recent decisions of a daemon, or None when it can't be asked here."""
         return await self._explanations.ask(self._server, node, root, limit)
 
+    def _greeting(self) -> Sequence[ControlToDaemon]:
+        return (*self.directory.greeting(), *self.quarantine.greeting())
+
     def _send_to(self, daemon: str, message: ControlToDaemon) -> bool:
         return self._server.send_to(daemon, message)
 
--- a/src/finchshed/control/group_log.py
+++ b/src/finchshed/control/group_log.py
@@ -32,6 +32,7 @@
 from finchshed.control.replicated_log import LogStatus, MemberRole, MemberStatus
 from finchshed.control.state_machine import ControlStateMachine
 from finchshed.distribution.status import InForceReport
+from finchshed.quarantine.messages import CrashNews
 
 FIRST_PAUSE_SECONDS = 0.02
 LONGEST_PAUSE_SECONDS = 0.5
@@ -70,6 +71,7 @@
         self._forwarded: dict[int, asyncio.Future[ForwardReply]] = {}
         self.on_report: Callable[[InForceReport], None] = _ignore
         self.on_directory: Callable[[DirectoryReport], None] = _ignore
+        self.on_crash_news: Callable[[CrashNews], None] = _ignore
         self.on_quota: Callable[[PeerLink, ForwardedQuota | QuotaReply], None] = _ignore_quota
 
     def start(self, links: PeerLinks) -> None:
@@ -128,8 +130,8 @@
         """
         return self._host.node.leader is not None and self._host.can_write
 
-    def send_report(self, report: InForceReport | DirectoryReport) -> None:
-        """Send a report of daemons or back ends to every other member."""
+    def send_report(self, report: InForceReport | DirectoryReport | CrashNews) -> None:
+        """Send a report of daemons, back ends or crashes to every other member."""
         if self._links is None:
             return
         for member in self._host.node.membership.members:
@@ -188,6 +190,8 @@
             self.on_report(message)
         elif isinstance(message, DirectoryReport):
             self.on_directory(message)
+        elif isinstance(message, CrashNews):
+            self.on_crash_news(message)
         elif isinstance(message, ForwardedQuota | QuotaReply):
             self.on_quota(link, message)
 
@@ -298,7 +302,7 @@
     return MemberRole.LEARNER if member.promote else MemberRole.STANDBY
 
 
-def _ignore(_report: InForceReport | DirectoryReport) -> None:
+def _ignore(_report: InForceReport | DirectoryReport | CrashNews) -> None:
     """Stand in until the distribution service is connected."""
 
 
--- a/src/finchshed/control/node.py
+++ b/src/finchshed/control/node.py
@@ -85,6 +85,7 @@
         self._log.on_report = self._distribution.on_report
         self._log.on_quota = self._distribution.quotas.on_peer
         self._log.on_directory = self._distribution.directory.on_report
+        self._log.on_crash_news = self._distribution.quarantine.on_report
         self.configuration = WholeConfiguration(
             self._machine, self._log, settings.request_timeout_seconds
         )
--- a/src/finchshed/control/peer_messages.py
+++ b/src/finchshed/control/peer_messages.py
@@ -10,6 +10,7 @@
 from finchshed.control.commands import Command, CommandResult
 from finchshed.directory.registration import Registration
 from finchshed.distribution.status import InForceReport
+from finchshed.quarantine.messages import CrashNews
 from finchshed.quota.messages import QuotaAnswer, QuotaRequest
 
 
@@ -90,4 +91,5 @@
     | DirectoryReport
     | ForwardedQuota
     | QuotaReply
+    | CrashNews
 )
--- /dev/null
+++ b/src/finchshed/control/quarantine_service.py
@@ -0,0 +1,104 @@
+"""What a control node does with news of requests that crash back ends: keep, pass on, lift.
+
+Soft state, as the directory is: any control node takes news, no quorum is asked, and nothing of it
+is written to the log or a disk. After a loss of all control nodes daemons tell what they hold.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable, Sequence
+
+from loguru import logger
+
+from finchshed.distribution.messages import ControlToDaemon
+from finchshed.quarantine.messages import CrashNews, CrashRecord
+from finchshed.quarantine.register import FREE, Judgement, QuarantineRegister
+
+CONFIRM_SECONDS = 2.0
+"""Time between reports of all that is held to the other control nodes, in case one was lost."""
+
+GATHER_SECONDS = 0.05
+"""Shortest time between messages to the daemons: the bystanders of one crash are cleared one by
+one, within some tenths of a second."""
+
+
+class QuarantineService:
+    """The register of one control node.
+
+    Parameters
+    ----------
+    broadcast
+        Sends to every daemon connected here.
+    send_report
+        Sends to every other member of the control group.
+    """
+
+    def __init__(
+        self,
+        broadcast: Callable[[ControlToDaemon], None],
+        send_report: Callable[[CrashNews], None],
+    ) -> None:
+        self._broadcast = broadcast
+        self._send_report = send_report
+        self._register = QuarantineRegister()
+        self._gathered: dict[str, CrashRecord] = {}
+        self._gathering: asyncio.TimerHandle | None = None
+
+    def on_daemon_news(self, news: CrashNews) -> None:
+        """Take news of a daemon connected here."""
+        changed = self._register.merge(news.records, time.monotonic())
+        if changed:
+            self._send_report(CrashNews(changed))
+            self._pass_on(changed)
+
+    def on_report(self, news: CrashNews) -> None:
+        """Take news that another control node passes on."""
+        self._pass_on(self._register.merge(news.records, time.monotonic()))
+
+    def greeting(self) -> Sequence[ControlToDaemon]:
+        """Return what a daemon is sent when it connects."""
+        records = self._register.records(time.monotonic())
+        return (CrashNews(records),) if records else ()
+
+    def judged(self) -> tuple[tuple[CrashRecord, Judgement], ...]:
+        """Return what is held, and what may be done with each request."""
+        now = time.monotonic()
+        records = self._register.records(now)
+        judged = ((record, self._register.judge(record.signature, now)) for record in records)
+        return tuple(item for item in judged if item[1] is not FREE)
+
+    def lift(self, signature: str) -> bool:
+        """Clear a request everywhere on an operator's word; return whether anything was held."""
+        record = self._register.on_completed(signature, time.monotonic())
+        if record is None:
+            return False
+        logger.info("request {} is free: an operator says so", signature)
+        self._send_report(CrashNews((record,)))
+        self._pass_on((record,))
+        return True
+
+    async def run(self) -> None:
+        """Confirm to the other control nodes and forget, for as long as the node runs."""
+        while True:
+            await asyncio.sleep(CONFIRM_SECONDS)
+            now = time.monotonic()
+            self._register.expire(now)
+            if self._register:
+                self._send_report(CrashNews(self._register.records(now)))
+
+    def _pass_on(self, changed: Sequence[CrashRecord]) -> None:
+        """Send to the daemons: at once after a quiet time, else together with what follows."""
+        for record in changed:
+            self._gathered[record.signature] = record
+        if self._gathered and self._gathering is None:
+            self._send_gathered()
+
+    def _send_gathered(self) -> None:
+        self._gathering = None
+        if not self._gathered:
+            return
+        news = CrashNews(tuple(self._gathered.values()))
+        self._gathered = {}
+        loop = asyncio.get_running_loop()
+        self._gathering = loop.call_later(GATHER_SECONDS, self._send_gathered)
+        self._broadcast(news)
--- a/src/finchshed/control/replicated_log.py
+++ b/src/finchshed/control/replicated_log.py
@@ -8,6 +8,7 @@
 from finchshed.control.commands import Command, CommandResult
 from finchshed.control.peer_messages import DirectoryReport
 from finchshed.distribution.status import InForceReport
+from finchshed.quarantine.messages import CrashNews
 
 
 class MemberRole(enum.StrEnum):
@@ -83,6 +84,6 @@
         """Return whether this node is in contact with a quorum, as far as it knows."""
         ...
 
-    def send_report(self, report: InForceReport | DirectoryReport) -> None:
+    def send_report(self, report: InForceReport | DirectoryReport | CrashNews) -> None:
         """Send a report of daemons to every other member; it may be lost."""
         ...
--- a/src/finchshed/daemon/backend_call.py
+++ b/src/finchshed/daemon/backend_call.py
@@ -25,6 +25,7 @@
 from finchshed.daemon.backend import (
     BackendAnswer,
     BackendAnswerTooLarge,
+    BackendRequest,
     BackendResult,
     BackendTimedOut,
     BackendUnreached,
@@ -59,6 +60,29 @@
     return (*headers, (names.expected_instance, instance)) if instance else headers
 
 
+def backend_request(
+    work: Work, remaining: float, names: HeaderNames, instance: str
+) -> BackendRequest:
+    """Return the request to the back end's start ``instance``, with ``remaining`` seconds left."""
+    call = work.call
+    account = work.served.account if work.served is not None else ""
+    if work.is_by_host:
+        headers = headers_by_host(work, remaining, names, instance)
+    else:
+        headers = backend_headers(work, remaining)
+    return BackendRequest(
+        method=call.method,
+        path=call.path,
+        headers=headers,
+        body=call.body,
+        timeout_seconds=remaining,
+        max_answer_bytes=work.max_body_bytes,
+        is_repeatable=work.repeatable,
+        account="" if work.is_by_host else account,
+        request_id=call.identity,
+    )
+
+
 def outcome_of(result: BackendResult, wait: float) -> Outcome:
     """Return the outcome that a result means; ``wait`` is when to come back, seconds."""
     if isinstance(result, BackendAnswer):
--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+import secrets
 import time
 from collections.abc import Callable
 from functools import partial
@@ -18,7 +19,6 @@
 from finchshed.admission.rank import passed
 from finchshed.common.outcomes import (
     Answered,
-    Failed,
     Outcome,
     RefusalReason,
     Refused,
@@ -30,33 +30,33 @@
     Backend,
     BackendAnswer,
     BackendBroken,
-    BackendRequest,
     BackendResult,
     BackendUnreached,
 )
-from finchshed.daemon.backend_call import (
-    backend_headers,
-    headers_by_host,
-    outcome_of,
-    with_downstream,
-)
+from finchshed.daemon.backend_call import backend_request, outcome_of, with_downstream
 from finchshed.daemon.call_admission import CallAdmission
 from finchshed.daemon.catalogue import Catalogue
 from finchshed.daemon.crash_watch import BrokenRun, CrashWatch
-from finchshed.daemon.decision_log import log_backend_ended, log_call
+from finchshed.daemon.decision_log import is_signed, log_backend_ended, log_call
 from finchshed.daemon.guarded import GuardedRuns
 from finchshed.daemon.header_names import HeaderNames
+from finchshed.daemon.quarantine import Quarantine
 from finchshed.daemon.settings import DaemonSettings
 from finchshed.daemon.signatures import Signatures
+from finchshed.daemon.suspect_queue import SuspectQueue, Turn
 from finchshed.daemon.work import Work, WorkState
 from finchshed.http.status import STATUS_MISDIRECTED_REQUEST
 from finchshed.limit.concurrency import slots_to_use
 from finchshed.link.digests import digest_of
 from finchshed.link.listener import AcceptedLink
 from finchshed.link.messages import Call, LoadReport, Reply
+from finchshed.quarantine.register import Standing
 from finchshed.retry.policy import retry_after
 from finchshed.session.table import SessionTable
 
+CRASH_BYTES = 6
+"""Random part of the name of a crash where back ends don't tell who they are."""
+
 TICK_SECONDS = 0.02
 """How often deadlines in the queue and the threshold are looked at while there is a queue."""
 
@@ -76,6 +76,8 @@
         Called with each answer of the back end.
     names
         Names of the headers of requests that were taken by host.
+    quarantine
+        Tells which requests crash back ends, and is told of crashes.
 
     Attributes
     ----------
@@ -96,6 +98,8 @@
         on_backend_answer: Callable[[BackendAnswer], None],
         revision: Callable[[], int],
         names: HeaderNames,
+        signatures: Signatures,
+        quarantine: Quarantine,
     ) -> None:
         self._settings = settings
         self._backend = backend
@@ -106,7 +110,9 @@
         self._on_backend_answer = on_backend_answer
         self._revision = revision
         self._names = names
-        self._signatures = Signatures(names)
+        self._signatures = signatures
+        self._quarantine = quarantine
+        self._suspects = SuspectQueue()
         self._crash_watch = CrashWatch(backend, self._on_crash)
         self.on_backend_fault: Callable[[str, BackendResult], None] = _ignore_fault
         by_demand = settings.registers_backend
@@ -161,7 +167,7 @@
         """Send what waits for the back end elsewhere; it has not run."""
         for work in list(self._works.values()):
             if work.state is WorkState.QUEUED and work.is_by_host:
-                self._apply(self._gate.cancel(work.token, time.monotonic()))
+                self._dequeue(work)
                 self._answer(work, self._admission.refused(RefusalReason.DRAINING))
 
     def load_report(self) -> LoadReport:
@@ -199,6 +205,26 @@
             return
         self._works[work.token] = work
         self._by_call[call.epoch, call.call] = work
+        judgement = self._quarantine.judge(call)
+        if judgement.standing is Standing.QUARANTINED:
+            detail = f"{judgement.crashes} back ends ended under it"
+            self._answer(work, Refused(RefusalReason.QUARANTINED, judgement.seconds, detail))
+        elif judgement.standing is Standing.SUSPECT:
+            self._take_suspect(work)
+        else:
+            self._queue(work, now)
+
+    def _take_suspect(self, work: Work) -> None:
+        """Have a suspect wait until no other one runs here."""
+        match self._suspects.enter(work.token):
+            case Turn.RUNS:
+                self._queue(work, time.monotonic())
+            case Turn.REFUSED:
+                self._answer(work, self._admission.refused(RefusalReason.SUSPECTS_WAIT))
+            case Turn.WAITS:
+                pass  # until its turn comes, in _forget
+
+    def _queue(self, work: Work, now: float) -> None:
         floor = self._paths.floor(work.route, now)
         work.context = passed(work.context, floor)
         self._apply(self._gate.arrive(work.token, work.context, now, floor))
@@ -212,14 +238,18 @@
             return
         work.abandoned = True
         if work.state is WorkState.QUEUED:
-            effects = self._gate.cancel(work.token, time.monotonic())
+            self._dequeue(work)
             self._forget(work)
-            self._apply(effects)
         elif work.state is WorkState.AT_BACKEND and work.repeatable:
             if work.cancel_backend is not None:
                 work.cancel_backend()
             self._end(work, CallResult.CANCELLED)
 
+    def _dequeue(self, work: Work) -> None:
+        """Take a call that was not started out of what waits."""
+        if not self._suspects.is_waiting(work.token):
+            self._apply(self._gate.cancel(work.token, time.monotonic()))
+
     def _apply(self, effects: list[GateEffect]) -> None:
         for effect in effects:
             work = self._works.get(effect.token)
@@ -234,6 +264,11 @@
                 self._answer(work, refused)
 
     def _start(self, work: Work) -> None:
+        judgement = self._quarantine.judge(work.call)
+        if judgement.standing is Standing.QUARANTINED:
+            # Back ends ended under its other tries while it was queued here.
+            self._finish(work, Refused(RefusalReason.QUARANTINED, judgement.seconds))
+            return
         metrics.QUEUE_DELAY.observe(time.monotonic() - work.arrived)
         if work.repeatable or work.is_by_host:
             self._send_to_backend(work)
@@ -247,23 +282,9 @@
         work.started = time.monotonic()
         work.served = self._served.open(work.context, work.deadline, call.identity)
         self._paths.on_start(work.served.account, work.route)
-        remaining = work.deadline - time.monotonic()
-        if work.is_by_host:
-            headers = headers_by_host(work, remaining, self._names, self._admission.instance)
-        else:
-            headers = backend_headers(work, remaining)
-        request = BackendRequest(
-            method=call.method,
-            path=call.path,
-            headers=headers,
-            body=call.body,
-            timeout_seconds=remaining,
-            max_answer_bytes=work.max_body_bytes,
-            is_repeatable=work.repeatable,
-            account="" if work.is_by_host else work.served.account,
-            request_id=call.identity,
-        )
         instance = self._admission.instance
+        remaining = work.deadline - time.monotonic()
+        request = backend_request(work, remaining, self._names, instance)
         work.cancel_backend = self._backend.send(
             request, lambda result: self._on_backend_result(work, instance, result)
         )
@@ -279,7 +300,10 @@
     def _on_crash(self, instance: str, signatures: list[str]) -> None:
         """Note that the back end ended while it ran these."""
         metrics.BACKEND_ENDED.inc()
-        log_backend_ended(instance, self._admission.service, signatures)
+        crash = instance or f"{self._settings.endpoint}-{secrets.token_hex(CRASH_BYTES)}"
+        log_backend_ended(crash, self._admission.service, signatures)
+        if not self.draining:
+            self._quarantine.on_crash(crash, signatures)
         self.on_backend_fault(instance, BackendUnreached("it ended", is_refused=True))
 
     def _settle_result(self, work: Work, instance: str, result: BackendResult) -> None:
@@ -287,6 +311,8 @@
             return
         if isinstance(result, BackendAnswer):
             self._on_backend_answer(result)
+            if result.ran:
+                self._quarantine.on_completed(work.call)
         if not isinstance(result, BackendAnswer) or result.status == STATUS_MISDIRECTED_REQUEST:
             self.on_backend_fault(instance, result)
         outcome = outcome_of(result, retry_after(0.0, self._rng))
@@ -326,7 +352,7 @@
 
     def _reply_to(self, work: Work, outcome: Outcome, spare: int) -> None:
         load = self.load_report()
-        signature = self._signatures.of(work.call) if isinstance(outcome, Failed) else ""
+        signature = self._signatures.of(work.call) if is_signed(outcome) else ""
         log_call(
             work, outcome, self._admission.instance, load, self._gate.running, signature=signature
         )
@@ -339,6 +365,9 @@
         self._by_call.pop((work.call.epoch, work.call.call), None)
         if work.in_session:
             self._admission.sessions.on_answer(work.call.context.session, time.monotonic())
+        due = self._works.get(self._suspects.leave(work.token) or 0)
+        if due is not None:
+            self._queue(due, time.monotonic())
 
     def _send_reply(
         self, link: AcceptedLink, call: Call, outcome: Outcome, spare: int, load: LoadReport
@@ -353,6 +382,7 @@
                 load=load,
                 digest=digest,
                 revision=self._revision(),
+                crash_record=self._quarantine.record_of(call),
             )
         )
         metrics.count_served(call.service, call.context.importance, outcome)
--- a/src/finchshed/daemon/caller.py
+++ b/src/finchshed/daemon/caller.py
@@ -4,21 +4,22 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 import msgspec
 
 from finchshed.admission.paths import PathThresholds
-from finchshed.common.outcomes import Failed, Outcome, RefusalReason, Refused
+from finchshed.common.outcomes import Outcome, RefusalReason, Refused
 from finchshed.common.results import CallResult, result_of
 from finchshed.daemon import metrics
 from finchshed.daemon.accounts import ServedRequests
 from finchshed.daemon.catalogue import Catalogue
-from finchshed.daemon.decision_log import log_request
-from finchshed.daemon.header_names import HeaderNames
+from finchshed.daemon.decision_log import is_signed, log_request
 from finchshed.daemon.ledger_port import fingerprint_of
 from finchshed.daemon.outgoing import OutgoingCall
 from finchshed.daemon.peers import PeerLinks
 from finchshed.daemon.pins import SessionPins
+from finchshed.daemon.quarantine import Quarantine
 from finchshed.daemon.request import Request
 from finchshed.daemon.signatures import Signatures
 from finchshed.retry.budgets import RetryBudgets
@@ -47,8 +48,8 @@
         Retry accounts of requests the local back end is serving.
     paths
         Learns what those requests call on.
-    names
-        Names of the headers of requests by host.
+    quarantine
+        Tells which requests crash back ends.
     """
 
     def __init__(
@@ -59,9 +60,11 @@
         paths: PathThresholds,
         rng: random.Random,
         *,
-        names: HeaderNames,
+        signatures: Signatures,
+        quarantine: Quarantine,
     ) -> None:
-        self._signatures = Signatures(names)
+        self._signatures = signatures
+        self._quarantine = quarantine
         self._table = table
         self._links = links
         self._served = served
@@ -154,6 +157,8 @@
             pinned=self._pins.endpoint_of(request, self._table, time.monotonic()),
             route=request.route,
             target_seconds=request.target_seconds,
+            signature=partial(self._signatures.of, request),
+            judge=partial(self._quarantine.judge, request),
         )
 
         def finished(call: OutgoingCall, outcome: Outcome, spare: int) -> None:
@@ -163,7 +168,7 @@
             if request.in_session:
                 self._pins.end(request, call.endpoint, outcome, time.monotonic())
             metrics.count_call(request.service, request.context.importance, outcome)
-            signature = self._signatures.of(request) if isinstance(outcome, Failed) else ""
+            signature = self._signatures.of(request) if is_signed(outcome) else ""
             log_request(
                 request,
                 outcome,
@@ -177,7 +182,14 @@
                 if result_of(outcome) is not CallResult.OK:
                     self._served.on_call_failed(account, _call_name(request))
 
-        call = OutgoingCall(request, logic, self._links, finished, self._retry_after)
+        call = OutgoingCall(
+            request,
+            logic,
+            self._links,
+            finished,
+            self._retry_after,
+            on_crash_record=self._quarantine.on_answer,
+        )
         self.in_progress += 1
         call.begin()
         if request.in_session and not call.is_over:
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -32,8 +32,10 @@
 from finchshed.daemon.own_backend import OwnBackend
 from finchshed.daemon.peers import PeerLinks
 from finchshed.daemon.platform_hints import PlatformHints
+from finchshed.daemon.quarantine import Quarantine
 from finchshed.daemon.quota_gate import QuotaGate
 from finchshed.daemon.settings import DaemonSettings
+from finchshed.daemon.signatures import Signatures
 from finchshed.directory.registrar import Registrar
 from finchshed.distribution.addresses import parse_control_address
 from finchshed.distribution.driver import FollowerDriver
@@ -44,6 +46,7 @@
 from finchshed.http.server import HttpServer
 from finchshed.http.spool import SpoolBudget
 from finchshed.link.listener import LinkListener
+from finchshed.quarantine.messages import CrashNews
 from finchshed.routing.table import RoutingTable
 from finchshed.runtime import garbage
 from finchshed.runtime.waiting import wait_while
@@ -93,11 +96,14 @@
         self._credentials = credentials_of(settings)
         self._driver = self._make_driver()
         self._driver.client.on_hints = self._on_hints
+        self._signatures = Signatures(self._names)
+        self._quarantine = Quarantine(self._driver.client, self._signatures, self._tell_links)
         self._side = LinkSide(
             settings,
             self._driver,
             self._table,
             self._platform,
+            self._quarantine,
             incarnation=self._incarnation,
             takes_nothing=self._leaving.takes_nothing,
             rng=self._rng,
@@ -106,7 +112,13 @@
         self._endpoints = KnownEndpoints(self._table, self._links)
         self._paths = PathThresholds(self._table.floor)
         self._caller = Caller(
-            self._table, self._links, self._served, self._paths, self._rng, names=self._names
+            self._table,
+            self._links,
+            self._served,
+            self._paths,
+            self._rng,
+            signatures=self._signatures,
+            quarantine=self._quarantine,
         )
         self._front = Front(self._caller, self._served, self._rng, self._why_not)
         self._lease_renewal = LeaseRenewal(self._driver.client)
@@ -291,6 +303,8 @@
             on_backend_answer=watch.on_answer,
             revision=self._side.revision,
             names=self._names,
+            signatures=self._signatures,
+            quarantine=self._quarantine,
         )
 
     def _make_own_backend(self) -> OwnBackend | None:
@@ -315,6 +329,11 @@
             names=self._names,
         )
 
+    def _tell_links(self, news: CrashNews) -> None:
+        self._links.tell_crash_news(news)
+        for link in self._listener.links():
+            link.tell_crash_news(news)
+
     def _why_not(self) -> RefusalReason | None:
         return None if self._is_serving else RefusalReason.NO_CONFIGURATION
 
@@ -333,6 +352,7 @@
             if self.own_backend is not None:
                 self.own_backend.tick()
             self._caller.expire_sessions()
+            self._quarantine.tick()
             self._links.close_idle()
             self._links.reopen_lost()
             if not self._driver.client.is_connected:
--- a/src/finchshed/daemon/decision_log.py
+++ b/src/finchshed/daemon/decision_log.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 
 from finchshed.admission.rank import rank_of
-from finchshed.common.outcomes import Answered, Outcome, Refused
+from finchshed.common.outcomes import Answered, Failed, Outcome, RefusalReason, Refused
 from finchshed.common.results import SERVER_ERROR
 from finchshed.configuration.resources import HostRoute
 from finchshed.daemon.request import Request
@@ -18,6 +18,9 @@
 
 MILLISECONDS = 1000.0
 
+SIGNED_REFUSALS = frozenset({RefusalReason.QUARANTINED, RefusalReason.SUSPECTS_WAIT})
+"""Refusals that are due to the request itself."""
+
 MAX_NAMED_SIGNATURES = 64
 """Requests that a line about a back end's end names; it stays under 2 kB."""
 
@@ -41,6 +44,13 @@
     return is_failure(outcome) or log_stream.is_sampled(request.context.root)
 
 
+def is_signed(outcome: Outcome) -> bool:
+    """Return whether the line of an end names the request's signature: it may be due to it."""
+    if isinstance(outcome, Refused):
+        return outcome.reason in SIGNED_REFUSALS
+    return isinstance(outcome, Failed)
+
+
 def log_request(
     request: Request,
     outcome: Outcome,
--- a/src/finchshed/daemon/link_side.py
+++ b/src/finchshed/daemon/link_side.py
@@ -7,11 +7,13 @@
 from finchshed.common.outcomes import RefusalReason, Refused
 from finchshed.daemon.callee import Callee
 from finchshed.daemon.platform_hints import PlatformHints
+from finchshed.daemon.quarantine import Quarantine
 from finchshed.daemon.settings import DaemonSettings
 from finchshed.distribution.driver import FollowerDriver
 from finchshed.distribution.messages import Delta
 from finchshed.link.listener import AcceptedLink
 from finchshed.link.messages import Call, Hello, LoadReport, Reply
+from finchshed.quarantine.messages import CrashNews
 from finchshed.retry.policy import retry_after
 from finchshed.routing.table import RoutingTable
 
@@ -40,6 +42,7 @@
         driver: FollowerDriver,
         table: RoutingTable,
         platform: PlatformHints,
+        quarantine: Quarantine,
         *,
         incarnation: str,
         takes_nothing: Callable[[], bool],
@@ -53,6 +56,7 @@
         self._driver = driver
         self._table = table
         self._platform = platform
+        self._quarantine = quarantine
         self._takes_nothing = takes_nothing
         self._rng = rng
 
@@ -76,6 +80,14 @@
         """Return the configuration for a peer that holds ``revision``."""
         return self._driver.follower.answer_fetch(revision)
 
+    def crash_news_received(self, news: CrashNews) -> None:
+        """Take what a peer tells of requests that crash back ends."""
+        self._quarantine.on_link_news(news.records)
+
+    def crash_news(self) -> CrashNews | None:
+        """Return what a peer is told when a link opens."""
+        return self._quarantine.news_for_link()
+
     def load_report(self) -> LoadReport:
         """Return the load to tell with a heartbeat."""
         if self.callee is None:
--- a/src/finchshed/daemon/metrics.py
+++ b/src/finchshed/daemon/metrics.py
@@ -45,6 +45,15 @@
 BACKEND_ENDED = Counter(
     "finchshed_backend_ended_total", "Times the back end ended while it ran requests"
 )
+QUARANTINE_SUSPECTED = Counter(
+    "finchshed_quarantine_suspected_total", "Requests that the own back end ended under"
+)
+QUARANTINE_CLEARED = Counter(
+    "finchshed_quarantine_cleared_total", "Suspects that ran to an end at the own back end"
+)
+QUARANTINE_HELD = Gauge(
+    "finchshed_quarantine_held", "Requests that back ends ended under, as known"
+)
 JOINED = Counter("finchshed_joined_total", "Repeats that joined a request in progress")
 
 _served: dict[tuple[str, int, str, str], CounterValue] = {}
--- a/src/finchshed/daemon/outgoing.py
+++ b/src/finchshed/daemon/outgoing.py
@@ -25,6 +25,7 @@
 from finchshed.link.digests import digest_of
 from finchshed.link.messages import Reply
 from finchshed.observability.decisions import Attempt as AttemptRecord
+from finchshed.quarantine.messages import CrashRecord
 from finchshed.routing.caller import CallerEffect, CallerLogic, Finish, Send, SetTimer, Withdraw
 
 
@@ -39,6 +40,8 @@
         Called once with the outcome and the spare attempts left.
     retry_after
         Draws when a client is told to come back, seconds.
+    on_crash_record
+        Called with what an answer tells of back ends that ended under the request.
     """
 
     def __init__(
@@ -48,6 +51,8 @@
         links: PeerLinks,
         on_finish: Callable[["OutgoingCall", Outcome, int], None],
         retry_after: Callable[[], float],
+        *,
+        on_crash_record: Callable[[CrashRecord], None],
     ) -> None:
         self.request = request
         self.endpoint = ""
@@ -55,6 +60,7 @@
         self._links = links
         self._on_finish = on_finish
         self._retry_after = retry_after
+        self._on_crash_record = on_crash_record
         self._waiters: list[Callable[[Outcome], None]] = []
         self._attempt: Attempt | None = None
         self._deadline = 0.0
@@ -139,6 +145,9 @@
             broken = Failed(FailureReason.LINK_BROKEN, self._retry_after())
             self._report(number, broken, 0, None)
             return
+        if reply.crash_record is not None:
+            # Before the outcome: whether it is tried again hangs on it.
+            self._on_crash_record(reply.crash_record)
         outcome = reply.outcome
         if isinstance(outcome, Answered) and digest_of(outcome.body) != reply.digest:
             outcome = Failed(FailureReason.ANSWER_CORRUPT, self._retry_after())
--- a/src/finchshed/daemon/peers.py
+++ b/src/finchshed/daemon/peers.py
@@ -18,6 +18,7 @@
 from finchshed.link.messages import Hello, LoadReport
 from finchshed.link.peer import PeerLink
 from finchshed.link.states import Connect, LinkState, SendResult
+from finchshed.quarantine.messages import CrashNews
 
 BACKOFF_FIRST_SECONDS = 0.05
 BACKOFF_MAX_SECONDS = 2.0
@@ -196,6 +197,19 @@
         """Return configuration for a peer (link owner's part)."""
         return self._owner.delta_for(revision)
 
+    def crash_news_received(self, news: CrashNews) -> None:
+        """Pass the news on (link owner's part)."""
+        self._owner.crash_news_received(news)
+
+    def crash_news(self) -> CrashNews | None:
+        """Return news for a peer (link owner's part)."""
+        return self._owner.crash_news()
+
+    def tell_crash_news(self, news: CrashNews) -> None:
+        """Tell every peer whose link is open."""
+        for link in list(self._by_link):
+            link.tell_crash_news(news)
+
     def _peer(self, endpoint: Endpoint) -> _Peer:
         peer = self._peers.get(endpoint.name)
         if peer is not None and peer.endpoint.address != endpoint.address:
--- a/src/finchshed/daemon/peers_owner.py
+++ b/src/finchshed/daemon/peers_owner.py
@@ -4,6 +4,7 @@
 
 from finchshed.distribution.messages import Delta
 from finchshed.link.messages import Hello, LoadReport
+from finchshed.quarantine.messages import CrashNews
 
 
 class PeersOwner(Protocol):
@@ -35,3 +36,9 @@
 
     def revision(self) -> int:
         """Return the revision in force."""
+
+    def crash_news_received(self, news: CrashNews) -> None:
+        """Take news of requests that crash back ends."""
+
+    def crash_news(self) -> CrashNews | None:
+        """Return what a peer is told when a link to it opens; None: there is nothing."""
--- /dev/null
+++ b/src/finchshed/daemon/suspect_queue.py
@@ -0,0 +1,47 @@
+"""Lets one suspect at a time run beside requests that are in no doubt."""
+
+import enum
+from collections import deque
+
+MAX_WAITING = 4
+"""Suspects that wait for their turn; each waits for as many runs at most. Others are refused and
+told when to come back."""
+
+
+class Turn(enum.Enum):
+    """What becomes of a suspect that came in."""
+
+    RUNS = "runs"
+    WAITS = "waits"
+    REFUSED = "refused"
+
+
+class SuspectQueue:
+    """Suspects at one back end, by the tokens of their work."""
+
+    def __init__(self) -> None:
+        self._running: int | None = None
+        self._waiting: deque[int] = deque()
+
+    def enter(self, token: int) -> Turn:
+        """Take a suspect."""
+        if self._running is None:
+            self._running = token
+            return Turn.RUNS
+        if len(self._waiting) >= MAX_WAITING:
+            return Turn.REFUSED
+        self._waiting.append(token)
+        return Turn.WAITS
+
+    def is_waiting(self, token: int) -> bool:
+        """Return whether a suspect still waits for its turn."""
+        return token in self._waiting
+
+    def leave(self, token: int) -> int | None:
+        """Take a suspect out; return the token of the one whose turn has come, if any."""
+        if token != self._running:
+            if token in self._waiting:
+                self._waiting.remove(token)
+            return None
+        self._running = self._waiting.popleft() if self._waiting else None
+        return self._running
--- a/src/finchshed/distribution/client.py
+++ b/src/finchshed/distribution/client.py
@@ -39,6 +39,7 @@
     Subscribe,
 )
 from finchshed.link.lines import LineProtocol
+from finchshed.quarantine.messages import CrashNews
 from finchshed.quota.messages import QuotaAnswer, QuotaRequest, QuotaShares, QuotaTokens
 
 Connection: TypeAlias = LineProtocol[ControlToDaemon]
@@ -106,6 +107,8 @@
         Called with answers about quotas; set by the daemon.
     on_directory
         Called with registrations of back ends; set by the daemon.
+    on_crash_news
+        Called with news of requests that crash back ends; set by the daemon.
     registration
         Returns the registration of the back end beside the daemon; None: it tells of none.
     """
@@ -137,6 +140,7 @@
         self.on_lease: Callable[[LeaseRenewed], None] | None = None
         self.on_quota: Callable[[QuotaAnswer], None] | None = None
         self.on_directory: Callable[[DirectoryUpdate], None] | None = None
+        self.on_crash_news: Callable[[CrashNews], None] | None = None
         self.registration: Callable[[], Registration] | None = None
 
     @property
@@ -191,6 +195,11 @@
             and self._connection.send(request) > 0
         )
 
+    def send_crash_news(self, news: CrashNews) -> None:
+        """Tell the control node of requests that back ends ended under."""
+        if self._connection is not None and self._is_subscribed:
+            self._connection.send(news)
+
     def add_addresses(self, addresses: Iterable[str]) -> None:
         """Take in further control nodes."""
         self._book.add(addresses)
@@ -329,12 +338,12 @@
         elif isinstance(message, QuotaShares | QuotaTokens):
             if self.on_quota is not None:
                 self.on_quota(message)
-        elif isinstance(message, Hints | DirectoryUpdate | LeaseRenewed):
+        elif isinstance(message, Hints | DirectoryUpdate | LeaseRenewed | CrashNews):
             self._pass_on(message)
         else:
             self._ledger.on_answer(message)
 
-    def _pass_on(self, message: Hints | DirectoryUpdate | LeaseRenewed) -> None:
+    def _pass_on(self, message: Hints | DirectoryUpdate | LeaseRenewed | CrashNews) -> None:
         """Hand a message to the part of the daemon that waits for it, if there is one."""
         match message:
             case Hints() if self.on_hints is not None:
@@ -343,6 +352,8 @@
                 self.on_directory(message)
             case LeaseRenewed() if self.on_lease is not None:
                 self.on_lease(message)
+            case CrashNews() if self.on_crash_news is not None:
+                self.on_crash_news(message)
 
     def _send_ledger_request(self, request: LedgerRequest) -> bool:
         return self._connection is not None and self._connection.send(request) > 0
--- a/src/finchshed/distribution/messages.py
+++ b/src/finchshed/distribution/messages.py
@@ -11,6 +11,7 @@
 from finchshed.common.outcomes import Answered
 from finchshed.configuration.resources import Resource, ResourceKey
 from finchshed.directory.registration import Registration
+from finchshed.quarantine.messages import CrashNews
 from finchshed.quota.messages import QuotaAsk, QuotaReport, QuotaShares, QuotaTokens
 
 Revision: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
@@ -242,6 +243,7 @@
     | RenewLease
     | QuotaReport
     | QuotaAsk
+    | CrashNews
 )
 ControlToDaemon: TypeAlias = (
     Delta
@@ -258,4 +260,5 @@
     | LeaseRenewed
     | QuotaShares
     | QuotaTokens
+    | CrashNews
 )
--- a/src/finchshed/distribution/server.py
+++ b/src/finchshed/distribution/server.py
@@ -30,6 +30,7 @@
 from finchshed.link.encoding import encode_line
 from finchshed.link.lines import LineProtocol
 from finchshed.link.networks import PeerNetworks
+from finchshed.quarantine.messages import CrashNews
 from finchshed.quota.messages import QuotaAsk, QuotaReport, QuotaRequest
 from finchshed.tls.credentials import Credentials
 from finchshed.tls.handshakes import Server, listening, serve
@@ -72,6 +73,8 @@
         Called with each registration that a daemon tells.
     on_quota
         Called with each report or ask about quotas, and the name of the daemon it is of.
+    on_crash_news
+        Called with what a daemon tells of requests that crash back ends.
     on_subscribed
         Returns what each daemon is sent once it has subscribed.
     networks
@@ -91,11 +94,13 @@
         credentials: Credentials | None = None,
         on_announce: Callable[[Announce], None] | None = None,
         on_quota: Callable[[str, QuotaRequest], None] | None = None,
+        on_crash_news: Callable[[CrashNews], None] | None = None,
         on_subscribed: Callable[[], Sequence[ControlToDaemon]] | None = None,
     ) -> None:
         self._credentials = credentials
         self._on_announce = on_announce
         self._on_quota = on_quota
+        self._on_crash_news = on_crash_news
         self._on_subscribed = on_subscribed
         self._hub = hub
         self._confirm = confirm
@@ -177,18 +182,27 @@
             self._perform(self._hub.on_fetch(number, message.revision, self._now()))
         elif isinstance(message, RenewLease):
             self._perform(self._hub.on_question(number, message.question, self._now()))
-        elif isinstance(message, QuotaReport | QuotaAsk):
-            if self._on_quota is not None:
-                self._on_quota(self._names[number], message)
-        elif isinstance(message, Announce):
-            if self._on_announce is not None:
-                self._on_announce(message)
-        elif isinstance(message, ExplainReply):
-            if self._on_explanation is not None:
-                self._on_explanation(message)
+        elif isinstance(message, QuotaReport | QuotaAsk | Announce | CrashNews | ExplainReply):
+            self._pass_on(self._names[number], message)
         else:
             self._on_ledger(message, lambda answer: _send(connection, answer))
 
+    def _pass_on(
+        self,
+        daemon: str,
+        message: QuotaReport | QuotaAsk | Announce | CrashNews | ExplainReply,
+    ) -> None:
+        """Hand a message to the part of the node that waits for it, if there is one."""
+        match message:
+            case QuotaReport() | QuotaAsk() if self._on_quota is not None:
+                self._on_quota(daemon, message)
+            case Announce() if self._on_announce is not None:
+                self._on_announce(message)
+            case CrashNews() if self._on_crash_news is not None:
+                self._on_crash_news(message)
+            case ExplainReply() if self._on_explanation is not None:
+                self._on_explanation(message)
+
     def _subscribe(self, connection: Connection, message: Subscribe) -> None:
         if connection in self._numbers:
             connection.abort()
--- a/src/finchshed/link/listener.py
+++ b/src/finchshed/link/listener.py
@@ -29,6 +29,7 @@
 from finchshed.link.networks import PeerNetworks
 from finchshed.link.owners import ListenerOwner
 from finchshed.observability.instruments import Counter, Gauge
+from finchshed.quarantine.messages import CrashNews
 from finchshed.tls.names import claims_of_link, unproven
 
 LINKS_REFUSED = Counter(
@@ -89,6 +90,11 @@
         if self.peer is not None:
             self.lines.send(Draining(epoch=self.peer.epoch))
 
+    def tell_crash_news(self, news: CrashNews) -> None:
+        """Tell the peer of requests that crash back ends."""
+        if self.peer is not None:
+            self.lines.send(news)
+
     def fetch(self, revision: int) -> None:
         """Ask the peer for the configuration past ``revision``."""
         self.lines.send(Fetch(revision=revision))
@@ -107,6 +113,8 @@
             self._take_fetch(message)
         elif isinstance(message, Delta):
             self._owner.accepted_delta_received(self, message)
+        elif isinstance(message, CrashNews):
+            self._owner.crash_news_received(message)
         else:
             raise ProtocolError(f"{type(message).__name__} has no place on a calling peer's link")
 
@@ -130,6 +138,9 @@
         if message.compressed:
             self.lines.compress_sent()
             self.lines.expect_compressed()
+        news = self._owner.crash_news()
+        if news is not None:
+            self.tell_crash_news(news)
         self._note_revision(message.revision)
 
     def _take_call(self, call: Call) -> None:
--- a/src/finchshed/link/messages.py
+++ b/src/finchshed/link/messages.py
@@ -13,6 +13,7 @@
 from finchshed.common.context import CallContext
 from finchshed.common.outcomes import Headers, Outcome
 from finchshed.distribution.messages import Delta, Fetch, RequestNumber, Revision
+from finchshed.quarantine.messages import CrashNews, CrashRecord
 
 SpareAttempts: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
 
@@ -89,6 +90,7 @@
 
     ``spare_attempts`` is what the callee's side did not spend of the call's share of the retry
     budget. ``digest`` is xxh3-64 of an answer's body, hexadecimal; empty for other outcomes.
+    ``crash_record`` is there where back ends ended under the request.
     """
 
     epoch: str
@@ -98,6 +100,7 @@
     load: LoadReport
     digest: str = ""
     revision: Revision = 0
+    crash_record: CrashRecord | None = None
 
 
 class Cancel(msgspec.Struct, frozen=True, tag="cancel"):
@@ -128,4 +131,6 @@
     revision: Revision = 0
 
 
-PeerMessage: TypeAlias = Hello | Call | Reply | Cancel | Draining | Ping | Pong | Fetch | Delta
+PeerMessage: TypeAlias = (
+    Hello | Call | Reply | Cancel | Draining | Ping | Pong | Fetch | Delta | CrashNews
+)
--- a/src/finchshed/link/owners.py
+++ b/src/finchshed/link/owners.py
@@ -4,6 +4,7 @@
 
 from finchshed.distribution.messages import Delta
 from finchshed.link.messages import Call, Hello, LoadReport
+from finchshed.quarantine.messages import CrashNews
 
 if TYPE_CHECKING:
     from finchshed.link.listener import AcceptedLink
@@ -37,6 +38,12 @@
     def delta_for(self, revision: int) -> Delta | None:
         """Return the configuration for a peer that holds ``revision``."""
 
+    def crash_news_received(self, news: CrashNews) -> None:
+        """Take news of requests that crash back ends."""
+
+    def crash_news(self) -> CrashNews | None:
+        """Return what a peer is told when a link to it opens; None: there is nothing."""
+
 
 class ListenerOwner(Protocol):
     """What the holder of the listener is told and asked."""
@@ -64,3 +71,9 @@
 
     def delta_for(self, revision: int) -> Delta | None:
         """Return the configuration for a peer that holds ``revision``."""
+
+    def crash_news_received(self, news: CrashNews) -> None:
+        """Take news of requests that crash back ends."""
+
+    def crash_news(self) -> CrashNews | None:
+        """Return what a peer is told when a link to it opens; None: there is nothing."""
--- a/src/finchshed/link/peer.py
+++ b/src/finchshed/link/peer.py
@@ -32,6 +32,7 @@
 from finchshed.link.silence import SilenceWatch, Verdict
 from finchshed.link.states import Connect, LinkState, ReplyCallback, SendResult
 from finchshed.observability.instruments import Counter
+from finchshed.quarantine.messages import CrashNews
 from finchshed.tls.names import claims_of_link, unproven
 
 EPOCH_BYTES = 8
@@ -167,6 +168,11 @@
         """Ask the peer for the configuration past ``revision``."""
         self._send(Fetch(revision=revision))
 
+    def tell_crash_news(self, news: CrashNews) -> None:
+        """Tell the peer of requests that crash back ends."""
+        if self.state is LinkState.OPEN:
+            self._send(news)
+
     def close(self, cause: str) -> None:
         """End the link; calls in progress are told that it broke."""
         self._end(cause)
@@ -215,6 +221,8 @@
             self._answer_fetch(message)
         elif isinstance(message, Delta):
             self._owner.delta_received(self, message)
+        elif isinstance(message, CrashNews):
+            self._owner.crash_news_received(message)
         else:
             self._end("protocol")
 
@@ -232,8 +240,11 @@
         if self.peer is None and self._asks_compression and hello.compressed:
             lines.compress_sent()
             lines.expect_compressed()
+        news = self._owner.crash_news() if self.peer is None else None
         self.state = LinkState.OPEN
         self.peer = hello
+        if news is not None:
+            self._send(news)
         self._owner.link_opened(self, hello)
         if hello.draining:
             self._owner.peer_draining(self)
--- a/src/finchshed/routing/caller.py
+++ b/src/finchshed/routing/caller.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections.abc import Callable
 from typing import TypeAlias
 
 import msgspec
@@ -22,6 +23,7 @@
 from finchshed.common.results import CallResult, result_of
 from finchshed.configuration.resources import Endpoint
 from finchshed.link.messages import LoadReport
+from finchshed.quarantine.register import FREE, LAST_OWN_RETRY_CRASHES, Judgement, Standing
 from finchshed.retry.account import lent_share
 from finchshed.retry.bucket import RetryBucket
 from finchshed.retry.policy import (
@@ -99,6 +101,10 @@
         Route of the service that the request falls under.
     target_seconds
         Latency it is meant to be answered in; 0: none.
+    signature
+        Returns the request's signature; asked for only if it is a suspect.
+    judge
+        Returns what may be done with the request, by the ends of back ends under it.
     """
 
     def __init__(
@@ -113,7 +119,11 @@
         pinned: str = "",
         route: str = "",
         target_seconds: float = 0.0,
+        signature: Callable[[], str] = str,
+        judge: Callable[[], Judgement] = lambda: FREE,
     ) -> None:
+        self._signature = signature
+        self._judge = judge
         self._table = table
         self._bucket = bucket
         self.service = service
@@ -214,6 +224,8 @@
         """Whether the outcome allows another attempt, and there is time for it."""
         if not may_retry(outcome, self._repeatable):
             return False
+        if isinstance(outcome, Failed) and self._judge().crashes > LAST_OWN_RETRY_CRASHES:
+            return False
         if not isinstance(outcome, Answered):
             return True
         return self._deadline - now >= ERROR_RETRY_TIME_FACTOR * (now - self._sent_at)
@@ -235,6 +247,12 @@
         return [send, SetTimer(self._deadline)]
 
     def _choose(self, now: float) -> Endpoint | Refused:
+        judgement = self._judge()
+        if judgement.standing is Standing.QUARANTINED:
+            detail = f"{judgement.crashes} back ends ended under it"
+            return Refused(RefusalReason.QUARANTINED, judgement.seconds, detail)
+        if judgement.standing is Standing.SUSPECT:
+            return self._table.choose_designated(self.service, self._signature(), now)
         if self._is_pinned:
             chosen = self._table.choose_pinned(self._pinned, (), now)
             if not isinstance(chosen, Refused):
--- a/src/finchshed/routing/pool.py
+++ b/src/finchshed/routing/pool.py
@@ -106,6 +106,23 @@
         if not view.leaving:
             heapq.heappush(self._parked, (view.available_at(), next(self._order), view))
 
+    def designated(self, signature: str, now: float) -> EndpointView | None:
+        """Return the endpoint that alone may run a suspect, the same for every caller.
+
+        By rendezvous hashing, over those that aren't leaving and whose link isn't down: what each
+        caller finds out for itself, as who is ejected, doesn't move a suspect elsewhere.
+        """
+        usable = (
+            view
+            for view in self._views.values()
+            if not view.leaving and now >= view.link_down_until
+        )
+        return max(
+            usable,
+            key=lambda view: xxhash.xxh64_intdigest(f"{signature}\0{view.endpoint.name}".encode()),
+            default=None,
+        )
+
     def note_importance(self, importance: Importance) -> None:
         """Take note that requests of this class are sent to the service."""
         self._least_importance = min(self._least_importance, importance)
--- a/src/finchshed/routing/table.py
+++ b/src/finchshed/routing/table.py
@@ -147,6 +147,14 @@
             return Refused(RefusalReason.NO_BACKEND, retry_after(0.0, self._rng))
         return view.endpoint
 
+    def choose_designated(self, service: str, signature: str, now: float) -> Endpoint | Refused:
+        """Return the endpoint designated for a suspect, or refuse it where there is none."""
+        pool = self._pools.get(service)
+        view = None if pool is None else pool.designated(signature, now)
+        if view is None:
+            return Refused(RefusalReason.NO_BACKEND, retry_after(1.0, self._rng))
+        return view.endpoint
+
     def is_usable(self, name: str, service: str, now: float) -> bool:
         """Return whether ``name`` is a declared endpoint of ``service`` whose link isn't down."""
         view = self._views.get(name)
--- a/tests/daemon/lone_callee.py
+++ b/tests/daemon/lone_callee.py
@@ -7,7 +7,9 @@
 from finchshed.daemon.accounts import ServedRequests
 from finchshed.daemon.callee import Callee
 from finchshed.daemon.header_names import HeaderNames
+from finchshed.daemon.quarantine import Quarantine
 from finchshed.daemon.settings import DaemonSettings
+from finchshed.daemon.signatures import Signatures
 
 
 def lone_callee(served: ServedRequests, paths: PathThresholds) -> Callee:
@@ -24,6 +26,7 @@
         control_addresses=("127.0.0.1:9002",),
         registers_backend=True,
     )
+    signatures = Signatures(HeaderNames())
     return Callee(
         settings,
         backend=Mock(),
@@ -34,4 +37,6 @@
         on_backend_answer=Mock(),
         revision=lambda: 1,
         names=HeaderNames(),
+        signatures=signatures,
+        quarantine=Quarantine(Mock(is_connected=True), signatures, Mock()),
     )
--- a/tests/link/test_listener.py
+++ b/tests/link/test_listener.py
@@ -16,6 +16,7 @@
 from finchshed.link.lines import FIRST_LINE_BYTES
 from finchshed.link.listener import AcceptedLink, LinkListener
 from finchshed.link.messages import Call, Hello, LoadReport, PeerMessage, Ping, Reply
+from finchshed.quarantine.messages import CrashNews
 from tests.link.strategies import EPOCH, garbage, messages
 from tests.link.transport import MemoryTransport
 
@@ -44,6 +45,7 @@
     def __init__(self) -> None:
         self.received: list[tuple[AcceptedLink, Call]] = []
         self.cancelled: list[tuple[AcceptedLink, int]] = []
+        self.crash_news_got: list[CrashNews] = []
 
     def hello(self, epoch: str) -> Hello:
         return Hello(node="me", incarnation="1", epoch=epoch, service="s", zone="z", revision=1)
@@ -64,6 +66,12 @@
 
     def accepted_delta_received(self, link: AcceptedLink, delta: Delta) -> None: ...
 
+    def crash_news_received(self, news: CrashNews) -> None:
+        self.crash_news_got.append(news)
+
+    def crash_news(self) -> CrashNews | None:
+        return None
+
     def delta_for(self, revision: int) -> Delta | None:
         return None
 
--- a/tests/link/test_peer.py
+++ b/tests/link/test_peer.py
@@ -16,6 +16,7 @@
 from finchshed.link.messages import Hello, LoadReport, PeerMessage, Ping, Reply
 from finchshed.link.peer import PeerLink
 from finchshed.link.states import LinkState, SendResult
+from finchshed.quarantine.messages import CrashNews
 from tests.link.strategies import NESTED, garbage, messages
 
 CONTEXT = CallContext(root="r", importance=Importance.NORMAL, remaining_seconds=1.0)
@@ -32,6 +33,7 @@
         self.closed = asyncio.Event()
         self.causes: list[str] = []
         self.deltas: list[Delta] = []
+        self.crash_news_got: list[CrashNews] = []
 
     def hello(self, epoch: str) -> Hello:
         return Hello("me", "1", epoch, "s", "z", 1)
@@ -52,6 +54,12 @@
     def delta_received(self, link: PeerLink, delta: Delta) -> None:
         self.deltas.append(delta)
 
+    def crash_news_received(self, news: CrashNews) -> None:
+        self.crash_news_got.append(news)
+
+    def crash_news(self) -> CrashNews | None:
+        return None
+
     def delta_for(self, revision: int) -> Delta | None:
         return None
 
