--- a/src/finchshed/control/distribution_service.py
+++ b/src/finchshed/control/distribution_service.py
@@ -22,6 +22,7 @@
 from finchshed.distribution.snapshot import Configuration
 from finchshed.distribution.status import DistributionStatus, InForceReport, StatusTable
 from finchshed.link.networks import PeerNetworks
+from finchshed.runtime import clock
 from finchshed.tls.credentials import Credentials
 from finchshed.tls.handshakes import Connector
 from finchshed.tls.names import Role
@@ -64,7 +65,7 @@
             log,
             LedgerService(log, background),
             make_shard=lambda addresses: ShardClient(node, addresses, connect),
-            now=time.monotonic,
+            now=clock.now,
             unix_now=time.time,
         )
         self._hub = Hub(node)
--- a/src/finchshed/control/node.py
+++ b/src/finchshed/control/node.py
@@ -1,7 +1,6 @@
 """One control node: its parts, started and stopped in order."""
 
 import asyncio
-import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -21,6 +20,7 @@
 from finchshed.control.whole_configuration import WholeConfiguration
 from finchshed.link.networks import PeerNetworks
 from finchshed.observability.health import Health
+from finchshed.runtime import clock
 from finchshed.tls.credentials import Credentials, credentials_of
 
 if TYPE_CHECKING:
@@ -141,10 +141,10 @@
 
     async def _hand_over(self) -> None:
         """Transfer leadership, so that the group needs no election timeout."""
-        deadline = time.monotonic() + TRANSFER_SECONDS
+        deadline = clock.now() + TRANSFER_SECONDS
         self._host.transfer_leadership()
-        while self._host.is_leader and time.monotonic() < deadline:
-            await self._host.wait_for_role_change(deadline - time.monotonic())
+        while self._host.is_leader and clock.now() < deadline:
+            await self._host.wait_for_role_change(deadline - clock.now())
 
     async def _name_alternatives(self) -> None:
         own = self._settings.distribution_advertised_address or self._settings.distribution_address
--- a/src/finchshed/control/quarantine_service.py
+++ b/src/finchshed/control/quarantine_service.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import time
 from collections.abc import Callable, Sequence
 
 from loguru import logger
@@ -13,6 +12,7 @@
 from finchshed.distribution.messages import ControlToDaemon
 from finchshed.quarantine.messages import CrashNews, CrashRecord
 from finchshed.quarantine.register import FREE, Judgement, QuarantineRegister
+from finchshed.runtime import clock
 
 CONFIRM_SECONDS = 2.0
 """Time between reports of all that is held to the other control nodes, in case one was lost."""
@@ -46,30 +46,30 @@
 
     def on_daemon_news(self, news: CrashNews) -> None:
         """Take news of a daemon connected here."""
-        changed = self._register.merge(news.records, time.monotonic())
+        changed = self._register.merge(news.records, clock.now())
         if changed:
             self._send_report(CrashNews(changed))
             self._pass_on(changed)
 
     def on_report(self, news: CrashNews) -> None:
         """Take news that another control node passes on."""
-        self._pass_on(self._register.merge(news.records, time.monotonic()))
+        self._pass_on(self._register.merge(news.records, clock.now()))
 
     def greeting(self) -> Sequence[ControlToDaemon]:
         """Return what a daemon is sent when it connects."""
-        records = self._register.records(time.monotonic())
+        records = self._register.records(clock.now())
         return (CrashNews(records),) if records else ()
 
     def judged(self) -> tuple[tuple[CrashRecord, Judgement], ...]:
         """Return what is held, and what may be done with each request."""
-        now = time.monotonic()
+        now = clock.now()
         records = self._register.records(now)
         judged = ((record, self._register.judge(record.signature, now)) for record in records)
         return tuple(item for item in judged if item[1] is not FREE)
 
     def lift(self, signature: str) -> bool:
         """Clear a request everywhere on an operator's word; return whether anything was held."""
-        record = self._register.on_completed(signature, time.monotonic())
+        record = self._register.on_completed(signature, clock.now())
         if record is None:
             return False
         logger.info("request {} is free: an operator says so", signature)
@@ -81,7 +81,7 @@
         """Confirm to the other control nodes and forget, for as long as the node runs."""
         while True:
             await asyncio.sleep(CONFIRM_SECONDS)
-            now = time.monotonic()
+            now = clock.now()
             self._register.expire(now)
             if self._register:
                 self._send_report(CrashNews(self._register.records(now)))
--- a/src/finchshed/control/quota_service.py
+++ b/src/finchshed/control/quota_service.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import time
 from collections.abc import Callable
 
 from loguru import logger
@@ -22,6 +21,7 @@
 from finchshed.control.state_machine import ControlStateMachine
 from finchshed.quota.division import QuotaDivision
 from finchshed.quota.messages import QuotaAnswer, QuotaReport, QuotaRequest
+from finchshed.runtime import clock
 
 CONFIRM_SECONDS = 0.25
 """Time between the leader's reads from a quorum while any tenant has a limit."""
@@ -89,7 +89,7 @@
 
     def _answer(self, daemon: str, request: QuotaRequest) -> QuotaAnswer | None:
         """Return the leader's answer; None: this node doesn't surely lead, or it is an old line."""
-        now = time.monotonic()
+        now = clock.now()
         if self._log.leading_term() != self._term or now >= self._confirmed_at + CONFIRMED_SECONDS:
             return None
         if self._division is None:
@@ -100,7 +100,7 @@
         return self._division.on_ask(request, now)
 
     async def _confirm(self) -> None:
-        began = time.monotonic()
+        began = clock.now()
         try:
             await self._log.read_barrier()
         except FinchshedError as error:
@@ -110,18 +110,18 @@
         if term is None:
             return
         if self._division is None or term != self._term:
-            self._division = QuotaDivision(time.monotonic(), self._machine.quota_holders)
+            self._division = QuotaDivision(clock.now(), self._machine.quota_holders)
             self._revision = -1
             self._configure()
             logger.info("quotas are divided here, term {}", term)
         self._term = term
         self._confirmed_at = began
-        self._division.tick(time.monotonic())
+        self._division.tick(clock.now())
         await self._note_holders(self._division)
 
     async def _note_holders(self, division: QuotaDivision) -> None:
         """Have the log note the daemons that get shares from now on, and drop those long gone."""
-        added, removed = division.to_note(), division.gone(time.monotonic())
+        added, removed = division.to_note(), division.gone(clock.now())
         if not added and not removed:
             return
         try:
@@ -141,4 +141,4 @@
         tenants = [item for item in store.resources.values() if isinstance(item, Tenant)]
         self._has_limits = any(tenant.requests_per_second for tenant in tenants)
         if self._division is not None:
-            self._division.configure(tenants, self._machine.policy(), time.monotonic())
+            self._division.configure(tenants, self._machine.policy(), clock.now())
--- a/src/finchshed/control/raft_host.py
+++ b/src/finchshed/control/raft_host.py
@@ -55,6 +55,7 @@
 )
 from finchshed.control.raft_storage import open_durable_state, open_log_folder
 from finchshed.control.state_machine import ControlStateMachine
+from finchshed.runtime import clock
 
 DISK_RETRY_SECONDS = 0.5
 STUCK_WRITE_SECONDS = 1.0
@@ -130,10 +131,10 @@
     def start(self, links: PeerLinks) -> None:
         """Bring the state machine to what the disk holds, and take part in the group."""
         self._links = links
-        started = time.monotonic()
+        started = clock.now()
         self._driver.start(_now())
         self._after_step()
-        elapsed = time.monotonic() - started
+        elapsed = clock.now() - started
         logger.info("state at entry {} after {:.3f} s", self._machine.applied_index, elapsed)
 
     async def stop(self) -> None:
@@ -229,9 +230,9 @@
 
     def snapshot(self) -> bytes:
         """Return the state."""
-        started = time.monotonic()
+        started = clock.now()
         data = self._machine.snapshot()
-        metrics.SNAPSHOT_SECONDS.observe(time.monotonic() - started)
+        metrics.SNAPSHOT_SECONDS.observe(clock.now() - started)
         return data
 
     def report(self, effect: Effect) -> None:
@@ -333,4 +334,4 @@
 
 
 def _now() -> float:
-    return time.monotonic()
+    return clock.now()
--- a/src/finchshed/daemon/backend_http.py
+++ b/src/finchshed/daemon/backend_http.py
@@ -1,7 +1,6 @@
 """The client to the back end: a pool of connections, one request on each at a time."""
 
 import asyncio
-import time
 from collections.abc import Callable
 
 from loguru import logger
@@ -16,6 +15,7 @@
 from finchshed.daemon.backend_answer import AnswerReader
 from finchshed.daemon.backend_connection import BackendConnection, ConnectionState
 from finchshed.daemon.header_names import HeaderNames
+from finchshed.runtime import clock
 
 IDLE_SECONDS = 15.0
 """A connection unused for this long is not used again: the back end may be closing it."""
@@ -108,7 +108,7 @@
         allowed = IDLE_SECONDS if is_repeatable else IDLE_SECONDS_UNREPEATABLE
         if connection.kept_seconds is not None:
             allowed = min(allowed, connection.kept_seconds * KEPT_SHARE)
-        if connection.idle_since >= time.monotonic() - allowed:
+        if connection.idle_since >= clock.now() - allowed:
             return connection
         # It was used last, so every other one has been idle for longer still.
         idle.append(connection)
@@ -156,7 +156,7 @@
         return connection
 
     def _on_idle(self, connection: BackendConnection) -> None:
-        connection.idle_since = time.monotonic()
+        connection.idle_since = clock.now()
         self._idle.append(connection)
 
     def _on_closed(self, connection: BackendConnection) -> None:
--- a/src/finchshed/daemon/backend_watch.py
+++ b/src/finchshed/daemon/backend_watch.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import time
 from collections.abc import Callable
 
 from finchshed.daemon.backend import (
@@ -16,6 +15,7 @@
     BackendResult,
 )
 from finchshed.daemon.backend_return import ReturnWatch
+from finchshed.runtime import clock
 
 HEALTH_PATH = "/health"
 IDLE_POLL_SECONDS = 0.5
@@ -82,7 +82,7 @@
 
     async def _look_for_return(self) -> None:
         result = await check_health(self._backend)
-        if not self._return.has_returned(result, time.monotonic()):
+        if not self._return.has_returned(result, clock.now()):
             return
         self.is_leaving = False
         self._on_returned()
--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -7,7 +7,6 @@
 import asyncio
 import random
 import secrets
-import time
 from collections.abc import Callable
 from functools import partial
 
@@ -52,6 +51,7 @@
 from finchshed.link.messages import Call, LoadReport, Reply
 from finchshed.quarantine.register import Standing
 from finchshed.retry.policy import retry_after
+from finchshed.runtime import clock
 from finchshed.session.table import SessionTable
 
 CRASH_BYTES = 6
@@ -116,7 +116,7 @@
         self._crash_watch = CrashWatch(backend, self._on_crash)
         self.on_backend_fault: Callable[[str, BackendResult], None] = _ignore_fault
         by_demand = settings.registers_backend
-        self._gate = Gate(1, rng, time.monotonic(), by_demand=by_demand)
+        self._gate = Gate(1, rng, clock.now(), by_demand=by_demand)
         self._admission = CallAdmission(settings, rng)
         self._works: dict[int, Work] = {}
         self._by_call: dict[tuple[str, int], Work] = {}
@@ -172,7 +172,7 @@
 
     def load_report(self) -> LoadReport:
         """Return the load as callers are told."""
-        now = time.monotonic()
+        now = clock.now()
         report = self._gate.load_report(now, self._paths.report(now))
         if self.draining and not report.draining:
             return msgspec.structs.replace(report, draining=True)
@@ -180,7 +180,7 @@
 
     def expire_sessions(self) -> None:
         """End the sessions that have been idle for long."""
-        self._admission.sessions.expire(time.monotonic())
+        self._admission.sessions.expire(clock.now())
 
     def _arm_tick(self) -> None:
         """Look after the queue and the threshold for as long as there is either."""
@@ -190,14 +190,14 @@
 
     def _on_tick(self) -> None:
         self._ticker = None
-        now = time.monotonic()
+        now = clock.now()
         self._apply(self._gate.tick(now))
         if self._gate.queued or self._gate.load_report(now).threshold:
             self._arm_tick()
 
     def take(self, link: AcceptedLink, call: Call) -> None:
         """Take a call that came in."""
-        now = time.monotonic()
+        now = clock.now()
         work = self._admission.admit(link, call, now)
         if isinstance(work, Refused):
             spare = call.context.spare_attempts
@@ -218,7 +218,7 @@
         """Have a suspect wait until no other one runs here."""
         match self._suspects.enter(work.token):
             case Turn.RUNS:
-                self._queue(work, time.monotonic())
+                self._queue(work, clock.now())
             case Turn.REFUSED:
                 self._answer(work, self._admission.refused(RefusalReason.SUSPECTS_WAIT))
             case Turn.WAITS:
@@ -248,7 +248,7 @@
     def _dequeue(self, work: Work) -> None:
         """Take a call that was not started out of what waits."""
         if not self._suspects.is_waiting(work.token):
-            self._apply(self._gate.cancel(work.token, time.monotonic()))
+            self._apply(self._gate.cancel(work.token, clock.now()))
 
     def _apply(self, effects: list[GateEffect]) -> None:
         for effect in effects:
@@ -269,7 +269,7 @@
             # Back ends ended under its other tries while it was queued here.
             self._finish(work, Refused(RefusalReason.QUARANTINED, judgement.seconds))
             return
-        metrics.QUEUE_DELAY.observe(time.monotonic() - work.arrived)
+        metrics.QUEUE_DELAY.observe(clock.now() - work.arrived)
         if work.repeatable or work.is_by_host:
             self._send_to_backend(work)
         else:
@@ -279,11 +279,11 @@
     def _send_to_backend(self, work: Work) -> None:
         call = work.call
         work.state = WorkState.AT_BACKEND
-        work.started = time.monotonic()
+        work.started = clock.now()
         work.served = self._served.open(work.context, work.deadline, call.identity)
         self._paths.on_start(work.served.account, work.route)
         instance = self._admission.instance
-        remaining = work.deadline - time.monotonic()
+        remaining = work.deadline - clock.now()
         request = backend_request(work, remaining, self._names, instance)
         work.cancel_backend = self._backend.send(
             request, lambda result: self._on_backend_result(work, instance, result)
@@ -323,7 +323,7 @@
             return
         work.state = WorkState.RECORDING
         # The back end is done with the request; waiting for the ledger must not hold its slot.
-        self._apply(self._gate.finish(work.token, result_of(outcome), time.monotonic()))
+        self._apply(self._gate.finish(work.token, result_of(outcome), clock.now()))
         self._guarded.settle(work, outcome, self._finish)
 
     def _finish(self, work: Work, outcome: Outcome) -> None:
@@ -347,7 +347,7 @@
             spare = self._served.close(work.served.account)
             self._paths.on_end(work.served.account, answered=result is CallResult.OK)
         self._forget(work)
-        self._apply(self._gate.finish(work.token, result, time.monotonic()))
+        self._apply(self._gate.finish(work.token, result, clock.now()))
         return spare
 
     def _reply_to(self, work: Work, outcome: Outcome, spare: int) -> None:
@@ -364,10 +364,10 @@
         self._works.pop(work.token, None)
         self._by_call.pop((work.call.epoch, work.call.call), None)
         if work.in_session:
-            self._admission.sessions.on_answer(work.call.context.session, time.monotonic())
+            self._admission.sessions.on_answer(work.call.context.session, clock.now())
         due = self._works.get(self._suspects.leave(work.token) or 0)
         if due is not None:
-            self._queue(due, time.monotonic())
+            self._queue(due, clock.now())
 
     def _send_reply(
         self, link: AcceptedLink, call: Call, outcome: Outcome, spare: int, load: LoadReport
--- a/src/finchshed/daemon/caller.py
+++ b/src/finchshed/daemon/caller.py
@@ -1,7 +1,6 @@
 """The caller's side of the daemon: takes requests from HTTP and has them answered by endpoints."""
 
 import random
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -26,6 +25,7 @@
 from finchshed.retry.policy import retry_after
 from finchshed.routing.caller import CallerLogic
 from finchshed.routing.table import RoutingTable
+from finchshed.runtime import clock
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,7 +87,7 @@
 
     def expire_sessions(self) -> None:
         """Forget sessions that have been idle for long."""
-        self._pins.expire(time.monotonic())
+        self._pins.expire(clock.now())
 
     def call(
         self,
@@ -149,12 +149,12 @@
             request = msgspec.structs.replace(request, headers=request.headers + conditions)
         logic = CallerLogic(
             self._table,
-            self._retries.bucket(request.service, time.monotonic()),
+            self._retries.bucket(request.service, clock.now()),
             request.service,
             request.context,
             repeatable=request.repeatable,
             rng=self._rng,
-            pinned=self._pins.endpoint_of(request, self._table, time.monotonic()),
+            pinned=self._pins.endpoint_of(request, self._table, clock.now()),
             route=request.route,
             target_seconds=request.target_seconds,
             signature=partial(self._signatures.of, request),
@@ -166,7 +166,7 @@
             if key is not None:
                 self._joinable.pop(key, None)
             if request.in_session:
-                self._pins.end(request, call.endpoint, outcome, time.monotonic())
+                self._pins.end(request, call.endpoint, outcome, clock.now())
             metrics.count_call(request.service, request.context.importance, outcome)
             signature = self._signatures.of(request) if is_signed(outcome) else ""
             log_request(
@@ -200,7 +200,7 @@
         service = self._catalogue.service(request.service)
         if service is not None:
             idle_seconds = service.session_idle_seconds
-            self._pins.begin(request, endpoint, idle_seconds, time.monotonic())
+            self._pins.begin(request, endpoint, idle_seconds, clock.now())
 
     def _retry_after(self) -> float:
         return retry_after(0.0, self._rng)
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -48,7 +48,7 @@
 from finchshed.link.listener import LinkListener
 from finchshed.quarantine.messages import CrashNews
 from finchshed.routing.table import RoutingTable
-from finchshed.runtime import garbage
+from finchshed.runtime import clock, garbage
 from finchshed.runtime.waiting import wait_while
 from finchshed.tls.credentials import credentials_of
 from finchshed.tls.handshakes import Connector
@@ -262,7 +262,7 @@
             self.own_backend.on_own_registration(held)
 
     def _on_hints(self, hints: Hints) -> None:
-        self._platform.on_hints(hints, time.monotonic())
+        self._platform.on_hints(hints, clock.now())
         self._leaving.on_hints(hints)
 
     # Construction and upkeep.
@@ -358,7 +358,7 @@
             if not self._driver.client.is_connected:
                 # Other daemons are the only source of configuration then.
                 self._links.ask_revisions()
-            self._listener.close_silent(time.monotonic())
+            self._listener.close_silent(clock.now())
             metrics.IN_PROGRESS.labels("caller").set(self._caller.in_progress)
             if self._callee is not None:
                 self._callee.expire_sessions()
--- a/src/finchshed/daemon/decision_log.py
+++ b/src/finchshed/daemon/decision_log.py
@@ -15,6 +15,7 @@
 from finchshed.link.messages import LoadReport
 from finchshed.observability import log_stream
 from finchshed.observability.decisions import Attempt, BackendEnded, CallEnded, RequestEnded
+from finchshed.runtime import clock
 
 MILLISECONDS = 1000.0
 
@@ -125,7 +126,7 @@
     if not log_stream.is_on() or not (failed or log_stream.is_sampled(context.root)):
         return
     reason, detail, status, _ = _parts(outcome)
-    now = time.monotonic()
+    now = clock.now()
     started = work.started
     record = CallEnded(
         time=time.time(),
--- a/src/finchshed/daemon/endpoints.py
+++ b/src/finchshed/daemon/endpoints.py
@@ -1,6 +1,5 @@
 """All endpoints a daemon may call: those declared, and those that registered themselves."""
 
-import time
 from collections import Counter
 
 from loguru import logger
@@ -11,6 +10,7 @@
 from finchshed.directory.table import Directory
 from finchshed.distribution.messages import DirectoryUpdate
 from finchshed.routing.table import RoutingTable
+from finchshed.runtime import clock
 
 FORGET_SECONDS = 3_600.0
 """Control says what is to be forgotten; without it a daemon goes on with what it knows."""
@@ -42,7 +42,7 @@
 
     def on_update(self, update: DirectoryUpdate) -> None:
         """Take registrations. A control node that just started doesn't know them all yet."""
-        now = time.monotonic()
+        now = clock.now()
         present = self._directory.present_at(update.registrations)
         news = self._directory.take(update.registrations, now)
         # A daemon that has just started and knows of no back end is no news where none was known.
@@ -61,7 +61,7 @@
     def _apply(self) -> None:
         registered = self._directory.endpoints()
         endpoints = {**registered, **self._declared}
-        self._table.replace(endpoints.values(), time.monotonic())
+        self._table.replace(endpoints.values(), clock.now())
         self._links.replace(endpoints)
         if len(registered) <= MAX_GREETED:
             self._links.greet(tuple(registered.values()))
--- a/src/finchshed/daemon/front.py
+++ b/src/finchshed/daemon/front.py
@@ -7,7 +7,6 @@
 import itertools
 import random
 import secrets
-import time
 from collections.abc import Callable
 
 import msgspec
@@ -33,6 +32,7 @@
 from finchshed.http.message import InboundRequest, Response
 from finchshed.ledger.keys import issued_at
 from finchshed.retry.policy import retry_after
+from finchshed.runtime import clock
 
 ROOT_PREFIX_BYTES = 8
 MILLISECONDS = 1000.0
@@ -78,7 +78,7 @@
         self._rng = rng
         self._root_prefix = secrets.token_hex(ROOT_PREFIX_BYTES)
         self._roots = itertools.count()
-        self._fair = FairPositions(time.monotonic())
+        self._fair = FairPositions(clock.now())
         self._why_not = why_not
         self.catalogue = Catalogue()
 
@@ -161,7 +161,7 @@
             caller=caller,
             session=request.header(_SESSION) if matched.route.session else "",
             key=request.header(_IDEMPOTENCY_KEY),
-            position=self._fair.place(caller, matched.route.importance, root, time.monotonic()),
+            position=self._fair.place(caller, matched.route.importance, root, clock.now()),
         )
 
     def _new_root(self) -> str:
@@ -175,7 +175,7 @@
         session = inherited.session
         if matched.route.session:
             session = request.header(_SESSION) or session
-        left = served.deadline - time.monotonic()
+        left = served.deadline - clock.now()
         return CallContext(
             root=inherited.root,
             importance=inherited.importance,
--- a/src/finchshed/daemon/guarded.py
+++ b/src/finchshed/daemon/guarded.py
@@ -13,7 +13,6 @@
 
 import random
 import secrets
-import time
 from collections.abc import Callable
 from typing import TypeAlias
 
@@ -43,6 +42,7 @@
 )
 from finchshed.ledger.results import LedgerRefusalReason
 from finchshed.retry.policy import retry_after
+from finchshed.runtime import clock
 
 ATTEMPT_BYTES = 12
 CANCEL_TIMEOUT_SECONDS = 30.0
@@ -67,11 +67,11 @@
     def begin(self, work: Work, send: SendCallback, finish: FinishCallback) -> None:
         """Ask leave to run ``work``; call ``send`` if granted, ``finish`` if not."""
         work.attempt = secrets.token_hex(ATTEMPT_BYTES)
-        asked_at = time.monotonic()
+        asked_at = clock.now()
         timeout = min(self._settings.ledger_timeout_seconds, max(0.0, work.deadline - asked_at))
 
         def answered(answer: LedgerAnswer | None) -> None:
-            metrics.LEDGER_DELAY.observe(time.monotonic() - asked_at)
+            metrics.LEDGER_DELAY.observe(clock.now() - asked_at)
             self._on_answer(work, answer, asked_at, send, finish)
 
         self._ledger.begin(work.ledger_key, work.attempt, timeout, answered)
@@ -119,7 +119,7 @@
     def _on_granted(
         self, work: Work, asked_at: float, send: SendCallback, finish: FinishCallback
     ) -> None:
-        now = time.monotonic()
+        now = clock.now()
         if work.abandoned:
             reason = RefusalReason.CANCELLED
         elif now >= work.deadline:
--- a/src/finchshed/daemon/host_front.py
+++ b/src/finchshed/daemon/host_front.py
@@ -5,7 +5,6 @@
 """
 
 import random
-import time
 from collections.abc import Callable
 
 import msgspec
@@ -42,6 +41,7 @@
 )
 from finchshed.retry.policy import retry_after
 from finchshed.routing.weights import WeightedChoice
+from finchshed.runtime import clock
 from finchshed.tenancy.gate import tenant_of
 from finchshed.tenancy.lease import KeyLease
 
@@ -151,7 +151,7 @@
             return tenant
         remaining = min(self._told_seconds(request, route), route.timeout_seconds)
         service = self._choices[route.name].draw()
-        return HostAdmitted(route, service, host, remaining, time.monotonic(), tenant)
+        return HostAdmitted(route, service, host, remaining, clock.now(), tenant)
 
     def _log_refusal(
         self, request: InboundRequest, route: HostRoute | None, refused: Refused, tenant: str = ""
@@ -251,7 +251,7 @@
         if not tenants or self._served_by(request.header(self._request)) is not None:
             return None
         keys = {value for name, value in request.headers if name == self._api_key and value}
-        now = time.monotonic()
+        now = clock.now()
         found = tenant_of(keys, tenants, self._lease, now, is_public=route.public)
         if found is RefusalReason.API_KEY_MISSING:
             return self._without_key(request.header(self._request))
@@ -278,7 +278,7 @@
     def _context(
         self, admitted: HostAdmitted, identity: str, served: ServedRequest | None
     ) -> CallContext:
-        now = time.monotonic()
+        now = clock.now()
         route = admitted.route
         remaining = admitted.remaining_seconds - (now - admitted.began)
         spare = route.max_attempts - 1
--- a/src/finchshed/daemon/lease_renewal.py
+++ b/src/finchshed/daemon/lease_renewal.py
@@ -1,7 +1,6 @@
 """Keeps the daemon's lease of the API keys: questions to control, and what it answers."""
 
 import asyncio
-import time
 
 from loguru import logger
 
@@ -9,6 +8,7 @@
 from finchshed.daemon.catalogue import Catalogue
 from finchshed.distribution.client import ControlClient
 from finchshed.distribution.messages import LeaseRenewed
+from finchshed.runtime import clock
 from finchshed.tenancy.lease import RENEW_SECONDS, KeyLease
 
 
@@ -45,7 +45,7 @@
 
     def _ask(self) -> None:
         # Not the loop's time, which stands still while a turn of the loop lasts.
-        now = time.monotonic()
+        now = clock.now()
         self._tell_of_change(now)
         self._client.renew_lease(self.lease.next_question(now))
         loop = asyncio.get_running_loop()
@@ -53,7 +53,7 @@
 
     def _on_answer(self, answer: LeaseRenewed) -> None:
         if self.lease.on_answer(answer.question, answer.revision):
-            self._tell_of_change(time.monotonic())
+            self._tell_of_change(clock.now())
 
     def _tell_of_change(self, now: float) -> None:
         age = self.lease.age(now)
--- a/src/finchshed/daemon/leaving.py
+++ b/src/finchshed/daemon/leaving.py
@@ -5,7 +5,6 @@
 """
 
 import secrets
-import time
 
 from loguru import logger
 
@@ -16,6 +15,7 @@
 from finchshed.daemon.platform_hints import OwnListing
 from finchshed.distribution.messages import Hints
 from finchshed.link.listener import LinkListener
+from finchshed.runtime import clock
 
 INCARNATION_BYTES = 8
 
@@ -41,7 +41,7 @@
         self.watch: BackendWatch | None = None
         self._is_listed = False
         self._backend_leaves = False
-        self._own_listing = OwnListing(endpoint, time.monotonic())
+        self._own_listing = OwnListing(endpoint, clock.now())
         self._callee: Callee | None = None
         self._side: LinkSide | None = None
         self._listener: LinkListener | None = None
@@ -70,7 +70,7 @@
 
     def on_hints(self, hints: Hints) -> None:
         """Take the platform's list."""
-        is_listed = self._own_listing.is_meant(hints, time.monotonic())
+        is_listed = self._own_listing.is_meant(hints, clock.now())
         if is_listed == self._is_listed:
             return
         self._is_listed = is_listed
--- a/src/finchshed/daemon/link_side.py
+++ b/src/finchshed/daemon/link_side.py
@@ -1,7 +1,6 @@
 """What links tell this daemon and ask of it, at both of their ends."""
 
 import random
-import time
 from collections.abc import Callable
 
 from finchshed.common.outcomes import RefusalReason, Refused
@@ -16,6 +15,7 @@
 from finchshed.quarantine.messages import CrashNews
 from finchshed.retry.policy import retry_after
 from finchshed.routing.table import RoutingTable
+from finchshed.runtime import clock
 
 
 class LinkSide:
@@ -120,21 +120,21 @@
 
     def peer_up(self, endpoint: str, incarnation: str) -> None:
         """Note that an endpoint can be called."""
-        now = time.monotonic()
+        now = clock.now()
         self._table.on_link_up(endpoint, incarnation, now)
         self._platform.on_linked(endpoint, incarnation, now)
 
     def peer_down(self, endpoint: str) -> None:
         """Note that an endpoint can't be called."""
-        self._table.on_link_down(endpoint, time.monotonic())
+        self._table.on_link_down(endpoint, clock.now())
 
     def peer_draining(self, endpoint: str) -> None:
         """Note that an endpoint takes no new calls."""
-        self._table.mark_draining(endpoint, time.monotonic())
+        self._table.mark_draining(endpoint, clock.now())
 
     def peer_load(self, endpoint: str, load: LoadReport) -> None:
         """Note the load an endpoint told with a heartbeat."""
-        self._table.on_report(endpoint, load, time.monotonic())
+        self._table.on_report(endpoint, load, clock.now())
 
     def peer_revision(self, peer: str, revision: int) -> None:
         """Note the revision an endpoint's daemon holds."""
--- a/src/finchshed/daemon/outgoing.py
+++ b/src/finchshed/daemon/outgoing.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import time
 from collections.abc import Callable
 
 from finchshed.common.outcomes import (
@@ -27,6 +26,7 @@
 from finchshed.observability.decisions import Attempt as AttemptRecord
 from finchshed.quarantine.messages import CrashRecord
 from finchshed.routing.caller import CallerEffect, CallerLogic, Finish, Send, SetTimer, Withdraw
+from finchshed.runtime import clock
 
 
 class OutgoingCall:
@@ -67,7 +67,7 @@
         self._loop = links.loop
         self._timer: asyncio.TimerHandle | None = None
         self._outcome: Outcome | None = None
-        self._began = time.monotonic()
+        self._began = clock.now()
         self._sent_at = 0.0
         self._sent = 0
         self._noted = 0
@@ -78,7 +78,7 @@
     @property
     def seconds(self) -> float:
         """Time since the call began."""
-        return time.monotonic() - self._began
+        return clock.now() - self._began
 
     @property
     def is_over(self) -> bool:
@@ -87,7 +87,7 @@
 
     def begin(self) -> None:
         """Start the call."""
-        now = time.monotonic()
+        now = clock.now()
         self._deadline = now + self.request.context.remaining_seconds
         self._perform(self._logic.begin(now))
 
@@ -107,7 +107,7 @@
             return
         self._waiters.remove(on_outcome)
         if not self._waiters and self._outcome is None:
-            self._perform(self._logic.cancel(time.monotonic()))
+            self._perform(self._logic.cancel(clock.now()))
 
     def _perform(self, effects: list[CallerEffect]) -> None:
         for effect in effects:
@@ -135,7 +135,7 @@
         )
         self._attempt = attempt
         self.endpoint = effect.endpoint.name
-        self._sent_at = time.monotonic()
+        self._sent_at = clock.now()
         self._report_age = effect.report_age
         self._in_flight = effect.in_flight
         self._links.send(effect.endpoint, attempt)
@@ -163,7 +163,7 @@
 
     def _report(self, number: int, outcome: Outcome, spare: int, reply: Reply | None) -> None:
         load = None if reply is None else reply.load
-        now = time.monotonic()
+        now = clock.now()
         self._note_attempt(outcome, now)
         self._perform(self._logic.on_outcome(number, outcome, spare, load, now))
 
@@ -186,16 +186,16 @@
     def _set_timer(self, at: float) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = self._loop.call_later(max(0.0, at - time.monotonic()), self._on_timer, at)
+        self._timer = self._loop.call_later(max(0.0, at - clock.now()), self._on_timer, at)
 
     def _on_timer(self, due: float) -> None:
         # The loop's clock is coarser than the one decisions are made by.
-        now = max(due, time.monotonic())
+        now = max(due, clock.now())
         self._perform(self._logic.on_timer(now))
 
     def _finish(self, effect: Finish) -> None:
         if self._noted < self._sent:
-            self._note_attempt(effect.outcome, time.monotonic())
+            self._note_attempt(effect.outcome, clock.now())
         outcome = told_place(self.request, self.endpoint, effect.outcome)
         self._outcome = outcome
         # The attempt refers back to this call: without the cycle it is freed at once.
--- a/src/finchshed/daemon/own_backend.py
+++ b/src/finchshed/daemon/own_backend.py
@@ -4,8 +4,6 @@
 callers hear of it on their links, and control passes the registration on to everybody else.
 """
 
-import time
-
 from loguru import logger
 
 from finchshed.daemon.backend import Backend, BackendAnswer, BackendResult, BackendUnreached
@@ -20,6 +18,7 @@
 from finchshed.distribution.client import ControlClient
 from finchshed.http.status import STATUS_OK
 from finchshed.link.listener import LinkListener
+from finchshed.runtime import clock
 
 
 class OwnBackend:
@@ -63,7 +62,7 @@
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Take a heartbeat; what it changes is in force on return."""
-        if self._registrar.on_heartbeat(heartbeat, time.monotonic()):
+        if self._registrar.on_heartbeat(heartbeat, clock.now()):
             self._act()
 
     def on_leave(self, instance: str) -> None:
@@ -91,12 +90,12 @@
         slots = slots_of(told.get(self._names.load, ""))
         if not instance or not slots:
             return
-        if self._registrar.on_health(instance, service, slots, time.monotonic()):
+        if self._registrar.on_health(instance, service, slots, clock.now()):
             self._act()
 
     def tick(self) -> None:
         """Look for a back end that fell silent."""
-        if self._registrar.tick(time.monotonic()):
+        if self._registrar.tick(clock.now()):
             self._act()
 
     def _on_fault(self, instance: str, result: BackendResult) -> None:
--- a/src/finchshed/daemon/peers.py
+++ b/src/finchshed/daemon/peers.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import random
-import time
 from dataclasses import dataclass, field
 
 from finchshed.common.outcomes import RefusalReason
@@ -19,6 +18,7 @@
 from finchshed.link.peer import PeerLink
 from finchshed.link.states import Connect, LinkState, SendResult
 from finchshed.quarantine.messages import CrashNews
+from finchshed.runtime import clock
 
 BACKOFF_FIRST_SECONDS = 0.05
 BACKOFF_MAX_SECONDS = 2.0
@@ -77,7 +77,7 @@
         peer = self._peer(endpoint)
         link = peer.link
         if link is None:
-            if time.monotonic() < peer.not_before or self._closing:
+            if clock.now() < peer.not_before or self._closing:
                 attempt.on_unsent(RefusalReason.CONNECT_FAILED, "the link is down")
                 return
             self._open(peer)
@@ -122,7 +122,7 @@
 
     def reopen_lost(self) -> None:
         """Open the links anew that broke: an endpoint that is back shows it on its link only."""
-        now = time.monotonic()
+        now = clock.now()
         for peer in self._peers.values():
             if peer.link is None and peer.failures and now >= peer.not_before:
                 self._open(peer)
@@ -253,10 +253,10 @@
     def _back_off(self, peer: _Peer) -> None:
         bound = min(BACKOFF_MAX_SECONDS, BACKOFF_FIRST_SECONDS * 2.0 ** min(peer.failures, 16))
         peer.failures += 1
-        peer.not_before = time.monotonic() + bound * (0.5 + 0.5 * self._rng.random())
+        peer.not_before = clock.now() + bound * (0.5 + 0.5 * self._rng.random())
 
     def _send_on(self, link: PeerLink, attempt: Attempt) -> None:
-        remaining = attempt.deadline - time.monotonic()
+        remaining = attempt.deadline - clock.now()
         if remaining <= 0.0:
             attempt.on_unsent(RefusalReason.DEADLINE, "no time left to send")
             return
--- a/src/finchshed/daemon/quarantine.py
+++ b/src/finchshed/daemon/quarantine.py
@@ -5,7 +5,6 @@
 daemon that sent it knows before it tries again.
 """
 
-import time
 from collections.abc import Callable, Iterable, Sequence
 
 from loguru import logger
@@ -15,6 +14,7 @@
 from finchshed.distribution.client import ControlClient
 from finchshed.quarantine.messages import CrashNews, CrashRecord
 from finchshed.quarantine.register import FREE, Judgement, QuarantineRegister, Standing
+from finchshed.runtime import clock
 
 MAX_LOGGED = 8
 """Records of one piece of news that are logged each by itself; a line takes 0.1 ms to make."""
@@ -47,17 +47,17 @@
         """Return what may be done with a request; it costs nothing while none is held."""
         if not self._register:
             return FREE
-        return self._register.judge(self._signatures.of(request), time.monotonic())
+        return self._register.judge(self._signatures.of(request), clock.now())
 
     def record_of(self, request: SignedRequest) -> CrashRecord | None:
         """Return what is held of a request, to be told with its answer."""
         if not self._register:
             return None
-        return self._register.record_of(self._signatures.of(request), time.monotonic())
+        return self._register.record_of(self._signatures.of(request), clock.now())
 
     def on_crash(self, instance: str, signatures: Sequence[str]) -> None:
         """Take the end of the own back end under requests of these signatures."""
-        changed = self._register.on_crash(instance, signatures, time.monotonic())
+        changed = self._register.on_crash(instance, signatures, clock.now())
         metrics.QUARANTINE_SUSPECTED.inc(len(changed))
         self._publish(changed, f"back end {instance} ended under {len(signatures)} requests")
 
@@ -66,7 +66,7 @@
         if not self._register:
             return
         signature = self._signatures.of(request)
-        cleared = self._register.on_completed(signature, time.monotonic())
+        cleared = self._register.on_completed(signature, clock.now())
         if cleared is not None:
             metrics.QUARANTINE_CLEARED.inc()
             self._publish((cleared,), "it has run to an end")
@@ -77,7 +77,7 @@
 
     def on_link_news(self, records: Sequence[CrashRecord]) -> None:
         """Take what a peer tells; without control pass it on, as others may hear it from here."""
-        changed = self._register.merge(records, time.monotonic())
+        changed = self._register.merge(records, clock.now())
         self._log(changed, "a peer tells")
         if changed and not self._client.is_connected:
             self._tell_links(CrashNews(changed))
@@ -86,11 +86,11 @@
         """Return what a peer is told when its link opens."""
         if not self._register:
             return None
-        return CrashNews(self._register.records(time.monotonic()))
+        return CrashNews(self._register.records(clock.now()))
 
     def tick(self) -> None:
         """Forget what is over; tell control what it hasn't told itself."""
-        now = time.monotonic()
+        now = clock.now()
         self._register.expire(now)
         self._told_control.expire(now)
         metrics.QUARANTINE_HELD.set(len(self._register))
@@ -105,7 +105,7 @@
         self._had_control = self._client.is_connected
 
     def _on_control_news(self, news: CrashNews) -> None:
-        now = time.monotonic()
+        now = clock.now()
         self._told_control.merge(news.records, now)
         self._log(self._register.merge(news.records, now), "control tells")
 
@@ -119,13 +119,13 @@
             self._tell_links(CrashNews(tuple(changed)))
 
     def _send_to_control(self, records: Iterable[CrashRecord]) -> None:
-        unknown = self._told_control.merge(records, time.monotonic())
+        unknown = self._told_control.merge(records, clock.now())
         if unknown:
             self._client.send_crash_news(CrashNews(unknown))
 
     def _log(self, changed: Sequence[CrashRecord], ground: str) -> None:
         """Log what is believed from now on, that of what is refused in any case."""
-        now = time.monotonic()
+        now = clock.now()
         judged = [(record, self._register.judge(record.signature, now)) for record in changed]
         judged.sort(key=lambda item: item[1].standing is not Standing.QUARANTINED)
         for record, judgement in judged[:MAX_LOGGED]:
--- a/src/finchshed/daemon/quota_gate.py
+++ b/src/finchshed/daemon/quota_gate.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -14,6 +13,7 @@
 from finchshed.quota.daemon_share import REPORT_SECONDS, DaemonShare, Take
 from finchshed.quota.messages import QuotaAnswer, QuotaAsk, QuotaShares, QuotaTokens
 from finchshed.retry.policy import RETRY_AFTER_SPREAD, retry_after
+from finchshed.runtime import clock
 
 ANSWER_SECONDS = 0.15
 """Longest wait for tokens of the reserve; an answer takes some milliseconds in a sound network."""
@@ -58,7 +58,7 @@
     def configure(self, catalogue: Catalogue) -> None:
         """Act on a new configuration."""
         tenants = catalogue.tenants.tenants.values()
-        self._share.configure(tenants, catalogue.policy, time.monotonic())
+        self._share.configure(tenants, catalogue.policy, clock.now())
         if self._share.has_limits and self._timer is None:
             self._report()
         elif not self._share.has_limits:
@@ -78,7 +78,7 @@
         if not self._share.is_limited(tenant):
             on_decided(None)
             return _nothing
-        match self._share.take(tenant, time.monotonic()):
+        match self._share.take(tenant, clock.now()):
             case Take.TAKEN:
                 on_decided(None)
             case Take.ASK:
@@ -91,7 +91,7 @@
 
     def give_back(self, tenant: str) -> None:
         """Take back the token of a request that did not run."""
-        self._share.give_back(tenant, time.monotonic())
+        self._share.give_back(tenant, clock.now())
 
     def _wait(self, tenant: str, on_decided: OnDecided) -> Callable[[], None]:
         asking = self._asking.setdefault(tenant, _Asking())
@@ -116,7 +116,7 @@
         asking.timer = loop.call_later(ANSWER_SECONDS, self._on_unanswered, tenant, asking)
 
     def _on_answer(self, answer: QuotaAnswer) -> None:
-        now = time.monotonic()
+        now = clock.now()
         if isinstance(answer, QuotaShares):
             self._share.on_shares(answer, now)
             return
@@ -144,7 +144,7 @@
 
     def _on_unanswered(self, tenant: str, asking: _Asking) -> None:
         self._end(asking)
-        now = time.monotonic()
+        now = clock.now()
         self._share.on_unanswered(now)
         while asking.waiting:
             decided = asking.waiting.popleft()
@@ -161,7 +161,7 @@
         return ask
 
     def _report(self) -> None:
-        report = self._share.next_report(time.monotonic())
+        report = self._share.next_report(clock.now())
         if report is not None:
             self._client.send_quota(report)
         loop = asyncio.get_running_loop()
@@ -169,7 +169,7 @@
 
     def _above_limit(self, tenant: str) -> Refused:
         metrics.QUOTA_REFUSED.labels("above_limit").inc()
-        seconds = self._share.seconds_until_return(tenant, time.monotonic())
+        seconds = self._share.seconds_until_return(tenant, clock.now())
         spread = seconds * (1.0 + RETRY_AFTER_SPREAD * self._rng.random())
         return Refused(RefusalReason.QUOTA_EXCEEDED, spread, f"tenant {tenant} is above its limit")
 
--- a/src/finchshed/distribution/driver.py
+++ b/src/finchshed/distribution/driver.py
@@ -36,6 +36,7 @@
 from finchshed.distribution.messages import Delta
 from finchshed.distribution.record import RecordFile
 from finchshed.distribution.snapshot import Configuration
+from finchshed.runtime import clock
 
 TICK_SECONDS = 0.5
 
@@ -178,4 +179,4 @@
 
 
 def _now() -> float:
-    return asyncio.get_running_loop().time()
+    return clock.now()
--- a/src/finchshed/http/server.py
+++ b/src/finchshed/http/server.py
@@ -4,13 +4,13 @@
 """
 
 import asyncio
-import time
 from typing import Generic, TypeVar
 
 from finchshed.http.connection import InboundConnection
 from finchshed.http.exchange import RequestHandler
 from finchshed.http.limits import ConnectionLimits
 from finchshed.http.spool import SpoolBudget
+from finchshed.runtime import clock
 
 LINGER_SECONDS = 2.0
 """A caller whose request was refused early has this long to close the connection itself."""
@@ -47,7 +47,7 @@
         self.handler = handler
         self.spool = spool
         self.limits = limits or ConnectionLimits()
-        self.now = time.monotonic()
+        self.now = clock.now()
         self.closing = False
         self._connections: set[InboundConnection[RequestT]] = set()
 
@@ -75,7 +75,7 @@
 
     def sweep(self) -> None:
         """Close connections that are idle or stuck."""
-        self.now = time.monotonic()
+        self.now = clock.now()
         for connection in list(self._connections):
             self._check(connection)
 
--- a/src/finchshed/link/listener.py
+++ b/src/finchshed/link/listener.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import time
 from collections.abc import Sequence
 
 import msgspec
@@ -30,6 +29,7 @@
 from finchshed.link.owners import ListenerOwner
 from finchshed.observability.instruments import Counter, Gauge
 from finchshed.quarantine.messages import CrashNews
+from finchshed.runtime import clock
 from finchshed.tls.names import claims_of_link, unproven
 
 LINKS_REFUSED = Counter(
@@ -234,7 +234,7 @@
             self._refuse(lines, "network")
             return
         link = AcceptedLink(lines, self._owner, self._max_unsent_bytes)
-        link.last_received_at = time.monotonic()
+        link.last_received_at = clock.now()
         self._links[lines] = link
         LINKS_ACCEPTED.inc()
 
@@ -242,7 +242,7 @@
         link = self._links.get(lines)
         if link is None:
             return
-        link.last_received_at = time.monotonic()
+        link.last_received_at = clock.now()
         try:
             link.take(message)
         except ProtocolError as error:
--- a/tests/control/group.py
+++ b/tests/control/group.py
@@ -19,6 +19,7 @@
 from finchshed.configuration.resources import Operator, Resource
 from finchshed.ctl.changes import InForce, read_in_force, submit
 from finchshed.ctl.client import OperatorClient
+from finchshed.runtime import clock
 
 BOOTSTRAP_TOKEN = "bootstrap-secret"
 OPERATOR_TOKEN = "operator-secret"
@@ -150,11 +151,11 @@
         """Return the node that a running node names as leader."""
         from finchshed.rpc.generated import finchshed_pb2 as pb
 
-        deadline = time.monotonic() + timeout
+        deadline = clock.now() + timeout
         running = [node for node in self.nodes if node.process is not None]
         client = self.client(running)
         try:
-            while time.monotonic() < deadline:
+            while clock.now() < deadline:
                 for _, answer, _ in client.call_each("Members", pb.MembersRequest()):
                     if answer is not None and answer.leader == answer.node:
                         return next(node for node in self.nodes if node.name == answer.leader)
--- a/tests/control/test_damaged_disk.py
+++ b/tests/control/test_damaged_disk.py
@@ -10,6 +10,7 @@
 from finchshed.configuration.resources import Service
 from finchshed.ctl.changes import read_in_force
 from finchshed.rpc.generated import finchshed_pb2 as pb
+from finchshed.runtime import clock
 from tests.control.group import START_SECONDS, Group, Node, apply_one
 
 CHANGES = 30
@@ -46,10 +47,10 @@
 
 def wait_until_all_vote(group: Group, incarnation_gone: str = "") -> None:
     """Wait until the group has three voters, none of them the incarnation that was damaged."""
-    deadline = time.monotonic() + START_SECONDS
+    deadline = clock.now() + START_SECONDS
     client = group.client()
     try:
-        while time.monotonic() < deadline:
+        while clock.now() < deadline:
             for _, answer, _ in client.call_each("Members", pb.MembersRequest()):
                 if answer is None or answer.leader != answer.node:
                     continue
--- a/tests/control/test_faults.py
+++ b/tests/control/test_faults.py
@@ -15,6 +15,7 @@
 from finchshed.ctl.changes import read_in_force, submit
 from finchshed.ctl.client import OperatorClient
 from finchshed.rpc.generated import finchshed_pb2 as pb
+from finchshed.runtime import clock
 from tests.control.group import Group, Node, apply_one, digest
 
 RACERS = 6
@@ -33,9 +34,9 @@
 
 
 def wait_for(condition: Callable[[], bool]) -> None:
-    deadline = time.monotonic() + JOIN_SECONDS
+    deadline = clock.now() + JOIN_SECONDS
     while not condition():
-        assert time.monotonic() < deadline
+        assert clock.now() < deadline
         time.sleep(0.001)
 
 
--- a/tests/control/test_ledger_faults.py
+++ b/tests/control/test_ledger_faults.py
@@ -17,6 +17,7 @@
     LedgerUnknown,
 )
 from finchshed.ledger.keys import new_key
+from finchshed.runtime import clock
 from tests.control.daemons import HollowDaemon, running
 from tests.control.group import Group
 
@@ -107,10 +108,10 @@
 
 async def granted_in_the_end(daemon: HollowDaemon, key: str) -> None:
     """Expect a grant: a refused attempt is cancelled in the background, and frees the key."""
-    deadline = time.monotonic() + SECONDS
+    deadline = clock.now() + SECONDS
     while True:
         answer = await daemon.client.begin(key, "late", SECONDS)
         if isinstance(answer, LedgerGranted):
             return
-        assert time.monotonic() < deadline, answer
+        assert clock.now() < deadline, answer
         await asyncio.sleep(0.1)
--- a/tests/control/test_ledger_shards.py
+++ b/tests/control/test_ledger_shards.py
@@ -15,6 +15,7 @@
 from finchshed.distribution.messages import LedgerCompleted, LedgerGranted, LedgerUnknown
 from finchshed.ledger.keys import new_key
 from finchshed.rpc.generated import finchshed_pb2 as pb
+from finchshed.runtime import clock
 from tests.control.daemons import HollowDaemon, running
 from tests.control.group import BOOTSTRAP_TOKEN, Group
 
@@ -99,12 +100,12 @@
 
 
 async def expect_answer(daemon: HollowDaemon, key: str) -> None:
-    deadline = time.monotonic() + SECONDS
+    deadline = clock.now() + SECONDS
     while True:
         answer = await daemon.client.begin(key, "again", SECONDS)
         assert not isinstance(answer, LedgerGranted | LedgerUnknown)
         if isinstance(answer, LedgerCompleted):
             assert answer.answer == answer_to(key)
             return
-        assert time.monotonic() < deadline, answer
+        assert clock.now() < deadline, answer
         await asyncio.sleep(0.1)
--- a/tests/control/test_linearizable.py
+++ b/tests/control/test_linearizable.py
@@ -18,6 +18,7 @@
 from finchshed.configuration.difference import Difference
 from finchshed.configuration.resources import Service
 from finchshed.ctl.changes import read_in_force, submit
+from finchshed.runtime import clock
 from tests.control.group import Group, Node
 
 CLIENTS = 6
@@ -99,12 +100,12 @@
         self._client.close()
 
     def _record(self, is_change: bool, act: Callable[[], int | None]) -> None:
-        begun = time.monotonic()
+        begun = clock.now()
         try:
             revision = act()
         except ControlUnavailableError:
             revision = None
-        self._history.append(Operation(begun, time.monotonic(), is_change, revision))
+        self._history.append(Operation(begun, clock.now(), is_change, revision))
 
     def _read(self) -> int:
         return read_in_force(self._client).revision
@@ -126,10 +127,10 @@
     threads = [threading.Thread(target=worker.run, args=(is_over,)) for worker in workers]
     for thread in threads:
         thread.start()
-    deadline = time.monotonic() + LONGEST_SECONDS
+    deadline = clock.now() + LONGEST_SECONDS
     try:
         disturb(group)
-        while answered(history) < MIN_OPERATIONS and time.monotonic() < deadline:
+        while answered(history) < MIN_OPERATIONS and clock.now() < deadline:
             disturb(group)
     finally:
         is_over.set()
--- a/tests/control/test_quota_service.py
+++ b/tests/control/test_quota_service.py
@@ -78,7 +78,7 @@
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         self.now = 100.0
-        monkeypatch.setattr(quota_service.time, "monotonic", lambda: self.now)
+        monkeypatch.setattr(quota_service.clock, "now", lambda: self.now)
         self.machine = ControlStateMachine()
         change = Change("c", BOOTSTRAP_OPERATOR, 0, (LIMITED,))
         apply(self.machine, ApplyChange(change))
--- a/tests/control/test_real_group.py
+++ b/tests/control/test_real_group.py
@@ -13,6 +13,7 @@
 from finchshed.configuration.resources import ResourceKey, Service
 from finchshed.ctl.changes import read_in_force, submit
 from finchshed.rpc.generated import finchshed_pb2 as pb
+from finchshed.runtime import clock
 from tests.control.group import Group, apply_one
 
 
@@ -159,8 +160,8 @@
 
 
 def wait_until_voter(group: Group, name: str, old_incarnation: str) -> None:
-    deadline = time.monotonic() + 30.0
-    while time.monotonic() < deadline:
+    deadline = clock.now() + 30.0
+    while clock.now() < deadline:
         members = members_of(group)
         own = [member for member in members if member.name == name]
         if len(members) == 3 and own[0].incarnation != old_incarnation and own[0].role == "voter":
--- a/tests/control/test_standby.py
+++ b/tests/control/test_standby.py
@@ -12,6 +12,7 @@
 from finchshed.configuration.resources import Service
 from finchshed.ctl.changes import read_in_force, submit
 from finchshed.rpc.generated import finchshed_pb2 as pb
+from finchshed.runtime import clock
 from tests.control.group import Group, Node
 
 STANDBY_AFTER_SECONDS = 3.0
@@ -53,9 +54,9 @@
 
 
 def wait_until(condition: Callable[[], bool], describe: Callable[[], object]) -> None:
-    deadline = time.monotonic() + TIMEOUT_SECONDS
+    deadline = clock.now() + TIMEOUT_SECONDS
     while not condition():
-        assert time.monotonic() < deadline, describe()
+        assert clock.now() < deadline, describe()
         time.sleep(0.05)
 
 
--- a/tests/daemon/test_host_front.py
+++ b/tests/daemon/test_host_front.py
@@ -1,7 +1,6 @@
 """Requests by host and path: what their heads say, and what becomes of them."""
 
 import random
-import time
 from collections.abc import Callable
 
 import pytest
@@ -22,6 +21,7 @@
 from finchshed.daemon.host_front import HostFront
 from finchshed.daemon.request import Request
 from finchshed.http.message import InboundRequest, Response
+from finchshed.runtime import clock
 from finchshed.tenancy.lease import KeyLease
 
 NAMES = HeaderNames(call_separator=".")
@@ -37,7 +37,7 @@
 def confirmed_lease() -> KeyLease:
     """Return a lease that control has renewed at this moment."""
     lease = KeyLease()
-    lease.on_answer(lease.next_question(time.monotonic()), 0)
+    lease.on_answer(lease.next_question(clock.now()), 0)
     return lease
 
 
--- /dev/null
+++ b/tests/daemon/test_suspension.py
@@ -0,0 +1,90 @@
+"""A machine that was suspended trusts nothing longer than one that stood still otherwise.
+
+The steady clock and the event loop's stand still while the machine is suspended; control, clients
+and other daemons go on, and give away what its leases held.
+"""
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from unittest.mock import Mock
+
+import pytest
+
+from finchshed.common.outcomes import Outcome, RefusalReason, Refused
+from finchshed.configuration.resources import Policy
+from finchshed.daemon.guarded import GuardedRuns
+from finchshed.daemon.lease_renewal import LeaseRenewal
+from finchshed.daemon.work import Work
+from finchshed.distribution.messages import LeaseRenewed, LedgerGranted
+from finchshed.quota.messages import GrantedShare, QuotaReport, QuotaShares
+from tests.daemon.test_host_front import Front, route
+from tests.daemon.test_quota_gate import LIFE, Deployed
+from tests.daemon.test_tenants_at_the_front import KEY, TENANT
+
+ASLEEP_SECONDS = 30.0
+
+
+@dataclass
+class Machine:
+    """A machine whose clocks but for the steady ones count the time asleep."""
+
+    asleep: float = 0.0
+
+
+@pytest.fixture
+def machine(monkeypatch: pytest.MonkeyPatch) -> Machine:
+    suspended = Machine()
+    real = time.clock_gettime
+
+    def clock_gettime(clock: int) -> float:
+        return real(clock) + (suspended.asleep if clock == time.CLOCK_BOOTTIME else 0.0)
+
+    monkeypatch.setattr(time, "clock_gettime", clock_gettime)
+    return suspended
+
+
+async def test_api_keys_are_not_trusted_past_their_lease(machine: Machine) -> None:
+    client = Mock()
+    renewal = LeaseRenewal(client)
+    front = Front(route("/a/"), TENANT, lease=renewal.lease)
+    catalogue = Mock(policy=Policy(key_trust_seconds=3.0), revision=1, tenants={"officers": TENANT})
+    renewal.configure(catalogue)
+    client.on_lease(LeaseRenewed(1, 1))
+    assert front.ask("/a/1", x_api_key=KEY).status == 200
+    machine.asleep = ASLEEP_SECONDS
+    assert front.ask("/a/1", x_api_key=KEY).status == 503
+    renewal.close()
+
+
+async def test_a_share_of_a_limit_ends_with_its_lease(machine: Machine) -> None:
+    deployed = Deployed()
+    report = next(item for item in deployed.client.sent if isinstance(item, QuotaReport))
+    deployed.ask()
+    shares = (GrantedShare("t", 0.0, 5.0, 5.0),)
+    deployed.client.answer(QuotaShares(LIFE, report.number, shares))
+    deployed.tokens(0)
+    deployed.client.is_connected = False
+    deployed.ask()
+    assert deployed.reasons() == [None, None]
+    machine.asleep = ASLEEP_SECONDS
+    deployed.ask()
+    assert deployed.reasons()[-1] is RefusalReason.QUOTA_UNCONFIRMED
+
+
+async def test_a_grant_of_the_ledger_is_not_used_after_its_lease(machine: Machine) -> None:
+    answers: list[Callable[[LedgerGranted], None]] = []
+    ledger = Mock()
+    ledger.begin = lambda key, attempt, timeout, done: answers.append(done)
+    settings = Mock(ledger_timeout_seconds=2.0, grant_lease_seconds=1.0)
+    runs = GuardedRuns(settings, ledger, random.Random(1))
+    work = Mock(spec=Work, deadline=float("inf"), abandoned=False, ledger_key="k", attempt="")
+    sent: list[Work] = []
+    ended: list[Outcome] = []
+    runs.begin(work, sent.append, lambda _work, outcome: ended.append(outcome))
+    machine.asleep = ASLEEP_SECONDS
+    answers[0](LedgerGranted(1))
+    assert not sent
+    assert isinstance(ended[0], Refused)
+    ledger.cancel.assert_called_once()
