ctl quarantine shows what is held against requests and lifts it; a test of a call that crashes

Cause: an operator who has mended a back end could only wait for the end of the refusal. Change: two calls of the schema, one verb; a lift is noted in the audit trail and clears the request at all daemons. A crashing call two hops down is kept away while its root is repeated (own test, real processes).

--- a/src/finchshed/control/operator_service.py
+++ b/src/finchshed/control/operator_service.py
@@ -225,6 +225,39 @@
             ]
         )
 
+    async def Quarantine(  # noqa: N802
+        self, request: pb.QuarantineRequest, context: grpc.aio.ServicerContext
+    ) -> pb.QuarantineResponse:
+        """Read which requests are held to crash back ends."""
+        await self._access.operator(context)
+        judged = self._distribution.quarantine.judged()
+        return pb.QuarantineResponse(
+            requests=[
+                pb.QuarantinedRequest(
+                    signature=record.signature,
+                    standing=judgement.standing.value,
+                    instances=[crash.instance for crash in record.crashes],
+                    age_seconds=record.age_seconds,
+                    refused_seconds=judgement.seconds,
+                )
+                for record, judgement in judged
+            ]
+        )
+
+    async def LiftQuarantine(  # noqa: N802
+        self, request: pb.LiftQuarantineRequest, context: grpc.aio.ServicerContext
+    ) -> pb.LiftQuarantineResponse:
+        """Clear a request of the crashes known so far."""
+        operator = await self._access.operator(context)
+        if len(request.signature) > MAX_NAME_CHARACTERS:
+            problem = f"signature: allowed are {MAX_NAME_CHARACTERS} characters"
+            await abort(context, grpc.StatusCode.INVALID_ARGUMENT, problem)
+        await self._note(context, operator, "lift quarantine", request.signature)
+        if not self._distribution.quarantine.lift(request.signature):
+            detail = f"nothing is held against a request {request.signature!r} here"
+            await abort(context, grpc.StatusCode.NOT_FOUND, detail)
+        return pb.LiftQuarantineResponse()
+
     async def Dump(  # noqa: N802
         self, request: pb.DumpRequest, context: grpc.aio.ServicerContext
     ) -> pb.DumpResponse:
--- a/src/finchshed/ctl/command.py
+++ b/src/finchshed/ctl/command.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Mapping
 from functools import wraps
 
-from finchshed.ctl import changes, maintenance, reading, restore, standing
+from finchshed.ctl import changes, maintenance, quarantine, reading, restore, standing
 from finchshed.ctl.client import AccessDeniedError
 from finchshed.ctl.exit_codes import CtlExitCode
 from finchshed.ctl.output import complain
@@ -33,6 +33,7 @@
     "status": _denial_as_exit_code(standing.status),
     "members": _denial_as_exit_code(standing.members),
     "explain": _denial_as_exit_code(reading.explain),
+    "quarantine": _denial_as_exit_code(quarantine.quarantine),
     "history": _denial_as_exit_code(reading.history),
     "replace-member": _denial_as_exit_code(maintenance.replace_member),
     "backup": _denial_as_exit_code(maintenance.backup),
--- /dev/null
+++ b/src/finchshed/ctl/quarantine.py
@@ -0,0 +1,61 @@
+"""The sub-command that shows and lifts what is held against requests: quarantine."""
+
+from typing import cast
+
+from finchshed.cli.exit_codes import ExitCode
+from finchshed.ctl.connection import DEFAULT_TIMEOUT_SECONDS, connect
+from finchshed.ctl.output import show, table
+from finchshed.ctl.values import QuarantinedView, QuarantineView
+from finchshed.rpc.generated import finchshed_pb2 as pb
+
+
+def quarantine(
+    *,
+    lift: str = "",
+    control: str = "",
+    token_file: str = "",
+    timeout: float = DEFAULT_TIMEOUT_SECONDS,
+    json: bool = False,
+) -> int:
+    """Show the requests that are suspected of crashing back ends, and those refused for it.
+
+    Parameters
+    ----------
+    lift
+        Signature of a request to clear of the crashes known so far: it may run again at once.
+    control
+        Addresses of control nodes for operators, a.b.c.d:port,...; or FINCHSHED_CONTROL.
+    token_file
+        File with the operator's token; or FINCHSHED_TOKEN, FINCHSHED_TOKEN_FILE.
+    timeout
+        Longest time for the request over all control nodes, seconds.
+    json
+        Print one JSON line.
+    """
+    client = connect(control, token_file, timeout)
+    if lift:
+        client.call("LiftQuarantine", pb.LiftQuarantineRequest(signature=lift))
+    answer = cast(pb.QuarantineResponse, client.call("Quarantine", pb.QuarantineRequest()))
+    views = tuple(
+        QuarantinedView(
+            item.signature,
+            item.standing,
+            tuple(item.instances),
+            round(item.age_seconds, 1),
+            round(item.refused_seconds, 1),
+        )
+        for item in answer.requests
+    )
+    rows = [
+        (
+            view.signature,
+            view.standing,
+            str(len(view.instances)),
+            f"{view.age_seconds:.1f}",
+            f"{view.refused_seconds:.1f}",
+        )
+        for view in views
+    ]
+    header = ("request", "standing", "crashes", "seconds ago", "refused for seconds")
+    show(QuarantineView(views), table(header, rows), as_json=json)
+    return ExitCode.OK
--- a/src/finchshed/ctl/values.py
+++ b/src/finchshed/ctl/values.py
@@ -110,6 +110,22 @@
     detail: str
 
 
+class QuarantinedView(msgspec.Struct, frozen=True):
+    """One request in ``quarantine``. Times are in seconds."""
+
+    signature: str
+    standing: str
+    instances: tuple[str, ...]
+    age_seconds: float
+    refused_seconds: float
+
+
+class QuarantineView(msgspec.Struct, frozen=True):
+    """Answer of ``quarantine``."""
+
+    requests: tuple[QuarantinedView, ...]
+
+
 class ExplainView(msgspec.Struct, frozen=True):
     """Answer of ``explain``."""
 
--- a/tests/control/daemons.py
+++ b/tests/control/daemons.py
@@ -18,6 +18,7 @@
     def __init__(self, name: str, nodes: Sequence[Node], endpoint: str = "") -> None:
         self.revision = 0
         self._changed = asyncio.Event()
+        self.loop: asyncio.AbstractEventLoop | None = None
         self.holds_back = False
         handlers = ClientHandlers(
             on_delta=self._on_delta,
@@ -38,6 +39,7 @@
         self.client.report_in_force(delta.revision)
 
     async def wait_for(self, revision: int, timeout_seconds: float = 30.0) -> None:
+        self.loop = asyncio.get_running_loop()
         async with asyncio.timeout(timeout_seconds):
             while self.revision < revision:
                 self._changed.clear()
--- a/tests/ctl/test_commands.py
+++ b/tests/ctl/test_commands.py
@@ -14,6 +14,7 @@
 from finchshed.control.state_machine import StateSnapshot
 from finchshed.ctl.connection import CONTROL_VARIABLE, TOKEN_VARIABLE
 from finchshed.distribution.messages import Decision
+from finchshed.quarantine.messages import Crash, CrashNews, CrashRecord
 from finchshed.rpc.generated import finchshed_pb2 as pb
 from finchshed.rpc.generated import finchshed_pb2_grpc as pb_grpc
 from tests.control.daemons import HollowDaemon, running
@@ -206,6 +207,37 @@
     assert "isn't connected here" in ctl.errors
 
 
+def test_quarantine_shows_and_lifts_what_is_held_against_a_request(
+    ctl: Shell, declared: Path, group: Group
+) -> None:
+    daemon = HollowDaemon("daemon-beside", group.nodes)
+    heard: list[CrashNews] = []
+    daemon.client.on_crash_news = heard.append
+    crashes = tuple(Crash(f"i-{number}", True) for number in range(3))
+
+    def act() -> None:
+        news = CrashNews((CrashRecord("5ab1", 0.0, crashes),))
+        assert daemon.loop is not None
+        daemon.loop.call_soon_threadsafe(daemon.client.send_crash_news, news)
+        for _ in range(100):
+            text = ctl("quarantine")
+            if "5ab1" in text:
+                break
+            threading.Event().wait(0.05)
+        assert "quarantined" in text
+        assert "5ab1" not in ctl("quarantine --lift=5ab1")
+        for _ in range(100):
+            if heard[-1].records[0].refuted:
+                break
+            threading.Event().wait(0.05)
+        assert heard[-1].records[0].refuted == ("i-0", "i-1", "i-2")
+
+    while_daemons_run([daemon], act)
+    ctl("quarantine --lift=nothing", code=None)
+    assert "nothing is held" in ctl.errors
+    assert "lift quarantine" in ctl("history")
+
+
 def test_backup_members_and_dump(ctl: Shell, declared: Path, tmp_path: Path) -> None:
     file = tmp_path / "state.json"
     view = msgspec.json.decode(ctl(f"backup {file} --json"))
@@ -249,6 +281,8 @@
         "members",
         "explain daemon",
         "history",
+        "quarantine",
+        "quarantine --lift=5ab1",
         "replace-member --add=control-4",
         f"backup {tmp_path / 'stolen.json'}",
         "dump",
@@ -270,6 +304,8 @@
     "Members": pb.MembersRequest(),
     "ReplaceMember": pb.ReplaceMemberRequest(add="control-4"),
     "Explain": pb.ExplainRequest(node="x"),
+    "Quarantine": pb.QuarantineRequest(),
+    "LiftQuarantine": pb.LiftQuarantineRequest(signature="x"),
     "Dump": pb.DumpRequest(),
     "History": pb.HistoryRequest(),
     "Backup": pb.BackupRequest(),
--- a/tests/platform/test_crashing_request.py
+++ b/tests/platform/test_crashing_request.py
@@ -27,7 +27,7 @@
 
 from tests.platform.standin import Backend, Platform, document, echo, platform, rule, until
 
-RULES = (rule("/look/", "sales", timeout_s=1),)
+RULES = (rule("/look/", "sales", timeout_s=1), rule("/ledger/", "ledger", timeout_s=1))
 
 CRASHING = "/look/crashing?n=1"
 BACKENDS = 5
@@ -117,6 +117,33 @@
         assert {status for at, status in told if at > settled} == {503}
 
 
+async def test_a_call_further_down_that_crashes_is_kept_away_while_its_root_is_repeated(
+    tmp_path: Path,
+) -> None:
+    crashes = Crashes("/ledger/crashing")
+
+    async def call_on(backend: Backend, request: web.Request) -> web.Response:
+        path = "/ledger/crashing" if request.path_qs == CRASHING else "/ledger/entry"
+        status = await backend.call(request.headers["Request-Id"], "sales.example", path)
+        return web.Response(status=200 if status == 200 else 500)
+
+    services = ["sales", "ledger", "ledger", "ledger"]
+    works = {"sales": call_on, "ledger": crashes.work}
+    async with platform(tmp_path, *services, works=works) as running:
+        await serving(running)
+        end = time.monotonic() + WATCHED_SECONDS
+        told, bystanders = await asyncio.gather(
+            repeat(running, lambda _: CRASHING, REPEAT_SECONDS, end),
+            repeat(running, lambda number: f"/look/{number}", REPEAT_SECONDS, end),
+        )
+        settled = crashes.ended[2] + SETTLED_SECONDS
+        assert sum(at > settled for at in crashes.reached) <= MORE_ALLOWED
+        statuses = [status for at, status in bystanders if at > settled]
+        assert statuses.count(200) / len(statuses) >= LEAST_SERVED, Counter(statuses)
+        assert running.backends[0].crashes == 0
+        assert {status for at, status in told if at > settled} <= {500, 503}
+
+
 async def test_lines_of_the_log_name_what_ended_back_ends_have_in_common(tmp_path: Path) -> None:
     crashes = Crashes()
     async with platform(tmp_path, "sales", "sales", works={"sales": crashes.work}) as running:
