A back end whose connections are open is there; a crash is charged whatever the directory holds

Cause, found by reading: a request that meets a refused connection within the 5 ms of the look marks the back end as gone, and the crash was then taken for the end of a planned leave and not charged; and each answer broken off by a back end that is there opened a connection that stayed. Change: the crash is charged in any case (what ran at the end of a planned leave is cleared by its next run); no connection is opened for the look while others are open.

--- a/src/finchshed/daemon/backend.py
+++ b/src/finchshed/daemon/backend.py
@@ -84,7 +84,7 @@
         """
 
     async def refuses_connections(self) -> bool:
-        """Open a connection; return whether nothing listens at the address any more."""
+        """Return whether nothing listens at the address any more."""
 
     async def close(self) -> None:
         """Close the connections."""
--- a/src/finchshed/daemon/backend_http.py
+++ b/src/finchshed/daemon/backend_http.py
@@ -26,6 +26,11 @@
 KEPT_SHARE = 0.7
 """Part of the time a back end says it keeps an idle connection for, in which it is used."""
 
+LOOKS = 3
+LOOK_SECONDS = 0.005
+"""Connections still open after so many looks, so far apart, show that the back end is there: no
+new one is opened, where a faulty back end breaks off single answers."""
+
 METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 
 
@@ -118,8 +123,16 @@
         return None
 
     async def refuses_connections(self) -> bool:
-        """Open a connection, and keep it; return whether nothing listens any more."""
-        if self.connections >= self._max_connections:
+        """Return whether nothing listens any more, by a new connection if none is open.
+
+        A process that ended takes all its connections with it, but the loop may hear of some of
+        them a little later.
+        """
+        for _ in range(LOOKS):
+            if not self._open:
+                break
+            await asyncio.sleep(LOOK_SECONDS)
+        if self._open or self._connecting >= self._max_connections:
             return False
         self._connecting += 1
         try:
--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -302,8 +302,7 @@
         metrics.BACKEND_ENDED.inc()
         crash = instance or f"{self._settings.endpoint}-{secrets.token_hex(CRASH_BYTES)}"
         log_backend_ended(crash, self._admission.service, signatures)
-        if not self.draining:
-            self._quarantine.on_crash(crash, signatures)
+        self._quarantine.on_crash(crash, signatures)
         self.on_backend_fault(instance, BackendUnreached("it ended", is_refused=True))
 
     def _settle_result(self, work: Work, instance: str, result: BackendResult) -> None:
--- a/tests/daemon/test_crash_watch.py
+++ b/tests/daemon/test_crash_watch.py
@@ -41,8 +41,12 @@
 async def test_a_back_end_refuses_connections_only_once_it_has_ended() -> None:
     async with ScriptedBackend(echo, well) as backend:
         client = HttpBackend(backend.address, 2, 1.0)
-        assert not await client.refuses_connections()
-        assert client.connections == 1  # it is kept for use
+        for _ in range(2):
+            assert not await client.refuses_connections()
+            assert (
+                client.connections == 1
+            )  # it is kept for use, and shows that the process is there
+        assert backend.connections == 1
         await backend.stop()
         await asyncio.sleep(0.05)
         assert await client.refuses_connections()
