--- a/src/finchshed/control/directory_service.py
+++ b/src/finchshed/control/directory_service.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable, Sequence
 
+from finchshed.control.gathering import Gathering
 from finchshed.control.peer_messages import DirectoryReport
 from finchshed.directory.registration import Registration
 from finchshed.directory.table import Directory
@@ -21,12 +22,6 @@
 CONFIRM_SECONDS = 2.0
 """Time between reports to the peers of all registrations that were told here."""
 
-GATHER_SECONDS = 0.05
-"""Shortest time between updates to the daemons.
-
-When all machines start within a second each daemon gets some twenty updates, not one or two a
-machine; beside the seconds that a drain has it is little."""
-
 FORGET_SECONDS = 15.0
 """A registration is dropped if no control node has heard its daemon for this long."""
 
@@ -55,8 +50,10 @@
         self._directory = Directory(FORGET_SECONDS)
         self._told_here: dict[str, float] = {}
         self._addresses: tuple[str, ...] = ()
-        self._gathered: dict[str, Registration] = {}
-        self._gathering: asyncio.TimerHandle | None = None
+        self._news: Gathering[Registration] = Gathering(
+            lambda registration: registration.address,
+            lambda registrations: broadcast(DirectoryUpdate(registrations)),
+        )
 
     def on_announce(self, message: Announce) -> None:
         """Take a registration from a daemon connected here."""
@@ -66,12 +63,12 @@
         news = self._directory.take((registration,), now)
         if news:
             self._send_report(DirectoryReport(news))
-            self._pass_on(news)
+            self._news.add(news)
 
     def on_report(self, report: DirectoryReport) -> None:
         """Take registrations that another control node passes on."""
         news = self._directory.take(report.registrations, _now())
-        self._pass_on(news)
+        self._news.add(news)
 
     def greeting(self) -> Sequence[ControlToDaemon]:
         """Return what a daemon is sent when it connects."""
@@ -94,23 +91,6 @@
             if forgotten:
                 self._broadcast(DirectoryUpdate(forgotten=forgotten))
 
-    def _pass_on(self, news: Sequence[Registration]) -> None:
-        """Send to the daemons: at once after a quiet time, else together with what follows."""
-        for registration in news:
-            self._gathered[registration.address] = registration
-        if self._gathered and self._gathering is None:
-            self._send_gathered()
-
-    def _send_gathered(self) -> None:
-        self._gathering = None
-        if not self._gathered:
-            return
-        update = DirectoryUpdate(tuple(self._gathered.values()))
-        self._gathered = {}
-        loop = asyncio.get_running_loop()
-        self._gathering = loop.call_later(GATHER_SECONDS, self._send_gathered)
-        self._broadcast(update)
-
     def _own(self, now: float) -> tuple[Registration, ...]:
         since = now - OWN_SECONDS
         self._told_here = {address: at for address, at in self._told_here.items() if at >= since}
--- a/src/finchshed/control/quarantine_service.py
+++ b/src/finchshed/control/quarantine_service.py
@@ -9,6 +9,7 @@
 
 from loguru import logger
 
+from finchshed.control.gathering import Gathering
 from finchshed.distribution.messages import ControlToDaemon
 from finchshed.quarantine.messages import CrashNews, CrashRecord
 from finchshed.quarantine.register import FREE, Judgement, QuarantineRegister
@@ -17,10 +18,6 @@
 CONFIRM_SECONDS = 2.0
 """Time between reports of all that is held to the other control nodes, in case one was lost."""
 
-GATHER_SECONDS = 0.05
-"""Shortest time between messages to the daemons: the bystanders of one crash are cleared one by
-one, within some tenths of a second."""
-
 
 class QuarantineService:
     """The register of one control node.
@@ -38,22 +35,22 @@
         broadcast: Callable[[ControlToDaemon], None],
         send_report: Callable[[CrashNews], None],
     ) -> None:
-        self._broadcast = broadcast
         self._send_report = send_report
         self._register = QuarantineRegister()
-        self._gathered: dict[str, CrashRecord] = {}
-        self._gathering: asyncio.TimerHandle | None = None
+        self._news: Gathering[CrashRecord] = Gathering(
+            lambda record: record.signature, lambda records: broadcast(CrashNews(records))
+        )
 
     def on_daemon_news(self, news: CrashNews) -> None:
         """Take news of a daemon connected here."""
         changed = self._register.merge(news.records, clock.now())
         if changed:
             self._send_report(CrashNews(changed))
-            self._pass_on(changed)
+            self._news.add(changed)
 
     def on_report(self, news: CrashNews) -> None:
         """Take news that another control node passes on."""
-        self._pass_on(self._register.merge(news.records, clock.now()))
+        self._news.add(self._register.merge(news.records, clock.now()))
 
     def greeting(self) -> Sequence[ControlToDaemon]:
         """Return what a daemon is sent when it connects."""
@@ -74,7 +71,7 @@
             return False
         logger.info("request {} is free: an operator says so", signature)
         self._send_report(CrashNews((record,)))
-        self._pass_on((record,))
+        self._news.add((record,))
         return True
 
     async def run(self) -> None:
@@ -85,20 +82,3 @@
             self._register.expire(now)
             if self._register:
                 self._send_report(CrashNews(self._register.records(now)))
-
-    def _pass_on(self, changed: Sequence[CrashRecord]) -> None:
-        """Send to the daemons: at once after a quiet time, else together with what follows."""
-        for record in changed:
-            self._gathered[record.signature] = record
-        if self._gathered and self._gathering is None:
-            self._send_gathered()
-
-    def _send_gathered(self) -> None:
-        self._gathering = None
-        if not self._gathered:
-            return
-        news = CrashNews(tuple(self._gathered.values()))
-        self._gathered = {}
-        loop = asyncio.get_running_loop()
-        self._gathering = loop.call_later(GATHER_SECONDS, self._send_gathered)
-        self._broadcast(news)
--- a/src/finchshed/quarantine/signature.py
+++ b/src/finchshed/quarantine/signature.py
@@ -19,7 +19,7 @@
         What tells one caller from another: the same request of two callers has two signatures, so
         what one of them sends never bears on the other.
     body
-        The whole body. A megabyte takes about 1 ms, a request without one about 3 us.
+        The whole body. A megabyte takes about 2 ms, a request without one about 3 us.
     """
     digest = hashlib.blake2b(digest_size=SIGNATURE_BYTES)
     for part in (service, method, path, *caller):
--- /dev/null
+++ b/tests/control/test_quarantine_service.py
@@ -0,0 +1,57 @@
+"""A control node's part in what daemons know of requests that crash back ends."""
+
+import asyncio
+
+from finchshed.control.gathering import GATHER_SECONDS
+from finchshed.control.quarantine_service import QuarantineService
+from finchshed.distribution.messages import ControlToDaemon
+from finchshed.quarantine.messages import Crash, CrashNews, CrashRecord
+from finchshed.quarantine.register import Standing
+
+
+def news(signature: str, *instances: str) -> CrashNews:
+    crashes = tuple(Crash(instance, True) for instance in instances)
+    return CrashNews((CrashRecord(signature, 0.0, crashes),))
+
+
+class Node:
+    """A service, and what it sends."""
+
+    def __init__(self) -> None:
+        self.to_daemons: list[ControlToDaemon] = []
+        self.to_peers: list[CrashNews] = []
+        self.service = QuarantineService(self.to_daemons.append, self.to_peers.append)
+
+
+async def test_news_goes_to_daemons_and_peers_once() -> None:
+    node, peer = Node(), Node()
+    node.service.on_daemon_news(news("a", "i-1"))
+    node.service.on_daemon_news(news("a", "i-1"))
+    assert len(node.to_daemons) == len(node.to_peers) == 1
+    peer.service.on_report(node.to_peers[0])
+    peer.service.on_report(node.to_peers[0])
+    assert len(peer.to_daemons) == 1
+    assert not peer.to_peers  # every control node sends to every other one itself
+
+
+async def test_what_follows_soon_is_sent_together() -> None:
+    node = Node()
+    for number in range(20):
+        node.service.on_daemon_news(news(f"r-{number}", "i-1"))
+    assert len(node.to_daemons) == 1
+    await asyncio.sleep(3 * GATHER_SECONDS)
+    sent = [item for item in node.to_daemons if isinstance(item, CrashNews)]
+    assert [len(item.records) for item in sent] == [1, 19]
+
+
+async def test_a_daemon_that_connects_hears_of_all_and_a_lift_clears_it() -> None:
+    node = Node()
+    assert node.service.greeting() == ()
+    node.service.on_daemon_news(news("a", "i-1", "i-2", "i-3"))
+    (greeting,) = node.service.greeting()
+    assert isinstance(greeting, CrashNews)
+    assert [judged.standing for _, judged in node.service.judged()] == [Standing.QUARANTINED]
+    assert not node.service.lift("b")
+    assert node.service.lift("a")
+    assert node.service.judged() == ()
+    assert node.to_peers[-1].records[0].refuted == ("i-1", "i-2", "i-3")
