--- a/tests/platform/test_crashing_request.py
+++ b/tests/platform/test_crashing_request.py
@@ -40,6 +40,9 @@
 """Within this time after the third crash all daemons that are in touch have to know."""
 
 WATCHED_SECONDS = 9.0
+CONTROL_NOTICED_SECONDS = 2.0
+"""Within this time a daemon notices that control is gone."""
+
 MORE_ALLOWED = 3
 LEAST_SERVED = 0.95
 
@@ -144,6 +147,29 @@
         assert {status for at, status in told if at > settled} <= {500, 503}
 
 
+async def test_without_control_daemons_tell_each_other(tmp_path: Path) -> None:
+    crashes = Crashes()
+    services = ["sales"] * BACKENDS
+    async with platform(tmp_path, *services, works={"sales": crashes.work}) as running:
+        await serving(running)
+        for control in running.controls:
+            control.stop()
+        await asyncio.sleep(CONTROL_NOTICED_SECONDS)
+        end = time.monotonic() + WATCHED_SECONDS
+        told = await repeat(running, lambda _: CRASHING, REPEAT_SECONDS, end)
+        settled = crashes.ended[2] + SETTLED_SECONDS
+        assert sum(at > settled for at in crashes.reached) <= MORE_ALLOWED
+        assert {status for at, status in told if at > settled} == {503}
+        # A daemon that starts now, and knows nothing, hears of it with its first link.
+        running.daemons[0].stop()
+        running.daemons[0].start()
+        reached = len(crashes.reached)
+        for _ in range(20):
+            await running.ask(CRASHING, daemon=0)
+            await asyncio.sleep(REPEAT_SECONDS)
+        assert len(crashes.reached) == reached
+
+
 async def test_lines_of_the_log_name_what_ended_back_ends_have_in_common(tmp_path: Path) -> None:
     crashes = Crashes()
     async with platform(tmp_path, "sales", "sales", works={"sales": crashes.work}) as running:
