A request's signature is computed once a hop

Cause: while anything is held, a hop computed the signature five times; 2 ms each for a body of a megabyte. Change: it is computed when first asked for and kept with the work. 340 tests of daemon, routing, quarantine, architecture and the crashing request pass.

--- a/src/finchshed/daemon/callee.py
+++ b/src/finchshed/daemon/callee.py
@@ -49,6 +49,7 @@
 from finchshed.link.digests import digest_of
 from finchshed.link.listener import AcceptedLink
 from finchshed.link.messages import Call, LoadReport, Reply
+from finchshed.quarantine.messages import CrashRecord
 from finchshed.quarantine.register import Standing
 from finchshed.retry.policy import retry_after
 from finchshed.runtime import clock
@@ -205,7 +206,8 @@
             return
         self._works[work.token] = work
         self._by_call[call.epoch, call.call] = work
-        judgement = self._quarantine.judge(call)
+        work.signature = self._signatures.signer(call)
+        judgement = self._quarantine.judge(work.signature)
         if judgement.standing is Standing.QUARANTINED:
             detail = f"{judgement.crashes} back ends ended under it"
             self._answer(work, Refused(RefusalReason.QUARANTINED, judgement.seconds, detail))
@@ -264,7 +266,7 @@
                 self._answer(work, refused)
 
     def _start(self, work: Work) -> None:
-        judgement = self._quarantine.judge(work.call)
+        judgement = self._quarantine.judge(work.signature)
         if judgement.standing is Standing.QUARANTINED:
             # Back ends ended under its other tries while it was queued here.
             self._finish(work, Refused(RefusalReason.QUARANTINED, judgement.seconds))
@@ -293,9 +295,8 @@
         if not isinstance(result, BackendBroken):
             self._settle_result(work, instance, result)
             return
-        signature = self._signatures.of(work.call)
         then = partial(self._settle_result, work, instance, result)
-        self._crash_watch.on_broken(instance, BrokenRun(signature, then))
+        self._crash_watch.on_broken(instance, BrokenRun(work.signature(), then))
 
     def _on_crash(self, instance: str, signatures: list[str]) -> None:
         """Note that the back end ended while it ran these."""
@@ -311,7 +312,7 @@
         if isinstance(result, BackendAnswer):
             self._on_backend_answer(result)
             if result.ran:
-                self._quarantine.on_completed(work.call)
+                self._quarantine.on_completed(work.signature)
         if not isinstance(result, BackendAnswer) or result.status == STATUS_MISDIRECTED_REQUEST:
             self.on_backend_fault(instance, result)
         outcome = outcome_of(result, retry_after(0.0, self._rng))
@@ -351,11 +352,12 @@
 
     def _reply_to(self, work: Work, outcome: Outcome, spare: int) -> None:
         load = self.load_report()
-        signature = self._signatures.of(work.call) if is_signed(outcome) else ""
+        signature = work.signature() if is_signed(outcome) else ""
         log_call(
             work, outcome, self._admission.instance, load, self._gate.running, signature=signature
         )
-        self._send_reply(work.link, work.call, outcome, spare, load)
+        record = self._quarantine.record_of(work.signature)
+        self._send_reply(work.link, work.call, outcome, spare, load, crash_record=record)
 
     def _forget(self, work: Work) -> None:
         work.state = WorkState.DONE
@@ -369,7 +371,14 @@
             self._queue(due, clock.now())
 
     def _send_reply(
-        self, link: AcceptedLink, call: Call, outcome: Outcome, spare: int, load: LoadReport
+        self,
+        link: AcceptedLink,
+        call: Call,
+        outcome: Outcome,
+        spare: int,
+        load: LoadReport,
+        *,
+        crash_record: CrashRecord | None = None,
     ) -> None:
         digest = digest_of(outcome.body) if isinstance(outcome, Answered) else ""
         link.reply(
@@ -381,7 +390,7 @@
                 load=load,
                 digest=digest,
                 revision=self._revision(),
-                crash_record=self._quarantine.record_of(call),
+                crash_record=crash_record,
             )
         )
         metrics.count_served(call.service, call.context.importance, outcome)
--- a/src/finchshed/daemon/caller.py
+++ b/src/finchshed/daemon/caller.py
@@ -147,6 +147,7 @@
         if request.in_session:
             conditions = self._pins.conditions_for(request)
             request = msgspec.structs.replace(request, headers=request.headers + conditions)
+        signature = self._signatures.signer(request)
         logic = CallerLogic(
             self._table,
             self._retries.bucket(request.service, clock.now()),
@@ -157,8 +158,8 @@
             pinned=self._pins.endpoint_of(request, self._table, clock.now()),
             route=request.route,
             target_seconds=request.target_seconds,
-            signature=partial(self._signatures.of, request),
-            judge=partial(self._quarantine.judge, request),
+            signature=signature,
+            judge=partial(self._quarantine.judge, signature),
         )
 
         def finished(call: OutgoingCall, outcome: Outcome, spare: int) -> None:
@@ -168,14 +169,13 @@
             if request.in_session:
                 self._pins.end(request, call.endpoint, outcome, clock.now())
             metrics.count_call(request.service, request.context.importance, outcome)
-            signature = self._signatures.of(request) if is_signed(outcome) else ""
             log_request(
                 request,
                 outcome,
                 call.seconds,
                 call.attempts,
                 self._catalogue.revision,
-                signature=signature,
+                signature=signature() if is_signed(outcome) else "",
             )
             if account:
                 self._served.give_back(account, lent, spare)
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -97,7 +97,7 @@
         self._driver = self._make_driver()
         self._driver.client.on_hints = self._on_hints
         self._signatures = Signatures(self._names)
-        self._quarantine = Quarantine(self._driver.client, self._signatures, self._tell_links)
+        self._quarantine = Quarantine(self._driver.client, self._tell_links)
         self._side = LinkSide(
             settings,
             self._driver,
--- a/src/finchshed/daemon/quarantine.py
+++ b/src/finchshed/daemon/quarantine.py
@@ -6,16 +6,19 @@
 """
 
 from collections.abc import Callable, Iterable, Sequence
+from typing import TypeAlias
 
 from loguru import logger
 
 from finchshed.daemon import metrics
-from finchshed.daemon.signatures import Signatures, SignedRequest
 from finchshed.distribution.client import ControlClient
 from finchshed.quarantine.messages import CrashNews, CrashRecord
 from finchshed.quarantine.register import FREE, Judgement, QuarantineRegister, Standing
 from finchshed.runtime import clock
 
+Signer: TypeAlias = Callable[[], str]
+"""Returns a request's signature, computed at the first call; a large body takes milliseconds."""
+
 MAX_LOGGED = 8
 """Records of one piece of news that are logged each by itself; a line takes 0.1 ms to make."""
 
@@ -32,28 +35,26 @@
     def __init__(
         self,
         client: ControlClient,
-        signatures: Signatures,
         tell_links: Callable[[CrashNews], None],
     ) -> None:
         self._client = client
-        self._signatures = signatures
         self._tell_links = tell_links
         self._register = QuarantineRegister()
         self._told_control = QuarantineRegister()
         self._had_control = False
         client.on_crash_news = self._on_control_news
 
-    def judge(self, request: SignedRequest) -> Judgement:
+    def judge(self, signature: Signer) -> Judgement:
         """Return what may be done with a request; it costs nothing while none is held."""
         if not self._register:
             return FREE
-        return self._register.judge(self._signatures.of(request), clock.now())
+        return self._register.judge(signature(), clock.now())
 
-    def record_of(self, request: SignedRequest) -> CrashRecord | None:
+    def record_of(self, signature: Signer) -> CrashRecord | None:
         """Return what is held of a request, to be told with its answer."""
         if not self._register:
             return None
-        return self._register.record_of(self._signatures.of(request), clock.now())
+        return self._register.record_of(signature(), clock.now())
 
     def on_crash(self, instance: str, signatures: Sequence[str]) -> None:
         """Take the end of the own back end under requests of these signatures."""
@@ -61,12 +62,11 @@
         metrics.QUARANTINE_SUSPECTED.inc(len(changed))
         self._publish(changed, f"back end {instance} ended under {len(signatures)} requests")
 
-    def on_completed(self, request: SignedRequest) -> None:
+    def on_completed(self, signature: Signer) -> None:
         """Take note that a request has run to an end."""
         if not self._register:
             return
-        signature = self._signatures.of(request)
-        cleared = self._register.on_completed(signature, clock.now())
+        cleared = self._register.on_completed(signature(), clock.now())
         if cleared is not None:
             metrics.QUARANTINE_CLEARED.inc()
             self._publish((cleared,), "it has run to an end")
--- a/src/finchshed/daemon/signatures.py
+++ b/src/finchshed/daemon/signatures.py
@@ -1,5 +1,7 @@
 """Reads from a request what its signature is made of."""
 
+from collections.abc import Callable
+from functools import cache
 from typing import Protocol
 
 from finchshed.common.context import CallContext
@@ -51,6 +53,10 @@
         self._of_roots = CREDENTIAL_HEADERS | {"host", names.tenant}
         self._of_calls = self._of_roots | {names.caller_service}
 
+    def signer(self, request: SignedRequest) -> Callable[[], str]:
+        """Return what gives a request's signature, computed when it is first asked for."""
+        return cache(lambda: self.of(request))
+
     def of(self, request: SignedRequest) -> str:
         """Return the signature of a request."""
         context = request.context
--- a/src/finchshed/daemon/work.py
+++ b/src/finchshed/daemon/work.py
@@ -28,6 +28,7 @@
     the route it falls under. ``opens_session`` tells that its session was admitted with it, and
     ends if it is refused. ``abandoned`` tells that the caller has given up; what may not be
     repeated and was sent is nevertheless run to its end, so that a resend gets its answer.
+    ``signature`` gives what is equal for all tries of the same work.
     """
 
     token: int
@@ -48,6 +49,7 @@
     started: float = 0.0
     ledger_key: str = ""
     attempt: str = ""
+    signature: Callable[[], str] = str
 
     @property
     def is_by_host(self) -> bool:
--- a/src/finchshed/routing/caller.py
+++ b/src/finchshed/routing/caller.py
@@ -77,6 +77,11 @@
 CallerEffect: TypeAlias = Send | Withdraw | SetTimer | Finish
 
 
+def _always_free() -> Judgement:
+    """Stand in where no request is ever a suspect."""
+    return FREE
+
+
 class CallerLogic:
     """State machine of one call.
 
@@ -120,7 +125,7 @@
         route: str = "",
         target_seconds: float = 0.0,
         signature: Callable[[], str] = str,
-        judge: Callable[[], Judgement] = lambda: FREE,
+        judge: Callable[[], Judgement] = _always_free,
     ) -> None:
         self._signature = signature
         self._judge = judge
--- a/tests/daemon/lone_callee.py
+++ b/tests/daemon/lone_callee.py
@@ -38,5 +38,5 @@
         revision=lambda: 1,
         names=HeaderNames(),
         signatures=signatures,
-        quarantine=Quarantine(Mock(is_connected=True), signatures, Mock()),
+        quarantine=Quarantine(Mock(is_connected=True), Mock()),
     )
--- a/tests/daemon/test_quarantine.py
+++ b/tests/daemon/test_quarantine.py
@@ -16,6 +16,7 @@
 SIGNATURES = Signatures(HeaderNames())
 REQUEST = Request("s", "GET", "/p", (), b"", CallContext("r", Importance.NORMAL, 1.0, 1))
 SIGNATURE = SIGNATURES.of(REQUEST)
+SIGNER = SIGNATURES.signer(REQUEST)
 
 
 class Node:
@@ -24,7 +25,7 @@
     def __init__(self, *, is_connected: bool) -> None:
         self.client = Mock(is_connected=is_connected)
         self.to_links: list[CrashNews] = []
-        self.quarantine = Quarantine(self.client, SIGNATURES, self.to_links.append)
+        self.quarantine = Quarantine(self.client, self.to_links.append)
 
     @property
     def to_control(self) -> list[CrashNews]:
@@ -50,7 +51,7 @@
     first.crash("i-1", "i-2", "i-3")
     for news in first.to_links:
         second.quarantine.on_link_news(news.records)
-    assert second.quarantine.judge(REQUEST).standing is Standing.QUARANTINED
+    assert second.quarantine.judge(SIGNER).standing is Standing.QUARANTINED
     passed_on = len(second.to_links)
     assert passed_on == len(first.to_links) == 3
     for news in first.to_links:
@@ -75,18 +76,18 @@
 def test_an_answer_tells_the_daemon_that_sent_the_request() -> None:
     beside, sender = Node(is_connected=True), Node(is_connected=True)
     beside.crash("i-1", "i-2", "i-3")
-    record = beside.quarantine.record_of(REQUEST)
+    record = beside.quarantine.record_of(SIGNER)
     assert record is not None
     sender.quarantine.on_answer(record)
-    assert sender.quarantine.judge(REQUEST).standing is Standing.QUARANTINED
+    assert sender.quarantine.judge(SIGNER).standing is Standing.QUARANTINED
 
 
 def test_a_request_that_ran_to_an_end_is_free_again_everywhere() -> None:
     node = Node(is_connected=True)
     node.crash("i-1")
-    assert node.quarantine.judge(REQUEST).standing is Standing.SUSPECT
-    node.quarantine.on_completed(REQUEST)
-    assert node.quarantine.judge(REQUEST).standing is Standing.FREE
+    assert node.quarantine.judge(SIGNER).standing is Standing.SUSPECT
+    node.quarantine.on_completed(SIGNER)
+    assert node.quarantine.judge(SIGNER).standing is Standing.FREE
     assert node.to_control[-1].records[0].refuted == ("i-1",)
 
 
