--- a/src/finchshed/daemon/quarantine.py
+++ b/src/finchshed/daemon/quarantine.py
@@ -19,6 +19,9 @@
 Signer: TypeAlias = Callable[[], str]
 """Returns a request's signature, computed at the first call; a large body takes milliseconds."""
 
+EXPIRE_SECONDS = 10.0
+"""Time between looks for what is over; what is over is judged so at each use anyway."""
+
 MAX_LOGGED = 8
 """Records of one piece of news that are logged each by itself; a line takes 0.1 ms to make."""
 
@@ -42,6 +45,9 @@
         self._register = QuarantineRegister()
         self._told_control = QuarantineRegister()
         self._had_control = False
+        self._has_unsent = False
+        self._connection = client.connections_made
+        self._expire_due = 0.0
         client.on_crash_news = self._on_control_news
 
     def judge(self, signature: Signer) -> Judgement:
@@ -78,7 +84,8 @@
     def on_link_news(self, records: Sequence[CrashRecord]) -> None:
         """Take what a peer tells; without control pass it on, as others may hear it from here."""
         changed = self._register.merge(records, clock.now())
-        self._log(changed, "a peer tells")
+        self._has_unsent = self._has_unsent or bool(changed)
+        self._log_told(changed, "a peer tells")
         if changed and not self._client.is_connected:
             self._tell_links(CrashNews(changed))
 
@@ -90,24 +97,33 @@
 
     def tick(self) -> None:
         """Forget what is over; tell control what it hasn't told itself."""
-        now = clock.now()
-        self._register.expire(now)
-        self._told_control.expire(now)
         metrics.QUARANTINE_HELD.set(len(self._register))
-        if not self._client.is_connected:
-            # The next control node may know nothing of what this one was told.
+        if not self._register and not self._told_control:
+            return
+        now = clock.now()
+        if now >= self._expire_due:
+            self._expire_due = now + EXPIRE_SECONDS
+            self._register.expire(now)
+            self._told_control.expire(now)
+        has_control = self._client.is_connected
+        if self._client.connections_made != self._connection:
+            # This control node may know nothing of what the one before was told.
+            self._connection = self._client.connections_made
             self._told_control = QuarantineRegister()
-        elif self._register:
+            self._has_unsent = True
+        if has_control and self._has_unsent:
+            self._has_unsent = False
             self._send_to_control(self._register.records(now))
-        if self._register and self._had_control and not self._client.is_connected:
-            # What was told on the connection just lost may not have come through.
+        elif self._had_control and not has_control:
+            # What was told last may not have come through.
+            self._has_unsent = True
             self._tell_links(CrashNews(self._register.records(now)))
-        self._had_control = self._client.is_connected
+        self._had_control = has_control
 
     def _on_control_news(self, news: CrashNews) -> None:
         now = clock.now()
         self._told_control.merge(news.records, now)
-        self._log(self._register.merge(news.records, now), "control tells")
+        self._log_told(self._register.merge(news.records, now), "control tells")
 
     def _publish(self, changed: Sequence[CrashRecord], ground: str) -> None:
         if not changed:
@@ -116,6 +132,7 @@
         if self._client.is_connected:
             self._send_to_control(changed)
         else:
+            self._has_unsent = True
             self._tell_links(CrashNews(tuple(changed)))
 
     def _send_to_control(self, records: Iterable[CrashRecord]) -> None:
@@ -123,6 +140,23 @@
         if unknown:
             self._client.send_crash_news(CrashNews(unknown))
 
+    def _log_told(self, changed: Sequence[CrashRecord], ground: str) -> None:
+        """Log what is believed by another's word: each request that is refused, others by number.
+
+        The daemon beside the crash names them all; said by every daemon it would be the most of
+        the log for some seconds after each end of a back end.
+        """
+        now = clock.now()
+        refused = [
+            record
+            for record in changed
+            if self._register.judge(record.signature, now).standing is Standing.QUARANTINED
+        ]
+        self._log(refused, ground)
+        if len(refused) < len(changed):
+            text = "{} requests changed that are not refused: {}"
+            logger.info(text, len(changed) - len(refused), ground)
+
     def _log(self, changed: Sequence[CrashRecord], ground: str) -> None:
         """Log what is believed from now on, that of what is refused in any case."""
         now = clock.now()
--- a/tests/daemon/test_quarantine.py
+++ b/tests/daemon/test_quarantine.py
@@ -23,7 +23,7 @@
     """A daemon's quarantine, its client to control and its links as they are told."""
 
     def __init__(self, *, is_connected: bool) -> None:
-        self.client = Mock(is_connected=is_connected)
+        self.client = Mock(is_connected=is_connected, connections_made=int(is_connected))
         self.to_links: list[CrashNews] = []
         self.quarantine = Quarantine(self.client, self.to_links.append)
 
@@ -64,6 +64,7 @@
     node.crash("i-1")
     node.quarantine.tick()
     node.client.is_connected = True
+    node.client.connections_made += 1
     node.quarantine.tick()
     assert [news.records[0].signature for news in node.to_control] == [SIGNATURE]
     # A control node that is lost may not have passed on what it was told last.
@@ -73,6 +74,18 @@
     assert len(node.to_links) == told + 1
 
 
+def test_another_control_node_is_told_all_and_one_that_knows_nothing_again() -> None:
+    node = Node(is_connected=True)
+    node.crash("i-1", "i-2")
+    node.quarantine.tick()
+    assert len(node.to_control) == 2
+    node.client.connections_made += 1
+    node.quarantine.tick()
+    node.quarantine.tick()
+    assert len(node.to_control) == 3
+    assert len(node.to_control[-1].records[0].crashes) == 2
+
+
 def test_an_answer_tells_the_daemon_that_sent_the_request() -> None:
     beside, sender = Node(is_connected=True), Node(is_connected=True)
     beside.crash("i-1", "i-2", "i-3")
