--- a/src/finchshed/quarantine/messages.py
+++ b/src/finchshed/quarantine/messages.py
@@ -8,7 +8,7 @@
 """Crashes of one request that are kept and told; its standing doesn't change past the fourth."""
 
 MAX_NEWS_RECORDS = 4096
-"""Records taken in one message: more than any node keeps, and under 1 MB."""
+"""Records taken in one message: four times what a node keeps."""
 
 Name: TypeAlias = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 CrashNames: TypeAlias = Annotated[tuple[Name, ...], msgspec.Meta(max_length=MAX_CRASHES)]
--- a/src/finchshed/quarantine/register.py
+++ b/src/finchshed/quarantine/register.py
@@ -30,8 +30,8 @@
 """A request that more back ends ended under isn't tried again by the daemon that holds it."""
 
 SUSPECT_SECONDS = 600.0
-"""A suspect that doesn't come again is forgotten after this time: twice as long as a client that
-still waits for its answer may ask again, by the longest time-out a route can have."""
+"""A suspect that doesn't come again is forgotten after this time: the longest time-out a route can
+have, so a client that still waits for its answer is remembered."""
 
 QUARANTINE_SECONDS = 600.0
 """First refusal; it doubles with each further crash. After it one try at a time is made, alone."""
@@ -44,8 +44,8 @@
 longer than a cut-off zone's news are under way after its return."""
 
 MAX_RECORDS = 1024
-"""Requests kept; the oldest suspects make room. 200 kB: three hundred back ends that end with three
-requests each within the time a suspect is kept."""
+"""Requests kept; the oldest suspects make room: those of forty back ends that end with 25 requests
+each within the time a suspect is kept."""
 
 RECENT_CRASHES = 64
 """Crashes remembered for whether a suspect explains them: connections may break in two batches."""
