Daemons show the rate limit that their back end names

Change: the reader of answers reads the limit (a decimal number; anything else is quoted in one bounded line and changes nothing), answers are ordered by the arrival of their heads, and a log line tells when a limit is learned, changed or ended, by which request. A gauge shows it, a counter the requests sent while it is named. Nothing is held back yet.

An answer of another instance (421) no longer counts as an answer of this one. Names of headers and metrics in the samples are added to, none went.

--- a/src/finchshed/daemon/assembly.py
+++ b/src/finchshed/daemon/assembly.py
@@ -23,6 +23,7 @@
 from finchshed.common.units import MILLISECONDS
 from finchshed.daemon.backend.health import BackendHealthMonitor
 from finchshed.daemon.backend.http_client import HttpBackend
+from finchshed.daemon.backend.rate_limit_monitor import RateLimitMonitor
 from finchshed.daemon.backend.registration import RegisteredBackend
 from finchshed.daemon.calling.caller import Caller
 from finchshed.daemon.calling.daemon_links import DaemonLinks
@@ -218,7 +219,9 @@
     monitor = BackendHealthMonitor(
         serving.backend, announcer.on_backend_draining, announcer.on_backend_returned
     )
-    state.events.subscribe_answers(monitor.on_answer)
+    state.events.subscribe_answers(lambda event: monitor.on_answer(event.answer))
+    rate_limit = RateLimitMonitor(state.identity, serving.callee.set_rate_limit)
+    state.events.subscribe_answers(rate_limit.on_answer)
     registered = _registered_backend(state, follower_runner, serving, link_components, announcer)
     return BackendStateComponents(announcer, monitor, registered)
 
--- a/src/finchshed/daemon/backend/answer_reader.py
+++ b/src/finchshed/daemon/backend/answer_reader.py
@@ -1,12 +1,14 @@
 """Interprets the status and headers of a back end's answer.
 
-They show which request it answers, whether that ran, and whether the back end is draining.
+They show which request it answers, whether that ran, whether the back end is draining, and the rate
+limit that it names.
 """
 
 from collections.abc import Sequence
 
 from finchshed.common.context import HEADER_ACCOUNT, HEADER_RAN
 from finchshed.daemon.backend.client import BackendAnswer, BackendBroken, BackendRequest
+from finchshed.daemon.backend.rate_limit_header import read_rate_limit
 from finchshed.daemon.header_names import HeaderNames
 from finchshed.daemon.request import end_to_end_headers
 from finchshed.http.status import (
@@ -19,8 +21,6 @@
 LOAD_HEADER_FIELDS = 3
 """Fields of a load header: requests running, requests waiting, slots."""
 
-HEADER_DRAINING = b"finchshed-draining"
-
 _RAN = HEADER_RAN.encode("ascii")
 _ACCOUNT = HEADER_ACCOUNT.encode("ascii")
 
@@ -32,6 +32,8 @@
         self._request = names.request.encode("ascii")
         self._not_run = names.not_run.encode("ascii")
         self._seal = names.seal.encode("ascii")
+        self._rate_limit = names.rate_limit.encode("ascii")
+        self._draining = names.draining.encode("ascii")
 
     def read(
         self,
@@ -39,8 +41,12 @@
         status: int,
         raw_headers: Sequence[tuple[bytes, bytes]],
         body: bytes,
+        head_received_at: float = 0.0,
     ) -> BackendAnswer | BackendBroken:
-        """Return the answer, or the reason why it isn't a valid answer to ``request``."""
+        """Return the answer, or the reason why it isn't a valid answer to ``request``.
+
+        ``head_received_at`` is in monotonic seconds.
+        """
         headers_by_name = dict(raw_headers)
         if not self._answers_request(request, headers_by_name):
             return BackendBroken("the answer is another request's")
@@ -52,7 +58,11 @@
             headers=end_to_end_headers(raw_headers),
             body=body,
             ran=not self._is_not_run(request, status, headers_by_name),
-            draining=headers_by_name.get(HEADER_DRAINING) == b"1",
+            draining=headers_by_name.get(self._draining, b"").strip() == b"1",
+            rate_limit=read_rate_limit(
+                [value for name, value in raw_headers if name == self._rate_limit]
+            ),
+            head_received_at=head_received_at,
         )
 
     def _answers_request(self, request: BackendRequest, headers: dict[bytes, bytes]) -> bool:
--- a/src/finchshed/daemon/backend/client.py
+++ b/src/finchshed/daemon/backend/client.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from finchshed.common.outcomes import Headers
+from finchshed.limit.rate_notice import NO_LIMIT_NAMED, RateLimitNotice
 
 
 class BackendAnswer(msgspec.Struct, frozen=True):
@@ -25,6 +26,10 @@
         Whether the back end announced that it is draining.
     has_length
         False if the body was delimited by the end of the connection.
+    rate_limit
+        What it says about the back end's rate limit.
+    head_received_at
+        When its headers were complete, in monotonic seconds.
     """
 
     status: int
@@ -33,6 +38,8 @@
     ran: bool
     draining: bool
     has_length: bool = True
+    rate_limit: RateLimitNotice = NO_LIMIT_NAMED
+    head_received_at: float = 0.0
 
 
 class BackendUnreached(msgspec.Struct, frozen=True):
--- a/src/finchshed/daemon/backend/connection.py
+++ b/src/finchshed/daemon/backend/connection.py
@@ -22,6 +22,7 @@
     BackendResult,
 )
 from finchshed.http.status import STATUS_OK
+from finchshed.runtime import clock
 
 MAX_HEAD_BYTES = 65_536
 """Maximum size of an answer's status line and headers."""
@@ -166,6 +167,7 @@
         if self._status < STATUS_OK:
             return
         self._is_past_head = True
+        self._head_received_at = clock.now()
         self._ends_with_connection = not self._has_length
         if self._is_head:
             self._is_unusable = True
@@ -196,6 +198,7 @@
         self._body_size = 0
         self._received = 0
         self._status = 0
+        self._head_received_at = 0.0
         self._has_length = False
         self._is_past_head = False
         self._ends_with_connection = False
@@ -222,7 +225,9 @@
     def _answer(self) -> BackendAnswer | BackendBroken:
         assert self._request is not None
         body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
-        answer = self._reader.read(self._request, self._status, self._raw_headers, body)
+        answer = self._reader.read(
+            self._request, self._status, self._raw_headers, body, self._head_received_at
+        )
         if isinstance(answer, BackendBroken):
             self._is_unusable = True
         elif self._ends_with_connection:
--- a/src/finchshed/daemon/backend/events.py
+++ b/src/finchshed/daemon/backend/events.py
@@ -1,21 +1,30 @@
 """Publishes answers and faults of the back end, as observed by calls.
 
-Decouples the serving side from its subscribers, the health monitor and the registration.
+Decouples the serving side from its subscribers, which follow the state of the back end.
 """
 
 from collections.abc import Callable
 
+import msgspec
+
 from finchshed.daemon.backend.client import BackendAnswer, BackendResult
 
 
+class AnswerEvent(msgspec.Struct, frozen=True, gc=False):
+    """An answer of the instance that the call was sent to; ``request`` identifies the call."""
+
+    answer: BackendAnswer
+    request: str
+
+
 class BackendEvents:
     """Calls subscribers in the order in which they subscribed."""
 
     def __init__(self) -> None:
-        self._on_answer: list[Callable[[BackendAnswer], None]] = []
+        self._on_answer: list[Callable[[AnswerEvent], None]] = []
         self._on_fault: list[Callable[[str, BackendResult], None]] = []
 
-    def subscribe_answers(self, on_answer: Callable[[BackendAnswer], None]) -> None:
+    def subscribe_answers(self, on_answer: Callable[[AnswerEvent], None]) -> None:
         """Call ``on_answer`` with each answer to a call."""
         self._on_answer.append(on_answer)
 
@@ -26,10 +35,10 @@
         """
         self._on_fault.append(on_fault)
 
-    def publish_answer(self, answer: BackendAnswer) -> None:
+    def publish_answer(self, event: AnswerEvent) -> None:
         """Notify subscribers of an answer."""
         for on_answer in self._on_answer:
-            on_answer(answer)
+            on_answer(event)
 
     def publish_fault(self, instance: str, result: BackendResult) -> None:
         """Notify subscribers of a fault."""
--- a/src/finchshed/daemon/header_names.py
+++ b/src/finchshed/daemon/header_names.py
@@ -22,6 +22,10 @@
         Present in an answer if the back end did not run the request.
     load
         In an answer: numbers of running and waiting requests, and slots.
+    rate_limit
+        In an answer: requests per second that the back end accepts from all callers together.
+    draining
+        In an answer: ``1`` if the back end is draining.
     instance
         In the answer to a health check: instance of the back end.
     seal
@@ -41,6 +45,8 @@
     expected_instance: str = "finchshed-expect-instance"
     not_run: str = "finchshed-not-run"
     load: str = "finchshed-load"
+    rate_limit: str = "finchshed-rate-limit"
+    draining: str = "finchshed-draining"
     instance: str = "finchshed-instance"
     seal: str = ""
     api_key: str = "x-api-key"
--- a/src/finchshed/daemon/metrics.py
+++ b/src/finchshed/daemon/metrics.py
@@ -28,6 +28,15 @@
 LIMIT = Gauge(
     "finchshed_concurrency_limit", "Requests the back end is sent at a time, as learnt and bounded"
 )
+RATE_LIMIT = Gauge(
+    "finchshed_rate_limit", "Requests per second that the back end accepts; negative: no limit"
+)
+RATE_LIMIT_UNREADABLE = Counter(
+    "finchshed_rate_limit_unreadable_total", "Answers that name a rate limit that can't be read"
+)
+RATE_LIMITED_SENT = Counter(
+    "finchshed_rate_limited_sent_total", "Requests sent to the back end while it names a rate limit"
+)
 THRESHOLD = Gauge(
     "finchshed_admission_threshold", "Requests of a lower admission rank are refused at present"
 )
--- a/src/finchshed/daemon/serving/backend_runner.py
+++ b/src/finchshed/daemon/serving/backend_runner.py
@@ -19,7 +19,7 @@
     BackendResult,
     BackendUnreached,
 )
-from finchshed.daemon.backend.events import BackendEvents
+from finchshed.daemon.backend.events import AnswerEvent, BackendEvents
 from finchshed.daemon.backend.request import (
     backend_request,
     outcome_from_result,
@@ -58,6 +58,11 @@
         Called when a call's slot can be released before the call is answered.
     on_finished
         Called with each started call and its outcome.
+
+    Attributes
+    ----------
+    is_rate_limited
+        Whether the back end currently names a rate limit.
     """
 
     def __init__(
@@ -76,6 +81,7 @@
         on_slot_free: Callable[[InboundCall, CallResult], None],
         on_finished: Callable[[InboundCall, Outcome], None],
     ) -> None:
+        self.is_rate_limited = False
         self._endpoint = endpoint
         self._backend = backend
         self._at_most_once = at_most_once
@@ -108,6 +114,8 @@
         call = inbound.call
         inbound.state = InboundCallState.AT_BACKEND
         inbound.started = clock.now()
+        if self.is_rate_limited:
+            metrics.RATE_LIMITED_SENT.inc()
         inbound.served = self._served.open(inbound.context, inbound.deadline, call.identity)
         self._paths.on_start(inbound.served.account, inbound.route)
         instance = self._admission.instance
@@ -155,9 +163,10 @@
 
     def _report(self, inbound: InboundCall, instance: str, result: BackendResult) -> None:
         """Publish a result to the followers of the back end's state and to the quarantine."""
-        if isinstance(result, BackendAnswer):
-            self._events.publish_answer(result)
-            if result.ran:
-                self._quarantine.on_completed(inbound.signature)
         if not isinstance(result, BackendAnswer) or result.status == STATUS_MISDIRECTED_REQUEST:
             self._events.publish_fault(instance, result)
+            return
+        request = inbound.call.identity or inbound.call.context.root
+        self._events.publish_answer(AnswerEvent(result, request))
+        if result.ran:
+            self._quarantine.on_completed(inbound.signature)
--- a/src/finchshed/daemon/serving/callee.py
+++ b/src/finchshed/daemon/serving/callee.py
@@ -138,6 +138,10 @@
         if slots:
             self._gate.set_slots(usable_slots(slots))
 
+    def set_rate_limit(self, requests_per_second: float | None) -> None:
+        """Record the rate limit that the back end names, or None."""
+        self._runner.is_rate_limited = requests_per_second is not None
+
     def refuse_queued(self) -> None:
         """Refuse queued calls routed by host, so that their callers try another endpoint."""
         for inbound in list(self._calls.values()):
