Failing test: a back end gets no more than the rate it names

Real processes on the fake platform: three back ends, 60 requests a second through all daemons, one names 3.4 a second. On the code as it is it gets 81 requests in 4 s; 25.4 are allowed. The checker counts as the rule has it: windows of 4 s that end 3 s or more after the first answer with a limit, requests that began at daemons that had passed one on half a second before.

--- a/tests/platform/fake_platform.py
+++ b/tests/platform/fake_platform.py
@@ -116,6 +116,12 @@
     state: str = "ready"
     executed: list[str] = field(default_factory=list)
     headers: list[dict[str, str]] = field(default_factory=list)
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
+    """Monotonic times and identities of the requests that reached it, run or not."""
+
+    answer_headers: dict[str, str] = field(default_factory=dict)
+    """Headers that it adds to its answers to requests."""
+
     sequence: int = 0
     acknowledged: int = 0
     session: aiohttp.ClientSession | None = None
@@ -224,6 +230,7 @@
 
     async def _handle_request(self, request: web.Request) -> web.Response:
         identity = request.headers.get("Request-Id", "")
+        self.arrivals.append((time.monotonic(), identity))
         if request.headers.get("Expect-Instance", self.instance) != self.instance:
             return web.Response(status=421, headers={"Instance-Id": self.instance})
         self.executed.append(identity)
@@ -231,6 +238,7 @@
         response = await self.handler(self, request)
         response.headers["Request-Id"] = identity
         response.headers["Server-Seal"] = f"seal-{self.instance}"
+        response.headers.update(self.answer_headers)
         return response
 
 
--- /dev/null
+++ b/tests/platform/test_named_rate_limit.py
@@ -0,0 +1,73 @@
+"""Guards against back ends that get more requests than the rate they name in their answers."""
+
+import asyncio
+import time
+from pathlib import Path
+
+from aiohttp import web
+
+from tests.platform.fake_platform import (
+    FakeBackend,
+    FakePlatform,
+    document,
+    echo,
+    route,
+    run_platform,
+    wait_until,
+)
+from tests.platform.open_loop import (
+    allowed_in_window,
+    arrivals_between,
+    largest_window,
+    send_open_loop,
+)
+
+ROUTES = (route("/look/", "sales"), route("/buy/", "sales", "unsafe"))
+WORK_SECONDS = 0.1
+LOAD_PER_SECOND = 60.0
+LOAD_SECONDS = 9.0
+NAMED_RATE = 3.4
+
+MIN_SERVED_RATIO = 0.98
+"""Fraction served while other back ends have room."""
+
+MIN_USED_RATIO = 0.9
+"""Fraction of the named rate that must be used while there is enough work."""
+
+
+async def work(backend: FakeBackend, request: web.Request) -> web.Response:
+    await asyncio.sleep(WORK_SECONDS)
+    return await echo(backend, request)
+
+
+async def wait_until_serving(running: FakePlatform) -> None:
+    """Apply a configuration and wait until each daemon knows every back end."""
+    await running.put_until_accepted(document(3, 0, *ROUTES))
+
+    async def all_backends_known() -> bool:
+        for number, daemon in enumerate(running.daemons):
+            log = daemon.log()
+            if any(f"told of back end {one.instance} of" not in log for one in running.backends):
+                return False
+            if (await running.send_request("/look/early", daemon=number)).status != 200:
+                return False
+        return True
+
+    await wait_until(all_backends_known)
+
+
+# A back end that names a rate gets at most that rate, summed over all daemons.
+async def test_back_end_gets_no_more_than_the_rate_it_names(tmp_path: Path) -> None:
+    async with run_platform(tmp_path, *["sales"] * 3, handlers={"sales": work}) as running:
+        await wait_until_serving(running)
+        limited = running.backends[0]
+        limited.answer_headers["Server-Limit"] = str(NAMED_RATE)
+        named_at = time.monotonic()
+        sent = await send_open_loop(running, LOAD_SECONDS, LOAD_PER_SECOND)
+        most = largest_window(sent, limited, named_at, len(running.daemons))
+        assert most <= allowed_in_window(NAMED_RATE), f"{most} requests in a window"
+        served = sum(request.status == 200 for request in sent) / len(sent)
+        assert served >= MIN_SERVED_RATIO
+        begin, end = named_at + 3.0, named_at + LOAD_SECONDS
+        used = arrivals_between(limited, begin, end) / (NAMED_RATE * (end - begin))
+        assert used >= MIN_USED_RATIO, f"{used:.2f} of the rate used"
