A back end gets no more than the rate it names

Cause: what a back end says of itself in an answer was read for its load's slots and its identity only; the gate knew slots, not rates. Class: a statement of a back end that is handed on and acted on by nobody.

Change: the gate beside the back end, which every request to it passes, gives out turns at the rate. A request without a turn within 0.25 s is refused as not run, the most important wait first; callers try others without cost, skip the endpoint while it says that it has no room, and refuse where all are limited. Neither thresholds nor the concurrency limit nor ejection take it for overload or failure. It works because the sum over all daemons passes one place. Header names of the platform are in its folder alone.

TokenBucket moved to common, as two packages use it now.

--- a/src/finchshed/admission/gate.py
+++ b/src/finchshed/admission/gate.py
@@ -2,7 +2,9 @@
 
 A request whose predicted finish lies past its deadline is refused immediately, and so is the lowest
 rank when the queue is full. While a slot is free, queued requests are started whatever the
-threshold. Refusal reasons: ``overload``, ``queue_full``, ``deadline``.
+threshold. If the back end names a rate limit, a request also needs its turn (see
+:mod:`finchshed.admission.rate_gate`). Refusal reasons: ``overload``, ``queue_full``, ``deadline``,
+``rate_limited``.
 
 The caller passes the time as ``now`` in monotonic seconds, carries out the returned effects in
 order, and calls :meth:`Gate.tick` periodically while requests are queued.
@@ -15,10 +17,11 @@
 
 from finchshed.admission.demand_threshold import DemandThreshold
 from finchshed.admission.effects import GateEffect, Refuse, Start
-from finchshed.admission.load_report import LoadReport
+from finchshed.admission.load_report import LoadReport, RateReport
 from finchshed.admission.path_thresholds import NO_PATH_THRESHOLDS, PathThreshold
 from finchshed.admission.queue_threshold import QueueThreshold
-from finchshed.admission.rank import admitted_rank, rank_of
+from finchshed.admission.rank import RANKS, admitted_rank, rank_of
+from finchshed.admission.rate_gate import MAX_TURN_WAIT_SECONDS, RateGate
 from finchshed.admission.request_queue import QueuedRequest, RequestQueue
 from finchshed.admission.threshold_rule import Threshold, ThresholdRule
 from finchshed.common.context import CallContext
@@ -42,6 +45,10 @@
 """Lower bound of the admitted fraction in the retry-after computation, to avoid division by 0."""
 
 
+NO_RANK = RANKS + 1
+"""Threshold that not even calls of admitted requests reach."""
+
+
 class _Running(msgspec.Struct, gc=False):
     """A started request. ``running`` is the concurrency at its start, itself included."""
 
@@ -79,6 +86,7 @@
         self._rule = threshold_rule
         self._threshold = _create_threshold(threshold_rule, now)
         self._queue = RequestQueue()
+        self._rate = RateGate()
         self._running: dict[int, _Running] = {}
         self._order = 0
         self._refused_fraction = 0.0
@@ -98,6 +106,15 @@
         self._slots = slots
         self._concurrency.set_slots(slots)
 
+    def set_rate_limit(self, requests_per_second: float | None, now: float) -> list[GateEffect]:
+        """Apply the rate limit that the back end names, or its end (None)."""
+        self._rate.set_limit(requests_per_second, now)
+        effects: list[GateEffect] = []
+        while self._queue and not self._rate.may_wait(len(self._queue) - 1, now):
+            dropped = self._queue.pop_lowest()
+            effects.append(self._refuse(dropped.token, RefusalReason.RATE_LIMITED))
+        return effects + self._start_queued(now)
+
     def arrive(
         self, token: int, context: CallContext, now: float, path_threshold: float = 0.0
     ) -> list[GateEffect]:
@@ -113,14 +130,19 @@
         rank = rank_of(context)
         if rank < path_threshold and not context.is_admitted:
             return [self._refuse(token, RefusalReason.OVERLOAD)]
+        request = self._queued_request(token, rank, context, now)
+        is_turned_away, effects = self._make_room_for_turn(request, now)
+        if is_turned_away:
+            # Not counted as demand: other back ends may have room for it.
+            return effects
         self._threshold.on_arrival(rank, context.admitted_fraction, context.announced_calls)
-        if not self._queue and len(self._running) < self._concurrency.limit:
+        if not self._queue and self._can_start(now):
             self._record_start(token, rank, now)
-            return [Start(token)]
+            return [*effects, Start(token)]
         if rank < self._threshold.value and not context.is_admitted:
             # Requests of an admitted session or call tree are queued regardless of the threshold.
-            return [self._refuse(token, RefusalReason.OVERLOAD)]
-        return self._enqueue(self._queued_request(token, rank, context, now), now)
+            return [*effects, self._refuse(token, RefusalReason.OVERLOAD)]
+        return effects + self._enqueue(request, now)
 
     def finish(self, token: int, result: CallResult, now: float) -> list[GateEffect]:
         """Record the end of a started request and start queued ones."""
@@ -138,13 +160,14 @@
         A started one keeps its slot until :meth:`finish` reports that the back end ended it.
         """
         if self._queue.remove(token):
-            self._threshold.on_queue(len(self._queue))
+            self._threshold.on_queue(self._queued_for_slots())
         return self._start_queued(now)
 
     def tick(self, now: float) -> list[GateEffect]:
         """Refuse requests that can no longer finish in time, and update the threshold."""
         effects = self._refuse_late(now)
         effects.extend(self._start_queued(now))
+        effects.extend(self._refuse_without_turn(now))
         self._update_threshold(now)
         effects.extend(self._shed_below_threshold())
         return effects
@@ -164,9 +187,39 @@
             in_flight=len(self._running) + queued,
             limit=self._concurrency.limit,
             paths=paths,
+            rate=self._rate_report(now),
         )
 
+    def _rate_report(self, now: float) -> RateReport | None:
+        limit = self._rate.limit
+        if limit is None:
+            return None
+        wait = self._rate.seconds_until_room(len(self._queue), now)
+        if not wait:
+            return RateReport(limit)
+        lowest = self._queue.lowest_rank
+        return RateReport(limit, wait, NO_RANK if lowest is None else lowest + 1)
+
+    def _can_start(self, now: float) -> bool:
+        return len(self._running) < self._concurrency.limit and self._rate.has_turn(now)
+
+    def _make_room_for_turn(
+        self, request: QueuedRequest, now: float
+    ) -> tuple[bool, list[GateEffect]]:
+        """Return whether a new request is refused for the rate limit, and the refusals.
+
+        A request whose turn would come too late displaces a queued one of lower rank, if there is
+        one.
+        """
+        if self._rate.may_wait(len(self._queue), now):
+            return False, []
+        dropped = self._queue.evict_for(request) if self._queue else None
+        if dropped is None:
+            return True, [self._refuse(request.token, RefusalReason.RATE_LIMITED)]
+        return False, [self._refuse(dropped.token, RefusalReason.RATE_LIMITED)]
+
     def _record_start(self, token: int, rank: int, now: float) -> None:
+        self._rate.use_turn(now)
         self._refused_fraction = moving_average(self._refused_fraction, 0.0, REFUSAL_WEIGHT)
         self._running[token] = _Running(now, rank, len(self._running) + 1)
 
@@ -185,6 +238,7 @@
             admission_rank=rank,
             order=self._order,
             token=token,
+            arrived=now,
             deadline=now + context.remaining_seconds,
             is_sheddable=not context.is_admitted,
         )
@@ -206,25 +260,37 @@
     def _start_queued(self, now: float) -> list[GateEffect]:
         """Start queued requests while a slot is free."""
         effects: list[GateEffect] = []
-        limit = self._concurrency.limit
-        while self._queue and len(self._running) < limit:
+        while self._queue and self._can_start(now):
             request = self._queue.pop_highest()
             if now + self._concurrency.mean_latency > request.deadline:
                 effects.append(self._refuse(request.token, RefusalReason.DEADLINE))
                 continue
             self._record_start(request.token, request.rank, now)
             effects.append(Start(request.token))
-        self._threshold.on_queue(len(self._queue))
+        self._threshold.on_queue(self._queued_for_slots())
         return effects
 
+    def _queued_for_slots(self) -> int:
+        """Return the number of requests that wait for a slot rather than for their turn."""
+        if self._rate.limit is not None and len(self._running) < self._concurrency.limit:
+            return 0
+        return len(self._queue)
+
     def _refuse_late(self, now: float) -> list[GateEffect]:
         """Refuse requests that can't finish in time, given the number ahead of them."""
         finish = now + self._concurrency.mean_latency
         late = self._queue.remove_late(finish, self._seconds_per_finish())
         if late:
-            self._threshold.on_queue(len(self._queue))
+            self._threshold.on_queue(self._queued_for_slots())
         return [self._refuse(item.token, RefusalReason.DEADLINE) for item in late]
 
+    def _refuse_without_turn(self, now: float) -> list[GateEffect]:
+        """Refuse requests that others have kept from their turn for too long."""
+        if self._rate.limit is None:
+            return []
+        waiting = self._queue.remove_arrived_before(now - MAX_TURN_WAIT_SECONDS)
+        return [self._refuse(item.token, RefusalReason.RATE_LIMITED) for item in waiting]
+
     def _shed_below_threshold(self) -> list[GateEffect]:
         """Refuse queued requests below the threshold, but keep enough to fill the slots."""
         droppable = len(self._queue) - max(1, self._concurrency.limit // RESERVE_DIVISOR)
@@ -232,11 +298,12 @@
         if droppable <= 0 or not threshold:
             return []
         below = self._queue.remove_below(threshold, droppable)
-        self._threshold.on_queue(len(self._queue))
+        self._threshold.on_queue(self._queued_for_slots())
         return [self._refuse(item.token, RefusalReason.OVERLOAD) for item in below]
 
     def _seconds_per_finish(self) -> float:
-        return self._concurrency.mean_latency / self._concurrency.limit
+        per_slot = self._concurrency.mean_latency / self._concurrency.limit
+        return max(per_slot, self._rate.seconds_per_turn)
 
     def _update_threshold(self, now: float) -> None:
         if self._concurrency.mean_latency <= 0.0:
@@ -244,7 +311,7 @@
         self._threshold.step(
             now,
             running=len(self._running),
-            queued=len(self._queue),
+            queued=self._queued_for_slots(),
             limit=self._concurrency.limit,
             mean_seconds=self._concurrency.mean_latency,
         )
--- a/src/finchshed/admission/load_report.py
+++ b/src/finchshed/admission/load_report.py
@@ -10,6 +10,24 @@
 from finchshed.admission.path_thresholds import PathThreshold
 
 
+class RateReport(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Rate limit that a back end names in its answers.
+
+    Attributes
+    ----------
+    limit
+        Requests per second that it accepts from all callers together.
+    wait
+        Time for which requests below ``threshold`` are refused, seconds.
+    threshold
+        Rank from which requests are accepted meanwhile.
+    """
+
+    limit: float
+    wait: float = 0.0
+    threshold: int = 0
+
+
 class LoadReport(msgspec.Struct, frozen=True, omit_defaults=True):
     """Load of one back end, as reported to callers.
 
@@ -29,6 +47,8 @@
     paths
         Thresholds of downstream calls, by route prefix. See
         :mod:`finchshed.admission.path_thresholds`.
+    rate
+        Rate limit of the back end; None if it names none.
     """
 
     threshold: int = 0
@@ -37,3 +57,4 @@
     limit: int = 0
     draining: bool = False
     paths: Mapping[str, PathThreshold] = {}
+    rate: RateReport | None = None
--- a/src/finchshed/admission/request_queue.py
+++ b/src/finchshed/admission/request_queue.py
@@ -20,7 +20,7 @@
         Rank that is compared with the admission threshold.
     order
         Sequence number of the arrival.
-    deadline
+    arrived, deadline
         Monotonic seconds.
     is_sheddable
         False for requests of a session or call tree that was already admitted.
@@ -30,6 +30,7 @@
     admission_rank: int
     order: int
     token: int
+    arrived: float
     deadline: float
     is_sheddable: bool
 
@@ -45,6 +46,11 @@
         """Return the number of queued requests."""
         return len(self._entries)
 
+    @property
+    def lowest_rank(self) -> int | None:
+        """Rank of the request that would start last, or None if the queue is empty."""
+        return self._entries[0][0] if self._entries else None
+
     def count_ahead(self, request: QueuedRequest) -> int:
         """Return the number of requests that would start before ``request``."""
         return len(self._entries) - bisect_left(self._entries, _entry_of(request))
@@ -60,6 +66,12 @@
         del self._by_token[request.token]
         return request
 
+    def pop_lowest(self) -> QueuedRequest:
+        """Remove and return the request that would start last."""
+        request = self._entries.pop(0)[2]
+        del self._by_token[request.token]
+        return request
+
     def remove(self, token: int) -> bool:
         """Remove one request; return whether it was queued."""
         request = self._by_token.pop(token, None)
@@ -103,6 +115,13 @@
         self._replace_entries(kept, late)
         return late
 
+    def remove_arrived_before(self, time: float) -> list[QueuedRequest]:
+        """Remove the requests that arrived before ``time``, in monotonic seconds."""
+        early = [entry[2] for entry in self._entries if entry[2].arrived < time]
+        kept = [entry for entry in self._entries if entry[2].arrived >= time]
+        self._replace_entries(kept, early)
+        return early
+
     def remove_below(self, threshold: int, at_most: int) -> list[QueuedRequest]:
         """Remove sheddable requests below ``threshold``, lowest rank first."""
         kept: list[tuple[int, int, QueuedRequest]] = []
--- a/src/finchshed/common/outcomes.py
+++ b/src/finchshed/common/outcomes.py
@@ -47,6 +47,9 @@
     SUSPECTS_WAIT = "suspects_wait"
     """It is suspected of crashing a back end, and other suspects are run first."""
 
+    RATE_LIMITED = "rate_limited"
+    """The rate that the back end names in its answers is used up."""
+
 
 FINAL_REFUSALS = frozenset(
     {
--- a/src/finchshed/daemon/serving/callee.py
+++ b/src/finchshed/daemon/serving/callee.py
@@ -139,8 +139,9 @@
             self._gate.set_slots(usable_slots(slots))
 
     def set_rate_limit(self, requests_per_second: float | None) -> None:
-        """Record the rate limit that the back end names, or None."""
+        """Keep to the rate limit that the back end names, or to none."""
         self._runner.is_rate_limited = requests_per_second is not None
+        self._gate.set_rate_limit(requests_per_second)
 
     def refuse_queued(self) -> None:
         """Refuse queued calls routed by host, so that their callers try another endpoint."""
--- a/src/finchshed/quota/daemon_share.py
+++ b/src/finchshed/quota/daemon_share.py
@@ -15,8 +15,8 @@
 
 import msgspec
 
+from finchshed.common.token_bucket import TokenBucket
 from finchshed.configuration.resources import Policy, Tenant
-from finchshed.quota.bucket import TokenBucket
 from finchshed.quota.lease import ANSWER_TIMEOUT_SECONDS, LEASE_SECONDS
 from finchshed.quota.limits import TenantLimit, limit_of
 from finchshed.quota.messages import (
--- a/src/finchshed/quota/tenant_pool.py
+++ b/src/finchshed/quota/tenant_pool.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from finchshed.quota.bucket import TokenBucket
+from finchshed.common.token_bucket import TokenBucket
 from finchshed.quota.limits import TenantLimit
 
 REBALANCE_FRACTION = 0.5
--- a/src/finchshed/retry/policy.py
+++ b/src/finchshed/retry/policy.py
@@ -36,6 +36,9 @@
 return at the same time."""
 
 REDIRECT_REASONS = frozenset({RefusalReason.DRAINING, RefusalReason.CONNECT_FAILED})
+"""Refusals that only ask to use another endpoint."""
+
+FREE_RETRY_REASONS = REDIRECT_REASONS | {RefusalReason.RATE_LIMITED}
 """Refusals after which the request is sent to another endpoint without using the retry budget."""
 
 RETRIED_REFUSALS = frozenset(
@@ -73,7 +76,7 @@
         is_own_error = result_of(outcome) is CallResult.ERROR
         return repeatable and is_own_error and outcome.status != GATEWAY_TIMEOUT
     if isinstance(outcome, Refused):
-        return outcome.reason in RETRIED_REFUSALS or outcome.reason in REDIRECT_REASONS
+        return outcome.reason in RETRIED_REFUSALS or outcome.reason in FREE_RETRY_REASONS
     if isinstance(outcome, Failed):
         return repeatable and outcome.reason in RETRIED_FAILURES
     return False
@@ -84,6 +87,11 @@
     return isinstance(outcome, Refused) and outcome.reason in REDIRECT_REASONS
 
 
+def is_free_retry(outcome: Outcome) -> bool:
+    """Return whether a retry after ``outcome`` uses no retry budget."""
+    return isinstance(outcome, Refused) and outcome.reason in FREE_RETRY_REASONS
+
+
 def backoff(retry: int, rng: random.Random) -> float:
     """Return the wait before retry number ``retry`` (from 0), seconds, with full jitter."""
     return RETRY_BACKOFF.full_jitter(retry, rng)
--- a/src/finchshed/routing/caller.py
+++ b/src/finchshed/routing/caller.py
@@ -29,6 +29,7 @@
 from finchshed.retry.policy import (
     ERROR_RETRY_TIME_FACTOR,
     backoff,
+    is_free_retry,
     is_redirect,
     may_retry,
     retry_after,
@@ -164,7 +165,7 @@
             self._answer = outcome
         if not self._allows_retry(outcome, now) or not self._consume_retry_budget(outcome, now):
             return self._finish(outcome)
-        if is_redirect(outcome):
+        if is_free_retry(outcome):
             return self._send(now)
         wait = backoff(self._attempt - 1, self._rng)
         if now + wait >= self._deadline:
@@ -203,10 +204,16 @@
             return False
         if isinstance(outcome, Failed) and self._assess().crashes > MAX_CRASHES_FOR_RETRY:
             return False
+        if _is_rate_limited(outcome) and self._has_only_one_endpoint():
+            return False
         if not isinstance(outcome, Answered):
             return True
         return self._deadline - now >= ERROR_RETRY_TIME_FACTOR * (now - self._sent_at)
 
+    def _has_only_one_endpoint(self) -> bool:
+        """Return whether no other endpoint may serve the call: it is pinned or designated."""
+        return self._is_pinned or self._assess().suspicion is Suspicion.SUSPECT
+
     def _send(self, now: float) -> list[CallerEffect]:
         chosen = self._choose(now)
         if isinstance(chosen, Refused):
@@ -252,7 +259,7 @@
         )
 
     def _consume_retry_budget(self, outcome: Outcome, now: float) -> bool:
-        if is_redirect(outcome) and self._redirects < MAX_REDIRECTS:
+        if is_free_retry(outcome) and self._redirects < MAX_REDIRECTS:
             self._redirects += 1
             return True
         if self._spare < 1 or not self._bucket.take(now):
@@ -290,6 +297,10 @@
         return [Finish(outcome, self._spare)]
 
 
+def _is_rate_limited(outcome: Outcome) -> bool:
+    return isinstance(outcome, Refused) and outcome.reason is RefusalReason.RATE_LIMITED
+
+
 def _lacks_session(outcome: Outcome) -> bool:
     """Return whether the pinned endpoint no longer has the session.
 
--- a/src/finchshed/routing/endpoint.py
+++ b/src/finchshed/routing/endpoint.py
@@ -8,7 +8,7 @@
 import enum
 import math
 
-from finchshed.admission.load_report import LoadReport
+from finchshed.admission.load_report import LoadReport, RateReport
 from finchshed.admission.path_thresholds import NO_THRESHOLD, PathThreshold, remaining_weight
 from finchshed.admission.rank import RANKS
 from finchshed.common.moving_average import moving_average
@@ -36,6 +36,9 @@
 MIN_LATENCY_SECONDS = 0.001
 """Latencies below this are treated as equal when endpoints are compared."""
 
+MIN_CONCURRENCY = 0.01
+"""Lower bound of the concurrency limit, to avoid division by 0."""
+
 NO_REPORT = LoadReport()
 
 
@@ -71,6 +74,8 @@
         "_penalty_at",
         "_report",
         "_report_at",
+        "_turn_threshold",
+        "_without_turn_until",
         "consecutive_failures",
         "drain_sources",
         "ejected_until",
@@ -83,6 +88,7 @@
         "link_failures",
         "mean_latency",
         "pool_index",
+        "rate_limit",
     )
 
     def __init__(self, endpoint: Endpoint, cold_since: float | None) -> None:
@@ -104,6 +110,9 @@
         self._report_at = float("-inf")
         self._penalty = 0.0
         self._penalty_at = 0.0
+        self.rate_limit: float | None = None
+        self._without_turn_until = 0.0
+        self._turn_threshold = 0
         self.update_endpoint(endpoint)
 
     def update_endpoint(self, endpoint: Endpoint) -> None:
@@ -165,9 +174,17 @@
         """Return whether the endpoint would admit a request of ``rank``."""
         return rank >= RANKS or rank >= self.path_threshold(route, now).value
 
+    def has_turn(self, rank: int, now: float) -> bool:
+        """Return whether the rate limit of the back end leaves room for a request of ``rank``."""
+        return now >= self._without_turn_until or rank >= self._turn_threshold
+
+    def takes(self, rank: int, route: str, now: float) -> bool:
+        """Return whether the endpoint would admit a request of ``rank`` and has a turn for it."""
+        return self.admits(rank, route, now) and self.has_turn(rank, now)
+
     def is_full(self, now: float) -> bool:
         """Return whether no slot is free, by its report and this daemon's own calls in flight."""
-        if self.in_flight >= self._limit(now):
+        if self.in_flight >= max(1.0, self._limit(now)):
             return True
         return self._report.queue_delay * self._report_weight(now) > self.mean_latency > 0.0
 
@@ -199,6 +216,12 @@
         self._report = load
         self._report_at = now
         self.set_drain_source(DrainSource.REPORTED, load.draining)
+        self._store_rate(load.rate, now)
+
+    def _store_rate(self, rate: RateReport | None, now: float) -> None:
+        self.rate_limit = None if rate is None else rate.limit
+        self._without_turn_until = 0.0 if rate is None else now + rate.wait
+        self._turn_threshold = 0 if rate is None else rate.threshold
 
     def on_result(
         self, result: CallResult, latency: float, service_latency: float, now: float
@@ -222,9 +245,13 @@
         return service_latency + kept * (self.mean_latency - service_latency)
 
     def _limit(self, now: float) -> float:
-        """Return the concurrency limit: the reported one, bounded by the declared slots."""
+        """Return the concurrency limit: the reported one, bounded by slots and rate limit."""
         slots = self.endpoint.slots
-        return min(self._report.limit or slots, slots) * self.weight(now)
+        limit = min(self._report.limit or slots, slots) * self.weight(now)
+        if self.rate_limit is None or self.mean_latency == 0.0:
+            return limit
+        # Requests in progress at the named rate (Little's law).
+        return max(MIN_CONCURRENCY, min(limit, self.rate_limit * self.mean_latency))
 
     def _report_weight(self, now: float) -> float:
         return remaining_weight(now - self._report_at)
--- a/src/finchshed/routing/endpoint_selection.py
+++ b/src/finchshed/routing/endpoint_selection.py
@@ -2,8 +2,8 @@
 
 Two endpoints are drawn at random and the one with the lower expected wait is chosen (Mitzenmacher,
 *The Power of Two Choices in Randomized Load Balancing*, 2001), first in the caller's zone, then in
-its region, then anywhere. Endpoints that are draining, ejected, in link backoff, or that would
-refuse the request's rank are skipped.
+its region, then anywhere. Endpoints that are draining, ejected, in link backoff, that would refuse
+the request's rank, or whose rate limit is used up are skipped.
 """
 
 from collections.abc import Collection
@@ -41,26 +41,29 @@
 
 
 class Selection(msgspec.Struct, frozen=True, gc=False):
-    """The selected endpoint, if any, and whether one was skipped as overloaded."""
+    """The selected endpoint, if any, and why others were skipped."""
 
     view: EndpointView | None
     skipped_overloaded: bool
+    skipped_rate_limited: bool
 
 
 def select_endpoint(pool: ServicePool, criteria: SelectionCriteria, now: float) -> Selection:
     """Select the nearest endpoint with a free slot, else the nearest that admits the call."""
     full: EndpointView | None = None
     skipped_overloaded = False
+    skipped_rate_limited = False
     for tier in range(TIERS):
         drawn = pool.draw(tier, criteria.rank, criteria.route, criteria.excluded, now)
         skipped_overloaded = skipped_overloaded or drawn.skipped_overloaded
+        skipped_rate_limited = skipped_rate_limited or drawn.skipped_rate_limited
         if drawn.view is None:
             continue
         if not drawn.view.is_full(now):
             view = _near_or_faster(pool, drawn.view, criteria, now) if tier == 0 else drawn.view
-            return Selection(view, skipped_overloaded)
+            return Selection(view, skipped_overloaded, skipped_rate_limited)
         full = full or drawn.view
-    return Selection(full, skipped_overloaded)
+    return Selection(full, skipped_overloaded, skipped_rate_limited)
 
 
 def _near_or_faster(
--- a/src/finchshed/routing/pool.py
+++ b/src/finchshed/routing/pool.py
@@ -47,10 +47,11 @@
 
 
 class DrawResult(msgspec.Struct, frozen=True, gc=False):
-    """The endpoint drawn from a tier, if any, and whether one was skipped as overloaded."""
+    """The endpoint drawn from a tier, if any, and why others were skipped."""
 
     view: EndpointView | None
     skipped_overloaded: bool
+    skipped_rate_limited: bool
 
 
 class ServicePool:
@@ -148,7 +149,9 @@
         drawn = self._draw_from(self._tiers[tier], rank, route, excluded, now)
         if drawn.view is not None or drawn.skipped_overloaded:
             return drawn
-        return self._draw_from(self._outside_subset[tier], rank, route, excluded, now)
+        other = self._draw_from(self._outside_subset[tier], rank, route, excluded, now)
+        is_rate_limited = drawn.skipped_rate_limited or other.skipped_rate_limited
+        return DrawResult(other.view, other.skipped_overloaded, is_rate_limited)
 
     def _draw_from(
         self,
@@ -159,22 +162,27 @@
         now: float,
     ) -> DrawResult:
         skipped_overloaded = False
+        skipped_rate_limited = False
         for first in self._sample(views):
             if first.endpoint.name in excluded:
                 continue
             if not first.admits(rank, route, now):
                 skipped_overloaded = True
                 continue
+            if not first.has_turn(rank, now):
+                skipped_rate_limited = True
+                continue
             # Drawn with replacement, so that the costlier of two endpoints is chosen too.
             second = views[int(self._rng.random() * len(views))]
-            if second.endpoint.name in excluded or not second.admits(rank, route, now):
-                return DrawResult(first, skipped_overloaded)
+            if second.endpoint.name in excluded or not second.takes(rank, route, now):
+                return DrawResult(first, skipped_overloaded, skipped_rate_limited)
             service_latency = self.mean_latency
             is_better = second.cost(service_latency, now) < SWITCH_COST_FRACTION * first.cost(
                 service_latency, now
             )
-            return DrawResult(second if is_better else first, skipped_overloaded)
-        return DrawResult(None, skipped_overloaded)
+            chosen = second if is_better else first
+            return DrawResult(chosen, skipped_overloaded, skipped_rate_limited)
+        return DrawResult(None, skipped_overloaded, skipped_rate_limited)
 
     def path_threshold(self, route: str, now: float) -> PathThreshold:
         """Return the threshold for requests of a route, averaged over the endpoints that reported.
--- a/src/finchshed/routing/table.py
+++ b/src/finchshed/routing/table.py
@@ -2,8 +2,8 @@
 
 Updated by the configuration, registrations, load reports, results of attempts, and links that come
 up or break. :mod:`finchshed.routing.endpoint_selection` selects among the endpoints of a service.
-Refusal reasons: ``no_backend``, and ``overload`` if every endpoint examined would refuse the
-request's rank.
+Refusal reasons: ``no_backend``; ``overload`` if every endpoint examined would refuse the request's
+rank; ``rate_limited`` if the rate limits of those examined are used up.
 """
 
 import random
@@ -107,8 +107,11 @@
         )
         if selection.view is not None:
             return selection.view.endpoint
-        is_overloaded = selection.skipped_overloaded
-        return self._refused(RefusalReason.OVERLOAD if is_overloaded else RefusalReason.NO_BACKEND)
+        if selection.skipped_overloaded:
+            return self._refused(RefusalReason.OVERLOAD)
+        if selection.skipped_rate_limited:
+            return self._refused(RefusalReason.RATE_LIMITED)
+        return self._refused(RefusalReason.NO_BACKEND)
 
     def choose_pinned(self, name: str, excluded: Collection[str], now: float) -> Endpoint | Refused:
         """Return the endpoint a session is pinned to; a draining one keeps its sessions."""
--- a/tests/quota/test_bucket.py
+++ b/tests/common/test_token_bucket.py
@@ -1,6 +1,6 @@
 """Tests of the token bucket: refill, overflow, resizing and fractional transfers."""
 
-from finchshed.quota.bucket import TokenBucket
+from finchshed.common.token_bucket import TokenBucket
 
 
 def test_bucket_starts_empty_and_refills_to_its_capacity() -> None:
--- a/tests/platform/test_named_rate_limit.py
+++ b/tests/platform/test_named_rate_limit.py
@@ -35,6 +35,11 @@
 """Fraction of the named rate that must be used while there is enough work."""
 
 
+MEDIAN_REFUSAL_SECONDS = 0.05
+MAX_REFUSAL_SECONDS = 1.0
+"""Target latency of the route."""
+
+
 async def work(backend: FakeBackend, request: web.Request) -> web.Response:
     await asyncio.sleep(WORK_SECONDS)
     return await echo(backend, request)
@@ -71,3 +76,54 @@
         begin, end = named_at + 3.0, named_at + LOAD_SECONDS
         used = arrivals_between(limited, begin, end) / (NAMED_RATE * (end - begin))
         assert used >= MIN_USED_RATIO, f"{used:.2f} of the rate used"
+
+
+async def test_where_all_name_a_rate_the_rest_is_refused_quickly(tmp_path: Path) -> None:
+    async with run_platform(tmp_path, *["sales"] * 3, handlers={"sales": work}) as running:
+        await wait_until_serving(running)
+        for backend in running.backends:
+            backend.answer_headers["Server-Limit"] = str(NAMED_RATE)
+        named_at = time.monotonic()
+        sent = await send_open_loop(running, LOAD_SECONDS, LOAD_PER_SECOND)
+        begin, end = named_at + 3.0, named_at + LOAD_SECONDS
+        for backend in running.backends:
+            most = largest_window(sent, backend, named_at, len(running.daemons))
+            assert most <= allowed_in_window(NAMED_RATE), f"{most} requests in a window"
+            used = arrivals_between(backend, begin, end) / (NAMED_RATE * (end - begin))
+            assert used >= MIN_USED_RATIO, f"{used:.2f} of the rate used"
+        others = [request for request in sent if request.status != 200]
+        assert {request.status for request in others} == {503}
+        assert all(float(request.headers["retry-after"]) > 0.0 for request in others)
+        ran = {identity for backend in running.backends for identity in backend.executed}
+        assert not ran & {request.identity for request in others}
+        times = sorted(request.seconds for request in others)
+        assert times[len(times) // 2] <= MEDIAN_REFUSAL_SECONDS
+        assert times[-1] <= MAX_REFUSAL_SECONDS
+
+
+async def test_limit_of_zero_lets_through_only_what_shows_its_end(tmp_path: Path) -> None:
+    async with run_platform(tmp_path, *["sales"] * 2, handlers={"sales": work}) as running:
+        await wait_until_serving(running)
+        limited = running.backends[0]
+        limited.answer_headers["Server-Limit"] = "0"
+        named_at = time.monotonic()
+        sent = await send_open_loop(running, LOAD_SECONDS, LOAD_PER_SECOND)
+        most = largest_window(sent, limited, named_at, len(running.daemons))
+        assert most <= allowed_in_window(0.0), f"{most} requests in a window"
+        assert sum(request.status == 200 for request in sent) / len(sent) >= MIN_SERVED_RATIO
+        del limited.answer_headers["Server-Limit"]
+        ended_at = time.monotonic()
+        await send_open_loop(running, LOAD_SECONDS, LOAD_PER_SECOND)
+        late = arrivals_between(limited, ended_at + 6.0, ended_at + LOAD_SECONDS)
+        assert late >= LOAD_PER_SECOND, "the back end is used again after its limit ended"
+
+
+async def test_unreadable_rate_harms_no_request(tmp_path: Path) -> None:
+    async with run_platform(tmp_path, "sales", "sales", handlers={"sales": work}) as running:
+        await wait_until_serving(running)
+        for value in ("", "few", "nan", "inf", "-3", "1e999", "9" * 400):
+            running.backends[0].answer_headers["Server-Limit"] = value
+            sent = await send_open_loop(running, 0.5, LOAD_PER_SECOND)
+            assert {request.status for request in sent} == {200}
+        lines = running.daemons[0].log().count("unreadable rate limit")
+        assert 1 <= lines <= 10
