A named rate outlives restarts of the daemon beside the back end

The back end saw: with all others limited too, 60 requests a second and three restarts of the daemon beside it 1.9 s apart, it got 56 requests in 4 s from daemons that had not restarted; 25.4 are allowed.

Cause: the limit lived in one process. After each restart requests went out at full rate until the first answer, 0.4 s there. Class: what a back end said, kept with the life of a messenger.

Change: callers keep what they know of a back end's run apart from the endpoint's state and name the limit on each call; a daemon whose back end hasn't answered yet keeps to the lowest it is told, and its load reports say that it knows no better. Its own first answer decides. The test passes: at most 25.4 in each window.

--- a/src/finchshed/admission/load_report.py
+++ b/src/finchshed/admission/load_report.py
@@ -49,6 +49,8 @@
         :mod:`finchshed.admission.path_thresholds`.
     rate
         Rate limit of the back end; None if it names none.
+    is_rate_known
+        False if the back end has answered nothing since the daemon beside it started.
     """
 
     threshold: int = 0
@@ -58,3 +60,4 @@
     draining: bool = False
     paths: Mapping[str, PathThreshold] = {}
     rate: RateReport | None = None
+    is_rate_known: bool = True
--- a/src/finchshed/daemon/assembly.py
+++ b/src/finchshed/daemon/assembly.py
@@ -151,6 +151,8 @@
         settings.connect_timeout_seconds,
         state.names,
     )
+    rate_limit = RateLimitMonitor(state.identity)
+    state.events.subscribe_answers(rate_limit.on_answer)
     callee = Callee(
         settings,
         backend=backend,
@@ -166,6 +168,7 @@
         names=state.names,
         signatures=state.signatures,
         quarantine=quarantine,
+        rate_limit=rate_limit,
     )
     return ServingComponents(backend, callee)
 
@@ -220,8 +223,6 @@
         serving.backend, announcer.on_backend_draining, announcer.on_backend_returned
     )
     state.events.subscribe_answers(lambda event: monitor.on_answer(event.answer))
-    rate_limit = RateLimitMonitor(state.identity, serving.callee.set_rate_limit)
-    state.events.subscribe_answers(rate_limit.on_answer)
     registered = _registered_backend(state, follower_runner, serving, link_components, announcer)
     return BackendStateComponents(announcer, monitor, registered)
 
--- a/src/finchshed/daemon/backend/rate_limit_monitor.py
+++ b/src/finchshed/daemon/backend/rate_limit_monitor.py
@@ -24,15 +24,16 @@
     ----------
     identity
         Names the back end and its service in log lines.
+
+    Attributes
+    ----------
     on_change
         Called with the limit in force, in requests per second, or None, after each change.
     """
 
-    def __init__(
-        self, identity: EndpointIdentity, on_change: Callable[[float | None], None]
-    ) -> None:
+    def __init__(self, identity: EndpointIdentity) -> None:
+        self.on_change: Callable[[float | None], None] = _ignore_change
         self._identity = identity
-        self._on_change = on_change
         self._named = NamedRateLimit()
         self._logged_at = float("-inf")
         metrics.RATE_LIMIT.set(NO_LIMIT_GAUGE)
@@ -42,6 +43,17 @@
         """The limit in force, or None."""
         return self._named.requests_per_second
 
+    @property
+    def is_known(self) -> bool:
+        """Whether it is known if there is a limit."""
+        return self._named.is_known
+
+    def on_caller(self, requests_per_second: float, caller: str) -> None:
+        """Process the limit that a calling daemon was told of, before the back end has answered."""
+        before = self.requests_per_second
+        if self._named.on_caller(requests_per_second):
+            self._apply(before, f"daemon {caller}")
+
     def on_answer(self, event: AnswerEvent) -> None:
         """Process an answer to a call."""
         notice = event.answer.rate_limit
@@ -66,7 +78,7 @@
                 _text_of(before),
                 source,
             )
-        self._on_change(limit)
+        self.on_change(limit)
 
     def _report_unreadable(self, request: str, value: str) -> None:
         metrics.RATE_LIMIT_UNREADABLE.inc()
@@ -86,5 +98,9 @@
         return True
 
 
+def _ignore_change(_requests_per_second: float | None) -> None:
+    """Do nothing: the owner sets its own callback."""
+
+
 def _text_of(limit: float | None) -> str:
     return "none" if limit is None else f"{limit:g} requests/s"
--- a/src/finchshed/daemon/calling/daemon_links.py
+++ b/src/finchshed/daemon/calling/daemon_links.py
@@ -292,6 +292,7 @@
             route=request.route if request.is_by_host else "",
             repeatable=request.repeatable,
             identity=request.identity,
+            rate_limit=self._owner.rate_limit_of(self._by_link[link].endpoint.name),
         )
         result, number = link.send_call(content, attempt.on_reply)
         if result is SendResult.SENT:
--- a/src/finchshed/daemon/calling/daemon_links_owner.py
+++ b/src/finchshed/daemon/calling/daemon_links_owner.py
@@ -28,6 +28,9 @@
     def peer_load(self, endpoint: str, load: LoadReport) -> None:
         """Handle a load report from an endpoint's heartbeat."""
 
+    def rate_limit_of(self, endpoint: str) -> float | None:
+        """Return the rate limit that an endpoint's back end names, as far as known."""
+
     def peer_revision(self, peer: str, revision: int) -> None:
         """Handle the configuration revision reported by a peer."""
 
--- a/src/finchshed/daemon/link_handler.py
+++ b/src/finchshed/daemon/link_handler.py
@@ -138,6 +138,10 @@
         """Record the load report of an endpoint."""
         self._table.on_report(endpoint, load, clock.now())
 
+    def rate_limit_of(self, endpoint: str) -> float | None:
+        """Return the rate limit of an endpoint's back end, in requests per second, or None."""
+        return self._table.rate_limit_of(endpoint)
+
     def peer_revision(self, peer: str, revision: int) -> None:
         """Pass the revision of an endpoint's daemon to the follower."""
         self._follower_runner.on_peer_revision(peer, revision)
--- a/src/finchshed/daemon/serving/callee.py
+++ b/src/finchshed/daemon/serving/callee.py
@@ -14,6 +14,7 @@
 from finchshed.common.results import CallResult, result_of
 from finchshed.daemon.backend.client import BackendClient
 from finchshed.daemon.backend.events import BackendEvents
+from finchshed.daemon.backend.rate_limit_monitor import RateLimitMonitor
 from finchshed.daemon.catalogue import Catalogue
 from finchshed.daemon.draining import DrainState
 from finchshed.daemon.header_names import HeaderNames
@@ -60,6 +61,8 @@
         Header names of requests routed by host.
     quarantine
         Requests that crashed back ends.
+    rate_limit
+        Rate limit that the back end names.
     """
 
     def __init__(
@@ -77,6 +80,7 @@
         names: HeaderNames,
         signatures: SignatureFactory,
         quarantine: Quarantine,
+        rate_limit: RateLimitMonitor,
     ) -> None:
         self._endpoint = settings.endpoint
         self._served = served
@@ -84,10 +88,17 @@
         self._signatures = signatures
         self._quarantine = quarantine
         self._suspects = SuspectQueue()
+        self._rate_limit = rate_limit
+        rate_limit.on_change = self._on_rate_limit
         self._gate = GateRunner(settings, paths, rng, self._on_effect)
         self._admission = CallAdmission(settings, drain, rng)
         self._replies = ReplySender(
-            self._admission, self._gate, drain=drain, quarantine=quarantine, revision=revision
+            self._admission,
+            self._gate,
+            drain=drain,
+            quarantine=quarantine,
+            rate_limit=rate_limit,
+            revision=revision,
         )
         self._runner = BackendRunner(
             settings.endpoint,
@@ -138,11 +149,6 @@
         if slots:
             self._gate.set_slots(usable_slots(slots))
 
-    def set_rate_limit(self, requests_per_second: float | None) -> None:
-        """Keep to the rate limit that the back end names, or to none."""
-        self._runner.is_rate_limited = requests_per_second is not None
-        self._gate.set_rate_limit(requests_per_second)
-
     def refuse_queued(self) -> None:
         """Refuse queued calls routed by host, so that their callers try another endpoint."""
         for inbound in list(self._calls.values()):
@@ -161,6 +167,9 @@
     def on_call(self, link: AcceptedLink, call: Call) -> None:
         """Process an incoming call."""
         now = clock.now()
+        if call.rate_limit is not None:
+            caller = "" if link.peer is None else link.peer.node
+            self._rate_limit.on_caller(call.rate_limit, caller)
         inbound = self._admission.admit(link, call, now)
         if isinstance(inbound, Refused):
             self._replies.refuse(link, call, inbound)
@@ -191,6 +200,11 @@
                 inbound.cancel_backend()
             self._end(inbound, CallResult.CANCELLED)
 
+    def _on_rate_limit(self, requests_per_second: float | None) -> None:
+        """Keep to the rate limit that the back end names, or to none."""
+        self._runner.is_rate_limited = requests_per_second is not None
+        self._gate.set_rate_limit(requests_per_second)
+
     def _enter_suspect(self, inbound: InboundCall) -> None:
         """Admit a suspect, or queue it until no other suspect is running."""
         match self._suspects.enter(inbound.token):
--- a/src/finchshed/daemon/serving/replies.py
+++ b/src/finchshed/daemon/serving/replies.py
@@ -7,6 +7,7 @@
 from finchshed.admission.load_report import LoadReport
 from finchshed.common.outcomes import Answered, Outcome, Refused
 from finchshed.daemon import metrics
+from finchshed.daemon.backend.rate_limit_monitor import RateLimitMonitor
 from finchshed.daemon.decision_log import includes_signature, log_call
 from finchshed.daemon.draining import DrainState
 from finchshed.daemon.quarantine import Quarantine
@@ -28,6 +29,8 @@
         Holds the back-end instance that serves calls.
     gate
         Supplies the load report.
+    rate_limit
+        Rate limit that the back end names.
     revision
         Returns the active configuration revision.
     """
@@ -39,20 +42,25 @@
         *,
         drain: DrainState,
         quarantine: Quarantine,
+        rate_limit: RateLimitMonitor,
         revision: Callable[[], int],
     ) -> None:
         self._admission = admission
         self._gate = gate
         self._drain = drain
         self._quarantine = quarantine
+        self._rate_limit = rate_limit
         self._revision = revision
 
     def load_report(self) -> LoadReport:
         """Return the load report for callers."""
         report = self._gate.load_report()
-        if self._drain.is_announced:
-            return msgspec.structs.replace(report, draining=True)
-        return report
+        is_rate_known = self._rate_limit.is_known
+        if is_rate_known and not self._drain.is_announced:
+            return report
+        return msgspec.structs.replace(
+            report, draining=self._drain.is_announced, is_rate_known=is_rate_known
+        )
 
     def refuse(self, link: AcceptedLink, call: Call, refused: Refused) -> None:
         """Answer a call that was not admitted."""
--- a/src/finchshed/limit/named_rate.py
+++ b/src/finchshed/limit/named_rate.py
@@ -21,6 +21,15 @@
         self.requests_per_second: float | None = None
         self._answered_at = float("-inf")
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the back end has answered or a caller has told a limit."""
+        return self._has_answered or self.requests_per_second is not None
+
+    @property
+    def _has_answered(self) -> bool:
+        return self._answered_at > float("-inf")
+
     def on_answer(self, notice: RateLimitNotice, received_at: float) -> bool:
         """Apply an answer whose head arrived at ``received_at``; return whether the limit changed.
 
@@ -33,9 +42,8 @@
 
     def on_caller(self, requests_per_second: float) -> bool:
         """Apply the limit that a caller was told of; return whether the limit changed."""
-        has_answered = self._answered_at > float("-inf")
         known = self.requests_per_second
-        if has_answered or (known is not None and known <= requests_per_second):
+        if self._has_answered or (known is not None and known <= requests_per_second):
             return False
         return self._set(requests_per_second)
 
--- a/src/finchshed/link/messages.py
+++ b/src/finchshed/link/messages.py
@@ -40,7 +40,8 @@
 
     ``route`` is the host-based route selected by the calling daemon, or empty if the route of the
     service applies. ``repeatable`` and ``identity`` (assigned by the caller) are used only for
-    requests with a ``route``.
+    requests with a ``route``. ``rate_limit`` is the limit that the calling daemon knows of the back
+    end, in requests per second; it serves a daemon that has just started beside it.
     """
 
     epoch: str
@@ -56,6 +57,7 @@
     route: str = ""
     repeatable: bool = True
     identity: str = ""
+    rate_limit: float | None = None
 
 
 class Reply(msgspec.Struct, frozen=True, omit_defaults=True, tag="reply"):
--- a/src/finchshed/link/peer.py
+++ b/src/finchshed/link/peer.py
@@ -151,6 +151,7 @@
             route=content.route,
             repeatable=content.repeatable,
             identity=content.identity,
+            rate_limit=content.rate_limit,
         )
 
     def cancel_call(self, identity: int) -> None:
--- a/src/finchshed/link/states.py
+++ b/src/finchshed/link/states.py
@@ -44,6 +44,7 @@
     route: str = ""
     repeatable: bool = True
     identity: str = ""
+    rate_limit: float | None = None
 
 
 Connect: TypeAlias = Callable[[Callable[[], asyncio.Protocol], str, int], Awaitable[object]]
--- a/src/finchshed/routing/endpoint.py
+++ b/src/finchshed/routing/endpoint.py
@@ -14,6 +14,7 @@
 from finchshed.common.moving_average import moving_average
 from finchshed.common.results import CallResult
 from finchshed.configuration.resources import Endpoint, EndpointState
+from finchshed.routing.backend_runs import BackendRun
 
 ENDPOINT_LATENCY_WEIGHT = 0.1
 """Weight of one answer in the endpoint's mean latency."""
@@ -65,6 +66,8 @@
         Its resource in the configuration.
     cold_since
         When it was first seen, seconds; None if it was in the first configuration.
+    run
+        What is known of the current run of its back end.
     """
 
     __slots__ = (
@@ -88,11 +91,12 @@
         "link_failures",
         "mean_latency",
         "pool_index",
-        "rate_limit",
+        "run",
     )
 
-    def __init__(self, endpoint: Endpoint, cold_since: float | None) -> None:
+    def __init__(self, endpoint: Endpoint, cold_since: float | None, run: BackendRun) -> None:
         self.endpoint = endpoint
+        self.run = run
         self.in_flight = 0
         self.mean_latency = 0.0
         self.consecutive_failures = 0
@@ -110,7 +114,6 @@
         self._report_at = float("-inf")
         self._penalty = 0.0
         self._penalty_at = 0.0
-        self.rate_limit: float | None = None
         self._without_turn_until = 0.0
         self._turn_threshold = 0
         self.update_endpoint(endpoint)
@@ -216,10 +219,11 @@
         self._report = load
         self._report_at = now
         self.set_drain_source(DrainSource.REPORTED, load.draining)
-        self._store_rate(load.rate, now)
+        self._store_turns(load.rate, now)
+        if load.is_rate_known:
+            self.run.rate_limit = None if load.rate is None else load.rate.limit
 
-    def _store_rate(self, rate: RateReport | None, now: float) -> None:
-        self.rate_limit = None if rate is None else rate.limit
+    def _store_turns(self, rate: RateReport | None, now: float) -> None:
         self._without_turn_until = 0.0 if rate is None else now + rate.wait
         self._turn_threshold = 0 if rate is None else rate.threshold
 
@@ -248,10 +252,11 @@
         """Return the concurrency limit: the reported one, bounded by slots and rate limit."""
         slots = self.endpoint.slots
         limit = min(self._report.limit or slots, slots) * self.weight(now)
-        if self.rate_limit is None or self.mean_latency == 0.0:
+        rate_limit = self.run.rate_limit
+        if rate_limit is None or self.mean_latency == 0.0:
             return limit
         # Requests in progress at the named rate (Little's law).
-        return max(MIN_CONCURRENCY, min(limit, self.rate_limit * self.mean_latency))
+        return max(MIN_CONCURRENCY, min(limit, rate_limit * self.mean_latency))
 
     def _report_weight(self, now: float) -> float:
         return remaining_weight(now - self._report_at)
--- a/src/finchshed/routing/table.py
+++ b/src/finchshed/routing/table.py
@@ -17,6 +17,7 @@
 from finchshed.common.results import CallResult
 from finchshed.configuration.resources import Endpoint
 from finchshed.retry.policy import retry_after
+from finchshed.routing.backend_runs import BackendRuns
 from finchshed.routing.ejection import eject_if_failing
 from finchshed.routing.endpoint import DrainSource, EndpointView
 from finchshed.routing.endpoint_selection import SelectionCriteria, select_endpoint
@@ -58,6 +59,7 @@
         self._rng = rng
         self._views: dict[str, EndpointView] = {}
         self._pools: dict[str, ServicePool] = {}
+        self._runs = BackendRuns()
         self._loaded = False
 
     def replace(self, endpoints: Iterable[Endpoint], now: float = 0.0) -> None:
@@ -150,6 +152,11 @@
             return 1.0
         return admitted_fraction(context.importance, view.path_threshold(route, now).value)
 
+    def rate_limit_of(self, name: str) -> float | None:
+        """Return the rate limit that an endpoint's back end names, or None."""
+        view = self._views.get(name)
+        return None if view is None else view.run.rate_limit
+
     def on_sent(self, name: str, now: float) -> None:
         """Record that an attempt was sent."""
         view = self._views.get(name)
@@ -197,7 +204,7 @@
         if view is None:
             return
         if view.incarnation and view.incarnation != incarnation:
-            view = self._put(EndpointView(view.endpoint, now), now)
+            view = self._put(self._new_view(view.endpoint, now), now)
         view.incarnation = incarnation
         reset_backoff(view, self._pool_of(view), now)
 
@@ -217,16 +224,19 @@
         if view is not None and view.endpoint is endpoint:
             return
         if view is None:
-            self._put(EndpointView(endpoint, now if self._loaded else None), now)
+            self._put(self._new_view(endpoint, now if self._loaded else None), now)
         elif view.endpoint.address != endpoint.address or _location_of(
             view.endpoint
         ) != _location_of(endpoint):
             self._pools[view.endpoint.service].remove(endpoint.name)
-            self._put(EndpointView(endpoint, now), now)
+            self._put(self._new_view(endpoint, now), now)
         elif view.endpoint != endpoint:
             view.update_endpoint(endpoint)
             self._refresh(view, now)
 
+    def _new_view(self, endpoint: Endpoint, cold_since: float | None) -> EndpointView:
+        return EndpointView(endpoint, cold_since, self._runs.of(endpoint.name))
+
     def _put(self, view: EndpointView, now: float) -> EndpointView:
         endpoint = view.endpoint
         pool = self._pools.get(endpoint.service)
--- a/tests/daemon/callee_fixture.py
+++ b/tests/daemon/callee_fixture.py
@@ -5,7 +5,9 @@
 
 from finchshed.admission.path_thresholds import PathThresholds
 from finchshed.daemon.backend.events import BackendEvents
+from finchshed.daemon.backend.rate_limit_monitor import RateLimitMonitor
 from finchshed.daemon.draining import DrainState
+from finchshed.daemon.endpoint_identity import EndpointIdentity
 from finchshed.daemon.header_names import HeaderNames
 from finchshed.daemon.quarantine import Quarantine
 from finchshed.daemon.serving.callee import Callee
@@ -42,4 +44,5 @@
         names=HeaderNames(),
         signatures=signatures,
         quarantine=Quarantine(Mock(is_connected=True), Mock()),
+        rate_limit=RateLimitMonitor(EndpointIdentity("", "sales")),
     )
--- a/tests/platform/test_named_rate_limit.py
+++ b/tests/platform/test_named_rate_limit.py
@@ -40,6 +40,12 @@
 """Target latency of the route."""
 
 
+SLOW_WORK_SECONDS = 0.4
+RESTARTS = 3
+RESTART_INTERVAL_SECONDS = 1.9
+RESTART_LOAD_SECONDS = 11.0
+
+
 async def work(backend: FakeBackend, request: web.Request) -> web.Response:
     await asyncio.sleep(WORK_SECONDS)
     return await echo(backend, request)
@@ -127,3 +133,32 @@
             assert {request.status for request in sent} == {200}
         lines = running.daemons[0].log().count("unreadable rate limit")
         assert 1 <= lines <= 10
+
+
+# A daemon that starts again beside a limited back end learns the limit from those who call it.
+async def test_limit_outlives_restarts_of_the_daemon_beside_the_back_end(tmp_path: Path) -> None:
+    async def slow_work(backend: FakeBackend, request: web.Request) -> web.Response:
+        await asyncio.sleep(SLOW_WORK_SECONDS)
+        return await echo(backend, request)
+
+    async with run_platform(tmp_path, *["sales"] * 3, handlers={"sales": slow_work}) as running:
+        for backend in running.backends:
+            backend.slots = 40
+        await wait_until_serving(running)
+        for backend in running.backends:
+            backend.answer_headers["Server-Limit"] = str(NAMED_RATE)
+        limited, beside = running.backends[0], running.daemons[0]
+        named_at = time.monotonic()
+        load = asyncio.create_task(
+            send_open_loop(running, RESTART_LOAD_SECONDS, LOAD_PER_SECOND, daemons=(1, 2))
+        )
+        await asyncio.sleep(4.0)
+        for _ in range(RESTARTS):
+            beside.stop()
+            beside.start()
+            await asyncio.sleep(RESTART_INTERVAL_SECONDS)
+        sent = await load
+        most = largest_window(sent, limited, named_at, len(running.daemons))
+        assert most <= allowed_in_window(NAMED_RATE), f"{most} requests in a window"
+        late = arrivals_between(limited, named_at + 4.0, named_at + RESTART_LOAD_SECONDS)
+        assert late > 0, "the back end is called again after the restarts"
--- a/tests/routing/test_rate_limited_endpoints.py
+++ b/tests/routing/test_rate_limited_endpoints.py
@@ -112,3 +112,17 @@
     effects = call.on_outcome(first.attempt, refused, 0, limited(5.0, wait=0.2), 0.01)
     assert [type(item) for item in effects] == [Finish]
     assert effects[0].outcome == refused
+
+
+def test_limit_is_remembered_while_the_daemon_beside_the_back_end_restarts() -> None:
+    table = table_of(endpoint(0), endpoint(1))
+    table.on_link_up("e0", "first", 0.0)
+    table.on_report("e0", limited(5.0), 0.0)
+    table.replace([endpoint(1)], 1.0)
+    table.replace([endpoint(0), endpoint(1)], 2.0)
+    assert table.rate_limit_of("e0") == 5.0
+    table.on_link_up("e0", "second", 2.0)
+    table.on_report("e0", LoadReport(limit=20, is_rate_known=False), 2.0)
+    assert table.rate_limit_of("e0") == 5.0
+    table.on_report("e0", LoadReport(limit=20), 3.0)
+    assert table.rate_limit_of("e0") is None
