A back end that leaves by its answers gets nothing new

Cause: the product reads that a back end drains from a header of its own name only, and for a back end that registers itself nothing but heartbeats moved its registration.

Change: an answer that says so registers the instance as leaving, as a leave notice does; load reports carry it, callers keep it with the run of the back end; a restarted daemon takes it from the registration that control holds. The monitor that polls for a return no longer follows back ends that register, whose drain it would never have ended.

--- a/src/finchshed/admission/load_report.py
+++ b/src/finchshed/admission/load_report.py
@@ -51,6 +51,8 @@
         Rate limit of the back end; None if it names none.
     is_rate_known
         False if the back end has answered nothing since the daemon beside it started.
+    leaving
+        Whether this run of the back end leaves for good.
     """
 
     threshold: int = 0
@@ -61,3 +63,4 @@
     paths: Mapping[str, PathThreshold] = {}
     rate: RateReport | None = None
     is_rate_known: bool = True
+    leaving: bool = False
--- a/src/finchshed/daemon/assembly.py
+++ b/src/finchshed/daemon/assembly.py
@@ -219,12 +219,16 @@
     announcer = DrainAnnouncer(state.drain, state.identity, local_hints, link_components.listener)
     if serving is None:
         return BackendStateComponents(announcer, None, None)
+    if state.settings.registers_backend:
+        registered = _registered_backend(
+            state, follower_runner, serving, link_components, announcer
+        )
+        return BackendStateComponents(announcer, None, registered)
     monitor = BackendHealthMonitor(
         serving.backend, announcer.on_backend_draining, announcer.on_backend_returned
     )
     state.events.subscribe_answers(lambda event: monitor.on_answer(event.answer))
-    registered = _registered_backend(state, follower_runner, serving, link_components, announcer)
-    return BackendStateComponents(announcer, monitor, registered)
+    return BackendStateComponents(announcer, monitor, None)
 
 
 def _registered_backend(
@@ -233,10 +237,8 @@
     serving: ServingComponents,
     link_components: LinkComponents,
     announcer: DrainAnnouncer,
-) -> RegisteredBackend | None:
+) -> RegisteredBackend:
     settings = state.settings
-    if not settings.registers_backend:
-        return None
     registrar = Registrar(
         settings.link_address,
         settings.zone,
--- a/src/finchshed/daemon/backend/events.py
+++ b/src/finchshed/daemon/backend/events.py
@@ -11,9 +11,10 @@
 
 
 class AnswerEvent(msgspec.Struct, frozen=True, gc=False):
-    """An answer of the instance that the call was sent to; ``request`` identifies the call."""
+    """An answer of ``instance``, which the call was sent to; ``request`` identifies the call."""
 
     answer: BackendAnswer
+    instance: str
     request: str
 
 
--- a/src/finchshed/daemon/backend/registration.py
+++ b/src/finchshed/daemon/backend/registration.py
@@ -13,7 +13,7 @@
     BackendResult,
     BackendUnreached,
 )
-from finchshed.daemon.backend.events import BackendEvents
+from finchshed.daemon.backend.events import AnswerEvent, BackendEvents
 from finchshed.daemon.backend.health import check_health
 from finchshed.daemon.draining import DrainAnnouncer, DrainState
 from finchshed.daemon.endpoint_identity import EndpointIdentity
@@ -62,6 +62,7 @@
         self._backend = backend
         self._names = names
         self._client.registration = lambda: self.registration
+        events.subscribe_answers(self._on_answer)
         events.subscribe_faults(self._on_fault)
 
     @property
@@ -81,7 +82,11 @@
 
     def on_own_registration(self, registration: Registration) -> None:
         """Compare with the registration held by control; announce again if that is outdated."""
-        if self._registrar.on_own_registration(registration):
+        before = self.registration.state
+        is_outdated = self._registrar.on_own_registration(registration)
+        if self.registration.state is not before:
+            self._apply()
+        elif is_outdated:
             self._client.announce()
 
     async def identify(self, service: str, health_path: str) -> None:
@@ -92,10 +97,15 @@
         if self.registration.instance or not service:
             return
         result = await check_health(self._backend, health_path)
-        if not isinstance(result, BackendAnswer) or result.status != STATUS_OK:
+        if not isinstance(result, BackendAnswer):
             return
         headers = dict(result.headers)
         instance = headers.get(self._names.instance, "")
+        if result.draining and instance:
+            self.on_leave(instance)
+            return
+        if result.status != STATUS_OK:
+            return
         slots = parse_slots(headers.get(self._names.load, ""))
         if not instance or not slots:
             return
@@ -107,6 +117,15 @@
         if self._registrar.tick(clock.now()):
             self._apply()
 
+    def _on_answer(self, event: AnswerEvent) -> None:
+        if event.answer.draining and self._registrar.on_leave(event.instance):
+            logger.info(
+                "back end {} leaves, told by its answer to request {}",
+                event.instance,
+                event.request,
+            )
+            self._apply()
+
     def _on_fault(self, instance: str, result: BackendResult) -> None:
         if isinstance(result, BackendUnreached) and result.is_refused:
             changed = self._registrar.on_unreachable()
@@ -128,6 +147,7 @@
         self._identity.service = registration.service
         is_ready = registration.state is InstanceState.READY
         self._drain.lacks_ready_backend = not is_ready
+        self._drain.is_run_leaving = registration.state is InstanceState.LEAVING
         if is_new:
             self._announce_new_instance()
         if is_ready:
--- a/src/finchshed/daemon/components.py
+++ b/src/finchshed/daemon/components.py
@@ -90,7 +90,7 @@
     Attributes
     ----------
     monitor
-        Health monitor of the back end; None on an edge.
+        Health monitor of a declared back end; None if it registers itself, and on an edge.
     registered
         Processes the back end's heartbeats; None if its endpoint is declared, and on an edge.
     """
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -87,7 +87,7 @@
         self._spawn(components.follower_runner.run())
         self._spawn(self._maintain())
         monitor = components.backend_state.monitor
-        if monitor is not None and self.registered_backend is None:
+        if monitor is not None:
             self._spawn(monitor.run())
         make_link = components.link_components.listener.make_protocol
         await self._listeners.open(settings.link_address, make_link, components.state.credentials)
--- a/src/finchshed/daemon/draining.py
+++ b/src/finchshed/daemon/draining.py
@@ -34,6 +34,8 @@
         The back end announced a drain in an answer or a health check.
     lacks_ready_backend
         The back end registers itself, and no instance is ready.
+    is_run_leaving
+        The registered instance announced that it leaves, for good. Implies ``lacks_ready_backend``.
     is_announced
         Callers were notified, and new calls are refused.
     """
@@ -42,6 +44,7 @@
     is_machine_leaving: bool = False
     is_backend_draining: bool = False
     lacks_ready_backend: bool = False
+    is_run_leaving: bool = False
     is_announced: bool = False
 
     @classmethod
@@ -88,6 +91,8 @@
         self._state.is_announced = True
         for link in self._listener.links():
             link.send_draining()
+            if self._state.is_run_leaving:
+                link.send_load()
 
     def resume(self) -> None:
         """Accept calls again and notify callers, if no reason to drain is left."""
--- a/src/finchshed/daemon/serving/backend_runner.py
+++ b/src/finchshed/daemon/serving/backend_runner.py
@@ -167,6 +167,6 @@
             self._events.publish_fault(instance, result)
             return
         request = inbound.call.identity or inbound.call.context.root
-        self._events.publish_answer(AnswerEvent(result, request))
+        self._events.publish_answer(AnswerEvent(result, instance, request))
         if result.ran:
             self._quarantine.on_completed(inbound.signature)
--- a/src/finchshed/daemon/serving/replies.py
+++ b/src/finchshed/daemon/serving/replies.py
@@ -59,7 +59,10 @@
         if is_rate_known and not self._drain.is_announced:
             return report
         return msgspec.structs.replace(
-            report, draining=self._drain.is_announced, is_rate_known=is_rate_known
+            report,
+            draining=self._drain.is_announced,
+            leaving=self._drain.is_run_leaving,
+            is_rate_known=is_rate_known,
         )
 
     def refuse(self, link: AcceptedLink, call: Call, refused: Refused) -> None:
--- a/src/finchshed/directory/registrar.py
+++ b/src/finchshed/directory/registrar.py
@@ -116,11 +116,14 @@
         return False
 
     def on_own_registration(self, registration: Registration) -> bool:
-        """Raise the epoch above that of a newer registration of this address held by others.
+        """Compare with the registration of this address held by others.
 
-        Returns whether the registration must be sent again. A clock that was set back may have
-        given this run a lower epoch than an earlier one.
+        Returns whether the own registration must be sent again. An instance that an earlier run of
+        the daemon registered as leaving still leaves. A clock that was set back may have given this
+        run a lower epoch than an earlier one; it is raised above that.
         """
+        if registration.state is InstanceState.LEAVING:
+            self.on_leave(registration.instance)
         own = self.registration
         if registration == own or not registration.supersedes(own):
             return False
--- a/src/finchshed/routing/backend_runs.py
+++ b/src/finchshed/routing/backend_runs.py
@@ -17,9 +17,12 @@
     ----------
     rate_limit
         Requests per second that it accepts from all callers together; None if it names no limit.
+    is_leaving
+        Whether it said that it leaves for good.
     """
 
     rate_limit: float | None = None
+    is_leaving: bool = False
 
 
 class BackendRuns:
--- a/src/finchshed/routing/endpoint.py
+++ b/src/finchshed/routing/endpoint.py
@@ -56,6 +56,9 @@
     PLATFORM = 4
     """The platform's list of machines."""
 
+    RUN = 8
+    """The current run of its back end, for good."""
+
 
 class EndpointView:
     """One endpoint as seen by one caller's daemon.
@@ -116,6 +119,7 @@
         self._penalty_at = 0.0
         self._without_turn_until = 0.0
         self._turn_threshold = 0
+        self.set_drain_source(DrainSource.RUN, run.is_leaving)
         self.update_endpoint(endpoint)
 
     def update_endpoint(self, endpoint: Endpoint) -> None:
@@ -219,6 +223,9 @@
         self._report = load
         self._report_at = now
         self.set_drain_source(DrainSource.REPORTED, load.draining)
+        if load.leaving:
+            self.run.is_leaving = True
+            self.set_drain_source(DrainSource.RUN, True)
         self._store_turns(load.rate, now)
         if load.is_rate_known:
             self.run.rate_limit = None if load.rate is None else load.rate.limit
--- a/tests/directory/test_registrar.py
+++ b/tests/directory/test_registrar.py
@@ -123,3 +123,13 @@
     registrar.on_heartbeat(heartbeat("i-2", 1), 0.2)
     assert not registrar.on_health("i-3", "sales", 8, 0.3)
     assert registrar.registration.instance == "i-2"
+
+
+def test_leave_registered_by_an_earlier_run_of_the_daemon_still_holds() -> None:
+    registrar = make_registrar(epoch=20)
+    held = Registration(ADDRESS, 10, 4, "i-1", "sales", state=InstanceState.LEAVING)
+    assert not registrar.on_own_registration(held)
+    assert registrar.on_heartbeat(heartbeat("i-1", 3), 0.0)
+    assert registrar.registration.state is InstanceState.LEAVING
+    registrar.on_heartbeat(heartbeat("i-2", 1), 1.0)
+    assert registrar.registration.state is InstanceState.READY
--- a/tests/platform/fake_platform.py
+++ b/tests/platform/fake_platform.py
@@ -392,8 +392,12 @@
     *services: str,
     handlers: dict[str, Handler] | None = None,
     bounds: dict[str, Any] | None = None,
+    zones: tuple[str, ...] = ZONES,
 ) -> AsyncIterator[FakePlatform]:
-    """Run three control nodes, and a daemon with a back end for each of ``services``."""
+    """Run three control nodes, and a daemon with a back end for each of ``services``.
+
+    Daemons are placed in ``zones`` in turn.
+    """
     hosts = [f"{loopback_prefix()}.{1 + number}" for number in range(3 + len(services))]
     seeds = [f"{host}:{CONTROL_PORT}" for host in hosts[:3]]
     controls = [
@@ -403,7 +407,7 @@
     daemons = []
     backends = []
     for number, service in enumerate(services):
-        host, zone = hosts[3 + number], ZONES[number % len(ZONES)]
+        host, zone = hosts[3 + number], zones[number % len(zones)]
         daemons.append(_machine("daemon", host, zone, folder, seeds, service=service))
         handler = (handlers or {}).get(service, echo)
         backends.append(FakeBackend(service, f"i-{number}", host, zone, handler))
--- a/tests/routing/test_table.py
+++ b/tests/routing/test_table.py
@@ -281,3 +281,15 @@
     outside = CallContext("root", Importance.NORMAL, 1.0)
     assert isinstance(table.choose("s", outside, (), 0.0), Refused)
     assert isinstance(table.choose("s", in_session, (), 0.0), Endpoint)
+
+
+def test_run_that_leaves_gets_no_work_whatever_its_daemon_says_later() -> None:
+    table = table_of(endpoint(0), endpoint(1))
+    table.on_link_up("e0", "first", 0.0)
+    table.on_report("e0", LoadReport(draining=True, leaving=True), 0.0)
+    table.on_link_down("e0", 1.0)
+    table.replace([endpoint(1)], 2.0)
+    table.replace([endpoint(0), endpoint(1)], 3.0)
+    table.on_link_up("e0", "second", 3.0)
+    table.on_report("e0", LoadReport(limit=6), 3.0)
+    assert set(choices(table, 10.0)) == {"e1"}
