A link opened ahead of its first call is kept for the idle time

Seen in a new test of a back end that starts again without control: one caller in about four runs never called it again. Its routing state was that of the first run, with no report since, and no link.

Cause: the time of a link's last call began at 0 on the monotonic clock, so on a machine up for longer than `link_idle_seconds` (120 s) the next maintenance closed every link that had had no call yet, and one closed as idle is opened again only by a call, which a draining endpoint doesn't get. Opening links ahead was in vain there. It begins at the link's creation now; tests/daemon/test_idle_links.py failed before.

--- a/src/finchshed/link/peer.py
+++ b/src/finchshed/link/peer.py
@@ -83,7 +83,7 @@
         self.state = LinkState.CONNECTING
         self.epoch = secrets.token_hex(EPOCH_BYTES)
         self.peer: Hello | None = None
-        self.last_call_at = 0.0
+        self.last_call_at = asyncio.get_running_loop().time()
         self._owner = owner
         self._max_unsent_bytes = max_unsent_bytes
         self._connect_timeout_seconds = connect_timeout_seconds
