Runs of a back end under one instance are told apart by their start

Cause: an instance name stood for one process everywhere: sequence, drain, rate limit, routing state, crash records of the quarantine, faults that come late. Class: an identity that outlives what it identifies.

Change: `born` orders the runs of an instance. The registrar keeps what it knows by run; late heartbeats, leave notices, answers, faults and registrations of an earlier run change nothing; registrations and the Hello of links carry the start, so that callers drop what they held, also without control. One without a start doesn't replace a run with one; a start before that of the present run (a clock set back) counts once that run is gone. A heartbeat of another instance that was born earlier no longer takes over either. Programs that don't know `born` go on.

--- a/src/finchshed/admission/gate.py
+++ b/src/finchshed/admission/gate.py
@@ -106,6 +106,10 @@
         self._slots = slots
         self._concurrency.set_slots(slots)
 
+    def start_run(self) -> None:
+        """Return to the declared slots: what was learned held for an earlier run."""
+        self._concurrency.reset()
+
     def set_rate_limit(self, requests_per_second: float | None, now: float) -> list[GateEffect]:
         """Apply the rate limit that the back end names, or its end (None)."""
         self._rate.set_limit(requests_per_second, now)
--- a/src/finchshed/daemon/backend/events.py
+++ b/src/finchshed/daemon/backend/events.py
@@ -8,13 +8,14 @@
 import msgspec
 
 from finchshed.daemon.backend.client import BackendAnswer, BackendResult
+from finchshed.directory.instance_run import InstanceRun
 
 
 class AnswerEvent(msgspec.Struct, frozen=True, gc=False):
-    """An answer of ``instance``, which the call was sent to; ``request`` identifies the call."""
+    """An answer of ``run``, which the call was sent to; ``request`` identifies the call."""
 
     answer: BackendAnswer
-    instance: str
+    run: InstanceRun
     request: str
 
 
@@ -23,14 +24,14 @@
 
     def __init__(self) -> None:
         self._on_answer: list[Callable[[AnswerEvent], None]] = []
-        self._on_fault: list[Callable[[str, BackendResult], None]] = []
+        self._on_fault: list[Callable[[InstanceRun, BackendResult], None]] = []
 
     def subscribe_answers(self, on_answer: Callable[[AnswerEvent], None]) -> None:
         """Call ``on_answer`` with each answer to a call."""
         self._on_answer.append(on_answer)
 
-    def subscribe_faults(self, on_fault: Callable[[str, BackendResult], None]) -> None:
-        """Call ``on_fault`` with the intended instance and the result of each faulty call.
+    def subscribe_faults(self, on_fault: Callable[[InstanceRun, BackendResult], None]) -> None:
+        """Call ``on_fault`` with the intended run and the result of each faulty call.
 
         A fault is a result without a complete answer, or an answer from another instance.
         """
@@ -41,7 +42,7 @@
         for on_answer in self._on_answer:
             on_answer(event)
 
-    def publish_fault(self, instance: str, result: BackendResult) -> None:
+    def publish_fault(self, run: InstanceRun, result: BackendResult) -> None:
         """Notify subscribers of a fault."""
         for on_fault in self._on_fault:
-            on_fault(instance, result)
+            on_fault(run, result)
--- a/src/finchshed/daemon/backend/rate_limit_monitor.py
+++ b/src/finchshed/daemon/backend/rate_limit_monitor.py
@@ -7,6 +7,7 @@
 from finchshed.daemon import metrics
 from finchshed.daemon.backend.events import AnswerEvent
 from finchshed.daemon.endpoint_identity import EndpointIdentity
+from finchshed.directory.instance_run import InstanceRun
 from finchshed.limit.named_rate import NamedRateLimit
 from finchshed.runtime import clock
 
@@ -35,6 +36,7 @@
         self.on_change: Callable[[float | None], None] = _ignore_change
         self._identity = identity
         self._named = NamedRateLimit()
+        self._run = InstanceRun()
         self._logged_at = float("-inf")
         metrics.RATE_LIMIT.set(NO_LIMIT_GAUGE)
 
@@ -54,8 +56,17 @@
         if self._named.on_caller(requests_per_second):
             self._apply(before, f"daemon {caller}")
 
+    def start_run(self, run: InstanceRun) -> None:
+        """Forget the limit of an earlier run."""
+        self._run = run
+        before = self.requests_per_second
+        if self._named.on_new_run():
+            self._apply(before, f"the start of {run.label}")
+
     def on_answer(self, event: AnswerEvent) -> None:
-        """Process an answer to a call."""
+        """Process an answer to a call; one of an earlier run says nothing of this one."""
+        if not event.run.is_same(self._run):
+            return
         notice = event.answer.rate_limit
         if notice.unreadable:
             self._report_unreadable(event.request, notice.unreadable)
--- a/src/finchshed/daemon/backend/registration.py
+++ b/src/finchshed/daemon/backend/registration.py
@@ -19,6 +19,7 @@
 from finchshed.daemon.endpoint_identity import EndpointIdentity
 from finchshed.daemon.header_names import HeaderNames
 from finchshed.daemon.serving.callee import Callee
+from finchshed.directory.instance_run import InstanceRun
 from finchshed.directory.registrar import BackendHeartbeat, Registrar
 from finchshed.directory.registration import InstanceState, Registration
 from finchshed.distribution.client import ControlClient
@@ -75,9 +76,12 @@
         if self._registrar.on_heartbeat(heartbeat, clock.now()):
             self._apply()
 
-    def on_leave(self, instance: str) -> None:
-        """Process an instance's notice that it is shutting down; applied on return."""
-        if self._registrar.on_leave(instance):
+    def on_leave(self, instance: str, born_ms: int = 0) -> None:
+        """Process a run's notice that it is shutting down; applied on return.
+
+        ``born_ms`` is the start of the run in Unix milliseconds, 0 if it isn't told.
+        """
+        if self._registrar.on_leave(instance, born_ms):
             self._apply()
 
     def on_own_registration(self, registration: Registration) -> None:
@@ -118,19 +122,20 @@
             self._apply()
 
     def _on_answer(self, event: AnswerEvent) -> None:
-        if event.answer.draining and self._registrar.on_leave(event.instance):
+        run = event.run
+        if event.answer.draining and self._registrar.on_leave(run.instance, run.born_ms):
             logger.info(
-                "back end {} leaves, told by its answer to request {}",
-                event.instance,
-                event.request,
+                "back end {} leaves, told by its answer to request {}", run.instance, event.request
             )
             self._apply()
 
-    def _on_fault(self, instance: str, result: BackendResult) -> None:
+    def _on_fault(self, run: InstanceRun, result: BackendResult) -> None:
+        if not run.is_same(self._registrar.run):
+            return
         if isinstance(result, BackendUnreached) and result.is_refused:
             changed = self._registrar.on_unreachable()
         elif isinstance(result, BackendAnswer):
-            changed = self._registrar.on_misdirected(instance)
+            changed = self._registrar.on_misdirected(run.instance)
         else:
             return
         if changed:
@@ -139,11 +144,17 @@
     def _apply(self) -> None:
         registration = self._registrar.registration
         logger.info(
-            "back end {} of {}: {}", registration.instance, registration.service, registration.state
+            "back end {} of {}: {}, born {}",
+            registration.instance,
+            registration.service,
+            registration.state,
+            registration.born_ms or "unknown",
         )
-        self._callee.set_instance(registration.instance, registration.service, registration.slots)
-        is_new = registration.instance != self._identity.name
+        self._callee.set_run(registration.run, registration.service, registration.slots)
+        held = self._identity.registration
+        is_new = held is None or not registration.run.is_same(held.run)
         self._identity.name = registration.instance
+        self._identity.registration = registration
         self._identity.service = registration.service
         is_ready = registration.state is InstanceState.READY
         self._drain.lacks_ready_backend = not is_ready
--- a/src/finchshed/daemon/calling/daemon_links.py
+++ b/src/finchshed/daemon/calling/daemon_links.py
@@ -161,7 +161,7 @@
             link.close("wrong peer")
             return
         peer.failures = 0
-        self._owner.peer_up(peer.endpoint.name, hello.incarnation)
+        self._owner.peer_up(peer.endpoint.name, hello)
         waiting = peer.waiting
         peer.waiting = []
         for attempt in waiting:
--- a/src/finchshed/daemon/calling/daemon_links_owner.py
+++ b/src/finchshed/daemon/calling/daemon_links_owner.py
@@ -16,7 +16,7 @@
     def hello(self, epoch: str) -> Hello:
         """Return the Hello that opens a link."""
 
-    def peer_up(self, endpoint: str, incarnation: str) -> None:
+    def peer_up(self, endpoint: str, hello: Hello) -> None:
         """Handle an opened link, or a restarted back end behind an open one."""
 
     def peer_down(self, endpoint: str) -> None:
--- a/src/finchshed/daemon/calling/endpoints.py
+++ b/src/finchshed/daemon/calling/endpoints.py
@@ -53,6 +53,8 @@
         # A daemon that reports no back end matters only if one was registered there before.
         reported = [item for item in changed if item.instance or item.address in present]
         _log_registrations(reported)
+        for registration in reported:
+            self._table.on_registration(registration, now)
         dropped = self._directory.drop(update.forgotten)
         if dropped:
             logger.info("removed the registrations of back ends at {}", ", ".join(update.forgotten))
--- a/src/finchshed/daemon/endpoint_identity.py
+++ b/src/finchshed/daemon/endpoint_identity.py
@@ -7,6 +7,8 @@
 import secrets
 from dataclasses import dataclass, field
 
+from finchshed.directory.registration import Registration
+
 INCARNATION_BYTES = 8
 """Random bytes in an incarnation ID; enough to make collisions negligible."""
 
@@ -18,11 +20,15 @@
 
 @dataclass(slots=True)
 class EndpointIdentity:
-    """Name, service and incarnation sent with each Hello; name and service are empty on an edge."""
+    """Identity sent with each Hello; name and service are empty on an edge.
+
+    ``registration`` is that of a back end that registers itself, once there was one.
+    """
 
     name: str
     service: str
     incarnation: str = field(default_factory=new_incarnation)
+    registration: Registration | None = None
 
     def renew_incarnation(self) -> None:
         """Start a new incarnation; peers reset their state of the endpoint on the next Hello."""
--- a/src/finchshed/daemon/link_handler.py
+++ b/src/finchshed/daemon/link_handler.py
@@ -6,6 +6,8 @@
 
 import random
 
+import msgspec
+
 from finchshed.admission.load_report import LoadReport
 from finchshed.common.outcomes import RefusalReason, Refused
 from finchshed.daemon.calling.platform_hints import PlatformHints
@@ -14,6 +16,7 @@
 from finchshed.daemon.quarantine import Quarantine
 from finchshed.daemon.serving.callee import Callee
 from finchshed.daemon.settings import DaemonSettings
+from finchshed.directory.registration import Registration
 from finchshed.distribution.follower_runner import FollowerRunner
 from finchshed.distribution.messages import Delta
 from finchshed.link.listener import AcceptedLink
@@ -72,6 +75,7 @@
             zone=self._settings.zone,
             revision=self.revision(),
             draining=self._drain.is_draining,
+            registration=self._identity.registration or msgspec.UNSET,
         )
 
     def revision(self) -> int:
@@ -120,11 +124,14 @@
         if link.peer is not None:
             self._follower_runner.on_peer_delta(link.peer.node, delta)
 
-    def peer_up(self, endpoint: str, incarnation: str) -> None:
+    def peer_up(self, endpoint: str, hello: Hello) -> None:
         """Record that an endpoint is reachable."""
         now = clock.now()
-        self._table.on_link_up(endpoint, incarnation, now)
-        self._platform.on_linked(endpoint, incarnation, now)
+        registration = hello.registration
+        if isinstance(registration, Registration) and registration.instance == endpoint:
+            self._table.on_registration(registration, now)
+        self._table.on_link_up(endpoint, hello.incarnation, now)
+        self._platform.on_linked(endpoint, hello.incarnation, now)
 
     def peer_down(self, endpoint: str) -> None:
         """Record that an endpoint is unreachable."""
--- a/src/finchshed/daemon/serving/backend_runner.py
+++ b/src/finchshed/daemon/serving/backend_runner.py
@@ -34,6 +34,7 @@
 from finchshed.daemon.serving.inbound_call import InboundCall
 from finchshed.daemon.serving.inbound_call_state import InboundCallState
 from finchshed.daemon.serving.served_requests import ServedRequests
+from finchshed.directory.instance_run import InstanceRun
 from finchshed.http.status import STATUS_MISDIRECTED_REQUEST
 from finchshed.quarantine.register import Suspicion
 from finchshed.retry.policy import retry_after
@@ -118,36 +119,32 @@
             metrics.RATE_LIMITED_SENT.inc()
         inbound.served = self._served.open(inbound.context, inbound.deadline, call.identity)
         self._paths.on_start(inbound.served.account, inbound.route)
-        instance = self._admission.instance
+        run = self._admission.run
         remaining = inbound.deadline - clock.now()
-        request = backend_request(inbound, remaining, self._names, instance)
+        request = backend_request(inbound, remaining, self._names, run.instance)
         inbound.cancel_backend = self._backend.send(
-            request, lambda result: self._on_result(inbound, instance, result)
+            request, lambda result: self._on_result(inbound, run, result)
         )
 
-    def _on_result(self, inbound: InboundCall, instance: str, result: BackendResult) -> None:
+    def _on_result(self, inbound: InboundCall, run: InstanceRun, result: BackendResult) -> None:
         if not isinstance(result, BackendBroken):
-            self._finish(inbound, instance, result)
+            self._finish(inbound, run, result)
             return
-        resume = partial(self._finish, inbound, instance, result)
-        self._crash_detector.on_interrupted(
-            instance, InterruptedRequest(inbound.signature(), resume)
-        )
+        resume = partial(self._finish, inbound, run, result)
+        self._crash_detector.on_interrupted(run, InterruptedRequest(inbound.signature(), resume))
 
-    def _on_crash(self, instance: str, signatures: list[str]) -> None:
+    def _on_crash(self, run: InstanceRun, signatures: list[str]) -> None:
         """Record a crash of the back end while it ran requests with these signatures."""
         metrics.BACKEND_ENDED.inc()
-        crash = instance or f"{self._endpoint}-{secrets.token_hex(CRASH_ID_BYTES)}"
-        log_backend_ended(crash, self._admission.service, signatures)
+        crash = run.label or f"{self._endpoint}-{secrets.token_hex(CRASH_ID_BYTES)}"
+        log_backend_ended(run.instance or crash, self._admission.service, signatures)
         self._quarantine.on_crash(crash, signatures)
-        self._events.publish_fault(
-            instance, BackendUnreached("the back end crashed", is_refused=True)
-        )
+        self._events.publish_fault(run, BackendUnreached("the back end crashed", is_refused=True))
 
-    def _finish(self, inbound: InboundCall, instance: str, result: BackendResult) -> None:
+    def _finish(self, inbound: InboundCall, run: InstanceRun, result: BackendResult) -> None:
         if inbound.state is not InboundCallState.AT_BACKEND:
             return
-        self._report(inbound, instance, result)
+        self._report(inbound, run, result)
         outcome = outcome_from_result(result, retry_after(0.0, self._rng))
         if inbound.is_by_host and inbound.served is not None:
             outcome = with_downstream_failure(
@@ -161,12 +158,12 @@
         self._on_slot_free(inbound, result_of(outcome))
         self._at_most_once.record(inbound, outcome, self._on_finished)
 
-    def _report(self, inbound: InboundCall, instance: str, result: BackendResult) -> None:
+    def _report(self, inbound: InboundCall, run: InstanceRun, result: BackendResult) -> None:
         """Publish a result to the followers of the back end's state and to the quarantine."""
         if not isinstance(result, BackendAnswer) or result.status == STATUS_MISDIRECTED_REQUEST:
-            self._events.publish_fault(instance, result)
+            self._events.publish_fault(run, result)
             return
         request = inbound.call.identity or inbound.call.context.root
-        self._events.publish_answer(AnswerEvent(result, instance, request))
+        self._events.publish_answer(AnswerEvent(result, run, request))
         if result.ran:
             self._quarantine.on_completed(inbound.signature)
--- a/src/finchshed/daemon/serving/call_admission.py
+++ b/src/finchshed/daemon/serving/call_admission.py
@@ -15,6 +15,7 @@
 from finchshed.daemon.serving.inbound_call import InboundCall
 from finchshed.daemon.serving.ledger_port import scoped_key
 from finchshed.daemon.settings import DaemonSettings
+from finchshed.directory.instance_run import InstanceRun
 from finchshed.link.listener import AcceptedLink
 from finchshed.link.messages import Call
 from finchshed.retry.policy import retry_after
@@ -30,8 +31,9 @@
         Whether a usable configuration is active.
     service
         Service of the back end.
-    instance
-        Registered instance of the back end, or empty; calls routed by host may only run on it.
+    run
+        Registered run of the back end, or one without a name; calls routed by host may only run on
+        its instance.
     catalogue
         The active configuration.
     sessions
@@ -41,7 +43,7 @@
     def __init__(self, settings: DaemonSettings, drain: DrainState, rng: random.Random) -> None:
         self.may_serve = False
         self.service = settings.service
-        self.instance = ""
+        self.run = InstanceRun()
         self.catalogue = Catalogue()
         self.sessions = SessionTable()
         self._settings = settings
@@ -115,7 +117,7 @@
 
     def _admit_by_host(self, link: AcceptedLink, call: Call, now: float) -> InboundCall | Refused:
         """Check a call whose route was matched by the calling daemon."""
-        if self._drain.is_announced or not self.instance or call.service != self.service:
+        if self._drain.is_announced or not self.run.instance or call.service != self.service:
             # The instance that the caller selected is no longer here.
             return self.refusal(RefusalReason.DRAINING)
         return InboundCall(
--- a/src/finchshed/daemon/serving/callee.py
+++ b/src/finchshed/daemon/serving/callee.py
@@ -30,6 +30,7 @@
 from finchshed.daemon.serving.suspect_queue import SuspectDecision, SuspectQueue
 from finchshed.daemon.settings import DaemonSettings
 from finchshed.daemon.signatures import SignatureFactory
+from finchshed.directory.instance_run import InstanceRun
 from finchshed.limit.concurrency import usable_slots
 from finchshed.link.listener import AcceptedLink
 from finchshed.link.messages import Call
@@ -142,10 +143,13 @@
         if endpoint is not None:
             self._gate.set_slots(endpoint.slots)
 
-    def set_instance(self, instance: str, service: str, slots: int) -> None:
-        """Serve calls with this back-end instance from now on; 0 keeps the number of slots."""
+    def set_run(self, run: InstanceRun, service: str, slots: int) -> None:
+        """Serve calls with this run of the back end from now on; 0 keeps the number of slots."""
+        if not run.is_same(self._admission.run):
+            self._rate_limit.start_run(run)
+            self._gate.start_run()
         self._admission.service = service
-        self._admission.instance = instance
+        self._admission.run = run
         if slots:
             self._gate.set_slots(usable_slots(slots))
 
--- a/src/finchshed/daemon/serving/crash_detection.py
+++ b/src/finchshed/daemon/serving/crash_detection.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from finchshed.daemon.backend.client import BackendClient
+from finchshed.directory.instance_run import InstanceRun
 
 CORRELATION_WINDOW_SECONDS = 0.005
 """Window in which the connections of a crashed process break; the back end is checked at its end.
@@ -29,31 +30,33 @@
     Parameters
     ----------
     on_crash
-        Called with the crashed instance and the signatures of the requests it was running.
+        Called with the crashed run and the signatures of the requests it was running.
     """
 
-    def __init__(self, backend: BackendClient, on_crash: Callable[[str, list[str]], None]) -> None:
+    def __init__(
+        self, backend: BackendClient, on_crash: Callable[[InstanceRun, list[str]], None]
+    ) -> None:
         self._backend = backend
         self._on_crash = on_crash
-        self._interrupted: dict[str, list[InterruptedRequest]] = {}
+        self._interrupted: dict[InstanceRun, list[InterruptedRequest]] = {}
         self._checks: set[asyncio.Task[None]] = set()
 
-    def on_interrupted(self, instance: str, run: InterruptedRequest) -> None:
-        """Add an interrupted request; its ``on_checked`` is called once, after the check."""
-        collected = self._interrupted.get(instance)
+    def on_interrupted(self, run: InstanceRun, request: InterruptedRequest) -> None:
+        """Add a request of ``run``; its ``on_checked`` is called once, after the check."""
+        collected = self._interrupted.get(run)
         if collected is not None:
-            collected.append(run)
+            collected.append(request)
             return
-        self._interrupted[instance] = [run]
-        look = asyncio.get_running_loop().create_task(self._check(instance))
-        self._checks.add(look)
-        look.add_done_callback(self._checks.discard)
+        self._interrupted[run] = [request]
+        check = asyncio.get_running_loop().create_task(self._check(run))
+        self._checks.add(check)
+        check.add_done_callback(self._checks.discard)
 
-    async def _check(self, instance: str) -> None:
+    async def _check(self, run: InstanceRun) -> None:
         await asyncio.sleep(CORRELATION_WINDOW_SECONDS)
         has_ended = await self._backend.refuses_connections()
-        runs = self._interrupted.pop(instance)
+        requests = self._interrupted.pop(run)
         if has_ended:
-            self._on_crash(instance, [run.signature for run in runs])
-        for run in runs:
-            run.on_checked()
+            self._on_crash(run, [request.signature for request in requests])
+        for request in requests:
+            request.on_checked()
--- a/src/finchshed/daemon/serving/gate_runner.py
+++ b/src/finchshed/daemon/serving/gate_runner.py
@@ -65,6 +65,10 @@
         """Set the concurrency limit of the back end."""
         self._gate.set_slots(slots)
 
+    def start_run(self) -> None:
+        """Forget what was learned of an earlier run of the back end."""
+        self._gate.start_run()
+
     def set_rate_limit(self, requests_per_second: float | None) -> None:
         """Set the rate limit that the back end names; None if it names none."""
         self._apply(self._gate.set_rate_limit(requests_per_second, clock.now()))
--- a/src/finchshed/daemon/serving/replies.py
+++ b/src/finchshed/daemon/serving/replies.py
@@ -76,7 +76,7 @@
         log_call(
             inbound,
             outcome,
-            self._admission.instance,
+            self._admission.run.instance,
             load,
             self._gate.running,
             signature=signature,
--- a/src/finchshed/directory/registrar.py
+++ b/src/finchshed/directory/registrar.py
@@ -4,30 +4,41 @@
 end receives no new requests once it has announced the drain, even before others learn of it.
 
 Heartbeats may be delayed, duplicated or sent by an earlier run of the back end. Each run numbers
-its heartbeats, and only a number higher than the last one seen counts. Owns the registration, which
-the daemon sends to its callers and to the control nodes.
+its heartbeats, and only a number higher than the last one seen counts. Runs are ordered by their
+starts, also under one instance name. Owns the registration, which the daemon sends to its callers
+and to the control nodes.
 """
 
 import msgspec
 
+from finchshed.directory.instance_run import InstanceRun
 from finchshed.directory.registration import InstanceState, Registration
 
-MAX_REMEMBERED_INSTANCES = 64
-"""Maximum number of back-end instances whose last sequence number is kept."""
+MAX_REMEMBERED_RUNS = 64
+"""Maximum number of back-end runs whose last sequence number is kept."""
 
 
 class BackendHeartbeat(msgspec.Struct, frozen=True):
-    """A back end's report about itself; ``sequence`` rises with each heartbeat of an instance."""
+    """A back end's report about itself; ``sequence`` rises with each heartbeat of a run.
+
+    ``born_ms`` is the start of the run in Unix milliseconds, 0 if it isn't told.
+    """
 
     instance: str
     service: str
     slots: int
     sequence: int
     is_draining: bool = False
+    born_ms: int = 0
+
+    @property
+    def run(self) -> InstanceRun:
+        """The run that sent it."""
+        return InstanceRun(self.instance, self.born_ms)
 
 
-class _SeenInstance(msgspec.Struct):
-    """Last sequence number and drain state reported by an instance."""
+class _SeenRun(msgspec.Struct):
+    """Last sequence number and drain state reported by a run."""
 
     sequence: int
     is_draining: bool
@@ -51,22 +62,31 @@
     ) -> None:
         self.registration = Registration(address, epoch, 0, zone=zone, region=region)
         self._silence_seconds = silence_seconds
-        self._seen: dict[str, _SeenInstance] = {}
+        self._seen: dict[InstanceRun, _SeenRun] = {}
         self._last_contact_at = 0.0
 
+    @property
+    def run(self) -> InstanceRun:
+        """The registered run."""
+        return self.registration.run
+
     def on_heartbeat(self, heartbeat: BackendHeartbeat, now: float) -> bool:
         """Process a heartbeat and return whether the registration changed."""
-        seen = self._seen.get(heartbeat.instance)
+        run = heartbeat.run
+        if not self._may_register(run):
+            return False
+        seen = self._find_run(run)
         if seen is not None and heartbeat.sequence <= seen.sequence:
             return False
         if seen is None:
-            seen = self._add_instance(heartbeat.instance)
+            seen = self._add_run(run)
         seen.sequence = heartbeat.sequence
         seen.is_draining = seen.is_draining or heartbeat.is_draining
         self._last_contact_at = now
         state = InstanceState.LEAVING if seen.is_draining else InstanceState.READY
         return self._update(
-            instance=heartbeat.instance,
+            instance=run.instance,
+            born_ms=run.born_ms,
             service=heartbeat.service,
             slots=heartbeat.slots,
             state=state,
@@ -78,21 +98,23 @@
         Instances known from heartbeats are left unchanged, because a health check doesn't report
         draining.
         """
-        if self.registration.instance or instance in self._seen:
+        if self.run.instance or any(run.instance == instance for run in self._seen):
             return False
-        self._add_instance(instance)
+        self._add_run(InstanceRun(instance))
         self._last_contact_at = now
         return self._update(
             instance=instance, service=service, slots=slots, state=InstanceState.READY
         )
 
-    def on_leave(self, instance: str) -> bool:
-        """Mark an instance as draining and return whether the registration changed."""
-        seen = self._seen.get(instance) or self._add_instance(instance)
+    def on_leave(self, instance: str, born_ms: int = 0) -> bool:
+        """Mark a run as draining and return whether the registration changed."""
+        run = InstanceRun(instance, born_ms)
+        is_current = run.is_same(self.run)
+        if is_current and self.run.born_ms:
+            run = self.run
+        seen = self._find_run(run) or self._add_run(run)
         seen.is_draining = True
-        if instance != self.registration.instance:
-            return False
-        if self.registration.state is InstanceState.GONE:
+        if not is_current or self.registration.state is InstanceState.GONE:
             return False
         return self._update(state=InstanceState.LEAVING)
 
@@ -118,25 +140,48 @@
     def on_own_registration(self, registration: Registration) -> bool:
         """Compare with the registration of this address held by others.
 
-        Returns whether the own registration must be sent again. An instance that an earlier run of
-        the daemon registered as leaving still leaves. A clock that was set back may have given this
-        run a lower epoch than an earlier one; it is raised above that.
+        Returns whether the own registration must be sent again. A run that an earlier run of the
+        daemon registered as leaving still leaves. A clock that was set back may have given this run
+        of the daemon a lower epoch than an earlier one; it is raised above that.
         """
         if registration.state is InstanceState.LEAVING:
-            self.on_leave(registration.instance)
+            self.on_leave(registration.instance, registration.born_ms)
         own = self.registration
         if registration == own or not registration.supersedes(own):
             return False
         self.registration = msgspec.structs.replace(own, epoch=registration.epoch + 1)
         return True
 
-    def _add_instance(self, instance: str) -> _SeenInstance:
-        if len(self._seen) >= MAX_REMEMBERED_INSTANCES:
-            oldest = next(name for name in self._seen if name != self.registration.instance)
-            del self._seen[oldest]
-        seen = self._seen[instance] = _SeenInstance(sequence=-1, is_draining=False)
+    def _may_register(self, run: InstanceRun) -> bool:
+        """Return whether a heartbeat of ``run`` counts beside the registered run.
+
+        One without a start, or with an earlier one, is of an earlier run, unless nothing else is
+        there: a clock may have been set back before the start. A run that another one followed
+        doesn't return.
+        """
+        current = self.run
+        if run == current or not current.born_ms:
+            return True
+        seen = self._seen.get(run)
+        if run.born_ms and seen is not None and seen.sequence >= 0:
+            return False
+        return run.born_ms > current.born_ms or self.registration.state is InstanceState.GONE
+
+    def _find_run(self, run: InstanceRun) -> _SeenRun | None:
+        """Return what is known of a run; its start may have become known since."""
+        seen = self._seen.get(run)
+        if seen is None and run.born_ms:
+            seen = self._seen.pop(InstanceRun(run.instance), None)
+            if seen is not None:
+                self._seen[run] = seen
         return seen
 
+    def _add_run(self, run: InstanceRun) -> _SeenRun:
+        if len(self._seen) >= MAX_REMEMBERED_RUNS:
+            del self._seen[next(seen for seen in self._seen if seen != self.run)]
+        added = self._seen[run] = _SeenRun(sequence=-1, is_draining=False)
+        return added
+
     def _update(self, **fields: object) -> bool:
         changed = msgspec.structs.replace(self.registration, **fields)
         if changed == self.registration:
--- a/src/finchshed/directory/registration.py
+++ b/src/finchshed/directory/registration.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from finchshed.directory.instance_run import InstanceRun
+
 
 class InstanceState(enum.StrEnum):
     """Availability of a back end for new requests."""
@@ -29,6 +31,8 @@
         Identity of the back end's run; empty while the daemon knows of none.
     slots
         Maximum number of requests that the back end runs concurrently.
+    born_ms
+        Start of the back end's run as it states, Unix milliseconds; 0 if unknown.
     """
 
     address: str
@@ -40,6 +44,12 @@
     region: str = ""
     slots: int = 0
     state: InstanceState = InstanceState.GONE
+    born_ms: int = 0
+
+    @property
+    def run(self) -> InstanceRun:
+        """The run of the back end."""
+        return InstanceRun(self.instance, self.born_ms)
 
     def supersedes(self, other: "Registration") -> bool:
         """Return whether this is newer than ``other``, a registration of the same address."""
--- a/src/finchshed/limit/concurrency.py
+++ b/src/finchshed/limit/concurrency.py
@@ -66,6 +66,10 @@
             self._slots = slots
             self._limit = float(slots)
 
+    def reset(self) -> None:
+        """Return to the declared slots, for a back end that has started again."""
+        self._limit = float(self._slots)
+
     def on_result(self, result: CallResult, latency: float, now: float, running: int = 0) -> None:
         """Update the limit after a finished request.
 
--- a/src/finchshed/link/messages.py
+++ b/src/finchshed/link/messages.py
@@ -11,6 +11,7 @@
 from finchshed.admission.load_report import LoadReport
 from finchshed.common.context import CallContext
 from finchshed.common.outcomes import Headers, Outcome
+from finchshed.directory.registration import Registration
 from finchshed.distribution.messages import Delta, Fetch, RequestNumber, Revision
 from finchshed.quarantine.messages import CrashNews, CrashRecord
 
@@ -22,7 +23,8 @@
 
     From the calling side, ``compressed`` requests compression of both directions after the Hello
     lines; from the accepting side, it confirms the request. A daemon that does not support
-    compression leaves it false.
+    compression leaves it false. ``registration`` is that of the sender's back end, if it registers
+    itself; it tells the runs of one instance apart.
     """
 
     node: str
@@ -33,6 +35,7 @@
     revision: Revision
     draining: bool = False
     compressed: bool = False
+    registration: Registration | msgspec.UnsetType = msgspec.UNSET
 
 
 class Call(msgspec.Struct, frozen=True, omit_defaults=True, tag="call"):
--- a/src/finchshed/routing/table.py
+++ b/src/finchshed/routing/table.py
@@ -16,6 +16,7 @@
 from finchshed.common.outcomes import RefusalReason, Refused
 from finchshed.common.results import CallResult
 from finchshed.configuration.resources import Endpoint
+from finchshed.directory.registration import Registration
 from finchshed.retry.policy import retry_after
 from finchshed.routing.backend_runs import BackendRuns
 from finchshed.routing.ejection import eject_if_failing
@@ -188,6 +189,12 @@
         if view is not None:
             self._store_report(view, load, now)
 
+    def on_registration(self, registration: Registration, now: float) -> None:
+        """Reset the state of an endpoint whose back end has started again under its name."""
+        view = self._views.get(registration.instance)
+        if self._runs.on_registration(registration) and view is not None:
+            self._put(self._new_view(view.endpoint, now), now)
+
     def on_link_down(self, name: str, now: float) -> None:
         """Back off from an endpoint whose link broke or timed out."""
         view = self._views.get(name)
--- a/tests/daemon/test_admitted_fraction.py
+++ b/tests/daemon/test_admitted_fraction.py
@@ -10,6 +10,7 @@
 from finchshed.common.importance import Importance
 from finchshed.daemon.serving.callee import Callee
 from finchshed.daemon.serving.served_requests import ServedRequests
+from finchshed.directory.instance_run import InstanceRun
 from finchshed.link.messages import Call
 from tests.daemon.callee_fixture import make_callee
 
@@ -25,7 +26,7 @@
     paths.on_end("earlier", answered=True)
     result = make_callee(served, paths)
     result.start_serving()
-    result.set_instance("i-1", "sales", 8)
+    result.set_run(InstanceRun("i-1"), "sales", 8)
     return result
 
 
--- a/tests/forms/shapes.py
+++ b/tests/forms/shapes.py
@@ -105,6 +105,8 @@
     if field.required:
         return ", required"
     value = field.default
+    if value is msgspec.NODEFAULT and field.default_factory is msgspec.NODEFAULT:
+        return ", default left out"
     if value is msgspec.NODEFAULT:
         value = field.default_factory()
     return f", default {msgspec.json.encode(value).decode()}"
--- a/tests/platform/fake_platform.py
+++ b/tests/platform/fake_platform.py
@@ -123,6 +123,12 @@
     """Headers that it adds to its answers to requests."""
 
     sequence: int = 0
+    born_ms: int = field(default_factory=lambda: int(time.time() * 1000))
+    """Start that it states, Unix milliseconds; 0 states none."""
+
+    keeps_instance: bool = False
+    """Whether it starts again under the instance that it had."""
+
     acknowledged: int = 0
     session: aiohttp.ClientSession | None = None
     crashes: int = 0
@@ -161,9 +167,12 @@
     async def _restart_after(self, runner: web.AppRunner, down_seconds: float) -> None:
         await runner.cleanup()
         await asyncio.sleep(down_seconds)
-        base, _, _ = self.instance.partition("-after-")
-        self.instance = f"{base}-after-{self.crashes}"
+        if not self.keeps_instance:
+            base, _, _ = self.instance.partition("-after-")
+            self.instance = f"{base}-after-{self.crashes}"
         self.sequence = 0
+        self.born_ms = int(time.time() * 1000)
+        self.answer_headers.clear()
         await self._start_serving()
 
     async def _start_serving(self) -> None:
@@ -180,10 +189,10 @@
         self._heartbeat_task.cancel()
         await self._runner.cleanup()
 
-    async def send_heartbeat(self) -> int:
-        """Send one heartbeat; return the status, 0 if the connection failed."""
+    def next_heartbeat(self) -> dict[str, Any]:
+        """Return the body of the next heartbeat."""
         self.sequence += 1
-        body = {
+        return self._born() | {
             "address": f"{self.ip}:{APP_PORT}",
             "info": {
                 "service": self.service,
@@ -193,11 +202,14 @@
             },
             "status": {"state": self.state, "sequence": self.sequence, "cold_remaining_s": 0},
         }
-        return await self._post("heartbeat", body)
+
+    async def send_heartbeat(self) -> int:
+        """Send one heartbeat; return the status, 0 if the connection failed."""
+        return await self.post("heartbeat", self.next_heartbeat())
 
     async def leave(self) -> int:
         """Announce that the instance leaves; return the status, 0 if the connection failed."""
-        return await self._post("leave", {})
+        return await self.post("leave", self._born())
 
     async def call(self, parent: str, host: str, path: str) -> int:
         """Send a call on behalf of the request ``parent`` through the local daemon."""
@@ -212,11 +224,17 @@
             await response.read()
             return response.status
 
-    async def _post(self, call: str, body: dict[str, Any]) -> int:
+    def _born(self) -> dict[str, Any]:
+        return {"born": self.born_ms} if self.born_ms else {}
+
+    async def post(self, call: str, body: dict[str, Any] | bytes, instance: str = "") -> int:
+        """Send a message about an instance to the daemon; return the status, 0 if it failed."""
         assert self.session is not None
-        url = f"http://{self.ip}:{CONTROL_PORT}/finchshed/instances/{self.instance}/{call}"
+        name = instance or self.instance
+        url = f"http://{self.ip}:{CONTROL_PORT}/finchshed/instances/{name}/{call}"
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
         try:
-            async with self.session.post(url, json=body) as response:
+            async with self.session.post(url, data=data) as response:
                 await response.read()
                 self.acknowledged += response.status == 200
                 return response.status
