Heartbeats and entries of another writer name no back end to use

Callers saw: a heartbeat with a state that nobody names, or of a service that nobody declared, counted as a ready back end; at the daemon beside a sound one it took that one's place until its next heartbeat. One without address, version or zone, or with 0 slots, counted too.

Cause: the reader checked types of what it uses and took every other state for ready. Class: what isn't known is taken for the usual.

Entries of the list are read one by one; unreadable ones are counted and name no machine. tests/control/test_platform_list.py asked that one bad entry reject the list: that contradicts the rule now given, so it asks instead that each kind of bad entry drop itself and no other, and that what isn't a list is rejected, with more cases than before.

--- a/src/finchshed/control/daemons/platform_list.py
+++ b/src/finchshed/control/daemons/platform_list.py
@@ -30,12 +30,30 @@
     state: ListedState
 
 
-_decoder = msgspec.json.Decoder(tuple[ListedInstance, ...])
+class DecodedList(msgspec.Struct, frozen=True):
+    """The machines of a list, and the number of entries that can't be read."""
 
+    instances: tuple[ListedInstance, ...]
+    unreadable: int = 0
 
-def decode_instances(data: bytes) -> tuple[ListedInstance, ...]:
-    """Decode the list; raises msgspec.DecodeError if ``data`` isn't one."""
-    return _decoder.decode(data)
+
+_decoder = msgspec.json.Decoder(list[msgspec.Raw])
+_entry_decoder = msgspec.json.Decoder(ListedInstance)
+
+
+def decode_instances(data: bytes) -> DecodedList:
+    """Decode the list; an entry that can't be read or has an unknown state names no machine.
+
+    Raises msgspec.DecodeError if ``data`` isn't a list.
+    """
+    instances = []
+    unreadable = 0
+    for entry in _decoder.decode(data):
+        try:
+            instances.append(_entry_decoder.decode(entry))
+        except msgspec.DecodeError:
+            unreadable += 1
+    return DecodedList(tuple(instances), unreadable)
 
 
 class PlatformList:
--- a/src/finchshed/control/daemons/platform_poller.py
+++ b/src/finchshed/control/daemons/platform_poller.py
@@ -30,6 +30,11 @@
 )
 
 
+UNREADABLE_ENTRIES = Gauge(
+    "finchshed_control_platform_unreadable", "Entries of the platform's list that can't be read"
+)
+
+
 class PlatformPoller:
     """Polls the platform's list of machines.
 
@@ -50,6 +55,7 @@
         self._send = send
         self._list = PlatformList(settings.platform_lag_seconds)
         self._repeat_due = 0.0
+        self._unreadable = 0
 
     async def run(self) -> None:
         """Poll until cancelled; return immediately if no list is configured."""
@@ -67,14 +73,15 @@
             async with session.get(self._settings.platform_list_url) as response:
                 response.raise_for_status()
                 data = await response.content.read(MAX_LIST_BYTES)
-            instances = decode_instances(data)
+            listed = decode_instances(data)
         except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError, OSError) as error:
             READS.labels("failed").inc()
             logger.info("cannot read the platform's list of machines: {!r}", error)
             return
         READS.labels("read").inc()
+        self._report_unreadable(listed.unreadable)
         now = asyncio.get_running_loop().time()
-        changed = self._list.update(instances, now)
+        changed = self._list.update(listed.instances, now)
         if changed or now >= self._repeat_due:
             self._repeat_due = now + HINT_REPEAT_SECONDS
             resources = self._machine.store.resources.values()
@@ -82,3 +89,10 @@
             hints = self._list.hints(endpoints, now)
             LEAVING_ENDPOINTS.set(len(hints.leaving))
             self._send(hints)
+
+    def _report_unreadable(self, entries: int) -> None:
+        """Log a changed number of entries that can't be read."""
+        UNREADABLE_ENTRIES.set(entries)
+        if entries != self._unreadable:
+            self._unreadable = entries
+            logger.warning("entries of the platform's list that can't be read: {}", entries)
--- a/src/finchshed/daemon/backend/rate_limit_monitor.py
+++ b/src/finchshed/daemon/backend/rate_limit_monitor.py
@@ -4,6 +4,7 @@
 
 from loguru import logger
 
+from finchshed.common.min_interval import MinInterval
 from finchshed.daemon import metrics
 from finchshed.daemon.backend.events import AnswerEvent
 from finchshed.daemon.endpoint_identity import EndpointIdentity
@@ -37,7 +38,7 @@
         self._identity = identity
         self._named = NamedRateLimit()
         self._run = InstanceRun()
-        self._logged_at = float("-inf")
+        self._log_interval = MinInterval(MIN_LOG_INTERVAL_SECONDS)
         metrics.RATE_LIMIT.set(NO_LIMIT_GAUGE)
 
     @property
@@ -80,7 +81,7 @@
         limit = self.requests_per_second
         metrics.RATE_LIMIT.set(NO_LIMIT_GAUGE if limit is None else limit)
         is_start_or_end = before is None or limit is None
-        if is_start_or_end or self._may_log():
+        if is_start_or_end or self._log_interval.has_passed(clock.now()):
             logger.info(
                 "rate limit of back end {} of {}: {}, before: {}, told by {}",
                 self._identity.name,
@@ -93,7 +94,7 @@
 
     def _report_unreadable(self, request: str, value: str) -> None:
         metrics.RATE_LIMIT_UNREADABLE.inc()
-        if self._may_log():
+        if self._log_interval.has_passed(clock.now()):
             logger.warning(
                 "back end {} names an unreadable rate limit in its answer to request {}: {}",
                 self._identity.name,
@@ -101,13 +102,6 @@
                 value,
             )
 
-    def _may_log(self) -> bool:
-        now = clock.now()
-        if now - self._logged_at < MIN_LOG_INTERVAL_SECONDS:
-            return False
-        self._logged_at = now
-        return True
-
 
 def _ignore_change(_requests_per_second: float | None) -> None:
     """Do nothing: the owner sets its own callback."""
--- a/src/finchshed/daemon/backend/registration.py
+++ b/src/finchshed/daemon/backend/registration.py
@@ -6,6 +6,8 @@
 
 from loguru import logger
 
+from finchshed.common.min_interval import MinInterval
+from finchshed.daemon import metrics
 from finchshed.daemon.backend.answer_reader import parse_slots
 from finchshed.daemon.backend.client import (
     BackendAnswer,
@@ -27,6 +29,12 @@
 from finchshed.link.listener import LinkListener
 from finchshed.runtime import clock
 
+MIN_LOG_INTERVAL_SECONDS = 1.0
+"""Minimum interval between log lines about heartbeats that are passed over."""
+
+MAX_QUOTED_CHARACTERS = 60
+"""Characters of an unknown instance name that are logged."""
+
 
 class RegisteredBackend:
     """Applies changes of the back end's registration to the daemon.
@@ -62,6 +70,7 @@
         self._client = client
         self._backend = backend
         self._names = names
+        self._log_interval = MinInterval(MIN_LOG_INTERVAL_SECONDS)
         self._client.registration = lambda: self.registration
         events.subscribe_answers(self._on_answer)
         events.subscribe_faults(self._on_fault)
@@ -84,6 +93,13 @@
         if self._registrar.on_leave(instance, born_ms):
             self._apply()
 
+    def on_unusable_heartbeat(self, instance: str, problem: str) -> None:
+        """Count a message that names no back end to use; log it, at a bounded rate."""
+        metrics.HEARTBEATS_REJECTED.inc()
+        if self._log_interval.has_passed(clock.now()):
+            name = instance[:MAX_QUOTED_CHARACTERS]
+            logger.warning("heartbeat passed over, of {!r}: {}", name, problem)
+
     def on_own_registration(self, registration: Registration) -> None:
         """Compare with the registration held by control; announce again if that is outdated."""
         before = self.registration.state
--- a/src/finchshed/daemon/catalogue.py
+++ b/src/finchshed/daemon/catalogue.py
@@ -50,6 +50,11 @@
         for routes in self._hosts.values():
             routes.sort(key=lambda route: -len(route.prefix))
 
+    @property
+    def has_services(self) -> bool:
+        """Whether any service is declared."""
+        return bool(self._services)
+
     def service(self, name: str) -> Service | None:
         """Return a declared service, or None."""
         return self._services.get(name)
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -75,6 +75,12 @@
         """Processes the back end's heartbeats; None if its endpoint is declared, or on an edge."""
         return self._components.backend_state.registered
 
+    def knows_service(self, name: str) -> bool:
+        """Return whether back ends of a service may register: any one before a configuration."""
+        catalogue = self._ingress.service_handler.catalogue
+        is_declared = catalogue.service(name) is not None
+        return is_declared or name == self._settings.service or not catalogue.has_services
+
     @property
     def _callee(self) -> Callee | None:
         serving = self._components.serving
--- a/src/finchshed/daemon/metrics.py
+++ b/src/finchshed/daemon/metrics.py
@@ -28,6 +28,9 @@
 LIMIT = Gauge(
     "finchshed_concurrency_limit", "Requests the back end is sent at a time, as learnt and bounded"
 )
+HEARTBEATS_REJECTED = Counter(
+    "finchshed_heartbeats_rejected_total", "Heartbeats and leave notices that name no back end"
+)
 RATE_LIMIT = Gauge(
     "finchshed_rate_limit", "Requests per second that the back end accepts; negative: no limit"
 )
--- a/tests/control/test_platform_list.py
+++ b/tests/control/test_platform_list.py
@@ -66,7 +66,18 @@
     assert hint.listed_seconds == 1.0
 
 
-@pytest.mark.parametrize("data", [b"", b"{}", b'[{"name":"a"}]', b'[{"state":"gone"}]'])
+@pytest.mark.parametrize("data", [b"", b"{}", b"[", b'[{"name":"a"}', b"\xff", b"null", b"7"])
 def test_malformed_list_is_rejected(data: bytes) -> None:
     with pytest.raises(msgspec.DecodeError):
         decode_instances(data)
+
+
+@pytest.mark.parametrize(
+    "entry", [b'{"name":"a"}', b'{"state":"gone"}', b"7", b"null", b"[]", b'"\xff"']
+)
+def test_entry_that_cannot_be_read_names_no_machine_and_the_others_hold(entry: bytes) -> None:
+    whole = msgspec.json.encode(instance(1, "leaving", "1"))
+    unknown_state = whole.replace(b'"leaving"', b'"left"')
+    decoded = decode_instances(b"[" + b",".join([entry, whole, unknown_state]) + b"]")
+    assert decoded.instances == (instance(1, "leaving", "1"),)
+    assert decoded.unreadable == 2
--- a/tests/forms/codecs.py
+++ b/tests/forms/codecs.py
@@ -160,7 +160,9 @@
     "ring_header": _of_json(DumpHeader),
     "ring_record": _of_json(LogRecord),
     "platform_list": Form(
-        tuple[Instance, ...], decode_instances, lambda value: msgspec.json.encode(value) + b"\n"
+        tuple[Instance, ...],
+        lambda data: decode_instances(data).instances,
+        lambda value: msgspec.json.encode(value) + b"\n",
     ),
     "outcome_body": _of_json(OutcomeBody),
     "node_file": _of_json(NodeFile),
