--- a/src/finchshed/admission/gate.py
+++ b/src/finchshed/admission/gate.py
@@ -11,17 +11,17 @@
 """
 
 import random
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
 from finchshed.admission.demand_threshold import DemandThreshold
 from finchshed.admission.effects import GateEffect, Refuse, Start
-from finchshed.admission.load_report import LoadReport, RateReport
+from finchshed.admission.load_report import LoadReport
 from finchshed.admission.path_thresholds import NO_PATH_THRESHOLDS, PathThreshold
 from finchshed.admission.queue_threshold import QueueThreshold
-from finchshed.admission.rank import RANKS, admitted_rank, rank_of
-from finchshed.admission.rate_gate import MAX_TURN_WAIT_SECONDS, RateGate
+from finchshed.admission.rank import admitted_rank, rank_of
+from finchshed.admission.rate_gate import RateGate
 from finchshed.admission.request_queue import QueuedRequest, RequestQueue
 from finchshed.admission.threshold_rule import Threshold, ThresholdRule
 from finchshed.common.context import CallContext
@@ -45,10 +45,6 @@
 """Lower bound of the admitted fraction in the retry-after computation, to avoid division by 0."""
 
 
-NO_RANK = RANKS + 1
-"""Threshold that not even calls of admitted requests reach."""
-
-
 class _Running(msgspec.Struct, gc=False):
     """A started request. ``running`` is the concurrency at its start, itself included."""
 
@@ -86,7 +82,7 @@
         self._rule = threshold_rule
         self._threshold = _create_threshold(threshold_rule, now)
         self._queue = RequestQueue()
-        self._rate = RateGate()
+        self._rate = RateGate(self._queue)
         self._running: dict[int, _Running] = {}
         self._order = 0
         self._refused_fraction = 0.0
@@ -112,11 +108,8 @@
 
     def set_rate_limit(self, requests_per_second: float | None, now: float) -> list[GateEffect]:
         """Apply the rate limit that the back end names, or its end (None)."""
-        self._rate.set_limit(requests_per_second, now)
-        effects: list[GateEffect] = []
-        while self._queue and not self._rate.may_wait(len(self._queue) - 1, now):
-            dropped = self._queue.pop_lowest()
-            effects.append(self._refuse(dropped.token, RefusalReason.RATE_LIMITED))
+        dropped = self._rate.set_limit(requests_per_second, now)
+        effects = self._refuse_without_turn(dropped)
         return effects + self._start_queued(now)
 
     def arrive(
@@ -135,8 +128,9 @@
         if rank < path_threshold and not context.is_admitted:
             return [self._refuse(token, RefusalReason.OVERLOAD)]
         request = self._queued_request(token, rank, context, now)
-        is_turned_away, effects = self._make_room_for_turn(request, now)
-        if is_turned_away:
+        dropped = self._rate.make_room(request, now)
+        effects = [] if dropped is None else self._refuse_without_turn([dropped])
+        if dropped is request:
             # Not counted as demand: other back ends may have room for it.
             return effects
         self._threshold.on_arrival(rank, context.admitted_fraction, context.announced_calls)
@@ -171,7 +165,7 @@
         """Refuse requests that can no longer finish in time, and update the threshold."""
         effects = self._refuse_late(now)
         effects.extend(self._start_queued(now))
-        effects.extend(self._refuse_without_turn(now))
+        effects.extend(self._refuse_without_turn(self._rate.remove_overdue(now)))
         self._update_threshold(now)
         effects.extend(self._shed_below_threshold())
         return effects
@@ -191,37 +185,12 @@
             in_flight=len(self._running) + queued,
             limit=self._concurrency.limit,
             paths=paths,
-            rate=self._rate_report(now),
+            rate=self._rate.report(now),
         )
 
-    def _rate_report(self, now: float) -> RateReport | None:
-        limit = self._rate.limit
-        if limit is None:
-            return None
-        wait = self._rate.seconds_until_room(len(self._queue), now)
-        if not wait:
-            return RateReport(limit)
-        lowest = self._queue.lowest_rank
-        return RateReport(limit, wait, NO_RANK if lowest is None else lowest + 1)
-
     def _can_start(self, now: float) -> bool:
         return len(self._running) < self._concurrency.limit and self._rate.has_turn(now)
 
-    def _make_room_for_turn(
-        self, request: QueuedRequest, now: float
-    ) -> tuple[bool, list[GateEffect]]:
-        """Return whether a new request is refused for the rate limit, and the refusals.
-
-        A request whose turn would come too late displaces a queued one of lower rank, if there is
-        one.
-        """
-        if self._rate.may_wait(len(self._queue), now):
-            return False, []
-        dropped = self._queue.evict_for(request) if self._queue else None
-        if dropped is None:
-            return True, [self._refuse(request.token, RefusalReason.RATE_LIMITED)]
-        return False, [self._refuse(dropped.token, RefusalReason.RATE_LIMITED)]
-
     def _record_start(self, token: int, rank: int, now: float) -> None:
         self._rate.use_turn(now)
         self._refused_fraction = moving_average(self._refused_fraction, 0.0, REFUSAL_WEIGHT)
@@ -288,12 +257,8 @@
             self._threshold.on_queue(self._queued_for_slots())
         return [self._refuse(item.token, RefusalReason.DEADLINE) for item in late]
 
-    def _refuse_without_turn(self, now: float) -> list[GateEffect]:
-        """Refuse requests that others have kept from their turn for too long."""
-        if self._rate.limit is None:
-            return []
-        waiting = self._queue.remove_arrived_before(now - MAX_TURN_WAIT_SECONDS)
-        return [self._refuse(item.token, RefusalReason.RATE_LIMITED) for item in waiting]
+    def _refuse_without_turn(self, dropped: Iterable[QueuedRequest]) -> list[GateEffect]:
+        return [self._refuse(request.token, RefusalReason.RATE_LIMITED) for request in dropped]
 
     def _shed_below_threshold(self) -> list[GateEffect]:
         """Refuse queued requests below the threshold, but keep enough to fill the slots."""
--- a/tests/admission/test_rate_gate.py
+++ b/tests/admission/test_rate_gate.py
@@ -3,8 +3,12 @@
 import random
 
 from finchshed.admission.effects import GateEffect, Refuse, Start
-from finchshed.admission.gate import NO_RANK, Gate
-from finchshed.admission.rate_gate import MAX_TURN_WAIT_SECONDS, PROBE_INTERVAL_SECONDS
+from finchshed.admission.gate import Gate
+from finchshed.admission.rate_gate import (
+    MAX_TURN_WAIT_SECONDS,
+    NO_RANK,
+    PROBE_INTERVAL_SECONDS,
+)
 from finchshed.admission.threshold_rule import ThresholdRule
 from finchshed.common.context import CallContext
 from finchshed.common.importance import Importance
--- a/tests/platform/fake_platform.py
+++ b/tests/platform/fake_platform.py
@@ -404,6 +404,22 @@
         await asyncio.sleep(0.05)
 
 
+async def wait_until_known(running: FakePlatform, *routes: dict[str, Any]) -> None:
+    """Apply routes and wait until each daemon knows every back end and serves ``/look/``."""
+    await running.put_until_accepted(document(3, 0, *routes))
+
+    async def all_known() -> bool:
+        for number, daemon in enumerate(running.daemons):
+            log = daemon.log()
+            if any(f"told of back end {one.instance} of" not in log for one in running.backends):
+                return False
+            if (await running.send_request("/look/early", daemon=number)).status != 200:
+                return False
+        return True
+
+    await wait_until(all_known)
+
+
 @asynccontextmanager
 async def run_platform(
     folder: Path,
--- a/tests/platform/test_crashing_request.py
+++ b/tests/platform/test_crashing_request.py
@@ -12,11 +12,11 @@
 from tests.platform.fake_platform import (
     FakeBackend,
     FakePlatform,
-    document,
     echo,
     route,
     run_platform,
     wait_until,
+    wait_until_known,
 )
 
 ROUTES = (route("/look/", "sales", timeout_s=1), route("/ledger/", "ledger", timeout_s=1))
@@ -59,22 +59,6 @@
         return web.Response()
 
 
-async def wait_until_serving(running: FakePlatform) -> None:
-    """Wait until each daemon knows every back end and serves requests."""
-    await running.put_until_accepted(document(3, 0, *ROUTES))
-
-    async def all_backends_known() -> bool:
-        for number, daemon in enumerate(running.daemons):
-            log = daemon.log()
-            if any(f"told of back end {one.instance} of" not in log for one in running.backends):
-                return False
-            if (await running.send_request("/look/early", daemon=number)).status != 200:
-                return False
-        return True
-
-    await wait_until(all_backends_known)
-
-
 async def send_repeatedly(
     running: FakePlatform, path: Callable[[int], str], pause: float, end_time: float
 ) -> list[tuple[float, int]]:
@@ -98,7 +82,7 @@
     crashes = CrashingService()
     services = ["sales"] * BACKEND_COUNT
     async with run_platform(tmp_path, *services, handlers={"sales": crashes.handler}) as running:
-        await wait_until_serving(running)
+        await wait_until_known(running, *ROUTES)
         end = time.monotonic() + OBSERVATION_SECONDS
         responses, others = await asyncio.gather(
             send_repeatedly(running, lambda _: CRASHING_TARGET, RETRY_SECONDS, end),
@@ -131,7 +115,7 @@
     services = ["sales", "ledger", "ledger", "ledger"]
     handlers = {"sales": call_ledger, "ledger": crashes.handler}
     async with run_platform(tmp_path, *services, handlers=handlers) as running:
-        await wait_until_serving(running)
+        await wait_until_known(running, *ROUTES)
         end = time.monotonic() + OBSERVATION_SECONDS
         responses, others = await asyncio.gather(
             send_repeatedly(running, lambda _: CRASHING_TARGET, RETRY_SECONDS, end),
@@ -149,7 +133,7 @@
     crashes = CrashingService()
     services = ["sales"] * BACKEND_COUNT
     async with run_platform(tmp_path, *services, handlers={"sales": crashes.handler}) as running:
-        await wait_until_serving(running)
+        await wait_until_known(running, *ROUTES)
         for control in running.controls:
             control.stop()
         await asyncio.sleep(CONTROL_LOSS_SECONDS)
@@ -173,7 +157,7 @@
     async with run_platform(
         tmp_path, "sales", "sales", handlers={"sales": crashes.handler}
     ) as running:
-        await wait_until_serving(running)
+        await wait_until_known(running, *ROUTES)
         await asyncio.gather(
             running.send_request(CRASHING_TARGET),
             running.send_request("/look/other", daemon=1, identity="other"),
--- a/tests/platform/test_foreign_heartbeats.py
+++ b/tests/platform/test_foreign_heartbeats.py
@@ -12,7 +12,11 @@
 from hypothesis import strategies as st
 
 from finchshed_platform.heartbeats import read_heartbeat, read_leave
-from tests.platform.fake_platform import FakePlatform, document, route, run_platform, wait_until
+from tests.platform.fake_platform import (
+    route,
+    run_platform,
+    wait_until_known,
+)
 
 ROUTES = (route("/look/", "sales"),)
 WHOLE: dict[str, Any] = {
@@ -100,26 +104,10 @@
     assert heartbeat.born_ms >= 0
 
 
-async def wait_until_serving(running: FakePlatform) -> None:
-    """Apply a configuration and wait until each daemon serves."""
-    await running.put_until_accepted(document(3, 0, *ROUTES))
-
-    async def all_answer() -> bool:
-        for number, daemon in enumerate(running.daemons):
-            log = daemon.log()
-            if any(f"told of back end {one.instance} of" not in log for one in running.backends):
-                return False
-            if (await running.send_request("/look/early", daemon=number)).status != 200:
-                return False
-        return True
-
-    await wait_until(all_answer)
-
-
 # A damaged heartbeat, or one of a service that nobody declared, names no back end to use.
 async def test_heartbeats_of_another_writer_harm_no_request(tmp_path: Path) -> None:
     async with run_platform(tmp_path, "sales", "sales") as running:
-        await wait_until_serving(running)
+        await wait_until_known(running, *ROUTES)
         backend = running.backends[0]
         foreign: list[dict[str, Any] | bytes] = [
             *DAMAGED,
--- a/tests/platform/test_leaving_by_answers.py
+++ b/tests/platform/test_leaving_by_answers.py
@@ -11,11 +11,10 @@
     ZONES,
     FakeBackend,
     FakePlatform,
-    document,
     echo,
     route,
     run_platform,
-    wait_until,
+    wait_until_known,
 )
 from tests.platform.open_loop import SentRequest, send_open_loop, told_at
 
@@ -39,22 +38,6 @@
     return run_platform(folder, *["sales"] * 3, handlers={"sales": work}, zones=ZONES[:1])
 
 
-async def wait_until_serving(running: FakePlatform) -> None:
-    """Apply a configuration and wait until each daemon knows every back end."""
-    await running.put_until_accepted(document(3, 0, *ROUTES))
-
-    async def all_backends_known() -> bool:
-        for number, daemon in enumerate(running.daemons):
-            log = daemon.log()
-            if any(f"told of back end {one.instance} of" not in log for one in running.backends):
-                return False
-            if (await running.send_request("/look/early", daemon=number)).status != 200:
-                return False
-        return True
-
-    await wait_until(all_backends_known)
-
-
 def late_arrivals(
     sent: list[SentRequest], leaving: FakeBackend, daemon_count: int, excused: frozenset[int]
 ) -> list[str]:
@@ -82,7 +65,7 @@
 # A back end whose answers say that it leaves gets nothing new, whatever its heartbeats say.
 async def test_back_end_that_leaves_by_its_answers_gets_nothing_new(tmp_path: Path) -> None:
     async with run_sales(tmp_path) as running:
-        await wait_until_serving(running)
+        await wait_until_known(running, *ROUTES)
         await check(running, LOAD_SECONDS, frozenset())
         assert await running.backends[1].leave() == 200
         assert await running.backends[2].leave() == 200
@@ -93,7 +76,7 @@
 
 async def test_leaving_holds_without_control(tmp_path: Path) -> None:
     async with run_sales(tmp_path) as running:
-        await wait_until_serving(running)
+        await wait_until_known(running, *ROUTES)
         for control in running.controls:
             control.stop()
         await check(running, LOAD_SECONDS, frozenset())
@@ -101,7 +84,7 @@
 
 async def test_leaving_outlives_restarts_of_the_daemon_beside_the_back_end(tmp_path: Path) -> None:
     async with run_sales(tmp_path) as running:
-        await wait_until_serving(running)
+        await wait_until_known(running, *ROUTES)
 
         async def restart() -> None:
             for _ in range(3):
@@ -116,7 +99,7 @@
 
 async def test_leaving_outlives_restarts_without_control(tmp_path: Path) -> None:
     async with run_sales(tmp_path) as running:
-        await wait_until_serving(running)
+        await wait_until_known(running, *ROUTES)
         leaving = running.backends[0]
         leaving.answer_headers["Server-Leaving"] = "1"
         began = time.monotonic()
--- a/tests/platform/test_named_rate_limit.py
+++ b/tests/platform/test_named_rate_limit.py
@@ -8,12 +8,10 @@
 
 from tests.platform.fake_platform import (
     FakeBackend,
-    FakePlatform,
-    document,
     echo,
     route,
     run_platform,
-    wait_until,
+    wait_until_known,
 )
 from tests.platform.open_loop import (
     allowed_in_window,
@@ -51,26 +49,10 @@
     return await echo(backend, request)
 
 
-async def wait_until_serving(running: FakePlatform) -> None:
-    """Apply a configuration and wait until each daemon knows every back end."""
-    await running.put_until_accepted(document(3, 0, *ROUTES))
-
-    async def all_backends_known() -> bool:
-        for number, daemon in enumerate(running.daemons):
-            log = daemon.log()
-            if any(f"told of back end {one.instance} of" not in log for one in running.backends):
-                return False
-            if (await running.send_request("/look/early", daemon=number)).status != 200:
-                return False
-        return True
-
-    await wait_until(all_backends_known)
-
-
 # A back end that names a rate gets at most that rate, summed over all daemons.
 async def test_back_end_gets_no_more_than_the_rate_it_names(tmp_path: Path) -> None:
     async with run_platform(tmp_path, *["sales"] * 3, handlers={"sales": work}) as running:
-        await wait_until_serving(running)
+        await wait_until_known(running, *ROUTES)
         limited = running.backends[0]
         limited.answer_headers["Server-Limit"] = str(NAMED_RATE)
         named_at = time.monotonic()
@@ -86,7 +68,7 @@
 
 async def test_where_all_name_a_rate_the_rest_is_refused_quickly(tmp_path: Path) -> None:
     async with run_platform(tmp_path, *["sales"] * 3, handlers={"sales": work}) as running:
-        await wait_until_serving(running)
+        await wait_until_known(running, *ROUTES)
         for backend in running.backends:
             backend.answer_headers["Server-Limit"] = str(NAMED_RATE)
         named_at = time.monotonic()
@@ -109,7 +91,7 @@
 
 async def test_limit_of_zero_lets_through_only_what_shows_its_end(tmp_path: Path) -> None:
     async with run_platform(tmp_path, *["sales"] * 2, handlers={"sales": work}) as running:
-        await wait_until_serving(running)
+        await wait_until_known(running, *ROUTES)
         limited = running.backends[0]
         limited.answer_headers["Server-Limit"] = "0"
         named_at = time.monotonic()
@@ -126,7 +108,7 @@
 
 async def test_unreadable_rate_harms_no_request(tmp_path: Path) -> None:
     async with run_platform(tmp_path, "sales", "sales", handlers={"sales": work}) as running:
-        await wait_until_serving(running)
+        await wait_until_known(running, *ROUTES)
         for value in ("", "few", "nan", "inf", "-3", "1e999", "9" * 400):
             running.backends[0].answer_headers["Server-Limit"] = value
             sent = await send_open_loop(running, 0.5, LOAD_PER_SECOND)
@@ -144,7 +126,7 @@
     async with run_platform(tmp_path, *["sales"] * 3, handlers={"sales": slow_work}) as running:
         for backend in running.backends:
             backend.slots = 40
-        await wait_until_serving(running)
+        await wait_until_known(running, *ROUTES)
         for backend in running.backends:
             backend.answer_headers["Server-Limit"] = str(NAMED_RATE)
         limited, beside = running.backends[0], running.daemons[0]
--- a/tests/platform/test_restart_under_one_instance.py
+++ b/tests/platform/test_restart_under_one_instance.py
@@ -11,11 +11,11 @@
     ZONES,
     FakeBackend,
     FakePlatform,
-    document,
     echo,
     route,
     run_platform,
     wait_until,
+    wait_until_known,
 )
 from tests.platform.open_loop import send_open_loop
 
@@ -40,22 +40,6 @@
     return run_platform(folder, *["sales"] * 3, handlers={"sales": work}, zones=ZONES[:1])
 
 
-async def wait_until_serving(running: FakePlatform) -> None:
-    """Apply a configuration and wait until each daemon knows every back end."""
-    await running.put_until_accepted(document(3, 0, *ROUTES))
-
-    async def all_backends_known() -> bool:
-        for number, daemon in enumerate(running.daemons):
-            log = daemon.log()
-            if any(f"told of back end {one.instance} of" not in log for one in running.backends):
-                return False
-            if (await running.send_request("/look/early", daemon=number)).status != 200:
-                return False
-        return True
-
-    await wait_until(all_backends_known)
-
-
 async def check_restart(running: FakePlatform, *, is_late: bool) -> None:
     """Restart a back end that is limited and leaves; check that its later run is used in full."""
     restarting = running.backends[0]
@@ -89,19 +73,19 @@
 # A back end that starts again under its name is not taken for the one that left.
 async def test_later_run_is_used_in_full(tmp_path: Path) -> None:
     async with run_sales(tmp_path) as running:
-        await wait_until_serving(running)
+        await wait_until_known(running, *ROUTES)
         await check_restart(running, is_late=False)
 
 
 async def test_late_messages_of_the_earlier_run_change_nothing(tmp_path: Path) -> None:
     async with run_sales(tmp_path) as running:
-        await wait_until_serving(running)
+        await wait_until_known(running, *ROUTES)
         await check_restart(running, is_late=True)
 
 
 async def test_later_run_is_used_in_full_without_control(tmp_path: Path) -> None:
     async with run_sales(tmp_path) as running:
-        await wait_until_serving(running)
+        await wait_until_known(running, *ROUTES)
         for control in running.controls:
             control.stop()
         await check_restart(running, is_late=True)
