A rate limit ends by an answer that was made after it was named

By reading: several requests are at a back end at a time, so an answer made just before it named its limit may come just after the first that names it, and lifted the limit until the next one.

--- a/src/finchshed/daemon/backend/events.py
+++ b/src/finchshed/daemon/backend/events.py
@@ -12,11 +12,15 @@
 
 
 class AnswerEvent(msgspec.Struct, frozen=True, gc=False):
-    """An answer of ``run``, which the call was sent to; ``request`` identifies the call."""
+    """An answer of ``run``, which the call was sent to at ``sent_at``, in monotonic seconds.
+
+    ``request`` identifies the call.
+    """
 
     answer: BackendAnswer
     run: InstanceRun
     request: str
+    sent_at: float
 
 
 class BackendEvents:
--- a/src/finchshed/daemon/backend/rate_limit_monitor.py
+++ b/src/finchshed/daemon/backend/rate_limit_monitor.py
@@ -73,7 +73,7 @@
             self._report_unreadable(event.request, notice.unreadable)
         before = self.requests_per_second
         received_at = event.answer.head_received_at
-        if self._named.on_answer(notice, received_at):
+        if self._named.on_answer(notice, event.sent_at, received_at):
             age_ms = (clock.now() - received_at) * 1000.0
             self._apply(before, f"request {event.request}, {age_ms:.1f} ms ago")
 
--- a/src/finchshed/daemon/serving/backend_runner.py
+++ b/src/finchshed/daemon/serving/backend_runner.py
@@ -164,6 +164,6 @@
             self._events.publish_fault(run, result)
             return
         request = inbound.call.identity or inbound.call.context.root
-        self._events.publish_answer(AnswerEvent(result, run, request))
+        self._events.publish_answer(AnswerEvent(result, run, request, inbound.started))
         if result.ran:
             self._quarantine.on_completed(inbound.signature)
--- a/tests/limit/test_named_rate.py
+++ b/tests/limit/test_named_rate.py
@@ -44,29 +44,40 @@
 
 def test_limit_holds_until_an_answer_names_none() -> None:
     named = NamedRateLimit()
-    assert named.on_answer(RateLimitNotice(5.0), 1.0)
-    assert not named.on_answer(RateLimitNotice(5.0), 2.0)
-    assert named.on_answer(RateLimitNotice(3.0), 3.0)
-    assert named.on_answer(RateLimitNotice(8.0), 4.0)
+    assert named.on_answer(RateLimitNotice(5.0), 1.0, 1.0)
+    assert not named.on_answer(RateLimitNotice(5.0), 2.0, 2.0)
+    assert named.on_answer(RateLimitNotice(3.0), 3.0, 3.0)
+    assert named.on_answer(RateLimitNotice(8.0), 4.0, 4.0)
     assert named.requests_per_second == 8.0
-    assert named.on_answer(NO_LIMIT_NAMED, 5.0)
+    assert named.on_answer(NO_LIMIT_NAMED, 5.0, 5.0)
     assert named.requests_per_second is None
 
 
 def test_answer_that_began_earlier_does_not_revert_the_limit() -> None:
     named = NamedRateLimit()
-    named.on_answer(RateLimitNotice(5.0), 2.0)
-    assert not named.on_answer(NO_LIMIT_NAMED, 1.0)
-    assert not named.on_answer(RateLimitNotice(50.0), 1.5)
+    named.on_answer(RateLimitNotice(5.0), 2.0, 2.0)
+    assert not named.on_answer(NO_LIMIT_NAMED, 1.0, 1.0)
+    assert not named.on_answer(RateLimitNotice(50.0), 1.5, 1.5)
     assert named.requests_per_second == 5.0
 
 
+def test_answer_to_a_request_sent_before_the_limit_was_named_does_not_end_it() -> None:
+    named = NamedRateLimit()
+    named.on_answer(RateLimitNotice(5.0), 1.0, 2.0)
+    assert not named.on_answer(NO_LIMIT_NAMED, 1.9, 2.1)
+    assert named.requests_per_second == 5.0
+    named.on_answer(RateLimitNotice(5.0), 1.9, 2.2)
+    assert not named.on_answer(NO_LIMIT_NAMED, 2.1, 2.3)
+    assert named.on_answer(NO_LIMIT_NAMED, 2.2, 2.4)
+    assert named.requests_per_second is None
+
+
 def test_unreadable_value_changes_nothing() -> None:
     named = NamedRateLimit()
-    assert not named.on_answer(read_rate_limit([b"few"]), 1.0)
+    assert not named.on_answer(read_rate_limit([b"few"]), 1.0, 1.0)
     assert named.requests_per_second is None
-    named.on_answer(RateLimitNotice(5.0), 2.0)
-    assert not named.on_answer(read_rate_limit([b"nan"]), 3.0)
+    named.on_answer(RateLimitNotice(5.0), 2.0, 2.0)
+    assert not named.on_answer(read_rate_limit([b"nan"]), 3.0, 3.0)
     assert named.requests_per_second == 5.0
 
 
@@ -76,15 +87,15 @@
     assert named.on_caller(4.0)
     assert not named.on_caller(9.0)
     assert named.requests_per_second == 4.0
-    assert named.on_answer(NO_LIMIT_NAMED, 1.0)
+    assert named.on_answer(NO_LIMIT_NAMED, 1.0, 1.0)
     assert not named.on_caller(4.0)
     assert named.requests_per_second is None
 
 
 def test_new_run_of_the_back_end_starts_without_a_limit() -> None:
     named = NamedRateLimit()
-    named.on_answer(RateLimitNotice(5.0), 10.0)
+    named.on_answer(RateLimitNotice(5.0), 10.0, 10.0)
     assert named.on_new_run()
     assert named.requests_per_second is None
-    assert named.on_answer(RateLimitNotice(2.0), 10.0)
+    assert named.on_answer(RateLimitNotice(2.0), 10.0, 10.0)
     assert not NamedRateLimit().on_new_run()
