The wait for a turn is predicted by the turns left, not by the time between them

By reading: a request with 0.6 s left at a back end that names 0.5 a second was refused `deadline`, 0.2 s before its turn, since the gate took the 2 s between turns for its wait; `deadline` isn't tried elsewhere, so it was lost where another back end was free. tests/admission/test_rate_gate.py has the case, which failed. The prediction and the reported queueing delay now take the later of the slots' and the turns' time.

--- a/src/finchshed/admission/gate.py
+++ b/src/finchshed/admission/gate.py
@@ -181,7 +181,7 @@
         queued = len(self._queue)
         return LoadReport(
             threshold=self._threshold.value,
-            queue_delay=queued * self._seconds_per_finish(),
+            queue_delay=self._expected_wait(queued - 1, now) if queued else 0.0,
             in_flight=len(self._running) + queued,
             limit=self._concurrency.limit,
             paths=paths,
@@ -217,7 +217,7 @@
         )
 
     def _enqueue(self, request: QueuedRequest, now: float) -> list[GateEffect]:
-        wait = (self._queue.count_ahead(request) + 1) * self._seconds_per_finish()
+        wait = self._expected_wait(self._queue.count_ahead(request), now)
         if now + wait + self._concurrency.mean_latency > request.deadline:
             return [self._refuse(request.token, RefusalReason.DEADLINE)]
         effects: list[GateEffect] = []
@@ -271,8 +271,11 @@
         return [self._refuse(item.token, RefusalReason.OVERLOAD) for item in below]
 
     def _seconds_per_finish(self) -> float:
-        per_slot = self._concurrency.mean_latency / self._concurrency.limit
-        return max(per_slot, self._rate.seconds_per_turn)
+        return self._concurrency.mean_latency / self._concurrency.limit
+
+    def _expected_wait(self, ahead: int, now: float) -> float:
+        """Return the time until a request with ``ahead`` others before it starts, seconds."""
+        return max((ahead + 1) * self._seconds_per_finish(), self._rate.wait(ahead, now))
 
     def _update_threshold(self, now: float) -> None:
         if self._concurrency.mean_latency <= 0.0:
--- a/src/finchshed/admission/rate_gate.py
+++ b/src/finchshed/admission/rate_gate.py
@@ -22,7 +22,6 @@
 PROBE_INTERVAL_SECONDS = 5.0
 """Interval between requests that show whether a limit near 0 still holds."""
 
-
 NO_RANK = RANKS + 1
 """Threshold that not even calls of admitted requests reach."""
 
@@ -67,11 +66,6 @@
             dropped.append(self._queue.pop_lowest())
         return dropped
 
-    @property
-    def seconds_per_turn(self) -> float:
-        """Time between two turns, or 0 without a limit."""
-        return 0.0 if self._bucket is None else 1.0 / self._bucket.rate
-
     def has_turn(self, now: float) -> bool:
         """Return whether a request may start."""
         return self._bucket is None or self._bucket.level(now) >= 1.0
@@ -81,6 +75,10 @@
         if self._bucket is not None:
             self._bucket.take(1, now)
 
+    def wait(self, queued: int, now: float) -> float:
+        """Return the seconds until a request behind ``queued`` others has its turn."""
+        return 0.0 if self._bucket is None else self._bucket.seconds_until(queued + 1.0, now)
+
     def make_room(self, request: QueuedRequest, now: float) -> QueuedRequest | None:
         """Return the request to refuse so that ``request`` may wait for its turn, or None.
 
@@ -101,15 +99,11 @@
         """Return what callers need to know of the limit; None without one."""
         if self.limit is None:
             return None
-        wait = max(0.0, self._wait(len(self._queue), now) - MAX_TURN_WAIT_SECONDS)
+        wait = max(0.0, self.wait(len(self._queue), now) - MAX_TURN_WAIT_SECONDS)
         if not wait:
             return RateReport(self.limit)
         lowest = self._queue.lowest_rank
         return RateReport(self.limit, wait, NO_RANK if lowest is None else lowest + 1)
 
-    def _wait(self, queued: int, now: float) -> float:
-        """Return the seconds until a request behind ``queued`` others has its turn."""
-        return 0.0 if self._bucket is None else self._bucket.seconds_until(queued + 1.0, now)
-
     def _may_wait(self, queued: int, now: float) -> bool:
-        return self._wait(queued, now) <= MAX_TURN_WAIT_SECONDS
+        return self.wait(queued, now) <= MAX_TURN_WAIT_SECONDS
--- a/tests/admission/test_rate_gate.py
+++ b/tests/admission/test_rate_gate.py
@@ -158,3 +158,14 @@
     load = Load(make_gate(), 20.0, 0.0)
     load.run(4.0 * PROBE_INTERVAL_SECONDS, (Importance.NORMAL,))
     assert 3 <= len(load.starts) <= 6
+
+
+def test_wait_for_a_turn_is_not_estimated_by_the_time_between_turns() -> None:
+    gate = make_gate()
+    gate.set_rate_limit(0.5, 0.0)
+    assert gate.arrive(1, context(), 0.0) == [Start(1)]
+    gate.finish(1, CallResult.OK, 0.1)
+    short = CallContext(root="r2", importance=Importance.NORMAL, remaining_seconds=0.6)
+    assert gate.arrive(2, short, 1.8) == []
+    assert gate.load_report(1.8).queue_delay < 0.25
+    assert gate.tick(2.01) == [Start(2)]
