Soak: what a back end named ends with its run; shared handlers; an import that moved

Its logs show that the back end had stopped naming it: a series had named a limit while that back end was down, the start cleared it, and the end of that series' time took away the limit that another one had named since, whose time the checker still counted. A limit is named only by a back end that runs and taken away only by who named it in the same run; the check itself is as it was.

Handlers that work for a time stand once.

--- a/tests/forms/names.py
+++ b/tests/forms/names.py
@@ -16,7 +16,7 @@
 import msgspec
 from google.protobuf import descriptor_pb2, text_format
 
-from finchshed.__main__ import run
+from finchshed.cli.main import run
 from finchshed.cli.table import PROGRAMS
 from finchshed.common import context
 from finchshed.daemon.header_names import HeaderNames
--- a/tests/platform/fake_platform.py
+++ b/tests/platform/fake_platform.py
@@ -149,6 +149,11 @@
             await self._stop_serving()
         await self.session.close()
 
+    @property
+    def is_running(self) -> bool:
+        """Whether it serves requests."""
+        return self._runner is not None
+
     def crash(self, down_seconds: float) -> None:
         """Abort all connections and stop; a new instance starts after ``down_seconds``."""
         if self._runner is None:
@@ -267,6 +272,16 @@
     return web.Response(body=text + body)
 
 
+def working(seconds: float) -> Handler:
+    """Return a handler that responds like ``echo`` after a time."""
+
+    async def work(backend: FakeBackend, request: web.Request) -> web.Response:
+        await asyncio.sleep(seconds)
+        return await echo(backend, request)
+
+    return work
+
+
 @dataclass(frozen=True)
 class ClientResponse:
     """Response to a client request; header names are in lower case, status 0 means none."""
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -18,18 +18,16 @@
 from pathlib import Path
 from typing import Any
 
-from aiohttp import web
-
 from tests.platform.fake_platform import (
     ZONES,
     FakeBackend,
     FakePlatform,
     Machine,
     document,
-    echo,
     route,
     run_platform,
     wait_until,
+    working,
 )
 from tests.platform.open_loop import (
     LEARNING_SECONDS,
@@ -61,6 +59,11 @@
     ended: float = float("inf")
     rate: float = 0.0
 
+    @property
+    def is_over(self) -> bool:
+        """Whether the back end names it no more."""
+        return self.ended < float("inf")
+
 
 @dataclass
 class Soak:
@@ -93,11 +96,6 @@
         return max(times, default=float("-inf"))
 
 
-async def work(backend: FakeBackend, request: web.Request) -> web.Response:
-    await asyncio.sleep(WORK_SECONDS)
-    return await echo(backend, request)
-
-
 async def restart_machine(machine: Machine, number: signal.Signals) -> None:
     """End a process by a signal and start it again."""
     machine.signal(number)
@@ -140,15 +138,17 @@
 
 async def name_limit(soak: Soak) -> None:
     backend = soak.rng.choice(soak.running.backends)
-    if "Server-Limit" in backend.answer_headers:
+    if "Server-Limit" in backend.answer_headers or not backend.is_running:
         return
     rate = soak.rng.choice((0.0, 0.7, 3.4, 8.0))
     period = NamedPeriod(backend, time.monotonic(), rate=rate)
     backend.answer_headers["Server-Limit"] = str(rate)
     soak.limits.append(period)
     await asyncio.sleep(soak.rng.uniform(3.0, 7.0))
-    period.ended = min(period.ended, time.monotonic())
-    backend.answer_headers.pop("Server-Limit", None)
+    if period.is_over:
+        return  # the run ended meanwhile, and a later one may name its own limit
+    period.ended = time.monotonic()
+    del backend.answer_headers["Server-Limit"]
 
 
 def end_run(soak: Soak, backend: FakeBackend) -> None:
@@ -167,11 +167,14 @@
 
 async def leave(soak: Soak) -> None:
     backend = soak.rng.choice(soak.running.backends)
-    if "Server-Leaving" in backend.answer_headers:
+    if "Server-Leaving" in backend.answer_headers or not backend.is_running:
         return
-    soak.leaves.append(NamedPeriod(backend, time.monotonic()))
+    period = NamedPeriod(backend, time.monotonic())
+    soak.leaves.append(period)
     backend.answer_headers["Server-Leaving"] = "1"
     await asyncio.sleep(soak.rng.uniform(3.0, 5.0))
+    if period.is_over:
+        return  # it crashed meanwhile
     backend.keeps_instance = soak.rng.random() < 0.7
     end_run(soak, backend)
     backend.crash(soak.rng.uniform(0.1, 1.0))
@@ -285,7 +288,8 @@
             most = sum(end - WINDOW_SECONDS <= at <= end for at in counted)
             is_checked = end >= period.began + LEARNING_SECONDS
             if is_checked and most > allowed_in_window(period.rate):
-                found.append(f"limit {period.rate}: {most} requests in a window")
+                name = period.backend.instance
+                found.append(f"limit {period.rate} of {name}: {most} requests in a window")
                 break
     return found
 
@@ -346,7 +350,9 @@
     count = rng.choice((3, 4, 6))
     zones = ZONES[: rng.choice((1, 3))]
     services = ["sales"] * count
-    async with run_platform(folder, *services, handlers={"sales": work}, zones=zones) as running:
+    async with run_platform(
+        folder, *services, handlers={"sales": working(WORK_SECONDS)}, zones=zones
+    ) as running:
         soak = Soak(running, rng)
         await running.put_until_accepted(document(3, 0, *ROUTES))
         await wait_until_calm(soak)
--- a/tests/platform/test_leaving_by_answers.py
+++ b/tests/platform/test_leaving_by_answers.py
@@ -5,16 +5,14 @@
 from contextlib import AbstractAsyncContextManager
 from pathlib import Path
 
-from aiohttp import web
-
 from tests.platform.fake_platform import (
     ZONES,
     FakeBackend,
     FakePlatform,
-    echo,
     route,
     run_platform,
     wait_until_known,
+    working,
 )
 from tests.platform.open_loop import SentRequest, send_open_loop, told_at
 
@@ -28,14 +26,11 @@
 MIN_SERVED_RATIO = 0.98
 
 
-async def work(backend: FakeBackend, request: web.Request) -> web.Response:
-    await asyncio.sleep(WORK_SECONDS)
-    return await echo(backend, request)
-
-
 def run_sales(folder: Path) -> AbstractAsyncContextManager[FakePlatform]:
     """Run three back ends of one service in one zone, so that every daemon calls each of them."""
-    return run_platform(folder, *["sales"] * 3, handlers={"sales": work}, zones=ZONES[:1])
+    return run_platform(
+        folder, *["sales"] * 3, handlers={"sales": working(WORK_SECONDS)}, zones=ZONES[:1]
+    )
 
 
 def late_arrivals(
--- a/tests/platform/test_named_rate_limit.py
+++ b/tests/platform/test_named_rate_limit.py
@@ -4,14 +4,11 @@
 import time
 from pathlib import Path
 
-from aiohttp import web
-
 from tests.platform.fake_platform import (
-    FakeBackend,
-    echo,
     route,
     run_platform,
     wait_until_known,
+    working,
 )
 from tests.platform.open_loop import (
     allowed_in_window,
@@ -44,14 +41,11 @@
 RESTART_LOAD_SECONDS = 11.0
 
 
-async def work(backend: FakeBackend, request: web.Request) -> web.Response:
-    await asyncio.sleep(WORK_SECONDS)
-    return await echo(backend, request)
-
-
 # A back end that names a rate gets at most that rate, summed over all daemons.
 async def test_back_end_gets_no_more_than_the_rate_it_names(tmp_path: Path) -> None:
-    async with run_platform(tmp_path, *["sales"] * 3, handlers={"sales": work}) as running:
+    async with run_platform(
+        tmp_path, *["sales"] * 3, handlers={"sales": working(WORK_SECONDS)}
+    ) as running:
         await wait_until_known(running, *ROUTES)
         limited = running.backends[0]
         limited.answer_headers["Server-Limit"] = str(NAMED_RATE)
@@ -67,7 +61,9 @@
 
 
 async def test_where_all_name_a_rate_the_rest_is_refused_quickly(tmp_path: Path) -> None:
-    async with run_platform(tmp_path, *["sales"] * 3, handlers={"sales": work}) as running:
+    async with run_platform(
+        tmp_path, *["sales"] * 3, handlers={"sales": working(WORK_SECONDS)}
+    ) as running:
         await wait_until_known(running, *ROUTES)
         for backend in running.backends:
             backend.answer_headers["Server-Limit"] = str(NAMED_RATE)
@@ -90,7 +86,9 @@
 
 
 async def test_limit_of_zero_lets_through_only_what_shows_its_end(tmp_path: Path) -> None:
-    async with run_platform(tmp_path, *["sales"] * 2, handlers={"sales": work}) as running:
+    async with run_platform(
+        tmp_path, *["sales"] * 2, handlers={"sales": working(WORK_SECONDS)}
+    ) as running:
         await wait_until_known(running, *ROUTES)
         limited = running.backends[0]
         limited.answer_headers["Server-Limit"] = "0"
@@ -107,7 +105,9 @@
 
 
 async def test_unreadable_rate_harms_no_request(tmp_path: Path) -> None:
-    async with run_platform(tmp_path, "sales", "sales", handlers={"sales": work}) as running:
+    async with run_platform(
+        tmp_path, "sales", "sales", handlers={"sales": working(WORK_SECONDS)}
+    ) as running:
         await wait_until_known(running, *ROUTES)
         for value in ("", "few", "nan", "inf", "-3", "1e999", "9" * 400):
             running.backends[0].answer_headers["Server-Limit"] = value
@@ -119,11 +119,9 @@
 
 # A daemon that starts again beside a limited back end learns the limit from those who call it.
 async def test_limit_outlives_restarts_of_the_daemon_beside_the_back_end(tmp_path: Path) -> None:
-    async def slow_work(backend: FakeBackend, request: web.Request) -> web.Response:
-        await asyncio.sleep(SLOW_WORK_SECONDS)
-        return await echo(backend, request)
-
-    async with run_platform(tmp_path, *["sales"] * 3, handlers={"sales": slow_work}) as running:
+    async with run_platform(
+        tmp_path, *["sales"] * 3, handlers={"sales": working(SLOW_WORK_SECONDS)}
+    ) as running:
         for backend in running.backends:
             backend.slots = 40
         await wait_until_known(running, *ROUTES)
--- a/tests/platform/test_restart_under_one_instance.py
+++ b/tests/platform/test_restart_under_one_instance.py
@@ -5,17 +5,14 @@
 from contextlib import AbstractAsyncContextManager
 from pathlib import Path
 
-from aiohttp import web
-
 from tests.platform.fake_platform import (
     ZONES,
-    FakeBackend,
     FakePlatform,
-    echo,
     route,
     run_platform,
     wait_until,
     wait_until_known,
+    working,
 )
 from tests.platform.open_loop import send_open_loop
 
@@ -30,14 +27,11 @@
 """Fraction of each daemon's requests that one of three equal back ends gets at least."""
 
 
-async def work(backend: FakeBackend, request: web.Request) -> web.Response:
-    await asyncio.sleep(WORK_SECONDS)
-    return await echo(backend, request)
-
-
 def run_sales(folder: Path) -> AbstractAsyncContextManager[FakePlatform]:
     """Run three equal back ends of one service in one zone."""
-    return run_platform(folder, *["sales"] * 3, handlers={"sales": work}, zones=ZONES[:1])
+    return run_platform(
+        folder, *["sales"] * 3, handlers={"sales": working(WORK_SECONDS)}, zones=ZONES[:1]
+    )
 
 
 async def check_restart(running: FakePlatform, *, is_late: bool) -> None:
