--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -217,9 +217,9 @@
         await act(soak)
 
 
-async def restart_ended(soak: Soak, end: float) -> None:
-    """Start processes again that ended by themselves, as the platform does, until ``end``."""
-    while time.monotonic() < end:
+async def restart_ended(soak: Soak) -> None:
+    """Start processes again that ended by themselves, as the platform does, until cancelled."""
+    while True:
         await asyncio.sleep(0.3)
         for machine in (*soak.running.daemons, *soak.running.controls):
             if soak.lock(machine).locked() or machine.process is None:
@@ -358,19 +358,20 @@
         await wait_until_calm(soak)
         end = time.monotonic() + SOAK_SECONDS
         series = [play_series(soak, end) for _ in range(SERIES)]
-        supervision = restart_ended(soak, end + 1.0)
-        await asyncio.gather(send_requests(soak, end), supervision, *series)
+        supervision = asyncio.create_task(restart_ended(soak))
+        await asyncio.gather(send_requests(soak, end), *series)
+        found = [*limit_violations(soak), *leave_violations(soak), *request_violations(soak)]
+        try:
+            await wait_until_calm(soak)
+        except AssertionError:
+            found.append(f"not every daemon serves {SETTLE_SECONDS} s after the end")
+        supervision.cancel()
         # The interpreter itself ends by a reload signal before it has begun to run the program.
-        found = [
+        found += [
             f"{count} processes ended by themselves, code {code}"
             for code, count in soak.ends.items()
             if code != -signal.SIGHUP
         ]
-        found += [*limit_violations(soak), *leave_violations(soak), *request_violations(soak)]
-        try:
-            await wait_until_calm(soak)
-        except AssertionError:
-            found.append(f"not every daemon serves {SETTLE_SECONDS} s after the end")
         return found, soak
 
 
@@ -389,7 +390,7 @@
         print(
             f"seed {seed}: {len(soak.sent)} requests {dict(statuses)},"
             f" {sum(soak.acts.values())} acts, {len(soak.limits)} limits,"
-            f" {len(soak.leaves)} leaves, {len(found)} violations",
+            f" {len(soak.leaves)} leaves, ends {dict(soak.ends)}, {len(found)} violations",
             flush=True,
         )
         for violation in found[:10]:
