--- a/src/finchshed/consensus/effects.py
+++ b/src/finchshed/consensus/effects.py
@@ -36,6 +36,18 @@
     WOULD_LOSE_QUORUM = "would_lose_quorum"
 
 
+class PromotionBlock(enum.StrEnum):
+    """Why a node that is to become a voter is not one yet."""
+
+    LEADER_NOT_READY = "the leader has committed no entry of its term yet"
+    CHANGE_IN_PROGRESS = "another membership change is not committed yet"
+    EARLIER_INCARNATION_RESPONDS = "an earlier incarnation of its name still responds"
+    SILENT = "it does not respond"
+    CATCHING_UP = "it has not caught up with the log"
+    WOULD_LOSE_QUORUM = "too few of the other voters respond and hold the log"
+    NEXT_CHECK = "nothing; the leader's next check goes on"
+
+
 class SendEnvelope(msgspec.Struct, frozen=True):
     """Send a message to an address. It may be lost, duplicated or reordered."""
 
@@ -121,6 +133,13 @@
     membership: Membership
 
 
+class PromotionBlocked(msgspec.Struct, frozen=True):
+    """A node is still not a voter, for a new ``block``; reported at the leader."""
+
+    identity: NodeIdentity
+    block: PromotionBlock
+
+
 Effect: TypeAlias = (
     SendEnvelope
     | PersistWrite
@@ -134,4 +153,5 @@
     | ReadFailed
     | RoleChanged
     | MembershipChanged
+    | PromotionBlocked
 )
--- a/src/finchshed/consensus/node.py
+++ b/src/finchshed/consensus/node.py
@@ -13,6 +13,7 @@
     formation,
     membership_changes,
     message_dispatch,
+    promotion_blocks,
     read_index,
     repair,
     replication,
@@ -181,6 +182,12 @@
             return []
         return [self._status_of(leader_state, member) for member in self.membership.members]
 
+    @property
+    def leader_check_age_seconds(self) -> float:
+        """Time since this node last checked its quorum and members as the leader, else 0."""
+        leader_state = self._state.leader_state
+        return 0.0 if leader_state is None else self._state.now - leader_state.checked_at
+
     def next_delay(self) -> float:
         """Return the maximum delay in seconds until the next :class:`Tick`."""
         state = self._state
@@ -282,6 +289,8 @@
         if state.now >= leader_state.heartbeat_due:
             replication.send_heartbeats(state, leader_state)
         repair.append_next_change(state, leader_state)
+        promotion_blocks.report_promotion_blocks(state, leader_state)
+        leader_state.checked_at = state.now
 
     def _status_of(self, leader_state: LeaderState, member: Member) -> MemberStatus:
         progress = leader_state.progress.get(member.identity)
--- a/src/finchshed/consensus/repair.py
+++ b/src/finchshed/consensus/repair.py
@@ -46,12 +46,12 @@
 
 def _next_step(state: NodeState, leader_state: LeaderState) -> Membership | None:
     for announcement in state.announcements.values():
-        target = _with_new_incarnation(state, leader_state, announcement)
+        target = with_new_incarnation(state, leader_state, announcement)
         if target is not None:
             return target
     for member in state.membership.members:
         if member.role is MemberRole.LEARNER:
-            target = _with_learner_promoted(state, leader_state, member)
+            target = with_learner_promoted(state, leader_state, member)
             if target is not None:
                 return target
     ready = _ready_learners(state, leader_state)
@@ -67,12 +67,11 @@
     return [
         member
         for member in state.membership.members
-        if member.role is MemberRole.LEARNER
-        and _has_caught_up(state, leader_state, member.identity)
+        if member.role is MemberRole.LEARNER and has_caught_up(state, leader_state, member.identity)
     ]
 
 
-def _with_new_incarnation(
+def with_new_incarnation(
     state: NodeState, leader_state: LeaderState, announcement: Announcement
 ) -> Membership | None:
     """Return the membership with a new incarnation of an unresponsive member, or None."""
@@ -97,7 +96,7 @@
     return membership.with_member(learner)
 
 
-def _with_learner_promoted(
+def with_learner_promoted(
     state: NodeState, leader_state: LeaderState, learner: Member
 ) -> Membership | None:
     """Return the membership with ``learner`` promoted or removed, or None if it must wait."""
@@ -107,9 +106,9 @@
         for member in state.membership.members_named(identity.name)
         if member.identity != identity and member.role is MemberRole.VOTER
     ]
-    if any(_is_responsive(state, leader_state, member.identity) for member in earlier):
+    if any(is_responsive(state, leader_state, member.identity) for member in earlier):
         return _without_silent_learner(state, leader_state, identity)
-    if not learner.promote or not _has_caught_up(state, leader_state, identity):
+    if not learner.promote or not has_caught_up(state, leader_state, identity):
         return None
     voter = Member(identity, learner.address, MemberRole.VOTER, zone=learner.zone)
     membership = state.membership.with_member(voter)
@@ -132,13 +131,14 @@
 
     An announcement older than the last response is stale and must not supersede the member.
     """
-    if _is_responsive(state, leader_state, identity):
+    if is_responsive(state, leader_state, identity):
         return True
     progress = leader_state.progress.get(identity)
     return progress is not None and progress.last_heard >= announcement.received_at
 
 
-def _is_responsive(state: NodeState, leader_state: LeaderState, identity: NodeIdentity) -> bool:
+def is_responsive(state: NodeState, leader_state: LeaderState, identity: NodeIdentity) -> bool:
+    """Whether a member replied within the minimum election timeout."""
     if identity == state.identity:
         return True
     progress = leader_state.progress.get(identity)
@@ -146,11 +146,12 @@
     return progress is not None and progress.last_heard >= since
 
 
-def _has_caught_up(state: NodeState, leader_state: LeaderState, identity: NodeIdentity) -> bool:
+def has_caught_up(state: NodeState, leader_state: LeaderState, identity: NodeIdentity) -> bool:
+    """Whether a responsive member is within the promotion lag of the leader's log."""
     progress = leader_state.progress.get(identity)
     lag = state.options.promotion_lag_entries
     return (
         progress is not None
-        and _is_responsive(state, leader_state, identity)
+        and is_responsive(state, leader_state, identity)
         and progress.match_index >= state.log.last_index - lag
     )
--- a/src/finchshed/consensus/state.py
+++ b/src/finchshed/consensus/state.py
@@ -8,7 +8,13 @@
 
 from finchshed.common.errors import InvariantError
 from finchshed.consensus.clock import SteadyClock
-from finchshed.consensus.effects import Effect, RaftRole, RoleChanged, SendEnvelope
+from finchshed.consensus.effects import (
+    Effect,
+    PromotionBlock,
+    RaftRole,
+    RoleChanged,
+    SendEnvelope,
+)
 from finchshed.consensus.identity import NodeIdentity
 from finchshed.consensus.log import RaftLog
 from finchshed.consensus.membership import InitialMember, Membership
@@ -67,11 +73,23 @@
     zone: str = ""
 
 
+@dataclass
+class ReportedBlock:
+    """Why a node is not a voter yet, as last reported, and the time of that report."""
+
+    block: PromotionBlock
+    reported_at: float
+
+
 @dataclass
 class LeaderState:
-    """Leader-only state, discarded when leadership ends."""
+    """Leader-only state, discarded when leadership ends.
+
+    ``checked_at`` is the time at which the leader last checked its quorum and members.
+    """
 
     term_start_index: int
+    checked_at: float
     progress: dict[NodeIdentity, Progress] = field(default_factory=dict)
     proposals: dict[int, int] = field(default_factory=dict)
     reads: list[PendingRead] = field(default_factory=list)
@@ -80,6 +98,7 @@
     quorum_check_due: float = 0.0
     transfer: Transfer | None = None
     pending_change: PendingChange | None = None
+    reported_blocks: dict[NodeIdentity, ReportedBlock] = field(default_factory=dict)
 
 
 @dataclass
--- a/src/finchshed/control/raft/group_observer.py
+++ b/src/finchshed/control/raft/group_observer.py
@@ -7,7 +7,7 @@
 
 from loguru import logger
 
-from finchshed.consensus.effects import MembershipChanged, RoleChanged
+from finchshed.consensus.effects import MembershipChanged, PromotionBlocked, RoleChanged
 from finchshed.consensus.membership import Membership
 from finchshed.control.raft import metrics
 from finchshed.control.raft.member_changes import count_members, describe_change
@@ -36,6 +36,10 @@
         counts = count_members(changed.membership)
         logger.info("membership at log index {}: {}; {}", changed.index, counts, change)
 
+    def on_promotion_blocked(self, blocked: PromotionBlocked) -> None:
+        """Record why a node is not a voter yet."""
+        logger.info("{} is not a voter yet: {}", blocked.identity, blocked.block)
+
     async def wait_for_role_change(self, timeout_seconds: float) -> None:
         """Return when the role or known leader changes, or after the timeout."""
         changed = self._role_changed
--- a/src/finchshed/control/raft/host.py
+++ b/src/finchshed/control/raft/host.py
@@ -23,6 +23,7 @@
     Committed,
     Effect,
     MembershipChanged,
+    PromotionBlocked,
     RaftRole,
     ReadFailed,
     ReadReady,
@@ -247,6 +248,8 @@
                 self._observer.on_role_changed(effect)
             case MembershipChanged():
                 self._observer.on_membership_changed(effect)
+            case PromotionBlocked():
+                self._observer.on_promotion_blocked(effect)
 
     def _submit(self, make_event: EventFactory) -> Outcome:
         token, outcome = self._pending.add()
--- a/src/finchshed/control/raft/metrics.py
+++ b/src/finchshed/control/raft/metrics.py
@@ -22,6 +22,10 @@
 IS_LEADER = Gauge("finchshed_control_is_leader", "1 where this node leads")
 HAS_LEADER = Gauge("finchshed_control_has_leader", "1 where a leader is known")
 COMMIT_INDEX = Gauge("finchshed_control_commit_index", "Last entry known to be committed")
+LEADER_CHECK_AGE_SECONDS = Gauge(
+    "finchshed_control_leader_check_age_seconds",
+    "Time since the leader last checked its quorum and members; 0 elsewhere",
+)
 DISK_FULL = Gauge("finchshed_control_disk_full", "1 while writes wait for room")
 JOURNAL_BYTES = Gauge("finchshed_control_journal_bytes", "Size of the journal file")
 
@@ -32,5 +36,6 @@
     IS_LEADER.set(node.role is RaftRole.LEADER)
     HAS_LEADER.set(node.leader is not None)
     COMMIT_INDEX.set(node.commit_index)
+    LEADER_CHECK_AGE_SECONDS.set(node.leader_check_age_seconds)
     DISK_FULL.set(node.disk_full)
     JOURNAL_BYTES.set(journal_bytes)
--- a/tests/consensus/broken_variants.py
+++ b/tests/consensus/broken_variants.py
@@ -112,7 +112,7 @@
     state.vote = vote
 
 
-WITH_LEARNER_PROMOTED = repair._with_learner_promoted
+WITH_LEARNER_PROMOTED = repair.with_learner_promoted
 KEEPS_HEALTHY_MAJORITY = membership_changes.keeps_healthy_majority
 
 
@@ -185,7 +185,7 @@
         first_seed=21,
     ),
     "old incarnation removed before the new is a voter": BrokenVariant(
-        "second-loss", repair, "_with_learner_promoted", remove_then_promote, first_seed=11
+        "second-loss", repair, "with_learner_promoted", remove_then_promote, first_seed=11
     ),
     "superseded incarnation still counted": BrokenVariant(
         "replaced-while-cut",
