--- a/src/finchshed/http/connection.py
+++ b/src/finchshed/http/connection.py
@@ -221,16 +221,29 @@
         exchange.release(self._owner.spool)
         closes = exchange.closes or self._owner.closing or not response.has_length
         is_head = exchange.request.method == "HEAD"
-        self._transport.write(encode_response(response, is_head=is_head, closes=closes))
+        data = encode_response(response, is_head=is_head, closes=closes)
         if closes:
-            self._end_sending(is_lingering=not exchange.is_whole or self._has_more())
-            self._drop_queued()
+            self._send_last(data, exchange, is_delimited_by_end=not response.has_length)
             return
+        self._transport.write(data)
         if not self._is_advancing:
             self._advance()
         if self._answering is None and self._unparsed:
             self._parse_buffered()
 
+    def _send_last(
+        self, data: bytes, exchange: Exchange[RequestT], *, is_delimited_by_end: bool
+    ) -> None:
+        """Send the last answer of the connection, and end the connection."""
+        assert self._transport is not None
+        is_lingering = not exchange.is_whole or self._has_more()
+        if is_delimited_by_end:
+            self._send_delimited_by_end(data, is_lingering=is_lingering)
+        else:
+            self._transport.write(data)
+            self._end_sending(is_lingering=is_lingering)
+        self._drop_queued()
+
     def _parse_buffered(self) -> None:
         pending, self._unparsed = self._unparsed, []
         self._resume_reading()
--- a/src/finchshed/http/transport.py
+++ b/src/finchshed/http/transport.py
@@ -1,6 +1,14 @@
 """Transport side of an HTTP connection: unsent data, pauses of reading, and ways of closing."""
 
 import asyncio
+import socket
+import struct
+
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""``struct linger`` with a timeout of zero: a close resets the connection (socket(7))."""
+
+_DELIVER_ON_CLOSE = struct.pack("ii", 0, 0)
+"""``struct linger`` that is off: after a close the kernel delivers what it was given."""
 
 
 class ConnectionTransport(asyncio.Protocol):
@@ -9,7 +17,7 @@
     Attributes
     ----------
     is_lingering
-        Whether sending has ended; data that is still received is discarded.
+        Whether the last answer was written; data that is still received is discarded.
     unsent_bytes
         Unsent bytes at the last sweep of the server.
     """
@@ -19,6 +27,7 @@
         self._is_paused = False
         self.is_lingering = False
         self.unsent_bytes = 0
+        self._ends_once_sent: bool | None = None
 
     def write_buffer_size(self) -> int:
         """Return the number of unsent bytes."""
@@ -31,9 +40,14 @@
 
     def abort(self) -> None:
         """Close the connection immediately, discarding queued data."""
+        self._ends_once_sent = None
         if self._transport is not None:
             self._transport.abort()
 
+    def resume_writing(self) -> None:
+        """End an answer delimited by the connection's end, once it is sent (asyncio callback)."""
+        self._end_if_sent()
+
     def _pause_reading(self) -> None:
         if self._transport is not None and not self._is_paused:
             self._is_paused = True
@@ -44,6 +58,33 @@
             self._is_paused = False
             self._transport.resume_reading()
 
+    def _send_delimited_by_end(self, data: bytes, *, is_lingering: bool) -> None:
+        """Write an answer that ends with the connection, and end the connection after it.
+
+        Until the kernel has the whole answer, any close resets the connection, also the one that
+        the kernel makes when the process ends. A part of the answer thus never has an orderly end,
+        which would make it look whole. From then on the kernel delivers answer and end by itself.
+        """
+        assert self._transport is not None
+        self.is_lingering = True
+        self._ends_once_sent = is_lingering
+        self._set_linger(_RESET_ON_CLOSE)
+        self._transport.write(data)
+        self._end_if_sent()
+
+    def _end_if_sent(self) -> None:
+        is_lingering = self._ends_once_sent
+        if is_lingering is None or self._transport is None or self.write_buffer_size() > 0:
+            return
+        self._ends_once_sent = None
+        self._set_linger(_DELIVER_ON_CLOSE)
+        self._end_sending(is_lingering=is_lingering)
+
+    def _set_linger(self, linger: bytes) -> None:
+        assert self._transport is not None
+        connection = self._transport.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def _end_sending(self, *, is_lingering: bool) -> None:
         """Close the connection, or only its write side.
 
