--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -14,7 +14,7 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -29,6 +29,8 @@
     working,
 )
 from tests.platform.soak_checks import violations_of
+from tests.platform.soak_configuration import lose_disks, read_back_violations, read_densely
+from tests.platform.soak_downloads import FILE_PREFIX, download_files, with_downloads
 from tests.platform.soak_load import PLAIN_KEY, TENANTS, play_load
 from tests.platform.soak_state import NamedPeriod, Soak
 
@@ -39,12 +41,22 @@
 """Number of series of acts that run at the same time."""
 
 SERVED = 200
-ROUTES = (route("/look/", "sales"), route("/buy/", "sales", "unsafe"))
+ROUTES = (
+    route("/look/", "sales"),
+    route("/buy/", "sales", "unsafe"),
+    route(FILE_PREFIX, "sales", "download", timeout_s=6),
+)
+MAX_BODY_BYTES = 8 << 20
+LOSES_DISKS_CHANCE = 0.4
+DOWNLOADS_CHANCE = 0.4
+"""Chances of a seed that control machines lose their disks, and that files are downloaded."""
 
 
 def soak_document(version: int, base: int) -> dict[str, Any]:
     """Return a configuration with the tenants whose keys the clients send."""
-    return {**document(version, base, *ROUTES), "tenants": list(TENANTS)}
+    made = document(version, base, *ROUTES)
+    made["limits"]["max_body_bytes"] = MAX_BODY_BYTES
+    return {**made, "tenants": list(TENANTS)}
 
 
 async def restart_machine(machine: Machine, number: signal.Signals) -> None:
@@ -82,6 +94,8 @@
 
 
 async def restart_control(soak: Soak) -> None:
+    if soak.loses_disks:
+        return  # only one machine may be lost at a time
     machine = soak.rng.choice(soak.running.controls)
     async with soak.lock(machine):
         await restart_machine(machine, signal.SIGKILL)
@@ -134,7 +148,10 @@
 async def change_configuration(soak: Soak) -> None:
     base = soak.version
     soak.version += soak.rng.randint(1, 3)
-    await soak.running.put(soak_document(soak.version, base), soak.rng.randrange(3))
+    version = soak.version
+    status = await soak.running.put(soak_document(version, base), soak.rng.randrange(3))
+    if status == SERVED:
+        soak.acknowledged.append((time.monotonic(), version))
 
 
 async def send_foreign_heartbeat(soak: Soak) -> None:
@@ -197,6 +214,17 @@
     await wait_until(all_serve, SETTLE_SECONDS)
 
 
+def control_series(soak: Soak, end: float, rng: random.Random) -> list[Coroutine[Any, Any, None]]:
+    """Return the reads of the configuration, and in some seeds lost disks and downloads."""
+    series = [read_densely(soak, end, rng)]
+    soak.loses_disks = rng.random() < LOSES_DISKS_CHANCE
+    if soak.loses_disks:
+        series.append(lose_disks(soak, end, rng))
+    if rng.random() < DOWNLOADS_CHANCE:
+        series.append(download_files(soak, end, rng))
+    return series
+
+
 async def play(seed: int, folder: Path) -> tuple[list[str], Soak]:
     """Play one seed; return what broke, and the run."""
     rng = random.Random(seed)
@@ -204,13 +232,15 @@
     zones = ZONES[: rng.choice((1, 3))]
     services = ["sales"] * count
     async with run_platform(
-        folder, *services, handlers={"sales": working(WORK_SECONDS)}, zones=zones
+        folder, *services, handlers={"sales": with_downloads(working(WORK_SECONDS))}, zones=zones
     ) as running:
         soak = Soak(running, rng)
         await running.put_until_accepted(soak_document(3, 0))
+        soak.acknowledged.append((time.monotonic(), 3))
         await wait_until_calm(soak)
         end = time.monotonic() + SOAK_SECONDS
         series = [play_series(soak, end) for _ in range(SERIES)]
+        series += control_series(soak, end, random.Random(f"control {seed}"))
         supervision = asyncio.create_task(restart_ended(soak))
         await asyncio.gather(play_load(soak, end, random.Random(f"load {seed}")), *series)
         found = violations_of(soak)
@@ -218,6 +248,7 @@
             await wait_until_calm(soak)
         except AssertionError:
             found.append(f"not every daemon serves {SETTLE_SECONDS} s after the end")
+        found += await read_back_violations(soak)
         supervision.cancel()
         # The interpreter itself ends by a reload signal before it has begun to run the program.
         found += [
@@ -245,7 +276,11 @@
             f" {len(soak.returned)} returns"
             f" ({sum(request.status == SERVED for request in soak.returned)} served),"
             f" {sum(soak.acts.values())} acts, {len(soak.limits)} limits,"
-            f" {len(soak.leaves)} leaves, ends {dict(soak.ends)}, {len(found)} violations",
+            f" {len(soak.leaves)} leaves, {len(soak.reads)} configuration reads,"
+            f" {soak.lost_disks} lost disks,"
+            f" {sum(download.is_whole for download in soak.downloads)} of"
+            f" {len(soak.downloads)} downloads whole,"
+            f" ends {dict(soak.ends)}, {len(found)} violations",
             flush=True,
         )
         for violation in found[:10]:
--- a/tests/platform/soak_checks.py
+++ b/tests/platform/soak_checks.py
@@ -9,6 +9,8 @@
     WINDOW_SECONDS,
     allowed_in_window,
 )
+from tests.platform.soak_configuration import read_violations
+from tests.platform.soak_downloads import download_violations
 from tests.platform.soak_state import (
     PURCHASE_PREFIX,
     REFUSALS,
@@ -29,6 +31,8 @@
         *leave_violations(soak),
         *request_violations(soak),
         *return_violations(soak),
+        *read_violations(soak),
+        *download_violations(soak),
     ]
 
 
--- a/tests/platform/soak_state.py
+++ b/tests/platform/soak_state.py
@@ -34,6 +34,27 @@
         return self.ended < float("inf")
 
 
+@dataclass(frozen=True)
+class ConfigurationRead:
+    """A read of the configuration that was answered; ``began`` is in monotonic seconds."""
+
+    began: float
+    version: int
+
+
+@dataclass(frozen=True)
+class Download:
+    """How a download without a length ended at its client.
+
+    ``looks_whole`` tells whether HTTP/1.1 counts it as a complete success.
+    """
+
+    identity: str
+    received: int
+    looks_whole: bool
+    is_whole: bool
+
+
 @dataclass
 class Soak:
     """State of one run."""
@@ -52,6 +73,15 @@
     """Exit codes of processes that ended by themselves."""
 
     version: int = 3
+    acknowledged: list[tuple[float, int]] = field(default_factory=list)
+    """Monotonic times of acknowledgements of the configuration, and the versions."""
+
+    reads: list[ConfigurationRead] = field(default_factory=list)
+    downloads: list[Download] = field(default_factory=list)
+    loses_disks: bool = False
+    """Whether control machines lose their disks, one at a time, in place of other restarts."""
+
+    lost_disks: int = 0
     locks: dict[str, asyncio.Lock] = field(default_factory=dict)
 
     def lock(self, machine: Machine) -> asyncio.Lock:
