--- a/src/finchshed/consensus/effects.py
+++ b/src/finchshed/consensus/effects.py
@@ -45,7 +45,7 @@
     SILENT = "it does not respond"
     CATCHING_UP = "it has not caught up with the log"
     WOULD_LOSE_QUORUM = "too few of the other voters respond and hold the log"
-    NEXT_CHECK = "nothing; the leader's next check goes on"
+    NEXT_CHECK = "it waits for the leader's next check"
 
 
 class SendEnvelope(msgspec.Struct, frozen=True):
--- a/src/finchshed/consensus/events.py
+++ b/src/finchshed/consensus/events.py
@@ -10,10 +10,7 @@
 
 
 class Tick(msgspec.Struct, frozen=True):
-    """Time has passed. Due :meth:`RaftNode.next_delay` seconds after the last event at the latest.
-
-    The duties that are due are carried out after any event; this one stands for no other.
-    """
+    """No other event came for :meth:`RaftNode.next_delay` seconds, and a duty may be due."""
 
 
 class MessageReceived(msgspec.Struct, frozen=True):
--- a/src/finchshed/consensus/node.py
+++ b/src/finchshed/consensus/node.py
@@ -248,7 +248,7 @@
             case MessageReceived():
                 message_dispatch.dispatch_message(state, event.envelope)
             case Tick():
-                pass
+                pass  # what is due is carried out after any event
             case WritePersisted():
                 if state.on_write_persisted(event.ticket) and state.leader_state is not None:
                     replication.update_commit_index(state, state.leader_state)
--- a/src/finchshed/consensus/promotion_blocks.py
+++ b/src/finchshed/consensus/promotion_blocks.py
@@ -71,7 +71,7 @@
     target = repair.with_learner_promoted(state, leader_state, learner)
     if target is None:
         return PromotionBlock.EARLIER_INCARNATION_RESPONDS
-    return _block_of_change(keeps_healthy_majority(state, leader_state, target))
+    return _block_of_due_change(keeps_healthy_majority(state, leader_state, target))
 
 
 def _block_of_announced(
@@ -81,8 +81,8 @@
     target = repair.with_new_incarnation(state, leader_state, announcement)
     if target is None:
         return PromotionBlock.EARLIER_INCARNATION_RESPONDS
-    return _block_of_change(keeps_healthy_majority(state, leader_state, target))
+    return _block_of_due_change(keeps_healthy_majority(state, leader_state, target))
 
 
-def _block_of_change(keeps_majority: bool) -> PromotionBlock:
+def _block_of_due_change(keeps_majority: bool) -> PromotionBlock:
     return PromotionBlock.NEXT_CHECK if keeps_majority else PromotionBlock.WOULD_LOSE_QUORUM
--- a/src/finchshed/http/connection.py
+++ b/src/finchshed/http/connection.py
@@ -18,6 +18,7 @@
     InboundRequest,
     Response,
     encode_response,
+    has_body,
     origin_form,
 )
 from finchshed.http.status import STATUS_BAD_REQUEST, STATUS_HEAD_TOO_LARGE
@@ -223,7 +224,8 @@
         is_head = exchange.request.method == "HEAD"
         data = encode_response(response, is_head=is_head, closes=closes)
         if closes:
-            self._send_last(data, exchange, is_delimited_by_end=not response.has_length)
+            is_delimited_by_end = not response.has_length and has_body(response, is_head=is_head)
+            self._send_last(data, exchange, is_delimited_by_end=is_delimited_by_end)
             return
         self._transport.write(data)
         if not self._is_advancing:
--- a/src/finchshed/http/message.py
+++ b/src/finchshed/http/message.py
@@ -73,6 +73,11 @@
     return path.decode("latin-1")
 
 
+def has_body(response: Response, *, is_head: bool) -> bool:
+    """Whether a response, to a HEAD request if ``is_head``, has a body (RFC 9110, 6.4.1)."""
+    return not is_head and response.status not in {STATUS_NO_CONTENT, STATUS_NOT_MODIFIED}
+
+
 def encode_response(response: Response, *, is_head: bool, closes: bool) -> bytes:
     """Encode a response.
 
@@ -88,8 +93,8 @@
     status = response.status
     lines = [f"HTTP/1.1 {status} {_PHRASES.get(status, 'Unknown')}"]
     lines += [f"{name}: {value}" for name, value in response.headers]
-    has_body = not is_head and status not in {STATUS_NO_CONTENT, STATUS_NOT_MODIFIED}
-    if has_body and response.has_length:
+    carries_body = has_body(response, is_head=is_head)
+    if carries_body and response.has_length:
         lines.append(f"content-length: {len(response.body)}")
     if closes:
         lines.append("connection: close")
@@ -99,7 +104,7 @@
     if head.count("\n") != line_breaks or head.count("\r") != line_breaks:
         return _header_injection_response(closes)
     encoded = head.encode("latin-1")
-    return encoded + response.body if has_body else encoded
+    return encoded + response.body if carries_body else encoded
 
 
 def _header_injection_response(closes: bool) -> bytes:
--- a/src/finchshed/http/transport.py
+++ b/src/finchshed/http/transport.py
@@ -20,6 +20,9 @@
         Whether the last answer was written; data that is still received is discarded.
     unsent_bytes
         Unsent bytes at the last sweep of the server.
+
+    ``_lingers_once_sent`` tells how to end the connection after the answer that its end delimits;
+    None while no such answer is being sent.
     """
 
     def __init__(self) -> None:
@@ -27,7 +30,7 @@
         self._is_paused = False
         self.is_lingering = False
         self.unsent_bytes = 0
-        self._ends_once_sent: bool | None = None
+        self._lingers_once_sent: bool | None = None
 
     def write_buffer_size(self) -> int:
         """Return the number of unsent bytes."""
@@ -40,7 +43,7 @@
 
     def abort(self) -> None:
         """Close the connection immediately, discarding queued data."""
-        self._ends_once_sent = None
+        self._lingers_once_sent = None
         if self._transport is not None:
             self._transport.abort()
 
@@ -67,16 +70,16 @@
         """
         assert self._transport is not None
         self.is_lingering = True
-        self._ends_once_sent = is_lingering
+        self._lingers_once_sent = is_lingering
         self._set_linger(_RESET_ON_CLOSE)
         self._transport.write(data)
         self._end_if_sent()
 
     def _end_if_sent(self) -> None:
-        is_lingering = self._ends_once_sent
+        is_lingering = self._lingers_once_sent
         if is_lingering is None or self._transport is None or self.write_buffer_size() > 0:
             return
-        self._ends_once_sent = None
+        self._lingers_once_sent = None
         self._set_linger(_DELIVER_ON_CLOSE)
         self._end_sending(is_lingering=is_lingering)
 
