--- a/tests/daemon/test_backend_connections.py
+++ b/tests/daemon/test_backend_connections.py
@@ -30,52 +30,26 @@
 SETTLE_SECONDS = 5.0
 
 
-async def unframed(_: Received, writer: asyncio.StreamWriter) -> None:
-    writer.write(b"HTTP/1.1 200 OK\r\n\r\nall there is")
-    await writer.drain()
-    writer.close()
+HEAD = b"HTTP/1.1 200 OK\r\n"
 
 
-async def unframed_without_body(_: Received, writer: asyncio.StreamWriter) -> None:
-    writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
-    await writer.drain()
-    writer.close()
-
-
-async def unframed_of_another_request(_: Received, writer: asyncio.StreamWriter) -> None:
-    writer.write(b"HTTP/1.1 200 OK\r\nfinchshed-account: other\r\n\r\nbody")
-    await writer.drain()
-    writer.close()
-
-
-async def unframed_and_reset(_: Received, writer: asyncio.StreamWriter) -> None:
-    writer.write(b"HTTP/1.1 200 OK\r\n\r\npart")
-    await writer.drain()
-    connection = writer.get_extra_info("socket")
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-    writer.transport.abort()
-
-
-async def unframed_and_too_large(_: Received, writer: asyncio.StreamWriter) -> None:
-    writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * (MAX_ANSWER_BYTES + 1))
-    await writer.drain()
-    writer.close()
-
-
-async def cut_short(_: Received, writer: asyncio.StreamWriter) -> None:
-    writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\npart")
-    await writer.drain()
-    writer.close()
+def answering(data: bytes, *, is_reset: bool = False) -> Handler:
+    """Return a handler that sends ``data`` and ends the connection, by a reset if ``is_reset``."""
 
+    async def answer(_: Received, writer: asyncio.StreamWriter) -> None:
+        writer.write(data)
+        await writer.drain()
+        if is_reset:
+            connection = writer.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            writer.transport.abort()
+        else:
+            writer.close()
 
-async def closed_without_an_answer(_: Received, writer: asyncio.StreamWriter) -> None:
-    writer.close()
+    return answer
 
 
-async def framed_then_closed(_: Received, writer: asyncio.StreamWriter) -> None:
-    writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
-    await writer.drain()
-    writer.close()
+UNFRAMED = answering(HEAD + b"\r\nall there is")
 
 
 async def never(_: Received, writer: asyncio.StreamWriter) -> None:
@@ -106,18 +80,21 @@
     return client.connections
 
 
+ENDS = {
+    "unframed": (UNFRAMED, BackendAnswer),
+    "unframed, no body": (answering(HEAD + b"\r\n"), BackendAnswer),
+    "unframed, of another request": (
+        answering(HEAD + b"finchshed-account: other\r\n\r\nbody"),
+        BackendBroken,
+    ),
+    "unframed, reset": (answering(HEAD + b"\r\npart", is_reset=True), BackendBroken),
+    "cut short": (answering(HEAD + b"content-length: 100\r\n\r\npart"), BackendBroken),
+    "no answer": (answering(b""), BackendBroken),
+}
+
+
 @pytest.mark.parametrize("method", ["GET", "HEAD"])
-@pytest.mark.parametrize(
-    ("handler", "expected"),
-    [
-        (unframed, BackendAnswer),
-        (unframed_without_body, BackendAnswer),
-        (unframed_of_another_request, BackendBroken),
-        (unframed_and_reset, BackendBroken),
-        (cut_short, BackendBroken),
-        (closed_without_an_answer, BackendBroken),
-    ],
-)
+@pytest.mark.parametrize(("handler", "expected"), ENDS.values(), ids=ENDS)
 async def test_a_connection_that_the_back_end_closed_is_given_back(
     handler: Handler, expected: type[BackendResult], method: str
 ) -> None:
@@ -140,7 +117,8 @@
     async def ask(client: HttpBackend) -> None:
         await result_of(client, request_of())
 
-    async with ScriptedBackend(framed_then_closed, healthy) as backend:
+    framed = answering(HEAD + b"content-length: 2\r\n\r\nok")
+    async with ScriptedBackend(framed, healthy) as backend:
         client = HttpBackend(backend.address, MAX_CONNECTIONS, 1.0)
         assert await in_use_after(client, ask) <= MAX_CONNECTIONS
 
@@ -149,7 +127,8 @@
     async def ask(client: HttpBackend) -> None:
         await result_of(client, request_of())
 
-    async with ScriptedBackend(unframed_and_too_large, healthy) as backend:
+    too_large = answering(HEAD + b"\r\n" + b"x" * (MAX_ANSWER_BYTES + 1))
+    async with ScriptedBackend(too_large, healthy) as backend:
         client = HttpBackend(backend.address, MAX_CONNECTIONS, 1.0)
         assert await in_use_after(client, ask) == 0
 
@@ -182,7 +161,7 @@
         else:
             client.send(request_of(), send_next)
 
-    async with ScriptedBackend(unframed, healthy) as backend:
+    async with ScriptedBackend(UNFRAMED, healthy) as backend:
         client = HttpBackend(backend.address, 1, 1.0)
         client.send(request_of(), send_next)
         await asyncio.wait_for(is_over.wait(), SETTLE_SECONDS)
@@ -204,7 +183,7 @@
     async def ask(client: HttpBackend) -> None:
         await result_of(client, request_of())
 
-    async with ScriptedBackend(unframed, healthy) as backend:
+    async with ScriptedBackend(UNFRAMED, healthy) as backend:
         client = HttpBackend(backend.address, MAX_CONNECTIONS, 1.0)
         await in_use_after(client, ask)
         await asyncio.sleep(0)
--- a/tests/daemon/test_cut_answers.py
+++ b/tests/daemon/test_cut_answers.py
@@ -94,11 +94,13 @@
 
 
 @contextmanager
-def server(body_bytes: int, write_seconds: float = NEVER_SECONDS) -> Iterator[Server]:
+def server(
+    body_bytes: int, write_seconds: float = NEVER_SECONDS, grace_seconds: float = 0.1
+) -> Iterator[Server]:
     """Start the server process and end it afterwards."""
     command = [sys.executable, "-m", "tests.daemon.unframed_server"]
     process = subprocess.Popen(
-        [*command, str(body_bytes), str(write_seconds)],
+        [*command, str(body_bytes), str(write_seconds), str(grace_seconds)],
         cwd=ROOT,
         env={**os.environ, "PYTHONPATH": f"{ROOT}:{ROOT / 'src'}"},
         stdout=subprocess.PIPE,
@@ -135,6 +137,17 @@
         assert_visibly_cut(client.read_to_end())
 
 
+def test_an_answer_read_within_the_grace_time_is_whole() -> None:
+    with server(LARGE_BYTES, grace_seconds=TIMEOUT_SECONDS) as running:
+        client = running.ask()
+        client.read(100_000)
+        running.process.send_signal(signal.SIGTERM)
+        client.read(200_000)
+        time.sleep(0.1)
+        assert client.read_to_end() == Ending(body_of(LARGE_BYTES), is_orderly=True)
+        assert running.process.wait(TIMEOUT_SECONDS) == 0
+
+
 def test_an_answer_cut_because_its_client_is_slow_does_not_look_whole() -> None:
     with server(LARGE_BYTES, write_seconds=0.1) as running:
         client = running.ask()
--- a/tests/daemon/unframed_server.py
+++ b/tests/daemon/unframed_server.py
@@ -1,8 +1,8 @@
 """Server process of ``test_cut_answers``: answers every request with a body without a length.
 
-Run as ``python -m tests.daemon.unframed_server BODY_BYTES WRITE_SECONDS``. It prints its port, and
-``sent`` once the kernel has all of an answer. On SIGTERM it closes its connections and ends 0.1 s
-later, as a daemon does at the end of its grace time.
+Run as ``python -m tests.daemon.unframed_server BODY_BYTES WRITE_SECONDS GRACE_SECONDS``. It prints
+its port, and ``sent`` once the kernel has all of an answer. On SIGTERM it closes its connections
+and ends, as a daemon does, once they are closed or at the end of its grace time.
 """
 
 import asyncio
@@ -20,7 +20,6 @@
 SEND_BUFFER_BYTES = 16_384
 """Small, so that an answer of a megabyte doesn't fit into the buffers of the kernel."""
 
-GRACE_SECONDS = 0.1
 SWEEP_SECONDS = 0.02
 MAX_SECONDS = 30.0
 """The process ends by itself after this time."""
@@ -41,7 +40,7 @@
     return b"".join(lines)[:size]
 
 
-async def main(size: int, write_seconds: float) -> None:
+async def main(size: int, write_seconds: float, grace_seconds: float) -> None:
     """Serve until a signal."""
     body = body_of(size)
 
@@ -62,8 +61,10 @@
             await asyncio.sleep(SWEEP_SECONDS)
             server.sweep()
     server.close()
-    await asyncio.sleep(GRACE_SECONDS)
+    end = asyncio.get_running_loop().time() + grace_seconds
+    while server.connections and asyncio.get_running_loop().time() < end:  # noqa: ASYNC110
+        await asyncio.sleep(SWEEP_SECONDS)
 
 
 if __name__ == "__main__":
-    uvloop.run(main(int(sys.argv[1]), float(sys.argv[2])))
+    uvloop.run(main(int(sys.argv[1]), float(sys.argv[2]), float(sys.argv[3])))
