--- a/tests/platform/soak_downloads.py
+++ b/tests/platform/soak_downloads.py
@@ -12,7 +12,7 @@
 
 FILE_PREFIX = "/file/"
 BODY = b"\n".join(b"edition, line %08d" % number for number in range(280_000))
-"""Body of 5 MB, more than the socket buffers of a loopback connection take."""
+"""Body of 6.4 MB, more than the socket buffers of a loopback connection take."""
 
 READ_BYTES = 65_536
 READ_PAUSE_SECONDS = 0.02
