--- a/src/finchshed/bench/consensus_group.py
+++ b/src/finchshed/bench/consensus_group.py
@@ -39,7 +39,7 @@
 
 _OPERATOR = Operator(name="ana", token_sha256="a" * 64)
 _TICK_SECONDS = 0.05
-"""Step of the group's own clock; chosen, not measured."""
+"""Step of the group's own clock."""
 
 _MOST_TICKS = 200
 """An election that takes longer than so many steps is a fault of the measurement."""
--- a/src/finchshed/bench/consensus_log.py
+++ b/src/finchshed/bench/consensus_log.py
@@ -29,10 +29,10 @@
 from finchshed.storage.records import Entry, Write
 
 BATCH_SIZES = (1, 4, 16, 64, 256, 1024)
-"""Entries that share one write; chosen, not measured."""
+"""Entries that share one write."""
 
 MEMORY_SIZES = (1_000, 2_000, 4_000, 8_000, 16_000)
-"""Entries held; chosen, not measured."""
+"""Entries held."""
 
 ENDPOINT_COUNTS = (0, 250, 500, 1_100, 2_200)
 """Endpoints declared: none to twice the design size (docs/CAPACITY.md)."""
@@ -41,7 +41,7 @@
 """Changes made before a restart; snapshots are taken from the third on."""
 
 REPEATS = 40
-"""Times each point is measured; the median counts. Chosen, not measured."""
+"""Times each point is measured; the median counts."""
 
 RESTARTS = 3
 """As REPEATS, of restarts, which take longer."""
--- a/src/finchshed/bench/consensus_restart.py
+++ b/src/finchshed/bench/consensus_restart.py
@@ -25,10 +25,10 @@
 
 _NAME = "only"
 _BATCH = 256
-"""Changes proposed at once while the log is filled; chosen, not measured."""
+"""Changes proposed at once while the log is filled."""
 
 _TICK_SECONDS = 0.1
-"""Step of the node's own clock; chosen, not measured."""
+"""Step of the node's own clock."""
 
 _MOST_TICKS = 200
 """A node that leads only after more steps is a fault of the measurement."""
--- a/src/finchshed/bench/daemon_system.py
+++ b/src/finchshed/bench/daemon_system.py
@@ -26,16 +26,16 @@
 """More than are ever in use at the rates measured, so that admission holds no call back."""
 
 DEADLINE_SECONDS = 10.0
-"""Chosen, not measured: long enough that no call ends by its deadline."""
+"""Long enough that no call ends by its deadline."""
 
 START_SECONDS = 20.0
-"""How long a process may take to listen; chosen, not measured."""
+"""How long a process may take to listen."""
 
 STOP_SECONDS = 10.0
-"""How long all processes together may take to end; chosen, not measured."""
+"""How long all processes together may take to end."""
 
 POLL_SECONDS = 0.02
-"""Between two attempts to connect to a process that starts; chosen, not measured."""
+"""Between two attempts to connect to a process that starts."""
 
 PATIENT_FLAGS = {"connect-timeout-seconds": "5", "silence-seconds": "5"}
 """A machine that is busy with other work must not break links; nothing measured rests on these."""
--- a/src/finchshed/bench/decisions.py
+++ b/src/finchshed/bench/decisions.py
@@ -47,10 +47,10 @@
 """Up to the back ends of the design size (docs/CAPACITY.md)."""
 
 BATCHES = 15
-"""Batches a size is timed in; the least counts. Chosen, not measured."""
+"""Batches a size is timed in; the least counts."""
 
 BATCH_SECONDS = 0.02
-"""Length of a batch; chosen, not measured."""
+"""Length of a batch."""
 
 MICROSECONDS = 1e6
 SERVICES = 52
--- a/src/finchshed/bench/paired_latency.py
+++ b/src/finchshed/bench/paired_latency.py
@@ -41,17 +41,17 @@
 """Sets a second: from the design size's mean, 53 calls a second a daemon, to eight times that."""
 
 DEFAULT_SECONDS = 15.0
-"""Length of the run at each rate; 750 sets at the least rate. Chosen, not measured."""
+"""Length of the run at each rate; 750 sets at the least rate."""
 
 WARM_UP_SECONDS = 2.0
-"""Calls before the first rate, which aren't counted. Chosen, not measured."""
+"""Calls before the first rate, which aren't counted."""
 
 CALLER_CONNECTIONS = 64
 """Of each way; more than are ever in use at the rates measured."""
 
 READY_POLLS = 500
 READY_POLL_SECONDS = 0.02
-"""Both together: 10 s for the daemons to hold the configuration; chosen, not measured."""
+"""Both together: 10 s for the daemons to hold the configuration."""
 
 
 def latency(
--- a/src/finchshed/bench/paired_run.py
+++ b/src/finchshed/bench/paired_run.py
@@ -21,7 +21,7 @@
 DIRECT, THROUGH, RELAYED = range(3)
 
 BODY_BYTES = 100
-"""Size of an answer; chosen, not measured."""
+"""Size of an answer."""
 
 CALL_TIMEOUT_SECONDS = 10.0
 """As long as the deadline of the service: a call that takes longer counts as failed."""
--- a/src/finchshed/proof/checks/shedding.py
+++ b/src/finchshed/proof/checks/shedding.py
@@ -34,14 +34,14 @@
 
 NAME: Final = "shed-order"
 WINDOW_SECONDS: Final = 1.0
-"""Length of a window, seconds; chosen, not measured."""
+"""Length of a window, seconds."""
 SLICE_SECONDS: Final = 0.1
-"""Length of a slice in which classes are compared, seconds; chosen, not measured."""
+"""Length of a slice in which classes are compared, seconds."""
 LEAST_WEIGHT: Final = 5.0
 """Least weight of a window: that of ten requests of each class in one slice."""
 
 TOLERANCE: Final = 0.15
-"""Difference of admitted fractions that is borne; set before the campaigns, not measured."""
+"""Difference of admitted fractions that is borne."""
 SETTLE_SECONDS: Final = 0.5
 
 FAULT_MARGIN_SECONDS: Final = 3.0
--- a/src/finchshed/proof/consensus/campaign.py
+++ b/src/finchshed/proof/consensus/campaign.py
@@ -9,7 +9,7 @@
 from finchshed.proof.consensus.run import ConsensusVerdict, simulate
 
 _SEEDS_PER_TASK = 20
-"""Seeds handed to a process at a time; chosen, not measured."""
+"""Seeds handed to a process at a time."""
 
 
 class ConsensusSummary(msgspec.Struct, kw_only=True):
--- a/src/finchshed/proof/consensus/clients.py
+++ b/src/finchshed/proof/consensus/clients.py
@@ -14,22 +14,22 @@
 _THINK_SECONDS = (0.05, 0.8)
 _LINK_SECONDS = (0.0005, 0.005)
 _PATIENCE_SECONDS = 1.5
-"""Longest wait for one answer, seconds; chosen, not measured."""
+"""Longest wait for one answer, seconds."""
 _GIVE_UP_SECONDS = 6.0
-"""Longest time a change is tried, seconds; chosen, not measured."""
+"""Longest time a change is tried, seconds."""
 _PAUSE_SECONDS = (0.05, 0.4)
 _DENSE_READ_PAUSES_SECONDS = (0.005, 0.02, 0.05)
 """Pauses between the reads of a :class:`DenseReader`; all are below the heartbeat interval."""
 _CHANCE_OF_READ = 0.4
-"""How often a client reads; chosen, not measured."""
+"""How often a client reads."""
 _CHANCE_OF_STALE_REVISION = 0.2
-"""How often a change names a revision too low; chosen, not measured."""
+"""How often a change names a revision too low."""
 _CHANCE_OF_LOST_ANSWER = 0.05
-"""How often an answer is lost; chosen, not measured."""
+"""How often an answer is lost."""
 _CHANCE_OF_HINT = 0.7
-"""How often a client follows the hint to the leader; chosen, not measured."""
+"""How often a client follows the hint to the leader."""
 _CHANCE_OF_HOME = 0.8
-"""How often a client asks its own node first; chosen, not measured."""
+"""How often a client asks its own node first."""
 
 
 class OperationHistory(msgspec.Struct):
--- a/src/finchshed/proof/consensus/command.py
+++ b/src/finchshed/proof/consensus/command.py
@@ -7,10 +7,10 @@
 
 DEFAULT_SEEDS = "0..99"
 DEFAULT_WORKERS = 2
-"""Processes; chosen, not measured."""
+"""Number of worker processes."""
 
 _MOST_FAILURES_SHOWN = 10
-"""Failures printed of one scenario; chosen, not measured."""
+"""Failures printed of one scenario."""
 
 
 def prove_consensus(
--- a/src/finchshed/proof/consensus/disk_faults.py
+++ b/src/finchshed/proof/consensus/disk_faults.py
@@ -9,7 +9,7 @@
 from finchshed.proof.consensus.scheduler import Process
 
 WHOLE_PATIENCE_SECONDS = 20.0
-"""Longest wait until a group is whole again, seconds; chosen, not measured."""
+"""Longest wait until a group is whole again, seconds."""
 
 
 def whole_again(group: Group) -> Process:
--- a/src/finchshed/proof/consensus/group.py
+++ b/src/finchshed/proof/consensus/group.py
@@ -16,7 +16,7 @@
 UNLIMITED_BYTES = 1 << 40
 
 _POLL_SECONDS = 0.05
-"""Seconds between looks at a condition; chosen, not measured."""
+"""Seconds between looks at a condition."""
 
 
 OPTIONS = RaftOptions(
--- a/src/finchshed/proof/consensus/inbox.py
+++ b/src/finchshed/proof/consensus/inbox.py
@@ -11,9 +11,9 @@
 from finchshed.proof.consensus.process import SimulatedProcess
 
 _BUSY_CHANCE = 0.15
-"""How often an event finds the process busy; chosen, not measured."""
+"""How often an event finds the process busy."""
 _BUSY_SECONDS = 0.005
-"""Longest time that the process stays busy; chosen, not measured."""
+"""Longest time that the process stays busy."""
 
 
 class Inbox:
--- a/src/finchshed/proof/consensus/node.py
+++ b/src/finchshed/proof/consensus/node.py
@@ -39,11 +39,11 @@
 from finchshed.storage.simulated_disk import SimulatedDisk
 
 _DISK_RETRY_SECONDS = 0.5
-"""Wait before a full disk is tried again; chosen, not measured."""
+"""Wait before a full disk is tried again."""
 _START_RETRY_SECONDS = 1.0
-"""Wait before a start that failed at the disk is tried again; chosen, not measured."""
+"""Wait before a start that failed at the disk is tried again."""
 _MOST_OPERATIONS_OF_A_WRITE = 12
-"""Operations on the disk after which a crash cuts a write, at most; chosen, not measured."""
+"""Operations on the disk after which a crash cuts a write, at most."""
 
 
 class SimulatedNode:
--- a/src/finchshed/proof/consensus/observer.py
+++ b/src/finchshed/proof/consensus/observer.py
@@ -16,7 +16,7 @@
 from finchshed.storage.records import Entry
 
 _MOST_VIOLATIONS = 5
-"""Violations kept of one run; chosen, not measured."""
+"""Violations kept of one run."""
 
 
 class ObservedNode(Protocol):
--- a/src/finchshed/proof/consensus/run.py
+++ b/src/finchshed/proof/consensus/run.py
@@ -11,11 +11,11 @@
 from finchshed.proof.consensus.scheduler import Process
 
 _FIRST_LEADER_SECONDS = 10.0
-"""Longest time a group may take to form, seconds; chosen, not measured."""
+"""Longest time a group may take to form, seconds."""
 _RECOVERY_SECONDS = 40.0
-"""Longest time to recover once all faults have ended, seconds; chosen, not measured."""
+"""Longest time to recover once all faults have ended, seconds."""
 _CHECK_SECONDS = 0.5
-"""Seconds between comparisons of all logs; chosen, not measured."""
+"""Seconds between comparisons of all logs."""
 
 
 class ConsensusVerdict(msgspec.Struct, frozen=True):
--- a/src/finchshed/proof/consensus/simulated_disk.py
+++ b/src/finchshed/proof/consensus/simulated_disk.py
@@ -8,13 +8,13 @@
 from finchshed.storage.simulated_disk import SimulatedDisk
 
 _WRITE_SECONDS = (0.0003, 0.004)
-"""Shortest and longest ordinary write; chosen, not measured."""
+"""Shortest and longest ordinary write."""
 _SLOW_WRITE_CHANCE = 0.01
-"""How often a write is slow; chosen, not measured."""
+"""How often a write is slow."""
 _SLOW_WRITE_SECONDS = (0.05, 0.4)
-"""Shortest and longest slow write; chosen, not measured."""
+"""Shortest and longest slow write."""
 _LONGEST_WRITE_SECONDS = 3.0
-"""Bound on a write of a slowed disk; chosen, not measured."""
+"""Bound on a write of a slowed disk."""
 
 
 def write_seconds(rng: random.Random, slowness: float) -> float:
