daemon: log which sending of a call the back end's answer was taken for

The logs couldn't tell whether an answer was taken for the wrong sending, whether a refusal was passed on that the back end hadn't made, or whether the daemon itself refused what it had sent: a call_ended line named neither the connection nor what in the answer said that the call had not run.

call_ended now tells the connection, the number of the request on it, the status of the answer taken and the mark by which it counts as not run; the new line extra_answer and finchshed_backend_extra_answers_total tell of bytes that no request waits for. The trace of a request shows both. No decision is changed.

--- a/src/finchshed/daemon/backend/answer_reader.py
+++ b/src/finchshed/daemon/backend/answer_reader.py
@@ -7,7 +7,12 @@
 from collections.abc import Sequence
 
 from finchshed.common.context import HEADER_ACCOUNT, HEADER_RAN
-from finchshed.daemon.backend.client import BackendAnswer, BackendBroken, BackendRequest
+from finchshed.daemon.backend.client import (
+    BackendAnswer,
+    BackendBroken,
+    BackendRequest,
+    NotRunMark,
+)
 from finchshed.daemon.backend.rate_limit_header import read_rate_limit
 from finchshed.daemon.header_names import HeaderNames
 from finchshed.daemon.request import end_to_end_headers
@@ -51,17 +56,19 @@
         is_success = STATUS_OK <= status < STATUS_MULTIPLE_CHOICES
         if request.request_id and self._seal and is_success and self._seal not in headers_by_name:
             return BackendBroken("the answer lacks the back end's seal")
+        mark = self._not_run_mark(request, status, headers_by_name)
         return BackendAnswer(
             status=status,
             headers=end_to_end_headers(raw_headers),
             body=body,
-            ran=not self._is_not_run(request, status, headers_by_name),
+            ran=mark is NotRunMark.NONE,
             draining=headers_by_name.get(self._draining, b"").strip() == b"1",
             rate_limit=read_rate_limit(
                 [value for name, value in raw_headers if name == self._rate_limit]
             ),
             load=headers_by_name.get(self._load, b"").decode("latin-1"),
             head_received_at=head_received_at,
+            not_run_mark=mark,
         )
 
     def _answers_request(self, request: BackendRequest, headers: dict[bytes, bytes]) -> bool:
@@ -71,9 +78,12 @@
         identity = request.request_id.encode("latin-1")
         return not identity or headers.get(self._request, identity) == identity
 
-    def _is_not_run(
+    def _not_run_mark(
         self, request: BackendRequest, status: int, headers: dict[bytes, bytes]
-    ) -> bool:
+    ) -> NotRunMark:
         if not request.request_id:
-            return status == STATUS_SERVICE_UNAVAILABLE and headers.get(_RAN) == b"no"
-        return self._not_run in headers or status == STATUS_MISDIRECTED_REQUEST
+            is_refused = status == STATUS_SERVICE_UNAVAILABLE and headers.get(_RAN) == b"no"
+            return NotRunMark.HEADER if is_refused else NotRunMark.NONE
+        if self._not_run in headers:
+            return NotRunMark.HEADER
+        return NotRunMark.STATUS if status == STATUS_MISDIRECTED_REQUEST else NotRunMark.NONE
--- a/src/finchshed/daemon/backend/client.py
+++ b/src/finchshed/daemon/backend/client.py
@@ -4,6 +4,7 @@
 answer, only :class:`BackendUnreached` guarantees that the request did not run.
 """
 
+import enum
 from collections.abc import Callable
 from typing import Protocol, TypeAlias
 
@@ -13,6 +14,29 @@
 from finchshed.limit.rate_notice import NO_LIMIT_NAMED, RateLimitNotice
 
 
+class NotRunMark(enum.StrEnum):
+    """What in an answer says that the request did not run."""
+
+    NONE = ""
+    HEADER = "header"
+    STATUS = "status"
+
+
+class ConnectionUse(msgspec.Struct, frozen=True):
+    """Where a request was sent, for logs.
+
+    Attributes
+    ----------
+    connection
+        Number of the connection, in the order in which they were opened, from 1.
+    request
+        Number of the request on it, from 1.
+    """
+
+    connection: int
+    request: int
+
+
 class BackendAnswer(msgspec.Struct, frozen=True):
     """A complete answer.
 
@@ -32,6 +56,10 @@
         Value of its load header; empty if it has none.
     head_received_at
         When its headers were complete, in monotonic seconds.
+    not_run_mark
+        What says that the request did not run; ``NONE`` if it ran.
+    use
+        Connection that it came on; None if unknown.
     """
 
     status: int
@@ -43,6 +71,8 @@
     rate_limit: RateLimitNotice = NO_LIMIT_NAMED
     load: str = ""
     head_received_at: float = 0.0
+    not_run_mark: NotRunMark = NotRunMark.NONE
+    use: ConnectionUse | None = None
 
 
 class BackendUnreached(msgspec.Struct, frozen=True):
@@ -56,6 +86,7 @@
     """The request was sent, but no complete and valid answer was received."""
 
     detail: str
+    use: ConnectionUse | None = None
 
 
 class BackendTimedOut(msgspec.Struct, frozen=True):
--- a/src/finchshed/daemon/backend/connection.py
+++ b/src/finchshed/daemon/backend/connection.py
@@ -20,7 +20,9 @@
     BackendBroken,
     BackendRequest,
     BackendResult,
+    ConnectionUse,
 )
+from finchshed.daemon.backend.extra_answers import log_extra_answer
 from finchshed.http.status import STATUS_OK
 from finchshed.runtime import clock
 
@@ -44,6 +46,8 @@
 
     Parameters
     ----------
+    number
+        Number of the connection, for logs.
     reader
         Converts and validates answers.
     on_idle
@@ -61,6 +65,7 @@
 
     def __init__(
         self,
+        number: int,
         reader: AnswerReader,
         on_idle: Callable[["BackendConnection"], None],
         on_closed: Callable[["BackendConnection"], None],
@@ -68,6 +73,8 @@
         self.state = ConnectionState.IDLE
         self.idle_since = 0.0
         self.keep_alive_seconds: float | None = None
+        self._number = number
+        self._requests = 0
         self._reader = reader
         self._on_idle = on_idle
         self._on_closed = on_closed
@@ -90,6 +97,7 @@
         """Send a request as ``message``; the connection must be idle."""
         assert self._transport is not None
         self.state = ConnectionState.AWAITING_ANSWER
+        self._requests += 1
         self._is_head = request.method == "HEAD"
         self._max_answer_bytes = request.max_answer_bytes
         self._request = request
@@ -111,6 +119,8 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes (asyncio callback)."""
         if self.state is not ConnectionState.AWAITING_ANSWER:
+            if self.state is ConnectionState.IDLE:
+                log_extra_answer(self._use, len(data))
             self._close()
             return
         self._received += len(data)
@@ -215,6 +225,10 @@
         # Valid only within the parser's callback for this answer.
         self._keeps_alive = self._parser.should_keep_alive()
 
+    @property
+    def _use(self) -> ConnectionUse:
+        return ConnectionUse(self._number, self._requests)
+
     def _release(self) -> None:
         if self.state is not ConnectionState.AWAITING_ANSWER:
             return
@@ -233,9 +247,10 @@
         )
         if isinstance(answer, BackendBroken):
             self._is_unusable = True
-        elif self._ends_with_connection:
-            return msgspec.structs.replace(answer, has_length=False)
-        return answer
+            return msgspec.structs.replace(answer, use=self._use)
+        return msgspec.structs.replace(
+            answer, has_length=not self._ends_with_connection, use=self._use
+        )
 
     def _note_keep_alive(self) -> None:
         """Store the idle timeout from the ``Keep-Alive`` header."""
@@ -244,7 +259,7 @@
                 self.keep_alive_seconds = float(found.group(1))
 
     def _fail(self, detail: str) -> None:
-        self._finish(BackendBroken(detail))
+        self._finish(BackendBroken(detail, self._use))
         self._close()
 
     def _finish(self, result: BackendResult) -> None:
--- a/src/finchshed/daemon/backend/http_client.py
+++ b/src/finchshed/daemon/backend/http_client.py
@@ -74,6 +74,7 @@
         self._idle: list[BackendConnection] = []
         self._open: set[BackendConnection] = set()
         self._connecting = 0
+        self._opened = 0
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -164,15 +165,17 @@
         try:
             async with asyncio.timeout(self._connect_timeout_seconds):
                 _, connection = await self.loop.create_connection(
-                    lambda: BackendConnection(self._reader, self._on_idle, self._on_closed),
-                    self._host,
-                    self._port,
+                    self._make_connection, self._host, self._port
                 )
         finally:
             self._connecting -= 1
         self._open.add(connection)
         return connection
 
+    def _make_connection(self) -> BackendConnection:
+        self._opened += 1
+        return BackendConnection(self._opened, self._reader, self._on_idle, self._on_closed)
+
     def _on_idle(self, connection: BackendConnection) -> None:
         connection.idle_since = clock.now()
         self._idle.append(connection)
--- a/src/finchshed/daemon/decision_log.py
+++ b/src/finchshed/daemon/decision_log.py
@@ -12,6 +12,7 @@
 from finchshed.common.results import SERVER_ERROR
 from finchshed.common.units import MILLISECONDS
 from finchshed.configuration.resources import HostRoute
+from finchshed.daemon.backend.client import BackendAnswer, BackendBroken, BackendResult
 from finchshed.daemon.recent_decisions import DecisionRecord, RecentDecisions
 from finchshed.daemon.request import Request
 from finchshed.daemon.serving.inbound_call import InboundCall
@@ -22,6 +23,7 @@
     CallEnded,
     RequestEnded,
     ReturnTold,
+    SendingRecord,
 )
 from finchshed.retry.reservations import ReturnTime
 from finchshed.runtime import clock
@@ -181,6 +183,7 @@
         limit=load.limit,
         caller=inbound.link.peer.node if inbound.link.peer is not None else "",
         signature=signature,
+        sending=_sending_of(inbound.result),
     )
     _record(record, is_failure=failed)
 
@@ -197,6 +200,15 @@
     log_stream.emit(record, is_failure=is_failure)
 
 
+def _sending_of(result: BackendResult | None) -> SendingRecord | None:
+    if not isinstance(result, BackendAnswer | BackendBroken) or result.use is None:
+        return None
+    use = result.use
+    if isinstance(result, BackendBroken):
+        return SendingRecord(use.connection, use.request)
+    return SendingRecord(use.connection, use.request, result.status, result.not_run_mark)
+
+
 def _fields_of(outcome: Outcome) -> tuple[str, str, int, float]:
     """Return reason, detail, status and retry delay in milliseconds."""
     if isinstance(outcome, Answered):
--- a/src/finchshed/daemon/metrics.py
+++ b/src/finchshed/daemon/metrics.py
@@ -78,6 +78,10 @@
 QUOTA_REFUSED = Counter(
     "finchshed_quota_refused_total", "Requests of limited tenants without a token", ["reason"]
 )
+EXTRA_ANSWERS = Counter(
+    "finchshed_backend_extra_answers_total",
+    "Answers of the back end that no request was waiting for, or another one than theirs",
+)
 BACKEND_ENDED = Counter(
     "finchshed_backend_ended_total", "Times the back end ended while it ran requests"
 )
--- a/src/finchshed/daemon/serving/backend_runner.py
+++ b/src/finchshed/daemon/serving/backend_runner.py
@@ -144,6 +144,7 @@
     def _finish(self, inbound: InboundCall, run: InstanceRun, result: BackendResult) -> None:
         if inbound.state is not InboundCallState.AT_BACKEND:
             return
+        inbound.result = result
         self._report(inbound, run, result)
         outcome = outcome_from_result(result, retry_after(0.0, self._rng))
         if inbound.is_by_host and inbound.served is not None:
--- a/src/finchshed/daemon/serving/inbound_call.py
+++ b/src/finchshed/daemon/serving/inbound_call.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from finchshed.common.context import CallContext
+from finchshed.daemon.backend.client import BackendResult
 from finchshed.daemon.serving.inbound_call_state import InboundCallState
 from finchshed.daemon.serving.served_requests import ServedRequest
 from finchshed.link.listener import AcceptedLink
@@ -35,6 +36,8 @@
         Key in the at-most-once ledger, for a non-repeatable call.
     attempt
         Identity of this attempt in the ledger.
+    result
+        Latest result of the back end; None before.
     signature
         Computes the signature shared by all attempts of the same request.
     """
@@ -57,6 +60,7 @@
     started: float = 0.0
     ledger_key: str = ""
     attempt: str = ""
+    result: BackendResult | None = None
     signature: Callable[[], str] = str
 
     @property
--- a/src/finchshed/logs/reading.py
+++ b/src/finchshed/logs/reading.py
@@ -12,7 +12,7 @@
 
 from finchshed.common.errors import SettingsError
 
-EVENTS = frozenset({"request_ended", "call_ended", "state", "lines_left_out"})
+EVENTS = frozenset({"request_ended", "call_ended", "extra_answer", "state", "lines_left_out"})
 
 MAX_PREFIX_CHARACTERS = 200
 """Maximum length of a prefix that a log collector may put before the JSON."""
--- a/src/finchshed/logs/request_trace.py
+++ b/src/finchshed/logs/request_trace.py
@@ -4,8 +4,9 @@
 the request that made them, and a call ends at its back end before its request ends at the daemon.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from typing import Any
 
 from finchshed.logs.reading import LogLine
 
@@ -77,6 +78,8 @@
 
 
 def _is_related(line: LogLine, identity: str) -> bool:
+    if line.event == "extra_answer":
+        return identity in {line.record.get("id"), line.record.get("named")}
     if line.event not in {"request_ended", "call_ended"}:
         return False
     line_id = str(line.record.get("id", ""))
@@ -95,6 +98,8 @@
 
 def _format_line(line: LogLine) -> str:
     record = line.record
+    if line.event == "extra_answer":
+        return _format_extra_answer(record)
     summary = f"{line.event} {record.get('id')}: {record.get('outcome')}"
     reason = record.get("reason") or record.get("status") or ""
     parts = [f"{summary} {reason}".rstrip()]
@@ -113,9 +118,28 @@
         parts.append(f"queued {record.get('queued_ms')} ms, ran {record.get('ran_ms', -1.0)} ms")
         load = (record.get(name, 0) for name in ("running", "queued", "limit", "threshold"))
         parts.append("running {}, queued {}, limit {}, threshold {}".format(*load))
+        parts += _format_sending(record.get("sending"))
     return "; ".join(parts)
 
 
+def _format_sending(sending: Mapping[str, Any] | None) -> list[str]:
+    if sending is None:
+        return []
+    place = f"request {sending['request']} on connection {sending['connection']}"
+    taken = f"answer {sending['status']}" if sending.get("status") else "no answer taken"
+    mark = f", not run by its {sending['not_run']}" if sending.get("not_run") else ""
+    return [f"{place}: {taken}{mark}"]
+
+
+def _format_extra_answer(record: Mapping[str, Any]) -> str:
+    place = f"request {record.get('request')} on connection {record.get('connection')}"
+    awaited = record.get("id") or "none"
+    named = record.get("named") or "none"
+    return (
+        f"extra answer of {record.get('size')} bytes at {place}; awaited {awaited}, named {named}"
+    )
+
+
 def _explain(end: LogLine, lines: Sequence[LogLine]) -> str:
     record = end.record
     if record.get("outcome") != "answered":
--- a/src/finchshed/observability/decisions.py
+++ b/src/finchshed/observability/decisions.py
@@ -92,6 +92,53 @@
     left_ms: float = -1.0
 
 
+class SendingRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    """How a call was sent to the back end, and which answer was taken as its own.
+
+    Attributes
+    ----------
+    connection
+        Number of the connection, in the order in which the daemon opened them.
+    request
+        Number of the request on it, from 1.
+    status
+        Status of the answer; 0 if none was taken.
+    not_run
+        What in the answer says that the call did not run, ``header`` or ``status``; empty if
+        nothing does.
+    """
+
+    connection: int
+    request: int
+    status: int = 0
+    not_run: str = ""
+
+
+class ExtraAnswer(
+    msgspec.Struct, frozen=True, omit_defaults=True, tag="extra_answer", tag_field="event"
+):
+    """The back end sent bytes that answer no request, or another one than the one in progress.
+
+    Attributes
+    ----------
+    id
+        Identity of the request that waits for its answer; empty if none does.
+    connection, request
+        Number of the connection, and of the latest request on it.
+    size
+        Number of the bytes.
+    named
+        Identity that the answer names; empty if it names none or wasn't read.
+    """
+
+    time: float
+    id: str
+    connection: int
+    request: int
+    size: int
+    named: str = ""
+
+
 class CallEnded(
     msgspec.Struct, frozen=True, omit_defaults=True, tag="call_ended", tag_field="event"
 ):
@@ -107,6 +154,8 @@
         Admission rank of the call and the threshold in force when it ended.
     running, queued, limit
         Load of the admission gate when the call ended.
+    sending
+        How it was sent to the back end; None if it wasn't, or its connection was closed first.
     """
 
     time: float
@@ -127,6 +176,7 @@
     limit: int = 0
     caller: str = ""
     signature: str = ""
+    sending: SendingRecord | None = None
 
 
 class BackendEnded(
--- a/tests/forms/codecs.py
+++ b/tests/forms/codecs.py
@@ -34,6 +34,7 @@
 from finchshed.observability.decisions import (
     BackendEnded,
     CallEnded,
+    ExtraAnswer,
     RequestEnded,
     ReturnTold,
     StateChanged,
@@ -49,7 +50,9 @@
 from finchshed_platform.heartbeats import HeartbeatBody
 from finchshed_platform.node_file import NodeFile
 
-LogEvent = RequestEnded | ReturnTold | CallEnded | BackendEnded | StateChanged | LinesDropped
+LogEvent = (
+    RequestEnded | ReturnTold | CallEnded | BackendEnded | ExtraAnswer | StateChanged | LinesDropped
+)
 
 
 class Form(NamedTuple):
--- a/tests/platform/fake_platform.py
+++ b/tests/platform/fake_platform.py
@@ -282,7 +282,8 @@
         identity = request.headers.get("Request-Id", "")
         self.arrivals.append((time.monotonic(), identity))
         if request.headers.get("Expect-Instance", self.instance) != self.instance:
-            return web.Response(status=421, headers={"Instance-Id": self.instance})
+            headers = {"Instance-Id": self.instance, "Not-Executed": "1", "Request-Id": identity}
+            return web.Response(status=421, headers=headers)
         self.executed.append(identity)
         self.headers.append({name.lower(): value for name, value in request.headers.items()})
         response = await self._run_handler(request)
@@ -484,10 +485,12 @@
     bounds: dict[str, Any] | None = None,
     zones: tuple[str, ...] = ZONES,
     fields: dict[str, Any] | None = None,
+    make_backend: type[FakeBackend] = FakeBackend,
 ) -> AsyncIterator[FakePlatform]:
     """Run three control nodes, and a daemon with a back end for each of ``services``.
 
     Daemons are placed in ``zones`` in turn. ``fields`` are added to the settings of each machine.
+    ``make_backend`` is the class of the back ends.
     """
     hosts = [f"{loopback_prefix()}.{1 + number}" for number in range(3 + len(services))]
     seeds = [f"{host}:{CONTROL_PORT}" for host in hosts[:3]]
@@ -501,7 +504,7 @@
         host, zone = hosts[3 + number], zones[number % len(zones)]
         daemons.append(_machine("daemon", host, zone, folder, seeds, service=service))
         handler = (handlers or {}).get(service, echo)
-        backends.append(FakeBackend(service, f"i-{number}", host, zone, handler))
+        backends.append(make_backend(service, f"i-{number}", host, zone, handler))
     async with AsyncExitStack() as stack:
         for machine in [*controls, *daemons]:
             machine.fields["bounds"] |= bounds or {}
