daemon: take an answer for a sending only if it proves that it belongs to it

Callers got 503, 429, 408 or 421 for a request that may run only once, which promises that nothing ran, and a back end ran it; others ran twice.

Cause: an answer was matched to what was sent by the connection and by the request's identity. Both are shared by two sendings of one request: a request that is turned away is sent again, by a daemon or by its client, often on the connection used last. A copy of its refusal, which a back end may send in the place of the next answer, then counted as the answer to the second sending. An answer without an identity, with two, or with identity or mark in a trailer was believed as well, so the copy of a health check's answer was.

Change: no connection carries two requests of one identity; a request by host must get its identity back, once, among the headers; a refusal to a request by service that names no account closes its connection; a mark of 'not run' needs a status of 400 or above. At the bound of the pool an idle connection makes room for one that is needed. Parsing, matching and the connection are modules of their own now.

Two fixtures answered requests by host without their identity, which a back end gives back in every answer; they do so now, nothing else in them is changed.

--- /dev/null
+++ b/src/finchshed/daemon/backend/answer_parser.py
@@ -0,0 +1,177 @@
+"""Parses the answers received on one connection to the back end, with httptools (llhttp).
+
+Between two requests an answer may be followed by an extra one, which belongs to an earlier request.
+The parser passes over extra answers if it is told to, and waits for the one that was asked for.
+"""
+
+from collections.abc import Callable, Sequence
+
+import httptools
+
+from finchshed.daemon.backend.addressee import Addressee, RawHeader
+from finchshed.http.status import STATUS_OK
+from finchshed.runtime import clock
+
+MAX_HEAD_BYTES = 65_536
+"""Maximum size of an answer's status line and headers."""
+
+MAX_EXTRA_ANSWERS = 8
+"""Extra answers that are passed over for one request."""
+
+FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+
+
+class AnswerParser:
+    """Collects one answer at a time.
+
+    Parameters
+    ----------
+    addressee_of
+        Returns whose an answer with these headers is.
+
+    Attributes
+    ----------
+    status, headers
+        Status and headers of the answer; header names are in lower case.
+    received
+        Bytes received since the request was sent.
+    head_received_at
+        When the headers were complete, in monotonic seconds.
+    is_identified
+        Whether the answer names the request.
+    is_past_head
+        Whether the headers of the final answer are complete.
+    ends_with_connection
+        Whether the body is delimited by the end of the connection.
+    is_complete, is_too_large
+        How the answer ended, so far.
+    keeps_alive
+        Whether the connection may be used again, as far as the complete answer tells.
+    """
+
+    def __init__(self, addressee_of: Callable[[Sequence[RawHeader]], Addressee]) -> None:
+        self._addressee_of = addressee_of
+        self._parser = httptools.HttpResponseParser(self)
+        self.begin(is_head=False, max_body_bytes=0, skips_extra=False)
+
+    def begin(self, *, is_head: bool, max_body_bytes: int, skips_extra: bool) -> None:
+        """Begin a new answer.
+
+        Parameters
+        ----------
+        is_head
+            Whether the request's method is HEAD.
+        max_body_bytes
+            Maximum size of the body.
+        skips_extra
+            Whether extra answers before it are passed over; otherwise they are a problem.
+        """
+        self._is_head = is_head
+        self._max_body_bytes = max_body_bytes
+        self._skips_extra = skips_extra
+        self._extra_answers = 0
+        self._problem = ""
+        self.received = 0
+        self.is_complete = False
+        self.is_too_large = False
+        self.keeps_alive = False
+        self._reset_answer()
+
+    def feed(self, data: bytes) -> str:
+        """Parse received bytes; return why they can't be used, or an empty string."""
+        self.received += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError:
+            raise
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if not self.is_complete:
+                return f"malformed answer: {error}"
+            self.keeps_alive = False
+        if self.is_complete:
+            return ""
+        if not self._problem and not self.is_past_head and self.received > MAX_HEAD_BYTES:
+            return "head too large"
+        return self._problem
+
+    def body(self) -> bytes:
+        """Return the body received so far."""
+        return self._body[0] if len(self._body) == 1 else b"".join(self._body)
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Detect bytes after the complete answer."""
+        if self.is_complete:
+            self.keeps_alive = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Store a header; fields of a trailer are none (RFC 9110, 6.5.1)."""
+        if self.is_complete or self.is_past_head:
+            return
+        name = name.lower()
+        self.headers.append((name, value))
+        if name in FRAMING_HEADERS:
+            self._has_length = True
+
+    def on_headers_complete(self) -> None:
+        """Store the status and find out whose answer it is, unless it is interim (1xx)."""
+        if self.is_complete:
+            return
+        self.status = self._parser.get_status_code()
+        if self.status < STATUS_OK:
+            return
+        self.is_past_head = True
+        self.head_received_at = clock.now()
+        self.ends_with_connection = not self._has_length
+        self._judge()
+        if self._is_head and not self._problem and not self._is_skipping:
+            self._complete(keeps_alive=False)
+
+    def on_body(self, body: bytes) -> None:
+        """Store a part of the body, up to the size limit."""
+        if self.is_complete or self.is_too_large or not self.is_past_head:
+            return
+        self._body_size += len(body)
+        if self._body_size > self._max_body_bytes:
+            self.is_too_large = True
+        elif not self._is_skipping:
+            self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Complete the answer, or discard an interim (1xx) or extra one."""
+        if self.is_complete or self.is_too_large or self._problem:
+            return
+        if not self.is_past_head or self._is_skipping:
+            self._reset_answer()
+            return
+        # Valid only within the parser's callback for this answer.
+        self._complete(keeps_alive=self._parser.should_keep_alive() and not self._extra_answers)
+
+    def _judge(self) -> None:
+        addressee = self._addressee_of(self.headers)
+        self.is_identified = addressee is Addressee.REQUEST
+        if addressee in {Addressee.REQUEST, Addressee.UNNAMED}:
+            return
+        self._extra_answers += 1
+        is_bounded = self._extra_answers <= MAX_EXTRA_ANSWERS and not self.ends_with_connection
+        if addressee is Addressee.EARLIER_REQUEST and self._skips_extra and is_bounded:
+            self._is_skipping = True
+        else:
+            self._problem = "the answer is another request's"
+
+    def _complete(self, *, keeps_alive: bool) -> None:
+        self.is_complete = True
+        self.keeps_alive = keeps_alive
+
+    def _reset_answer(self) -> None:
+        self.headers: list[RawHeader] = []
+        self.status = 0
+        self.head_received_at = 0.0
+        self.is_identified = False
+        self.is_past_head = False
+        self.ends_with_connection = False
+        self._body: list[bytes] = []
+        self._body_size = 0
+        self._has_length = False
+        self._is_skipping = False
--- a/src/finchshed/daemon/backend/answer_reader.py
+++ b/src/finchshed/daemon/backend/answer_reader.py
@@ -6,7 +6,10 @@
 
 from collections.abc import Sequence
 
-from finchshed.common.context import HEADER_ACCOUNT, HEADER_RAN
+from finchshed.common.context import HEADER_RAN
+from finchshed.daemon.backend import addressee
+from finchshed.daemon.backend.addressee import Addressee, RawHeader
+from finchshed.daemon.backend.carried_requests import CarriedRequests
 from finchshed.daemon.backend.client import (
     BackendAnswer,
     BackendBroken,
@@ -17,6 +20,7 @@
 from finchshed.daemon.header_names import HeaderNames
 from finchshed.daemon.request import end_to_end_headers
 from finchshed.http.status import (
+    STATUS_BAD_REQUEST,
     STATUS_MISDIRECTED_REQUEST,
     STATUS_MULTIPLE_CHOICES,
     STATUS_OK,
@@ -24,7 +28,6 @@
 )
 
 _RAN = HEADER_RAN.encode("ascii")
-_ACCOUNT = HEADER_ACCOUNT.encode("ascii")
 
 
 class AnswerReader:
@@ -38,25 +41,35 @@
         self._draining = names.draining.encode("ascii")
         self._load = names.load.encode("ascii")
 
+    def addressee_of(
+        self, request: BackendRequest, headers: Sequence[RawHeader], carried: CarriedRequests
+    ) -> Addressee:
+        """Return whose an answer with ``headers`` is; see :func:`addressee.addressee_of`."""
+        return addressee.addressee_of(request, headers, self._request, carried)
+
+    def named_identity(self, headers: Sequence[RawHeader]) -> str:
+        """Return the identity that an answer names; empty for none or more than one."""
+        return addressee.named_identity(headers, self._request) or ""
+
     def read(
         self,
         request: BackendRequest,
         status: int,
-        raw_headers: Sequence[tuple[bytes, bytes]],
+        raw_headers: Sequence[RawHeader],
         body: bytes,
         head_received_at: float = 0.0,
     ) -> BackendAnswer | BackendBroken:
-        """Return the answer, or the reason why it isn't a valid answer to ``request``.
+        """Return the answer to ``request``, or the reason why it isn't a valid one.
 
         ``head_received_at`` is in monotonic seconds.
         """
         headers_by_name = dict(raw_headers)
-        if not self._answers_request(request, headers_by_name):
-            return BackendBroken("the answer is another request's")
         is_success = STATUS_OK <= status < STATUS_MULTIPLE_CHOICES
         if request.request_id and self._seal and is_success and self._seal not in headers_by_name:
             return BackendBroken("the answer lacks the back end's seal")
         mark = self._not_run_mark(request, status, headers_by_name)
+        if mark is not NotRunMark.NONE and status < STATUS_BAD_REQUEST:
+            return BackendBroken(f"the answer has status {status} and says that nothing ran")
         return BackendAnswer(
             status=status,
             headers=end_to_end_headers(raw_headers),
@@ -71,13 +84,6 @@
             not_run_mark=mark,
         )
 
-    def _answers_request(self, request: BackendRequest, headers: dict[bytes, bytes]) -> bool:
-        account = request.account.encode("latin-1")
-        if headers.get(_ACCOUNT, account) != account:
-            return False
-        identity = request.request_id.encode("latin-1")
-        return not identity or headers.get(self._request, identity) == identity
-
     def _not_run_mark(
         self, request: BackendRequest, status: int, headers: dict[bytes, bytes]
     ) -> NotRunMark:
--- a/src/finchshed/daemon/backend/client.py
+++ b/src/finchshed/daemon/backend/client.py
@@ -106,7 +106,7 @@
         Retry account sent with the request. An answer that echoes a different one belongs to
         another request and is rejected (docs/design/whole-answers.md).
     request_id
-        Serves the same purpose for a request routed by host; empty otherwise.
+        Identity of a request routed by host, which its answer must give back; empty otherwise.
     """
 
     method: str
--- a/src/finchshed/daemon/backend/http_client.py
+++ b/src/finchshed/daemon/backend/http_client.py
@@ -90,10 +90,10 @@
         ``on_result`` is called at most once, never before this method returns.
         """
         exchange = BackendExchange(self, request, on_result)
-        connection = self._take_idle(request.is_repeatable)
+        connection = self._take_idle(request)
         if connection is not None:
             exchange.send_on(connection)
-        elif self.connections >= self._max_connections:
+        elif not self._has_room():
             exchange.fail_later(BackendUnreached("no connection is free"))
         else:
             self._connecting += 1
@@ -111,23 +111,31 @@
         for connection in list(self._open):
             connection.abort()
 
-    def _take_idle(self, is_repeatable: bool) -> BackendConnection | None:
-        idle = self._idle
-        if not idle:
-            return None
-        connection = idle.pop()
-        allowed = MAX_IDLE_SECONDS if is_repeatable else MAX_IDLE_SECONDS_UNREPEATABLE
-        if connection.keep_alive_seconds is not None:
-            allowed = min(allowed, connection.keep_alive_seconds * KEEP_ALIVE_FRACTION)
-        if connection.idle_since >= clock.now() - allowed:
-            return connection
-        # The most recently used connection is too old, so all others are as well.
-        idle.append(connection)
-        if is_repeatable:
-            for old in list(idle):
-                old.abort()
+    def _take_idle(self, request: BackendRequest) -> BackendConnection | None:
+        """Return the idle connection used last that may carry ``request``."""
+        now = clock.now()
+        for place in range(len(self._idle) - 1, -1, -1):
+            connection = self._idle[place]
+            if now - connection.idle_since > _max_idle_seconds(connection, request):
+                # Those used before it are too old as well.
+                if request.is_repeatable:
+                    self._close_idle(place + 1)
+                return None
+            if connection.can_carry(request):
+                return self._idle.pop(place)
         return None
 
+    def _has_room(self) -> bool:
+        """Return whether a connection may be opened, closing one that this request can't use."""
+        if self.connections >= self._max_connections:
+            self._close_idle(1)
+        return self.connections < self._max_connections
+
+    def _close_idle(self, count: int) -> None:
+        """Close the ``count`` connections that have been idle for longest, or all."""
+        for connection in self._idle[:count]:
+            connection.abort()
+
     async def refuses_connections(self) -> bool:
         """Return whether the back end refuses a new connection; False while any is open.
 
@@ -186,6 +194,13 @@
             self._idle.remove(connection)
 
 
+def _max_idle_seconds(connection: BackendConnection, request: BackendRequest) -> float:
+    allowed = MAX_IDLE_SECONDS if request.is_repeatable else MAX_IDLE_SECONDS_UNREPEATABLE
+    if connection.keep_alive_seconds is None:
+        return allowed
+    return min(allowed, connection.keep_alive_seconds * KEEP_ALIVE_FRACTION)
+
+
 class BackendExchange:
     """One request in progress, with its timeout and its result callback."""
 
--- a/tests/daemon/test_backend_connections.py
+++ b/tests/daemon/test_backend_connections.py
@@ -30,7 +30,7 @@
 SETTLE_SECONDS = 5.0
 
 
-HEAD = b"HTTP/1.1 200 OK\r\n"
+HEAD = b"HTTP/1.1 200 OK\r\nfinchshed-request: r1\r\n"
 
 
 def answering(data: bytes, *, is_reset: bool = False) -> Handler:
--- a/tests/daemon/test_unframed_answers.py
+++ b/tests/daemon/test_unframed_answers.py
@@ -19,7 +19,7 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """``struct linger`` with zero timeout: closing sends a reset (socket(7))."""
 
-HEAD = b"HTTP/1.1 200 OK\r\nX-Part: one\r\n\r\n"
+HEAD = b"HTTP/1.1 200 OK\r\nfinchshed-request: r1\r\nX-Part: one\r\n\r\n"
 
 
 async def result_of(*, is_reset: bool) -> BackendResult:
