daemon: answer 502 where a back end turns away without saying that nothing ran

A client that gets 408, 421, 429 or 503 for a request that may run only once is promised that it did not run, and sends it again. A back end may answer so after it ran the request; only its mark of 'not run' says that it did not. The daemon passed such a status on as it was, and took 421 for a refusal by itself.

Cause: the promise was derived from the status on the client's side, while the back end makes it by a header. Such an answer to a request by host that may run only once is now a failure of unknown outcome, 502; with the mark it is a refusal as before. Requests that may be repeated get the status unchanged.

--- a/src/finchshed/daemon/backend/answer_reader.py
+++ b/src/finchshed/daemon/backend/answer_reader.py
@@ -92,4 +92,6 @@
             return NotRunMark.HEADER if is_refused else NotRunMark.NONE
         if self._not_run in headers:
             return NotRunMark.HEADER
-        return NotRunMark.STATUS if status == STATUS_MISDIRECTED_REQUEST else NotRunMark.NONE
+        # Only the header is proof enough for a request that mustn't run twice.
+        is_misdirected = request.is_repeatable and status == STATUS_MISDIRECTED_REQUEST
+        return NotRunMark.STATUS if is_misdirected else NotRunMark.NONE
--- a/src/finchshed/daemon/backend/request.py
+++ b/src/finchshed/daemon/backend/request.py
@@ -35,6 +35,7 @@
 )
 from finchshed.daemon.header_names import HeaderNames
 from finchshed.daemon.serving.inbound_call import InboundCall
+from finchshed.http.status import NOT_RUN_STATUSES
 
 
 def service_headers(inbound: InboundCall, remaining: float) -> Headers:
@@ -103,6 +104,19 @@
     return Failed(FailureReason.BACKEND_BROKEN, retry_delay, result.detail)
 
 
+def without_unmade_promise(outcome: Outcome, retry_delay: float) -> Outcome:
+    """Return ``outcome``, or a failure if its status promises what the back end didn't.
+
+    For a request by host that may run only once. Its client concludes from some statuses that the
+    request did not run, and sends it again; a back end that doesn't say so may have run it.
+    ``retry_delay`` is in seconds.
+    """
+    if not isinstance(outcome, Answered) or outcome.status not in NOT_RUN_STATUSES:
+        return outcome
+    detail = f"status {outcome.status}, and no word that it did not run"
+    return Failed(FailureReason.OUTCOME_UNKNOWN, retry_delay, detail)
+
+
 def with_downstream_failure(outcome: Outcome, has_failed_call: bool) -> Outcome:
     """Return ``outcome``, marked if it is a server error and a call made for it failed."""
     if not has_failed_call or not isinstance(outcome, Answered) or outcome.status < SERVER_ERROR:
--- a/src/finchshed/daemon/serving/backend_runner.py
+++ b/src/finchshed/daemon/serving/backend_runner.py
@@ -24,6 +24,7 @@
     backend_request,
     outcome_from_result,
     with_downstream_failure,
+    without_unmade_promise,
 )
 from finchshed.daemon.decision_log import log_backend_ended
 from finchshed.daemon.header_names import HeaderNames
@@ -146,11 +147,14 @@
             return
         inbound.result = result
         self._report(inbound, run, result)
-        outcome = outcome_from_result(result, retry_after(0.0, self._rng))
+        retry_delay = retry_after(0.0, self._rng)
+        outcome = outcome_from_result(result, retry_delay)
         if inbound.is_by_host and inbound.served is not None:
             outcome = with_downstream_failure(
                 outcome, self._served.has_failed_call(inbound.served.account)
             )
+            if not inbound.repeatable:
+                outcome = without_unmade_promise(outcome, retry_delay)
         if inbound.repeatable or inbound.is_by_host:
             self._on_finished(inbound, outcome)
             return
--- a/src/finchshed/logs/request_trace.py
+++ b/src/finchshed/logs/request_trace.py
@@ -37,6 +37,8 @@
     "link_broken": "the link to the endpoint's daemon broke after the sending: it may have run",
     "backend_broken": "the back end's connection ended without a whole answer: it may have run",
     "backend_refused": "the back end said that it did not run it",
+    "outcome_unknown": "it may have run: an earlier attempt has no recorded answer, or the back "
+    "end turned it away without a word that it did not run; see sending of its call_ended line",
     "aborted": "its client left",
     "cancelled": "its client left before it was sent",
     "retries_spent": "no retry was left in the service's budget",
