daemon: wait for the own answer of a request behind an extra one

A request that may run only once got 502 when a copy of an earlier answer came in front of its own: its connection was cut, though the back end ran it and its answer was next.

An answer that names an earlier request of the same connection, or none where a health check was carried, is passed over now, up to eight for a request; the identity shows which answer is whose. Anything else still ends the request at once, and the connection isn't used again. Requests that may be repeated are sent elsewhere at once, as before.

--- a/src/finchshed/daemon/backend/connection.py
+++ b/src/finchshed/daemon/backend/connection.py
@@ -104,7 +104,7 @@
         self._parser.begin(
             is_head=request.method == "HEAD",
             max_body_bytes=request.max_answer_bytes,
-            skips_extra=False,
+            skips_extra=not request.is_repeatable,
         )
         self._transport.write(message)
 
