soak: back ends that turn requests away and send copies of their answers

In six of ten seeds back ends turn a tenth of the requests away and send a copy of six in a hundred answers, health checks' included; refused clients return under the identity of their first sending. Which sending a run belongs to is told by its time. No series of acts is drawn anew: the copies have a generator of their own.

--- a/tests/platform/duplicating_backend.py
+++ b/tests/platform/duplicating_backend.py
@@ -68,9 +68,6 @@
     """A back end that follows ``plan``; without one it answers each request once."""
 
     plan: DuplicationPlan | None = None
-    started: list[tuple[float, str]] = field(default_factory=list)
-    """Monotonic times and identities of the requests that it began to run."""
-
     _held: dict[Any, deque[HeldCopy]] = field(default_factory=dict)
 
     async def _handle_request(self, request: web.Request) -> web.StreamResponse:
@@ -81,8 +78,6 @@
             self.arrivals.append((time.monotonic(), identity))
             response: web.Response = self._turn_away(identity)
         else:
-            if request.path != HEALTH_PATH:
-                self.started.append((time.monotonic(), identity))
             response = await super()._handle_request(request)
         if self._is_copied(request):
             self._plan_copy(transport, encode(response))
@@ -95,7 +90,7 @@
         return plan.rng.random() < plan.refused_fraction
 
     def _turn_away(self, identity: str) -> web.Response:
-        headers = {"Request-Id": identity, "Not-Executed": "1", "Server-Seal": "s"}
+        headers = {"Not-Executed": "1", **self.headers_of(identity)}
         return web.Response(status=REFUSED_STATUS, headers=headers)
 
     def _is_copied(self, request: web.Request) -> bool:
--- a/tests/platform/fake_platform.py
+++ b/tests/platform/fake_platform.py
@@ -117,6 +117,9 @@
     slots: int = 8
     state: str = "ready"
     executed: list[str] = field(default_factory=list)
+    started: list[tuple[float, str]] = field(default_factory=list)
+    """Monotonic times and identities of the requests that it ran."""
+
     headers: list[dict[str, str]] = field(default_factory=list)
     arrivals: list[tuple[float, str]] = field(default_factory=list)
     """Monotonic times and identities of the requests that reached it, run or not."""
@@ -285,15 +288,19 @@
             headers = {"Instance-Id": self.instance, "Not-Executed": "1", "Request-Id": identity}
             return web.Response(status=421, headers=headers)
         self.executed.append(identity)
+        self.started.append((time.monotonic(), identity))
         self.headers.append({name.lower(): value for name, value in request.headers.items()})
         response = await self._run_handler(request)
-        response.headers["Request-Id"] = identity
-        response.headers["Server-Seal"] = f"seal-{self.instance}"
-        response.headers.update(self.answer_headers)
-        if self.reports_load:
-            response.headers["Server-Load"] = self.load()
+        response.headers.update(self.headers_of(identity))
         return response
 
+    def headers_of(self, identity: str) -> dict[str, str]:
+        """Return the headers of its own in the answer to a request."""
+        headers = {"Request-Id": identity, "Server-Seal": f"seal-{self.instance}"}
+        if self.reports_load:
+            headers["Server-Load"] = self.load()
+        return headers | self.answer_headers
+
     def load(self) -> str:
         """Return its load: requests running, waiting, slots, and slowdown in percent."""
         return f"{self.running},0,{self.slots},{round(self.slowdown * 100)}"
--- a/tests/platform/open_loop.py
+++ b/tests/platform/open_loop.py
@@ -31,6 +31,7 @@
     ended_at: float
     status: int
     headers: dict[str, str]
+    body: bytes = b""
 
     @property
     def seconds(self) -> float:
--- a/tests/platform/promised_load.py
+++ b/tests/platform/promised_load.py
@@ -1,41 +1,30 @@
-"""Load of clients that believe a refusal and come again with the same identity, and its checks."""
+"""Load of clients that believe a refusal and come again with the same identity."""
 
 import asyncio
 import random
 import time
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from tests.platform.duplicating_backend import DuplicatingBackend
 from tests.platform.fake_platform import FakePlatform
+from tests.platform.open_loop import SentRequest
+from tests.platform.promises import REFUSALS
 
-REFUSALS = frozenset({408, 421, 429, 503})
-"""Statuses that promise that nothing ran."""
-
+SERVED = 200
 MAX_SENDINGS = 4
 MAX_PAUSE_SECONDS = 0.05
 """Longest pause before a refused client comes again; shorter than most retry-after times, so that
 the connection of its first sending is still in use."""
 
 
-@dataclass(frozen=True)
-class Sending:
-    """One sending of a client request; times are in monotonic seconds."""
-
-    daemon: int
-    began: float
-    ended: float
-    status: int
-    body: bytes
-
-
 @dataclass
 class ClientRequest:
-    """A request that may run once at most."""
+    """A request that may run once at most, and how each of its sendings ended."""
 
     identity: str
     path: str
-    sendings: list[Sending] = field(default_factory=list)
+    sendings: list[SentRequest] = field(default_factory=list)
 
 
 async def send_promised(
@@ -63,49 +52,38 @@
     return await asyncio.gather(*tasks)
 
 
-async def send_once(running: FakePlatform, request: ClientRequest, daemon: int) -> Sending:
+async def send_once(running: FakePlatform, request: ClientRequest, daemon: int) -> SentRequest:
     """Send a request once, whatever was answered before."""
     sent_at = time.monotonic()
     response = await running.send_request(
         request.path, method="POST", body=b"order", daemon=daemon, identity=request.identity
     )
-    return Sending(daemon, sent_at, time.monotonic(), response.status, response.body)
-
-
-def ran_though_refused(running: FakePlatform, requests: list[ClientRequest]) -> list[str]:
-    """Return the sendings that got a refusal and ran."""
-    started: dict[str, list[float]] = {}
-    for backend in running.backends:
-        assert isinstance(backend, DuplicatingBackend)
-        for at, identity in backend.started:
-            started.setdefault(identity, []).append(at)
-    found = []
-    for request in requests:
-        ends = [sending.began for sending in request.sendings[1:]] + [float("inf")]
-        for sending, next_began in zip(request.sendings, ends, strict=True):
-            ran = [at for at in started.get(request.identity, []) if sending.began <= at]
-            ran = [at for at in ran if at < next_began]
-            if ran and sending.status in REFUSALS:
-                found.append(f"{request.identity} got {sending.status} and ran")
-    return found
-
-
-def ran_twice(running: FakePlatform, requests: list[ClientRequest]) -> list[str]:
-    """Return the requests that ran more often than once."""
-    runs = Counter(identity for backend in running.backends for identity in backend.executed)
-    return [request.identity for request in requests if runs[request.identity] > 1]
-
-
-def mixed_up(requests: list[ClientRequest]) -> list[str]:
-    """Return the successes with a body that isn't the request's."""
+    return SentRequest(
+        request.identity,
+        daemon,
+        sent_at,
+        time.monotonic(),
+        response.status,
+        response.headers,
+        response.body,
+    )
+
+
+def sendings_of(requests: Iterable[ClientRequest]) -> list[SentRequest]:
+    """Return the sendings of all requests."""
+    return [sending for request in requests for sending in request.sendings]
+
+
+def mixed_up(requests: Iterable[ClientRequest]) -> list[str]:
+    """Return the requests that got a success whose body isn't theirs."""
     return [
         request.identity
         for request in requests
         for sending in request.sendings
-        if sending.status == 200 and f" {request.path} ".encode() not in sending.body
+        if sending.status == SERVED and f" {request.path} ".encode() not in sending.body
     ]
 
 
-def statuses(requests: list[ClientRequest]) -> Counter[int]:
+def statuses(requests: Iterable[ClientRequest]) -> Counter[int]:
     """Return how often each status was the last one of a request."""
     return Counter(request.sendings[-1].status for request in requests)
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -18,6 +18,7 @@
 from pathlib import Path
 from typing import Any
 
+from tests.platform.duplicating_backend import DuplicatingBackend, DuplicationPlan
 from tests.platform.fake_platform import (
     ZONES,
     FakeBackend,
@@ -49,7 +50,12 @@
 MAX_BODY_BYTES = 8 << 20
 LOSES_DISKS_CHANCE = 0.4
 DOWNLOADS_CHANCE = 0.4
-"""Chances of a seed that control machines lose their disks, and that files are downloaded."""
+COPIES_CHANCE = 0.6
+"""Chances of a seed that control machines lose their disks, that files are downloaded, and that
+back ends turn requests away and send copies of their answers."""
+
+TURNED_AWAY_FRACTION = 0.1
+COPIED_FRACTION = 0.06
 
 
 def soak_document(version: int, base: int) -> dict[str, Any]:
@@ -225,6 +231,23 @@
     return series
 
 
+def plan_copies(soak: Soak, rng: random.Random) -> None:
+    """In some seeds, let back ends turn requests away and send copies of their answers."""
+    if rng.random() >= COPIES_CHANCE:
+        return
+    soak.plan = DuplicationPlan(rng, TURNED_AWAY_FRACTION, COPIED_FRACTION)
+    for backend in soak.running.backends:
+        assert isinstance(backend, DuplicatingBackend)
+        backend.plan = soak.plan
+
+
+def end_copies(soak: Soak) -> None:
+    """Let back ends answer each request once again."""
+    for backend in soak.running.backends:
+        assert isinstance(backend, DuplicatingBackend)
+        backend.plan = None
+
+
 async def play(seed: int, folder: Path) -> tuple[list[str], Soak]:
     """Play one seed; return what broke, and the run."""
     rng = random.Random(seed)
@@ -232,18 +255,24 @@
     zones = ZONES[: rng.choice((1, 3))]
     services = ["sales"] * count
     async with run_platform(
-        folder, *services, handlers={"sales": with_downloads(working(WORK_SECONDS))}, zones=zones
+        folder,
+        *services,
+        handlers={"sales": with_downloads(working(WORK_SECONDS))},
+        zones=zones,
+        make_backend=DuplicatingBackend,
     ) as running:
         soak = Soak(running, rng)
         await running.put_until_accepted(soak_document(3, 0))
         soak.acknowledged.append((time.monotonic(), 3))
         await wait_until_calm(soak)
+        plan_copies(soak, random.Random(f"copies {seed}"))
         end = time.monotonic() + SOAK_SECONDS
         series = [play_series(soak, end) for _ in range(SERIES)]
         series += control_series(soak, end, random.Random(f"control {seed}"))
         supervision = asyncio.create_task(restart_ended(soak))
         await asyncio.gather(play_load(soak, end, random.Random(f"load {seed}")), *series)
         found = violations_of(soak)
+        end_copies(soak)
         try:
             await wait_until_calm(soak)
         except AssertionError:
@@ -280,6 +309,7 @@
             f" {soak.lost_disks} lost disks,"
             f" {sum(download.is_whole for download in soak.downloads)} of"
             f" {len(soak.downloads)} downloads whole,"
+            f" {0 if soak.plan is None else soak.plan.copies} copies,"
             f" ends {dict(soak.ends)}, {len(found)} violations",
             flush=True,
         )
--- a/tests/platform/soak_checks.py
+++ b/tests/platform/soak_checks.py
@@ -1,7 +1,6 @@
 """Checks of the soak: what clients and back ends saw must keep the rules."""
 
 import time
-from collections import Counter
 
 from tests.platform.open_loop import (
     LEARNING_SECONDS,
@@ -9,11 +8,11 @@
     WINDOW_SECONDS,
     allowed_in_window,
 )
+from tests.platform.promises import REFUSALS, broken_promises, ran_twice
 from tests.platform.soak_configuration import read_violations
 from tests.platform.soak_downloads import download_violations
 from tests.platform.soak_state import (
     PURCHASE_PREFIX,
-    REFUSALS,
     RETURNABLE_STATUSES,
     NamedPeriod,
     Soak,
@@ -77,7 +76,7 @@
     for period in soak.leaves:
         times = passed_on(soak, period, "server-leaving")
         arrived = {
-            identity
+            identity: at
             for at, identity in period.backend.arrivals
             if period.began <= at <= period.ended
         }
@@ -85,25 +84,23 @@
             since = soak.last_disturbance(request.daemon, time.monotonic())
             told = [passed for passed in times.get(request.daemon, []) if passed > since]
             is_late = bool(told) and request.sent_at > min(told) + DRAIN_SECONDS
-            if is_late and request.identity in arrived:
+            if is_late and arrived.get(request.identity, 0.0) >= request.sent_at:
                 found.append(f"{request.identity} reached a back end that leaves")
     return found
 
 
 def request_violations(soak: Soak) -> list[str]:
     """Return purchases that ran twice or although refused, and unknown statuses."""
-    runs = Counter(identity for backend in soak.running.backends for identity in backend.executed)
-    found = [
-        f"{identity} ran {count} times"
-        for identity, count in runs.items()
-        if identity.startswith(PURCHASE_PREFIX) and count > 1
+    purchases = [one for one in soak.sent if one.identity.startswith(PURCHASE_PREFIX)]
+    identities = {one.identity for one in purchases}
+    backends = soak.running.backends
+    found = [f"{identity} ran more than once" for identity in ran_twice(identities, backends)]
+    found += broken_promises(purchases, backends)
+    found += [
+        f"{one.identity}: status {one.status}"
+        for one in soak.sent
+        if one.status not in KNOWN_STATUSES
     ]
-    for request in soak.sent:
-        if request.status not in KNOWN_STATUSES:
-            found.append(f"{request.identity}: status {request.status}")
-        is_purchase = request.identity.startswith(PURCHASE_PREFIX)
-        if is_purchase and request.status in REFUSALS and runs[request.identity]:
-            found.append(f"{request.identity} ran and got {request.status}")
     return found
 
 
--- a/tests/platform/soak_load.py
+++ b/tests/platform/soak_load.py
@@ -4,7 +4,7 @@
 import random
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from tests.platform.fake_platform import FakeBackend
@@ -43,13 +43,16 @@
     key: str
     is_purchase: bool = False
     is_return: bool = False
+    keeps_identity: bool = False
+    """Whether a return has the identity of the first sending."""
 
     @property
     def identity(self) -> str:
-        """Identity of the request; a return has one of its own, since nothing ran before."""
+        """Identity of the request."""
         prefix = PURCHASE_PREFIX if self.is_purchase else READ_PREFIX
         owner = "c" if self.key == GREEDY_KEY else "d"
-        return f"{prefix}{owner}{int(self.is_return)}{self.number:013x}"
+        sending = int(self.is_return and not self.keeps_identity)
+        return f"{prefix}{owner}{sending}{self.number:013x}"
 
 
 async def play_load(soak: Soak, end: float, rng: random.Random) -> None:
@@ -122,7 +125,7 @@
     if told is None or time.monotonic() + told >= deadline:
         return
     await asyncio.sleep(told)
-    again = ClientRequest(request.number, request.daemon, request.key, request.is_purchase, True)
+    again = replace(request, is_return=True, keeps_identity=soak.plan is not None)
     remaining = deadline - time.monotonic()
     if remaining > 0.0:
         soak.returned.append(await send_one(soak, again, remaining))
--- a/tests/platform/soak_state.py
+++ b/tests/platform/soak_state.py
@@ -6,15 +6,13 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from tests.platform.duplicating_backend import DuplicationPlan
 from tests.platform.fake_platform import FakeBackend, FakePlatform, Machine
 from tests.platform.open_loop import SentRequest
 
 PURCHASE_PREFIX = "b"
 """First character of the identities of requests that may run once only."""
 
-REFUSALS = frozenset({408, 421, 429, 503})
-"""Statuses that say that nothing ran."""
-
 RETURNABLE_STATUSES = frozenset({429, 503})
 """Refusals that tell the client when to return."""
 
@@ -82,6 +80,10 @@
     """Whether control machines lose their disks, one at a time, in place of other restarts."""
 
     lost_disks: int = 0
+    plan: DuplicationPlan | None = None
+    """What back ends turn away and send twice, in some seeds. Refused clients then keep the
+    identity of their request when they return."""
+
     locks: dict[str, asyncio.Lock] = field(default_factory=dict)
 
     def lock(self, machine: Machine) -> asyncio.Lock:
--- a/tests/platform/test_refused_but_ran.py
+++ b/tests/platform/test_refused_but_ran.py
@@ -7,13 +7,8 @@
 
 from tests.platform.duplicating_backend import CopyTime, DuplicatingBackend, DuplicationPlan
 from tests.platform.fake_platform import ZONES, route, run_platform, wait_until_known, working
-from tests.platform.promised_load import (
-    mixed_up,
-    ran_though_refused,
-    ran_twice,
-    send_promised,
-    statuses,
-)
+from tests.platform.promised_load import mixed_up, send_promised, sendings_of, statuses
+from tests.platform.promises import broken_promises, ran_twice
 
 REQUESTS = 400
 REQUESTS_PER_SECOND = 100.0
@@ -43,7 +38,8 @@
             running, REQUESTS, REQUESTS_PER_SECOND, random.Random(f"load {seed}")
         )
         assert plan.copies > REQUESTS // 10
-        assert ran_though_refused(running, requests) == []
-        assert ran_twice(running, requests) == []
+        assert broken_promises(sendings_of(requests), running.backends) == []
+        identities = [request.identity for request in requests]
+        assert ran_twice(identities, running.backends) == []
         assert mixed_up(requests) == []
         assert statuses(requests)[200] > REQUESTS // 2
