daemon: bound the memory that a process uses for bodies

A back end that sent bytes without end, or many large answers at a time, took a daemon's memory far above its machine's, so that the platform would end the process and everything on it fail: each answer had a bound of 64 MiB, their sum none. Chunk extensions and trailers had none at all and held a slot until the deadline. A link with 16 MB unsent was closed with all its calls, which a few large answers reach.

max_memory_bytes (on the platform the machine's memory) less 64 MiB, halved for copies, is what bodies may hold now: answers being received, unsent responses, lines and unsent data of links, bodies of calls and requests. At the bound the largest gives way, a link only if nothing else can, so small ones go on; what didn't run is refused. Head, interim answers, chunk framing and trailers of an answer have bounds of their own; an answer that declares too much is given up before it comes. A large answer that can't be queued on its link fails alone.

--- a/src/finchshed/daemon/assembly.py
+++ b/src/finchshed/daemon/assembly.py
@@ -49,6 +49,7 @@
 from finchshed.daemon.ingress.quota_gate import QuotaGate
 from finchshed.daemon.ingress.service_handler import ServiceRequestHandler
 from finchshed.daemon.link_handler import LinkHandler
+from finchshed.daemon.memory import MemoryPlan
 from finchshed.daemon.quarantine import Quarantine
 from finchshed.daemon.serving.at_most_once import AtMostOnceRunner
 from finchshed.daemon.serving.callee import Callee
@@ -121,6 +122,7 @@
         rng=rng,
         started_ms=int(time.time() * MILLISECONDS),
         identity=EndpointIdentity(settings.endpoint, settings.service),
+        memory=MemoryPlan(settings.max_memory_bytes, settings.max_spooled_bytes),
         drain=DrainState.awaiting_registration() if awaits_registration else DrainState(),
         credentials=load_credentials(settings),
         table=table,
@@ -157,6 +159,8 @@
         settings.max_connections,
         settings.connect_timeout_seconds,
         state.names,
+        memory=state.memory.bodies,
+        max_answer_bytes=state.memory.max_answer_bytes,
     )
     rate_limit = RateLimitMonitor(state.identity)
     state.events.subscribe_answers(rate_limit.on_answer)
@@ -178,6 +182,7 @@
         signatures=state.signatures,
         quarantine=quarantine,
         rate_limit=rate_limit,
+        memory=state.memory.bodies,
     )
     return ServingComponents(backend, callee)
 
@@ -201,12 +206,14 @@
         drain=state.drain,
         rng=state.rng,
     )
-    links = DaemonLinks(settings, handler, state.rng, Connector(state.credentials))
+    memory = state.memory.bodies
+    links = DaemonLinks(settings, handler, state.rng, Connector(state.credentials), memory)
     listener = LinkListener(
         handler,
         settings.peer_networks,
         silence_seconds=settings.accepted_silence_seconds,
         max_unsent_bytes=settings.max_unsent_bytes,
+        memory=memory,
     )
 
     def send_to_callers(news: CrashNews) -> None:
@@ -315,13 +322,14 @@
         not_ready_reason=not_ready_reason,
         own_share=state.table.own_share,
     )
-    spool = SpoolBudget(state.settings.max_spooled_bytes)
+    spool = SpoolBudget(state.memory.spooled_bytes)
+    memory = state.memory.bodies
     return IngressComponents(
         caller=caller,
         service_handler=service_handler,
         host_handler=host_handler,
         lease_renewal=lease_renewal,
         quotas=quotas,
-        service_server=HttpServer(service_handler, spool),
-        host_server=HttpServer(host_handler, spool),
+        service_server=HttpServer(service_handler, spool, memory=memory),
+        host_server=HttpServer(host_handler, spool, memory=memory),
     )
--- a/src/finchshed/daemon/backend/answer_parser.py
+++ b/src/finchshed/daemon/backend/answer_parser.py
@@ -8,17 +8,30 @@
 
 import httptools
 
+from finchshed.common.memory_budget import Holding
 from finchshed.daemon.backend.addressee import Addressee, RawHeader
-from finchshed.http.status import STATUS_OK
+from finchshed.http.status import STATUS_NO_CONTENT, STATUS_NOT_MODIFIED, STATUS_OK
 from finchshed.runtime import clock
 
 MAX_HEAD_BYTES = 65_536
 """Maximum size of an answer's status line and headers."""
 
+MAX_FRAMING_BYTES = 262_144
+"""Bytes of chunk sizes, their extensions and trailers that an answer may have, and more the larger
+its body is."""
+
+FRAMING_DIVISOR = 4
+"""A body allows its size divided by this of further framing."""
+
+MAX_FRAMING_BYTES_AT_ONCE = 16_384
+"""The same without a byte of the body in between."""
+
 MAX_EXTRA_ANSWERS = 8
 """Extra answers that are passed over for one request."""
 
-FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+CONTENT_LENGTH = b"content-length"
+BODILESS_STATUSES = frozenset({STATUS_NO_CONTENT, STATUS_NOT_MODIFIED})
+FRAMING_HEADERS = frozenset({CONTENT_LENGTH, b"transfer-encoding"})
 
 
 class AnswerParser:
@@ -28,6 +41,8 @@
     ----------
     addressee_of
         Returns whose an answer with these headers is.
+    holding
+        Memory of the answer's body.
 
     Attributes
     ----------
@@ -49,8 +64,12 @@
         Whether the connection may be used again, as far as the complete answer tells.
     """
 
-    def __init__(self, addressee_of: Callable[[Sequence[RawHeader]], Addressee]) -> None:
+    def __init__(
+        self, addressee_of: Callable[[Sequence[RawHeader]], Addressee], holding: Holding
+    ) -> None:
+        self._body: list[bytes] = []
         self._addressee_of = addressee_of
+        self._holding = holding
         self._parser = httptools.HttpResponseParser(self)
         self.begin(is_head=False, max_body_bytes=0, skips_extra=False)
 
@@ -70,6 +89,7 @@
         self._max_body_bytes = max_body_bytes
         self._skips_extra = skips_extra
         self._extra_answers = 0
+        self._passed_over = 0
         self._problem = ""
         self.received = 0
         self.is_complete = False
@@ -77,9 +97,16 @@
         self.keeps_alive = False
         self._reset_answer()
 
+    def discard_body(self) -> None:
+        """Free what was received of the body."""
+        self._body = []
+        self._holding.release()
+
     def feed(self, data: bytes) -> str:
         """Parse received bytes; return why they can't be used, or an empty string."""
         self.received += len(data)
+        body_before = self._body_size
+        was_past_head = self.is_past_head
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError:
@@ -88,15 +115,19 @@
             if not self.is_complete:
                 return f"malformed answer: {error}"
             self.keeps_alive = False
-        if self.is_complete:
-            return ""
-        if not self._problem and not self.is_past_head and self.received > MAX_HEAD_BYTES:
-            return "head too large"
-        return self._problem
-
-    def body(self) -> bytes:
-        """Return the body received so far."""
-        return self._body[0] if len(self._body) == 1 else b"".join(self._body)
+        if self.is_complete or self._problem:
+            return self._problem
+        if not self.is_past_head:
+            is_too_long = self.received - self._passed_over > MAX_HEAD_BYTES
+            return "head too large" if is_too_long else ""
+        has_grown = self._body_size > body_before or not was_past_head
+        return self._framing_problem(has_grown=has_grown)
+
+    def take_body(self) -> bytes:
+        """Return the body received so far, and keep nothing of it."""
+        body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
+        self.discard_body()
+        return body
 
     # Callbacks of the parser.
 
@@ -125,6 +156,7 @@
         self.head_received_at = clock.now()
         self.ends_with_connection = not self._has_length
         self._judge()
+        self._check_declared_length()
         if self._is_head and not self._problem and not self._is_skipping:
             self._complete(keeps_alive=False)
 
@@ -137,17 +169,41 @@
             self.is_too_large = True
         elif not self._is_skipping:
             self._body.append(body)
+            self.is_too_large = not self._holding.resize(self._body_size)
 
     def on_message_complete(self) -> None:
         """Complete the answer, or discard an interim (1xx) or extra one."""
         if self.is_complete or self.is_too_large or self._problem:
             return
+        if self._is_skipping:
+            self._passed_over = self.received
         if not self.is_past_head or self._is_skipping:
             self._reset_answer()
             return
         # Valid only within the parser's callback for this answer.
         self._complete(keeps_alive=self._parser.should_keep_alive() and not self._extra_answers)
 
+    def _check_declared_length(self) -> None:
+        """Give an answer up whose body would be too large, before it is received."""
+        declared = [value for name, value in self.headers if name == CONTENT_LENGTH]
+        has_body = not self._is_head and self.status not in BODILESS_STATUSES
+        if declared and has_body and int(declared[0]) > self._max_body_bytes:
+            self.is_too_large = True
+
+    def _framing_problem(self, *, has_grown: bool) -> str:
+        """Return a problem if too little of what was received belongs to the body.
+
+        ``has_grown`` tells whether the latest bytes completed the head or added to the body.
+        """
+        framing = self.received - self._passed_over - self._body_size
+        if has_grown:
+            self._framing_at_last_body = framing
+        at_once = framing - self._framing_at_last_body
+        allowed = MAX_HEAD_BYTES + MAX_FRAMING_BYTES + self._body_size // FRAMING_DIVISOR
+        if at_once > MAX_FRAMING_BYTES_AT_ONCE or framing > allowed:
+            return "more framing than body"
+        return ""
+
     def _judge(self) -> None:
         addressee = self._addressee_of(self.headers)
         self.is_identified = addressee is Addressee.REQUEST
@@ -171,7 +227,8 @@
         self.is_identified = False
         self.is_past_head = False
         self.ends_with_connection = False
-        self._body: list[bytes] = []
+        self.discard_body()
         self._body_size = 0
+        self._framing_at_last_body = 0
         self._has_length = False
         self._is_skipping = False
--- a/src/finchshed/daemon/backend/connection.py
+++ b/src/finchshed/daemon/backend/connection.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from finchshed.common.memory_budget import HoldingKind, MemoryBudget
 from finchshed.daemon.backend.addressee import Addressee, RawHeader, identity_of
 from finchshed.daemon.backend.answer_parser import AnswerParser
 from finchshed.daemon.backend.answer_reader import AnswerReader
@@ -52,6 +53,10 @@
         Called when the connection can carry another request.
     on_closed
         Called when it is closed.
+    memory
+        Budget of the answers' bodies.
+    max_answer_bytes
+        Maximum size of an answer's body, whatever its request allows.
 
     Attributes
     ----------
@@ -67,6 +72,9 @@
         reader: AnswerReader,
         on_idle: Callable[["BackendConnection"], None],
         on_closed: Callable[["BackendConnection"], None],
+        *,
+        memory: MemoryBudget,
+        max_answer_bytes: int,
     ) -> None:
         self.state = ConnectionState.IDLE
         self.idle_since = 0.0
@@ -77,7 +85,9 @@
         self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
         self._carried = CarriedRequests()
-        self._parser = AnswerParser(self._addressee_of)
+        self._max_answer_bytes = max_answer_bytes
+        holding = memory.open(HoldingKind.ONE_REQUEST, self._give_up_answer)
+        self._parser = AnswerParser(self._addressee_of, holding)
         self._on_result: Callable[[BackendResult], None] | None = None
         self._request: BackendRequest | None = None
 
@@ -103,7 +113,7 @@
         self._on_result = on_result
         self._parser.begin(
             is_head=request.method == "HEAD",
-            max_body_bytes=request.max_answer_bytes,
+            max_body_bytes=min(request.max_answer_bytes, self._max_answer_bytes),
             skips_extra=not request.is_repeatable,
         )
         self._transport.write(message)
@@ -135,8 +145,7 @@
             self._release(answer)
             self._finish(answer)
         elif self._parser.is_too_large:
-            self._finish(BackendAnswerTooLarge())
-            self._close()
+            self._give_up_answer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the answer: complete if delimited by the connection's end (asyncio callback)."""
@@ -187,7 +196,11 @@
         assert self._request is not None
         parser = self._parser
         answer = self._reader.read(
-            self._request, parser.status, parser.headers, parser.body(), parser.head_received_at
+            self._request,
+            parser.status,
+            parser.headers,
+            parser.take_body(),
+            parser.head_received_at,
         )
         if isinstance(answer, BackendBroken):
             return msgspec.structs.replace(answer, use=self._use)
@@ -201,6 +214,10 @@
             if name == KEEP_ALIVE and (found := TIMEOUT_PARAMETER.search(value)):
                 self.keep_alive_seconds = float(found.group(1))
 
+    def _give_up_answer(self) -> None:
+        self._finish(BackendAnswerTooLarge())
+        self._close()
+
     def _fail(self, detail: str) -> None:
         self._finish(BackendBroken(detail, self._use))
         self._close()
@@ -215,6 +232,7 @@
         if self.state is ConnectionState.CLOSED:
             return
         self.state = ConnectionState.CLOSED
+        self._parser.discard_body()
         if self._transport is not None:
             self._transport.abort()
         self._on_closed(self)
--- a/src/finchshed/daemon/backend/http_client.py
+++ b/src/finchshed/daemon/backend/http_client.py
@@ -1,10 +1,12 @@
 """HTTP client of the back end: a pool of connections without pipelining."""
 
 import asyncio
+import sys
 from collections.abc import Callable
 
 from loguru import logger
 
+from finchshed.common.memory_budget import MemoryBudget
 from finchshed.common.outcomes import Headers
 from finchshed.daemon.backend.answer_reader import AnswerReader
 from finchshed.daemon.backend.client import (
@@ -49,6 +51,10 @@
         Timeout for opening a connection.
     names
         Header names used by the back end.
+    memory
+        Budget of the bodies of answers being received; None for no bound.
+    max_answer_bytes
+        Maximum size of an answer's body, whatever its request allows.
 
     Attributes
     ----------
@@ -62,6 +68,9 @@
         max_connections: int,
         connect_timeout_seconds: float,
         names: HeaderNames | None = None,
+        *,
+        memory: MemoryBudget | None = None,
+        max_answer_bytes: int = sys.maxsize,
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self._address = address
@@ -73,6 +82,8 @@
         self._connect_timeout_seconds = connect_timeout_seconds
         self._idle: list[BackendConnection] = []
         self._open: set[BackendConnection] = set()
+        self._memory = memory or MemoryBudget(sys.maxsize)
+        self._max_answer_bytes = max_answer_bytes
         self._connecting = 0
         self._opened = 0
         self._tasks: set[asyncio.Task[None]] = set()
@@ -182,7 +193,14 @@
 
     def _make_connection(self) -> BackendConnection:
         self._opened += 1
-        return BackendConnection(self._opened, self._reader, self._on_idle, self._on_closed)
+        return BackendConnection(
+            self._opened,
+            self._reader,
+            self._on_idle,
+            self._on_closed,
+            memory=self._memory,
+            max_answer_bytes=self._max_answer_bytes,
+        )
 
     def _on_idle(self, connection: BackendConnection) -> None:
         connection.idle_since = clock.now()
--- a/src/finchshed/daemon/calling/daemon_links.py
+++ b/src/finchshed/daemon/calling/daemon_links.py
@@ -10,6 +10,7 @@
 
 from finchshed.admission.load_report import LoadReport
 from finchshed.common.backoff import Backoff
+from finchshed.common.memory_budget import MemoryBudget
 from finchshed.common.outcomes import RefusalReason
 from finchshed.configuration.resources import Endpoint
 from finchshed.daemon.calling.attempt import Attempt
@@ -51,6 +52,8 @@
     ----------
     connect
         Opens connections; None uses the event loop's own method.
+    memory
+        Budget of what the links hold; None for no bound.
 
     Attributes
     ----------
@@ -65,9 +68,11 @@
         owner: DaemonLinksOwner,
         rng: random.Random,
         connect: Connect | None = None,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self._connect = connect
+        self._memory = memory
         self._settings = settings
         self._owner = owner
         self._rng = rng
@@ -251,6 +256,7 @@
             connect_timeout_seconds=settings.connect_timeout_seconds,
             connect=self._connect,
             asks_compression=self._asks_compression(peer.endpoint),
+            memory=self._memory,
         )
         peer.link = link
         self._by_link[link] = peer
--- a/src/finchshed/daemon/components.py
+++ b/src/finchshed/daemon/components.py
@@ -24,6 +24,7 @@
 from finchshed.daemon.ingress.key_lease_renewal import KeyLeaseRenewal
 from finchshed.daemon.ingress.quota_gate import QuotaGate
 from finchshed.daemon.ingress.service_handler import AdmittedServiceRequest, ServiceRequestHandler
+from finchshed.daemon.memory import MemoryPlan
 from finchshed.daemon.quarantine import Quarantine
 from finchshed.daemon.serving.callee import Callee
 from finchshed.daemon.serving.served_requests import ServedRequests
@@ -53,11 +54,14 @@
         Admission thresholds of the services that requests call downstream.
     path_callers
         Thresholds of callers there.
+    memory
+        What the process may hold of bodies.
     """
 
     settings: DaemonSettings
     names: HeaderNames
     rng: random.Random
+    memory: MemoryPlan
     started_ms: int
     identity: EndpointIdentity
     drain: DrainState
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -248,6 +248,9 @@
             self._set_gauges()
 
     def _set_gauges(self) -> None:
+        bodies = self._components.state.memory.bodies
+        metrics.BODY_BYTES.set(bodies.held)
+        metrics.BODIES_GIVEN_UP.set(bodies.dropped)
         metrics.IN_PROGRESS.labels("caller").set(self._ingress.caller.in_progress)
         if self._callee is not None:
             metrics.IN_PROGRESS.labels("callee").set(self._callee.in_progress)
--- a/src/finchshed/daemon/metrics.py
+++ b/src/finchshed/daemon/metrics.py
@@ -82,6 +82,10 @@
     "finchshed_backend_extra_answers_total",
     "Answers of the back end that no request was waiting for, or another one than theirs",
 )
+BODY_BYTES = Gauge("finchshed_body_bytes", "Bytes of bodies held in memory")
+BODIES_GIVEN_UP = Gauge(
+    "finchshed_bodies_given_up", "Bodies given up since the start, for want of memory"
+)
 BACKEND_ENDED = Counter(
     "finchshed_backend_ended_total", "Times the back end ended while it ran requests"
 )
--- a/src/finchshed/daemon/serving/callee.py
+++ b/src/finchshed/daemon/serving/callee.py
@@ -13,6 +13,7 @@
 from finchshed.admission.path_callers import PathCallers
 from finchshed.admission.path_completion import PathCompletion
 from finchshed.admission.path_thresholds import PathThresholds
+from finchshed.common.memory_budget import HoldingKind, MemoryBudget
 from finchshed.common.outcomes import Outcome, RefusalReason, Refused
 from finchshed.common.results import CallResult, result_of
 from finchshed.configuration.resources import RetryRefill
@@ -74,6 +75,8 @@
         Requests that crashed back ends.
     rate_limit
         Rate limit that the back end names.
+    memory
+        Budget of the bodies of calls in progress.
     """
 
     def __init__(
@@ -94,7 +97,9 @@
         signatures: SignatureFactory,
         quarantine: Quarantine,
         rate_limit: RateLimitMonitor,
+        memory: MemoryBudget,
     ) -> None:
+        self._memory = memory
         self._endpoint = settings.endpoint
         self._served = served
         self._paths = paths
@@ -222,6 +227,11 @@
         self._calls[inbound.token] = inbound
         self._by_call[call.epoch, call.call] = inbound
         inbound.signature = self._signatures.lazy_signature(call)
+        inbound.memory = self._memory.open(HoldingKind.KEPT, _no_op)
+        if not inbound.memory.resize(len(call.body)):
+            detail = "no memory is left for its body"
+            self._refuse(inbound, self._admission.refusal(RefusalReason.OVERLOAD, detail))
+            return
         assessment = self._quarantine.check(inbound.signature)
         if assessment.suspicion is Suspicion.QUARANTINED:
             detail = f"{assessment.crashes} back ends ended under it"
@@ -317,6 +327,8 @@
     def _remove(self, inbound: InboundCall) -> None:
         inbound.state = InboundCallState.DONE
         inbound.cancel_backend = None
+        if inbound.memory is not None:
+            inbound.memory.release()
         self._calls.pop(inbound.token, None)
         self._by_call.pop((inbound.call.epoch, inbound.call.call), None)
         if inbound.in_session:
@@ -324,3 +336,7 @@
         next_suspect = self._calls.get(self._suspects.leave(inbound.token) or 0)
         if next_suspect is not None:
             self._gate.enter(next_suspect, clock.now())
+
+
+def _no_op() -> None:
+    """Do nothing: the body of a call is kept until the call ends."""
--- a/src/finchshed/daemon/serving/inbound_call.py
+++ b/src/finchshed/daemon/serving/inbound_call.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from finchshed.common.context import CallContext
+from finchshed.common.memory_budget import Holding
 from finchshed.daemon.backend.client import BackendResult
 from finchshed.daemon.serving.inbound_call_state import InboundCallState
 from finchshed.daemon.serving.served_requests import ServedRequest
@@ -36,6 +37,8 @@
         Key in the at-most-once ledger, for a non-repeatable call.
     attempt
         Identity of this attempt in the ledger.
+    memory
+        Memory of its body.
     result
         Latest result of the back end; None before.
     signature
@@ -61,6 +64,7 @@
     ledger_key: str = ""
     attempt: str = ""
     result: BackendResult | None = None
+    memory: Holding | None = None
     signature: Callable[[], str] = str
 
     @property
--- a/src/finchshed/daemon/settings.py
+++ b/src/finchshed/daemon/settings.py
@@ -134,6 +134,17 @@
     max_spooled_bytes: Annotated[
         int, Meta(ge=1 << 20, le=1 << 34, description="Bodies held at a time, in sum.")
     ] = 128 << 20
+    max_memory_bytes: Annotated[
+        int,
+        Meta(
+            ge=1 << 20,
+            le=1 << 40,
+            description=(
+                "Memory of the process: bodies are refused or given up before it is reached, as is "
+                "an answer above 9 in 100 of what lies above 64 MiB."
+            ),
+        ),
+    ] = 2 << 30
     max_connections: Annotated[
         int, Meta(ge=1, le=65_536, description="Connections kept to the back end.")
     ] = 128
--- a/src/finchshed/http/connection.py
+++ b/src/finchshed/http/connection.py
@@ -33,7 +33,7 @@
     """A connection opened by a client."""
 
     def __init__(self, owner: "ConnectionOwner[RequestT, InboundConnection[RequestT]]") -> None:
-        super().__init__()
+        super().__init__(owner.memory)
         self._owner = owner
         self._parser = httptools.HttpRequestParser(self)
         self._remote = ""
@@ -71,6 +71,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests in progress (asyncio callback)."""
         self._transport = None
+        self._free_memory()
         self._owner.closed(self)
         answering = self._answering
         self._answering = None
@@ -227,7 +228,7 @@
             is_delimited_by_end = not response.has_length and has_body(response, is_head=is_head)
             self._send_last(data, exchange, is_delimited_by_end=is_delimited_by_end)
             return
-        self._transport.write(data)
+        self._write(data)
         if not self._is_advancing:
             self._advance()
         if self._answering is None and self._unparsed:
@@ -242,7 +243,7 @@
         if is_delimited_by_end:
             self._send_delimited_by_end(data, is_lingering=is_lingering)
         else:
-            self._transport.write(data)
+            self._write(data)
             self._end_sending(is_lingering=is_lingering)
         self._drop_queued()
 
--- a/src/finchshed/http/exchange.py
+++ b/src/finchshed/http/exchange.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Generic, Protocol, TypeVar
 
+from finchshed.common.memory_budget import MemoryBudget
 from finchshed.common.outcomes import RefusalReason, Refused
 from finchshed.http.limits import ConnectionLimits
 from finchshed.http.message import InboundRequest, Response
@@ -52,6 +53,7 @@
     handler: RequestHandler[RequestT]
     spool: SpoolBudget
     limits: ConnectionLimits
+    memory: MemoryBudget | None
     now: float
     closing: bool
 
--- a/src/finchshed/http/server.py
+++ b/src/finchshed/http/server.py
@@ -7,6 +7,7 @@
 import asyncio
 from typing import Generic, TypeVar
 
+from finchshed.common.memory_budget import MemoryBudget
 from finchshed.http.connection import InboundConnection
 from finchshed.http.exchange import RequestHandler
 from finchshed.http.limits import ConnectionLimits
@@ -30,6 +31,8 @@
         Limits the total size of buffered bodies.
     limits
         Limits of each connection.
+    memory
+        Budget of unsent responses; None for no bound.
 
     Attributes
     ----------
@@ -44,10 +47,12 @@
         handler: RequestHandler[RequestT],
         spool: SpoolBudget,
         limits: ConnectionLimits | None = None,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self.handler = handler
         self.spool = spool
         self.limits = limits or ConnectionLimits()
+        self.memory = memory
         self.now = clock.now()
         self.closing = False
         self._connections: set[InboundConnection[RequestT]] = set()
--- a/src/finchshed/http/transport.py
+++ b/src/finchshed/http/transport.py
@@ -4,6 +4,8 @@
 import socket
 import struct
 
+from finchshed.common.memory_budget import Holding, HoldingKind, MemoryBudget
+
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """``struct linger`` with a timeout of zero: a close resets the connection (socket(7))."""
 
@@ -23,9 +25,17 @@
 
     ``_lingers_once_sent`` tells how to end the connection after the answer that its end delimits;
     None while no such answer is being sent.
+
+    Parameters
+    ----------
+    memory
+        Budget of unsent data, None for no bound; a connection that must give way is aborted.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, memory: MemoryBudget | None = None) -> None:
+        self._unsent_memory: Holding | None = None
+        if memory is not None:
+            self._unsent_memory = memory.open(HoldingKind.ONE_REQUEST, self.abort)
         self._transport: asyncio.Transport | None = None
         self._is_paused = False
         self.is_lingering = False
@@ -49,8 +59,25 @@
 
     def resume_writing(self) -> None:
         """End an answer delimited by the connection's end, once it is sent (asyncio callback)."""
+        self._note_unsent()
         self._end_if_sent()
 
+    def _write(self, data: bytes) -> None:
+        assert self._transport is not None
+        self._transport.write(data)
+        self._note_unsent()
+
+    def _note_unsent(self) -> None:
+        held = self._unsent_memory
+        if held is not None and not held.resize(self.write_buffer_size()):
+            self.abort()
+
+    def _free_memory(self) -> None:
+        if self._unsent_memory is not None:
+            self._unsent_memory.release()
+        # Breaks the reference cycle, so that no collection is needed.
+        self._unsent_memory = None
+
     def _pause_reading(self) -> None:
         if self._transport is not None and not self._is_paused:
             self._is_paused = True
@@ -72,7 +99,7 @@
         self.is_lingering = True
         self._lingers_once_sent = is_lingering
         self._set_linger(_RESET_ON_CLOSE)
-        self._transport.write(data)
+        self._write(data)
         self._end_if_sent()
 
     def _end_if_sent(self) -> None:
--- a/src/finchshed/link/lines.py
+++ b/src/finchshed/link/lines.py
@@ -12,8 +12,9 @@
 import msgspec
 
 from finchshed.common.errors import ProtocolError
+from finchshed.common.memory_budget import Holding, HoldingKind, MemoryBudget
 from finchshed.link.compression import LineCompressor, LineDecompressor
-from finchshed.link.encoding import LINE_FEED, encode_line
+from finchshed.link.encoding import LINE_FEED, encode_line, encoded_size
 from finchshed.link.networks import PeerNetworks
 
 ReceivedT = TypeVar("ReceivedT")
@@ -54,6 +55,9 @@
     networks
         Allowed peer networks; None allows any. A connection from another network is closed
         immediately, and only ``on_close`` is called.
+    memory
+        Budget of the line being received and of unsent lines; None for no bound. A connection that
+        must give way to another one is closed.
     """
 
     def __init__(
@@ -66,7 +70,11 @@
         *,
         requires_handshake: bool = False,
         networks: PeerNetworks | None = None,
+        memory: MemoryBudget | None = None,
     ) -> None:
+        self._memory = memory
+        self._received_memory = self._open_holding(memory)
+        self._unsent_memory = self._open_holding(memory)
         self._decoder = _decoder_of(received_type)
         self._on_message = on_message
         self._on_open = on_open
@@ -106,6 +114,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Report that the connection closed (asyncio callback)."""
         self.transport = None
+        self._free_memory()
         if self._on_close is not None:
             self._on_close(self, self._error or exc)
 
@@ -144,12 +153,23 @@
             line = self._compressor.compress(line)
         transport.write(line)
         self.bytes_sent += len(line)
+        self._note_unsent()
         return len(line)
 
     def unsent_bytes(self) -> int:
         """Return the number of queued bytes not yet accepted by the operating system."""
         return 0 if self.transport is None else self.transport.get_write_buffer_size()
 
+    def has_room(self, body_bytes: int) -> bool:
+        """Return whether a message with a body of this size can be queued without giving way."""
+        if self._memory is None:
+            return True
+        return self._memory.has_room(encoded_size(body_bytes))
+
+    def resume_writing(self) -> None:
+        """Free the memory of unsent lines, which are all sent (asyncio callback)."""
+        self._note_unsent()
+
     def close(self) -> None:
         """Close the connection after sending the queued data."""
         if self.transport is not None:
@@ -183,6 +203,7 @@
         if rest:
             self._partial_line += rest
             self._check_size(self._partial_line)
+        self._note_received()
 
     def _join_partial(self, line: bytes) -> bytes | bytearray:
         """Return ``line`` preceded by the part of it received earlier."""
@@ -218,4 +239,31 @@
 
     def _fail(self, error: ProtocolError) -> None:
         self._error = error
+        self._partial_line = bytearray()
         self.abort()
+
+    def _open_holding(self, memory: MemoryBudget | None) -> Holding | None:
+        if memory is None:
+            return None
+        return memory.open(HoldingKind.MANY_REQUESTS, self._give_way)
+
+    def _note_received(self) -> None:
+        held = self._received_memory
+        if held is not None and not held.resize(len(self._partial_line)):
+            self._give_way()
+
+    def _note_unsent(self) -> None:
+        held = self._unsent_memory
+        if held is not None and not held.resize(self.unsent_bytes()):
+            self._give_way()
+
+    def _give_way(self) -> None:
+        self._fail(ProtocolError("no memory is left for its lines"))
+        self._free_memory()
+
+    def _free_memory(self) -> None:
+        for held in (self._received_memory, self._unsent_memory):
+            if held is not None:
+                held.release()
+        # Breaks the reference cycles, so that no collection is needed.
+        self._received_memory = self._unsent_memory = None
--- a/src/finchshed/link/listener.py
+++ b/src/finchshed/link/listener.py
@@ -12,9 +12,12 @@
 from loguru import logger
 
 from finchshed.common.errors import ProtocolError
+from finchshed.common.memory_budget import LARGE_BYTES, MemoryBudget
+from finchshed.common.outcomes import Answered, Failed, FailureReason
 from finchshed.distribution.messages import Delta, Fetch
 from finchshed.limit.sent_slowdown import SentSlowdown
 from finchshed.link.digests import digest_of
+from finchshed.link.encoding import encoded_size
 from finchshed.link.lines import LineProtocol
 from finchshed.link.messages import (
     Call,
@@ -62,22 +65,42 @@
         self.sent_slowdown = SentSlowdown()
         self._owner = owner
         self._highest_call = 0
+        self._longest_unsent = 0
         self._seen_revision = 0
 
     def reply(self, reply: Reply) -> bool:
         """Send a reply; return False if the call was cancelled or the link is closed.
 
-        Closes the link if the peer has left too many bytes unread, to bound memory use.
+        Closes the link if the peer has left too many bytes unread, to bound memory use. A large
+        answer that can't be queued beside others fails alone.
         """
         if reply.call not in self.calls:
             return False
         self.calls.discard(reply.call)
         self.sent_slowdown.on_report(reply.load.slowdown, clock.now())
-        if self.lines.unsent_bytes() > self._max_unsent_bytes:
+        unsent = self.lines.unsent_bytes()
+        if unsent == 0:
+            self._longest_unsent = 0
+        if unsent > self._max_unsent_bytes + self._longest_unsent:
             LINKS_REFUSED.labels("full").inc()
             self.lines.abort()
             return False
-        return self.lines.send(reply) > 0
+        if isinstance(reply.outcome, Answered) and not self._has_room(len(reply.outcome.body)):
+            reply = msgspec.structs.replace(reply, outcome=_no_room(), digest="")
+        sent = self.lines.send(reply)
+        self._longest_unsent = max(self._longest_unsent, sent)
+        return sent > 0
+
+    def _has_room(self, body_bytes: int) -> bool:
+        """Return whether a body can be queued.
+
+        One that is larger than the limit of unsent bytes can be while no other large one is.
+        """
+        if body_bytes <= LARGE_BYTES:
+            return True
+        unsent = self.lines.unsent_bytes()
+        is_full = unsent + encoded_size(body_bytes) > self._max_unsent_bytes
+        return (unsent <= LARGE_BYTES or not is_full) and self.lines.has_room(body_bytes)
 
     @property
     def epoch(self) -> str:
@@ -202,6 +225,8 @@
         A link is closed after receiving nothing for this long; callers send heartbeats.
     max_unsent_bytes
         A link is closed when a reply is due while more bytes than this are unsent.
+    memory
+        Budget of lines being received and of unsent ones; None for no bound.
     """
 
     def __init__(
@@ -211,11 +236,13 @@
         *,
         silence_seconds: float,
         max_unsent_bytes: int,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self._owner = owner
         self._networks = PeerNetworks(networks)
         self._silence_seconds = silence_seconds
         self._max_unsent_bytes = max_unsent_bytes
+        self._memory = memory
         self._links: dict[LineProtocol[PeerMessage], AcceptedLink] = {}
 
     def make_protocol(self) -> asyncio.Protocol:
@@ -226,6 +253,7 @@
             on_open=self._on_open,
             on_close=self._on_close,
             requires_handshake=True,
+            memory=self._memory,
         )
 
     def links(self) -> list[AcceptedLink]:
@@ -276,3 +304,8 @@
     def _refuse(self, lines: LineProtocol[PeerMessage], cause: str) -> None:
         LINKS_REFUSED.labels(cause).inc()
         lines.abort()
+
+
+def _no_room() -> Failed:
+    """Return the outcome of a call whose answer can't be queued beside others."""
+    return Failed(FailureReason.ANSWER_TOO_LARGE, 0.0, "no room is left to send the answer")
--- a/src/finchshed/link/peer.py
+++ b/src/finchshed/link/peer.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from finchshed.common.errors import ProtocolError
+from finchshed.common.memory_budget import MemoryBudget
 from finchshed.distribution.messages import Delta, Fetch
 from finchshed.link.digests import digest_of
 from finchshed.link.encoding import encode_line
@@ -64,6 +65,8 @@
         Opens the connection; None uses the event loop. Replaced for fault injection.
     asks_compression
         Whether to request compression of both directions.
+    memory
+        Budget of lines being received and of unsent ones; None for no bound.
     """
 
     def __init__(
@@ -78,6 +81,7 @@
         connect_timeout_seconds: float,
         connect: Connect | None = None,
         asks_compression: bool = False,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self.address = address
         self.state = LinkState.CONNECTING
@@ -94,6 +98,7 @@
         self._lines: LineProtocol[PeerMessage] | None = None
         self._seen_revision = 0
         self._asks_compression = asks_compression
+        self._memory = memory
         self._heartbeats = LinkHeartbeats(
             SilenceDetector(heartbeat_seconds, idle_heartbeat_seconds, silence_seconds),
             self._loop,
@@ -180,6 +185,7 @@
             on_open=self._on_open,
             on_close=self._on_close,
             requires_handshake=True,
+            memory=self._memory,
         )
 
     def _on_open(self, lines: LineProtocol[PeerMessage]) -> None:
--- a/tests/daemon/callee_fixture.py
+++ b/tests/daemon/callee_fixture.py
@@ -6,6 +6,7 @@
 from finchshed.admission.path_callers import PathCallers
 from finchshed.admission.path_completion import PathCompletion
 from finchshed.admission.path_thresholds import PathThresholds
+from finchshed.common.memory_budget import MemoryBudget
 from finchshed.daemon.backend.events import BackendEvents
 from finchshed.daemon.backend.rate_limit_monitor import RateLimitMonitor
 from finchshed.daemon.draining import DrainState
@@ -49,4 +50,5 @@
         signatures=signatures,
         quarantine=Quarantine(Mock(is_connected=True), Mock()),
         rate_limit=RateLimitMonitor(EndpointIdentity("", "sales")),
+        memory=MemoryBudget(1 << 20),
     )
--- a/tests/daemon/test_backend_connections.py
+++ b/tests/daemon/test_backend_connections.py
@@ -174,8 +174,8 @@
     made: list[weakref.ref[BackendConnection]] = []
     make = BackendConnection.__init__
 
-    def remember(self: BackendConnection, *arguments: object) -> None:
-        make(self, *arguments)
+    def remember(self: BackendConnection, *arguments: object, **named: object) -> None:
+        make(self, *arguments, **named)
         made.append(weakref.ref(self))
 
     monkeypatch.setattr(BackendConnection, "__init__", remember)
--- a/tests/daemon/test_connection_memory.py
+++ b/tests/daemon/test_connection_memory.py
@@ -10,6 +10,7 @@
     """Fake server with the members that an unused connection needs."""
 
     now = 0.0
+    memory = None
 
     def closed(self, connection: InboundConnection[object]) -> None:
         pass
--- a/tests/daemon/test_extra_answers.py
+++ b/tests/daemon/test_extra_answers.py
@@ -16,7 +16,8 @@
 from finchshed.daemon.backend.http_client import HttpBackend
 from tests.daemon.scripted_backend import Received, ScriptedBackend, answer
 
-TIMEOUT_SECONDS = 0.5
+TIMEOUT_SECONDS = 5.0
+SHORT_TIMEOUT_SECONDS = 0.3
 MAX_ANSWER_BYTES = 1_000
 
 
@@ -32,25 +33,40 @@
 
 
 async def ask(
-    client: HttpBackend, identity: str, *, is_repeatable: bool = False, path: str = "/"
+    client: HttpBackend,
+    identity: str,
+    *,
+    is_repeatable: bool = False,
+    timeout_seconds: float = TIMEOUT_SECONDS,
 ) -> BackendResult:
     ended: asyncio.Future[BackendResult] = asyncio.get_running_loop().create_future()
     headers = (("finchshed-request", identity),)
     request = BackendRequest(
-        "POST", path, headers, b"", TIMEOUT_SECONDS, MAX_ANSWER_BYTES, is_repeatable,
+        "POST",
+        "/",
+        headers,
+        b"",
+        timeout_seconds,
+        MAX_ANSWER_BYTES,
+        is_repeatable,
         request_id=identity,
-    )  # fmt: skip
+    )
     client.send(request, ended.set_result)
     return await ended
 
 
-async def second_result(data: bytes, *, is_repeatable: bool = False, pieces: int = 1) -> object:
+async def second_result(
+    data: bytes,
+    *,
+    is_repeatable: bool = False,
+    pieces: int = 1,
+    timeout_seconds: float = TIMEOUT_SECONDS,
+) -> BackendResult:
     """Return the result of request r2, answered with ``data`` on a connection that carried r1.
 
-    The connection has carried a health check as well. The third value is the number of connections
-    that a further request leads to.
+    The connection has carried a health check as well. It is used again only if ``data`` is the
+    answer to r2 and nothing else.
     """
-    connections: list[int] = []
 
     async def handler(received: Received, writer: asyncio.StreamWriter) -> None:
         identity = received.headers["finchshed-request"]
@@ -66,12 +82,13 @@
         client = HttpBackend(backend.address, 4, 1.0)
         await check_health(client)
         await ask(client, "r1")
-        result = await ask(client, "r2", is_repeatable=is_repeatable)
+        result = await ask(
+            client, "r2", is_repeatable=is_repeatable, timeout_seconds=timeout_seconds
+        )
         assert backend.connections == 1
         await ask(client, "r3")
-        connections.append(backend.connections)
+        assert backend.connections == (1 if data == own("r2") else 2)
         await client.close()
-    assert connections == [1 if data == own("r2") else 2]
     return result
 
 
@@ -90,7 +107,8 @@
 
 
 async def test_a_copy_alone_is_never_the_answer() -> None:
-    assert isinstance(await second_result(own("r1")), BackendTimedOut)
+    result = await second_result(own("r1"), timeout_seconds=SHORT_TIMEOUT_SECONDS)
+    assert isinstance(result, BackendTimedOut)
 
 
 NOT_PASSED_OVER = {
