control: acknowledge a change only once its own sync has ended

An operator's change could be acknowledged while its sync still ran: if all other machines lose power at that moment, an acknowledged configuration is lost.

Cause: the host started a task for a write whenever writes were queued and none had been taken, and the task took them when it began. Two steps before that, as when a timer fires in the same iteration of the loop, started two tasks for one batch; the second one's end was taken for the end of the next batch, whose sync was running, and so on from then on.

The batch is taken in the step now, so no second task can start; taking one while another is running breaks an invariant, which stops the process.

--- a/src/finchshed/consensus/effect_runner.py
+++ b/src/finchshed/consensus/effect_runner.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 from typing import Protocol
 
+from finchshed.common.errors import InvariantError
 from finchshed.consensus.effects import (
     Apply,
     Effect,
@@ -75,6 +76,11 @@
         """Whether writes are queued and none is running."""
         return bool(self._queued) and not self._writing
 
+    @property
+    def running_writes(self) -> list[Write]:
+        """The batch that was taken and hasn't finished."""
+        return [persist.write for persist in self._writing]
+
     def start(self, now: float) -> None:
         """Start the node and restore the application from the stored snapshot."""
         self._carry_out(self._node.start(now))
@@ -84,10 +90,17 @@
         self._carry_out(self._node.handle_all(events, now))
 
     def take_pending_writes(self) -> list[Write]:
-        """Return the next batch to write, or the running batch if it has not finished."""
-        if not self._writing:
-            self._writing, self._queued = self._queued, []
-        return [persist.write for persist in self._writing]
+        """Return the next batch to write; no other one may be running.
+
+        Raises
+        ------
+        InvariantError
+            A batch is running: its end would be taken for the end of this one.
+        """
+        if self._writing:
+            raise InvariantError("a write was started while another one was running")
+        self._writing, self._queued = self._queued, []
+        return self.running_writes
 
     def on_write_finished(self, outcome: WriteOutcome, now: float) -> None:
         """Handle the outcome of the last batch.
--- a/src/finchshed/control/raft/host.py
+++ b/src/finchshed/control/raft/host.py
@@ -61,6 +61,7 @@
 from finchshed.control.state.commands import Command, CommandResult, LogEntry, encode_entry
 from finchshed.control.state.machine import ControlStateMachine
 from finchshed.runtime import clock
+from finchshed.storage.records import Write
 
 GAUGE_INTERVAL_SECONDS = 0.1
 """Interval between updates of the gauges, which are too costly to update at each step."""
@@ -284,7 +285,8 @@
 
     def _after_step(self) -> None:
         if self._runner.has_pending_writes:
-            self._background.spawn(self._write())
+            # Taken here, since another step may follow before the task begins.
+            self._background.spawn(self._write(self._runner.take_pending_writes()))
         self._timer.rearm()
         now = clock.now()
         if now >= self._gauges_due:
@@ -298,8 +300,8 @@
         if not self._is_stopped:
             self._step([Tick()])
 
-    async def _write(self) -> None:
-        outcome = await self._journal.write(self._runner.take_pending_writes())
+    async def _write(self, writes: list[Write]) -> None:
+        outcome = await self._journal.write(writes)
         if self._is_stopped:
             return
         try:
--- a/src/finchshed/proof/consensus/node.py
+++ b/src/finchshed/proof/consensus/node.py
@@ -157,7 +157,7 @@
         self._doomed = None
         if not self.is_running:
             return
-        writes = self._runner.take_pending_writes()
+        writes = self._runner.running_writes or self._runner.take_pending_writes()
         if writes:
             self.disk.crash_after(self._rng.randrange(_MOST_OPERATIONS_OF_A_WRITE))
             try:
@@ -280,7 +280,7 @@
         self._process.later(delay / self.clock_rate, action)
 
     def _finish_write(self) -> None:
-        outcome = self._store.write(self._runner.take_pending_writes())
+        outcome = self._store.write(self._runner.running_writes)
         if outcome is WriteOutcome.DURABLE:
             self._guarded(lambda: self._runner.on_write_finished(outcome, self._host_now()))
             return
