soak: end with all processes killed after an acknowledgement, and a disk lost

The soak's last act changes the configuration, kills every process at once, gives one control machine an empty disk and reads the configuration back.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -15,6 +15,7 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -30,7 +31,12 @@
     working,
 )
 from tests.platform.soak_checks import violations_of
-from tests.platform.soak_configuration import lose_disks, read_back_violations, read_densely
+from tests.platform.soak_configuration import (
+    lose_disk_while_all_are_off,
+    lose_disks,
+    read_back_violations,
+    read_densely,
+)
 from tests.platform.soak_downloads import FILE_PREFIX, download_files, with_downloads
 from tests.platform.soak_load import PLAIN_KEY, TENANTS, play_load
 from tests.platform.soak_state import NamedPeriod, Soak
@@ -152,12 +158,18 @@
 
 
 async def change_configuration(soak: Soak) -> None:
+    await put_configuration(soak, soak.rng.randint(1, 3), soak.rng.randrange(3))
+
+
+async def put_configuration(soak: Soak, step: int, control: int) -> bool:
+    """Send a configuration ``step`` versions on; return whether it was acknowledged."""
     base = soak.version
-    soak.version += soak.rng.randint(1, 3)
+    soak.version += step
     version = soak.version
-    status = await soak.running.put(soak_document(version, base), soak.rng.randrange(3))
-    if status == SERVED:
+    is_acknowledged = await soak.running.put(soak_document(version, base), control) == SERVED
+    if is_acknowledged:
         soak.acknowledged.append((time.monotonic(), version))
+    return is_acknowledged
 
 
 async def send_foreign_heartbeat(soak: Soak) -> None:
@@ -279,6 +291,9 @@
             found.append(f"not every daemon serves {SETTLE_SECONDS} s after the end")
         found += await read_back_violations(soak)
         supervision.cancel()
+        last = random.Random(f"last {seed}")
+        await lose_disk_while_all_are_off(soak, partial(put_configuration, soak, 1), last)
+        found += await read_back_violations(soak)
         # The interpreter itself ends by a reload signal before it has begun to run the program.
         found += [
             f"{count} processes ended by themselves, code {code}"
@@ -307,6 +322,7 @@
             f" {sum(soak.acts.values())} acts, {len(soak.limits)} limits,"
             f" {len(soak.leaves)} leaves, {len(soak.reads)} configuration reads,"
             f" {soak.lost_disks} lost disks,"
+            f" acknowledged before the last kill: {soak.ended_with_acknowledgement},"
             f" {sum(download.is_whole for download in soak.downloads)} of"
             f" {len(soak.downloads)} downloads whole,"
             f" {0 if soak.plan is None else soak.plan.copies} copies,"
--- a/tests/platform/soak_state.py
+++ b/tests/platform/soak_state.py
@@ -80,6 +80,9 @@
     """Whether control machines lose their disks, one at a time, in place of other restarts."""
 
     lost_disks: int = 0
+    ended_with_acknowledgement: bool = False
+    """Whether a change was acknowledged right before all processes were killed at the end."""
+
     plan: DuplicationPlan | None = None
     """What back ends turn away and send twice, in some seeds. Refused clients then keep the
     identity of their request when they return."""
