daemon: give a dropped answer up without changing the budget that dropped it

An answer that gives its memory to another one was reported at once, from within the change of the budget that dropped it; its result may lead to further changes, and could leave bytes counted for a closed connection. It takes nothing more from then on, and is reported in the next turn of the loop. Bodies that are kept, those of calls, have half of the budget at most, so that they can't leave small answers without room. A copy of an answer without a body (204, 304) is passed over like others.

--- a/src/finchshed/common/memory_budget.py
+++ b/src/finchshed/common/memory_budget.py
@@ -21,7 +21,11 @@
     """Belongs to a connection that carries several requests, which all fail."""
 
     KEPT = 2
-    """Never gives way to others."""
+    """Never gives way to others; all of them have only a part of the budget."""
+
+
+KEPT_FRACTION = 0.5
+"""Part of the budget that holdings which never give way may have together."""
 
 
 class MemoryBudget:
@@ -44,6 +48,7 @@
         self.limit = limit
         self.held = 0
         self.dropped = 0
+        self._kept = 0
         self._large: dict[Holding, None] = {}
 
     def open(self, kind: HoldingKind, on_dropped: Callable[[], None]) -> "Holding":
@@ -56,20 +61,32 @@
 
     def _resize(self, holding: "Holding", size: int) -> bool:
         """Change the size of ``holding``; return False, holding nothing, if there is no room."""
-        self.held += size - holding.size
+        self._count(holding, size)
+        if self._kept > KEPT_FRACTION * self.limit:
+            self._drop(holding)
+            return False
+        while self.held > self.limit:
+            dropped = min((*self._large, holding), key=_order)
+            self._drop(dropped)
+            if dropped is holding:
+                return False
+            dropped.on_dropped()
+        return True
+
+    def _count(self, holding: "Holding", size: int) -> None:
+        added = size - holding.size
         holding.size = size
-        if size > LARGE_BYTES and holding.kind is not HoldingKind.KEPT:
+        self.held += added
+        if holding.kind is HoldingKind.KEPT:
+            self._kept += added
+        elif size > LARGE_BYTES:
             self._large[holding] = None
         else:
             self._large.pop(holding, None)
-        while self.held > self.limit:
-            self.dropped += 1
-            given = min((*self._large, holding), key=_order)
-            given.release()
-            if given is holding:
-                return False
-            given.on_dropped()
-        return True
+
+    def _drop(self, holding: "Holding") -> None:
+        self.dropped += 1
+        self._count(holding, 0)
 
 
 class Holding:
@@ -97,7 +114,7 @@
     def release(self) -> None:
         """Hold nothing."""
         if self.size:
-            self._budget._resize(self, 0)
+            self._budget._count(self, 0)
 
 
 def _order(holding: Holding) -> tuple[int, int]:
--- a/src/finchshed/daemon/backend/answer_parser.py
+++ b/src/finchshed/daemon/backend/answer_parser.py
@@ -1,7 +1,7 @@
 """Parses the answers received on one connection to the back end, with httptools (llhttp).
 
-Between two requests an answer may be followed by an extra one, which belongs to an earlier request.
-The parser passes over extra answers if it is told to, and waits for the one that was asked for.
+An extra answer, which belongs to an earlier request, may come in front of the one that is awaited.
+The parser passes over extra answers if it is told to.
 """
 
 from collections.abc import Callable, Sequence
@@ -17,14 +17,13 @@
 """Maximum size of an answer's status line and headers."""
 
 MAX_FRAMING_BYTES = 262_144
-"""Bytes of chunk sizes, their extensions and trailers that an answer may have, and more the larger
-its body is."""
+"""Bytes of chunk sizes, their extensions and trailers that any answer may have."""
 
 FRAMING_DIVISOR = 4
-"""A body allows its size divided by this of further framing."""
+"""The size of its body divided by this is what an answer may have of them in addition."""
 
 MAX_FRAMING_BYTES_AT_ONCE = 16_384
-"""The same without a byte of the body in between."""
+"""Such bytes that may come without a byte of the body in between."""
 
 MAX_EXTRA_ANSWERS = 8
 """Extra answers that are passed over for one request."""
@@ -97,6 +96,11 @@
         self.keeps_alive = False
         self._reset_answer()
 
+    def give_up(self) -> None:
+        """Take nothing more of the answer."""
+        self.is_too_large = True
+        self.discard_body()
+
     def discard_body(self) -> None:
         """Free what was received of the body."""
         self._body = []
@@ -205,12 +209,14 @@
         return ""
 
     def _judge(self) -> None:
+        """Find out whose answer it is, and whether it is passed over or ends the request."""
         addressee = self._addressee_of(self.headers)
         self.is_identified = addressee is Addressee.REQUEST
         if addressee in {Addressee.REQUEST, Addressee.UNNAMED}:
             return
         self._extra_answers += 1
-        is_bounded = self._extra_answers <= MAX_EXTRA_ANSWERS and not self.ends_with_connection
+        has_end = not self.ends_with_connection or self.status in BODILESS_STATUSES
+        is_bounded = has_end and self._extra_answers <= MAX_EXTRA_ANSWERS
         if addressee is Addressee.EARLIER_REQUEST and self._skips_extra and is_bounded:
             self._is_skipping = True
         else:
--- a/src/finchshed/daemon/backend/connection.py
+++ b/src/finchshed/daemon/backend/connection.py
@@ -86,7 +86,7 @@
         self._transport: asyncio.Transport | None = None
         self._carried = CarriedRequests()
         self._max_answer_bytes = max_answer_bytes
-        holding = memory.open(HoldingKind.ONE_REQUEST, self._give_up_answer)
+        holding = memory.open(HoldingKind.ONE_REQUEST, self._on_memory_dropped)
         self._parser = AnswerParser(self._addressee_of, holding)
         self._on_result: Callable[[BackendResult], None] | None = None
         self._request: BackendRequest | None = None
@@ -214,6 +214,11 @@
             if name == KEEP_ALIVE and (found := TIMEOUT_PARAMETER.search(value)):
                 self.keep_alive_seconds = float(found.group(1))
 
+    def _on_memory_dropped(self) -> None:
+        self._parser.give_up()
+        # Later, since the result may lead to changes of the budget that dropped it.
+        asyncio.get_running_loop().call_soon(self._give_up_answer)
+
     def _give_up_answer(self) -> None:
         self._finish(BackendAnswerTooLarge())
         self._close()
--- a/tests/daemon/test_answer_framing.py
+++ b/tests/daemon/test_answer_framing.py
@@ -118,3 +118,10 @@
     assert budget.held == 50_000
     parser.take_body()
     assert budget.held == 0
+
+
+def test_the_body_of_an_interim_answer_is_no_part_of_the_answer() -> None:
+    parser = make_parser()
+    interim = b"HTTP/1.1 199 Interim\r\ncontent-length: 3\r\n\r\nabc"
+    assert parser.feed(interim + OK + b"content-length: 2\r\n\r\nok") == ""
+    assert (parser.status, parser.take_body()) == (200, b"ok")
--- a/tests/daemon/test_backend_connections.py
+++ b/tests/daemon/test_backend_connections.py
@@ -13,8 +13,10 @@
 
 import pytest
 
+from finchshed.common.memory_budget import MemoryBudget
 from finchshed.daemon.backend.client import (
     BackendAnswer,
+    BackendAnswerTooLarge,
     BackendBroken,
     BackendRequest,
     BackendResult,
@@ -205,3 +207,39 @@
     client = HttpBackend(f"{host}:{port}", MAX_CONNECTIONS, 1.0)
     assert await in_use_after(client, ask) == 0
     server.close()
+
+
+async def test_an_answer_that_gives_its_memory_to_another_is_never_taken_for_whole() -> None:
+    may_end = asyncio.Event()
+    body_bytes = 300_000
+
+    async def in_two_parts(received: Received, writer: asyncio.StreamWriter) -> None:
+        identity = received.headers["finchshed-request"].encode()
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nfinchshed-request: %s\r\ncontent-length: %d\r\n\r\n"
+            % (identity, body_bytes)
+        )
+        writer.write(bytes(body_bytes - 10))
+        await may_end.wait()
+        writer.write(bytes(10))
+
+    async def ask(identity: str) -> BackendResult:
+        ended: asyncio.Future[BackendResult] = asyncio.get_running_loop().create_future()
+        headers = (("finchshed-request", identity),)
+        request = BackendRequest("GET", "/", headers, b"", 5.0, 1 << 20, request_id=identity)
+        client.send(request, ended.set_result)
+        return await ended
+
+    async with ScriptedBackend(in_two_parts, healthy) as backend:
+        memory = MemoryBudget(400_000)
+        client = HttpBackend(backend.address, MAX_CONNECTIONS, 1.0, memory=memory)
+        asking = asyncio.gather(*(ask(f"r{number}") for number in range(3)))
+        await asyncio.sleep(0.1)
+        may_end.set()
+        results = await asking
+        await client.close()
+    for result in results:
+        is_whole = isinstance(result, BackendAnswer) and len(result.body) == body_bytes
+        assert is_whole or isinstance(result, BackendAnswerTooLarge)
+    assert any(isinstance(result, BackendAnswerTooLarge) for result in results)
+    assert memory.held == 0
