daemon: a dropped answer isn't whole when its connection ends

An answer without a length that had just given its memory to another one counted as whole, and empty, if the back end ended its connection before the drop was reported: its end was the end of the connection. A given-up answer now has no end that makes it whole.

--- a/src/finchshed/daemon/backend/answer_parser.py
+++ b/src/finchshed/daemon/backend/answer_parser.py
@@ -96,6 +96,11 @@
         self.keeps_alive = False
         self._reset_answer()
 
+    @property
+    def can_end_with_connection(self) -> bool:
+        """Whether the answer is whole if the connection ends now, in good order."""
+        return self.is_past_head and self.ends_with_connection and not self.is_too_large
+
     def give_up(self) -> None:
         """Take nothing more of the answer."""
         self.is_too_large = True
--- a/src/finchshed/daemon/backend/connection.py
+++ b/src/finchshed/daemon/backend/connection.py
@@ -149,7 +149,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the answer: complete if delimited by the connection's end (asyncio callback)."""
-        is_whole = exc is None and self._parser.is_past_head and self._parser.ends_with_connection
+        is_whole = exc is None and self._parser.can_end_with_connection
         if self.state is ConnectionState.AWAITING_ANSWER and is_whole:
             answer = self._answer()
             # Gives its place in the pool back before the result, which may lead to the next send.
