daemon: an empty identity in an answer names no request

A back end that gives back the identity header of a health check, which has none, with an empty value was taken to answer another request: since answers must prove whose they are, each of its health checks failed, and a daemon that was started again waited for the next heartbeat. An empty value now counts like no header; an answer to a request by host still has to name it.

The new case in tests/daemon/test_refused_but_ran.py failed before and passes now; found by tracing a failure of test_tenants.

--- a/src/finchshed/daemon/backend/addressee.py
+++ b/src/finchshed/daemon/backend/addressee.py
@@ -71,7 +71,9 @@
 
 
 def _values(headers: Sequence[RawHeader], name: bytes) -> set[bytes]:
-    return {value.strip() for header, value in headers if header == name}
+    """Return the distinct values of a header; an empty one names nothing."""
+    values = {value.strip() for header, value in headers if header == name}
+    return values - {b""}
 
 
 def _expected(identity: str) -> set[bytes]:
--- a/tests/daemon/test_refused_but_ran.py
+++ b/tests/daemon/test_refused_but_ran.py
@@ -222,3 +222,15 @@
     async with client_of(handler) as client:
         assert is_refused(await ask(client, "", account="a1"))
         assert not is_refused(await ask(client, "", account="a2"))
+
+
+async def test_a_health_checks_answer_may_give_back_an_empty_identity() -> None:
+    async def health(_: Received, writer: asyncio.StreamWriter) -> None:
+        writer.write(answer(b"well", finchshed_request="", finchshed_account=""))
+
+    async def handler(_: Received, writer: asyncio.StreamWriter) -> None:
+        writer.write(answer(b"", finchshed_request=""))
+
+    async with client_of(handler, health) as client:
+        assert isinstance(await check_health(client), BackendAnswer)
+        assert not isinstance(await ask(client, "r1"), BackendAnswer)
