tests: a health check is no request that a back end ran

Traced: the daemon checks /health when the configuration comes before the first heartbeat, and the stand-in counted that as a request that it ran.

The stand-in counts health checks apart and answers them without an identity, as a back end of the platform does. The check is unchanged: no request without an identity may run.

--- a/tests/platform/fake_platform.py
+++ b/tests/platform/fake_platform.py
@@ -137,6 +137,9 @@
     health_load: str = ""
     """Load header of its answers to health checks; empty: its handler answers them."""
 
+    health_checks: int = 0
+    """Health checks that its handler answered; they aren't among the requests that it ran."""
+
     sends_heartbeats: bool = True
     """Whether it sends heartbeats; those to come are left out while it is false."""
 
@@ -282,6 +285,11 @@
         if self.health_load and request.path == HEALTH_PATH:
             headers = {"Instance-Id": self.instance, "Server-Load": self.health_load}
             return web.Response(headers=headers)
+        if request.path == HEALTH_PATH:
+            self.health_checks += 1
+            checked = await self.handler(self, request)
+            checked.headers.update(self.headers_of(""))
+            return checked
         identity = request.headers.get("Request-Id", "")
         self.arrivals.append((time.monotonic(), identity))
         if request.headers.get("Expect-Instance", self.instance) != self.instance:
@@ -295,8 +303,10 @@
         return response
 
     def headers_of(self, identity: str) -> dict[str, str]:
-        """Return the headers of its own in the answer to a request."""
-        headers = {"Request-Id": identity, "Server-Seal": f"seal-{self.instance}"}
+        """Return the headers of its own in an answer; a health check has no identity."""
+        headers = {"Server-Seal": f"seal-{self.instance}"}
+        if identity:
+            headers["Request-Id"] = identity
         if self.reports_load:
             headers["Server-Load"] = self.load()
         return headers | self.answer_headers
