tests: the fake back end and the only voter of a group are modules of their own

Two tests built the same Raft host; they share raft_hosts.py. No test is changed but for its imports; collection lists the same tests, and those of the two files and of the thin path pass.

--- a/tests/control/test_early_acknowledgement.py
+++ b/tests/control/test_early_acknowledgement.py
@@ -7,20 +7,14 @@
 
 import pytest
 
-from finchshed.consensus.options import RaftOptions
 from finchshed.control.background import BackgroundTasks
 from finchshed.control.raft.host import RaftHost
 from finchshed.control.state.commands import RecordAction
 from finchshed.control.state.machine import ControlStateMachine
 from finchshed.storage.log_store import LogStore, WriteOutcome
 from finchshed.storage.records import Write
-from tests.control.group import free_addresses
+from tests.control.raft_hosts import only_voter
 
-OPTIONS = RaftOptions(
-    heartbeat_interval_seconds=0.05,
-    election_timeout_min_seconds=0.2,
-    election_timeout_max_seconds=0.4,
-)
 SYNC_SECONDS = 0.01
 CLIENTS = 20
 CHANGES = 15
@@ -58,16 +52,7 @@
 ) -> None:
     disk = SlowDisk(monkeypatch)
     background = BackgroundTasks(on_invariant_error=lambda error: pytest.fail(str(error)))
-    (address,) = free_addresses(1)
-    host = RaftHost(
-        "c1",
-        address,
-        {"c1": address},
-        str(tmp_path),
-        options=OPTIONS,
-        machine=ControlStateMachine(),
-        background=background,
-    )
+    host, _ = only_voter(tmp_path, ControlStateMachine(), background)
     host.start(None)  # type: ignore[arg-type]
     await lead(host)
     rng = random.Random(seed)
--- a/tests/control/test_raft_host.py
+++ b/tests/control/test_raft_host.py
@@ -7,23 +7,16 @@
 
 import pytest
 
-from finchshed.consensus.options import RaftOptions
 from finchshed.control.background import BackgroundTasks
 from finchshed.control.raft.group_log import GroupLog
-from finchshed.control.raft.host import RaftHost
 from finchshed.control.raft.node_links import ControlNodeLinks
 from finchshed.control.raft.node_messages import PeerHello
 from finchshed.control.state.commands import RecordAction
 from finchshed.control.state.machine import ControlStateMachine
 from finchshed.storage.log_store import LogStore, WriteOutcome
 from finchshed.storage.records import Write
-from tests.control.group import free_addresses
+from tests.control.raft_hosts import only_voter
 
-OPTIONS = RaftOptions(
-    heartbeat_interval_seconds=0.05,
-    election_timeout_min_seconds=0.2,
-    election_timeout_max_seconds=0.4,
-)
 TIMEOUT_SECONDS = 30.0
 
 
@@ -51,17 +44,8 @@
 @pytest.fixture
 async def log(tmp_path: Path, disk: BlockableDisk) -> AsyncIterator[GroupLog]:
     background = BackgroundTasks(on_invariant_error=lambda error: pytest.fail(str(error)))
-    (address,) = free_addresses(1)
     machine = ControlStateMachine()
-    host = RaftHost(
-        "c1",
-        address,
-        {"c1": address},
-        str(tmp_path),
-        options=OPTIONS,
-        machine=machine,
-        background=background,
-    )
+    host, address = only_voter(tmp_path, machine, background)
     made = GroupLog(host, machine, background, timeout_seconds=TIMEOUT_SECONDS)
     links = ControlNodeLinks(PeerHello("c1", ""), made.on_message, background)
     await links.start(address)
--- a/tests/platform/duplicating_backend.py
+++ b/tests/platform/duplicating_backend.py
@@ -14,7 +14,7 @@
 
 from aiohttp import web
 
-from tests.platform.fake_platform import HEALTH_PATH, FakeBackend
+from tests.platform.fake_backend import HEALTH_PATH, FakeBackend
 
 SOON_SECONDS = 0.001
 LATER_SECONDS = 0.008
--- a/tests/platform/endless_backend.py
+++ b/tests/platform/endless_backend.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from tests.platform.fake_platform import FakeBackend, Handler, echo
+from tests.platform.fake_backend import FakeBackend, Handler, echo
 
 ENDLESS_PREFIX = "/look/endless-"
 PIECE_BYTES = 64 << 10
--- a/tests/platform/open_loop.py
+++ b/tests/platform/open_loop.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from tests.platform.fake_platform import FakeBackend, FakePlatform
+from tests.platform.fake_backend import FakeBackend
+from tests.platform.fake_platform import FakePlatform
 
 WINDOW_SECONDS = 4.0
 """Length of the windows in which requests are counted."""
--- a/tests/platform/promises.py
+++ b/tests/platform/promises.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Iterable, Sequence
 
-from tests.platform.fake_platform import FakeBackend
+from tests.platform.fake_backend import FakeBackend
 from tests.platform.open_loop import SentRequest
 
 REFUSALS = frozenset({408, 421, 429, 503})
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -20,16 +20,8 @@
 from typing import Any
 
 from tests.platform.duplicating_backend import DuplicatingBackend, DuplicationPlan
-from tests.platform.fake_platform import (
-    ZONES,
-    FakeBackend,
-    Machine,
-    document,
-    route,
-    run_platform,
-    wait_until,
-    working,
-)
+from tests.platform.fake_backend import FakeBackend, working
+from tests.platform.fake_platform import ZONES, Machine, document, route, run_platform, wait_until
 from tests.platform.soak_checks import violations_of
 from tests.platform.soak_configuration import (
     lose_disk_while_all_are_off,
--- a/tests/platform/soak_downloads.py
+++ b/tests/platform/soak_downloads.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from tests.platform.fake_platform import OUTBOUND_PORT, FakeBackend, Handler
+from tests.platform.fake_backend import OUTBOUND_PORT, FakeBackend, Handler
 from tests.platform.soak_state import Download, Soak
 
 FILE_PREFIX = "/file/"
--- a/tests/platform/soak_load.py
+++ b/tests/platform/soak_load.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from tests.platform.fake_platform import FakeBackend
+from tests.platform.fake_backend import FakeBackend
 from tests.platform.open_loop import SentRequest
 from tests.platform.soak_state import PURCHASE_PREFIX, RETURNABLE_STATUSES, Soak, told_seconds
 
--- a/tests/platform/soak_state.py
+++ b/tests/platform/soak_state.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass, field
 
 from tests.platform.duplicating_backend import DuplicationPlan
-from tests.platform.fake_platform import FakeBackend, FakePlatform, Machine
+from tests.platform.fake_backend import FakeBackend
+from tests.platform.fake_platform import FakePlatform, Machine
 from tests.platform.open_loop import SentRequest
 
 PURCHASE_PREFIX = "b"
--- a/tests/platform/test_crashing_request.py
+++ b/tests/platform/test_crashing_request.py
@@ -9,10 +9,9 @@
 
 from aiohttp import web
 
+from tests.platform.fake_backend import FakeBackend, echo
 from tests.platform.fake_platform import (
-    FakeBackend,
     FakePlatform,
-    echo,
     route,
     run_platform,
     wait_until,
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -16,15 +16,11 @@
     peak_memory_bytes,
     send_without_end,
 )
+from tests.platform.fake_backend import HEALTH_PATH, OUTBOUND_PORT, FakeBackend, Handler, echo
 from tests.platform.fake_platform import (
-    HEALTH_PATH,
-    OUTBOUND_PORT,
     ZONES,
-    FakeBackend,
     FakePlatform,
-    Handler,
     document,
-    echo,
     route,
     run_platform,
     wait_until,
--- a/tests/platform/test_fair_shares.py
+++ b/tests/platform/test_fair_shares.py
@@ -14,16 +14,8 @@
 
 from aiohttp import web
 
-from tests.platform.fake_platform import (
-    HEARTBEAT_SECONDS,
-    FakeBackend,
-    FakePlatform,
-    document,
-    route,
-    run_platform,
-    wait_until,
-    working,
-)
+from tests.platform.fake_backend import HEARTBEAT_SECONDS, FakeBackend, working
+from tests.platform.fake_platform import FakePlatform, document, route, run_platform, wait_until
 
 SLOTS, WORK_SECONDS = 8, 0.1
 DAEMONS = 3
--- a/tests/platform/test_foreign_heartbeats.py
+++ b/tests/platform/test_foreign_heartbeats.py
@@ -12,11 +12,7 @@
 from hypothesis import strategies as st
 
 from finchshed_platform.heartbeats import read_heartbeat, read_leave
-from tests.platform.fake_platform import (
-    route,
-    run_platform,
-    wait_until_known,
-)
+from tests.platform.fake_platform import route, run_platform, wait_until_known
 
 ROUTES = (route("/look/", "sales"),)
 WHOLE: dict[str, Any] = {
--- a/tests/platform/test_leaving_by_answers.py
+++ b/tests/platform/test_leaving_by_answers.py
@@ -5,15 +5,8 @@
 from contextlib import AbstractAsyncContextManager
 from pathlib import Path
 
-from tests.platform.fake_platform import (
-    ZONES,
-    FakeBackend,
-    FakePlatform,
-    route,
-    run_platform,
-    wait_until_known,
-    working,
-)
+from tests.platform.fake_backend import FakeBackend, working
+from tests.platform.fake_platform import ZONES, FakePlatform, route, run_platform, wait_until_known
 from tests.platform.open_loop import SentRequest, send_open_loop, told_at
 
 ROUTES = (route("/look/", "sales"), route("/buy/", "sales", "unsafe"))
--- a/tests/platform/test_load_page.py
+++ b/tests/platform/test_load_page.py
@@ -8,13 +8,13 @@
 from finchshed.observability.load_page import EndpointsSection, GateSection, RetriesSection
 from tests.ctl.runner import CtlRunner
 from tests.ctl.test_load import read_page
+from tests.platform.fake_backend import working
 from tests.platform.fake_platform import (
     INTERNAL_PORTS,
     ZONES,
     route,
     run_platform,
     wait_until_known,
-    working,
 )
 
 ROUTES = (route("/look/", "sales"),)
--- a/tests/platform/test_named_rate_limit.py
+++ b/tests/platform/test_named_rate_limit.py
@@ -4,12 +4,8 @@
 import time
 from pathlib import Path
 
-from tests.platform.fake_platform import (
-    route,
-    run_platform,
-    wait_until_known,
-    working,
-)
+from tests.platform.fake_backend import working
+from tests.platform.fake_platform import route, run_platform, wait_until_known
 from tests.platform.open_loop import (
     allowed_in_window,
     arrivals_between,
--- a/tests/platform/test_refused_but_ran.py
+++ b/tests/platform/test_refused_but_ran.py
@@ -6,7 +6,8 @@
 import pytest
 
 from tests.platform.duplicating_backend import CopyTime, DuplicatingBackend, DuplicationPlan
-from tests.platform.fake_platform import ZONES, route, run_platform, wait_until_known, working
+from tests.platform.fake_backend import working
+from tests.platform.fake_platform import ZONES, route, run_platform, wait_until_known
 from tests.platform.promised_load import mixed_up, send_promised, sendings_of, statuses
 from tests.platform.promises import broken_promises, ran_twice
 
--- a/tests/platform/test_restart_under_one_instance.py
+++ b/tests/platform/test_restart_under_one_instance.py
@@ -5,6 +5,7 @@
 from contextlib import AbstractAsyncContextManager
 from pathlib import Path
 
+from tests.platform.fake_backend import working
 from tests.platform.fake_platform import (
     ZONES,
     FakePlatform,
@@ -12,7 +13,6 @@
     run_platform,
     wait_until,
     wait_until_known,
-    working,
 )
 from tests.platform.open_loop import send_open_loop
 
--- a/tests/platform/test_retry_spending.py
+++ b/tests/platform/test_retry_spending.py
@@ -9,11 +9,9 @@
 import aiohttp
 from aiohttp import web
 
+from tests.platform.fake_backend import OUTBOUND_PORT, FakeBackend, echo
 from tests.platform.fake_platform import (
-    OUTBOUND_PORT,
-    FakeBackend,
     FakePlatform,
-    echo,
     route,
     run_platform,
     wait_until,
--- a/tests/platform/test_scheduled_returns.py
+++ b/tests/platform/test_scheduled_returns.py
@@ -6,15 +6,8 @@
 
 from aiohttp import web
 
-from tests.platform.fake_platform import (
-    FakeBackend,
-    echo,
-    route,
-    run_platform,
-    wait_until,
-    wait_until_known,
-    working,
-)
+from tests.platform.fake_backend import FakeBackend, echo, working
+from tests.platform.fake_platform import route, run_platform, wait_until, wait_until_known
 from tests.platform.returning_load import ReturningClient, refused_again, send_returning
 
 SETTINGS = {"schedules_returns": True}
--- a/tests/platform/test_slots_from_health_check.py
+++ b/tests/platform/test_slots_from_health_check.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from tests.platform.fake_backend import working
 from tests.platform.fake_platform import (
     ZONES,
     FakePlatform,
@@ -12,7 +13,6 @@
     run_platform,
     wait_until,
     wait_until_known,
-    working,
 )
 
 ROUTES = (route("/look/", "sales"),)
--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -8,14 +8,8 @@
 
 from aiohttp import web
 
-from tests.platform.fake_platform import (
-    FakeBackend,
-    FakePlatform,
-    document,
-    route,
-    run_platform,
-    wait_until,
-)
+from tests.platform.fake_backend import FakeBackend
+from tests.platform.fake_platform import FakePlatform, document, route, run_platform, wait_until
 
 REVOKE_SECONDS = 3.0
 BOUNDS = {"revoke_s": REVOKE_SECONDS, "revoke_fail_closed": True, "quota_slack": 20}
--- a/tests/platform/test_thin_path.py
+++ b/tests/platform/test_thin_path.py
@@ -8,9 +8,9 @@
 
 from aiohttp import web
 
+from tests.platform.fake_backend import FakeBackend
 from tests.platform.fake_platform import (
     INTERNAL_PORTS,
-    FakeBackend,
     FakePlatform,
     document,
     route,
--- a/tests/platform/test_unmarked_refusals.py
+++ b/tests/platform/test_unmarked_refusals.py
@@ -4,8 +4,8 @@
 
 from aiohttp import web
 
+from tests.platform.fake_backend import FakeBackend
 from tests.platform.fake_platform import (
-    FakeBackend,
     FakePlatform,
     route,
     run_platform,
--- a/tests/platform/test_uploads.py
+++ b/tests/platform/test_uploads.py
@@ -8,10 +8,10 @@
 
 from aiohttp import web
 
+from tests.platform.fake_backend import FakeBackend
 from tests.platform.fake_platform import (
     ZONES,
     ClientResponse,
-    FakeBackend,
     FakePlatform,
     document,
     route,
--- a/tests/platform/uneven_backends.py
+++ b/tests/platform/uneven_backends.py
@@ -7,9 +7,8 @@
 
 from aiohttp import web
 
-from tests.platform.fake_platform import FakeBackend, echo
+from tests.platform.fake_backend import HEALTH_PATH, FakeBackend, echo
 
-HEALTH_PATH = "/health"
 LOAD_HEADER = "Server-Load"
 PERCENT = 100
 
