review: a request that offers an upgrade runs without its body

Cause: the parser ends a message that offers an upgrade at its head, and it is handed on as whole.

Shows: clients offer h2c with their requests, as some HTTP libraries do by default; each request is run with an empty body and answered with 200 (UNASKED).

--- a/review/deployment_2/people.py
+++ b/review/deployment_2/people.py
@@ -205,11 +205,16 @@
         deadline_s: float = 5.0,
         body: bytes = b"",
         patience_s: float | None = None,
+        offered: dict[str, str] | None = None,
     ) -> Attempt:
-        """Send one attempt to the daemon of a machine; wait ``patience_s``, or for its deadline."""
+        """Send one attempt to the daemon of a machine; wait ``patience_s``, or for its deadline.
+
+        ``offered`` are headers that concern the connection.
+        """
         self._sent += 1
         request = f"{self._sent:016x}"
         headers = {"Host": HOST, "Request-Id": request, "Deadline-Ms": str(int(deadline_s * 1000))}
+        headers |= offered or {}
         sent = self.deployment.now()
         self.deployment.record(
             "sent", request=request, machine=machine.ip, method=method, path=path
