--- a/review/7/case.py
+++ b/review/7/case.py
@@ -13,10 +13,11 @@
 from deployment_2.play import has_trouble, play
 
 SERVICES = ["tile-server", "notice-desk"]
-ROUTES = 366 if has_trouble() else 6
-"""Six routes, and the 360 by which a configuration grows at once (karta-mesh)."""
-GAP_S = 0.1
-LONGEST_S = 105.0
+ROUTES = 1080 if has_trouble() else 6
+"""Three times the 360 routes by which a configuration grows at once (karta-mesh)."""
+GAP_S = 0.33
+"""Time between two changes of a quick succession (brl-mesh)."""
+LONGEST_S = 102.0
 MEMORY_BYTES = 296 << 20
 """memory_mb of a core machine, read in its larger sense."""
 ENDS = 3
