control: bound in bytes what a process keeps of configurations

A watch holds one change. Problems of an invalid change are cut at 4,096 characters. Gauges tell the histories apart.

--- a/src/finchshed/configuration/store.py
+++ b/src/finchshed/configuration/store.py
@@ -30,6 +30,12 @@
 RESULT_RETENTION = 10_000
 """Number of results retained for resends, about a week at 1,400 changes per day."""
 
+RETAINED_RESULT_BYTES = 16 << 20
+"""Size of the retained results, after which the oldest go, however few they are."""
+
+MAX_PROBLEMS_CHARACTERS = 4_096
+"""Problems of an invalid change beyond this are counted, not listed."""
+
 OPERATOR_KIND = "operator"
 
 REPLACED_KINDS = frozenset(kind_of(kind) for kind in (Service, HostRoute, IngressLimits, Tenant))
@@ -90,6 +96,7 @@
     def __init__(self, result_retention: int = RESULT_RETENTION) -> None:
         self._retention = result_retention
         self._results: dict[str, RetainedResult] = {}
+        self._result_bytes = 0
         self._winners: dict[int, Winner] = {}
         self._operators: dict[str, Operator] | None = None
         self.resources: dict[ResourceKey, Resource] = {}
@@ -110,7 +117,7 @@
             if retained.digest == digest:
                 return retained.result
             return Invalid((f"change_id = {change.change_id!r}: used before by another change",))
-        result = self._apply_first(change)
+        result = _shortened(self._apply_first(change))
         self._retain(RetainedResult(change.change_id, digest, result))
         return result
 
@@ -146,6 +153,7 @@
         self.revision = snapshot.revision
         self.resources = {key_of(resource): resource for resource in snapshot.resources}
         self._results = {retained.change_id: retained for retained in snapshot.results}
+        self._result_bytes = sum(map(_size_of_result, snapshot.results))
         self._operators = None
         self.version = snapshot.version
         self.source = snapshot.source
@@ -242,8 +250,31 @@
 
     def _retain(self, retained: RetainedResult) -> None:
         self._results[retained.change_id] = retained
-        while len(self._results) > self._retention:
-            self._results.pop(next(iter(self._results)))
+        self._result_bytes += _size_of_result(retained)
+        while len(self._results) > self._retention or self._result_bytes > RETAINED_RESULT_BYTES:
+            oldest = self._results.pop(next(iter(self._results)))
+            self._result_bytes -= _size_of_result(oldest)
+
+
+def _size_of_result(retained: RetainedResult) -> int:
+    """Return about how much memory a result takes, in bytes."""
+    return len(msgspec.json.encode(retained))
+
+
+def _shortened(result: ChangeResult) -> ChangeResult:
+    """Limit the problems of an invalid change, whose number and length its author chooses."""
+    if not isinstance(result, Invalid):
+        return result
+    listed: list[str] = []
+    room = MAX_PROBLEMS_CHARACTERS
+    for problem in result.problems:
+        if len(problem) > room:
+            left_out = len(result.problems) - len(listed) - 1
+            listed.append(f"{problem[:room]}… ({left_out} further problems)")
+            break
+        room -= len(problem)
+        listed.append(problem)
+    return Invalid(tuple(listed))
 
 
 def _deletes_operators(change: Change) -> bool:
--- a/src/finchshed/consensus/effect_runner.py
+++ b/src/finchshed/consensus/effect_runner.py
@@ -108,7 +108,7 @@
         After ``DISK_FULL`` the batch is queued again; the host delays the retry.
         """
         if outcome is WriteOutcome.DISK_FULL:
-            self._queued = [*self._writing, *self._queued]
+            self._queued = _without_superseded([*self._writing, *self._queued])
             self._writing = []
             if not self._disk_full:
                 self._disk_full = True
@@ -128,7 +128,7 @@
                 case SendEnvelope():
                     self._host.send(effect.address, effect.envelope)
                 case PersistWrite():
-                    self._queued.append(effect)
+                    self._queued = _without_superseded([*self._queued, effect])
                 case Apply():
                     self._host.apply(effect.index, effect.data)
                 case RestoreSnapshot():
@@ -141,3 +141,14 @@
     def _take_snapshot(self, index: int) -> None:
         taken = SnapshotTaken(index, self._host.snapshot())
         self._carry_out(self._node.handle_all([taken], self._node.last_now))
+
+
+def _without_superseded(writes: list[PersistWrite]) -> list[PersistWrite]:
+    """Return ``writes`` from the last snapshot on, which replaces all that is stored before it.
+
+    While the disk is slow or full, this bounds what waits for it.
+    """
+    for position in range(len(writes) - 1, 0, -1):
+        if writes[position].write.snapshot is not None:
+            return writes[position:]
+    return writes
--- a/src/finchshed/consensus/follower.py
+++ b/src/finchshed/consensus/follower.py
@@ -36,7 +36,7 @@
     if not accept_leader(state, sender, message.term):
         _reject(state, sender, message, state.log.last_index + 1)
         return
-    if state.disk_full and state.unsaved_entries >= state.options.max_unsaved_entries:
+    if _is_too_much_unsaved(state):
         return
     previous = message.previous_index
     if previous < state.log.base_index:
@@ -90,6 +90,14 @@
     state.send_when_durable(sender, AppendAccepted(state.term, snapshot.index))
 
 
+def _is_too_much_unsaved(state: NodeState) -> bool:
+    """Whether the disk must catch up before more entries are taken."""
+    options = state.options
+    if state.disk_full and state.unsaved_entries >= options.max_unsaved_entries:
+        return True
+    return state.log.bytes_after(state.persisted_index) > options.max_unsaved_bytes
+
+
 def _incoming_snapshot_for(state: NodeState, message: SnapshotPiece) -> IncomingSnapshot:
     incoming = state.incoming_snapshot
     same = (
--- a/src/finchshed/consensus/log.py
+++ b/src/finchshed/consensus/log.py
@@ -23,6 +23,8 @@
         self._base_index = 0
         self._base_term = 0
         self._entries: list[Entry] = []
+        self._ends: list[int] = []
+        self._base_end = 0
         self._memberships: list[tuple[int, Membership]] = [(0, Membership())]
         if snapshot is not None:
             self.reset(snapshot)
@@ -39,6 +41,11 @@
         """Index of the last entry."""
         return self._base_index + len(self._entries)
 
+    @property
+    def size_bytes(self) -> int:
+        """Bytes of the entries in memory."""
+        return self._last_end - self._base_end
+
     @property
     def last_term(self) -> int:
         """Term of the last entry."""
@@ -96,6 +103,20 @@
         """Return all entries after ``index``."""
         return tuple(self._entries[max(0, index - self._base_index) :])
 
+    def bytes_after(self, index: int) -> int:
+        """Return the bytes of the entries in memory after ``index``."""
+        return self._last_end - self._end_of(max(index, self._base_index))
+
+    def trailing_start(self, index: int, max_entries: int, max_bytes: int) -> int:
+        """Return the index up to which to compact, to keep entries up to ``index`` in both limits.
+
+        ``index`` is that of a snapshot, so any number of the entries up to it may go.
+        """
+        start = max(self._base_index, index - max_entries)
+        while start < index and self._end_of(index) - self._end_of(start) > max_bytes:
+            start += 1
+        return start
+
     def append(self, entry: Entry) -> None:
         """Append the next entry.
 
@@ -107,12 +128,15 @@
         if entry.index != self.last_index + 1:
             raise InvariantError(f"cannot append entry {entry.index} after entry {self.last_index}")
         self._entries.append(entry)
+        self._ends.append(self._last_end + len(entry.data))
         if entry.kind is EntryKind.MEMBERSHIP:
             self._memberships.append((entry.index, decode_membership(entry.data)))
 
     def truncate_from(self, index: int) -> None:
         """Remove entries from ``index`` on, and the memberships they set."""
-        del self._entries[index - self._base_index - 1 :]
+        position = index - self._base_index - 1
+        del self._entries[position:]
+        del self._ends[position:]
         self._memberships = [item for item in self._memberships if item[0] < index]
 
     def compact(self, index: int) -> None:
@@ -125,7 +149,9 @@
                 f"cannot compact to index {index}: last log index is {self.last_index}"
             )
         membership = self.membership_at(index)
+        self._base_end = self._end_of(index)
         del self._entries[: index - self._base_index]
+        del self._ends[: index - self._base_index]
         self._base_index = index
         self._base_term = term
         later = [item for item in self._memberships if item[0] > index]
@@ -135,6 +161,17 @@
     def reset(self, snapshot: Snapshot) -> None:
         """Discard all entries and start after ``snapshot``."""
         self._entries = []
+        self._ends = []
+        self._base_end = 0
         self._base_index = snapshot.index
         self._base_term = snapshot.term
         self._memberships = [(snapshot.index, decode_membership(snapshot.membership))]
+
+    @property
+    def _last_end(self) -> int:
+        return self._ends[-1] if self._ends else self._base_end
+
+    def _end_of(self, index: int) -> int:
+        """Return the bytes of all entries up to ``index``, counted from some earlier entry."""
+        position = index - self._base_index - 1
+        return self._base_end if position < 0 else self._ends[position]
--- a/src/finchshed/consensus/node.py
+++ b/src/finchshed/consensus/node.py
@@ -163,6 +163,12 @@
         """The log in memory, for inspection only."""
         return self._state.log
 
+    @property
+    def snapshot_bytes(self) -> int:
+        """Size of the latest snapshot, which is kept for followers that need it."""
+        snapshot = self._state.snapshot
+        return 0 if snapshot is None else len(snapshot.data)
+
     @property
     def disk_full(self) -> bool:
         """Whether writes are blocked by a full disk."""
--- a/src/finchshed/consensus/options.py
+++ b/src/finchshed/consensus/options.py
@@ -25,19 +25,22 @@
         it grants no vote to another node.
     max_append_entries, max_append_bytes
         Limits of one append message.
-    max_in_flight_appends
-        Maximum number of unacknowledged append messages per follower.
+    max_in_flight_appends, max_in_flight_bytes
+        Maximum number of unacknowledged append messages per follower, and of bytes of entries in
+        them; one message may always be sent.
     snapshot_piece_bytes
         Chunk size of snapshot transfers.
     snapshot_every_entries, snapshot_every_bytes
         A snapshot is requested after this many applied entries, or bytes of them.
-    trailing_entries
-        Entries kept in memory before a snapshot, for followers that lag slightly.
-    max_unsaved_entries
-        Entries that a node with a full disk keeps in memory without acknowledging them, so that it
-        can continue to apply committed entries.
-    max_pending_proposals
-        Maximum number of uncommitted proposals; further ones are refused.
+    trailing_entries, trailing_bytes
+        Entries kept in memory before a snapshot, and bytes of them, for followers that lag
+        slightly. With ``trailing_bytes`` of ``snapshot_every_bytes`` or more, a follower that has
+        installed a snapshot finds the entries after it until the next but one.
+    max_unsaved_entries, max_unsaved_bytes
+        Entries, and bytes of them, that a node with a full or slow disk keeps in memory without
+        acknowledging them, so that it can continue to apply committed entries.
+    max_pending_proposals, max_pending_bytes
+        Maximum number of uncommitted proposals, and of bytes in them; further ones are refused.
     read_timeout_seconds
         Time after which an unconfirmed read fails.
     announcement_interval_seconds
@@ -65,12 +68,16 @@
     max_append_entries: Count = 512
     max_append_bytes: Count = 256 << 10
     max_in_flight_appends: Count = 32
+    max_in_flight_bytes: Count = 8 << 20
     snapshot_piece_bytes: Count = 128 << 10
     snapshot_every_entries: Count = 4096
     snapshot_every_bytes: Count = 16 << 20
     trailing_entries: Count = 1024
+    trailing_bytes: Count = 16 << 20
     max_unsaved_entries: Count = 4096
+    max_unsaved_bytes: Count = 32 << 20
     max_pending_proposals: Count = 4096
+    max_pending_bytes: Count = 32 << 20
     read_timeout_seconds: Positive = 2.0
     announcement_interval_seconds: Positive = 0.5
     promotion_lag_entries: Count = 32
--- a/src/finchshed/consensus/progress.py
+++ b/src/finchshed/consensus/progress.py
@@ -3,6 +3,8 @@
 import enum
 from collections import deque
 
+import msgspec
+
 from finchshed.storage.records import Snapshot
 
 
@@ -19,6 +21,13 @@
     """The follower needs entries that were compacted."""
 
 
+class InFlightAppend(msgspec.Struct, frozen=True):
+    """An unacknowledged append message: its last index, and the bytes of its entries."""
+
+    last_index: int
+    size: int
+
+
 class Progress:
     """State of replication to one follower. Times are in seconds of the node's clock.
 
@@ -41,7 +50,7 @@
         self.last_heard = now
         self.acknowledged_round = 0
         self.announced_commit = 0
-        self.in_flight: deque[int] = deque()
+        self.in_flight: deque[InFlightAppend] = deque()
         self.last_sent = float("-inf")
         self.probe_sent = False
         self.snapshot: Snapshot | None = None
@@ -49,7 +58,7 @@
 
     def advance(self, match_index: int) -> bool:
         """Record that entries up to ``match_index`` are durable; return whether it increased."""
-        while self.in_flight and self.in_flight[0] <= match_index:
+        while self.in_flight and self.in_flight[0].last_index <= match_index:
             self.in_flight.popleft()
         if match_index <= self.match_index:
             return False
@@ -57,6 +66,11 @@
         self.next_index = max(self.next_index, match_index + 1)
         return True
 
+    @property
+    def in_flight_bytes(self) -> int:
+        """Bytes of entries in unacknowledged append messages."""
+        return sum(append.size for append in self.in_flight)
+
     def start_probing(self, next_index: int) -> None:
         """Search for a matching entry from ``next_index`` downwards."""
         self.mode = SendMode.PROBE
--- a/src/finchshed/consensus/replication.py
+++ b/src/finchshed/consensus/replication.py
@@ -11,7 +11,7 @@
     SnapshotPieceReply,
     TimeoutNow,
 )
-from finchshed.consensus.progress import Progress, SendMode
+from finchshed.consensus.progress import InFlightAppend, Progress, SendMode
 from finchshed.consensus.roles import advance_commit, become_follower
 from finchshed.consensus.state import LeaderState, NodeState
 
@@ -223,14 +223,23 @@
 
 
 def _send_window(state: NodeState, identity: NodeIdentity, progress: Progress) -> None:
-    window = state.options.max_in_flight_appends
-    while progress.next_index <= state.log.last_index and len(progress.in_flight) < window:
-        last = _send_append(state, identity, progress)
-        progress.in_flight.append(last)
-        progress.next_index = last + 1
+    while progress.next_index <= state.log.last_index and _has_window(state, progress):
+        sent = _send_append(state, identity, progress)
+        progress.in_flight.append(sent)
+        progress.next_index = sent.last_index + 1
 
 
-def _send_append(state: NodeState, identity: NodeIdentity, progress: Progress) -> int:
+def _has_window(state: NodeState, progress: Progress) -> bool:
+    options = state.options
+    if not progress.in_flight:
+        return True
+    return (
+        len(progress.in_flight) < options.max_in_flight_appends
+        and progress.in_flight_bytes < options.max_in_flight_bytes
+    )
+
+
+def _send_append(state: NodeState, identity: NodeIdentity, progress: Progress) -> InFlightAppend:
     options = state.options
     previous = progress.next_index - 1
     entries = state.log.slice(
@@ -240,7 +249,7 @@
     message = Append(state.term, previous, previous_term, entries, state.commit_index)
     state.send(identity, message)
     progress.last_sent = state.now
-    return previous + len(entries)
+    return InFlightAppend(previous + len(entries), sum(len(entry.data) for entry in entries))
 
 
 def _send_snapshot_piece(state: NodeState, identity: NodeIdentity, progress: Progress) -> None:
--- a/src/finchshed/consensus/requests.py
+++ b/src/finchshed/consensus/requests.py
@@ -8,7 +8,7 @@
 from finchshed.consensus.membership import encode_membership
 from finchshed.consensus.membership_changes import refuse
 from finchshed.consensus.messages import TimeoutNow
-from finchshed.consensus.state import NodeState, Transfer
+from finchshed.consensus.state import LeaderState, NodeState, Transfer
 from finchshed.storage.records import Entry, Snapshot
 
 
@@ -22,7 +22,7 @@
         refuse(state, event.token, RefusalCause.TRANSFERRING)
     elif is_growth_pending(state):
         refuse(state, event.token, RefusalCause.NOT_READY)
-    elif len(leader_state.proposals) >= state.options.max_pending_proposals:
+    elif _is_too_much_pending(state, leader_state, len(event.data)):
         refuse(state, event.token, RefusalCause.BUSY)
     else:
         index = state.log.last_index + 1
@@ -30,6 +30,18 @@
         leader_state.proposals[index] = event.token
 
 
+def _is_too_much_pending(state: NodeState, leader_state: LeaderState, size: int) -> bool:
+    """Whether a command of ``size`` bytes must wait for others; a single one never does."""
+    proposals = leader_state.proposals
+    if not proposals:
+        return False
+    pending_bytes = state.log.bytes_after(state.commit_index)
+    return (
+        len(proposals) >= state.options.max_pending_proposals
+        or pending_bytes + size > state.options.max_pending_bytes
+    )
+
+
 def transfer_leadership(state: NodeState, target: NodeIdentity | None) -> None:
     """Transfer leadership to a voter once it has caught up; proposals are refused until then."""
     leader_state = state.leader_state
@@ -52,7 +64,9 @@
     membership = encode_membership(state.log.membership_at(event.index))
     snapshot = Snapshot(event.index, term, membership, event.data)
     state.replace_stored(snapshot, state.log.entries_after(event.index))
-    state.log.compact(event.index - state.options.trailing_entries)
+    options = state.options
+    start = state.log.trailing_start(event.index, options.trailing_entries, options.trailing_bytes)
+    state.log.compact(start)
 
 
 def on_disk_full(state: NodeState) -> None:
--- a/src/finchshed/control/daemons/distribution_service.py
+++ b/src/finchshed/control/daemons/distribution_service.py
@@ -14,13 +14,16 @@
 from finchshed.control.daemons.daemon_view import configuration_for_daemons, delta_for_daemons
 from finchshed.control.daemons.decision_queries import DecisionQueries
 from finchshed.control.daemons.directory_service import DirectoryService
+from finchshed.control.daemons.ledger_room import LedgerRoom
 from finchshed.control.daemons.ledger_router import LedgerRouter, ShardClient
 from finchshed.control.daemons.ledger_service import LedgerService
 from finchshed.control.daemons.quarantine_service import QuarantineService
 from finchshed.control.daemons.quota_service import QuotaService
+from finchshed.control.memory import ControlMemoryPlan
 from finchshed.control.raft.group_log import GroupLog
 from finchshed.control.state.machine import ControlStateMachine
 from finchshed.distribution.hub import Hub
+from finchshed.distribution.hub_effects import HubLimits
 from finchshed.distribution.messages import ControlToDaemon, Decision, Hints, LedgerRequest
 from finchshed.distribution.server import Answer, HubServer
 from finchshed.distribution.snapshot import Configuration
@@ -48,6 +51,8 @@
     ----------
     node
         Name of this control node.
+    memory
+        What the process may hold.
     credentials
         TLS credentials; None for plain text.
     """
@@ -60,13 +65,14 @@
         background: BackgroundTasks,
         networks: PeerNetworks | None = None,
         *,
+        memory: ControlMemoryPlan,
         credentials: Credentials | None = None,
     ) -> None:
         self._machine = machine
         self._log = log
         self._background = background
-        self._ledger_router = self._make_ledger_router(node, credentials)
-        self._hub = Hub(node)
+        self._ledger_router = self._make_ledger_router(node, memory, credentials)
+        self._hub = Hub(node, _hub_limits(memory))
         self._decision_queries = DecisionQueries()
         self.directory = DirectoryService(self._broadcast, log.send_report)
         self.quarantine = QuarantineService(self._broadcast, log.send_report)
@@ -126,6 +132,10 @@
         """Return the number of daemons connected here."""
         return self._hub.subscriber_count()
 
+    def history_bytes(self) -> int:
+        """Return the encoded size of the changes kept for daemons that are behind."""
+        return self._hub.history_bytes
+
     def status(self) -> DistributionStatus:
         """Return the status of the daemons of all control nodes."""
         assert self._status is not None, "status() called before start()"
@@ -136,12 +146,15 @@
         """Return recent decisions of a daemon; None if not connected here or on timeout."""
         return await self._decision_queries.ask(self._server, node, root, limit)
 
-    def _make_ledger_router(self, node: str, credentials: Credentials | None) -> LedgerRouter:
+    def _make_ledger_router(
+        self, node: str, memory: ControlMemoryPlan, credentials: Credentials | None
+    ) -> LedgerRouter:
+        room = LedgerRoom(self._machine.ledger, memory.ledger_bytes)
         connect = Connector(credentials, CertificateRole.CONTROL)
         return LedgerRouter(
             self._machine,
             self._log,
-            LedgerService(self._log, self._background),
+            LedgerService(self._log, self._background, room),
             connect_shard=lambda addresses: ShardClient(node, addresses, connect),
             now=clock.now,
             unix_now=time.time,
@@ -201,3 +214,9 @@
             self.on_report(report)
             self._log.send_report(report)
             await asyncio.sleep(REPORT_INTERVAL_SECONDS)
+
+
+def _hub_limits(memory: ControlMemoryPlan) -> HubLimits:
+    return HubLimits(
+        history_bytes=memory.history_bytes, unsent_bytes=memory.subscribers_unsent_bytes
+    )
--- a/src/finchshed/control/daemons/ledger_service.py
+++ b/src/finchshed/control/daemons/ledger_service.py
@@ -10,6 +10,7 @@
 
 from finchshed.common.errors import ControlUnavailableError
 from finchshed.control.background import BackgroundTasks
+from finchshed.control.daemons.ledger_room import LedgerRoom
 from finchshed.control.raft.replicated_log import ReplicatedLog
 from finchshed.control.state.commands import (
     BeginRequest,
@@ -29,7 +30,6 @@
     LedgerRequest,
     LedgerUnknown,
 )
-from finchshed.ledger.ledger import DEFAULT_MAX_ANSWER_BYTES, answer_bytes
 from finchshed.ledger.results import (
     Completed,
     Granted,
@@ -81,11 +81,14 @@
     ----------
     log
         The replicated log.
+    room
+        Memory of this process for the ledger.
     """
 
-    def __init__(self, log: ReplicatedLog, background: BackgroundTasks) -> None:
+    def __init__(self, log: ReplicatedLog, background: BackgroundTasks, room: LedgerRoom) -> None:
         self._log = log
         self._background = background
+        self._room = room
         self._running_cancels = 0
 
     async def answer(self, request: LedgerRequest) -> LedgerAnswer:
@@ -95,8 +98,12 @@
         return answer
 
     async def _answer(self, request: LedgerRequest) -> LedgerAnswer:
+        if isinstance(request, LedgerBegin) and not self._room.accepts_key(request.key):
+            return LedgerRefused(
+                request.request, expired=False, detail=LedgerRefusalReason.FULL.value
+            )
         try:
-            result = await self._log.propose(_command_of(request))
+            result = await self._log.propose(self._command_of(request))
         except ControlUnavailableError:
             if isinstance(request, LedgerBegin):
                 self._background.spawn(self._cancel(request))
@@ -130,16 +137,13 @@
             return False
         return True
 
-
-def _command_of(request: LedgerRequest) -> BeginRequest | CancelRequest | CompleteRequest:
-    if isinstance(request, LedgerBegin):
-        return BeginRequest(request.key, request.attempt)
-    if isinstance(request, LedgerCancel):
-        return CancelRequest(request.key, request.attempt)
-    is_within_limit = answer_bytes(request.answer) <= DEFAULT_MAX_ANSWER_BYTES
-    return CompleteRequest(
-        request.key, request.attempt, request.answer if is_within_limit else None
-    )
+    def _command_of(self, request: LedgerRequest) -> BeginRequest | CancelRequest | CompleteRequest:
+        if isinstance(request, LedgerBegin):
+            return BeginRequest(request.key, request.attempt)
+        if isinstance(request, LedgerCancel):
+            return CancelRequest(request.key, request.attempt)
+        is_stored = self._room.accepts_answer(request.answer)
+        return CompleteRequest(request.key, request.attempt, request.answer if is_stored else None)
 
 
 def _answer_of(request: int, result: CommandResult) -> LedgerAnswer:
--- a/src/finchshed/control/node.py
+++ b/src/finchshed/control/node.py
@@ -12,6 +12,7 @@
 from finchshed.control.addresses import member_addresses
 from finchshed.control.background import BackgroundTasks
 from finchshed.control.daemons.distribution_service import DistributionService
+from finchshed.control.memory import ControlMemoryPlan
 from finchshed.control.operators.configuration_document import ConfigurationDocuments
 from finchshed.control.operators.revisions import RevisionFeed
 from finchshed.control.raft.group_log import GroupLog
@@ -48,13 +49,19 @@
     ----------
     background
         Runs the node's tasks and receives invariant violations.
+
+    Attributes
+    ----------
+    memory
+        What the process may hold.
     """
 
     def __init__(self, settings: ControlSettings, background: BackgroundTasks) -> None:
         self._settings = settings
         self._background = background
+        self.memory = ControlMemoryPlan(settings.max_memory_bytes)
         self._machine = ControlStateMachine(self._on_committed, self._on_restored)
-        self._feed = RevisionFeed(self._machine.store)
+        self._feed = RevisionFeed(self._machine.store, self.memory.history_bytes)
         self._host = self._make_host()
         self._log = GroupLog(
             self._host, self._machine, background, settings.request_timeout_seconds
@@ -67,6 +74,7 @@
             self._machine,
             self._log,
             background,
+            memory=self.memory,
             networks=networks,
             credentials=credentials,
         )
@@ -91,7 +99,9 @@
         if self._settings.platform_list_url:
             self._spawn_poller()
         self._background.spawn(
-            update_state_gauges(self._machine, self._distribution.connected_daemons)
+            update_state_gauges(
+                self._machine, self._distribution.connected_daemons, self._history_bytes
+            )
         )
         if self._admin is not None:
             await self._admin.start()
@@ -115,7 +125,7 @@
             settings.raft_advertised_address or settings.raft_address,
             member_addresses(settings.voters),
             settings.data_folder,
-            options=_raft_options(settings),
+            options=_raft_options(settings, self.memory),
             may_form=settings.forms_group,
             zone=settings.zone,
             machine=self._machine,
@@ -132,6 +142,7 @@
             self._background,
             networks=networks,
             credentials=credentials,
+            max_unsent_bytes=self.memory.peer_unsent_bytes,
         )
 
     def _distribution_address(self) -> str:
@@ -174,6 +185,13 @@
             self._distribution.set_alternatives(tuple(sorted(addresses)))
             await asyncio.sleep(ALTERNATIVES_INTERVAL_SECONDS)
 
+    def _history_bytes(self) -> dict[str, int]:
+        """Return the size of the changes kept for each kind of receiver."""
+        return {
+            "daemons": self._distribution.history_bytes(),
+            "watches": self._feed.encoded_bytes,
+        }
+
     def _health(self) -> Health:
         if self._log.in_contact():
             return Health(healthy=True)
@@ -196,7 +214,7 @@
     return AdminServer(settings.admin_address, health)
 
 
-def _raft_options(settings: ControlSettings) -> RaftOptions:
+def _raft_options(settings: ControlSettings, memory: ControlMemoryPlan) -> RaftOptions:
     return RaftOptions(
         heartbeat_interval_seconds=settings.heartbeat_seconds,
         election_timeout_min_seconds=settings.election_timeout_seconds,
@@ -205,6 +223,11 @@
         standby_after_seconds=settings.standby_after_seconds,
         admits_standbys=settings.admits_standbys,
         tolerated_failures=settings.tolerated_failures,
+        max_in_flight_bytes=memory.in_flight_bytes,
         snapshot_every_entries=settings.snapshot_entries,
+        snapshot_every_bytes=memory.log_bytes,
+        trailing_bytes=memory.log_bytes,
+        max_unsaved_bytes=memory.uncommitted_bytes,
+        max_pending_bytes=memory.uncommitted_bytes,
         read_timeout_seconds=settings.request_timeout_seconds / 2,
     )
--- a/src/finchshed/control/raft/metrics.py
+++ b/src/finchshed/control/raft/metrics.py
@@ -28,6 +28,8 @@
 )
 DISK_FULL = Gauge("finchshed_control_disk_full", "1 while writes wait for room")
 JOURNAL_BYTES = Gauge("finchshed_control_journal_bytes", "Size of the journal file")
+LOG_BYTES = Gauge("finchshed_control_log_bytes", "Log entries in memory")
+SNAPSHOT_BYTES = Gauge("finchshed_control_snapshot_bytes", "Latest snapshot, in memory")
 
 
 def update_gauges(node: RaftNode, journal_bytes: int) -> None:
@@ -39,3 +41,5 @@
     LEADER_CHECK_AGE_SECONDS.set(node.leader_check_age_seconds)
     DISK_FULL.set(node.disk_full)
     JOURNAL_BYTES.set(journal_bytes)
+    LOG_BYTES.set(node.log.size_bytes)
+    SNAPSHOT_BYTES.set(node.snapshot_bytes)
--- a/src/finchshed/control/raft/node_links.py
+++ b/src/finchshed/control/raft/node_links.py
@@ -31,8 +31,8 @@
 MAX_LINE_BYTES = 96 << 20
 """Longest line accepted from another control node; a state snapshot is sent as one line."""
 
-MAX_UNSENT_BYTES = 32 << 20
-"""Messages to a peer are dropped while its send buffer exceeds this size."""
+DEFAULT_MAX_UNSENT_BYTES = 32 << 20
+"""Default size of a peer's send buffer above which messages to it are dropped."""
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 """Timeout of one connection attempt."""
@@ -88,6 +88,8 @@
         Networks from which peers may connect; None for any.
     credentials
         TLS credentials; None for plain text.
+    max_unsent_bytes
+        Messages to a peer are dropped while its send buffer exceeds this size.
     """
 
     def __init__(
@@ -98,8 +100,10 @@
         networks: PeerNetworks | None = None,
         *,
         credentials: Credentials | None = None,
+        max_unsent_bytes: int = DEFAULT_MAX_UNSENT_BYTES,
     ) -> None:
         self._credentials = credentials
+        self._max_unsent_bytes = max_unsent_bytes
         self._open_connection = Connector(credentials, CertificateRole.CONTROL)
         self._hello = hello
         self._on_message = on_message
@@ -151,9 +155,8 @@
         hello = self._hello_by_link.get(link)
         return "" if hello is None else hello.node
 
-    @staticmethod
-    def _send_or_drop(link: PeerLink, message: PeerMessage) -> bool:
-        if link.unsent_bytes() > MAX_UNSENT_BYTES or link.send(message) == 0:
+    def _send_or_drop(self, link: PeerLink, message: PeerMessage) -> bool:
+        if link.unsent_bytes() > self._max_unsent_bytes or link.send(message) == 0:
             DROPPED_MESSAGES.inc()
             return False
         return True
--- a/src/finchshed/control/settings.py
+++ b/src/finchshed/control/settings.py
@@ -152,6 +152,17 @@
     snapshot_entries: Annotated[
         int, msgspec.Meta(ge=16, le=10_000_000, description="Log entries between snapshots.")
     ] = 20_000
+    max_memory_bytes: Annotated[
+        int,
+        msgspec.Meta(
+            ge=1 << 20,
+            le=1 << 40,
+            description=(
+                "Memory of the process; bounds its histories, its queues, the ledger and the size "
+                "of a configuration."
+            ),
+        ),
+    ] = 2 << 30
     stop_seconds: Annotated[
         float,
         msgspec.Meta(ge=0.0, le=60.0, description="Longest wait for requests in progress at stop."),
--- a/src/finchshed/control/state/metrics.py
+++ b/src/finchshed/control/state/metrics.py
@@ -1,7 +1,7 @@
 """Metrics of the replicated state on this node."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from finchshed.control.state.machine import ControlStateMachine
 from finchshed.observability.instruments import Gauge
@@ -11,6 +11,11 @@
 
 REVISION = Gauge("finchshed_control_revision", "Revision of the configuration applied here")
 DAEMONS = Gauge("finchshed_control_daemons", "Daemons connected to this control node")
+HISTORY_BYTES = Gauge(
+    "finchshed_control_history_bytes",
+    "Changes kept for receivers that are a few changes behind, in encoded form",
+    ["receivers"],
+)
 LEDGER_KEYS = Gauge("finchshed_ledger_keys", "Keys held by the ledger", ["state"])
 LEDGER_ANSWER_BYTES = Gauge("finchshed_ledger_answer_bytes", "Bytes of answers held by the ledger")
 LEDGER_TIME = Gauge(
@@ -19,13 +24,17 @@
 
 
 async def update_state_gauges(
-    machine: ControlStateMachine, count_daemons: Callable[[], int]
+    machine: ControlStateMachine,
+    count_daemons: Callable[[], int],
+    history_bytes: Callable[[], Mapping[str, int]],
 ) -> None:
     """Update the gauges periodically until cancelled."""
     while True:
         ledger = machine.ledger
         REVISION.set(machine.store.revision)
         DAEMONS.set(count_daemons())
+        for receivers, size in history_bytes().items():
+            HISTORY_BYTES.labels(receivers).set(size)
         for state, count in ledger.counts().items():
             LEDGER_KEYS.labels(state).set(count)
         LEDGER_ANSWER_BYTES.set(ledger.total_answer_bytes)
--- a/src/finchshed/distribution/committed_configuration.py
+++ b/src/finchshed/distribution/committed_configuration.py
@@ -9,20 +9,23 @@
 from finchshed.distribution.messages import Delta
 from finchshed.distribution.snapshot import Configuration, apply_delta, empty_delta
 
+MAX_CACHED_LINES = 4
+"""Encoded lines kept for other subscribers at the same revision; each may hold all resources."""
+
 
 class CommittedConfiguration:
     """Committed configuration of one hub, with cached lines for its subscribers.
 
     Parameters
     ----------
-    history_changes
-        Number of changes kept for merged deltas. Subscribers further behind receive the whole
-        configuration.
+    history_changes, history_bytes
+        Number and encoded size of the changes kept for merged deltas. Subscribers further behind
+        receive the whole configuration.
     """
 
-    def __init__(self, history_changes: int) -> None:
+    def __init__(self, history_changes: int, history_bytes: int) -> None:
         self._current = Configuration()
-        self._history = DeltaHistory(history_changes)
+        self._history = DeltaHistory(history_changes, history_bytes)
         self._catch_up: dict[int, SharedLine] = {}
         self._unchanged: dict[bool, SharedLine] = {}
 
@@ -31,6 +34,11 @@
         """The committed configuration."""
         return self._current
 
+    @property
+    def history_bytes(self) -> int:
+        """Encoded size of the changes kept for merged deltas."""
+        return self._history.encoded_bytes
+
     @property
     def revision(self) -> int:
         """Revision of the committed configuration."""
@@ -75,9 +83,14 @@
     def catch_up_line(self, base: int) -> SharedLine:
         """Return the encoded delta from ``base`` to the current revision."""
         line = self._catch_up.get(base)
-        if line is None:
-            line = SharedLine(self._history.between(base, self._current))
-            self._catch_up[base] = line
+        if line is not None:
+            return line
+        delta = self._history.between(base, self._current)
+        # All who need the whole configuration get the same line.
+        line = self._catch_up.get(delta.base) or SharedLine(delta)
+        if len(self._catch_up) >= MAX_CACHED_LINES:
+            del self._catch_up[next(iter(self._catch_up))]
+        self._catch_up[delta.base] = line
         return line
 
     def unchanged_line(self, confirmed: bool) -> SharedLine:
--- a/src/finchshed/distribution/hub.py
+++ b/src/finchshed/distribution/hub.py
@@ -40,7 +40,9 @@
     def __init__(self, node: str, limits: HubLimits | None = None) -> None:
         self.limits = limits or HubLimits()
         self._node = node
-        self._committed = CommittedConfiguration(self.limits.history_changes)
+        self._committed = CommittedConfiguration(
+            self.limits.history_changes, self.limits.history_bytes
+        )
         self._subscribers = Subscribers()
         self._next_ticket = 1
         self._waits_for_confirmation = False
@@ -53,6 +55,11 @@
         """The committed configuration of this control node."""
         return self._committed.current
 
+    @property
+    def history_bytes(self) -> int:
+        """Encoded size of the changes kept for subscribers that are behind."""
+        return self._committed.history_bytes
+
     def subscriber_count(self) -> int:
         """Return the number of daemons connected here."""
         return len(self._subscribers)
--- a/src/finchshed/distribution/hub_effects.py
+++ b/src/finchshed/distribution/hub_effects.py
@@ -15,9 +15,11 @@
 
     Attributes
     ----------
-    history_changes
-        Number of changes kept for merged deltas. Subscribers further behind receive the full
-        configuration.
+    history_changes, history_bytes
+        Number of changes kept for merged deltas, and their size in encoded form. Subscribers
+        further behind receive the full configuration.
+    unsent_bytes
+        Unsent bytes to all subscribers together above which those with the most are skipped.
     heartbeat_seconds
         Interval between heartbeats to each subscriber.
     silence_seconds
@@ -30,6 +32,8 @@
     """
 
     history_changes: int = 512
+    history_bytes: int = 2 << 20
+    unsent_bytes: int = 64 << 20
     heartbeat_seconds: float = 0.5
     silence_seconds: float = 5.0
     contact_grace_seconds: float = 1.5
--- a/src/finchshed/distribution/server.py
+++ b/src/finchshed/distribution/server.py
@@ -51,8 +51,12 @@
 TICK_SECONDS = 0.25
 """Interval between checks of full buffers, half of the hub's heartbeat interval."""
 
-BUFFER_LIMIT_BYTES = 4 << 20
-"""Unsent bytes above which a subscriber is skipped until half of them have been sent."""
+MAX_BUFFER_BYTES = 4 << 20
+"""Unsent bytes above which a subscriber is skipped until half of them have been sent; fewer if
+there are many subscribers."""
+
+MIN_BUFFER_BYTES = 64 << 10
+"""Unsent bytes that a subscriber may always have."""
 
 MAX_REQUEST_BYTES = 96 << 20
 """Maximum line length accepted from a daemon: fits the complete answer of a call."""
@@ -156,7 +160,7 @@
         """Send a message to every connected daemon whose buffer isn't full."""
         line = encode_line(message)
         for connection in self._connections.values():
-            if connection.unsent_bytes() <= BUFFER_LIMIT_BYTES:
+            if connection.unsent_bytes() <= self._buffer_bytes():
                 connection.send_encoded(line)
 
     def _make_protocol(self) -> Connection:
@@ -255,9 +259,14 @@
             if connection is None:
                 continue
             connection.send_encoded(line)
-            if connection.unsent_bytes() > BUFFER_LIMIT_BYTES:
+            if connection.unsent_bytes() > self._buffer_bytes():
                 self._hub.on_buffer(number, True, self._now())
 
+    def _buffer_bytes(self) -> int:
+        """Return the unsent bytes above which a subscriber is skipped."""
+        share = self._hub.limits.unsent_bytes // max(1, len(self._connections))
+        return max(MIN_BUFFER_BYTES, min(MAX_BUFFER_BYTES, share))
+
     def _on_confirmed(self, ticket: int) -> None:
         self._perform(self._hub.on_confirmed(ticket, self._now()))
 
@@ -266,7 +275,7 @@
             await asyncio.sleep(TICK_SECONDS)
             for number in self._hub.full_subscribers():
                 connection = self._connections.get(number)
-                if connection is None or connection.unsent_bytes() <= BUFFER_LIMIT_BYTES // 2:
+                if connection is None or connection.unsent_bytes() <= self._buffer_bytes() // 2:
                     self._perform(self._hub.on_buffer(number, False, self._now()))
             self._perform(self._hub.tick(self._now()))
 
--- a/src/finchshed/ledger/ledger.py
+++ b/src/finchshed/ledger/ledger.py
@@ -127,6 +127,9 @@
     def __len__(self) -> int:
         return len(self._entries)
 
+    def __contains__(self, key: str) -> bool:
+        return key in self._entries
+
     @property
     def total_answer_bytes(self) -> int:
         """Total size of stored answers in bytes."""
--- a/tests/configuration/test_store.py
+++ b/tests/configuration/test_store.py
@@ -8,7 +8,13 @@
     ResourceKey,
     Service,
 )
-from finchshed.configuration.store import BOOTSTRAP_OPERATOR, ConfigurationStore, StoreSnapshot
+from finchshed.configuration.store import (
+    BOOTSTRAP_OPERATOR,
+    MAX_PROBLEMS_CHARACTERS,
+    RETAINED_RESULT_BYTES,
+    ConfigurationStore,
+    StoreSnapshot,
+)
 
 ANA = Operator(name="ana", token_sha256="a" * 64)
 BEN = Operator(name="ben", token_sha256="b" * 64)
@@ -131,3 +137,19 @@
     assert store.apply(change("x", 1, Service(name="s"), endpoint)) == Accepted(2)
     assert isinstance(store.apply(change("y", 2, deletes="service/s")), Invalid)
     assert store.apply(change("z", 2, deletes="service/s endpoint/e")) == Accepted(3)
+
+
+def test_results_of_invalid_changes_are_bounded_in_bytes() -> None:
+    # Guards against results that grow with what the author of a change writes.
+    store = store_with_operators()
+    size = 0
+    for number in range(6_000):
+        made = change(f"bad-{number}", 1, deletes=" ".join(f"x/{at:x<900}" for at in range(20)))
+        result = store.apply(made)
+        assert isinstance(result, Invalid)
+        assert sum(map(len, result.problems)) <= MAX_PROBLEMS_CHARACTERS + 100
+        assert "further problems" in result.problems[-1]
+        size += len(msgspec.json.encode(result))
+    assert size > RETAINED_RESULT_BYTES
+    assert len(msgspec.json.encode(store.snapshot())) <= 1.1 * RETAINED_RESULT_BYTES
+    assert restarted(store).apply(made) == result
--- a/tests/consensus/direct_group.py
+++ b/tests/consensus/direct_group.py
@@ -4,8 +4,20 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from finchshed.consensus.effects import Effect, PersistWrite, RaftRole, SendEnvelope
-from finchshed.consensus.events import Event, MessageReceived, Tick, WritePersisted
+from finchshed.consensus.effects import (
+    Effect,
+    PersistWrite,
+    RaftRole,
+    SendEnvelope,
+    SnapshotRequested,
+)
+from finchshed.consensus.events import (
+    Event,
+    MessageReceived,
+    SnapshotTaken,
+    Tick,
+    WritePersisted,
+)
 from finchshed.consensus.identity import NodeIdentity
 from finchshed.consensus.membership import InitialMember
 from finchshed.consensus.node import RaftNode
@@ -21,6 +33,8 @@
 class DirectGroup:
     """Nodes by name. Messages to or from a name in ``cut_off`` are dropped.
 
+    The writes of a name in ``stalled`` don't end. A snapshot is taken whenever a node asks for one.
+
     Attributes
     ----------
     reports
@@ -33,6 +47,7 @@
     now: float = 0.0
     nodes: dict[str, RaftNode] = field(default_factory=dict)
     cut_off: set[str] = field(default_factory=set)
+    stalled: set[str] = field(default_factory=set)
     reports: dict[str, list[Effect]] = field(default_factory=dict)
     stepped_at: dict[str, float] = field(default_factory=dict)
     lost_disks: int = 0
@@ -111,7 +126,10 @@
                 case SendEnvelope():
                     self._deliver(name, effect)
                 case PersistWrite():
-                    self.step(name, [WritePersisted(effect.ticket)])
+                    if name not in self.stalled:
+                        self.step(name, [WritePersisted(effect.ticket)])
+                case SnapshotRequested():
+                    self.step(name, [SnapshotTaken(effect.index, b"state")])
                 case _:
                     self.reports[name].append(effect)
 
