--- a/src/finchshed/consensus/write_buffer.py
+++ b/src/finchshed/consensus/write_buffer.py
@@ -13,11 +13,14 @@
 
 @dataclass
 class _OutstandingWrite:
-    """A requested write that is not yet durable, and the messages that wait for it."""
+    """A requested write that is not yet durable, and the messages that wait for it.
+
+    ``changes_vote`` is False for a snapshot that only repeats a vote written before.
+    """
 
     ticket: int
     last_index: int
-    includes_vote: bool
+    changes_vote: bool
     sends: list[SendEnvelope] = field(default_factory=list)
 
 
@@ -42,7 +45,7 @@
     @property
     def has_unsaved_vote(self) -> bool:
         """Whether the current vote is not yet durable."""
-        return self._vote_changed or any(write.includes_vote for write in self._outstanding)
+        return self._vote_changed or any(write.changes_vote for write in self._outstanding)
 
     @property
     def deferred_sends(self) -> int:
@@ -76,8 +79,9 @@
 
     def replace_stored(self, write: Write, last_index: int) -> PersistWrite:
         """Return a write that replaces all stored state and supersedes the buffered changes."""
+        changes_vote = self._vote_changed
         self._clear()
-        return self._persist(write, last_index)
+        return self._persist(write, last_index, changes_vote=changes_vote)
 
     def finish(self, ticket: int) -> list[SendEnvelope]:
         """Mark writes up to ``ticket`` as durable; return the messages that waited for them."""
@@ -97,8 +101,9 @@
                 truncate_from=self._truncate_from,
                 entries=tuple(self._entries),
             )
+            changes_vote = self._vote_changed
             self._clear()
-            effects.append(self._persist(write, last_index))
+            effects.append(self._persist(write, last_index, changes_vote=changes_vote))
         held, self._deferred = self._deferred, []
         if not self._outstanding:
             return [*effects, *held]
@@ -111,10 +116,9 @@
         self._truncate_from = None
         self._entries = []
 
-    def _persist(self, write: Write, last_index: int) -> PersistWrite:
+    def _persist(self, write: Write, last_index: int, *, changes_vote: bool) -> PersistWrite:
         self._last_ticket += 1
-        includes_vote = write.vote is not None
-        self._outstanding.append(_OutstandingWrite(self._last_ticket, last_index, includes_vote))
+        self._outstanding.append(_OutstandingWrite(self._last_ticket, last_index, changes_vote))
         return PersistWrite(self._last_ticket, write)
 
 
--- a/tests/consensus/test_memory_of_entries.py
+++ b/tests/consensus/test_memory_of_entries.py
@@ -9,8 +9,9 @@
     PersistWrite,
     RefusalCause,
     RequestRefused,
+    RoleChanged,
 )
-from finchshed.consensus.events import Event, Propose, Tick
+from finchshed.consensus.events import Event, Propose, SnapshotTaken, Tick
 from finchshed.consensus.node import RaftNode
 from finchshed.consensus.options import RaftOptions
 from finchshed.storage.log_store import WriteOutcome
@@ -155,3 +156,17 @@
         runner.handle([Tick()], 0.0)
     runner.on_write_finished(WriteOutcome.DISK_FULL, 0.0)
     assert runner.take_pending_writes() == [writes[2].write, writes[3].write]
+
+
+def test_followers_answer_heartbeats_while_a_snapshot_is_written() -> None:
+    group = DirectGroup.formed(OPTIONS)
+    propose(group, 5)
+    leader = group.leader
+    for name in group.followers:
+        group.stalled.add(name)
+        group.step(name, [SnapshotTaken(group.nodes[name].commit_index, b"state")])
+    before = {name: len(reports) for name, reports in group.reports.items()}
+    run(group, 5 * OPTIONS.election_timeout_max_seconds)
+    seen = [report for name, start in before.items() for report in group.reports[name][start:]]
+    assert not [report for report in seen if isinstance(report, RoleChanged)]
+    assert group.leader is leader
