daemon: an answer that its connection ends is whole only after an orderly end

What callers saw: a back end sent a 200 without a length, a part of its body, and reset the connection; the client got the part as a whole answer.

Cause: uvloop reports a reset that it finds behind unread bytes in one wake-up as the end of the stream, without another read. On asyncio's own loop, on which the tests ran, the error is told.

Change: at the end of the stream the daemon asks the kernel for the socket's error and the connection's state; only CLOSE-WAIT without an error is an orderly end. The answer is taken then, and no longer when the rest of an unread upload is sent. The detail of a broken answer tells how the connection ended, what had come and whether the head was whole; finchshed_backend_broken_answers_total counts the causes.

--- a/src/finchshed/daemon/backend/answer_reader.py
+++ b/src/finchshed/daemon/backend/answer_reader.py
@@ -14,6 +14,7 @@
     BackendAnswer,
     BackendBroken,
     BackendRequest,
+    BrokenCause,
     NotRunMark,
 )
 from finchshed.daemon.backend.rate_limit_header import read_rate_limit
@@ -66,10 +67,12 @@
         headers_by_name = dict(raw_headers)
         is_success = STATUS_OK <= status < STATUS_MULTIPLE_CHOICES
         if request.request_id and self._seal and is_success and self._seal not in headers_by_name:
-            return BackendBroken("the answer lacks the back end's seal")
+            return BackendBroken("the answer lacks the back end's seal", BrokenCause.INVALID)
         mark = self._not_run_mark(request, status, headers_by_name)
         if mark is not NotRunMark.NONE and status < STATUS_BAD_REQUEST:
-            return BackendBroken(f"the answer has status {status} and says that nothing ran")
+            return BackendBroken(
+                f"the answer has status {status} and says that nothing ran", BrokenCause.INVALID
+            )
         return BackendAnswer(
             status=status,
             headers=end_to_end_headers(raw_headers),
--- a/src/finchshed/daemon/backend/client.py
+++ b/src/finchshed/daemon/backend/client.py
@@ -82,10 +82,27 @@
     is_refused: bool = False
 
 
+class BrokenCause(enum.StrEnum):
+    """Why what was received is no answer."""
+
+    ENDED = "ended"
+    """The connection ended in good order before the answer did."""
+
+    RESET = "reset"
+    """The connection was reset, or it isn't known how it ended."""
+
+    MALFORMED = "malformed"
+    """What was received isn't HTTP, or is another request's."""
+
+    INVALID = "invalid"
+    """The answer is whole, and lacks what the back end's answers have."""
+
+
 class BackendBroken(msgspec.Struct, frozen=True):
     """The request was sent, but no complete and valid answer was received."""
 
     detail: str
+    cause: BrokenCause
     use: ConnectionUse | None = None
 
 
--- a/src/finchshed/daemon/backend/connection.py
+++ b/src/finchshed/daemon/backend/connection.py
@@ -24,14 +24,23 @@
     BackendBroken,
     BackendRequest,
     BackendResult,
+    BrokenCause,
     ConnectionUse,
 )
 from finchshed.daemon.backend.extra_answers import log_extra_answer
+from finchshed.http.connection_end import ConnectionEnd, end_of_stream
 
 KEEP_ALIVE = b"keep-alive"
 TIMEOUT_PARAMETER = re.compile(rb"timeout=(\d+)")
 
 
+_CAUSE_BY_END = {
+    ConnectionEnd.ORDERLY: BrokenCause.ENDED,
+    ConnectionEnd.RESET: BrokenCause.RESET,
+    ConnectionEnd.UNKNOWN: BrokenCause.RESET,
+}
+
+
 class ConnectionState(enum.Enum):
     """State of a connection."""
 
@@ -138,7 +147,7 @@
             return
         problem = self._parser.feed(data)
         if problem:
-            self._fail(problem)
+            self._fail(problem, BrokenCause.MALFORMED)
         elif self._parser.is_complete:
             # Checked after the whole chunk, since surplus bytes make the connection unusable.
             answer = self._answer()
@@ -147,16 +156,25 @@
         elif self._parser.is_too_large:
             self._give_up_answer()
 
-    def connection_lost(self, exc: Exception | None) -> None:
-        """End the answer: complete if delimited by the connection's end (asyncio callback)."""
-        is_whole = exc is None and self._parser.can_end_with_connection
+    def eof_received(self) -> None:
+        """End the answer: complete if delimited by the end of the stream (asyncio callback).
+
+        It isn't put off until the connection is lost, which may take until the whole request is
+        sent, to a back end that reads no more.
+        """
+        end = end_of_stream(self._transport)
+        is_whole = end is ConnectionEnd.ORDERLY and self._parser.can_end_with_connection
         if self.state is ConnectionState.AWAITING_ANSWER and is_whole:
             answer = self._answer()
             # Gives its place in the pool back before the result, which may lead to the next send.
             self._close()
             self._finish(answer)
         else:
-            self._fail(f"connection closed: {exc or 'by the back end'}")
+            self._fail(f"connection ended {end.value}", _CAUSE_BY_END[end])
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the request in progress (asyncio callback)."""
+        self._fail(f"connection lost: {exc or 'closed'}", BrokenCause.RESET)
         self._transport = None
 
     @property
@@ -223,8 +241,10 @@
         self._finish(BackendAnswerTooLarge())
         self._close()
 
-    def _fail(self, detail: str) -> None:
-        self._finish(BackendBroken(detail, self._use))
+    def _fail(self, detail: str, cause: BrokenCause) -> None:
+        head = "whole" if self._parser.is_past_head else "not whole"
+        received = f"{self._parser.received} bytes received, head {head}"
+        self._finish(BackendBroken(f"{detail}; {received}", cause, self._use))
         self._close()
 
     def _finish(self, result: BackendResult) -> None:
--- a/src/finchshed/daemon/metrics.py
+++ b/src/finchshed/daemon/metrics.py
@@ -78,6 +78,11 @@
 QUOTA_REFUSED = Counter(
     "finchshed_quota_refused_total", "Requests of limited tenants without a token", ["reason"]
 )
+BROKEN_ANSWERS = Counter(
+    "finchshed_backend_broken_answers_total",
+    "Requests that the back end was sent and gave no whole and valid answer to",
+    ["cause"],
+)
 EXTRA_ANSWERS = Counter(
     "finchshed_backend_extra_answers_total",
     "Answers of the back end that no request was waiting for, or another one than theirs",
--- a/src/finchshed/daemon/serving/backend_runner.py
+++ b/src/finchshed/daemon/serving/backend_runner.py
@@ -131,6 +131,7 @@
         if not isinstance(result, BackendBroken):
             self._finish(inbound, run, result)
             return
+        metrics.BROKEN_ANSWERS.labels(result.cause).inc()
         resume = partial(self._finish, inbound, run, result)
         self._crash_detector.on_interrupted(run, InterruptedRequest(inbound.signature(), resume))
 
--- a/tests/bench/test_paired_latency.py
+++ b/tests/bench/test_paired_latency.py
@@ -11,6 +11,7 @@
     BackendBroken,
     BackendRequest,
     BackendResult,
+    BrokenCause,
 )
 
 
@@ -47,7 +48,7 @@
 
 async def test_a_cut_answer_counts_as_failed_and_in_no_percentile() -> None:
     cut = BackendAnswer(200, (), bytes(BODY_BYTES - 1), ran=True, draining=False)
-    for result in (cut, BackendBroken("cut")):
+    for result in (cut, BackendBroken("cut", BrokenCause.RESET)):
         run = await _run(_Way(0.001, WHOLE), _Way(0.001, result), _Way(0.001, WHOLE))
         assert run.pairs == 0
         assert run.failed > 20
--- a/tests/daemon/test_health_monitor.py
+++ b/tests/daemon/test_health_monitor.py
@@ -9,6 +9,7 @@
     BackendRequest,
     BackendResult,
     BackendUnreached,
+    BrokenCause,
 )
 from finchshed.daemon.backend.health import (
     CHECK_TIMEOUT_SECONDS,
@@ -78,7 +79,7 @@
 
 
 async def test_check_result_without_a_drain_is_not_reported() -> None:
-    for result in (BackendUnreached("refused"), BackendBroken("reset"), HEALTHY):
+    for result in (BackendUnreached("refused"), BackendBroken("reset", BrokenCause.RESET), HEALTHY):
         backend = PolledBackend(result)
         await backend.monitor.poll()
         assert not backend.reported
--- a/tests/daemon/test_return_detection.py
+++ b/tests/daemon/test_return_detection.py
@@ -3,7 +3,12 @@
 import asyncio
 import signal
 
-from finchshed.daemon.backend.client import BackendAnswer, BackendBroken, BackendUnreached
+from finchshed.daemon.backend.client import (
+    BackendAnswer,
+    BackendBroken,
+    BackendUnreached,
+    BrokenCause,
+)
 from finchshed.daemon.backend.return_detection import STABLE_SECONDS, ReturnDetector
 from tests.daemon.deployment import Deployment, deployment, eventually
 from tests.daemon.scripted_backend import Received, answer
@@ -28,7 +33,7 @@
     detector = ReturnDetector()
     assert not detector.has_returned(DRAINING, 1.0)
     assert not detector.has_returned(BackendUnreached("refused"), 2.0)
-    assert not detector.has_returned(BackendBroken("reset"), 2.5)
+    assert not detector.has_returned(BackendBroken("reset", BrokenCause.RESET), 2.5)
     assert detector.has_returned(HEALTHY, 3.0)
 
 
--- /dev/null
+++ b/tests/platform/test_broken_answers.py
@@ -0,0 +1,99 @@
+"""Guards against an answer that isn't whole, or is none, and reaches a client as an answer.
+
+Real processes. A suspended daemon finds what came meanwhile in one wake-up, as a busy one does.
+"""
+
+import asyncio
+import signal
+import socket
+import struct
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+from aiohttp import web
+
+from tests.platform.fake_backend import FakeBackend, Handler, echo
+from tests.platform.fake_platform import FakePlatform, route, run_platform, wait_until_known
+
+PREFIX = "/buy/broken/"
+HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Seal: s\r\n"
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+SUSPENDED_SECONDS = 0.05
+SILENT_SECONDS = 1.5
+AT_A_TIME = 10
+ROUNDS = 3
+UPLOADS = [0, 1_000, 100_000, 900_000]
+
+Write = Callable[[asyncio.Transport, bytes], None]
+
+
+def reset(transport: asyncio.Transport) -> None:
+    connection = transport.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    transport.abort()
+
+
+def answering(write: Write) -> Handler:
+    """Return a handler that writes to the connection itself where the path asks for it."""
+
+    async def handle(backend: FakeBackend, request: web.Request) -> web.Response:
+        if not request.path.startswith(PREFIX):
+            return await echo(backend, request)
+        transport = request.transport
+        assert isinstance(transport, asyncio.Transport)
+        write(transport, request.headers["Request-Id"].encode())
+        # The server itself adds nothing to what was written.
+        await asyncio.sleep(SILENT_SECONDS)
+        transport.abort()
+        raise ConnectionResetError
+
+    return handle
+
+
+async def statuses_of(running: FakePlatform, count: int, body: bytes = b"") -> list[int]:
+    """Return the statuses of requests that are answered brokenly, all at once."""
+    sent = (
+        running.send_request(f"{PREFIX}{number}", method="POST", body=body)
+        for number in range(count)
+    )
+    return [response.status for response in await asyncio.gather(*sent)]
+
+
+@pytest.mark.parametrize("upload_bytes", UPLOADS)
+async def test_part_of_an_answer_behind_a_reset_does_not_reach_a_client(
+    tmp_path: Path, upload_bytes: int
+) -> None:
+    daemons: list[FakePlatform] = []
+
+    def write(transport: asyncio.Transport, identity: bytes) -> None:
+        daemon = daemons[0].daemons[0]
+        daemon.signal(signal.SIGSTOP)
+        transport.write(HEAD % identity + b"\r\npart")
+        reset(transport)
+        time.sleep(SUSPENDED_SECONDS)
+        daemon.signal(signal.SIGCONT)
+
+    async with run_platform(tmp_path, "sales", handlers={"sales": answering(write)}) as running:
+        daemons.append(running)
+        await wait_until_known(running, route("/look/", "sales"), route("/buy/", "sales", "unsafe"))
+        statuses = []
+        for at_a_time in (*[1] * ROUNDS, AT_A_TIME):
+            statuses += await statuses_of(running, at_a_time, b"x" * upload_bytes)
+        assert set(statuses) == {502}
+        assert (await running.send_request("/look/up")).status == 200
+
+
+async def test_an_answer_that_ends_in_good_order_reaches_its_client(tmp_path: Path) -> None:
+    def write(transport: asyncio.Transport, identity: bytes) -> None:
+        transport.write(HEAD % identity + b"\r\nall of it")
+        transport.write_eof()
+
+    async with run_platform(tmp_path, "sales", handlers={"sales": answering(write)}) as running:
+        await wait_until_known(running, route("/look/", "sales"), route("/buy/", "sales", "unsafe"))
+        for upload_bytes in UPLOADS:
+            response = await running.send_request(
+                f"{PREFIX}1", method="POST", body=b"x" * upload_bytes
+            )
+            assert (response.status, response.body) == (200, b"all of it"), upload_bytes
