daemon: refuse answers whose status, version, protocol or coding is none

What callers saw: after a status of 000 to 099 a request waited until its deadline, with a slot of the back end. A status of 600 to 999 reached them as it came.

Cause: what is below 200 was taken for an interim answer, and nothing was checked that the parser's library lets pass: statuses of three digits, versions 0.9 and 2.0, ICE and RTSP, transfer codings other than chunks (waited upon, or passed on without the coding's name).

Change: the parser of answers checks them. Names and values of fields, folded lines and two lengths were refused by the library before; the tests hold each byte.

--- a/src/finchshed/daemon/backend/answer_parser.py
+++ b/src/finchshed/daemon/backend/answer_parser.py
@@ -10,7 +10,13 @@
 
 from finchshed.common.memory_budget import Holding
 from finchshed.daemon.backend.addressee import Addressee, RawHeader
-from finchshed.http.status import STATUS_NO_CONTENT, STATUS_NOT_MODIFIED, STATUS_OK
+from finchshed.http.status import (
+    FIRST_STATUS,
+    LAST_STATUS,
+    STATUS_NO_CONTENT,
+    STATUS_NOT_MODIFIED,
+    STATUS_OK,
+)
 from finchshed.runtime import clock
 
 MAX_HEAD_BYTES = 65_536
@@ -25,12 +31,20 @@
 MAX_FRAMING_BYTES_AT_ONCE = 16_384
 """Such bytes that may come without a byte of the body in between."""
 
+PROTOCOL = b"HTTP/"
+"""First bytes of an answer."""
+
+VERSIONS = frozenset({"1.0", "1.1"})
+"""Versions of HTTP that are spoken on these connections."""
+
 MAX_EXTRA_ANSWERS = 8
 """Extra answers that are passed over for one request."""
 
 CONTENT_LENGTH = b"content-length"
+TRANSFER_ENCODING = b"transfer-encoding"
+CHUNKED = b"chunked"
 BODILESS_STATUSES = frozenset({STATUS_NO_CONTENT, STATUS_NOT_MODIFIED})
-FRAMING_HEADERS = frozenset({CONTENT_LENGTH, b"transfer-encoding"})
+FRAMING_HEADERS = frozenset({CONTENT_LENGTH, TRANSFER_ENCODING})
 
 
 class AnswerParser:
@@ -90,6 +104,7 @@
         self._extra_answers = 0
         self._passed_over = 0
         self._problem = ""
+        self._start = b""
         self.received = 0
         self.is_complete = False
         self.is_too_large = False
@@ -113,6 +128,11 @@
 
     def feed(self, data: bytes) -> str:
         """Parse received bytes; return why they can't be used, or an empty string."""
+        if len(self._start) < len(PROTOCOL):
+            self._start = (self._start + data).lstrip(b"\r\n")[: len(PROTOCOL)]
+            if not PROTOCOL.startswith(self._start):
+                # The parser takes answers of other protocols, too.
+                return "malformed answer: not HTTP"
         self.received += len(data)
         body_before = self._body_size
         was_past_head = self.is_past_head
@@ -159,7 +179,8 @@
         if self.is_complete:
             return
         self.status = self._parser.get_status_code()
-        if self.status < STATUS_OK:
+        self._problem = self._problem_of_head()
+        if self._problem or self.status < STATUS_OK:
             return
         self.is_past_head = True
         self.head_received_at = clock.now()
@@ -192,6 +213,21 @@
         # Valid only within the parser's callback for this answer.
         self._complete(keeps_alive=self._parser.should_keep_alive() and not self._extra_answers)
 
+    def _problem_of_head(self) -> str:
+        """Return why the head isn't that of an answer, or an empty string.
+
+        The parser lets pass what is checked here.
+        """
+        version = self._parser.get_http_version()
+        if version not in VERSIONS:
+            return f"malformed answer: HTTP version {version}"
+        if not FIRST_STATUS <= self.status <= LAST_STATUS:
+            return f"malformed answer: status {self.status:03}"
+        codings = [value for name, value in self.headers if name == TRANSFER_ENCODING]
+        if codings and [coding.lower() for coding in codings] != [CHUNKED]:
+            return "malformed answer: unknown transfer coding"
+        return ""
+
     def _check_declared_length(self) -> None:
         """Give an answer up whose body would be too large, before it is received."""
         declared = [value for name, value in self.headers if name == CONTENT_LENGTH]
--- a/src/finchshed/http/status.py
+++ b/src/finchshed/http/status.py
@@ -2,6 +2,9 @@
 
 from http import HTTPStatus
 
+FIRST_STATUS, LAST_STATUS = 100, 599
+"""Range of valid statuses (RFC 9110, 15)."""
+
 STATUS_OK = HTTPStatus.OK.value
 STATUS_NO_CONTENT = HTTPStatus.NO_CONTENT.value
 STATUS_PARTIAL_CONTENT = HTTPStatus.PARTIAL_CONTENT.value
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -14,6 +14,7 @@
 import pytest
 from aiohttp import web
 
+from tests.daemon.broken_heads import broken_answers
 from tests.platform.fake_backend import FakeBackend, Handler, echo
 from tests.platform.fake_platform import FakePlatform, route, run_platform, wait_until_known
 
@@ -21,10 +22,35 @@
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Seal: s\r\n"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 SUSPENDED_SECONDS = 0.05
+AT_ONCE_SECONDS = 1.0
+"""Well before the deadline of the requests, on which a client would wait otherwise."""
+
 SILENT_SECONDS = 1.5
 AT_A_TIME = 10
 ROUNDS = 3
 UPLOADS = [0, 1_000, 100_000, 900_000]
+SHAPES = [
+    "status 000",
+    "status 099",
+    "status 600",
+    "status 999",
+    "protocol switched",
+    "version 2.0",
+    "other protocol",
+    "name with 0x00",
+    "name with 0x01",
+    "name with 0x09",
+    "name with 0x20",
+    "name with 0x7f",
+    "name with 0x80",
+    "blank before the colon",
+    "no colon",
+    "folded by a blank, last",
+    "another length",
+    "lengths in a list, last",
+    "length: negative",
+    "length: coding before chunks",
+]
 
 Write = Callable[[asyncio.Transport, bytes], None]
 
@@ -85,6 +111,27 @@
         assert (await running.send_request("/look/up")).status == 200
 
 
+async def test_bytes_that_are_no_answer_do_not_reach_a_client(tmp_path: Path) -> None:
+    answers = broken_answers()
+    current = [b""]
+
+    def write(transport: asyncio.Transport, identity: bytes) -> None:
+        named = b"Request-Id: " + identity + b"\r\nServer-Seal: s"
+        transport.write(current[0].replace(b"finchshed-request: r1", named))
+
+    async with run_platform(tmp_path, "sales", handlers={"sales": answering(write)}) as running:
+        await wait_until_known(running, route("/look/", "sales"), route("/buy/", "sales", "unsafe"))
+        for shape in SHAPES:
+            current[0] = answers[shape]
+            began = time.monotonic()
+            assert set(await statuses_of(running, 2)) == {502}, shape
+            assert time.monotonic() - began < AT_ONCE_SECONDS, shape
+        # Whole, and with nothing wrong: the handler itself is none of the causes.
+        head = b"HTTP/1.1 200 OK\r\nfinchshed-request: r1\r\nconnection: close\r\n"
+        current[0] = head + b"content-length: 2\r\n\r\nok"
+        assert set(await statuses_of(running, 2)) == {200}
+
+
 async def test_an_answer_that_ends_in_good_order_reaches_its_client(tmp_path: Path) -> None:
     def write(transport: asyncio.Transport, identity: bytes) -> None:
         transport.write(HEAD % identity + b"\r\nall of it")
