http: bound the bytes of a request that are neither its head nor its body

What callers saw: nothing of their own; the daemon beside a client that sends a request without end is ended over its memory, with all requests on it (LOST).

Cause: chunk sizes, extensions and trailers of requests had no bound, and trailers were kept and passed on as headers. Those of answers had one.

Change: one bound for both (http/framing.py); fields of a trailer are none.

--- a/src/finchshed/daemon/backend/answer_parser.py
+++ b/src/finchshed/daemon/backend/answer_parser.py
@@ -10,6 +10,7 @@
 
 from finchshed.common.memory_budget import Holding
 from finchshed.daemon.backend.addressee import Addressee, RawHeader
+from finchshed.http.framing import FramingMeter
 from finchshed.http.status import (
     FIRST_STATUS,
     LAST_STATUS,
@@ -22,15 +23,6 @@
 MAX_HEAD_BYTES = 65_536
 """Maximum size of an answer's status line and headers."""
 
-MAX_FRAMING_BYTES = 262_144
-"""Bytes of chunk sizes, their extensions and trailers that any answer may have."""
-
-FRAMING_DIVISOR = 4
-"""The size of its body divided by this is what an answer may have of them in addition."""
-
-MAX_FRAMING_BYTES_AT_ONCE = 16_384
-"""Such bytes that may come without a byte of the body in between."""
-
 PROTOCOL = b"HTTP/"
 """First bytes of an answer."""
 
@@ -134,8 +126,6 @@
                 # The parser takes answers of other protocols, too.
                 return "malformed answer: not HTTP"
         self.received += len(data)
-        body_before = self._body_size
-        was_past_head = self.is_past_head
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError:
@@ -149,8 +139,9 @@
         if not self.is_past_head:
             is_too_long = self.received - self._passed_over > MAX_HEAD_BYTES
             return "head too large" if is_too_long else ""
-        has_grown = self._body_size > body_before or not was_past_head
-        return self._framing_problem(has_grown=has_grown)
+        if self._framing.exceeds(self.received - self._passed_over, self._body_size):
+            return "more framing than body"
+        return ""
 
     def take_body(self) -> bytes:
         """Return the body received so far, and keep nothing of it."""
@@ -235,20 +226,6 @@
         if declared and has_body and int(declared[0]) > self._max_body_bytes:
             self.is_too_large = True
 
-    def _framing_problem(self, *, has_grown: bool) -> str:
-        """Return a problem if too little of what was received belongs to the body.
-
-        ``has_grown`` tells whether the latest bytes completed the head or added to the body.
-        """
-        framing = self.received - self._passed_over - self._body_size
-        if has_grown:
-            self._framing_at_last_body = framing
-        at_once = framing - self._framing_at_last_body
-        allowed = MAX_HEAD_BYTES + MAX_FRAMING_BYTES + self._body_size // FRAMING_DIVISOR
-        if at_once > MAX_FRAMING_BYTES_AT_ONCE or framing > allowed:
-            return "more framing than body"
-        return ""
-
     def _judge(self) -> None:
         """Find out whose answer it is, and whether it is passed over or ends the request."""
         addressee = self._addressee_of(self.headers)
@@ -276,6 +253,6 @@
         self.ends_with_connection = False
         self.discard_body()
         self._body_size = 0
-        self._framing_at_last_body = 0
+        self._framing = FramingMeter()
         self._has_length = False
         self._is_skipping = False
--- a/src/finchshed/http/connection.py
+++ b/src/finchshed/http/connection.py
@@ -38,7 +38,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._remote = ""
         self._target = b""
-        self._head_bytes = 0
+        self._received = 0
         self._reading: Exchange[RequestT] | None = None
         self._answering: Exchange[RequestT] | None = None
         self._queued: deque[Exchange[RequestT]] = deque()
@@ -97,7 +97,7 @@
         self._parse(data)
 
     def _parse(self, data: bytes) -> None:
-        self._head_bytes += len(data)
+        self._received += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -118,10 +118,12 @@
         self._advance()
 
     def _check_size(self, reading: Exchange[RequestT]) -> None:
-        if reading.admitted is None and reading.refusal is None:
+        if not reading.is_past_head:
             limit = self._owner.limits.max_head_bytes
-            if self._head_bytes > limit:
+            if self._received > limit:
                 self._reject_malformed(f"limit of the head: {limit} bytes", STATUS_HEAD_TOO_LARGE)
+        elif reading.framing.exceeds(self._received, reading.size):
+            self._reject_malformed("malformed request: more framing than body")
         elif reading.size > reading.limit + MAX_DISCARDED_BYTES:
             self._queue_unread(reading)
 
@@ -137,8 +139,10 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Record a header."""
+        """Record a header; fields of a trailer are none (RFC 9110, 6.5.1)."""
         assert self._reading is not None
+        if self._reading.is_past_head:
+            return
         name = name.lower()
         request = self._reading.request
         request.headers.append((name, value))
@@ -148,6 +152,7 @@
         """Admit or refuse the request based on its head."""
         exchange = self._reading
         assert exchange is not None
+        exchange.is_past_head = True
         request = exchange.request
         request.method = self._parser.get_method().decode("latin-1")
         request.target = origin_form(self._target)
@@ -187,7 +192,7 @@
         if exchange is None:
             return
         self._reading = None
-        self._head_bytes = 0
+        self._received = 0
         exchange.complete()
         self._queued.append(exchange)
 
--- a/src/finchshed/http/exchange.py
+++ b/src/finchshed/http/exchange.py
@@ -9,6 +9,7 @@
 
 from finchshed.common.memory_budget import MemoryBudget
 from finchshed.common.outcomes import RefusalReason, Refused
+from finchshed.http.framing import FramingMeter
 from finchshed.http.limits import ConnectionLimits
 from finchshed.http.message import InboundRequest, Response
 from finchshed.http.spool import SpoolBudget
@@ -76,6 +77,10 @@
         Body bytes received, including discarded ones.
     spooled
         Body bytes reserved in the spool budget.
+    is_past_head
+        Whether its head was received completely.
+    framing
+        Bytes that are neither head nor body.
     closes
         Whether the connection closes after the response.
     abort
@@ -89,7 +94,9 @@
     size: int = 0
     spooled: int = 0
     closes: bool = False
+    is_past_head: bool = False
     is_whole: bool = False
+    framing: FramingMeter = field(default_factory=FramingMeter)
     abort: Callable[[], None] | None = None
     _parts: list[bytes] = field(default_factory=list)
 
--- a/tests/daemon/test_answer_framing.py
+++ b/tests/daemon/test_answer_framing.py
@@ -4,12 +4,8 @@
 
 from finchshed.common.memory_budget import HoldingKind, MemoryBudget
 from finchshed.daemon.backend.addressee import Addressee
-from finchshed.daemon.backend.answer_parser import (
-    MAX_FRAMING_BYTES,
-    MAX_FRAMING_BYTES_AT_ONCE,
-    MAX_HEAD_BYTES,
-    AnswerParser,
-)
+from finchshed.daemon.backend.answer_parser import MAX_HEAD_BYTES, AnswerParser
+from finchshed.http.framing import MAX_FRAMING_BYTES, MAX_FRAMING_BYTES_AT_ONCE
 
 MAX_BODY_BYTES = 1 << 20
 READ_BYTES = 8_192
