daemon: a stop takes only requests that it has time to answer

Cause: a request was taken by the state of the daemon, whatever time was left. A second SIGTERM ended the process at once, with all in progress. From the end of the notice time on the back end's requests couldn't call on with new connections.

Change: a request that may take longer than is left is refused before it is sent, as not run, with the time that is left to return after (daemon/stopping.py). Until callers can know of the stop it is measured by the longest recent answer of its route, from then on by all the time it may take. A second SIGTERM changes nothing, SIGINT stops at once. The listeners stay open while the back end runs something; its calls are taken.

--- a/src/finchshed/daemon/assembly.py
+++ b/src/finchshed/daemon/assembly.py
@@ -307,7 +307,9 @@
         signatures=state.signatures,
         quarantine=quarantine,
     )
-    service_handler = ServiceRequestHandler(caller, state.served, state.rng, not_ready_reason)
+    service_handler = ServiceRequestHandler(
+        caller, state.served, state.rng, not_ready_reason, stop=state.stop
+    )
     lease_renewal = KeyLeaseRenewal(client)
     quotas = QuotaGate(client, state.identity.incarnation, state.started_ms, state.rng)
     host_handler = HostRequestHandler(
@@ -320,6 +322,7 @@
         deferred=DeferredClients(state.table.path_completion, state.table.mean_latency, state.rng),
         own_service=lambda: state.identity.service,
         not_ready_reason=not_ready_reason,
+        stop=state.stop,
         own_share=state.table.own_share,
     )
     spool = SpoolBudget(state.memory.spooled_bytes)
--- a/src/finchshed/daemon/components.py
+++ b/src/finchshed/daemon/components.py
@@ -30,6 +30,7 @@
 from finchshed.daemon.serving.served_requests import ServedRequests
 from finchshed.daemon.settings import DaemonSettings
 from finchshed.daemon.signatures import SignatureFactory
+from finchshed.daemon.stopping import PlannedStop
 from finchshed.distribution.follower_runner import FollowerRunner
 from finchshed.http.server import HttpServer
 from finchshed.link.listener import LinkListener
@@ -48,6 +49,8 @@
     identity
         Identity of the endpoint for peers; its first incarnation also identifies this process to
         control.
+    stop
+        When a planned stop ends.
     served
         Requests the local back end is serving.
     paths
@@ -71,6 +74,7 @@
     path_callers: PathCallers
     completion: PathCompletion
     signatures: SignatureFactory
+    stop: PlannedStop = field(default_factory=PlannedStop)
     served: ServedRequests = field(default_factory=ServedRequests)
     events: BackendEvents = field(default_factory=BackendEvents)
     crash_news: CrashNewsBroadcaster = field(default_factory=CrashNewsBroadcaster)
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -116,12 +116,15 @@
         New connections are directed to a successor, if there is one. Callers are notified of the
         drain, and requests they sent before that are still served. Requests and sessions in
         progress may take up to ``drain_seconds``; remaining sessions are then ended, which moves
-        them to other endpoints.
+        them to other endpoints. A request that may take longer than is left is refused, see
+        :class:`~finchshed.daemon.stopping.PlannedStop`.
         """
         settings = self._settings
         self._drain.is_stopping = True
         metrics.DRAINING.set(1)
         logger.info("draining")
+        stop = self._components.state.stop
+        stop.begin(clock.now(), settings.drain_notice_seconds, settings.drain_seconds)
         self._listeners.prefer_successor()
         self._ingress.service_server.closing = True
         self._ingress.host_server.closing = True
@@ -129,8 +132,11 @@
         await asyncio.sleep(serving_seconds)
         self._components.backend_state.announcer.announce()
         await asyncio.sleep(settings.drain_notice_seconds - serving_seconds)
+        # Requests that the local back end is running may need further calls.
+        await wait_while(self._has_calls, stop.seconds_left(clock.now()))
         self._listeners.close()
-        await wait_while(self._is_busy, settings.drain_seconds)
+        if not await wait_while(self._is_busy, stop.seconds_left(clock.now())):
+            logger.warning("requests or sessions are still in progress at the end of the stop")
         if self._callee is not None and self._callee.sessions:
             logger.info("ending the {} remaining sessions", self._callee.sessions)
             self._callee.end_sessions()
@@ -216,15 +222,17 @@
     def _not_ready_reason(self) -> RefusalReason | None:
         return None if self._is_serving else RefusalReason.NO_CONFIGURATION
 
+    def _has_calls(self) -> bool:
+        """Return whether the local back end is running requests."""
+        return self._callee is not None and self._callee.in_progress > 0
+
     def _is_busy(self) -> bool:
         ingress = self._ingress
         if ingress.service_server.is_busy or ingress.host_server.is_busy:
             return True
         if ingress.caller.in_progress:
             return True
-        return self._callee is not None and (
-            self._callee.in_progress > 0 or self._callee.sessions > 0
-        )
+        return self._has_calls() or (self._callee is not None and self._callee.sessions > 0)
 
     async def _maintain(self) -> None:
         while True:
--- a/src/finchshed/daemon/ingress/host_handler.py
+++ b/src/finchshed/daemon/ingress/host_handler.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from finchshed.admission.returning import Return
-from finchshed.common.outcomes import Outcome, RefusalReason, Refused
+from finchshed.common.outcomes import Answered, Outcome, RefusalReason, Refused
 from finchshed.configuration.resources import HostRoute, Tenant
 from finchshed.daemon.calling.caller import Caller
 from finchshed.daemon.catalogue import Catalogue
@@ -21,8 +21,10 @@
 from finchshed.daemon.ingress.quota_gate import QuotaGate
 from finchshed.daemon.ingress.responses import host_response, malformed_host_response
 from finchshed.daemon.ingress.return_scheduler import ReturnScheduler
+from finchshed.daemon.ingress.route_durations import RouteDurations
 from finchshed.daemon.request import Request
-from finchshed.daemon.serving.served_requests import ServedRequests
+from finchshed.daemon.serving.served_requests import ServedRequest, ServedRequests
+from finchshed.daemon.stopping import PlannedStop
 from finchshed.http.message import InboundRequest, Response
 from finchshed.retry.policy import retry_after
 from finchshed.routing.weighted_round_robin import WeightedRoundRobin
@@ -45,6 +47,8 @@
         Returns the service of the local back end.
     not_ready_reason
         Returns why requests can't be accepted now, or None.
+    stop
+        Stop of the daemon, for which a request must leave time.
     own_share
         Returns the fraction of a service's requests in progress that this daemon sent.
 
@@ -66,6 +70,7 @@
         deferred: DeferredClients,
         own_service: Callable[[], str],
         not_ready_reason: Callable[[], RefusalReason | None],
+        stop: PlannedStop,
         own_share: Callable[[str], float],
     ) -> None:
         self._caller = caller
@@ -74,6 +79,8 @@
         self._quotas = quotas
         self._deferred = deferred
         self._not_ready_reason = not_ready_reason
+        self._stop = stop
+        self._durations = RouteDurations()
         self.returns = ReturnScheduler(rng, own_share)
         self._authenticator = HostAuthenticator(names, served, lease, rng)
         self._request_builder = HostRequestBuilder(names, own_service)
@@ -126,12 +133,18 @@
         ``respond`` is called once.
         """
         identity = request.header(self._identity_header)
+        served = self._authenticator.parent_request(identity)
+        refused = self._refusal_at_stop(admitted, served)
+        if refused is not None:
+            self._log_refusal(request, admitted.route, refused)
+            respond(host_response(refused))
+            return _no_op
         if admitted.tenant is not None:
             return self._call_for_tenant(admitted.tenant, request, admitted, respond)
-        served = self._authenticator.parent_request(identity)
         message = self._request_builder.build(request, identity, admitted, served)
 
         def on_outcome(outcome: Outcome) -> None:
+            self._note_duration(admitted, outcome)
             respond(host_response(outcome))
 
         if served is None:
@@ -171,6 +184,27 @@
         deadline = self._request_builder.client_deadline(request, now)
         return AdmittedHostRequest(route, service, host, remaining, now, tenant, deadline)
 
+    def _refusal_at_stop(
+        self, admitted: AdmittedHostRequest, served: ServedRequest | None
+    ) -> Refused | None:
+        """Refuse a request that the daemon may end before; None if there is time for it.
+
+        A call of a request that the local back end is running is taken in any case: that request
+        was taken, and fails without it.
+        """
+        if served is not None:
+            return None
+        now = clock.now()
+        longest = admitted.remaining_seconds - (now - admitted.began)
+        usual = self._durations.longest(admitted.route.name)
+        if self._stop.has_time_for(longest, usual, now):
+            return None
+        return Refused(RefusalReason.DRAINING, self._stop.seconds_left(now))
+
+    def _note_duration(self, admitted: AdmittedHostRequest, outcome: Outcome) -> None:
+        if isinstance(outcome, Answered):
+            self._durations.add(admitted.route.name, clock.now() - admitted.began)
+
     def _call_for_client(
         self,
         message: Request,
@@ -206,6 +240,7 @@
         cancel: list[Callable[[], None]] = []
 
         def on_outcome(outcome: Outcome) -> None:
+            self._note_duration(admitted, outcome)
             if isinstance(outcome, Refused):
                 self._quotas.refund(tenant.name)
             respond(host_response(outcome))
--- a/src/finchshed/daemon/ingress/service_handler.py
+++ b/src/finchshed/daemon/ingress/service_handler.py
@@ -24,13 +24,15 @@
     HEADER_SESSION_AT,
     CallContext,
 )
-from finchshed.common.outcomes import Outcome, RefusalReason, Refused
+from finchshed.common.outcomes import Answered, Outcome, RefusalReason, Refused
 from finchshed.common.units import MILLISECONDS
 from finchshed.daemon.calling.caller import Caller
 from finchshed.daemon.catalogue import Catalogue, RouteMatch
 from finchshed.daemon.ingress.responses import malformed_service_response, service_response
+from finchshed.daemon.ingress.route_durations import RouteDurations
 from finchshed.daemon.request import Request, end_to_end_headers
 from finchshed.daemon.serving.served_requests import ServedRequest, ServedRequests
+from finchshed.daemon.stopping import PlannedStop
 from finchshed.http.message import InboundRequest, Response
 from finchshed.ledger.keys import issued_at
 from finchshed.retry.policy import retry_after
@@ -66,6 +68,8 @@
     ----------
     not_ready_reason
         Returns why requests can't be accepted now, or None.
+    stop
+        Stop of the daemon, for which a request must leave time.
     """
 
     def __init__(
@@ -74,6 +78,8 @@
         served: ServedRequests,
         rng: random.Random,
         not_ready_reason: Callable[[], RefusalReason | None],
+        *,
+        stop: PlannedStop,
     ) -> None:
         self._caller = caller
         self._served = served
@@ -82,6 +88,8 @@
         self._root_counter = itertools.count()
         self._fair_positions = FairPositions(clock.now())
         self._not_ready_reason = not_ready_reason
+        self._stop = stop
+        self._durations = RouteDurations()
         self.catalogue = Catalogue()
 
     def admit(self, request: InboundRequest) -> AdmittedServiceRequest | Refused:
@@ -117,8 +125,15 @@
         ``respond`` is called once.
         """
         matched, served = admitted.matched, admitted.served
+        began = clock.now()
+        duration_key = f"{matched.service.name} {matched.route.prefix}"
         if served is None:
             context = self._root_context(request, matched)
+            usual = self._durations.longest(duration_key)
+            if not self._stop.has_time_for(context.remaining_seconds, usual, began):
+                left = self._stop.seconds_left(began)
+                respond(service_response(Refused(RefusalReason.DRAINING, left)))
+                return _no_op
         else:
             context = self._nested_context(request, matched, served)
         message = Request(
@@ -136,6 +151,8 @@
         )
 
         def on_outcome(outcome: Outcome) -> None:
+            if isinstance(outcome, Answered):
+                self._durations.add(duration_key, clock.now() - began)
             respond(service_response(outcome))
 
         account = "" if served is None else served.account
@@ -221,3 +238,7 @@
     except ValueError:
         # An invalid header counts as missing.
         return default_seconds
+
+
+def _no_op() -> None:
+    """Cancel nothing: the request is over."""
--- a/src/finchshed/runtime/process.py
+++ b/src/finchshed/runtime/process.py
@@ -17,7 +17,7 @@
 from finchshed.observability.process_checks import require_no_io_uring
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-"""Signals that request a graceful shutdown; a second one stops immediately."""
+"""Signals that request a graceful shutdown."""
 
 DUMP_SIGNAL = signal.SIGUSR1
 RELOAD_SIGNAL = signal.SIGHUP
@@ -73,9 +73,10 @@
     """Run ``main`` in a fresh uvloop loop and return the process's exit code.
 
     Configures the log ring, checks that the loop does not use io_uring and installs signal
-    handlers: SIGTERM and SIGINT request a graceful shutdown (a second one stops immediately),
-    SIGHUP reloads the settings, SIGUSR1 dumps the ring. With ``logs_to_stdout``, decisions and
-    state changes are also written to standard output as JSON lines.
+    handlers: SIGTERM and SIGINT request a graceful shutdown, which a further SIGTERM doesn't change
+    and a further SIGINT cuts short; SIGHUP reloads the settings, SIGUSR1 dumps the ring. With
+    ``logs_to_stdout``, decisions and state changes are also written to standard output as JSON
+    lines.
     """
     ring.configure(program, node, data_folder)
     process_metrics.identify(program, node, zone, __version__)
@@ -141,13 +142,16 @@
 def _handle_signals(
     loop: asyncio.AbstractEventLoop, control: ProcessControl, stop_now: Callable[[], object]
 ) -> None:
-    def on_stop_signal() -> None:
-        if control.stop_requested.is_set():
+    def on_stop_signal(number: signal.Signals) -> None:
+        if not control.stop_requested.is_set():
+            control.request_stop()
+        elif number is signal.SIGINT:
             stop_now()
-        control.request_stop()
+        else:
+            logger.info("{}: the stop is already in progress", number.name)
 
     for stop_signal in STOP_SIGNALS:
-        loop.add_signal_handler(stop_signal, on_stop_signal)
+        loop.add_signal_handler(stop_signal, on_stop_signal, stop_signal)
     loop.add_signal_handler(RELOAD_SIGNAL, control.reload)
     loop.add_signal_handler(DUMP_SIGNAL, lambda: ring.dump("asked for by signal"))
 
--- a/tests/daemon/test_host_requests.py
+++ b/tests/daemon/test_host_requests.py
@@ -24,6 +24,7 @@
 from finchshed.daemon.ingress.host_handler import HostRequestHandler
 from finchshed.daemon.request import Request
 from finchshed.daemon.serving.served_requests import ServedRequests
+from finchshed.daemon.stopping import PlannedStop
 from finchshed.http.message import InboundRequest, Response
 from finchshed.runtime import clock
 from finchshed.tenancy.keys import digest_of_key
@@ -99,6 +100,7 @@
         self.lease = confirmed_lease() if lease is None else lease
         self.reason: RefusalReason | None = None
         self.completion = 1.0
+        self.stop = PlannedStop()
         self.handler = HostRequestHandler(
             self.caller,  # type: ignore[arg-type]
             self.served,
@@ -111,6 +113,7 @@
             ),
             own_service=lambda: "ledger",
             not_ready_reason=lambda: self.reason,
+            stop=self.stop,
             own_share=lambda _: 0.0,
         )
         self.configure(*resources)
@@ -278,3 +281,25 @@
     fixture = HostFixture(route("/buy/", repeatable=False, target_seconds=2.0))
     fixture.completion = 0.0
     assert fixture.ask("/buy/1", finchshed_deadline_ms="5000").status == 200
+
+
+def test_a_stopping_daemon_takes_only_what_it_has_time_for() -> None:
+    fixture = HostFixture(route("/", timeout_seconds=0.8))
+    fixture.ask("/a", finchshed_request="r1")
+    fixture.served.open(fixture.caller.requests.pop().context, 1e12, "r1")
+    fixture.stop.begin(clock.now() - 4.0, 2.0, 2.5)
+    refused = fixture.ask("/a", finchshed_request="r2")
+    assert refused.status == 503
+    assert 0.0 < float(dict(refused.headers)["retry-after"]) <= 0.5
+    assert fixture.caller.requests == []
+    assert fixture.ask("/a", finchshed_request="r2", finchshed_deadline_ms="300").status == 200
+    # A call of a request that was taken before goes on.
+    assert fixture.ask("/a", finchshed_request="r1.x").status == 200
+    assert fixture.ask("/a", finchshed_request="r9.x").status == 503
+
+
+def test_a_request_whose_body_comes_too_late_is_not_sent() -> None:
+    fixture = HostFixture(route("/", timeout_seconds=0.8))
+    response = fixture.ask("/a", lambda: fixture.stop.begin(clock.now() - 2.1, 2.0, 0.5))
+    assert response.status == 503
+    assert fixture.caller.requests == []
