distribution: a back end is announced also while changes come quickly

What callers saw: 503 (no_backend) at every daemon from some 20 s on, as long as changes of the configuration come a second apart or less.

Cause: the announcement of a back end hung on the report of the revision, which each change puts off; control forgets a registration after 15 s.

Change: the announcement is due by itself, once a second.

Measured: tests/distribution/test_client.py, 30 changes a tenth of a second apart: none announced before. tests/platform/test_many_changes.py, changes for 24 s: failed before, all requests served now.

--- a/src/finchshed/distribution/client.py
+++ b/src/finchshed/distribution/client.py
@@ -116,6 +116,7 @@
         self._is_subscribed = False
         self._last_message_at = 0.0
         self._heartbeat_due = 0.0
+        self._announcement_due = 0.0
         self.ledger = LedgerRequests(identity.node, self._send_ledger_request)
         self.connections_made = 0
         self.on_hints: Callable[[Hints], None] | None = None
@@ -242,6 +243,9 @@
             return
         if self._is_subscribed and now >= self._heartbeat_due:
             self.report_in_force(self._handlers.revision_in_force())
+        if self._is_subscribed and now >= self._announcement_due:
+            # Due by itself: a report at each change would put it off while changes go on.
+            self._announcement_due = now + HEARTBEAT_INTERVAL_SECONDS
             self.announce()
         self._check = loop.call_later(CHECK_INTERVAL_SECONDS, self._on_check)
 
--- a/tests/distribution/test_client.py
+++ b/tests/distribution/test_client.py
@@ -9,6 +9,7 @@
 import pytest_asyncio
 
 from finchshed.configuration.resources import Endpoint, Service
+from finchshed.directory.registration import Registration
 from finchshed.distribution import client as client_module
 from finchshed.distribution import control_dialer
 from finchshed.distribution.addresses import ControlAddress
@@ -17,6 +18,7 @@
 from finchshed.distribution.hub import Hub
 from finchshed.distribution.identity import ClientIdentity
 from finchshed.distribution.messages import (
+    Announce,
     Delta,
     LedgerBegin,
     LedgerCancel,
@@ -49,7 +51,10 @@
         self.has_quorum = True
         self.requests: list[LedgerRequest] = []
         self.answers_ledger = True
-        self.server = HubServer(self.hub, self.confirm, self.on_ledger)
+        self.announced: list[Announce] = []
+        self.server = HubServer(
+            self.hub, self.confirm, self.on_ledger, on_announce=self.announced.append
+        )
         self.port = 0
 
     async def confirm(self) -> bool:
@@ -230,3 +235,20 @@
     assert isinstance(await client.ledger.begin("k", "a", 0.1), LedgerRefused)
     await wait_until(lambda: isinstance(node.requests[-1], LedgerCancel))
     daemon.task.cancel()
+
+
+# Guards against registrations that expire while changes come faster than a daemon's reports.
+async def test_a_back_end_is_announced_while_changes_come_in_quick_succession(
+    start_node: Starter,
+) -> None:
+    node, address = await start_node()
+    node.server.commit(change(1))
+    daemon = Daemon([address])
+    daemon.runner.client.registration = lambda: Registration("127.0.0.1:1", 1, 1)
+    await wait_until(lambda: daemon.bases == [ServingBasis.QUORUM])
+    node.announced.clear()
+    for revision in range(2, 32):
+        node.server.commit(change(revision))
+        await asyncio.sleep(client_module.HEARTBEAT_INTERVAL_SECONDS / 10)
+    assert len(node.announced) >= 2
+    daemon.task.cancel()
--- a/tests/platform/test_many_changes.py
+++ b/tests/platform/test_many_changes.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import signal
+import time
 from collections.abc import Iterable
 from pathlib import Path
 from typing import Any
@@ -27,8 +28,14 @@
 """By which a process or its folder may be larger after the further changes than before them."""
 
 
+SUCCESSION_SECONDS = 24.0
+"""Longer than control keeps a back end that isn't announced again."""
+
+SUCCESSION_GAP_SECONDS = 0.4
+
+
 def many_routes(version: int, count: int = ROUTES) -> dict[str, Any]:
-    """Return a configuration all of whose routes differ from those of other versions."""
+    """Return a configuration whose routes differ from those of other versions."""
     routes = (
         route(f"/look{number}/", "sales", timeout_s=1 + version / 1000) for number in range(count)
     )
@@ -56,10 +63,12 @@
     return found
 
 
-async def change(running: FakePlatform, versions: range, controls: int = 3) -> None:
+async def change(
+    running: FakePlatform, versions: range, controls: int = 3, count: int = ROUTES
+) -> None:
     """Change the configuration as fast as changes are accepted, at the first control nodes."""
     for version in versions:
-        made = json.dumps(many_routes(version)).encode()
+        made = json.dumps(many_routes(version, count)).encode()
         status = 0
         for attempt in range(50):
             status = await running.put(made, (version + attempt) % controls)
@@ -134,3 +143,20 @@
         await wait_until_at(running, 4 * FIRST_CHANGES - 1)
         assert private_bytes(restarted) <= before + MAX_GROWTH_BYTES
         assert folder_bytes(restarted) <= MEMORY_MEGABYTES * MEGABYTE // 8
+
+
+# Back ends were forgotten some 20 s after changes began to come faster than daemons report.
+async def test_service_goes_on_while_changes_come_in_quick_succession(tmp_path: Path) -> None:
+    async with run_platform(tmp_path, *["sales"] * 2) as running:
+        await running.put_until_accepted(many_routes(1, 10))
+        await wait_until(lambda: is_serving(running, 0))
+        await wait_until(lambda: is_serving(running, 1))
+        served = []
+        end = time.monotonic() + SUCCESSION_SECONDS
+        version = 1
+        while time.monotonic() < end:
+            version += 1
+            await change(running, range(version, version + 1), count=10)
+            served += [await is_serving(running, daemon) for daemon in (0, 1)]
+            await asyncio.sleep(SUCCESSION_GAP_SECONDS)
+        assert set(served) == {True}
