tests: a head that ends in its middle reaches no client, through real processes

An operator's report on other systems: a 200 with a short body, framed as whole. Here it was 502 before and is now; the case holds it, by a close and by a reset at eight places, with a body's length told.

--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -16,7 +16,13 @@
 
 from tests.daemon.broken_heads import broken_answers
 from tests.platform.fake_backend import FakeBackend, Handler, echo
-from tests.platform.fake_platform import FakePlatform, route, run_platform, wait_until_known
+from tests.platform.fake_platform import (
+    FakePlatform,
+    route,
+    run_platform,
+    wait_until,
+    wait_until_known,
+)
 
 PREFIX = "/buy/broken/"
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Seal: s\r\n"
@@ -144,3 +150,30 @@
                 f"{PREFIX}1", method="POST", body=b"x" * upload_bytes
             )
             assert (response.status, response.body) == (200, b"all of it"), upload_bytes
+
+
+@pytest.mark.parametrize("is_reset", [False, True], ids=["closed", "reset"])
+async def test_a_head_that_ends_in_its_middle_does_not_reach_a_client(
+    tmp_path: Path, is_reset: bool
+) -> None:
+    size = [0]
+
+    def write(transport: asyncio.Transport, identity: bytes) -> None:
+        whole = HEAD % identity + b"Content-Length: 4\r\nX-Last: 1\r\n\r\nbody"
+        transport.write(whole[: size[0]])
+        if is_reset:
+            reset(transport)
+        else:
+            transport.write_eof()
+
+    async with run_platform(tmp_path, "sales", handlers={"sales": answering(write)}) as running:
+        await wait_until_known(running, route("/look/", "sales"), route("/buy/", "sales", "unsafe"))
+        head_bytes = len(HEAD % (b"0" * 16)) + len(b"Content-Length: 4\r\nX-Last: 1\r\n\r\n")
+        for size[0] in (1, 12, 17, 30, head_bytes - 12, head_bytes - 2, head_bytes, head_bytes + 3):
+            assert set(await statuses_of(running, 3)) == {502}, size[0]
+
+        async def is_logged() -> bool:
+            return "bytes received, head not whole" in running.daemons[0].log()
+
+        await wait_until(is_logged, 2.0)
+        assert ("connection ended in good order" in running.daemons[0].log()) != is_reset
