tests: the soak plays broken answers, held-up daemons and series of changes

Stops have further signals on the way. Checked: no such answer reaches a client, no control process goes over its memory.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -22,6 +22,8 @@
 from tests.platform.duplicating_backend import DuplicatingBackend, DuplicationPlan
 from tests.platform.fake_backend import FakeBackend, working
 from tests.platform.fake_platform import ZONES, Machine, document, route, run_platform, wait_until
+from tests.platform.soak_broken import BrokenAnswers, hold_up_daemons, with_broken_answers
+from tests.platform.soak_changes import MAX_CONTROL_BYTES, change_in_series, further_routes
 from tests.platform.soak_checks import violations_of
 from tests.platform.soak_configuration import (
     lose_disk_while_all_are_off,
@@ -31,7 +33,7 @@
 )
 from tests.platform.soak_downloads import FILE_PREFIX, download_files, with_downloads
 from tests.platform.soak_load import PLAIN_KEY, TENANTS, play_load
-from tests.platform.soak_state import NamedPeriod, Soak
+from tests.platform.soak_state import NamedPeriod, Soak, freeze
 
 WORK_SECONDS = 0.04
 SOAK_SECONDS = 14.0
@@ -52,13 +54,18 @@
 """Chances of a seed that control machines lose their disks, that files are downloaded, and that
 back ends turn requests away and send copies of their answers."""
 
+CHANGES_CHANCE = 0.4
+BROKEN_CHANCE = 0.6
+"""Chances that a large configuration changes all the time, and that back ends send what is no whole
+answer to daemons that are held up for moments."""
+
 TURNED_AWAY_FRACTION = 0.1
 COPIED_FRACTION = 0.06
 
 
-def soak_document(version: int, base: int) -> dict[str, Any]:
+def soak_document(version: int, base: int, *further: dict[str, Any]) -> dict[str, Any]:
     """Return a configuration with the tenants whose keys the clients send."""
-    made = document(version, base, *ROUTES)
+    made = document(version, base, *ROUTES, *further)
     made["limits"]["max_body_bytes"] = MAX_BODY_BYTES
     return {**made, "tenants": list(TENANTS)}
 
@@ -70,25 +77,34 @@
     machine.start(bootstrap=False)
 
 
+async def stop_daemon(soak: Soak, machine: Machine) -> None:
+    """Stop a daemon in order, with further signals on the way, and start it again."""
+    machine.signal(signal.SIGTERM)
+    for number in (signal.SIGHUP, signal.SIGTERM):
+        await asyncio.sleep(soak.rng.uniform(0.0, 1.5))
+        assert machine.process is not None
+        if machine.process.poll() is None:
+            machine.signal(number)
+    await asyncio.to_thread(machine.wait, 12.0)
+    machine.start(bootstrap=False)
+
+
 async def restart_daemon(soak: Soak) -> None:
     daemon = soak.rng.randrange(len(soak.running.daemons))
     number = soak.rng.choice((signal.SIGKILL, signal.SIGKILL, signal.SIGTERM))
     machine = soak.running.daemons[daemon]
     async with soak.lock(machine):
         soak.disturb(daemon)
-        await restart_machine(machine, number)
+        if number is signal.SIGTERM:
+            await stop_daemon(soak, machine)
+        else:
+            await restart_machine(machine, number)
         soak.disturb(daemon)
 
 
 async def freeze_daemon(soak: Soak) -> None:
     daemon = soak.rng.randrange(len(soak.running.daemons))
-    machine = soak.running.daemons[daemon]
-    async with soak.lock(machine):
-        soak.disturb(daemon)
-        machine.signal(signal.SIGSTOP)
-        await asyncio.sleep(soak.rng.uniform(0.2, 2.0))
-        machine.signal(signal.SIGCONT)
-        soak.disturb(daemon)
+    await freeze(soak, daemon, soak.rng.uniform(0.2, 2.0))
 
 
 async def reload_daemon(soak: Soak) -> None:
@@ -158,7 +174,9 @@
     base = soak.version
     soak.version += step
     version = soak.version
-    is_acknowledged = await soak.running.put(soak_document(version, base), control) == SERVED
+    further = further_routes(version) if soak.changes_in_series else []
+    made = soak_document(version, base, *further)
+    is_acknowledged = await soak.running.put(made, control) == SERVED
     if is_acknowledged:
         soak.acknowledged.append((time.monotonic(), version))
     return is_acknowledged
@@ -232,6 +250,10 @@
         series.append(lose_disks(soak, end, rng))
     if rng.random() < DOWNLOADS_CHANCE:
         series.append(download_files(soak, end, rng))
+    soak.changes_in_series = rng.random() < CHANGES_CHANCE
+    if soak.changes_in_series:
+        put = partial(put_configuration, soak, 1)
+        series.append(change_in_series(soak, put, end, rng))
     return series
 
 
@@ -258,11 +280,15 @@
     count = rng.choice((3, 4, 6))
     zones = ZONES[: rng.choice((1, 3))]
     services = ["sales"] * count
+    broken = BrokenAnswers(random.Random(f"broken {seed}"))
+    has_broken = broken.rng.random() < BROKEN_CHANCE
+    handler = with_broken_answers(with_downloads(working(WORK_SECONDS)), broken)
     async with run_platform(
         folder,
         *services,
-        handlers={"sales": with_downloads(working(WORK_SECONDS))},
+        handlers={"sales": handler},
         zones=zones,
+        fields={"limits": {"memory_mb": MAX_CONTROL_BYTES // 1_000_000}},
         make_backend=DuplicatingBackend,
     ) as running:
         soak = Soak(running, rng)
@@ -273,10 +299,15 @@
         end = time.monotonic() + SOAK_SECONDS
         series = [play_series(soak, end) for _ in range(SERIES)]
         series += control_series(soak, end, random.Random(f"control {seed}"))
+        if has_broken:
+            broken.is_over = False
+            series.append(hold_up_daemons(soak, end, broken.rng))
         supervision = asyncio.create_task(restart_ended(soak))
         await asyncio.gather(play_load(soak, end, random.Random(f"load {seed}")), *series)
         found = violations_of(soak)
         end_copies(soak)
+        broken.is_over = True
+        soak.broken_answers = broken.count
         try:
             await wait_until_calm(soak)
         except AssertionError:
@@ -318,6 +349,7 @@
             f" {sum(download.is_whole for download in soak.downloads)} of"
             f" {len(soak.downloads)} downloads whole,"
             f" {0 if soak.plan is None else soak.plan.copies} copies,"
+            f" {soak.broken_answers} broken answers, {len(soak.acknowledged)} changes,"
             f" ends {dict(soak.ends)}, {len(found)} violations",
             flush=True,
         )
--- a/tests/platform/soak_checks.py
+++ b/tests/platform/soak_checks.py
@@ -9,6 +9,8 @@
     allowed_in_window,
 )
 from tests.platform.promises import REFUSALS, broken_promises, ran_twice
+from tests.platform.soak_broken import broken_violations
+from tests.platform.soak_changes import memory_violations
 from tests.platform.soak_configuration import read_violations
 from tests.platform.soak_downloads import download_violations
 from tests.platform.soak_state import (
@@ -32,6 +34,8 @@
         *return_violations(soak),
         *read_violations(soak),
         *download_violations(soak),
+        *broken_violations(soak),
+        *memory_violations(soak),
     ]
 
 
--- a/tests/platform/soak_state.py
+++ b/tests/platform/soak_state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import signal
 import time
 from collections import Counter
 from dataclasses import dataclass, field
@@ -84,6 +85,10 @@
     ended_with_acknowledgement: bool = False
     """Whether a change was acknowledged right before all processes were killed at the end."""
 
+    changes_in_series: bool = False
+    """Whether the configuration is large and changes all the time."""
+
+    broken_answers: int = 0
     plan: DuplicationPlan | None = None
     """What back ends turn away and send twice, in some seeds. Refused clients then keep the
     identity of their request when they return."""
@@ -104,6 +109,17 @@
         return max(times, default=float("-inf"))
 
 
+async def freeze(soak: Soak, daemon: int, seconds: float) -> None:
+    """Suspend a daemon for a time."""
+    machine = soak.running.daemons[daemon]
+    async with soak.lock(machine):
+        soak.disturb(daemon)
+        machine.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        machine.signal(signal.SIGCONT)
+        soak.disturb(daemon)
+
+
 def told_seconds(request: SentRequest) -> float | None:
     """Return the time after which a refused client may return; None if it was told none."""
     try:
