daemon: free the body of a request with its answer

Cause: a connection to the back end kept the last request that it carried, idle or closed, until a collection of the oldest generation. A closed link kept its partial line in the same way.

Change: the request goes with its result, the partial line with the connection.

--- a/src/finchshed/daemon/backend/connection.py
+++ b/src/finchshed/daemon/backend/connection.py
@@ -250,13 +250,20 @@
     def _finish(self, result: BackendResult) -> None:
         on_result = self._on_result
         self._on_result = None
+        self._forget_request()
         if on_result is not None:
             on_result(result)
 
+    def _forget_request(self) -> None:
+        """Free the request, whose body may be large; the connection may be kept for long."""
+        self._request = None
+
     def _close(self) -> None:
         if self.state is ConnectionState.CLOSED:
             return
         self.state = ConnectionState.CLOSED
+        if self._on_result is None:
+            self._forget_request()
         self._parser.discard_body()
         if self._transport is not None:
             self._transport.abort()
--- a/src/finchshed/link/lines.py
+++ b/src/finchshed/link/lines.py
@@ -114,6 +114,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Report that the connection closed (asyncio callback)."""
         self.transport = None
+        self._partial_line = bytearray()
         self._free_memory()
         if self._on_close is not None:
             self._on_close(self, self._error or exc)
--- a/tests/daemon/test_backend_connections.py
+++ b/tests/daemon/test_backend_connections.py
@@ -8,9 +8,12 @@
 import gc
 import socket
 import struct
+import tracemalloc
 import weakref
 from collections.abc import Awaitable, Callable
+from functools import partial
 
+import msgspec
 import pytest
 
 from finchshed.common.memory_budget import MemoryBudget
@@ -30,6 +33,7 @@
 MAX_ANSWER_BYTES = 1_000
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 SETTLE_SECONDS = 5.0
+UPLOADS, UPLOAD_BYTES = 8, 1_000_000
 
 
 HEAD = b"HTTP/1.1 200 OK\r\nfinchshed-request: r1\r\n"
@@ -243,3 +247,45 @@
         assert is_whole or isinstance(result, BackendAnswerTooLarge)
     assert any(isinstance(result, BackendAnswerTooLarge) for result in results)
     assert memory.held == 0
+
+
+async def take_upload(
+    answer: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Read an upload, keep nothing of it, and answer."""
+    await reader.readuntil(b"\r\n\r\n")
+    left = UPLOAD_BYTES
+    while left:
+        left -= len(await reader.read(left))
+    writer.write(answer)
+    await reader.read()
+    writer.close()
+
+
+# Uploads stayed with their connections, idle or closed, until the process was ended for its memory.
+@pytest.mark.parametrize("is_closed", [False, True], ids=["idle", "closed"])
+async def test_the_body_of_a_request_is_freed_with_its_answer(is_closed: bool) -> None:
+    connection = b"connection: close\r\n" if is_closed else b""
+    answer = HEAD + connection + b"content-length: 2\r\n\r\nok"
+    server = await asyncio.start_server(partial(take_upload, answer), "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    client = HttpBackend(f"{host}:{port}", UPLOADS, 1.0)
+    gc.collect()
+    gc.disable()
+    tracemalloc.start()
+    try:
+        uploads = [
+            msgspec.structs.replace(request_of("POST"), body=bytes(UPLOAD_BYTES))
+            for _ in range(UPLOADS)
+        ]
+        results = await asyncio.gather(*(result_of(client, upload) for upload in uploads))
+        del uploads
+        await asyncio.sleep(0.1)
+        held, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+    await client.close()
+    server.close()
+    assert {type(result) for result in results} == {BackendAnswer}
+    assert held < 2 * UPLOAD_BYTES
