--- a/tests/platform/test_many_changes.py
+++ b/tests/platform/test_many_changes.py
@@ -10,6 +10,8 @@
 
 import pytest
 
+from finchshed.control.memory import ControlMemoryPlan
+from tests.platform.endless_backend import peak_memory_bytes
 from tests.platform.fake_platform import (
     FakePlatform,
     Machine,
@@ -28,6 +30,15 @@
 """By which a process or its folder may be larger after the further changes than before them."""
 
 
+LARGE_ROUTES = 4_000
+LARGE_ROUTE_BYTES = 200
+"""Bytes of a route in a document, without its padding."""
+
+LARGE_FRACTION = 0.95
+"""Part of the largest accepted size that a large document has."""
+
+LARGE_CHANGES = 4
+IN_PROGRESS = 8
 SUCCESSION_SECONDS = 24.0
 """Longer than control keeps a back end that isn't announced again."""
 
@@ -145,6 +156,50 @@
         assert folder_bytes(restarted) <= MEMORY_MEGABYTES * MEGABYTE // 8
 
 
+def large_document(version: int, size: int, variant: int = 0) -> bytes:
+    """Return a configuration of about ``size`` bytes; variants of a version differ."""
+    padding = "x" * (size // LARGE_ROUTES - LARGE_ROUTE_BYTES)
+    routes = (
+        route(f"/look{number}/{padding}/", "sales", timeout_s=1 + version / 100)
+        for number in range(LARGE_ROUTES - variant)
+    )
+    return json.dumps(document(version, version - 1, route("/look/", "sales"), *routes)).encode()
+
+
+async def test_the_largest_documents_stay_within_the_memory(tmp_path: Path) -> None:
+    largest = ControlMemoryPlan(MEMORY_MEGABYTES * MEGABYTE).document_bytes
+    fields = {"limits": {"memory_mb": MEMORY_MEGABYTES}}
+    async with run_platform(tmp_path, "sales", fields=fields) as running:
+        await running.put_until_accepted(document(1, 0))
+        assert await running.put(large_document(2, 2 * largest)) == 413
+        for version in range(2, 2 + LARGE_CHANGES):
+            variants = [
+                large_document(version, int(LARGE_FRACTION * largest), variant)
+                for variant in range(IN_PROGRESS)
+            ]
+            assert max(map(len, variants)) <= largest
+            await asyncio.gather(
+                *(running.put(variant, number % 3) for number, variant in enumerate(variants))
+            )
+            await wait_until(lambda sent=variants, at=version: is_in_force(running, sent[0], at))
+            if version == 3:
+                running.controls[2].stop()
+                running.controls[2].start(bootstrap=False, wipe=True)
+        await wait_until_at(running, 1 + LARGE_CHANGES)
+        for machine in running.controls:
+            assert machine.process is not None
+            assert machine.process.poll() is None
+            assert peak_memory_bytes(machine.process.pid) <= MEMORY_MEGABYTES * MEGABYTE
+
+
+async def is_in_force(running: FakePlatform, made: bytes, version: int) -> bool:
+    """Return whether a version is in force, and send it once more if it isn't."""
+    if max([await version_at(running, control) for control in range(3)]) >= version:
+        return True
+    await running.put(made, version % 3)
+    return False
+
+
 # Back ends were forgotten some 20 s after changes began to come faster than daemons report.
 async def test_service_goes_on_while_changes_come_in_quick_succession(tmp_path: Path) -> None:
     async with run_platform(tmp_path, *["sales"] * 2) as running:
