--- a/src/finchshed/control/daemons/ledger_room.py
+++ b/src/finchshed/control/daemons/ledger_room.py
@@ -5,7 +5,7 @@
 """
 
 from finchshed.common.outcomes import Answered
-from finchshed.control.memory import LEDGER_KEY_BYTES
+from finchshed.control.memory import LEDGER_ANSWER_COPIES, LEDGER_KEY_BYTES
 from finchshed.ledger.ledger import DEFAULT_MAX_ANSWER_BYTES, Ledger, answer_bytes
 
 
@@ -31,7 +31,8 @@
         size = answer_bytes(answer)
         if size > DEFAULT_MAX_ANSWER_BYTES:
             return False
-        return self._used_bytes() + size <= self._max_bytes
+        return self._used_bytes() + LEDGER_ANSWER_COPIES * size <= self._max_bytes
 
     def _used_bytes(self) -> int:
-        return len(self._ledger) * LEDGER_KEY_BYTES + self._ledger.total_answer_bytes
+        answers = LEDGER_ANSWER_COPIES * self._ledger.total_answer_bytes
+        return len(self._ledger) * LEDGER_KEY_BYTES + answers
--- a/src/finchshed/control/memory.py
+++ b/src/finchshed/control/memory.py
@@ -31,12 +31,15 @@
 MIN_DOCUMENT_BYTES = 256 << 10
 """Size of a configuration that is accepted whatever the memory."""
 
-LEDGER_DIVISOR = 6
-"""Part for the keys and answers of the ledger."""
+LEDGER_DIVISOR = 2
+"""Part for the keys and answers of the ledger, in the state and in a snapshot."""
 
-LEDGER_KEY_BYTES = 640
+LEDGER_KEY_BYTES = 1_200
 """Memory of one key of the ledger, without its answer."""
 
+LEDGER_ANSWER_COPIES = 3
+"""Memory for each byte of an answer: the answer, and its encoded form in a snapshot."""
+
 
 class ControlMemoryPlan:
     """What a control process may hold, derived from its memory.
