--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -30,15 +30,16 @@
 async def wait_until_serving(running: FakePlatform, written: dict[str, Any]) -> None:
     """Apply a configuration and wait until each daemon accepts the first key."""
     await running.put_until_accepted(written)
+    await wait_until(lambda: all_answer(running, "/look/up"))
 
-    async def all_answer() -> bool:
-        answers = [
-            await running.send_request("/look/up", daemon=number, key=KEYS[0])
-            for number in range(len(running.daemons))
-        ]
-        return all(answer.status == 200 for answer in answers)
 
-    await wait_until(all_answer)
+async def all_answer(running: FakePlatform, path: str) -> bool:
+    """Return whether each daemon serves a path with the first key."""
+    answers = [
+        await running.send_request(path, daemon=number, key=KEYS[0])
+        for number in range(len(running.daemons))
+    ]
+    return all(answer.status == 200 for answer in answers)
 
 
 def all_output(running: FakePlatform) -> str:
@@ -57,6 +58,7 @@
         tmp_path, "sales", "ledger", handlers=handlers, bounds=BOUNDS
     ) as running:
         await wait_until_serving(running, document_with_tenant(3, 0, *KEYS))
+        await wait_until(lambda: all_answer(running, "/ledger/up"))
         answer = await running.send_request("/look/1", key=KEYS[1], daemon=1)
         assert (answer.status, answer.body) == (200, b"called 200")
         sales, ledger = running.backends
