--- a/src/finchshed/control/memory.py
+++ b/src/finchshed/control/memory.py
@@ -7,6 +7,9 @@
 LOG_DIVISOR = 32
 """The log keeps this part in memory before a snapshot, and as much after it."""
 
+MAX_LOG_BYTES = 16 << 20
+"""The same at the most, whatever the memory; a start reads as much from the disk."""
+
 UNCOMMITTED_DIVISOR = 16
 """Part for entries that no quorum has acknowledged, or that wait for the disk of this node."""
 
@@ -70,7 +73,7 @@
     """
 
     def __init__(self, max_memory_bytes: int) -> None:
-        self.log_bytes = max_memory_bytes // LOG_DIVISOR
+        self.log_bytes = min(MAX_LOG_BYTES, max_memory_bytes // LOG_DIVISOR)
         self.uncommitted_bytes = max_memory_bytes // UNCOMMITTED_DIVISOR
         self.history_bytes = max_memory_bytes // HISTORY_DIVISOR
         self.peer_unsent_bytes = max_memory_bytes // PEER_DIVISOR
--- a/src/finchshed/daemon/ingress/host_handler.py
+++ b/src/finchshed/daemon/ingress/host_handler.py
@@ -195,9 +195,9 @@
         if served is not None:
             return None
         now = clock.now()
-        longest = admitted.remaining_seconds - (now - admitted.began)
-        usual = self._durations.longest(admitted.route.name)
-        if self._stop.has_time_for(longest, usual, now):
+        timeout = admitted.remaining_seconds - (now - admitted.began)
+        recent_maximum = self._durations.recent_maximum(admitted.route.name)
+        if self._stop.has_time_for(timeout, recent_maximum, now):
             return None
         return Refused(RefusalReason.DRAINING, self._stop.seconds_left(now))
 
--- a/src/finchshed/daemon/ingress/route_durations.py
+++ b/src/finchshed/daemon/ingress/route_durations.py
@@ -23,6 +23,6 @@
             del self._longest[next(iter(self._longest))]
         self._longest[route] = seconds
 
-    def longest(self, route: str) -> float:
-        """Return the time that covers nearly all answers, seconds; 0 if none is known."""
+    def recent_maximum(self, route: str) -> float:
+        """Return the longest recent duration, seconds; 0 if none is known."""
         return self._longest.get(route, 0.0)
--- a/src/finchshed/daemon/ingress/service_handler.py
+++ b/src/finchshed/daemon/ingress/service_handler.py
@@ -126,11 +126,11 @@
         """
         matched, served = admitted.matched, admitted.served
         began = clock.now()
-        duration_key = f"{matched.service.name} {matched.route.prefix}"
+        route_key = f"{matched.service.name} {matched.route.prefix}"
         if served is None:
             context = self._root_context(request, matched)
-            usual = self._durations.longest(duration_key)
-            if not self._stop.has_time_for(context.remaining_seconds, usual, began):
+            recent_maximum = self._durations.recent_maximum(route_key)
+            if not self._stop.has_time_for(context.remaining_seconds, recent_maximum, began):
                 left = self._stop.seconds_left(began)
                 respond(service_response(Refused(RefusalReason.DRAINING, left)))
                 return _no_op
@@ -152,7 +152,7 @@
 
         def on_outcome(outcome: Outcome) -> None:
             if isinstance(outcome, Answered):
-                self._durations.add(duration_key, clock.now() - began)
+                self._durations.add(route_key, clock.now() - began)
             respond(service_response(outcome))
 
         account = "" if served is None else served.account
--- a/src/finchshed/daemon/stopping.py
+++ b/src/finchshed/daemon/stopping.py
@@ -2,8 +2,8 @@
 
 What is taken after the stop was asked for must be answered before the process ends, or be refused
 before it is sent to a back end. While callers can't know of the stop yet, a request is measured by
-the time that its route usually takes, since a refusal would turn away nearly all for the sake of
-very few. From then on it is measured by all the time that it may take.
+the longest time that its route has taken lately, since a refusal would turn away nearly all for the
+sake of very few. From then on it is measured by all the time that it may take.
 """
 
 import math
@@ -33,16 +33,16 @@
         """Return the time until the process ends, infinite if it isn't asked to stop."""
         return max(0.0, self._ends_at - now)
 
-    def has_time_for(self, longest_seconds: float, usual_seconds: float, now: float) -> bool:
+    def has_time_for(self, timeout_seconds: float, recent_maximum: float, now: float) -> bool:
         """Return whether a request can be answered before the process ends.
 
         Parameters
         ----------
-        longest_seconds
+        timeout_seconds
             Time after which the request ends by itself.
-        usual_seconds
-            Time that requests like it take, including nearly all.
+        recent_maximum
+            Longest time that requests like it have taken lately, seconds.
         """
         is_known = now >= self._notice_ends_at
-        needed = longest_seconds if is_known else min(longest_seconds, usual_seconds)
+        needed = timeout_seconds if is_known else min(timeout_seconds, recent_maximum)
         return needed <= self.seconds_left(now)
--- a/tests/control/test_memory_of_changes.py
+++ b/tests/control/test_memory_of_changes.py
@@ -154,6 +154,7 @@
 
 
 def test_every_part_of_the_memory_follows_from_that_of_the_process() -> None:
+    # Above 512 MiB the log keeps no more, so that a start takes no longer.
     small, large = ControlMemoryPlan(200_000_000), ControlMemoryPlan(400_000_000)
     for name, size in vars(small).items():
         assert getattr(large, name) == pytest.approx(2 * size, abs=2), name
--- a/tests/daemon/test_stopping.py
+++ b/tests/daemon/test_stopping.py
@@ -40,23 +40,23 @@
     assert not stop.has_time_for(60.0, 0.2, 12.1)
 
 
-def test_longest_duration_covers_nearly_all_answers_and_is_forgotten_in_time() -> None:
+def test_recent_maximum_covers_nearly_all_answers_and_is_forgotten_in_time() -> None:
     durations = RouteDurations()
-    assert durations.longest("a") == 0.0
+    assert durations.recent_maximum("a") == 0.0
     for number in range(1_000):
         durations.add("a", 0.2 if number % 50 else 0.4)
-        assert durations.longest("a") >= 0.3
+        assert durations.recent_maximum("a") >= 0.3
     durations.add("a", 5.0)
-    assert durations.longest("a") == 5.0
+    assert durations.recent_maximum("a") == 5.0
     for _ in range(1_000):
         durations.add("a", 0.2)
-    assert durations.longest("a") < 0.3
-    assert durations.longest("b") == 0.0
+    assert durations.recent_maximum("a") < 0.3
+    assert durations.recent_maximum("b") == 0.0
 
 
 def test_durations_of_routes_that_come_and_go_are_bounded() -> None:
     durations = RouteDurations()
     for number in range(MAX_ROUTES + 10):
         durations.add(f"route-{number}", 1.0)
-    assert durations.longest("route-0") == 0.0
-    assert durations.longest(f"route-{MAX_ROUTES + 9}") > 0.0
+    assert durations.recent_maximum("route-0") == 0.0
+    assert durations.recent_maximum(f"route-{MAX_ROUTES + 9}") > 0.0
