test: a stopped fake back end serves no connection any more

Cause: ScriptedBackend.stop aborted the connections whose coroutine had begun. One that was accepted a few turns of the event loop before wasn't among them and was served on. A daemon's health check that connects at that moment is answered, its connection goes to the daemon's pool, and the next request gets its 200 over it: the product was right, the back end wasn't gone.

Change: the fake back end accepts by itself, so that each accepted connection is known and one that opens after the stop is aborted. Its port is reserved outside of the range of port 0 and stays reserved, so that no back end of another test answers there. No check changes.

--- a/tests/daemon/scripted_backend.py
+++ b/tests/daemon/scripted_backend.py
@@ -1,9 +1,12 @@
 """Fake back end that writes raw HTTP responses provided by a test."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+from tests.daemon.processes import free_address
+
 HEALTH_PATH = "/health"
 
 Handler = Callable[["Received", asyncio.StreamWriter], Awaitable[None]]
@@ -21,7 +24,10 @@
 
 @dataclass
 class ScriptedBackend:
-    """Records requests, which ``handler`` answers, and counts health checks."""
+    """Records requests, which ``handler`` answers, and counts health checks.
+
+    Its port stays reserved after ``stop``, so that no other back end answers there.
+    """
 
     handler: Handler
     health: Handler
@@ -29,23 +35,29 @@
     health_checks: int = 0
     closed_early: int = 0
     connections: int = 0
-    address: str = ""
-    _server: asyncio.Server | None = None
+    address: str = field(default_factory=free_address)
+    _listener: socket.socket | None = None
+    _is_stopped: bool = False
+    _serving: set[asyncio.Task[None]] = field(default_factory=set)
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def __aenter__(self) -> "ScriptedBackend":
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
+        host, port = self.address.split(":")
+        self._listener = socket.create_server((host, int(port)), reuse_port=True)
+        self._listener.setblocking(False)
+        asyncio.get_running_loop().add_reader(self._listener, self._accept, self._listener)
         return self
 
     async def __aexit__(self, *_: object) -> None:
         await self.stop()
 
     async def stop(self) -> None:
-        """Stop listening and abort every connection."""
-        if self._server is not None:
-            self._server.close()
+        """Stop listening and abort every connection, also one that is just being accepted."""
+        self._is_stopped = True
+        if self._listener is not None:
+            asyncio.get_running_loop().remove_reader(self._listener)
+            self._listener.close()
+            self._listener = None
         for writer in list(self._writers):
             writer.transport.abort()
 
@@ -53,6 +65,23 @@
         """Return the requested paths, in order."""
         return [received.path for received in self.received]
 
+    def _accept(self, listener: socket.socket) -> None:
+        """Accept a connection at once: ``asyncio.Server`` loses those it accepts as it closes."""
+        try:
+            connection, _ = listener.accept()
+        except (BlockingIOError, ConnectionAbortedError):
+            return
+        serving = asyncio.ensure_future(self._open(connection))
+        self._serving.add(serving)
+        serving.add_done_callback(self._serving.discard)
+
+    async def _open(self, connection: socket.socket) -> None:
+        reader, writer = await asyncio.open_connection(sock=connection)
+        if self._is_stopped:
+            writer.transport.abort()
+        else:
+            await self._serve(reader, writer)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         self.connections += 1
