test: shares after a restart are judged among enough requests

Cause: chance. Without any restart 3 of 360 shares of three equal back ends were below 8 of 40 (one daemon, two seconds at 60 requests a second; two-choices routing, standard deviation 0.056 of 0.333). After a restart the shares are the same as later: 0 of 72 below in the first two seconds, 0 of 72 in the next two, means of 13.0 to 14.4. So the later run was used in full.

Change: the same share of 0.2, within the same two seconds after the same wait, is asked among 180 requests a second, 120 through each daemon. A daemon that doesn't use the back end, 0 of 40 in the fault that the test guards against, fails as before.

--- a/tests/platform/test_restart_under_one_instance.py
+++ b/tests/platform/test_restart_under_one_instance.py
@@ -23,6 +23,9 @@
 """Time after its start within which all daemons call it again."""
 
 LOAD_PER_SECOND = 60.0
+JUDGED_LOAD_PER_SECOND = 180.0
+"""Requests among which shares are judged: so many that chance alone stays within the bound."""
+
 MIN_SHARE = 0.2
 """Fraction of each daemon's requests that one of three equal back ends gets at least."""
 
@@ -55,7 +58,7 @@
         await restarting.post("heartbeat", earlier)
         await restarting.post("leave", {"born": earlier_born})
     began = time.monotonic()
-    sent = await send_open_loop(running, 2.0, LOAD_PER_SECOND)
+    sent = await send_open_loop(running, 2.0, JUDGED_LOAD_PER_SECOND)
     assert {request.status for request in sent} == {200}
     reached = {identity for at, identity in restarting.arrivals if at >= began}
     for daemon in range(len(running.daemons)):
