control: a full ledger stays within its part of the memory

What callers see: requests that may run only once fill the ledger, and all control processes are ended together where memory is limited.

Cause: the bound counted 1,200 bytes a key and each byte of an answer three times.

Change: keys, header fields and bytes are counted apart, an answer's bytes four times.

Test: tests/control/test_full_ledger.py, three processes of 160 MB, filled until they refuse, killed and started again.

--- a/src/finchshed/control/daemons/ledger_room.py
+++ b/src/finchshed/control/daemons/ledger_room.py
@@ -5,8 +5,17 @@
 """
 
 from finchshed.common.outcomes import Answered
-from finchshed.control.memory import LEDGER_ANSWER_COPIES, LEDGER_KEY_BYTES
-from finchshed.ledger.ledger import DEFAULT_MAX_ANSWER_BYTES, Ledger, answer_bytes
+from finchshed.control.memory import (
+    LEDGER_ANSWER_COPIES,
+    LEDGER_HEADER_BYTES,
+    LEDGER_KEY_BYTES,
+)
+from finchshed.ledger.ledger import (
+    DEFAULT_MAX_ANSWER_BYTES,
+    Ledger,
+    answer_bytes,
+    header_count,
+)
 
 
 class LedgerRoom:
@@ -31,8 +40,15 @@
         size = answer_bytes(answer)
         if size > DEFAULT_MAX_ANSWER_BYTES:
             return False
-        return self._used_bytes() + LEDGER_ANSWER_COPIES * size <= self._max_bytes
+        needed = _memory_of_answers(size, header_count(answer))
+        return self._used_bytes() + needed <= self._max_bytes
 
     def _used_bytes(self) -> int:
-        answers = LEDGER_ANSWER_COPIES * self._ledger.total_answer_bytes
-        return len(self._ledger) * LEDGER_KEY_BYTES + answers
+        ledger = self._ledger
+        answers = _memory_of_answers(ledger.total_answer_bytes, ledger.total_headers)
+        return len(ledger) * LEDGER_KEY_BYTES + answers
+
+
+def _memory_of_answers(size: int, headers: int) -> int:
+    """Return the memory of answers with ``size`` bytes and ``headers`` header fields in all."""
+    return LEDGER_ANSWER_COPIES * size + LEDGER_HEADER_BYTES * headers
--- a/src/finchshed/control/memory.py
+++ b/src/finchshed/control/memory.py
@@ -35,13 +35,17 @@
 """Size of a configuration that is accepted whatever the memory."""
 
 LEDGER_DIVISOR = 2
-"""Part for the keys and answers of the ledger, in the state and in a snapshot."""
+"""Part for the keys and answers of the ledger, in the state and in the latest two snapshots."""
 
 LEDGER_KEY_BYTES = 1_200
-"""Memory of one key of the ledger, without its answer."""
+"""Memory of one key of the ledger and of an empty answer."""
 
-LEDGER_ANSWER_COPIES = 3
-"""Memory for each byte of an answer: the answer, and its encoded form in a snapshot."""
+LEDGER_HEADER_BYTES = 220
+"""Memory of one header field of an answer, without its text: objects take most of it."""
+
+LEDGER_ANSWER_COPIES = 4
+"""Memory for each byte of an answer: the answer, and its encoded form, a third larger, in the
+latest snapshot and in one that is just taken."""
 
 
 class ControlMemoryPlan:
--- a/src/finchshed/ledger/ledger.py
+++ b/src/finchshed/ledger/ledger.py
@@ -97,6 +97,11 @@
     max_total_answer_bytes: int = DEFAULT_MAX_TOTAL_ANSWER_BYTES
 
 
+def header_count(answer: Answered | None) -> int:
+    """Return the number of header fields of ``answer``."""
+    return 0 if answer is None else len(answer.headers)
+
+
 def answer_bytes(answer: Answered | None) -> int:
     """Return the size of ``answer`` as counted towards the limits."""
     if answer is None:
@@ -119,6 +124,7 @@
         self._entries: dict[str, LedgerEntry] = {}
         self._keys_by_issue_time: list[tuple[float, str]] = []
         self._total_answer_bytes = 0
+        self._total_headers = 0
         self._counts: collections.Counter[KeyState] = collections.Counter()
         self.time = 0.0
         self.oldest_issued = 0.0
@@ -135,6 +141,11 @@
         """Total size of stored answers in bytes."""
         return self._total_answer_bytes
 
+    @property
+    def total_headers(self) -> int:
+        """Number of header fields of stored answers."""
+        return self._total_headers
+
     def counts(self) -> dict[str, int]:
         """Return the number of keys in each state."""
         return {state.name.lower(): self._counts[state] for state in KeyState}
@@ -148,6 +159,7 @@
             entry = self._entries.pop(key)
             self._counts[entry.state] -= 1
             self._total_answer_bytes -= answer_bytes(entry.answer)
+            self._total_headers -= header_count(entry.answer)
 
     def begin(self, key: str, attempt: str) -> LedgerResult:
         """Request to execute ``attempt`` of ``key``; the same attempt is granted again."""
@@ -208,6 +220,7 @@
         if fits and self._total_answer_bytes + size <= self._limits.max_total_answer_bytes:
             entry.answer = answer
             self._total_answer_bytes += size
+            self._total_headers += header_count(answer)
         return Recorded()
 
     def snapshot(self) -> LedgerSnapshot:
@@ -224,6 +237,7 @@
         heapq.heapify(self._keys_by_issue_time)
         entries = snapshot.entries.values()
         self._total_answer_bytes = sum(answer_bytes(entry.answer) for entry in entries)
+        self._total_headers = sum(header_count(entry.answer) for entry in entries)
         self._counts = collections.Counter(entry.state for entry in entries)
 
     def _timestamp_refusal(self, issued: float | None) -> LedgerRefusalReason | None:
--- a/src/finchshed/storage/disk.py
+++ b/src/finchshed/storage/disk.py
@@ -5,6 +5,7 @@
 system, :mod:`finchshed.storage.simulated_disk` in memory with faults.
 """
 
+from collections.abc import Iterable
 from typing import Protocol
 
 TEMPORARY_SUFFIX = ".tmp"
@@ -53,9 +54,11 @@
         ...
 
 
-def replace_file(disk: Disk, name: str, data: bytes) -> None:
+def replace_file(disk: Disk, name: str, pieces: Iterable[bytes]) -> None:
     """Replace a file atomically: after a crash it has either the old or the new content.
 
+    A large content can be given in several pieces, which aren't held in memory together.
+
     Raises
     ------
     DiskFullError
@@ -64,7 +67,8 @@
     temporary = name + TEMPORARY_SUFFIX
     disk.remove(temporary)
     try:
-        disk.append(temporary, data)
+        for piece in pieces:
+            disk.append(temporary, piece)
         disk.sync(temporary)
     except Exception:
         disk.remove(temporary)
--- a/src/finchshed/storage/incarnation.py
+++ b/src/finchshed/storage/incarnation.py
@@ -44,4 +44,4 @@
 def write_incarnation(disk: Disk, incarnation: str) -> None:
     """Make ``incarnation`` durable."""
     record = msgspec.json.encode(DiskIncarnation(incarnation))
-    replace_file(disk, INCARNATION_NAME, frame(record))
+    replace_file(disk, INCARNATION_NAME, [frame(record)])
--- a/src/finchshed/storage/journal.py
+++ b/src/finchshed/storage/journal.py
@@ -72,7 +72,7 @@
             The disk is full; the current file is unchanged and stays current.
         """
         data = encode_records(records)
-        replace_file(self._disk, journal_name(self._number + 1), data)
+        replace_file(self._disk, journal_name(self._number + 1), [data])
         self._disk.remove(self.name)
         self._number += 1
         self._size = len(data)
@@ -91,7 +91,7 @@
 def create_journal(disk: Disk, records: list[JournalRecord]) -> Journal:
     """Create the first journal file on a disk."""
     data = encode_records(records)
-    replace_file(disk, journal_name(1), data)
+    replace_file(disk, journal_name(1), [data])
     return Journal(disk, 1, len(data))
 
 
--- a/src/finchshed/storage/snapshots.py
+++ b/src/finchshed/storage/snapshots.py
@@ -1,5 +1,7 @@
 """Snapshot files: a header line followed by lines with chunks of the data."""
 
+from collections.abc import Iterator
+
 import msgspec
 
 from finchshed.common.errors import CorruptRecordError
@@ -32,15 +34,14 @@
     return name.startswith(_PREFIX) and name.endswith(_SUFFIX)
 
 
-def encode_snapshot(snapshot: Snapshot) -> bytes:
-    """Encode a snapshot as file content."""
+def encode_snapshot(snapshot: Snapshot) -> Iterator[bytes]:
+    """Encode a snapshot as the lines of a file."""
     size = len(snapshot.data)
     header = SnapshotHeader(snapshot.index, snapshot.term, snapshot.membership, size)
-    lines = [frame(msgspec.json.encode(header))]
+    yield frame(msgspec.json.encode(header))
     for start in range(0, size, PART_BYTES):
         part = snapshot.data[start : start + PART_BYTES]
-        lines.append(frame(msgspec.json.encode(part)))
-    return b"".join(lines)
+        yield frame(msgspec.json.encode(part))
 
 
 def decode_snapshot(content: bytes, name: str) -> Snapshot:
--- /dev/null
+++ b/tests/control/test_full_ledger.py
@@ -0,0 +1,113 @@
+"""A ledger that is full takes no more memory than a control process has, whatever fills it."""
+
+import asyncio
+import contextlib
+import random
+import time
+from collections.abc import AsyncIterator, Iterator
+from pathlib import Path
+
+import pytest
+
+from finchshed.common.outcomes import Answered
+from finchshed.distribution.messages import LedgerCompleted, LedgerGranted, LedgerRefused
+from finchshed.ledger.keys import new_key
+from tests.control.daemons import StubDaemon, running
+from tests.control.group import Group, Node
+
+MEMORY_BYTES = 160 << 20
+FILLERS = 32
+SECONDS = 30.0
+REFUSALS_WHEN_FULL = 3
+"""Refused keys in a row after which a filler stops."""
+
+KEYS_ASKED_AGAIN = 20
+MANY_FIELDS = Answered(200, tuple((f"x-{number}", "v") for number in range(60)), b"ok")
+
+
+@pytest.fixture
+def group(tmp_path: Path) -> Iterator[Group]:
+    made = Group(tmp_path)
+    made.extra_settings = f"max_memory_bytes = {MEMORY_BYTES}\n"
+    made.start_all()
+    yield made
+    made.close()
+
+
+def largest_memory_bytes(node: Node) -> int:
+    """Return the largest resident memory that the process of ``node`` ever had."""
+    assert node.process is not None
+    status = Path(f"/proc/{node.process.pid}/status").read_text()
+    peak = next(line for line in status.splitlines() if line.startswith("VmHWM:"))
+    return int(peak.split()[1]) << 10
+
+
+async def fill_through(daemon: StubDaemon, number: int, answer: Answered) -> list[str]:
+    """Begin and complete keys until several in a row are refused; return those granted."""
+    keys = random.Random(number)
+    granted: list[str] = []
+    refused = 0
+    while refused < REFUSALS_WHEN_FULL:
+        key = new_key(time.time(), keys)
+        attempt = f"daemon-{number}/{len(granted)}"
+        reply = await daemon.client.ledger.begin(key, attempt, SECONDS)
+        if isinstance(reply, LedgerGranted):
+            refused = 0
+            granted.append(key)
+            await daemon.client.ledger.complete(key, attempt, answer, SECONDS)
+        else:
+            assert isinstance(reply, LedgerRefused), reply
+            refused += 1
+    return granted
+
+
+def check_memory(group: Group) -> None:
+    peaks = [largest_memory_bytes(node) for node in group.nodes]
+    assert max(peaks) < MEMORY_BYTES, [peak >> 20 for peak in peaks]
+
+
+@contextlib.asynccontextmanager
+async def running_daemons(group: Group) -> AsyncIterator[list[StubDaemon]]:
+    """Found the group and run daemons that are connected to it."""
+    await asyncio.to_thread(group.bootstrap)
+    daemons = [StubDaemon(f"edge-{number}", group.nodes) for number in range(4)]
+    async with running(*daemons):
+        for daemon in daemons:
+            await daemon.wait_for(1)
+        yield daemons
+
+
+async def fill(daemons: list[StubDaemon], answer: Answered) -> list[str]:
+    """Fill the ledger; return the keys that were granted."""
+    fillers = (fill_through(daemons[number % 4], number, answer) for number in range(FILLERS))
+    return [key for keys in await asyncio.gather(*fillers) for key in keys]
+
+
+async def stored_answers(daemon: StubDaemon, granted: list[str]) -> list[Answered]:
+    """Return the stored answers of some of the keys."""
+    asked = random.Random(1).sample(granted, KEYS_ASKED_AGAIN)
+    replies = [await daemon.client.ledger.begin(key, "again", SECONDS) for key in asked]
+    return [reply.answer for reply in replies if isinstance(reply, LedgerCompleted)]
+
+
+# Guards against a ledger within its bound that ends every control process, over its memory while
+# a snapshot is taken or read at a start.
+@pytest.mark.parametrize(
+    "answer",
+    [
+        pytest.param(Answered(200, (), b"x" * 6_000), id="bodies"),
+        pytest.param(MANY_FIELDS, id="header fields"),
+        pytest.param(Answered(200, (("server", "s"),), b"x" * 1_000), id="usual answers"),
+    ],
+)
+async def test_full_ledger_stays_within_the_memory(group: Group, answer: Answered) -> None:
+    async with running_daemons(group) as daemons:
+        granted = await fill(daemons, answer)
+        check_memory(group)
+        for node in group.nodes:
+            group.kill(node)
+        group.start_all()
+        stored = await stored_answers(daemons[0], granted)
+        assert len(stored) >= KEYS_ASKED_AGAIN / 2
+        assert set(stored) == {answer}
+        check_memory(group)
