--- a/src/finchshed/control/state/machine.py
+++ b/src/finchshed/control/state/machine.py
@@ -92,7 +92,11 @@
         return msgspec.json.encode(state)
 
     def restore(self, data: bytes) -> None:
-        """Replace the state with an encoded snapshot."""
+        """Replace the state with an encoded snapshot.
+
+        The ledger is dropped first: there may be no memory for two of them.
+        """
+        self.ledger.clear()
         try:
             state = msgspec.json.decode(data, type=StateSnapshot)
         except msgspec.DecodeError as error:
--- a/src/finchshed/ledger/ledger.py
+++ b/src/finchshed/ledger/ledger.py
@@ -227,6 +227,14 @@
         """Return the current state; it shares its entries with the ledger."""
         return LedgerSnapshot(self.time, self.oldest_issued, self._entries, self.unknown_before)
 
+    def clear(self) -> None:
+        """Drop all keys and answers, before a snapshot replaces them."""
+        self._entries = {}
+        self._keys_by_issue_time = []
+        self._total_answer_bytes = 0
+        self._total_headers = 0
+        self._counts.clear()
+
     def restore(self, snapshot: LedgerSnapshot) -> None:
         """Replace the state by ``snapshot``."""
         self.time = snapshot.time
--- a/tests/control/test_full_ledger.py
+++ b/tests/control/test_full_ledger.py
@@ -14,6 +14,7 @@
 from finchshed.ledger.keys import new_key
 from tests.control.daemons import StubDaemon, running
 from tests.control.group import Group, Node
+from tests.daemon.deployment import eventually
 
 MEMORY_BYTES = 160 << 20
 FILLERS = 32
@@ -22,6 +23,10 @@
 """Refused keys in a row after which a filler stops."""
 
 KEYS_ASKED_AGAIN = 20
+RESENDS = 2000
+"""Resends after which the log has dropped what a frozen follower lacks."""
+
+INSTALLED = "state replaced with the snapshot"
 MANY_FIELDS = Answered(200, tuple((f"x-{number}", "v") for number in range(60)), b"ok")
 
 
@@ -83,6 +88,12 @@
     return [key for keys in await asyncio.gather(*fillers) for key in keys]
 
 
+async def wait_until_installed(group: Group, node: Node) -> None:
+    """Wait until ``node`` has installed a snapshot of the leader."""
+    log = group.folder / f"{node.name}.log"
+    await eventually(lambda: INSTALLED in log.read_text(), SECONDS)
+
+
 async def stored_answers(daemon: StubDaemon, granted: list[str]) -> list[Answered]:
     """Return the stored answers of some of the keys."""
     asked = random.Random(1).sample(granted, KEYS_ASKED_AGAIN)
@@ -111,3 +122,24 @@
         assert len(stored) >= KEYS_ASKED_AGAIN / 2
         assert set(stored) == {answer}
         check_memory(group)
+
+
+# Guards against a follower that holds its ledger and the one of a snapshot together.
+async def test_follower_that_installs_a_full_ledger_stays_within_the_memory(group: Group) -> None:
+    async with running_daemons(group) as daemons:
+        granted = await fill(daemons, MANY_FIELDS)
+        leader = await asyncio.to_thread(group.leader)
+        follower = next(node for node in group.nodes if node is not leader)
+        others = [node for node in group.nodes if node is not follower]
+        beside = StubDaemon("edge-beside", others)
+        async with running(beside):
+            await beside.wait_for(1)
+            group.freeze(follower)
+            for _ in range(RESENDS // FILLERS):
+                keys = random.Random(1).sample(granted, FILLERS)
+                await asyncio.gather(
+                    *(beside.client.ledger.begin(key, "again", SECONDS) for key in keys)
+                )
+            group.thaw(follower)
+            await wait_until_installed(group, follower)
+        check_memory(group)
