test: wait for the log of each daemon before its events are compared

Cause, by reading: the test waited for the records that the back ends ended. The caller's daemon writes request_ended after those, with its response, and its log goes to the file each 0.1 s, so the test could read before.

--- a/tests/platform/test_crashing_request.py
+++ b/tests/platform/test_crashing_request.py
@@ -34,6 +34,9 @@
 CONTROL_LOSS_SECONDS = 2.0
 """Time within which a daemon detects the loss of all control nodes."""
 
+FAILED_REQUEST_EVENTS = {"request_ended", "call_ended"}
+"""Written by the daemon of the caller and by that of the back end."""
+
 MAX_LATE_REQUESTS = 3
 MIN_SERVED_RATIO = 0.95
 
@@ -168,9 +171,19 @@
         await wait_until(both_logged)
         signatures = [set(line["signatures"]) for line in _backend_ended_records(running)]
         common = set.intersection(*signatures[: len(running.backends)])
-        failed = [line for line in _log_records(running) if line.get("signature") in common]
         assert len(common) == 1
-        assert {line["event"] for line in failed} == {"request_ended", "call_ended"}
+
+        async def each_daemon_has_written() -> bool:
+            return _events_with(running, common) >= FAILED_REQUEST_EVENTS
+
+        await wait_until(each_daemon_has_written)
+        assert _events_with(running, common) == FAILED_REQUEST_EVENTS
+
+
+def _events_with(running: FakePlatform, signatures: set[str]) -> set[object]:
+    """Return the events in the logs of all daemons that have one of ``signatures``."""
+    records = _log_records(running)
+    return {line["event"] for line in records if line.get("signature") in signatures}
 
 
 def _log_records(running: FakePlatform) -> list[dict[str, object]]:
