daemon: a stop names the requests that it leaves unfinished

Cause: at the end of a planned stop a daemon said that something was in progress, but neither which requests nor where they were; nothing at all when a caller only had a connection with a part of an answer. From the id of a cut request nobody could tell whether the stop had cut it, or whether its back end was at work.

--- a/src/finchshed/daemon/calling/caller.py
+++ b/src/finchshed/daemon/calling/caller.py
@@ -97,7 +97,16 @@
         self._denials = RetryDenialLog()
         self._pins = SessionPins()
         self._joinable: dict[JoinKey, tuple[OutgoingCall, str]] = {}
-        self.in_progress = 0
+        self._calls: dict[OutgoingCall, None] = {}
+
+    @property
+    def in_progress(self) -> int:
+        """Number of calls that haven't ended."""
+        return len(self._calls)
+
+    def calls(self) -> list[OutgoingCall]:
+        """Return the calls that haven't ended, the oldest first."""
+        return list(self._calls)
 
     def configure(self, catalogue: Catalogue) -> None:
         """Apply a new configuration."""
@@ -203,7 +212,7 @@
             self._retry_after,
             on_crash_record=self._quarantine.on_answer,
         )
-        self.in_progress += 1
+        self._calls[call] = None
         call.start()
         if request.in_session and not call.is_over:
             self._pin(request, call.endpoint)
@@ -247,7 +256,7 @@
     ) -> None:
         """Count and log a finished call, and return its unused retries."""
         request = started.request
-        self.in_progress -= 1
+        del self._calls[call]
         if started.key is not None:
             self._joinable.pop(started.key, None)
         if request.in_session:
--- a/src/finchshed/daemon/calling/outgoing_call.py
+++ b/src/finchshed/daemon/calling/outgoing_call.py
@@ -93,6 +93,11 @@
         """Time since the call started."""
         return clock.now() - self._began
 
+    @property
+    def sent_attempts(self) -> int:
+        """Number of attempts that were sent."""
+        return self._sent_attempts
+
     @property
     def retries(self) -> RetryGrants:
         """Retries that the retry limit granted or denied."""
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -21,6 +21,7 @@
 from finchshed.daemon.load_page import read_load_page
 from finchshed.daemon.serving.callee import Callee
 from finchshed.daemon.settings import DaemonSettings
+from finchshed.daemon.stop_report import log_connections, log_unfinished
 from finchshed.distribution.effects import ServingBasis
 from finchshed.distribution.messages import Decision, DirectoryUpdate, ExplainRequest, Hints
 from finchshed.distribution.snapshot import Configuration
@@ -136,11 +137,13 @@
         await wait_while(self._has_calls, stop.seconds_left(clock.now()))
         self._listeners.close()
         if not await wait_while(self._is_busy, stop.seconds_left(clock.now())):
-            logger.warning("requests or sessions are still in progress at the end of the stop")
+            log_unfinished(self._ingress.caller.calls())
         if self._callee is not None and self._callee.sessions:
             logger.info("ending the {} remaining sessions", self._callee.sessions)
             self._callee.end_sessions()
             await wait_while(self._is_busy, settings.drain_notice_seconds)
+        servers = (self._ingress.host_server, self._ingress.service_server)
+        log_connections(server.counts() for server in servers)
         await self._close()
 
     # Configuration changes.
--- a/src/finchshed/http/server.py
+++ b/src/finchshed/http/server.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from dataclasses import dataclass
 from typing import Generic, TypeVar
 
 from finchshed.common.memory_budget import MemoryBudget
@@ -20,6 +21,28 @@
 RequestT = TypeVar("RequestT")
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionCounts:
+    """Numbers of open connections, each counted once, by what they wait for.
+
+    Attributes
+    ----------
+    answering
+        A whole request waits for its answer.
+    sending
+        A part of an answer is unsent.
+    reading
+        A request was received in part.
+    idle
+        None of these.
+    """
+
+    answering: int = 0
+    sending: int = 0
+    reading: int = 0
+    idle: int = 0
+
+
 class HttpServer(Generic[RequestT]):
     """Accepts connections and holds the state they share.
 
@@ -67,6 +90,14 @@
         """Whether any connection is reading or answering a request."""
         return any(connection.is_busy for connection in self._connections)
 
+    def counts(self) -> ConnectionCounts:
+        """Return how many connections wait for what."""
+        answering = sum(connection.is_answering for connection in self._connections)
+        busy = [one for one in self._connections if one.is_busy and not one.is_answering]
+        sending = sum(connection.write_buffer_size() > 0 for connection in busy)
+        idle = len(self._connections) - answering - len(busy)
+        return ConnectionCounts(answering, sending, len(busy) - sending, idle)
+
     def make_protocol(self) -> asyncio.Protocol:
         """Create the protocol of an accepted connection."""
         return InboundConnection(self)
