daemon: a stop answers the requests that it leaves unfinished

Cause: a stop waits for what is in progress until its time is over, then closes the connections of callers, whoever still waits on them. That meets a request whose own time goes beyond the stop and whose back end is silent or slow: it was taken before, or in the notice time, where it is measured by how long its route usually takes. Class: a wait with an end, and nobody who says at the end what has become of the matter.

Change: at the end of the stop each call in progress ends with what is certain: `deadline` (504) where a back end may have run the request, `draining` (503, not run) where it was sent to none or refused so far; requests that wait for a token are refused. Up to 0.2 s are left to send that, within the margin that the end of the process has.

--- a/src/finchshed/daemon/calling/caller.py
+++ b/src/finchshed/daemon/calling/caller.py
@@ -104,9 +104,10 @@
         """Number of calls that haven't ended."""
         return len(self._calls)
 
-    def calls(self) -> list[OutgoingCall]:
-        """Return the calls that haven't ended, the oldest first."""
-        return list(self._calls)
+    def stop(self) -> None:
+        """End all calls because the daemon ends."""
+        for call in list(self._calls):
+            call.stop()
 
     def configure(self, catalogue: Catalogue) -> None:
         """Apply a new configuration."""
--- a/src/finchshed/daemon/calling/outgoing_call.py
+++ b/src/finchshed/daemon/calling/outgoing_call.py
@@ -93,11 +93,6 @@
         """Time since the call started."""
         return clock.now() - self._began
 
-    @property
-    def sent_attempts(self) -> int:
-        """Number of attempts that were sent."""
-        return self._sent_attempts
-
     @property
     def retries(self) -> RetryGrants:
         """Retries that the retry limit granted or denied."""
@@ -114,6 +109,10 @@
         self._deadline = now + self.request.context.remaining_seconds
         self._apply_effects(self._logic.begin(now))
 
+    def stop(self) -> None:
+        """End the call because the daemon ends; its waiters are told what is certain."""
+        self._apply_effects(self._logic.stop(clock.now()))
+
     def add_waiter(self, on_outcome: Callable[[Outcome], None]) -> Callable[[], None]:
         """Call ``on_outcome`` once, now if the call is over; return a function that stops waiting.
 
--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -9,7 +9,7 @@
 
 from loguru import logger
 
-from finchshed.common.outcomes import RefusalReason
+from finchshed.common.outcomes import RefusalReason, Refused
 from finchshed.configuration.resources import Endpoint
 from finchshed.daemon import decision_log, metrics
 from finchshed.daemon.assembly import build_components
@@ -21,7 +21,7 @@
 from finchshed.daemon.load_page import read_load_page
 from finchshed.daemon.serving.callee import Callee
 from finchshed.daemon.settings import DaemonSettings
-from finchshed.daemon.stop_report import log_connections, log_unfinished
+from finchshed.daemon.stop_report import log_connections
 from finchshed.distribution.effects import ServingBasis
 from finchshed.distribution.messages import Decision, DirectoryUpdate, ExplainRequest, Hints
 from finchshed.distribution.snapshot import Configuration
@@ -32,6 +32,9 @@
 MAINTENANCE_INTERVAL_SECONDS = 0.5
 """Interval of periodic maintenance, such as closing idle connections and reopening links."""
 
+MAX_LAST_SEND_SECONDS = 0.2
+"""Time to send the answers to requests that the end of a stop leaves unfinished."""
+
 IDLE_GRACE_SECONDS = 2.0
 """How much longer an idle connection is kept than announced, so that closing it doesn't race with a
 request."""
@@ -137,7 +140,7 @@
         await wait_while(self._has_calls, stop.seconds_left(clock.now()))
         self._listeners.close()
         if not await wait_while(self._is_busy, stop.seconds_left(clock.now())):
-            log_unfinished(self._ingress.caller.calls())
+            await self._end_requests()
         if self._callee is not None and self._callee.sessions:
             logger.info("ending the {} remaining sessions", self._callee.sessions)
             self._callee.end_sessions()
@@ -146,6 +149,17 @@
         log_connections(server.counts() for server in servers)
         await self._close()
 
+    async def _end_requests(self) -> None:
+        """Answer the requests that are left at the end of a stop, and leave time to send that."""
+        ingress = self._ingress
+        logger.warning("the stop ends {} requests in progress", ingress.caller.in_progress)
+        ingress.caller.stop()
+        # The others have not been sent to a back end yet.
+        refused = Refused(RefusalReason.DRAINING, 0.0)
+        ingress.host_server.refuse_waiting(refused)
+        ingress.service_server.refuse_waiting(refused)
+        await wait_while(self._is_sending, MAX_LAST_SEND_SECONDS)
+
     # Configuration changes.
 
     def add_control_addresses(self, addresses: Iterable[str]) -> None:
@@ -237,6 +251,10 @@
             return True
         return self._has_calls() or (self._callee is not None and self._callee.sessions > 0)
 
+    def _is_sending(self) -> bool:
+        ingress = self._ingress
+        return ingress.host_server.is_sending or ingress.service_server.is_sending
+
     async def _maintain(self) -> None:
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_SECONDS)
--- a/src/finchshed/http/connection.py
+++ b/src/finchshed/http/connection.py
@@ -220,6 +220,16 @@
         if self._answering is exchange:
             exchange.abort = abort
 
+    def refuse(self, refused: Refused) -> None:
+        """Answer the request that is with the handler with a refusal, if there is one."""
+        exchange = self._answering
+        if exchange is None:
+            return
+        abort = exchange.abort
+        self._respond(exchange, self._owner.handler.refusal_response(refused))
+        if abort is not None:
+            abort()
+
     def _respond(self, exchange: Exchange[RequestT], response: Response) -> None:
         if self._answering is not exchange or self._transport is None:
             return
--- a/src/finchshed/http/server.py
+++ b/src/finchshed/http/server.py
@@ -9,6 +9,7 @@
 from typing import Generic, TypeVar
 
 from finchshed.common.memory_budget import MemoryBudget
+from finchshed.common.outcomes import Refused
 from finchshed.http.connection import InboundConnection
 from finchshed.http.exchange import RequestHandler
 from finchshed.http.limits import ConnectionLimits
@@ -85,6 +86,11 @@
         """Number of open connections."""
         return len(self._connections)
 
+    @property
+    def is_sending(self) -> bool:
+        """Whether a part of any answer is unsent."""
+        return any(connection.write_buffer_size() > 0 for connection in self._connections)
+
     @property
     def is_busy(self) -> bool:
         """Whether any connection is reading or answering a request."""
@@ -116,6 +122,11 @@
         for connection in list(self._connections):
             self._check(connection)
 
+    def refuse_waiting(self, refused: Refused) -> None:
+        """Refuse every request that is with the handler; none of them may have run."""
+        for connection in list(self._connections):
+            connection.refuse(refused)
+
     def close(self) -> None:
         """Close every connection after sending its queued data."""
         for connection in list(self._connections):
--- a/src/finchshed/routing/caller.py
+++ b/src/finchshed/routing/caller.py
@@ -2,8 +2,8 @@
 
 The routing table chooses endpoints, :mod:`finchshed.retry.policy` decides which outcomes may be
 retried, and the retry limit of the service bounds the retries. Refusal reasons set here:
-``deadline``, ``cancelled``, ``retries_spent``; failure reasons: ``deadline``, ``aborted``. Others
-are passed on.
+``deadline``, ``cancelled``, ``draining``, ``retries_spent``; failure reasons: ``deadline``,
+``aborted``. Others are passed on.
 
 The runner carries out the effects and reports outcomes by attempt number. The last effect of a call
 is always one :class:`~finchshed.routing.caller_effects.Finish`.
@@ -53,6 +53,8 @@
 DEADLINE_OVERLOAD = 1.0
 """Overload used for the retry-after time after a missed deadline; a mean of 0.5 s."""
 
+STOP_DETAIL = "the daemon that took the request was stopped"
+
 
 def _assess_as_free() -> Assessment:
     """Default assessment, for callers without a quarantine register."""
@@ -203,14 +205,24 @@
 
     def cancel(self, now: float) -> list[CallerEffect]:
         """Cancel the call on behalf of its caller."""
+        failed = Failed(FailureReason.ABORTED, retry_after(0.0, self._rng))
+        return self._end_early(RefusalReason.CANCELLED, failed, now)
+
+    def stop(self, now: float) -> list[CallerEffect]:
+        """End the call because this process ends."""
+        failed = Failed(FailureReason.DEADLINE, retry_after(0.0, self._rng), STOP_DETAIL)
+        return self._end_early(RefusalReason.DRAINING, failed, now)
+
+    def _end_early(self, refusal: RefusalReason, failed: Failed, now: float) -> list[CallerEffect]:
+        """End the call as refused if it hasn't run for certain, otherwise as failed."""
         if self.finished:
             return []
         effects: list[CallerEffect] = []
         outcome: Outcome
         if self._current is None and isinstance(self._last_outcome, Refused | None):
-            outcome = self._refused(RefusalReason.CANCELLED)
+            outcome = self._refused(refusal)
         else:
-            outcome = Failed(FailureReason.ABORTED, retry_after(0.0, self._rng))
+            outcome = failed
         if self._current is not None:
             effects = self._cancel_attempt(CallResult.CANCELLED, now)
         return effects + self._finish(outcome)
--- a/tests/daemon/test_http_listener.py
+++ b/tests/daemon/test_http_listener.py
@@ -348,3 +348,15 @@
         client.server.sweep()
         assert await client.ended()
         assert client.handler.handled == []
+
+
+async def test_a_request_that_waits_at_the_end_of_a_stop_is_refused_and_given_up() -> None:
+    async with listener() as client:
+        client.writer.write(request("/held"))
+        await eventually(lambda: client.handler.pending)
+        client.server.closing = True
+        client.server.refuse_waiting(Refused(RefusalReason.DRAINING, 0.0))
+        assert await client.read() == (503, b"draining")
+        assert client.handler.cancelled == ["/held"]
+        client.handler.pending["/held"](Response(200, (), b"late"))
+        assert await client.ended()
--- a/tests/routing/test_caller.py
+++ b/tests/routing/test_caller.py
@@ -13,8 +13,8 @@
 )
 from finchshed.configuration.resources import Endpoint
 from finchshed.retry.bucket import RetryBucket
-from finchshed.routing.caller import CallStateMachine
-from finchshed.routing.caller_effects import Finish, SendAttempt, SetTimer
+from finchshed.routing.caller import STOP_DETAIL, CallStateMachine
+from finchshed.routing.caller_effects import CancelAttempt, Finish, SendAttempt, SetTimer
 from finchshed.routing.table import RoutingTable
 
 
@@ -177,3 +177,28 @@
         effect = logic.on_outcome(send.attempt, answer, send.allocated_attempts, None, now)[0]
         assert isinstance(effect, Finish)
         assert effect.outcome == answer
+
+
+def test_a_stop_says_of_a_sent_request_that_it_may_have_run() -> None:
+    logic = caller(2, 3)
+    send = logic.begin(0.0)[0]
+    assert isinstance(send, SendAttempt)
+    cancel, finish = logic.stop(0.5)
+    assert cancel == CancelAttempt(send.attempt, send.endpoint)
+    assert isinstance(finish, Finish)
+    assert isinstance(finish.outcome, Failed)
+    assert finish.outcome.reason is FailureReason.DEADLINE
+    assert finish.outcome.detail == STOP_DETAIL
+    assert logic.stop(0.6) == []
+
+
+def test_a_stop_says_of_a_request_refused_so_far_that_it_has_not_run() -> None:
+    logic = caller(2, 3)
+    send = logic.begin(0.0)[0]
+    assert isinstance(send, SendAttempt)
+    refused = Refused(RefusalReason.QUEUE_FULL, 1.0)
+    logic.on_outcome(send.attempt, refused, send.allocated_attempts, None, 0.1)
+    (finish,) = logic.stop(0.1)
+    assert isinstance(finish, Finish)
+    assert isinstance(finish.outcome, Refused)
+    assert finish.outcome.reason is RefusalReason.DRAINING
