--- a/tests/platform/stop_series.py
+++ b/tests/platform/stop_series.py
@@ -41,8 +41,10 @@
 """Differences of time between the clients' and the daemon's view that aren't judged."""
 
 CALM_SECONDS = 2.0
+MAX_WAIT_SECONDS = 0.3
+"""Longest pause before a new connection."""
+
 SETTLE_SECONDS = 1.0
-MAX_PAUSE_SECONDS = 0.3
 DEADLINE_MS = 6_000
 PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that promise that a request hasn't run."""
@@ -53,7 +55,10 @@
 
 @dataclass(frozen=True)
 class Kind:
-    """One kind of request; times in seconds, sizes in bytes."""
+    """One kind of request; times in seconds, sizes in bytes.
+
+    ``max_pause`` is how long a kept connection is idle at the longest.
+    """
 
     prefix: str
     method: str
@@ -62,6 +67,7 @@
     max_work: float
     answer_bytes: int
     repeatable: str = "safe"
+    max_pause: float = 0.3
 
 
 KINDS = (
@@ -69,6 +75,7 @@
     Kind("/issue/", "POST", True, 0.8, 0.4, 1_500, "unsafe"),
     Kind("/load/", "GET", True, 1.2, 0.3, 400_000, "download"),
     Kind("/tide/", "GET", False, 0.5, 0.1, 400),
+    Kind("/rare/", "GET", True, 6.0, 1.2, 1_500, max_pause=5.0),
 )
 SILENT = "silent"
 """Last part of the path of a request whose answer the back end loses."""
@@ -135,7 +142,7 @@
     async def run(self, kind: Kind) -> None:
         """Send requests of one kind, one after the other."""
         while not self.is_over:
-            await asyncio.sleep(self.rng.uniform(0.0, MAX_PAUSE_SECONDS))
+            await asyncio.sleep(self.rng.uniform(0.0, MAX_WAIT_SECONDS))
             try:
                 reader, writer = await asyncio.open_connection(self.machine.ip, OUTBOUND_PORT)
             except OSError:
@@ -149,7 +156,7 @@
     ) -> None:
         is_over = await self._ask(kind, reader, writer)
         while not is_over and kind.is_kept and not self.is_over:
-            await asyncio.sleep(self.rng.uniform(0.0, MAX_PAUSE_SECONDS))
+            await asyncio.sleep(self.rng.uniform(0.0, kind.max_pause))
             is_over = await self._ask(kind, reader, writer)
 
     async def _ask(
