--- a/tests/platform/fake_backend.py
+++ b/tests/platform/fake_backend.py
@@ -16,6 +16,7 @@
 HEARTBEAT_SECONDS = 0.4
 HEALTH_PATH = "/health"
 MAX_BACKEND_BODY_BYTES = 64 << 20
+MAX_BACKEND_HEADERS = 16_384
 
 Handler = Callable[["FakeBackend", web.Request], Awaitable[web.Response]]
 
@@ -122,7 +123,9 @@
     async def _start_serving(self) -> None:
         application = web.Application(client_max_size=MAX_BACKEND_BODY_BYTES)
         application.router.add_route("*", "/{path:.*}", self._handle_request)
-        self._runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.0)
+        self._runner = web.AppRunner(
+            application, access_log=None, shutdown_timeout=0.0, max_headers=MAX_BACKEND_HEADERS
+        )
         await self._runner.setup()
         await web.TCPSite(self._runner, self.ip, APP_PORT).start()
         self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
