http: parse one pipelined request at a time

Cause: what one read brought, up to 256 KB, was parsed at once; each of its requests became objects that waited for the one before. All of them that could be answered at once were answered in one step of the event loop, for clients that had long left, too. Class: what a process holds and does in one turn follows from the peer, not from what can be answered.

Change: at most 64 KB are received at a time, into one buffer that all connections share; a head is handed to the parser up to its end, a body up to its length or in pieces of 1 KB if it comes in chunks. While a request waits for its answer nothing further is parsed, and the rest stays in the kernel. After 16 requests of one connection the others have their turn; a client that left ends the work for it. The limit of a head holds also for one that comes at once, and empty lines without end are refused.

--- a/src/finchshed/daemon/listeners.py
+++ b/src/finchshed/daemon/listeners.py
@@ -20,7 +20,7 @@
     async def open(
         self,
         address: str,
-        factory: Callable[[], asyncio.Protocol],
+        factory: Callable[[], asyncio.BaseProtocol],
         credentials: Credentials | None = None,
     ) -> None:
         """Listen on ``address``, under TLS if ``credentials`` are given; no-op once closed."""
--- a/src/finchshed/http/connection.py
+++ b/src/finchshed/http/connection.py
@@ -1,6 +1,7 @@
 """A server-side HTTP connection, parsed with httptools (llhttp).
 
-Pipelined requests are answered in order. Requests and responses are not streamed: the handler
+Pipelined requests are parsed one at a time and answered in order; what a client sends meanwhile is
+left to the kernel. Requests and responses are not streamed: the handler
 receives a complete request and returns a complete response. Owns the requests of its connection;
 the server's handler admits and answers them.
 """
@@ -23,11 +24,19 @@
 )
 from finchshed.http.status import STATUS_BAD_REQUEST, STATUS_HEAD_TOO_LARGE
 from finchshed.http.transport import ConnectionTransport
+from finchshed.http.unparsed import UnparsedBytes
 
 MAX_DISCARDED_BYTES = 1 << 20
 """Bytes of an oversized body to read and discard, so that the client receives the response instead
 of a connection reset."""
 
+MAX_CHUNKED_BYTES_AT_ONCE = 1_024
+"""Bytes of a body in chunks that are parsed at a time; its end, and so the next request, may be
+among them."""
+
+MAX_REQUESTS_AT_ONCE = 16
+"""Requests of one connection that are handled before other connections get their turn."""
+
 
 class InboundConnection(ConnectionTransport, Generic[RequestT]):
     """A connection opened by a client."""
@@ -42,15 +51,18 @@
         self._reading: Exchange[RequestT] | None = None
         self._answering: Exchange[RequestT] | None = None
         self._queued: deque[Exchange[RequestT]] = deque()
-        self._unparsed: list[bytes] = []
+        self._unparsed = UnparsedBytes()
         self._is_advancing = False
         self._is_parser_failed = False
+        self._is_pipelined = False
         self.last_active_at = owner.now
 
     @property
     def is_busy(self) -> bool:
         """Whether a request is being read or answered, or response data is unsent."""
-        if self._answering is not None or self._reading is not None or self._queued:
+        if self._answering is not None or self._reading is not None:
+            return True
+        if self._queued or self._unparsed:
             return True
         return self.write_buffer_size() > 0
 
@@ -89,14 +101,20 @@
         if self.is_lingering:
             return
         self.last_active_at = self._owner.now
-        if self._answering is not None:
-            # A pipelined request; it is parsed after the current response.
-            self._unparsed.append(data)
-            self._pause_reading()
-            return
-        self._parse(data)
+        if not self._unparsed and self._reading is None:
+            self._is_pipelined = False
+        self._unparsed.add(data)
+        self._advance()
 
-    def _parse(self, data: bytes) -> None:
+    def _parse_piece(self) -> None:
+        """Parse up to the end of a head, or a part of a body."""
+        reading = self._reading
+        if reading is None or not reading.is_past_head:
+            # One byte above the limit shows that the head is too large.
+            data = self._unparsed.take_head(self._head_room() + 1)
+        else:
+            remaining = reading.remaining_length()
+            data = self._unparsed.take(remaining or MAX_CHUNKED_BYTES_AT_ONCE)
         self._received += len(data)
         try:
             self._parser.feed_data(data)
@@ -115,7 +133,11 @@
             self._drop_reading()
         if self._reading is not None:
             self._check_size(self._reading)
-        self._advance()
+        elif self._head_room() < 0:
+            self._reject_malformed("malformed request: empty lines without end")
+
+    def _head_room(self) -> int:
+        return self._owner.limits.max_head_bytes - self._received
 
     def _check_size(self, reading: Exchange[RequestT]) -> None:
         if not reading.is_past_head:
@@ -199,13 +221,30 @@
     # Responses
 
     def _advance(self) -> None:
-        """Handle queued requests in order until one has to wait for its response."""
+        """Parse and handle requests in order until one has to wait for its response."""
         if self._is_advancing:
             return
         self._is_advancing = True
-        while self._queued and self._answering is None and self._transport is not None:
-            self._handle(self._queued.popleft())
+        handled = 0
+        while self._can_advance() and handled < MAX_REQUESTS_AT_ONCE:
+            if self._queued:
+                handled += 1
+                self._handle(self._queued.popleft())
+            else:
+                self._parse_piece()
         self._is_advancing = False
+        if self._can_advance():
+            asyncio.get_running_loop().call_soon(self._advance)
+        if self._unparsed and not self.is_lingering:
+            self._pause_reading()
+        else:
+            self._resume_reading()
+
+    def _can_advance(self) -> bool:
+        if self._transport is None or self._answering is not None or self.is_lingering:
+            return False
+        can_parse = bool(self._unparsed) and not self._is_parser_failed
+        return bool(self._queued) or can_parse
 
     def _handle(self, exchange: Exchange[RequestT]) -> None:
         self._answering = exchange
@@ -244,10 +283,8 @@
             self._send_last(data, exchange, is_delimited_by_end=is_delimited_by_end)
             return
         self._write(data)
-        if not self._is_advancing:
-            self._advance()
-        if self._answering is None and self._unparsed:
-            self._parse_buffered()
+        self._is_pipelined = self._is_pipelined or bool(self._unparsed)
+        self._advance()
 
     def _send_last(
         self, data: bytes, exchange: Exchange[RequestT], *, is_delimited_by_end: bool
@@ -262,13 +299,6 @@
             self._end_sending(is_lingering=is_lingering)
         self._drop_queued()
 
-    def _parse_buffered(self) -> None:
-        pending, self._unparsed = self._unparsed, []
-        self._resume_reading()
-        while pending and self._answering is None and not self.is_lingering:
-            self._parse(pending.pop(0))
-        self._unparsed = pending + self._unparsed
-
     def _too_large(self, limit: int) -> Refused:
         detail = f"limit: {limit} bytes"
         return self._owner.handler.make_refusal(RefusalReason.REQUEST_TOO_LARGE, detail)
@@ -289,10 +319,14 @@
         self._queued.append(exchange)
 
     def _reject_malformed(self, detail: str, status: int = STATUS_BAD_REQUEST) -> None:
-        """Answer unparsable input and end the connection."""
+        """Answer unparsable input and end the connection.
+
+        What came together with requests that were answered isn't answered itself: a client could
+        take the rejection for the answer to one of them.
+        """
         if self._transport is None:
             return
-        if self._answering is None:
+        if self._answering is None and not self._is_pipelined:
             response = self._owner.handler.malformed_response(detail, status)
             self._transport.write(encode_response(response, is_head=False, closes=True))
         self._end_sending(is_lingering=True)
@@ -309,7 +343,8 @@
             self._reading = None
 
     def _drop_queued(self) -> None:
-        """Drop requests that are not handled because the connection closes."""
+        """Drop what is not handled because the connection closes."""
+        self._unparsed.clear()
         for exchange in self._queued:
             exchange.release(self._owner.spool)
         self._queued.clear()
--- a/src/finchshed/http/exchange.py
+++ b/src/finchshed/http/exchange.py
@@ -118,6 +118,13 @@
         declared = self.request.first.get(b"content-length")
         return declared is not None and int(declared) > self.limit
 
+    def remaining_length(self) -> int | None:
+        """Return the bytes of the body that are still to come; None if it comes in chunks."""
+        declared = self.request.first.get(b"content-length")
+        if declared is None or b"transfer-encoding" in self.request.first:
+            return None
+        return int(declared) - self.size
+
     def release(self, spool: SpoolBudget) -> None:
         """Release the body bytes reserved in the spool budget."""
         spool.release(self.spooled)
--- a/src/finchshed/http/server.py
+++ b/src/finchshed/http/server.py
@@ -104,7 +104,7 @@
         idle = len(self._connections) - answering - len(busy)
         return ConnectionCounts(answering, sending, len(busy) - sending, idle)
 
-    def make_protocol(self) -> asyncio.Protocol:
+    def make_protocol(self) -> asyncio.BaseProtocol:
         """Create the protocol of an accepted connection."""
         return InboundConnection(self)
 
--- a/src/finchshed/http/simple.py
+++ b/src/finchshed/http/simple.py
@@ -116,7 +116,7 @@
         super().__init__(SimpleHandler(answer, max_body_bytes), spool)
         self._sweep_task: asyncio.Task[None] | None = None
 
-    def make_protocol(self) -> asyncio.Protocol:
+    def make_protocol(self) -> asyncio.BaseProtocol:
         """Create the protocol of an accepted connection; the first starts the sweeps."""
         if self._sweep_task is None:
             self._sweep_task = asyncio.get_running_loop().create_task(self._sweep_periodically())
--- a/src/finchshed/http/transport.py
+++ b/src/finchshed/http/transport.py
@@ -13,7 +13,14 @@
 """``struct linger`` that is off: after a close the kernel delivers what it was given."""
 
 
-class ConnectionTransport(asyncio.Protocol):
+RECEIVE_BYTES = 65_536
+"""Maximum number of bytes that are received at a time."""
+
+_received = memoryview(bytearray(RECEIVE_BYTES))
+"""Shared by all connections: it is filled and emptied within one step of the event loop."""
+
+
+class ConnectionTransport(asyncio.BufferedProtocol):
     """Base of a server-side connection; the subclass parses and answers requests.
 
     Attributes
@@ -42,6 +49,18 @@
         self.unsent_bytes = 0
         self._lingers_once_sent: bool | None = None
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where received bytes are put (asyncio callback)."""
+        return _received
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Pass on received bytes (asyncio callback)."""
+        self.data_received(bytes(_received[:nbytes]))
+
+    def data_received(self, data: bytes) -> None:
+        """Process received bytes."""
+        raise NotImplementedError
+
     def write_buffer_size(self) -> int:
         """Return the number of unsent bytes."""
         return 0 if self._transport is None else self._transport.get_write_buffer_size()
--- a/src/finchshed/tls/handshakes.py
+++ b/src/finchshed/tls/handshakes.py
@@ -31,7 +31,7 @@
 HANDSHAKE_SECONDS = 5.0
 """Time limit of a handshake; the connection is closed when it expires."""
 
-MakeProtocol = Callable[[], asyncio.Protocol]
+MakeProtocol = Callable[[], asyncio.BaseProtocol]
 
 
 class Server(Protocol):
