http, daemon: count what a request takes at its cost, in the one budget

Cause: the budget of the process counted bodies and unsent bytes, by their length. A line of four bytes becomes objects of some hundred, held as received, as forwarded and again beside the back end; none of that was counted, nor were connections. Class: a bound on the length of what comes, where the cost of what is held isn't its length.

Change: a connection counts in the budget with its objects, what isn't parsed yet and the heads being received; a request in progress counts until its answer, a call until its end. The largest gives way; one for which no room is left is refused before it is handled (503, not run). Requests in progress never give way: above 16 KiB they may have half of the budget, so that small ones find room beside them. Among equals the newcomer gives way.

--- a/src/finchshed/common/memory_budget.py
+++ b/src/finchshed/common/memory_budget.py
@@ -1,4 +1,4 @@
-"""Bounds the memory that a process uses for bodies, whichever connection holds them. No I/O.
+"""Bounds the memory that a process uses for its peers, whichever connection holds it. No I/O.
 
 If the bound is reached, the largest holding gives way, so that small ones go on. A holder whose
 holding is dropped must free the bytes and close what they came from, or were meant for.
@@ -8,7 +8,11 @@
 from collections.abc import Callable
 
 LARGE_BYTES = 65_536
-"""Holdings up to this size are never dropped for others; larger ones may be."""
+"""Holdings up to this size are dropped only for such that are half as large or smaller."""
+
+
+SMALL_KEPT_BYTES = 16_384
+"""Kept holdings up to this size find room beside large ones that have all of their part."""
 
 
 class HoldingKind(enum.IntEnum):
@@ -21,11 +25,11 @@
     """Belongs to a connection that carries several requests, which all fail."""
 
     KEPT = 2
-    """Never gives way to others; all of them have only a part of the budget."""
+    """Never gives way to others; those that aren't small have only a part of the budget."""
 
 
 KEPT_FRACTION = 0.5
-"""Part of the budget that holdings which never give way may have together."""
+"""Part of the budget that holdings which never give way may have together, but for small ones."""
 
 
 class MemoryBudget:
@@ -50,6 +54,8 @@
         self.dropped = 0
         self._kept = 0
         self._large: dict[Holding, None] = {}
+        # Small holdings of one request, by the bits of their size.
+        self._small: list[dict[Holding, None]] = [{} for _ in range(LARGE_BYTES.bit_length() + 1)]
 
     def open(self, kind: HoldingKind, on_dropped: Callable[[], None]) -> "Holding":
         """Return an empty holding; ``on_dropped`` is called if it must give way to another one."""
@@ -62,18 +68,30 @@
     def _resize(self, holding: "Holding", size: int) -> bool:
         """Change the size of ``holding``; return False, holding nothing, if there is no room."""
         self._count(holding, size)
-        if self._kept > KEPT_FRACTION * self.limit:
+        if size > SMALL_KEPT_BYTES and self._kept > KEPT_FRACTION * self.limit:
             self._drop(holding)
             return False
         while self.held > self.limit:
-            dropped = min((*self._large, holding), key=_order)
+            dropped = min((holding, *self._large), key=_order)
+            if dropped is holding:
+                dropped = self._larger_small(holding) or holding
             self._drop(dropped)
             if dropped is holding:
                 return False
             dropped.on_dropped()
         return True
 
+    def _larger_small(self, holding: "Holding") -> "Holding | None":
+        """Return the oldest of the largest small holdings, if they are larger than ``holding``."""
+        if holding.kind is not HoldingKind.ONE_REQUEST:
+            return None
+        for holdings in reversed(self._small[holding.size.bit_length() + 1 :]):
+            if holdings:
+                return next(iter(holdings))
+        return None
+
     def _count(self, holding: "Holding", size: int) -> None:
+        self._note_small(holding, size)
         added = size - holding.size
         holding.size = size
         self.held += added
@@ -84,6 +102,18 @@
         else:
             self._large.pop(holding, None)
 
+    def _note_small(self, holding: "Holding", size: int) -> None:
+        if holding.kind is not HoldingKind.ONE_REQUEST:
+            return
+        before = holding.size.bit_length() if 0 < holding.size <= LARGE_BYTES else 0
+        after = size.bit_length() if size <= LARGE_BYTES else 0
+        if before == after:
+            return
+        if before:
+            del self._small[before][holding]
+        if after:
+            self._small[after][holding] = None
+
     def _drop(self, holding: "Holding") -> None:
         self.dropped += 1
         self._count(holding, 0)
--- a/src/finchshed/daemon/memory.py
+++ b/src/finchshed/daemon/memory.py
@@ -1,6 +1,7 @@
 """Divides the memory of a daemon process among the bodies that it holds."""
 
 from finchshed.common.memory_budget import MemoryBudget
+from finchshed.link.messages import Call
 
 PROCESS_BYTES = 64 << 20
 """Memory of a process that holds no bodies."""
@@ -18,6 +19,21 @@
 SPOOL_FRACTION = 0.25
 """Part of the bodies that is kept for those of requests being received."""
 
+CALL_BYTES = 2_048
+"""Memory of the objects of one call without headers."""
+
+CALL_HEADER_BYTES = 250
+"""Memory of one header of a call without its text: as received, and as sent to the back end."""
+
+CALL_TEXT_COPIES = 2
+
+
+def call_bytes(call: Call) -> int:
+    """Return the memory that a call takes beside its back end."""
+    text = sum(len(name) + len(value) for name, value in call.headers)
+    objects = CALL_BYTES + CALL_HEADER_BYTES * len(call.headers)
+    return objects + CALL_TEXT_COPIES * text + len(call.body)
+
 
 class MemoryPlan:
     """What a process may hold, derived from its memory.
--- a/src/finchshed/daemon/serving/callee.py
+++ b/src/finchshed/daemon/serving/callee.py
@@ -23,6 +23,7 @@
 from finchshed.daemon.catalogue import Catalogue
 from finchshed.daemon.draining import DrainState
 from finchshed.daemon.header_names import HeaderNames
+from finchshed.daemon.memory import call_bytes
 from finchshed.daemon.quarantine import Quarantine
 from finchshed.daemon.serving.at_most_once import AtMostOnceRunner
 from finchshed.daemon.serving.backend_runner import BackendRunner
@@ -228,8 +229,8 @@
         self._by_call[call.epoch, call.call] = inbound
         inbound.signature = self._signatures.lazy_signature(call)
         inbound.memory = self._memory.open(HoldingKind.KEPT, _no_op)
-        if not inbound.memory.resize(len(call.body)):
-            detail = "no memory is left for its body"
+        if not inbound.memory.resize(call_bytes(call)):
+            detail = "no memory is left for it"
             self._refuse(inbound, self._admission.refusal(RefusalReason.OVERLOAD, detail))
             return
         assessment = self._quarantine.check(inbound.signature)
--- a/src/finchshed/http/connection.py
+++ b/src/finchshed/http/connection.py
@@ -79,6 +79,7 @@
         peer = transport.get_extra_info("peername")
         self._remote = peer[0] if peer else ""
         self._owner.opened(self)
+        self._note_held()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests in progress (asyncio callback)."""
@@ -165,10 +166,7 @@
         assert self._reading is not None
         if self._reading.is_past_head:
             return
-        name = name.lower()
-        request = self._reading.request
-        request.headers.append((name, value))
-        request.first.setdefault(name, value)
+        self._reading.add_header(name.lower(), value)
 
     def on_headers_complete(self) -> None:
         """Admit or refuse the request based on its head."""
@@ -232,6 +230,7 @@
                 self._handle(self._queued.popleft())
             else:
                 self._parse_piece()
+                self._note_held()
         self._is_advancing = False
         if self._can_advance():
             asyncio.get_running_loop().call_soon(self._advance)
@@ -239,6 +238,38 @@
             self._pause_reading()
         else:
             self._resume_reading()
+        self._note_held()
+
+    def _held_bytes(self) -> int:
+        exchanges = list(self._queued)
+        if self._reading is not None:
+            exchanges.append(self._reading)
+        requests = sum(exchange.memory_bytes for exchange in exchanges)
+        return super()._held_bytes() + len(self._unparsed) + requests
+
+    def _on_no_memory(self) -> None:
+        """Refuse what isn't with the handler yet, or close the connection."""
+        if self._answering is not None or not (self._queued or self._reading):
+            self.abort()
+            return
+        refused = self._refused_for_memory()
+        if self._reading is not None:
+            self._queue_unread(self._reading)
+        for exchange in self._queued:
+            exchange.refuse(refused)
+        self._queued[-1].closes = True
+        asyncio.get_running_loop().call_soon(self._advance)
+
+    def _refused_for_memory(self) -> Refused:
+        detail = "no memory is left for its head"
+        return self._owner.handler.make_refusal(RefusalReason.OVERLOAD, detail)
+
+    def abort(self) -> None:
+        """Close the connection immediately, and drop what isn't with the handler."""
+        self.is_lingering = True
+        self._drop_reading()
+        self._drop_queued()
+        super().abort()
 
     def _can_advance(self) -> bool:
         if self._transport is None or self._answering is not None or self.is_lingering:
@@ -249,6 +280,9 @@
     def _handle(self, exchange: Exchange[RequestT]) -> None:
         self._answering = exchange
         handler = self._owner.handler
+        held = self._request_memory
+        if held is not None and not held.resize(exchange.memory_bytes):
+            exchange.refuse(self._refused_for_memory())
         if exchange.refusal is not None or exchange.admitted is None:
             assert exchange.refusal is not None
             self._respond(exchange, handler.refusal_response(exchange.refusal))
@@ -273,6 +307,8 @@
         if self._answering is not exchange or self._transport is None:
             return
         self._answering = None
+        if self._request_memory is not None:
+            self._request_memory.release()
         exchange.abort = None
         exchange.release(self._owner.spool)
         closes = exchange.closes or self._owner.closing or not response.has_length
--- a/src/finchshed/http/exchange.py
+++ b/src/finchshed/http/exchange.py
@@ -65,6 +65,16 @@
         """Unregister a connection."""
 
 
+REQUEST_BYTES = 2_048
+"""Memory of the objects of one request without headers."""
+
+HEADER_BYTES = 400
+"""Memory of one header without its text: as it was received and as it is forwarded."""
+
+TEXT_COPIES = 3
+"""How often the text of a head is held: as received, as forwarded, and in a message."""
+
+
 @dataclass(slots=True)
 class Exchange(Generic[RequestT]):
     """One request being read or answered.
@@ -79,6 +89,8 @@
         Body bytes reserved in the spool budget.
     is_past_head
         Whether its head was received completely.
+    memory_bytes
+        Memory that the request takes, but for its body.
     framing
         Bytes that are neither head nor body.
     closes
@@ -95,11 +107,25 @@
     spooled: int = 0
     closes: bool = False
     is_past_head: bool = False
+    memory_bytes: int = REQUEST_BYTES
     is_whole: bool = False
     framing: FramingMeter = field(default_factory=FramingMeter)
     abort: Callable[[], None] | None = None
     _parts: list[bytes] = field(default_factory=list)
 
+    def add_header(self, name: bytes, value: bytes) -> None:
+        """Add a header of the request, whose name is in lower case."""
+        self.request.headers.append((name, value))
+        self.request.first.setdefault(name, value)
+        self.memory_bytes += HEADER_BYTES + TEXT_COPIES * (len(name) + len(value))
+
+    def refuse(self, refused: Refused) -> None:
+        """Refuse the request, and free its headers."""
+        self.refusal = refused
+        self.request.headers = []
+        self.request.first = {}
+        self.memory_bytes = REQUEST_BYTES
+
     def append_body(self, part: bytes) -> None:
         """Append a part of the body."""
         self.spooled += len(part)
--- a/src/finchshed/http/transport.py
+++ b/src/finchshed/http/transport.py
@@ -13,6 +13,9 @@
 """``struct linger`` that is off: after a close the kernel delivers what it was given."""
 
 
+CONNECTION_BYTES = 8_192
+"""Memory of an open connection: its objects and those of the event loop."""
+
 RECEIVE_BYTES = 65_536
 """Maximum number of bytes that are received at a time."""
 
@@ -30,19 +33,23 @@
     unsent_bytes
         Unsent bytes at the last sweep of the server.
 
+    ``_request_memory`` is what the request takes that is with the handler; it never gives way.
     ``_lingers_once_sent`` tells how to end the connection after the answer that its end delimits;
     None while no such answer is being sent.
 
     Parameters
     ----------
     memory
-        Budget of unsent data, None for no bound; a connection that must give way is aborted.
+        Budget of what the client makes the process hold, None for no bound; a connection that must
+        give way is aborted.
     """
 
     def __init__(self, memory: MemoryBudget | None = None) -> None:
-        self._unsent_memory: Holding | None = None
+        self._memory: Holding | None = None
+        self._request_memory: Holding | None = None
         if memory is not None:
-            self._unsent_memory = memory.open(HoldingKind.ONE_REQUEST, self.abort)
+            self._memory = memory.open(HoldingKind.ONE_REQUEST, self.abort)
+            self._request_memory = memory.open(HoldingKind.KEPT, self.abort)
         self._transport: asyncio.Transport | None = None
         self._is_paused = False
         self.is_lingering = False
@@ -78,24 +85,34 @@
 
     def resume_writing(self) -> None:
         """End an answer delimited by the connection's end, once it is sent (asyncio callback)."""
-        self._note_unsent()
+        self._note_held()
         self._end_if_sent()
 
     def _write(self, data: bytes) -> None:
         assert self._transport is not None
         self._transport.write(data)
-        self._note_unsent()
+        self._note_held()
+
+    def _held_bytes(self) -> int:
+        """Return the memory that the connection takes."""
+        return CONNECTION_BYTES + self.write_buffer_size()
+
+    def _note_held(self) -> None:
+        """Count the memory that the connection takes now."""
+        held = self._memory
+        if held is not None and not held.resize(self._held_bytes()):
+            self._on_no_memory()
 
-    def _note_unsent(self) -> None:
-        held = self._unsent_memory
-        if held is not None and not held.resize(self.write_buffer_size()):
-            self.abort()
+    def _on_no_memory(self) -> None:
+        """Give way: no memory is left for what the connection takes."""
+        self.abort()
 
     def _free_memory(self) -> None:
-        if self._unsent_memory is not None:
-            self._unsent_memory.release()
-        # Breaks the reference cycle, so that no collection is needed.
-        self._unsent_memory = None
+        for held in (self._memory, self._request_memory):
+            if held is not None:
+                held.release()
+        # Breaks the reference cycles, so that no collection is needed.
+        self._memory = self._request_memory = None
 
     def _pause_reading(self) -> None:
         if self._transport is not None and not self._is_paused:
--- a/tests/common/test_memory_budget.py
+++ b/tests/common/test_memory_budget.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from finchshed.common.memory_budget import LARGE_BYTES, Holding, HoldingKind, MemoryBudget
+from finchshed.common.memory_budget import (
+    LARGE_BYTES,
+    SMALL_KEPT_BYTES,
+    Holding,
+    HoldingKind,
+    MemoryBudget,
+)
 
 LIMIT = 10 * LARGE_BYTES
 
@@ -86,6 +92,23 @@
     assert budget.held == LIMIT
 
 
+def test_a_much_smaller_one_finds_room_among_many_small_ones() -> None:
+    budget = MemoryBudget(LIMIT)
+    crowd = [Holder(budget) for _ in range(10)]
+    assert all(holder.holding.resize(LARGE_BYTES) for holder in crowd)
+    assert Holder(budget).holding.resize(LARGE_BYTES // 4)
+    assert [holder.dropped for holder in crowd] == [1] + [0] * 9
+
+
+def test_small_ones_are_kept_beside_large_ones_up_to_the_limit() -> None:
+    budget = MemoryBudget(LIMIT)
+    assert Holder(budget, HoldingKind.KEPT).holding.resize(LIMIT // 2)
+    assert not Holder(budget, HoldingKind.KEPT).holding.resize(SMALL_KEPT_BYTES + 1)
+    small = [Holder(budget, HoldingKind.KEPT) for _ in range(LIMIT // 2 // SMALL_KEPT_BYTES + 1)]
+    granted = [holder.holding.resize(SMALL_KEPT_BYTES) for holder in small]
+    assert granted == [True] * (len(small) - 1) + [False]
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_the_limit_holds_whatever_is_held(seed: int) -> None:
     rng = random.Random(seed)
--- a/tests/daemon/test_http_listener.py
+++ b/tests/daemon/test_http_listener.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from finchshed.common.memory_budget import MemoryBudget
 from finchshed.common.outcomes import RefusalReason, Refused
 from finchshed.http import connection as http_connection
 from finchshed.http.limits import ConnectionLimits
@@ -91,10 +92,12 @@
 
 
 @asynccontextmanager
-async def listener(spool_bytes: int = 100_000) -> AsyncIterator[ListenerClient]:
+async def listener(
+    spool_bytes: int = 100_000, memory: MemoryBudget | None = None
+) -> AsyncIterator[ListenerClient]:
     handler = ScriptedHandler()
     spool = SpoolBudget(spool_bytes)
-    server: HttpServer[str] = HttpServer(handler, spool)
+    server: HttpServer[str] = HttpServer(handler, spool, memory=memory)
     loop = asyncio.get_running_loop()
     listening = await loop.create_server(server.make_protocol, "127.0.0.1", 0)
     host, port = listening.sockets[0].getsockname()
@@ -402,3 +405,35 @@
         client.server.limits.max_head_bytes = 200
         client.writer.write(b"\r\n" * 200)
         assert (await client.read())[0] == 400
+
+
+# Each line of a head takes objects that cost a hundred times its bytes.
+@pytest.mark.parametrize("is_whole", [True, False])
+async def test_a_head_for_which_no_memory_is_left_is_refused(is_whole: bool) -> None:
+    memory = MemoryBudget(200_000)
+    async with listener(memory=memory) as client:
+        head = request("/a", *["a:"] * 1_000)
+        client.writer.write(head if is_whole else head[:-2])
+        assert await client.read() == (503, b"overload")
+        assert client.handler.handled == []
+        client.writer.close()
+        await eventually(lambda: client.server.connections == 0)
+    assert memory.held == 0
+
+
+async def test_requests_in_progress_leave_memory_for_small_ones() -> None:
+    memory = MemoryBudget(400_000)
+    async with listener(memory=memory) as client:
+        address = client.writer.get_extra_info("peername")
+        client.writer.write(request("/held", *["a:"] * 400))
+        await eventually(lambda: client.handler.pending)
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(request("/held-too", *["a:"] * 400))
+        assert (await reader.readline()).split()[1] == b"503"
+        writer.close()
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(request("/small"))
+        assert (await reader.readline()).split()[1] == b"200"
+        writer.close()
+        client.handler.pending["/held"](Response(200, (), b"whole"))
+        assert await client.read() == (200, b"whole")
