http: join the chunks of a request's body as they come

Cause: each chunk was kept as an object of its own, of some 45 bytes, until the body was whole, and counted with its two bytes.

Change: the body is one growing array, so many small parts take no more than their bytes.

--- a/src/finchshed/http/exchange.py
+++ b/src/finchshed/http/exchange.py
@@ -111,7 +111,7 @@
     is_whole: bool = False
     framing: FramingMeter = field(default_factory=FramingMeter)
     abort: Callable[[], None] | None = None
-    _parts: list[bytes] = field(default_factory=list)
+    _body: bytearray = field(default_factory=bytearray)
 
     def add_header(self, name: bytes, value: bytes) -> None:
         """Add a header of the request, whose name is in lower case."""
@@ -127,16 +127,14 @@
         self.memory_bytes = REQUEST_BYTES
 
     def append_body(self, part: bytes) -> None:
-        """Append a part of the body."""
+        """Append a part of the body; joined, many small parts take no more than their bytes."""
         self.spooled += len(part)
-        self._parts.append(part)
+        self._body += part
 
     def complete(self) -> None:
-        """Join the body parts; the request has been received completely."""
-        parts = self._parts
-        if parts:
-            self.request.body = parts[0] if len(parts) == 1 else b"".join(parts)
-            self._parts = []
+        """Take the body; the request has been received completely."""
+        self.request.body = bytes(self._body)
+        self._body = bytearray()
         self.is_whole = True
 
     def declares_too_large_body(self) -> bool:
