daemon: count what an answer takes at its cost

A back end whose answers have very many short headers or tiny chunks takes the daemon beside it over its memory.

Cause: an answer was counted by the bytes of its body; its headers weren't, each chunk was an object of its own, and the headers of an answer that was given up stayed until a garbage collection.

Change: an answer counts with its headers at what they cost, its body is one growing array, and giving it up frees both at once.

--- a/src/finchshed/daemon/backend/answer_parser.py
+++ b/src/finchshed/daemon/backend/answer_parser.py
@@ -32,6 +32,9 @@
 MAX_EXTRA_ANSWERS = 8
 """Extra answers that are passed over for one request."""
 
+HEADER_BYTES = 300
+"""Memory of one header of an answer without its text: as received, and as forwarded."""
+
 CONTENT_LENGTH = b"content-length"
 TRANSFER_ENCODING = b"transfer-encoding"
 CHUNKED = b"chunked"
@@ -47,7 +50,7 @@
     addressee_of
         Returns whose an answer with these headers is.
     holding
-        Memory of the answer's body.
+        Memory of the answer.
 
     Attributes
     ----------
@@ -72,7 +75,9 @@
     def __init__(
         self, addressee_of: Callable[[Sequence[RawHeader]], Addressee], holding: Holding
     ) -> None:
-        self._body: list[bytes] = []
+        self.headers: list[RawHeader] = []
+        self._head_memory = 0
+        self._body = bytearray()
         self._addressee_of = addressee_of
         self._holding = holding
         self._parser = httptools.HttpResponseParser(self)
@@ -111,11 +116,17 @@
     def give_up(self) -> None:
         """Take nothing more of the answer."""
         self.is_too_large = True
+        self.discard()
+
+    def discard(self) -> None:
+        """Free what was received of the answer."""
+        self.headers = []
+        self._head_memory = 0
         self.discard_body()
 
     def discard_body(self) -> None:
         """Free what was received of the body."""
-        self._body = []
+        self._body = bytearray()
         self._holding.release()
 
     def feed(self, data: bytes) -> str:
@@ -136,6 +147,7 @@
             self.keeps_alive = False
         if self.is_complete or self._problem:
             return self._problem
+        self._note_held()
         if not self.is_past_head:
             is_too_long = self.received - self._passed_over > MAX_HEAD_BYTES
             return "head too large" if is_too_long else ""
@@ -145,7 +157,7 @@
 
     def take_body(self) -> bytes:
         """Return the body received so far, and keep nothing of it."""
-        body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
+        body = bytes(self._body)
         self.discard_body()
         return body
 
@@ -162,6 +174,7 @@
             return
         name = name.lower()
         self.headers.append((name, value))
+        self._head_memory += HEADER_BYTES + len(name) + len(value)
         if name in FRAMING_HEADERS:
             self._has_length = True
 
@@ -189,8 +202,8 @@
         if self._body_size > self._max_body_bytes:
             self.is_too_large = True
         elif not self._is_skipping:
-            self._body.append(body)
-            self.is_too_large = not self._holding.resize(self._body_size)
+            self._body += body
+            self._note_held()
 
     def on_message_complete(self) -> None:
         """Complete the answer, or discard an interim (1xx) or extra one."""
@@ -204,6 +217,11 @@
         # Valid only within the parser's callback for this answer.
         self._complete(keeps_alive=self._parser.should_keep_alive() and not self._extra_answers)
 
+    def _note_held(self) -> None:
+        """Count what the answer takes; one for which no memory is left is given up."""
+        if not self._holding.resize(self._head_memory + len(self._body)):
+            self.is_too_large = True
+
     def _problem_of_head(self) -> str:
         """Return why the head isn't that of an answer, or an empty string.
 
@@ -245,13 +263,12 @@
         self.keeps_alive = keeps_alive
 
     def _reset_answer(self) -> None:
-        self.headers: list[RawHeader] = []
         self.status = 0
         self.head_received_at = 0.0
         self.is_identified = False
         self.is_past_head = False
         self.ends_with_connection = False
-        self.discard_body()
+        self.discard()
         self._body_size = 0
         self._framing = FramingMeter()
         self._has_length = False
--- a/src/finchshed/daemon/backend/connection.py
+++ b/src/finchshed/daemon/backend/connection.py
@@ -264,7 +264,7 @@
         self.state = ConnectionState.CLOSED
         if self._on_result is None:
             self._forget_request()
-        self._parser.discard_body()
+        self._parser.discard()
         if self._transport is not None:
             self._transport.abort()
         self._on_closed(self)
--- a/tests/daemon/test_answer_framing.py
+++ b/tests/daemon/test_answer_framing.py
@@ -4,7 +4,7 @@
 
 from finchshed.common.memory_budget import HoldingKind, MemoryBudget
 from finchshed.daemon.backend.addressee import Addressee
-from finchshed.daemon.backend.answer_parser import MAX_HEAD_BYTES, AnswerParser
+from finchshed.daemon.backend.answer_parser import HEADER_BYTES, MAX_HEAD_BYTES, AnswerParser
 from finchshed.http.framing import MAX_FRAMING_BYTES, MAX_FRAMING_BYTES_AT_ONCE
 
 MAX_BODY_BYTES = 1 << 20
@@ -111,7 +111,8 @@
     parser = make_parser(budget)
     parser.feed(OK + b"content-length: 50000\r\n\r\n" + b"x" * 50_000)
     assert parser.is_complete
-    assert budget.held == 50_000
+    head = sum(HEADER_BYTES + len(name) + len(value) for name, value in parser.headers)
+    assert budget.held == head + 50_000
     parser.take_body()
     assert budget.held == 0
 
