http: an upload that finds no room frees what it holds at once

Cause: a refused upload kept its part of the room until its refusal was sent, which waits for the rest of its body; all of them held a part, and none found room for the rest.

Change: the part is freed with the refusal, so that others are received whole.

--- a/src/finchshed/http/connection.py
+++ b/src/finchshed/http/connection.py
@@ -200,9 +200,12 @@
             return
         if exchange.size > exchange.limit:
             exchange.refusal = self._too_large(exchange.limit)
+            exchange.release(self._owner.spool)
         elif not self._owner.spool.reserve(len(body)):
             detail = "bodies held reach their limit"
             exchange.refusal = self._owner.handler.make_refusal(RefusalReason.OVERLOAD, detail)
+            # At once, and not with the answer: others may then be received whole.
+            exchange.release(self._owner.spool)
         else:
             exchange.append_body(body)
 
--- a/src/finchshed/http/exchange.py
+++ b/src/finchshed/http/exchange.py
@@ -150,6 +150,7 @@
         return int(declared) - self.size
 
     def release(self, spool: SpoolBudget) -> None:
-        """Release the body bytes reserved in the spool budget."""
+        """Free what is held of the body, and release its bytes in the spool budget."""
+        self._body = bytearray()
         spool.release(self.spooled)
         self.spooled = 0
--- a/tests/daemon/test_http_listener.py
+++ b/tests/daemon/test_http_listener.py
@@ -437,3 +437,20 @@
         writer.close()
         client.handler.pending["/held"](Response(200, (), b"whole"))
         assert await client.read() == (200, b"whole")
+
+
+# Uploads that all hold a part while none finds room for the rest would all be refused.
+async def test_an_upload_that_finds_no_room_frees_what_it_holds_at_once() -> None:
+    async with listener(spool_bytes=LIMIT) as client:
+        body = b"x" * (LIMIT // 2)
+        address = client.writer.get_extra_info("peername")
+        client.writer.write(request("/first", body=body + body)[: -LIMIT // 2])
+        await eventually(lambda: client.spool.held)
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(request("/second", body=body + b"x")[:-1])
+        await eventually(lambda: client.spool.held == LIMIT)
+        client.writer.write(b"x")
+        await eventually(lambda: client.spool.held == LIMIT // 2)
+        writer.write(b"x")
+        assert (await reader.readline()).split()[1] == b"200"
+        writer.close()
