http: a budget for what callers of the auxiliary ports make a process hold

Cause: only the ports for requests had a budget.

Change: each server for auxiliary endpoints has one of 4 MiB and four answers of the size of its largest body, for connections, heads and unsent answers.

--- a/src/finchshed/http/simple.py
+++ b/src/finchshed/http/simple.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from finchshed.common.memory_budget import MemoryBudget
 from finchshed.common.outcomes import RefusalReason, Refused
 from finchshed.http.message import InboundRequest, Response
 from finchshed.http.server import HttpServer
@@ -30,6 +31,12 @@
 RETRY_SECONDS = 1.0
 """Retry delay given to refused clients."""
 
+CONNECTIONS_BYTES = 4 << 20
+"""Memory of connections, heads and requests in progress."""
+
+RESPONSES_HELD = 4
+"""Number of unsent responses of the size of the largest body for which there is memory."""
+
 SWEEP_SECONDS = 1.0
 """Interval between sweeps for idle connections."""
 
@@ -99,7 +106,7 @@
 
 
 class SimpleServer(HttpServer[bool]):
-    """HTTP server with a single answer function, its own body budget and sweeps.
+    """HTTP server with a single answer function, its own budgets and sweeps.
 
     Parameters
     ----------
@@ -113,7 +120,8 @@
 
     def __init__(self, answer: AnswerFunction, max_body_bytes: int, bodies_held: int) -> None:
         spool = SpoolBudget(bodies_held * max_body_bytes)
-        super().__init__(SimpleHandler(answer, max_body_bytes), spool)
+        memory = MemoryBudget(CONNECTIONS_BYTES + RESPONSES_HELD * max_body_bytes)
+        super().__init__(SimpleHandler(answer, max_body_bytes), spool, memory=memory)
         self._sweep_task: asyncio.Task[None] | None = None
 
     def make_protocol(self) -> asyncio.BaseProtocol:
