http: bound the connections of callers below the descriptors of the process

Cause: connections had no bound but the system's.

At the bound the one that has waited longest for a request is closed and counted; a request that was read is never cut for a new connection.

--- a/src/finchshed/daemon/assembly.py
+++ b/src/finchshed/daemon/assembly.py
@@ -61,12 +61,14 @@
 from finchshed.distribution.client import ControlClient
 from finchshed.distribution.follower_runner import FollowerListener, FollowerRunner
 from finchshed.distribution.identity import ClientIdentity
+from finchshed.http.limits import ConnectionLimits
 from finchshed.http.server import HttpServer
 from finchshed.http.spool import SpoolBudget
 from finchshed.link.listener import LinkListener
 from finchshed.quarantine.messages import CrashNews
 from finchshed.routing.table import RoutingTable
 from finchshed.runtime import clock
+from finchshed.runtime.descriptors import descriptor_limit, max_caller_connections
 from finchshed.tls.credentials import load_credentials
 from finchshed.tls.handshakes import Connector
 from finchshed.tls.names import CertificateRole
@@ -333,6 +335,11 @@
         host_handler=host_handler,
         lease_renewal=lease_renewal,
         quotas=quotas,
-        service_server=HttpServer(service_handler, spool, memory=memory),
-        host_server=HttpServer(host_handler, spool, memory=memory),
+        service_server=HttpServer(service_handler, spool, _limits(state.settings), memory),
+        host_server=HttpServer(host_handler, spool, _limits(state.settings), memory),
     )
+
+
+def _limits(settings: DaemonSettings) -> ConnectionLimits:
+    descriptors = descriptor_limit(settings.max_descriptors)
+    return ConnectionLimits(max_connections=max_caller_connections(descriptors))
--- a/src/finchshed/daemon/settings.py
+++ b/src/finchshed/daemon/settings.py
@@ -145,6 +145,17 @@
             ),
         ),
     ] = 2 << 30
+    max_descriptors: Annotated[
+        int,
+        Meta(
+            ge=0,
+            le=1 << 20,
+            description=(
+                "Descriptors that the process may have open, 0: as many as the system allows it. "
+                "Connections of callers may take half of them."
+            ),
+        ),
+    ] = 0
     max_connections: Annotated[
         int, Meta(ge=1, le=65_536, description="Connections kept to the back end.")
     ] = 128
--- a/src/finchshed/http/connection.py
+++ b/src/finchshed/http/connection.py
@@ -282,6 +282,7 @@
 
     def _handle(self, exchange: Exchange[RequestT]) -> None:
         self._answering = exchange
+        self._owner.request_read(self)
         handler = self._owner.handler
         held = self._request_memory
         if held is not None and not held.resize(exchange.memory_bytes):
@@ -310,6 +311,8 @@
         if self._answering is not exchange or self._transport is None:
             return
         self._answering = None
+        if self._transport is not None:
+            self._owner.request_answered(self)
         if self._request_memory is not None:
             self._request_memory.release()
         exchange.abort = None
--- a/src/finchshed/http/exchange.py
+++ b/src/finchshed/http/exchange.py
@@ -64,6 +64,12 @@
     def closed(self, connection: ConnectionT_contra) -> None:
         """Unregister a connection."""
 
+    def request_read(self, connection: ConnectionT_contra) -> None:
+        """Note that a whole request is with the handler."""
+
+    def request_answered(self, connection: ConnectionT_contra) -> None:
+        """Note that the connection waits for a request again."""
+
 
 REQUEST_BYTES = 2_048
 """Memory of the objects of one request without headers."""
--- a/src/finchshed/http/limits.py
+++ b/src/finchshed/http/limits.py
@@ -17,9 +17,12 @@
         Time without progress after which a partially received request is dropped.
     write_seconds
         Time without progress after which an unsent response is dropped.
+    max_connections
+        Maximum number of open connections.
     """
 
     max_head_bytes: int = 65_536
     idle_seconds: float = 75.0
     read_seconds: float = 30.0
     write_seconds: float = 60.0
+    max_connections: int = 65_536
--- a/src/finchshed/http/server.py
+++ b/src/finchshed/http/server.py
@@ -14,8 +14,14 @@
 from finchshed.http.exchange import RequestHandler
 from finchshed.http.limits import ConnectionLimits
 from finchshed.http.spool import SpoolBudget
+from finchshed.observability.instruments import Counter
 from finchshed.runtime import clock
 
+CONNECTIONS_CLOSED = Counter(
+    "finchshed_connections_closed_for_others_total",
+    "Connections of callers closed to make room for new ones, at their bound",
+)
+
 LINGER_SECONDS = 2.0
 """Time a client has to close the connection after an early refusal."""
 
@@ -80,6 +86,8 @@
         self.now = clock.now()
         self.closing = False
         self._connections: set[InboundConnection[RequestT]] = set()
+        # Connections without a whole request, in the order in which they began to wait for one.
+        self._waiting: dict[InboundConnection[RequestT], None] = {}
 
     @property
     def connections(self) -> int:
@@ -109,12 +117,28 @@
         return InboundConnection(self)
 
     def opened(self, connection: InboundConnection[RequestT]) -> None:
-        """Register a connection; see :class:`~finchshed.http.exchange.ConnectionOwner`."""
+        """Register a connection; see :class:`~finchshed.http.exchange.ConnectionOwner`.
+
+        At the bound the one that has waited longest for a request makes room. A request that was
+        read is never cut for a new connection.
+        """
         self._connections.add(connection)
+        self._waiting[connection] = None
+        if len(self._connections) > self.limits.max_connections:
+            self._make_room()
 
     def closed(self, connection: InboundConnection[RequestT]) -> None:
         """Unregister a connection; see :class:`~finchshed.http.exchange.ConnectionOwner`."""
         self._connections.discard(connection)
+        self._waiting.pop(connection, None)
+
+    def request_read(self, connection: InboundConnection[RequestT]) -> None:
+        """Note a request; see :class:`~finchshed.http.exchange.ConnectionOwner`."""
+        self._waiting.pop(connection, None)
+
+    def request_answered(self, connection: InboundConnection[RequestT]) -> None:
+        """Note an answer; see :class:`~finchshed.http.exchange.ConnectionOwner`."""
+        self._waiting[connection] = None
 
     def sweep(self) -> None:
         """Close idle and stuck connections."""
@@ -132,6 +156,12 @@
         for connection in list(self._connections):
             connection.close()
 
+    def _make_room(self) -> None:
+        CONNECTIONS_CLOSED.inc()
+        longest_waiting = next(iter(self._waiting))
+        self.closed(longest_waiting)
+        longest_waiting.abort()
+
     def _check(self, connection: InboundConnection[RequestT]) -> None:
         unsent = connection.write_buffer_size()
         if unsent != connection.unsent_bytes:
--- a/src/finchshed/http/simple.py
+++ b/src/finchshed/http/simple.py
@@ -12,6 +12,7 @@
 
 from finchshed.common.memory_budget import MemoryBudget
 from finchshed.common.outcomes import RefusalReason, Refused
+from finchshed.http.limits import ConnectionLimits
 from finchshed.http.message import InboundRequest, Response
 from finchshed.http.server import HttpServer
 from finchshed.http.spool import SpoolBudget
@@ -21,6 +22,7 @@
     STATUS_INTERNAL_SERVER_ERROR,
     STATUS_SERVICE_UNAVAILABLE,
 )
+from finchshed.runtime.descriptors import descriptor_limit, max_auxiliary_connections
 
 AnswerFunction: TypeAlias = Callable[[InboundRequest], "Response | Awaitable[Response]"]
 
@@ -116,12 +118,22 @@
         Maximum body size in bytes.
     bodies_held
         Number of maximum-size bodies that may be buffered at once.
+    max_descriptors
+        Descriptors that the process may have open, 0: as many as the system allows it.
     """
 
-    def __init__(self, answer: AnswerFunction, max_body_bytes: int, bodies_held: int) -> None:
+    def __init__(
+        self,
+        answer: AnswerFunction,
+        max_body_bytes: int,
+        bodies_held: int,
+        max_descriptors: int = 0,
+    ) -> None:
         spool = SpoolBudget(bodies_held * max_body_bytes)
         memory = MemoryBudget(CONNECTIONS_BYTES + RESPONSES_HELD * max_body_bytes)
-        super().__init__(SimpleHandler(answer, max_body_bytes), spool, memory=memory)
+        connections = max_auxiliary_connections(descriptor_limit(max_descriptors))
+        limits = ConnectionLimits(max_connections=connections)
+        super().__init__(SimpleHandler(answer, max_body_bytes), spool, limits, memory)
         self._sweep_task: asyncio.Task[None] | None = None
 
     def make_protocol(self) -> asyncio.BaseProtocol:
--- a/tests/daemon/test_http_listener.py
+++ b/tests/daemon/test_http_listener.py
@@ -454,3 +454,46 @@
         writer.write(b"x")
         assert (await reader.readline()).split()[1] == b"200"
         writer.close()
+
+
+async def open_further(client: ListenerClient) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open another connection to the server of ``client``."""
+    return await asyncio.open_connection(*client.writer.get_extra_info("peername"))
+
+
+async def is_closed(reader: asyncio.StreamReader) -> bool:
+    """Return whether the server closed or reset a connection without sending more."""
+    try:
+        return await reader.read(1) == b""
+    except ConnectionResetError:
+        return True
+
+
+async def test_at_the_bound_the_connection_that_waited_longest_makes_room() -> None:
+    async with listener() as client:
+        client.server.limits.max_connections = 3
+        client.writer.write(request("/held"))
+        await eventually(lambda: client.handler.pending)
+        streams = [await open_further(client) for _ in range(4)]
+        assert all([await is_closed(reader) for reader, _ in streams[:2]])
+        for _, writer in streams[2:]:
+            writer.write(request("/ordinary"))
+        answers = [await reader.readline() for reader, _ in streams[2:]]
+        assert [line.split()[1] for line in answers] == [b"200", b"200"]
+        assert client.server.connections == 3
+        client.handler.pending["/held"](Response(200, (), b"whole"))
+        assert await client.read() == (200, b"whole")
+        for _, writer in streams:
+            writer.close()
+
+
+async def test_a_request_that_was_read_is_not_cut_for_a_new_connection() -> None:
+    async with listener() as client:
+        client.server.limits.max_connections = 1
+        client.writer.write(request("/held"))
+        await eventually(lambda: client.handler.pending)
+        reader, writer = await open_further(client)
+        assert await is_closed(reader)
+        writer.close()
+        client.handler.pending["/held"](Response(200, (), b"whole"))
+        assert await client.read() == (200, b"whole")
