daemon: parse answers in tiny chunks in pieces

What callers saw: while back ends sent answers of 35,000 two-byte chunks, 80 at a time, an ordinary request got 502 (link_broken) in 3 of 4 runs of test_crowds.py.

Cause: what one read brought, up to 256 KB, was parsed in one step of the event loop; 80 such steps held up the daemon for more than a second, and its links were taken for silent. The same on the side of callers, where a read of a body in chunks was parsed at once.

Change: of a head, or of a body in chunks, 16 KB are parsed before others get their turn, and reading pauses meanwhile; a caller's connection gives way after 32 pieces or requests. An answer is counted once for each piece, not for each chunk.

--- a/src/finchshed/daemon/backend/answer_parser.py
+++ b/src/finchshed/daemon/backend/answer_parser.py
@@ -64,6 +64,8 @@
         Whether the answer names the request.
     is_past_head
         Whether the headers of the final answer are complete.
+    is_chunked
+        Whether the body comes in chunks.
     ends_with_connection
         Whether the body is delimited by the end of the connection.
     is_complete, is_too_large
@@ -145,9 +147,11 @@
             if not self.is_complete:
                 return f"malformed answer: {error}"
             self.keeps_alive = False
-        if self.is_complete or self._problem:
+        if self._problem:
             return self._problem
         self._note_held()
+        if self.is_complete:
+            return ""
         if not self.is_past_head:
             is_too_long = self.received - self._passed_over > MAX_HEAD_BYTES
             return "head too large" if is_too_long else ""
@@ -188,6 +192,7 @@
             return
         self.is_past_head = True
         self.head_received_at = clock.now()
+        self.is_chunked = any(name == TRANSFER_ENCODING for name, _ in self.headers)
         self.ends_with_connection = not self._has_length
         self._judge()
         self._check_declared_length()
@@ -203,7 +208,6 @@
             self.is_too_large = True
         elif not self._is_skipping:
             self._body += body
-            self._note_held()
 
     def on_message_complete(self) -> None:
         """Complete the answer, or discard an interim (1xx) or extra one."""
@@ -221,6 +225,7 @@
         """Count what the answer takes; one for which no memory is left is given up."""
         if not self._holding.resize(self._head_memory + len(self._body)):
             self.is_too_large = True
+            self.is_complete = False
 
     def _problem_of_head(self) -> str:
         """Return why the head isn't that of an answer, or an empty string.
@@ -267,6 +272,7 @@
         self.head_received_at = 0.0
         self.is_identified = False
         self.is_past_head = False
+        self.is_chunked = False
         self.ends_with_connection = False
         self.discard()
         self._body_size = 0
--- a/src/finchshed/daemon/backend/connection.py
+++ b/src/finchshed/daemon/backend/connection.py
@@ -29,6 +29,10 @@
 )
 from finchshed.daemon.backend.extra_answers import log_extra_answer
 from finchshed.http.connection_end import ConnectionEnd, end_of_stream
+from finchshed.http.unparsed import UnparsedBytes
+
+MAX_BYTES_AT_ONCE = 16_384
+"""Bytes of a head, or of a body in chunks, that are parsed before others get their turn."""
 
 KEEP_ALIVE = b"keep-alive"
 TIMEOUT_PARAMETER = re.compile(rb"timeout=(\d+)")
@@ -97,6 +101,8 @@
         self._max_answer_bytes = max_answer_bytes
         holding = memory.open(HoldingKind.ONE_REQUEST, self._on_memory_dropped)
         self._parser = AnswerParser(self._addressee_of, holding)
+        self._unparsed = UnparsedBytes()
+        self._is_paused = False
         self._on_result: Callable[[BackendResult], None] | None = None
         self._request: BackendRequest | None = None
 
@@ -145,17 +151,47 @@
                 log_extra_answer(self._use, len(data))
             self._close()
             return
-        problem = self._parser.feed(data)
+        self._unparsed.add(data)
+        self._parse()
+
+    def _parse(self) -> None:
+        """Parse what was received, but tiny chunks in pieces, so that others get their turn."""
+        if self.state is not ConnectionState.AWAITING_ANSWER:
+            return
+        is_framed = self._parser.is_past_head and not self._parser.is_chunked
+        size = len(self._unparsed) if is_framed else MAX_BYTES_AT_ONCE
+        problem = self._parser.feed(bytes(self._unparsed.take(size)))
+        is_over = problem or self._parser.is_complete or self._parser.is_too_large
+        if self._unparsed and not is_over:
+            self._pause_reading()
+            asyncio.get_running_loop().call_soon(self._parse)
+            return
+        if self._unparsed and self._parser.is_complete:
+            problem = self._parser.feed(bytes(self._unparsed.take(len(self._unparsed))))
+        self._resume_reading()
+        self._on_parsed(problem)
+
+    def _on_parsed(self, problem: str) -> None:
         if problem:
             self._fail(problem, BrokenCause.MALFORMED)
         elif self._parser.is_complete:
-            # Checked after the whole chunk, since surplus bytes make the connection unusable.
+            # Checked after all bytes, since surplus ones make the connection unusable.
             answer = self._answer()
             self._release(answer)
             self._finish(answer)
         elif self._parser.is_too_large:
             self._give_up_answer()
 
+    def _pause_reading(self) -> None:
+        if self._transport is not None and not self._is_paused:
+            self._is_paused = True
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        if self._transport is not None and self._is_paused:
+            self._is_paused = False
+            self._transport.resume_reading()
+
     def eof_received(self) -> None:
         """End the answer: complete if delimited by the end of the stream (asyncio callback).
 
@@ -264,6 +300,7 @@
         self.state = ConnectionState.CLOSED
         if self._on_result is None:
             self._forget_request()
+        self._unparsed.clear()
         self._parser.discard()
         if self._transport is not None:
             self._transport.abort()
--- a/src/finchshed/http/connection.py
+++ b/src/finchshed/http/connection.py
@@ -34,8 +34,8 @@
 """Bytes of a body in chunks that are parsed at a time; its end, and so the next request, may be
 among them."""
 
-MAX_REQUESTS_AT_ONCE = 16
-"""Requests of one connection that are handled before other connections get their turn."""
+MAX_STEPS_AT_ONCE = 32
+"""Pieces and requests of one connection that are processed before others get their turn."""
 
 
 class InboundConnection(ConnectionTransport, Generic[RequestT]):
@@ -226,10 +226,10 @@
         if self._is_advancing:
             return
         self._is_advancing = True
-        handled = 0
-        while self._can_advance() and handled < MAX_REQUESTS_AT_ONCE:
+        steps = 0
+        while self._can_advance() and steps < MAX_STEPS_AT_ONCE:
+            steps += 1
             if self._queued:
-                handled += 1
                 self._handle(self._queued.popleft())
             else:
                 self._parse_piece()
--- a/src/finchshed/http/unparsed.py
+++ b/src/finchshed/http/unparsed.py
@@ -1,4 +1,4 @@
-"""Received bytes that aren't parsed yet, handed out so that no more than one request is parsed.
+"""Received bytes that aren't parsed yet, handed out in pieces.
 
 No I/O.
 """
