http: a byte now and then isn't progress of an unread answer

A client that reads one byte of its answer a minute keeps the answer in the daemon's memory for as long as it likes.

Cause: any change of the unsent bytes put the end of the time off, and so did what the client sent meanwhile.

Change: 16 KiB read, or the rest, count as progress; a client that reads less within 60 s is given up. One that is merely slow gets its answer.

--- a/src/finchshed/http/limits.py
+++ b/src/finchshed/http/limits.py
@@ -16,7 +16,8 @@
     read_seconds
         Time without progress after which a partially received request is dropped.
     write_seconds
-        Time without progress after which an unsent response is dropped.
+        Time without progress after which an unsent response is dropped; 16 KiB read count as
+        progress.
     max_connections
         Maximum number of open connections.
     """
--- a/src/finchshed/http/server.py
+++ b/src/finchshed/http/server.py
@@ -22,6 +22,9 @@
     "Connections of callers closed to make room for new ones, at their bound",
 )
 
+MIN_SENT_BYTES = 16_384
+"""Bytes of an unsent answer that its client must read for that to count as progress."""
+
 LINGER_SECONDS = 2.0
 """Time a client has to close the connection after an early refusal."""
 
@@ -164,12 +167,13 @@
 
     def _check(self, connection: InboundConnection[RequestT]) -> None:
         unsent = connection.write_buffer_size()
-        if unsent != connection.unsent_bytes:
+        if _is_progress(connection.unsent_bytes, unsent):
             connection.unsent_bytes = unsent
+            connection.progress_at = self.now
             connection.last_active_at = self.now
         idle_seconds = self.now - connection.last_active_at
         if unsent:
-            if idle_seconds > self.limits.write_seconds:
+            if self.now - connection.progress_at > self.limits.write_seconds:
                 connection.abort()
         elif connection.is_answering:
             connection.last_active_at = self.now
@@ -181,3 +185,8 @@
             return LINGER_SECONDS
         limits = self.limits
         return limits.read_seconds if connection.is_busy else limits.idle_seconds
+
+
+def _is_progress(before: int, unsent: int) -> bool:
+    """Return whether a client has read enough of its answer, or has a new one to read."""
+    return unsent > before or before - unsent >= min(before, MIN_SENT_BYTES) > 0
--- a/src/finchshed/http/transport.py
+++ b/src/finchshed/http/transport.py
@@ -31,7 +31,9 @@
     is_lingering
         Whether the last answer was written; data that is still received is discarded.
     unsent_bytes
-        Unsent bytes at the last sweep of the server.
+        Unsent bytes when the server last saw progress.
+    progress_at
+        When that was, in seconds on the boot-time clock.
 
     ``_request_memory`` is what the request takes that is with the handler; it never gives way.
     ``_lingers_once_sent`` tells how to end the connection after the answer that its end delimits;
@@ -54,6 +56,7 @@
         self._is_paused = False
         self.is_lingering = False
         self.unsent_bytes = 0
+        self.progress_at = 0.0
         self._lingers_once_sent: bool | None = None
 
     def get_buffer(self, sizehint: int) -> memoryview:
--- a/tests/daemon/test_http_listener.py
+++ b/tests/daemon/test_http_listener.py
@@ -497,3 +497,30 @@
         writer.close()
         client.handler.pending["/held"](Response(200, (), b"whole"))
         assert await client.read() == (200, b"whole")
+
+
+async def test_a_client_that_reads_next_to_nothing_of_its_answer_is_given_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with listener() as client:
+        client.server.limits.write_seconds = 60.0
+        (connection,) = client.server._connections
+        unsent = [100_000]
+        monkeypatch.setattr(connection, "write_buffer_size", lambda: unsent[0])
+        closed = Mock()
+        monkeypatch.setattr(connection, "abort", closed)
+
+        def sweep(seconds: float, read_bytes: int) -> bool:
+            unsent[0] -= read_bytes
+            now = client.server.now + seconds
+            monkeypatch.setattr("finchshed.http.server.clock.now", lambda: now)
+            client.server.sweep()
+            return bool(closed.called)
+
+        assert not sweep(1.0, 0)
+        # Slow, but fast enough: it gets its answer.
+        assert not any(sweep(10.0, 4_000) for _ in range(20))
+        # A byte now and then is no progress, nor is what it sends meanwhile.
+        client.writer.write(b"GET")
+        assert any(sweep(10.0, 1) for _ in range(7))
+        unsent[0] = 0
