http, tests: one copy of pausing a connection, and of reading an answer in tests

Cause: the connection to a back end had its own copy of what pauses and resumes reading, and two tests of stops read answers in the same way.

Change: http/reading.py serves both connections, tests/platform/stop_series.py both tests.

--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 DEPLOYMENT ?= brazos
 TEST_WORKERS ?= 4
 PYTEST_ARGS ?=
+TESTS_ALONE := tests/platform/test_crowds.py
 LOAD ?= 1.0
 SEED ?= 1
 
@@ -32,9 +33,12 @@
 	$(BIN)/python -m pytest -v tests/platform/test_thin_path.py
 
 # Failures of the tests in KNOWN-RED.txt are shown and don't count; any other one does.
+# Tests of what a process takes at the most run one at a time, after the others.
 test: $(INSTALLED)
-	$(BIN)/python -m pytest -n $(TEST_WORKERS) --dist=loadfile \
+	$(BIN)/python -m pytest -n $(TEST_WORKERS) --dist=loadfile --ignore=$(TESTS_ALONE) \
 		$(KNOWN_RED:%=--deselect='%') $(PYTEST_ARGS)
+	$(if $(filter tests/%,$(PYTEST_ARGS)),,$(BIN)/python -m pytest $(TESTS_ALONE) \
+		$(KNOWN_RED:%=--deselect='%') $(PYTEST_ARGS))
 	@for known in $(KNOWN_RED); do \
 		echo "== known red, not counted: $$known"; \
 		$(BIN)/python -m pytest "$$known" || true; \
--- a/src/finchshed/daemon/backend/connection.py
+++ b/src/finchshed/daemon/backend/connection.py
@@ -29,6 +29,7 @@
 )
 from finchshed.daemon.backend.extra_answers import log_extra_answer
 from finchshed.http.connection_end import ConnectionEnd, end_of_stream
+from finchshed.http.reading import Reading
 from finchshed.http.unparsed import UnparsedBytes
 
 MAX_BYTES_AT_ONCE = 16_384
@@ -102,7 +103,7 @@
         holding = memory.open(HoldingKind.ONE_REQUEST, self._on_memory_dropped)
         self._parser = AnswerParser(self._addressee_of, holding)
         self._unparsed = UnparsedBytes()
-        self._is_paused = False
+        self._reading_state = Reading()
         self._on_result: Callable[[BackendResult], None] | None = None
         self._request: BackendRequest | None = None
 
@@ -163,12 +164,12 @@
         problem = self._parser.feed(bytes(self._unparsed.take(size)))
         is_over = problem or self._parser.is_complete or self._parser.is_too_large
         if self._unparsed and not is_over:
-            self._pause_reading()
+            self._reading_state.pause(self._transport)
             asyncio.get_running_loop().call_soon(self._parse)
             return
         if self._unparsed and self._parser.is_complete:
             problem = self._parser.feed(bytes(self._unparsed.take(len(self._unparsed))))
-        self._resume_reading()
+        self._reading_state.resume(self._transport)
         self._on_parsed(problem)
 
     def _on_parsed(self, problem: str) -> None:
@@ -182,16 +183,6 @@
         elif self._parser.is_too_large:
             self._give_up_answer()
 
-    def _pause_reading(self) -> None:
-        if self._transport is not None and not self._is_paused:
-            self._is_paused = True
-            self._transport.pause_reading()
-
-    def _resume_reading(self) -> None:
-        if self._transport is not None and self._is_paused:
-            self._is_paused = False
-            self._transport.resume_reading()
-
     def eof_received(self) -> None:
         """End the answer: complete if delimited by the end of the stream (asyncio callback).
 
--- a/src/finchshed/http/connection.py
+++ b/src/finchshed/http/connection.py
@@ -1,9 +1,9 @@
 """A server-side HTTP connection, parsed with httptools (llhttp).
 
 Pipelined requests are parsed one at a time and answered in order; what a client sends meanwhile is
-left to the kernel. Requests and responses are not streamed: the handler
-receives a complete request and returns a complete response. Owns the requests of its connection;
-the server's handler admits and answers them.
+left to the kernel. Requests and responses are not streamed: the handler receives a complete request
+and returns a complete response. Owns the requests of its connection; the server's handler admits
+and answers them.
 """
 
 import asyncio
@@ -238,9 +238,9 @@
         if self._can_advance():
             asyncio.get_running_loop().call_soon(self._advance)
         if self._unparsed and not self.is_lingering:
-            self._pause_reading()
+            self._reading_state.pause(self._transport)
         else:
-            self._resume_reading()
+            self._reading_state.resume(self._transport)
         self._note_held()
 
     def _held_bytes(self) -> int:
@@ -251,7 +251,7 @@
         return super()._held_bytes() + len(self._unparsed) + requests
 
     def _on_no_memory(self) -> None:
-        """Refuse what isn't with the handler yet, or close the connection."""
+        """Refuse what isn't with the handler yet; otherwise close the connection."""
         if self._answering is not None or not (self._queued or self._reading):
             self.abort()
             return
@@ -311,8 +311,7 @@
         if self._answering is not exchange or self._transport is None:
             return
         self._answering = None
-        if self._transport is not None:
-            self._owner.request_answered(self)
+        self._owner.request_answered(self)
         if self._request_memory is not None:
             self._request_memory.release()
         exchange.abort = None
--- a/src/finchshed/http/transport.py
+++ b/src/finchshed/http/transport.py
@@ -5,6 +5,7 @@
 import struct
 
 from finchshed.common.memory_budget import Holding, HoldingKind, MemoryBudget
+from finchshed.http.reading import Reading
 
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """``struct linger`` with a timeout of zero: a close resets the connection (socket(7))."""
@@ -19,7 +20,7 @@
 RECEIVE_BYTES = 65_536
 """Maximum number of bytes that are received at a time."""
 
-_received = memoryview(bytearray(RECEIVE_BYTES))
+_receive_buffer = memoryview(bytearray(RECEIVE_BYTES))
 """Shared by all connections: it is filled and emptied within one step of the event loop."""
 
 
@@ -53,7 +54,7 @@
             self._memory = memory.open(HoldingKind.ONE_REQUEST, self.abort)
             self._request_memory = memory.open(HoldingKind.KEPT, self.abort)
         self._transport: asyncio.Transport | None = None
-        self._is_paused = False
+        self._reading_state = Reading()
         self.is_lingering = False
         self.unsent_bytes = 0
         self.progress_at = 0.0
@@ -61,11 +62,11 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return where received bytes are put (asyncio callback)."""
-        return _received
+        return _receive_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Pass on received bytes (asyncio callback)."""
-        self.data_received(bytes(_received[:nbytes]))
+        self.data_received(bytes(_receive_buffer[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
         """Process received bytes."""
@@ -117,16 +118,6 @@
         # Breaks the reference cycles, so that no collection is needed.
         self._memory = self._request_memory = None
 
-    def _pause_reading(self) -> None:
-        if self._transport is not None and not self._is_paused:
-            self._is_paused = True
-            self._transport.pause_reading()
-
-    def _resume_reading(self) -> None:
-        if self._transport is not None and self._is_paused:
-            self._is_paused = False
-            self._transport.resume_reading()
-
     def _send_delimited_by_end(self, data: bytes, *, is_lingering: bool) -> None:
         """Write an answer that ends with the connection, and end the connection after it.
 
@@ -165,6 +156,6 @@
             return
         if is_lingering and self._transport.can_write_eof():
             self._transport.write_eof()
-            self._resume_reading()
+            self._reading_state.resume(self._transport)
         else:
             self._transport.close()
--- a/tests/platform/stop_series.py
+++ b/tests/platform/stop_series.py
@@ -17,6 +17,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Protocol
 
 from aiohttp import web
 
@@ -179,20 +180,28 @@
         try:
             writer.write("\r\n".join(lines).encode())
             async with asyncio.timeout(DEADLINE_MS / 1000):
-                return await _read_answer(reader, sent)
+                headers = await read_answer(reader, sent)
+                return headers.get("connection") == "close"
         except TimeoutError:
             return True
         finally:
             sent.ended_at = time.monotonic()
 
 
-async def _read_answer(reader: asyncio.StreamReader, sent: Sent) -> bool:
+class HasStatus(Protocol):
+    """A request whose answer is read."""
+
+    status: int | None
+
+
+async def read_answer(reader: asyncio.StreamReader, sent: HasStatus) -> dict[str, str]:
+    """Read a whole answer and note its status; return its headers."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
     pairs = (line.lower().split(": ", 1) for line in head[1:] if line)
     headers = {name: value for name, value in pairs}
     await reader.readexactly(int(headers["content-length"]))
     sent.status = int(head[0].split()[1])
-    return headers.get("connection") == "close"
+    return headers
 
 
 class Work:
--- a/tests/platform/test_late_requests.py
+++ b/tests/platform/test_late_requests.py
@@ -26,13 +26,12 @@
     run_platform,
     wait_until_known,
 )
-
-GRACE_SECONDS = 6.0
-LATE_SECONDS = 3.0
-"""A request sent later than this after the SIGTERM has no excuse, whatever its work."""
-
-LAST_PART_SECONDS = GRACE_SECONDS / 6
-"""An earlier one may be cut if its back end was at work in this last part of the grace time."""
+from tests.platform.stop_series import (
+    GRACE_SECONDS,
+    LAST_PART_SECONDS,
+    LATE_SECONDS,
+    read_answer,
+)
 
 CLIENTS = 16
 IDLE_CLIENTS = 60
@@ -109,20 +108,11 @@
         head += f"Request-Id: {sent.identity}\r\nDeadline-Ms: {DEADLINE_MS}\r\n"
         try:
             writer.write(f"{head}Content-Length: 4\r\n\r\nbody".encode())
-            return await _read_answer(reader, sent)
+            return await read_answer(reader, sent)
         finally:
             sent.ended_at = time.monotonic()
 
 
-async def _read_answer(reader: asyncio.StreamReader, sent: Sent) -> dict[str, str]:
-    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
-    pairs = (line.lower().split(": ", 1) for line in head[1:] if line)
-    headers = {name: value for name, value in pairs}
-    await reader.readexactly(int(headers["content-length"]))
-    sent.status = int(head[0].split()[1])
-    return headers
-
-
 async def work(backend: FakeBackend, request: web.Request) -> web.Response:
     """Answer after the time that the path names."""
     if request.path.startswith((SHORT, LONG)):
