daemon, http: a stop ends requests after its sessions; a request's memory is counted once

With sessions left, requests in progress were ended before the time that the end of the sessions leaves them; and a request was counted twice for a moment, as received and as handled, which could refuse it at the bound.

Change: requests are ended last; what a request took while it was received is freed before it is counted as handled.

--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -139,12 +139,13 @@
         # Requests that the local back end is running may need further calls.
         await wait_while(self._has_calls, stop.seconds_left(clock.now()))
         self._listeners.close()
-        if not await wait_while(self._is_busy, stop.seconds_left(clock.now())):
-            await self._end_requests()
+        await wait_while(self._is_busy, stop.seconds_left(clock.now()))
         if self._callee is not None and self._callee.sessions:
             logger.info("ending the {} remaining sessions", self._callee.sessions)
             self._callee.end_sessions()
             await wait_while(self._is_busy, settings.drain_notice_seconds)
+        if self._is_busy():
+            await self._end_requests()
         servers = (self._ingress.host_server, self._ingress.service_server)
         log_connections(server.counts() for server in servers)
         await self._close()
--- a/src/finchshed/http/connection.py
+++ b/src/finchshed/http/connection.py
@@ -284,6 +284,8 @@
         self._answering = exchange
         self._owner.request_read(self)
         handler = self._owner.handler
+        # What it took while it was received is free for it now.
+        self._note_held()
         held = self._request_memory
         if held is not None and not held.resize(exchange.memory_bytes):
             exchange.refuse(self._refused_for_memory())
--- a/tests/daemon/test_http_listener.py
+++ b/tests/daemon/test_http_listener.py
@@ -524,3 +524,16 @@
         client.writer.write(b"GET")
         assert any(sweep(10.0, 1) for _ in range(7))
         unsent[0] = 0
+
+
+async def test_a_small_request_finds_memory_in_a_crowd_of_unfinished_heads() -> None:
+    memory = MemoryBudget(400_000)
+    async with listener(memory=memory) as client:
+        crowd = [await open_further(client) for _ in range(20)]
+        for _, writer in crowd:
+            writer.write(request("/x", *["a:"] * 80)[:-2])
+        await eventually(lambda: memory.dropped)
+        for _ in range(20):
+            assert await client.exchange(request("/small")) == [(200, b"/small ")]
+        for _, writer in crowd:
+            writer.close()
