--- a/src/finchshed/daemon/daemon.py
+++ b/src/finchshed/daemon/daemon.py
@@ -19,6 +19,7 @@
 from finchshed.daemon.header_names import HeaderNames
 from finchshed.daemon.listeners import Listeners
 from finchshed.daemon.load_page import read_load_page
+from finchshed.daemon.pressure_log import PressureLog
 from finchshed.daemon.serving.callee import Callee
 from finchshed.daemon.settings import DaemonSettings
 from finchshed.daemon.stop_report import log_connections
@@ -62,6 +63,7 @@
         self._links = components.link_components.links
         self._ingress = components.ingress
         self._avoided_endpoints = AvoidedEndpointReport(components.state.table)
+        self._pressure_log = PressureLog()
         client = components.follower_runner.client
         client.on_explain = _explain
         client.on_hints = self._on_hints
@@ -275,8 +277,15 @@
             if self._callee is not None:
                 self._callee.expire_sessions()
             self._avoided_endpoints.write(clock.now())
+            self._log_pressure()
             self._set_gauges()
 
+    def _log_pressure(self) -> None:
+        dropped = self._components.state.memory.bodies.dropped
+        servers = (self._ingress.host_server, self._ingress.service_server)
+        closed = sum(server.closed_for_others for server in servers)
+        self._pressure_log.write(dropped, closed, clock.now())
+
     def _set_gauges(self) -> None:
         bodies = self._components.state.memory.bodies
         metrics.BODY_BYTES.set(bodies.held)
--- a/src/finchshed/http/server.py
+++ b/src/finchshed/http/server.py
@@ -73,6 +73,8 @@
         Whether connections close after their next response.
     now
         Time of the last sweep, in seconds on the boot-time clock.
+    closed_for_others
+        Number of connections closed to make room for new ones.
     """
 
     def __init__(
@@ -88,6 +90,7 @@
         self.memory = memory
         self.now = clock.now()
         self.closing = False
+        self.closed_for_others = 0
         self._connections: set[InboundConnection[RequestT]] = set()
         # Connections without a whole request, in the order in which they began to wait for one.
         self._waiting: dict[InboundConnection[RequestT], None] = {}
@@ -161,6 +164,7 @@
 
     def _make_room(self) -> None:
         CONNECTIONS_CLOSED.inc()
+        self.closed_for_others += 1
         longest_waiting = next(iter(self._waiting))
         self.closed(longest_waiting)
         longest_waiting.abort()
