--- a/tests/platform/test_vocabulary.py
+++ b/tests/platform/test_vocabulary.py
@@ -107,6 +107,7 @@
     "limits",
     "listen",
     "machines",
+    "max_fds",
     "memory_mb",
     "node_name",
     "outbound",
